--- /dev/null
+++ b/entry/engine.h
@@ -0,0 +1,97 @@
+#ifndef ENTRY_ENGINE_H
+#define ENTRY_ENGINE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/config.h"
+#include "core/submission.h"
+#include "ports/backend.h"
+#include "ports/clock.h"
+
+/*
+ * The engine owns the queue of tasks, the backend servers' state and the
+ * running calls. It asks core/dispatch what to start next, and starts it
+ * through the backend port. It starts every task at most once, except single
+ * requests whose job says that they may be repeated.
+ */
+
+struct engine;
+struct event_base;
+
+/** struct engine_params - what an engine is made of; all borrowed. */
+struct engine_params {
+	struct event_base *base;
+	struct clock *clock;
+	struct backend *backend;
+	const char *az;		  /* own availability zone */
+	const char *host;	  /* own name */
+	const char *policy;	  /* "default" or "naive", see dispatch.h */
+	uint64_t seed;		  /* of random choices */
+	uint32_t queue_tasks_max; /* tasks waiting, all jobs */
+	uint64_t queue_bytes_max; /* bodies waiting, all jobs */
+};
+
+/** engine_create() - an engine without configuration, or NULL. */
+struct engine *engine_create(const struct engine_params *params);
+
+/** engine_destroy() - cancel everything and free; callbacks do not run. */
+void engine_destroy(struct engine *engine);
+
+/** engine_configure() - apply a configuration; it is borrowed for the call. */
+void engine_configure(struct engine *engine, const struct config *config);
+
+/**
+ * typedef engine_done_fn - a submission has ended.
+ * @answer: owned by the callee, to be freed with subm_answer_free().
+ */
+typedef void (*engine_done_fn)(void *arg, struct answer *answer);
+
+/**
+ * engine_submit() - admit a submission and queue its tasks.
+ * @subm: ownership passes to the engine on success only.
+ * @done: runs once, never from within this call, unless it fails.
+ *
+ * Return: 0, or -1 with @err: the submission was refused, no task was or will
+ * be started (NOT_RUN is true).
+ */
+int engine_submit(struct engine *engine, struct submission *subm,
+    engine_done_fn done, void *arg, struct err *err);
+
+/**
+ * engine_cancel() - cancel a submission by its id.
+ *
+ * Waiting tasks end as NOT_RUN; results of running ones are dropped when they
+ * come, and the submission ends then at the latest. Return: false if unknown.
+ */
+bool engine_cancel(struct engine *engine, const char *id);
+
+/** engine_progress() - tasks ended of a submission; false if unknown. */
+bool engine_progress(struct engine *engine, const char *id, size_t *ended,
+    size_t *ntasks);
+
+/** engine_busy() - number of tasks waiting or running. */
+size_t engine_busy(const struct engine *engine);
+
+/**
+ * engine_server_leaving() - a source has told that a server is leaving, or
+ * no longer is. @source: "list", "peer"; the label comes by configuration.
+ */
+void engine_server_leaving(struct engine *engine, const char *server,
+    const char *source, bool leaving);
+
+/**
+ * struct engine_share - how many entry hosts share the servers of one
+ * availability zone, and the rank of this host among them.
+ */
+struct engine_share {
+	const char *az;
+	size_t nhosts;		  /* live entry hosts, this one included */
+	const char *const *hosts; /* their names */
+};
+
+/** engine_set_share() - the set of live entry hosts has changed. */
+void engine_set_share(struct engine *engine, const struct engine_share *share);
+
+#endif /* ENTRY_ENGINE_H */
