--- /dev/null
+++ b/adapters/peers_conn.c
@@ -0,0 +1,469 @@
+/*
+ * One connection to a peer: Hello, frames in and out, its end. What a frame
+ * asks for is done by peers_forward.c and peers_gossip.c.
+ */
+
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "adapters/peers_internal.h"
+
+#define PEERS_READ_BYTES (256U << 10) /* at once */
+
+struct counter peers_ctr_bad_frames = {
+	.name = "berylrail_peer_bad_frames_total",
+	.help = "Connections ended because a peer sent what is no frame.",
+};
+
+static struct counter peers_ctr_closed = {
+	.name = "berylrail_peer_connections_ended_total",
+	.help = "Connections to peers that have ended.",
+};
+
+static struct counter peers_ctr_open = {
+	.name = "berylrail_peer_connections",
+	.help = "Connections to peers, introduced or not.",
+	.gauge = 1,
+};
+
+static struct counter peers_ctr_received_bytes = {
+	.name = "berylrail_peer_received_bytes_total",
+	.help = "Bytes of frames received from peers.",
+};
+
+static struct counter peers_ctr_sent_bytes = {
+	.name = "berylrail_peer_sent_bytes_total",
+	.help = "Bytes of frames sent to peers.",
+};
+
+/* Frames sent, by Berylrail__Frame__KindCase. */
+#define PEERS_SENT(kind)                                    \
+	{                                                   \
+		.name = "berylrail_messages_total",         \
+		.labels = "hop=\"peer\",kind=\"" kind "\"", \
+		.help = "Messages sent, by hop and kind."   \
+	}
+static struct counter peers_ctr_sent[] = {
+	[BERYLRAIL__FRAME__KIND_HELLO] = PEERS_SENT("hello"),
+	[BERYLRAIL__FRAME__KIND_HEARTBEAT] = PEERS_SENT("heartbeat"),
+	[BERYLRAIL__FRAME__KIND_FORWARD_REQUEST] = PEERS_SENT("forward"),
+	[BERYLRAIL__FRAME__KIND_FORWARD_REPLY] = PEERS_SENT("forward_reply"),
+	[BERYLRAIL__FRAME__KIND_CONFIG_NOTICE] = PEERS_SENT("config_notice"),
+	[BERYLRAIL__FRAME__KIND_CONFIG_FETCH] = PEERS_SENT("config_fetch"),
+	[BERYLRAIL__FRAME__KIND_CONFIG_SNAPSHOT] =
+	    PEERS_SENT("config_snapshot"),
+	[BERYLRAIL__FRAME__KIND_SLOT_LOAN] = PEERS_SENT("slot_loan"),
+	[BERYLRAIL__FRAME__KIND_SLOT_REQUEST] = PEERS_SENT("slot_request"),
+};
+
+uint8_t *
+peers_pack(const Berylrail__Frame *frame, size_t *len)
+{
+	size_t size = berylrail__frame__get_packed_size(frame);
+	uint8_t *buf = malloc(FRAME_HEADER_BYTES + size);
+
+	if (buf == NULL)
+		return NULL;
+	frm_header(buf, size);
+	berylrail__frame__pack(frame, buf + FRAME_HEADER_BYTES);
+	*len = FRAME_HEADER_BYTES + size;
+	return buf;
+}
+
+int
+peers_conn_send_packed(struct peers_conn *conn, const uint8_t *frame,
+    size_t len, int kind)
+{
+	struct evbuffer *output = bufferevent_get_output(conn->bev);
+
+	if (evbuffer_get_length(output) + len > PEERS_OUTPUT_BYTES_MAX ||
+	    evbuffer_add(output, frame, len) < 0)
+		return -1;
+	ctr_inc(&peers_ctr_sent[kind]);
+	ctr_add(&peers_ctr_sent_bytes, len);
+	return 0;
+}
+
+int
+peers_conn_send(struct peers_conn *conn, const Berylrail__Frame *frame)
+{
+	size_t len;
+	uint8_t *buf = peers_pack(frame, &len);
+	int rc;
+
+	if (buf == NULL)
+		return -1;
+	rc = peers_conn_send_packed(conn, buf, len, (int)frame->kind_case);
+	free(buf);
+	return rc;
+}
+
+struct peers_conn *
+peers_conn_find(struct peers_tcp *peers, const char *host, uint64_t incarnation)
+{
+	struct peers_conn *conn, *found = NULL;
+
+	TAILQ_FOREACH (conn, &peers->conns, entry) {
+		if (!conn->hello || conn->closing ||
+		    conn->incarnation != incarnation ||
+		    strcmp(conn->name, host) != 0)
+			continue;
+		if (!conn->redundant)
+			return conn;
+		found = conn;
+	}
+	return found;
+}
+
+struct peers_conn *
+peers_conn_find_host(struct peers_tcp *peers, const char *host)
+{
+	struct peers_conn *conn;
+
+	TAILQ_FOREACH (conn, &peers->conns, entry) {
+		if (conn->hello && !conn->closing &&
+		    strcmp(conn->name, host) == 0)
+			return conn;
+	}
+	return NULL;
+}
+
+void
+peers_conn_close(struct peers_conn *conn, enum err_code code, const char *why)
+{
+	struct peers_tcp *peers = conn->peers;
+	struct peers_target *target = conn->target;
+
+	TAILQ_REMOVE(&peers->conns, conn, entry);
+	ctr_set(&peers_ctr_open, --peers->nconns);
+	ctr_inc(&peers_ctr_closed);
+	peers_forward_broken(conn, code, why);
+	if (target != NULL) {
+		peers_dial_ended(peers, target, conn->hello);
+		if (!conn->hello && target->name[0] != '\0')
+			peers_forward_unreachable(peers, target->name);
+	}
+	bufferevent_free(conn->bev);
+	frm_release(&conn->parser);
+	free(conn);
+}
+
+/* Of two connections to one process, both sides keep the same one. */
+static void
+peers_conn_settle_redundancy(struct peers_conn *conn)
+{
+	struct peers_tcp *peers = conn->peers;
+	struct peers_conn *other;
+	const char *dialer, *other_dialer;
+
+	TAILQ_FOREACH (other, &peers->conns, entry) {
+		if (other == conn || !other->hello || other->redundant ||
+		    other->incarnation != conn->incarnation ||
+		    strcmp(other->name, conn->name) != 0)
+			continue;
+		dialer = conn->dialed ? peers->params.host : conn->name;
+		other_dialer = other->dialed ? peers->params.host : conn->name;
+		if (strcmp(dialer, other_dialer) < 0)
+			other->redundant = true;
+		else
+			conn->redundant = true;
+	}
+}
+
+/*
+ * We reached @conn's host at its own address. Another incarnation that was
+ * there is gone for good.
+ */
+static void
+peers_conn_end_predecessors(struct peers_conn *conn)
+{
+	struct peers_conn *other, *next;
+
+	TAILQ_FOREACH_SAFE (other, &conn->peers->conns, entry, next) {
+		if (other->hello && other->incarnation != conn->incarnation &&
+		    other->advertise.port == conn->advertise.port &&
+		    strcmp(other->advertise.address, conn->advertise.address) ==
+			0)
+			peers_conn_close(other, ERR_NOT_FOUND,
+			    "another incarnation has its address");
+	}
+}
+
+static bool
+peers_conn_name_is_valid(const char *name)
+{
+	size_t len = strlen(name);
+
+	return len > 0 && len <= NAME_LEN_MAX;
+}
+
+static int
+peers_conn_hello(struct peers_conn *conn, const Berylrail__Hello *hello)
+{
+	struct peers_tcp *peers = conn->peers;
+	const struct member_id id = {
+		.name = hello->host,
+		.az = hello->az,
+		.address = hello->peer_address,
+		.port = (uint16_t)hello->peer_port,
+		.incarnation = hello->incarnation,
+	};
+
+	if (conn->hello || !peers_conn_name_is_valid(hello->host) ||
+	    !peers_conn_name_is_valid(hello->az) || hello->peer_port == 0 ||
+	    hello->peer_port > UINT16_MAX ||
+	    strlen(hello->peer_address) >= sizeof(conn->advertise.address))
+		return -1;
+	if (hello->incarnation == peers->params.incarnation) {
+		if (conn->target != NULL)
+			conn->target->self = true;
+		conn->closing = true;
+		return 0;
+	}
+	if (strcmp(hello->host, peers->params.host) == 0)
+		return -1;
+	strlcpy(conn->name, hello->host, sizeof(conn->name));
+	strlcpy(conn->az, hello->az, sizeof(conn->az));
+	strlcpy(conn->advertise.address, hello->peer_address,
+	    sizeof(conn->advertise.address));
+	conn->advertise.port = (uint16_t)hello->peer_port;
+	conn->incarnation = hello->incarnation;
+	conn->hello = true;
+	conn->parser.max = FRAME_BYTES_MAX;
+	if (conn->target != NULL) {
+		strlcpy(conn->target->name, conn->name,
+		    sizeof(conn->target->name));
+		conn->target->backoff_ms = 0;
+		peers_conn_end_predecessors(conn);
+	}
+	peers_conn_settle_redundancy(conn);
+	if (mbr_hello(&peers->members, peers_now_us(peers), &id,
+		conn->dialed) == NULL)
+		peers_dial_demand(peers, conn->name);
+	peers_gossip_connected(conn);
+	peers_forward_connected(peers, conn);
+	return 0;
+}
+
+/* Takes ownership of @frame. -1: the peer broke the protocol. */
+static int
+peers_conn_frame(struct peers_conn *conn, Berylrail__Frame *frame)
+{
+	int rc = 0;
+
+	if (!conn->hello && frame->kind_case != BERYLRAIL__FRAME__KIND_HELLO) {
+		berylrail__frame__free_unpacked(frame, NULL);
+		return -1;
+	}
+	switch (frame->kind_case) {
+	case BERYLRAIL__FRAME__KIND_FORWARD_REQUEST:
+		peers_forward_request(conn, frame);
+		return 0;
+	case BERYLRAIL__FRAME__KIND_FORWARD_REPLY:
+		peers_forward_reply(conn, frame);
+		break;
+	case BERYLRAIL__FRAME__KIND_HELLO:
+		rc = peers_conn_hello(conn, frame->hello);
+		break;
+	case BERYLRAIL__FRAME__KIND_HEARTBEAT:
+		peers_gossip_heartbeat(conn, frame->heartbeat);
+		break;
+	case BERYLRAIL__FRAME__KIND_CONFIG_NOTICE:
+		peers_gossip_notice(conn, frame->config_notice->version);
+		break;
+	case BERYLRAIL__FRAME__KIND_CONFIG_FETCH:
+		peers_gossip_fetch(conn, frame->config_fetch->have_version);
+		break;
+	case BERYLRAIL__FRAME__KIND_CONFIG_SNAPSHOT:
+		peers_gossip_snapshot(conn, frame->config_snapshot);
+		break;
+	case BERYLRAIL__FRAME__KIND_SLOT_LOAN:
+	case BERYLRAIL__FRAME__KIND_SLOT_REQUEST:
+		break;
+	default:
+		rc = -1;
+	}
+	berylrail__frame__free_unpacked(frame, NULL);
+	return rc;
+}
+
+static int
+peers_conn_payload(struct peers_conn *conn)
+{
+	Berylrail__Frame *frame;
+
+	if (conn->parser.payload_len == 0)
+		return -1;
+	frame = berylrail__frame__unpack(NULL, conn->parser.payload_len,
+	    conn->parser.payload);
+	if (frame == NULL)
+		return -1;
+	conn->heard_us = peers_now_us(conn->peers);
+	ctr_add(&peers_ctr_received_bytes,
+	    FRAME_HEADER_BYTES + conn->parser.payload_len);
+	return peers_conn_frame(conn, frame);
+}
+
+static void
+peers_conn_read(struct bufferevent *bev, void *arg)
+{
+	struct evbuffer *input = bufferevent_get_input(bev);
+	struct peers_conn *conn = arg;
+	struct err err = { .code = ERR_INVALID };
+	size_t len, used;
+	uint8_t *data;
+	int rc;
+
+	while (!conn->closing &&
+	    (len = evbuffer_get_contiguous_space(input)) > 0) {
+		data = evbuffer_pullup(input, (ev_ssize_t)len);
+		rc = frm_feed(&conn->parser, data, len, &used, &err);
+		evbuffer_drain(input, used);
+		if (rc > 0)
+			rc = peers_conn_payload(conn);
+		if (rc < 0) {
+			ctr_inc(&peers_ctr_bad_frames);
+			peers_conn_close(conn, ERR_LOST, "protocol broken");
+			return;
+		}
+	}
+	if (conn->closing)
+		peers_conn_close(conn, ERR_LOST, "ended here");
+}
+
+static void
+peers_conn_event(struct bufferevent *bev, short what, void *arg)
+{
+	(void)bev;
+	if (what & BEV_EVENT_CONNECTED)
+		return;
+	peers_conn_close(arg, ERR_LOST,
+	    what & BEV_EVENT_EOF ? "closed by the peer" : "connection broken");
+}
+
+static void
+peers_conn_send_hello(struct peers_conn *conn)
+{
+	const struct peers_tcp *peers = conn->peers;
+	Berylrail__Hello hello = BERYLRAIL__HELLO__INIT;
+	Berylrail__Frame frame = BERYLRAIL__FRAME__INIT;
+
+	hello.host = (char *)peers->params.host;
+	hello.az = (char *)peers->params.az;
+	hello.incarnation = peers->params.incarnation;
+	hello.peer_address = (char *)peers->advertise.address;
+	hello.peer_port = peers->advertise.port;
+	frame.kind_case = BERYLRAIL__FRAME__KIND_HELLO;
+	frame.hello = &hello;
+	peers_conn_send(conn, &frame);
+}
+
+static int
+peers_conn_connect(struct peers_conn *conn, const struct endpoint *endpoint)
+{
+	struct sockaddr_storage address;
+	int len = sizeof(address);
+	char text[64];
+
+	snprintf(text, sizeof(text),
+	    strchr(endpoint->address, ':') != NULL ? "[%s]:%u" : "%s:%u",
+	    endpoint->address, endpoint->port);
+	if (evutil_parse_sockaddr_port(text, (struct sockaddr *)&address,
+		&len) < 0)
+		return -1;
+	return bufferevent_socket_connect(conn->bev,
+	    (struct sockaddr *)&address, len);
+}
+
+/* Dials @target if @fd is -1. On failure @fd stays the caller's. */
+struct peers_conn *
+peers_conn_open(struct peers_tcp *peers, struct peers_target *target,
+    evutil_socket_t fd)
+{
+	struct peers_conn *conn;
+	int on = 1;
+
+	if (peers->nconns >= PEERS_CONNECTIONS_MAX)
+		return NULL;
+	conn = calloc(1, sizeof(*conn));
+	if (conn == NULL)
+		return NULL;
+	conn->peers = peers;
+	conn->target = target;
+	conn->dialed = target != NULL;
+	conn->opened_us = conn->heard_us = conn->used_us = peers_now_us(peers);
+	frm_init(&conn->parser, PEERS_HELLO_BYTES_MAX);
+	conn->bev = bufferevent_socket_new(peers->params.base, fd,
+	    BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	if (conn->bev == NULL) {
+		free(conn);
+		return NULL;
+	}
+	bufferevent_set_max_single_read(conn->bev, PEERS_READ_BYTES);
+	bufferevent_setcb(conn->bev, peers_conn_read, NULL, peers_conn_event,
+	    conn);
+	TAILQ_INSERT_TAIL(&peers->conns, conn, entry);
+	ctr_set(&peers_ctr_open, ++peers->nconns);
+	if (target != NULL && peers_conn_connect(conn, &target->endpoint) < 0) {
+		conn->target = NULL;
+		peers_conn_close(conn, ERR_UNAVAILABLE, "connect");
+		return NULL;
+	}
+	setsockopt(bufferevent_getfd(conn->bev), IPPROTO_TCP, TCP_NODELAY, &on,
+	    sizeof(on));
+	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
+	peers_conn_send_hello(conn);
+	return conn;
+}
+
+/* Time without a whole frame after which a peer is taken for dead. */
+static uint64_t
+peers_conn_silence_us(const struct peers_conn *conn)
+{
+	uint32_t interval_ms = conn->interval_ms;
+
+	if (!conn->hello || interval_ms == 0)
+		return (uint64_t)PEERS_HELLO_TIMEOUT_MS * 1000;
+	return (uint64_t)interval_ms * MEMBER_DEAD_INTERVALS * 1000;
+}
+
+/* Dialed here, of no use any more, and nothing is under way on it. */
+static bool
+peers_conn_is_idle(struct peers_conn *conn, uint64_t now_us)
+{
+	const struct peers_tcp *peers = conn->peers;
+	const struct member *member;
+	const struct peers_forward *forward;
+
+	if (!conn->dialed || !conn->hello || conn->nserved > 0)
+		return false;
+	TAILQ_FOREACH (forward, &peers->forwards, entry) {
+		if (forward->conn == conn)
+			return false;
+	}
+	if (conn->redundant)
+		return now_us - conn->opened_us >
+		    (uint64_t)PEERS_HELLO_TIMEOUT_MS * 1000;
+	member = mbr_find(&peers->members, conn->name);
+	return !conn->target->seed && (member == NULL || !member->wanted) &&
+	    now_us - conn->used_us > (uint64_t)PEERS_DEMAND_MS * 1000;
+}
+
+void
+peers_conn_tick(struct peers_tcp *peers, uint64_t now_us)
+{
+	struct peers_conn *conn, *next;
+
+	TAILQ_FOREACH_SAFE (conn, &peers->conns, entry, next) {
+		if (conn->closing)
+			peers_conn_close(conn, ERR_LOST, "ended here");
+		else if (now_us - conn->heard_us > peers_conn_silence_us(conn))
+			peers_conn_close(conn, ERR_LOST, "silent");
+		else if (peers_conn_is_idle(conn, now_us))
+			peers_conn_close(conn, ERR_LOST, "idle");
+	}
+}
--- /dev/null
+++ b/adapters/peers_dial.c
@@ -0,0 +1,162 @@
+/*
+ * Whom to connect to: seeds, the members that core/member wants, and on
+ * demand the issuer of a ticket. A target is an address; which host is there
+ * shows when it has said Hello.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "adapters/peers_internal.h"
+
+static struct peers_target *
+peers_target_find(struct peers_tcp *peers, const struct endpoint *endpoint)
+{
+	struct peers_target *target;
+
+	TAILQ_FOREACH (target, &peers->targets, entry) {
+		if (target->endpoint.port == endpoint->port &&
+		    strcmp(target->endpoint.address, endpoint->address) == 0)
+			return target;
+	}
+	return NULL;
+}
+
+struct peers_target *
+peers_target_enter(struct peers_tcp *peers, const struct endpoint *endpoint)
+{
+	struct peers_target *target = peers_target_find(peers, endpoint);
+
+	if (target != NULL)
+		return target;
+	target = calloc(1, sizeof(*target));
+	if (target == NULL)
+		return NULL;
+	target->endpoint = *endpoint;
+	TAILQ_INSERT_TAIL(&peers->targets, target, entry);
+	return target;
+}
+
+/* The target must have no connection. */
+void
+peers_target_free(struct peers_tcp *peers, struct peers_target *target)
+{
+	TAILQ_REMOVE(&peers->targets, target, entry);
+	free(target);
+}
+
+static struct peers_target *
+peers_target_of_member(struct peers_tcp *peers, const struct member *member)
+{
+	struct endpoint endpoint = { .port = member->port };
+	struct peers_target *target;
+
+	if (member->address[0] == '\0' || member->port == 0)
+		return NULL;
+	strlcpy(endpoint.address, member->address, sizeof(endpoint.address));
+	target = peers_target_enter(peers, &endpoint);
+	if (target != NULL && target->name[0] == '\0')
+		strlcpy(target->name, member->name, sizeof(target->name));
+	return target;
+}
+
+static void
+peers_dial(struct peers_tcp *peers, struct peers_target *target,
+    uint64_t now_us)
+{
+	target->last_dial_us = now_us;
+	target->conn = peers_conn_open(peers, target, -1);
+	if (target->conn == NULL)
+		peers_dial_ended(peers, target, false);
+}
+
+/* The connection of a target has ended, or could not be opened. */
+void
+peers_dial_ended(struct peers_tcp *peers, struct peers_target *target,
+    bool had_hello)
+{
+	target->conn = NULL;
+	if (had_hello || target->backoff_ms == 0)
+		target->backoff_ms = PEERS_BACKOFF_MIN_MS;
+	else if (target->backoff_ms < PEERS_BACKOFF_MAX_MS)
+		target->backoff_ms *= 2;
+	target->next_dial_us =
+	    peers_now_us(peers) + peers_jitter_us(peers, target->backoff_ms);
+}
+
+static bool
+peers_dial_is_due(struct peers_tcp *peers, const struct peers_target *target,
+    uint64_t now_us)
+{
+	const struct member *member;
+
+	if (target->self || target->conn != NULL)
+		return false;
+	if (target->demand_until_us > now_us)
+		return peers_conn_find_host(peers, target->name) == NULL;
+	if (target->name[0] == '\0')
+		return true;
+	if (peers_conn_find_host(peers, target->name) != NULL)
+		return false;
+	member = mbr_find(&peers->members, target->name);
+	return target->seed || (member != NULL && member->wanted);
+}
+
+/* Nobody wants a target any more: its host was forgotten or has moved. */
+static bool
+peers_dial_is_stale(struct peers_tcp *peers, const struct peers_target *target,
+    uint64_t now_us)
+{
+	const struct member *member;
+
+	if (target->seed || target->conn != NULL ||
+	    target->demand_until_us > now_us)
+		return false;
+	member = mbr_find(&peers->members, target->name);
+	return member == NULL || member->port != target->endpoint.port ||
+	    strcmp(member->address, target->endpoint.address) != 0;
+}
+
+void
+peers_dial_tick(struct peers_tcp *peers, uint64_t now_us)
+{
+	struct peers_target *target, *next;
+	struct member *member;
+
+	TAILQ_FOREACH (member, &peers->members.members, entry) {
+		if (member->wanted)
+			peers_target_of_member(peers, member);
+	}
+	TAILQ_FOREACH_SAFE (target, &peers->targets, entry, next) {
+		if (peers_dial_is_stale(peers, target, now_us)) {
+			peers_target_free(peers, target);
+			continue;
+		}
+		if (now_us >= target->next_dial_us &&
+		    peers_dial_is_due(peers, target, now_us))
+			peers_dial(peers, target, now_us);
+	}
+}
+
+int
+peers_dial_demand(struct peers_tcp *peers, const char *host)
+{
+	const struct member *member = mbr_find(&peers->members, host);
+	uint64_t now_us = peers_now_us(peers);
+	struct peers_target *target;
+
+	if (member == NULL)
+		return -1;
+	target = peers_target_of_member(peers, member);
+	if (target == NULL || target->self)
+		return -1;
+	target->demand_until_us = now_us + (uint64_t)PEERS_DEMAND_MS * 1000;
+	if (target->conn != NULL)
+		return 0;
+	if (target->last_dial_us != 0 &&
+	    now_us - target->last_dial_us <
+		(uint64_t)PEERS_BACKOFF_MIN_MS * 1000)
+		return target->backoff_ms == 0 ? 0 : -1;
+	peers_dial(peers, target, now_us);
+	return target->conn != NULL ? 0 : -1;
+}
--- /dev/null
+++ b/adapters/peers_forward.c
@@ -0,0 +1,427 @@
+/*
+ * Requests between hosts. A forward waits for a connection to the issuer, is
+ * sent once, and ends by its reply, by the end of its connection or by its
+ * time-out. Correlation ids are never used again, so that a late or repeated
+ * reply finds nothing and is dropped.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "adapters/peers_internal.h"
+
+#define PEERS_WASTED(kind)                                          \
+	{                                                           \
+		.name = "berylrail_wasted_messages_total",          \
+		.labels = "hop=\"peer\",kind=\"" kind "\"",         \
+		.help = "Messages that added nothing to an answer." \
+	}
+static struct counter peers_ctr_unknown_reply = PEERS_WASTED("unknown_reply");
+static struct counter peers_ctr_lost = PEERS_WASTED("forward_lost");
+static struct counter peers_ctr_gone = PEERS_WASTED("forward_gone");
+static struct counter peers_ctr_refused = PEERS_WASTED("forward_refused");
+
+static struct counter peers_ctr_pending = {
+	.name = "berylrail_peer_forwards",
+	.help = "Requests at other hosts that have not ended.",
+	.gauge = 1,
+};
+
+/* Ends a forward; its callback runs from the event loop. */
+static void
+peers_forward_fail(struct peers_tcp *peers, struct peers_forward *forward,
+    enum err_code code, const char *why)
+{
+	if (code == ERR_LOST)
+		ctr_inc(&peers_ctr_lost);
+	TAILQ_REMOVE(&peers->forwards, forward, entry);
+	err_set(&forward->err, ERR_STEP_FORWARD, code, forward->host, "%s",
+	    why);
+	forward->conn = NULL;
+	TAILQ_INSERT_TAIL(&peers->ended, forward, entry);
+	event_active(peers->ended_event, 0, 0);
+}
+
+static void
+peers_forward_free(struct peers_tcp *peers, struct peers_forward *forward)
+{
+	ctr_set(&peers_ctr_pending, --peers->nforwards);
+	free(forward->frame);
+	free(forward);
+}
+
+void
+peers_forward_run_ended(evutil_socket_t fd, short what, void *arg)
+{
+	struct peers_tcp *peers = arg;
+	struct peers_forward *forward;
+
+	(void)fd;
+	(void)what;
+	while ((forward = TAILQ_FIRST(&peers->ended)) != NULL) {
+		TAILQ_REMOVE(&peers->ended, forward, entry);
+		forward->done(forward->arg, NULL, &forward->err);
+		peers_forward_free(peers, forward);
+	}
+}
+
+static void
+peers_forward_send(struct peers_conn *conn, struct peers_forward *forward)
+{
+	struct peers_tcp *peers = conn->peers;
+
+	if (peers_conn_send_packed(conn, forward->frame, forward->frame_len,
+		BERYLRAIL__FRAME__KIND_FORWARD_REQUEST) < 0) {
+		peers_forward_fail(peers, forward, ERR_UNAVAILABLE,
+		    "too much is unsent to it");
+		return;
+	}
+	free(forward->frame);
+	forward->frame = NULL;
+	forward->conn = conn;
+	forward->deadline_us =
+	    peers_now_us(peers) + (uint64_t)PEERS_FORWARD_TIMEOUT_MS * 1000;
+	conn->used_us = peers_now_us(peers);
+}
+
+static uint8_t *
+peers_forward_pack(const struct api_request *request, uint64_t correlation,
+    uint64_t incarnation, size_t *len)
+{
+	Berylrail__ForwardRequest message = BERYLRAIL__FORWARD_REQUEST__INIT;
+	Berylrail__Frame frame = BERYLRAIL__FRAME__INIT;
+
+	message.correlation = correlation;
+	message.incarnation = incarnation;
+	message.method = request->method;
+	message.path = (char *)request->path;
+	if (request->query != NULL)
+		message.query = (char *)request->query;
+	if (request->idempotency_key != NULL)
+		message.idempotency_key = (char *)request->idempotency_key;
+	if (request->job != NULL)
+		message.job = (char *)request->job;
+	if (request->who != NULL)
+		message.who = (char *)request->who;
+	if (request->client != NULL)
+		message.client = (char *)request->client;
+	message.body.data = (uint8_t *)request->body;
+	message.body.len = request->body_len;
+	frame.kind_case = BERYLRAIL__FRAME__KIND_FORWARD_REQUEST;
+	frame.forward_request = &message;
+	return peers_pack(&frame, len);
+}
+
+/* Sends, dials or fails a new forward. */
+static void
+peers_forward_route(struct peers_tcp *peers, struct peers_forward *forward)
+{
+	const char *host = forward->host;
+	struct peers_conn *conn;
+	const struct member *member;
+
+	conn = peers_conn_find(peers, host, forward->incarnation);
+	if (conn != NULL) {
+		peers_forward_send(conn, forward);
+		return;
+	}
+	member = mbr_find(&peers->members, host);
+	if (strcmp(host, peers->params.host) == 0 ||
+	    (member != NULL && member->state != MEMBER_UNHEARD &&
+		member->incarnation != forward->incarnation &&
+		peers_conn_find(peers, host, member->incarnation) != NULL))
+		peers_forward_fail(peers, forward, ERR_NOT_FOUND,
+		    "another incarnation has its address");
+	else if (peers_dial_demand(peers, host) < 0)
+		peers_forward_fail(peers, forward, ERR_UNAVAILABLE,
+		    member == NULL ? "unknown host" : "no connection");
+}
+
+void
+peers_forward(struct peers *port, const char *az, const char *issuer,
+    uint64_t incarnation, const struct api_request *request,
+    void (
+	*done)(void *arg, const struct api_reply *reply, const struct err *err),
+    void *arg)
+{
+	static const struct err no_memory = {
+		.step = ERR_STEP_FORWARD,
+		.code = ERR_NO_MEMORY,
+		.message = "forward",
+	};
+	struct peers_tcp *peers = peers_of(port);
+	struct peers_forward *forward = calloc(1, sizeof(*forward));
+
+	(void)az;
+	if (forward == NULL) {
+		done(arg, NULL, &no_memory);
+		return;
+	}
+	strlcpy(forward->host, issuer, sizeof(forward->host));
+	forward->incarnation = incarnation;
+	forward->done = done;
+	forward->arg = arg;
+	forward->correlation = peers->next_correlation++;
+	forward->deadline_us =
+	    peers_now_us(peers) + (uint64_t)PEERS_CONNECT_WAIT_MS * 1000;
+	forward->frame = peers_forward_pack(request, forward->correlation,
+	    incarnation, &forward->frame_len);
+	TAILQ_INSERT_TAIL(&peers->forwards, forward, entry);
+	ctr_set(&peers_ctr_pending, ++peers->nforwards);
+	if (peers->nforwards > PEERS_FORWARDS_MAX)
+		peers_forward_fail(peers, forward, ERR_UNAVAILABLE,
+		    "too many forwards are pending");
+	else if (forward->frame == NULL)
+		peers_forward_fail(peers, forward, ERR_NO_MEMORY, "forward");
+	else if (forward->frame_len > FRAME_BYTES_MAX)
+		peers_forward_fail(peers, forward, ERR_TOO_LARGE,
+		    "request exceeds a frame");
+	else
+		peers_forward_route(peers, forward);
+}
+
+/* @conn's host has introduced itself: what waited for it goes out. */
+void
+peers_forward_connected(struct peers_tcp *peers, struct peers_conn *conn)
+{
+	struct peers_forward *forward, *next;
+
+	TAILQ_FOREACH_SAFE (forward, &peers->forwards, entry, next) {
+		if (forward->conn != NULL ||
+		    strcmp(forward->host, conn->name) != 0)
+			continue;
+		if (forward->incarnation == conn->incarnation)
+			peers_forward_send(conn, forward);
+		else if (conn->dialed)
+			peers_forward_fail(peers, forward, ERR_NOT_FOUND,
+			    "another incarnation has its address");
+	}
+}
+
+/* The connection that forwards to @host wait for could not be made. */
+void
+peers_forward_unreachable(struct peers_tcp *peers, const char *host)
+{
+	struct peers_forward *forward, *next;
+
+	TAILQ_FOREACH_SAFE (forward, &peers->forwards, entry, next) {
+		if (forward->conn == NULL && strcmp(forward->host, host) == 0)
+			peers_forward_fail(peers, forward, ERR_UNAVAILABLE,
+			    "no connection");
+	}
+}
+
+static void
+peers_served_free(struct peers_tcp *peers, struct peers_served *served)
+{
+	TAILQ_REMOVE(&peers->served, served, entry);
+	if (served->conn != NULL)
+		served->conn->nserved--;
+	berylrail__frame__free_unpacked(served->frame, NULL);
+	free(served);
+}
+
+/* A connection is about to be freed: nothing may refer to it any more. */
+void
+peers_forward_broken(struct peers_conn *conn, enum err_code code,
+    const char *why)
+{
+	struct peers_tcp *peers = conn->peers;
+	struct peers_forward *forward, *next;
+	struct peers_served *served, *next_served;
+
+	TAILQ_FOREACH_SAFE (forward, &peers->forwards, entry, next) {
+		if (forward->conn == conn)
+			peers_forward_fail(peers, forward, code, why);
+	}
+	TAILQ_FOREACH_SAFE (served, &peers->served, entry, next_served) {
+		if (served->conn != conn)
+			continue;
+		api_abandon(peers->params.api, served);
+		peers_served_free(peers, served);
+	}
+}
+
+static void
+peers_forward_answer(struct peers_conn *conn,
+    const Berylrail__ForwardReply *reply)
+{
+	Berylrail__Frame frame = BERYLRAIL__FRAME__INIT;
+
+	frame.kind_case = BERYLRAIL__FRAME__KIND_FORWARD_REPLY;
+	frame.forward_reply = (Berylrail__ForwardReply *)reply;
+	/* Without its reply the other side must not wait: end the connection.
+	 */
+	if (peers_conn_send(conn, &frame) < 0)
+		conn->closing = true;
+}
+
+static void
+peers_served_reply(void *arg, const struct api_reply *reply)
+{
+	static char too_large[] = "{\"title\":\"too-large\",\"status\":502,"
+				  "\"detail\":\"answer exceeds a frame\","
+				  "\"step\":\"forward\","
+				  "\"code\":\"too-large\"}";
+	static char problem_type[] = "application/problem+json";
+	static char unknown[] = "outcome-unknown";
+	Berylrail__ForwardReply message = BERYLRAIL__FORWARD_REPLY__INIT;
+	struct peers_served *served = arg;
+	struct peers_conn *conn = served->conn;
+
+	message.correlation = served->correlation;
+	message.status = (uint32_t)reply->status;
+	if (reply->content_type != NULL)
+		message.content_type = (char *)reply->content_type;
+	if (reply->outcome != NULL)
+		message.outcome = (char *)reply->outcome;
+	if (reply->next_ticket != NULL)
+		message.next_ticket = (char *)reply->next_ticket;
+	message.body.data = (uint8_t *)reply->body;
+	message.body.len = reply->body_len;
+	if (berylrail__forward_reply__get_packed_size(&message) + 16 >
+	    FRAME_BYTES_MAX) {
+		message.status = 502;
+		message.content_type = problem_type;
+		message.outcome = unknown;
+		message.body.data = (uint8_t *)too_large;
+		message.body.len = sizeof(too_large) - 1;
+	}
+	peers_forward_answer(conn, &message);
+	conn->used_us = peers_now_us(conn->peers);
+	peers_served_free(conn->peers, served);
+}
+
+static const char *
+peers_forward_optional(const char *text)
+{
+	return text[0] != '\0' ? text : NULL;
+}
+
+static void
+peers_served_fill(struct peers_served *served,
+    const Berylrail__ForwardRequest *message)
+{
+	served->request = (struct api_request){
+		.method = message->method < API_OTHER
+		    ? (enum api_method)message->method
+		    : API_OTHER,
+		.path = message->path,
+		.query = message->query,
+		.idempotency_key =
+		    peers_forward_optional(message->idempotency_key),
+		.job = peers_forward_optional(message->job),
+		.who = peers_forward_optional(message->who),
+		.client = message->client,
+		.body = message->body.data,
+		.body_len = message->body.len,
+		.forwarded = true,
+	};
+}
+
+/* A peer asks this host to serve a request. Takes ownership of @frame. */
+void
+peers_forward_request(struct peers_conn *conn, Berylrail__Frame *frame)
+{
+	const Berylrail__ForwardRequest *message = frame->forward_request;
+	Berylrail__ForwardReply reply = BERYLRAIL__FORWARD_REPLY__INIT;
+	struct peers_tcp *peers = conn->peers;
+	struct peers_served *served;
+
+	reply.correlation = message->correlation;
+	if (message->incarnation != peers->params.incarnation) {
+		reply.wrong_incarnation = true;
+		peers_forward_answer(conn, &reply);
+		berylrail__frame__free_unpacked(frame, NULL);
+		return;
+	}
+	served = conn->nserved < PEERS_SERVED_MAX ? calloc(1, sizeof(*served))
+						  : NULL;
+	if (served == NULL) {
+		reply.overloaded = true;
+		peers_forward_answer(conn, &reply);
+		berylrail__frame__free_unpacked(frame, NULL);
+		return;
+	}
+	served->conn = conn;
+	served->correlation = message->correlation;
+	served->frame = frame;
+	peers_served_fill(served, message);
+	conn->nserved++;
+	conn->used_us = peers_now_us(peers);
+	TAILQ_INSERT_TAIL(&peers->served, served, entry);
+	api_handle(peers->params.api, &served->request, peers_served_reply,
+	    served);
+}
+
+void
+peers_forward_reply(struct peers_conn *conn, const Berylrail__Frame *frame)
+{
+	const Berylrail__ForwardReply *message = frame->forward_reply;
+	struct peers_tcp *peers = conn->peers;
+	struct peers_forward *forward;
+	struct api_reply reply;
+
+	TAILQ_FOREACH (forward, &peers->forwards, entry) {
+		if (forward->correlation == message->correlation)
+			break;
+	}
+	if (forward == NULL || forward->conn != conn) {
+		ctr_inc(&peers_ctr_unknown_reply);
+		return;
+	}
+	conn->used_us = peers_now_us(peers);
+	if (message->wrong_incarnation) {
+		ctr_inc(&peers_ctr_gone);
+		peers_forward_fail(peers, forward, ERR_NOT_FOUND,
+		    "that incarnation is gone");
+		return;
+	}
+	if (message->overloaded) {
+		ctr_inc(&peers_ctr_refused);
+		peers_forward_fail(peers, forward, ERR_UNAVAILABLE,
+		    "it serves too many forwards");
+		return;
+	}
+	reply = (struct api_reply){
+		.status = (int)message->status,
+		.content_type = message->content_type,
+		.outcome = peers_forward_optional(message->outcome),
+		.next_ticket = peers_forward_optional(message->next_ticket),
+		.body = message->body.data,
+		.body_len = message->body.len,
+	};
+	TAILQ_REMOVE(&peers->forwards, forward, entry);
+	forward->done(forward->arg, &reply, NULL);
+	peers_forward_free(peers, forward);
+}
+
+void
+peers_forward_tick(struct peers_tcp *peers, uint64_t now_us)
+{
+	struct peers_forward *forward, *next;
+
+	TAILQ_FOREACH_SAFE (forward, &peers->forwards, entry, next) {
+		if (now_us < forward->deadline_us)
+			continue;
+		if (forward->conn == NULL)
+			peers_forward_fail(peers, forward, ERR_UNAVAILABLE,
+			    "no connection in time");
+		else
+			peers_forward_fail(peers, forward, ERR_LOST,
+			    "no reply in time");
+	}
+}
+
+/* All connections are closed: only forwards without one are left. */
+void
+peers_forward_release(struct peers_tcp *peers)
+{
+	struct peers_forward *forward;
+
+	TAILQ_CONCAT(&peers->ended, &peers->forwards, entry);
+	while ((forward = TAILQ_FIRST(&peers->ended)) != NULL) {
+		TAILQ_REMOVE(&peers->ended, forward, entry);
+		peers_forward_free(peers, forward);
+	}
+}
--- /dev/null
+++ b/adapters/peers_tcp.c
@@ -0,0 +1,237 @@
+/*
+ * Peers by framed TCP: life cycle, the listening socket and the timer. One
+ * timer drives dialing, heartbeats, time-outs and the fetch of configuration.
+ */
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "adapters/peers_internal.h"
+
+static const struct peers_ops peers_tcp_ops = {
+	.forward = peers_forward,
+	.notify_config = peers_gossip_notify_config,
+};
+
+struct peers_tcp *
+peers_of(struct peers *port)
+{
+	return (struct peers_tcp *)port;
+}
+
+uint64_t
+peers_now_us(const struct peers_tcp *peers)
+{
+	return clock_now_us(peers->params.clock);
+}
+
+uint64_t
+peers_jitter_us(struct peers_tcp *peers, uint32_t ms)
+{
+	uint64_t us = (uint64_t)ms * 1000;
+
+	/* xorshift64 */
+	peers->random ^= peers->random << 13;
+	peers->random ^= peers->random >> 7;
+	peers->random ^= peers->random << 17;
+	return us * 3 / 4 + (us < 2 ? 0 : peers->random % (us / 2));
+}
+
+static void
+peers_tcp_accept(struct evconnlistener *listener, evutil_socket_t fd,
+    struct sockaddr *address, int len, void *arg)
+{
+	(void)listener;
+	(void)address;
+	(void)len;
+	if (peers_conn_open(arg, NULL, fd) == NULL)
+		evutil_closesocket(fd);
+}
+
+static void
+peers_tcp_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct peers_tcp *peers = arg;
+	uint64_t now_us = peers_now_us(peers);
+
+	(void)fd;
+	(void)what;
+	if (mbr_tick(&peers->members, now_us))
+		peers_gossip_share(peers);
+	peers_conn_tick(peers, now_us);
+	peers_forward_tick(peers, now_us);
+	peers_dial_tick(peers, now_us);
+	peers_gossip_tick(peers, now_us);
+}
+
+static int
+peers_tcp_listen(struct peers_tcp *peers, struct err *err)
+{
+	const struct endpoint *listen = &peers->params.listen;
+	struct sockaddr_storage address;
+	char text[64];
+	int len = sizeof(address);
+
+	snprintf(text, sizeof(text),
+	    strchr(listen->address, ':') != NULL ? "[%s]:%u" : "%s:%u",
+	    listen->address, listen->port);
+	/* Port 0 is not accepted by the parser of libevent. */
+	if (listen->port == 0)
+		*strrchr(text, ':') = '\0';
+	if (evutil_parse_sockaddr_port(text, (struct sockaddr *)&address,
+		&len) < 0)
+		return err_set(err, ERR_STEP_PEER, ERR_INVALID, text,
+		    "not an address");
+	peers->listener = evconnlistener_new_bind(peers->params.base,
+	    peers_tcp_accept, peers, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+	    -1, (struct sockaddr *)&address, len);
+	if (peers->listener == NULL)
+		return err_set(err, ERR_STEP_PEER, ERR_UNAVAILABLE, text,
+		    "listen: %s", strerror(errno));
+	return 0;
+}
+
+static int
+peers_tcp_start_timers(struct peers_tcp *peers, struct err *err)
+{
+	uint32_t ms = peers->params.heartbeat_ms / PEERS_TICKS_PER_HEARTBEAT;
+	struct timeval interval;
+
+	if (ms == 0)
+		ms = 1;
+	interval.tv_sec = ms / 1000;
+	interval.tv_usec = (suseconds_t)(ms % 1000) * 1000;
+	peers->timer = event_new(peers->params.base, -1, EV_PERSIST,
+	    peers_tcp_tick, peers);
+	peers->ended_event = event_new(peers->params.base, -1, 0,
+	    peers_forward_run_ended, peers);
+	if (peers->timer == NULL || peers->ended_event == NULL ||
+	    event_add(peers->timer, &interval) < 0)
+		return err_set(err, ERR_STEP_PEER, ERR_NO_MEMORY, NULL,
+		    "timers");
+	return 0;
+}
+
+struct peers *
+peers_tcp_create(const struct peers_tcp_params *params, struct err *err)
+{
+	struct peers_tcp *peers = calloc(1, sizeof(*peers));
+	struct peers_target *target;
+	size_t i;
+
+	if (peers == NULL) {
+		err_set(err, ERR_STEP_PEER, ERR_NO_MEMORY, NULL, "peers");
+		return NULL;
+	}
+	peers->port.ops = &peers_tcp_ops;
+	peers->params = *params;
+	peers->random = params->incarnation | 1;
+	peers->next_correlation = 1;
+	peers->leaving_changes = 1;
+	TAILQ_INIT(&peers->targets);
+	TAILQ_INIT(&peers->conns);
+	TAILQ_INIT(&peers->forwards);
+	TAILQ_INIT(&peers->ended);
+	TAILQ_INIT(&peers->served);
+	TAILQ_INIT(&peers->leaving);
+	mbr_init(&peers->members, params->host, params->az);
+	if (peers_tcp_listen(peers, err) < 0)
+		goto error;
+	peers->advertise = params->advertise;
+	if (peers->advertise.address[0] == '\0')
+		strlcpy(peers->advertise.address, params->listen.address,
+		    sizeof(peers->advertise.address));
+	if (peers->advertise.port == 0)
+		peers->advertise.port = peers_tcp_port(&peers->port);
+	if (peers_tcp_start_timers(peers, err) < 0)
+		goto error;
+	for (i = 0; i < params->nseeds; i++) {
+		target = peers_target_enter(peers, &params->seeds[i]);
+		if (target == NULL) {
+			err_set(err, ERR_STEP_PEER, ERR_NO_MEMORY, NULL,
+			    "seeds");
+			goto error;
+		}
+		target->seed = true;
+	}
+	peers_gossip_share(peers);
+	peers_dial_tick(peers, peers_now_us(peers));
+	return &peers->port;
+error:
+	peers_tcp_destroy(&peers->port);
+	return NULL;
+}
+
+uint16_t
+peers_tcp_port(const struct peers *port)
+{
+	const struct peers_tcp *peers = (const struct peers_tcp *)port;
+	struct sockaddr_storage address;
+	socklen_t len = sizeof(address);
+
+	memset(&address, 0, sizeof(address));
+	if (getsockname(evconnlistener_get_fd(peers->listener),
+		(struct sockaddr *)&address, &len) < 0)
+		return 0;
+	if (address.ss_family == AF_INET6)
+		return ntohs(((struct sockaddr_in6 *)&address)->sin6_port);
+	return ntohs(((struct sockaddr_in *)&address)->sin_port);
+}
+
+void
+peers_tcp_hosts(struct peers *port, const struct hostlist_entry *entries,
+    size_t nentries)
+{
+	struct peers_tcp *peers = peers_of(port);
+	size_t i;
+
+	mbr_list_begin(&peers->members);
+	for (i = 0; i < nentries; i++) {
+		const struct member_id id = {
+			.name = entries[i].name,
+			.az = entries[i].az,
+			.address = entries[i].address,
+			.port = entries[i].port,
+		};
+
+		if (entries[i].role == HOSTLIST_ENTRY)
+			mbr_list(&peers->members, &id, entries[i].leaving);
+	}
+	mbr_list_end(&peers->members);
+	peers_gossip_share(peers);
+	peers_dial_tick(peers, peers_now_us(peers));
+}
+
+void
+peers_tcp_leaving(struct peers *port)
+{
+	struct peers_tcp *peers = peers_of(port);
+
+	peers->is_leaving = true;
+	peers_gossip_all(peers);
+}
+
+void
+peers_tcp_destroy(struct peers *port)
+{
+	struct peers_tcp *peers = peers_of(port);
+	struct peers_conn *conn;
+	struct peers_target *target;
+
+	while ((conn = TAILQ_FIRST(&peers->conns)) != NULL)
+		peers_conn_close(conn, ERR_LOST, "shut down");
+	while ((target = TAILQ_FIRST(&peers->targets)) != NULL)
+		peers_target_free(peers, target);
+	peers_forward_release(peers);
+	peers_gossip_release(peers);
+	mbr_release(&peers->members);
+	if (peers->ended_event != NULL)
+		event_free(peers->ended_event);
+	if (peers->timer != NULL)
+		event_free(peers->timer);
+	if (peers->listener != NULL)
+		evconnlistener_free(peers->listener);
+	free(peers);
+}
--- a/core/counters.h
+++ b/core/counters.h
@@ -16,10 +16,10 @@
 	const char *name;   /* "berylrail_tasks_started_total" */
 	const char *labels; /* "hop=\"backend\"", or NULL */
 	const char *help;
-	int gauge; /* non-zero: may go down */
 	uint64_t value;
-	int registered;
 	TAILQ_ENTRY(counter) entry;
+	int gauge; /* non-zero: may go down */
+	int registered;
 };
 
 /** ctr_add() - add to a counter, registering it if need be. */
--- /dev/null
+++ b/core/frame.c
@@ -0,0 +1,108 @@
+/*
+ * Frames of the peer protocol. Pure: the owner reads the socket.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/frame.h"
+
+#define FRAME_FIRST_ALLOCATION_BYTES 256
+
+void
+frm_init(struct frame_parser *parser, size_t max)
+{
+	memset(parser, 0, sizeof(*parser));
+	parser->max = max;
+}
+
+void
+frm_release(struct frame_parser *parser)
+{
+	free(parser->payload);
+	frm_init(parser, parser->max);
+}
+
+void
+frm_header(uint8_t header[FRAME_HEADER_BYTES], size_t len)
+{
+	header[0] = (uint8_t)(len >> 24);
+	header[1] = (uint8_t)(len >> 16);
+	header[2] = (uint8_t)(len >> 8);
+	header[3] = (uint8_t)len;
+}
+
+static int
+frm_reserve(struct frame_parser *parser, size_t need, struct err *err)
+{
+	size_t size = parser->allocated;
+	uint8_t *payload;
+
+	if (size == 0)
+		size = FRAME_FIRST_ALLOCATION_BYTES;
+	while (size < need)
+		size *= 2;
+	if (size == parser->allocated)
+		return 0;
+	payload = realloc(parser->payload, size);
+	if (payload == NULL)
+		return err_set(err, ERR_STEP_PARSE, ERR_NO_MEMORY, NULL,
+		    "frame of %zu bytes", parser->payload_len);
+	parser->payload = payload;
+	parser->allocated = size;
+	return 0;
+}
+
+/* Takes bytes of the header; returns how many. */
+static size_t
+frm_take_header(struct frame_parser *parser, const uint8_t *data, size_t len)
+{
+	size_t n = FRAME_HEADER_BYTES - parser->nheader;
+
+	if (n > len)
+		n = len;
+	memcpy(parser->header + parser->nheader, data, n);
+	parser->nheader += n;
+	if (parser->nheader == FRAME_HEADER_BYTES)
+		parser->payload_len = (size_t)parser->header[0] << 24 |
+		    (size_t)parser->header[1] << 16 |
+		    (size_t)parser->header[2] << 8 | parser->header[3];
+	return n;
+}
+
+int
+frm_feed(struct frame_parser *parser, const void *data, size_t len,
+    size_t *used, struct err *err)
+{
+	const uint8_t *bytes = data;
+	size_t n;
+
+	*used = 0;
+	if (parser->nheader == FRAME_HEADER_BYTES &&
+	    parser->npayload == parser->payload_len) {
+		parser->nheader = 0;
+		parser->npayload = 0;
+	}
+	if (len == 0)
+		return 0;
+	if (parser->nheader < FRAME_HEADER_BYTES) {
+		*used = frm_take_header(parser, bytes, len);
+		if (parser->nheader < FRAME_HEADER_BYTES)
+			return 0;
+		if (parser->payload_len > parser->max)
+			return err_set(err, ERR_STEP_PARSE, ERR_TOO_LARGE, NULL,
+			    "frame of %zu bytes, at most %zu are allowed",
+			    parser->payload_len, parser->max);
+	}
+	n = parser->payload_len - parser->npayload;
+	if (n > len - *used)
+		n = len - *used;
+	if (n > 0) {
+		if (frm_reserve(parser, parser->npayload + n, err) < 0)
+			return -1;
+		memcpy(parser->payload + parser->npayload, bytes + *used, n);
+		parser->npayload += n;
+		*used += n;
+	}
+	return parser->npayload == parser->payload_len;
+}
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -656,7 +656,7 @@
   (ProtobufCMessageInit) berylrail__server_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor berylrail__heartbeat__field_descriptors[6] =
+static const ProtobufCFieldDescriptor berylrail__heartbeat__field_descriptors[8] =
 {
   {
     "config_version",
@@ -730,11 +730,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "interval_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Berylrail__Heartbeat, interval_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving_servers_unchanged",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Berylrail__Heartbeat, leaving_servers_unchanged),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned berylrail__heartbeat__field_indices_by_name[] = {
   0,   /* field[0] = config_version */
+  6,   /* field[6] = interval_ms */
   1,   /* field[1] = leaving */
   5,   /* field[5] = leaving_servers */
+  7,   /* field[7] = leaving_servers_unchanged */
   4,   /* field[4] = loads */
   3,   /* field[3] = tasks_running */
   2,   /* field[2] = tasks_waiting */
@@ -742,7 +768,7 @@
 static const ProtobufCIntRange berylrail__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor berylrail__heartbeat__descriptor =
 {
@@ -752,14 +778,14 @@
   "Berylrail__Heartbeat",
   "berylrail",
   sizeof(Berylrail__Heartbeat),
-  6,
+  8,
   berylrail__heartbeat__field_descriptors,
   berylrail__heartbeat__field_indices_by_name,
   1,  berylrail__heartbeat__number_ranges,
   (ProtobufCMessageInit) berylrail__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor berylrail__forward_request__field_descriptors[9] =
+static const ProtobufCFieldDescriptor berylrail__forward_request__field_descriptors[10] =
 {
   {
     "correlation",
@@ -869,6 +895,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "who",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Berylrail__ForwardRequest, who),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned berylrail__forward_request__field_indices_by_name[] = {
   7,   /* field[7] = body */
@@ -880,11 +918,12 @@
   2,   /* field[2] = method */
   3,   /* field[3] = path */
   4,   /* field[4] = query */
+  9,   /* field[9] = who */
 };
 static const ProtobufCIntRange berylrail__forward_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor berylrail__forward_request__descriptor =
 {
@@ -894,14 +933,14 @@
   "Berylrail__ForwardRequest",
   "berylrail",
   sizeof(Berylrail__ForwardRequest),
-  9,
+  10,
   berylrail__forward_request__field_descriptors,
   berylrail__forward_request__field_indices_by_name,
   1,  berylrail__forward_request__number_ranges,
   (ProtobufCMessageInit) berylrail__forward_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor berylrail__forward_reply__field_descriptors[7] =
+static const ProtobufCFieldDescriptor berylrail__forward_reply__field_descriptors[8] =
 {
   {
     "correlation",
@@ -987,6 +1026,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "overloaded",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Berylrail__ForwardReply, overloaded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned berylrail__forward_reply__field_indices_by_name[] = {
   5,   /* field[5] = body */
@@ -994,13 +1045,14 @@
   0,   /* field[0] = correlation */
   4,   /* field[4] = next_ticket */
   3,   /* field[3] = outcome */
+  7,   /* field[7] = overloaded */
   1,   /* field[1] = status */
   6,   /* field[6] = wrong_incarnation */
 };
 static const ProtobufCIntRange berylrail__forward_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor berylrail__forward_reply__descriptor =
 {
@@ -1010,7 +1062,7 @@
   "Berylrail__ForwardReply",
   "berylrail",
   sizeof(Berylrail__ForwardReply),
-  7,
+  8,
   berylrail__forward_reply__field_descriptors,
   berylrail__forward_reply__field_indices_by_name,
   1,  berylrail__forward_reply__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -80,12 +80,23 @@
    */
   size_t n_loads;
   Berylrail__ServerLoad **loads;
+  /*
+   * by the sender's own sources
+   */
   size_t n_leaving_servers;
   char **leaving_servers;
+  /*
+   * until the sender's next heartbeat
+   */
+  uint32_t interval_ms;
+  /*
+   * since the last one; not repeated
+   */
+  protobuf_c_boolean leaving_servers_unchanged;
 };
 #define BERYLRAIL__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&berylrail__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Berylrail__ForwardRequest
@@ -103,10 +114,14 @@
   char *job;
   ProtobufCBinaryData body;
   char *client;
+  /*
+   * operator
+   */
+  char *who;
 };
 #define BERYLRAIL__FORWARD_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&berylrail__forward_request__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Berylrail__ForwardReply
@@ -119,10 +134,14 @@
   char *next_ticket;
   ProtobufCBinaryData body;
   protobuf_c_boolean wrong_incarnation;
+  /*
+   * not handed to the API
+   */
+  protobuf_c_boolean overloaded;
 };
 #define BERYLRAIL__FORWARD_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&berylrail__forward_reply__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
 
 
 struct  Berylrail__ConfigNotice
--- /dev/null
+++ b/tests/test_frame.c
@@ -0,0 +1,132 @@
+#include <criterion/criterion.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/frame.h"
+
+/* Feeds @len bytes in pieces of @piece; counts frames, checks payloads. */
+static int
+feed_pieces(struct frame_parser *parser, const uint8_t *data, size_t len,
+    size_t piece, const uint8_t *expected, size_t expected_len)
+{
+	struct err err;
+	size_t used, n, at = 0;
+	int rc, frames = 0;
+
+	while (at < len) {
+		n = len - at < piece ? len - at : piece;
+		rc = frm_feed(parser, data + at, n, &used, &err);
+		if (rc < 0)
+			return -1;
+		cr_assert_leq(used, n);
+		at += used;
+		if (rc == 1) {
+			cr_assert_eq(parser->payload_len, expected_len);
+			cr_assert_eq(
+			    memcmp(parser->payload, expected, expected_len), 0);
+			frames++;
+		}
+	}
+	return frames;
+}
+
+Test(frame, whole_at_every_cut)
+{
+	uint8_t stream[3 * (FRAME_HEADER_BYTES + 300)];
+	uint8_t payload[300];
+	struct frame_parser parser;
+	size_t i, piece;
+
+	for (i = 0; i < sizeof(payload); i++)
+		payload[i] = (uint8_t)(i * 7);
+	for (i = 0; i < 3; i++) {
+		frm_header(stream + i * 304, sizeof(payload));
+		memcpy(stream + i * 304 + FRAME_HEADER_BYTES, payload,
+		    sizeof(payload));
+	}
+	for (piece = 1; piece <= sizeof(stream); piece++) {
+		frm_init(&parser, 300);
+		cr_assert_eq(feed_pieces(&parser, stream, sizeof(stream), piece,
+				 payload, sizeof(payload)),
+		    3, "pieces of %zu", piece);
+		frm_release(&parser);
+	}
+}
+
+Test(frame, empty_payload_is_a_frame)
+{
+	const uint8_t stream[8] = { 0 };
+	struct frame_parser parser;
+
+	frm_init(&parser, 10);
+	cr_assert_eq(feed_pieces(&parser, stream, 8, 8, stream, 0), 2);
+	cr_assert_eq(feed_pieces(&parser, stream, 8, 1, stream, 0), 2);
+	frm_release(&parser);
+}
+
+Test(frame, one_byte_over_the_limit_is_refused)
+{
+	uint8_t header[FRAME_HEADER_BYTES];
+	struct frame_parser parser;
+	struct err err;
+	size_t used;
+
+	frm_init(&parser, 1000);
+	frm_header(header, 1000);
+	cr_assert_eq(frm_feed(&parser, header, 4, &used, &err), 0);
+	frm_release(&parser);
+	frm_header(header, 1001);
+	cr_assert_eq(frm_feed(&parser, header, 4, &used, &err), -1);
+	cr_assert_eq(err.code, ERR_TOO_LARGE);
+	cr_assert_eq(err.step, ERR_STEP_PARSE);
+	frm_release(&parser);
+}
+
+Test(frame, memory_follows_what_arrived)
+{
+	struct frame_parser parser;
+	struct err err;
+	size_t used;
+	uint8_t data[FRAME_HEADER_BYTES + 1] = { 0 };
+
+	frm_init(&parser, 8U << 20);
+	frm_header(data, 8U << 20);
+	cr_assert_eq(frm_feed(&parser, data, sizeof(data), &used, &err), 0);
+	cr_assert_lt(parser.allocated, 1024);
+	frm_release(&parser);
+}
+
+/* Random streams of frames, cut at random, against the frames themselves. */
+Test(frame, random_streams)
+{
+	struct frame_parser parser;
+	uint8_t stream[4096], bytes[64];
+	size_t lens[64], len, n, at, used, piece, frame;
+	struct err err;
+	unsigned seed;
+	int rc;
+
+	memset(bytes, 0x5a, sizeof(bytes));
+	for (seed = 1; seed <= 300; seed++) {
+		srand(seed);
+		for (n = 0, len = 0; n < 60; n++) {
+			lens[n] = (size_t)(rand() % 64);
+			frm_header(stream + len, lens[n]);
+			memcpy(stream + len + 4, bytes, lens[n]);
+			len += 4 + lens[n];
+		}
+		frm_init(&parser, 64);
+		for (at = 0, frame = 0; at < len; at += used) {
+			piece = (size_t)(rand() % 40) + 1;
+			if (piece > len - at)
+				piece = len - at;
+			rc = frm_feed(&parser, stream + at, piece, &used, &err);
+			cr_assert_geq(rc, 0);
+			if (rc == 1)
+				cr_assert_eq(parser.payload_len, lens[frame++],
+				    "seed %u", seed);
+		}
+		cr_assert_eq(frame, n, "seed %u", seed);
+		frm_release(&parser);
+	}
+}
--- /dev/null
+++ b/tests/test_peers_tcp.c
@@ -0,0 +1,706 @@
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <event2/event.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "adapters/peers_tcp.h"
+#include "core/counters.h"
+#include "core/frame.h"
+#include "entry/api.h"
+#include "entry/config_sync.h"
+#include "entry/engine.h"
+#include "ports/clock.h"
+#include "proto/peer.pb-c.h"
+
+/*
+ * Two hosts, or a host and a peer that misbehaves, on loopback. What the
+ * adapter calls (API, engine, configuration) is recorded by the small
+ * replacements below.
+ */
+
+#define HEARTBEAT_MS 20
+#define GIVE_UP_MS 20000 /* a guard against hanging, not an expectation */
+
+struct api {
+	struct api_request last;
+	char path[64];
+	size_t handled;
+	size_t abandoned;
+	size_t nhosts;
+	bool hold; /* don't reply */
+	api_reply_fn reply;
+	void *arg;
+};
+
+struct engine {
+	size_t nshare;
+	char leaving[NAME_SIZE];
+	size_t nleaving;
+};
+
+struct config_sync {
+	struct config config;
+	uint64_t heard;
+};
+
+struct node {
+	struct peers *peers;
+	struct api api;
+	struct engine engine;
+	struct config_sync sync;
+	uint64_t incarnation;
+	uint16_t port;
+};
+
+static struct event_base *base;
+
+static uint64_t
+real_now_us(struct clock *clock)
+{
+	struct timespec now;
+
+	(void)clock;
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+}
+
+static const struct clock_ops real_ops = { .now_us = real_now_us,
+	.wall_ms = real_now_us };
+static struct clock real_clock = { .ops = &real_ops };
+
+/* Replacements */
+
+void
+api_handle(struct api *api, const struct api_request *request,
+    api_reply_fn reply, void *arg)
+{
+	struct api_reply answer = {
+		.status = 200,
+		.content_type = "text/plain",
+		.outcome = "complete",
+		.body = request->body,
+		.body_len = request->body_len,
+	};
+
+	api->handled++;
+	api->last = *request;
+	strlcpy(api->path, request->path, sizeof(api->path));
+	api->reply = reply;
+	api->arg = arg;
+	if (!api->hold)
+		reply(arg, &answer);
+}
+
+void
+api_abandon(struct api *api, void *arg)
+{
+	cr_assert_eq(api->arg, arg);
+	api->abandoned++;
+}
+
+void
+api_set_nhosts(struct api *api, size_t nhosts)
+{
+	api->nhosts = nhosts;
+}
+
+size_t
+engine_busy(const struct engine *engine)
+{
+	(void)engine;
+	return 0;
+}
+
+void
+engine_set_share(struct engine *engine, const struct engine_share *share)
+{
+	engine->nshare = share->nhosts;
+}
+
+void
+engine_server_leaving(struct engine *engine, const char *server,
+    const char *source, bool leaving)
+{
+	cr_assert_str_eq(source, "peer");
+	strlcpy(engine->leaving, leaving ? server : "", NAME_SIZE);
+	engine->nleaving++;
+}
+
+const struct config *
+config_sync_current(const struct config_sync *sync)
+{
+	return &sync->config;
+}
+
+void
+config_sync_heard(struct config_sync *sync, uint64_t version)
+{
+	sync->heard = version;
+}
+
+char *
+config_sync_export(const struct config_sync *sync, size_t *len)
+{
+	char text[32];
+
+	*len = (size_t)snprintf(text, sizeof(text), "v%u",
+	    (unsigned)sync->config.version);
+	return strdup(text);
+}
+
+int
+config_sync_import(struct config_sync *sync, const char *text, size_t len,
+    struct err *err)
+{
+	if (len < 2 || text[0] != 'v')
+		return err_set(err, ERR_STEP_CONFIG, ERR_INVALID, NULL, "bad");
+	sync->config.version = strtoul(text + 1, NULL, 10);
+	return 0;
+}
+
+/* Helpers */
+
+static void
+node_start(struct node *node, const char *host, const char *az,
+    uint64_t incarnation, uint16_t port, uint16_t seed)
+{
+	const struct endpoint seeds = { .address = "127.0.0.1", .port = seed };
+	const struct peers_tcp_params params = {
+		.base = base,
+		.clock = &real_clock,
+		.api = &node->api,
+		.config_sync = &node->sync,
+		.engine = &node->engine,
+		.host = host,
+		.az = az,
+		.incarnation = incarnation,
+		.listen = { .address = "127.0.0.1", .port = port },
+		.seeds = &seeds,
+		.nseeds = seed != 0,
+		.heartbeat_ms = HEARTBEAT_MS,
+	};
+	struct err err = { .code = ERR_OK };
+
+	node->incarnation = incarnation;
+	node->peers = peers_tcp_create(&params, &err);
+	cr_assert_not_null(node->peers, "%s", err.message);
+	node->port = peers_tcp_port(node->peers);
+}
+
+#define WAIT_FOR(condition)                                                 \
+	do {                                                                \
+		uint64_t until_ =                                           \
+		    real_now_us(NULL) + (uint64_t)GIVE_UP_MS * 1000;        \
+		bool met_;                                                  \
+		while (!(met_ = (condition)) && real_now_us(NULL) < until_) \
+			event_base_loop(base, EVLOOP_ONCE);                 \
+		cr_assert(met_, "gave up: %s", #condition);                 \
+	} while (0)
+
+struct result {
+	size_t n;
+	int status;
+	enum err_code code;
+	char body[32];
+};
+
+static void
+on_done(void *arg, const struct api_reply *reply, const struct err *err)
+{
+	struct result *result = arg;
+
+	result->n++;
+	if (reply != NULL) {
+		result->status = reply->status;
+		memcpy(result->body, reply->body, reply->body_len);
+	} else {
+		result->code = err->code;
+		cr_assert_eq(err->step, ERR_STEP_FORWARD);
+	}
+}
+
+static void
+send_forward(struct node *node, const char *host, uint64_t incarnation,
+    struct result *result)
+{
+	const struct api_request request = {
+		.method = API_POST,
+		.path = "/v1/jobs",
+		.query = "wait=1",
+		.client = "c",
+		.body = "hello",
+		.body_len = 5,
+	};
+
+	memset(result, 0, sizeof(*result));
+	node->peers->ops->forward(node->peers, "z1", host, incarnation,
+	    &request, on_done, result);
+}
+
+struct find {
+	const char *prefix;
+	uint64_t value;
+};
+
+static void
+find_counter(void *arg, const char *text, size_t len)
+{
+	struct find *find = arg;
+	size_t n = strlen(find->prefix);
+
+	if (len > n && strncmp(text, find->prefix, n) == 0)
+		find->value = strtoull(text + n, NULL, 10);
+}
+
+static uint64_t
+counter_value(const char *prefix)
+{
+	struct find find = { .prefix = prefix };
+
+	ctr_render(find_counter, &find);
+	return find.value;
+}
+
+/* A peer made by hand: a plain socket. */
+static int
+raw_connect(uint16_t port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+		.sin_port = htons(port),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	cr_assert_eq(connect(fd, (struct sockaddr *)&address, sizeof(address)),
+	    0);
+	fcntl(fd, F_SETFL, O_NONBLOCK);
+	return fd;
+}
+
+static void
+raw_send(int fd, Berylrail__Frame__KindCase kind, void *message)
+{
+	Berylrail__Frame frame = BERYLRAIL__FRAME__INIT;
+	uint8_t buf[512];
+	size_t len;
+
+	frame.kind_case = kind;
+	frame.hello = message; /* all members of the union are pointers */
+	len = berylrail__frame__pack(&frame, buf + FRAME_HEADER_BYTES);
+	frm_header(buf, len);
+	cr_assert_eq(write(fd, buf, len + FRAME_HEADER_BYTES),
+	    (ssize_t)(len + FRAME_HEADER_BYTES));
+}
+
+static void
+raw_hello(int fd, const char *host, uint64_t incarnation)
+{
+	Berylrail__Hello hello = BERYLRAIL__HELLO__INIT;
+	char name[NAME_SIZE], address[] = "127.0.0.1", az[] = "z1";
+
+	strlcpy(name, host, sizeof(name));
+	hello.host = name;
+	hello.az = az;
+	hello.incarnation = incarnation;
+	hello.peer_address = address;
+	hello.peer_port = 1;
+	raw_send(fd, BERYLRAIL__FRAME__KIND_HELLO, &hello);
+}
+
+static bool
+raw_is_closed(int fd)
+{
+	char buf[4096];
+	ssize_t n;
+
+	while ((n = read(fd, buf, sizeof(buf))) > 0)
+		;
+	return n == 0 || (errno != EAGAIN && errno != EINTR);
+}
+
+/* Reads frames until a forward comes; returns its correlation, 0: none yet. */
+static uint64_t
+raw_read_forward(int fd, struct frame_parser *parser)
+{
+	Berylrail__Frame *frame;
+	uint64_t correlation = 0;
+	struct err err;
+	uint8_t byte;
+	size_t used;
+
+	while (correlation == 0 && read(fd, &byte, 1) == 1) {
+		if (frm_feed(parser, &byte, 1, &used, &err) != 1)
+			continue;
+		frame = berylrail__frame__unpack(NULL, parser->payload_len,
+		    parser->payload);
+		cr_assert_not_null(frame);
+		if (frame->kind_case == BERYLRAIL__FRAME__KIND_FORWARD_REQUEST)
+			correlation = frame->forward_request->correlation;
+		berylrail__frame__free_unpacked(frame, NULL);
+	}
+	return correlation;
+}
+
+static void
+setup(void)
+{
+	base = event_base_new();
+}
+
+static void
+teardown(void)
+{
+	event_base_free(base);
+}
+
+TestSuite(peers_tcp, .init = setup, .fini = teardown, .timeout = 60);
+
+Test(peers_tcp, hosts_meet_and_share)
+{
+	struct node a = { 0 }, b = { 0 };
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	node_start(&b, "b", "z1", 22, 0, a.port);
+	WAIT_FOR(a.engine.nshare == 2 && b.engine.nshare == 2);
+	cr_assert_eq(a.api.nhosts, 2);
+	peers_tcp_destroy(b.peers);
+	WAIT_FOR(a.engine.nshare == 1);
+	peers_tcp_destroy(a.peers);
+}
+
+Test(peers_tcp, hosts_of_the_list_are_connected)
+{
+	struct node a = { 0 }, b = { 0 };
+	struct hostlist_entry list[2] = {
+		{ .role = HOSTLIST_ENTRY, .name = "a", .az = "z1" },
+		{ .role = HOSTLIST_ENTRY,
+		    .name = "b",
+		    .az = "z2",
+		    .address = "127.0.0.1" },
+	};
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	node_start(&b, "b", "z2", 22, 0, 0);
+	list[1].port = b.port;
+	peers_tcp_hosts(a.peers, list, 2);
+	WAIT_FOR(a.api.nhosts == 2 && b.api.nhosts == 2);
+	peers_tcp_destroy(a.peers);
+	peers_tcp_destroy(b.peers);
+}
+
+Test(peers_tcp, a_forward_is_answered_whole)
+{
+	struct node a = { 0 }, b = { 0 };
+	struct result result;
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	node_start(&b, "b", "z1", 22, 0, a.port);
+	WAIT_FOR(a.engine.nshare == 2);
+	send_forward(&a, "b", 22, &result);
+	WAIT_FOR(result.n == 1);
+	cr_assert_eq(result.status, 200);
+	cr_assert_str_eq(result.body, "hello");
+	cr_assert(b.api.last.forwarded);
+	cr_assert_str_eq(b.api.path, "/v1/jobs");
+	peers_tcp_destroy(a.peers);
+	peers_tcp_destroy(b.peers);
+}
+
+Test(peers_tcp, another_incarnation_is_never_asked)
+{
+	struct node a = { 0 }, b = { 0 };
+	struct result result;
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	node_start(&b, "b", "z1", 22, 0, a.port);
+	WAIT_FOR(a.engine.nshare == 2);
+	send_forward(&a, "b", 21, &result);
+	WAIT_FOR(result.n == 1);
+	cr_assert_eq(result.code, ERR_NOT_FOUND);
+	cr_assert_eq(b.api.handled, 0);
+	peers_tcp_destroy(a.peers);
+	peers_tcp_destroy(b.peers);
+}
+
+Test(peers_tcp, a_successor_at_the_same_address_ends_the_old_incarnation)
+{
+	struct node a = { 0 }, b = { 0 }, successor = { 0 };
+	struct result result;
+	uint64_t ended;
+	uint16_t port;
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	node_start(&b, "b", "z1", 22, 0, a.port);
+	WAIT_FOR(a.engine.nshare == 2);
+	port = b.port;
+	peers_tcp_destroy(b.peers);
+	ended = counter_value("berylrail_peer_connections_ended_total ");
+	node_start(&successor, "b", "z1", 33, port, 0);
+	WAIT_FOR(
+	    counter_value("berylrail_peer_connections_ended_total ") > ended);
+	send_forward(&a, "b", 22, &result);
+	WAIT_FOR(result.n == 1);
+	cr_assert_eq(result.code, ERR_NOT_FOUND);
+	send_forward(&a, "b", 33, &result);
+	WAIT_FOR(result.n == 1);
+	cr_assert_eq(result.status, 200);
+	cr_assert_eq(successor.api.handled, 1);
+	peers_tcp_destroy(a.peers);
+	peers_tcp_destroy(successor.peers);
+}
+
+Test(peers_tcp, unknown_and_unreachable_hosts)
+{
+	struct node a = { 0 }, b = { 0 };
+	struct result result;
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	send_forward(&a, "nobody", 5, &result);
+	cr_assert_eq(result.n, 0, "the callback runs later");
+	WAIT_FOR(result.n == 1);
+	cr_assert_eq(result.code, ERR_UNAVAILABLE);
+	send_forward(&a, "a", 5, &result);
+	WAIT_FOR(result.n == 1);
+	cr_assert_eq(result.code, ERR_NOT_FOUND, "own predecessor");
+	node_start(&b, "b", "z1", 22, 0, a.port);
+	WAIT_FOR(a.engine.nshare == 2);
+	peers_tcp_destroy(b.peers);
+	WAIT_FOR(a.engine.nshare == 1);
+	send_forward(&a, "b", 22, &result);
+	WAIT_FOR(result.n == 1);
+	cr_assert_eq(result.code, ERR_UNAVAILABLE);
+	peers_tcp_destroy(a.peers);
+}
+
+Test(peers_tcp, a_broken_connection_loses_what_was_sent)
+{
+	struct node a = { 0 }, b = { 0 };
+	struct result result;
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	node_start(&b, "b", "z1", 22, 0, a.port);
+	b.api.hold = true;
+	WAIT_FOR(a.engine.nshare == 2);
+	send_forward(&a, "b", 22, &result);
+	WAIT_FOR(b.api.handled == 1);
+	peers_tcp_destroy(b.peers);
+	WAIT_FOR(result.n == 1);
+	cr_assert_eq(result.code, ERR_LOST);
+	cr_assert_eq(b.api.abandoned, 1);
+	peers_tcp_destroy(a.peers);
+}
+
+Test(peers_tcp, a_caller_that_goes_is_abandoned)
+{
+	struct node a = { 0 }, b = { 0 };
+	struct result result;
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	node_start(&b, "b", "z1", 22, 0, a.port);
+	b.api.hold = true;
+	WAIT_FOR(a.engine.nshare == 2);
+	send_forward(&a, "b", 22, &result);
+	WAIT_FOR(b.api.handled == 1);
+	peers_tcp_destroy(a.peers);
+	WAIT_FOR(b.api.abandoned == 1);
+	peers_tcp_destroy(b.peers);
+}
+
+Test(peers_tcp, garbage_ends_its_own_connection_only)
+{
+	static const char *const garbage[] = {
+		"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+		"\0\0\0\4\377\377\377\377", /* no protobuf */
+		"\0\0\0\0xxxxxxxx",	    /* empty frame */
+	};
+	struct node a = { 0 }, b = { 0 };
+	struct result result;
+	uint64_t before;
+	size_t i;
+	int fd;
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	node_start(&b, "b", "z1", 22, 0, a.port);
+	WAIT_FOR(a.engine.nshare == 2);
+	for (i = 0; i < 3; i++) {
+		before = counter_value("berylrail_peer_bad_frames_total ");
+		fd = raw_connect(a.port);
+		cr_assert_eq(write(fd, garbage[i], 8), 8);
+		WAIT_FOR(raw_is_closed(fd));
+		cr_assert_eq(counter_value("berylrail_peer_bad_frames_total "),
+		    before + 1, "case %zu", i);
+		close(fd);
+	}
+	send_forward(&a, "b", 22, &result);
+	WAIT_FOR(result.n == 1);
+	cr_assert_eq(result.status, 200);
+	peers_tcp_destroy(a.peers);
+	peers_tcp_destroy(b.peers);
+}
+
+Test(peers_tcp, frames_are_bounded_and_hello_comes_first)
+{
+	Berylrail__Heartbeat heartbeat = BERYLRAIL__HEARTBEAT__INIT;
+	struct node a = { 0 };
+	uint8_t header[FRAME_HEADER_BYTES];
+	int fd;
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	fd = raw_connect(a.port);
+	raw_send(fd, BERYLRAIL__FRAME__KIND_HEARTBEAT, &heartbeat);
+	WAIT_FOR(raw_is_closed(fd));
+	close(fd);
+
+	fd = raw_connect(a.port);
+	raw_hello(fd, "b", 22);
+	frm_header(header, FRAME_BYTES_MAX + 1);
+	cr_assert_eq(write(fd, header, sizeof(header)), 4);
+	WAIT_FOR(raw_is_closed(fd));
+	close(fd);
+
+	fd = raw_connect(a.port);
+	raw_hello(fd, "a", 22); /* claims our own name */
+	WAIT_FOR(raw_is_closed(fd));
+	close(fd);
+	peers_tcp_destroy(a.peers);
+}
+
+Test(peers_tcp, a_peer_that_stops_half_way_is_dropped)
+{
+	struct node a = { 0 };
+	int before_hello, after_hello;
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	before_hello = raw_connect(a.port);
+	cr_assert_eq(write(before_hello, "\0\0", 2), 2);
+	after_hello = raw_connect(a.port);
+	raw_hello(after_hello, "b", 22);
+	cr_assert_eq(write(after_hello, "\0\0\0\100abc", 7), 7);
+	WAIT_FOR(raw_is_closed(before_hello));
+	WAIT_FOR(raw_is_closed(after_hello));
+	close(before_hello);
+	close(after_hello);
+	peers_tcp_destroy(a.peers);
+}
+
+Test(peers_tcp, late_repeated_and_unknown_replies_are_dropped)
+{
+	static const char *const wasted =
+	    "berylrail_wasted_messages_total{hop=\"peer\","
+	    "kind=\"unknown_reply\"} ";
+	Berylrail__ForwardReply reply = BERYLRAIL__FORWARD_REPLY__INIT;
+	struct frame_parser parser;
+	struct node a = { 0 };
+	struct result first, second;
+	uint64_t correlation, next = 0;
+	int fd;
+
+	frm_init(&parser, FRAME_BYTES_MAX);
+	node_start(&a, "a", "z1", 11, 0, 0);
+	fd = raw_connect(a.port);
+	raw_hello(fd, "b", 22);
+	WAIT_FOR(a.engine.nshare == 2);
+	send_forward(&a, "b", 22, &first);
+	WAIT_FOR((correlation = raw_read_forward(fd, &parser)) != 0);
+	reply.status = 200;
+	reply.body.data = (uint8_t *)"one";
+	reply.body.len = 3;
+	reply.correlation = correlation + 1000;
+	raw_send(fd, BERYLRAIL__FRAME__KIND_FORWARD_REPLY, &reply);
+	reply.correlation = correlation;
+	raw_send(fd, BERYLRAIL__FRAME__KIND_FORWARD_REPLY, &reply);
+	raw_send(fd, BERYLRAIL__FRAME__KIND_FORWARD_REPLY, &reply);
+	WAIT_FOR(counter_value(wasted) == 2);
+	cr_assert_eq(first.n, 1);
+	cr_assert_str_eq(first.body, "one");
+
+	send_forward(&a, "b", 22, &second);
+	WAIT_FOR((next = raw_read_forward(fd, &parser)) != 0);
+	cr_assert_neq(next, correlation, "correlations are never reused");
+	raw_send(fd, BERYLRAIL__FRAME__KIND_FORWARD_REPLY, &reply);
+	WAIT_FOR(counter_value(wasted) == 3);
+	cr_assert_eq(second.n, 0);
+	cr_assert_eq(first.n, 1);
+	peers_tcp_destroy(a.peers);
+	close(fd);
+	frm_release(&parser);
+}
+
+Test(peers_tcp, a_reply_on_another_connection_is_dropped)
+{
+	Berylrail__ForwardReply reply = BERYLRAIL__FORWARD_REPLY__INIT;
+	struct frame_parser parser;
+	struct node a = { 0 };
+	struct result result;
+	int fd, other;
+
+	frm_init(&parser, FRAME_BYTES_MAX);
+	node_start(&a, "a", "z1", 11, 0, 0);
+	fd = raw_connect(a.port);
+	raw_hello(fd, "b", 22);
+	other = raw_connect(a.port);
+	raw_hello(other, "c", 33);
+	WAIT_FOR(a.engine.nshare == 3);
+	send_forward(&a, "b", 22, &result);
+	WAIT_FOR((reply.correlation = raw_read_forward(fd, &parser)) != 0);
+	raw_send(other, BERYLRAIL__FRAME__KIND_FORWARD_REPLY, &reply);
+	WAIT_FOR(counter_value("berylrail_wasted_messages_total{hop=\"peer\","
+			       "kind=\"unknown_reply\"} ") == 1);
+	cr_assert_eq(result.n, 0);
+	peers_tcp_destroy(a.peers);
+	close(fd);
+	close(other);
+	frm_release(&parser);
+}
+
+Test(peers_tcp, configuration_is_told_and_fetched)
+{
+	struct node a = { 0 }, b = { 0 };
+
+	a.sync.config.version = 7;
+	node_start(&a, "a", "z1", 11, 0, 0);
+	node_start(&b, "b", "z1", 22, 0, a.port);
+	WAIT_FOR(b.sync.config.version == 7);
+	a.sync.config.version = 8;
+	a.peers->ops->notify_config(a.peers, 8);
+	WAIT_FOR(b.sync.heard == 8);
+	/* The platform stays silent: the peer's copy is taken. */
+	WAIT_FOR(b.sync.config.version == 8);
+	peers_tcp_destroy(a.peers);
+	peers_tcp_destroy(b.peers);
+}
+
+Test(peers_tcp, a_leaving_server_is_told_and_taken_back)
+{
+	struct node a = { 0 }, b = { 0 };
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	node_start(&b, "b", "z1", 22, 0, a.port);
+	WAIT_FOR(a.engine.nshare == 2);
+	peers_tcp_server_leaving(a.peers, "s1", true);
+	WAIT_FOR(strcmp(b.engine.leaving, "s1") == 0);
+	peers_tcp_server_leaving(a.peers, "s1", true);
+	peers_tcp_server_leaving(a.peers, "s1", false);
+	WAIT_FOR(b.engine.leaving[0] == '\0');
+	cr_assert_eq(b.engine.nleaving, 2);
+	cr_assert_eq(a.engine.nleaving, 0, "not an echo of its own word");
+	peers_tcp_destroy(a.peers);
+	peers_tcp_destroy(b.peers);
+}
+
+Test(peers_tcp, a_host_that_leaves_stops_sharing)
+{
+	struct node a = { 0 }, b = { 0 };
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	node_start(&b, "b", "z1", 22, 0, a.port);
+	WAIT_FOR(a.engine.nshare == 2);
+	peers_tcp_leaving(b.peers);
+	WAIT_FOR(a.engine.nshare == 1);
+	peers_tcp_destroy(a.peers);
+	peers_tcp_destroy(b.peers);
+}
