--- /dev/null
+++ b/core/labels.c
@@ -0,0 +1,94 @@
+/*
+ * Labels of one object, kept sorted by name.
+ */
+
+#include <ctype.h>
+#include <stdbool.h>
+#include <string.h>
+
+#include "core/labels.h"
+
+static bool
+lbl_valid(const char *text, bool may_be_empty)
+{
+	size_t len = strnlen(text, NAME_SIZE);
+	size_t i;
+
+	if (len > NAME_LEN_MAX || (len == 0 && !may_be_empty))
+		return false;
+	for (i = 0; i < len; i++) {
+		if (!isalnum((unsigned char)text[i]) &&
+		    strchr("-_./", text[i]) == NULL)
+			return false;
+	}
+	return true;
+}
+
+/* First item whose name is not less than @name; labels->n if there is none. */
+static size_t
+lbl_lower_bound(const struct labels *labels, const char *name)
+{
+	size_t low = 0, high = labels->n, mid;
+
+	while (low < high) {
+		mid = low + (high - low) / 2;
+		if (strcmp(labels->items[mid].name, name) < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low;
+}
+
+static bool
+lbl_is_at(const struct labels *labels, size_t i, const char *name)
+{
+	return i < labels->n && strcmp(labels->items[i].name, name) == 0;
+}
+
+int
+lbl_set(struct labels *labels, const char *name, const char *value,
+    struct err *err)
+{
+	struct label *item;
+	size_t i;
+
+	if (!lbl_valid(name, false))
+		return err_set(err, ERR_STEP_PARSE, ERR_INVALID, NULL,
+		    "bad label name \"%.80s\"", name);
+	if (!lbl_valid(value, true))
+		return err_set(err, ERR_STEP_PARSE, ERR_INVALID, NULL,
+		    "bad value of label \"%s\"", name);
+	i = lbl_lower_bound(labels, name);
+	item = &labels->items[i];
+	if (!lbl_is_at(labels, i, name)) {
+		if (labels->n == LABELS_MAX)
+			return err_set(err, ERR_STEP_PARSE, ERR_TOO_LARGE, NULL,
+			    "more than %d labels", LABELS_MAX);
+		memmove(item + 1, item, (labels->n - i) * sizeof(*item));
+		labels->n++;
+		memcpy(item->name, name, strlen(name) + 1);
+	}
+	memcpy(item->value, value, strlen(value) + 1);
+	return 0;
+}
+
+const char *
+lbl_get(const struct labels *labels, const char *name)
+{
+	size_t i = lbl_lower_bound(labels, name);
+
+	return lbl_is_at(labels, i, name) ? labels->items[i].value : NULL;
+}
+
+void
+lbl_remove(struct labels *labels, const char *name)
+{
+	size_t i = lbl_lower_bound(labels, name);
+
+	if (!lbl_is_at(labels, i, name))
+		return;
+	labels->n--;
+	memmove(&labels->items[i], &labels->items[i + 1],
+	    (labels->n - i) * sizeof(labels->items[0]));
+}
