Add the backend adapter over evhttp

A pool for each address keeps connections, one request at a time on each. Whether a byte may have been taken is known from the output buffer's callback, so NOT_SENT is certain and everything else without a whole answer is UNKNOWN. Kept connections are checked for an end or stray bytes before reuse; a 200 without a length and an answer that names another task are UNKNOWN.

--- /dev/null
+++ b/adapters/backend_http.c
@@ -0,0 +1,502 @@
+/*
+ * Backend servers over HTTP/1.1 by evhttp.
+ *
+ * A pool for each address holds keep-alive connections, one request at a time
+ * on each. What was taken is known from the output buffer: bytes leave it only
+ * by a write to the socket, so a call that ends with none taken is NOT_SENT,
+ * and any other end without a whole answer is UNKNOWN. evhttp is never allowed
+ * to send a request again by itself.
+ */
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/queue.h>
+
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+
+#include "adapters/backend_http.h"
+#include "adapters/backend_http_internal.h"
+
+#define BKH_CONNECT_TIMEOUT_MS 1000
+#define BKH_SWEEP_INTERVAL_MS 5000
+#define BKH_COPY_BYTES_MAX 4096 /* longer bodies are sent by reference */
+
+/* The headers of an answer that matter. */
+struct bkh_headers {
+	const char *task;
+	const char *refused;
+	bool has_length;
+	bool chunked;
+	bool closing;
+};
+
+static bool
+bkh_is_numeric(const char *address)
+{
+	struct in6_addr buf;
+
+	return inet_pton(AF_INET, address, &buf) == 1 ||
+	    inet_pton(AF_INET6, address, &buf) == 1;
+}
+
+void
+bkh_call_free(struct backend_call *call)
+{
+	event_del(&call->timer);
+	free(call);
+}
+
+/* Parts a call from its connection, whose next state the caller decides. */
+static struct bkh_conn *
+bkh_call_detach(struct backend_call *call)
+{
+	struct bkh_conn *conn = call->conn;
+
+	TAILQ_REMOVE(&conn->pool->busy, conn, entry);
+	conn->call = NULL;
+	call->conn = NULL;
+	return conn;
+}
+
+static void
+bkh_call_finish(struct backend_call *call, const struct backend_reply *reply)
+{
+	backend_done_fn done = call->done;
+	void *arg = call->arg;
+
+	bkh_call_free(call);
+	done(arg, reply);
+}
+
+/* The call ended without an answer: what is known depends on what was taken. */
+static void
+bkh_call_fail(struct backend_call *call, enum err_code code, const char *what)
+{
+	struct backend_reply reply = { .status = BACKEND_NOT_SENT };
+
+	if (call->taken != 0) {
+		reply.status = BACKEND_UNKNOWN;
+		err_set(&reply.err, ERR_STEP_RECEIVE, code, call->server->name,
+		    "%s after %zu bytes were sent", what, call->taken);
+	} else {
+		err_set(&reply.err, ERR_STEP_CONNECT, ERR_UNAVAILABLE,
+		    call->server->name, "%s before anything was sent", what);
+	}
+	bkh_call_finish(call, &reply);
+}
+
+/* Gives the reply of a call that ended within start(). */
+static void
+bkh_call_defer(struct backend_http *http, struct backend_call *call,
+    enum err_code code, const char *what)
+{
+	err_set(&call->err, ERR_STEP_CONNECT, code, call->server->name, "%s",
+	    what);
+	TAILQ_INSERT_TAIL(&http->ended, call, entry);
+	http->nended++;
+	event_active(http->deferred, EV_TIMEOUT, 0);
+}
+
+static void
+bkh_read_headers(struct evkeyvalq *list, struct bkh_headers *headers)
+{
+	const struct evkeyval *kv;
+
+	TAILQ_FOREACH (kv, list, next) {
+		if (strcasecmp(kv->key, "Content-Length") == 0)
+			headers->has_length = true;
+		else if (strcasecmp(kv->key, "Transfer-Encoding") == 0)
+			headers->chunked =
+			    strcasecmp(kv->value, "chunked") == 0;
+		else if (strcasecmp(kv->key, "Connection") == 0)
+			headers->closing = strcasecmp(kv->value, "close") == 0;
+		else if (strcasecmp(kv->key, "Berylrail-Task") == 0)
+			headers->task = kv->value;
+		else if (strcasecmp(kv->key, "Berylrail-Refused") == 0)
+			headers->refused = kv->value;
+	}
+}
+
+/* An answer that can't be shown to be the whole answer to this task. */
+static const char *
+bkh_find_fault(const struct backend_call *call, const struct bkh_conn *conn,
+    const struct bkh_headers *headers, int http_status)
+{
+	if (headers->task != NULL && strcmp(headers->task, call->task_id) != 0)
+		return "answer to another task";
+	if (headers->task == NULL && conn->echoes && http_status / 100 == 2)
+		return "answer names no task";
+	if (http_status / 100 == 2 && http_status != HTTP_NOCONTENT &&
+	    !headers->has_length && !headers->chunked)
+		return "answer without length";
+	return NULL;
+}
+
+static void
+bkh_judge(const struct backend_call *call, const struct bkh_headers *headers,
+    struct backend_reply *reply)
+{
+	const char *peer = call->server->name;
+
+	if (reply->http_status / 100 == 2) {
+		reply->status = BACKEND_OK;
+	} else if (reply->http_status == HTTP_SERVUNAVAIL &&
+	    headers->refused != NULL) {
+		reply->status = BACKEND_REFUSED;
+		reply->leaving |= strcasecmp(headers->refused, "leaving") == 0;
+		err_set(&reply->err, ERR_STEP_SEND, ERR_REFUSED, peer,
+		    "refused: %.32s", headers->refused);
+	} else {
+		reply->status = BACKEND_TASK_FAILED;
+		err_set(&reply->err, ERR_STEP_RECEIVE, ERR_FAILED, peer,
+		    "HTTP status %d", reply->http_status);
+	}
+}
+
+/* A whole answer was read; the connection is kept if it is clean. */
+static void
+bkh_answered(struct backend_call *call, struct evhttp_request *request)
+{
+	struct backend_reply reply = { 0 };
+	struct bkh_headers headers = { 0 };
+	struct bkh_conn *conn = bkh_call_detach(call);
+	struct evbuffer *input = evhttp_request_get_input_buffer(request);
+	const char *fault;
+
+	bkh_read_headers(evhttp_request_get_input_headers(request), &headers);
+	reply.http_status = evhttp_request_get_response_code(request);
+	reply.leaving = headers.closing;
+	fault = bkh_find_fault(call, conn, &headers, reply.http_status);
+	conn->echoes |= headers.task != NULL;
+	if (fault != NULL || headers.closing) {
+		bkh_conn_bury(conn);
+	} else {
+		event_base_gettimeofday_cached(conn->pool->owner->base,
+		    &conn->idle_since);
+		TAILQ_INSERT_HEAD(&conn->pool->idle, conn, entry);
+	}
+	if (fault != NULL) {
+		reply.status = BACKEND_UNKNOWN;
+		err_set(&reply.err, ERR_STEP_RECEIVE, ERR_CORRUPT,
+		    call->server->name, "%s", fault);
+	} else {
+		bkh_judge(call, &headers, &reply);
+		reply.body_len = evbuffer_get_length(input);
+		reply.body = evbuffer_pullup(input, -1);
+	}
+	bkh_call_finish(call, &reply);
+}
+
+static void
+bkh_request_error(enum evhttp_request_error error, void *arg)
+{
+	struct bkh_conn *conn = arg;
+
+	if (conn->call == NULL)
+		return;
+	conn->call->failed = true;
+	conn->call->error = error;
+}
+
+/* evhttp is done with a request: NULL, or one without an answer, if it
+ * failed. The connection may not be freed in here. */
+static void
+bkh_request_done(struct evhttp_request *request, void *arg)
+{
+	struct bkh_conn *conn = arg;
+	struct backend_call *call = conn->call;
+	struct backend_http *http;
+
+	if (call == NULL)
+		return;
+	http = conn->pool->owner;
+	if (request != NULL && !call->failed &&
+	    evhttp_request_get_response_code(request) != 0) {
+		bkh_answered(call, request);
+		return;
+	}
+	bkh_conn_bury(bkh_call_detach(call));
+	if (call->starting)
+		bkh_call_defer(http, call, ERR_UNAVAILABLE, "connect failed");
+	else if (call->failed && call->error == EVREQ_HTTP_DATA_TOO_LONG)
+		bkh_call_fail(call, ERR_TOO_LARGE, "answer too large");
+	else if (call->failed && call->error == EVREQ_HTTP_INVALID_HEADER)
+		bkh_call_fail(call, ERR_CORRUPT, "malformed answer");
+	else
+		bkh_call_fail(call, ERR_LOST, "connection ended");
+}
+
+static void
+bkh_timed_out(evutil_socket_t fd, short what, void *arg)
+{
+	struct backend_call *call = arg;
+	struct bkh_conn *conn = bkh_call_detach(call);
+
+	(void)fd;
+	(void)what;
+	conn->pool->nconns--;
+	bkh_conn_free(conn);
+	bkh_call_fail(call, ERR_DEADLINE, "timed out");
+}
+
+/* A fresh connection gets the shorter of the two limits first; the rest of the
+ * call's own starts with the first byte sent. */
+static void
+bkh_arm_timer(struct backend_call *call, uint64_t timeout_us, bool fresh)
+{
+	const uint64_t connect_us = BKH_CONNECT_TIMEOUT_MS * 1000ULL;
+	struct timeval tv;
+
+	if (fresh && timeout_us > connect_us) {
+		call->rest.tv_sec = (time_t)(timeout_us / 1000000);
+		call->rest.tv_usec = (suseconds_t)(timeout_us % 1000000);
+		timeout_us = connect_us;
+	}
+	tv.tv_sec = (time_t)(timeout_us / 1000000);
+	tv.tv_usec = (suseconds_t)(timeout_us % 1000000);
+	event_add(&call->timer, &tv);
+}
+
+static struct evhttp_request *
+bkh_build_request(struct bkh_conn *conn, const struct backend_request *request)
+{
+	struct evhttp_request *req;
+	struct evkeyvalq *headers;
+	struct evbuffer *output;
+	int result;
+
+	req = evhttp_request_new(bkh_request_done, conn);
+	if (req == NULL)
+		return NULL;
+	evhttp_request_set_error_cb(req, bkh_request_error);
+	headers = evhttp_request_get_output_headers(req);
+	output = evhttp_request_get_output_buffer(req);
+	result = evhttp_add_header(headers, "Host", conn->pool->host_header) |
+	    evhttp_add_header(headers, "Berylrail-Task", request->task_id);
+	if (request->body_len > BKH_COPY_BYTES_MAX)
+		result |= evbuffer_add_reference(output, request->body,
+		    request->body_len, NULL, NULL);
+	else if (request->body_len != 0)
+		result |=
+		    evbuffer_add(output, request->body, request->body_len);
+	if (result != 0) {
+		evhttp_request_free(req);
+		return NULL;
+	}
+	return req;
+}
+
+static struct backend_call *
+bkh_call_create(struct backend_http *http,
+    const struct backend_request *request, backend_done_fn done, void *arg)
+{
+	struct backend_call *call;
+
+	call = calloc(1, sizeof(*call));
+	if (call == NULL)
+		return NULL;
+	call->done = done;
+	call->arg = arg;
+	call->task_id = request->task_id;
+	call->server = request->server;
+	evtimer_assign(&call->timer, http->base, bkh_timed_out, call);
+	return call;
+}
+
+/* Sends the request of @call, whose connection is in no list yet. */
+static void
+bkh_call_send(struct backend_call *call, struct bkh_conn *conn,
+    const struct backend_request *request, bool fresh)
+{
+	struct evhttp_request *req;
+
+	call->conn = conn;
+	conn->call = call;
+	TAILQ_INSERT_TAIL(&conn->pool->busy, conn, entry);
+	bkh_arm_timer(call, request->timeout_us, fresh);
+	call->starting = true;
+	req = bkh_build_request(conn, request);
+	/* A request that can't be made is freed by evhttp. */
+	if (req == NULL ||
+	    evhttp_make_request(conn->evcon, req, EVHTTP_REQ_POST,
+		request->path) != 0) {
+		if (call->conn != NULL) {
+			struct backend_http *http = conn->pool->owner;
+
+			bkh_conn_bury(bkh_call_detach(call));
+			bkh_call_defer(http, call, ERR_UNAVAILABLE,
+			    "request could not be made");
+		}
+	}
+	call->starting = false;
+}
+
+static struct backend_call *
+bkh_start(struct backend *backend, const struct backend_request *request,
+    backend_done_fn done, void *arg)
+{
+	struct backend_http *http = (struct backend_http *)backend;
+	struct backend_call *call;
+	struct bkh_pool *pool;
+	struct bkh_conn *conn;
+	bool fresh;
+
+	call = bkh_call_create(http, request, done, arg);
+	if (call == NULL)
+		return NULL;
+	if (!bkh_is_numeric(request->server->address)) {
+		bkh_call_defer(http, call, ERR_INVALID, "address not numeric");
+		return call;
+	}
+	pool = bkh_pool_get(http, request->server);
+	if (pool == NULL)
+		goto error;
+	conn = bkh_conn_reuse(pool);
+	fresh = conn == NULL;
+	if (fresh && pool->nconns >= request->connections_max) {
+		bkh_call_defer(http, call, ERR_OVERLOAD,
+		    "all connections are busy");
+		return call;
+	}
+	if (fresh) {
+		conn = bkh_conn_create(pool);
+		if (conn == NULL)
+			goto error;
+	}
+	bkh_call_send(call, conn, request, fresh);
+	return call;
+error:
+	bkh_call_free(call);
+	return NULL;
+}
+
+static bool
+bkh_cancel(struct backend *backend, struct backend_call *call)
+{
+	struct backend_http *http = (struct backend_http *)backend;
+	bool not_sent = call->taken == 0;
+	struct bkh_conn *conn;
+
+	if (call->conn == NULL) {
+		TAILQ_REMOVE(&http->ended, call, entry);
+		http->nended--;
+	} else {
+		conn = bkh_call_detach(call);
+		conn->pool->nconns--;
+		bkh_conn_free(conn);
+	}
+	bkh_call_free(call);
+	return not_sent;
+}
+
+/* Frees dead connections and gives deferred replies. */
+static void
+bkh_run_deferred(evutil_socket_t fd, short what, void *arg)
+{
+	struct backend_http *http = arg;
+	struct backend_call *call;
+	struct bkh_conn *conn;
+	size_t n;
+
+	(void)fd;
+	(void)what;
+	while ((conn = TAILQ_FIRST(&http->dead)) != NULL) {
+		TAILQ_REMOVE(&http->dead, conn, entry);
+		bkh_conn_free(conn);
+	}
+	/* Calls that end from within the callbacks wait for the next turn. */
+	for (n = http->nended; n > 0; n--) {
+		struct backend_reply reply = { .status = BACKEND_NOT_SENT };
+
+		call = TAILQ_FIRST(&http->ended);
+		if (call == NULL)
+			break;
+		reply.err = call->err;
+		TAILQ_REMOVE(&http->ended, call, entry);
+		http->nended--;
+		bkh_call_finish(call, &reply);
+	}
+}
+
+static void
+bkh_sweep(evutil_socket_t fd, short what, void *arg)
+{
+	struct backend_http *http = arg;
+	struct bkh_pool *pool, *next;
+	struct timeval now;
+	size_t i;
+
+	(void)fd;
+	(void)what;
+	event_base_gettimeofday_cached(http->base, &now);
+	for (i = 0; i < BKH_BUCKETS; i++) {
+		for (pool = LIST_FIRST(&http->pools[i]); pool != NULL;
+		     pool = next) {
+			next = LIST_NEXT(pool, entry);
+			bkh_pool_sweep(pool, &now);
+		}
+	}
+}
+
+static const struct backend_ops bkh_ops = {
+	.start = bkh_start,
+	.cancel = bkh_cancel,
+};
+
+struct backend *
+backend_http_create(struct event_base *base)
+{
+	struct timeval interval = {
+		.tv_sec = BKH_SWEEP_INTERVAL_MS / 1000,
+		.tv_usec = BKH_SWEEP_INTERVAL_MS % 1000 * 1000,
+	};
+	struct backend_http *http;
+
+	http = calloc(1, sizeof(*http));
+	if (http == NULL)
+		return NULL;
+	http->backend.ops = &bkh_ops;
+	http->base = base;
+	TAILQ_INIT(&http->ended);
+	TAILQ_INIT(&http->dead);
+	http->sweep = event_new(base, -1, EV_PERSIST, bkh_sweep, http);
+	http->deferred = event_new(base, -1, 0, bkh_run_deferred, http);
+	if (http->sweep == NULL || http->deferred == NULL ||
+	    event_add(http->sweep, &interval) != 0) {
+		backend_http_destroy(&http->backend);
+		return NULL;
+	}
+	return &http->backend;
+}
+
+void
+backend_http_destroy(struct backend *backend)
+{
+	struct backend_http *http = (struct backend_http *)backend;
+	struct backend_call *call;
+	struct bkh_conn *conn;
+	size_t i;
+
+	if (http == NULL)
+		return;
+	for (i = 0; i < BKH_BUCKETS; i++) {
+		while (!LIST_EMPTY(&http->pools[i]))
+			bkh_pool_free(LIST_FIRST(&http->pools[i]));
+	}
+	while ((conn = TAILQ_FIRST(&http->dead)) != NULL) {
+		TAILQ_REMOVE(&http->dead, conn, entry);
+		bkh_conn_free(conn);
+	}
+	while ((call = TAILQ_FIRST(&http->ended)) != NULL) {
+		TAILQ_REMOVE(&http->ended, call, entry);
+		bkh_call_free(call);
+	}
+	if (http->sweep != NULL)
+		event_free(http->sweep);
+	if (http->deferred != NULL)
+		event_free(http->deferred);
+	free(http);
+}
--- /dev/null
+++ b/adapters/backend_http_pool.c
@@ -0,0 +1,212 @@
+/*
+ * Pools of keep-alive connections to backend servers, one for each address.
+ */
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include "adapters/backend_http_internal.h"
+#include "core/counters.h"
+
+#define BKH_IDLE_MAX_MS 30000	   /* of a connection in a pool */
+#define BKH_EVHTTP_TIMEOUT_S 86400 /* the calls' own timers come first */
+#define BKH_HEADERS_BYTES_MAX 16384
+
+static struct counter bkh_connects = {
+	.name = "berylrail_backend_connects_total",
+	.help = "Connections opened to backend servers.",
+};
+static struct counter bkh_stale = {
+	.name = "berylrail_backend_stale_connections_total",
+	.help = "Kept connections found closed or dirty before reuse.",
+};
+
+static struct bkh_pools *
+bkh_bucket(struct backend_http *http, const char *address, uint16_t port)
+{
+	uint32_t hash = 2166136261U ^ port;
+
+	for (; *address != '\0'; address++)
+		hash = (hash ^ (unsigned char)*address) * 16777619U;
+	return &http->pools[hash % BKH_BUCKETS];
+}
+
+struct bkh_pool *
+bkh_pool_get(struct backend_http *http, const struct backend_server *server)
+{
+	struct bkh_pools *bucket;
+	struct bkh_pool *pool;
+
+	bucket = bkh_bucket(http, server->address, server->port);
+	LIST_FOREACH (pool, bucket, entry) {
+		if (pool->port == server->port &&
+		    strcmp(pool->address, server->address) == 0)
+			return pool;
+	}
+	pool = calloc(1, sizeof(*pool));
+	if (pool == NULL)
+		return NULL;
+	pool->owner = http;
+	pool->port = server->port;
+	memcpy(pool->address, server->address, sizeof(pool->address));
+	snprintf(pool->host_header, sizeof(pool->host_header),
+	    strchr(pool->address, ':') ? "[%s]:%u" : "%s:%u", pool->address,
+	    pool->port);
+	TAILQ_INIT(&pool->idle);
+	TAILQ_INIT(&pool->busy);
+	LIST_INSERT_HEAD(bucket, pool, entry);
+	return pool;
+}
+
+/* Takes a connection that is in no list out of its pool and frees it; not to
+ * be used from a callback of its own evhttp connection. */
+void
+bkh_conn_free(struct bkh_conn *conn)
+{
+	evhttp_connection_free(conn->evcon);
+	free(conn);
+}
+
+void
+bkh_conn_bury(struct bkh_conn *conn)
+{
+	struct backend_http *http = conn->pool->owner;
+
+	conn->pool->nconns--;
+	conn->pool = NULL;
+	TAILQ_INSERT_TAIL(&http->dead, conn, entry);
+	event_active(http->deferred, EV_TIMEOUT, 0);
+}
+
+/* Bytes leave the buffer by a write, or are dropped when evhttp resets the
+ * connection, which it does with writing disabled. */
+static void
+bkh_output_changed(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+    void *arg)
+{
+	struct bkh_conn *conn = arg;
+	struct backend_call *call = conn->call;
+	struct bufferevent *bev;
+
+	(void)buffer;
+	if (info->n_deleted == 0 || call == NULL)
+		return;
+	bev = evhttp_connection_get_bufferevent(conn->evcon);
+	if ((bufferevent_get_enabled(bev) & EV_WRITE) == 0)
+		return;
+	if (call->taken == 0 && timerisset(&call->rest))
+		event_add(&call->timer, &call->rest);
+	call->taken += info->n_deleted;
+}
+
+struct bkh_conn *
+bkh_conn_create(struct bkh_pool *pool)
+{
+	struct timeval timeout = { .tv_sec = BKH_EVHTTP_TIMEOUT_S };
+	struct bkh_conn *conn;
+	struct bufferevent *bev;
+
+	conn = calloc(1, sizeof(*conn));
+	if (conn == NULL)
+		return NULL;
+	conn->pool = pool;
+	conn->evcon = evhttp_connection_base_bufferevent_new(pool->owner->base,
+	    NULL, NULL, pool->address, pool->port);
+	if (conn->evcon == NULL)
+		goto error;
+	evhttp_connection_set_retries(conn->evcon, 0);
+	evhttp_connection_set_timeout_tv(conn->evcon, &timeout);
+	evhttp_connection_set_max_body_size(conn->evcon, BODY_BYTES_MAX);
+	evhttp_connection_set_max_headers_size(conn->evcon,
+	    BKH_HEADERS_BYTES_MAX);
+	bev = evhttp_connection_get_bufferevent(conn->evcon);
+	if (evbuffer_add_cb(bufferevent_get_output(bev), bkh_output_changed,
+		conn) == NULL)
+		goto error;
+	pool->nconns++;
+	ctr_inc(&bkh_connects);
+	return conn;
+error:
+	if (conn->evcon != NULL)
+		evhttp_connection_free(conn->evcon);
+	free(conn);
+	return NULL;
+}
+
+/* A kept connection may be used again if nothing came in meanwhile: neither
+ * its end nor bytes that belong to no request. */
+static bool
+bkh_conn_usable(const struct bkh_conn *conn)
+{
+	struct bufferevent *bev;
+	evutil_socket_t fd;
+	char byte;
+
+	bev = evhttp_connection_get_bufferevent(conn->evcon);
+	fd = bufferevent_getfd(bev);
+	if (fd == -1 || evbuffer_get_length(bufferevent_get_input(bev)) != 0)
+		return false;
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == -1 &&
+	    (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+/* An idle connection, taken out of the list, or NULL. */
+struct bkh_conn *
+bkh_conn_reuse(struct bkh_pool *pool)
+{
+	struct bkh_conn *conn;
+
+	while ((conn = TAILQ_FIRST(&pool->idle)) != NULL) {
+		TAILQ_REMOVE(&pool->idle, conn, entry);
+		if (bkh_conn_usable(conn))
+			return conn;
+		ctr_inc(&bkh_stale);
+		bkh_conn_bury(conn);
+	}
+	return NULL;
+}
+
+void
+bkh_pool_sweep(struct bkh_pool *pool, const struct timeval *now)
+{
+	struct bkh_conn *conn;
+	struct timeval age;
+
+	while ((conn = TAILQ_LAST(&pool->idle, bkh_conns)) != NULL) {
+		timersub(now, &conn->idle_since, &age);
+		if (age.tv_sec * 1000 < BKH_IDLE_MAX_MS)
+			break;
+		TAILQ_REMOVE(&pool->idle, conn, entry);
+		pool->nconns--;
+		bkh_conn_free(conn);
+	}
+	if (pool->nconns == 0) {
+		LIST_REMOVE(pool, entry);
+		free(pool);
+	}
+}
+
+void
+bkh_pool_free(struct bkh_pool *pool)
+{
+	struct bkh_conn *conn;
+
+	while ((conn = TAILQ_FIRST(&pool->busy)) != NULL) {
+		TAILQ_REMOVE(&pool->busy, conn, entry);
+		bkh_call_free(conn->call);
+		conn->call = NULL;
+		bkh_conn_free(conn);
+	}
+	while ((conn = TAILQ_FIRST(&pool->idle)) != NULL) {
+		TAILQ_REMOVE(&pool->idle, conn, entry);
+		bkh_conn_free(conn);
+	}
+	LIST_REMOVE(pool, entry);
+	free(pool);
+}
--- /dev/null
+++ b/tests/test_backend_http.c
@@ -0,0 +1,374 @@
+/*
+ * Backend servers over HTTP, against a scripted server on loopback: what is
+ * known of a task after each way in which a call can end.
+ */
+
+#include <criterion/criterion.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include "adapters/backend_http.h"
+
+#define ANSWER                                     \
+	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" \
+	"Berylrail-Task: job/7\r\n\r\nhello"
+
+/* A server that, after @read_max bytes of requests on a connection, writes
+ * @answer and, if told to, closes. */
+struct script {
+	struct event_base *base;
+	struct evconnlistener *listener;
+	struct backend *backend;
+	struct backend_server server;
+	const char *answer;
+	size_t answer_len;
+	size_t read_max;
+	bool close_after;
+	bool silent;
+	size_t nconns;	   /* accepted */
+	size_t nrequests;  /* answered */
+	size_t bytes_read; /* of all connections */
+	/* The last reply. */
+	int ndone;
+	struct backend_reply reply;
+	char body[64];
+};
+
+static size_t request_len; /* of the request that call() makes */
+
+static void
+close_after_write(struct bufferevent *bev, void *arg)
+{
+	(void)arg;
+	if (evbuffer_get_length(bufferevent_get_output(bev)) == 0)
+		bufferevent_free(bev);
+}
+
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+	(void)arg;
+	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+		bufferevent_free(bev);
+}
+
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+	struct script *s = arg;
+	struct evbuffer *input = bufferevent_get_input(bev);
+	size_t len = evbuffer_get_length(input);
+
+	if (len < s->read_max)
+		return;
+	s->bytes_read += len;
+	evbuffer_drain(input, len);
+	if (s->silent)
+		return;
+	s->nrequests++;
+	if (s->answer_len != 0)
+		bufferevent_write(bev, s->answer, s->answer_len);
+	if (s->close_after && s->answer_len == 0)
+		bufferevent_free(bev);
+	else if (s->close_after)
+		bufferevent_setcb(bev, NULL, close_after_write, on_event, s);
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+    struct sockaddr *addr, int len, void *arg)
+{
+	struct script *s = arg;
+	struct bufferevent *bev;
+
+	(void)listener;
+	(void)addr;
+	(void)len;
+	s->nconns++;
+	bev = bufferevent_socket_new(s->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(bev, on_read, NULL, on_event, s);
+	bufferevent_enable(bev, EV_READ | EV_WRITE);
+	if (s->read_max == 0)
+		bufferevent_free(bev);
+}
+
+static void
+script_start(struct script *s)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sin);
+
+	memset(s, 0, sizeof(*s));
+	s->base = event_base_new();
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	s->listener = evconnlistener_new_bind(s->base, on_accept, s,
+	    LEV_OPT_CLOSE_ON_FREE, 16, (struct sockaddr *)&sin, sizeof(sin));
+	cr_assert_not_null(s->listener);
+	getsockname(evconnlistener_get_fd(s->listener), (struct sockaddr *)&sin,
+	    &len);
+	s->server = (struct backend_server){ .name = "s1",
+		.address = "127.0.0.1",
+		.port = ntohs(sin.sin_port) };
+	s->backend = backend_http_create(s->base);
+	s->answer = ANSWER;
+	s->answer_len = strlen(ANSWER);
+	s->read_max = 1;
+}
+
+static void
+script_stop(struct script *s)
+{
+	backend_http_destroy(s->backend);
+	evconnlistener_free(s->listener);
+	event_base_free(s->base);
+}
+
+static void
+on_done(void *arg, const struct backend_reply *reply)
+{
+	struct script *s = arg;
+
+	s->ndone++;
+	s->reply = *reply;
+	snprintf(s->body, sizeof(s->body), "%.*s", (int)reply->body_len,
+	    reply->body == NULL ? "" : (const char *)reply->body);
+	event_base_loopbreak(s->base);
+}
+
+static struct backend_call *
+start(struct script *s, uint64_t timeout_us)
+{
+	struct backend_request request = {
+		.server = &s->server,
+		.path = "/run",
+		.task_id = "job/7",
+		.body = "ping",
+		.body_len = 4,
+		.timeout_us = timeout_us,
+		.connections_max = 1,
+	};
+
+	return s->backend->ops->start(s->backend, &request, on_done, s);
+}
+
+static enum backend_status
+call(struct script *s)
+{
+	int before = s->ndone;
+
+	cr_assert_not_null(start(s, 10000000));
+	cr_assert_eq(s->ndone, before, "done ran within start()");
+	while (s->ndone == before)
+		event_base_dispatch(s->base);
+	cr_assert_eq(s->ndone, before + 1);
+	return s->reply.status;
+}
+
+/* The whole request's length, as the server sees it. */
+static void
+measure_request(struct script *s)
+{
+	cr_assert_eq(call(s), BACKEND_OK);
+	request_len = s->bytes_read;
+}
+
+Test(backend_http, answers_whole_and_keeps_the_connection)
+{
+	struct script s;
+	int i;
+
+	script_start(&s);
+	measure_request(&s);
+	s.read_max = request_len;
+	for (i = 0; i < 50; i++) {
+		cr_assert_eq(call(&s), BACKEND_OK);
+		cr_assert_str_eq(s.body, "hello");
+		cr_assert_eq(s.reply.http_status, 200);
+		cr_assert_not(s.reply.leaving);
+	}
+	cr_assert_eq(s.nconns, 1);
+	cr_assert_eq(s.nrequests, 51);
+	script_stop(&s);
+}
+
+Test(backend_http, answer_cut_at_each_byte_is_unknown)
+{
+	struct script s;
+	size_t cut;
+
+	script_start(&s);
+	measure_request(&s);
+	s.close_after = true;
+	for (cut = 0; cut < strlen(ANSWER); cut++) {
+		s.read_max = request_len;
+		s.answer_len = cut;
+		cr_assert_eq(call(&s), BACKEND_UNKNOWN, "cut at %zu: %s", cut,
+		    s.reply.err.message);
+		cr_assert_str_eq(s.reply.err.peer, "s1");
+	}
+	cr_assert_eq(s.nrequests, strlen(ANSWER) + 1, "sent again");
+	script_stop(&s);
+}
+
+Test(backend_http, request_cut_at_each_byte_is_never_not_sent)
+{
+	struct script s;
+	size_t cut, before;
+
+	script_start(&s);
+	measure_request(&s);
+	s.close_after = true;
+	s.answer_len = 0;
+	for (cut = 0; cut <= request_len; cut++) {
+		s.read_max = cut;
+		before = s.bytes_read;
+		call(&s);
+		cr_assert(s.reply.status == BACKEND_UNKNOWN ||
+			(s.reply.status == BACKEND_NOT_SENT &&
+			    s.bytes_read == before),
+		    "cut at %zu: status %d", cut, s.reply.status);
+	}
+	script_stop(&s);
+}
+
+Test(backend_http, stale_connection_is_not_used_again)
+{
+	struct script s;
+	int i;
+
+	script_start(&s);
+	measure_request(&s);
+	s.close_after = true;
+	s.read_max = request_len;
+	for (i = 0; i < 20; i++)
+		cr_assert_eq(call(&s), BACKEND_OK, "%s", s.reply.err.message);
+	script_stop(&s);
+}
+
+Test(backend_http, refused_connection_is_not_sent)
+{
+	struct script s;
+
+	script_start(&s);
+	evconnlistener_disable(s.listener);
+	s.server.port = 1;
+	cr_assert_eq(call(&s), BACKEND_NOT_SENT);
+	cr_assert_eq(s.reply.err.step, ERR_STEP_CONNECT);
+	snprintf(s.server.address, sizeof(s.server.address), "localhost");
+	cr_assert_eq(call(&s), BACKEND_NOT_SENT);
+	script_stop(&s);
+}
+
+Test(backend_http, silent_server_is_unknown_after_the_timeout)
+{
+	struct script s;
+
+	script_start(&s);
+	s.silent = true;
+	cr_assert_not_null(start(&s, 50000));
+	event_base_dispatch(s.base);
+	cr_assert_eq(s.ndone, 1);
+	cr_assert_eq(s.reply.status, BACKEND_UNKNOWN);
+	cr_assert_eq(s.reply.err.code, ERR_DEADLINE);
+	s.silent = false;
+	cr_assert_eq(call(&s), BACKEND_OK);
+	cr_assert_eq(s.nconns, 2);
+	script_stop(&s);
+}
+
+/* What the answer @text makes of a task. */
+static enum backend_status
+status_of(struct script *s, const char *text)
+{
+	s->answer = text;
+	s->answer_len = strlen(text);
+	return call(s);
+}
+
+Test(backend_http, judges_answers_by_contract)
+{
+	struct script s;
+
+	script_start(&s);
+	measure_request(&s);
+	s.read_max = request_len;
+	cr_expect_eq(
+	    status_of(&s, "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"),
+	    BACKEND_TASK_FAILED);
+	cr_expect_eq(
+	    status_of(&s, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"),
+	    BACKEND_TASK_FAILED);
+	cr_expect_eq(status_of(&s,
+			 "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"
+			 "Berylrail-Refused: busy\r\n\r\n"),
+	    BACKEND_REFUSED);
+	cr_expect_not(s.reply.leaving);
+	cr_expect_eq(status_of(&s,
+			 "HTTP/1.1 503 Gone\r\nContent-Length: 0\r\n"
+			 "Berylrail-Refused: leaving\r\n\r\n"),
+	    BACKEND_REFUSED);
+	cr_expect(s.reply.leaving);
+	cr_expect_eq(
+	    status_of(&s,
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+		"Connection: close\r\nBerylrail-Task: job/7\r\n\r\nok"),
+	    BACKEND_OK);
+	cr_expect(s.reply.leaving);
+	cr_expect_str_eq(s.body, "ok");
+	cr_expect_eq(status_of(&s,
+			 "HTTP/1.1 200 OK\r\nBerylrail-Task: job/8\r\n"
+			 "Content-Length: 2\r\n\r\nok"),
+	    BACKEND_UNKNOWN);
+	cr_expect_eq(s.reply.err.code, ERR_CORRUPT);
+	cr_expect_eq(status_of(&s, "garbage\r\n\r\n"), BACKEND_UNKNOWN);
+	s.close_after = true;
+	cr_expect_eq(status_of(&s, "HTTP/1.1 200 OK\r\n\r\nhel"),
+	    BACKEND_UNKNOWN);
+	script_stop(&s);
+}
+
+Test(backend_http, second_answer_is_never_given_to_another_task)
+{
+	struct script s;
+	int i;
+
+	script_start(&s);
+	measure_request(&s);
+	s.read_max = request_len;
+	for (i = 0; i < 10; i++) {
+		cr_assert_eq(status_of(&s, ANSWER ANSWER), BACKEND_OK);
+		cr_assert_str_eq(s.body, "hello");
+	}
+	cr_assert_eq(s.nconns, 10, "dirty connection used again");
+	script_stop(&s);
+}
+
+Test(backend_http, cancel_closes_and_connections_are_bounded)
+{
+	struct backend_call *first;
+	struct script s;
+
+	script_start(&s);
+	s.silent = true;
+	first = start(&s, 10000000);
+	cr_assert_eq(call(&s), BACKEND_NOT_SENT, "a second connection");
+	cr_assert_eq(s.reply.err.code, ERR_OVERLOAD);
+	while (s.bytes_read == 0)
+		event_base_loop(s.base, EVLOOP_ONCE);
+	cr_assert_not(s.backend->ops->cancel(s.backend, first));
+	s.silent = false;
+	cr_assert_eq(call(&s), BACKEND_OK);
+	cr_assert_eq(s.ndone, 2);
+	first = start(&s, 10000000);
+	s.backend->ops->cancel(s.backend, first);
+	script_stop(&s);
+}
