Add settings and the set of configured objects

One table names every setting with its kind, default and range; flags go before the environment, errors are gathered and listed together. Objects of a kind stand in a list by name and in a red-black tree, so a look-up among thousands of servers is no walk of the list. cfg_take() hands an object out, for undoing a change.

--- a/core/config.h
+++ b/core/config.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <sys/queue.h>
+#include <sys/tree.h>
 
 #include "berylrail/error.h"
 #include "berylrail/limits.h"
@@ -30,6 +31,7 @@
 struct cfg_service {
 	char path[256];		   /* of the POST to a backend server */
 	struct selector *selector; /* over labels of servers */
+	char *selector_text;	   /* its source; owned, like the selector */
 };
 
 /** struct cfg_job - a job's configuration. */
@@ -43,6 +45,7 @@
 	uint32_t deadline_ms;	   /* of a whole submission */
 	uint32_t queue_tasks_max;  /* tasks waiting, on one entry host */
 	struct selector *selector; /* further limits servers; NULL for all */
+	char *selector_text;	   /* its source, or NULL; owned */
 };
 
 /** struct cfg_server - a backend server. */
@@ -82,14 +85,18 @@
 		struct cfg_team team;
 	} u;
 	TAILQ_ENTRY(cfg_object) entry; /* of its kind, sorted by name */
+	RB_ENTRY(cfg_object) node;     /* of its kind, by name */
 };
 
 TAILQ_HEAD(cfg_list, cfg_object);
+RB_HEAD(cfg_tree, cfg_object);
 
 /** struct config - the whole configuration at one version. */
 struct config {
 	uint64_t version; /* 0: nothing was ever configured */
 	struct cfg_list objects[CFG_NKINDS];
+	struct cfg_tree index[CFG_NKINDS]; /* the same objects, by name */
+	size_t nobjects[CFG_NKINDS];
 };
 
 /** cfg_create() - an empty configuration of version 0, or NULL. */
@@ -108,6 +115,10 @@
 /** cfg_remove() - remove an object if it is there; true if it was. */
 bool cfg_remove(struct config *config, enum cfg_kind kind, const char *name);
 
+/** cfg_take() - remove an object; the caller owns it then. NULL if absent. */
+struct cfg_object *cfg_take(struct config *config, enum cfg_kind kind,
+    const char *name);
+
 /** cfg_object_free() - free an object that is in no configuration. */
 void cfg_object_free(struct cfg_object *object);
 
--- /dev/null
+++ b/entry/settings.c
@@ -0,0 +1,622 @@
+/*
+ * Settings from flags and environment variables. One table names every
+ * setting with its kind, default and range; argtable2 reads the flags. Errors
+ * are gathered, so that one run shows all of them.
+ */
+
+#include <argtable2.h>
+#include <arpa/inet.h>
+#include <ctype.h>
+#include <errno.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/settings.h"
+
+#define SET_ENV_PREFIX "BERYLRAIL_"
+#define SET_ENV_SIZE 64
+#define SET_PARSE_ERRORS_MAX 32
+#define SET_MINUTE_MS (60U * 1000)
+#define SET_DAY_MS (24U * 60 * SET_MINUTE_MS)
+#define SET_MIB (1ULL << 20)
+
+/* enum set_kind - how a setting's text is read. */
+enum set_kind {
+	SET_NAME,
+	SET_ENDPOINT,
+	SET_PLATFORM,
+	SET_PEERS,
+	SET_CHOICE,
+	SET_PATH,
+	SET_U32,
+	SET_U64,
+};
+
+/* struct set_def - one setting. */
+struct set_def {
+	const char *name; /* of the flag, without dashes */
+	enum set_kind kind;
+	size_t offset;	     /* in struct settings */
+	const char *initial; /* default, NULL for none */
+	uint64_t min;	     /* of numbers and of an endpoint's port */
+	uint64_t max;	     /* of numbers; bytes of a text with its NUL */
+	const char *choices; /* separated by '|' */
+	const char *help;
+};
+
+#define SET_AT(field) offsetof(struct settings, field)
+
+static const struct set_def set_defs[] = {
+	{ "host", SET_NAME, SET_AT(host), NULL, 0, 0, NULL,
+	    "own name; must be given with a platform over HTTP" },
+	{ "az", SET_NAME, SET_AT(az), NULL, 0, 0, NULL,
+	    "own availability zone; as --host" },
+	{ "listen", SET_ENDPOINT, SET_AT(listen), "127.0.0.1:8080", 0, 0, NULL,
+	    "HTTP for clients and operators; port 0: any free port" },
+	{ "peer-listen", SET_ENDPOINT, SET_AT(peer_listen), "127.0.0.1:8081", 0,
+	    0, NULL, "framed TCP for other entry hosts" },
+	{ "peer-advertise", SET_ENDPOINT, SET_AT(peer_advertise), NULL, 0, 0,
+	    NULL,
+	    "the address that other entry hosts use; default: "
+	    "peer-listen; port 0: the port listened on" },
+	{ "platform", SET_PLATFORM, SET_AT(platform), NULL, 1, 0, NULL,
+	    "http://ADDRESS:PORT, or memory: for one host alone" },
+	{ "peer", SET_PEERS, SET_AT(peers), NULL, 1, 0, NULL,
+	    "an entry host to begin with; may be repeated (in the "
+	    "environment: separated by commas)" },
+	{ "policy", SET_CHOICE, SET_AT(policy), "default", 0, NAME_SIZE,
+	    "default|naive", "dispatch policy" },
+	{ "config-poll-ms", SET_U32, SET_AT(config_poll_ms), "2000", 10, 4000,
+	    NULL, "mean interval of polls of the configuration" },
+	{ "hostlist-poll-ms", SET_U32, SET_AT(hostlist_poll_ms), "2000", 10,
+	    SET_MINUTE_MS, NULL, "interval of polls of the host list" },
+	{ "heartbeat-ms", SET_U32, SET_AT(heartbeat_ms), "500", 10, 10000, NULL,
+	    "interval of heartbeats between entry hosts" },
+	{ "platform-timeout-ms", SET_U32, SET_AT(platform_timeout_ms), "2000",
+	    10, SET_MINUTE_MS, NULL, "time limit of a call to the platform" },
+	{ "queue-tasks-max", SET_U32, SET_AT(queue_tasks_max), "20000",
+	    JOB_TASKS_MAX, 10000000, NULL, "tasks waiting, all jobs" },
+	{ "queue-bytes-max", SET_U64, SET_AT(queue_bytes_max), "67108864", 4096,
+	    65536 * SET_MIB, NULL, "bytes of waiting tasks, all jobs" },
+	{ "body-bytes-max", SET_U32, SET_AT(body_bytes_max), "4194304", 1024,
+	    BODY_BYTES_MAX, NULL, "body of one request" },
+	{ "header-timeout-ms", SET_U32, SET_AT(header_timeout_ms), "10000", 10,
+	    10 * SET_MINUTE_MS, NULL, "for a client to send a whole request" },
+	{ "clients-max", SET_U32, SET_AT(clients_max), "4096", 1, 1000000, NULL,
+	    "connections of clients at once" },
+	{ "ticket-retention-ms", SET_U32, SET_AT(ticket_retention_ms), "600000",
+	    100, SET_DAY_MS, NULL, "answers are kept so long" },
+	{ "ticket-bytes-max", SET_U64, SET_AT(ticket_bytes_max), "33554432",
+	    4096, 65536 * SET_MIB, NULL, "bytes of answers kept" },
+	{ "claim-flush-ms", SET_U32, SET_AT(claim_flush_ms), "20", 1, 1000,
+	    NULL, "interval of the group commit of claims" },
+	{ "drain-delay-ms", SET_U32, SET_AT(drain_delay_ms), "2000", 0,
+	    10 * SET_MINUTE_MS, NULL,
+	    "a stop waits so long for the balancer to notice" },
+	{ "drain-limit-ms", SET_U32, SET_AT(drain_limit_ms), "0", 0, SET_DAY_MS,
+	    NULL, "a stop cuts what still runs after that; 0: never" },
+	{ "seed", SET_U64, SET_AT(seed), "0", 0, UINT64_MAX, NULL,
+	    "of random choices; 0: a random one" },
+	{ "log-level", SET_CHOICE, SET_AT(log_level), "info", 0, 16,
+	    "error|warn|info|debug", "lines below it are left out" },
+	{ "port-file", SET_PATH, SET_AT(ready_file), "", 0, 256, NULL,
+	    "the ports listened on are written to this file" },
+};
+
+#define SET_NDEFS (sizeof(set_defs) / sizeof(set_defs[0]))
+
+/*
+ * Variables of other programs with the same prefix: of the command-line
+ * client, and of the runner of the project's tests.
+ */
+static const char *const set_env_foreign[] = { "BERYLRAIL_SERVER",
+	"BERYLRAIL_OPERATOR", "BERYLRAIL_BIN_DIR" };
+
+/* struct set_loader - state of one settings_load(). */
+struct set_loader {
+	struct settings *settings;
+	FILE *errors;
+	size_t nerrors;
+	bool given[SET_NDEFS]; /* by a flag or by the environment */
+	struct arg_str *strs[SET_NDEFS];
+	struct arg_lit *check;
+	struct arg_lit *help;
+	struct arg_lit *version;
+	struct arg_end *end;
+	void *table[SET_NDEFS + 4];
+};
+
+static void set_error(struct set_loader *loader, const char *name,
+    const char *fmt, ...) __attribute__((format(printf, 3, 4)));
+
+static void
+set_error(struct set_loader *loader, const char *name, const char *fmt, ...)
+{
+	va_list ap;
+
+	loader->nerrors++;
+	fprintf(loader->errors, "berylraild: %s: ", name);
+	va_start(ap, fmt);
+	vfprintf(loader->errors, fmt, ap);
+	va_end(ap);
+	fputc('\n', loader->errors);
+}
+
+/* Name of a setting's environment variable. */
+static void
+set_env_name(const char *name, char env[SET_ENV_SIZE])
+{
+	size_t i, n;
+
+	n = strlcpy(env, SET_ENV_PREFIX, SET_ENV_SIZE);
+	for (i = 0; name[i] != '\0' && n + 1 < SET_ENV_SIZE; i++, n++) {
+		env[n] = name[i] == '-' ? '_'
+					: (char)toupper((unsigned char)name[i]);
+	}
+	env[n] = '\0';
+}
+
+static bool
+set_name_valid(const char *text)
+{
+	size_t i;
+
+	for (i = 0; text[i] != '\0'; i++) {
+		if (!isalnum((unsigned char)text[i]) &&
+		    strchr("-_.", text[i]) == NULL)
+			return false;
+	}
+	return i > 0 && i <= NAME_LEN_MAX;
+}
+
+static int
+set_parse_u64(const char *text, uint64_t *value)
+{
+	char *end;
+
+	if (!isdigit((unsigned char)text[0]))
+		return -1;
+	errno = 0;
+	*value = strtoull(text, &end, 10);
+	return errno != 0 || *end != '\0' ? -1 : 0;
+}
+
+/* "1.2.3.4:80" or "[::1]:80"; no names, as no resolver is asked. */
+static int
+set_parse_endpoint(const char *text, struct endpoint *endpoint)
+{
+	unsigned char address[sizeof(struct in6_addr)];
+	const char *colon;
+	uint64_t port;
+	size_t len;
+	int family;
+
+	colon = strrchr(text, ':');
+	if (colon == NULL || set_parse_u64(colon + 1, &port) != 0 ||
+	    port > UINT16_MAX)
+		return -1;
+	len = (size_t)(colon - text);
+	family = AF_INET;
+	if (len >= 2 && text[0] == '[' && colon[-1] == ']') {
+		family = AF_INET6;
+		text++;
+		len -= 2;
+	}
+	if (len >= sizeof(endpoint->address))
+		return -1;
+	memcpy(endpoint->address, text, len);
+	endpoint->address[len] = '\0';
+	if (inet_pton(family, endpoint->address, address) != 1)
+		return -1;
+	endpoint->port = (uint16_t)port;
+	return 0;
+}
+
+static void
+set_store_endpoint(struct set_loader *loader, const struct set_def *def,
+    const char *text, struct endpoint *endpoint)
+{
+	if (set_parse_endpoint(text, endpoint) != 0)
+		set_error(loader, def->name,
+		    "\"%s\" is not ADDRESS:PORT with an IP number", text);
+	else if (endpoint->port < def->min)
+		set_error(loader, def->name, "port 0 is not allowed here");
+}
+
+static void
+set_store_platform(struct set_loader *loader, const struct set_def *def,
+    const char *text)
+{
+	static const char scheme[] = "http://";
+	char address[80];
+	size_t len;
+
+	if (strcmp(text, "memory:") == 0) {
+		loader->settings->memory_platform = true;
+		return;
+	}
+	if (strncmp(text, scheme, sizeof(scheme) - 1) != 0 ||
+	    strlcpy(address, text + sizeof(scheme) - 1, sizeof(address)) >=
+		sizeof(address)) {
+		set_error(loader, def->name,
+		    "\"%s\" is neither memory: nor http://ADDRESS:PORT", text);
+		return;
+	}
+	len = strlen(address);
+	if (len > 0 && address[len - 1] == '/')
+		address[len - 1] = '\0';
+	set_store_endpoint(loader, def, address, &loader->settings->platform);
+}
+
+static void
+set_store_peer(struct set_loader *loader, const struct set_def *def,
+    const char *text)
+{
+	struct settings *settings = loader->settings;
+
+	if (settings->npeers == SETTINGS_PEERS_MAX) {
+		set_error(loader, def->name, "more than %d are given",
+		    SETTINGS_PEERS_MAX);
+		return;
+	}
+	set_store_endpoint(loader, def, text,
+	    &settings->peers[settings->npeers++]);
+}
+
+static void
+set_store_choice(struct set_loader *loader, const struct set_def *def,
+    const char *text, char *field)
+{
+	const char *choice = def->choices;
+	size_t len;
+
+	while (*choice != '\0') {
+		len = strcspn(choice, "|");
+		if (strlen(text) == len && strncmp(choice, text, len) == 0) {
+			strlcpy(field, text, def->max);
+			return;
+		}
+		choice += len + (choice[len] == '|');
+	}
+	set_error(loader, def->name, "\"%s\" is none of %s", text,
+	    def->choices);
+}
+
+static void
+set_store_number(struct set_loader *loader, const struct set_def *def,
+    const char *text, void *field)
+{
+	uint64_t value;
+
+	if (set_parse_u64(text, &value) != 0) {
+		set_error(loader, def->name, "\"%s\" is not a whole number",
+		    text);
+		return;
+	}
+	if (value < def->min || value > def->max) {
+		set_error(loader, def->name, "%s is not in %llu..%llu", text,
+		    (unsigned long long)def->min, (unsigned long long)def->max);
+		return;
+	}
+	if (def->kind == SET_U32)
+		*(uint32_t *)field = (uint32_t)value;
+	else
+		*(uint64_t *)field = value;
+}
+
+/* Checks one setting's text and stores its value. */
+static void
+set_store(struct set_loader *loader, const struct set_def *def,
+    const char *text)
+{
+	void *field = (char *)loader->settings + def->offset;
+
+	switch (def->kind) {
+	case SET_NAME:
+		if (set_name_valid(text))
+			strlcpy(field, text, NAME_SIZE);
+		else
+			set_error(loader, def->name,
+			    "\"%s\" is not a name of 1..%d letters, digits, "
+			    "'-', '_' and '.'",
+			    text, NAME_LEN_MAX);
+		break;
+	case SET_ENDPOINT:
+		set_store_endpoint(loader, def, text, field);
+		break;
+	case SET_PLATFORM:
+		set_store_platform(loader, def, text);
+		break;
+	case SET_PEERS:
+		set_store_peer(loader, def, text);
+		break;
+	case SET_CHOICE:
+		set_store_choice(loader, def, text, field);
+		break;
+	case SET_PATH:
+		if (strlcpy(field, text, def->max) >= def->max)
+			set_error(loader, def->name, "longer than %llu bytes",
+			    (unsigned long long)def->max - 1);
+		break;
+	case SET_U32:
+	case SET_U64:
+		set_store_number(loader, def, text, field);
+		break;
+	}
+}
+
+/* Several peers in one environment variable, separated by commas. */
+static void
+set_store_env(struct set_loader *loader, const struct set_def *def,
+    const char *text)
+{
+	char item[80];
+	size_t len;
+
+	if (def->kind != SET_PEERS) {
+		set_store(loader, def, text);
+		return;
+	}
+	while (*text != '\0') {
+		len = strcspn(text, ",");
+		snprintf(item, sizeof(item), "%.*s", (int)len, text);
+		set_store(loader, def, item);
+		text += len + (text[len] == ',');
+	}
+}
+
+static void
+set_load_values(struct set_loader *loader)
+{
+	const struct set_def *def;
+	char env[SET_ENV_SIZE];
+	const char *text;
+	size_t i;
+	int j;
+
+	for (i = 0; i < SET_NDEFS; i++) {
+		def = &set_defs[i];
+		set_env_name(def->name, env);
+		text = getenv(env);
+		loader->given[i] = true;
+		if (loader->strs[i]->count > 0) {
+			for (j = 0; j < loader->strs[i]->count; j++)
+				set_store(loader, def,
+				    loader->strs[i]->sval[j]);
+		} else if (text != NULL) {
+			set_store_env(loader, def, text);
+		} else {
+			loader->given[i] = false;
+			if (def->initial != NULL)
+				set_store(loader, def, def->initial);
+		}
+	}
+}
+
+/* Misspelt variables would be ignored silently: they are errors. */
+static void
+set_check_environment(struct set_loader *loader)
+{
+	extern char **environ;
+	char known[SET_ENV_SIZE], name[SET_ENV_SIZE * 2];
+	bool found;
+	char **env;
+	size_t i;
+
+	for (env = environ; env != NULL && *env != NULL; env++) {
+		if (strncmp(*env, SET_ENV_PREFIX, sizeof(SET_ENV_PREFIX) - 1) !=
+		    0)
+			continue;
+		snprintf(name, sizeof(name), "%.*s", (int)strcspn(*env, "="),
+		    *env);
+		found = false;
+		for (i = 0; i < SET_NDEFS && !found; i++) {
+			set_env_name(set_defs[i].name, known);
+			found = strcmp(known, name) == 0;
+		}
+		for (i = 0; i < sizeof(set_env_foreign) / sizeof(char *); i++)
+			found = found || strcmp(set_env_foreign[i], name) == 0;
+		if (!found)
+			set_error(loader, name, "no such setting");
+	}
+}
+
+static bool
+set_given(const struct set_loader *loader, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < SET_NDEFS; i++) {
+		if (strcmp(set_defs[i].name, name) == 0)
+			return loader->given[i];
+	}
+	return false;
+}
+
+static bool
+set_wildcard(const struct endpoint *endpoint)
+{
+	return strcmp(endpoint->address, "0.0.0.0") == 0 ||
+	    strcmp(endpoint->address, "::") == 0;
+}
+
+/* What a platform of this kind needs, and what contradicts it. */
+static void
+set_check_platform(struct set_loader *loader)
+{
+	struct settings *settings = loader->settings;
+
+	if (!set_given(loader, "platform")) {
+		set_error(loader, "platform",
+		    "must be given: http://ADDRESS:PORT or memory:");
+		return;
+	}
+	if (settings->memory_platform) {
+		if (settings->npeers > 0)
+			set_error(loader, "peer",
+			    "contradicts --platform=memory:, which is one "
+			    "host's own");
+		if (!set_given(loader, "host"))
+			strlcpy(settings->host, "local", NAME_SIZE);
+		if (!set_given(loader, "az"))
+			strlcpy(settings->az, "local", NAME_SIZE);
+		return;
+	}
+	if (!set_given(loader, "host"))
+		set_error(loader, "host", "must be given");
+	if (!set_given(loader, "az"))
+		set_error(loader, "az", "must be given");
+}
+
+static void
+set_check_contradictions(struct set_loader *loader)
+{
+	struct settings *settings = loader->settings;
+
+	set_check_platform(loader);
+	if (!set_given(loader, "peer-advertise"))
+		settings->peer_advertise = settings->peer_listen;
+	if (!settings->memory_platform &&
+	    set_wildcard(&settings->peer_advertise))
+		set_error(loader, "peer-advertise",
+		    "must be given: \"%s\" can't be reached by peers",
+		    settings->peer_advertise.address);
+	if (settings->listen.port != 0 &&
+	    settings->listen.port == settings->peer_listen.port &&
+	    strcmp(settings->listen.address, settings->peer_listen.address) ==
+		0)
+		set_error(loader, "peer-listen", "is the same as --listen");
+	if (settings->queue_bytes_max < settings->body_bytes_max)
+		set_error(loader, "queue-bytes-max",
+		    "less than --body-bytes-max");
+	if (settings->ticket_bytes_max < settings->body_bytes_max)
+		set_error(loader, "ticket-bytes-max",
+		    "less than --body-bytes-max");
+	if (settings->drain_limit_ms != 0 &&
+	    settings->drain_limit_ms < settings->drain_delay_ms)
+		set_error(loader, "drain-limit-ms",
+		    "less than --drain-delay-ms");
+}
+
+static const char *
+set_datatype(const struct set_def *def)
+{
+	switch (def->kind) {
+	case SET_NAME:
+		return "NAME";
+	case SET_ENDPOINT:
+	case SET_PEERS:
+		return "ADDRESS:PORT";
+	case SET_PLATFORM:
+		return "URL";
+	case SET_CHOICE:
+		return def->choices;
+	case SET_PATH:
+		return "FILE";
+	case SET_U32:
+	case SET_U64:
+		break;
+	}
+	return "N";
+}
+
+static int
+set_table_create(struct set_loader *loader)
+{
+	const struct set_def *def;
+	size_t i, n = 0;
+	int max;
+
+	for (i = 0; i < SET_NDEFS; i++) {
+		def = &set_defs[i];
+		max = def->kind == SET_PEERS ? SETTINGS_PEERS_MAX : 1;
+		loader->strs[i] = arg_strn(NULL, def->name, set_datatype(def),
+		    0, max, def->help);
+		loader->table[n++] = loader->strs[i];
+	}
+	loader->check = arg_lit0(NULL, "check", "check the settings and exit");
+	loader->help = arg_lit0("h", "help", "this help");
+	loader->version = arg_lit0(NULL, "version", "show the version");
+	loader->end = arg_end(SET_PARSE_ERRORS_MAX);
+	loader->table[n++] = loader->check;
+	loader->table[n++] = loader->help;
+	loader->table[n++] = loader->version;
+	loader->table[n] = loader->end;
+	return arg_nullcheck(loader->table) == 0 ? 0 : -1;
+}
+
+static void
+set_help(FILE *out)
+{
+	const struct set_def *def;
+	char env[SET_ENV_SIZE], flag[80];
+	size_t i;
+
+	fputs("usage: berylraild --platform=URL [--SETTING=VALUE ...]\n"
+	      "       berylraild --check | --help | --version\n\n"
+	      "Every setting may also be given in the environment; a flag "
+	      "wins.\n\n",
+	    out);
+	for (i = 0; i < SET_NDEFS; i++) {
+		def = &set_defs[i];
+		set_env_name(def->name, env);
+		snprintf(flag, sizeof(flag), "--%s=%s", def->name,
+		    set_datatype(def));
+		fprintf(out, "  %-34s %s\n", flag, env);
+		fprintf(out, "      %s", def->help);
+		if (def->kind == SET_U32 || def->kind == SET_U64)
+			fprintf(out, " (%llu..%llu)",
+			    (unsigned long long)def->min,
+			    (unsigned long long)def->max);
+		if (def->initial != NULL && def->initial[0] != '\0')
+			fprintf(out, " [%s]", def->initial);
+		fputc('\n', out);
+	}
+}
+
+/* Flags that argtable2 could not read. */
+static void
+set_report_flags(struct set_loader *loader)
+{
+	loader->nerrors += (size_t)loader->end->count;
+	if (loader->end->count > 0)
+		arg_print_errors(loader->errors, loader->end, "berylraild");
+}
+
+enum settings_result
+settings_load(struct settings *settings, int argc, char **argv, FILE *out,
+    FILE *errors)
+{
+	struct set_loader loader = { .settings = settings, .errors = errors };
+	enum settings_result result = SETTINGS_EXIT_BAD;
+
+	memset(settings, 0, sizeof(*settings));
+	if (set_table_create(&loader) != 0) {
+		fputs("berylraild: out of memory\n", errors);
+		goto out;
+	}
+	arg_parse(argc, argv, loader.table);
+	result = SETTINGS_EXIT_OK;
+	if (loader.help->count > 0) {
+		set_help(out);
+		goto out;
+	}
+	if (loader.version->count > 0) {
+		fprintf(out, "berylraild %s\n", BERYLRAIL_VERSION);
+		goto out;
+	}
+	set_report_flags(&loader);
+	set_check_environment(&loader);
+	set_load_values(&loader);
+	set_check_contradictions(&loader);
+	settings->check_only = loader.check->count > 0;
+	if (loader.nerrors > 0)
+		result = SETTINGS_EXIT_BAD;
+	else if (!settings->check_only)
+		result = SETTINGS_RUN;
+out:
+	arg_freetable(loader.table, SET_NDEFS + 4);
+	return result;
+}
