--- /dev/null
+++ b/tests/standins/backend/server.c
@@ -0,0 +1,423 @@
+/*
+ * HTTP/1.1 by hand on bufferevents, so that answers can be broken at will.
+ *
+ * A task's body may hold "ms":N (run time), "uid":"..." and "do":"WORD", one of
+ * fail, half, twice, hang, cut, nolength (a body that is no JSON object may
+ * just hold the word); what succeeds answers with the body itself. The task
+ * keeps its slot until it has run, whether or not its connection is still
+ * there; a task that hangs keeps it until the connection is closed.
+ */
+#include <err.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "record.h"
+#include "server.h"
+
+#define SRV_HEADER_BYTES_MAX 16384
+
+struct task {
+	struct server *server;
+	struct conn *conn; /* NULL once the connection is gone */
+	struct event *timer;
+	struct record *record;
+	char id[300];
+	char *body;
+	size_t len;
+	bool hangs;
+	bool fails;
+};
+
+struct conn {
+	struct server *server;
+	struct bufferevent *bev;
+	struct task *task; /* running for this connection, or NULL */
+	bool closing;	   /* free it once its output is written */
+	LIST_ENTRY(conn) entry;
+};
+
+static const char *const srv_mode_names[SRV_NMODES] = { "ok", "fail_all",
+	"hang_all", "leaving", "down" };
+
+static void srv_read(struct bufferevent *bev, void *arg);
+
+static void
+srv_task_free(struct task *task)
+{
+	task->server->running--;
+	if (task->conn != NULL)
+		task->conn->task = NULL;
+	if (task->timer != NULL)
+		event_free(task->timer);
+	free(task->body);
+	free(task);
+}
+
+static void
+srv_conn_free(struct conn *conn)
+{
+	struct task *task;
+
+	task = conn->task;
+	if (task != NULL) {
+		task->conn = NULL;
+		if (task->hangs)
+			srv_task_free(task);
+	}
+	conn->server->nconns--;
+	LIST_REMOVE(conn, entry);
+	bufferevent_free(conn->bev);
+	free(conn);
+}
+
+static void
+srv_written(struct bufferevent *bev, void *arg)
+{
+	struct conn *conn;
+
+	(void)bev;
+	conn = arg;
+	if (conn->closing)
+		srv_conn_free(conn);
+}
+
+static void
+srv_event(struct bufferevent *bev, short what, void *arg)
+{
+	(void)bev;
+	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+		srv_conn_free(arg);
+}
+
+/* The value of "name":"value" or "name":number in a body. */
+static void
+srv_member(const struct task *task, const char *name, char *buf, size_t size)
+{
+	const char *p, *end;
+	size_t n;
+
+	n = 0;
+	end = task->body + task->len;
+	p = memmem(task->body, task->len, name, strlen(name));
+	if (p != NULL) {
+		p += strlen(name);
+		while (p < end && (*p == ' ' || *p == ':' || *p == '"'))
+			p++;
+		while (p < end && n + 1 < size && *p != '"' && *p != ',' &&
+		    *p != '}')
+			buf[n++] = *p++;
+	}
+	buf[n] = '\0';
+}
+
+/* Does the body ask for this behaviour? */
+static bool
+srv_does(const struct task *task, const char *word)
+{
+	char action[16];
+
+	if (task->len == 0 || task->body[0] != '{')
+		return memmem(task->body, task->len, word, strlen(word)) !=
+		    NULL;
+	srv_member(task, "\"do\"", action, sizeof(action));
+	return strcmp(action, word) == 0;
+}
+
+static void
+srv_refuse(struct conn *conn, const char *why)
+{
+	evbuffer_add_printf(bufferevent_get_output(conn->bev),
+	    "HTTP/1.1 503 Service Unavailable\r\nBerylrail-Refused: %s\r\n"
+	    "%sContent-Length: 0\r\n\r\n",
+	    why,
+	    conn->server->mode == SRV_LEAVING ? "Connection: close\r\n" : "");
+	conn->closing = conn->server->mode == SRV_LEAVING;
+}
+
+static void
+srv_answer_head(struct evbuffer *out, const struct task *task)
+{
+	if (srv_does(task, "nolength")) {
+		evbuffer_add_printf(out,
+		    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+		return;
+	}
+	evbuffer_add_printf(out,
+	    "HTTP/1.1 %s\r\nContent-Length: %zu\r\nBerylrail-Task: %s\r\n%s"
+	    "\r\n",
+	    task->fails ? "500 Failed" : "200 OK", task->len, task->id,
+	    task->server->mode == SRV_LEAVING ? "Connection: close\r\n" : "");
+}
+
+static void
+srv_answer(struct conn *conn, const struct task *task)
+{
+	struct evbuffer *out;
+	size_t len;
+	int times;
+
+	out = bufferevent_get_output(conn->bev);
+	len = task->len;
+	times = 1;
+	if (srv_does(task, "twice"))
+		times = 2;
+	conn->closing =
+	    conn->server->mode == SRV_LEAVING || srv_does(task, "nolength");
+	if (srv_does(task, "half")) {
+		conn->closing = true;
+		len /= 2;
+	}
+	while (times-- > 0) {
+		srv_answer_head(out, task);
+		evbuffer_add(out, task->body, len);
+	}
+}
+
+static void
+srv_task_end(struct task *task)
+{
+	struct conn *conn;
+
+	task->server->finishes++;
+	if (task->record != NULL)
+		rec_finish(task->record);
+	conn = task->conn;
+	if (conn != NULL && srv_does(task, "cut")) {
+		srv_conn_free(conn);
+		conn = NULL;
+	}
+	if (conn != NULL)
+		srv_answer(conn, task);
+	srv_task_free(task);
+	/* The next request may be waiting in the input already. */
+	if (conn != NULL && !conn->closing)
+		bufferevent_trigger(conn->bev, EV_READ,
+		    BEV_OPT_DEFER_CALLBACKS);
+}
+
+static void
+srv_task_timer(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	srv_task_end(arg);
+}
+
+static void
+srv_task_start(struct conn *conn, struct task *task)
+{
+	struct server *server;
+	struct timeval tv;
+	char uid[128], ms[16];
+	unsigned long run_ms;
+
+	server = conn->server;
+	server->running++;
+	server->starts++;
+	task->server = server;
+	task->conn = conn;
+	conn->task = task;
+	srv_member(task, "\"uid\"", uid, sizeof(uid));
+	srv_member(task, "\"ms\"", ms, sizeof(ms));
+	if (server->record)
+		task->record = rec_start(uid[0] != '\0' ? uid : task->id,
+		    task->id, server->name);
+	task->hangs = server->mode == SRV_HANG_ALL || srv_does(task, "hang");
+	task->fails = server->mode == SRV_FAIL_ALL || srv_does(task, "fail");
+	if (task->hangs)
+		return;
+	run_ms = ms[0] != '\0' ? strtoul(ms, NULL, 10) : server->default_ms;
+	run_ms = run_ms * 100 / server->speed;
+	if (run_ms == 0 || server->mode == SRV_FAIL_ALL) {
+		srv_task_end(task);
+		return;
+	}
+	tv.tv_sec = (time_t)(run_ms / 1000);
+	tv.tv_usec = (suseconds_t)(run_ms % 1000 * 1000);
+	task->timer = evtimer_new(server->base, srv_task_timer, task);
+	evtimer_add(task->timer, &tv);
+}
+
+/* Finds a header's value in the NUL-terminated @head, or NULL. */
+static const char *
+srv_header(const char *head, const char *name)
+{
+	const char *p;
+
+	p = strcasestr(head, name);
+	if (p == NULL)
+		return NULL;
+	p += strlen(name);
+	return p + strspn(p, " ");
+}
+
+/* Takes one whole request from the input. Return: a task, or NULL. */
+static struct task *
+srv_parse(struct conn *conn, struct evbuffer *in, bool *broken)
+{
+	struct evbuffer_ptr found;
+	struct task *task;
+	const char *value;
+	char *head;
+	size_t head_len, body_len;
+
+	found = evbuffer_search(in, "\r\n\r\n", 4, NULL);
+	if (found.pos == -1) {
+		*broken = evbuffer_get_length(in) > SRV_HEADER_BYTES_MAX;
+		return NULL;
+	}
+	head_len = (size_t)found.pos + 4;
+	head = (char *)evbuffer_pullup(in, (ev_ssize_t)head_len);
+	head[head_len - 1] = '\0';
+	value = srv_header(head, "\ncontent-length:");
+	body_len = value != NULL ? strtoul(value, NULL, 10) : 0;
+	if (evbuffer_get_length(in) < head_len + body_len) {
+		head[head_len - 1] = '\n';
+		return NULL;
+	}
+	task = calloc(1, sizeof(*task));
+	if (task == NULL || (task->body = malloc(body_len + 1)) == NULL)
+		err(1, "malloc");
+	task->len = body_len;
+	value = srv_header(head, "\nberylrail-task:");
+	if (value != NULL)
+		snprintf(task->id, sizeof(task->id), "%.*s",
+		    (int)strcspn(value, "\r\n"), value);
+	evbuffer_drain(in, head_len);
+	evbuffer_remove(in, task->body, body_len);
+	task->body[body_len] = '\0';
+	(void)conn;
+	return task;
+}
+
+static void
+srv_read(struct bufferevent *bev, void *arg)
+{
+	struct server *server;
+	struct conn *conn;
+	struct task *task;
+	const char *refusal;
+	bool broken;
+
+	conn = arg;
+	server = conn->server;
+	broken = false;
+	if (conn->task != NULL || conn->closing)
+		return;
+	task = srv_parse(conn, bufferevent_get_input(bev), &broken);
+	if (broken)
+		srv_conn_free(conn);
+	if (task == NULL)
+		return;
+	refusal = NULL;
+	if (server->mode == SRV_LEAVING) {
+		refusal = "leaving";
+		server->refused_leaving++;
+	} else if (server->running >= server->slots) {
+		refusal = "busy";
+		server->busy++;
+	}
+	if (refusal == NULL) {
+		srv_task_start(conn, task);
+		return;
+	}
+	srv_refuse(conn, refusal);
+	free(task->body);
+	free(task);
+}
+
+static void
+srv_accept(struct evconnlistener *listener, evutil_socket_t fd,
+    struct sockaddr *addr, int len, void *arg)
+{
+	struct server *server;
+	struct conn *conn;
+	int one;
+
+	(void)listener;
+	(void)addr;
+	(void)len;
+	server = arg;
+	if (server->nconns >= server->connections) {
+		server->refused_conns++;
+		evutil_closesocket(fd);
+		return;
+	}
+	one = 1;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	conn = calloc(1, sizeof(*conn));
+	if (conn == NULL)
+		err(1, "calloc");
+	conn->server = server;
+	conn->bev =
+	    bufferevent_socket_new(server->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	server->nconns++;
+	LIST_INSERT_HEAD(&server->conns, conn, entry);
+	bufferevent_setcb(conn->bev, srv_read, srv_written, srv_event, conn);
+	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
+}
+
+int
+srv_listen(struct server *server)
+{
+	struct sockaddr_in sin;
+	socklen_t len;
+
+	memset(&sin, 0, sizeof(sin));
+	sin.sin_family = AF_INET;
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	sin.sin_port = htons(server->port);
+	server->listener = evconnlistener_new_bind(server->base, srv_accept,
+	    server, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 128,
+	    (struct sockaddr *)&sin, sizeof(sin));
+	if (server->listener == NULL)
+		return -1;
+	len = sizeof(sin);
+	getsockname(evconnlistener_get_fd(server->listener),
+	    (struct sockaddr *)&sin, &len);
+	server->port = ntohs(sin.sin_port);
+	return 0;
+}
+
+int
+srv_set_mode(struct server *server, const char *mode)
+{
+	struct conn *conn;
+	int i;
+
+	for (i = 0; i < SRV_NMODES; i++)
+		if (strcmp(mode, srv_mode_names[i]) == 0)
+			break;
+	if (i == SRV_NMODES)
+		return -1;
+	server->mode = (enum srv_mode)i;
+	if (server->mode == SRV_DOWN && server->listener != NULL) {
+		evconnlistener_free(server->listener);
+		server->listener = NULL;
+		while ((conn = LIST_FIRST(&server->conns)) != NULL)
+			srv_conn_free(conn);
+	}
+	if (server->mode != SRV_DOWN && server->listener == NULL)
+		return srv_listen(server);
+	return 0;
+}
+
+json_t *
+srv_stats(const struct server *server)
+{
+	return json_pack("{s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
+	    "mode", srv_mode_names[server->mode], "port",
+	    (json_int_t)server->port, "running", (json_int_t)server->running,
+	    "connections", (json_int_t)server->nconns, "starts",
+	    (json_int_t)server->starts, "finishes",
+	    (json_int_t)server->finishes, "busy", (json_int_t)server->busy,
+	    "leaving", (json_int_t)server->refused_leaving, "refused_conns",
+	    (json_int_t)server->refused_conns);
+}
--- /dev/null
+++ b/tests/standins/backend/server.h
@@ -0,0 +1,52 @@
+#ifndef STANDIN_BACKEND_SERVER_H
+#define STANDIN_BACKEND_SERVER_H
+
+#include <event2/event.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+/* One backend server: a listener with task slots and a mode. */
+
+/** enum srv_mode - how a server behaves. */
+enum srv_mode {
+	SRV_OK,
+	SRV_FAIL_ALL, /* every task starts and fails at once */
+	SRV_HANG_ALL, /* every task starts and never answers */
+	SRV_LEAVING,  /* refuses new tasks, ends running ones */
+	SRV_DOWN,     /* no listener, connections cut */
+	SRV_NMODES,
+};
+
+struct conn;
+
+/** struct server - a backend server. */
+struct server {
+	char name[64];
+	struct event_base *base;
+	struct evconnlistener *listener; /* NULL while down */
+	uint16_t port;
+	enum srv_mode mode;
+	unsigned slots;
+	unsigned connections;
+	unsigned speed; /* percent; a task's run time is divided by it */
+	unsigned default_ms;
+	bool record;
+	unsigned running;
+	unsigned nconns;
+	uint64_t starts, finishes, busy, refused_leaving, refused_conns;
+	LIST_HEAD(, conn) conns;
+	TAILQ_ENTRY(server) entry;
+};
+
+/** srv_listen() - open the listener, at the same port as before if any. */
+int srv_listen(struct server *server);
+
+/** srv_set_mode() - by its name; -1 if unknown. */
+int srv_set_mode(struct server *server, const char *mode);
+
+/** srv_stats() - counts as JSON. */
+json_t *srv_stats(const struct server *server);
+
+#endif /* STANDIN_BACKEND_SERVER_H */
