--- a/Makefile
+++ b/Makefile
@@ -23,10 +23,10 @@
 	sh tools/demo.sh $(BUILD)
 
 check: build
-	ctest --test-dir $(BUILD) --output-on-failure -j 4
+	ctest --no-tests=error --test-dir $(BUILD) --output-on-failure -j 4
 
 check-asan: asan
-	ctest --test-dir $(ASAN) --output-on-failure -j 4
+	ctest --no-tests=error --test-dir $(ASAN) --output-on-failure -j 4
 
 lint: build
 	sh tools/lint.sh $(BUILD)
