--- /dev/null
+++ b/tests/standins/proxy/main.c
@@ -0,0 +1,125 @@
+/*
+ * Fault-injecting TCP proxy. Links are made and set over HTTP at the control
+ * port, which is written to the port file as "control PORT":
+ *
+ *	POST /link {"name": "a", "target": PORT}	-> {"port": PORT}
+ *	POST /control {"link": "a*", "mode": ..., see struct link_rule}
+ *	POST /target {"link": "a", "target": PORT}	a replaced target
+ *	POST /cut {"link": "a*"}			reset connections
+ *	GET /stats
+ *
+ * A rule replaces the one before it. Links are named by a shell pattern.
+ */
+#include <argtable2.h>
+#include <err.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <fcntl.h>
+#include <fnmatch.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "link.h"
+#include "support/standin.h"
+
+static TAILQ_HEAD(, link) links = TAILQ_HEAD_INITIALIZER(links);
+static struct event_base *prx_base;
+
+static int
+prx_open(const json_t *body, json_t *answer)
+{
+	struct link *link;
+
+	link = link_open(prx_base, sti_str(body, "name", ""));
+	if (link == NULL)
+		return 500;
+	link->target_port = (uint16_t)sti_int(body, "target", 0);
+	TAILQ_INSERT_TAIL(&links, link, entry);
+	json_object_set_new(answer, "port", json_integer(link->port));
+	return 200;
+}
+
+/* Does to one link what the path says. */
+static int
+prx_change(struct link *link, const char *path, const json_t *body)
+{
+	if (strcmp(path, "/control") == 0)
+		return link_set_rule(link, body) == 0 ? 200 : 400;
+	if (strcmp(path, "/target") == 0)
+		link->target_port = (uint16_t)sti_int(body, "target", 0);
+	else if (strcmp(path, "/cut") == 0)
+		link_cut_all(link);
+	else
+		return 404;
+	return 200;
+}
+
+static void
+prx_request(struct evhttp_request *req, void *arg)
+{
+	const char *path, *pattern;
+	json_t *body, *answer;
+	struct link *link;
+	int status;
+
+	(void)arg;
+	path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+	body = sti_body(req);
+	answer = json_object();
+	status = 404;
+	if (strcmp(path, "/stats") == 0) {
+		status = 200;
+		TAILQ_FOREACH (link, &links, entry)
+			json_object_set_new(answer, link->name,
+			    link_stats(link));
+	} else if (strcmp(path, "/link") == 0) {
+		status = prx_open(body, answer);
+	} else {
+		pattern = sti_str(body, "link", "*");
+		TAILQ_FOREACH (link, &links, entry)
+			if (fnmatch(pattern, link->name, 0) == 0)
+				status = prx_change(link, path, body);
+	}
+	json_decref(body);
+	sti_reply(req, status, answer);
+}
+
+int
+main(int argc, char **argv)
+{
+	struct arg_file *port_file, *trace;
+	struct arg_int *seed;
+	struct arg_end *end;
+	uint16_t port;
+	char text[64];
+	int fd;
+
+	void *argtable[] = { port_file = arg_file1(NULL, "port-file", "FILE",
+				 "the control port is written here"),
+		seed = arg_int0(NULL, "seed", "N", "1 by default"),
+		trace = arg_file0(NULL, "trace", "FILE",
+		    "a line for each fault; stderr by default"),
+		end = arg_end(4) };
+
+	if (arg_parse(argc, argv, argtable) != 0) {
+		arg_print_errors(stderr, end, argv[0]);
+		return 78;
+	}
+	fd = STDERR_FILENO;
+	if (trace->count > 0)
+		fd = open(trace->filename[0],
+		    O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+	if (fd == -1)
+		err(1, "%s", trace->filename[0]);
+	link_trace(fd);
+	link_seed(seed->count ? (uint64_t)seed->ival[0] : 1);
+	prx_base = sti_base();
+	sti_http(prx_base, &port, prx_request, NULL);
+	snprintf(text, sizeof(text), "control %u\n", port);
+	if (sti_write_file(port_file->filename[0], text) == -1)
+		err(1, "%s", port_file->filename[0]);
+	arg_freetable(argtable, sizeof(argtable) / sizeof(argtable[0]));
+	event_base_dispatch(prx_base);
+	return 0;
+}
