--- /dev/null
+++ b/tests/integration/test_path.c
@@ -0,0 +1,125 @@
+/* The whole path: clients, entry hosts, backend servers, platform. */
+#include <criterion/criterion.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "support/cluster.h"
+#include "support/parallel.h"
+
+static struct clu clu;
+
+static void
+setup(void)
+{
+	cr_assert_eq(clu_start(&clu, NULL), 0);
+}
+
+static void
+teardown(void)
+{
+	clu_stop(&clu);
+}
+
+TestSuite(path, .init = setup, .fini = teardown, .timeout = 100);
+
+Test(path, jobs_of_170_tasks_by_every_host)
+{
+	struct par par[3];
+	char *body[3];
+	int i;
+
+	body[0] = clu_job(NULL, "booth", "a", 170, 10, "");
+	body[1] = clu_job(NULL, "booth", "b", 170, 10, "");
+	body[2] = clu_job(NULL, "wax", "c", 1, 10, "");
+	for (i = 0; i < 3; i++)
+		par_start(&par[i], clu.hosts[i].http_port, NULL, body[i]);
+	for (i = 0; i < 3; i++)
+		par_join(&par[i]);
+	cr_expect(clu_whole(&par[0].reply, "a", 170), "%.300s",
+	    par[0].reply.body);
+	cr_expect(clu_whole(&par[1].reply, "b", 170));
+	cr_expect(clu_whole(&par[2].reply, "c", 1));
+	cr_expect_str_eq(par[0].reply.outcome, "complete");
+	cr_expect_neq(par[0].reply.ticket[0], '\0');
+	cr_expect_eq(clu_starts(&clu, ""), 341);
+	cr_expect_eq(clu_duplicates(&clu), 0);
+	for (i = 0; i < 3; i++) {
+		clu_reply_free(&par[i].reply);
+		free(body[i]);
+	}
+}
+
+/* A client that loses its connection gets the same answer by its id. */
+Test(path, lost_connection_same_answer_by_id)
+{
+	struct clu_reply reply;
+	char ticket[256], digest[100], *body;
+	int i;
+
+	clu_ticket(&clu, 0, ticket);
+	cr_assert_neq(ticket[0], '\0');
+	body = clu_job(ticket, "booth", "a", 40, 100, "");
+	clu_fault(&clu, "client-h1", "\"mode\": \"lose_reply\"");
+	clu_http(clu.hosts[0].client_link, "POST", "/v1/jobs?wait=10000", NULL,
+	    body, 15000, &reply);
+	cr_expect_not(reply.whole);
+	clu_reply_free(&reply);
+	digest[0] = '\0';
+	for (i = 0; i < 3; i++) {
+		clu_fetch(clu.hosts[i].http_port, ticket, 10000, &reply);
+		cr_expect(clu_whole(&reply, "a", 40), "host %d: %d %.300s", i,
+		    reply.status, reply.body);
+		if (i > 0)
+			cr_expect_str_eq(digest,
+			    clu_reply_str(&reply, "digest"));
+		snprintf(digest, sizeof(digest), "%s",
+		    clu_reply_str(&reply, "digest"));
+		clu_reply_free(&reply);
+	}
+	cr_expect_eq(clu_starts(&clu, "a"), 40);
+	free(body);
+}
+
+Test(path, submission_at_another_host_is_forwarded)
+{
+	struct clu_reply reply;
+	char ticket[256], *body;
+
+	clu_ticket(&clu, 0, ticket);
+	body = clu_job(ticket, "booth", "a", 170, 5, "");
+	clu_submit(clu.hosts[2].http_port, NULL, body, 15000, &reply);
+	cr_expect(clu_whole(&reply, "a", 170), "%d %.300s", reply.status,
+	    reply.body);
+	clu_reply_free(&reply);
+	cr_expect_eq(clu_starts(&clu, "a"), 170);
+	free(body);
+}
+
+Test(path, single_request)
+{
+	struct clu_reply reply;
+
+	clu_http(clu.hosts[1].http_port, "POST", "/v1/services/booth/requests",
+	    "Berylrail-Job: wax\r\n", "{\"uid\":\"a\",\"ms\":5}", 5000, &reply);
+	cr_expect_eq(reply.status, 200);
+	cr_expect_str_eq(reply.body, "{\"uid\":\"a\",\"ms\":5}");
+	cr_expect_str_eq(reply.outcome, "complete");
+	clu_reply_free(&reply);
+	cr_expect_eq(clu_starts(&clu, "a"), 1);
+}
+
+/* A separated availability zone goes on with its own tickets and servers. */
+Test(path, zone_cut_off_goes_on)
+{
+	struct clu_reply reply;
+	char *body;
+
+	clu_fault(&clu, "peer-*", "\"mode\": \"refuse\"");
+	clu_fault(&clu, "platform-*", "\"mode\": \"refuse\"");
+	body = clu_job(NULL, "booth", "a", 20, 10, "");
+	clu_submit(clu.hosts[1].http_port, NULL, body, 15000, &reply);
+	cr_expect(clu_whole(&reply, "a", 20), "%d %.300s", reply.status,
+	    reply.body);
+	clu_reply_free(&reply);
+	free(body);
+}
--- /dev/null
+++ b/tests/integration/test_right_caller.c
@@ -0,0 +1,128 @@
+/* Every caller receives the whole answer to its own request. */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "support/cluster.h"
+#include "support/load.h"
+#include "support/parallel.h"
+
+#define NCALLERS 12
+
+static struct clu clu;
+
+static void
+setup(void)
+{
+	cr_assert_eq(clu_start(&clu, NULL), 0);
+}
+
+static void
+teardown(void)
+{
+	clu_stop(&clu);
+}
+
+TestSuite(right_caller, .init = setup, .fini = teardown, .timeout = 100);
+
+/* Each caller submits at a host that is not the issuer of its ticket. */
+static void
+callers(const char *name)
+{
+	struct par par[NCALLERS];
+	char uid[NCALLERS][32], ticket[256], *body[NCALLERS];
+	int i;
+
+	for (i = 0; i < NCALLERS; i++) {
+		snprintf(uid[i], sizeof(uid[i]), "%s%c", name, 'a' + i);
+		clu_ticket(&clu, i % 3, ticket);
+		body[i] = clu_job(ticket, "booth", uid[i], 10, i * 5, "");
+	}
+	for (i = 0; i < NCALLERS; i++)
+		par_start(&par[i], clu.hosts[(i + 1) % 3].client_link, NULL,
+		    body[i]);
+	for (i = 0; i < NCALLERS; i++) {
+		par_join(&par[i]);
+		cr_expect(clu_whole(&par[i].reply, uid[i], 10), "%s: %d %.300s",
+		    uid[i], par[i].reply.status, par[i].reply.body);
+		clu_reply_free(&par[i].reply);
+		free(body[i]);
+	}
+	cr_expect_eq(clu_duplicates(&clu), 0);
+}
+
+Test(right_caller, answers_late_and_out_of_order)
+{
+	clu_fault(&clu, "*", "\"delay_ms\": 5, \"jitter_ms\": 60");
+	callers("x");
+}
+
+Test(right_caller, requests_between_hosts_duplicated)
+{
+	clu_fault(&clu, "client-*", "\"mode\": \"duplicate\"");
+	clu_fault(&clu, "peer-*", "\"mode\": \"duplicate\"");
+	callers("x");
+}
+
+/* A second answer on a reused connection belongs to nobody. */
+Test(right_caller, servers_answer_twice)
+{
+	struct clu_reply reply;
+	char body[64];
+	int i;
+
+	for (i = 0; i < 60; i++) {
+		snprintf(body, sizeof(body), "{\"uid\":\"t%d\",\"do\":\"%s\"}",
+		    i, i % 2 == 0 ? "twice" : "");
+		clu_http(clu.hosts[0].http_port, "POST",
+		    "/v1/services/booth/requests", "Berylrail-Job: wax\r\n",
+		    body, 5000, &reply);
+		cr_expect(strcmp(reply.outcome, "complete") != 0 ||
+			strcmp(reply.body, body) == 0,
+		    "asked %s, got %s", body, reply.body);
+		clu_reply_free(&reply);
+	}
+	cr_expect_eq(clu_duplicates(&clu), 0);
+}
+
+/* Callers that gave up; their answers come while others wait. */
+Test(right_caller, requests_given_up)
+{
+	struct clu_reply reply;
+	char body[64];
+	int i;
+
+	for (i = 0; i < 40; i++) {
+		snprintf(body, sizeof(body), "{\"uid\":\"g%d\",\"ms\":%d}", i,
+		    i % 2 == 0 ? 60 : 1);
+		clu_http(clu.hosts[0].http_port, "POST",
+		    "/v1/services/booth/requests", "Berylrail-Job: wax\r\n",
+		    body, i % 2 == 0 ? 20 : 5000, &reply);
+		if (i % 2 == 1)
+			cr_expect_str_eq(reply.body, body);
+		clu_reply_free(&reply);
+	}
+	callers("x");
+}
+
+Test(right_caller, connections_cut_at_random_under_load)
+{
+	struct load_options options = { .clu = &clu,
+		.nclients = 8,
+		.seed = 7,
+		.tasks_max = 10,
+		.ms_max = 20,
+		.by_link = true };
+	struct load_report report;
+	struct load *load;
+
+	clu_fault(&clu, "*", "\"chaos\": 15, \"jitter_ms\": 10");
+	load = load_start(&options);
+	clu_sleep(4000);
+	clu_fault(&clu, "*", "");
+	load_stop(load);
+	load_check(load, &report);
+	cr_expect_eq(report.violations, 0, "seed 7");
+	cr_expect_gt(report.complete, 0);
+}
--- /dev/null
+++ b/tests/support/load.c
@@ -0,0 +1,327 @@
+/* Clients under load, and the check of all their answers. */
+#include <err.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include "berylrail/outcome.h"
+#include "support/load.h"
+#include "support/standin.h"
+
+#define LOAD_TRIES_MAX 6
+#define LOAD_ANSWER_LIMIT_MS 15000
+
+/* One job and its last answer. */
+struct load_entry {
+	char uid[48];
+	int ntasks;
+	bool answered;
+	bool whole;
+	enum outcome outcome;
+	json_t *results; /* of the answer, or NULL */
+	STAILQ_ENTRY(load_entry) entry;
+};
+
+struct client {
+	struct load *load;
+	pthread_t thread;
+	int index;
+	uint64_t random;
+	char ticket[256]; /* next one, or "" */
+	unsigned resubmitted;
+	unsigned changed; /* final answers that changed later */
+	STAILQ_HEAD(, load_entry) entries;
+};
+
+struct load {
+	struct load_options options;
+	atomic_bool stop;
+	struct client *clients;
+};
+
+uint32_t
+load_random(uint64_t *state, uint32_t n)
+{
+	*state ^= *state << 13;
+	*state ^= *state >> 7;
+	*state ^= *state << 17;
+	return n == 0 ? 0 : (uint32_t)(*state >> 11) % n;
+}
+
+static uint16_t
+load_port(struct client *client)
+{
+	struct clu *clu;
+	struct clu_host *host;
+
+	clu = client->load->options.clu;
+	host = &clu->hosts[load_random(&client->random,
+	    (uint32_t)clu->options.nhosts)];
+	if (client->load->options.by_link && load_random(&client->random, 2))
+		return host->client_link;
+	return host->http_port;
+}
+
+static const char *
+load_action(struct client *client)
+{
+	static const char *const actions[] = { "fail", "cut", "half", "twice",
+		"nolength" };
+
+	if (!client->load->options.faults ||
+	    load_random(&client->random, 100) >= 10)
+		return "";
+	return actions[load_random(&client->random, 5)];
+}
+
+/* Takes in an answer. Return: is it final, so that nothing can change it? */
+static bool
+load_take(struct load_entry *entry, const struct clu_reply *reply)
+{
+	enum outcome outcome;
+
+	if (!reply->whole ||
+	    outcome_from_name(reply->outcome, &outcome) == -1 ||
+	    strcmp(clu_reply_str(reply, "state"), "running") == 0)
+		return false;
+	entry->answered = true;
+	entry->outcome = outcome;
+	entry->whole = clu_whole(reply, entry->uid, entry->ntasks);
+	json_decref(entry->results);
+	entry->results = json_incref(json_object_get(reply->json, "results"));
+	return outcome != OUTCOME_UNKNOWN;
+}
+
+/* A whole answer must stay the same for whoever asks again. */
+static void
+load_ask_again(struct client *client, struct load_entry *entry,
+    const char *headers, const char *body)
+{
+	struct clu_reply reply;
+	enum outcome outcome;
+
+	if (entry->outcome != OUTCOME_COMPLETE)
+		return;
+	clu_submit(load_port(client), headers, body, LOAD_ANSWER_LIMIT_MS,
+	    &reply);
+	if (reply.whole && outcome_from_name(reply.outcome, &outcome) == 0 &&
+	    outcome != OUTCOME_UNKNOWN &&
+	    !clu_whole(&reply, entry->uid, entry->ntasks)) {
+		warnx("violation: %s: complete, then %s: %.200s", entry->uid,
+		    reply.outcome, reply.body);
+		client->changed++;
+	}
+	clu_reply_free(&reply);
+}
+
+static void
+load_one(struct client *client, struct load_entry *entry)
+{
+	struct clu_reply reply;
+	char headers[128], *body;
+	int try, host;
+	bool keyed, final;
+
+	headers[0] = '\0';
+	keyed = load_random(&client->random, 5) == 0;
+	if (keyed)
+		snprintf(headers, sizeof(headers), "Idempotency-Key: k-%s\r\n",
+		    entry->uid);
+	else if (client->ticket[0] == '\0') {
+		host = (int)load_random(&client->random,
+		    (uint32_t)client->load->options.clu->options.nhosts);
+		clu_ticket(client->load->options.clu, host, client->ticket);
+		if (client->ticket[0] == '\0')
+			return;
+	}
+	body = clu_job(keyed ? NULL : client->ticket,
+	    load_random(&client->random, 2) ? "booth" : "wax", entry->uid,
+	    entry->ntasks,
+	    (int)load_random(&client->random,
+		(uint32_t)client->load->options.ms_max + 1),
+	    load_action(client));
+	if (!keyed)
+		client->ticket[0] = '\0';
+	final = false;
+	for (try = 0; try < LOAD_TRIES_MAX && !final; try++) {
+		if (try > 0) {
+			client->resubmitted++;
+			clu_sleep((int)load_random(&client->random, 150));
+		}
+		clu_submit(load_port(client), headers, body,
+		    LOAD_ANSWER_LIMIT_MS, &reply);
+		final = load_take(entry, &reply);
+		if (reply.whole && reply.ticket[0] != '\0')
+			memcpy(client->ticket, reply.ticket,
+			    sizeof(client->ticket));
+		clu_reply_free(&reply);
+	}
+	if (final && load_random(&client->random, 10) == 0)
+		load_ask_again(client, entry, headers, body);
+	free(body);
+}
+
+static void *
+load_run(void *arg)
+{
+	struct load_entry *entry;
+	struct client *client;
+	unsigned n;
+
+	client = arg;
+	for (n = 0; !atomic_load(&client->load->stop); n++) {
+		entry = calloc(1, sizeof(*entry));
+		if (entry == NULL)
+			err(1, "calloc");
+		snprintf(entry->uid, sizeof(entry->uid), "c%d-%u",
+		    client->index, n);
+		entry->ntasks = 1 +
+		    (int)load_random(&client->random,
+			(uint32_t)client->load->options.tasks_max);
+		STAILQ_INSERT_TAIL(&client->entries, entry, entry);
+		load_one(client, entry);
+		if (!entry->answered)
+			clu_sleep(20);
+	}
+	return NULL;
+}
+
+struct load *
+load_start(const struct load_options *options)
+{
+	struct client *client;
+	struct load *load;
+	int i;
+
+	load = calloc(1, sizeof(*load));
+	if (load == NULL)
+		err(1, "calloc");
+	load->options = *options;
+	load->clients =
+	    calloc((size_t)options->nclients, sizeof(*load->clients));
+	for (i = 0; i < options->nclients; i++) {
+		client = &load->clients[i];
+		client->load = load;
+		client->index = i;
+		client->random =
+		    (options->seed + 1) * 2654435769U + (unsigned)i * 40503U;
+		STAILQ_INIT(&client->entries);
+		if (pthread_create(&client->thread, NULL, load_run, client))
+			errx(1, "pthread_create");
+	}
+	return load;
+}
+
+void
+load_stop(struct load *load)
+{
+	int i;
+
+	atomic_store(&load->stop, true);
+	for (i = 0; i < load->options.nclients; i++)
+		pthread_join(load->clients[i].thread, NULL);
+}
+
+static unsigned
+load_violation(const struct load_entry *entry, int task, const char *what)
+{
+	fprintf(stderr, "violation: %s-%d: %s (answer: %s)\n", entry->uid, task,
+	    what, entry->answered ? outcome_name(entry->outcome) : "none");
+	return 1;
+}
+
+/* Compares one task's starts with what the answer says of it. */
+static unsigned
+load_check_task(const struct load_entry *entry, int i, json_int_t starts)
+{
+	const json_t *result;
+	const char *state, *body;
+	char prefix[96];
+
+	if (starts > 1)
+		return load_violation(entry, i, "started more than once");
+	if (!entry->answered)
+		return 0;
+	if (entry->outcome == OUTCOME_COMPLETE && starts != 1)
+		return load_violation(entry, i, "complete, but never started");
+	if (entry->outcome == OUTCOME_NOT_RUN && starts != 0)
+		return load_violation(entry, i, "said not run, but started");
+	result = json_array_get(entry->results, (size_t)i);
+	state = sti_str(result, "state", "");
+	if (strcmp(state, "not-run") == 0 && starts != 0)
+		return load_violation(entry, i, "state not-run, but started");
+	if (strcmp(state, "done") == 0) {
+		snprintf(prefix, sizeof(prefix), "{\"uid\":\"%s-%d\",",
+		    entry->uid, i);
+		body = sti_str(result, "body", "");
+		if (starts != 1 || strncmp(body, prefix, strlen(prefix)) != 0)
+			return load_violation(entry, i, "wrong result");
+	}
+	return 0;
+}
+
+static void
+load_check_entry(const struct load_entry *entry, const json_t *starts,
+    struct load_report *report)
+{
+	char uid[64];
+	int i;
+
+	for (i = 0; i < entry->ntasks; i++) {
+		snprintf(uid, sizeof(uid), "%s-%d", entry->uid, i);
+		report->violations +=
+		    load_check_task(entry, i, sti_int(starts, uid, 0));
+	}
+	if (!entry->answered) {
+		report->unanswered++;
+	} else if (entry->outcome == OUTCOME_COMPLETE) {
+		report->complete++;
+		if (!entry->whole)
+			report->violations +=
+			    load_violation(entry, 0, "complete, not whole");
+	} else if (entry->outcome == OUTCOME_NOT_RUN) {
+		report->not_run++;
+	} else if (entry->outcome == OUTCOME_TASK_FAILED) {
+		report->task_failed++;
+	} else {
+		report->unknown++;
+	}
+}
+
+void
+load_check(struct load *load, struct load_report *report)
+{
+	json_t *record, *starts, *start;
+	struct load_entry *entry;
+	struct client *client;
+	const char *uid;
+	size_t j;
+	int i;
+
+	memset(report, 0, sizeof(*report));
+	starts = json_object();
+	record = clu_record(load->options.clu, "c");
+	json_array_foreach (record, j, start) {
+		uid = sti_str(start, "uid", "");
+		json_object_set_new(starts, uid,
+		    json_integer(sti_int(starts, uid, 0) + 1));
+	}
+	json_decref(record);
+	for (i = 0; i < load->options.nclients; i++) {
+		client = &load->clients[i];
+		report->resubmitted += client->resubmitted;
+		report->violations += client->changed;
+		while ((entry = STAILQ_FIRST(&client->entries)) != NULL) {
+			load_check_entry(entry, starts, report);
+			STAILQ_REMOVE_HEAD(&client->entries, entry);
+			json_decref(entry->results);
+			free(entry);
+		}
+	}
+	json_decref(starts);
+	free(load->clients);
+	free(load);
+}
--- /dev/null
+++ b/tests/torture/actors.c
@@ -0,0 +1,349 @@
+/* Operators, callers of single requests, and the watcher of versions. */
+#include <err.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include "actors.h"
+#include "support/load.h"
+#include "support/standin.h"
+
+#define OPERATORS 3
+#define CALLERS 3
+#define OPERATOR_PAUSE_MS 60
+#define CONFIG_TARGET_MS 6000
+
+/* One change or one single request, and what was answered. */
+struct note {
+	char id[48];
+	int status; /* 0: no answer */
+	char outcome[32];
+	bool own_body;
+	json_int_t version;
+	STAILQ_ENTRY(note) entry;
+};
+
+STAILQ_HEAD(notes, note);
+
+struct actor {
+	struct actors *actors;
+	pthread_t thread;
+	int index;
+	uint64_t random;
+	struct notes notes;
+};
+
+struct actors {
+	struct clu *clu;
+	atomic_bool stop;
+	struct actor operators[OPERATORS];
+	struct actor callers[CALLERS];
+	struct actor watcher;
+	unsigned violations; /* of the watcher */
+};
+
+static struct note *
+actor_note(struct actor *actor, const char *kind, unsigned n)
+{
+	struct note *note;
+
+	note = calloc(1, sizeof(*note));
+	if (note == NULL)
+		err(1, "calloc");
+	snprintf(note->id, sizeof(note->id), "%s%d-%u", kind, actor->index, n);
+	STAILQ_INSERT_TAIL(&actor->notes, note, entry);
+	return note;
+}
+
+static int
+actor_host(struct actor *actor)
+{
+	return (int)load_random(&actor->random,
+	    (uint32_t)actor->actors->clu->options.nhosts);
+}
+
+/* Races for the next version; the base is what some host holds. */
+static void *
+operator_run(void *arg)
+{
+	struct actor *actor;
+	struct note *note;
+	struct clu *clu;
+	json_int_t base;
+	char ops[200];
+	unsigned n;
+
+	actor = arg;
+	clu = actor->actors->clu;
+	for (n = 0; !atomic_load(&actor->actors->stop); n++) {
+		clu_sleep((int)load_random(&actor->random, OPERATOR_PAUSE_MS));
+		base = clu_version(clu, actor_host(actor));
+		if (base <= 0)
+			continue;
+		note = actor_note(actor, "o", n);
+		snprintf(ops, sizeof(ops),
+		    "{\"op\": \"label\", \"kind\": \"server\", "
+		    "\"name\": \"s%u\", \"set\": {\"mark\": \"%s\"}}",
+		    1 + load_random(&actor->random, 3), note->id);
+		note->status = clu_change(clu, actor_host(actor), note->id, ops,
+		    base, &note->version);
+	}
+	return NULL;
+}
+
+/* Requests that must not be repeated, each sent once. */
+static void *
+caller_run(void *arg)
+{
+	struct clu_reply reply;
+	struct actor *actor;
+	struct note *note;
+	struct clu *clu;
+	char body[100];
+	unsigned n;
+
+	actor = arg;
+	clu = actor->actors->clu;
+	for (n = 0; !atomic_load(&actor->actors->stop); n++) {
+		clu_sleep((int)load_random(&actor->random, 30));
+		note = actor_note(actor, "w", n);
+		snprintf(body, sizeof(body), "{\"uid\":\"%s\",\"ms\":%u}",
+		    note->id, load_random(&actor->random, 40));
+		clu_http(clu->hosts[actor_host(actor)].client_link, "POST",
+		    "/v1/services/booth/requests", "Berylrail-Job: wax\r\n",
+		    body, 10000, &reply);
+		if (reply.whole) {
+			note->status = reply.status;
+			memcpy(note->outcome, reply.outcome,
+			    sizeof(note->outcome));
+			note->own_body = strcmp(reply.body, body) == 0;
+		}
+		clu_reply_free(&reply);
+	}
+	return NULL;
+}
+
+/* Versions in force must never go down, also over a host's replacement. */
+static void *
+watcher_run(void *arg)
+{
+	json_int_t highest[CLU_HOSTS_MAX], version;
+	struct actor *actor;
+	struct clu *clu;
+	int i;
+
+	actor = arg;
+	clu = actor->actors->clu;
+	memset(highest, 0, sizeof(highest));
+	while (!atomic_load(&actor->actors->stop)) {
+		for (i = 0; i < clu->options.nhosts; i++) {
+			version = clu_version(clu, i);
+			if (version > 0 && version < highest[i]) {
+				fprintf(stderr,
+				    "violation: %s: version %lld after %lld\n",
+				    clu->hosts[i].name, (long long)version,
+				    (long long)highest[i]);
+				actor->actors->violations++;
+			}
+			if (version > highest[i])
+				highest[i] = version;
+		}
+		clu_sleep(50);
+	}
+	return NULL;
+}
+
+static void
+actor_start(struct actors *actors, struct actor *actor, int index,
+    uint64_t seed, void *(*run)(void *))
+{
+	actor->actors = actors;
+	actor->index = index;
+	actor->random = (seed + 7) * 2654435769U + (unsigned)index * 9973U;
+	STAILQ_INIT(&actor->notes);
+	if (pthread_create(&actor->thread, NULL, run, actor) != 0)
+		errx(1, "pthread_create");
+}
+
+struct actors *
+actors_start(struct clu *clu, uint64_t seed)
+{
+	struct actors *actors;
+	int i;
+
+	actors = calloc(1, sizeof(*actors));
+	if (actors == NULL)
+		err(1, "calloc");
+	actors->clu = clu;
+	for (i = 0; i < OPERATORS; i++)
+		actor_start(actors, &actors->operators[i], i, seed,
+		    operator_run);
+	for (i = 0; i < CALLERS; i++)
+		actor_start(actors, &actors->callers[i], i, seed + 1,
+		    caller_run);
+	actor_start(actors, &actors->watcher, 0, seed, watcher_run);
+	return actors;
+}
+
+void
+actors_stop(struct actors *actors)
+{
+	int i;
+
+	atomic_store(&actors->stop, true);
+	for (i = 0; i < OPERATORS; i++)
+		pthread_join(actors->operators[i].thread, NULL);
+	for (i = 0; i < CALLERS; i++)
+		pthread_join(actors->callers[i].thread, NULL);
+	pthread_join(actors->watcher.thread, NULL);
+}
+
+/* The whole history: change id to version; counts double and missing ones. */
+static json_t *
+actors_history(struct clu *clu, unsigned *violations)
+{
+	struct clu_reply reply;
+	const json_t *changes, *change;
+	json_int_t version;
+	json_t *versions;
+	const char *id;
+	char path[100];
+	size_t i;
+
+	version = 0;
+	versions = json_object();
+	do {
+		snprintf(path, sizeof(path),
+		    "/v1/config/history?after=%lld&limit=50",
+		    (long long)version);
+		clu_http(clu->hosts[0].http_port, "GET", path, NULL, NULL,
+		    CLU_WAIT_MS, &reply);
+		changes = json_object_get(reply.json, "changes");
+		json_array_foreach (changes, i, change) {
+			id = sti_str(change, "id", "");
+			if (sti_int(change, "version", 0) != version + 1 ||
+			    json_object_get(versions, id) != NULL) {
+				fprintf(stderr,
+				    "violation: history at version %lld: "
+				    "%s twice or a gap\n",
+				    (long long)version, id);
+				++*violations;
+			}
+			version = sti_int(change, "version", version + 1);
+			json_object_set_new(versions, id,
+			    json_integer(version));
+		}
+		i = json_array_size(changes);
+		clu_reply_free(&reply);
+	} while (i > 0);
+	json_object_set_new(versions, "", json_integer(version));
+	return versions;
+}
+
+static unsigned
+note_violation(const struct note *note, const char *what, json_int_t n)
+{
+	fprintf(stderr, "violation: %s: %s: %lld (status %d %s)\n", note->id,
+	    what, (long long)n, note->status, note->outcome);
+	return 1;
+}
+
+static unsigned
+note_check_change(const struct note *note, const json_t *versions)
+{
+	json_int_t version;
+
+	version = sti_int(versions, note->id, 0);
+	if (note->status == 200 && version == 0)
+		return note_violation(note, "accepted, not in history",
+		    note->version);
+	if (note->status == 200 && version != note->version)
+		return note_violation(note, "other version in history",
+		    version);
+	if (note->status == 409 && version != 0)
+		return note_violation(note, "conflict, but in history",
+		    version);
+	return 0;
+}
+
+static unsigned
+note_check_request(struct clu *clu, const struct note *note)
+{
+	json_t *record, *start;
+	json_int_t starts;
+	size_t i;
+
+	starts = 0;
+	record = clu_record(clu, note->id);
+	json_array_foreach (record, i, start)
+		starts += strcmp(sti_str(start, "uid", ""), note->id) == 0;
+	json_decref(record);
+	if (starts > 1)
+		return note_violation(note, "non-repeatable, starts", starts);
+	if (strcmp(note->outcome, "not-run") == 0 && starts != 0)
+		return note_violation(note, "not run, starts", starts);
+	if (strcmp(note->outcome, "complete") == 0 &&
+	    (starts != 1 || !note->own_body))
+		return note_violation(note, "complete, starts", starts);
+	return 0;
+}
+
+/* All hosts reach the newest version within the target. */
+static unsigned
+actors_check_in_force(struct clu *clu, json_int_t version)
+{
+	uint64_t deadline;
+	int i;
+
+	deadline = sti_now_ms() + CONFIG_TARGET_MS;
+	for (i = 0; i < clu->options.nhosts; i++) {
+		while (clu_version(clu, i) < version) {
+			if (sti_now_ms() > deadline) {
+				fprintf(stderr,
+				    "violation: %s: version %lld not in "
+				    "force\n",
+				    clu->hosts[i].name, (long long)version);
+				return 1;
+			}
+			clu_sleep(20);
+		}
+	}
+	return 0;
+}
+
+unsigned
+actors_check(struct actors *actors)
+{
+	unsigned violations, accepted, conflicts, requests;
+	struct note *note;
+	json_t *versions;
+	int i;
+
+	accepted = conflicts = requests = 0;
+	violations = actors->violations;
+	versions = actors_history(actors->clu, &violations);
+	violations +=
+	    actors_check_in_force(actors->clu, sti_int(versions, "", 0));
+	for (i = 0; i < OPERATORS; i++) {
+		STAILQ_FOREACH (note, &actors->operators[i].notes, entry) {
+			violations += note_check_change(note, versions);
+			accepted += note->status == 200;
+			conflicts += note->status == 409;
+		}
+	}
+	for (i = 0; i < CALLERS; i++) {
+		STAILQ_FOREACH (note, &actors->callers[i].notes, entry) {
+			violations += note_check_request(actors->clu, note);
+			requests++;
+		}
+	}
+	printf("changes: %u accepted, %u conflicts; version %lld; "
+	       "single requests: %u\n",
+	    accepted, conflicts, (long long)sti_int(versions, "", 0), requests);
+	json_decref(versions);
+	/* The notes go with the process. */
+	return violations;
+}
--- /dev/null
+++ b/tests/torture/torture.c
@@ -0,0 +1,389 @@
+/*
+ * Randomised run of a whole cluster under faults. The schedule follows from
+ * the seed and is printed; all guarantees are checked from the records of the
+ * stand-ins after the run. Exit status: 0, or 1 with violations.
+ */
+#include <argtable2.h>
+#include <err.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "actors.h"
+#include "support/load.h"
+#include "support/standin.h"
+
+#define HOSTS 6
+#define SERVERS 6
+#define FAULTS_MAX 3 /* at the same time */
+#define LEAVING_TARGET_MS 3000
+#define LEAVING_WATCH_MS 800
+#define STOP_LIMIT_MS 60000
+
+enum fault {
+	FAULT_KILL,
+	FAULT_FREEZE,
+	FAULT_ROLLING,
+	FAULT_CHAOS,
+	FAULT_PARTITION,
+	FAULT_DUPLICATE,
+	FAULT_PLATFORM,
+	FAULT_SERVER,
+	FAULT_NKINDS,
+};
+
+static const char *const fault_names[FAULT_NKINDS] = { "kill", "freeze",
+	"rolling", "chaos", "partition", "duplicate", "platform", "server" };
+
+/* A fault that is going on. */
+struct ongoing {
+	enum fault kind;
+	int target;	   /* host or server */
+	uint64_t until_ms; /* 0: free */
+};
+
+/* A time in which a server must not be given work. */
+struct quiet {
+	char server[16];
+	uint64_t from_ms, to_ms;
+};
+
+static struct {
+	struct clu clu;
+	uint64_t random;
+	uint64_t begin_ms;
+	struct ongoing ongoing[FAULTS_MAX];
+	struct quiet quiet[64];
+	size_t nquiet;
+	unsigned violations;
+	unsigned leavings;
+} tor;
+
+static uint32_t
+tor_random(uint32_t n)
+{
+	return load_random(&tor.random, n);
+}
+
+static void
+tor_say(const char *what, int target, uint32_t ms, const char *detail)
+{
+	printf("%6llu ms: %s %d for %u ms %s\n",
+	    (unsigned long long)(sti_now_ms() - tor.begin_ms), what, target + 1,
+	    ms, detail);
+	fflush(stdout);
+}
+
+static void
+tor_fault_link(const char *kind, int target, const char *rule)
+{
+	char link[32];
+
+	snprintf(link, sizeof(link), "%s%d", kind, target + 1);
+	clu_fault(&tor.clu, link, rule);
+}
+
+static bool
+tor_host_disturbed(int host)
+{
+	int i;
+
+	for (i = 0; i < FAULTS_MAX; i++)
+		if (tor.ongoing[i].until_ms != 0 &&
+		    tor.ongoing[i].kind == FAULT_FREEZE &&
+		    tor.ongoing[i].target == host)
+			return true;
+	return false;
+}
+
+static void
+tor_restart(int host)
+{
+	if (clu_host_start(&tor.clu, host) == -1) {
+		fprintf(stderr, "violation: h%d does not start\n", host + 1);
+		tor.violations++;
+	}
+}
+
+/* A planned stop: must end with 0, whatever else goes on. */
+static void
+tor_graceful(int host)
+{
+	int status;
+
+	clu_host_signal(&tor.clu, host, SIGTERM);
+	status = clu_host_wait(&tor.clu, host, STOP_LIMIT_MS);
+	if (status != 0) {
+		fprintf(stderr, "violation: h%d: planned stop ended with %d\n",
+		    host + 1, status);
+		tor.violations++;
+		clu_host_signal(&tor.clu, host, SIGKILL);
+	}
+}
+
+static void
+tor_platform(void)
+{
+	static const char *const modes[] = { "down", "refuse", "slow",
+		"lose_reply" };
+	char members[64];
+
+	snprintf(members, sizeof(members), "\"mode\": \"%s\", \"ms\": %u",
+	    modes[tor_random(4)], tor_random(400));
+	clu_platform(&tor.clu, members);
+}
+
+static void
+tor_server(int server)
+{
+	static const char *const modes[] = { "fail_all", "hang_all", "down" };
+	char members[64];
+
+	snprintf(members, sizeof(members), "\"mode\": \"%s\"",
+	    modes[tor_random(3)]);
+	clu_server(&tor.clu, server, members);
+}
+
+/* Begins a fault. Return: does it go on, and needs an end? */
+static bool
+tor_begin(struct ongoing *fault)
+{
+	static const char *const links[] = { "client-h", "peer-h", "server-s" };
+	const char *link;
+
+	switch (fault->kind) {
+	case FAULT_KILL:
+		clu_host_signal(&tor.clu, fault->target, SIGKILL);
+		tor_restart(fault->target);
+		return false;
+	case FAULT_ROLLING:
+		tor_graceful(fault->target);
+		tor_restart(fault->target);
+		return false;
+	case FAULT_FREEZE:
+		clu_host_signal(&tor.clu, fault->target, SIGSTOP);
+		break;
+	case FAULT_CHAOS:
+		link = links[tor_random(3)];
+		tor_fault_link(link, fault->target,
+		    "\"chaos\": 60, \"jitter_ms\": 15");
+		break;
+	case FAULT_PARTITION:
+		tor_fault_link("peer-h", fault->target, "\"mode\": \"refuse\"");
+		tor_fault_link("platform-h", fault->target,
+		    "\"mode\": \"drop\"");
+		break;
+	case FAULT_DUPLICATE:
+		tor_fault_link("client-h", fault->target,
+		    "\"mode\": \"duplicate\"");
+		tor_fault_link("peer-h", fault->target,
+		    "\"mode\": \"duplicate\"");
+		break;
+	case FAULT_PLATFORM:
+		tor_platform();
+		break;
+	default:
+		tor_server(fault->target);
+		break;
+	}
+	return true;
+}
+
+static void
+tor_end(struct ongoing *fault)
+{
+	switch (fault->kind) {
+	case FAULT_FREEZE:
+		clu_host_signal(&tor.clu, fault->target, SIGCONT);
+		break;
+	case FAULT_PLATFORM:
+		clu_platform(&tor.clu, "\"mode\": \"ok\"");
+		break;
+	case FAULT_SERVER:
+		clu_server(&tor.clu, fault->target, "\"mode\": \"ok\"");
+		break;
+	default:
+		tor_fault_link("*-[hs]", fault->target, "");
+		break;
+	}
+	fault->until_ms = 0;
+}
+
+static void
+tor_end_all(void)
+{
+	int i;
+
+	for (i = 0; i < FAULTS_MAX; i++)
+		if (tor.ongoing[i].until_ms != 0)
+			tor_end(&tor.ongoing[i]);
+}
+
+static void
+tor_step(void)
+{
+	struct ongoing *fault;
+	uint32_t ms;
+	int i;
+
+	for (i = 0; i < FAULTS_MAX; i++)
+		if (tor.ongoing[i].until_ms != 0 &&
+		    tor.ongoing[i].until_ms <= sti_now_ms())
+			tor_end(&tor.ongoing[i]);
+	fault = &tor.ongoing[tor_random(FAULTS_MAX)];
+	if (fault->until_ms != 0)
+		return;
+	fault->kind = (enum fault)tor_random(FAULT_NKINDS);
+	fault->target = (int)tor_random(HOSTS);
+	ms = 200 + tor_random(1500);
+	/* A frozen host can't be stopped as planned. */
+	if (tor_host_disturbed(fault->target) &&
+	    (fault->kind == FAULT_ROLLING || fault->kind == FAULT_FREEZE))
+		return;
+	tor_say(fault_names[fault->kind], fault->target, ms, "");
+	if (tor_begin(fault))
+		fault->until_ms = sti_now_ms() + ms;
+}
+
+/* A server leaves by label, with all hosts reachable, and comes back. */
+static void
+tor_leaving(void)
+{
+	struct quiet *quiet;
+	char ops[200], id[32];
+	int server, host;
+
+	tor_end_all();
+	server = (int)tor_random(SERVERS);
+	host = (int)tor_random(HOSTS);
+	if (clu_host_ready(&tor.clu, host, CLU_WAIT_MS) == -1)
+		return;
+	tor_say("leaving", server, LEAVING_TARGET_MS, "");
+	snprintf(id, sizeof(id), "leave-%u", tor.leavings);
+	snprintf(ops, sizeof(ops),
+	    "{\"op\": \"label\", \"kind\": \"server\", \"name\": \"s%d\", "
+	    "\"set\": {\"leaving\": \"\"}}",
+	    server + 1);
+	if (clu_change(&tor.clu, host, id, ops, -1, NULL) == 200 &&
+	    tor.nquiet < 64) {
+		quiet = &tor.quiet[tor.nquiet++];
+		snprintf(quiet->server, sizeof(quiet->server), "s%d",
+		    server + 1);
+		quiet->from_ms = sti_now_ms() + LEAVING_TARGET_MS;
+		quiet->to_ms = quiet->from_ms + LEAVING_WATCH_MS;
+		clu_sleep(LEAVING_TARGET_MS + LEAVING_WATCH_MS);
+	}
+	snprintf(id, sizeof(id), "stay-%u", tor.leavings++);
+	snprintf(ops, sizeof(ops),
+	    "{\"op\": \"label\", \"kind\": \"server\", \"name\": \"s%d\", "
+	    "\"unset\": [\"leaving\"]}",
+	    server + 1);
+	clu_change(&tor.clu, host, id, ops, -1, NULL);
+}
+
+static void
+tor_check_quiet(void)
+{
+	struct quiet *quiet;
+	json_t *record, *start;
+	uint64_t at;
+	size_t i;
+
+	record = clu_record(&tor.clu, "");
+	json_array_foreach (record, i, start) {
+		at = (uint64_t)sti_int(start, "start_ms", 0);
+		for (quiet = tor.quiet; quiet < tor.quiet + tor.nquiet;
+		     quiet++) {
+			if (strcmp(quiet->server,
+				sti_str(start, "server", "")) != 0 ||
+			    at <= quiet->from_ms || at > quiet->to_ms)
+				continue;
+			fprintf(stderr,
+			    "violation: %s started on %s, which was leaving\n",
+			    sti_str(start, "uid", ""), quiet->server);
+			tor.violations++;
+		}
+	}
+	json_decref(record);
+}
+
+static void
+tor_run(uint64_t seed, int seconds)
+{
+	struct load_options load_options = { .clu = &tor.clu,
+		.nclients = 16,
+		.seed = seed,
+		.tasks_max = 12,
+		.ms_max = 60,
+		.faults = true,
+		.by_link = true };
+	struct load_report report;
+	struct actors *actors;
+	struct load *load;
+	uint64_t end_ms, leaving_ms;
+	int i;
+
+	load = load_start(&load_options);
+	actors = actors_start(&tor.clu, seed);
+	tor.begin_ms = sti_now_ms();
+	end_ms = tor.begin_ms + (uint64_t)seconds * 1000;
+	leaving_ms = tor.begin_ms + (uint64_t)seconds * 500;
+	while (sti_now_ms() < end_ms) {
+		tor_step();
+		if (sti_now_ms() > leaving_ms) {
+			leaving_ms += 15000;
+			tor_leaving();
+		}
+		clu_sleep((int)tor_random(250));
+	}
+	tor_end_all();
+	load_stop(load);
+	actors_stop(actors);
+	for (i = 0; i < HOSTS; i++)
+		if (clu_host_ready(&tor.clu, i, CLU_WAIT_MS) == -1)
+			tor.violations++;
+	tor.violations += actors_check(actors);
+	for (i = 0; i < HOSTS; i++)
+		tor_graceful(i);
+	load_check(load, &report);
+	tor_check_quiet();
+	tor.violations += report.violations;
+	printf("jobs: %u complete, %u task-failed, %u not-run, %u unknown, "
+	       "%u unanswered; %u resubmissions; %u leavings\n",
+	    report.complete, report.task_failed, report.not_run, report.unknown,
+	    report.unanswered, report.resubmitted, tor.leavings);
+}
+
+int
+main(int argc, char **argv)
+{
+	struct clu_options options = { .nhosts = HOSTS,
+		.nservers = SERVERS,
+		.host_args = "--drain-delay-ms=100" };
+	struct arg_int *seed, *seconds;
+	struct arg_end *end;
+	unsigned long long s;
+
+	void *argtable[] = { seed = arg_int0(NULL, "seed", "N", "1 by default"),
+		seconds = arg_int0(NULL, "seconds", "N", "60 by default"),
+		end = arg_end(4) };
+
+	signal(SIGPIPE, SIG_IGN);
+	if (arg_parse(argc, argv, argtable) != 0) {
+		arg_print_errors(stderr, end, argv[0]);
+		return 78;
+	}
+	s = seed->count ? (unsigned long long)seed->ival[0] : 1;
+	options.seed = s;
+	tor.random = (s + 1) * 2654435769U;
+	if (clu_start(&tor.clu, &options) == -1) {
+		clu_stop(&tor.clu);
+		errx(1, "seed %llu: the cluster does not start", s);
+	}
+	tor_run(s, seconds->count ? seconds->ival[0] : 60);
+	clu_stop(&tor.clu);
+	printf("seed %llu: %u violations\n", s, tor.violations);
+	arg_freetable(argtable, sizeof(argtable) / sizeof(argtable[0]));
+	return tor.violations > 0;
+}
