--- a/tests/standins/backend/server.c
+++ b/tests/standins/backend/server.c
@@ -20,6 +20,7 @@
 
 #include "record.h"
 #include "server.h"
+#include "support/standin.h"
 
 #define SRV_HEADER_BYTES_MAX 16384
 
@@ -368,21 +369,14 @@
 srv_listen(struct server *server)
 {
 	struct sockaddr_in sin;
-	socklen_t len;
 
-	memset(&sin, 0, sizeof(sin));
-	sin.sin_family = AF_INET;
-	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	sin.sin_port = htons(server->port);
+	sin = sti_loopback(server->port);
 	server->listener = evconnlistener_new_bind(server->base, srv_accept,
 	    server, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 128,
 	    (struct sockaddr *)&sin, sizeof(sin));
 	if (server->listener == NULL)
 		return -1;
-	len = sizeof(sin);
-	getsockname(evconnlistener_get_fd(server->listener),
-	    (struct sockaddr *)&sin, &len);
-	server->port = ntohs(sin.sin_port);
+	server->port = sti_port(evconnlistener_get_fd(server->listener));
 	return 0;
 }
 
--- a/tests/standins/proxy/link.c
+++ b/tests/standins/proxy/link.c
@@ -92,15 +92,15 @@
 	    (unsigned long long)sti_now_ms(), link->name, id, text);
 }
 
+static const struct link_rule link_no_fault = { .cut_request_at = -1,
+	.cut_answer_at = -1,
+	.half_close_at = -1 };
+
 static void
 link_shot(struct link *link)
 {
-	if (link->rule.shots > 0 && --link->rule.shots == 0) {
-		memset(&link->rule, 0, sizeof(link->rule));
-		link->rule.cut_request_at = -1;
-		link->rule.cut_answer_at = -1;
-		link->rule.half_close_at = -1;
-	}
+	if (link->rule.shots > 0 && --link->rule.shots == 0)
+		link->rule = link_no_fault;
 }
 
 static void
@@ -129,20 +129,22 @@
 	free(pair);
 }
 
-/* Closes with a reset, so that the other side can't take it for an end. */
+/* Closing it will reset it, so that no side can take it for an end. */
 static void
-pair_cut(struct pair *pair, const char *why)
+link_reset_on_close(evutil_socket_t fd)
 {
-	struct linger linger;
+	static const struct linger linger = { .l_onoff = 1 };
 
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
+static void
+pair_cut(struct pair *pair, const char *why)
+{
 	link_say(pair->link, pair->id, "cut: %s", why);
 	pair->link->ncut++;
-	linger.l_onoff = 1;
-	linger.l_linger = 0;
-	setsockopt(bufferevent_getfd(pair->client), SOL_SOCKET, SO_LINGER,
-	    &linger, sizeof(linger));
-	setsockopt(bufferevent_getfd(pair->target), SOL_SOCKET, SO_LINGER,
-	    &linger, sizeof(linger));
+	link_reset_on_close(bufferevent_getfd(pair->client));
+	link_reset_on_close(bufferevent_getfd(pair->target));
 	pair_free(pair);
 }
 
@@ -216,12 +218,9 @@
 static void
 flow_send_now(struct flow *flow, struct evbuffer *in, size_t n)
 {
-	unsigned char *data;
-
-	data = evbuffer_pullup(in, (ev_ssize_t)n);
-	if (n > 0 &&
-	    send(bufferevent_getfd(flow->to), data, n, MSG_NOSIGNAL) == -1)
-		link_say(flow->pair->link, flow->pair->id, "send failed");
+	if (n > 0)
+		(void)send(bufferevent_getfd(flow->to),
+		    evbuffer_pullup(in, (ev_ssize_t)n), n, MSG_NOSIGNAL);
 }
 
 /*
@@ -270,10 +269,7 @@
 	struct evbuffer *copy;
 
 	if (pair->mirror == NULL) {
-		memset(&sin, 0, sizeof(sin));
-		sin.sin_family = AF_INET;
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		sin.sin_port = htons(pair->link->target_port);
+		sin = sti_loopback(pair->link->target_port);
 		pair->mirror = bufferevent_socket_new(pair->link->base, -1,
 		    BEV_OPT_CLOSE_ON_FREE);
 		bufferevent_enable(pair->mirror, EV_READ | EV_WRITE);
@@ -392,7 +388,6 @@
     struct sockaddr *addr, int len, void *arg)
 {
 	struct sockaddr_in sin;
-	struct linger linger;
 	struct pair *pair;
 	struct link *link;
 	int one;
@@ -403,9 +398,7 @@
 	link = arg;
 	link->naccepted++;
 	if (link->rule.mode == LINK_REFUSE || link->target_port == 0) {
-		linger.l_onoff = 1;
-		linger.l_linger = 0;
-		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+		link_reset_on_close(fd);
 		evutil_closesocket(fd);
 		return;
 	}
@@ -416,10 +409,7 @@
 		err(1, "calloc");
 	pair->link = link;
 	pair->id = ++link_npairs;
-	memset(&sin, 0, sizeof(sin));
-	sin.sin_family = AF_INET;
-	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	sin.sin_port = htons(link->target_port);
+	sin = sti_loopback(link->target_port);
 	pair->client =
 	    bufferevent_socket_new(link->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	pair->target =
@@ -443,18 +433,14 @@
 {
 	struct sockaddr_in sin;
 	struct link *link;
-	socklen_t len;
 
 	link = calloc(1, sizeof(*link));
 	if (link == NULL)
 		return NULL;
 	snprintf(link->name, sizeof(link->name), "%s", name);
 	link->base = base;
-	link->rule.shots = 1;
-	link_shot(link);
-	memset(&sin, 0, sizeof(sin));
-	sin.sin_family = AF_INET;
-	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	link->rule = link_no_fault;
+	sin = sti_loopback(0);
 	link->listener = evconnlistener_new_bind(base, link_accept, link,
 	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 128,
 	    (struct sockaddr *)&sin, sizeof(sin));
@@ -462,10 +448,7 @@
 		free(link);
 		return NULL;
 	}
-	len = sizeof(sin);
-	getsockname(evconnlistener_get_fd(link->listener),
-	    (struct sockaddr *)&sin, &len);
-	link->port = ntohs(sin.sin_port);
+	link->port = sti_port(evconnlistener_get_fd(link->listener));
 	return link;
 }
 
@@ -482,7 +465,7 @@
 link_set_rule(struct link *link, const json_t *json)
 {
 	struct link_rule *rule;
-	struct pair *pair, *next;
+	struct pair *pair;
 	const char *mode;
 	int i;
 
@@ -506,14 +489,11 @@
 	link_say(link, 0, "rule: %s", mode);
 	if (rule->mode == LINK_REFUSE)
 		link_cut_all(link);
-	for (pair = LIST_FIRST(&link->pairs); pair != NULL; pair = next) {
-		next = LIST_NEXT(pair, entry);
+	/* What was frozen goes on; by the timers, as a pair may end by it. */
+	LIST_FOREACH (pair, &link->pairs, entry) {
 		pair_limit(pair, rule->rate);
-		flow_pump(&pair->request);
-	}
-	for (pair = LIST_FIRST(&link->pairs); pair != NULL; pair = next) {
-		next = LIST_NEXT(pair, entry);
-		flow_pump(&pair->answer);
+		event_active(pair->request.timer, EV_TIMEOUT, 0);
+		event_active(pair->answer.timer, EV_TIMEOUT, 0);
 	}
 	return 0;
 }
--- a/tests/support/http_client.c
+++ b/tests/support/http_client.c
@@ -18,10 +18,7 @@
 	struct sockaddr_in sin;
 	int fd;
 
-	memset(&sin, 0, sizeof(sin));
-	sin.sin_family = AF_INET;
-	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	sin.sin_port = htons(port);
+	sin = sti_loopback(port);
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	if (fd != -1 &&
 	    connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == -1) {
--- a/tests/support/standin.c
+++ b/tests/support/standin.c
@@ -49,21 +49,15 @@
     void (*cb)(struct evhttp_request *, void *), void *arg)
 {
 	struct evhttp_bound_socket *bound;
-	struct sockaddr_in sin;
 	struct evhttp *http;
-	socklen_t len;
 
-	len = sizeof(sin);
 	http = evhttp_new(base);
 	if (http == NULL)
 		errx(1, "evhttp_new");
 	bound = evhttp_bind_socket_with_handle(http, "127.0.0.1", 0);
 	if (bound == NULL)
 		err(1, "bind");
-	if (getsockname(evhttp_bound_socket_get_fd(bound),
-		(struct sockaddr *)&sin, &len) == -1)
-		err(1, "getsockname");
-	*port = ntohs(sin.sin_port);
+	*port = sti_port(evhttp_bound_socket_get_fd(bound));
 	evhttp_set_allowed_methods(http,
 	    EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
 		EVHTTP_REQ_DELETE);
@@ -71,6 +65,28 @@
 	return http;
 }
 
+struct sockaddr_in
+sti_loopback(uint16_t port)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+		.sin_port = htons(port) };
+
+	return sin;
+}
+
+uint16_t
+sti_port(int fd)
+{
+	struct sockaddr_in sin;
+	socklen_t len;
+
+	len = sizeof(sin);
+	if (getsockname(fd, (struct sockaddr *)&sin, &len) == -1)
+		err(1, "getsockname");
+	return ntohs(sin.sin_port);
+}
+
 int
 sti_write_file(const char *path, const char *text)
 {
--- a/tests/support/standin.h
+++ b/tests/support/standin.h
@@ -4,6 +4,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <jansson.h>
+#include <netinet/in.h>
 #include <stdint.h>
 
 /* What the stand-in programs have in common. */
@@ -18,6 +19,12 @@
 struct evhttp *sti_http(struct event_base *base, uint16_t *port,
     void (*cb)(struct evhttp_request *, void *), void *arg);
 
+/** sti_loopback() - socket address of a port on loopback. */
+struct sockaddr_in sti_loopback(uint16_t port);
+
+/** sti_port() - port to which a socket is bound; exits on failure. */
+uint16_t sti_port(int fd);
+
 /**
  * sti_write_file() - write a file by renaming, so that readers see it whole.
  * Return: 0 or -1.
