--- /dev/null
+++ b/entry/config_bootstrap.c
@@ -0,0 +1,143 @@
+/*
+ * Snapshots in the object store, so that a fresh host does not read the whole
+ * chain. A snapshot carries its length and checksum on a first line; one that
+ * is damaged is ignored, one that is old only means more rows to read.
+ */
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/counters.h"
+#include "entry/config_json.h"
+#include "entry/config_sync_internal.h"
+
+#define CONFIG_SNAP_MAGIC "berylrail-snapshot 1"
+#define CONFIG_SNAP_LINE_SIZE 96 /* bytes of the first line, with a NUL */
+
+static struct counter config_snap_bad = {
+	.name = "berylrail_config_snapshots_bad_total",
+	.help = "Snapshots in the object store that were damaged",
+};
+
+/* FNV-1a: notices damage by accident, which is all that is asked of it. */
+static uint64_t
+config_snap_checksum(const char *text, size_t len)
+{
+	uint64_t hash = 0xcbf29ce484222325ULL;
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		hash = (hash ^ (unsigned char)text[i]) * 0x100000001b3ULL;
+	return hash;
+}
+
+/* The configuration of a stored snapshot, or NULL if it is damaged. */
+static struct config *
+config_snap_parse(const char *data, size_t len)
+{
+	char line[CONFIG_SNAP_LINE_SIZE];
+	struct config *config;
+	uint64_t checksum;
+	struct err err;
+	const char *text;
+	size_t text_len;
+	json_t *json;
+
+	text = memchr(data, '\n', len);
+	if (text == NULL || (size_t)(text - data) >= sizeof(line))
+		return NULL;
+	memcpy(line, data, (size_t)(text - data));
+	line[text - data] = '\0';
+	text++;
+	if (sscanf(line, CONFIG_SNAP_MAGIC " %" SCNx64 " %zu", &checksum,
+		&text_len) != 2 ||
+	    text_len != len - (size_t)(text - data) ||
+	    config_snap_checksum(text, text_len) != checksum)
+		return NULL;
+	json = cfgj_load(text, text_len, &err);
+	if (json == NULL)
+		return NULL;
+	config = cfgj_snapshot_parse(json, &err);
+	json_decref(json);
+	return config;
+}
+
+/*
+ * The snapshot alone does not make the host ready: versions after it may be
+ * in force elsewhere, so the table or a peer has to speak first.
+ */
+static void
+config_snap_loaded(void *arg, enum table_status status, const void *data,
+    size_t len, const struct err *err)
+{
+	struct config_sync *sync = arg;
+	struct config *config = NULL;
+
+	(void)err;
+	if (status == TABLE_OK) {
+		config = config_snap_parse(data, len);
+		if (config == NULL)
+			ctr_inc(&config_snap_bad);
+	}
+	if (config != NULL && config->version > sync->config->version) {
+		cfg_free(sync->config);
+		sync->config = config;
+		config_sync_applied(sync);
+	} else {
+		cfg_free(config);
+	}
+	sync->started = true;
+	config_sync_fetch(sync);
+}
+
+void
+config_snap_load(struct config_sync *sync)
+{
+	struct blobs *blobs = sync->params.blobs;
+
+	if (blobs == NULL) {
+		sync->started = true;
+		config_sync_fetch(sync);
+		return;
+	}
+	blobs->ops->get(blobs, CONFIG_SNAPSHOT_NAME, config_snap_loaded, sync);
+}
+
+static void
+config_snap_saved(void *arg, enum table_status status, const void *data,
+    size_t len, const struct err *err)
+{
+	struct config_sync *sync = arg;
+
+	(void)status;
+	(void)data;
+	(void)len;
+	(void)err;
+	sync->snapshot_busy = false;
+}
+
+void
+config_snap_save(struct config_sync *sync)
+{
+	struct blobs *blobs = sync->params.blobs;
+	char *text, *data;
+	size_t len;
+	int n;
+
+	if (blobs == NULL || sync->snapshot_busy)
+		return;
+	text = config_sync_export(sync, &len);
+	if (text == NULL)
+		return;
+	n = asprintf(&data, "%s %016" PRIx64 " %zu\n%s", CONFIG_SNAP_MAGIC,
+	    config_snap_checksum(text, len), len, text);
+	free(text);
+	if (n < 0)
+		return;
+	sync->snapshot_busy = true;
+	blobs->ops->put(blobs, CONFIG_SNAPSHOT_NAME, data, (size_t)n,
+	    config_snap_saved, sync);
+	free(data);
+}
--- /dev/null
+++ b/entry/config_change.c
@@ -0,0 +1,424 @@
+/*
+ * Operators' changes. One change at a time is written: head compare-and-set,
+ * the row of the new version and the row of the change's id, in one
+ * transaction. The transaction itself is the only judge of what was written:
+ * after a lost reply it is sent again under the same id, which then either is
+ * written now or shows that it was before.
+ */
+
+#include <event2/event.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/counters.h"
+#include "entry/config_change.h"
+#include "entry/config_json.h"
+
+#define CONFIG_CHANGE_TRIES_MAX 10   /* transactions for one change */
+#define CONFIG_CHANGE_LIMIT_MS 15000 /* after that no further try is made */
+#define CONFIG_CHANGE_BACKOFF_MS 25  /* before the second repetition */
+#define CONFIG_CHANGE_BACKOFF_MAX_MS 1000
+#define CONFIG_ROW_BYTES_MAX (384U << 10) /* of one row of the table */
+
+/* Order of the writes in the transaction, and so of the failed ones. */
+enum config_write {
+	CONFIG_WRITE_HEAD,
+	CONFIG_WRITE_VERSION,
+	CONFIG_WRITE_ID,
+	CONFIG_NWRITES,
+};
+
+static struct counter config_changes_done = {
+	.name = "berylrail_config_changes_total",
+	.help = "Changes of the configuration made through this host",
+};
+static struct counter config_changes_conflict = {
+	.name = "berylrail_config_changes_conflict_total",
+	.help = "Changes refused because another one came first",
+};
+static struct counter config_changes_settled = {
+	.name = "berylrail_config_changes_settled_total",
+	.help = "Changes found written after a lost reply or a repetition",
+};
+
+static void config_change_attempt(struct config_change *change);
+static void config_change_lookup(struct config_change *change);
+
+void
+config_change_free(struct config_change *change)
+{
+	if (change == NULL)
+		return;
+	if (change->timer != NULL)
+		event_free(change->timer);
+	cfgop_change_clear(&change->asked);
+	json_decref(change->row);
+	free(change);
+}
+
+/* Takes the change from the queue and lets the next one begin. */
+static void
+config_change_end(struct config_change *change)
+{
+	struct config_sync *sync = change->sync;
+	struct config_change *next;
+
+	TAILQ_REMOVE(&sync->changes, change, entry);
+	sync->nchanges--;
+	config_change_free(change);
+	next = TAILQ_FIRST(&sync->changes);
+	if (next != NULL)
+		config_sync_timer(next->timer, 0);
+}
+
+static void
+config_change_refuse(struct config_change *change, int status,
+    const struct err *err, uint64_t version)
+{
+	config_view_problem(change->reply, change->arg, status, err, version);
+	config_change_end(change);
+}
+
+static void
+config_change_succeed(struct config_change *change, uint64_t version)
+{
+	config_view_json(change->reply, change->arg, 200,
+	    json_pack("{s:I}", "version", (json_int_t)version));
+	config_change_end(change);
+}
+
+/* The winner's version: the newest that is known. */
+static void
+config_change_lost_race(struct config_change *change)
+{
+	struct config_sync *sync = change->sync;
+	uint64_t version = sync->config->version;
+	struct err err;
+
+	if (version <= change->base)
+		version = change->base + 1;
+	ctr_inc(&config_changes_conflict);
+	err_set(&err, ERR_STEP_CONFIG, ERR_CONFLICT, NULL,
+	    "version %llu is not the newest: another change made version %llu",
+	    (unsigned long long)change->base, (unsigned long long)version);
+	config_change_refuse(change, 409, &err, version);
+}
+
+static bool
+config_change_exhausted(const struct config_change *change)
+{
+	struct clock *clock = change->sync->params.clock;
+
+	return change->tries >= CONFIG_CHANGE_TRIES_MAX ||
+	    clock_now_us(clock) - change->start_us >=
+	    CONFIG_CHANGE_LIMIT_MS * 1000ULL;
+}
+
+/* No further try; @err is what the last one met. */
+static void
+config_change_give_up(struct config_change *change, const struct err *err)
+{
+	struct err last = *err;
+
+	if (!change->maybe_written) {
+		config_change_refuse(change, 503, &last, 0);
+		return;
+	}
+	err_set(&last, err->step, ERR_LOST, err->peer,
+	    "the change may have been written: repeat it with the same id");
+	config_change_refuse(change, 504, &last, 0);
+}
+
+/* Waits a little and reads newer rows before the next step. */
+static void
+config_change_later(struct config_change *change)
+{
+	uint32_t ms = 0;
+
+	if (change->tries > 1) {
+		ms = CONFIG_CHANGE_BACKOFF_MS << (change->tries - 2);
+		if (ms > CONFIG_CHANGE_BACKOFF_MAX_MS)
+			ms = CONFIG_CHANGE_BACKOFF_MAX_MS;
+		ms = config_sync_random_ms(change->sync, ms / 2, ms);
+	}
+	change->waiting = true;
+	config_sync_timer(change->timer, ms);
+}
+
+static void
+config_change_retry(struct config_change *change, const struct err *err)
+{
+	if (config_change_exhausted(change))
+		config_change_give_up(change, err);
+	else
+		config_change_later(change);
+}
+
+void
+config_change_on_timer(evutil_socket_t fd, short events, void *arg)
+{
+	struct config_change *change = arg;
+
+	(void)fd;
+	(void)events;
+	if (change->waiting)
+		config_sync_fetch(change->sync);
+	else
+		config_change_attempt(change);
+}
+
+void
+config_change_fetched(struct config_sync *sync)
+{
+	struct config_change *change = TAILQ_FIRST(&sync->changes);
+
+	if (change == NULL || !change->waiting ||
+	    evtimer_pending(change->timer, NULL))
+		return;
+	change->waiting = false;
+	if (change->conflict)
+		config_change_lost_race(change);
+	else if (change->refusal_status != 0)
+		config_change_lookup(change);
+	else
+		config_change_attempt(change);
+}
+
+/* The row of the change's id exists: it says what the change became. */
+static void
+config_change_settle(struct config_change *change, const struct table_row *row)
+{
+	json_int_t version;
+	const char *digest;
+	char own[24];
+	struct err err;
+	json_t *json;
+
+	snprintf(own, sizeof(own), "%016" PRIx64, change->digest);
+	json = cfgj_load(row->doc, row->doc_len, &err);
+	if (json == NULL ||
+	    json_unpack(json, "{s:I, s:s}", "version", &version, "digest",
+		&digest) != 0) {
+		err_set(&err, ERR_STEP_TABLE, ERR_CORRUPT, NULL,
+		    "the row of change %s can't be read", change->asked.id);
+		config_change_refuse(change, 500, &err, 0);
+	} else if (strcmp(digest, own) != 0) {
+		err_set(&err, ERR_STEP_CONFIG, ERR_INVALID, NULL,
+		    "id %s belongs to another change", change->asked.id);
+		config_change_refuse(change, 422, &err, (uint64_t)version);
+	} else {
+		ctr_inc(&config_changes_settled);
+		config_sync_heard(change->sync, (uint64_t)version);
+		config_change_succeed(change, (uint64_t)version);
+	}
+	json_decref(json);
+}
+
+static void
+config_change_looked_up(void *arg, enum table_status status,
+    const struct table_row *rows, size_t nrows, const struct err *err)
+{
+	struct config_change *change = arg;
+
+	if (status == TABLE_OK && nrows == 1) {
+		config_change_settle(change, rows);
+		return;
+	}
+	if (status == TABLE_NOT_FOUND && change->refusal_status != 409) {
+		config_change_refuse(change, change->refusal_status,
+		    &change->refusal, 0);
+		return;
+	}
+	/* 409: the row exists, but this replica does not show it yet. */
+	change->tries++;
+	config_change_retry(change,
+	    status == TABLE_NOT_FOUND ? &change->refusal : err);
+}
+
+static void
+config_change_lookup(struct config_change *change)
+{
+	struct table *table = change->sync->params.table;
+	char pk[TABLE_KEY_SIZE];
+
+	snprintf(pk, sizeof(pk), "change#%s", change->asked.id);
+	table->ops->get(table, pk, CONFIG_CHANGE_SK, config_change_looked_up,
+	    change);
+}
+
+/* Written now: apply the row, unless a poll already has. */
+static void
+config_change_written(struct config_change *change)
+{
+	struct config_sync *sync = change->sync;
+	uint64_t version = change->base + 1;
+
+	ctr_inc(&config_changes_done);
+	if (config_sync_apply(sync, version, change->row) == 0) {
+		if (sync->heard < version)
+			sync->heard = version;
+		config_sync_applied(sync);
+		if (version % CONFIG_SNAPSHOT_EVERY == 0)
+			config_snap_save(sync);
+	} else {
+		config_sync_heard(sync, version);
+	}
+	config_change_succeed(change, version);
+}
+
+static void
+config_change_conflicted(struct config_change *change,
+    const unsigned char *failed, const struct err *err)
+{
+	if (failed != NULL && failed[CONFIG_WRITE_ID]) {
+		change->refusal = *err;
+		change->refusal_status = 409;
+		config_change_lookup(change);
+		return;
+	}
+	change->conflict = change->asked.has_base;
+	config_sync_heard(change->sync, change->base + 1);
+	if (change->conflict)
+		config_change_later(change);
+	else
+		config_change_retry(change, err);
+}
+
+static void
+config_change_done(void *arg, enum table_status status,
+    const unsigned char *failed, const struct err *err)
+{
+	struct config_change *change = arg;
+
+	switch (status) {
+	case TABLE_OK:
+		config_change_written(change);
+		return;
+	case TABLE_CONFLICT:
+		config_change_conflicted(change, failed, err);
+		return;
+	case TABLE_UNKNOWN:
+		change->maybe_written = true;
+		break;
+	default:
+		break;
+	}
+	config_change_retry(change, err);
+}
+
+/* Sends the transaction; the documents are copied by the table. */
+static void
+config_change_write(struct config_change *change, const char *row_text)
+{
+	struct table *table = change->sync->params.table;
+	struct table_write writes[CONFIG_NWRITES];
+	char sk[TABLE_KEY_SIZE], pk[TABLE_KEY_SIZE], head[64], id[96];
+	uint64_t version = change->base + 1;
+
+	config_sync_sk(version, sk);
+	snprintf(pk, sizeof(pk), "change#%s", change->asked.id);
+	snprintf(head, sizeof(head), "{\"version\":%llu}",
+	    (unsigned long long)version);
+	snprintf(id, sizeof(id),
+	    "{\"version\":%llu,\"digest\":\"%016" PRIx64 "\"}",
+	    (unsigned long long)version, change->digest);
+	writes[CONFIG_WRITE_HEAD] = (struct table_write){
+		.condition =
+		    change->base == 0 ? TABLE_IF_ABSENT : TABLE_IF_VERSION,
+		.expect_version = change->base,
+		.row = { CONFIG_PK, CONFIG_HEAD_SK, version, head,
+		    strlen(head) },
+	};
+	writes[CONFIG_WRITE_VERSION] = (struct table_write){
+		.condition = TABLE_IF_ABSENT,
+		.row = { CONFIG_PK, sk, version, row_text, strlen(row_text) },
+	};
+	writes[CONFIG_WRITE_ID] = (struct table_write){
+		.condition = TABLE_IF_ABSENT,
+		.row = { pk, CONFIG_CHANGE_SK, 1, id, strlen(id) },
+	};
+	change->tries++;
+	table->ops->transact(table, writes, CONFIG_NWRITES, config_change_done,
+	    change);
+}
+
+/* The row of the version: the change and its audit data. */
+static void
+config_change_make_row(struct config_change *change, json_t *before,
+    json_t *after)
+{
+	struct config_sync *sync = change->sync;
+
+	json_decref(change->row);
+	change->row = json_pack(
+	    "{s:I, s:I, s:s, s:s, s:I, s:s, s:s, s:O, s:o, s:o}", "version",
+	    (json_int_t)change->base + 1, "base", (json_int_t)change->base,
+	    "id", change->asked.id, "who", change->who, "when_ms",
+	    (json_int_t)clock_wall_ms(sync->params.clock), "host",
+	    sync->params.host, "why", change->asked.why, "ops",
+	    change->asked.ops, "before", before, "after", after);
+}
+
+/*
+ * The operations do not apply. That may be because they already have, so the
+ * id decides before the refusal is sent.
+ */
+static void
+config_change_invalid(struct config_change *change, const struct err *err)
+{
+	change->refusal = *err;
+	change->refusal_status = err->code == ERR_NOT_FOUND ? 404 : 400;
+	config_change_lookup(change);
+}
+
+static void
+config_change_attempt(struct config_change *change)
+{
+	struct config_sync *sync = change->sync;
+	struct cfgop_undo undo;
+	json_t *before, *after;
+	struct err err;
+	char *text;
+
+	change->base =
+	    change->asked.has_base ? change->asked.base : sync->config->version;
+	if (change->base > sync->config->version) {
+		err_set(&err, ERR_STEP_CONFIG, ERR_UNAVAILABLE, NULL,
+		    "version %llu has not been read here; the newest is %llu",
+		    (unsigned long long)change->base,
+		    (unsigned long long)sync->config->version);
+		change->tries++;
+		config_change_retry(change, &err);
+		return;
+	}
+	if (cfgop_apply(sync->config, change->asked.ops, &undo, &before, &after,
+		&err) != 0) {
+		config_change_invalid(change, &err);
+		return;
+	}
+	cfgop_rollback(sync->config, &undo);
+	config_change_make_row(change, before, after);
+	text = json_dumps(change->row, JSON_COMPACT);
+	if (text == NULL || strlen(text) > CONFIG_ROW_BYTES_MAX) {
+		err_set(&err, ERR_STEP_CONFIG, ERR_TOO_LARGE, NULL,
+		    "the change with its audit data exceeds %u bytes: split it",
+		    CONFIG_ROW_BYTES_MAX);
+		config_change_invalid(change, &err);
+	} else {
+		config_change_write(change, text);
+	}
+	free(text);
+}
+
+void
+config_change_destroy_all(struct config_sync *sync)
+{
+	struct config_change *change;
+
+	while ((change = TAILQ_FIRST(&sync->changes)) != NULL) {
+		TAILQ_REMOVE(&sync->changes, change, entry);
+		config_change_free(change);
+	}
+}
--- /dev/null
+++ b/entry/config_change.h
@@ -0,0 +1,38 @@
+#ifndef ENTRY_CONFIG_CHANGE_H
+#define ENTRY_CONFIG_CHANGE_H
+
+#include <event2/util.h>
+
+#include "entry/config_sync_internal.h"
+
+/* One change on its way into the table; see config_change.c. */
+
+#define CONFIG_WHO_SIZE 160 /* bytes, with the NUL */
+
+struct config_change {
+	struct config_sync *sync;
+	struct cfgop_change asked;
+	char who[CONFIG_WHO_SIZE];
+	uint64_t digest;   /* of the operations */
+	uint64_t base;	   /* version that the last transaction built on */
+	uint64_t start_us; /* monotonic */
+	unsigned tries;
+	bool maybe_written; /* the reply to a transaction was lost */
+	bool conflict;	    /* somebody else's change came first */
+	bool waiting;	    /* for a fetch, then the next step */
+	json_t *row;	    /* of the last transaction; owned */
+	struct err refusal; /* answered unless the id row exists */
+	int refusal_status;
+	struct event *timer;
+	api_reply_fn reply;
+	void *arg;
+	TAILQ_ENTRY(config_change) entry;
+};
+
+/** config_change_free() - free a change that is in no queue. */
+void config_change_free(struct config_change *change);
+
+/** config_change_on_timer() - the callback of a change's timer. */
+void config_change_on_timer(evutil_socket_t fd, short events, void *arg);
+
+#endif /* ENTRY_CONFIG_CHANGE_H */
--- /dev/null
+++ b/entry/config_change_post.c
@@ -0,0 +1,101 @@
+/*
+ * Operators' requests for changes: reading them and queueing them.
+ */
+
+#include <event2/event.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/config_change.h"
+#include "entry/config_json.h"
+
+#define CONFIG_CHANGES_MAX 256 /* waiting on this host */
+
+static uint64_t
+config_change_digest(const struct cfgop_change *asked)
+{
+	uint64_t hash = 0xcbf29ce484222325ULL;
+	char *text, *p;
+
+	text = json_dumps(asked->ops, JSON_COMPACT | JSON_SORT_KEYS);
+	for (p = text; p != NULL && *p != '\0'; p++)
+		hash = (hash ^ (unsigned char)*p) * 0x100000001b3ULL;
+	free(text);
+	return hash;
+}
+
+/* Who asks, as text that JSON can hold. */
+static void
+config_change_set_who(struct config_change *change,
+    const struct api_request *request)
+{
+	json_t *text;
+
+	text = json_string(request->who);
+	if (text != NULL && request->who[0] != '\0')
+		strlcpy(change->who, request->who, sizeof(change->who));
+	else
+		snprintf(change->who, sizeof(change->who), "unknown@%.100s",
+		    request->client != NULL ? request->client : "");
+	json_decref(text);
+}
+
+static int
+config_change_create(struct config_sync *sync,
+    const struct api_request *request, struct config_change **created,
+    struct err *err)
+{
+	struct config_change *change;
+
+	change = calloc(1, sizeof(*change));
+	if (change == NULL)
+		return err_set(err, ERR_STEP_CONFIG, ERR_NO_MEMORY, NULL,
+		    "out of memory");
+	change->sync = sync;
+	change->start_us = clock_now_us(sync->params.clock);
+	if (cfgop_change_parse(&change->asked, request->body, request->body_len,
+		err) != 0)
+		goto error;
+	change->digest = config_change_digest(&change->asked);
+	config_change_set_who(change, request);
+	change->timer =
+	    evtimer_new(sync->params.base, config_change_on_timer, change);
+	if (change->timer == NULL) {
+		err_set(err, ERR_STEP_CONFIG, ERR_NO_MEMORY, NULL,
+		    "out of memory");
+		goto error;
+	}
+	*created = change;
+	return 0;
+error:
+	config_change_free(change);
+	return -1;
+}
+
+void
+config_change_post(struct config_sync *sync, const struct api_request *request,
+    api_reply_fn reply, void *arg)
+{
+	struct config_change *change = NULL;
+	struct err err;
+
+	if (config_change_create(sync, request, &change, &err) != 0) {
+		config_view_problem(reply, arg, 400, &err, 0);
+		return;
+	}
+	if (!sync->ready || sync->nchanges >= CONFIG_CHANGES_MAX) {
+		err_set(&err, ERR_STEP_CONFIG,
+		    sync->ready ? ERR_OVERLOAD : ERR_UNAVAILABLE, NULL,
+		    sync->ready ? "too many changes are waiting"
+				: "no configuration has been read yet");
+		config_view_problem(reply, arg, 503, &err, 0);
+		config_change_free(change);
+		return;
+	}
+	change->reply = reply;
+	change->arg = arg;
+	TAILQ_INSERT_TAIL(&sync->changes, change, entry);
+	if (sync->nchanges++ == 0)
+		config_sync_timer(change->timer, 0);
+}
--- /dev/null
+++ b/entry/config_json.c
@@ -0,0 +1,478 @@
+/*
+ * Objects of the configuration as JSON. A table for each kind names the
+ * members of its spec with type, default and range.
+ */
+
+#include <arpa/inet.h>
+#include <ctype.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/config_json.h"
+
+#define CFGJ_TIME_MAX_MS (24U * 60 * 60 * 1000)
+#define CFGJ_COUNT_MAX 1000000
+#define CFGJ_FIELDS_MAX 9 /* of one spec */
+
+/* enum cfgj_type - how a member of a spec is read. */
+enum cfgj_type {
+	CFGJ_NAME,
+	CFGJ_ADDRESS,
+	CFGJ_PATH,
+	CFGJ_SELECTOR,
+	CFGJ_BOOL,
+	CFGJ_U16,
+	CFGJ_U32,
+};
+
+/* struct cfgj_field - one member of a spec. */
+struct cfgj_field {
+	const char *name;
+	enum cfgj_type type;
+	size_t offset; /* in struct cfg_object */
+	size_t source; /* of a selector: offset of its text */
+	bool required;
+	json_int_t initial;
+	json_int_t min;
+	json_int_t max;
+};
+
+#define CFGJ_AT(field) offsetof(struct cfg_object, u.field)
+
+static const struct cfgj_field cfgj_service_fields[] = {
+	{ "path", CFGJ_PATH, CFGJ_AT(service.path), 0, false, 0, 0, 0 },
+	{ "selector", CFGJ_SELECTOR, CFGJ_AT(service.selector),
+	    CFGJ_AT(service.selector_text), true, 0, 0, 0 },
+	{ .name = NULL },
+};
+
+static const struct cfgj_field cfgj_job_fields[] = {
+	{ "service", CFGJ_NAME, CFGJ_AT(job.service), 0, true, 0, 0, 0 },
+	{ "team", CFGJ_NAME, CFGJ_AT(job.team), 0, false, 0, 0, 0 },
+	{ "repeatable", CFGJ_BOOL, CFGJ_AT(job.repeatable), 0, false, 0, 0, 0 },
+	{ "hedge", CFGJ_BOOL, CFGJ_AT(job.hedge), 0, false, 0, 0, 0 },
+	{ "run_ms", CFGJ_U32, CFGJ_AT(job.run_ms), 0, false, 200, 1,
+	    CFGJ_TIME_MAX_MS },
+	{ "timeout_ms", CFGJ_U32, CFGJ_AT(job.timeout_ms), 0, false, 10000, 1,
+	    CFGJ_TIME_MAX_MS },
+	{ "deadline_ms", CFGJ_U32, CFGJ_AT(job.deadline_ms), 0, false, 60000, 1,
+	    CFGJ_TIME_MAX_MS },
+	{ "queue_tasks_max", CFGJ_U32, CFGJ_AT(job.queue_tasks_max), 0, false,
+	    10000, 1, CFGJ_COUNT_MAX },
+	{ "selector", CFGJ_SELECTOR, CFGJ_AT(job.selector),
+	    CFGJ_AT(job.selector_text), false, 0, 0, 0 },
+	{ .name = NULL },
+};
+
+static const struct cfgj_field cfgj_server_fields[] = {
+	{ "address", CFGJ_ADDRESS, CFGJ_AT(server.address), 0, true, 0, 0, 0 },
+	{ "port", CFGJ_U16, CFGJ_AT(server.port), 0, true, 0, 1, UINT16_MAX },
+	{ "az", CFGJ_NAME, CFGJ_AT(server.az), 0, true, 0, 0, 0 },
+	{ "slots", CFGJ_U32, CFGJ_AT(server.slots), 0, false, 8, 1,
+	    CFGJ_COUNT_MAX },
+	{ "connections", CFGJ_U32, CFGJ_AT(server.connections), 0, false, 64, 1,
+	    CFGJ_COUNT_MAX },
+	{ .name = NULL },
+};
+
+static const struct cfgj_field cfgj_host_fields[] = {
+	{ "az", CFGJ_NAME, CFGJ_AT(host.az), 0, true, 0, 0, 0 },
+	{ "address", CFGJ_ADDRESS, CFGJ_AT(host.address), 0, true, 0, 0, 0 },
+	{ "peer_port", CFGJ_U16, CFGJ_AT(host.peer_port), 0, true, 0, 1,
+	    UINT16_MAX },
+	{ .name = NULL },
+};
+
+static const struct cfgj_field cfgj_team_fields[] = {
+	{ "running_max", CFGJ_U32, CFGJ_AT(team.running_max), 0, false, 0, 0,
+	    CFGJ_COUNT_MAX },
+	{ .name = NULL },
+};
+
+static const struct cfgj_field *const cfgj_fields[CFG_NKINDS] = {
+	[CFG_SERVICE] = cfgj_service_fields,
+	[CFG_JOB] = cfgj_job_fields,
+	[CFG_SERVER] = cfgj_server_fields,
+	[CFG_HOST] = cfgj_host_fields,
+	[CFG_TEAM] = cfgj_team_fields,
+};
+
+/* Depth of nesting, at most @limit + 1. */
+static int
+cfgj_depth(const json_t *json, int limit)
+{
+	const char *key;
+	json_t *child, *object = (json_t *)json;
+	int depth, deepest = 0;
+	size_t i;
+
+	if (!json_is_object(json) && !json_is_array(json))
+		return 0;
+	if (limit == 0)
+		return 1;
+	if (json_is_object(json)) {
+		json_object_foreach (object, key, child) {
+			depth = cfgj_depth(child, limit - 1);
+			deepest = depth > deepest ? depth : deepest;
+		}
+	} else {
+		json_array_foreach (json, i, child) {
+			depth = cfgj_depth(child, limit - 1);
+			deepest = depth > deepest ? depth : deepest;
+		}
+	}
+	return deepest + 1;
+}
+
+json_t *
+cfgj_load(const char *text, size_t len, struct err *err)
+{
+	json_error_t error;
+	json_t *json;
+
+	json = json_loadb(text, len, JSON_REJECT_DUPLICATES, &error);
+	if (json == NULL) {
+		err_set(err, ERR_STEP_PARSE, ERR_INVALID, NULL,
+		    "not JSON: line %d, column %d: %s", error.line,
+		    error.column, error.text);
+		return NULL;
+	}
+	if (cfgj_depth(json, JSON_DEPTH_MAX) > JSON_DEPTH_MAX) {
+		json_decref(json);
+		err_set(err, ERR_STEP_PARSE, ERR_TOO_LARGE, NULL,
+		    "JSON is nested deeper than %d", JSON_DEPTH_MAX);
+		return NULL;
+	}
+	return json;
+}
+
+int
+cfgj_only_members(const json_t *object, const char *what,
+    const char *const *members, struct err *err)
+{
+	const char *key;
+	json_t *value;
+	size_t i;
+
+	if (!json_is_object(object))
+		return err_set(err, ERR_STEP_PARSE, ERR_INVALID, NULL,
+		    "%s: not a JSON object", what);
+	json_object_foreach ((json_t *)object, key, value) {
+		for (i = 0; members[i] != NULL; i++) {
+			if (strcmp(key, members[i]) == 0)
+				break;
+		}
+		if (members[i] == NULL)
+			return err_set(err, ERR_STEP_PARSE, ERR_INVALID, NULL,
+			    "%s: unknown member \"%.60s\"", what, key);
+	}
+	return 0;
+}
+
+int
+cfgj_name_check(const char *name, struct err *err)
+{
+	size_t i;
+
+	for (i = 0; name[i] != '\0'; i++) {
+		if (!isalnum((unsigned char)name[i]) &&
+		    strchr("-_.", name[i]) == NULL)
+			break;
+	}
+	if (name[i] == '\0' && i > 0 && i <= NAME_LEN_MAX)
+		return 0;
+	return err_set(err, ERR_STEP_CONFIG, ERR_INVALID, NULL,
+	    "\"%.80s\" is not a name of 1..%d letters, digits, '-', '_', '.'",
+	    name, NAME_LEN_MAX);
+}
+
+static int
+cfgj_bad(const struct cfg_object *object, const struct cfgj_field *field,
+    const char *what, struct err *err)
+{
+	return err_set(err, ERR_STEP_CONFIG, ERR_INVALID, object->name,
+	    "%s %s: %s %s", cfg_kind_name(object->kind), object->name,
+	    field->name, what);
+}
+
+static int
+cfgj_read_selector(struct cfg_object *object, const struct cfgj_field *field,
+    const char *text, struct err *err)
+{
+	struct selector **selector;
+	char **source;
+
+	selector = (struct selector **)((char *)object + field->offset);
+	source = (char **)((char *)object + field->source);
+	if (!field->required && text[0] == '\0')
+		return 0;
+	*selector = sel_parse(text, err);
+	if (*selector == NULL)
+		return -1;
+	*source = strdup(text);
+	if (*source == NULL)
+		return err_set(err, ERR_STEP_CONFIG, ERR_NO_MEMORY, NULL,
+		    "out of memory");
+	return 0;
+}
+
+static int
+cfgj_read_path(struct cfg_object *object, const struct cfgj_field *field,
+    const char *text, struct err *err)
+{
+	char *path = (char *)object + field->offset;
+	size_t i;
+
+	for (i = 0; text[i] != '\0'; i++) {
+		if (!isgraph((unsigned char)text[i]))
+			return cfgj_bad(object, field,
+			    "holds a blank or control character", err);
+	}
+	if (text[0] != '/' ||
+	    strlcpy(path, text, sizeof(object->u.service.path)) >=
+		sizeof(object->u.service.path))
+		return cfgj_bad(object, field,
+		    "is not a path of 1..255 bytes that begins with '/'", err);
+	return 0;
+}
+
+static int
+cfgj_read_address(struct cfg_object *object, const struct cfgj_field *field,
+    const char *text, struct err *err)
+{
+	unsigned char address[sizeof(struct in6_addr)];
+
+	if (inet_pton(AF_INET, text, address) != 1 &&
+	    inet_pton(AF_INET6, text, address) != 1)
+		return cfgj_bad(object, field, "is not an IP number", err);
+	strlcpy((char *)object + field->offset, text,
+	    sizeof(object->u.server.address));
+	return 0;
+}
+
+static int
+cfgj_read_text(struct cfg_object *object, const struct cfgj_field *field,
+    const json_t *value, struct err *err)
+{
+	const char *text = json_string_value(value);
+
+	if (text == NULL || strlen(text) != json_string_length(value))
+		return cfgj_bad(object, field, "is not a string", err);
+	switch (field->type) {
+	case CFGJ_SELECTOR:
+		return cfgj_read_selector(object, field, text, err);
+	case CFGJ_PATH:
+		return cfgj_read_path(object, field, text, err);
+	case CFGJ_ADDRESS:
+		return cfgj_read_address(object, field, text, err);
+	default:
+		break;
+	}
+	if (text[0] == '\0' && !field->required)
+		return 0;
+	if (cfgj_name_check(text, err) != 0)
+		return -1;
+	strlcpy((char *)object + field->offset, text, NAME_SIZE);
+	return 0;
+}
+
+static int
+cfgj_read_number(struct cfg_object *object, const struct cfgj_field *field,
+    const json_t *value, struct err *err)
+{
+	json_int_t number = field->initial;
+	char range[64];
+
+	if (value != NULL && !json_is_integer(value))
+		return cfgj_bad(object, field, "is not a whole number", err);
+	if (value != NULL)
+		number = json_integer_value(value);
+	if (number < field->min || number > field->max) {
+		snprintf(range, sizeof(range), "is not in %lld..%lld",
+		    (long long)field->min, (long long)field->max);
+		return cfgj_bad(object, field, range, err);
+	}
+	if (field->type == CFGJ_U16)
+		*(uint16_t *)((char *)object + field->offset) =
+		    (uint16_t)number;
+	else
+		*(uint32_t *)((char *)object + field->offset) =
+		    (uint32_t)number;
+	return 0;
+}
+
+static int
+cfgj_read_field(struct cfg_object *object, const struct cfgj_field *field,
+    const json_t *value, struct err *err)
+{
+	if (value == NULL && field->required)
+		return cfgj_bad(object, field, "is missing", err);
+	if (field->type == CFGJ_U16 || field->type == CFGJ_U32)
+		return cfgj_read_number(object, field, value, err);
+	if (value == NULL) {
+		if (field->type == CFGJ_PATH)
+			return cfgj_read_path(object, field, "/", err);
+		return 0;
+	}
+	if (field->type == CFGJ_BOOL) {
+		if (!json_is_boolean(value))
+			return cfgj_bad(object, field, "is not true or false",
+			    err);
+		*(bool *)((char *)object + field->offset) = json_is_true(value);
+		return 0;
+	}
+	return cfgj_read_text(object, field, value, err);
+}
+
+static int
+cfgj_read_spec(struct cfg_object *object, const json_t *spec, struct err *err)
+{
+	const struct cfgj_field *fields = cfgj_fields[object->kind];
+	const char *members[CFGJ_FIELDS_MAX + 1] = { NULL };
+	size_t i;
+
+	for (i = 0; fields[i].name != NULL; i++)
+		members[i] = fields[i].name;
+	if (spec != NULL && cfgj_only_members(spec, "spec", members, err) != 0)
+		return -1;
+	for (i = 0; fields[i].name != NULL; i++) {
+		if (cfgj_read_field(object, &fields[i],
+			json_object_get(spec, fields[i].name), err) != 0)
+			return -1;
+	}
+	if (object->kind == CFG_JOB && object->u.job.hedge &&
+	    !object->u.job.repeatable)
+		return err_set(err, ERR_STEP_CONFIG, ERR_INVALID, object->name,
+		    "job %s: hedge needs repeatable", object->name);
+	return 0;
+}
+
+/* A label that the object itself decides; another value is refused. */
+static int
+cfgj_set_own_label(struct cfg_object *object, const char *name,
+    const char *value, struct err *err)
+{
+	const char *given = lbl_get(&object->labels, name);
+
+	if (given != NULL && strcmp(given, value) != 0)
+		return err_set(err, ERR_STEP_CONFIG, ERR_INVALID, object->name,
+		    "label %s of %s %s is set from the object itself", name,
+		    cfg_kind_name(object->kind), object->name);
+	return lbl_set(&object->labels, name, value, err);
+}
+
+static int
+cfgj_read_labels(struct cfg_object *object, const json_t *labels,
+    struct err *err)
+{
+	const char *name, *text;
+	json_t *value;
+
+	if (labels != NULL && !json_is_object(labels))
+		return err_set(err, ERR_STEP_PARSE, ERR_INVALID, object->name,
+		    "labels: not a JSON object");
+	json_object_foreach ((json_t *)labels, name, value) {
+		text = json_string_value(value);
+		if (text == NULL || strlen(text) != json_string_length(value))
+			return err_set(err, ERR_STEP_PARSE, ERR_INVALID,
+			    object->name, "label \"%.60s\": not a string",
+			    name);
+		if (lbl_set(&object->labels, name, text, err) != 0)
+			return -1;
+	}
+	if (object->kind == CFG_SERVER &&
+	    cfgj_set_own_label(object, "az", object->u.server.az, err) != 0)
+		return -1;
+	if (object->kind == CFG_HOST &&
+	    cfgj_set_own_label(object, "az", object->u.host.az, err) != 0)
+		return -1;
+	if (object->kind == CFG_SERVER || object->kind == CFG_HOST)
+		return cfgj_set_own_label(object, "name", object->name, err);
+	return 0;
+}
+
+struct cfg_object *
+cfgj_object_parse(enum cfg_kind kind, const char *name, const json_t *labels,
+    const json_t *spec, struct err *err)
+{
+	struct cfg_object *object;
+
+	if (cfgj_name_check(name, err) != 0)
+		return NULL;
+	object = calloc(1, sizeof(*object));
+	if (object == NULL) {
+		err_set(err, ERR_STEP_CONFIG, ERR_NO_MEMORY, NULL,
+		    "out of memory");
+		return NULL;
+	}
+	object->kind = kind;
+	strlcpy(object->name, name, sizeof(object->name));
+	if (cfgj_read_spec(object, spec, err) != 0 ||
+	    cfgj_read_labels(object, labels, err) != 0) {
+		cfg_object_free(object);
+		return NULL;
+	}
+	return object;
+}
+
+static json_t *
+cfgj_field_json(const struct cfg_object *object, const struct cfgj_field *field)
+{
+	const char *at = (const char *)object + field->offset;
+	const char *source;
+
+	switch (field->type) {
+	case CFGJ_SELECTOR:
+		source = *(char *const *)((const char *)object + field->source);
+		return json_string(source != NULL ? source : "");
+	case CFGJ_BOOL:
+		return json_boolean(*(const bool *)at);
+	case CFGJ_U16:
+		return json_integer(*(const uint16_t *)at);
+	case CFGJ_U32:
+		return json_integer(*(const uint32_t *)at);
+	default:
+		return json_string(at);
+	}
+}
+
+json_t *
+cfgj_object_json(const struct cfg_object *object)
+{
+	const struct cfgj_field *field;
+	json_t *labels, *spec;
+	size_t i;
+
+	labels = json_object();
+	spec = json_object();
+	for (i = 0; i < object->labels.n; i++)
+		json_object_set_new(labels, object->labels.items[i].name,
+		    json_string(object->labels.items[i].value));
+	for (field = cfgj_fields[object->kind]; field->name != NULL; field++)
+		json_object_set_new(spec, field->name,
+		    cfgj_field_json(object, field));
+	return json_pack("{s:s, s:s, s:o, s:o}", "kind",
+	    cfg_kind_name(object->kind), "name", object->name, "labels", labels,
+	    "spec", spec);
+}
+
+int
+cfgj_references_check(const struct config *config,
+    const struct cfg_object *object, struct err *err)
+{
+	const struct cfg_job *job = &object->u.job;
+
+	if (object->kind != CFG_JOB)
+		return 0;
+	if (cfg_find(config, CFG_SERVICE, job->service) == NULL)
+		return err_set(err, ERR_STEP_CONFIG, ERR_INVALID, object->name,
+		    "job %s: service %s does not exist", object->name,
+		    job->service);
+	if (job->team[0] != '\0' &&
+	    cfg_find(config, CFG_TEAM, job->team) == NULL)
+		return err_set(err, ERR_STEP_CONFIG, ERR_INVALID, object->name,
+		    "job %s: team %s does not exist", object->name, job->team);
+	return 0;
+}
