Add the platform over HTTP and tests of the configuration's sync

One evhttp client carries table, objects and host list. A transaction is unavailable only if no byte left this host or the platform's own error document says that nothing was written; anything else is unknown.

--- /dev/null
+++ b/adapters/http_client.c
@@ -0,0 +1,480 @@
+/*
+ * Calls to one HTTP server by evhttp. What was sent is known from the output
+ * buffer: bytes leave it only by a write to the socket. Connections and calls
+ * are started and freed from one deferred event, never within a callback of
+ * evhttp.
+ */
+
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/keyvalq_struct.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+
+#include "adapters/http_client.h"
+
+#define HCL_EVHTTP_TIMEOUT_S 86400 /* the calls' own timers come first */
+#define HCL_HEADERS_BYTES_MAX 16384
+#define HCL_PEER_SIZE 64 /* bytes, with the NUL */
+
+struct hcl_conn;
+
+/* A call stands in the waiting queue, or belongs to its connection. */
+struct hcl_call {
+	struct hcl *hcl;
+	struct hcl_conn *conn;		/* NULL while it waits */
+	struct evhttp_request *request; /* owned while the call waits */
+	enum evhttp_cmd_type method;
+	char *path;
+	bool sent;
+	struct event *timer;
+	hcl_done_fn done;
+	void (*drop)(void *arg);
+	void *arg;
+	TAILQ_ENTRY(hcl_call) entry;
+};
+
+TAILQ_HEAD(hcl_calls, hcl_call);
+
+struct hcl_conn {
+	struct hcl *hcl;
+	struct evhttp_connection *evcon;
+	struct hcl_call *call; /* NULL: idle or dead */
+	TAILQ_ENTRY(hcl_conn) entry;
+};
+
+TAILQ_HEAD(hcl_conns, hcl_conn);
+
+struct hcl {
+	struct hcl_params params;
+	char peer[HCL_PEER_SIZE];
+	struct hcl_calls waiting;
+	struct hcl_calls refused; /* ended at once, for want of room */
+	size_t nwaiting;
+	struct hcl_conns idle;
+	struct hcl_conns busy;
+	struct hcl_conns dead; /* to be freed */
+	size_t nconns;	       /* idle and busy */
+	struct event *deferred;
+};
+
+const char *
+hcl_peer(const struct hcl *hcl)
+{
+	return hcl->peer;
+}
+
+int
+hcl_err(const struct hcl *hcl, const struct hcl_reply *reply,
+    enum err_step step, struct err *err)
+{
+	if (reply->status != 0)
+		return err_set(err, step, ERR_REFUSED, hcl->peer,
+		    "HTTP status %d", reply->status);
+	if (!reply->sent)
+		return err_set(err, step, ERR_UNAVAILABLE, hcl->peer,
+		    "%s before anything was sent", reply->reason);
+	return err_set(err, step, reply->too_late ? ERR_DEADLINE : ERR_LOST,
+	    hcl->peer, "%s after sending", reply->reason);
+}
+
+static void
+hcl_wake(struct hcl *hcl)
+{
+	event_active(hcl->deferred, EV_TIMEOUT, 0);
+}
+
+static void
+hcl_call_free(struct hcl_call *call)
+{
+	if (call->timer != NULL)
+		event_free(call->timer);
+	if (call->request != NULL)
+		evhttp_request_free(call->request);
+	free(call->path);
+	free(call);
+}
+
+static void
+hcl_conn_free(struct hcl_conn *conn)
+{
+	evhttp_connection_free(conn->evcon);
+	free(conn);
+}
+
+/* Takes the connection from its call; it is kept, or freed later. */
+static void
+hcl_conn_release(struct hcl_conn *conn, bool keep)
+{
+	struct hcl *hcl = conn->hcl;
+
+	conn->call->conn = NULL;
+	conn->call = NULL;
+	TAILQ_REMOVE(&hcl->busy, conn, entry);
+	if (keep) {
+		TAILQ_INSERT_HEAD(&hcl->idle, conn, entry);
+	} else {
+		hcl->nconns--;
+		TAILQ_INSERT_TAIL(&hcl->dead, conn, entry);
+	}
+	hcl_wake(hcl);
+}
+
+/* Ends a call that has left its queue and its connection. */
+static void
+hcl_call_finish(struct hcl_call *call, const struct hcl_reply *reply)
+{
+	hcl_done_fn done = call->done;
+	void *arg = call->arg;
+
+	event_del(call->timer);
+	done(arg, reply);
+	hcl_call_free(call);
+}
+
+static void
+hcl_call_fail(struct hcl_call *call, const char *reason, bool too_late)
+{
+	struct hcl_reply reply = { .sent = call->sent,
+		.too_late = too_late,
+		.reason = reason };
+
+	hcl_call_finish(call, &reply);
+}
+
+/*
+ * evhttp drops the output when it resets a connection, with writing disabled;
+ * those bytes were not sent.
+ */
+static void
+hcl_output_changed(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+    void *arg)
+{
+	struct hcl_conn *conn = arg;
+	struct bufferevent *bev;
+
+	(void)buffer;
+	if (info->n_deleted == 0 || conn->call == NULL)
+		return;
+	bev = evhttp_connection_get_bufferevent(conn->evcon);
+	if ((bufferevent_get_enabled(bev) & EV_WRITE) != 0)
+		conn->call->sent = true;
+}
+
+static struct hcl_conn *
+hcl_conn_create(struct hcl *hcl)
+{
+	struct timeval timeout = { .tv_sec = HCL_EVHTTP_TIMEOUT_S };
+	struct bufferevent *bev;
+	struct hcl_conn *conn;
+
+	conn = calloc(1, sizeof(*conn));
+	if (conn == NULL)
+		return NULL;
+	conn->hcl = hcl;
+	conn->evcon =
+	    evhttp_connection_base_bufferevent_new(hcl->params.base, NULL, NULL,
+		hcl->params.endpoint.address, hcl->params.endpoint.port);
+	if (conn->evcon == NULL)
+		goto error;
+	evhttp_connection_set_retries(conn->evcon, 0);
+	evhttp_connection_set_timeout_tv(conn->evcon, &timeout);
+	evhttp_connection_set_max_body_size(conn->evcon,
+	    (ev_ssize_t)hcl->params.body_max);
+	evhttp_connection_set_max_headers_size(conn->evcon,
+	    HCL_HEADERS_BYTES_MAX);
+	bev = evhttp_connection_get_bufferevent(conn->evcon);
+	if (evbuffer_add_cb(bufferevent_get_output(bev), hcl_output_changed,
+		conn) == NULL)
+		goto error;
+	hcl->nconns++;
+	return conn;
+error:
+	if (conn->evcon != NULL)
+		evhttp_connection_free(conn->evcon);
+	free(conn);
+	return NULL;
+}
+
+/* A kept connection is clean if nothing came in meanwhile, not even its end. */
+static bool
+hcl_conn_clean(const struct hcl_conn *conn)
+{
+	struct bufferevent *bev;
+	evutil_socket_t fd;
+	char byte;
+
+	bev = evhttp_connection_get_bufferevent(conn->evcon);
+	fd = bufferevent_getfd(bev);
+	if (fd == -1 || evbuffer_get_length(bufferevent_get_input(bev)) != 0)
+		return false;
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == -1 &&
+	    (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+/* An idle connection or a new one, in no list; NULL if there is none. */
+static struct hcl_conn *
+hcl_conn_get(struct hcl *hcl)
+{
+	struct hcl_conn *conn;
+
+	while ((conn = TAILQ_FIRST(&hcl->idle)) != NULL) {
+		TAILQ_REMOVE(&hcl->idle, conn, entry);
+		if (hcl_conn_clean(conn))
+			return conn;
+		hcl->nconns--;
+		hcl_conn_free(conn);
+	}
+	if (hcl->nconns >= hcl->params.connections_max)
+		return NULL;
+	return hcl_conn_create(hcl);
+}
+
+/* Does the answer's end show that it is whole, and may the rest be kept? */
+static bool
+hcl_answer_whole(struct evhttp_request *request, bool *keep)
+{
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(request);
+	const char *connection = evhttp_find_header(headers, "Connection");
+	const char *coding = evhttp_find_header(headers, "Transfer-Encoding");
+
+	*keep = connection == NULL || strcasecmp(connection, "close") != 0;
+	return evhttp_find_header(headers, "Content-Length") != NULL ||
+	    (coding != NULL && strcasecmp(coding, "chunked") == 0) ||
+	    evhttp_request_get_response_code(request) == HTTP_NOCONTENT;
+}
+
+/* evhttp is done with a request; it failed if that is NULL or without code. */
+static void
+hcl_request_done(struct evhttp_request *request, void *arg)
+{
+	struct hcl_call *call = arg;
+	struct hcl_reply reply = { .sent = true };
+	struct evbuffer *input;
+	bool keep;
+
+	if (request == NULL || evhttp_request_get_response_code(request) == 0) {
+		hcl_conn_release(call->conn, false);
+		hcl_call_fail(call,
+		    call->sent ? "connection ended" : "connect failed", false);
+		return;
+	}
+	if (!hcl_answer_whole(request, &keep)) {
+		hcl_conn_release(call->conn, false);
+		call->sent = true;
+		hcl_call_fail(call, "answer without length", false);
+		return;
+	}
+	input = evhttp_request_get_input_buffer(request);
+	reply.status = evhttp_request_get_response_code(request);
+	reply.body_len = evbuffer_get_length(input);
+	reply.body = (const char *)evbuffer_pullup(input, -1);
+	reply.headers = evhttp_request_get_input_headers(request);
+	if (reply.body == NULL)
+		reply.body = "";
+	hcl_conn_release(call->conn, keep);
+	hcl_call_finish(call, &reply);
+}
+
+static void
+hcl_timed_out(evutil_socket_t fd, short events, void *arg)
+{
+	struct hcl_call *call = arg;
+	struct hcl_conn *conn = call->conn;
+	struct hcl *hcl = call->hcl;
+
+	(void)fd;
+	(void)events;
+	if (conn == NULL) {
+		TAILQ_REMOVE(&hcl->waiting, call, entry);
+		hcl->nwaiting--;
+	} else {
+		call->conn = NULL;
+		TAILQ_REMOVE(&hcl->busy, conn, entry);
+		hcl->nconns--;
+		hcl_conn_free(conn);
+		hcl_wake(hcl);
+	}
+	hcl_call_fail(call, "time limit passed", true);
+}
+
+/* Sends a call on a connection; evhttp owns the request from here. */
+static void
+hcl_call_send(struct hcl_call *call, struct hcl_conn *conn)
+{
+	struct evhttp_request *request = call->request;
+
+	call->request = NULL;
+	call->conn = conn;
+	conn->call = call;
+	TAILQ_INSERT_TAIL(&conn->hcl->busy, conn, entry);
+	if (evhttp_make_request(conn->evcon, request, call->method,
+		call->path) == 0)
+		return;
+	hcl_conn_release(conn, false);
+	hcl_call_fail(call, "request could not be made", false);
+}
+
+static void
+hcl_run_deferred(evutil_socket_t fd, short events, void *arg)
+{
+	struct hcl *hcl = arg;
+	struct hcl_conn *conn;
+	struct hcl_call *call;
+
+	(void)fd;
+	(void)events;
+	while ((conn = TAILQ_FIRST(&hcl->dead)) != NULL) {
+		TAILQ_REMOVE(&hcl->dead, conn, entry);
+		hcl_conn_free(conn);
+	}
+	while ((call = TAILQ_FIRST(&hcl->refused)) != NULL) {
+		TAILQ_REMOVE(&hcl->refused, call, entry);
+		hcl_call_fail(call, "too many calls are waiting", false);
+	}
+	while ((call = TAILQ_FIRST(&hcl->waiting)) != NULL) {
+		conn = hcl_conn_get(hcl);
+		if (conn == NULL)
+			return;
+		TAILQ_REMOVE(&hcl->waiting, call, entry);
+		hcl->nwaiting--;
+		hcl_call_send(call, conn);
+	}
+}
+
+/* Out of memory for a call leaves no way to tell the caller: end. */
+static struct evhttp_request *
+hcl_build_request(struct hcl *hcl, const struct hcl_request *request,
+    struct hcl_call *call)
+{
+	struct evhttp_request *req;
+	struct evkeyvalq *headers;
+	size_t i;
+
+	req = evhttp_request_new(hcl_request_done, call);
+	if (req == NULL)
+		abort();
+	headers = evhttp_request_get_output_headers(req);
+	(void)evhttp_add_header(headers, "Host", hcl->peer);
+	for (i = 0; i < request->nheaders; i++)
+		(void)evhttp_add_header(headers, request->headers[i].name,
+		    request->headers[i].value);
+	if (request->body_len > 0 &&
+	    evbuffer_add(evhttp_request_get_output_buffer(req), request->body,
+		request->body_len) != 0)
+		abort();
+	return req;
+}
+
+void
+hcl_call(struct hcl *hcl, const struct hcl_request *request, hcl_done_fn done,
+    void *arg)
+{
+	uint32_t ms = request->timeout_ms != 0 ? request->timeout_ms
+					       : hcl->params.timeout_ms;
+	struct timeval limit = { .tv_sec = ms / 1000,
+		.tv_usec = (suseconds_t)(ms % 1000) * 1000 };
+	struct hcl_call *call;
+
+	call = calloc(1, sizeof(*call));
+	if (call == NULL)
+		abort();
+	call->hcl = hcl;
+	call->done = done;
+	call->drop = request->drop;
+	call->arg = arg;
+	call->method = request->method;
+	call->path = strdup(request->path);
+	call->request = hcl_build_request(hcl, request, call);
+	call->timer = evtimer_new(hcl->params.base, hcl_timed_out, call);
+	if (call->path == NULL || call->timer == NULL)
+		abort();
+	if (hcl->nwaiting >= hcl->params.waiting_max) {
+		TAILQ_INSERT_TAIL(&hcl->refused, call, entry);
+	} else {
+		(void)event_add(call->timer, &limit);
+		TAILQ_INSERT_TAIL(&hcl->waiting, call, entry);
+		hcl->nwaiting++;
+	}
+	hcl_wake(hcl);
+}
+
+struct hcl *
+hcl_create(const struct hcl_params *params)
+{
+	bool v6 = strchr(params->endpoint.address, ':') != NULL;
+	struct hcl *hcl;
+
+	hcl = calloc(1, sizeof(*hcl));
+	if (hcl == NULL)
+		return NULL;
+	hcl->params = *params;
+	snprintf(hcl->peer, sizeof(hcl->peer), v6 ? "[%s]:%u" : "%s:%u",
+	    params->endpoint.address, params->endpoint.port);
+	TAILQ_INIT(&hcl->waiting);
+	TAILQ_INIT(&hcl->refused);
+	TAILQ_INIT(&hcl->idle);
+	TAILQ_INIT(&hcl->busy);
+	TAILQ_INIT(&hcl->dead);
+	hcl->deferred = event_new(params->base, -1, 0, hcl_run_deferred, hcl);
+	if (hcl->deferred == NULL) {
+		free(hcl);
+		return NULL;
+	}
+	return hcl;
+}
+
+static void
+hcl_call_drop(struct hcl_call *call)
+{
+	if (call->drop != NULL)
+		call->drop(call->arg);
+	hcl_call_free(call);
+}
+
+static void
+hcl_conns_free(struct hcl_conns *conns)
+{
+	struct hcl_conn *conn;
+	struct hcl_call *call;
+
+	while ((conn = TAILQ_FIRST(conns)) != NULL) {
+		TAILQ_REMOVE(conns, conn, entry);
+		call = conn->call;
+		conn->call = NULL;
+		hcl_conn_free(conn);
+		if (call != NULL)
+			hcl_call_drop(call);
+	}
+}
+
+static void
+hcl_calls_free(struct hcl_calls *calls)
+{
+	struct hcl_call *call;
+
+	while ((call = TAILQ_FIRST(calls)) != NULL) {
+		TAILQ_REMOVE(calls, call, entry);
+		hcl_call_drop(call);
+	}
+}
+
+void
+hcl_destroy(struct hcl *hcl)
+{
+	if (hcl == NULL)
+		return;
+	event_free(hcl->deferred);
+	hcl_conns_free(&hcl->busy);
+	hcl_conns_free(&hcl->idle);
+	hcl_conns_free(&hcl->dead);
+	hcl_calls_free(&hcl->waiting);
+	hcl_calls_free(&hcl->refused);
+	free(hcl);
+}
--- /dev/null
+++ b/tests/support/fake_table.h
@@ -0,0 +1,25 @@
+#ifndef TESTS_SUPPORT_FAKE_TABLE_H
+#define TESTS_SUPPORT_FAKE_TABLE_H
+
+#include <stdbool.h>
+
+#include "ports/table.h"
+
+/* A table with faults, around one that works. */
+
+/** struct fake_table - faults that the next calls meet. */
+struct fake_table {
+	struct table table; /* first */
+	struct table *inner;
+	int lose_replies;  /* writes applied, but their reply is lost */
+	int lose_requests; /* writes not applied, reported as unknown */
+	int refuse_writes; /* writes not applied, reported as such */
+	bool down;	   /* nothing is reached */
+	char stale_sk[TABLE_KEY_SIZE]; /* reads of "config" end here; "" off */
+	int queries;
+	int transactions;
+};
+
+void fake_table_init(struct fake_table *fake, struct table *inner);
+
+#endif /* TESTS_SUPPORT_FAKE_TABLE_H */
