Add tickets, claims, the API and its HTTP server

A submission's id names the one process that may start it; that process's own memory decides, in clm_claim(), whether it may be started. What another process issued is forwarded; if that process is gone its final record is asked. Idempotency keys are claimed by a row in the table before the start.

struct api_request gains the member ticket, for the header Berylrail-Ticket of single requests. Between peers it travels as the query "ticket=", so the peers' messages stay as they are.

The HTTP server, keys, forwarding and shutdown have no tests of their own yet.

--- /dev/null
+++ b/adapters/http_server.c
@@ -0,0 +1,533 @@
+/*
+ * HTTP/1.1 for clients and operators, by libevhtp.
+ *
+ * A connection has at most one request in the API at a time; the connection's
+ * object is the argument by which the API knows it. Requests end in one of
+ * two ways: by a reply, or with their connection, whose end abandons them.
+ *
+ * libevhtp drops a connection silently when the parser or a hook refuses it.
+ * The refusal is therefore written from the hook that runs at the
+ * connection's end, straight to the socket, as nothing else is pending there.
+ */
+
+#include <errno.h>
+#include <event2/listener.h>
+#include <evhtp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+#include <time.h>
+
+#include "adapters/http_server.h"
+#include "berylrail/limits.h"
+#include "core/counters.h"
+#include "entry/problem.h"
+#include "entry/refusals.h"
+
+#define HTTP_BACKLOG 1024
+#define HTTP_HEADER_BYTES_MAX 16384 /* all header lines of a request */
+#define HTTP_IDLE_TIMEOUT_MS 120000
+#define HTTP_WRITE_TIMEOUT_MS 30000 /* without any progress */
+#define HTTP_SWEEPS_PER_TIMEOUT 4
+#define HTTP_DISCARD_BYTES_MAX (1U << 20)
+#define HTTP_CLIENT_SIZE 64
+
+static struct counter http_connections = {
+	.name = "berylrail_client_connections",
+	.help = "open connections of clients",
+	.gauge = 1,
+};
+
+/** enum http_state - what a connection is waiting for. */
+enum http_state {
+	HTTP_IDLE,
+	HTTP_READING,
+	HTTP_HANDLING,
+	HTTP_WRITING,
+};
+
+/** struct http_conn - one client's connection. */
+struct http_conn {
+	struct http_server *server;
+	evhtp_connection_t *evconn;
+	evhtp_request_t *pending; /* given to the API and not answered */
+	size_t nheaders;
+	size_t header_bytes;
+	bool refused;
+	enum refusal refusal;  /* why the connection ends, if refused */
+	enum http_state state; /* as the last sweep saw it */
+	uint64_t since_ms;     /* in that state, or of the last progress */
+	uint64_t progress;     /* of that state */
+	uint64_t nserved;
+	char client[HTTP_CLIENT_SIZE];
+	LIST_ENTRY(http_conn) entry;
+};
+
+struct http_server {
+	struct http_server_params params;
+	evhtp_t *htp;
+	struct event *sweep;
+	bool closing;
+	size_t nconns;
+	LIST_HEAD(, http_conn) conns;
+};
+
+static uint64_t
+http_now_ms(void)
+{
+	struct timespec ts;
+
+	(void)clock_gettime(CLOCK_MONOTONIC, &ts);
+	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+static void
+http_client_name(char name[HTTP_CLIENT_SIZE], const struct sockaddr *addr)
+{
+	const struct sockaddr_in6 *in6 = (const struct sockaddr_in6 *)addr;
+	const struct sockaddr_in *in = (const struct sockaddr_in *)addr;
+	char text[INET6_ADDRSTRLEN] = "";
+
+	if (addr->sa_family == AF_INET) {
+		(void)evutil_inet_ntop(AF_INET, &in->sin_addr, text,
+		    sizeof(text));
+		(void)snprintf(name, HTTP_CLIENT_SIZE, "%s:%u", text,
+		    ntohs(in->sin_port));
+	} else if (addr->sa_family == AF_INET6) {
+		(void)evutil_inet_ntop(AF_INET6, &in6->sin6_addr, text,
+		    sizeof(text));
+		(void)snprintf(name, HTTP_CLIENT_SIZE, "[%s]:%u", text,
+		    ntohs(in6->sin6_port));
+	}
+}
+
+/* Takes what has arrived, so that closing does not reset the connection
+ * before the client has read the refusal. */
+static void
+http_discard(evutil_socket_t fd)
+{
+	char buf[16384];
+	size_t total = 0;
+	ssize_t n;
+
+	(void)shutdown(fd, SHUT_WR);
+	while (total < HTTP_DISCARD_BYTES_MAX) {
+		n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+		if (n <= 0)
+			break;
+		total += (size_t)n;
+	}
+}
+
+/* Writes a refusal to a connection that is about to be closed. */
+static void
+http_refuse_fd(evutil_socket_t fd, enum refusal refusal, const char *client)
+{
+	const struct refusal_row *row = ref_row(refusal);
+	char head[256];
+	struct err err;
+	size_t len;
+	char *body;
+	int n;
+
+	ref_set(&err, refusal, client);
+	ref_count(&err);
+	body = problem_render(row, &err, &len);
+	if (body == NULL)
+		return;
+	n = snprintf(head, sizeof(head),
+	    "HTTP/1.1 %d Refused\r\nContent-Type: %s\r\n"
+	    "Content-Length: %zu\r\nConnection: close\r\n\r\n",
+	    row->status, PROBLEM_TYPE, len);
+	(void)send(fd, head, (size_t)n, MSG_DONTWAIT | MSG_NOSIGNAL | MSG_MORE);
+	(void)send(fd, body, len, MSG_DONTWAIT | MSG_NOSIGNAL);
+	free(body);
+	http_discard(fd);
+}
+
+static evhtp_res
+http_on_fini(evhtp_connection_t *evconn, void *arg)
+{
+	struct http_conn *conn = arg;
+	struct http_server *server = conn->server;
+	bool answering = conn->pending != NULL ||
+	    (evconn->request != NULL &&
+		(evconn->request->flags & EVHTP_REQ_FLAG_FINISHED));
+
+	if (!conn->refused && evconn->request != NULL &&
+	    evconn->request->status == EVHTP_RES_DATA_TOO_LONG) {
+		conn->refused = true;
+		conn->refusal = REF_BODY_BYTES;
+	}
+	if (!conn->refused &&
+	    htparser_get_error(evconn->parser) != htparse_error_none) {
+		conn->refused = true;
+		conn->refusal =
+		    htparser_get_error(evconn->parser) == htparse_error_too_big
+		    ? REF_HEADER_BYTES
+		    : REF_MALFORMED;
+	}
+	if (conn->refused && !answering)
+		http_refuse_fd(evconn->sock, conn->refusal, conn->client);
+	if (conn->pending != NULL)
+		api_abandon(server->params.api, conn);
+	LIST_REMOVE(conn, entry);
+	ctr_set(&http_connections, --server->nconns);
+	free(conn);
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res
+http_refuse(struct http_conn *conn, enum refusal refusal)
+{
+	conn->refused = true;
+	conn->refusal = refusal;
+	return EVHTP_RES_ERROR;
+}
+
+static evhtp_res
+http_on_headers_start(evhtp_request_t *req, void *arg)
+{
+	struct http_conn *conn = arg;
+
+	(void)req;
+	conn->nheaders = 0;
+	conn->header_bytes = 0;
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res
+http_on_header(evhtp_request_t *req, evhtp_header_t *header, void *arg)
+{
+	struct http_conn *conn = arg;
+
+	(void)req;
+	conn->header_bytes += header->klen + header->vlen;
+	if (++conn->nheaders > HEADERS_MAX)
+		return http_refuse(conn, REF_HEADERS);
+	if (conn->header_bytes > HTTP_HEADER_BYTES_MAX)
+		return http_refuse(conn, REF_HEADER_BYTES);
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res
+http_on_headers(evhtp_request_t *req, evhtp_headers_t *headers, void *arg)
+{
+	struct http_conn *conn = arg;
+	evhtp_kv_t *type;
+
+	if (evhtp_request_content_len(req) >
+	    conn->server->params.body_bytes_max)
+		return http_refuse(conn, REF_BODY_BYTES);
+	/* libevhtp would take a form's body for the query. */
+	type = evhtp_kvs_find_kv(headers, "Content-Type");
+	if (type != NULL)
+		evhtp_kv_rm_and_free(headers, type);
+	return EVHTP_RES_OK;
+}
+
+static enum api_method
+http_method(htp_method method)
+{
+	switch (method) {
+	case htp_method_GET:
+		return API_GET;
+	case htp_method_POST:
+		return API_POST;
+	case htp_method_DELETE:
+		return API_DELETE;
+	case htp_method_PATCH:
+		return API_PATCH;
+	default:
+		return API_OTHER;
+	}
+}
+
+static void
+http_add_header(evhtp_request_t *req, const char *name, const char *value)
+{
+	evhtp_headers_add_header(req->headers_out,
+	    evhtp_header_new(name, value, 0, 1));
+}
+
+static void
+http_reply(void *arg, const struct api_reply *reply)
+{
+	struct http_conn *conn = arg;
+	evhtp_request_t *req = conn->pending;
+	char length[24];
+
+	conn->pending = NULL;
+	conn->nserved++;
+	if (req->method == htp_method_HEAD) {
+		http_add_header(req, "Content-Length", "0");
+	} else {
+		(void)snprintf(length, sizeof(length), "%zu", reply->body_len);
+		http_add_header(req, "Content-Length", length);
+		if (reply->content_type != NULL)
+			http_add_header(req, "Content-Type",
+			    reply->content_type);
+		if (reply->body_len > 0)
+			(void)evbuffer_add(req->buffer_out, reply->body,
+			    reply->body_len);
+	}
+	if (reply->outcome != NULL)
+		http_add_header(req, "Berylrail-Outcome", reply->outcome);
+	if (reply->next_ticket != NULL)
+		http_add_header(req, "Berylrail-Ticket", reply->next_ticket);
+	if (conn->server->closing)
+		evhtp_request_set_keepalive(req, 0);
+	evhtp_send_reply(req, (evhtp_res)reply->status);
+}
+
+static void
+http_on_request(evhtp_request_t *req, void *arg)
+{
+	struct http_server *server = arg;
+	struct http_conn *conn = req->conn->hooks->on_header_arg;
+	evhtp_headers_t *headers = req->headers_in;
+	struct api_request request = {
+		.method = http_method(req->method),
+		.query = "",
+		.idempotency_key = evhtp_kv_find(headers, "Idempotency-Key"),
+		.job = evhtp_kv_find(headers, "Berylrail-Job"),
+		.ticket = evhtp_kv_find(headers, "Berylrail-Ticket"),
+		.who = evhtp_kv_find(headers, "Berylrail-Operator"),
+		.client = conn->client,
+	};
+
+	request.path = req->uri == NULL || req->uri->path == NULL ||
+		req->uri->path->full == NULL
+	    ? ""
+	    : req->uri->path->full;
+	if (req->uri != NULL && req->uri->query_raw != NULL)
+		request.query = (const char *)req->uri->query_raw;
+	request.body_len = evbuffer_get_length(req->buffer_in);
+	if (request.body_len > 0)
+		request.body = evbuffer_pullup(req->buffer_in, -1);
+	conn->pending = req;
+	api_handle(server->params.api, &request, http_reply, conn);
+}
+
+static int
+http_set_hooks(struct http_conn *conn)
+{
+	evhtp_connection_t *evconn = conn->evconn;
+
+	if (evhtp_connection_set_hook(evconn, evhtp_hook_on_headers_start,
+		(evhtp_hook)http_on_headers_start, conn) != 0 ||
+	    evhtp_connection_set_hook(evconn, evhtp_hook_on_header,
+		(evhtp_hook)http_on_header, conn) != 0 ||
+	    evhtp_connection_set_hook(evconn, evhtp_hook_on_headers,
+		(evhtp_hook)http_on_headers, conn) != 0 ||
+	    evhtp_connection_set_hook(evconn, evhtp_hook_on_connection_fini,
+		(evhtp_hook)http_on_fini, conn) != 0)
+		return -1;
+	return 0;
+}
+
+static evhtp_res
+http_on_accept(evhtp_connection_t *evconn, void *arg)
+{
+	struct http_server *server = arg;
+	struct http_conn *conn;
+
+	if (server->nconns >= server->params.clients_max) {
+		http_refuse_fd(evconn->sock, REF_CONNECTIONS, NULL);
+		return EVHTP_RES_ERROR;
+	}
+	conn = calloc(1, sizeof(*conn));
+	if (conn == NULL)
+		return EVHTP_RES_ERROR;
+	conn->server = server;
+	conn->evconn = evconn;
+	conn->since_ms = http_now_ms();
+	http_client_name(conn->client, evconn->saddr);
+	if (http_set_hooks(conn) == -1) {
+		evhtp_connection_unset_hook(evconn,
+		    evhtp_hook_on_connection_fini);
+		free(conn);
+		return EVHTP_RES_ERROR;
+	}
+	LIST_INSERT_HEAD(&server->conns, conn, entry);
+	ctr_set(&http_connections, ++server->nconns);
+	return EVHTP_RES_OK;
+}
+
+static size_t
+http_unwritten(const struct http_conn *conn)
+{
+	return evbuffer_get_length(bufferevent_get_output(conn->evconn->bev));
+}
+
+static enum http_state
+http_state(const struct http_conn *conn)
+{
+	const evhtp_request_t *req = conn->evconn->request;
+
+	if (conn->pending != NULL)
+		return HTTP_HANDLING;
+	if (http_unwritten(conn) > 0)
+		return HTTP_WRITING;
+	if (req != NULL && !(req->flags & EVHTP_REQ_FLAG_FINISHED))
+		return HTTP_READING;
+	return HTTP_IDLE;
+}
+
+/* Has the connection stayed in one state, without progress, for too long? */
+static bool
+http_expired(struct http_conn *conn, uint64_t now_ms)
+{
+	const uint32_t limits_ms[] = {
+		[HTTP_IDLE] = HTTP_IDLE_TIMEOUT_MS,
+		[HTTP_READING] = conn->server->params.header_timeout_ms,
+		[HTTP_HANDLING] = UINT32_MAX,
+		[HTTP_WRITING] = HTTP_WRITE_TIMEOUT_MS,
+	};
+	enum http_state state = http_state(conn);
+	uint64_t progress =
+	    state == HTTP_WRITING ? http_unwritten(conn) : conn->nserved;
+
+	if (state != conn->state || progress != conn->progress) {
+		conn->state = state;
+		conn->progress = progress;
+		conn->since_ms = now_ms;
+	}
+	return now_ms - conn->since_ms >= limits_ms[state];
+}
+
+static void
+http_sweep(evutil_socket_t fd, short what, void *arg)
+{
+	struct http_server *server = arg;
+	struct http_conn *conn, *next;
+	uint64_t now_ms = http_now_ms();
+
+	(void)fd;
+	(void)what;
+	for (conn = LIST_FIRST(&server->conns); conn != NULL; conn = next) {
+		next = LIST_NEXT(conn, entry);
+		if (!http_expired(conn, now_ms))
+			continue;
+		if (conn->state == HTTP_READING)
+			(void)http_refuse(conn, REF_SLOW);
+		evhtp_connection_free(conn->evconn);
+	}
+}
+
+static int
+http_listen(struct http_server *server, struct err *err)
+{
+	const struct endpoint *listen = &server->params.listen;
+	char address[sizeof(listen->address) + sizeof("ipv6:")];
+
+	(void)snprintf(address, sizeof(address), "%s%s",
+	    strchr(listen->address, ':') != NULL ? "ipv6:" : "",
+	    listen->address);
+	if (evhtp_bind_socket(server->htp, address, listen->port,
+		HTTP_BACKLOG) != 0)
+		return err_set(err, ERR_STEP_SETTINGS, ERR_UNAVAILABLE,
+		    listen->address, "listen on port %u: %s", listen->port,
+		    strerror(errno));
+	return 0;
+}
+
+static int
+http_start_sweep(struct http_server *server)
+{
+	uint32_t ms =
+	    server->params.header_timeout_ms / HTTP_SWEEPS_PER_TIMEOUT + 1;
+	struct timeval tv = { .tv_sec = ms / 1000,
+		.tv_usec = (suseconds_t)(ms % 1000) * 1000 };
+
+	server->sweep =
+	    event_new(server->params.base, -1, EV_PERSIST, http_sweep, server);
+	if (server->sweep == NULL)
+		return -1;
+	return event_add(server->sweep, &tv);
+}
+
+struct http_server *
+http_server_create(const struct http_server_params *params, struct err *err)
+{
+	struct http_server *server;
+
+	server = calloc(1, sizeof(*server));
+	if (server == NULL)
+		goto no_memory;
+	server->params = *params;
+	LIST_INIT(&server->conns);
+	server->htp = evhtp_new(params->base, server);
+	if (server->htp == NULL)
+		goto no_memory;
+	evhtp_enable_flag(server->htp, EVHTP_FLAG_ENABLE_NODELAY);
+	evhtp_set_max_body_size(server->htp,
+	    (uint64_t)params->body_bytes_max + 1);
+	evhtp_set_gencb(server->htp, http_on_request, server);
+	evhtp_set_post_accept_cb(server->htp, http_on_accept, server);
+	if (http_start_sweep(server) == -1)
+		goto no_memory;
+	if (http_listen(server, err) == -1)
+		goto error;
+	return server;
+no_memory:
+	(void)err_set(err, ERR_STEP_SETTINGS, ERR_NO_MEMORY, NULL,
+	    "HTTP server");
+error:
+	http_server_destroy(server);
+	return NULL;
+}
+
+uint16_t
+http_server_port(const struct http_server *server)
+{
+	struct sockaddr_storage addr;
+	socklen_t len = sizeof(addr);
+
+	if (getsockname(evconnlistener_get_fd(server->htp->server),
+		(struct sockaddr *)&addr, &len) == -1)
+		return 0;
+	if (addr.ss_family == AF_INET6)
+		return ntohs(((struct sockaddr_in6 *)&addr)->sin6_port);
+	return ntohs(((struct sockaddr_in *)&addr)->sin_port);
+}
+
+void
+http_server_close_idle(struct http_server *server)
+{
+	server->closing = true;
+}
+
+size_t
+http_server_open(const struct http_server *server)
+{
+	const struct http_conn *conn;
+	size_t n = 0;
+
+	LIST_FOREACH (conn, &server->conns, entry) {
+		if (conn->pending != NULL || http_unwritten(conn) > 0)
+			n++;
+	}
+	return n;
+}
+
+void
+http_server_destroy(struct http_server *server)
+{
+	struct http_conn *conn;
+
+	if (server == NULL)
+		return;
+	while ((conn = LIST_FIRST(&server->conns)) != NULL)
+		evhtp_connection_free(conn->evconn);
+	if (server->sweep != NULL)
+		event_free(server->sweep);
+	if (server->htp != NULL) {
+		if (server->htp->server != NULL)
+			evhtp_unbind_socket(server->htp);
+		evhtp_free(server->htp);
+	}
+	free(server);
+}
--- /dev/null
+++ b/core/ticket.h
@@ -0,0 +1,63 @@
+#ifndef CORE_TICKET_H
+#define CORE_TICKET_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "berylrail/error.h"
+#include "berylrail/limits.h"
+#include "ports/crypto.h"
+
+/*
+ * Tickets: the ids of submissions. A ticket names the one process that may
+ * ever start it, and is authenticated by a secret of that process alone.
+ * docs/design/tickets.md gives the reasons.
+ *
+ * Text: AZ~HOST~INCARNATION~SEQUENCE~MAC, the last three in lower-case
+ * hexadecimal; every ticket has exactly one text. A '/' in a name is written
+ * as '+', so that the text can stand in a URL's path.
+ */
+
+/** struct ticket - a parsed ticket; its MAC is not yet verified. */
+struct ticket {
+	char az[NAME_SIZE];
+	char host[NAME_SIZE];
+	uint64_t incarnation; /* of the issuing process */
+	uint64_t seq;	      /* 1 or more */
+	uint8_t mac[CRYPTO_MAC_BYTES];
+};
+
+/** struct tkt_issuer - a process that issues tickets. */
+struct tkt_issuer {
+	struct crypto *crypto; /* borrowed */
+	char az[NAME_SIZE];
+	char host[NAME_SIZE];
+	uint64_t incarnation;
+	uint8_t key[CRYPTO_KEY_BYTES];
+};
+
+/** tkt_issuer_init() - an issuer with a fresh random secret. */
+void tkt_issuer_init(struct tkt_issuer *issuer, struct crypto *crypto,
+    const char *az, const char *host, uint64_t incarnation);
+
+/** tkt_issue() - write the text of the ticket with number @seq. */
+void tkt_issue(const struct tkt_issuer *issuer, uint64_t seq,
+    char text[TICKET_SIZE]);
+
+/**
+ * tkt_parse() - read a ticket's text.
+ * @len: length of @text in bytes.
+ *
+ * Return: 0, or -1 with @err (step PARSE): INVALID or TOO_LARGE.
+ */
+int tkt_parse(struct ticket *ticket, const char *text, size_t len,
+    struct err *err);
+
+/** tkt_is_own() - does the ticket name this process as its issuer? */
+bool tkt_is_own(const struct tkt_issuer *issuer, const struct ticket *ticket);
+
+/** tkt_verify() - is it own, and authenticated by the issuer's secret? */
+bool tkt_verify(const struct tkt_issuer *issuer, const struct ticket *ticket);
+
+#endif /* CORE_TICKET_H */
--- /dev/null
+++ b/entry/api.c
@@ -0,0 +1,370 @@
+/*
+ * The API's door: routing by path, and the calls that wait for an answer.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/counters.h"
+#include "entry/api_internal.h"
+#include "entry/config_sync.h"
+#include "entry/idempotency.h"
+#include "entry/problem.h"
+
+#define API_CLAIM_WINDOW (1U << 23) /* sequence numbers */
+#define API_EXPIRY_MS 1000
+#define API_POINTER_ALIGN_BITS 4
+
+static struct counter api_requests = {
+	.name = "berylrail_messages_total",
+	.labels = "hop=\"client\",kind=\"request\"",
+	.help = "messages, by hop and kind",
+};
+static struct counter api_forwarded_requests = {
+	.name = "berylrail_messages_total",
+	.labels = "hop=\"peer\",kind=\"forwarded_request\"",
+	.help = "messages, by hop and kind",
+};
+static struct counter api_abandoned = {
+	.name = "berylrail_wasted_messages_total",
+	.labels = "hop=\"client\",kind=\"late_answer\"",
+	.help = "messages that added nothing to an answer",
+};
+
+uint64_t
+api_now(const struct api *api)
+{
+	return clock_now_us(api->params.clock);
+}
+
+static void
+api_expire(evutil_socket_t fd, short what, void *arg)
+{
+	struct api *api = arg;
+
+	(void)fd;
+	(void)what;
+	clm_expire(api->claims, api_now(api));
+}
+
+static int
+api_create_parts(struct api *api)
+{
+	const struct api_params *params = &api->params;
+	struct timeval interval = { .tv_usec = API_EXPIRY_MS % 1000 * 1000,
+		.tv_sec = API_EXPIRY_MS / 1000 };
+	struct clm_params clm_params = {
+		.window = API_CLAIM_WINDOW,
+		.retention_us = params->ticket_retention_ms * 1000ULL,
+		.bytes_max = params->ticket_bytes_max,
+		.release = api_work_release,
+		.arg = api,
+	};
+
+	api->claims = clm_create(&clm_params);
+	if (api->claims == NULL)
+		return -1;
+	api->idem = idem_create(api);
+	if (api->idem == NULL)
+		return -1;
+	api->expiry = event_new(params->base, -1, EV_PERSIST, api_expire, api);
+	if (api->expiry == NULL || event_add(api->expiry, &interval) == -1)
+		return -1;
+	return 0;
+}
+
+struct api *
+api_create(const struct api_params *params)
+{
+	struct api *api;
+	size_t i;
+
+	api = calloc(1, sizeof(*api));
+	if (api == NULL)
+		return NULL;
+	api->params = *params;
+	TAILQ_INIT(&api->running);
+	TAILQ_INIT(&api->all);
+	TAILQ_INIT(&api->issuers);
+	for (i = 0; i < API_CALL_BUCKETS; i++)
+		LIST_INIT(&api->calls[i]);
+	tkt_issuer_init(&api->issuer, params->crypto, params->az, params->host,
+	    params->incarnation);
+	if (api_create_parts(api) == -1) {
+		api_destroy(api);
+		return NULL;
+	}
+	return api;
+}
+
+static void
+api_call_free(struct api_call *call)
+{
+	struct api *api = call->api;
+
+	if (!call->kept)
+		return;
+	if (call->reply != NULL)
+		LIST_REMOVE(call, by_arg);
+	if (call->work != NULL)
+		TAILQ_REMOVE(&call->work->calls, call, of_work);
+	if (call->timer != NULL)
+		event_free(call->timer);
+	TAILQ_REMOVE(&api->all, call, all);
+	api->ncalls--;
+	free(call);
+}
+
+void
+api_destroy(struct api *api)
+{
+	struct api_work *work;
+	struct api_call *call;
+
+	if (api == NULL)
+		return;
+	while ((call = TAILQ_FIRST(&api->all)) != NULL)
+		api_call_free(call);
+	api_issuers_destroy(api);
+	while ((work = TAILQ_FIRST(&api->running)) != NULL)
+		api_work_drop(work);
+	clm_destroy(api->claims);
+	idem_destroy(api->idem);
+	api_drain_destroy(api);
+	if (api->expiry != NULL)
+		event_free(api->expiry);
+	free(api);
+}
+
+void
+api_set_peers(struct api *api, struct peers *peers)
+{
+	api->peers = peers;
+}
+
+void
+api_set_nhosts(struct api *api, size_t nhosts)
+{
+	idem_set_nhosts(api->idem, nhosts);
+}
+
+static struct api_call_bucket *
+api_call_bucket(struct api *api, const void *arg)
+{
+	uintptr_t key = (uintptr_t)arg >> API_POINTER_ALIGN_BITS;
+
+	return &api->calls[(key ^ key >> 12) & (API_CALL_BUCKETS - 1)];
+}
+
+struct api_call *
+api_call_keep(struct api_call *call)
+{
+	struct api_call *kept;
+
+	if (call->kept)
+		return call;
+	kept = malloc(sizeof(*kept));
+	if (kept == NULL) {
+		api_call_refuse(call, REF_NO_MEMORY, NULL);
+		return NULL;
+	}
+	*kept = *call;
+	kept->kept = true;
+	kept->api->ncalls++;
+	TAILQ_INSERT_TAIL(&kept->api->all, kept, all);
+	LIST_INSERT_HEAD(api_call_bucket(call->api, call->arg), kept, by_arg);
+	return kept;
+}
+
+void
+api_abandon(struct api *api, void *arg)
+{
+	struct api_call *call;
+
+	LIST_FOREACH (call, api_call_bucket(api, arg), by_arg) {
+		if (call->arg == arg)
+			break;
+	}
+	if (call == NULL)
+		return;
+	ctr_inc(&api_abandoned);
+	if (call->work != NULL) {
+		api_call_free(call);
+		return;
+	}
+	/* Its callback is still to come, and frees it. */
+	LIST_REMOVE(call, by_arg);
+	call->reply = NULL;
+}
+
+void
+api_call_reply(struct api_call *call, const struct api_reply *reply)
+{
+	struct api *api = call->api;
+	struct api_reply full = *reply;
+	char ticket[TICKET_SIZE];
+	api_reply_fn fn = call->reply;
+	void *arg = call->arg;
+
+	full.next_ticket = NULL;
+	if (fn != NULL && call->gives_ticket && !call->forwarded &&
+	    api->phase == API_OPEN) {
+		tkt_issue(&api->issuer, clm_issue(api->claims), ticket);
+		full.next_ticket = ticket;
+	}
+	api_call_free(call);
+	if (fn != NULL)
+		fn(arg, &full);
+	if (api->phase == API_CLOSED)
+		api_drain_check(api);
+}
+
+void
+api_call_problem(struct api_call *call, enum refusal refusal,
+    const struct err *err)
+{
+	const struct refusal_row *row = ref_row(refusal);
+	struct api_reply reply = {
+		.status = row->status,
+		.content_type = PROBLEM_TYPE,
+		.outcome = row->has_outcome ? outcome_name(row->outcome) : NULL,
+	};
+	char *body;
+
+	ref_count(err);
+	body = problem_render(row, err, &reply.body_len);
+	reply.body = body;
+	api_call_reply(call, &reply);
+	free(body);
+}
+
+void
+api_call_refuse(struct api_call *call, enum refusal refusal, const char *peer)
+{
+	struct err err;
+
+	if (peer == NULL && call->request != NULL)
+		peer = call->request->client;
+	ref_set(&err, refusal, peer);
+	api_call_problem(call, refusal, &err);
+}
+
+void
+api_call_json(struct api_call *call, int status, json_t *doc)
+{
+	struct api_reply reply = { .status = status, .content_type = API_JSON };
+	char *body;
+
+	body = json_dumps(doc, JSON_COMPACT);
+	json_decref(doc);
+	if (body == NULL) {
+		api_call_refuse(call, REF_NO_MEMORY, NULL);
+		return;
+	}
+	reply.body = body;
+	reply.body_len = strlen(body);
+	api_call_reply(call, &reply);
+	free(body);
+}
+
+/* The remainder of @path after @prefix, or NULL. */
+static const char *
+api_after(const char *path, const char *prefix)
+{
+	size_t len = strlen(prefix);
+
+	return strncmp(path, prefix, len) == 0 ? path + len : NULL;
+}
+
+static void
+api_config_reply(void *arg, const struct api_reply *reply)
+{
+	api_call_reply(arg, reply);
+}
+
+static void
+api_route_config(struct api_call *call)
+{
+	const struct api_request *request = call->request;
+	struct api *api = call->api;
+
+	call = api_call_keep(call);
+	if (call == NULL)
+		return;
+	config_sync_handle(api->params.config_sync, request, api_config_reply,
+	    call);
+}
+
+/** struct api_route - a path that is served as a whole. */
+struct api_route {
+	const char *path;
+	enum api_method method;
+	void (*serve)(struct api_call *call);
+};
+
+static const struct api_route api_routes[] = {
+	{ "/v1/jobs", API_POST, api_jobs_post },
+	{ "/v1/tickets", API_POST, api_tickets_post },
+	{ "/healthz", API_GET, api_health_get },
+	{ "/readyz", API_GET, api_ready_get },
+	{ "/metrics", API_GET, api_metrics_get },
+};
+
+static void
+api_route_job(struct api_call *call, const char *id)
+{
+	if (call->request->method == API_GET)
+		api_jobs_get(call, id);
+	else if (call->request->method == API_DELETE)
+		api_jobs_delete(call, id);
+	else
+		api_call_refuse(call, REF_METHOD, NULL);
+}
+
+static void
+api_route(struct api_call *call)
+{
+	const struct api_request *request = call->request;
+	const char *rest;
+	size_t i;
+
+	if ((rest = api_after(request->path, "/v1/services/")) != NULL) {
+		api_services_post(call, rest);
+		return;
+	}
+	if ((rest = api_after(request->path, "/v1/jobs/")) != NULL) {
+		api_route_job(call, rest);
+		return;
+	}
+	for (i = 0; i < sizeof(api_routes) / sizeof(api_routes[0]); i++) {
+		if (strcmp(request->path, api_routes[i].path) != 0)
+			continue;
+		if (request->method == api_routes[i].method)
+			api_routes[i].serve(call);
+		else
+			api_call_refuse(call, REF_METHOD, NULL);
+		return;
+	}
+	rest = api_after(request->path, "/v1/config");
+	if (rest != NULL && (*rest == '\0' || *rest == '/'))
+		api_route_config(call);
+	else
+		api_call_refuse(call, REF_PATH, NULL);
+}
+
+void
+api_handle(struct api *api, const struct api_request *request,
+    api_reply_fn reply, void *arg)
+{
+	struct api_call call = {
+		.api = api,
+		.request = request,
+		.reply = reply,
+		.arg = arg,
+		.forwarded = request->forwarded,
+	};
+
+	ctr_inc(request->forwarded ? &api_forwarded_requests : &api_requests);
+	api_route(&call);
+}
--- a/entry/api.h
+++ b/entry/api.h
@@ -30,6 +30,7 @@
 	const char *query;	     /* after the '?', "" if none */
 	const char *idempotency_key; /* header Idempotency-Key, NULL if none */
 	const char *job;	     /* header Berylrail-Job, NULL if none */
+	const char *ticket;	     /* header Berylrail-Ticket, NULL if none */
 	const char *who;	     /* header Berylrail-Operator, or NULL */
 	const char *client;	     /* address of the caller, for errors */
 	const void *body;
--- /dev/null
+++ b/entry/api_forward.c
@@ -0,0 +1,68 @@
+/*
+ * Requests whose ticket another process issued.
+ */
+
+#include <stdio.h>
+#include <string.h>
+
+#include "core/counters.h"
+#include "entry/api_internal.h"
+
+static struct counter api_forwards = {
+	.name = "berylrail_wasted_messages_total",
+	.labels = "hop=\"peer\",kind=\"forward\"",
+	.help = "messages that added nothing to an answer",
+};
+static struct counter api_forward_failures = {
+	.name = "berylrail_forward_failures_total",
+	.help = "forwarded requests that the issuing process did not answer",
+};
+
+static void
+api_forward_done(void *arg, const struct api_reply *reply,
+    const struct err *err)
+{
+	struct api_call *call = arg;
+
+	if (reply != NULL) {
+		api_call_reply(call, reply);
+		return;
+	}
+	ctr_inc(&api_forward_failures);
+	call->absent = err != NULL && err->code == ERR_NOT_FOUND
+	    ? REF_ISSUER_GONE
+	    : REF_ISSUER_UNREACHABLE;
+	api_issuers_ask(call);
+}
+
+void
+api_forward(struct api_call *call, const struct ticket *ticket, const char *id,
+    const struct api_request *request)
+{
+	struct peers *peers = call->api->peers;
+	struct api_request copy = *request;
+	char query[TICKET_SIZE + sizeof("ticket=")];
+
+	if (call->forwarded) {
+		api_call_refuse(call, REF_FORWARD_TWICE, ticket->host);
+		return;
+	}
+	call = api_call_keep(call);
+	if (call == NULL)
+		return;
+	call->request = NULL;
+	call->ticket = *ticket;
+	call->absent = REF_ISSUER_UNREACHABLE;
+	if (peers == NULL) {
+		api_issuers_ask(call);
+		return;
+	}
+	/* Peers' messages have no field for the header's ticket. */
+	if (request->ticket != NULL) {
+		(void)snprintf(query, sizeof(query), "ticket=%s", id);
+		copy.query = query;
+	}
+	ctr_inc(&api_forwards);
+	peers->ops->forward(peers, ticket->az, ticket->host,
+	    ticket->incarnation, &copy, api_forward_done, call);
+}
--- /dev/null
+++ b/entry/api_health.c
@@ -0,0 +1,118 @@
+/*
+ * GET /healthz, /readyz, /metrics; and what is counted of answers.
+ */
+
+#include <event2/buffer.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "core/counters.h"
+#include "core/histogram.h"
+#include "entry/api_internal.h"
+#include "entry/config_sync.h"
+
+#define API_METRICS "text/plain; version=0.0.4"
+
+#define API_ANSWERS(what)                                     \
+	{                                                     \
+		.name = "berylrail_answers_total",            \
+		.labels = "outcome=\"" what "\"",             \
+		.help = "answers to submissions and requests" \
+	}
+
+static struct counter api_answers[] = {
+	[OUTCOME_COMPLETE] = API_ANSWERS("complete"),
+	[OUTCOME_NOT_RUN] = API_ANSWERS("not-run"),
+	[OUTCOME_TASK_FAILED] = API_ANSWERS("task-failed"),
+	[OUTCOME_UNKNOWN] = API_ANSWERS("outcome-unknown"),
+};
+
+static const uint64_t api_response_bounds[] = { 1000, 2000, 5000, 10000, 20000,
+	50000, 100000, 200000, 500000, 1000000, 2000000, 5000000, 10000000,
+	30000000 };
+
+static struct histogram api_response = {
+	.name = "berylrail_response_seconds",
+	.help = "from the receipt of a submission until its answer is ready",
+	.bounds = api_response_bounds,
+	.nbounds = sizeof(api_response_bounds) / sizeof(api_response_bounds[0]),
+	.unit = 1e-6,
+};
+
+static struct counter api_running_gauge = {
+	.name = "berylrail_submissions_running",
+	.help = "submissions and requests that have not ended",
+	.gauge = 1,
+};
+
+static struct counter api_kept_gauge = {
+	.name = "berylrail_answers_kept_bytes",
+	.help = "bytes of answers kept for their tickets",
+	.gauge = 1,
+};
+
+void
+api_answered(enum outcome outcome, uint64_t elapsed_us)
+{
+	ctr_inc(&api_answers[outcome]);
+	hist_add(&api_response, elapsed_us);
+}
+
+static void
+api_reply_text(struct api_call *call, int status, const char *text)
+{
+	struct api_reply reply = {
+		.status = status,
+		.content_type = "text/plain",
+		.body = text,
+		.body_len = strlen(text),
+	};
+
+	api_call_reply(call, &reply);
+}
+
+void
+api_health_get(struct api_call *call)
+{
+	api_reply_text(call, 200, "ok\n");
+}
+
+void
+api_ready_get(struct api_call *call)
+{
+	const struct api *api = call->api;
+
+	if (api->phase != API_OPEN)
+		api_reply_text(call, 503, "leaving\n");
+	else if (!config_sync_ready(api->params.config_sync))
+		api_reply_text(call, 503, "no configuration yet\n");
+	else
+		api_reply_text(call, 200, "ready\n");
+}
+
+static void
+api_metrics_emit(void *arg, const char *text, size_t len)
+{
+	(void)evbuffer_add(arg, text, len);
+}
+
+void
+api_metrics_get(struct api_call *call)
+{
+	struct api_reply reply = { .status = 200, .content_type = API_METRICS };
+	struct evbuffer *buffer;
+
+	buffer = evbuffer_new();
+	if (buffer == NULL) {
+		api_call_refuse(call, REF_NO_MEMORY, NULL);
+		return;
+	}
+	ctr_set(&api_running_gauge, call->api->nrunning);
+	ctr_set(&api_kept_gauge, clm_bytes(call->api->claims));
+	ctr_render(api_metrics_emit, buffer);
+	hist_render(&api_response, api_metrics_emit, buffer);
+	reply.body_len = evbuffer_get_length(buffer);
+	reply.body = evbuffer_pullup(buffer, -1);
+	api_call_reply(call, &reply);
+	evbuffer_free(buffer);
+}
--- /dev/null
+++ b/entry/api_issuers.c
@@ -0,0 +1,128 @@
+/*
+ * Issuers that are gone: their final records, read from the object store once
+ * for all calls that ask, and cached. A final record never changes.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/counters.h"
+#include "entry/api_internal.h"
+
+#define API_ISSUERS_MAX 32
+#define API_RECORD_NAME_BYTES 192
+
+static struct counter api_record_reads = {
+	.name = "berylrail_wasted_messages_total",
+	.labels = "hop=\"platform\",kind=\"final_record\"",
+	.help = "messages that added nothing to an answer",
+};
+
+/** struct api_issuer - a process that does not answer. */
+struct api_issuer {
+	struct api *api;
+	char name[API_RECORD_NAME_BYTES]; /* of its final record */
+	struct api_record *record;	  /* NULL while it is read */
+	struct api_call_list calls;	  /* that wait for it */
+	TAILQ_ENTRY(api_issuer) entry;
+};
+
+static void
+api_issuer_free(struct api_issuer *issuer)
+{
+	TAILQ_REMOVE(&issuer->api->issuers, issuer, entry);
+	api_record_free(issuer->record);
+	free(issuer);
+}
+
+void
+api_issuers_destroy(struct api *api)
+{
+	struct api_issuer *issuer;
+
+	while ((issuer = TAILQ_FIRST(&api->issuers)) != NULL)
+		api_issuer_free(issuer);
+}
+
+/* Keeps the newest records; those being read stay. */
+static void
+api_issuers_trim(struct api *api)
+{
+	struct api_issuer *issuer, *next;
+	size_t n = 0;
+
+	for (issuer = TAILQ_FIRST(&api->issuers); issuer != NULL;
+	     issuer = next) {
+		next = TAILQ_NEXT(issuer, entry);
+		if (++n > API_ISSUERS_MAX && issuer->record != NULL)
+			api_issuer_free(issuer);
+	}
+}
+
+static void
+api_issuer_read(void *arg, enum table_status status, const void *data,
+    size_t len, const struct err *err)
+{
+	struct api_issuer *issuer = arg;
+	struct api *api = issuer->api;
+	struct api_call *call;
+
+	(void)err;
+	if (status == TABLE_OK)
+		issuer->record = api_record_parse(data, len);
+	while ((call = TAILQ_FIRST(&issuer->calls)) != NULL) {
+		TAILQ_REMOVE(&issuer->calls, call, of_work);
+		if (issuer->record != NULL)
+			api_record_reply(issuer->record, call);
+		else
+			api_call_refuse(call, call->absent, call->ticket.host);
+	}
+	if (issuer->record == NULL)
+		api_issuer_free(issuer);
+	api_issuers_trim(api);
+}
+
+static struct api_issuer *
+api_issuers_find(struct api *api, const char *name)
+{
+	struct api_issuer *issuer;
+
+	TAILQ_FOREACH (issuer, &api->issuers, entry) {
+		if (strcmp(issuer->name, name) == 0)
+			return issuer;
+	}
+	return NULL;
+}
+
+void
+api_issuers_ask(struct api_call *call)
+{
+	struct api *api = call->api;
+	struct blobs *blobs = api->params.blobs;
+	struct api_issuer *issuer;
+	char name[API_RECORD_NAME_BYTES];
+
+	api_record_name(name, sizeof(name), call->ticket.az, call->ticket.host,
+	    call->ticket.incarnation);
+	issuer = api_issuers_find(api, name);
+	if (issuer != NULL && issuer->record != NULL) {
+		api_record_reply(issuer->record, call);
+		return;
+	}
+	if (issuer != NULL) {
+		TAILQ_INSERT_TAIL(&issuer->calls, call, of_work);
+		return;
+	}
+	issuer = blobs == NULL ? NULL : calloc(1, sizeof(*issuer));
+	if (issuer == NULL) {
+		api_call_refuse(call, call->absent, call->ticket.host);
+		return;
+	}
+	issuer->api = api;
+	memcpy(issuer->name, name, sizeof(name));
+	TAILQ_INIT(&issuer->calls);
+	TAILQ_INSERT_TAIL(&issuer->calls, call, of_work);
+	TAILQ_INSERT_HEAD(&api->issuers, issuer, entry);
+	ctr_inc(&api_record_reads);
+	blobs->ops->get(blobs, issuer->name, api_issuer_read, issuer);
+}
--- /dev/null
+++ b/entry/api_jobs.c
@@ -0,0 +1,145 @@
+/*
+ * POST /v1/jobs, GET and DELETE /v1/jobs/{id}.
+ */
+
+#include <stdio.h>
+#include <string.h>
+
+#include "core/counters.h"
+#include "entry/api_internal.h"
+
+void
+api_jobs_post(struct api_call *call)
+{
+	const struct api_request *request = call->request;
+	struct api_form form;
+	enum refusal refusal;
+	uint32_t wait_ms = 0;
+	struct err err;
+
+	if (api_query_number(request->query, "wait", API_WAIT_MS_MAX,
+		&wait_ms) == -1) {
+		api_call_refuse(call, REF_QUERY, NULL);
+		return;
+	}
+	if (api_parse_submission(request->body, request->body_len, &form,
+		&refusal, &err) == -1) {
+		(void)snprintf(err.peer, sizeof(err.peer), "%s",
+		    request->client == NULL ? "" : request->client);
+		api_call_problem(call, refusal, &err);
+		return;
+	}
+	api_submit(call, form.subm, form.ticket, wait_ms);
+}
+
+/* Looks an id up; answers the call and returns false unless it is usable. */
+static bool
+api_jobs_find(struct api_call *call, const char *id, struct ticket *ticket,
+    const struct api_request *request, struct claim **existing)
+{
+	struct api *api = call->api;
+	enum clm_verdict verdict;
+	struct err err;
+
+	if (tkt_parse(ticket, id, strlen(id), &err) == -1) {
+		api_call_refuse(call, REF_TICKET, NULL);
+		return false;
+	}
+	if (!tkt_is_own(&api->issuer, ticket)) {
+		api_forward(call, ticket, id, request);
+		return false;
+	}
+	if (!tkt_verify(&api->issuer, ticket)) {
+		api_call_refuse(call, REF_NEVER_ISSUED, NULL);
+		return false;
+	}
+	verdict = clm_look(api->claims, ticket->seq, existing);
+	if (verdict == CLM_NEVER_ISSUED) {
+		api_call_refuse(call, REF_NEVER_ISSUED, NULL);
+		return false;
+	}
+	if (verdict == CLM_FORGOTTEN) {
+		api_call_refuse(call, REF_FORGOTTEN, NULL);
+		return false;
+	}
+	return true;
+}
+
+void
+api_jobs_answer(struct api_call *call, const char *id, uint32_t wait_ms,
+    const struct api_request *request)
+{
+	struct claim *existing = NULL;
+	struct ticket ticket;
+
+	if (!api_jobs_find(call, id, &ticket, request, &existing))
+		return;
+	if (existing == NULL)
+		api_call_refuse(call, REF_NOT_STARTED, NULL);
+	else
+		api_work_wait((struct api_work *)existing, call, wait_ms);
+}
+
+void
+api_jobs_get(struct api_call *call, const char *id)
+{
+	uint32_t wait_ms = 0;
+
+	if (api_query_number(call->request->query, "wait", API_WAIT_MS_MAX,
+		&wait_ms) == -1)
+		api_call_refuse(call, REF_QUERY, NULL);
+	else
+		api_jobs_answer(call, id, wait_ms, call->request);
+}
+
+/* Claims a ticket that was not used yet, so that it never starts. */
+static void
+api_jobs_cancel_unclaimed(struct api_call *call, const char *id, uint64_t seq)
+{
+	struct api *api = call->api;
+	struct submission *subm;
+	struct answer *answer;
+	struct claim *existing;
+	struct api_work *work;
+
+	subm = subm_create(0);
+	answer = subm_answer_create(0);
+	work = subm == NULL ? NULL : api_work_create(api, id, subm);
+	if (answer == NULL || work == NULL) {
+		if (work != NULL)
+			api_work_drop(work);
+		subm_answer_free(answer);
+		api_call_refuse(call, REF_NO_MEMORY, NULL);
+		return;
+	}
+	(void)clm_claim(api->claims, seq, &work->claim, &existing);
+	work->claimed = true;
+	answer->outcome = OUTCOME_NOT_RUN;
+	ref_set(&answer->err, REF_CLAIM_CANCELLED, call->request->client);
+	api_work_end(work, answer);
+	api_work_reply(work, call);
+}
+
+void
+api_jobs_delete(struct api_call *call, const char *id)
+{
+	struct claim *existing = NULL;
+	struct ticket ticket;
+	struct api_work *work;
+	json_t *doc;
+
+	if (!api_jobs_find(call, id, &ticket, call->request, &existing))
+		return;
+	if (existing == NULL) {
+		api_jobs_cancel_unclaimed(call, id, ticket.seq);
+		return;
+	}
+	work = (struct api_work *)existing;
+	if (work->ended) {
+		api_work_reply(work, call);
+		return;
+	}
+	doc = api_render_progress(id, 0, work->ntasks);
+	api_work_cancel(work);
+	api_call_json(call, 202, doc);
+}
--- /dev/null
+++ b/tests/test_claims.c
@@ -0,0 +1,153 @@
+#include <criterion/criterion.h>
+#include <stdlib.h>
+
+#include "core/claims.h"
+#include "tests/naive/naive_claims.h"
+
+#define EVENTS 6000
+
+static size_t released;
+
+static void
+release(void *arg, struct claim *claim)
+{
+	(void)arg;
+	released++;
+	free(claim);
+}
+
+static const struct clm_params params = {
+	.window = 256,
+	.retention_us = 5000,
+	.bytes_max = 2000,
+	.release = release,
+};
+
+static struct claim *
+claim_new(void)
+{
+	return calloc(1, sizeof(struct claim));
+}
+
+Test(claims, starts_at_most_once)
+{
+	struct claims *claims = clm_create(&params);
+	struct claim *claim = claim_new(), again, *existing;
+	uint64_t seq = clm_issue(claims);
+
+	cr_assert_eq(clm_claim(claims, seq, claim, &existing), CLM_START);
+	cr_assert_eq(clm_claim(claims, seq, &again, &existing), CLM_RUNNING);
+	cr_assert_eq(existing, claim);
+	clm_end(claims, claim, 10, 100);
+	cr_assert_eq(clm_claim(claims, seq, &again, &existing), CLM_ENDED);
+	clm_expire(claims, 10 + params.retention_us);
+	cr_assert_eq(clm_claim(claims, seq, &again, &existing), CLM_FORGOTTEN);
+	cr_assert_null(existing);
+	clm_destroy(claims);
+}
+
+Test(claims, never_issued_is_not_startable)
+{
+	struct claims *claims = clm_create(&params);
+	struct claim claim, *existing;
+
+	cr_assert_eq(clm_claim(claims, 0, &claim, &existing), CLM_NEVER_ISSUED);
+	cr_assert_eq(clm_claim(claims, 1, &claim, &existing), CLM_NEVER_ISSUED);
+	clm_destroy(claims);
+}
+
+Test(claims, unused_tickets_grow_old)
+{
+	struct claims *claims = clm_create(&params);
+	struct claim claim, *existing;
+	size_t i;
+
+	for (i = 0; i <= params.window; i++)
+		(void)clm_issue(claims);
+	cr_assert_eq(clm_claim(claims, 1, &claim, &existing), CLM_FORGOTTEN);
+	cr_assert_eq(clm_look(claims, 2, &existing), CLM_UNCLAIMED);
+	clm_destroy(claims);
+}
+
+Test(claims, destroy_releases_what_has_ended)
+{
+	struct claims *claims = clm_create(&params);
+	struct claim *claim = claim_new(), *existing;
+
+	released = 0;
+	(void)clm_claim(claims, clm_issue(claims), claim, &existing);
+	clm_end(claims, claim, 1, params.bytes_max * 2);
+	cr_assert_eq(released, 0, "the newest stays, however large");
+	clm_destroy(claims);
+	cr_assert_eq(released, 1);
+}
+
+/* Both versions see the same random events and must agree on every number. */
+static void
+run_differential(unsigned int seed)
+{
+	static struct naive_claims naive;
+	struct claims *claims = clm_create(&params);
+	struct claim **running = calloc(EVENTS, sizeof(*running));
+	struct claim *claim, *existing;
+	size_t nrunning = 0, i, pick;
+	enum clm_verdict verdict;
+	uint64_t now = 1, seq;
+
+	srand(seed);
+	naive_claims_init(&naive, &params);
+	for (i = 0; i < EVENTS; i++) {
+		now += (uint64_t)(rand() % 100);
+		seq = naive.next + 4 - (uint64_t)rand() % 400;
+		if ((int64_t)seq < 0)
+			seq = 0;
+		switch (rand() % 6) {
+		case 0:
+		case 1:
+			cr_assert_eq(clm_issue(claims),
+			    naive_claims_issue(&naive));
+			break;
+		case 2:
+		case 3:
+			claim = claim_new();
+			verdict = clm_claim(claims, seq, claim, &existing);
+			cr_assert_eq(verdict, naive_claims_claim(&naive, seq),
+			    "seed %u event %zu", seed, i);
+			if (verdict == CLM_START)
+				running[nrunning++] = claim;
+			else
+				free(claim);
+			break;
+		case 4:
+			if (nrunning == 0)
+				break;
+			pick = (size_t)rand() % nrunning;
+			claim = running[pick];
+			running[pick] = running[--nrunning];
+			seq = claim->seq;
+			pick = (size_t)rand() % 300;
+			clm_end(claims, claim, now, pick);
+			naive_claims_end(&naive, seq, now, pick);
+			break;
+		default:
+			clm_expire(claims, now);
+			naive_claims_expire(&naive, now);
+		}
+		seq = 1 + (uint64_t)rand() % (naive.next + 2);
+		cr_assert_eq(clm_look(claims, seq, &existing),
+		    naive_claims_look(&naive, seq), "seed %u event %zu", seed,
+		    i);
+	}
+	clm_destroy(claims);
+	while (nrunning > 0)
+		free(running[--nrunning]);
+	free(running);
+}
+
+Test(claims, agrees_with_the_naive_version)
+{
+	unsigned int seed;
+
+	for (seed = 1; seed <= 20; seed++)
+		run_differential(seed);
+}
