--- /dev/null
+++ b/tools/bench/process.c
@@ -0,0 +1,128 @@
+/*
+ * Child processes of a run and what /proc says of them.
+ */
+
+#include <err.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "bench.h"
+
+#define BPR_ARGS_MAX 96
+
+uint64_t
+bpr_now_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+}
+
+/* Programs stand beside this one unless BERYLRAIL_BIN_DIR says otherwise. */
+static void
+bpr_program(char *path, size_t size, const char *program)
+{
+	const char *bin = getenv("BERYLRAIL_BIN_DIR");
+	char self[400];
+	ssize_t n;
+
+	if (bin == NULL) {
+		n = readlink("/proc/self/exe", self, sizeof(self) - 1);
+		self[n > 0 ? n : 0] = '\0';
+		if (strrchr(self, '/') != NULL)
+			*strrchr(self, '/') = '\0';
+		bin = self;
+	}
+	(void)snprintf(path, size, "%s/%s", bin, program);
+}
+
+pid_t
+bpr_spawn(const char *dir, const char *program, const char *name,
+    const char *args)
+{
+	char path[512], log[512], *copy, *rest, *argv[BPR_ARGS_MAX];
+	pid_t pid;
+	int n = 0, fd;
+
+	bpr_program(path, sizeof(path), program);
+	(void)snprintf(log, sizeof(log), "%s/%s.log", dir, name);
+	copy = strdup(args);
+	if (copy == NULL)
+		err(1, "strdup");
+	argv[n++] = path;
+	for (argv[n] = strtok_r(copy, " ", &rest);
+	     argv[n] != NULL && n < BPR_ARGS_MAX - 2;
+	     argv[n] = strtok_r(NULL, " ", &rest))
+		n++;
+	argv[n] = NULL;
+	pid = fork();
+	if (pid == 0) {
+		(void)prctl(PR_SET_PDEATHSIG, SIGKILL);
+		fd = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+		(void)dup2(fd, STDOUT_FILENO);
+		(void)dup2(fd, STDERR_FILENO);
+		(void)execv(path, argv);
+		_exit(127);
+	}
+	free(copy);
+	return pid;
+}
+
+void
+bpr_kill(pid_t *pid)
+{
+	if (*pid <= 0)
+		return;
+	(void)kill(*pid, SIGKILL);
+	(void)waitpid(*pid, NULL, 0);
+	*pid = 0;
+}
+
+double
+bpr_cpu_s(pid_t pid)
+{
+	char path[64], text[1024], *p;
+	unsigned long user, system;
+	size_t n;
+	FILE *f;
+
+	(void)snprintf(path, sizeof(path), "/proc/%d/stat", (int)pid);
+	f = fopen(path, "r");
+	if (f == NULL)
+		return -1;
+	n = fread(text, 1, sizeof(text) - 1, f);
+	(void)fclose(f);
+	text[n] = '\0';
+	p = strrchr(text, ')');
+	if (p == NULL ||
+	    sscanf(p + 1,
+		" %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user,
+		&system) != 2)
+		return -1;
+	return (double)(user + system) / (double)sysconf(_SC_CLK_TCK);
+}
+
+double
+bpr_rss_bytes(pid_t pid)
+{
+	char path[64];
+	long pages = -1;
+	FILE *f;
+
+	(void)snprintf(path, sizeof(path), "/proc/%d/statm", (int)pid);
+	f = fopen(path, "r");
+	if (f == NULL)
+		return -1;
+	if (fscanf(f, "%*d %ld", &pages) != 1)
+		pages = -1;
+	(void)fclose(f);
+	return pages < 0 ? -1 : (double)pages * (double)sysconf(_SC_PAGESIZE);
+}
