--- a/adapters/backend_http.c
+++ b/adapters/backend_http.c
@@ -95,7 +95,7 @@
 {
 	err_set(&call->err, ERR_STEP_CONNECT, code, call->server->name, "%s",
 	    what);
-	TAILQ_INSERT_TAIL(&http->ended, call, entry);
+	STAILQ_INSERT_TAIL(&http->ended, call, deferred);
 	http->nended++;
 	event_active(http->deferred, EV_TIMEOUT, 0);
 }
@@ -381,7 +381,7 @@
 	struct bkh_conn *conn;
 
 	if (call->conn == NULL) {
-		TAILQ_REMOVE(&http->ended, call, entry);
+		STAILQ_REMOVE(&http->ended, call, backend_call, deferred);
 		http->nended--;
 	} else {
 		conn = bkh_call_detach(call);
@@ -411,11 +411,11 @@
 	for (n = http->nended; n > 0; n--) {
 		struct backend_reply reply = { .status = BACKEND_NOT_SENT };
 
-		call = TAILQ_FIRST(&http->ended);
+		call = STAILQ_FIRST(&http->ended);
 		if (call == NULL)
 			break;
 		reply.err = call->err;
-		TAILQ_REMOVE(&http->ended, call, entry);
+		STAILQ_REMOVE_HEAD(&http->ended, deferred);
 		http->nended--;
 		bkh_call_finish(call, &reply);
 	}
@@ -460,7 +460,7 @@
 		return NULL;
 	http->backend.ops = &bkh_ops;
 	http->base = base;
-	TAILQ_INIT(&http->ended);
+	STAILQ_INIT(&http->ended);
 	TAILQ_INIT(&http->dead);
 	http->sweep = event_new(base, -1, EV_PERSIST, bkh_sweep, http);
 	http->deferred = event_new(base, -1, 0, bkh_run_deferred, http);
@@ -490,8 +490,8 @@
 		TAILQ_REMOVE(&http->dead, conn, entry);
 		bkh_conn_free(conn);
 	}
-	while ((call = TAILQ_FIRST(&http->ended)) != NULL) {
-		TAILQ_REMOVE(&http->ended, call, entry);
+	while ((call = STAILQ_FIRST(&http->ended)) != NULL) {
+		STAILQ_REMOVE_HEAD(&http->ended, deferred);
 		bkh_call_free(call);
 	}
 	if (http->sweep != NULL)
--- a/adapters/backend_http_internal.h
+++ b/adapters/backend_http_internal.h
@@ -34,7 +34,7 @@
 	bool failed;	/* error is set */
 	bool starting;	/* within start() */
 	struct err err; /* of a deferred call */
-	TAILQ_ENTRY(backend_call) entry;
+	STAILQ_ENTRY(backend_call) deferred;
 };
 
 /* A connection is idle (in its pool's list), busy (has a call) or dead (in
@@ -68,7 +68,7 @@
 	struct event_base *base;
 	struct event *sweep;
 	struct event *deferred;
-	TAILQ_HEAD(, backend_call) ended; /* replies to give later */
+	STAILQ_HEAD(, backend_call) ended; /* replies to give later */
 	size_t nended;
 	struct bkh_conns dead;
 	struct bkh_pools pools[BKH_BUCKETS];
--- a/adapters/backend_http_pool.c
+++ b/adapters/backend_http_pool.c
@@ -79,7 +79,6 @@
 	struct backend_http *http = conn->pool->owner;
 
 	conn->pool->nconns--;
-	conn->pool = NULL;
 	TAILQ_INSERT_TAIL(&http->dead, conn, entry);
 	event_active(http->deferred, EV_TIMEOUT, 0);
 }
@@ -175,10 +174,12 @@
 void
 bkh_pool_sweep(struct bkh_pool *pool, const struct timeval *now)
 {
-	struct bkh_conn *conn;
+	struct bkh_conn *conn, *newer;
 	struct timeval age;
 
-	while ((conn = TAILQ_LAST(&pool->idle, bkh_conns)) != NULL) {
+	for (conn = TAILQ_LAST(&pool->idle, bkh_conns); conn != NULL;
+	     conn = newer) {
+		newer = TAILQ_PREV(conn, bkh_conns, entry);
 		timersub(now, &conn->idle_since, &age);
 		if (age.tv_sec * 1000 < BKH_IDLE_MAX_MS)
 			break;
--- /dev/null
+++ b/core/dispatch.c
@@ -0,0 +1,202 @@
+/*
+ * The policy's text form, and the ideal that response times are held against.
+ */
+
+#include <math.h>
+#include <string.h>
+
+#include "core/dispatch.h"
+
+#define DISP_TEXT_MAX 256 /* bytes, with the NUL */
+
+static const struct disp_policy disp_default = {
+	.share = &shr_split,
+	.order = &ord_fair,
+	.pick = &pick_earliest,
+	.learn = true,
+	.eject = true,
+	.admit = true,
+	.hedge = true,
+	.overflow = true,
+};
+
+static const struct disp_policy disp_naive = {
+	.share = &shr_each,
+	.order = &ord_fifo,
+	.pick = &pick_round_robin,
+};
+
+static int
+disp_set_share(struct disp_policy *policy, const char *name)
+{
+	static const struct shr_ops *const all[] = { &shr_each, &shr_split,
+		&shr_seen };
+	size_t i;
+
+	for (i = 0; i < sizeof(all) / sizeof(all[0]); i++) {
+		if (strcmp(all[i]->name, name) == 0) {
+			policy->share = all[i];
+			return 0;
+		}
+	}
+	return -1;
+}
+
+static int
+disp_set_order(struct disp_policy *policy, const char *name)
+{
+	static const struct ord_ops *const all[] = { &ord_fifo, &ord_fair };
+	size_t i;
+
+	for (i = 0; i < sizeof(all) / sizeof(all[0]); i++) {
+		if (strcmp(all[i]->name, name) == 0) {
+			policy->order = all[i];
+			return 0;
+		}
+	}
+	return -1;
+}
+
+static int
+disp_set_pick(struct disp_policy *policy, const char *name)
+{
+	static const struct pick_ops *const all[] = { &pick_round_robin,
+		&pick_random_two, &pick_earliest };
+	size_t i;
+
+	for (i = 0; i < sizeof(all) / sizeof(all[0]); i++) {
+		if (strcmp(all[i]->name, name) == 0) {
+			policy->pick = all[i];
+			return 0;
+		}
+	}
+	return -1;
+}
+
+static int
+disp_set_switch(bool *value, const char *text)
+{
+	*value = strcmp(text, "on") == 0;
+	return *value || strcmp(text, "off") == 0 ? 0 : -1;
+}
+
+static int
+disp_set(struct disp_policy *policy, const char *key, const char *value)
+{
+	const struct {
+		const char *key;
+		bool *value;
+	} switches[] = {
+		{ "learn", &policy->learn },
+		{ "eject", &policy->eject },
+		{ "admit", &policy->admit },
+		{ "hedge", &policy->hedge },
+		{ "overflow", &policy->overflow },
+	};
+	size_t i;
+
+	if (strcmp(key, "share") == 0)
+		return disp_set_share(policy, value);
+	if (strcmp(key, "order") == 0)
+		return disp_set_order(policy, value);
+	if (strcmp(key, "pick") == 0)
+		return disp_set_pick(policy, value);
+	for (i = 0; i < sizeof(switches) / sizeof(switches[0]); i++) {
+		if (strcmp(key, switches[i].key) == 0)
+			return disp_set_switch(switches[i].value, value);
+	}
+	return -1;
+}
+
+static int
+disp_apply(struct disp_policy *policy, char *part)
+{
+	char *value = strchr(part, '=');
+
+	if (value != NULL) {
+		*value++ = '\0';
+		return disp_set(policy, part, value);
+	}
+	if (strcmp(part, "default") == 0)
+		*policy = disp_default;
+	else if (strcmp(part, "naive") == 0)
+		*policy = disp_naive;
+	else
+		return -1;
+	return 0;
+}
+
+int
+disp_policy_parse(struct disp_policy *policy, const char *text, struct err *err)
+{
+	char copy[DISP_TEXT_MAX], *rest = copy, *part;
+
+	*policy = disp_default;
+	if (strnlen(text, sizeof(copy)) == sizeof(copy))
+		return err_set(err, ERR_STEP_SETTINGS, ERR_TOO_LARGE, NULL,
+		    "policy: longer than %d bytes", DISP_TEXT_MAX - 1);
+	memcpy(copy, text, strlen(text) + 1);
+	while ((part = strsep(&rest, ",")) != NULL) {
+		if (disp_apply(policy, part) == -1)
+			return err_set(err, ERR_STEP_SETTINGS, ERR_INVALID,
+			    NULL, "policy: unknown choice \"%.60s\"", part);
+	}
+	return 0;
+}
+
+/* Tasks of equal work that the slots can end within @time_us. */
+static double
+disp_ntasks_within(const struct pick_tier *tier, double time_us, double work_us)
+{
+	double ntasks = 0;
+	int bucket;
+
+	for (bucket = 0; bucket < PICK_BUCKETS; bucket++) {
+		if (tier->all_slots[bucket] != 0)
+			ntasks += tier->all_slots[bucket] *
+			    floor(time_us * pick_bucket_speed(bucket) /
+				work_us * (1 + 1e-9));
+	}
+	return ntasks;
+}
+
+/* The least time of the form k * work / speed in which all tasks fit. */
+static double
+disp_equal_tasks_us(const struct pick_tier *tier, double work_us, size_t ntasks)
+{
+	double low = 0, high, middle;
+	int i;
+
+	high = work_us / pick_bucket_speed(PICK_BUCKETS - 1);
+	while (disp_ntasks_within(tier, high, work_us) < (double)ntasks)
+		high *= 2;
+	for (i = 0; i < 20; i++) {
+		middle = (low + high) / 2;
+		if (disp_ntasks_within(tier, middle, work_us) < (double)ntasks)
+			low = middle;
+		else
+			high = middle;
+	}
+	return high;
+}
+
+double
+disp_ideal_us(const struct pick_pool *pool, const double *work_us,
+    size_t ntasks)
+{
+	const struct pick_tier *tier = &pool->tiers[0];
+	double longest = 0, sum = 0, best, equal;
+	size_t i;
+
+	best = pick_best_speed(pool, 0);
+	if (best == 0 || ntasks == 0)
+		return 0;
+	for (i = 0; i < ntasks; i++) {
+		longest = fmax(longest, work_us[i]);
+		sum += work_us[i];
+	}
+	if (ntasks == 1 || sum <= 0)
+		return longest / best;
+	equal = disp_equal_tasks_us(tier, sum / (double)ntasks, ntasks);
+	return fmax(longest / best, equal);
+}
--- /dev/null
+++ b/core/health.c
@@ -0,0 +1,119 @@
+/*
+ * A sequential test of "bad server" against "good server, and tasks of this
+ * job fail at the job's own rate". See docs/design/dispatch.md.
+ */
+
+#include <math.h>
+
+#include "core/health.h"
+
+#define HLTH_BAD_FAILS 0.95 /* failures of a bad server's tasks */
+#define HLTH_RATE_MIN 0.02  /* a job's failure rate is kept between */
+#define HLTH_RATE_MAX 0.95
+#define HLTH_RATE_WEIGHT 0.05	   /* of one task in a job's failure rate */
+#define HLTH_UNREACHABLE_RATE 0.01 /* of good servers */
+#define HLTH_EJECT_EVIDENCE 9.0
+#define HLTH_SUSPECT_EVIDENCE 1.0
+#define HLTH_BACKOFF_MS 1000
+#define HLTH_BACKOFF_MAX_MS 60000
+#define HLTH_UNREACHABLE_BACKOFF_MS 250
+#define HLTH_UNREACHABLE_BACKOFF_MAX_MS 4000
+#define HLTH_EJECT_SHARE 3 /* at most one in so many */
+
+void
+hlth_job_init(struct hlth_job *job)
+{
+	job->failure_rate = HLTH_RATE_MIN;
+}
+
+uint32_t
+hlth_eject_max(uint32_t total)
+{
+	return (total + 1) / HLTH_EJECT_SHARE;
+}
+
+/* Only servers above suspicion tell about the job. */
+static void
+hlth_learn_job(struct hlth_job *job, const struct hlth *hlth, bool failed)
+{
+	double rate = job->failure_rate;
+
+	if (hlth->state != HLTH_UP || hlth->evidence > HLTH_SUSPECT_EVIDENCE)
+		return;
+	rate += HLTH_RATE_WEIGHT * ((failed ? 1.0 : 0.0) - rate);
+	job->failure_rate = fmin(fmax(rate, HLTH_RATE_MIN), HLTH_RATE_MAX);
+}
+
+static void
+hlth_eject(struct hlth *hlth, enum hlth_event event, uint64_t now_us,
+    uint64_t random)
+{
+	bool unreachable = event == HLTH_UNREACHABLE;
+	uint32_t first_ms =
+	    unreachable ? HLTH_UNREACHABLE_BACKOFF_MS : HLTH_BACKOFF_MS;
+	uint32_t max_ms =
+	    unreachable ? HLTH_UNREACHABLE_BACKOFF_MAX_MS : HLTH_BACKOFF_MAX_MS;
+	uint64_t delay_us;
+
+	hlth->backoff_ms =
+	    hlth->backoff_ms == 0 ? first_ms : hlth->backoff_ms * 2;
+	if (hlth->backoff_ms > max_ms)
+		hlth->backoff_ms = max_ms;
+	delay_us = hlth->backoff_ms * 1000ULL;
+	hlth->retry_at_us = now_us + delay_us + random % (delay_us / 4 + 1);
+	hlth->state = HLTH_EJECTED;
+	hlth->evidence = HLTH_EJECT_EVIDENCE;
+}
+
+static enum hlth_change
+hlth_success(struct hlth *hlth, struct hlth_job *job)
+{
+	hlth_learn_job(job, hlth, false);
+	if (hlth->state != HLTH_UP) {
+		hlth->state = HLTH_UP;
+		hlth->evidence = HLTH_EJECT_EVIDENCE / 2;
+		hlth->backoff_ms = 0;
+		return HLTH_WAS_READMITTED;
+	}
+	hlth->evidence +=
+	    log((1.0 - HLTH_BAD_FAILS) / (1.0 - job->failure_rate));
+	hlth->evidence = fmax(hlth->evidence, 0.0);
+	return HLTH_NO_CHANGE;
+}
+
+enum hlth_change
+hlth_note(struct hlth *hlth, struct hlth_job *job, enum hlth_event event,
+    bool may_eject, uint64_t now_us, uint64_t random)
+{
+	double rate = job->failure_rate;
+
+	if (event == HLTH_SUCCESS)
+		return hlth_success(hlth, job);
+	if (hlth->state == HLTH_EJECTED)
+		return HLTH_NO_CHANGE;
+	if (event == HLTH_UNREACHABLE)
+		rate = HLTH_UNREACHABLE_RATE;
+	else if (event != HLTH_OVERDUE)
+		hlth_learn_job(job, hlth, true);
+	hlth->evidence += log(HLTH_BAD_FAILS / fmin(rate, HLTH_BAD_FAILS));
+	if (hlth->state == HLTH_PROBING) {
+		hlth_eject(hlth, event, now_us, random);
+		return HLTH_WAS_EJECTED;
+	}
+	if (hlth->evidence < HLTH_EJECT_EVIDENCE)
+		return HLTH_NO_CHANGE;
+	hlth->evidence = HLTH_EJECT_EVIDENCE;
+	if (!may_eject && event != HLTH_UNREACHABLE)
+		return HLTH_NO_CHANGE;
+	hlth_eject(hlth, event, now_us, random);
+	return HLTH_WAS_EJECTED;
+}
+
+bool
+hlth_probe_due(struct hlth *hlth, uint64_t now_us)
+{
+	if (hlth->state != HLTH_EJECTED || now_us < hlth->retry_at_us)
+		return false;
+	hlth->state = HLTH_PROBING;
+	return true;
+}
--- /dev/null
+++ b/core/learn.c
@@ -0,0 +1,67 @@
+/*
+ * A Kalman filter over two unknowns for each observation, in logarithms.
+ */
+
+#include <math.h>
+
+#include "core/learn.h"
+
+#define LRN_SPEED_VARIANCE 0.5	   /* of an unknown server */
+#define LRN_FACTOR_VARIANCE 4.0	   /* of an unknown job */
+#define LRN_NOISE_VARIANCE 0.1	   /* of one task's run time */
+#define LRN_DRIFT_VARIANCE 0.0005  /* added for each observation */
+#define LRN_OUTLIER_DEVIATIONS 3.0 /* what is beyond does not count */
+
+static void
+lrn_init(struct lrn_estimate *estimate, double log_value, double variance)
+{
+	estimate->value = exp(log_value);
+	estimate->log_value = log_value;
+	estimate->variance = variance;
+}
+
+void
+lrn_init_speed(struct lrn_estimate *speed, double log_mean)
+{
+	lrn_init(speed, log_mean, LRN_SPEED_VARIANCE);
+}
+
+void
+lrn_init_factor(struct lrn_estimate *factor)
+{
+	lrn_init(factor, 0.0, LRN_FACTOR_VARIANCE);
+}
+
+double
+lrn_expected_us(const struct lrn_estimate *speed,
+    const struct lrn_estimate *factor, double declared_us)
+{
+	return declared_us * factor->value / speed->value;
+}
+
+static void
+lrn_move(struct lrn_estimate *estimate, double gain, double by)
+{
+	estimate->log_value += gain * by;
+	estimate->value = exp(estimate->log_value);
+	estimate->variance *= 1.0 - gain;
+}
+
+void
+lrn_observe(struct lrn_estimate *speed, struct lrn_estimate *factor,
+    double declared_us, double observed_us)
+{
+	double surprise, total, bound;
+
+	if (observed_us < 1.0)
+		observed_us = 1.0;
+	speed->variance += LRN_DRIFT_VARIANCE;
+	factor->variance += LRN_DRIFT_VARIANCE;
+	surprise =
+	    log(observed_us / lrn_expected_us(speed, factor, declared_us));
+	total = speed->variance + factor->variance + LRN_NOISE_VARIANCE;
+	bound = LRN_OUTLIER_DEVIATIONS * sqrt(total);
+	surprise = fmin(fmax(surprise, -bound), bound);
+	lrn_move(speed, speed->variance / total, -surprise);
+	lrn_move(factor, factor->variance / total, surprise);
+}
--- /dev/null
+++ b/core/order.c
@@ -0,0 +1,272 @@
+/*
+ * Order between waiting submissions. See docs/design/dispatch.md.
+ *
+ * ord_fair is start-time fair queuing between flows: the flow with the least
+ * work started so far comes first, and a flow that was idle starts at the
+ * clock, so that it can't claim the past. ord_fifo is the naive version.
+ */
+
+#include <stddef.h>
+
+#include "core/order.h"
+
+#define ORD_AGE_BOUND_US 2000000 /* from then on the oldest has its turns */
+
+static int
+ord_item_cmp(const struct ord_item *a, const struct ord_item *b)
+{
+	if (a->work_us != b->work_us)
+		return a->work_us < b->work_us ? -1 : 1;
+	return a->seq < b->seq ? -1 : a->seq > b->seq;
+}
+
+static int
+ord_flow_cmp(const struct ord_flow *a, const struct ord_flow *b)
+{
+	if (a->tag != b->tag)
+		return a->tag < b->tag ? -1 : 1;
+	return a->seq < b->seq ? -1 : a->seq > b->seq;
+}
+
+RB_GENERATE_STATIC(ord_tree, ord_item, tree, ord_item_cmp)
+RB_GENERATE_STATIC(ord_flows, ord_flow, entry, ord_flow_cmp)
+
+void
+ord_init(struct order *order, const struct ord_ops *ops)
+{
+	*order = (struct order){ .ops = ops };
+	RB_INIT(&order->flows);
+	TAILQ_INIT(&order->fifo);
+}
+
+void
+ord_add(struct order *order, struct ord_item *item)
+{
+	struct ord_flow *flow = item->flow;
+
+	if (!flow->used) {
+		flow->used = true;
+		flow->seq = order->nseq++;
+		RB_INIT(&flow->tree);
+		TAILQ_INIT(&flow->arrivals);
+	}
+	item->queued = true;
+	order->nitems++;
+	order->nflows += flow->nitems++ == 0;
+	order->work_us += item->work_us;
+	flow->work_us += item->work_us;
+	order->ops->add(order, item);
+}
+
+void
+ord_remove(struct order *order, struct ord_item *item)
+{
+	struct ord_flow *flow = item->flow;
+
+	order->ops->remove(order, item);
+	item->queued = false;
+	order->nitems--;
+	order->nflows -= --flow->nitems == 0;
+	order->work_us -= item->work_us;
+	flow->work_us -= item->work_us;
+	/* Shed rounding errors. */
+	if (flow->nitems == 0)
+		flow->work_us = 0;
+	if (order->nitems == 0)
+		order->work_us = 0;
+}
+
+struct ord_item *
+ord_next(struct order *order, uint64_t now_us)
+{
+	return order->ops->next(order, now_us);
+}
+
+void
+ord_started(struct order *order, struct ord_item *item, double work_us)
+{
+	if (work_us > item->work_us)
+		work_us = item->work_us;
+	order->work_us -= work_us;
+	item->flow->work_us -= work_us;
+	order->ops->started(order, item, work_us);
+}
+
+void
+ord_more(struct order *order, struct ord_item *item, double work_us)
+{
+	if (item->queued)
+		ord_remove(order, item);
+	item->work_us += work_us;
+	ord_add(order, item);
+}
+
+void
+ord_block(struct order *order, struct ord_flow *flow, bool blocked)
+{
+	if (flow->blocked == blocked)
+		return;
+	order->ops->block(order, flow, blocked);
+	flow->blocked = blocked;
+}
+
+/* First come, first served. */
+
+static void
+ord_fifo_add(struct order *order, struct ord_item *item)
+{
+	struct ord_item *other;
+
+	TAILQ_FOREACH_REVERSE(other, &order->fifo, ord_items, fifo)
+	{
+		if (other->seq < item->seq) {
+			TAILQ_INSERT_AFTER(&order->fifo, other, item, fifo);
+			return;
+		}
+	}
+	TAILQ_INSERT_HEAD(&order->fifo, item, fifo);
+}
+
+static void
+ord_fifo_remove(struct order *order, struct ord_item *item)
+{
+	TAILQ_REMOVE(&order->fifo, item, fifo);
+}
+
+static struct ord_item *
+ord_fifo_next(struct order *order, uint64_t now_us)
+{
+	struct ord_item *item;
+
+	(void)now_us;
+	TAILQ_FOREACH (item, &order->fifo, fifo) {
+		if (!item->flow->blocked)
+			return item;
+	}
+	return NULL;
+}
+
+static void
+ord_fifo_started(struct order *order, struct ord_item *item, double work_us)
+{
+	(void)order;
+	item->work_us -= work_us;
+}
+
+static void
+ord_fifo_block(struct order *order, struct ord_flow *flow, bool blocked)
+{
+	(void)order;
+	(void)flow;
+	(void)blocked;
+}
+
+const struct ord_ops ord_fifo = {
+	.name = "fifo",
+	.add = ord_fifo_add,
+	.remove = ord_fifo_remove,
+	.next = ord_fifo_next,
+	.started = ord_fifo_started,
+	.block = ord_fifo_block,
+};
+
+/* Fair between flows, least work first within one. */
+
+static void
+ord_flow_activate(struct order *order, struct ord_flow *flow)
+{
+	if (flow->active || flow->blocked || RB_EMPTY(&flow->tree))
+		return;
+	if (flow->tag < order->clock)
+		flow->tag = order->clock;
+	flow->active = true;
+	RB_INSERT(ord_flows, &order->flows, flow);
+}
+
+static void
+ord_flow_deactivate(struct order *order, struct ord_flow *flow)
+{
+	if (!flow->active)
+		return;
+	RB_REMOVE(ord_flows, &order->flows, flow);
+	flow->active = false;
+}
+
+static void
+ord_fair_add(struct order *order, struct ord_item *item)
+{
+	struct ord_flow *flow = item->flow;
+	struct ord_item *other;
+
+	RB_INSERT(ord_tree, &flow->tree, item);
+	TAILQ_FOREACH_REVERSE(other, &flow->arrivals, ord_items, arrival)
+	{
+		if (other->seq < item->seq)
+			break;
+	}
+	if (other != NULL)
+		TAILQ_INSERT_AFTER(&flow->arrivals, other, item, arrival);
+	else
+		TAILQ_INSERT_HEAD(&flow->arrivals, item, arrival);
+	ord_flow_activate(order, flow);
+}
+
+static void
+ord_fair_remove(struct order *order, struct ord_item *item)
+{
+	struct ord_flow *flow = item->flow;
+
+	RB_REMOVE(ord_tree, &flow->tree, item);
+	TAILQ_REMOVE(&flow->arrivals, item, arrival);
+	if (RB_EMPTY(&flow->tree))
+		ord_flow_deactivate(order, flow);
+}
+
+static struct ord_item *
+ord_fair_next(struct order *order, uint64_t now_us)
+{
+	struct ord_flow *flow = RB_MIN(ord_flows, &order->flows);
+	struct ord_item *oldest;
+
+	if (flow == NULL)
+		return NULL;
+	oldest = TAILQ_FIRST(&flow->arrivals);
+	if (flow->nstarts % 2 == 0 &&
+	    now_us > oldest->arrived_us + ORD_AGE_BOUND_US)
+		return oldest;
+	return RB_MIN(ord_tree, &flow->tree);
+}
+
+static void
+ord_fair_started(struct order *order, struct ord_item *item, double work_us)
+{
+	struct ord_flow *flow = item->flow;
+
+	RB_REMOVE(ord_tree, &flow->tree, item);
+	item->work_us -= work_us;
+	RB_INSERT(ord_tree, &flow->tree, item);
+	ord_flow_deactivate(order, flow);
+	order->clock = flow->tag;
+	flow->tag += work_us;
+	flow->nstarts++;
+	ord_flow_activate(order, flow);
+}
+
+static void
+ord_fair_block(struct order *order, struct ord_flow *flow, bool blocked)
+{
+	flow->blocked = blocked;
+	if (blocked)
+		ord_flow_deactivate(order, flow);
+	else if (flow->used)
+		ord_flow_activate(order, flow);
+}
+
+const struct ord_ops ord_fair = {
+	.name = "fair",
+	.add = ord_fair_add,
+	.remove = ord_fair_remove,
+	.next = ord_fair_next,
+	.started = ord_fair_started,
+	.block = ord_fair_block,
+};
--- /dev/null
+++ b/core/pick.c
@@ -0,0 +1,317 @@
+/*
+ * Choice of a backend server. See docs/design/dispatch.md.
+ *
+ * Invariant: a member stands in the free list of its bucket exactly when its
+ * server was usable and had a free slot at the last pick_server_changed(); the
+ * sums of a tier count exactly its usable members.
+ */
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/pick.h"
+
+#define PICK_BUCKETS_PER_DOUBLING 4
+#define PICK_BUCKET_OF_ONE 16 /* the middle one stands for speed 1 */
+
+static int
+pick_bucket(double speed)
+{
+	double x = PICK_BUCKET_OF_ONE - log2(speed) * PICK_BUCKETS_PER_DOUBLING;
+
+	if (x < 0)
+		return 0;
+	if (x >= PICK_BUCKETS - 1)
+		return PICK_BUCKETS - 1;
+	return (int)lround(x);
+}
+
+double
+pick_bucket_speed(int bucket)
+{
+	return exp2(
+	    (double)(PICK_BUCKET_OF_ONE - bucket) / PICK_BUCKETS_PER_DOUBLING);
+}
+
+void
+pick_server_init(struct pick_server *server)
+{
+	*server = (struct pick_server){ .speed = 1.0 };
+	TAILQ_INIT(&server->members);
+}
+
+void
+pick_pool_init(struct pick_pool *pool, const struct pick_ops *ops)
+{
+	int tier, bucket;
+
+	memset(pool, 0, sizeof(*pool));
+	pool->ops = ops;
+	for (tier = 0; tier < PICK_TIERS; tier++) {
+		for (bucket = 0; bucket < PICK_BUCKETS; bucket++)
+			TAILQ_INIT(&pool->tiers[tier].free[bucket]);
+	}
+}
+
+static void
+pick_unfile(struct pick_member *member)
+{
+	struct pick_tier *tier = &member->pool->tiers[member->tier];
+
+	if (member->free) {
+		TAILQ_REMOVE(&tier->free[member->bucket], member, free_entry);
+		tier->nfree--;
+		member->free = false;
+	}
+	if (member->limit != 0) {
+		tier->slots[member->bucket] -= member->limit;
+		tier->capacity[member->bucket] = tier->slots[member->bucket] *
+		    pick_bucket_speed(member->bucket);
+		member->limit = 0;
+	}
+	tier->all_slots[member->bucket] -= member->slots;
+	member->slots = 0;
+}
+
+static void
+pick_file(struct pick_member *member, int bucket, uint32_t limit, bool free)
+{
+	struct pick_tier *tier = &member->pool->tiers[member->tier];
+
+	member->bucket = bucket;
+	member->limit = limit;
+	member->free = free;
+	if (member->server->usable)
+		member->slots = member->server->slots;
+	tier->all_slots[bucket] += member->slots;
+	tier->slots[bucket] += limit;
+	tier->capacity[bucket] =
+	    tier->slots[bucket] * pick_bucket_speed(bucket);
+	if (free) {
+		TAILQ_INSERT_TAIL(&tier->free[bucket], member, free_entry);
+		tier->nfree++;
+	}
+}
+
+void
+pick_server_changed(struct pick_server *server)
+{
+	struct pick_member *member;
+	uint32_t limit = server->usable ? server->limit : 0;
+	uint32_t slots = server->usable ? server->slots : 0;
+	bool free = server->running < limit;
+	int bucket;
+
+	member = TAILQ_FIRST(&server->members);
+	if (member == NULL)
+		return;
+	bucket = pick_bucket(server->speed);
+	TAILQ_FOREACH (member, &server->members, server_entry) {
+		if (member->free == free && member->limit == limit &&
+		    member->slots == slots &&
+		    (member->bucket == bucket || slots == 0))
+			continue;
+		pick_unfile(member);
+		pick_file(member, bucket, limit, free);
+	}
+}
+
+int
+pick_pool_add(struct pick_pool *pool, struct pick_server *server, int tier)
+{
+	struct pick_member *member, **members;
+	size_t size;
+
+	if (pool->nmembers == pool->members_size) {
+		size = pool->members_size == 0 ? 16 : pool->members_size * 2;
+		/* NOLINTNEXTLINE(bugprone-sizeof-expression) */
+		members = realloc(pool->members, size * sizeof(*members));
+		if (members == NULL)
+			return -1;
+		pool->members = members;
+		pool->members_size = size;
+	}
+	member = calloc(1, sizeof(*member));
+	if (member == NULL)
+		return -1;
+	member->pool = pool;
+	member->server = server;
+	member->tier = tier;
+	member->index = pool->nmembers;
+	pool->members[pool->nmembers++] = member;
+	TAILQ_INSERT_TAIL(&server->members, member, server_entry);
+	pick_server_changed(server);
+	return 0;
+}
+
+static void
+pick_member_free(struct pick_member *member)
+{
+	struct pick_pool *pool = member->pool;
+	struct pick_member *last = pool->members[pool->nmembers - 1];
+
+	pick_unfile(member);
+	pool->members[member->index] = last;
+	last->index = member->index;
+	pool->nmembers--;
+	TAILQ_REMOVE(&member->server->members, member, server_entry);
+	free(member);
+}
+
+static struct pick_member *
+pick_find(const struct pick_pool *pool, const struct pick_server *server)
+{
+	struct pick_member *member;
+
+	TAILQ_FOREACH (member, &server->members, server_entry) {
+		if (member->pool == pool)
+			return member;
+	}
+	return NULL;
+}
+
+bool
+pick_pool_has(const struct pick_pool *pool, const struct pick_server *server)
+{
+	return pick_find(pool, server) != NULL;
+}
+
+void
+pick_pool_remove(struct pick_pool *pool, struct pick_server *server)
+{
+	struct pick_member *member = pick_find(pool, server);
+
+	if (member != NULL)
+		pick_member_free(member);
+}
+
+void
+pick_server_leave(struct pick_server *server)
+{
+	struct pick_member *member, *next;
+
+	for (member = TAILQ_FIRST(&server->members); member != NULL;
+	     member = next) {
+		next = TAILQ_NEXT(member, server_entry);
+		pick_member_free(member);
+	}
+}
+
+void
+pick_pool_clear(struct pick_pool *pool)
+{
+	while (pool->nmembers != 0)
+		pick_member_free(pool->members[pool->nmembers - 1]);
+	free(pool->members);
+	pool->members = NULL;
+	pool->members_size = 0;
+}
+
+struct pick_server *
+pick_choose(struct pick_pool *pool, int tier, const struct pick_task *task)
+{
+	if (pool->tiers[tier].nfree == 0)
+		return NULL;
+	return pool->ops->choose(pool, tier, task);
+}
+
+double
+pick_capacity(const struct pick_pool *pool, int tier)
+{
+	double capacity = 0;
+	int bucket;
+
+	for (bucket = 0; bucket < PICK_BUCKETS; bucket++)
+		capacity += pool->tiers[tier].capacity[bucket];
+	return capacity;
+}
+
+double
+pick_best_speed(const struct pick_pool *pool, int tier)
+{
+	int bucket;
+
+	for (bucket = 0; bucket < PICK_BUCKETS; bucket++) {
+		if (pool->tiers[tier].all_slots[bucket] != 0)
+			return pick_bucket_speed(bucket);
+	}
+	return 0;
+}
+
+/* There is at least one free member, so the search ends. */
+static struct pick_server *
+pick_round_robin_choose(struct pick_pool *pool, int tier,
+    const struct pick_task *task)
+{
+	struct pick_member *member;
+
+	(void)task;
+	do {
+		pool->cursor = (pool->cursor + 1) % pool->nmembers;
+		member = pool->members[pool->cursor];
+	} while (!member->free || member->tier != tier);
+	return member->server;
+}
+
+const struct pick_ops pick_round_robin = {
+	.name = "round-robin",
+	.choose = pick_round_robin_choose,
+};
+
+static struct pick_server *
+pick_random_two_choose(struct pick_pool *pool, int tier,
+    const struct pick_task *task)
+{
+	struct pick_server *a, *b;
+	uint64_t random = task->random;
+
+	pool->cursor = (size_t)(random >> 32) % pool->nmembers;
+	a = pick_round_robin_choose(pool, tier, task);
+	pool->cursor = (size_t)(random & UINT32_MAX) % pool->nmembers;
+	b = pick_round_robin_choose(pool, tier, task);
+	return (double)a->running / a->limit <= (double)b->running / b->limit
+	    ? a
+	    : b;
+}
+
+const struct pick_ops pick_random_two = {
+	.name = "random-two",
+	.choose = pick_random_two_choose,
+};
+
+/*
+ * The fastest bucket with a free slot, unless the faster ones, all busy, are
+ * expected to have worked off everything that waits and this task as well
+ * before it would end here. Members of one bucket take turns.
+ */
+static struct pick_server *
+pick_earliest_choose(struct pick_pool *pool, int tier,
+    const struct pick_task *task)
+{
+	struct pick_tier *t = &pool->tiers[tier];
+	struct pick_member *member;
+	double capacity = 0, run_us, wait_us;
+	uint32_t slots = 0;
+	int bucket;
+
+	for (bucket = 0; TAILQ_EMPTY(&t->free[bucket]); bucket++) {
+		capacity += t->capacity[bucket];
+		slots += t->slots[bucket];
+	}
+	member = TAILQ_FIRST(&t->free[bucket]);
+	if (slots != 0) {
+		run_us = task->work_us / pick_bucket_speed(bucket);
+		wait_us = (task->waiting_us + task->work_us * slots) / capacity;
+		if (wait_us < run_us)
+			return NULL;
+	}
+	TAILQ_REMOVE(&t->free[bucket], member, free_entry);
+	TAILQ_INSERT_TAIL(&t->free[bucket], member, free_entry);
+	return member->server;
+}
+
+const struct pick_ops pick_earliest = {
+	.name = "earliest",
+	.choose = pick_earliest_choose,
+};
--- a/core/selector.c
+++ b/core/selector.c
@@ -232,6 +232,29 @@
 	return true;
 }
 
+static size_t
+sel_size(const struct selector *sel)
+{
+	return sizeof(*sel) + sel->nterms * sizeof(sel->terms[0]);
+}
+
+struct selector *
+sel_copy(const struct selector *sel)
+{
+	struct selector *copy = malloc(sel_size(sel));
+
+	if (copy != NULL)
+		memcpy(copy, sel, sel_size(sel));
+	return copy;
+}
+
+/* Terms are zeroed before they are filled, so bytes decide. */
+bool
+sel_equal(const struct selector *a, const struct selector *b)
+{
+	return a->nterms == b->nterms && memcmp(a, b, sel_size(a)) == 0;
+}
+
 void
 sel_free(struct selector *sel)
 {
--- a/core/selector.h
+++ b/core/selector.h
@@ -32,6 +32,12 @@
 /** sel_match() - does the set of labels match? */
 bool sel_match(const struct selector *sel, const struct labels *labels);
 
+/** sel_copy() - a copy to be freed with sel_free(); NULL if out of memory. */
+struct selector *sel_copy(const struct selector *sel);
+
+/** sel_equal() - do both consist of the same terms in the same order? */
+bool sel_equal(const struct selector *a, const struct selector *b);
+
 /** sel_free() - free a selector; NULL is allowed. */
 void sel_free(struct selector *sel);
 
--- /dev/null
+++ b/core/share.c
@@ -0,0 +1,94 @@
+/*
+ * Division of a server's slots. Every host gets the whole part of slots by
+ * hosts; the rest go to the hosts with the highest hash for this server, so
+ * that the loss of one host moves few slots.
+ */
+
+#include "core/share.h"
+
+static uint64_t
+shr_hash(const char *host, const char *server)
+{
+	uint64_t hash = 14695981039346656037ULL;
+
+	for (; *host != '\0'; host++)
+		hash = (hash ^ (unsigned char)*host) * 1099511628211ULL;
+	hash = (hash ^ '/') * 1099511628211ULL;
+	for (; *server != '\0'; server++)
+		hash = (hash ^ (unsigned char)*server) * 1099511628211ULL;
+	/* FNV leaves the high bits weak; mix them. */
+	hash ^= hash >> 33;
+	hash *= 0xff51afd7ed558ccdULL;
+	hash ^= hash >> 33;
+	hash *= 0xc4ceb9fe1a85ec53ULL;
+	return hash ^ hash >> 33;
+}
+
+/* Number of hosts that come before this one for the server. */
+static size_t
+shr_rank(const struct shr_input *input)
+{
+	uint64_t own = shr_hash(input->self, input->server), other;
+	size_t i, rank = 0;
+
+	for (i = 0; i < input->nhosts; i++) {
+		other = shr_hash(input->hosts[i], input->server);
+		rank += other > own;
+	}
+	return rank;
+}
+
+uint32_t
+shr_own(const struct shr_input *input)
+{
+	uint32_t whole, rest;
+
+	if (input->nhosts <= 1)
+		return input->slots;
+	whole = input->slots / (uint32_t)input->nhosts;
+	rest = input->slots % (uint32_t)input->nhosts;
+	return whole + (rest != 0 && shr_rank(input) < rest);
+}
+
+static uint32_t
+shr_each_limit(const struct shr_input *input)
+{
+	return input->slots;
+}
+
+const struct shr_ops shr_each = {
+	.name = "each",
+	.limit = shr_each_limit,
+};
+
+static uint32_t
+shr_split_limit(const struct shr_input *input)
+{
+	uint32_t own = shr_own(input), limit;
+
+	limit = own > input->lent ? own - input->lent : 0;
+	limit += input->borrowed;
+	return limit < input->slots ? limit : input->slots;
+}
+
+const struct shr_ops shr_split = {
+	.name = "split",
+	.limit = shr_split_limit,
+};
+
+/* Never less than its own part: what was seen may be old. */
+static uint32_t
+shr_seen_limit(const struct shr_input *input)
+{
+	uint32_t own = shr_own(input), left;
+
+	left = input->slots > input->others_running
+	    ? input->slots - input->others_running
+	    : 0;
+	return left > own ? left : own;
+}
+
+const struct shr_ops shr_seen = {
+	.name = "seen",
+	.limit = shr_seen_limit,
+};
--- /dev/null
+++ b/entry/engine.c
@@ -0,0 +1,403 @@
+/*
+ * Submissions: admission, cancellation, deadlines, and the engine itself.
+ */
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/admission.h"
+#include "core/counters.h"
+#include "entry/engine_internal.h"
+
+static struct counter eng_refused = {
+	.name = "berylrail_submissions_refused_total",
+	.help = "Submissions refused at admission.",
+};
+static struct counter eng_waiting = {
+	.name = "berylrail_tasks_waiting",
+	.help = "Tasks waiting for a backend server.",
+	.gauge = 1,
+};
+static struct counter eng_waiting_bytes = {
+	.name = "berylrail_tasks_waiting_bytes",
+	.help = "Bodies of waiting tasks.",
+	.gauge = 1,
+};
+static struct counter eng_running = {
+	.name = "berylrail_tasks_running",
+	.help = "Tasks sent to backend servers and not answered yet.",
+	.gauge = 1,
+};
+
+static int
+eng_subm_cmp(const struct eng_subm *a, const struct eng_subm *b)
+{
+	return strcmp(a->subm->id, b->subm->id);
+}
+
+RB_GENERATE(eng_subms, eng_subm, entry, eng_subm_cmp)
+
+/* xorshift64*, never 0. */
+uint64_t
+eng_random(struct engine *engine)
+{
+	uint64_t x = engine->random;
+
+	x ^= x >> 12;
+	x ^= x << 25;
+	x ^= x >> 27;
+	engine->random = x;
+	return x * 0x2545F4914F6CDD1DULL;
+}
+
+void
+eng_tick_on(struct engine *engine)
+{
+	static const struct timeval interval = {
+		.tv_usec = ENG_TICK_INTERVAL_MS * 1000,
+	};
+
+	if (engine->ticking)
+		return;
+	engine->ticking = true;
+	event_add(engine->tick, &interval);
+}
+
+static void
+eng_on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct engine *engine = arg;
+	uint64_t now_us = clock_now_us(engine->clock);
+
+	(void)fd;
+	(void)what;
+	engine->ticking = false;
+	eng_servers_tick(engine, now_us);
+	eng_hedge_late(engine, now_us);
+	eng_pump_all(engine);
+	ctr_set(&eng_waiting, engine->nwaiting);
+	ctr_set(&eng_waiting_bytes, engine->waiting_bytes);
+	ctr_set(&eng_running, engine->nrunning);
+	if (engine->nwaiting + engine->nrunning + engine->nejected != 0)
+		eng_tick_on(engine);
+}
+
+/* Answers are given from here only, so that no caller meets its own answer
+ * within a call of its own. */
+static void
+eng_on_flush(evutil_socket_t fd, short what, void *arg)
+{
+	struct engine *engine = arg;
+	struct eng_subm *subm;
+	struct answer *answer;
+	engine_done_fn done;
+	void *done_arg;
+
+	(void)fd;
+	(void)what;
+	while ((subm = TAILQ_FIRST(&engine->ended)) != NULL) {
+		TAILQ_REMOVE(&engine->ended, subm, ended_entry);
+		eng_count_answer(subm);
+		answer = subm->answer;
+		done = subm->done;
+		done_arg = subm->arg;
+		subm->answer = NULL;
+		eng_subm_free(subm);
+		done(done_arg, answer);
+	}
+}
+
+struct engine *
+engine_create(const struct engine_params *params)
+{
+	struct engine *engine;
+	uint64_t now_us;
+
+	engine = calloc(1, sizeof(*engine));
+	if (engine == NULL)
+		return NULL;
+	TAILQ_INIT(&engine->pools);
+	TAILQ_INIT(&engine->ended);
+	TAILQ_INIT(&engine->hedgeable);
+	if (disp_policy_parse(&engine->policy, params->policy, NULL) == -1)
+		goto error;
+	engine->base = params->base;
+	engine->clock = params->clock;
+	engine->backend = params->backend;
+	snprintf(engine->az, sizeof(engine->az), "%s", params->az);
+	snprintf(engine->host, sizeof(engine->host), "%s", params->host);
+	engine->random = params->seed * 2 + 1;
+	engine->queue_tasks_max = params->queue_tasks_max;
+	engine->queue_bytes_max = params->queue_bytes_max;
+	now_us = clock_now_us(engine->clock);
+	rtry_init_retries(&engine->retries, now_us);
+	rtry_init_hedges(&engine->hedges, now_us);
+	engine->flush = event_new(engine->base, -1, 0, eng_on_flush, engine);
+	engine->tick = event_new(engine->base, -1, 0, eng_on_tick, engine);
+	if (engine->flush == NULL || engine->tick == NULL)
+		goto error;
+	ctr_set(&eng_waiting, 0);
+	ctr_set(&eng_running, 0);
+	return engine;
+error:
+	engine_destroy(engine);
+	return NULL;
+}
+
+/* The least work first, so that the longest is on top of the stack. */
+static int
+eng_pending_cmp(const void *a, const void *b, void *arg)
+{
+	const struct task_spec *tasks = arg;
+	uint16_t i = *(const uint16_t *)a, j = *(const uint16_t *)b;
+
+	if (tasks[i].run_ms != tasks[j].run_ms)
+		return tasks[i].run_ms < tasks[j].run_ms ? -1 : 1;
+	return i < j ? 1 : -1;
+}
+
+static void
+eng_on_deadline(evutil_socket_t fd, short what, void *arg)
+{
+	struct eng_subm *subm = arg;
+	struct err err;
+
+	(void)fd;
+	(void)what;
+	err_set(&err, ERR_STEP_QUEUE, ERR_DEADLINE, subm->job->name,
+	    "the deadline passed while tasks were waiting");
+	eng_stop_waiting(subm, &err);
+}
+
+static uint64_t
+eng_deadline_us(const struct submission *subm, const struct eng_job *job)
+{
+	uint64_t deadline_us = job->cfg.deadline_ms * 1000ULL;
+
+	if (subm->timeout_us == 0)
+		return deadline_us;
+	if (deadline_us != 0 && deadline_us < subm->timeout_us)
+		return deadline_us;
+	return subm->timeout_us;
+}
+
+/* Estimates lean to the hopeful side by as much as is not known yet. */
+static void
+eng_estimate(const struct engine *engine, const struct submission *subm,
+    const struct eng_job *job, struct adm_input *input)
+{
+	const struct eng_pool *pool = job->pool;
+	double capacity, best, hope, work_us, total_us = 0, longest_us = 0;
+	size_t i;
+
+	capacity = pick_capacity(&pool->pick, 0);
+	best = pick_best_speed(&pool->pick, 0);
+	if (capacity <= 0 || best <= 0)
+		return;
+	hope = exp(-sqrt(job->factor.variance));
+	for (i = 0; i < subm->ntasks; i++) {
+		work_us = eng_task_work_us(job, &subm->tasks[i]) * hope;
+		total_us += work_us;
+		longest_us = fmax(longest_us, work_us);
+	}
+	input->by_time = engine->policy.admit;
+	input->longest_us = longest_us / best;
+	input->run_us = fmax(input->longest_us, total_us / capacity);
+	input->wait_us =
+	    fmin(pool->order.work_us,
+		job->flow.work_us * (double)(pool->order.nflows + 1)) *
+	    hope / capacity;
+}
+
+static int
+eng_admit(struct engine *engine, const struct submission *subm,
+    const struct eng_job *job, struct err *err)
+{
+	struct adm_input input = {
+		.job = subm->job,
+		.ntasks = subm->ntasks,
+		.queue_tasks = engine->nwaiting,
+		.queue_tasks_max = engine->queue_tasks_max,
+		.queue_bytes = engine->waiting_bytes,
+		.queue_bytes_max = engine->queue_bytes_max,
+		.job_tasks = job->nwaiting,
+		.job_tasks_max = job->cfg.queue_tasks_max,
+		.nservers = job->pool->pick.nmembers,
+		.timeout_us = job->cfg.timeout_ms * 1000ULL,
+		.deadline_us = eng_deadline_us(subm, job),
+	};
+	size_t i;
+
+	for (i = 0; i < subm->ntasks; i++)
+		input.bytes += subm->tasks[i].body_len;
+	eng_estimate(engine, subm, job, &input);
+	return adm_check(&input, err);
+}
+
+static struct eng_subm *
+eng_subm_create(struct engine *engine, struct submission *spec,
+    struct eng_job *job)
+{
+	struct eng_subm *subm;
+	size_t i;
+
+	subm = calloc(1, sizeof(*subm));
+	if (subm == NULL)
+		return NULL;
+	subm->answer = subm_answer_create(spec->ntasks);
+	if (subm->answer == NULL) {
+		free(subm);
+		return NULL;
+	}
+	subm->engine = engine;
+	subm->subm = spec;
+	subm->job = job;
+	subm->hedgeable = spec->single && job->cfg.repeatable &&
+	    job->cfg.hedge && engine->policy.hedge;
+	TAILQ_INIT(&subm->calls);
+	for (i = 0; i < spec->ntasks; i++) {
+		subm->pending[i] = (uint16_t)i;
+		subm->waiting_bytes += spec->tasks[i].body_len;
+		subm->item.work_us += eng_task_work_us(job, &spec->tasks[i]);
+	}
+	subm->npending = (uint16_t)spec->ntasks;
+	qsort_r(subm->pending, spec->ntasks, sizeof(subm->pending[0]),
+	    eng_pending_cmp, spec->tasks);
+	return subm;
+}
+
+static void
+eng_subm_enqueue(struct eng_subm *subm)
+{
+	struct engine *engine = subm->engine;
+	struct eng_job *job = subm->job;
+	uint64_t deadline_us = eng_deadline_us(subm->subm, job);
+	struct timeval tv = {
+		.tv_sec = (time_t)(deadline_us / 1000000),
+		.tv_usec = (suseconds_t)(deadline_us % 1000000),
+	};
+
+	subm->submitted_us = clock_now_us(engine->clock);
+	subm->item.flow = &job->flow;
+	subm->item.arrived_us = subm->submitted_us;
+	subm->item.seq = engine->nsubmitted++;
+	evtimer_assign(&subm->deadline, engine->base, eng_on_deadline, subm);
+	if (deadline_us != 0)
+		event_add(&subm->deadline, &tv);
+	job->nsubms++;
+	job->nwaiting += subm->npending;
+	engine->nwaiting += subm->npending;
+	engine->waiting_bytes += subm->waiting_bytes;
+	TAILQ_INSERT_TAIL(&job->subms, subm, job_entry);
+	ord_add(&job->pool->order, &subm->item);
+}
+
+int
+engine_submit(struct engine *engine, struct submission *spec,
+    engine_done_fn done, void *arg, struct err *err)
+{
+	struct eng_job key, *job;
+	struct eng_subm *subm;
+
+	snprintf(key.name, sizeof(key.name), "%s", spec->job);
+	job = RB_FIND(eng_jobs, &engine->jobs, &key);
+	if (job == NULL || !job->configured) {
+		ctr_inc(&eng_refused);
+		return err_set(err, ERR_STEP_ADMIT, ERR_NOT_FOUND, spec->job,
+		    "no such job is configured");
+	}
+	if (eng_admit(engine, spec, job, err) == -1) {
+		ctr_inc(&eng_refused);
+		return -1;
+	}
+	subm = eng_subm_create(engine, spec, job);
+	if (subm == NULL)
+		return err_set(err, ERR_STEP_ADMIT, ERR_NO_MEMORY, spec->job,
+		    "out of memory");
+	subm->done = done;
+	subm->arg = arg;
+	if (RB_INSERT(eng_subms, &engine->subms, subm) != NULL) {
+		subm_answer_free(subm->answer);
+		free(subm);
+		return err_set(err, ERR_STEP_ADMIT, ERR_CONFLICT, spec->job,
+		    "a submission of this id is running");
+	}
+	eng_subm_enqueue(subm);
+	eng_pump(engine, job->pool);
+	eng_tick_on(engine);
+	return 0;
+}
+
+static struct eng_subm *
+eng_subm_find(struct engine *engine, const char *id)
+{
+	struct submission spec;
+	struct eng_subm key = { .subm = &spec };
+
+	snprintf(spec.id, sizeof(spec.id), "%s", id);
+	return RB_FIND(eng_subms, &engine->subms, &key);
+}
+
+bool
+engine_cancel(struct engine *engine, const char *id)
+{
+	struct eng_subm *subm = eng_subm_find(engine, id);
+	struct err err;
+
+	if (subm == NULL)
+		return false;
+	if (subm->npending != 0) {
+		subm->cancelled = true;
+		err_set(&err, ERR_STEP_QUEUE, ERR_CANCELLED, subm->job->name,
+		    "cancelled while tasks were waiting");
+		eng_stop_waiting(subm, &err);
+	}
+	return true;
+}
+
+bool
+engine_progress(struct engine *engine, const char *id, size_t *ended,
+    size_t *ntasks)
+{
+	struct eng_subm *subm = eng_subm_find(engine, id);
+
+	if (subm == NULL)
+		return false;
+	*ended = subm->nended;
+	*ntasks = subm->subm->ntasks;
+	return true;
+}
+
+size_t
+engine_busy(const struct engine *engine)
+{
+	return engine->nwaiting + engine->nrunning;
+}
+
+void
+engine_destroy(struct engine *engine)
+{
+	struct eng_subm *subm, *next;
+
+	if (engine == NULL)
+		return;
+	engine->applying = true;
+	for (subm = RB_MIN(eng_subms, &engine->subms); subm != NULL;
+	     subm = next) {
+		next = RB_NEXT(eng_subms, &engine->subms, subm);
+		while (!TAILQ_EMPTY(&subm->calls))
+			eng_call_drop(TAILQ_FIRST(&subm->calls));
+		if (subm->item.queued)
+			ord_remove(&subm->job->pool->order, &subm->item);
+		eng_subm_free(subm);
+	}
+	eng_config_clear(engine);
+	if (engine->flush != NULL)
+		event_free(engine->flush);
+	if (engine->tick != NULL)
+		event_free(engine->tick);
+	free(engine->share_hosts);
+	free(engine->share_names);
+	free(engine);
+}
--- a/entry/engine.h
+++ b/entry/engine.h
@@ -94,4 +94,49 @@
 /** engine_set_share() - the set of live entry hosts has changed. */
 void engine_set_share(struct engine *engine, const struct engine_share *share);
 
+/**
+ * engine_leaving_servers() - servers that this host knows first hand (from the
+ * list or the servers themselves) to be leaving; names are borrowed.
+ */
+size_t engine_leaving_servers(struct engine *engine, const char **names,
+    size_t size);
+
+/**
+ * struct engine_loan - task slots on a server. Entry hosts of one availability
+ * zone lend each other slots of their shares.
+ */
+struct engine_loan {
+	const char *server; /* borrowed */
+	uint32_t slots;
+};
+
+/**
+ * engine_loan_wants() - servers that this host could use more slots of, as
+ * tasks wait and its own are taken. Return: number of entries, at most @size.
+ */
+size_t engine_loan_wants(struct engine *engine, struct engine_loan *wants,
+    size_t size);
+
+/**
+ * engine_loan_give() - lend idle slots to another host.
+ * @slots: at most so many.
+ * @for_us: for so long, counted by the borrower from receipt.
+ *
+ * Return: number lent, 0 if this host needs them itself.
+ */
+uint32_t engine_loan_give(struct engine *engine, const char *server,
+    uint32_t slots, uint64_t for_us);
+
+/** engine_loan_take() - another host has lent slots, from now on. */
+void engine_loan_take(struct engine *engine, const char *server, uint32_t slots,
+    uint64_t for_us);
+
+/** engine_loads() - tasks running on each server of the own zone. */
+size_t engine_loads(struct engine *engine, struct engine_loan *loads,
+    size_t size);
+
+/** engine_others_running() - tasks of all other hosts, as last heard. */
+void engine_others_running(struct engine *engine, const char *server,
+    uint32_t running);
+
 #endif /* ENTRY_ENGINE_H */
--- /dev/null
+++ b/entry/engine_server.c
@@ -0,0 +1,281 @@
+/*
+ * State of backend servers: leaving, health, pauses, and the resulting limit
+ * of running tasks.
+ */
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "adapters/log.h"
+#include "core/counters.h"
+#include "entry/engine_internal.h"
+
+#define ENG_OVERDUE_FACTOR 4.0 /* of the expected run time */
+#define ENG_OVERDUE_MIN_US 500000
+#define ENG_REMOTE_LIMIT 1 /* tasks on a server of another zone */
+
+static struct counter eng_ejected = {
+	.name = "berylrail_servers_ejected",
+	.help = "Backend servers ejected, or being tried again.",
+	.gauge = 1,
+};
+static struct counter eng_ejections = {
+	.name = "berylrail_server_ejections_total",
+	.help = "Ejections of backend servers.",
+};
+
+static int
+eng_server_cmp(const struct eng_server *a, const struct eng_server *b)
+{
+	return strcmp(a->address.name, b->address.name);
+}
+
+RB_GENERATE(eng_servers, eng_server, entry, eng_server_cmp)
+
+struct eng_server *
+eng_server_find(struct engine *engine, const char *name)
+{
+	struct eng_server key;
+
+	snprintf(key.address.name, sizeof(key.address.name), "%s", name);
+	return RB_FIND(eng_servers, &engine->servers, &key);
+}
+
+/* The limit is this host's share; a paused server is full as it is, a probing
+ * one gets one task at a time. */
+void
+eng_server_refresh(struct engine *engine, struct eng_server *server)
+{
+	struct pick_server *pick = &server->pick;
+
+	pick->usable = server->configured && server->leaving == 0 &&
+	    server->health.state != HLTH_EJECTED;
+	pick->limit = server->own_limit;
+	if (server->health.state == HLTH_PROBING)
+		pick->limit = 1;
+	if (server->paused_until_us != 0 && pick->limit > pick->running)
+		pick->limit = pick->running;
+	(void)engine;
+	pick_server_changed(pick);
+}
+
+/* Computes the share anew; a server of another zone is left to its hosts. */
+void
+eng_server_share(struct engine *engine, struct eng_server *server,
+    uint64_t now_us)
+{
+	struct shr_input input = {
+		.server = server->address.name,
+		.slots = server->cfg.slots,
+		.self = engine->host,
+		.hosts = engine->share_names,
+		.nhosts = engine->nshare,
+		.lent = eng_loans_sum(server->lent, now_us),
+		.borrowed = eng_loans_sum(server->borrowed, now_us),
+		.others_running = server->others_running,
+	};
+
+	if (server->tier == 0)
+		server->own_limit = engine->policy.share->limit(&input);
+	else
+		server->own_limit = ENG_REMOTE_LIMIT;
+	if (server->own_limit > server->cfg.connections)
+		server->own_limit = server->cfg.connections;
+	server->pick.slots = server->cfg.slots;
+	eng_server_refresh(engine, server);
+}
+
+void
+eng_servers_share(struct engine *engine)
+{
+	struct eng_server *server;
+	uint64_t now_us = clock_now_us(engine->clock);
+
+	RB_FOREACH (server, eng_servers, &engine->servers)
+		eng_server_share(engine, server, now_us);
+}
+
+static const char *
+eng_leaving_source_name(enum eng_leaving_source source)
+{
+	switch (source) {
+	case ENG_LEAVING_LABEL:
+		return "label";
+	case ENG_LEAVING_SELF:
+		return "server";
+	case ENG_LEAVING_LIST:
+		return "list";
+	case ENG_LEAVING_PEER:
+		return "peer";
+	}
+	return "";
+}
+
+/* The first source that says so counts. What was heard is kept by source, so
+ * that a source that repeats itself does not undo a later change. */
+void
+eng_server_set_leaving(struct engine *engine, struct eng_server *server,
+    enum eng_leaving_source source, bool leaving)
+{
+	bool heard = (server->heard & source) != 0;
+
+	if (heard == leaving)
+		return;
+	if (leaving) {
+		server->heard |= source;
+		server->leaving |= source;
+	} else {
+		server->heard &= ~source;
+		server->leaving &= ~source;
+		if (source == ENG_LEAVING_LIST)
+			server->leaving &= ENG_LEAVING_LABEL;
+	}
+	log_event(LOG_LEVEL_INFO,
+	    server->leaving != 0 ? "server-leaving" : "server-staying",
+	    "server=%s source=%s", server->address.name,
+	    eng_leaving_source_name(source));
+	eng_server_refresh(engine, server);
+}
+
+/* A higher version of the configuration takes back what all sources said. */
+void
+eng_server_stay(struct engine *engine, struct eng_server *server)
+{
+	server->leaving = 0;
+	server->heard &= ~(unsigned)(ENG_LEAVING_LABEL | ENG_LEAVING_SELF);
+	eng_server_refresh(engine, server);
+}
+
+void
+engine_server_leaving(struct engine *engine, const char *name,
+    const char *source, bool leaving)
+{
+	struct eng_server *server = eng_server_find(engine, name);
+
+	if (server == NULL)
+		return;
+	if (strcmp(source, "list") == 0)
+		eng_server_set_leaving(engine, server, ENG_LEAVING_LIST,
+		    leaving);
+	else
+		eng_server_set_leaving(engine, server, ENG_LEAVING_PEER,
+		    leaving);
+	if (!leaving)
+		eng_pump_server(engine, server);
+}
+
+size_t
+engine_leaving_servers(struct engine *engine, const char **names, size_t size)
+{
+	const unsigned first_hand = ENG_LEAVING_SELF | ENG_LEAVING_LIST;
+	struct eng_server *server;
+	size_t n = 0;
+
+	RB_FOREACH (server, eng_servers, &engine->servers) {
+		if (n < size && (server->leaving & first_hand) != 0)
+			names[n++] = server->address.name;
+	}
+	return n;
+}
+
+void
+eng_server_note(struct engine *engine, struct eng_server *server,
+    struct eng_job *job, enum hlth_event event)
+{
+	enum hlth_change change;
+	bool may_eject;
+
+	if (!engine->policy.eject)
+		return;
+	may_eject = engine->nejected < hlth_eject_max(engine->nlocal);
+	change = hlth_note(&server->health, &job->health, event, may_eject,
+	    clock_now_us(engine->clock), eng_random(engine));
+	if (change == HLTH_NO_CHANGE)
+		return;
+	eng_server_count(engine, server);
+	if (change == HLTH_WAS_EJECTED)
+		ctr_inc(&eng_ejections);
+	log_event(LOG_LEVEL_INFO,
+	    change == HLTH_WAS_EJECTED ? "server-ejected" : "server-readmitted",
+	    "server=%s", server->address.name);
+	eng_server_refresh(engine, server);
+	eng_tick_on(engine);
+}
+
+/* Keeps the number of servers that are not up. */
+void
+eng_server_count(struct engine *engine, struct eng_server *server)
+{
+	bool ejected = server->configured && server->health.state != HLTH_UP;
+
+	if (ejected == server->counted_ejected)
+		return;
+	server->counted_ejected = ejected;
+	engine->nejected += ejected ? 1 : -1U;
+	ctr_set(&eng_ejected, engine->nejected);
+}
+
+void
+eng_server_release(struct engine *engine, struct eng_server *server)
+{
+	if (server->configured || server->pick.running != 0)
+		return;
+	eng_server_count(engine, server);
+	RB_REMOVE(eng_servers, &engine->servers, server);
+	pick_server_leave(&server->pick);
+	free(server);
+}
+
+/* Factor by which an expected run time may well be exceeded. */
+double
+eng_doubt(const struct eng_call *call)
+{
+	return exp(2 *
+	    sqrt(call->server->speed.variance +
+		call->subm->job->factor.variance));
+}
+
+/* Tasks that should long have ended count against a server that has ended
+ * none since they started. */
+static void
+eng_note_overdue(struct engine *engine, struct eng_server *server,
+    uint64_t now_us)
+{
+	struct eng_call *call;
+	double limit_us;
+
+	TAILQ_FOREACH (call, &server->calls, server_entry) {
+		if (call->started_us < server->answered_us)
+			continue;
+		limit_us =
+		    call->expected_us * ENG_OVERDUE_FACTOR * eng_doubt(call);
+		if (limit_us < ENG_OVERDUE_MIN_US)
+			limit_us = ENG_OVERDUE_MIN_US;
+		if (call->overdue ||
+		    (double)(now_us - call->started_us) < limit_us)
+			continue;
+		call->overdue = true;
+		eng_server_note(engine, server, call->subm->job, HLTH_OVERDUE);
+	}
+}
+
+void
+eng_servers_tick(struct engine *engine, uint64_t now_us)
+{
+	struct eng_server *server;
+
+	RB_FOREACH (server, eng_servers, &engine->servers) {
+		if (server->pick.running != 0 && engine->policy.eject)
+			eng_note_overdue(engine, server, now_us);
+		if (server->paused_until_us != 0 &&
+		    server->paused_until_us <= now_us) {
+			server->paused_until_us = 0;
+			eng_server_refresh(engine, server);
+		}
+		if (hlth_probe_due(&server->health, now_us))
+			eng_server_refresh(engine, server);
+		if (eng_loan_due(server, now_us))
+			eng_server_share(engine, server, now_us);
+	}
+}
