Add the command-line client

Every call is safe to repeat: it reads, or carries a ticket or a change id, so the client may turn to the next entry host after a lost reply.

--- /dev/null
+++ b/client/cli_apply.c
@@ -0,0 +1,193 @@
+/*
+ * Whole documents of configuration: show, and apply in bounded changes.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "client/cli_internal.h"
+#include "core/config.h"
+
+#define CLI_APPLY_OPS_MAX 250 /* operations of one change */
+
+int
+cli_change(struct cli *cli, json_t *ops, json_int_t base, const char *why,
+    json_int_t *version)
+{
+	struct cli_request request = { .method = EVHTTP_REQ_POST,
+		.path = "/v1/config/changes" };
+	struct cli_reply reply;
+	json_t *body, *made;
+	char id[CLI_ID_SIZE];
+	int result = CLI_EXIT_OK;
+
+	snprintf(id, sizeof(id), "cli-%08x%08x", arc4random(), arc4random());
+	body = json_pack("{s:s, s:s, s:o}", "id", id, "why", why, "ops", ops);
+	if (base >= 0)
+		json_object_set_new(body, "base", json_integer(base));
+	request.body = body;
+	cli_call(cli, &request, &reply);
+	made = json_object_get(reply.body, "version");
+	if (reply.status != 200 || !json_is_integer(made)) {
+		result = cli_fail(cli, &reply);
+		if (result == CLI_EXIT_UNKNOWN)
+			fprintf(cli->err, "berylrail: change %s: see history\n",
+			    id);
+	} else {
+		if (version != NULL)
+			*version = json_integer_value(made);
+		fprintf(cli->err, "version %lld\n",
+		    (long long)json_integer_value(made));
+	}
+	cli_reply_clear(&reply);
+	json_decref(body);
+	return result;
+}
+
+/* Adds a "put" of each object in a snapshot's member "servers" and so on. */
+static void
+cli_apply_snapshot(const json_t *objects, json_t *ops)
+{
+	static const enum cfg_kind order[CFG_NKINDS] = { CFG_TEAM, CFG_SERVICE,
+		CFG_SERVER, CFG_HOST, CFG_JOB };
+	const char *name;
+	json_t *item, *op;
+	char plural[16];
+	size_t i;
+
+	for (i = 0; i < CFG_NKINDS; i++) {
+		snprintf(plural, sizeof(plural), "%ss",
+		    cfg_kind_name(order[i]));
+		json_object_foreach (json_object_get(objects, plural), name,
+		    item) {
+			op = json_pack("{s:s, s:s, s:s}", "op", "put", "kind",
+			    cfg_kind_name(order[i]), "name", name);
+			json_object_update(op, item);
+			json_array_append_new(ops, op);
+		}
+	}
+}
+
+/* Operations of a document: its "ops", its "items", or its "objects". */
+static json_t *
+cli_apply_ops(const json_t *document)
+{
+	json_t *ops, *item, *op;
+	size_t i;
+
+	ops = json_object_get(document, "ops");
+	if (json_is_array(ops))
+		return json_incref(ops);
+	ops = json_array();
+	cli_apply_snapshot(json_object_get(document, "objects"), ops);
+	json_array_foreach (json_object_get(document, "items"), i, item) {
+		op = json_pack("{s:s}", "op", "put");
+		json_object_update(op, item);
+		json_array_append_new(ops, op);
+	}
+	return ops;
+}
+
+/* Sends the operations, in several changes if they are many. */
+static int
+cli_apply_send(struct cli *cli, json_t *ops, json_int_t base, const char *why)
+{
+	size_t i, first, n = json_array_size(ops);
+	int result = CLI_EXIT_OK;
+	json_t *part;
+
+	if (n == 0) {
+		fputs("berylrail: config apply: no ops, items or objects\n",
+		    cli->err);
+		return CLI_EXIT_USAGE;
+	}
+	for (first = 0; first < n; first += CLI_APPLY_OPS_MAX) {
+		part = json_array();
+		for (i = first; i < n && i < first + CLI_APPLY_OPS_MAX; i++)
+			json_array_append(part, json_array_get(ops, i));
+		result =
+		    cli_change(cli, part, base, why, base >= 0 ? &base : NULL);
+		if (result == CLI_EXIT_OK)
+			continue;
+		if (first > 0)
+			fprintf(cli->err,
+			    "berylrail: the first %zu of %zu operations are "
+			    "in force, the rest are not\n",
+			    first, n);
+		break;
+	}
+	return result;
+}
+
+static int
+cli_apply(struct cli *cli, int argc, char **argv)
+{
+	struct arg_str *file, *why;
+	struct cli_options options;
+	json_t *document, *ops;
+	struct arg_int *base;
+	int result;
+
+	void *table[3 + CLI_OPTIONS] = {
+		file = arg_str1("f", "file", "FILE",
+		    "JSON with ops, items or objects; - for the input"),
+		base = arg_int0(NULL, "base", "VERSION",
+		    "only if this is still the newest version"),
+		why = arg_str0(NULL, "why", "TEXT", "for the audit trail"),
+	};
+
+	cli_options_add(&options, table, 3);
+	result = cli_options_parse(cli, &options, table, argc, argv);
+	if (result >= 0)
+		goto out;
+	result = CLI_EXIT_USAGE;
+	document = cli_read_json(cli, file->sval[0]);
+	if (document == NULL)
+		goto out;
+	ops = cli_apply_ops(document);
+	result = cli_apply_send(cli, ops, base->count > 0 ? base->ival[0] : -1,
+	    why->count > 0 ? why->sval[0] : "");
+	json_decref(ops);
+	json_decref(document);
+out:
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return result;
+}
+
+static int
+cli_show(struct cli *cli, int argc, char **argv)
+{
+	struct cli_request request = { .method = EVHTTP_REQ_GET,
+		.path = "/v1/config" };
+	struct cli_options options;
+	struct cli_reply reply;
+	void *table[CLI_OPTIONS];
+	int result;
+
+	cli_options_add(&options, table, 0);
+	result = cli_options_parse(cli, &options, table, argc, argv);
+	if (result < 0) {
+		result = CLI_EXIT_OK;
+		cli_call(cli, &request, &reply);
+		if (reply.status == 200 && reply.body != NULL)
+			cli_print_json(cli, reply.body);
+		else
+			result = cli_fail(cli, &reply);
+		cli_reply_clear(&reply);
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return result;
+}
+
+int
+cli_config(struct cli *cli, int argc, char **argv)
+{
+	const char *name = argc > 1 ? argv[1] : "";
+
+	if (strcmp(name, "apply") == 0)
+		return cli_apply(cli, argc - 1, argv + 1);
+	if (strcmp(name, "show") == 0)
+		return cli_show(cli, argc - 1, argv + 1);
+	fputs("berylrail: config: show or apply\n", cli->err);
+	return CLI_EXIT_USAGE;
+}
--- /dev/null
+++ b/client/cli_config.c
@@ -0,0 +1,363 @@
+/*
+ * Commands that read the configuration, and single changes of labels.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "client/cli_internal.h"
+#include "core/config.h"
+
+/* Prints items of one kind as a table. */
+static void
+cli_print_items(struct cli *cli, const json_t *items)
+{
+	struct cli_table table = { NULL, NULL };
+	json_t *item, *spec, *value;
+	const char *member;
+	char *text;
+	size_t i;
+
+	json_array_foreach (items, i, item) {
+		spec = json_object_get(item, "spec");
+		if (i == 0) {
+			cli_table_row(&table);
+			cli_table_cell(&table, "NAME");
+			json_object_foreach (spec, member, value)
+				cli_table_cell(&table, "%s", member);
+			cli_table_cell(&table, "LABELS");
+		}
+		cli_table_row(&table);
+		cli_table_cell(&table, "%s",
+		    json_string_value(json_object_get(item, "name")));
+		json_object_foreach (spec, member, value) {
+			if (json_is_string(value))
+				cli_table_cell(&table, "%s",
+				    json_string_length(value) > 0
+					? json_string_value(value)
+					: "-");
+			else if (json_is_integer(value))
+				cli_table_cell(&table, "%lld",
+				    (long long)json_integer_value(value));
+			else
+				cli_table_cell(&table, "%s",
+				    json_is_true(value) ? "yes" : "no");
+		}
+		text = cli_labels_text(json_object_get(item, "labels"));
+		cli_table_cell(&table, "%s", text);
+		free(text);
+	}
+	if (table.rows == NULL)
+		fputs("none\n", cli->err);
+	else
+		cli_table_print(&table, cli->out);
+}
+
+/* "/v1/config/servers?selector=..." or "/v1/config/servers/NAME". */
+static char *
+cli_get_path(enum cfg_kind kind, const char *name, const char *selector)
+{
+	char *path, *prefix;
+
+	if (asprintf(&prefix, "/v1/config/%ss%s", cfg_kind_name(kind),
+		name != NULL	       ? "/"
+		    : selector != NULL ? "?selector="
+				       : "") < 0)
+		abort();
+	path = cli_path(prefix,
+	    name != NULL	   ? name
+		: selector != NULL ? selector
+				   : "",
+	    "");
+	free(prefix);
+	return path;
+}
+
+static int
+cli_get_print(struct cli *cli, const char *path, bool single)
+{
+	struct cli_request request = { .method = EVHTTP_REQ_GET, .path = path };
+	struct cli_reply reply;
+	json_t *items;
+	int result = CLI_EXIT_OK;
+
+	cli_call(cli, &request, &reply);
+	if (reply.status != 200 || reply.body == NULL) {
+		result = cli_fail(cli, &reply);
+	} else if (cli->json) {
+		cli_print_json(cli, reply.body);
+	} else if (single) {
+		items = json_pack("[O]", reply.body);
+		cli_print_items(cli, items);
+		json_decref(items);
+	} else {
+		cli_print_items(cli, json_object_get(reply.body, "items"));
+	}
+	cli_reply_clear(&reply);
+	return result;
+}
+
+int
+cli_get(struct cli *cli, int argc, char **argv)
+{
+	struct arg_str *kind_name, *name, *selector;
+	struct cli_options options;
+	enum cfg_kind kind;
+	char *path;
+	int result;
+
+	void *table[3 + CLI_OPTIONS] = {
+		kind_name = arg_str1(NULL, NULL, "KIND",
+		    "services, jobs, servers, hosts or teams"),
+		name = arg_str0(NULL, NULL, "NAME", "one object only"),
+		selector = arg_str0("l", "selector", "SELECTOR",
+		    "as in az=surat,!leaving"),
+	};
+
+	cli_options_add(&options, table, 3);
+	result = cli_options_parse(cli, &options, table, argc, argv);
+	if (result >= 0)
+		goto out;
+	result = CLI_EXIT_USAGE;
+	if (cfg_kind_from_name(kind_name->sval[0], &kind) != 0 ||
+	    (name->count > 0 && selector->count > 0)) {
+		fputs("berylrail: get: KIND is services, jobs, servers, hosts "
+		      "or teams, with NAME or --selector\n",
+		    cli->err);
+		goto out;
+	}
+	path = cli_get_path(kind, name->count > 0 ? name->sval[0] : NULL,
+	    selector->count > 0 ? selector->sval[0] : NULL);
+	result = cli_get_print(cli, path, name->count > 0);
+	free(path);
+out:
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return result;
+}
+
+/* One "label" operation from "name=value" and "name-" arguments, or NULL. */
+static json_t *
+cli_label_op(const char *kind, const char *name, const char **edits, int n)
+{
+	json_t *set = json_object(), *unset = json_array();
+	char edit[256], *equals;
+	size_t len;
+	int i;
+
+	for (i = 0; i < n; i++) {
+		len = strlcpy(edit, edits[i], sizeof(edit));
+		equals = strchr(edit, '=');
+		if (len >= sizeof(edit) || len == 0 ||
+		    (equals == NULL && edit[len - 1] != '-')) {
+			json_decref(set);
+			json_decref(unset);
+			return NULL;
+		}
+		if (equals != NULL) {
+			*equals = '\0';
+			json_object_set_new(set, edit, json_string(equals + 1));
+		} else {
+			edit[len - 1] = '\0';
+			json_array_append_new(unset, json_string(edit));
+		}
+	}
+	return json_pack("{s:s, s:s, s:s, s:o, s:o}", "op", "label", "kind",
+	    kind, "name", name, "set", set, "unset", unset);
+}
+
+/* Sends one label operation. */
+static int
+cli_label_send(struct cli *cli, const char *kind_name, const char *name,
+    const char **edits, int nedits, const char *why)
+{
+	enum cfg_kind kind;
+	json_t *op;
+
+	op = cfg_kind_from_name(kind_name, &kind) != 0
+	    ? NULL
+	    : cli_label_op(cfg_kind_name(kind), name, edits, nedits);
+	if (op == NULL) {
+		fputs("berylrail: KIND is service, job, server, host or team; "
+		      "a label is NAME=VALUE, or NAME- to take it away\n",
+		    cli->err);
+		return CLI_EXIT_USAGE;
+	}
+	return cli_change(cli, json_pack("[o]", op), -1, why, NULL);
+}
+
+int
+cli_label(struct cli *cli, int argc, char **argv)
+{
+	struct arg_str *kind, *name, *edits, *why;
+	struct cli_options options;
+	int result;
+
+	void *table[4 + CLI_OPTIONS] = {
+		kind = arg_str1(NULL, NULL, "KIND",
+		    "service, job, server, host or team"),
+		name = arg_str1(NULL, NULL, "NAME", "of the object"),
+		edits = arg_strn(NULL, NULL, "LABEL", 1, 64,
+		    "NAME=VALUE sets, NAME- takes away"),
+		why = arg_str0(NULL, "why", "TEXT", "for the audit trail"),
+	};
+
+	cli_options_add(&options, table, 4);
+	result = cli_options_parse(cli, &options, table, argc, argv);
+	if (result < 0)
+		result = cli_label_send(cli, kind->sval[0], name->sval[0],
+		    edits->sval, edits->count,
+		    why->count > 0 ? why->sval[0] : "");
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return result;
+}
+
+static int
+cli_set_leaving(struct cli *cli, int argc, char **argv, const char *edit)
+{
+	struct arg_str *kind, *name, *why;
+	struct cli_options options;
+	int result;
+
+	void *table[3 + CLI_OPTIONS] = {
+		kind = arg_str1(NULL, NULL, "KIND", "server or host"),
+		name = arg_str1(NULL, NULL, "NAME", "of the object"),
+		why = arg_str0(NULL, "why", "TEXT", "for the audit trail"),
+	};
+
+	cli_options_add(&options, table, 3);
+	result = cli_options_parse(cli, &options, table, argc, argv);
+	if (result < 0 && strcmp(kind->sval[0], "server") != 0 &&
+	    strcmp(kind->sval[0], "host") != 0) {
+		fprintf(cli->err, "berylrail: %s: server or host, not \"%s\"\n",
+		    argv[0], kind->sval[0]);
+		result = CLI_EXIT_USAGE;
+	}
+	if (result < 0)
+		result = cli_label_send(cli, kind->sval[0], name->sval[0],
+		    &edit, 1, why->count > 0 ? why->sval[0] : argv[0]);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return result;
+}
+
+int
+cli_drain(struct cli *cli, int argc, char **argv)
+{
+	return cli_set_leaving(cli, argc, argv, "leaving=true");
+}
+
+int
+cli_undrain(struct cli *cli, int argc, char **argv)
+{
+	return cli_set_leaving(cli, argc, argv, "leaving-");
+}
+
+/* "put server/s1, label host/h2, ..." of a change. */
+static char *
+cli_ops_text(const json_t *ops)
+{
+	char *text = NULL;
+	size_t i, len = 0;
+	FILE *stream;
+	json_t *op;
+
+	stream = open_memstream(&text, &len);
+	if (stream == NULL)
+		abort();
+	json_array_foreach (ops, i, op) {
+		if (i == 3) {
+			fprintf(stream, ", and %zu more",
+			    json_array_size(ops) - i);
+			break;
+		}
+		fprintf(stream, "%s%s %s/%s", i > 0 ? ", " : "",
+		    json_string_value(json_object_get(op, "op")),
+		    json_string_value(json_object_get(op, "kind")),
+		    json_string_value(json_object_get(op, "name")));
+	}
+	fclose(stream);
+	return text;
+}
+
+static void
+cli_history_row(struct cli_table *table, const json_t *change)
+{
+	const char *who = "", *host = "", *why = "";
+	json_int_t version = 0, when_ms = 0;
+	char *ops, when[32];
+	time_t seconds;
+	struct tm tm;
+
+	(void)json_unpack((json_t *)change, "{s:I, s:I, s:s, s:s, s:s}",
+	    "version", &version, "when_ms", &when_ms, "who", &who, "host",
+	    &host, "why", &why);
+	seconds = (time_t)(when_ms / 1000);
+	strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%SZ",
+	    gmtime_r(&seconds, &tm));
+	ops = cli_ops_text(json_object_get(change, "ops"));
+	cli_table_row(table);
+	cli_table_cell(table, "%lld", (long long)version);
+	cli_table_cell(table, "%s", when);
+	cli_table_cell(table, "%s", who);
+	cli_table_cell(table, "%s", host);
+	cli_table_cell(table, "%s", why);
+	cli_table_cell(table, "%s", ops);
+	free(ops);
+}
+
+static int
+cli_history_print(struct cli *cli, int after, int limit)
+{
+	static const char *const head[] = { "VERSION", "WHEN", "WHO", "HOST",
+		"WHY", "CHANGES" };
+	struct cli_request request = { .method = EVHTTP_REQ_GET };
+	struct cli_table table = { NULL, NULL };
+	struct cli_reply reply;
+	int result = CLI_EXIT_OK;
+	json_t *change;
+	char path[96];
+	size_t i;
+
+	snprintf(path, sizeof(path), "/v1/config/history?after=%d&limit=%d",
+	    after, limit);
+	request.path = path;
+	cli_call(cli, &request, &reply);
+	if (reply.status != 200 || reply.body == NULL) {
+		result = cli_fail(cli, &reply);
+	} else if (cli->json) {
+		cli_print_json(cli, reply.body);
+	} else {
+		cli_table_row(&table);
+		for (i = 0; i < sizeof(head) / sizeof(head[0]); i++)
+			cli_table_cell(&table, "%s", head[i]);
+		json_array_foreach (json_object_get(reply.body, "changes"), i,
+		    change)
+			cli_history_row(&table, change);
+		cli_table_print(&table, cli->out);
+	}
+	cli_reply_clear(&reply);
+	return result;
+}
+
+int
+cli_history(struct cli *cli, int argc, char **argv)
+{
+	struct arg_int *after, *limit;
+	struct cli_options options;
+	int result;
+
+	void *table[2 + CLI_OPTIONS] = {
+		after = arg_int0(NULL, "after", "VERSION",
+		    "changes after this version"),
+		limit = arg_int0(NULL, "limit", "N", "at most so many"),
+	};
+
+	cli_options_add(&options, table, 2);
+	result = cli_options_parse(cli, &options, table, argc, argv);
+	if (result < 0)
+		result = cli_history_print(cli,
+		    after->count > 0 ? after->ival[0] : 0,
+		    limit->count > 0 ? limit->ival[0] : 50);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return result;
+}
--- /dev/null
+++ b/client/cli_jobs.c
@@ -0,0 +1,384 @@
+/*
+ * Commands about submissions. A submission first takes a ticket, so that it
+ * may be sent again to any entry host, and resumes by it after a broken
+ * connection.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "berylrail/limits.h"
+#include "berylrail/outcome.h"
+#include "client/cli_internal.h"
+
+#define CLI_WAIT_MS 2000       /* of one request for the state of a job */
+#define CLI_WAIT_EXTRA_MS 5000 /* for the answer itself */
+
+static int
+cli_exit_of_answer(const json_t *answer)
+{
+	const char *name;
+	enum outcome outcome;
+
+	name = json_string_value(json_object_get(answer, "outcome"));
+	if (name == NULL || outcome_from_name(name, &outcome) != 0)
+		return CLI_EXIT_UNKNOWN;
+	switch (outcome) {
+	case OUTCOME_COMPLETE:
+		return CLI_EXIT_OK;
+	case OUTCOME_NOT_RUN:
+		return CLI_EXIT_NOT_RUN;
+	case OUTCOME_TASK_FAILED:
+		return CLI_EXIT_FAILED;
+	case OUTCOME_UNKNOWN:
+		break;
+	}
+	return CLI_EXIT_UNKNOWN;
+}
+
+static const char *
+cli_text(const json_t *object, const char *name)
+{
+	const char *text = json_string_value(json_object_get(object, name));
+
+	return text != NULL ? text : "-";
+}
+
+/* Prints an answer that has ended; returns its exit code. */
+static int
+cli_print_answer(struct cli *cli, const json_t *answer)
+{
+	struct cli_table table = { NULL, NULL };
+	json_t *result, *error;
+	size_t i;
+
+	if (cli->json) {
+		cli_print_json(cli, answer);
+		return cli_exit_of_answer(answer);
+	}
+	json_array_foreach (json_object_get(answer, "results"), i, result) {
+		if (i == 0) {
+			cli_table_row(&table);
+			cli_table_cell(&table, "TASK");
+			cli_table_cell(&table, "STATE");
+			cli_table_cell(&table, "STATUS");
+			cli_table_cell(&table, "SERVER");
+			cli_table_cell(&table, "BODY");
+		}
+		cli_table_row(&table);
+		cli_table_cell(&table, "%zu", i);
+		cli_table_cell(&table, "%s", cli_text(result, "state"));
+		cli_table_cell(&table, "%lld",
+		    (long long)json_integer_value(
+			json_object_get(result, "status")));
+		cli_table_cell(&table, "%s", cli_text(result, "server"));
+		cli_table_cell(&table, "%s",
+		    json_object_get(result, "body_base64") != NULL
+			? "(not text; see -o json)"
+			: cli_text(result, "body"));
+	}
+	cli_table_print(&table, cli->out);
+	fprintf(cli->out, "%s %s\n", cli_text(answer, "id"),
+	    cli_text(answer, "outcome"));
+	error = json_object_get(answer, "error");
+	if (error != NULL)
+		fprintf(cli->err, "berylrail: %s (step %s, peer %s)\n",
+		    cli_text(error, "message"), cli_text(error, "step"),
+		    cli_text(error, "peer"));
+	return cli_exit_of_answer(answer);
+}
+
+static void
+cli_progress(struct cli *cli, const json_t *state)
+{
+	json_int_t ended = 0, tasks = 0;
+
+	(void)json_unpack((json_t *)state, "{s?I, s?I}", "ended", &ended,
+	    "tasks", &tasks);
+	fprintf(cli->err, "\r%lld/%lld tasks", (long long)ended,
+	    (long long)tasks);
+	fflush(cli->err);
+}
+
+/* Asks for a submission until it has ended, and prints the answer. */
+static int
+cli_follow(struct cli *cli, const char *id)
+{
+	struct cli_request request = { .method = EVHTTP_REQ_GET,
+		.timeout_ms = CLI_WAIT_MS + CLI_WAIT_EXTRA_MS };
+	struct cli_reply reply;
+	char *path, suffix[32];
+	int result;
+
+	snprintf(suffix, sizeof(suffix), "?wait=%d", CLI_WAIT_MS);
+	path = cli_path("/v1/jobs/", id, suffix);
+	request.path = path;
+	for (;;) {
+		cli_call(cli, &request, &reply);
+		if (reply.status != 202)
+			break;
+		cli_progress(cli, reply.body);
+		cli_reply_clear(&reply);
+	}
+	fputc('\n', cli->err);
+	if (reply.status == 200 && reply.body != NULL)
+		result = cli_print_answer(cli, reply.body);
+	else
+		result = cli_fail(cli, &reply);
+	if (reply.status == 0)
+		result = CLI_EXIT_UNKNOWN;
+	cli_reply_clear(&reply);
+	free(path);
+	return result;
+}
+
+/* Takes a ticket; 0 and *ticket, to be freed, or -1 and the exit code. */
+static int
+cli_take_ticket(struct cli *cli, char **ticket, int *result)
+{
+	json_t *body = json_pack("{s:i}", "count", 1);
+	struct cli_request request = { .method = EVHTTP_REQ_POST,
+		.path = "/v1/tickets",
+		.body = body };
+	struct cli_reply reply;
+	const char *text;
+
+	cli_call(cli, &request, &reply);
+	json_decref(body);
+	text = json_string_value(
+	    json_array_get(json_object_get(reply.body, "tickets"), 0));
+	*ticket = NULL;
+	if (reply.status == 200 && text != NULL) {
+		*ticket = strdup(text);
+	} else {
+		*result = cli_fail(cli, &reply);
+		/* Without a ticket nothing can have run. */
+		if (*result == CLI_EXIT_UNKNOWN)
+			*result = CLI_EXIT_UNAVAILABLE;
+	}
+	cli_reply_clear(&reply);
+	return *ticket != NULL ? 0 : -1;
+}
+
+/* Sends the submission under its ticket, and follows it if asked to. */
+static int
+cli_submit_send(struct cli *cli, json_t *body, bool wait)
+{
+	struct cli_request request = { .method = EVHTTP_REQ_POST,
+		.path = "/v1/jobs?wait=0",
+		.body = body };
+	struct cli_reply reply;
+	char *ticket, *id;
+	int result;
+
+	if (cli_take_ticket(cli, &ticket, &result) != 0)
+		return result;
+	json_object_set_new(body, "ticket", json_string(ticket));
+	cli_call(cli, &request, &reply);
+	if (reply.status == 202) {
+		id = strdup(cli_text(reply.body, "id"));
+		if (id == NULL)
+			abort();
+		if (wait) {
+			cli_progress(cli, reply.body);
+			result = cli_follow(cli, id);
+		} else {
+			fprintf(cli->out, "%s\n", id);
+			result = CLI_EXIT_OK;
+		}
+		free(id);
+	} else if (reply.status == 200 && reply.body != NULL) {
+		result = cli_print_answer(cli, reply.body);
+	} else {
+		result = cli_fail(cli, &reply);
+		if (result == CLI_EXIT_UNKNOWN)
+			fprintf(cli->err,
+			    "berylrail: ask again: berylrail status %s\n",
+			    ticket);
+	}
+	cli_reply_clear(&reply);
+	free(ticket);
+	return result;
+}
+
+/* The body of a submission of equal tasks. */
+static json_t *
+cli_submit_tasks(int ntasks, const char *text, int run_ms)
+{
+	json_t *tasks = json_array(), *task;
+	int i;
+
+	for (i = 0; i < ntasks; i++) {
+		task = json_pack("{s:s}", "body", text);
+		if (run_ms > 0)
+			json_object_set_new(task, "run_ms",
+			    json_integer(run_ms));
+		json_array_append_new(tasks, task);
+	}
+	return json_pack("{s:o}", "tasks", tasks);
+}
+
+int
+cli_submit(struct cli *cli, int argc, char **argv)
+{
+	struct arg_str *job, *file, *text;
+	struct arg_int *ntasks, *run_ms, *timeout_ms;
+	struct cli_options options;
+	json_t *body = NULL;
+	struct arg_lit *wait;
+	int result = CLI_EXIT_UNAVAILABLE;
+
+	void *table[7 + CLI_OPTIONS] = {
+		job = arg_str1(NULL, NULL, "JOB", "name of the job"),
+		file = arg_str0("f", "file", "FILE",
+		    "JSON with tasks; - for the input"),
+		ntasks = arg_int0(NULL, "tasks", "N", "so many equal tasks"),
+		text = arg_str0(NULL, "body", "TEXT", "of each of them"),
+		run_ms = arg_int0(NULL, "run-ms", "MS", "declared run time"),
+		timeout_ms = arg_int0(NULL, "timeout-ms", "MS",
+		    "time limit of the submission"),
+		wait = arg_lit0(NULL, "wait", "follow it to its answer"),
+	};
+
+	cli_options_add(&options, table, 7);
+	result = cli_options_parse(cli, &options, table, argc, argv);
+	if (result >= 0)
+		goto out;
+	result = CLI_EXIT_USAGE;
+	if (file->count > 0 && ntasks->count + text->count > 0) {
+		fputs("berylrail: submit: --file or --tasks, not both\n",
+		    cli->err);
+		goto out;
+	}
+	if (ntasks->count > 0 &&
+	    (ntasks->ival[0] < 1 || ntasks->ival[0] > JOB_TASKS_MAX)) {
+		fprintf(cli->err, "berylrail: submit: tasks: 1..%d\n",
+		    JOB_TASKS_MAX);
+		goto out;
+	}
+	body = file->count > 0
+	    ? cli_read_json(cli, file->sval[0])
+	    : cli_submit_tasks(ntasks->count > 0 ? ntasks->ival[0] : 1,
+		  text->count > 0 ? text->sval[0] : "",
+		  run_ms->count > 0 ? run_ms->ival[0] : 0);
+	if (!json_is_object(body))
+		goto out;
+	json_object_set_new(body, "job", json_string(job->sval[0]));
+	if (timeout_ms->count > 0)
+		json_object_set_new(body, "timeout_ms",
+		    json_integer(timeout_ms->ival[0]));
+	result = cli_submit_send(cli, body, wait->count > 0);
+out:
+	json_decref(body);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return result;
+}
+
+/* One call about a submission, and what it answers. */
+static int
+cli_job_call(struct cli *cli, enum evhttp_cmd_type method, const char *id)
+{
+	struct cli_request request = { .method = method };
+	struct cli_reply reply;
+	char *path;
+	int result;
+
+	path = cli_path("/v1/jobs/", id, "");
+	request.path = path;
+	cli_call(cli, &request, &reply);
+	free(path);
+	if (reply.status == 200 && reply.body != NULL) {
+		result = cli_print_answer(cli, reply.body);
+		if (method == EVHTTP_REQ_DELETE)
+			result = CLI_EXIT_OK;
+	} else if (reply.status == 202) {
+		result = CLI_EXIT_OK;
+		if (cli->json && reply.body != NULL)
+			cli_print_json(cli, reply.body);
+		else
+			fprintf(cli->out, "%s %s\n", id,
+			    cli_text(reply.body, "state"));
+	} else {
+		result = cli_fail(cli, &reply);
+	}
+	cli_reply_clear(&reply);
+	return result;
+}
+
+int
+cli_cancel(struct cli *cli, int argc, char **argv)
+{
+	struct cli_options options;
+	struct arg_str *id;
+	int result;
+
+	void *table[1 + CLI_OPTIONS] = {
+		id = arg_str1(NULL, NULL, "ID", "of the submission"),
+	};
+
+	cli_options_add(&options, table, 1);
+	result = cli_options_parse(cli, &options, table, argc, argv);
+	if (result < 0)
+		result = cli_job_call(cli, EVHTTP_REQ_DELETE, id->sval[0]);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return result;
+}
+
+/* The entry hosts of --server: are they ready, and at which version? */
+static int
+cli_status_hosts(struct cli *cli)
+{
+	struct cli_request ready = { .method = EVHTTP_REQ_GET,
+		.path = "/readyz" };
+	struct cli_request version = { .method = EVHTTP_REQ_GET,
+		.path = "/v1/config/teams" };
+	struct cli_table table = { NULL, NULL };
+	struct cli_reply reply = { 0 };
+	int result = CLI_EXIT_OK;
+	json_int_t number;
+	size_t i;
+
+	cli_table_row(&table);
+	cli_table_cell(&table, "HOST");
+	cli_table_cell(&table, "STATE");
+	cli_table_cell(&table, "VERSION");
+	for (i = 0; i < cli->nservers; i++) {
+		cli_call_server(cli, i, &ready, &reply);
+		cli_table_row(&table);
+		cli_table_cell(&table, "%s", hcl_peer(cli->servers[i]));
+		cli_table_cell(&table, "%s",
+		    reply.status == 200	    ? "ready"
+			: reply.status != 0 ? "not ready"
+					    : reply.text);
+		if (reply.status != 200)
+			result = CLI_EXIT_UNAVAILABLE;
+		cli_call_server(cli, i, &version, &reply);
+		number =
+		    json_integer_value(json_object_get(reply.body, "version"));
+		cli_table_cell(&table, "%lld", (long long)number);
+	}
+	cli_reply_clear(&reply);
+	cli_table_print(&table, cli->out);
+	return result;
+}
+
+int
+cli_status(struct cli *cli, int argc, char **argv)
+{
+	struct cli_options options;
+	struct arg_str *id;
+	int result;
+
+	void *table[1 + CLI_OPTIONS] = {
+		id = arg_str0(NULL, NULL, "ID", "of a submission"),
+	};
+
+	cli_options_add(&options, table, 1);
+	result = cli_options_parse(cli, &options, table, argc, argv);
+	if (result < 0)
+		result = id->count > 0
+		    ? cli_job_call(cli, EVHTTP_REQ_GET, id->sval[0])
+		    : cli_status_hosts(cli);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return result;
+}
