--- a/client/cli_jobs.c
+++ b/client/cli_jobs.c
@@ -169,7 +169,7 @@
 		.body = body };
 	struct cli_reply reply;
 	char *ticket, *id;
-	int result;
+	int result = CLI_EXIT_UNAVAILABLE;
 
 	if (cli_take_ticket(cli, &ticket, &result) != 0)
 		return result;
@@ -226,7 +226,7 @@
 	struct cli_options options;
 	json_t *body = NULL;
 	struct arg_lit *wait;
-	int result = CLI_EXIT_UNAVAILABLE;
+	int result;
 
 	void *table[7 + CLI_OPTIONS] = {
 		job = arg_str1(NULL, NULL, "JOB", "name of the job"),
@@ -261,8 +261,11 @@
 	    : cli_submit_tasks(ntasks->count > 0 ? ntasks->ival[0] : 1,
 		  text->count > 0 ? text->sval[0] : "",
 		  run_ms->count > 0 ? run_ms->ival[0] : 0);
-	if (!json_is_object(body))
+	if (!json_is_object(body)) {
+		fputs("berylrail: submit: no JSON object with tasks\n",
+		    cli->err);
 		goto out;
+	}
 	json_object_set_new(body, "job", json_string(job->sval[0]));
 	if (timeout_ms->count > 0)
 		json_object_set_new(body, "timeout_ms",
