--- /dev/null
+++ b/tests/support/raw_server.h
@@ -0,0 +1,25 @@
+#ifndef TESTS_SUPPORT_RAW_SERVER_H
+#define TESTS_SUPPORT_RAW_SERVER_H
+
+#include <event2/event.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* A loopback server that answers each request with given bytes. */
+
+/** struct raw_server - what it answers, and what it saw. */
+struct raw_server {
+	const char *answer; /* raw bytes of an answer; NULL: none */
+	bool close;	    /* close the connection after it */
+	int requests;
+	int connections;
+	char last[4096]; /* the last request, as text */
+	uint16_t port;
+	struct evconnlistener *listener;
+	struct event_base *base;
+};
+
+void raw_server_start(struct raw_server *server, struct event_base *base);
+void raw_server_stop(struct raw_server *server);
+
+#endif /* TESTS_SUPPORT_RAW_SERVER_H */
