--- /dev/null
+++ b/tests/naive/naive_config.h
@@ -0,0 +1,14 @@
+#ifndef TESTS_NAIVE_CONFIG_H
+#define TESTS_NAIVE_CONFIG_H
+
+#include <jansson.h>
+
+/**
+ * naive_config_apply() - operations on a snapshot, obviously right and slow.
+ *
+ * The snapshot is copied, edited as plain JSON, and then parsed and checked as
+ * a whole. Return: the new snapshot, or NULL if it is refused.
+ */
+json_t *naive_config_apply(const json_t *snapshot, const json_t *ops);
+
+#endif /* TESTS_NAIVE_CONFIG_H */
