--- a/tests/support/fake_table.c
+++ b/tests/support/faulty_table.c
@@ -5,10 +5,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "support/fake_table.h"
+#include "support/faulty_table.h"
 
 struct fake_call {
-	struct fake_table *fake;
+	struct faulty_table *fake;
 	table_rows_fn rows_done;
 	table_done_fn done;
 	void *arg;
@@ -22,7 +22,7 @@
 
 	if (call == NULL)
 		abort();
-	call->fake = (struct fake_table *)table;
+	call->fake = (struct faulty_table *)table;
 	call->arg = arg;
 	call->forced = TABLE_OK;
 	return call;
@@ -97,7 +97,7 @@
     size_t nwrites, table_done_fn done, void *arg)
 {
 	struct fake_call *call = fake_call_create(table, arg);
-	struct fake_table *fake = call->fake;
+	struct faulty_table *fake = call->fake;
 
 	call->done = done;
 	fake->transactions++;
@@ -124,7 +124,7 @@
 };
 
 void
-fake_table_init(struct fake_table *fake, struct table *inner)
+faulty_table_init(struct faulty_table *fake, struct table *inner)
 {
 	memset(fake, 0, sizeof(*fake));
 	fake->table.ops = &fake_ops;
