--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED = 1
 SECONDS = 60
 
-.PHONY: all deps build asan demo check check-asan lint format clean \
+.PHONY: all deps build asan demo check check-asan bench lint format clean \
 	torture torture-tampered fuzz
 
 all: build
@@ -49,6 +49,10 @@
 fuzz: deps
 	sh tools/fuzz.sh $(SECONDS)
 
+# The table of both measures, under five minutes. BENCH_ARGS narrows it.
+bench: build
+	$(BUILD)/berylrail-bench $(BENCH_ARGS)
+
 lint: build
 	sh tools/lint.sh $(BUILD)
 
--- a/adapters/peers_conn.c
+++ b/adapters/peers_conn.c
@@ -282,7 +282,10 @@
 		peers_gossip_snapshot(conn, frame->config_snapshot);
 		break;
 	case BERYLRAIL__FRAME__KIND_SLOT_LOAN:
+		peers_loan_granted(conn, frame->slot_loan);
+		break;
 	case BERYLRAIL__FRAME__KIND_SLOT_REQUEST:
+		peers_loan_request(conn, frame->slot_request);
 		break;
 	default:
 		rc = -1;
--- a/adapters/peers_internal.h
+++ b/adapters/peers_internal.h
@@ -18,7 +18,7 @@
  * Shared by the files of the peers adapter: peers_tcp.c (life cycle, timer),
  * peers_dial.c (whom to connect to), peers_conn.c (one connection),
  * peers_forward.c (requests between hosts), peers_gossip.c (heartbeats,
- * configuration, leaving servers).
+ * configuration, leaving servers), peers_loan.c (slots lent between hosts).
  */
 
 #define PEERS_HELLO_TIMEOUT_MS 2000
@@ -35,7 +35,12 @@
 #define PEERS_TICKS_PER_HEARTBEAT 4
 #define PEERS_LEAVING_MAX 64	    /* servers in one heartbeat */
 #define PEERS_INTERVAL_MAX_MS 60000 /* of a peer's heartbeats */
-#define PEERS_CONFIG_GRACE_MS 2000  /* to fetch from the table first */
+#define PEERS_LOAN_TICK_MS 20
+#define PEERS_LOAN_MS 500	   /* that slots are lent for */
+#define PEERS_LOAN_RETRY_MS 100	   /* after a host had nothing to lend */
+#define PEERS_LOAN_SERVERS_MAX 32  /* in one request */
+#define PEERS_LOAN_SLOTS_MAX 64	   /* of one server */
+#define PEERS_CONFIG_GRACE_MS 2000 /* to fetch from the table first */
 
 struct peers_tcp;
 struct peers_conn;
@@ -75,6 +80,8 @@
 	uint64_t leaving_told; /* value of leaving_changes last sent */
 	uint32_t interval_ms;  /* the peer's heartbeat interval, 0 unknown */
 	size_t nserved;
+	bool loan_asked;	/* the answer is still to come */
+	uint64_t loan_retry_us; /* no request before that */
 	TAILQ_ENTRY(peers_conn) entry;
 };
 
@@ -124,6 +131,7 @@
 	struct endpoint advertise;
 	struct evconnlistener *listener;
 	struct event *timer;
+	struct event *loan_timer;
 	struct event *ended_event; /* runs callbacks of ended forwards */
 	struct member_table members;
 	struct peers_target_list targets;
@@ -208,6 +216,13 @@
 void peers_gossip_all(struct peers_tcp *peers);
 void peers_gossip_release(struct peers_tcp *peers);
 
+/* peers_loan.c */
+void peers_loan_tick(evutil_socket_t fd, short what, void *arg);
+void peers_loan_request(struct peers_conn *conn,
+    const Berylrail__SlotRequest *request);
+void peers_loan_granted(struct peers_conn *conn,
+    const Berylrail__SlotLoan *loan);
+
 /* Counters */
 extern struct counter peers_ctr_bad_frames;
 
--- a/adapters/peers_tcp.c
+++ b/adapters/peers_tcp.c
@@ -93,22 +93,34 @@
 	return 0;
 }
 
-static int
-peers_tcp_start_timers(struct peers_tcp *peers, struct err *err)
+static struct event *
+peers_tcp_timer(struct peers_tcp *peers, uint32_t ms, event_callback_fn tick)
 {
-	uint32_t ms = peers->params.heartbeat_ms / PEERS_TICKS_PER_HEARTBEAT;
+	struct event *timer =
+	    event_new(peers->params.base, -1, EV_PERSIST, tick, peers);
 	struct timeval interval;
 
 	if (ms == 0)
 		ms = 1;
 	interval.tv_sec = ms / 1000;
 	interval.tv_usec = (suseconds_t)(ms % 1000) * 1000;
-	peers->timer = event_new(peers->params.base, -1, EV_PERSIST,
-	    peers_tcp_tick, peers);
+	if (timer != NULL)
+		(void)event_add(timer, &interval);
+	return timer;
+}
+
+static int
+peers_tcp_start_timers(struct peers_tcp *peers, struct err *err)
+{
+	uint32_t ms = peers->params.heartbeat_ms / PEERS_TICKS_PER_HEARTBEAT;
+
+	peers->timer = peers_tcp_timer(peers, ms, peers_tcp_tick);
+	peers->loan_timer =
+	    peers_tcp_timer(peers, PEERS_LOAN_TICK_MS, peers_loan_tick);
 	peers->ended_event = event_new(peers->params.base, -1, 0,
 	    peers_forward_run_ended, peers);
-	if (peers->timer == NULL || peers->ended_event == NULL ||
-	    event_add(peers->timer, &interval) < 0)
+	if (peers->timer == NULL || peers->loan_timer == NULL ||
+	    peers->ended_event == NULL)
 		return err_set(err, ERR_STEP_PEER, ERR_NO_MEMORY, NULL,
 		    "timers");
 	return 0;
@@ -229,6 +241,8 @@
 	mbr_release(&peers->members);
 	if (peers->ended_event != NULL)
 		event_free(peers->ended_event);
+	if (peers->loan_timer != NULL)
+		event_free(peers->loan_timer);
 	if (peers->timer != NULL)
 		event_free(peers->timer);
 	if (peers->listener != NULL)
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -13,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/dispatch.h"
 #include "entry/settings.h"
 
 #define SET_ENV_PREFIX "BERYLRAIL_"
@@ -29,6 +30,7 @@
 	SET_PLATFORM,
 	SET_PEERS,
 	SET_CHOICE,
+	SET_POLICY,
 	SET_PATH,
 	SET_U32,
 	SET_U64,
@@ -66,8 +68,8 @@
 	{ "peer", SET_PEERS, SET_AT(peers), NULL, 1, 0, NULL,
 	    "an entry host to begin with; may be repeated (in the "
 	    "environment: separated by commas)" },
-	{ "policy", SET_CHOICE, SET_AT(policy), "default", 0, NAME_SIZE,
-	    "default|naive", "dispatch policy" },
+	{ "policy", SET_POLICY, SET_AT(policy), "default", 0, NAME_SIZE, NULL,
+	    "dispatch policy: default or naive, changes after commas" },
 	{ "config-poll-ms", SET_U32, SET_AT(config_poll_ms), "2000", 10, 4000,
 	    NULL, "mean interval of polls of the configuration" },
 	{ "hostlist-poll-ms", SET_U32, SET_AT(hostlist_poll_ms), "2000", 10,
@@ -312,6 +314,8 @@
     const char *text)
 {
 	void *field = (char *)loader->settings + def->offset;
+	struct disp_policy policy;
+	struct err err;
 
 	switch (def->kind) {
 	case SET_NAME:
@@ -335,6 +339,13 @@
 	case SET_CHOICE:
 		set_store_choice(loader, def, text, field);
 		break;
+	case SET_POLICY:
+		if (disp_policy_parse(&policy, text, &err) < 0)
+			set_error(loader, def->name, "%s", err.message);
+		else if (strlcpy(field, text, def->max) >= def->max)
+			set_error(loader, def->name, "longer than %llu bytes",
+			    (unsigned long long)def->max - 1);
+		break;
 	case SET_PATH:
 		if (strlcpy(field, text, def->max) >= def->max)
 			set_error(loader, def->name, "longer than %llu bytes",
@@ -513,6 +524,8 @@
 		return "URL";
 	case SET_CHOICE:
 		return def->choices;
+	case SET_POLICY:
+		return "POLICY";
 	case SET_PATH:
 		return "FILE";
 	case SET_U32:
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &berylrail__config_snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   berylrail__server_slots__init
+                     (Berylrail__ServerSlots         *message)
+{
+  static const Berylrail__ServerSlots init_value = BERYLRAIL__SERVER_SLOTS__INIT;
+  *message = init_value;
+}
+size_t berylrail__server_slots__get_packed_size
+                     (const Berylrail__ServerSlots *message)
+{
+  assert(message->base.descriptor == &berylrail__server_slots__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t berylrail__server_slots__pack
+                     (const Berylrail__ServerSlots *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &berylrail__server_slots__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t berylrail__server_slots__pack_to_buffer
+                     (const Berylrail__ServerSlots *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &berylrail__server_slots__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Berylrail__ServerSlots *
+       berylrail__server_slots__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Berylrail__ServerSlots *)
+     protobuf_c_message_unpack (&berylrail__server_slots__descriptor,
+                                allocator, len, data);
+}
+void   berylrail__server_slots__free_unpacked
+                     (Berylrail__ServerSlots *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &berylrail__server_slots__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   berylrail__slot_loan__init
                      (Berylrail__SlotLoan         *message)
 {
@@ -1196,7 +1241,7 @@
   (ProtobufCMessageInit) berylrail__config_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor berylrail__slot_loan__field_descriptors[3] =
+static const ProtobufCFieldDescriptor berylrail__server_slots__field_descriptors[2] =
 {
   {
     "server",
@@ -1204,7 +1249,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Berylrail__SlotLoan, server),
+    offsetof(Berylrail__ServerSlots, server),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -1216,19 +1261,58 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Berylrail__SlotLoan, slots),
+    offsetof(Berylrail__ServerSlots, slots),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned berylrail__server_slots__field_indices_by_name[] = {
+  0,   /* field[0] = server */
+  1,   /* field[1] = slots */
+};
+static const ProtobufCIntRange berylrail__server_slots__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor berylrail__server_slots__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "berylrail.ServerSlots",
+  "ServerSlots",
+  "Berylrail__ServerSlots",
+  "berylrail",
+  sizeof(Berylrail__ServerSlots),
+  2,
+  berylrail__server_slots__field_descriptors,
+  berylrail__server_slots__field_indices_by_name,
+  1,  berylrail__server_slots__number_ranges,
+  (ProtobufCMessageInit) berylrail__server_slots__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor berylrail__slot_loan__field_descriptors[2] =
+{
   {
-    "until_ms",
-    3,
+    "servers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Berylrail__SlotLoan, n_servers),
+    offsetof(Berylrail__SlotLoan, servers),
+    &berylrail__server_slots__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lent_for_ms",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Berylrail__SlotLoan, until_ms),
+    offsetof(Berylrail__SlotLoan, lent_for_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -1236,14 +1320,13 @@
   },
 };
 static const unsigned berylrail__slot_loan__field_indices_by_name[] = {
-  0,   /* field[0] = server */
-  1,   /* field[1] = slots */
-  2,   /* field[2] = until_ms */
+  1,   /* field[1] = lent_for_ms */
+  0,   /* field[0] = servers */
 };
 static const ProtobufCIntRange berylrail__slot_loan__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor berylrail__slot_loan__descriptor =
 {
@@ -1253,48 +1336,35 @@
   "Berylrail__SlotLoan",
   "berylrail",
   sizeof(Berylrail__SlotLoan),
-  3,
+  2,
   berylrail__slot_loan__field_descriptors,
   berylrail__slot_loan__field_indices_by_name,
   1,  berylrail__slot_loan__number_ranges,
   (ProtobufCMessageInit) berylrail__slot_loan__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor berylrail__slot_request__field_descriptors[2] =
+static const ProtobufCFieldDescriptor berylrail__slot_request__field_descriptors[1] =
 {
   {
-    "server",
+    "servers",
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Berylrail__SlotRequest, server),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "slots",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Berylrail__SlotRequest, slots),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Berylrail__SlotRequest, n_servers),
+    offsetof(Berylrail__SlotRequest, servers),
+    &berylrail__server_slots__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned berylrail__slot_request__field_indices_by_name[] = {
-  0,   /* field[0] = server */
-  1,   /* field[1] = slots */
+  0,   /* field[0] = servers */
 };
 static const ProtobufCIntRange berylrail__slot_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 1 }
 };
 const ProtobufCMessageDescriptor berylrail__slot_request__descriptor =
 {
@@ -1304,7 +1374,7 @@
   "Berylrail__SlotRequest",
   "berylrail",
   sizeof(Berylrail__SlotRequest),
-  2,
+  1,
   berylrail__slot_request__field_descriptors,
   berylrail__slot_request__field_indices_by_name,
   1,  berylrail__slot_request__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Berylrail__ConfigNotice Berylrail__ConfigNotice;
 typedef struct Berylrail__ConfigFetch Berylrail__ConfigFetch;
 typedef struct Berylrail__ConfigSnapshot Berylrail__ConfigSnapshot;
+typedef struct Berylrail__ServerSlots Berylrail__ServerSlots;
 typedef struct Berylrail__SlotLoan Berylrail__SlotLoan;
 typedef struct Berylrail__SlotRequest Berylrail__SlotRequest;
 typedef struct Berylrail__Frame Berylrail__Frame;
@@ -175,33 +176,50 @@
     , 0, {0,NULL} }
 
 
-struct  Berylrail__SlotLoan
+struct  Berylrail__ServerSlots
 {
   ProtobufCMessage base;
   char *server;
+  uint32_t slots;
+};
+#define BERYLRAIL__SERVER_SLOTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&berylrail__server_slots__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * The answer to a SlotRequest; without servers if there is nothing to lend.
+ */
+struct  Berylrail__SlotLoan
+{
+  ProtobufCMessage base;
   /*
    * lent by the sender
    */
-  uint32_t slots;
+  size_t n_servers;
+  Berylrail__ServerSlots **servers;
   /*
-   * from receipt, relative
+   * from receipt
    */
-  uint64_t until_ms;
+  uint32_t lent_for_ms;
 };
 #define BERYLRAIL__SLOT_LOAN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&berylrail__slot_loan__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , 0,NULL, 0 }
 
 
 struct  Berylrail__SlotRequest
 {
   ProtobufCMessage base;
-  char *server;
-  uint32_t slots;
+  /*
+   * that the sender could use
+   */
+  size_t n_servers;
+  Berylrail__ServerSlots **servers;
 };
 #define BERYLRAIL__SLOT_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&berylrail__slot_request__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , 0,NULL }
 
 
 typedef enum {
@@ -391,6 +409,25 @@
 void   berylrail__config_snapshot__free_unpacked
                      (Berylrail__ConfigSnapshot *message,
                       ProtobufCAllocator *allocator);
+/* Berylrail__ServerSlots methods */
+void   berylrail__server_slots__init
+                     (Berylrail__ServerSlots         *message);
+size_t berylrail__server_slots__get_packed_size
+                     (const Berylrail__ServerSlots   *message);
+size_t berylrail__server_slots__pack
+                     (const Berylrail__ServerSlots   *message,
+                      uint8_t             *out);
+size_t berylrail__server_slots__pack_to_buffer
+                     (const Berylrail__ServerSlots   *message,
+                      ProtobufCBuffer     *buffer);
+Berylrail__ServerSlots *
+       berylrail__server_slots__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   berylrail__server_slots__free_unpacked
+                     (Berylrail__ServerSlots *message,
+                      ProtobufCAllocator *allocator);
 /* Berylrail__SlotLoan methods */
 void   berylrail__slot_loan__init
                      (Berylrail__SlotLoan         *message);
@@ -474,6 +511,9 @@
 typedef void (*Berylrail__ConfigSnapshot_Closure)
                  (const Berylrail__ConfigSnapshot *message,
                   void *closure_data);
+typedef void (*Berylrail__ServerSlots_Closure)
+                 (const Berylrail__ServerSlots *message,
+                  void *closure_data);
 typedef void (*Berylrail__SlotLoan_Closure)
                  (const Berylrail__SlotLoan *message,
                   void *closure_data);
@@ -497,6 +537,7 @@
 extern const ProtobufCMessageDescriptor berylrail__config_notice__descriptor;
 extern const ProtobufCMessageDescriptor berylrail__config_fetch__descriptor;
 extern const ProtobufCMessageDescriptor berylrail__config_snapshot__descriptor;
+extern const ProtobufCMessageDescriptor berylrail__server_slots__descriptor;
 extern const ProtobufCMessageDescriptor berylrail__slot_loan__descriptor;
 extern const ProtobufCMessageDescriptor berylrail__slot_request__descriptor;
 extern const ProtobufCMessageDescriptor berylrail__frame__descriptor;
--- a/tests/test_peers_tcp.c
+++ b/tests/test_peers_tcp.c
@@ -41,6 +41,11 @@
 	size_t nshare;
 	char leaving[NAME_SIZE];
 	size_t nleaving;
+	uint32_t wants;	   /* slots on "s1" */
+	uint32_t idle;	   /* slots on "s1", to be lent */
+	uint32_t borrowed; /* so far */
+	size_t ngranted;   /* times asked to lend */
+	uint64_t for_us;
 };
 
 struct config_sync {
@@ -131,6 +136,38 @@
 	engine->nleaving++;
 }
 
+size_t
+engine_loan_wants(struct engine *engine, struct engine_loan *wants, size_t size)
+{
+	cr_assert_gt(size, 0);
+	wants[0].server = "s1";
+	wants[0].slots = engine->wants;
+	return engine->wants > 0;
+}
+
+uint32_t
+engine_loan_give(struct engine *engine, const char *server, uint32_t slots,
+    uint64_t for_us)
+{
+	uint32_t n = slots < engine->idle ? slots : engine->idle;
+
+	cr_assert_str_eq(server, "s1");
+	engine->ngranted++;
+	engine->for_us = for_us;
+	engine->idle -= n;
+	return n;
+}
+
+void
+engine_loan_take(struct engine *engine, const char *server, uint32_t slots,
+    uint64_t for_us)
+{
+	cr_assert_str_eq(server, "s1");
+	cr_assert_gt(for_us, 0);
+	engine->borrowed += slots;
+	engine->wants -= slots;
+}
+
 const struct config *
 config_sync_current(const struct config_sync *sync)
 {
@@ -704,3 +741,53 @@
 	peers_tcp_destroy(a.peers);
 	peers_tcp_destroy(b.peers);
 }
+
+Test(peers_tcp, idle_slots_are_lent_inside_a_zone_only)
+{
+	struct node a = { 0 }, b = { 0 }, c = { 0 };
+
+	a.engine.wants = 5;
+	b.engine.idle = 3;
+	c.engine.idle = 3;
+	node_start(&a, "a", "z1", 11, 0, 0);
+	node_start(&b, "b", "z1", 22, 0, a.port);
+	node_start(&c, "c", "z2", 33, 0, a.port);
+	WAIT_FOR(a.engine.borrowed == 3);
+	/* Asked again, b has nothing left. */
+	WAIT_FOR(counter_value("berylrail_wasted_messages_total{hop=\"peer\","
+			       "kind=\"slot_request\"} ") > 0);
+	cr_assert_eq(a.engine.borrowed, 3);
+	cr_assert_eq(b.engine.idle, 0);
+	cr_assert_eq(c.engine.ngranted, 0);
+	peers_tcp_destroy(a.peers);
+	peers_tcp_destroy(b.peers);
+	peers_tcp_destroy(c.peers);
+}
+
+Test(peers_tcp, a_loan_nobody_asked_for_is_ignored)
+{
+	Berylrail__ServerSlots slots = BERYLRAIL__SERVER_SLOTS__INIT;
+	Berylrail__ServerSlots *list[1] = { &slots };
+	Berylrail__SlotLoan loan = BERYLRAIL__SLOT_LOAN__INIT;
+	Berylrail__ForwardReply reply = BERYLRAIL__FORWARD_REPLY__INIT;
+	char server[] = "s1";
+	struct node a = { 0 };
+	int fd;
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	fd = raw_connect(a.port);
+	raw_hello(fd, "b", 22);
+	slots.server = server;
+	slots.slots = 4;
+	loan.servers = list;
+	loan.n_servers = 1;
+	loan.lent_for_ms = 100;
+	raw_send(fd, BERYLRAIL__FRAME__KIND_SLOT_LOAN, &loan);
+	/* What comes after it has been read, so it has been, too. */
+	raw_send(fd, BERYLRAIL__FRAME__KIND_FORWARD_REPLY, &reply);
+	WAIT_FOR(counter_value("berylrail_wasted_messages_total{hop=\"peer\","
+			       "kind=\"unknown_reply\"} ") == 1);
+	cr_assert_eq(a.engine.borrowed, 0);
+	peers_tcp_destroy(a.peers);
+	close(fd);
+}
--- a/tools/bench/bench.h
+++ b/tools/bench/bench.h
@@ -164,6 +164,7 @@
 void bct_give_up(struct bench_client *client);
 struct bench_result *bct_results(struct bench_client *client);
 const struct bench_client_counts *bct_counts(const struct bench_client *client);
+json_t *bct_errors(const struct bench_client *client);
 uint64_t bct_start_us(const struct bench_client *client);
 void bct_destroy(struct bench_client *client);
 
--- a/tools/bench/client.c
+++ b/tools/bench/client.c
@@ -6,62 +6,18 @@
 
 #include <err.h>
 #include <event2/buffer.h>
-#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/queue.h>
 
-#include "bench.h"
+#include "client_internal.h"
 
 #define BCT_ANSWER_TIMEOUT_S 40
 #define BCT_WAIT_MS 35000 /* asked of the entry host */
 #define BCT_BALANCER_MS 200
 #define BCT_RESUBMITS_MAX 2
-#define BCT_READY_TIMEOUT_S 1
-
-/* One client and its connection. */
-struct bct_conn {
-	struct bench_client *client;
-	int host;
-	struct evhttp_connection *http;
-	char ticket[TICKET_SIZE];
-	struct bct_job *job; /* under way, or NULL: idle */
-	bool broken;
-	TAILQ_ENTRY(bct_conn) entry; /* of idle ones */
-};
-
-/* One job under way. */
-struct bct_job {
-	const struct bench_job *job;
-	struct bench_client *client;
-	struct bct_conn *conn;
-	char id[TICKET_SIZE];
-	int resubmits;
-	bool cancelled;
-};
-
-TAILQ_HEAD(bct_idle, bct_conn);
-
-struct bench_client {
-	struct event_base *base;
-	struct bench_cluster *cluster;
-	const struct bench_load *load;
-	struct bench_result *results;
-	struct bct_job *jobs;
-	struct bct_idle idle[BENCH_HOSTS_MAX];
-	struct event *due;
-	struct event *balancer;
-	struct evhttp_connection *ready_conns[BENCH_HOSTS_MAX];
-	struct bench_client_counts counts;
-	uint64_t start_us;
-	uint64_t random;
-	int next; /* job */
-	int nended;
-	bool stopping;
-};
 
 static void bct_submit(struct bct_conn *conn);
 static void bct_begin(struct bench_client *client, struct bct_job *job);
@@ -92,26 +48,10 @@
 		job->conn = NULL;
 	conn->job = NULL;
 	if (conn->broken || conn->client->stopping)
-		return; /* freed with its event base */
+		return; /* freed with the client */
 	TAILQ_INSERT_HEAD(&conn->client->idle[conn->host], conn, entry);
 }
 
-/* A ready host, at random; any if none is. */
-static int
-bct_balance(struct bench_client *client)
-{
-	const struct bench_cluster *cluster = client->cluster;
-	int nhosts = cluster->shape.nhosts;
-	int host = (int)(bwl_random(&client->random) % (uint64_t)nhosts);
-	int i;
-
-	for (i = 0; i < nhosts; i++) {
-		if (cluster->hosts[(host + i) % nhosts].ready)
-			return (host + i) % nhosts;
-	}
-	return host;
-}
-
 static struct bct_conn *
 bct_conn_open(struct bench_client *client, int host)
 {
@@ -124,10 +64,11 @@
 	conn->http = evhttp_connection_base_new(client->base, NULL, "127.0.0.1",
 	    client->cluster->hosts[host].http_port);
 	evhttp_connection_set_timeout(conn->http, BCT_ANSWER_TIMEOUT_S);
+	TAILQ_INSERT_TAIL(&client->all, conn, all_entry);
 	return conn;
 }
 
-static struct evhttp_request *
+struct evhttp_request *
 bct_request(void (*done)(struct evhttp_request *, void *), void *arg)
 {
 	struct evhttp_request *request = evhttp_request_new(done, arg);
@@ -139,7 +80,7 @@
 	return request;
 }
 
-static int
+int
 bct_status(struct evhttp_request *request)
 {
 	return request != NULL ? evhttp_request_get_response_code(request) : 0;
@@ -232,6 +173,27 @@
 	return done == (size_t)job->ntasks;
 }
 
+/* Counts why answers were not whole, by step and code. */
+static void
+bct_note_error(struct bench_client *client, struct evhttp_request *request)
+{
+	json_t *json = bct_json(request), *error, *count;
+	const char *step, *code;
+	char key[64];
+
+	error = json_object_get(json, "error");
+	if (error == NULL)
+		error = json; /* application/problem+json */
+	step = json_string_value(json_object_get(error, "step"));
+	code = json_string_value(json_object_get(error, "code"));
+	(void)snprintf(key, sizeof(key), "%s: %s", step != NULL ? step : "?",
+	    code != NULL ? code : "?");
+	count = json_object_get(client->errors, key);
+	json_object_set_new(client->errors, key,
+	    json_integer(json_integer_value(count) + 1));
+	json_decref(json);
+}
+
 static enum bench_end
 bct_judge(struct bct_job *job, struct evhttp_request *request)
 {
@@ -245,6 +207,7 @@
 		job->client->counts.broken++;
 		return BENCH_UNKNOWN;
 	}
+	bct_note_error(job->client, request);
 	if (strcmp(outcome, "not-run") == 0)
 		return BENCH_NOT_RUN;
 	if (strcmp(outcome, "task-failed") == 0)
@@ -294,8 +257,10 @@
 	    job->id, spec->impossible ? "nowhere" : "booth");
 	for (i = 0; i < spec->ntasks; i++)
 		evbuffer_add_printf(body,
-		    "%s{\"run_ms\": %u, \"body\": \"{\\\"ms\\\":%u}\"}",
-		    i > 0 ? ", " : "", spec->declared_ms, spec->ms[i]);
+		    "%s{\"run_ms\": %u, \"body\": "
+		    "\"{\\\"ms\\\":%u,\\\"uid\\\":\\\"j%d-%d\\\"}\"}",
+		    i > 0 ? ", " : "", spec->declared_ms, spec->ms[i],
+		    spec->number, i);
 	evbuffer_add_printf(body, "]}");
 }
 
@@ -316,7 +281,8 @@
 	if (job->job->single) {
 		evhttp_add_header(headers, "Berylrail-Ticket", job->id);
 		evhttp_add_header(headers, "Berylrail-Job", "booth");
-		evbuffer_add_printf(body, "{\"ms\":%u}", job->job->ms[0]);
+		evbuffer_add_printf(body, "{\"ms\":%u,\"uid\":\"r%d\"}",
+		    job->job->ms[0], job->job->number);
 		(void)snprintf(path, sizeof(path),
 		    "/v1/services/booth/requests");
 	} else {
@@ -367,61 +333,6 @@
 	(void)event_add(client->due, &tv);
 }
 
-/* The balancer asks every host whether it is ready. */
-
-struct bct_probe {
-	struct bench_client *client;
-	int host;
-};
-
-static void
-bct_probe_done(struct evhttp_request *request, void *arg)
-{
-	struct bct_probe *probe = arg;
-	struct bench_host *host = &probe->client->cluster->hosts[probe->host];
-	struct bct_conn *conn;
-	bool ready = bct_status(request) == 200;
-
-	/* A new process: connections to the old one are of no use. */
-	if (host->ready && !ready) {
-		while ((conn = TAILQ_FIRST(
-			    &probe->client->idle[probe->host])) != NULL)
-			TAILQ_REMOVE(&probe->client->idle[probe->host], conn,
-			    entry);
-	}
-	host->ready = ready;
-	free(probe);
-}
-
-static void
-bct_balancer_tick(evutil_socket_t fd, short what, void *arg)
-{
-	struct bench_client *client = arg;
-	struct evhttp_connection **conn;
-	struct evhttp_request *request;
-	struct bct_probe *probe;
-	int i;
-
-	(void)fd;
-	(void)what;
-	for (i = 0; i < client->cluster->shape.nhosts; i++) {
-		conn = &client->ready_conns[i];
-		if (*conn != NULL)
-			evhttp_connection_free(*conn);
-		*conn = evhttp_connection_base_new(client->base, NULL,
-		    "127.0.0.1", client->cluster->hosts[i].http_port);
-		evhttp_connection_set_timeout(*conn, BCT_READY_TIMEOUT_S);
-		probe = calloc(1, sizeof(*probe));
-		if (probe == NULL)
-			err(1, "calloc");
-		probe->client = client;
-		probe->host = i;
-		request = bct_request(bct_probe_done, probe);
-		(void)evhttp_make_request(*conn, request, EVHTTP_REQ_GET,
-		    "/readyz");
-	}
-}
-
 /* Cancellation */
 
 static void
@@ -475,6 +386,7 @@
 	client->cluster = cluster;
 	client->load = load;
 	client->random = seed;
+	client->errors = json_object();
 	client->results = calloc(njobs, sizeof(*client->results));
 	client->jobs = calloc(njobs, sizeof(*client->jobs));
 	client->due = evtimer_new(base, bct_due, client);
@@ -483,6 +395,7 @@
 	if (client->results == NULL || client->jobs == NULL ||
 	    client->due == NULL || client->balancer == NULL)
 		err(1, "calloc");
+	TAILQ_INIT(&client->all);
 	for (i = 0; i < BENCH_HOSTS_MAX; i++)
 		TAILQ_INIT(&client->idle[i]);
 	for (i = 0; i < load->njobs; i++) {
@@ -560,19 +473,36 @@
 	return &client->counts;
 }
 
+json_t *
+bct_errors(const struct bench_client *client)
+{
+	return client->errors;
+}
+
 uint64_t
 bct_start_us(const struct bench_client *client)
 {
 	return client->start_us;
 }
 
-/* Connections end with the process of the run. */
 void
 bct_destroy(struct bench_client *client)
 {
+	struct bct_conn *conn, *next;
+	int i;
+
 	client->stopping = true;
+	TAILQ_FOREACH_SAFE (conn, &client->all, all_entry, next) {
+		evhttp_connection_free(conn->http);
+		free(conn);
+	}
+	for (i = 0; i < BENCH_HOSTS_MAX; i++) {
+		if (client->ready_conns[i] != NULL)
+			evhttp_connection_free(client->ready_conns[i]);
+	}
 	event_free(client->due);
 	event_free(client->balancer);
+	json_decref(client->errors);
 	free(client->results);
 	free(client->jobs);
 	free(client);
--- a/tools/bench/run.c
+++ b/tools/bench/run.c
@@ -154,6 +154,28 @@
 	return list;
 }
 
+/* Mean ratio of whole answers: single requests, small and large jobs. */
+static json_t *
+brn_classes(const struct bench_load *load, const struct bench_result *results)
+{
+	static const char *const names[] = { "single", "small", "large" };
+	json_t *classes = json_object();
+	double sum[3] = { 0 };
+	int n[3] = { 0 }, i, c;
+
+	for (i = 0; i < load->njobs; i++) {
+		if (results[i].end != BENCH_COMPLETE)
+			continue;
+		c = load->jobs[i].single ? 0 : load->jobs[i].large ? 2 : 1;
+		sum[c] += results[i].ratio;
+		n[c]++;
+	}
+	for (c = 0; c < 3; c++)
+		json_object_set_new(classes, names[c],
+		    json_real(n[c] > 0 ? sum[c] / n[c] : 0));
+	return classes;
+}
+
 static json_t *
 brn_ends(const struct bench_load *load, const struct bench_result *results,
     double from_s)
@@ -246,6 +268,19 @@
 	    (json_int_t)counts->requests, "kinds", kinds);
 }
 
+/* Tasks of jobs that started twice; repeatable requests may be hedged. */
+static json_int_t
+brn_duplicates(const json_t *summary)
+{
+	const json_t *uid;
+	json_int_t n = 0;
+	size_t i;
+
+	json_array_foreach (json_object_get(summary, "duplicates"), i, uid)
+		n += json_string_value(uid)[0] == 'j';
+	return n;
+}
+
 static json_t *
 brn_record(struct bench_cluster *cluster, const struct bench_case *bcase,
     const struct bench_load *load, struct bench_client *client, double scale)
@@ -265,18 +300,20 @@
 	json_object_set_new(record, "settled_ends",
 	    brn_ends(load, results, bcase->settle_s * scale));
 	json_object_set_new(record, "ratio", brn_ratios(load, results));
+	json_object_set_new(record, "classes", brn_classes(load, results));
 	json_object_set_new(record, "goodput",
 	    json_real(brn_goodput(cluster, load, results,
 		brn_length_s(bcase) * scale)));
 	json_object_set_new(record, "wasted",
 	    brn_wasted(cluster->counters, bct_counts(client), complete));
+	json_object_set(record, "errors", bct_errors(client));
 	json_object_set_new(record, "broken",
 	    json_integer((json_int_t)bct_counts(client)->broken));
 	json_object_set_new(record, "curve", brn_curve(load, results));
 	summary = bcl_summary(cluster);
 	json_object_set_new(record, "duplicates",
-	    json_integer((json_int_t)json_array_size(
-		json_object_get(summary, "duplicates"))));
+	    json_integer(brn_duplicates(summary)));
+	json_object_set(record, "servers", json_object_get(summary, "servers"));
 	json_decref(summary);
 	return record;
 }
