--- a/entry/api_internal.h
+++ b/entry/api_internal.h
@@ -37,9 +37,9 @@
 
 struct api_call;
 struct api_issuer;
-struct api_record;
 struct idem;
 struct idem_key;
+struct record;
 
 TAILQ_HEAD(api_call_list, api_call);
 LIST_HEAD(api_call_bucket, api_call);
@@ -287,12 +287,8 @@
 /** api_record_write() - this process's record, text for free(3), or NULL. */
 char *api_record_write(const struct api *api, size_t *len);
 
-/** api_record_parse() - a record, or NULL if malformed. */
-struct api_record *api_record_parse(const void *data, size_t len);
-void api_record_free(struct api_record *record);
-
 /** api_record_reply() - answer a call from the record of its issuer. */
-void api_record_reply(const struct api_record *record, struct api_call *call);
+void api_record_reply(const struct record *record, struct api_call *call);
 
 /* api_issuers.c: issuers that are gone */
 
--- a/entry/api_issuers.c
+++ b/entry/api_issuers.c
@@ -8,6 +8,7 @@
 
 #include "core/counters.h"
 #include "entry/api_internal.h"
+#include "entry/record.h"
 
 #define API_ISSUERS_MAX 32
 #define API_RECORD_NAME_BYTES 192
@@ -22,7 +23,7 @@
 struct api_issuer {
 	struct api *api;
 	char name[API_RECORD_NAME_BYTES]; /* of its final record */
-	struct api_record *record;	  /* NULL while it is read */
+	struct record *record;		  /* NULL while it is read */
 	struct api_call_list calls;	  /* that wait for it */
 	TAILQ_ENTRY(api_issuer) entry;
 };
@@ -31,7 +32,7 @@
 api_issuer_free(struct api_issuer *issuer)
 {
 	TAILQ_REMOVE(&issuer->api->issuers, issuer, entry);
-	api_record_free(issuer->record);
+	rec_free(issuer->record);
 	free(issuer);
 }
 
@@ -69,7 +70,7 @@
 
 	(void)err;
 	if (status == TABLE_OK)
-		issuer->record = api_record_parse(data, len);
+		issuer->record = rec_parse(data, len);
 	while ((call = TAILQ_FIRST(&issuer->calls)) != NULL) {
 		TAILQ_REMOVE(&issuer->calls, call, of_work);
 		if (issuer->record != NULL)
--- /dev/null
+++ b/tests/fuzz/fuzz_ticket.c
@@ -0,0 +1,35 @@
+/*
+ * Tickets from outside: parsing stays within bounds, and nothing but the
+ * issuer's own text is verified.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "adapters/crypto_sodium.h"
+#include "core/ticket.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	static struct tkt_issuer issuer;
+	char own[TICKET_SIZE];
+	struct ticket ticket;
+	struct err err;
+
+	if (issuer.crypto == NULL)
+		tkt_issuer_init(&issuer, crypto_sodium(), "surat", "e1", 0x100);
+	if (tkt_parse(&ticket, (const char *)data, size, &err) == -1) {
+		if (err.step != ERR_STEP_PARSE)
+			abort();
+		return 0;
+	}
+	if (tkt_verify(&issuer, &ticket)) {
+		tkt_issue(&issuer, ticket.seq, own);
+		if (strlen(own) != size || memcmp(own, data, size) != 0)
+			abort();
+	}
+	return 0;
+}
--- /dev/null
+++ b/tests/test_api_drain.c
@@ -0,0 +1,133 @@
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "tests/support/api_rig.h"
+
+/* The planned stop of host 0. */
+
+static int ndrained;
+
+static void
+drained(void *arg)
+{
+	(void)arg;
+	ndrained++;
+}
+
+static void
+setup(void)
+{
+	rig_setup();
+	ndrained = 0;
+}
+
+TestSuite(api_drain, .init = setup, .fini = rig_teardown);
+
+static void
+post(const char *ticket, const char *key, struct rig_reply *reply)
+{
+	rig_send(0, API_POST, "/v1/jobs", "wait=1000", key, rig_job(ticket, 1),
+	    reply);
+}
+
+Test(api_drain, takes_work_during_the_delay_but_is_not_ready)
+{
+	struct rig_reply reply = { 0 };
+
+	api_drain(rig.api[0], 10000, 0, drained, NULL);
+	rig_send(0, API_GET, "/readyz", NULL, NULL, NULL, &reply);
+	cr_assert_eq(reply.status, 503);
+	rig_reply_free(&reply);
+	post(NULL, NULL, &reply);
+	cr_assert_eq(fake_engine.n, 1);
+	fake_engine_end(0, TASK_DONE);
+	cr_assert_str_eq(reply.outcome, "complete");
+	cr_assert_str_eq(reply.ticket, "", "no ticket that will be stale");
+	rig_reply_free(&reply);
+	rig_send(0, API_POST, "/v1/tickets", NULL, NULL, NULL, &reply);
+	cr_assert_eq(reply.status, 503);
+	rig_reply_free(&reply);
+}
+
+Test(api_drain, refuses_new_work_and_finishes_the_old)
+{
+	struct rig_reply running = { 0 }, late = { 0 };
+	char ticket[TICKET_SIZE];
+
+	rig_ticket(0, ticket);
+	post(NULL, NULL, &running);
+	api_drain(rig.api[0], 0, 0, drained, NULL);
+	rig_spin(20);
+	post(ticket, NULL, &late);
+	cr_assert_str_eq(late.outcome, "not-run");
+	cr_assert(strstr(late.body, "\"code\":\"leaving\""));
+	rig_reply_free(&late);
+	post(NULL, NULL, &late);
+	cr_assert_str_eq(late.outcome, "not-run");
+	rig_reply_free(&late);
+	rig_send(0, API_POST, "/v1/services/s/requests", NULL, NULL, "x",
+	    &late);
+	cr_assert_str_eq(late.outcome, "not-run");
+	rig_reply_free(&late);
+	post(NULL, "key", &late);
+	cr_assert_str_eq(late.outcome, "outcome-unknown",
+	    "the key may have been used elsewhere");
+	rig_reply_free(&late);
+	cr_assert_eq(ndrained, 0);
+	fake_engine_end(0, TASK_DONE);
+	cr_assert_str_eq(running.outcome, "complete");
+	rig_spin(20);
+	cr_assert_eq(ndrained, 1);
+	cr_assert_eq(fake_engine.n, 1);
+	rig_reply_free(&running);
+}
+
+Test(api_drain, stores_the_record_in_spite_of_failures)
+{
+	rig.blobs.nfaults = 2;
+	api_drain(rig.api[0], 0, 0, drained, NULL);
+	rig_spin(900);
+	cr_assert_eq(ndrained, 1);
+	cr_assert_eq(rig.blobs.nputs, 3);
+	cr_assert_str_eq(rig.blobs.name, "final/surat/e1/100");
+}
+
+Test(api_drain, gives_the_record_up_after_bounded_tries)
+{
+	rig.blobs.nfaults = 1000;
+	api_drain(rig.api[0], 0, 0, drained, NULL);
+	rig_spin(2500);
+	cr_assert_eq(ndrained, 1);
+	cr_assert_eq(rig.blobs.nputs, 5);
+}
+
+Test(api_drain, the_limit_cuts_and_says_so)
+{
+	struct rig_reply reply = { 0 };
+
+	post(NULL, NULL, &reply);
+	api_drain(rig.api[0], 0, 50, drained, NULL);
+	rig_spin(100);
+	cr_assert_eq(ndrained, 1);
+	cr_assert_str_eq(reply.outcome, "outcome-unknown");
+	cr_assert(strstr(reply.body, "\"step\":\"drain\""));
+	rig_reply_free(&reply);
+}
+
+Test(api_drain, waits_for_forwarded_calls)
+{
+	struct rig_reply reply = { 0 };
+	char ticket[TICKET_SIZE];
+
+	rig_ticket(1, ticket);
+	post(ticket, NULL, &reply);
+	api_drain(rig.api[0], 0, 0, drained, NULL);
+	rig_spin(20);
+	cr_assert_eq(ndrained, 0);
+	fake_engine_end(0, TASK_DONE);
+	rig_spin(20);
+	cr_assert_eq(ndrained, 1);
+	cr_assert_str_eq(reply.outcome, "complete");
+	rig_reply_free(&reply);
+}
