Give the API tests' fakes names of their own

tests/support/fake_table.h of the platform's tests and the API rig's table had the same names, and the rig was linked into no program but two.

--- a/tests/support/api_rig.c
+++ b/tests/support/api_rig.c
@@ -27,8 +27,8 @@
 	fake_engine_reset();
 	rig.base = event_base_new();
 	fake_clock_init(&rig.clock, RIG_START_US);
-	fake_table_init(&rig.table, rig.base);
-	fake_blobs_init(&rig.blobs, rig.base);
+	rig_table_init(&rig.table, rig.base);
+	rig_blobs_init(&rig.blobs, rig.base);
 	params.base = rig.base;
 	params.clock = &rig.clock.clock;
 	params.crypto = crypto_sodium();
@@ -38,7 +38,7 @@
 		params.host = i == 0 ? "e1" : "e2";
 		params.incarnation = 0x100 + (uint64_t)i;
 		rig.api[i] = api_create(&params);
-		fake_peers_init(&rig.peers[i]);
+		rig_peers_init(&rig.peers[i]);
 		api_set_peers(rig.api[i], &rig.peers[i].peers);
 	}
 	rig.peers[0].target = rig.api[1];
--- a/tests/support/api_rig.h
+++ b/tests/support/api_rig.h
@@ -5,7 +5,7 @@
 #include "entry/api.h"
 #include "tests/support/fake_clock.h"
 #include "tests/support/fake_engine.h"
-#include "tests/support/fake_ports.h"
+#include "tests/support/rig_ports.h"
 
 /* Two entry hosts' APIs, e1 and e2, over fakes that they share. */
 
@@ -21,9 +21,9 @@
 struct rig {
 	struct event_base *base;
 	struct fake_clock clock;
-	struct fake_table table;
-	struct fake_blobs blobs;
-	struct fake_peers peers[2]; /* of e1, of e2 */
+	struct rig_table table;
+	struct rig_blobs blobs;
+	struct rig_peers peers[2]; /* of e1, of e2 */
 	struct api *api[2];
 };
 
--- a/tests/support/fake_ports.c
+++ b/tests/support/rig_ports.c
@@ -6,12 +6,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "tests/support/fake_ports.h"
+#include "tests/support/rig_ports.h"
 
 /* One callback that is due, as an event of its own. */
-struct fake_due {
-	struct fake_table *table;
-	struct fake_blobs *blobs;
+struct rig_due {
+	struct rig_table *table;
+	struct rig_blobs *blobs;
 	table_done_fn written;
 	table_rows_fn rows;
 	blobs_done_fn blob;
@@ -22,7 +22,7 @@
 };
 
 static long
-fake_table_find(const struct fake_table *fake, const char *pk)
+rig_table_find(const struct rig_table *fake, const char *pk)
 {
 	size_t i;
 
@@ -34,9 +34,9 @@
 }
 
 static void
-fake_run(evutil_socket_t fd, short what, void *arg)
+rig_run_due(evutil_socket_t fd, short what, void *arg)
 {
-	struct fake_due *due = arg;
+	struct rig_due *due = arg;
 	struct table_row row = { .pk = due->pk, .sk = "claim", .version = 1 };
 	struct err err;
 	long i;
@@ -51,7 +51,7 @@
 		    due->blobs->len, &err);
 	} else if (due->status != TABLE_OK) {
 		due->rows(due->arg, due->status, NULL, 0, &err);
-	} else if ((i = fake_table_find(due->table, due->pk)) == -1) {
+	} else if ((i = rig_table_find(due->table, due->pk)) == -1) {
 		due->rows(due->arg, TABLE_NOT_FOUND, NULL, 0, &err);
 	} else {
 		row.doc = due->table->rows[i].doc;
@@ -62,16 +62,16 @@
 }
 
 static void
-fake_later(struct event_base *base, const struct fake_due *due)
+rig_later(struct event_base *base, const struct rig_due *due)
 {
-	struct fake_due *copy = malloc(sizeof(*copy));
+	struct rig_due *copy = malloc(sizeof(*copy));
 
 	*copy = *due;
-	event_base_once(base, -1, EV_TIMEOUT, fake_run, copy, NULL);
+	event_base_once(base, -1, EV_TIMEOUT, rig_run_due, copy, NULL);
 }
 
 void
-fake_table_put(struct fake_table *fake, const char *pk, const char *doc)
+rig_table_put(struct rig_table *fake, const char *pk, const char *doc)
 {
 	snprintf(fake->rows[fake->nrows].pk, TABLE_KEY_SIZE, "%s", pk);
 	snprintf(fake->rows[fake->nrows++].doc, sizeof(fake->rows[0].doc), "%s",
@@ -79,69 +79,68 @@
 }
 
 static void
-fake_table_transact(struct table *table, const struct table_write *writes,
+rig_table_transact(struct table *table, const struct table_write *writes,
     size_t nwrites, table_done_fn done, void *arg)
 {
-	struct fake_table *fake = (struct fake_table *)table;
-	struct fake_due due = { .table = fake, .written = done, .arg = arg };
-	enum fake_fault fault =
-	    fake->nfaults > 0 ? fake->write_fault : FAKE_FINE;
+	struct rig_table *fake = (struct rig_table *)table;
+	struct rig_due due = { .table = fake, .written = done, .arg = arg };
+	enum rig_fault fault = fake->nfaults > 0 ? fake->write_fault : RIG_FINE;
 	size_t i;
 
 	fake->nwrites++;
-	if (fault != FAKE_FINE)
+	if (fault != RIG_FINE)
 		fake->nfaults--;
-	if (fault == FAKE_DOWN)
+	if (fault == RIG_DOWN)
 		due.status = TABLE_UNAVAILABLE;
 	for (i = 0; i < nwrites; i++) {
-		due.failed[i] = fake_table_find(fake, writes[i].row.pk) != -1;
-		if (due.failed[i] && fault != FAKE_DOWN)
+		due.failed[i] = rig_table_find(fake, writes[i].row.pk) != -1;
+		if (due.failed[i] && fault != RIG_DOWN)
 			due.status = TABLE_CONFLICT;
 	}
 	for (i = 0;
-	     i < nwrites && due.status == TABLE_OK && fault != FAKE_LOST_BEFORE;
+	     i < nwrites && due.status == TABLE_OK && fault != RIG_LOST_BEFORE;
 	     i++)
-		fake_table_put(fake, writes[i].row.pk, writes[i].row.doc);
-	if (fault == FAKE_LOST_BEFORE || fault == FAKE_LOST_AFTER)
+		rig_table_put(fake, writes[i].row.pk, writes[i].row.doc);
+	if (fault == RIG_LOST_BEFORE || fault == RIG_LOST_AFTER)
 		due.status = TABLE_UNKNOWN;
-	fake_later(fake->base, &due);
+	rig_later(fake->base, &due);
 }
 
 static void
-fake_table_get(struct table *table, const char *pk, const char *sk,
+rig_table_get(struct table *table, const char *pk, const char *sk,
     table_rows_fn done, void *arg)
 {
-	struct fake_table *fake = (struct fake_table *)table;
-	struct fake_due due = { .table = fake, .rows = done, .arg = arg };
+	struct rig_table *fake = (struct rig_table *)table;
+	struct rig_due due = { .table = fake, .rows = done, .arg = arg };
 
 	(void)sk;
 	snprintf(due.pk, sizeof(due.pk), "%s", pk);
-	if (fake->nfaults > 0 && fake->read_fault != FAKE_FINE) {
+	if (fake->nfaults > 0 && fake->read_fault != RIG_FINE) {
 		fake->nfaults--;
 		due.status = TABLE_UNAVAILABLE;
 	}
-	fake_later(fake->base, &due);
+	rig_later(fake->base, &due);
 }
 
-static const struct table_ops fake_table_ops = {
-	.get = fake_table_get,
-	.transact = fake_table_transact,
+static const struct table_ops rig_table_ops = {
+	.get = rig_table_get,
+	.transact = rig_table_transact,
 };
 
 void
-fake_table_init(struct fake_table *fake, struct event_base *base)
+rig_table_init(struct rig_table *fake, struct event_base *base)
 {
 	memset(fake, 0, sizeof(*fake));
-	fake->table.ops = &fake_table_ops;
+	fake->table.ops = &rig_table_ops;
 	fake->base = base;
 }
 
 static void
-fake_blobs_get(struct blobs *blobs, const char *name, blobs_done_fn done,
+rig_blobs_get(struct blobs *blobs, const char *name, blobs_done_fn done,
     void *arg)
 {
-	struct fake_blobs *fake = (struct fake_blobs *)blobs;
-	struct fake_due due = { .blobs = fake, .blob = done, .arg = arg };
+	struct rig_blobs *fake = (struct rig_blobs *)blobs;
+	struct rig_due due = { .blobs = fake, .blob = done, .arg = arg };
 
 	fake->ngets++;
 	if (fake->nfaults > 0) {
@@ -150,15 +149,15 @@
 	} else if (strcmp(name, fake->name) != 0) {
 		due.status = TABLE_NOT_FOUND;
 	}
-	fake_later(fake->base, &due);
+	rig_later(fake->base, &due);
 }
 
 static void
-fake_blobs_put(struct blobs *blobs, const char *name, const void *data,
+rig_blobs_put(struct blobs *blobs, const char *name, const void *data,
     size_t len, blobs_done_fn done, void *arg)
 {
-	struct fake_blobs *fake = (struct fake_blobs *)blobs;
-	struct fake_due due = { .blobs = fake, .blob = done, .arg = arg };
+	struct rig_blobs *fake = (struct rig_blobs *)blobs;
+	struct rig_due due = { .blobs = fake, .blob = done, .arg = arg };
 
 	fake->nputs++;
 	if (fake->nfaults > 0) {
@@ -171,48 +170,48 @@
 		memcpy(fake->data, data, len);
 		fake->len = len;
 	}
-	fake_later(fake->base, &due);
+	rig_later(fake->base, &due);
 }
 
-static const struct blobs_ops fake_blobs_ops = {
-	.get = fake_blobs_get,
-	.put = fake_blobs_put,
+static const struct blobs_ops rig_blobs_ops = {
+	.get = rig_blobs_get,
+	.put = rig_blobs_put,
 };
 
 void
-fake_blobs_init(struct fake_blobs *fake, struct event_base *base)
+rig_blobs_init(struct rig_blobs *fake, struct event_base *base)
 {
 	memset(fake, 0, sizeof(*fake));
-	fake->blobs.ops = &fake_blobs_ops;
+	fake->blobs.ops = &rig_blobs_ops;
 	fake->base = base;
 }
 
 /* A forwarded request's way back. */
-struct fake_forward {
+struct rig_forward {
 	void (*done)(void *arg, const struct api_reply *reply,
 	    const struct err *err);
 	void *arg;
 };
 
 static void
-fake_forward_reply(void *arg, const struct api_reply *reply)
+rig_forward_reply(void *arg, const struct api_reply *reply)
 {
-	struct fake_forward forward = *(struct fake_forward *)arg;
+	struct rig_forward forward = *(struct rig_forward *)arg;
 
 	free(arg);
 	forward.done(forward.arg, reply, NULL);
 }
 
 static void
-fake_peers_forward(struct peers *peers, const char *az, const char *issuer,
+rig_peers_forward(struct peers *peers, const char *az, const char *issuer,
     uint64_t incarnation, const struct api_request *request,
     void (
 	*done)(void *arg, const struct api_reply *reply, const struct err *err),
     void *arg)
 {
-	struct fake_peers *fake = (struct fake_peers *)peers;
+	struct rig_peers *fake = (struct rig_peers *)peers;
 	struct api_request copy = *request;
-	struct fake_forward *forward;
+	struct rig_forward *forward;
 	struct err err;
 
 	(void)az;
@@ -230,16 +229,16 @@
 	forward->arg = arg;
 	copy.forwarded = true;
 	copy.ticket = NULL; /* no field for it between peers */
-	api_handle(fake->target, &copy, fake_forward_reply, forward);
+	api_handle(fake->target, &copy, rig_forward_reply, forward);
 }
 
-static const struct peers_ops fake_peers_ops = {
-	.forward = fake_peers_forward,
+static const struct peers_ops rig_peers_ops = {
+	.forward = rig_peers_forward,
 };
 
 void
-fake_peers_init(struct fake_peers *fake)
+rig_peers_init(struct rig_peers *fake)
 {
 	memset(fake, 0, sizeof(*fake));
-	fake->peers.ops = &fake_peers_ops;
+	fake->peers.ops = &rig_peers_ops;
 }
--- a/tests/test_idempotency.c
+++ b/tests/test_idempotency.c
@@ -110,7 +110,7 @@
 {
 	struct rig_reply reply = { 0 };
 
-	rig.table.write_fault = FAKE_LOST_AFTER;
+	rig.table.write_fault = RIG_LOST_AFTER;
 	rig.table.nfaults = 1;
 	post(0, "k", &reply);
 	rig_spin(30);
@@ -122,7 +122,7 @@
 {
 	struct rig_reply reply = { 0 };
 
-	rig.table.write_fault = FAKE_LOST_BEFORE;
+	rig.table.write_fault = RIG_LOST_BEFORE;
 	rig.table.nfaults = 2;
 	post(0, "k", &reply);
 	rig_spin(60);
@@ -134,7 +134,7 @@
 {
 	struct rig_reply r[2] = { { 0 } };
 
-	rig.table.write_fault = FAKE_LOST_BEFORE;
+	rig.table.write_fault = RIG_LOST_BEFORE;
 	rig.table.nfaults = 1;
 	post(0, "k", &r[0]);
 	post(1, "k", &r[1]);
@@ -146,7 +146,7 @@
 {
 	struct rig_reply reply = { 0 };
 
-	rig.table.write_fault = FAKE_DOWN;
+	rig.table.write_fault = RIG_DOWN;
 	rig.table.nfaults = 1;
 	post(0, "k", &reply);
 	rig_spin(20);
@@ -166,8 +166,8 @@
 {
 	struct rig_reply reply = { 0 };
 
-	rig.table.write_fault = FAKE_LOST_AFTER;
-	rig.table.read_fault = FAKE_DOWN;
+	rig.table.write_fault = RIG_LOST_AFTER;
+	rig.table.read_fault = RIG_DOWN;
 	rig.table.nfaults = 1000;
 	post(0, "k", &reply);
 	rig_spin(700);
@@ -185,7 +185,7 @@
 {
 	struct rig_reply reply = { 0 };
 
-	fake_table_put(&rig.table, "claim#k",
+	rig_table_put(&rig.table, "claim#k",
 	    "{\"ticket\":\"surat~e9~9~1~00112233445566778899aabbccddeeff\","
 	    "\"nonce\":\"1\"}");
 	rig.peers[0].target = NULL;
