--- a/entry/engine_answer.c
+++ b/entry/engine_answer.c
@@ -13,7 +13,7 @@
  * admission to answer, in parts per thousand of disp_ideal_us() over the run
  * times of the job's own tasks as measured, each multiplied by the learned
  * speed of the server that ran it. The other outcomes are counted by
- * berylrail_answers_total.
+ * berylrail_submissions_ended_total.
  */
 static struct counter eng_ratio_sum = {
 	.name = "berylrail_response_ratio_ppt_sum",
@@ -45,11 +45,11 @@
 	ENG_RATIO_BUCKET(+Inf),
 };
 
-#define ENG_ANSWERS(outcome)                          \
-	{                                             \
-		.name = "berylrail_answers_total",    \
-		.labels = "outcome=\"" outcome "\"",  \
-		.help = "Answers given, by outcome.", \
+#define ENG_ANSWERS(outcome)                                      \
+	{                                                         \
+		.name = "berylrail_submissions_ended_total",      \
+		.labels = "outcome=\"" outcome "\"",              \
+		.help = "Submissions that the engine has ended.", \
 	}
 
 static struct counter eng_answers[] = {
