--- a/tests/support/fake_table.h
+++ b/tests/support/faulty_table.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_SUPPORT_FAKE_TABLE_H
-#define TESTS_SUPPORT_FAKE_TABLE_H
+#ifndef TESTS_SUPPORT_FAULTY_TABLE_H
+#define TESTS_SUPPORT_FAULTY_TABLE_H
 
 #include <stdbool.h>
 
@@ -7,8 +7,8 @@
 
 /* A table with faults, around one that works. */
 
-/** struct fake_table - faults that the next calls meet. */
-struct fake_table {
+/** struct faulty_table - faults that the next calls meet. */
+struct faulty_table {
 	struct table table; /* first */
 	struct table *inner;
 	int lose_replies;  /* writes applied, but their reply is lost */
@@ -20,6 +20,6 @@
 	int transactions;
 };
 
-void fake_table_init(struct fake_table *fake, struct table *inner);
+void faulty_table_init(struct faulty_table *faulty, struct table *inner);
 
-#endif /* TESTS_SUPPORT_FAKE_TABLE_H */
+#endif /* TESTS_SUPPORT_FAULTY_TABLE_H */
--- /dev/null
+++ b/tests/test_cli.c
@@ -0,0 +1,231 @@
+#include <criterion/criterion.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/thread.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "client/cli.h"
+
+#define ARGS_MAX 16
+#define STEPS_MAX 16
+
+/* One expected request and the answer to it; status 0 cuts the connection. */
+struct step {
+	const char *request; /* start of "METHOD path" */
+	const char *needs;   /* part of the body, or NULL */
+	int status;
+	const char *answer;
+};
+
+static struct event_base *base;
+static pthread_t thread;
+static char server[64];
+static struct step steps[STEPS_MAX];
+static int nsteps, next_step;
+static bool mismatch;
+static char out_text[16384], err_text[16384];
+
+static void
+serve(struct evhttp_request *request, void *arg)
+{
+	struct evbuffer *input = evhttp_request_get_input_buffer(request);
+	enum evhttp_cmd_type method = evhttp_request_get_command(request);
+	const struct step *step = &steps[next_step];
+	char line[512], body[4096] = "";
+	struct evbuffer *answer;
+
+	(void)arg;
+	snprintf(line, sizeof(line), "%s %s",
+	    method == EVHTTP_REQ_GET	      ? "GET"
+		: method == EVHTTP_REQ_DELETE ? "DELETE"
+					      : "POST",
+	    evhttp_request_get_uri(request));
+	evbuffer_copyout(input, body, sizeof(body) - 1);
+	if (next_step >= nsteps ||
+	    strncmp(line, step->request, strlen(step->request)) != 0 ||
+	    (step->needs != NULL && strstr(body, step->needs) == NULL)) {
+		fprintf(stderr, "step %d: %s %s\n", next_step, line, body);
+		mismatch = true;
+		evhttp_send_error(request, 500, "unexpected");
+		return;
+	}
+	next_step++;
+	if (step->status == 0) {
+		evhttp_connection_free(evhttp_request_get_connection(request));
+		return;
+	}
+	answer = evbuffer_new();
+	evbuffer_add_printf(answer, "%s", step->answer);
+	evhttp_send_reply(request, step->status, "X", answer);
+	evbuffer_free(answer);
+}
+
+static void *
+run_base(void *arg)
+{
+	event_base_loop(arg, EVLOOP_NO_EXIT_ON_EMPTY);
+	return NULL;
+}
+
+static void
+setup(void)
+{
+	struct evhttp_bound_socket *bound;
+	struct sockaddr_in address;
+	socklen_t len = sizeof(address);
+	struct evhttp *http;
+
+	evthread_use_pthreads();
+	base = event_base_new();
+	http = evhttp_new(base);
+	evhttp_set_gencb(http, serve, NULL);
+	bound = evhttp_bind_socket_with_handle(http, "127.0.0.1", 0);
+	getsockname(evhttp_bound_socket_get_fd(bound),
+	    (struct sockaddr *)&address, &len);
+	/* The first server of the list does not listen. */
+	snprintf(server, sizeof(server), "--server=127.0.0.1:1,127.0.0.1:%u",
+	    ntohs(address.sin_port));
+	pthread_create(&thread, NULL, run_base, base);
+}
+
+static void
+teardown(void)
+{
+	event_base_loopbreak(base);
+	pthread_join(thread, NULL);
+}
+
+static void
+expect(const char *request, const char *needs, int status, const char *answer)
+{
+	steps[nsteps++] = (struct step){ request, needs, status, answer };
+}
+
+/* Runs a command given as a line; all expected requests must have come. */
+static int
+run(const char *line)
+{
+	char text[512], name[] = "berylrail", *arg, *last;
+	char *argv[ARGS_MAX] = { name };
+	FILE *out, *err;
+	int argc = 1, result;
+
+	memset(out_text, 0, sizeof(out_text));
+	memset(err_text, 0, sizeof(err_text));
+	snprintf(text, sizeof(text), "%s", line);
+	for (arg = strtok_r(text, " ", &last); arg != NULL;
+	     arg = strtok_r(NULL, " ", &last))
+		argv[argc++] = arg;
+	argv[argc++] = server;
+	out = fmemopen(out_text, sizeof(out_text), "w");
+	err = fmemopen(err_text, sizeof(err_text), "w");
+	result = cli_main(argc, argv, out, err);
+	fclose(out);
+	fclose(err);
+	cr_assert(!mismatch);
+	cr_assert_eq(next_step, nsteps, "%d of %d requests came", next_step,
+	    nsteps);
+	return result;
+}
+
+TestSuite(cli, .init = setup, .fini = teardown);
+
+#define ANSWER(outcome)                                                  \
+	"{\"id\":\"T1\",\"state\":\"ended\",\"outcome\":\"" outcome      \
+	"\",\"tasks\":"                                                  \
+	"1,\"results\":[{\"index\":0,\"state\":\"done\",\"status\":200," \
+	"\"body\":"                                                      \
+	"\"wax 3\",\"server\":\"s1\"}]}"
+
+Test(cli, submit_resumes_by_its_ticket_after_broken_connections)
+{
+	expect("POST /v1/tickets", "\"count\":1", 200,
+	    "{\"tickets\":[\"T1\"]}");
+	expect("POST /v1/jobs", "\"ticket\":\"T1\"", 0, NULL);
+	expect("POST /v1/jobs", "\"ticket\":\"T1\"", 202,
+	    "{\"id\":\"T1\",\"state\":\"running\",\"tasks\":2,\"ended\":0}");
+	expect("GET /v1/jobs/T1?wait=", NULL, 0, NULL);
+	expect("GET /v1/jobs/T1?wait=", NULL, 202,
+	    "{\"id\":\"T1\",\"state\":\"running\",\"tasks\":2,\"ended\":1}");
+	expect("GET /v1/jobs/T1?wait=", NULL, 200, ANSWER("complete"));
+	cr_assert_eq(run("submit wax --tasks=2 --body=x --wait"), CLI_EXIT_OK,
+	    "%s", err_text);
+	cr_assert_neq(strstr(out_text, "wax 3"), NULL);
+	cr_assert_neq(strstr(err_text, "1/2 tasks"), NULL);
+}
+
+Test(cli, exit_codes_follow_the_outcome)
+{
+	static const struct {
+		const char *answer;
+		int code;
+	} cases[] = {
+		{ ANSWER("complete"), CLI_EXIT_OK },
+		{ ANSWER("task-failed"), CLI_EXIT_FAILED },
+		{ ANSWER("not-run"), CLI_EXIT_NOT_RUN },
+		{ ANSWER("outcome-unknown"), CLI_EXIT_UNKNOWN },
+		{ ANSWER("new-word"), CLI_EXIT_UNKNOWN },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		expect("GET /v1/jobs/T%2F1", NULL, 200, cases[i].answer);
+		cr_assert_eq(run("status T/1 -o json"), cases[i].code, "%s",
+		    cases[i].answer);
+	}
+}
+
+Test(cli, a_refusal_that_says_not_run_is_passed_on)
+{
+	expect("POST /v1/tickets", NULL, 200, "{\"tickets\":[\"T1\"]}");
+	expect("POST /v1/jobs", NULL, 429,
+	    "{\"detail\":\"queue full\",\"step\":\"admit\",\"outcome\":"
+	    "\"not-run\"}");
+	cr_assert_eq(run("submit wax --tasks=1"), CLI_EXIT_NOT_RUN);
+	cr_assert_neq(strstr(err_text, "queue full"), NULL);
+}
+
+Test(cli, changes_carry_an_id_and_report_a_conflict)
+{
+	expect("POST /v1/config/changes", "\"id\":\"cli-", 0, NULL);
+	expect("POST /v1/config/changes",
+	    "\"set\":{\"rack\":\"r1\"},\"unset\":[\"old\"]", 200,
+	    "{\"version\":4}");
+	cr_assert_eq(run("label server s1 rack=r1 old-"), CLI_EXIT_OK);
+	expect("POST /v1/config/changes", "\"set\":{\"leaving\":\"true\"}", 409,
+	    "{\"detail\":\"lost\",\"version\":5}");
+	cr_assert_eq(run("drain server s1"), CLI_EXIT_CONFLICT);
+}
+
+Test(cli, lists_are_printed_in_columns)
+{
+	expect("GET /v1/config/servers?selector=az%3Dsurat%2C%21leaving", NULL,
+	    200,
+	    "{\"version\":1,\"items\":[{\"kind\":\"server\",\"name\":"
+	    "\"s1\",\"labels\":{\"az\":\"surat\",\"fast\":\"\"},\"spec\":{"
+	    "\"port\":80}}]}");
+	cr_assert_eq(run("get servers -l az=surat,!leaving"), CLI_EXIT_OK);
+	cr_assert_str_eq(out_text,
+	    "NAME  port  LABELS\ns1    80    az=surat,fast\n");
+}
+
+Test(cli, wrong_command_lines_call_nobody)
+{
+	static const char *const lines[] = { "fly", "get", "get cars",
+		"get servers s1 -l a", "label server s1", "label server s1 x",
+		"drain team t", "submit", "submit j --tasks=171",
+		"submit j --tasks=0", "submit j -f x --tasks=1", "config",
+		"config apply", "config apply -f /nonexistent", "cancel",
+		"status a b", "get jobs -o xml", "get jobs --colour" };
+	size_t i;
+
+	for (i = 0; i < sizeof(lines) / sizeof(lines[0]); i++)
+		cr_assert_eq(run(lines[i]), CLI_EXIT_USAGE, "%s", lines[i]);
+	strcpy(server, "--server=localhost:80");
+	cr_assert_eq(run("get jobs"), CLI_EXIT_USAGE);
+	strcpy(server, "--server=127.0.0.1:1");
+	cr_assert_eq(run("get jobs"), CLI_EXIT_UNAVAILABLE);
+}
--- a/tests/test_config_sync.c
+++ b/tests/test_config_sync.c
@@ -7,14 +7,14 @@
 #include "adapters/platform.h"
 #include "entry/config_sync.h"
 #include "support/fake_clock.h"
-#include "support/fake_table.h"
+#include "support/faulty_table.h"
 
 #define HOSTS 3
 #define TURNS_MAX 20000 /* of the event loop, before a test gives up */
 
 /* One entry host's part. */
 struct host {
-	struct fake_table table;
+	struct faulty_table table;
 	struct config_sync *sync;
 	uint64_t highest; /* version told by the callback */
 	int changes;
@@ -71,7 +71,7 @@
 	platform = platform_memory_create(base);
 	fake_clock_init(&fake_clock, 1000);
 	for (i = 0; i < HOSTS; i++) {
-		fake_table_init(&hosts[i].table, platform->table);
+		faulty_table_init(&hosts[i].table, platform->table);
 		start_host(&hosts[i]);
 	}
 }
