--- a/adapters/platform_memory.c
+++ b/adapters/platform_memory.c
@@ -18,6 +18,7 @@
 	char *sk;
 	char *doc;
 	RB_ENTRY(pmem_row) node;
+	LIST_ENTRY(pmem_row) entry;
 };
 
 RB_HEAD(pmem_rows, pmem_row);
@@ -53,7 +54,8 @@
 	struct table table;
 	struct blobs blobs;
 	struct event_base *base;
-	struct pmem_rows rows;
+	struct pmem_rows rows;		/* by key */
+	LIST_HEAD(, pmem_row) row_list; /* the same rows */
 	TAILQ_HEAD(, pmem_blob) blob_list;
 	TAILQ_HEAD(, pmem_reply) replies;
 };
@@ -105,12 +107,12 @@
 	return 0;
 }
 
+/* Frees a reply that has left the list. */
 static void
 pmem_reply_free(struct pmem_reply *reply)
 {
 	size_t i;
 
-	TAILQ_REMOVE(&reply->pmem->replies, reply, entry);
 	if (reply->timer != NULL)
 		event_free(reply->timer);
 	for (i = 0; i < reply->nrows; i++)
@@ -128,6 +130,7 @@
 
 	(void)fd;
 	(void)events;
+	TAILQ_REMOVE(&reply->pmem->replies, reply, entry);
 	if (reply->rows_done != NULL)
 		reply->rows_done(reply->arg, reply->status, reply->views,
 		    reply->nrows, &reply->err);
@@ -237,16 +240,19 @@
 pmem_write(struct pmem *pmem, const struct table_row *row)
 {
 	struct pmem_row *old = pmem_find(pmem, row->pk, row->sk);
-	struct pmem_row *new = calloc(1, sizeof(*new));
+	struct pmem_row *new = old;
 
+	if (old != NULL)
+		pmem_row_clear(old);
+	else
+		new = calloc(1, sizeof(*new));
 	if (new == NULL || pmem_row_copy(new, row) != 0)
 		abort();
-	if (old != NULL) {
-		RB_REMOVE(pmem_rows, &pmem->rows, old);
-		pmem_row_clear(old);
-		free(old);
-	}
-	RB_INSERT(pmem_rows, &pmem->rows, new);
+	if (old != NULL)
+		return;
+	if (RB_INSERT(pmem_rows, &pmem->rows, new) != NULL)
+		abort();
+	LIST_INSERT_HEAD(&pmem->row_list, new, entry);
 }
 
 static void
@@ -345,10 +351,12 @@
 	struct pmem_blob *blob;
 	struct pmem_row *row;
 
-	while ((reply = TAILQ_FIRST(&pmem->replies)) != NULL)
+	while ((reply = TAILQ_FIRST(&pmem->replies)) != NULL) {
+		TAILQ_REMOVE(&pmem->replies, reply, entry);
 		pmem_reply_free(reply);
-	while ((row = RB_ROOT(&pmem->rows)) != NULL) {
-		RB_REMOVE(pmem_rows, &pmem->rows, row);
+	}
+	while ((row = LIST_FIRST(&pmem->row_list)) != NULL) {
+		LIST_REMOVE(row, entry);
 		pmem_row_clear(row);
 		free(row);
 	}
@@ -387,6 +395,7 @@
 	pmem->platform.blobs = &pmem->blobs;
 	pmem->platform.destroy = pmem_destroy;
 	RB_INIT(&pmem->rows);
+	LIST_INIT(&pmem->row_list);
 	TAILQ_INIT(&pmem->blob_list);
 	TAILQ_INIT(&pmem->replies);
 	return &pmem->platform;
--- a/entry/config_change_post.c
+++ b/entry/config_change_post.c
@@ -41,17 +41,19 @@
 	json_decref(text);
 }
 
-static int
+/* A change in no queue yet, or NULL with @err. */
+static struct config_change *
 config_change_create(struct config_sync *sync,
-    const struct api_request *request, struct config_change **created,
-    struct err *err)
+    const struct api_request *request, struct err *err)
 {
 	struct config_change *change;
 
 	change = calloc(1, sizeof(*change));
-	if (change == NULL)
-		return err_set(err, ERR_STEP_CONFIG, ERR_NO_MEMORY, NULL,
+	if (change == NULL) {
+		err_set(err, ERR_STEP_CONFIG, ERR_NO_MEMORY, NULL,
 		    "out of memory");
+		return NULL;
+	}
 	change->sync = sync;
 	change->start_us = clock_now_us(sync->params.clock);
 	if (cfgop_change_parse(&change->asked, request->body, request->body_len,
@@ -66,21 +68,21 @@
 		    "out of memory");
 		goto error;
 	}
-	*created = change;
-	return 0;
+	return change;
 error:
 	config_change_free(change);
-	return -1;
+	return NULL;
 }
 
 void
 config_change_post(struct config_sync *sync, const struct api_request *request,
     api_reply_fn reply, void *arg)
 {
-	struct config_change *change = NULL;
+	struct config_change *change;
 	struct err err;
 
-	if (config_change_create(sync, request, &change, &err) != 0) {
+	change = config_change_create(sync, request, &err);
+	if (change == NULL) {
 		config_view_problem(reply, arg, 400, &err, 0);
 		return;
 	}
--- a/entry/config_json.c
+++ b/entry/config_json.c
@@ -1,6 +1,5 @@
 /*
- * Objects of the configuration as JSON. A table for each kind names the
- * members of its spec with type, default and range.
+ * Objects of the configuration as JSON, by the tables of config_fields.c.
  */
 
 #include <arpa/inet.h>
@@ -10,95 +9,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "entry/config_fields.h"
 #include "entry/config_json.h"
 
-#define CFGJ_TIME_MAX_MS (24U * 60 * 60 * 1000)
-#define CFGJ_COUNT_MAX 1000000
-#define CFGJ_FIELDS_MAX 9 /* of one spec */
-
-/* enum cfgj_type - how a member of a spec is read. */
-enum cfgj_type {
-	CFGJ_NAME,
-	CFGJ_ADDRESS,
-	CFGJ_PATH,
-	CFGJ_SELECTOR,
-	CFGJ_BOOL,
-	CFGJ_U16,
-	CFGJ_U32,
-};
-
-/* struct cfgj_field - one member of a spec. */
-struct cfgj_field {
-	const char *name;
-	enum cfgj_type type;
-	size_t offset; /* in struct cfg_object */
-	size_t source; /* of a selector: offset of its text */
-	bool required;
-	json_int_t initial;
-	json_int_t min;
-	json_int_t max;
-};
-
-#define CFGJ_AT(field) offsetof(struct cfg_object, u.field)
-
-static const struct cfgj_field cfgj_service_fields[] = {
-	{ "path", CFGJ_PATH, CFGJ_AT(service.path), 0, false, 0, 0, 0 },
-	{ "selector", CFGJ_SELECTOR, CFGJ_AT(service.selector),
-	    CFGJ_AT(service.selector_text), true, 0, 0, 0 },
-	{ .name = NULL },
-};
-
-static const struct cfgj_field cfgj_job_fields[] = {
-	{ "service", CFGJ_NAME, CFGJ_AT(job.service), 0, true, 0, 0, 0 },
-	{ "team", CFGJ_NAME, CFGJ_AT(job.team), 0, false, 0, 0, 0 },
-	{ "repeatable", CFGJ_BOOL, CFGJ_AT(job.repeatable), 0, false, 0, 0, 0 },
-	{ "hedge", CFGJ_BOOL, CFGJ_AT(job.hedge), 0, false, 0, 0, 0 },
-	{ "run_ms", CFGJ_U32, CFGJ_AT(job.run_ms), 0, false, 200, 1,
-	    CFGJ_TIME_MAX_MS },
-	{ "timeout_ms", CFGJ_U32, CFGJ_AT(job.timeout_ms), 0, false, 10000, 1,
-	    CFGJ_TIME_MAX_MS },
-	{ "deadline_ms", CFGJ_U32, CFGJ_AT(job.deadline_ms), 0, false, 60000, 1,
-	    CFGJ_TIME_MAX_MS },
-	{ "queue_tasks_max", CFGJ_U32, CFGJ_AT(job.queue_tasks_max), 0, false,
-	    10000, 1, CFGJ_COUNT_MAX },
-	{ "selector", CFGJ_SELECTOR, CFGJ_AT(job.selector),
-	    CFGJ_AT(job.selector_text), false, 0, 0, 0 },
-	{ .name = NULL },
-};
-
-static const struct cfgj_field cfgj_server_fields[] = {
-	{ "address", CFGJ_ADDRESS, CFGJ_AT(server.address), 0, true, 0, 0, 0 },
-	{ "port", CFGJ_U16, CFGJ_AT(server.port), 0, true, 0, 1, UINT16_MAX },
-	{ "az", CFGJ_NAME, CFGJ_AT(server.az), 0, true, 0, 0, 0 },
-	{ "slots", CFGJ_U32, CFGJ_AT(server.slots), 0, false, 8, 1,
-	    CFGJ_COUNT_MAX },
-	{ "connections", CFGJ_U32, CFGJ_AT(server.connections), 0, false, 64, 1,
-	    CFGJ_COUNT_MAX },
-	{ .name = NULL },
-};
-
-static const struct cfgj_field cfgj_host_fields[] = {
-	{ "az", CFGJ_NAME, CFGJ_AT(host.az), 0, true, 0, 0, 0 },
-	{ "address", CFGJ_ADDRESS, CFGJ_AT(host.address), 0, true, 0, 0, 0 },
-	{ "peer_port", CFGJ_U16, CFGJ_AT(host.peer_port), 0, true, 0, 1,
-	    UINT16_MAX },
-	{ .name = NULL },
-};
-
-static const struct cfgj_field cfgj_team_fields[] = {
-	{ "running_max", CFGJ_U32, CFGJ_AT(team.running_max), 0, false, 0, 0,
-	    CFGJ_COUNT_MAX },
-	{ .name = NULL },
-};
-
-static const struct cfgj_field *const cfgj_fields[CFG_NKINDS] = {
-	[CFG_SERVICE] = cfgj_service_fields,
-	[CFG_JOB] = cfgj_job_fields,
-	[CFG_SERVER] = cfgj_server_fields,
-	[CFG_HOST] = cfgj_host_fields,
-	[CFG_TEAM] = cfgj_team_fields,
-};
-
 /* Depth of nesting, at most @limit + 1. */
 static int
 cfgj_depth(const json_t *json, int limit)
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -5,15 +5,12 @@
  */
 
 #include <argtable2.h>
-#include <arpa/inet.h>
 #include <ctype.h>
-#include <errno.h>
-#include <stdarg.h>
 #include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "entry/settings.h"
+#include "entry/settings_internal.h"
 
 #define SET_ENV_PREFIX "BERYLRAIL_"
 #define SET_ENV_SIZE 64
@@ -22,30 +19,6 @@
 #define SET_DAY_MS (24U * 60 * SET_MINUTE_MS)
 #define SET_MIB (1ULL << 20)
 
-/* enum set_kind - how a setting's text is read. */
-enum set_kind {
-	SET_NAME,
-	SET_ENDPOINT,
-	SET_PLATFORM,
-	SET_PEERS,
-	SET_CHOICE,
-	SET_PATH,
-	SET_U32,
-	SET_U64,
-};
-
-/* struct set_def - one setting. */
-struct set_def {
-	const char *name; /* of the flag, without dashes */
-	enum set_kind kind;
-	size_t offset;	     /* in struct settings */
-	const char *initial; /* default, NULL for none */
-	uint64_t min;	     /* of numbers and of an endpoint's port */
-	uint64_t max;	     /* of numbers; bytes of a text with its NUL */
-	const char *choices; /* separated by '|' */
-	const char *help;
-};
-
 #define SET_AT(field) offsetof(struct settings, field)
 
 static const struct set_def set_defs[] = {
@@ -107,6 +80,8 @@
 
 #define SET_NDEFS (sizeof(set_defs) / sizeof(set_defs[0]))
 
+_Static_assert(SET_NDEFS <= SET_DEFS_MAX, "SET_DEFS_MAX is too small");
+
 /*
  * Variables of other programs with the same prefix: of the command-line
  * client, and of the runner of the project's tests.
@@ -114,36 +89,6 @@
 static const char *const set_env_foreign[] = { "BERYLRAIL_SERVER",
 	"BERYLRAIL_OPERATOR", "BERYLRAIL_BIN_DIR" };
 
-/* struct set_loader - state of one settings_load(). */
-struct set_loader {
-	struct settings *settings;
-	FILE *errors;
-	size_t nerrors;
-	bool given[SET_NDEFS]; /* by a flag or by the environment */
-	struct arg_str *strs[SET_NDEFS];
-	struct arg_lit *check;
-	struct arg_lit *help;
-	struct arg_lit *version;
-	struct arg_end *end;
-	void *table[SET_NDEFS + 4];
-};
-
-static void set_error(struct set_loader *loader, const char *name,
-    const char *fmt, ...) __attribute__((format(printf, 3, 4)));
-
-static void
-set_error(struct set_loader *loader, const char *name, const char *fmt, ...)
-{
-	va_list ap;
-
-	loader->nerrors++;
-	fprintf(loader->errors, "berylraild: %s: ", name);
-	va_start(ap, fmt);
-	vfprintf(loader->errors, fmt, ap);
-	va_end(ap);
-	fputc('\n', loader->errors);
-}
-
 /* Name of a setting's environment variable. */
 static void
 set_env_name(const char *name, char env[SET_ENV_SIZE])
@@ -158,195 +103,6 @@
 	env[n] = '\0';
 }
 
-static bool
-set_name_valid(const char *text)
-{
-	size_t i;
-
-	for (i = 0; text[i] != '\0'; i++) {
-		if (!isalnum((unsigned char)text[i]) &&
-		    strchr("-_.", text[i]) == NULL)
-			return false;
-	}
-	return i > 0 && i <= NAME_LEN_MAX;
-}
-
-static int
-set_parse_u64(const char *text, uint64_t *value)
-{
-	char *end;
-
-	if (!isdigit((unsigned char)text[0]))
-		return -1;
-	errno = 0;
-	*value = strtoull(text, &end, 10);
-	return errno != 0 || *end != '\0' ? -1 : 0;
-}
-
-/* "1.2.3.4:80" or "[::1]:80"; no names, as no resolver is asked. */
-static int
-set_parse_endpoint(const char *text, struct endpoint *endpoint)
-{
-	unsigned char address[sizeof(struct in6_addr)];
-	const char *colon;
-	uint64_t port;
-	size_t len;
-	int family;
-
-	colon = strrchr(text, ':');
-	if (colon == NULL || set_parse_u64(colon + 1, &port) != 0 ||
-	    port > UINT16_MAX)
-		return -1;
-	len = (size_t)(colon - text);
-	family = AF_INET;
-	if (len >= 2 && text[0] == '[' && colon[-1] == ']') {
-		family = AF_INET6;
-		text++;
-		len -= 2;
-	}
-	if (len >= sizeof(endpoint->address))
-		return -1;
-	memcpy(endpoint->address, text, len);
-	endpoint->address[len] = '\0';
-	if (inet_pton(family, endpoint->address, address) != 1)
-		return -1;
-	endpoint->port = (uint16_t)port;
-	return 0;
-}
-
-static void
-set_store_endpoint(struct set_loader *loader, const struct set_def *def,
-    const char *text, struct endpoint *endpoint)
-{
-	if (set_parse_endpoint(text, endpoint) != 0)
-		set_error(loader, def->name,
-		    "\"%s\" is not ADDRESS:PORT with an IP number", text);
-	else if (endpoint->port < def->min)
-		set_error(loader, def->name, "port 0 is not allowed here");
-}
-
-static void
-set_store_platform(struct set_loader *loader, const struct set_def *def,
-    const char *text)
-{
-	static const char scheme[] = "http://";
-	char address[80];
-	size_t len;
-
-	if (strcmp(text, "memory:") == 0) {
-		loader->settings->memory_platform = true;
-		return;
-	}
-	if (strncmp(text, scheme, sizeof(scheme) - 1) != 0 ||
-	    strlcpy(address, text + sizeof(scheme) - 1, sizeof(address)) >=
-		sizeof(address)) {
-		set_error(loader, def->name,
-		    "\"%s\" is neither memory: nor http://ADDRESS:PORT", text);
-		return;
-	}
-	len = strlen(address);
-	if (len > 0 && address[len - 1] == '/')
-		address[len - 1] = '\0';
-	set_store_endpoint(loader, def, address, &loader->settings->platform);
-}
-
-static void
-set_store_peer(struct set_loader *loader, const struct set_def *def,
-    const char *text)
-{
-	struct settings *settings = loader->settings;
-
-	if (settings->npeers == SETTINGS_PEERS_MAX) {
-		set_error(loader, def->name, "more than %d are given",
-		    SETTINGS_PEERS_MAX);
-		return;
-	}
-	set_store_endpoint(loader, def, text,
-	    &settings->peers[settings->npeers++]);
-}
-
-static void
-set_store_choice(struct set_loader *loader, const struct set_def *def,
-    const char *text, char *field)
-{
-	const char *choice = def->choices;
-	size_t len;
-
-	while (*choice != '\0') {
-		len = strcspn(choice, "|");
-		if (strlen(text) == len && strncmp(choice, text, len) == 0) {
-			strlcpy(field, text, def->max);
-			return;
-		}
-		choice += len + (choice[len] == '|');
-	}
-	set_error(loader, def->name, "\"%s\" is none of %s", text,
-	    def->choices);
-}
-
-static void
-set_store_number(struct set_loader *loader, const struct set_def *def,
-    const char *text, void *field)
-{
-	uint64_t value;
-
-	if (set_parse_u64(text, &value) != 0) {
-		set_error(loader, def->name, "\"%s\" is not a whole number",
-		    text);
-		return;
-	}
-	if (value < def->min || value > def->max) {
-		set_error(loader, def->name, "%s is not in %llu..%llu", text,
-		    (unsigned long long)def->min, (unsigned long long)def->max);
-		return;
-	}
-	if (def->kind == SET_U32)
-		*(uint32_t *)field = (uint32_t)value;
-	else
-		*(uint64_t *)field = value;
-}
-
-/* Checks one setting's text and stores its value. */
-static void
-set_store(struct set_loader *loader, const struct set_def *def,
-    const char *text)
-{
-	void *field = (char *)loader->settings + def->offset;
-
-	switch (def->kind) {
-	case SET_NAME:
-		if (set_name_valid(text))
-			strlcpy(field, text, NAME_SIZE);
-		else
-			set_error(loader, def->name,
-			    "\"%s\" is not a name of 1..%d letters, digits, "
-			    "'-', '_' and '.'",
-			    text, NAME_LEN_MAX);
-		break;
-	case SET_ENDPOINT:
-		set_store_endpoint(loader, def, text, field);
-		break;
-	case SET_PLATFORM:
-		set_store_platform(loader, def, text);
-		break;
-	case SET_PEERS:
-		set_store_peer(loader, def, text);
-		break;
-	case SET_CHOICE:
-		set_store_choice(loader, def, text, field);
-		break;
-	case SET_PATH:
-		if (strlcpy(field, text, def->max) >= def->max)
-			set_error(loader, def->name, "longer than %llu bytes",
-			    (unsigned long long)def->max - 1);
-		break;
-	case SET_U32:
-	case SET_U64:
-		set_store_number(loader, def, text, field);
-		break;
-	}
-}
-
 /* Several peers in one environment variable, separated by commas. */
 static void
 set_store_env(struct set_loader *loader, const struct set_def *def,
@@ -500,28 +256,6 @@
 		    "less than --drain-delay-ms");
 }
 
-static const char *
-set_datatype(const struct set_def *def)
-{
-	switch (def->kind) {
-	case SET_NAME:
-		return "NAME";
-	case SET_ENDPOINT:
-	case SET_PEERS:
-		return "ADDRESS:PORT";
-	case SET_PLATFORM:
-		return "URL";
-	case SET_CHOICE:
-		return def->choices;
-	case SET_PATH:
-		return "FILE";
-	case SET_U32:
-	case SET_U64:
-		break;
-	}
-	return "N";
-}
-
 static int
 set_table_create(struct set_loader *loader)
 {
--- a/tests/test_config_json.c
+++ b/tests/test_config_json.c
@@ -48,7 +48,7 @@
 #define SERVER(labels, members)                                               \
 	"{\"op\":\"put\",\"kind\":\"server\",\"name\":\"s1\",\"labels\":"     \
 	"{" labels "},\"spec\":{\"address\":\"10.0.0.1\",\"port\":80,\"az\":" \
-		   "\"surat\"" members "}}"
+	"\"surat\"" members "}}"
 
 Test(config_json, defaults_and_own_labels_are_filled_in)
 {
