--- a/tests/support/faulty_table.h
+++ b/tests/support/faulty_table.h
@@ -20,6 +20,6 @@
 	int transactions;
 };
 
-void faulty_table_init(struct faulty_table *fake, struct table *inner);
+void faulty_table_init(struct faulty_table *faulty, struct table *inner);
 
 #endif /* TESTS_SUPPORT_FAULTY_TABLE_H */
