--- a/entry/config_history.c
+++ b/entry/config_history.c
@@ -16,6 +16,7 @@
 struct config_history {
 	api_reply_fn reply;
 	void *arg;
+	LIST_ENTRY(config_history) entry;
 };
 
 static void
@@ -27,6 +28,7 @@
 	json_t *changes;
 	size_t i;
 
+	LIST_REMOVE(history, entry);
 	if (status != TABLE_OK && status != TABLE_NOT_FOUND) {
 		config_view_problem(history->reply, history->arg, 503, err, 0);
 		free(history);
@@ -92,7 +94,19 @@
 	}
 	history->reply = reply;
 	history->arg = arg;
+	LIST_INSERT_HEAD(&sync->histories, history, entry);
 	config_sync_sk(after, sk);
 	sync->params.table->ops->query(sync->params.table, CONFIG_PK, sk,
 	    (size_t)limit, config_history_done, history);
 }
+
+void
+config_history_destroy_all(struct config_sync *sync)
+{
+	struct config_history *history;
+
+	while ((history = LIST_FIRST(&sync->histories)) != NULL) {
+		LIST_REMOVE(history, entry);
+		free(history);
+	}
+}
--- a/entry/config_sync.c
+++ b/entry/config_sync.c
@@ -245,6 +245,7 @@
 	sync->params = *params;
 	sync->random = params->seed;
 	TAILQ_INIT(&sync->changes);
+	LIST_INIT(&sync->histories);
 	sync->config = cfg_create();
 	sync->poll_timer = evtimer_new(params->base, config_sync_poll, sync);
 	if (sync->config == NULL || sync->poll_timer == NULL) {
@@ -263,6 +264,7 @@
 	if (sync == NULL)
 		return;
 	config_change_destroy_all(sync);
+	config_history_destroy_all(sync);
 	if (sync->poll_timer != NULL)
 		event_free(sync->poll_timer);
 	cfg_free(sync->config);
--- a/entry/config_sync.h
+++ b/entry/config_sync.h
@@ -19,7 +19,8 @@
 struct config_sync;
 struct event_base;
 
-/** typedef config_sync_fn - a newer version is in force; @config borrowed. */
+/** typedef config_sync_fn - a newer version is in force; @config borrowed.
+ * Several versions that were read together are told once, by the newest. */
 typedef void (*config_sync_fn)(void *arg, const struct config *config);
 
 /** struct config_sync_params - all borrowed. */
@@ -31,11 +32,19 @@
 	const char *host;	/* own name, for the audit record */
 	uint32_t poll_ms;	/* mean interval of polls */
 	uint64_t seed;		/* of the polls' jitter */
-	config_sync_fn changed; /* runs for every version applied */
+	config_sync_fn changed; /* runs after newer versions were applied */
 	void *arg;
 };
 
+/** config_sync_create() - begin to read; NULL when out of memory. */
 struct config_sync *config_sync_create(const struct config_sync_params *params);
+
+/**
+ * config_sync_destroy() - free it; pending replies do not run.
+ *
+ * Calls to the table may still be under way: the event loop must not run
+ * between this and the destruction of the platform.
+ */
 void config_sync_destroy(struct config_sync *sync);
 
 /** config_sync_current() - the configuration in force, borrowed. */
--- a/entry/config_sync_internal.h
+++ b/entry/config_sync_internal.h
@@ -43,6 +43,7 @@
 	struct event *poll_timer;
 	struct config_changes changes; /* waiting, the first one active */
 	size_t nchanges;
+	LIST_HEAD(, config_history) histories; /* being read */
 };
 
 /** config_sync_sk() - sort key of a version's row. */
@@ -88,6 +89,9 @@
 void config_history_get(struct config_sync *sync,
     const struct api_request *request, api_reply_fn reply, void *arg);
 
+/** config_history_destroy_all() - drop all requests without a reply. */
+void config_history_destroy_all(struct config_sync *sync);
+
 /** config_view_get() - GET /v1/config, /v1/config/{kind}s[/{name}]. */
 void config_view_get(struct config_sync *sync,
     const struct api_request *request, api_reply_fn reply, void *arg);
--- a/tests/support/faulty_table.c
+++ b/tests/support/faulty_table.c
@@ -13,6 +13,7 @@
 	table_done_fn done;
 	void *arg;
 	enum table_status forced; /* TABLE_OK: as the inner table says */
+	LIST_ENTRY(faulty_call) entry;
 };
 
 static struct faulty_call *
@@ -25,9 +26,17 @@
 	call->faulty = (struct faulty_table *)table;
 	call->arg = arg;
 	call->forced = TABLE_OK;
+	LIST_INSERT_HEAD(&call->faulty->calls, call, entry);
 	return call;
 }
 
+static void
+faulty_call_free(struct faulty_call *call)
+{
+	LIST_REMOVE(call, entry);
+	free(call);
+}
+
 static void
 faulty_rows(void *arg, enum table_status status, const struct table_row *rows,
     size_t nrows, const struct err *err)
@@ -40,7 +49,7 @@
 		err_set(&down, ERR_STEP_TABLE, ERR_UNAVAILABLE, "faulty",
 		    "down");
 		call->rows_done(call->arg, call->forced, NULL, 0, &down);
-		free(call);
+		faulty_call_free(call);
 		return;
 	}
 	while (call->faulty->stale_sk[0] != '\0' && n > 0 &&
@@ -48,7 +57,7 @@
 	    strcmp(rows[n - 1].sk, call->faulty->stale_sk) > 0)
 		n--;
 	call->rows_done(call->arg, status, rows, n, err);
-	free(call);
+	faulty_call_free(call);
 }
 
 static void
@@ -91,7 +100,7 @@
 	} else {
 		call->done(call->arg, status, failed, err);
 	}
-	free(call);
+	faulty_call_free(call);
 }
 
 static void
@@ -132,3 +141,14 @@
 	faulty->table.ops = &faulty_ops;
 	faulty->inner = inner;
 }
+
+void
+faulty_table_clear(struct faulty_table *faulty)
+{
+	struct faulty_call *call;
+
+	while ((call = LIST_FIRST(&faulty->calls)) != NULL) {
+		LIST_REMOVE(call, entry);
+		free(call);
+	}
+}
--- a/tests/support/faulty_table.h
+++ b/tests/support/faulty_table.h
@@ -2,6 +2,7 @@
 #define TESTS_SUPPORT_FAULTY_TABLE_H
 
 #include <stdbool.h>
+#include <sys/queue.h>
 
 #include "ports/table.h"
 
@@ -18,8 +19,12 @@
 	char stale_sk[TABLE_KEY_SIZE]; /* reads of "config" end here; "" off */
 	int queries;
 	int transactions;
+	LIST_HEAD(, faulty_call) calls; /* under way */
 };
 
 void faulty_table_init(struct faulty_table *faulty, struct table *inner);
 
+/** faulty_table_clear() - free calls under way; the loop must not run on. */
+void faulty_table_clear(struct faulty_table *faulty);
+
 #endif /* TESTS_SUPPORT_FAULTY_TABLE_H */
--- a/tests/test_config_sync.c
+++ b/tests/test_config_sync.c
@@ -83,6 +83,8 @@
 
 	for (i = 0; i < HOSTS; i++)
 		config_sync_destroy(hosts[i].sync);
+	for (i = 0; i < HOSTS; i++)
+		faulty_table_clear(&hosts[i].table);
 	platform->destroy(platform);
 	event_base_free(base);
 }
--- a/tests/test_platform_http.c
+++ b/tests/test_platform_http.c
@@ -41,7 +41,12 @@
 static void
 teardown(void)
 {
+	int i;
+
 	platform->destroy(platform);
+	/* Let the server see the ends of its connections. */
+	for (i = 0; i < 10; i++)
+		event_base_loop(base, EVLOOP_NONBLOCK);
 	raw_server_stop(&server);
 	event_base_free(base);
 }
@@ -218,8 +223,9 @@
 	cr_assert_eq(server.connections, 2);
 }
 
-Test(platform_http, silence_ends_with_the_time_limit, .init = NULL)
+Test(platform_http, silence_ends_with_the_time_limit)
 {
+	teardown();
 	start(50);
 	cr_assert_eq(transact(NULL, false), TABLE_UNKNOWN);
 	cr_assert_eq(error.code, ERR_DEADLINE);
