Hold borrowed slots until their tasks end; other zones help by loans

Cause: a loan that ran out while its task still ran overbooked the server, and so did the one task that every host could start on each server of another zone: refusals, then failed jobs.

Change: the borrower starts tasks on a loan for 200 ms and returns it by a message when they have ended. Servers of other zones are used on loans of their own hosts; without a single able server at home one task as before.

--- a/adapters/peers_conn.c
+++ b/adapters/peers_conn.c
@@ -58,6 +58,7 @@
 	    PEERS_SENT("config_snapshot"),
 	[BERYLRAIL__FRAME__KIND_SLOT_LOAN] = PEERS_SENT("slot_loan"),
 	[BERYLRAIL__FRAME__KIND_SLOT_REQUEST] = PEERS_SENT("slot_request"),
+	[BERYLRAIL__FRAME__KIND_SLOT_RETURN] = PEERS_SENT("slot_return"),
 };
 
 uint8_t *
@@ -287,6 +288,9 @@
 	case BERYLRAIL__FRAME__KIND_SLOT_REQUEST:
 		peers_loan_request(conn, frame->slot_request);
 		break;
+	case BERYLRAIL__FRAME__KIND_SLOT_RETURN:
+		peers_loan_returned(conn, frame->slot_return);
+		break;
 	default:
 		rc = -1;
 	}
@@ -398,6 +402,7 @@
 	conn->peers = peers;
 	conn->target = target;
 	conn->dialed = target != NULL;
+	conn->serial = ++peers->next_serial;
 	conn->opened_us = conn->heard_us = conn->used_us = peers_now_us(peers);
 	frm_init(&conn->parser, PEERS_HELLO_BYTES_MAX);
 	conn->bev = bufferevent_socket_new(peers->params.base, fd,
--- a/adapters/peers_internal.h
+++ b/adapters/peers_internal.h
@@ -36,8 +36,10 @@
 #define PEERS_LEAVING_MAX 64	    /* servers in one heartbeat */
 #define PEERS_INTERVAL_MAX_MS 60000 /* of a peer's heartbeats */
 #define PEERS_LOAN_TICK_MS 20
-#define PEERS_LOAN_MS 500	   /* that slots are lent for */
-#define PEERS_LOAN_RETRY_MS 100	   /* after a host had nothing to lend */
+#define PEERS_LOAN_START_MS 200	   /* tasks may be started on a loan */
+#define PEERS_LOAN_HELD_MS 30000   /* never returned: the lender has it again */
+#define PEERS_LOAN_RETRY_MIN_MS 50 /* after a host had nothing to lend */
+#define PEERS_LOAN_RETRY_MAX_MS 1000
 #define PEERS_LOAN_SERVERS_MAX 32  /* in one request */
 #define PEERS_LOAN_SLOTS_MAX 64	   /* of one server */
 #define PEERS_CONFIG_GRACE_MS 2000 /* to fetch from the table first */
@@ -80,7 +82,9 @@
 	uint64_t leaving_told; /* value of leaving_changes last sent */
 	uint32_t interval_ms;  /* the peer's heartbeat interval, 0 unknown */
 	size_t nserved;
+	uint64_t serial;	/* never used again by this process */
 	bool loan_asked;	/* the answer is still to come */
+	uint32_t loan_retry_ms; /* 0 after a loan */
 	uint64_t loan_retry_us; /* no request before that */
 	TAILQ_ENTRY(peers_conn) entry;
 };
@@ -143,7 +147,8 @@
 	struct peers_served_list served;
 	struct peers_leaving_list leaving;
 	uint64_t next_correlation;
-	uint64_t random; /* state of the jitter's generator */
+	uint64_t next_serial; /* of connections */
+	uint64_t random;      /* state of the jitter's generator */
 	bool is_leaving;
 	uint64_t config_heard;	      /* highest version told by any peer */
 	uint64_t config_heard_us;     /* when it became higher than ours */
@@ -222,6 +227,8 @@
     const Berylrail__SlotRequest *request);
 void peers_loan_granted(struct peers_conn *conn,
     const Berylrail__SlotLoan *loan);
+void peers_loan_returned(struct peers_conn *conn,
+    const Berylrail__SlotReturn *returned);
 
 /* Counters */
 extern struct counter peers_ctr_bad_frames;
--- a/adapters/peers_loan.c
+++ b/adapters/peers_loan.c
@@ -1,7 +1,9 @@
 /*
- * Task slots lent between the entry hosts of one availability zone. A host
- * with waiting tasks asks one host at a time; that one lends what it leaves
- * idle, for PEERS_LOAN_MS. Nothing is given back early.
+ * Task slots lent between entry hosts. A host with waiting tasks asks the
+ * hosts of its availability zone, and those of other zones if the wait is
+ * long, for slots on their servers; they lend what they leave idle. The
+ * borrower starts tasks on a loan for PEERS_LOAN_START_MS and gives it back
+ * when these have ended.
  */
 
 #include <string.h>
@@ -25,6 +27,48 @@
 	.help = "Messages that added nothing to an answer.",
 };
 
+/* Servers and slots of one message. */
+struct peers_slots {
+	size_t n;
+	Berylrail__ServerSlots items[PEERS_LOAN_SERVERS_MAX];
+	Berylrail__ServerSlots *list[PEERS_LOAN_SERVERS_MAX];
+};
+
+/* The list must have room; @server is borrowed. */
+static void
+peers_slots_add(struct peers_slots *slots, const char *server, uint32_t n)
+{
+	Berylrail__ServerSlots *item = &slots->items[slots->n];
+
+	berylrail__server_slots__init(item);
+	item->server = (char *)server;
+	item->slots = n;
+	slots->list[slots->n++] = item;
+}
+
+static uint32_t
+peers_slots_bounded(uint32_t n)
+{
+	return n < PEERS_LOAN_SLOTS_MAX ? n : PEERS_LOAN_SLOTS_MAX;
+}
+
+static void
+peers_loan_send_return(struct peers_conn *conn, struct peers_slots *slots)
+{
+	Berylrail__SlotReturn message = BERYLRAIL__SLOT_RETURN__INIT;
+	Berylrail__Frame frame = BERYLRAIL__FRAME__INIT;
+
+	if (slots->n == 0)
+		return;
+	message.servers = slots->list;
+	message.n_servers = slots->n;
+	frame.kind_case = BERYLRAIL__FRAME__KIND_SLOT_RETURN;
+	frame.slot_return = &message;
+	(void)peers_conn_send(conn, &frame);
+}
+
+/* Asking */
+
 static bool
 peers_loan_may_ask(const struct peers_tcp *peers, const struct peers_conn *conn,
     uint64_t now_us)
@@ -32,37 +76,61 @@
 	const struct member *member;
 
 	if (!conn->hello || conn->closing || conn->redundant ||
-	    conn->loan_asked || now_us < conn->loan_retry_us ||
-	    strcmp(conn->az, peers->params.az) != 0)
+	    conn->loan_asked || now_us < conn->loan_retry_us)
 		return false;
 	member = mbr_find(&peers->members, conn->name);
-	return member != NULL && member->state == MEMBER_LIVE;
+	return member != NULL && member->state == MEMBER_LIVE &&
+	    member->load.tasks_waiting == 0;
 }
 
 static void
 peers_loan_ask(struct peers_conn *conn, const struct engine_loan *wants,
     size_t nwants)
 {
-	Berylrail__ServerSlots items[PEERS_LOAN_SERVERS_MAX];
-	Berylrail__ServerSlots *list[PEERS_LOAN_SERVERS_MAX];
 	Berylrail__SlotRequest request = BERYLRAIL__SLOT_REQUEST__INIT;
 	Berylrail__Frame frame = BERYLRAIL__FRAME__INIT;
+	struct peers_slots slots = { .n = 0 };
 	size_t i;
 
 	for (i = 0; i < nwants; i++) {
-		berylrail__server_slots__init(&items[i]);
-		items[i].server = (char *)wants[i].server;
-		items[i].slots = wants[i].slots;
-		list[i] = &items[i];
+		if (strcmp(wants[i].az, conn->az) == 0)
+			peers_slots_add(&slots, wants[i].server,
+			    wants[i].slots);
 	}
-	request.servers = list;
-	request.n_servers = nwants;
+	if (slots.n == 0)
+		return;
+	request.servers = slots.list;
+	request.n_servers = slots.n;
 	frame.kind_case = BERYLRAIL__FRAME__KIND_SLOT_REQUEST;
 	frame.slot_request = &request;
 	if (peers_conn_send(conn, &frame) == 0)
 		conn->loan_asked = true;
 }
 
+/* What hosts have lent goes back to them, unless they are gone. */
+static void
+peers_loan_give_back(struct peers_tcp *peers)
+{
+	struct engine_loan owed[PEERS_LOAN_SERVERS_MAX];
+	struct peers_slots slots;
+	struct peers_conn *conn;
+	size_t i, n;
+
+	n = engine_loan_collect(peers->params.engine, owed,
+	    PEERS_LOAN_SERVERS_MAX);
+	if (n == 0)
+		return;
+	TAILQ_FOREACH (conn, &peers->conns, entry) {
+		slots.n = 0;
+		for (i = 0; i < n; i++) {
+			if (owed[i].lender == conn->serial)
+				peers_slots_add(&slots, owed[i].server,
+				    owed[i].slots);
+		}
+		peers_loan_send_return(conn, &slots);
+	}
+}
+
 void
 peers_loan_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -74,53 +142,45 @@
 
 	(void)fd;
 	(void)what;
-	TAILQ_FOREACH (conn, &peers->conns, entry) {
-		if (peers_loan_may_ask(peers, conn, now_us))
-			break;
-	}
-	if (conn == NULL)
-		return;
+	peers_loan_give_back(peers);
 	nwants = engine_loan_wants(peers->params.engine, wants,
 	    PEERS_LOAN_SERVERS_MAX);
 	if (nwants == 0)
 		return;
-	peers_loan_ask(conn, wants, nwants);
-	/* The next request goes to another host. */
-	TAILQ_REMOVE(&peers->conns, conn, entry);
-	TAILQ_INSERT_TAIL(&peers->conns, conn, entry);
+	TAILQ_FOREACH (conn, &peers->conns, entry) {
+		if (peers_loan_may_ask(peers, conn, now_us))
+			peers_loan_ask(conn, wants, nwants);
+	}
 }
 
+/* Lending */
+
 /* Lends what this host leaves idle; an empty answer says "nothing". */
 void
 peers_loan_request(struct peers_conn *conn,
     const Berylrail__SlotRequest *request)
 {
 	struct engine *engine = conn->peers->params.engine;
-	Berylrail__ServerSlots items[PEERS_LOAN_SERVERS_MAX];
-	Berylrail__ServerSlots *list[PEERS_LOAN_SERVERS_MAX];
 	Berylrail__SlotLoan loan = BERYLRAIL__SLOT_LOAN__INIT;
 	Berylrail__Frame frame = BERYLRAIL__FRAME__INIT;
-	uint32_t slots;
-	size_t i, n = 0;
-
-	for (i = 0; i < request->n_servers && n < PEERS_LOAN_SERVERS_MAX; i++) {
-		slots = request->servers[i]->slots;
-		if (slots > PEERS_LOAN_SLOTS_MAX)
-			slots = PEERS_LOAN_SLOTS_MAX;
-		slots = engine_loan_give(engine, request->servers[i]->server,
-		    slots, PEERS_LOAN_MS * 1000);
-		if (slots == 0)
+	struct peers_slots slots = { .n = 0 };
+	const Berylrail__ServerSlots *wanted;
+	uint32_t lent;
+	size_t i;
+
+	for (i = 0; i < request->n_servers && i < PEERS_LOAN_SERVERS_MAX; i++) {
+		wanted = request->servers[i];
+		lent = engine_loan_give(engine, wanted->server,
+		    peers_slots_bounded(wanted->slots),
+		    (uint64_t)PEERS_LOAN_HELD_MS * 1000);
+		if (lent == 0)
 			continue;
-		ctr_add(&peers_ctr_lent, slots);
-		berylrail__server_slots__init(&items[n]);
-		items[n].server = request->servers[i]->server;
-		items[n].slots = slots;
-		list[n] = &items[n];
-		n++;
+		ctr_add(&peers_ctr_lent, lent);
+		peers_slots_add(&slots, wanted->server, lent);
 	}
-	loan.servers = list;
-	loan.n_servers = n;
-	loan.lent_for_ms = PEERS_LOAN_MS;
+	loan.servers = slots.list;
+	loan.n_servers = slots.n;
+	loan.start_for_ms = PEERS_LOAN_START_MS;
 	frame.kind_case = BERYLRAIL__FRAME__KIND_SLOT_LOAN;
 	frame.slot_loan = &loan;
 	if (peers_conn_send(conn, &frame) < 0)
@@ -132,7 +192,9 @@
 peers_loan_granted(struct peers_conn *conn, const Berylrail__SlotLoan *loan)
 {
 	struct peers_tcp *peers = conn->peers;
-	uint32_t ms = loan->lent_for_ms, slots;
+	struct peers_slots unused = { .n = 0 };
+	struct engine_loan taken = { .az = conn->az, .lender = conn->serial };
+	uint32_t ms = loan->start_for_ms;
 	size_t i;
 
 	if (!conn->loan_asked)
@@ -144,14 +206,28 @@
 		    peers_now_us(peers) + (uint64_t)PEERS_LOAN_RETRY_MS * 1000;
 		return;
 	}
-	if (ms > PEERS_LOAN_MS)
-		ms = PEERS_LOAN_MS;
+	if (ms > PEERS_LOAN_START_MS)
+		ms = PEERS_LOAN_START_MS;
 	for (i = 0; i < loan->n_servers && i < PEERS_LOAN_SERVERS_MAX; i++) {
-		slots = loan->servers[i]->slots;
-		if (slots > PEERS_LOAN_SLOTS_MAX)
-			slots = PEERS_LOAN_SLOTS_MAX;
-		ctr_add(&peers_ctr_borrowed, slots);
-		engine_loan_take(peers->params.engine, loan->servers[i]->server,
-		    slots, (uint64_t)ms * 1000);
+		taken.server = loan->servers[i]->server;
+		taken.slots = peers_slots_bounded(loan->servers[i]->slots);
+		if (engine_loan_take(peers->params.engine, &taken,
+			(uint64_t)ms * 1000))
+			ctr_add(&peers_ctr_borrowed, taken.slots);
+		else
+			peers_slots_add(&unused, taken.server, taken.slots);
 	}
+	peers_loan_send_return(conn, &unused);
+}
+
+void
+peers_loan_returned(struct peers_conn *conn,
+    const Berylrail__SlotReturn *returned)
+{
+	struct engine *engine = conn->peers->params.engine;
+	size_t i;
+
+	for (i = 0; i < returned->n_servers; i++)
+		engine_loan_returned(engine, returned->servers[i]->server,
+		    returned->servers[i]->slots);
 }
--- a/entry/engine.c
+++ b/entry/engine.c
@@ -369,6 +369,12 @@
 	return true;
 }
 
+size_t
+engine_waiting(const struct engine *engine)
+{
+	return engine->nwaiting;
+}
+
 size_t
 engine_busy(const struct engine *engine)
 {
--- a/entry/engine.h
+++ b/entry/engine.h
@@ -74,6 +74,9 @@
 /** engine_busy() - number of tasks waiting or running. */
 size_t engine_busy(const struct engine *engine);
 
+/** engine_waiting() - number of tasks waiting. */
+size_t engine_waiting(const struct engine *engine);
+
 /**
  * engine_server_leaving() - a source has told that a server is leaving, or
  * no longer is. @source: "list", "peer"; the label comes by configuration.
@@ -102,17 +105,21 @@
     size_t size);
 
 /**
- * struct engine_loan - task slots on a server. Entry hosts of one availability
- * zone lend each other slots of their shares.
+ * struct engine_loan - task slots on a server that entry hosts lend each
+ * other. Hosts of the server's availability zone lend what they leave idle.
  */
 struct engine_loan {
 	const char *server; /* borrowed */
+	const char *az;	    /* the server's; borrowed */
 	uint32_t slots;
+	uint64_t lender; /* names the lender for the caller, see _take() */
 };
 
 /**
  * engine_loan_wants() - servers that this host could use more slots of, as
- * tasks wait and its own are taken. Return: number of entries, at most @size.
+ * tasks wait and its own are taken, fastest first. Servers of other zones are
+ * among them if the wait here would be long. Return: number of entries, at
+ * most @size.
  */
 size_t engine_loan_wants(struct engine *engine, struct engine_loan *wants,
     size_t size);
@@ -120,17 +127,34 @@
 /**
  * engine_loan_give() - lend idle slots to another host.
  * @slots: at most so many.
- * @for_us: for so long, counted by the borrower from receipt.
+ * @for_us: they are this host's again after that, if they are not returned.
  *
  * Return: number lent, 0 if this host needs them itself.
  */
 uint32_t engine_loan_give(struct engine *engine, const char *server,
     uint32_t slots, uint64_t for_us);
 
-/** engine_loan_take() - another host has lent slots, from now on. */
-void engine_loan_take(struct engine *engine, const char *server, uint32_t slots,
+/** engine_loan_returned() - the borrower has given slots back. */
+void engine_loan_returned(struct engine *engine, const char *server,
+    uint32_t slots);
+
+/**
+ * engine_loan_take() - another host has lent slots.
+ * @taken: server, slots and lender.
+ * @for_us: tasks may be started on them for so long.
+ *
+ * Return: false if this host can't use them; they are to be given back.
+ */
+bool engine_loan_take(struct engine *engine, const struct engine_loan *taken,
     uint64_t for_us);
 
+/**
+ * engine_loan_collect() - slots that no task uses any more and whose time is
+ * over: the caller gives them back to their lenders. Return: number of entries.
+ */
+size_t engine_loan_collect(struct engine *engine, struct engine_loan *owed,
+    size_t size);
+
 /** engine_loads() - tasks running on each server of the own zone. */
 size_t engine_loads(struct engine *engine, struct engine_loan *loads,
     size_t size);
--- a/entry/engine_internal.h
+++ b/entry/engine_internal.h
@@ -33,10 +33,12 @@
 	ENG_LEAVING_PEER = 8,
 };
 
-/* Slots lent or borrowed until a time; expired ones are free entries. */
+/* Slots lent or borrowed; an entry without slots and owed ones is unused. */
 struct eng_loan {
 	uint32_t slots;
-	uint64_t until_us;
+	uint32_t owed; /* borrowed ones, to be given back */
+	uint64_t lender;
+	uint64_t until_us; /* of borrowed ones: may start tasks until then */
 };
 
 /* A backend server; stays while configured or while tasks run on it. */
@@ -57,7 +59,7 @@
 	uint32_t others_running;
 	struct eng_loan lent[ENG_LOANS_MAX];
 	struct eng_loan borrowed[ENG_LOANS_MAX];
-	size_t nloans;		      /* of both kinds */
+	size_t nloans;		      /* entries in use, of both kinds */
 	bool counted_ejected;	      /* in the engine's nejected */
 	uint64_t answered_us;	      /* last whole answer */
 	TAILQ_HEAD(, eng_call) calls; /* in order of start */
@@ -181,6 +183,7 @@
 	uint64_t waiting_bytes;
 	uint32_t nlocal;   /* configured servers of the own zone */
 	uint32_t nejected; /* servers ejected or probing */
+	size_t nowed;	   /* slots to be given back */
 	bool applying;	   /* a configuration: do not start tasks */
 	double log_speed;  /* mean of servers' speeds, logarithm */
 	struct rtry retries;
@@ -242,7 +245,11 @@
     const struct eng_server *server);
 
 /* engine_loan.c */
-uint32_t eng_loans_sum(const struct eng_loan *loans, uint64_t now_us);
-bool eng_loan_due(struct eng_server *server, uint64_t now_us);
+uint32_t eng_loans_lent(const struct eng_server *server, uint64_t now_us);
+uint32_t eng_loans_borrowed(const struct eng_server *server);
+void eng_loan_trim(struct engine *engine, struct eng_server *server,
+    uint64_t now_us);
+bool eng_loan_due(struct engine *engine, struct eng_server *server,
+    uint64_t now_us);
 
 #endif /* ENTRY_ENGINE_INTERNAL_H */
--- a/entry/engine_server.c
+++ b/entry/engine_server.c
@@ -42,13 +42,29 @@
 	return RB_FIND(eng_servers, &engine->servers, &key);
 }
 
+/* Whether other zones have to help depends on the servers of the own one. */
+static void
+eng_servers_share_remote(struct engine *engine)
+{
+	uint64_t now_us = clock_now_us(engine->clock);
+	struct eng_server *server;
+
+	RB_FOREACH (server, eng_servers, &engine->servers) {
+		if (server->tier != 0)
+			eng_server_share(engine, server, now_us);
+	}
+}
+
 /* The limit is this host's share; a paused server is full as it is, a probing
  * one gets one task at a time. */
 void
 eng_server_refresh(struct engine *engine, struct eng_server *server)
 {
 	struct pick_server *pick = &server->pick;
+	bool was_usable = pick->usable;
 
+	if (server->nloans != 0)
+		eng_loan_trim(engine, server, clock_now_us(engine->clock));
 	pick->usable = server->configured && server->leaving == 0 &&
 	    server->health.state != HLTH_EJECTED;
 	pick->limit = server->own_limit;
@@ -56,8 +72,24 @@
 		pick->limit = 1;
 	if (server->paused_until_us != 0 && pick->limit > pick->running)
 		pick->limit = pick->running;
-	(void)engine;
 	pick_server_changed(pick);
+	if (pick->usable != was_usable && server->tier == 0)
+		eng_servers_share_remote(engine);
+}
+
+/* What hosts of the server's zone have lent; a single task where the own zone
+ * has no server at all for some pool. */
+static uint32_t
+eng_server_remote_limit(const struct eng_server *server)
+{
+	uint32_t limit = eng_loans_borrowed(server);
+	const struct pick_member *member;
+
+	TAILQ_FOREACH (member, &server->pick.members, server_entry) {
+		if (limit == 0 && pick_best_speed(member->pool, 0) == 0)
+			limit = ENG_REMOTE_LIMIT;
+	}
+	return limit;
 }
 
 /* Computes the share anew; a server of another zone is left to its hosts. */
@@ -71,15 +103,15 @@
 		.self = engine->host,
 		.hosts = engine->share_names,
 		.nhosts = engine->nshare,
-		.lent = eng_loans_sum(server->lent, now_us),
-		.borrowed = eng_loans_sum(server->borrowed, now_us),
+		.lent = eng_loans_lent(server, now_us),
+		.borrowed = eng_loans_borrowed(server),
 		.others_running = server->others_running,
 	};
 
 	if (server->tier == 0)
 		server->own_limit = engine->policy.share->limit(&input);
 	else
-		server->own_limit = ENG_REMOTE_LIMIT;
+		server->own_limit = eng_server_remote_limit(server);
 	if (server->own_limit > server->cfg.connections)
 		server->own_limit = server->cfg.connections;
 	server->pick.slots = server->cfg.slots;
@@ -275,7 +307,7 @@
 		}
 		if (hlth_probe_due(&server->health, now_us))
 			eng_server_refresh(engine, server);
-		if (eng_loan_due(server, now_us))
+		if (eng_loan_due(engine, server, now_us))
 			eng_server_share(engine, server, now_us);
 	}
 }
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -457,6 +457,51 @@
   assert(message->base.descriptor == &berylrail__slot_loan__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   berylrail__slot_return__init
+                     (Berylrail__SlotReturn         *message)
+{
+  static const Berylrail__SlotReturn init_value = BERYLRAIL__SLOT_RETURN__INIT;
+  *message = init_value;
+}
+size_t berylrail__slot_return__get_packed_size
+                     (const Berylrail__SlotReturn *message)
+{
+  assert(message->base.descriptor == &berylrail__slot_return__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t berylrail__slot_return__pack
+                     (const Berylrail__SlotReturn *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &berylrail__slot_return__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t berylrail__slot_return__pack_to_buffer
+                     (const Berylrail__SlotReturn *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &berylrail__slot_return__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Berylrail__SlotReturn *
+       berylrail__slot_return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Berylrail__SlotReturn *)
+     protobuf_c_message_unpack (&berylrail__slot_return__descriptor,
+                                allocator, len, data);
+}
+void   berylrail__slot_return__free_unpacked
+                     (Berylrail__SlotReturn *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &berylrail__slot_return__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   berylrail__slot_request__init
                      (Berylrail__SlotRequest         *message)
 {
@@ -1307,12 +1352,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "lent_for_ms",
+    "start_for_ms",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Berylrail__SlotLoan, lent_for_ms),
+    offsetof(Berylrail__SlotLoan, start_for_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -1320,8 +1365,8 @@
   },
 };
 static const unsigned berylrail__slot_loan__field_indices_by_name[] = {
-  1,   /* field[1] = lent_for_ms */
   0,   /* field[0] = servers */
+  1,   /* field[1] = start_for_ms */
 };
 static const ProtobufCIntRange berylrail__slot_loan__number_ranges[1 + 1] =
 {
@@ -1343,6 +1388,44 @@
   (ProtobufCMessageInit) berylrail__slot_loan__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor berylrail__slot_return__field_descriptors[1] =
+{
+  {
+    "servers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Berylrail__SlotReturn, n_servers),
+    offsetof(Berylrail__SlotReturn, servers),
+    &berylrail__server_slots__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned berylrail__slot_return__field_indices_by_name[] = {
+  0,   /* field[0] = servers */
+};
+static const ProtobufCIntRange berylrail__slot_return__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor berylrail__slot_return__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "berylrail.SlotReturn",
+  "SlotReturn",
+  "Berylrail__SlotReturn",
+  "berylrail",
+  sizeof(Berylrail__SlotReturn),
+  1,
+  berylrail__slot_return__field_descriptors,
+  berylrail__slot_return__field_indices_by_name,
+  1,  berylrail__slot_return__number_ranges,
+  (ProtobufCMessageInit) berylrail__slot_return__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor berylrail__slot_request__field_descriptors[1] =
 {
   {
@@ -1381,7 +1464,7 @@
   (ProtobufCMessageInit) berylrail__slot_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor berylrail__frame__field_descriptors[9] =
+static const ProtobufCFieldDescriptor berylrail__frame__field_descriptors[10] =
 {
   {
     "hello",
@@ -1491,6 +1574,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slot_return",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Berylrail__Frame, kind_case),
+    offsetof(Berylrail__Frame, slot_return),
+    &berylrail__slot_return__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned berylrail__frame__field_indices_by_name[] = {
   5,   /* field[5] = config_fetch */
@@ -1502,11 +1597,12 @@
   0,   /* field[0] = hello */
   7,   /* field[7] = slot_loan */
   8,   /* field[8] = slot_request */
+  9,   /* field[9] = slot_return */
 };
 static const ProtobufCIntRange berylrail__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor berylrail__frame__descriptor =
 {
@@ -1516,7 +1612,7 @@
   "Berylrail__Frame",
   "berylrail",
   sizeof(Berylrail__Frame),
-  9,
+  10,
   berylrail__frame__field_descriptors,
   berylrail__frame__field_indices_by_name,
   1,  berylrail__frame__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -25,6 +25,7 @@
 typedef struct Berylrail__ConfigSnapshot Berylrail__ConfigSnapshot;
 typedef struct Berylrail__ServerSlots Berylrail__ServerSlots;
 typedef struct Berylrail__SlotLoan Berylrail__SlotLoan;
+typedef struct Berylrail__SlotReturn Berylrail__SlotReturn;
 typedef struct Berylrail__SlotRequest Berylrail__SlotRequest;
 typedef struct Berylrail__Frame Berylrail__Frame;
 
@@ -199,15 +200,29 @@
   size_t n_servers;
   Berylrail__ServerSlots **servers;
   /*
-   * from receipt
+   * tasks may be started on them, from receipt
    */
-  uint32_t lent_for_ms;
+  uint32_t start_for_ms;
 };
 #define BERYLRAIL__SLOT_LOAN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&berylrail__slot_loan__descriptor) \
     , 0,NULL, 0 }
 
 
+struct  Berylrail__SlotReturn
+{
+  ProtobufCMessage base;
+  /*
+   * that the sender does not use any more
+   */
+  size_t n_servers;
+  Berylrail__ServerSlots **servers;
+};
+#define BERYLRAIL__SLOT_RETURN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&berylrail__slot_return__descriptor) \
+    , 0,NULL }
+
+
 struct  Berylrail__SlotRequest
 {
   ProtobufCMessage base;
@@ -232,7 +247,8 @@
   BERYLRAIL__FRAME__KIND_CONFIG_FETCH = 6,
   BERYLRAIL__FRAME__KIND_CONFIG_SNAPSHOT = 7,
   BERYLRAIL__FRAME__KIND_SLOT_LOAN = 8,
-  BERYLRAIL__FRAME__KIND_SLOT_REQUEST = 9
+  BERYLRAIL__FRAME__KIND_SLOT_REQUEST = 9,
+  BERYLRAIL__FRAME__KIND_SLOT_RETURN = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BERYLRAIL__FRAME__KIND__CASE)
 } Berylrail__Frame__KindCase;
 
@@ -250,6 +266,7 @@
     Berylrail__ConfigSnapshot *config_snapshot;
     Berylrail__SlotLoan *slot_loan;
     Berylrail__SlotRequest *slot_request;
+    Berylrail__SlotReturn *slot_return;
   };
 };
 #define BERYLRAIL__FRAME__INIT \
@@ -447,6 +464,25 @@
 void   berylrail__slot_loan__free_unpacked
                      (Berylrail__SlotLoan *message,
                       ProtobufCAllocator *allocator);
+/* Berylrail__SlotReturn methods */
+void   berylrail__slot_return__init
+                     (Berylrail__SlotReturn         *message);
+size_t berylrail__slot_return__get_packed_size
+                     (const Berylrail__SlotReturn   *message);
+size_t berylrail__slot_return__pack
+                     (const Berylrail__SlotReturn   *message,
+                      uint8_t             *out);
+size_t berylrail__slot_return__pack_to_buffer
+                     (const Berylrail__SlotReturn   *message,
+                      ProtobufCBuffer     *buffer);
+Berylrail__SlotReturn *
+       berylrail__slot_return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   berylrail__slot_return__free_unpacked
+                     (Berylrail__SlotReturn *message,
+                      ProtobufCAllocator *allocator);
 /* Berylrail__SlotRequest methods */
 void   berylrail__slot_request__init
                      (Berylrail__SlotRequest         *message);
@@ -517,6 +553,9 @@
 typedef void (*Berylrail__SlotLoan_Closure)
                  (const Berylrail__SlotLoan *message,
                   void *closure_data);
+typedef void (*Berylrail__SlotReturn_Closure)
+                 (const Berylrail__SlotReturn *message,
+                  void *closure_data);
 typedef void (*Berylrail__SlotRequest_Closure)
                  (const Berylrail__SlotRequest *message,
                   void *closure_data);
@@ -539,6 +578,7 @@
 extern const ProtobufCMessageDescriptor berylrail__config_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor berylrail__server_slots__descriptor;
 extern const ProtobufCMessageDescriptor berylrail__slot_loan__descriptor;
+extern const ProtobufCMessageDescriptor berylrail__slot_return__descriptor;
 extern const ProtobufCMessageDescriptor berylrail__slot_request__descriptor;
 extern const ProtobufCMessageDescriptor berylrail__frame__descriptor;
 
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -523,6 +523,7 @@
 		.nhosts = 2,
 		.hosts = hosts };
 	struct world world = { .nservers = 2, .slots = 8 };
+	struct engine_loan taken = { .server = "s1", .slots = 2, .lender = 7 };
 	struct engine_loan wants[4];
 	struct bench b;
 
@@ -535,8 +536,10 @@
 	cr_assert_eq(fake_backend_open(&b.fake, "s1"), 4);
 	cr_assert_eq(engine_loan_give(b.engine, "s1", 1, 1000000), 0);
 	cr_assert_eq(engine_loan_wants(b.engine, wants, 4), 2);
-	engine_loan_take(b.engine, "s1", 2, 1000000);
+	cr_assert(engine_loan_take(b.engine, &taken, 1000000));
 	cr_assert_eq(fake_backend_open(&b.fake, "s1"), 6);
+	engine_loan_returned(b.engine, "s0", 1);
+	cr_assert_eq(fake_backend_open(&b.fake, "s0"), 1, "given back early");
 	pass(&b, 2000000);
 	cr_assert_eq(fake_backend_open(&b.fake, "s0"), 4, "loans run out");
 	end_first(&b, BACKEND_OK);
@@ -544,6 +547,39 @@
 	bench_clear(&b);
 }
 
+/* A slot is owed to its lender when its time is over and no task uses it. */
+Test(engine, borrowed_slots_are_given_back_when_their_tasks_end)
+{
+	const char *hosts[] = { "e1", "e2" };
+	struct engine_share share = { .az = "ikeja",
+		.nhosts = 2,
+		.hosts = hosts };
+	struct world world = { .nservers = 1, .slots = 8 };
+	struct engine_loan taken = { .server = "s0", .slots = 3, .lender = 7 };
+	struct engine_loan owed[4];
+	struct bench b;
+
+	bench_init(&b, "default", &world);
+	engine_set_share(b.engine, &share);
+	submit(&b, "j", 6);
+	cr_assert_eq(fake_backend_open(&b.fake, "s0"), 4);
+	cr_assert(engine_loan_take(b.engine, &taken, 100000));
+	cr_assert_eq(fake_backend_open(&b.fake, "s0"), 6);
+	cr_assert_eq(engine_loan_collect(b.engine, owed, 4), 0);
+	pass(&b, 200000);
+	/* Two of three are in use. */
+	cr_assert_eq(engine_loan_collect(b.engine, owed, 4), 1);
+	cr_assert_eq(owed[0].slots, 1);
+	cr_assert_eq(owed[0].lender, 7);
+	end_first(&b, BACKEND_OK);
+	end_first(&b, BACKEND_OK);
+	end_first(&b, BACKEND_OK);
+	cr_assert_eq(engine_loan_collect(b.engine, owed, 4), 1);
+	cr_assert_eq(owed[0].slots, 2, "the own slots stay");
+	cr_assert_eq(engine_loan_collect(b.engine, owed, 4), 0);
+	bench_clear(&b);
+}
+
 /* Checks the record of all tasks against the answers' meaning. */
 static void
 check_starts(const struct bench *b)
--- a/tests/test_peers_tcp.c
+++ b/tests/test_peers_tcp.c
@@ -44,7 +44,11 @@
 	uint32_t wants;	   /* slots on "s1" */
 	uint32_t idle;	   /* slots on "s1", to be lent */
 	uint32_t borrowed; /* so far */
-	size_t ngranted;   /* times asked to lend */
+	uint32_t owed;	   /* slots to be given back */
+	uint32_t returned; /* slots given back to it */
+	uint64_t lender;
+	size_t ngranted;      /* times asked to lend */
+	size_t knows_leaving; /* "s1", first hand */
 	uint64_t for_us;
 };
 
@@ -114,6 +118,13 @@
 	api->nhosts = nhosts;
 }
 
+size_t
+engine_waiting(const struct engine *engine)
+{
+	(void)engine;
+	return 0;
+}
+
 size_t
 engine_busy(const struct engine *engine)
 {
@@ -141,6 +152,7 @@
 {
 	cr_assert_gt(size, 0);
 	wants[0].server = "s1";
+	wants[0].az = "z1";
 	wants[0].slots = engine->wants;
 	return engine->wants > 0;
 }
@@ -158,14 +170,46 @@
 	return n;
 }
 
-void
-engine_loan_take(struct engine *engine, const char *server, uint32_t slots,
+bool
+engine_loan_take(struct engine *engine, const struct engine_loan *taken,
     uint64_t for_us)
 {
-	cr_assert_str_eq(server, "s1");
+	cr_assert_str_eq(taken->server, "s1");
 	cr_assert_gt(for_us, 0);
-	engine->borrowed += slots;
-	engine->wants -= slots;
+	if (engine->wants == 0)
+		return false;
+	engine->borrowed += taken->slots;
+	engine->wants -= taken->slots;
+	engine->lender = taken->lender;
+	return true;
+}
+
+size_t
+engine_loan_collect(struct engine *engine, struct engine_loan *owed,
+    size_t size)
+{
+	cr_assert_gt(size, 0);
+	owed[0] = (struct engine_loan){ .server = "s1",
+		.az = "z1",
+		.slots = engine->owed,
+		.lender = engine->lender };
+	engine->owed = 0;
+	return owed[0].slots > 0;
+}
+
+void
+engine_loan_returned(struct engine *engine, const char *server, uint32_t slots)
+{
+	cr_assert_str_eq(server, "s1");
+	engine->returned += slots;
+}
+
+size_t
+engine_leaving_servers(struct engine *engine, const char **names, size_t size)
+{
+	cr_assert_gt(size, 0);
+	names[0] = "s1";
+	return engine->knows_leaving;
 }
 
 const struct config *
@@ -718,10 +762,9 @@
 	node_start(&a, "a", "z1", 11, 0, 0);
 	node_start(&b, "b", "z1", 22, 0, a.port);
 	WAIT_FOR(a.engine.nshare == 2);
-	peers_tcp_server_leaving(a.peers, "s1", true);
+	a.engine.knows_leaving = 1;
 	WAIT_FOR(strcmp(b.engine.leaving, "s1") == 0);
-	peers_tcp_server_leaving(a.peers, "s1", true);
-	peers_tcp_server_leaving(a.peers, "s1", false);
+	a.engine.knows_leaving = 0;
 	WAIT_FOR(b.engine.leaving[0] == '\0');
 	cr_assert_eq(b.engine.nleaving, 2);
 	cr_assert_eq(a.engine.nleaving, 0, "not an echo of its own word");
@@ -759,6 +802,10 @@
 	cr_assert_eq(a.engine.borrowed, 3);
 	cr_assert_eq(b.engine.idle, 0);
 	cr_assert_eq(c.engine.ngranted, 0);
+	cr_assert_eq(b.engine.returned, 0);
+	a.engine.owed = 2;
+	WAIT_FOR(b.engine.returned == 2);
+	cr_assert_eq(c.engine.returned, 0);
 	peers_tcp_destroy(a.peers);
 	peers_tcp_destroy(b.peers);
 	peers_tcp_destroy(c.peers);
@@ -781,7 +828,7 @@
 	slots.slots = 4;
 	loan.servers = list;
 	loan.n_servers = 1;
-	loan.lent_for_ms = 100;
+	loan.start_for_ms = 100;
 	raw_send(fd, BERYLRAIL__FRAME__KIND_SLOT_LOAN, &loan);
 	/* What comes after it has been read, so it has been, too. */
 	raw_send(fd, BERYLRAIL__FRAME__KIND_FORWARD_REPLY, &reply);
