Trim issuers' records oldest first in a loop of its own

Cause: clang-tidy reads the trim of a list while walking it as a use after free, and the port of an unbound socket as garbage. Change: api_issuers_oldest() names what goes next; the address is zeroed.

--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -535,7 +535,7 @@
 uint16_t
 http_server_port(const struct http_server *server)
 {
-	struct sockaddr_storage addr;
+	struct sockaddr_storage addr = { 0 };
 	socklen_t len = sizeof(addr);
 
 	if (getsockname(evconnlistener_get_fd(server->htp->server),
--- a/entry/api_issuers.c
+++ b/entry/api_issuers.c
@@ -45,18 +45,33 @@
 		api_issuer_free(issuer);
 }
 
+/* The oldest record among those that have been read, or NULL. */
+static struct api_issuer *
+api_issuers_oldest(struct api *api)
+{
+	struct api_issuer *issuer;
+
+	TAILQ_FOREACH_REVERSE (issuer, &api->issuers, api_issuer_list, entry) {
+		if (issuer->record != NULL)
+			return issuer;
+	}
+	return NULL;
+}
+
 /* Keeps the newest records; those being read stay. */
 static void
 api_issuers_trim(struct api *api)
 {
-	struct api_issuer *issuer, *next;
+	struct api_issuer *issuer;
 	size_t n = 0;
 
-	for (issuer = TAILQ_FIRST(&api->issuers); issuer != NULL;
-	     issuer = next) {
-		next = TAILQ_NEXT(issuer, entry);
-		if (++n > API_ISSUERS_MAX && issuer->record != NULL)
-			api_issuer_free(issuer);
+	TAILQ_FOREACH (issuer, &api->issuers, entry)
+		n++;
+	for (; n > API_ISSUERS_MAX; n--) {
+		issuer = api_issuers_oldest(api);
+		if (issuer == NULL)
+			return;
+		api_issuer_free(issuer);
 	}
 }
 
