Split the HTTP server and the idempotency keys by job

A connection's life stands apart from the listening socket and its time limits; claims in the table stand apart from the keys themselves.

--- /dev/null
+++ b/adapters/http_conn.c
@@ -0,0 +1,351 @@
+/*
+ * Clients' connections. A connection has at most one request in the API at a
+ * time; the connection's object is the argument by which the API knows it.
+ * Requests end in one of two ways: by a reply, or with their connection, whose
+ * end abandons them.
+ *
+ * libevhtp drops a connection silently when the parser or a hook refuses it.
+ * The refusal is therefore written from the hook that runs at the
+ * connection's end, straight to the socket, as nothing else is pending there.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+
+#include "adapters/http_internal.h"
+#include "berylrail/limits.h"
+#include "core/counters.h"
+#include "entry/problem.h"
+
+#define HTTP_HEADER_BYTES_MAX 16384 /* all header lines of a request */
+#define HTTP_DISCARD_BYTES_MAX (1U << 20)
+#define HTTP_READ_BYTES_MAX 65536 /* read ahead of a held connection */
+
+static struct counter http_connections = {
+	.name = "berylrail_client_connections",
+	.help = "open connections of clients",
+	.gauge = 1,
+};
+
+static void
+http_client_name(char name[HTTP_CLIENT_SIZE], const struct sockaddr *addr)
+{
+	const struct sockaddr_in6 *in6 = (const struct sockaddr_in6 *)addr;
+	const struct sockaddr_in *in = (const struct sockaddr_in *)addr;
+	char text[INET6_ADDRSTRLEN] = "";
+
+	if (addr->sa_family == AF_INET) {
+		(void)evutil_inet_ntop(AF_INET, &in->sin_addr, text,
+		    sizeof(text));
+		(void)snprintf(name, HTTP_CLIENT_SIZE, "%s:%u", text,
+		    ntohs(in->sin_port));
+	} else if (addr->sa_family == AF_INET6) {
+		(void)evutil_inet_ntop(AF_INET6, &in6->sin6_addr, text,
+		    sizeof(text));
+		(void)snprintf(name, HTTP_CLIENT_SIZE, "[%s]:%u", text,
+		    ntohs(in6->sin6_port));
+	}
+}
+
+/* Takes what has arrived, so that closing does not reset the connection
+ * before the client has read the refusal. */
+static void
+http_discard(evutil_socket_t fd)
+{
+	char buf[16384];
+	size_t total = 0;
+	ssize_t n;
+
+	(void)shutdown(fd, SHUT_WR);
+	while (total < HTTP_DISCARD_BYTES_MAX) {
+		n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+		if (n <= 0)
+			break;
+		total += (size_t)n;
+	}
+}
+
+/* Writes a refusal to a connection that is about to be closed. */
+static void
+http_refuse_fd(evutil_socket_t fd, enum refusal refusal, const char *client)
+{
+	const struct refusal_row *row = ref_row(refusal);
+	char head[256];
+	struct err err;
+	size_t len;
+	char *body;
+	int n;
+
+	ref_set(&err, refusal, client);
+	ref_count(&err);
+	body = problem_render(row, &err, &len);
+	if (body == NULL)
+		return;
+	n = snprintf(head, sizeof(head),
+	    "HTTP/1.1 %d Refused\r\nContent-Type: %s\r\n"
+	    "Content-Length: %zu\r\nConnection: close\r\n\r\n",
+	    row->status, PROBLEM_TYPE, len);
+	(void)send(fd, head, (size_t)n, MSG_DONTWAIT | MSG_NOSIGNAL | MSG_MORE);
+	(void)send(fd, body, len, MSG_DONTWAIT | MSG_NOSIGNAL);
+	free(body);
+	http_discard(fd);
+}
+
+static evhtp_res
+http_on_fini(evhtp_connection_t *evconn, void *arg)
+{
+	struct http_conn *conn = arg;
+	struct http_server *server = conn->server;
+	bool answering = conn->pending != NULL ||
+	    (evconn->request != NULL &&
+		(evconn->request->flags & EVHTP_REQ_FLAG_FINISHED));
+
+	if (!conn->refused && evconn->request != NULL &&
+	    evconn->request->status == EVHTP_RES_DATA_TOO_LONG) {
+		conn->refused = true;
+		conn->refusal = REF_BODY_BYTES;
+	}
+	if (!conn->refused &&
+	    htparser_get_error(evconn->parser) != htparse_error_none) {
+		conn->refused = true;
+		conn->refusal =
+		    htparser_get_error(evconn->parser) == htparse_error_too_big
+		    ? REF_HEADER_BYTES
+		    : REF_MALFORMED;
+	}
+	if (conn->refused && !answering)
+		http_refuse_fd(evconn->sock, conn->refusal, conn->client);
+	if (conn->pending != NULL)
+		api_abandon(server->params.api, conn);
+	LIST_REMOVE(conn, entry);
+	ctr_set(&http_connections, --server->nconns);
+	event_free(conn->resume);
+	free(conn);
+	return EVHTP_RES_OK;
+}
+
+evhtp_res
+http_refuse(struct http_conn *conn, enum refusal refusal)
+{
+	conn->refused = true;
+	conn->refusal = refusal;
+	return EVHTP_RES_ERROR;
+}
+
+static evhtp_res
+http_on_headers_start(evhtp_request_t *req, void *arg)
+{
+	struct http_conn *conn = arg;
+
+	(void)req;
+	conn->nheaders = 0;
+	conn->header_bytes = 0;
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res
+http_on_header(evhtp_request_t *req, evhtp_header_t *header, void *arg)
+{
+	struct http_conn *conn = arg;
+
+	(void)req;
+	conn->header_bytes += header->klen + header->vlen;
+	if (++conn->nheaders > HEADERS_MAX)
+		return http_refuse(conn, REF_HEADERS);
+	if (conn->header_bytes > HTTP_HEADER_BYTES_MAX)
+		return http_refuse(conn, REF_HEADER_BYTES);
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res
+http_on_headers(evhtp_request_t *req, evhtp_headers_t *headers, void *arg)
+{
+	struct http_conn *conn = arg;
+	evhtp_kv_t *type;
+
+	if (evhtp_request_content_len(req) >
+	    conn->server->params.body_bytes_max)
+		return http_refuse(conn, REF_BODY_BYTES);
+	/* libevhtp would take a form's body for the query. */
+	type = evhtp_kvs_find_kv(headers, "Content-Type");
+	if (type != NULL)
+		evhtp_kv_rm_and_free(headers, type);
+	return EVHTP_RES_OK;
+}
+
+static enum api_method
+http_method(htp_method method)
+{
+	switch (method) {
+	case htp_method_GET:
+		return API_GET;
+	case htp_method_POST:
+		return API_POST;
+	case htp_method_DELETE:
+		return API_DELETE;
+	case htp_method_PATCH:
+		return API_PATCH;
+	default:
+		return API_OTHER;
+	}
+}
+
+static void
+http_add_header(evhtp_request_t *req, const char *name, const char *value)
+{
+	evhtp_headers_add_header(req->headers_out,
+	    evhtp_header_new(name, value, 0, 1));
+}
+
+static void
+http_reply(void *arg, const struct api_reply *reply)
+{
+	struct http_conn *conn = arg;
+	evhtp_request_t *req = conn->pending;
+	char length[24];
+
+	conn->pending = NULL;
+	conn->nserved++;
+	if (req->method == htp_method_HEAD) {
+		http_add_header(req, "Content-Length", "0");
+	} else {
+		(void)snprintf(length, sizeof(length), "%zu", reply->body_len);
+		http_add_header(req, "Content-Length", length);
+		if (reply->content_type != NULL)
+			http_add_header(req, "Content-Type",
+			    reply->content_type);
+		if (reply->body_len > 0)
+			(void)evbuffer_add(req->buffer_out, reply->body,
+			    reply->body_len);
+	}
+	if (reply->outcome != NULL)
+		http_add_header(req, "Berylrail-Outcome", reply->outcome);
+	if (reply->next_ticket != NULL)
+		http_add_header(req, "Berylrail-Ticket", reply->next_ticket);
+	if (conn->server->closing) {
+		evhtp_request_disable_flag(req, EVHTP_REQ_FLAG_KEEPALIVE);
+		http_add_header(req, "Connection", "close");
+	}
+	evhtp_send_reply(req, (evhtp_res)reply->status);
+	if (conn->in_parser)
+		event_active(conn->resume, EV_TIMEOUT, 1);
+	else
+		evhtp_connection_resume(conn->evconn);
+}
+
+/* The parser's stack is gone: go on with what the client sent meanwhile. */
+static void
+http_resume(evutil_socket_t fd, short what, void *arg)
+{
+	struct http_conn *conn = arg;
+
+	(void)fd;
+	(void)what;
+	evhtp_connection_resume(conn->evconn);
+}
+
+/*
+ * Holds back what the client sends before its answer. evhtp_request_pause()
+ * would also stop reading, and the end of the connection go unseen.
+ */
+static void
+http_hold(struct http_conn *conn)
+{
+	conn->pending->status = EVHTP_RES_PAUSE;
+	evhtp_connection_enable_flag(conn->evconn, EVHTP_CONN_FLAG_PAUSED);
+}
+
+/* libevhtp keeps a paused connection that has ended; let it go. */
+static void
+http_on_event(evhtp_connection_t *evconn, short events, void *arg)
+{
+	(void)arg;
+	if (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+		evhtp_connection_disable_flag(evconn, EVHTP_CONN_FLAG_PAUSED);
+}
+
+void
+http_on_request(evhtp_request_t *req, void *arg)
+{
+	struct http_server *server = arg;
+	struct http_conn *conn = req->conn->hooks->on_header_arg;
+	evhtp_headers_t *headers = req->headers_in;
+	struct api_request request = {
+		.method = http_method(req->method),
+		.query = "",
+		.idempotency_key = evhtp_kv_find(headers, "Idempotency-Key"),
+		.job = evhtp_kv_find(headers, "Berylrail-Job"),
+		.ticket = evhtp_kv_find(headers, "Berylrail-Ticket"),
+		.who = evhtp_kv_find(headers, "Berylrail-Operator"),
+		.client = conn->client,
+	};
+
+	request.path = req->uri == NULL || req->uri->path == NULL ||
+		req->uri->path->full == NULL
+	    ? ""
+	    : req->uri->path->full;
+	if (req->uri != NULL && req->uri->query_raw != NULL)
+		request.query = (const char *)req->uri->query_raw;
+	request.body_len = evbuffer_get_length(req->buffer_in);
+	if (request.body_len > 0)
+		request.body = evbuffer_pullup(req->buffer_in, -1);
+	conn->pending = req;
+	http_hold(conn);
+	conn->in_parser = true;
+	api_handle(server->params.api, &request, http_reply, conn);
+	conn->in_parser = false;
+	/* A reply sets the status that tells libevhtp to wait. */
+	req->status = EVHTP_RES_PAUSE;
+}
+
+static int
+http_set_hooks(struct http_conn *conn)
+{
+	evhtp_connection_t *evconn = conn->evconn;
+
+	if (evhtp_connection_set_hook(evconn, evhtp_hook_on_headers_start,
+		(evhtp_hook)http_on_headers_start, conn) != 0 ||
+	    evhtp_connection_set_hook(evconn, evhtp_hook_on_header,
+		(evhtp_hook)http_on_header, conn) != 0 ||
+	    evhtp_connection_set_hook(evconn, evhtp_hook_on_headers,
+		(evhtp_hook)http_on_headers, conn) != 0 ||
+	    evhtp_connection_set_hook(evconn, evhtp_hook_on_event,
+		(evhtp_hook)(void (*)(void))http_on_event, conn) != 0 ||
+	    evhtp_connection_set_hook(evconn, evhtp_hook_on_connection_fini,
+		(evhtp_hook)http_on_fini, conn) != 0)
+		return -1;
+	bufferevent_setwatermark(evconn->bev, EV_READ, 0, HTTP_READ_BYTES_MAX);
+	return 0;
+}
+
+evhtp_res
+http_on_accept(evhtp_connection_t *evconn, void *arg)
+{
+	struct http_server *server = arg;
+	struct http_conn *conn;
+
+	if (server->nconns >= server->params.clients_max) {
+		http_refuse_fd(evconn->sock, REF_CONNECTIONS, NULL);
+		return EVHTP_RES_ERROR;
+	}
+	conn = calloc(1, sizeof(*conn));
+	if (conn == NULL)
+		return EVHTP_RES_ERROR;
+	conn->server = server;
+	conn->evconn = evconn;
+	conn->since_ms = http_now_ms();
+	http_client_name(conn->client, evconn->saddr);
+	conn->resume = event_new(server->params.base, -1, 0, http_resume, conn);
+	if (conn->resume == NULL || http_set_hooks(conn) == -1) {
+		evhtp_connection_unset_hook(evconn,
+		    evhtp_hook_on_connection_fini);
+		if (conn->resume != NULL)
+			event_free(conn->resume);
+		free(conn);
+		return EVHTP_RES_ERROR;
+	}
+	LIST_INSERT_HEAD(&server->conns, conn, entry);
+	ctr_set(&http_connections, ++server->nconns);
+	return EVHTP_RES_OK;
+}
