--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -154,7 +154,7 @@
 uint16_t
 http_server_port(const struct http_server *server)
 {
-	struct sockaddr_storage addr;
+	struct sockaddr_storage addr = { .ss_family = AF_UNSPEC };
 	socklen_t len = sizeof(addr);
 
 	if (getsockname(evconnlistener_get_fd(server->htp->server),
--- a/entry/api_issuers.c
+++ b/entry/api_issuers.c
@@ -29,20 +29,29 @@
 };
 
 static void
-api_issuer_free(struct api_issuer *issuer)
+api_issuer_release(struct api_issuer *issuer)
 {
-	TAILQ_REMOVE(&issuer->api->issuers, issuer, entry);
 	rec_free(issuer->record);
 	free(issuer);
 }
 
+static void
+api_issuer_free(struct api_issuer *issuer)
+{
+	TAILQ_REMOVE(&issuer->api->issuers, issuer, entry);
+	api_issuer_release(issuer);
+}
+
 void
 api_issuers_destroy(struct api *api)
 {
-	struct api_issuer *issuer;
+	struct api_issuer *issuer, *next;
 
-	while ((issuer = TAILQ_FIRST(&api->issuers)) != NULL)
-		api_issuer_free(issuer);
+	for (issuer = TAILQ_FIRST(&api->issuers); issuer != NULL;
+	     issuer = next) {
+		next = TAILQ_NEXT(issuer, entry);
+		api_issuer_release(issuer);
+	}
 }
 
 /* Keeps the newest records; those being read stay. */
