--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -154,9 +154,10 @@
 uint16_t
 http_server_port(const struct http_server *server)
 {
-	struct sockaddr_storage addr = { .ss_family = AF_UNSPEC };
+	struct sockaddr_storage addr;
 	socklen_t len = sizeof(addr);
 
+	memset(&addr, 0, sizeof(addr));
 	if (getsockname(evconnlistener_get_fd(server->htp->server),
 		(struct sockaddr *)&addr, &len) == -1)
 		return 0;
