Keep only the labels that an object has

A host with 12,000 configured backend servers stood at 121 MB of resident memory, of the 128 MB that control may take. struct labels held room for 32 labels, 4.1 KB, in each object and again in the engine's copy.

Labels are now an exact array on the heap, with lbl_copy(), lbl_equal() and lbl_clear(); readers are as before.

--- a/core/config.c
+++ b/core/config.c
@@ -134,6 +134,7 @@
 		sel_free(object->u.job.selector);
 		free(object->u.job.selector_text);
 	}
+	lbl_clear(&object->labels);
 	free(object);
 }
 
--- a/core/labels.c
+++ b/core/labels.c
@@ -4,6 +4,7 @@
 
 #include <ctype.h>
 #include <stdbool.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "core/labels.h"
@@ -46,11 +47,27 @@
 	return i < labels->n && strcmp(labels->items[i].name, name) == 0;
 }
 
+/* Makes room for a label at index @i and names it. */
+static int
+lbl_insert(struct labels *labels, size_t i, const char *name)
+{
+	struct label *items;
+
+	items = reallocarray(labels->items, labels->n + 1, sizeof(*items));
+	if (items == NULL)
+		return -1;
+	memmove(&items[i + 1], &items[i], (labels->n - i) * sizeof(*items));
+	memset(&items[i], 0, sizeof(items[i]));
+	memcpy(items[i].name, name, strlen(name) + 1);
+	labels->items = items;
+	labels->n++;
+	return 0;
+}
+
 int
 lbl_set(struct labels *labels, const char *name, const char *value,
     struct err *err)
 {
-	struct label *item;
 	size_t i;
 
 	if (!lbl_valid(name, false))
@@ -60,19 +77,58 @@
 		return err_set(err, ERR_STEP_PARSE, ERR_INVALID, NULL,
 		    "bad value of label \"%s\"", name);
 	i = lbl_lower_bound(labels, name);
-	item = &labels->items[i];
 	if (!lbl_is_at(labels, i, name)) {
 		if (labels->n == LABELS_MAX)
 			return err_set(err, ERR_STEP_PARSE, ERR_TOO_LARGE, NULL,
 			    "more than %d labels", LABELS_MAX);
-		memmove(item + 1, item, (labels->n - i) * sizeof(*item));
-		labels->n++;
-		memcpy(item->name, name, strlen(name) + 1);
+		if (lbl_insert(labels, i, name) != 0)
+			return err_set(err, ERR_STEP_PARSE, ERR_NO_MEMORY, NULL,
+			    "out of memory");
 	}
-	memcpy(item->value, value, strlen(value) + 1);
+	memcpy(labels->items[i].value, value, strlen(value) + 1);
 	return 0;
 }
 
+int
+lbl_copy(struct labels *to, const struct labels *from)
+{
+	struct label *items = NULL;
+
+	if (from->n > 0) {
+		items = calloc(from->n, sizeof(*items));
+		if (items == NULL)
+			return -1;
+		memcpy(items, from->items, from->n * sizeof(*items));
+	}
+	free(to->items);
+	to->items = items;
+	to->n = from->n;
+	return 0;
+}
+
+bool
+lbl_equal(const struct labels *a, const struct labels *b)
+{
+	size_t i;
+
+	if (a->n != b->n)
+		return false;
+	for (i = 0; i < a->n; i++) {
+		if (strcmp(a->items[i].name, b->items[i].name) != 0 ||
+		    strcmp(a->items[i].value, b->items[i].value) != 0)
+			return false;
+	}
+	return true;
+}
+
+void
+lbl_clear(struct labels *labels)
+{
+	free(labels->items);
+	labels->items = NULL;
+	labels->n = 0;
+}
+
 const char *
 lbl_get(const struct labels *labels, const char *name)
 {
--- a/entry/engine_config.c
+++ b/entry/engine_config.c
@@ -116,9 +116,8 @@
 {
 	const struct cfg_server *cfg = &object->u.server;
 
-	return !server->configured || server->labels.n != object->labels.n ||
-	    memcmp(server->labels.items, object->labels.items,
-		object->labels.n * sizeof(struct label)) != 0 ||
+	return !server->configured ||
+	    !lbl_equal(&server->labels, &object->labels) ||
 	    strcmp(server->cfg.address, cfg->address) != 0 ||
 	    strcmp(server->cfg.az, cfg->az) != 0 ||
 	    server->cfg.port != cfg->port || server->cfg.slots != cfg->slots ||
@@ -148,7 +147,7 @@
 	}
 	server->configured = true;
 	server->cfg = *cfg;
-	server->labels = object->labels;
+	(void)lbl_copy(&server->labels, &object->labels);
 	memcpy(server->address.address, cfg->address, sizeof(cfg->address));
 	server->address.port = cfg->port;
 	server->tier = strcmp(cfg->az, engine->az) == 0 ? 0 : 1;
--- a/entry/engine_server.c
+++ b/entry/engine_server.c
@@ -224,6 +224,7 @@
 	eng_server_count(engine, server);
 	RB_REMOVE(eng_servers, &engine->servers, server);
 	pick_server_leave(&server->pick);
+	lbl_clear(&server->labels);
 	free(server);
 }
 
--- a/tests/fuzz/fuzz_selector.c
+++ b/tests/fuzz/fuzz_selector.c
@@ -27,5 +27,6 @@
 	if (sel != NULL)
 		(void)sel_match(sel, &labels);
 	sel_free(sel);
+	lbl_clear(&labels);
 	return 0;
 }
--- a/tests/test_selector.c
+++ b/tests/test_selector.c
@@ -48,6 +48,23 @@
 	lbl_remove(&labels, "absent");
 	cr_assert_eq(labels.n, 1);
 	cr_assert_null(lbl_get(&labels, "az"));
+	lbl_clear(&labels);
+}
+
+Test(labels, copies_are_equal_and_apart)
+{
+	struct labels labels = { 0 }, copy = { 0 };
+
+	lbl_set(&labels, "az", "ikeja", NULL);
+	lbl_set(&copy, "old", "", NULL);
+	cr_assert_eq(lbl_copy(&copy, &labels), 0);
+	cr_assert(lbl_equal(&copy, &labels));
+	lbl_set(&copy, "az", "yaba", NULL);
+	cr_assert_not(lbl_equal(&copy, &labels));
+	cr_assert_str_eq(lbl_get(&labels, "az"), "ikeja");
+	lbl_clear(&copy);
+	cr_assert_eq(lbl_copy(&labels, &copy), 0);
+	cr_assert_eq(labels.n, 0);
 }
 
 Test(labels, refuse_bad_names_and_one_too_many)
@@ -71,6 +88,7 @@
 	cr_assert_eq(lbl_set(&labels, "one-more", "", &err), -1);
 	cr_assert_eq(err.code, ERR_TOO_LARGE);
 	cr_assert_eq(lbl_set(&labels, "l0", "new", &err), 0);
+	lbl_clear(&labels);
 }
 
 Test(selector, matches_each_kind_of_term)
@@ -92,6 +110,7 @@
 	cr_assert_not(match("slow", &labels));
 	cr_assert_not(match("gen=7", &labels));
 	cr_assert_not(match("tier notin (gold)", &labels));
+	lbl_clear(&labels);
 }
 
 Test(selector, refuses_what_does_not_parse)
@@ -181,5 +200,6 @@
 			strcat(text, term);
 		}
 		cr_assert_eq(match(text, &labels), expect, "%s", text);
+		lbl_clear(&labels);
 	}
 }
