--- a/entry/settings_parse.c
+++ b/entry/settings_parse.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/dispatch.h"
 #include "entry/settings_internal.h"
 
 void
@@ -150,6 +151,20 @@
 	    def->choices);
 }
 
+static void
+set_store_policy(struct set_loader *loader, const struct set_def *def,
+    const char *text, char *field)
+{
+	struct disp_policy policy;
+	struct err err;
+
+	if (disp_policy_parse(&policy, text, &err) < 0)
+		set_error(loader, def->name, "%s", err.message);
+	else if (strlcpy(field, text, def->max) >= def->max)
+		set_error(loader, def->name, "longer than %llu bytes",
+		    (unsigned long long)def->max - 1);
+}
+
 static void
 set_store_number(struct set_loader *loader, const struct set_def *def,
     const char *text, void *field)
@@ -200,6 +215,9 @@
 	case SET_CHOICE:
 		set_store_choice(loader, def, text, field);
 		break;
+	case SET_POLICY:
+		set_store_policy(loader, def, text, field);
+		break;
 	case SET_PATH:
 		if (strlcpy(field, text, def->max) >= def->max)
 			set_error(loader, def->name, "longer than %llu bytes",
@@ -225,6 +243,8 @@
 		return "URL";
 	case SET_CHOICE:
 		return def->choices;
+	case SET_POLICY:
+		return "POLICY";
 	case SET_PATH:
 		return "FILE";
 	case SET_U32:
--- a/tools/bench/cases.c
+++ b/tools/bench/cases.c
@@ -88,9 +88,11 @@
 	for (i = 0; i < cluster->shape.nhosts; i += cluster->shape.nzones) {
 		(void)bcl_control(cluster->proxy_port, "/control",
 		    "{\"link\": \"*-%s\", \"mode\": \"%s\"}",
-		    cluster->hosts[i].name, cut ? "drop" : "ok");
-		(void)bcl_control(cluster->proxy_port, "/cut",
-		    "{\"link\": \"*-%s\"}", cluster->hosts[i].name);
+		    cluster->hosts[i].name, cut ? "drop" : "pass");
+		/* Streams with a hole in them are of no use afterwards. */
+		if (!cut)
+			(void)bcl_control(cluster->proxy_port, "/cut",
+			    "{\"link\": \"*-%s\"}", cluster->hosts[i].name);
 	}
 }
 
