Run deferred callbacks before the event base is freed; count replies

Replies to clients are counted as messages, and a 202 to a POST is no longer counted as a wasted poll, for it brings the id.

--- a/entry/api.c
+++ b/entry/api.c
@@ -21,6 +21,11 @@
 	.labels = "hop=\"client\",kind=\"request\"",
 	.help = "messages, by hop and kind",
 };
+static struct counter api_replies = {
+	.name = "berylrail_messages_total",
+	.labels = "hop=\"client\",kind=\"reply\"",
+	.help = "messages, by hop and kind",
+};
 static struct counter api_forwarded_requests = {
 	.name = "berylrail_messages_total",
 	.labels = "hop=\"peer\",kind=\"forwarded_request\"",
@@ -213,6 +218,8 @@
 		tkt_issue(&api->issuer, clm_issue(api->claims), ticket);
 		full.next_ticket = ticket;
 	}
+	if (fn != NULL && !call->forwarded)
+		ctr_inc(&api_replies);
 	api_call_free(call);
 	if (fn != NULL)
 		fn(arg, &full);
--- a/entry/api_work.c
+++ b/entry/api_work.c
@@ -249,7 +249,8 @@
 	const struct api_work *work = call->work;
 	size_t ended = 0, ntasks = work->ntasks;
 
-	ctr_inc(&api_polls);
+	if (!call->gives_ticket)
+		ctr_inc(&api_polls);
 	if (!engine_progress(call->api->params.engine, work->id, &ended,
 		&ntasks)) {
 		ended = 0;
--- a/entry/daemon.c
+++ b/entry/daemon.c
@@ -372,8 +372,11 @@
 		backend_http_destroy(dmn->backend);
 	if (dmn->platform != NULL)
 		dmn->platform->destroy(dmn->platform);
-	if (dmn->base != NULL)
-		event_base_free(dmn->base);
+	if (dmn->base == NULL)
+		return;
+	/* libevent frees a bufferevent only once its deferred callbacks ran. */
+	(void)event_base_loop(dmn->base, EVLOOP_NONBLOCK);
+	event_base_free(dmn->base);
 }
 
 int
