Wait for the server that is expected to be free first

Cause: a free slow server was judged against all waiting work, so the first task in turn took it although a fast one was about to be free; short jobs ran at the mean speed. Now the first one compares with the earliest expected end on each faster, full bucket, and the slow server is offered to the submission that is furthest from its turn. Flows within a slack of each other are served by least work left; the order's clock no longer jumps to a flow served last.

Ruled out: a larger slack between flows and guessing the rest of overdue tasks changed nothing or made it worse.

--- a/core/order.c
+++ b/core/order.c
@@ -10,6 +10,7 @@
 
 #include "core/order.h"
 
+#define ORD_FLOWS_SCANNED 32
 #define ORD_AGE_BOUND_US 2000000 /* from then on the oldest has its turns */
 
 static int
@@ -82,6 +83,12 @@
 	return order->ops->next(order, now_us);
 }
 
+struct ord_item *
+ord_last(struct order *order)
+{
+	return order->ops->last(order);
+}
+
 void
 ord_started(struct order *order, struct ord_item *item, double work_us)
 {
@@ -146,6 +153,19 @@
 	return NULL;
 }
 
+static struct ord_item *
+ord_fifo_last(struct order *order)
+{
+	struct ord_item *item;
+
+	TAILQ_FOREACH_REVERSE(item, &order->fifo, ord_items, fifo)
+	{
+		if (!item->flow->blocked)
+			return item;
+	}
+	return NULL;
+}
+
 static void
 ord_fifo_started(struct order *order, struct ord_item *item, double work_us)
 {
@@ -166,11 +186,18 @@
 	.add = ord_fifo_add,
 	.remove = ord_fifo_remove,
 	.next = ord_fifo_next,
+	.last = ord_fifo_last,
 	.started = ord_fifo_started,
 	.block = ord_fifo_block,
 };
 
-/* Fair between flows, least work first within one. */
+/* Fair between flows, least work first among those within their share. */
+
+static bool
+ord_flow_is_ahead(const struct order *order, const struct ord_flow *flow)
+{
+	return flow->tag > order->clock + order->slack_us;
+}
 
 static void
 ord_flow_activate(struct order *order, struct ord_flow *flow)
@@ -222,19 +249,58 @@
 		ord_flow_deactivate(order, flow);
 }
 
+/* Every other start goes to the flow with the least work so far, and there to
+ * the oldest, if that has waited for long. */
 static struct ord_item *
-ord_fair_next(struct order *order, uint64_t now_us)
+ord_fair_aged(struct order *order, uint64_t now_us)
 {
 	struct ord_flow *flow = RB_MIN(ord_flows, &order->flows);
 	struct ord_item *oldest;
 
-	if (flow == NULL)
+	if (flow == NULL || order->nstarts % 2 != 0)
 		return NULL;
 	oldest = TAILQ_FIRST(&flow->arrivals);
-	if (flow->nstarts % 2 == 0 &&
-	    now_us > oldest->arrived_us + ORD_AGE_BOUND_US)
-		return oldest;
-	return RB_MIN(ord_tree, &flow->tree);
+	return now_us > oldest->arrived_us + ORD_AGE_BOUND_US ? oldest : NULL;
+}
+
+static struct ord_item *
+ord_fair_next(struct order *order, uint64_t now_us)
+{
+	struct ord_item *best = ord_fair_aged(order, now_us), *item;
+	struct ord_flow *flow;
+	int n = 0;
+
+	if (best != NULL)
+		return best;
+	RB_FOREACH (flow, ord_flows, &order->flows) {
+		if (n++ == ORD_FLOWS_SCANNED ||
+		    (best != NULL && ord_flow_is_ahead(order, flow)))
+			break;
+		item = RB_MIN(ord_tree, &flow->tree);
+		if (best == NULL || ord_item_cmp(item, best) < 0)
+			best = item;
+	}
+	return best;
+}
+
+static struct ord_item *
+ord_fair_last(struct order *order)
+{
+	struct ord_item *last = NULL, *item;
+	struct ord_flow *flow;
+	int n = 0;
+
+	RB_FOREACH_REVERSE(flow, ord_flows, &order->flows)
+	{
+		if (n++ == ORD_FLOWS_SCANNED)
+			break;
+		item = RB_MAX(ord_tree, &flow->tree);
+		if (last == NULL || ord_item_cmp(item, last) > 0)
+			last = item;
+		if (ord_flow_is_ahead(order, flow))
+			break;
+	}
+	return last;
 }
 
 static void
@@ -245,10 +311,10 @@
 	RB_REMOVE(ord_tree, &flow->tree, item);
 	item->work_us -= work_us;
 	RB_INSERT(ord_tree, &flow->tree, item);
+	order->clock = RB_MIN(ord_flows, &order->flows)->tag;
 	ord_flow_deactivate(order, flow);
-	order->clock = flow->tag;
 	flow->tag += work_us;
-	flow->nstarts++;
+	order->nstarts++;
 	ord_flow_activate(order, flow);
 }
 
@@ -267,6 +333,7 @@
 	.add = ord_fair_add,
 	.remove = ord_fair_remove,
 	.next = ord_fair_next,
+	.last = ord_fair_last,
 	.started = ord_fair_started,
 	.block = ord_fair_block,
 };
--- a/core/order.h
+++ b/core/order.h
@@ -38,7 +38,6 @@
 	uint64_t nitems;
 	double tag; /* work started so far, on the order's virtual clock */
 	uint64_t seq;
-	uint64_t nstarts;
 	bool blocked; /* has used up its quota */
 	bool active;  /* in the order's tree: has items and is not blocked */
 	bool used;
@@ -54,6 +53,8 @@
 	void (*remove)(struct order *order, struct ord_item *item);
 	/* The item whose task is next, or NULL if all flows are blocked. */
 	struct ord_item *(*next)(struct order *order, uint64_t now_us);
+	/* The item that is furthest from its turn, or NULL. */
+	struct ord_item *(*last)(struct order *order);
 	/* A task of @item with the expected work @work_us was started. */
 	void (*started)(struct order *order, struct ord_item *item,
 	    double work_us);
@@ -68,6 +69,8 @@
 	double work_us; /* expected work of all waiting tasks */
 	uint64_t nitems;
 	uint64_t nflows; /* with items */
+	uint64_t nstarts;
+	double slack_us; /* work that a flow may have had more than another */
 	double clock;	 /* tag of the flow served last */
 	uint64_t nseq;	 /* flows seen so far */
 	struct ord_flows flows;
@@ -96,6 +99,13 @@
 /** ord_next() - the item whose task is next, or NULL. */
 struct ord_item *ord_next(struct order *order, uint64_t now_us);
 
+/**
+ * ord_last() - the item that is furthest from its turn, or NULL.
+ *
+ * It may use a server that is too slow for those before it.
+ */
+struct ord_item *ord_last(struct order *order);
+
 /** ord_started() - a task of a queued item was started; it stays queued. */
 void ord_started(struct order *order, struct ord_item *item, double work_us);
 
--- a/core/pick.c
+++ b/core/pick.c
@@ -13,6 +13,7 @@
 #include "core/pick.h"
 
 #define PICK_BUCKETS_PER_DOUBLING 4
+#define PICK_WAIT_MARGIN 1.5  /* waiting must promise to end so much earlier */
 #define PICK_BUCKET_OF_ONE 16 /* the middle one stands for speed 1 */
 
 static int
@@ -34,6 +35,16 @@
 	    (double)(PICK_BUCKET_OF_ONE - bucket) / PICK_BUCKETS_PER_DOUBLING);
 }
 
+static int
+pick_full_cmp(const struct pick_member *a, const struct pick_member *b)
+{
+	if (a->next_us != b->next_us)
+		return a->next_us < b->next_us ? -1 : 1;
+	return a->index < b->index ? -1 : a->index > b->index;
+}
+
+RB_GENERATE_STATIC(pick_tree, pick_member, full_entry, pick_full_cmp)
+
 void
 pick_server_init(struct pick_server *server)
 {
@@ -49,8 +60,10 @@
 	memset(pool, 0, sizeof(*pool));
 	pool->ops = ops;
 	for (tier = 0; tier < PICK_TIERS; tier++) {
-		for (bucket = 0; bucket < PICK_BUCKETS; bucket++)
+		for (bucket = 0; bucket < PICK_BUCKETS; bucket++) {
 			TAILQ_INIT(&pool->tiers[tier].free[bucket]);
+			RB_INIT(&pool->tiers[tier].full[bucket]);
+		}
 	}
 }
 
@@ -64,6 +77,10 @@
 		tier->nfree--;
 		member->free = false;
 	}
+	if (member->full) {
+		RB_REMOVE(pick_tree, &tier->full[member->bucket], member);
+		member->full = false;
+	}
 	if (member->limit != 0) {
 		tier->slots[member->bucket] -= member->limit;
 		tier->capacity[member->bucket] = tier->slots[member->bucket] *
@@ -91,6 +108,10 @@
 	if (free) {
 		TAILQ_INSERT_TAIL(&tier->free[bucket], member, free_entry);
 		tier->nfree++;
+	} else if (limit != 0) {
+		member->full = true;
+		member->next_us = member->server->next_us;
+		RB_INSERT(pick_tree, &tier->full[bucket], member);
 	}
 }
 
@@ -110,6 +131,7 @@
 	TAILQ_FOREACH (member, &server->members, server_entry) {
 		if (member->free == free && member->limit == limit &&
 		    member->slots == slots &&
+		    (!member->full || member->next_us == server->next_us) &&
 		    (member->bucket == bucket || slots == 0))
 			continue;
 		pick_unfile(member);
@@ -153,8 +175,19 @@
 
 	pick_unfile(member);
 	pool->members[member->index] = last;
-	last->index = member->index;
 	pool->nmembers--;
+	if (last != member) {
+		/* The index is part of a full member's key. */
+		bool full = last->full;
+		struct pick_tree *tree =
+		    &pool->tiers[last->tier].full[last->bucket];
+
+		if (full)
+			RB_REMOVE(pick_tree, tree, last);
+		last->index = member->index;
+		if (full)
+			RB_INSERT(pick_tree, tree, last);
+	}
 	TAILQ_REMOVE(&member->server->members, member, server_entry);
 	free(member);
 }
@@ -280,10 +313,37 @@
 	.choose = pick_random_two_choose,
 };
 
+/* When this task would end if it waited for a server of these buckets, the
+ * first @nbuckets ones, all of whose servers are full: as soon as one of them
+ * ends a task, after what comes first has been worked off. */
+static double
+pick_wait_us(const struct pick_tier *tier, int nbuckets,
+    const struct pick_task *task)
+{
+	const struct pick_member *member;
+	double capacity = 0, end_us, best_us = INFINITY;
+	struct pick_tree *tree;
+	int i;
+
+	for (i = 0; i < nbuckets; i++) {
+		tree = (struct pick_tree *)&tier->full[i];
+		member = RB_MIN(pick_tree, tree);
+		if (member == NULL)
+			continue;
+		capacity += tier->capacity[i];
+		end_us = task->work_us / pick_bucket_speed(i);
+		if (member->next_us > task->now_us)
+			end_us += (double)(member->next_us - task->now_us);
+		best_us = fmin(best_us, end_us);
+	}
+	if (capacity <= 0)
+		return INFINITY;
+	return best_us + (task->ahead_us - task->work_us) / capacity;
+}
+
 /*
- * The fastest bucket with a free slot, unless the faster ones, all busy, are
- * expected to have worked off everything that waits and this task as well
- * before it would end here. Members of one bucket take turns.
+ * The fastest bucket with a free slot, unless the task would end earlier by
+ * waiting for a faster server. Members of one bucket take turns.
  */
 static struct pick_server *
 pick_earliest_choose(struct pick_pool *pool, int tier,
@@ -291,21 +351,14 @@
 {
 	struct pick_tier *t = &pool->tiers[tier];
 	struct pick_member *member;
-	double capacity = 0, run_us, wait_us;
-	uint32_t slots = 0;
-	int bucket;
+	int bucket = 0;
 
-	for (bucket = 0; TAILQ_EMPTY(&t->free[bucket]); bucket++) {
-		capacity += t->capacity[bucket];
-		slots += t->slots[bucket];
-	}
+	while (TAILQ_EMPTY(&t->free[bucket]))
+		bucket++;
+	if (pick_wait_us(t, bucket, task) * PICK_WAIT_MARGIN <
+	    task->work_us / pick_bucket_speed(bucket))
+		return NULL;
 	member = TAILQ_FIRST(&t->free[bucket]);
-	if (slots != 0) {
-		run_us = task->work_us / pick_bucket_speed(bucket);
-		wait_us = (task->waiting_us + task->work_us * slots) / capacity;
-		if (wait_us < run_us)
-			return NULL;
-	}
 	TAILQ_REMOVE(&t->free[bucket], member, free_entry);
 	TAILQ_INSERT_TAIL(&t->free[bucket], member, free_entry);
 	return member->server;
--- a/core/pick.h
+++ b/core/pick.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <sys/queue.h>
+#include <sys/tree.h>
 
 /*
  * Which backend server gets a task. A pool is the set of servers that one
@@ -25,6 +26,7 @@
 	uint32_t limit;	  /* of running tasks */
 	uint32_t slots;	  /* of the server, all entry hosts together */
 	bool usable;	  /* may get new work */
+	uint64_t next_us; /* when a running task is expected to end */
 	TAILQ_HEAD(, pick_member) members;
 };
 
@@ -39,25 +41,31 @@
 	uint32_t limit; /* 0 if it was not usable */
 	uint32_t slots; /* 0 if it was not usable */
 	bool free;	/* stands in the pool's free list of its bucket */
+	bool full;	/* stands in the pool's tree of full ones */
+	uint64_t next_us;
 	TAILQ_ENTRY(pick_member) free_entry;
+	RB_ENTRY(pick_member) full_entry;
 	TAILQ_ENTRY(pick_member) server_entry;
 };
 
 TAILQ_HEAD(pick_members, pick_member);
+RB_HEAD(pick_tree, pick_member);
 
 /** struct pick_tier - usable members of one tier. */
 struct pick_tier {
 	struct pick_members free[PICK_BUCKETS];
-	uint32_t slots[PICK_BUCKETS];	  /* sum of limits */
-	uint32_t all_slots[PICK_BUCKETS]; /* sum of slots */
-	double capacity[PICK_BUCKETS];	  /* sum of limit * bucket's speed */
-	uint32_t nfree;			  /* members with a free slot */
+	struct pick_tree full[PICK_BUCKETS]; /* by next_us */
+	uint32_t slots[PICK_BUCKETS];	     /* sum of limits */
+	uint32_t all_slots[PICK_BUCKETS];    /* sum of slots */
+	double capacity[PICK_BUCKETS];	     /* sum of limit * bucket's speed */
+	uint32_t nfree;			     /* members with a free slot */
 };
 
 /** struct pick_task - what a choice depends on. */
 struct pick_task {
-	double work_us;	   /* expected run time at speed 1 */
-	double waiting_us; /* work of all waiting tasks, this one included */
+	double work_us;	 /* expected run time at speed 1 */
+	double ahead_us; /* work that comes first, and this task's own */
+	uint64_t now_us;
 	uint64_t random;
 };
 
--- a/entry/engine_call.c
+++ b/entry/engine_call.c
@@ -17,6 +17,7 @@
 #define ENG_REPEATS_MAX 2	    /* starts of a repeatable single request */
 #define ENG_REFUSED_PAUSE_US 20000  /* no new work after "busy" */
 #define ENG_OVERFLOW_WAIT_US 500000 /* expected wait that allows overflow */
+#define ENG_SHARE_SLACK_US 250000   /* of all servers, between jobs */
 #define ENG_HEDGE_FACTOR 2.5	    /* of the expected run time */
 #define ENG_HEDGE_MIN_US 20000
 #define ENG_SPEED_WEIGHT 0.01 /* of one task in the mean of speeds */
@@ -217,15 +218,18 @@
 	    eng_task_work_us(subm->job, task));
 }
 
-/* Takes the next task off the stack of @subm. */
+/* Takes the task at @place off the stack of @subm. */
 static size_t
-eng_pop(struct eng_subm *subm)
+eng_pop(struct eng_subm *subm, size_t place)
 {
 	struct engine *engine = subm->engine;
 	struct order *order = &subm->job->pool->order;
-	size_t index = subm->pending[--subm->npending];
+	size_t index = subm->pending[place];
 	const struct task_spec *task = &subm->subm->tasks[index];
 
+	subm->npending--;
+	memmove(&subm->pending[place], &subm->pending[place + 1],
+	    (subm->npending - place) * sizeof(subm->pending[0]));
 	ord_started(order, &subm->item, eng_task_work_us(subm->job, task));
 	if (subm->npending == 0)
 		ord_remove(order, &subm->item);
@@ -237,9 +241,10 @@
 }
 
 static void
-eng_start_next(struct eng_subm *subm, struct eng_server *server)
+eng_start_waiting(struct eng_subm *subm, size_t place,
+    struct eng_server *server)
 {
-	size_t index = eng_pop(subm);
+	size_t index = eng_pop(subm, place);
 	struct err err;
 
 	if (eng_call_start(subm, index, server) == -1) {
@@ -259,50 +264,92 @@
 	}
 }
 
-/* A server for a task: one of the own zone; another zone's only if none here
- * is able, or the wait here would be long. */
-static struct eng_server *
-eng_choose(struct engine *engine, struct eng_pool *pool,
-    const struct eng_subm *subm)
+static struct pick_task
+eng_pick_task(struct engine *engine, const struct eng_subm *subm, size_t place)
 {
-	const struct task_spec *spec =
-	    &subm->subm->tasks[subm->pending[subm->npending - 1]];
-	struct pick_task task = {
+	const struct task_spec *spec = &subm->subm->tasks[subm->pending[place]];
+
+	return (struct pick_task){
 		.work_us = eng_task_work_us(subm->job, spec),
-		.waiting_us = pool->order.work_us,
+		.now_us = clock_now_us(engine->clock),
 		.random = eng_random(engine),
 	};
+}
+
+/* A server of the own zone for the task whose turn it is. */
+static bool
+eng_start_first(struct engine *engine, struct eng_pool *pool,
+    struct eng_subm *subm)
+{
+	size_t place = subm->npending - 1U;
+	struct pick_task task = eng_pick_task(engine, subm, place);
 	struct pick_server *server;
-	double capacity;
 
+	task.ahead_us = task.work_us;
 	server = pick_choose(&pool->pick, 0, &task);
-	if (server != NULL || !engine->policy.overflow)
-		return (struct eng_server *)server;
-	if (pool->pick.tiers[1].nfree == 0)
-		return NULL;
-	capacity = pick_capacity(&pool->pick, 0);
-	if (capacity > 0 && task.waiting_us / capacity < ENG_OVERFLOW_WAIT_US)
-		return NULL;
-	return (struct eng_server *)pick_choose(&pool->pick, 1, &task);
+	if (server == NULL)
+		return false;
+	eng_start_waiting(subm, place, (struct eng_server *)server);
+	return true;
+}
+
+/* The first one waits for a faster server: what is free now may still serve
+ * the shortest task of the submission that is furthest from its turn. */
+static bool
+eng_start_last(struct engine *engine, struct eng_pool *pool)
+{
+	struct eng_subm *subm = (struct eng_subm *)ord_last(&pool->order);
+	struct pick_task task = eng_pick_task(engine, subm, 0);
+	struct pick_server *server;
+
+	task.ahead_us = pool->order.work_us;
+	server = pick_choose(&pool->pick, 0, &task);
+	if (server == NULL)
+		return false;
+	eng_start_waiting(subm, 0, (struct eng_server *)server);
+	return true;
+}
+
+/* Another zone's server, if none here is able or the wait here is long. */
+static bool
+eng_start_elsewhere(struct engine *engine, struct eng_pool *pool,
+    struct eng_subm *subm)
+{
+	size_t place = subm->npending - 1U;
+	struct pick_task task = eng_pick_task(engine, subm, place);
+	double capacity = pick_capacity(&pool->pick, 0);
+	struct pick_server *server;
+
+	if (!engine->policy.overflow || pool->pick.tiers[1].nfree == 0)
+		return false;
+	task.ahead_us = pool->order.work_us;
+	if (capacity > 0 && task.ahead_us / capacity < ENG_OVERFLOW_WAIT_US)
+		return false;
+	server = pick_choose(&pool->pick, 1, &task);
+	if (server == NULL)
+		return false;
+	eng_start_waiting(subm, place, (struct eng_server *)server);
+	return true;
 }
 
 void
 eng_pump(struct engine *engine, struct eng_pool *pool)
 {
 	uint64_t now_us = clock_now_us(engine->clock);
-	struct eng_server *server;
 	struct eng_subm *subm;
 
 	if (engine->applying)
 		return;
+	pool->order.slack_us =
+	    pick_capacity(&pool->pick, 0) * ENG_SHARE_SLACK_US;
 	while (pool->pick.tiers[0].nfree + pool->pick.tiers[1].nfree != 0) {
 		subm = (struct eng_subm *)ord_next(&pool->order, now_us);
 		if (subm == NULL)
 			return;
-		server = eng_choose(engine, pool, subm);
-		if (server == NULL)
+		if (!eng_start_first(engine, pool, subm) &&
+		    !eng_start_last(engine, pool) &&
+		    !eng_start_elsewhere(engine, pool, subm))
 			return;
-		eng_start_next(subm, server);
 	}
 }
 
@@ -516,7 +563,8 @@
 	struct eng_pool *pool = subm->job->pool;
 	struct pick_task task = {
 		.work_us = call->expected_us * call->server->speed.value,
-		.waiting_us = pool->order.work_us,
+		.ahead_us = call->expected_us * call->server->speed.value,
+		.now_us = now_us,
 		.random = eng_random(engine),
 	};
 	struct eng_server *server;
--- a/entry/engine_server.c
+++ b/entry/engine_server.c
@@ -42,6 +42,21 @@
 	return RB_FIND(eng_servers, &engine->servers, &key);
 }
 
+/* When the first of its running tasks is expected to end. */
+static uint64_t
+eng_next_end_us(const struct eng_server *server)
+{
+	const struct eng_call *call;
+	uint64_t end_us, first_us = UINT64_MAX;
+
+	TAILQ_FOREACH (call, &server->calls, server_entry) {
+		end_us = call->started_us + (uint64_t)call->expected_us;
+		if (end_us < first_us)
+			first_us = end_us;
+	}
+	return first_us;
+}
+
 /* The limit is this host's share; a paused server is full as it is, a probing
  * one gets one task at a time. */
 void
@@ -49,6 +64,7 @@
 {
 	struct pick_server *pick = &server->pick;
 
+	pick->next_us = eng_next_end_us(server);
 	pick->usable = server->configured && server->leaving == 0 &&
 	    server->health.state != HLTH_EJECTED;
 	pick->limit = server->own_limit;
