State how long a call to the table needs its argument

Cause: under ASan test_config_sync read freed memory: it destroyed a host's sync with a query under way and went on with the loop. The daemon does not: it leaves the loop first and the platform drops what is pending. Ruled out: freeing from the late callback, which would leak at the daemon's end, when that callback never comes. Change: the port says so; the test waits for the host's calls first. Conclusion: a rule of the port, not a fault of the daemon.

--- a/ports/table.h
+++ b/ports/table.h
@@ -63,7 +63,13 @@
 
 struct table;
 
-/** struct table_ops - a table service. All callbacks run later, once. */
+/**
+ * struct table_ops - a table service. All callbacks run later, once.
+ *
+ * A call can't be cancelled: its @arg must stay valid until the callback has
+ * run, or the table is destroyed, which drops what is pending, with no return
+ * to the event loop in between.
+ */
 struct table_ops {
 	void (*get)(struct table *table, const char *pk, const char *sk,
 	    table_rows_fn done, void *arg);
--- a/tests/test_config_sync.c
+++ b/tests/test_config_sync.c
@@ -62,6 +62,15 @@
 	host->sync = config_sync_create(&params);
 }
 
+/* An owner must outlast what it has under way; see ports/table.h. */
+static void
+stop_host(struct host *host)
+{
+	while (!LIST_EMPTY(&host->table.calls))
+		event_base_loop(base, EVLOOP_ONCE);
+	config_sync_destroy(host->sync);
+}
+
 static void
 setup(void)
 {
@@ -402,7 +411,7 @@
 		snprintf(id, sizeof(id), "c%d", i);
 		cr_assert_eq(put_team(&hosts[0], id, "", id, &box), 200);
 	}
-	config_sync_destroy(hosts[1].sync);
+	stop_host(&hosts[1]);
 	hosts[1].table.queries = 0;
 	start_host(&hosts[1]);
 	wait_version(&hosts[1], 70);
@@ -410,7 +419,7 @@
 	cr_assert(has_team(&hosts[1], "c1") && has_team(&hosts[1], "c70"));
 	platform->blobs->ops->put(platform->blobs, "config/snapshot", "bad", 3,
 	    blob_stored, NULL);
-	config_sync_destroy(hosts[2].sync);
+	stop_host(&hosts[2]);
 	start_host(&hosts[2]);
 	wait_version(&hosts[2], 70);
 	cr_assert(has_team(&hosts[2], "c1"));
