Ask for the host list only when it has changed

A list of 57 hosts is several kilobytes, sent again every 2 s whether or not anything had changed, on a budget of 3 KB/s for control. The adapter keeps the list with its ETag; a platform without ETags is served as before. The stand-in gives an ETag.

--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -247,7 +247,8 @@
 	*keep = connection == NULL || strcasecmp(connection, "close") != 0;
 	return evhttp_find_header(headers, "Content-Length") != NULL ||
 	    (coding != NULL && strcasecmp(coding, "chunked") == 0) ||
-	    evhttp_request_get_response_code(request) == HTTP_NOCONTENT;
+	    evhttp_request_get_response_code(request) == HTTP_NOCONTENT ||
+	    evhttp_request_get_response_code(request) == HTTP_NOTMODIFIED;
 }
 
 /* evhttp is done with a request; it failed if that is NULL or without code. */
--- a/adapters/platform.h
+++ b/adapters/platform.h
@@ -26,7 +26,8 @@
  * TransactWriteItems; table name "berylrail", keys "pk" and "sk", attributes
  * "version" (N) and "doc" (S). Objects: GET and PUT /objects/NAME. Host list:
  * GET /hosts gives {"hosts": [{"role": "entry"|"server", "name", "az",
- * "address", "port", "leaving"}]}.
+ * "address", "port", "leaving"}]}, with an ETag where the platform has one:
+ * If-None-Match is then answered by 304.
  */
 struct platform *platform_http_create(struct event_base *base,
     const struct endpoint *endpoint, uint32_t timeout_ms);
--- a/adapters/platform_hostlist.c
+++ b/adapters/platform_hostlist.c
@@ -1,5 +1,6 @@
 /*
- * The platform's list of live and leaving hosts: GET /hosts.
+ * The platform's list of live and leaving hosts: GET /hosts. The last list is
+ * kept with its ETag, so that an unchanged one is not sent again.
  */
 
 #include <arpa/inet.h>
@@ -10,9 +11,15 @@
 #include "adapters/platform_http.h"
 #include "core/counters.h"
 
+#define PHLIST_ETAG_SIZE 128 /* bytes, with the NUL; a longer one is ignored \
+			      */
+
 struct phlist {
 	struct hostlist hostlist; /* first */
 	struct hcl *hcl;
+	char etag[PHLIST_ETAG_SIZE]; /* of @entries, "" for none */
+	struct hostlist_entry *entries;
+	size_t nentries;
 };
 
 struct phlist_call {
@@ -62,10 +69,12 @@
 	return 0;
 }
 
-/* Gives what can be read; single bad entries are counted and left out. */
+/* Keeps what can be read; single bad entries are counted and left out. */
 static void
-phlist_give(struct phlist_call *call, const json_t *hosts)
+phlist_keep(struct phlist *phlist, const json_t *hosts,
+    const struct hcl_reply *reply)
 {
+	const char *etag = evhttp_find_header(reply->headers, "ETag");
 	struct hostlist_entry *entries;
 	size_t i, n = 0;
 	json_t *json;
@@ -79,51 +88,75 @@
 		else
 			ctr_inc(&phlist_bad);
 	}
-	call->done(call->arg, entries, n, NULL);
-	free(entries);
+	free(phlist->entries);
+	phlist->entries = entries;
+	phlist->nentries = n;
+	if (etag == NULL ||
+	    strlcpy(phlist->etag, etag, sizeof(phlist->etag)) >=
+		sizeof(phlist->etag))
+		phlist->etag[0] = '\0';
+}
+
+/* Reads a list that has changed; 0, or -1 with @err. */
+static int
+phlist_read(struct phlist *phlist, const struct hcl_reply *reply,
+    struct err *err)
+{
+	json_t *document, *hosts;
+	int result = 0;
+
+	if (reply->status == 304 && phlist->entries != NULL)
+		return 0;
+	if (reply->status != 200)
+		return hcl_err(phlist->hcl, reply, ERR_STEP_TABLE, err);
+	document = json_loadb(reply->body, reply->body_len,
+	    JSON_REJECT_DUPLICATES, NULL);
+	hosts = json_object_get(document, "hosts");
+	if (json_is_array(hosts))
+		phlist_keep(phlist, hosts, reply);
+	else
+		result = err_set(err, ERR_STEP_TABLE, ERR_CORRUPT,
+		    hcl_peer(phlist->hcl), "the host list is malformed");
+	json_decref(document);
+	return result;
 }
 
 static void
 phlist_done(void *arg, const struct hcl_reply *reply)
 {
 	struct phlist_call *call = arg;
-	const struct hcl *hcl = call->phlist->hcl;
-	json_t *document = NULL, *hosts;
+	struct phlist *phlist = call->phlist;
 	struct err err;
 
-	if (reply->status == 200)
-		document = json_loadb(reply->body, reply->body_len,
-		    JSON_REJECT_DUPLICATES, NULL);
-	hosts = json_object_get(document, "hosts");
-	if (json_is_array(hosts)) {
-		phlist_give(call, hosts);
-	} else {
-		hcl_err(hcl, reply, ERR_STEP_TABLE, &err);
-		if (reply->status == 200)
-			err_set(&err, ERR_STEP_TABLE, ERR_CORRUPT,
-			    hcl_peer(hcl), "the host list is malformed");
+	if (phlist_read(phlist, reply, &err) == 0)
+		call->done(call->arg, phlist->entries, phlist->nentries, NULL);
+	else
 		call->done(call->arg, NULL, 0, &err);
-	}
-	json_decref(document);
 	free(call);
 }
 
 static void
 phlist_fetch(struct hostlist *hostlist, hostlist_done_fn done, void *arg)
 {
-	struct hcl_request request = { .method = EVHTTP_REQ_GET,
+	struct phlist *phlist = (struct phlist *)hostlist;
+	struct hcl_header known = { "If-None-Match", phlist->etag };
+	struct hcl_request request = {
+		.method = EVHTTP_REQ_GET,
 		.path = "/hosts",
-		.drop = free };
+		.headers = &known,
+		.nheaders = phlist->etag[0] != '\0' ? 1 : 0,
+		.drop = free,
+	};
 	struct phlist_call *call;
 
 	call = calloc(1, sizeof(*call));
 	if (call == NULL)
 		abort();
-	call->phlist = (struct phlist *)hostlist;
+	call->phlist = phlist;
 	call->done = done;
 	call->arg = arg;
 	ctr_inc(&phlist_messages);
-	hcl_call(call->phlist->hcl, &request, phlist_done, call);
+	hcl_call(phlist->hcl, &request, phlist_done, call);
 }
 
 static const struct hostlist_ops phlist_ops = {
@@ -146,5 +179,10 @@
 void
 phlist_destroy(struct hostlist *hostlist)
 {
-	free(hostlist);
+	struct phlist *phlist = (struct phlist *)hostlist;
+
+	if (phlist == NULL)
+		return;
+	free(phlist->entries);
+	free(phlist);
 }
--- a/tests/standins/platform/main.c
+++ b/tests/standins/platform/main.c
@@ -49,6 +49,7 @@
 	int64_t ms;
 	int64_t count; /* requests left in this mode, 0 for no limit */
 	json_t *hosts;
+	uint64_t hosts_version;
 	uint64_t reads, writes, conflicts, lost;
 	LIST_HEAD(, object) objects;
 } plat;
@@ -203,6 +204,25 @@
 	evbuffer_remove(in, object->data, object->len);
 }
 
+/* The host list, or 304 if the caller has this very one. */
+static void
+plat_hosts(struct evhttp_request *req)
+{
+	const char *known;
+	char etag[32];
+
+	snprintf(etag, sizeof(etag), "\"%llu\"",
+	    (unsigned long long)plat.hosts_version);
+	known = evhttp_find_header(evhttp_request_get_input_headers(req),
+	    "If-None-Match");
+	if (known != NULL && strcmp(known, etag) == 0) {
+		evhttp_send_reply(req, HTTP_NOTMODIFIED, "Not Modified", NULL);
+		return;
+	}
+	evhttp_add_header(evhttp_request_get_output_headers(req), "ETag", etag);
+	sti_reply(req, 200, json_incref(plat.hosts));
+}
+
 static void
 plat_serve(struct evhttp_request *req, enum plat_mode mode)
 {
@@ -220,7 +240,7 @@
 			return;
 		}
 	} else if (strcmp(path, "/hosts") == 0) {
-		sti_reply(req, 200, json_incref(plat.hosts));
+		plat_hosts(req);
 		return;
 	} else if (!plat_table(req, mode)) {
 		return;
@@ -314,6 +334,7 @@
 		if (body != NULL) {
 			json_decref(plat.hosts);
 			plat.hosts = body;
+			plat.hosts_version++;
 		}
 		sti_reply(req, body != NULL ? 200 : 400, json_object());
 		return;
--- a/tests/test_platform_http.c
+++ b/tests/test_platform_http.c
@@ -293,6 +293,31 @@
 	cr_assert_eq(status, TABLE_UNAVAILABLE);
 }
 
+Test(platform_http, an_unchanged_host_list_is_not_sent_again)
+{
+	static const char hosts[] =
+	    "{\"hosts\":[{\"role\":\"entry\",\"name\":\"h1\",\"az\":\"surat\","
+	    "\"address\":\"127.0.0.1\",\"port\":80}]}";
+	char answer[512];
+	int i;
+
+	snprintf(answer, sizeof(answer),
+	    "HTTP/1.1 200 OK\r\nETag: \"v1\"\r\nContent-Length: %zu\r\n\r\n%s",
+	    strlen(hosts), hosts);
+	server.answer = answer;
+	for (i = 0; i < 2; i++) {
+		ended = false;
+		nlisted = 0;
+		platform->hostlist->ops->fetch(platform->hostlist, hosts_done,
+		    NULL);
+		wait_end();
+		cr_assert_eq(nlisted, 1);
+		server.answer = "HTTP/1.1 304 Not Modified\r\n\r\n";
+	}
+	cr_assert_neq(strstr(server.last, "If-None-Match: \"v1\""), NULL);
+	cr_assert_eq(server.connections, 1);
+}
+
 static void
 blob_done(void *arg, enum table_status result, const void *data, size_t len,
     const struct err *err)
