--- a/entry/settings.c
+++ b/entry/settings.c
@@ -39,8 +39,8 @@
 	{ "peer", SET_PEERS, SET_AT(peers), NULL, 1, 0, NULL,
 	    "an entry host to begin with; may be repeated (in the "
 	    "environment: separated by commas)" },
-	{ "policy", SET_CHOICE, SET_AT(policy), "default", 0, NAME_SIZE,
-	    "default|naive", "dispatch policy" },
+	{ "policy", SET_POLICY, SET_AT(policy), "default", 0, NAME_SIZE, NULL,
+	    "dispatch policy: default or naive, changes after commas" },
 	{ "config-poll-ms", SET_U32, SET_AT(config_poll_ms), "2000", 10, 4000,
 	    NULL, "mean interval of polls of the configuration" },
 	{ "hostlist-poll-ms", SET_U32, SET_AT(hostlist_poll_ms), "2000", 10,
