--- a/adapters/peers_loan.c
+++ b/adapters/peers_loan.c
@@ -202,10 +202,16 @@
 	conn->loan_asked = false;
 	if (loan->n_servers == 0) {
 		ctr_inc(&peers_ctr_loan_refused);
+		conn->loan_retry_ms = conn->loan_retry_ms == 0
+		    ? PEERS_LOAN_RETRY_MIN_MS
+		    : conn->loan_retry_ms * 2;
+		if (conn->loan_retry_ms > PEERS_LOAN_RETRY_MAX_MS)
+			conn->loan_retry_ms = PEERS_LOAN_RETRY_MAX_MS;
 		conn->loan_retry_us =
-		    peers_now_us(peers) + (uint64_t)PEERS_LOAN_RETRY_MS * 1000;
+		    peers_now_us(peers) + (uint64_t)conn->loan_retry_ms * 1000;
 		return;
 	}
+	conn->loan_retry_ms = 0;
 	if (ms > PEERS_LOAN_START_MS)
 		ms = PEERS_LOAN_START_MS;
 	for (i = 0; i < loan->n_servers && i < PEERS_LOAN_SERVERS_MAX; i++) {
--- a/entry/engine_server.c
+++ b/entry/engine_server.c
@@ -55,6 +55,21 @@
 	}
 }
 
+/* When the first of its running tasks is expected to end. */
+static uint64_t
+eng_next_end_us(const struct eng_server *server)
+{
+	const struct eng_call *call;
+	uint64_t end_us, first_us = UINT64_MAX;
+
+	TAILQ_FOREACH (call, &server->calls, server_entry) {
+		end_us = call->started_us + (uint64_t)call->expected_us;
+		if (end_us < first_us)
+			first_us = end_us;
+	}
+	return first_us;
+}
+
 /* The limit is this host's share; a paused server is full as it is, a probing
  * one gets one task at a time. */
 void
@@ -65,6 +80,7 @@
 
 	if (server->nloans != 0)
 		eng_loan_trim(engine, server, clock_now_us(engine->clock));
+	pick->next_us = eng_next_end_us(server);
 	pick->usable = server->configured && server->leaving == 0 &&
 	    server->health.state != HLTH_EJECTED;
 	pick->limit = server->own_limit;
@@ -256,6 +272,7 @@
 	eng_server_count(engine, server);
 	RB_REMOVE(eng_servers, &engine->servers, server);
 	pick_server_leave(&server->pick);
+	lbl_clear(&server->labels);
 	free(server);
 }
 
