Let a request for slots wait at the lender until it has some

Slots that are borrowed are not lent; shares of other zones' servers are computed once all pools are filled.

--- a/adapters/peers_conn.c
+++ b/adapters/peers_conn.c
@@ -148,6 +148,8 @@
 		if (!conn->hello && target->name[0] != '\0')
 			peers_forward_unreachable(peers, target->name);
 	}
+	if (conn->loan_request != NULL)
+		berylrail__frame__free_unpacked(conn->loan_request, NULL);
 	bufferevent_free(conn->bev);
 	frm_release(&conn->parser);
 	free(conn);
@@ -286,8 +288,8 @@
 		peers_loan_granted(conn, frame->slot_loan);
 		break;
 	case BERYLRAIL__FRAME__KIND_SLOT_REQUEST:
-		peers_loan_request(conn, frame->slot_request);
-		break;
+		peers_loan_request(conn, frame);
+		return 0;
 	case BERYLRAIL__FRAME__KIND_SLOT_RETURN:
 		peers_loan_returned(conn, frame->slot_return);
 		break;
--- a/adapters/peers_internal.h
+++ b/adapters/peers_internal.h
@@ -38,8 +38,7 @@
 #define PEERS_LOAN_TICK_MS 20
 #define PEERS_LOAN_START_MS 200	   /* tasks may be started on a loan */
 #define PEERS_LOAN_HELD_MS 30000   /* never returned: the lender has it again */
-#define PEERS_LOAN_RETRY_MIN_MS 50 /* after a host had nothing to lend */
-#define PEERS_LOAN_RETRY_MAX_MS 1000
+#define PEERS_LOAN_PENDING_MS 1000 /* a request waits for idle slots */
 #define PEERS_LOAN_SERVERS_MAX 32  /* in one request */
 #define PEERS_LOAN_SLOTS_MAX 64	   /* of one server */
 #define PEERS_CONFIG_GRACE_MS 2000 /* to fetch from the table first */
@@ -82,10 +81,11 @@
 	uint64_t leaving_told; /* value of leaving_changes last sent */
 	uint32_t interval_ms;  /* the peer's heartbeat interval, 0 unknown */
 	size_t nserved;
-	uint64_t serial;	/* never used again by this process */
-	bool loan_asked;	/* the answer is still to come */
-	uint32_t loan_retry_ms; /* 0 after a loan */
-	uint64_t loan_retry_us; /* no request before that */
+	uint64_t serial; /* never used again by this process */
+	bool loan_asked; /* the answer is still to come */
+	/* The peer's request while this host has nothing idle; owned. */
+	Berylrail__Frame *loan_request;
+	uint64_t loan_request_until_us;
 	TAILQ_ENTRY(peers_conn) entry;
 };
 
@@ -223,8 +223,8 @@
 
 /* peers_loan.c */
 void peers_loan_tick(evutil_socket_t fd, short what, void *arg);
-void peers_loan_request(struct peers_conn *conn,
-    const Berylrail__SlotRequest *request);
+/* Takes ownership of @frame, which holds a SlotRequest. */
+void peers_loan_request(struct peers_conn *conn, Berylrail__Frame *frame);
 void peers_loan_granted(struct peers_conn *conn,
     const Berylrail__SlotLoan *loan);
 void peers_loan_returned(struct peers_conn *conn,
--- a/adapters/peers_loan.c
+++ b/adapters/peers_loan.c
@@ -70,17 +70,15 @@
 /* Asking */
 
 static bool
-peers_loan_may_ask(const struct peers_tcp *peers, const struct peers_conn *conn,
-    uint64_t now_us)
+peers_loan_may_ask(const struct peers_tcp *peers, const struct peers_conn *conn)
 {
 	const struct member *member;
 
 	if (!conn->hello || conn->closing || conn->redundant ||
-	    conn->loan_asked || now_us < conn->loan_retry_us)
+	    conn->loan_asked)
 		return false;
 	member = mbr_find(&peers->members, conn->name);
-	return member != NULL && member->state == MEMBER_LIVE &&
-	    member->load.tasks_waiting == 0;
+	return member != NULL && member->state == MEMBER_LIVE;
 }
 
 static void
@@ -131,34 +129,12 @@
 	}
 }
 
-void
-peers_loan_tick(evutil_socket_t fd, short what, void *arg)
-{
-	struct engine_loan wants[PEERS_LOAN_SERVERS_MAX];
-	struct peers_tcp *peers = arg;
-	uint64_t now_us = peers_now_us(peers);
-	struct peers_conn *conn;
-	size_t nwants;
-
-	(void)fd;
-	(void)what;
-	peers_loan_give_back(peers);
-	nwants = engine_loan_wants(peers->params.engine, wants,
-	    PEERS_LOAN_SERVERS_MAX);
-	if (nwants == 0)
-		return;
-	TAILQ_FOREACH (conn, &peers->conns, entry) {
-		if (peers_loan_may_ask(peers, conn, now_us))
-			peers_loan_ask(conn, wants, nwants);
-	}
-}
-
 /* Lending */
 
-/* Lends what this host leaves idle; an empty answer says "nothing". */
-void
-peers_loan_request(struct peers_conn *conn,
-    const Berylrail__SlotRequest *request)
+/* Lends what this host leaves idle of the request. Return: was it anything? */
+static bool
+peers_loan_grant(struct peers_conn *conn, const Berylrail__SlotRequest *request,
+    bool even_nothing)
 {
 	struct engine *engine = conn->peers->params.engine;
 	Berylrail__SlotLoan loan = BERYLRAIL__SLOT_LOAN__INIT;
@@ -178,6 +154,8 @@
 		ctr_add(&peers_ctr_lent, lent);
 		peers_slots_add(&slots, wanted->server, lent);
 	}
+	if (slots.n == 0 && !even_nothing)
+		return false;
 	loan.servers = slots.list;
 	loan.n_servers = slots.n;
 	loan.start_for_ms = PEERS_LOAN_START_MS;
@@ -185,6 +163,63 @@
 	frame.slot_loan = &loan;
 	if (peers_conn_send(conn, &frame) < 0)
 		conn->closing = true;
+	return true;
+}
+
+static void
+peers_loan_end_request(struct peers_conn *conn)
+{
+	berylrail__frame__free_unpacked(conn->loan_request, NULL);
+	conn->loan_request = NULL;
+}
+
+/* A request that can't be met now waits until it can, or for its time. */
+void
+peers_loan_request(struct peers_conn *conn, Berylrail__Frame *frame)
+{
+	if (conn->loan_request != NULL)
+		peers_loan_end_request(conn);
+	conn->loan_request = frame;
+	conn->loan_request_until_us =
+	    peers_now_us(conn->peers) + (uint64_t)PEERS_LOAN_PENDING_MS * 1000;
+	if (peers_loan_grant(conn, frame->slot_request, false))
+		peers_loan_end_request(conn);
+}
+
+static void
+peers_loan_grant_pending(struct peers_tcp *peers, uint64_t now_us)
+{
+	struct peers_conn *conn;
+
+	TAILQ_FOREACH (conn, &peers->conns, entry) {
+		if (conn->loan_request != NULL &&
+		    peers_loan_grant(conn, conn->loan_request->slot_request,
+			now_us >= conn->loan_request_until_us))
+			peers_loan_end_request(conn);
+	}
+}
+
+void
+peers_loan_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct engine_loan wants[PEERS_LOAN_SERVERS_MAX];
+	struct peers_tcp *peers = arg;
+	uint64_t now_us = peers_now_us(peers);
+	struct peers_conn *conn;
+	size_t nwants;
+
+	(void)fd;
+	(void)what;
+	peers_loan_give_back(peers);
+	peers_loan_grant_pending(peers, now_us);
+	nwants = engine_loan_wants(peers->params.engine, wants,
+	    PEERS_LOAN_SERVERS_MAX);
+	if (nwants == 0)
+		return;
+	TAILQ_FOREACH (conn, &peers->conns, entry) {
+		if (peers_loan_may_ask(peers, conn))
+			peers_loan_ask(conn, wants, nwants);
+	}
 }
 
 /* Only what was asked for is taken, and never for longer than usual. */
@@ -200,29 +235,22 @@
 	if (!conn->loan_asked)
 		return;
 	conn->loan_asked = false;
-	if (loan->n_servers == 0) {
+	if (loan->n_servers == 0)
 		ctr_inc(&peers_ctr_loan_refused);
-		conn->loan_retry_ms = conn->loan_retry_ms == 0
-		    ? PEERS_LOAN_RETRY_MIN_MS
-		    : conn->loan_retry_ms * 2;
-		if (conn->loan_retry_ms > PEERS_LOAN_RETRY_MAX_MS)
-			conn->loan_retry_ms = PEERS_LOAN_RETRY_MAX_MS;
-		conn->loan_retry_us =
-		    peers_now_us(peers) + (uint64_t)conn->loan_retry_ms * 1000;
-		return;
-	}
-	conn->loan_retry_ms = 0;
 	if (ms > PEERS_LOAN_START_MS)
 		ms = PEERS_LOAN_START_MS;
 	for (i = 0; i < loan->n_servers && i < PEERS_LOAN_SERVERS_MAX; i++) {
 		taken.server = loan->servers[i]->server;
 		taken.slots = peers_slots_bounded(loan->servers[i]->slots);
-		if (engine_loan_take(peers->params.engine, &taken,
+		if (engine_waiting(peers->params.engine) > 0 &&
+		    engine_loan_take(peers->params.engine, &taken,
 			(uint64_t)ms * 1000))
 			ctr_add(&peers_ctr_borrowed, taken.slots);
 		else
 			peers_slots_add(&unused, taken.server, taken.slots);
 	}
+	if (unused.n != 0 && unused.n == loan->n_servers)
+		ctr_inc(&peers_ctr_loan_refused);
 	peers_loan_send_return(conn, &unused);
 }
 
--- a/entry/engine_config.c
+++ b/entry/engine_config.c
@@ -375,6 +375,8 @@
 	eng_apply_servers(engine, config);
 	eng_apply_jobs(engine, config);
 	eng_apply_teams(engine, config);
+	/* Whether other zones have to help shows with all pools filled. */
+	eng_servers_share(engine);
 	engine->applying = false;
 	eng_pump_all(engine);
 }
--- a/entry/engine_loan.c
+++ b/entry/engine_loan.c
@@ -192,8 +192,9 @@
 	struct eng_loan *loan;
 	uint32_t idle;
 
+	/* Slots that are borrowed themselves are not lent. */
 	if (server == NULL || server->tier != 0 || !server->pick.usable ||
-	    engine->nwaiting != 0)
+	    engine->nwaiting != 0 || eng_loans_borrowed(server) != 0)
 		return 0;
 	eng_loan_due(engine, server, now_us);
 	idle = server->own_limit > server->pick.running
--- a/tests/test_peers_tcp.c
+++ b/tests/test_peers_tcp.c
@@ -121,8 +121,7 @@
 size_t
 engine_waiting(const struct engine *engine)
 {
-	(void)engine;
-	return 0;
+	return engine->wants;
 }
 
 size_t
