--- a/core/pick.c
+++ b/core/pick.c
@@ -132,7 +132,7 @@
 		if (member->free == free && member->limit == limit &&
 		    member->slots == slots &&
 		    (!member->full || member->next_us == server->next_us) &&
-		    (member->bucket == bucket || slots == 0))
+		    (member->bucket == bucket || limit + slots == 0))
 			continue;
 		pick_unfile(member);
 		pick_file(member, bucket, limit, free);
--- /dev/null
+++ b/tests/test_dispatch.c
@@ -0,0 +1,174 @@
+/*
+ * The smaller decisions: policy text, shares of slots, learning, retry budget,
+ * admission.
+ */
+
+#include <criterion/criterion.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "berylrail/limits.h"
+#include "core/admission.h"
+#include "core/dispatch.h"
+#include "core/learn.h"
+#include "core/retry.h"
+
+Test(dispatch, policy_text_selects_each_choice)
+{
+	struct disp_policy policy;
+	struct err err;
+
+	cr_assert_eq(disp_policy_parse(&policy, "naive", &err), 0);
+	cr_assert_eq(policy.order, &ord_fifo);
+	cr_assert_eq(policy.share, &shr_each);
+	cr_assert_not(policy.learn);
+	cr_assert_eq(disp_policy_parse(&policy,
+			 "default,order=fifo,share=seen,hedge=off", &err),
+	    0);
+	cr_assert_eq(policy.order, &ord_fifo);
+	cr_assert_eq(policy.share, &shr_seen);
+	cr_assert_eq(policy.pick, &pick_earliest);
+	cr_assert_not(policy.hedge);
+	cr_assert_eq(disp_policy_parse(&policy, "best", &err), -1);
+	cr_assert_eq(disp_policy_parse(&policy, "default,pick=", &err), -1);
+	cr_assert_eq(disp_policy_parse(&policy, "default,learn=yes", &err), -1);
+	cr_assert_eq(err.step, ERR_STEP_SETTINGS);
+}
+
+/* Own parts of all hosts make up exactly the slots of each server. */
+Test(dispatch, shares_add_up_and_move_little)
+{
+	const char *hosts[] = { "e1", "e2", "e3", "e4", "e5", "e6", "e7" };
+	struct shr_input input = { .hosts = hosts };
+	uint32_t sum, before[7];
+	char server[16];
+	size_t i, n;
+	int s, moved = 0;
+
+	input.server = server;
+	for (s = 0; s < 200; s++) {
+		snprintf(server, sizeof(server), "s%d", s);
+		input.slots = (uint32_t)(s % 13);
+		for (n = 1; n <= 7; n++) {
+			input.nhosts = n;
+			for (sum = 0, i = 0; i < n; i++) {
+				input.self = hosts[i];
+				if (n == 7)
+					moved += before[i] > shr_own(&input);
+				before[i] = shr_own(&input);
+				sum += before[i];
+			}
+			cr_assert_eq(sum, input.slots);
+		}
+	}
+	cr_assert_leq(moved, 300, "%d shares shrank for the 7th host", moved);
+	input.nhosts = 0;
+	cr_assert_eq(shr_split.limit(&input), input.slots, "alone");
+}
+
+Test(dispatch, loans_count_within_the_slots)
+{
+	const char *hosts[] = { "e1", "e2" };
+	struct shr_input input = { .server = "s",
+		.slots = 8,
+		.self = "e1",
+		.hosts = hosts,
+		.nhosts = 2 };
+
+	cr_assert_eq(shr_split.limit(&input), 4);
+	input.borrowed = 3;
+	cr_assert_eq(shr_split.limit(&input), 7);
+	input.borrowed = 30;
+	cr_assert_eq(shr_split.limit(&input), 8);
+	input.borrowed = 0;
+	input.lent = 6;
+	cr_assert_eq(shr_split.limit(&input), 0);
+	input.others_running = 1;
+	cr_assert_eq(shr_seen.limit(&input), 7);
+	cr_assert_eq(shr_each.limit(&input), 8);
+}
+
+Test(dispatch, learns_speeds_and_a_declaration_off_tenfold)
+{
+	const double speeds[4] = { 0.5, 1, 1.5, 2 };
+	struct lrn_estimate learned[4], factor;
+	double ratio, noise;
+	int i;
+
+	srand(9);
+	lrn_init_factor(&factor);
+	for (i = 0; i < 4; i++)
+		lrn_init_speed(&learned[i], 0);
+	for (i = 0; i < 400; i++) {
+		noise = exp((rand() % 1000 - 500) / 1000.0);
+		lrn_observe(&learned[i % 4], &factor, 10000,
+		    100000 * noise / speeds[i % 4]);
+	}
+	for (i = 0; i < 4; i++) {
+		ratio = lrn_expected_us(&learned[i], &factor, 10000) /
+		    (100000 / speeds[i]);
+		cr_expect(ratio > 0.75 && ratio < 1.33, "server %d: %f", i,
+		    ratio);
+	}
+	/* One straggler does not overturn it. */
+	ratio = lrn_expected_us(&learned[3], &factor, 10000);
+	lrn_observe(&learned[3], &factor, 10000, 1e9);
+	cr_expect_lt(lrn_expected_us(&learned[3], &factor, 10000), ratio * 1.4);
+}
+
+Test(dispatch, retries_are_a_share_of_starts)
+{
+	struct rtry rtry;
+	int i, taken = 0;
+
+	rtry_init_retries(&rtry, 0);
+	while (rtry_take(&rtry, 0))
+		taken++;
+	cr_assert_leq(taken, 200);
+	for (i = 0, taken = 0; i < 1000; i++) {
+		rtry_started(&rtry);
+		taken += rtry_take(&rtry, 0);
+	}
+	cr_assert(taken >= 190 && taken <= 200, "%d", taken);
+	cr_assert(rtry_take(&rtry, 1000000), "some come with time");
+}
+
+Test(dispatch, admission_says_why)
+{
+	const struct adm_input good = { .job = "j",
+		.ntasks = 2,
+		.bytes = 10,
+		.queue_tasks_max = 10,
+		.queue_bytes_max = 100,
+		.nservers = 1,
+		.by_time = true,
+		.wait_us = 10,
+		.run_us = 20,
+		.longest_us = 5,
+		.timeout_us = 100,
+		.deadline_us = 40 };
+	struct adm_input bad;
+	struct err err;
+
+	cr_assert_eq(adm_check(&good, &err), 0);
+#define REFUSED(member, value, want)                              \
+	do {                                                      \
+		bad = good;                                       \
+		bad.member = value;                               \
+		cr_expect_eq(adm_check(&bad, &err), -1, #member); \
+		cr_expect_eq(err.code, want, #member);            \
+		cr_expect_eq(err.step, ERR_STEP_ADMIT);           \
+		cr_expect_str_eq(err.peer, "j");                  \
+	} while (0)
+	REFUSED(ntasks, 0, ERR_INVALID);
+	REFUSED(ntasks, JOB_TASKS_MAX + 1, ERR_TOO_LARGE);
+	REFUSED(nservers, 0, ERR_NO_SERVER);
+	REFUSED(queue_tasks, 9, ERR_OVERLOAD);
+	REFUSED(queue_bytes, 91, ERR_OVERLOAD);
+	REFUSED(job_tasks_max, 1, ERR_OVERLOAD);
+	REFUSED(longest_us, 101, ERR_NO_SERVER);
+	REFUSED(wait_us, 30, ERR_DEADLINE);
+#undef REFUSED
+}
--- /dev/null
+++ b/tests/test_order.c
@@ -0,0 +1,179 @@
+/*
+ * The order between waiting submissions, against the naive version, and what
+ * it promises: no starvation, and no job held up by the flood of another.
+ */
+
+#include <criterion/criterion.h>
+#include <math.h>
+#include <stdlib.h>
+
+#include "core/order.h"
+#include "naive/naive_order.h"
+
+#define NITEMS 60
+#define NFLOWS 6
+
+struct bench {
+	struct order order;
+	struct ord_flow flows[NFLOWS];
+	struct ord_item items[NITEMS];
+	struct ord_item *all[NITEMS];
+	uint64_t now_us;
+	uint64_t seq;
+};
+
+static void
+bench_init(struct bench *b, const struct ord_ops *ops)
+{
+	size_t i;
+
+	*b = (struct bench){ .now_us = 1 };
+	ord_init(&b->order, ops);
+	b->order.slack_us = 50000;
+	for (i = 0; i < NITEMS; i++)
+		b->all[i] = &b->items[i];
+}
+
+static void
+add(struct bench *b, struct ord_item *item, int flow, double work_us)
+{
+	*item = (struct ord_item){ .flow = &b->flows[flow],
+		.arrived_us = b->now_us,
+		.seq = b->seq++,
+		.work_us = work_us };
+	ord_add(&b->order, item);
+}
+
+/* Starts a task of the next item; it leaves when no work is left. */
+static struct ord_item *
+start(struct bench *b, double work_us)
+{
+	struct ord_item *item = ord_next(&b->order, b->now_us);
+
+	if (item == NULL)
+		return NULL;
+	ord_started(&b->order, item, work_us);
+	if (item->work_us < 1)
+		ord_remove(&b->order, item);
+	return item;
+}
+
+static void
+random_step(struct bench *b)
+{
+	struct ord_item *item = &b->items[rand() % NITEMS];
+	int flow = rand() % NFLOWS;
+
+	b->now_us += (uint64_t)(rand() % 100000);
+	switch (rand() % 8) {
+	case 0:
+		ord_block(&b->order, &b->flows[flow], rand() % 2);
+		break;
+	case 1:
+		if (item->queued)
+			ord_remove(&b->order, item);
+		break;
+	case 2:
+		if (item->queued)
+			ord_more(&b->order, item, 1000.0 * (1 + rand() % 9));
+		break;
+	case 3:
+	case 4:
+		if (!item->queued)
+			add(b, item, flow, 1000.0 * (1 + rand() % 50));
+		break;
+	default:
+		start(b, 1000.0 * (1 + rand() % 9));
+	}
+}
+
+Test(order, fair_agrees_with_the_naive_version)
+{
+	struct ord_item *expect;
+	struct bench b;
+	unsigned seed;
+	int i;
+
+	for (seed = 1; seed <= 5; seed++) {
+		srand(seed);
+		bench_init(&b, &ord_fair);
+		for (i = 0; i < 20000; i++) {
+			random_step(&b);
+			expect =
+			    naive_order_next(&b.order, b.all, NITEMS, b.now_us);
+			cr_assert_eq(ord_next(&b.order, b.now_us), expect,
+			    "seed %u step %d", seed, i);
+			cr_assert_lt(fabs(naive_order_work(b.all, NITEMS) -
+					 b.order.work_us),
+			    1.0, "seed %u step %d", seed, i);
+		}
+	}
+}
+
+Test(order, fifo_serves_in_order_of_arrival)
+{
+	struct ord_item *item;
+	uint64_t seq = 0;
+	struct bench b;
+	int i;
+
+	srand(3);
+	bench_init(&b, &ord_fifo);
+	for (i = 0; i < NITEMS; i++)
+		add(&b, &b.items[i], rand() % NFLOWS,
+		    1000.0 * (1 + rand() % 5));
+	while ((item = start(&b, 1000.0)) != NULL) {
+		cr_assert_geq(item->seq, seq);
+		seq = item->seq;
+	}
+	cr_assert_eq(b.order.nitems, 0);
+}
+
+Test(order, least_work_comes_first)
+{
+	struct bench b;
+
+	bench_init(&b, &ord_fair);
+	add(&b, &b.items[0], 0, 9000);
+	add(&b, &b.items[1], 1, 3000);
+	cr_assert_eq(ord_next(&b.order, b.now_us), &b.items[1]);
+	cr_assert_eq(ord_last(&b.order), &b.items[0]);
+}
+
+Test(order, flood_of_small_jobs_does_not_hold_up_another_job)
+{
+	int i, served = 0;
+	struct bench b;
+
+	bench_init(&b, &ord_fair);
+	add(&b, &b.items[0], 1, 1e6);
+	for (i = 1; i < NITEMS; i++)
+		add(&b, &b.items[i], 0, 1000);
+	for (i = 0; i < 1000; i++) {
+		struct ord_item *item = start(&b, 1000);
+
+		served += item == &b.items[0];
+		if (item != &b.items[0])
+			add(&b, item, 0, 1000); /* the flood goes on */
+	}
+	cr_assert_geq(served, 400, "%d of 1000 starts", served);
+}
+
+Test(order, old_submission_of_a_flooding_job_does_not_starve)
+{
+	struct ord_item *item;
+	struct bench b;
+	int i;
+
+	bench_init(&b, &ord_fair);
+	add(&b, &b.items[0], 0, 50000);
+	for (i = 1; i < NITEMS; i++)
+		add(&b, &b.items[i], 0, 1000);
+	for (i = 0; i < 5000 && b.items[0].queued; i++) {
+		b.now_us += 1000;
+		item = start(&b, 1000);
+		if (item != &b.items[0])
+			add(&b, item, 0, 1000);
+	}
+	cr_assert_not(b.items[0].queued, "starved");
+}
