--- a/entry/settings_internal.h
+++ b/entry/settings_internal.h
@@ -17,6 +17,7 @@
 	SET_PLATFORM,
 	SET_PEERS,
 	SET_CHOICE,
+	SET_POLICY,
 	SET_PATH,
 	SET_U32,
 	SET_U64,
