--- a/tests/test_config_sync.c
+++ b/tests/test_config_sync.c
@@ -328,7 +328,7 @@
 
 	cr_assert_eq(put_team(&hosts[0], "c1", "", "t1", &box), 200);
 	cr_assert_eq(put_team(&hosts[0], "c2", "", "t2", &box), 200);
-	config_sync_destroy(hosts[1].sync);
+	stop_host(&hosts[1]);
 	strcpy(hosts[1].table.stale_sk, "v/00000000000000000001");
 	start_host(&hosts[1]);
 	config_sync_heard(hosts[1].sync, 2);
@@ -349,7 +349,7 @@
 	int queries;
 
 	cr_assert_eq(put_team(&hosts[0], "c1", "", "t1", &box), 200);
-	config_sync_destroy(hosts[2].sync);
+	stop_host(&hosts[2]);
 	hosts[2].table.down = true;
 	start_host(&hosts[2]);
 	cr_assert_null(config_sync_export(hosts[2].sync, &len));
