--- a/entry/api.c
+++ b/entry/api.c
@@ -220,20 +220,49 @@
 		api_drain_check(api);
 }
 
+/* May the request name an id, under which an earlier one may have run? */
+static bool
+api_names_id(const struct api_request *request)
+{
+	return request->idempotency_key != NULL || request->ticket != NULL ||
+	    strstr(request->query, "ticket") != NULL ||
+	    (request->body_len > 0 &&
+		(memmem(request->body, request->body_len, "ticket", 6) !=
+			NULL ||
+		    memmem(request->body, request->body_len, "\\u", 2) !=
+			NULL));
+}
+
+/* A submission that can't be read is answered by an outcome as well. */
+static struct refusal_row
+api_refusal_row(const struct api_call *call, enum refusal refusal)
+{
+	const struct api_request *request = call->request;
+	struct refusal_row row = *ref_row(refusal);
+
+	if (row.has_outcome || request == NULL || request->method != API_POST ||
+	    (strcmp(request->path, "/v1/jobs") != 0 &&
+		strncmp(request->path, "/v1/services/", 13) != 0))
+		return row;
+	row.has_outcome = true;
+	row.outcome = api_names_id(request) ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
+	return row;
+}
+
 void
 api_call_problem(struct api_call *call, enum refusal refusal,
     const struct err *err)
 {
-	const struct refusal_row *row = ref_row(refusal);
+	const struct refusal_row row = api_refusal_row(call, refusal);
 	struct api_reply reply = {
-		.status = row->status,
+		.status = row.status,
 		.content_type = PROBLEM_TYPE,
-		.outcome = row->has_outcome ? outcome_name(row->outcome) : NULL,
+		.outcome = row.has_outcome ? outcome_name(row.outcome) : NULL,
 	};
 	char *body;
 
 	ref_count(err);
-	body = problem_render(row, err, &reply.body_len);
+	body = problem_render(&row, err, &reply.body_len);
 	reply.body = body;
 	api_call_reply(call, &reply);
 	free(body);
--- a/entry/refusals.c
+++ b/entry/refusals.c
@@ -43,7 +43,7 @@
 	    "missing, unknown or ill-typed member"),
 	[REF_TASKS] = REF_PLAIN(PARSE, TOO_LARGE, 400, "too many tasks"),
 	[REF_KEY] = REF_PLAIN(PARSE, INVALID, 400, "bad Idempotency-Key"),
-	[REF_TICKET] = REF_PLAIN(PARSE, INVALID, 400, "not a ticket"),
+	[REF_TICKET] = REF_NOT_RUN(PARSE, INVALID, 400, "not a ticket"),
 	[REF_QUERY] = REF_PLAIN(PARSE, INVALID, 400, "bad query"),
 	[REF_CONNECTIONS] = REF_PLAIN(ADMIT, OVERLOAD, 503,
 	    "too many connections"),
--- a/tests/support/load.h
+++ b/tests/support/load.h
@@ -21,6 +21,7 @@
 	int ms_max;    /* run time of a task */
 	bool faults;   /* some tasks fail, hang or break off */
 	bool by_link;  /* half of the requests go through the proxy */
+	bool no_keys;  /* tickets only, no Idempotency-Key */
 };
 
 /** struct load_report - how the answers came out. */
