--- a/entry/daemon.c
+++ b/entry/daemon.c
@@ -68,6 +68,16 @@
 		dmn->peers->ops->notify_config(dmn->peers, config->version);
 }
 
+/* This host has heard it first hand: its peers must know as well. */
+static void
+dmn_server_leaving(void *arg, const char *server, bool leaving)
+{
+	struct daemon *dmn = arg;
+
+	if (dmn->peers != NULL)
+		peers_tcp_server_leaving(dmn->peers, server, leaving);
+}
+
 static void
 dmn_hostlist_done(void *arg, const struct hostlist_entry *entries,
     size_t nentries, const struct err *err)
@@ -258,6 +268,7 @@
 	if (dmn->peers == NULL)
 		return -1;
 	api_set_peers(dmn->api, dmn->peers);
+	engine_on_leaving(dmn->engine, dmn_server_leaving, dmn);
 	return 0;
 }
 
--- a/entry/engine.h
+++ b/entry/engine.h
@@ -94,6 +94,13 @@
 /** engine_set_share() - the set of live entry hosts has changed. */
 void engine_set_share(struct engine *engine, const struct engine_share *share);
 
+/** typedef engine_leaving_fn - a server began or ceased to leave, as this host
+ * knows first hand (from the list or the server itself). */
+typedef void (*engine_leaving_fn)(void *arg, const char *server, bool leaving);
+
+/** engine_on_leaving() - who is told of it, at once; NULL for nobody. */
+void engine_on_leaving(struct engine *engine, engine_leaving_fn fn, void *arg);
+
 /**
  * engine_leaving_servers() - servers that this host knows first hand (from the
  * list or the servers themselves) to be leaving; names are borrowed.
--- a/entry/engine_internal.h
+++ b/entry/engine_internal.h
@@ -167,6 +167,8 @@
 	uint64_t queue_bytes_max;
 	uint64_t config_version;
 	uint64_t nsubmitted;
+	engine_leaving_fn leaving_fn; /* may be NULL */
+	void *leaving_arg;
 
 	struct eng_servers servers;
 	struct eng_teams teams;
--- a/entry/engine_server.c
+++ b/entry/engine_server.c
@@ -14,6 +14,7 @@
 #define ENG_OVERDUE_FACTOR 4.0 /* of the expected run time */
 #define ENG_OVERDUE_MIN_US 500000
 #define ENG_REMOTE_LIMIT 1 /* tasks on a server of another zone */
+#define ENG_LEAVING_FIRST_HAND ((unsigned)(ENG_LEAVING_SELF | ENG_LEAVING_LIST))
 
 static struct counter eng_ejected = {
 	.name = "berylrail_servers_ejected",
@@ -128,6 +129,26 @@
 	return "";
 }
 
+void
+engine_on_leaving(struct engine *engine, engine_leaving_fn fn, void *arg)
+{
+	engine->leaving_fn = fn;
+	engine->leaving_arg = arg;
+}
+
+/* Others are told only what this host knows first hand: no echoes. */
+static void
+eng_server_tell_leaving(struct engine *engine, const struct eng_server *server,
+    unsigned before)
+{
+	bool had = (before & ENG_LEAVING_FIRST_HAND) != 0;
+	bool has = (server->leaving & ENG_LEAVING_FIRST_HAND) != 0;
+
+	if (had != has && engine->leaving_fn != NULL)
+		engine->leaving_fn(engine->leaving_arg, server->address.name,
+		    has);
+}
+
 /* The first source that says so counts. What was heard is kept by source, so
  * that a source that repeats itself does not undo a later change. */
 void
@@ -135,6 +156,7 @@
     enum eng_leaving_source source, bool leaving)
 {
 	bool heard = (server->heard & source) != 0;
+	unsigned before = server->leaving;
 
 	if (heard == leaving)
 		return;
@@ -151,6 +173,7 @@
 	    server->leaving != 0 ? "server-leaving" : "server-staying",
 	    "server=%s source=%s", server->address.name,
 	    eng_leaving_source_name(source));
+	eng_server_tell_leaving(engine, server, before);
 	eng_server_refresh(engine, server);
 }
 
@@ -158,8 +181,11 @@
 void
 eng_server_stay(struct engine *engine, struct eng_server *server)
 {
+	unsigned before = server->leaving;
+
 	server->leaving = 0;
 	server->heard &= ~(unsigned)(ENG_LEAVING_LABEL | ENG_LEAVING_SELF);
+	eng_server_tell_leaving(engine, server, before);
 	eng_server_refresh(engine, server);
 }
 
@@ -184,12 +210,11 @@
 size_t
 engine_leaving_servers(struct engine *engine, const char **names, size_t size)
 {
-	const unsigned first_hand = ENG_LEAVING_SELF | ENG_LEAVING_LIST;
 	struct eng_server *server;
 	size_t n = 0;
 
 	RB_FOREACH (server, eng_servers, &engine->servers) {
-		if (n < size && (server->leaving & first_hand) != 0)
+		if (n < size && (server->leaving & ENG_LEAVING_FIRST_HAND) != 0)
 			names[n++] = server->address.name;
 	}
 	return n;
