Bound the tries of a claim that conflicts with no row

A table that reports a conflict without naming a row, as it may when transactions collide, was asked again without end, once an interval; the caller got no answer. Now it counts as a try, as a lost reply does. busy_table_is_asked_again_a_few_times failed before and passes now.

--- a/core/order.c
+++ b/core/order.c
@@ -124,8 +124,7 @@
 {
 	struct ord_item *other;
 
-	TAILQ_FOREACH_REVERSE(other, &order->fifo, ord_items, fifo)
-	{
+	TAILQ_FOREACH_REVERSE (other, &order->fifo, ord_items, fifo) {
 		if (other->seq < item->seq) {
 			TAILQ_INSERT_AFTER(&order->fifo, other, item, fifo);
 			return;
@@ -158,8 +157,7 @@
 {
 	struct ord_item *item;
 
-	TAILQ_FOREACH_REVERSE(item, &order->fifo, ord_items, fifo)
-	{
+	TAILQ_FOREACH_REVERSE (item, &order->fifo, ord_items, fifo) {
 		if (!item->flow->blocked)
 			return item;
 	}
@@ -226,8 +224,7 @@
 	struct ord_item *other;
 
 	RB_INSERT(ord_tree, &flow->tree, item);
-	TAILQ_FOREACH_REVERSE(other, &flow->arrivals, ord_items, arrival)
-	{
+	TAILQ_FOREACH_REVERSE (other, &flow->arrivals, ord_items, arrival) {
 		if (other->seq < item->seq)
 			break;
 	}
--- a/entry/idem_claim.c
+++ b/entry/idem_claim.c
@@ -147,11 +147,34 @@
 	table->ops->get(table, pk, IDEM_SORT_KEY, idem_read_done, key);
 }
 
+static bool
+idem_any_failed(const struct idem_batch *batch, const unsigned char *failed)
+{
+	size_t i;
+
+	for (i = 0; failed != NULL && i < batch->nkeys; i++) {
+		if (failed[i])
+			return true;
+	}
+	return false;
+}
+
+/* A conflict for which no row of the batch is to blame. */
+static void
+idem_write_again(struct idem_key *key)
+{
+	if (++key->tries >= IDEM_TRIES_MAX)
+		idem_give_up(key, REF_KEY_UNSETTLED);
+	else
+		idem_enqueue(key);
+}
+
 static void
 idem_written(void *arg, enum table_status status, const unsigned char *failed,
     const struct err *err)
 {
 	struct idem_batch *batch = arg;
+	bool any_failed = idem_any_failed(batch, failed);
 	struct idem_key *key;
 	size_t i;
 
@@ -162,8 +185,9 @@
 			idem_won(key);
 		else if (status == TABLE_UNAVAILABLE && key->tries == 0)
 			idem_give_up(key, REF_KEY_TABLE_DOWN);
-		else if (status == TABLE_CONFLICT && failed != NULL &&
-		    !failed[i])
+		else if (status == TABLE_CONFLICT && !any_failed)
+			idem_write_again(key);
+		else if (status == TABLE_CONFLICT && !failed[i])
 			idem_enqueue(key);
 		else
 			idem_read(key);
--- a/tests/support/rig_ports.c
+++ b/tests/support/rig_ports.c
@@ -92,6 +92,8 @@
 		fake->nfaults--;
 	if (fault == RIG_DOWN)
 		due.status = TABLE_UNAVAILABLE;
+	if (fault == RIG_BUSY)
+		due.status = TABLE_CONFLICT;
 	for (i = 0; i < nwrites; i++) {
 		due.failed[i] = rig_table_find(fake, writes[i].row.pk) != -1;
 		if (due.failed[i] && fault != RIG_DOWN)
--- a/tests/test_idempotency.c
+++ b/tests/test_idempotency.c
@@ -161,6 +161,24 @@
 	check_one_answer(&reply, 1);
 }
 
+Test(idempotency, busy_table_is_asked_again_a_few_times)
+{
+	struct rig_reply reply = { 0 };
+
+	rig.table.write_fault = RIG_BUSY;
+	rig.table.nfaults = 1;
+	post(0, "k", &reply);
+	rig_spin(30);
+	check_one_answer(&reply, 1);
+	rig.table.nfaults = 1000;
+	post(0, "l", &reply);
+	rig_spin(100);
+	cr_assert_str_eq(reply.outcome, "outcome-unknown");
+	cr_assert_eq(fake_engine.n, 1);
+	cr_assert_leq(rig.table.nwrites, 6);
+	rig_reply_free(&reply);
+}
+
 /* The write of a claim that was given up arrives late. */
 Test(idempotency, claim_given_up_never_starts)
 {
