--- a/adapters/peers_gossip.c
+++ b/adapters/peers_gossip.c
@@ -395,25 +395,28 @@
 	}
 }
 
-/* Peers are told at once when the servers that this host knows first hand to
- * be leaving are others than before. */
-static void
-peers_leaving_poll(struct peers_tcp *peers)
+void
+peers_tcp_server_leaving(struct peers *port, const char *server, bool leaving)
 {
-	const char *names[PEERS_LEAVING_MAX];
-	size_t i, n;
-	bool changed;
-
-	n = engine_leaving_servers(peers->params.engine, names,
-	    PEERS_LEAVING_MAX);
-	changed = n != peers->nown_leaving;
-	for (i = 0; i < n; i++) {
-		changed |= strcmp(peers->own_leaving[i], names[i]) != 0;
-		strlcpy(peers->own_leaving[i], names[i], NAME_SIZE);
+	struct peers_tcp *peers = peers_of(port);
+	size_t i;
+
+	for (i = 0; i < peers->nown_leaving; i++) {
+		if (strcmp(peers->own_leaving[i], server) == 0)
+			break;
 	}
-	peers->nown_leaving = n;
-	if (!changed)
+	if (leaving == (i < peers->nown_leaving))
+		return;
+	if (!leaving) {
+		peers->nown_leaving--;
+		memmove(peers->own_leaving[i], peers->own_leaving[i + 1],
+		    (peers->nown_leaving - i) * NAME_SIZE);
+	} else if (i < PEERS_LEAVING_MAX) {
+		strlcpy(peers->own_leaving[i], server, NAME_SIZE);
+		peers->nown_leaving++;
+	} else {
 		return;
+	}
 	peers->leaving_changes++;
 	peers_gossip_all(peers);
 }
@@ -465,7 +468,6 @@
 			peers_gossip_send(conn, now_us);
 	}
 	peers_leaving_tick(peers);
-	peers_leaving_poll(peers);
 	peers_config_tick(peers, now_us);
 }
 
--- a/adapters/peers_tcp.h
+++ b/adapters/peers_tcp.h
@@ -1,6 +1,7 @@
 #ifndef ADAPTERS_PEERS_TCP_H
 #define ADAPTERS_PEERS_TCP_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -46,6 +47,14 @@
 /** peers_tcp_leaving() - tell peers that this host is shutting down. */
 void peers_tcp_leaving(struct peers *peers);
 
+/**
+ * peers_tcp_server_leaving() - a source of this host (the server itself, the
+ * platform's list) says that a backend server is leaving, or no longer is.
+ * Peers are told at once.
+ */
+void peers_tcp_server_leaving(struct peers *peers, const char *server,
+    bool leaving);
+
 void peers_tcp_destroy(struct peers *peers);
 
 #endif /* ADAPTERS_PEERS_TCP_H */
--- a/tests/test_peers_tcp.c
+++ b/tests/test_peers_tcp.c
@@ -47,8 +47,7 @@
 	uint32_t owed;	   /* slots to be given back */
 	uint32_t returned; /* slots given back to it */
 	uint64_t lender;
-	size_t ngranted;      /* times asked to lend */
-	size_t knows_leaving; /* "s1", first hand */
+	size_t ngranted; /* times asked to lend */
 	uint64_t for_us;
 };
 
@@ -203,14 +202,6 @@
 	engine->returned += slots;
 }
 
-size_t
-engine_leaving_servers(struct engine *engine, const char **names, size_t size)
-{
-	cr_assert_gt(size, 0);
-	names[0] = "s1";
-	return engine->knows_leaving;
-}
-
 const struct config *
 config_sync_current(const struct config_sync *sync)
 {
@@ -761,9 +752,10 @@
 	node_start(&a, "a", "z1", 11, 0, 0);
 	node_start(&b, "b", "z1", 22, 0, a.port);
 	WAIT_FOR(a.engine.nshare == 2);
-	a.engine.knows_leaving = 1;
+	peers_tcp_server_leaving(a.peers, "s1", true);
 	WAIT_FOR(strcmp(b.engine.leaving, "s1") == 0);
-	a.engine.knows_leaving = 0;
+	peers_tcp_server_leaving(a.peers, "s1", true);
+	peers_tcp_server_leaving(a.peers, "s1", false);
 	WAIT_FOR(b.engine.leaving[0] == '\0');
 	cr_assert_eq(b.engine.nleaving, 2);
 	cr_assert_eq(a.engine.nleaving, 0, "not an echo of its own word");
