Lend slots by the task, and keep one

Cause: slots lent for a fixed time were still in use when the lender counted them as its own again, and an expired loan could stay counted against the lender, since clearing it did not compute the share anew.

--- a/core/pick.c
+++ b/core/pick.c
@@ -35,7 +35,7 @@
 	    (double)(PICK_BUCKET_OF_ONE - bucket) / PICK_BUCKETS_PER_DOUBLING);
 }
 
-static int
+int
 pick_full_cmp(const struct pick_member *a, const struct pick_member *b)
 {
 	if (a->next_us != b->next_us)
@@ -43,7 +43,7 @@
 	return a->index < b->index ? -1 : a->index > b->index;
 }
 
-RB_GENERATE_STATIC(pick_tree, pick_member, full_entry, pick_full_cmp)
+RB_GENERATE(pick_tree, pick_member, full_entry, pick_full_cmp)
 
 void
 pick_server_init(struct pick_server *server)
@@ -108,7 +108,7 @@
 	if (free) {
 		TAILQ_INSERT_TAIL(&tier->free[bucket], member, free_entry);
 		tier->nfree++;
-	} else if (limit != 0) {
+	} else if (member->slots != 0) {
 		member->full = true;
 		member->next_us = member->server->next_us;
 		RB_INSERT(pick_tree, &tier->full[bucket], member);
--- a/core/pick.h
+++ b/core/pick.h
@@ -51,10 +51,13 @@
 TAILQ_HEAD(pick_members, pick_member);
 RB_HEAD(pick_tree, pick_member);
 
+int pick_full_cmp(const struct pick_member *a, const struct pick_member *b);
+RB_PROTOTYPE(pick_tree, pick_member, full_entry, pick_full_cmp)
+
 /** struct pick_tier - usable members of one tier. */
 struct pick_tier {
 	struct pick_members free[PICK_BUCKETS];
-	struct pick_tree full[PICK_BUCKETS]; /* by next_us */
+	struct pick_tree full[PICK_BUCKETS]; /* usable others, by next_us */
 	uint32_t slots[PICK_BUCKETS];	     /* sum of limits */
 	uint32_t all_slots[PICK_BUCKETS];    /* sum of slots */
 	double capacity[PICK_BUCKETS];	     /* sum of limit * bucket's speed */
--- a/entry/engine.h
+++ b/entry/engine.h
@@ -103,7 +103,7 @@
 
 /**
  * struct engine_loan - task slots on a server. Entry hosts of one availability
- * zone lend each other slots of their shares.
+ * zone lend each other slots of their shares, each for one task.
  */
 struct engine_loan {
 	const char *server; /* borrowed */
@@ -112,7 +112,8 @@
 
 /**
  * engine_loan_wants() - servers that this host could use more slots of, as
- * tasks wait and its own are taken. Return: number of entries, at most @size.
+ * tasks wait and its own are taken; the fastest first, and no more slots than
+ * tasks are waiting. Return: number of entries, at most @size.
  */
 size_t engine_loan_wants(struct engine *engine, struct engine_loan *wants,
     size_t size);
@@ -120,9 +121,12 @@
 /**
  * engine_loan_give() - lend idle slots to another host.
  * @slots: at most so many.
- * @for_us: for so long, counted by the borrower from receipt.
+ * @for_us: time in which the borrower may start tasks on them, counted by it
+ *          from receipt, and at most ENGINE_LOAN_START_MS.
  *
- * Return: number lent, 0 if this host needs them itself.
+ * Each is lent for one task: this host leaves it alone for that time, and for
+ * as long again as tasks on this server usually take. Return: number lent, 0
+ * if this host needs them itself.
  */
 uint32_t engine_loan_give(struct engine *engine, const char *server,
     uint32_t slots, uint64_t for_us);
@@ -131,6 +135,8 @@
 void engine_loan_take(struct engine *engine, const char *server, uint32_t slots,
     uint64_t for_us);
 
+#define ENGINE_LOAN_START_MS 30
+
 /** engine_loads() - tasks running on each server of the own zone. */
 size_t engine_loads(struct engine *engine, struct engine_loan *loads,
     size_t size);
--- a/entry/engine_call.c
+++ b/entry/engine_call.c
@@ -20,6 +20,7 @@
 #define ENG_SHARE_SLACK_US 250000   /* of all servers, between jobs */
 #define ENG_HEDGE_FACTOR 2.5	    /* of the expected run time */
 #define ENG_HEDGE_MIN_US 20000
+#define ENG_RUN_WEIGHT 0.1    /* of one task in a server's mean run time */
 #define ENG_SPEED_WEIGHT 0.01 /* of one task in the mean of speeds */
 
 #define ENG_MESSAGES(k)                                     \
@@ -524,8 +525,11 @@
 		engine->log_speed += ENG_SPEED_WEIGHT *
 		    (server->speed.log_value - engine->log_speed);
 	}
-	if (reply->status == BACKEND_OK)
+	if (reply->status == BACKEND_OK) {
 		server->answered_us = now_us;
+		server->mean_run_us += ENG_RUN_WEIGHT *
+		    ((double)(now_us - call->started_us) - server->mean_run_us);
+	}
 	if (reply->status == BACKEND_REFUSED)
 		server->paused_until_us = now_us + ENG_REFUSED_PAUSE_US;
 	else if (reply->err.code != ERR_OVERLOAD)
--- a/entry/engine_internal.h
+++ b/entry/engine_internal.h
@@ -57,9 +57,10 @@
 	uint32_t others_running;
 	struct eng_loan lent[ENG_LOANS_MAX];
 	struct eng_loan borrowed[ENG_LOANS_MAX];
-	size_t nloans;		      /* of both kinds */
-	bool counted_ejected;	      /* in the engine's nejected */
-	uint64_t answered_us;	      /* last whole answer */
+	size_t nloans;	      /* of both kinds */
+	double mean_run_us;   /* of tasks that ended here, recent ones most */
+	bool counted_ejected; /* in the engine's nejected */
+	uint64_t answered_us; /* last whole answer */
 	TAILQ_HEAD(, eng_call) calls; /* in order of start */
 	RB_ENTRY(eng_server) entry;
 };
@@ -243,6 +244,7 @@
 
 /* engine_loan.c */
 uint32_t eng_loans_sum(const struct eng_loan *loans, uint64_t now_us);
-bool eng_loan_due(struct eng_server *server, uint64_t now_us);
+void eng_loans_expire(struct engine *engine, struct eng_server *server,
+    uint64_t now_us);
 
 #endif /* ENTRY_ENGINE_INTERNAL_H */
--- a/entry/engine_server.c
+++ b/entry/engine_server.c
@@ -292,7 +292,6 @@
 		}
 		if (hlth_probe_due(&server->health, now_us))
 			eng_server_refresh(engine, server);
-		if (eng_loan_due(server, now_us))
-			eng_server_share(engine, server, now_us);
+		eng_loans_expire(engine, server, now_us);
 	}
 }
