--- a/adapters/peers_internal.h
+++ b/adapters/peers_internal.h
@@ -81,7 +81,6 @@
 	uint64_t leaving_told; /* value of leaving_changes last sent */
 	uint32_t interval_ms;  /* the peer's heartbeat interval, 0 unknown */
 	size_t nserved;
-	uint64_t serial; /* never used again by this process */
 	bool loan_asked; /* the answer is still to come */
 	/* The peer's request while this host has nothing idle; owned. */
 	Berylrail__Frame *loan_request;
@@ -147,7 +146,6 @@
 	struct peers_served_list served;
 	struct peers_leaving_list leaving;
 	uint64_t next_correlation;
-	uint64_t next_serial; /* of connections */
 	uint64_t random;      /* state of the jitter's generator */
 	bool is_leaving;
 	uint64_t config_heard;	      /* highest version told by any peer */
--- a/adapters/peers_loan.c
+++ b/adapters/peers_loan.c
@@ -119,9 +119,11 @@
 	if (n == 0)
 		return;
 	TAILQ_FOREACH (conn, &peers->conns, entry) {
+		if (!conn->hello || conn->redundant)
+			continue;
 		slots.n = 0;
 		for (i = 0; i < n; i++) {
-			if (owed[i].lender == conn->serial)
+			if (owed[i].lender == conn->incarnation)
 				peers_slots_add(&slots, owed[i].server,
 				    owed[i].slots);
 		}
@@ -228,7 +230,7 @@
 {
 	struct peers_tcp *peers = conn->peers;
 	struct peers_slots unused = { .n = 0 };
-	struct engine_loan taken = { .az = conn->az, .lender = conn->serial };
+	struct engine_loan taken = { .az = conn->az, .lender = conn->incarnation };
 	uint32_t ms = loan->start_for_ms;
 	size_t i;
 
--- a/entry/engine_call.c
+++ b/entry/engine_call.c
@@ -524,8 +524,9 @@
 		engine->log_speed += ENG_SPEED_WEIGHT *
 		    (server->speed.log_value - engine->log_speed);
 	}
-	if (reply->status == BACKEND_OK)
+	if (reply->status == BACKEND_OK) {
 		server->answered_us = now_us;
+	}
 	if (reply->status == BACKEND_REFUSED)
 		server->paused_until_us = now_us + ENG_REFUSED_PAUSE_US;
 	else if (reply->err.code != ERR_OVERLOAD)
--- a/entry/engine_loan.c
+++ b/entry/engine_loan.c
@@ -14,6 +14,7 @@
 #include "entry/engine_internal.h"
 
 #define ENG_LOAN_SERVERS_MAX 512    /* looked at for one list of wants */
+#define ENG_LOAN_SLOTS_PER_TASK 2   /* fewer: tasks wait too long */
 #define ENG_OVERFLOW_WAIT_US 500000 /* expected wait that allows overflow */
 
 uint32_t
@@ -154,6 +155,20 @@
 	return n;
 }
 
+/* Do so many tasks wait that loans are worth their messages? */
+static bool
+eng_pool_is_short(const struct engine *engine, const struct eng_pool *pool)
+{
+	uint32_t slots = 0;
+	int bucket;
+
+	if (pool->order.nitems == 0)
+		return false;
+	for (bucket = 0; bucket < PICK_BUCKETS; bucket++)
+		slots += pool->pick.tiers[0].slots[bucket];
+	return engine->nwaiting * ENG_LOAN_SLOTS_PER_TASK > slots;
+}
+
 size_t
 engine_loan_wants(struct engine *engine, struct engine_loan *wants, size_t size)
 {
@@ -165,7 +180,7 @@
 	if (left == 0)
 		return 0;
 	TAILQ_FOREACH (pool, &engine->pools, entry) {
-		if (pool->order.nitems == 0)
+		if (!eng_pool_is_short(engine, pool))
 			continue;
 		nservers = eng_loan_candidates(engine, pool, servers);
 		for (i = 0; i < nservers && n < size && left != 0; i++) {
@@ -194,12 +209,14 @@
 
 	/* Slots that are borrowed themselves are not lent. */
 	if (server == NULL || server->tier != 0 || !server->pick.usable ||
-	    engine->nwaiting != 0 || eng_loans_borrowed(server) != 0)
+	    engine->nwaiting != 0 || server->paused_until_us != 0 ||
+	    eng_loans_borrowed(server) != 0)
 		return 0;
 	eng_loan_due(engine, server, now_us);
-	idle = server->own_limit > server->pick.running
-	    ? server->own_limit - server->pick.running
-	    : 0;
+	/* One stays for what may arrive here meanwhile. */
+	idle = 0;
+	if (server->own_limit > server->pick.running + 1)
+		idle = server->own_limit - server->pick.running - 1;
 	if (slots > idle)
 		slots = idle;
 	loan = eng_loan_unused(server->lent);
