--- a/adapters/peers_internal.h
+++ b/adapters/peers_internal.h
@@ -36,7 +36,7 @@
 #define PEERS_LEAVING_MAX 64	    /* servers in one heartbeat */
 #define PEERS_INTERVAL_MAX_MS 60000 /* of a peer's heartbeats */
 #define PEERS_LOAN_TICK_MS 20
-#define PEERS_LOAN_START_MS 200	   /* tasks may be started on a loan */
+#define PEERS_LOAN_START_MS 30	   /* tasks may be started on a loan */
 #define PEERS_LOAN_HELD_MS 30000   /* never returned: the lender has it again */
 #define PEERS_LOAN_PENDING_MS 1000 /* a request waits for idle slots */
 #define PEERS_LOAN_SERVERS_MAX 32  /* in one request */
@@ -146,7 +146,7 @@
 	struct peers_served_list served;
 	struct peers_leaving_list leaving;
 	uint64_t next_correlation;
-	uint64_t random;      /* state of the jitter's generator */
+	uint64_t random; /* state of the jitter's generator */
 	bool is_leaving;
 	uint64_t config_heard;	      /* highest version told by any peer */
 	uint64_t config_heard_us;     /* when it became higher than ours */
--- a/entry/engine_loan.c
+++ b/entry/engine_loan.c
@@ -151,6 +151,7 @@
 		    (server->tier == 0 || overflows))
 			servers[n++] = server;
 	}
+	/* NOLINTNEXTLINE(bugprone-sizeof-expression) */
 	qsort(servers, n, sizeof(servers[0]), eng_loan_faster);
 	return n;
 }
