--- a/tools/bench/report.c
+++ b/tools/bench/report.c
@@ -16,7 +16,8 @@
 
 /* One case under one policy. */
 struct brp_row {
-	struct brp_spread mean, p50, p90, p99, goodput, wasted, client;
+	struct brp_spread mean, p50, p90, p99, goodput, throughput, wasted,
+	    client;
 	int ends[BENCH_NENDS];
 	int jobs, settled_jobs, settled_failed, duplicates, broken;
 };
@@ -62,6 +63,8 @@
 	brp_add(&row->client, brp_number(run, "wasted", "client_per_job"));
 	brp_add(&row->goodput,
 	    json_number_value(json_object_get(run, "goodput")));
+	brp_add(&row->throughput,
+	    json_number_value(json_object_get(run, "throughput")));
 	for (i = 0; i < sizeof(brp_ends) / sizeof(brp_ends[0]); i++) {
 		row->ends[i] += (int)brp_number(run, "ends", brp_ends[i]);
 		row->settled_jobs +=
@@ -89,12 +92,13 @@
 	if (row != naive && naive->mean.n > 0 && excess > 0)
 		(void)fprintf(out, "%.2f", (brp_mean(&row->mean) - 1) / excess);
 	(void)fprintf(out,
-	    " | %.3f (%.3f–%.3f) | %.3f | %.2f | %d | %d | %d | %d | %d | %d "
+	    " | %.3f (%.3f–%.3f) | %.3f | %.2f | %.2f | %d | %d | %d | %d | %d "
+	    "| %d "
 	    "| %.2f %% |",
 	    brp_mean(&row->wasted), row->wasted.min, row->wasted.max,
-	    brp_mean(&row->client), brp_mean(&row->goodput), row->jobs,
-	    row->ends[1], row->ends[2], row->ends[3], row->ends[4],
-	    row->ends[5],
+	    brp_mean(&row->client), brp_mean(&row->goodput),
+	    brp_mean(&row->throughput), row->jobs, row->ends[1], row->ends[2],
+	    row->ends[3], row->ends[4], row->ends[5],
 	    row->settled_jobs > 0
 		? 100.0 * row->settled_failed / row->settled_jobs
 		: 0);
@@ -131,10 +135,11 @@
 	(void)fprintf(out,
 	    "| case | policy | ratio: mean (spread) | p50 | p90 | p99 | excess "
 	    "to naive | wasted a job (spread) | of these client's link | "
-	    "goodput | jobs | not run | task failed | unknown | lost | "
+	    "goodput | throughput | jobs | not run | task failed | unknown | "
+	    "lost | "
 	    "cancelled | failed after settling |\n"
 	    "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|"
-	    "---|\n");
+	    "---|---|\n");
 	for (i = 0; i < bench_ncases; i++) {
 		brp_collect(&naive, runs, bench_cases[i].name, "naive");
 		copy = strdup(options->policies);
--- a/tools/bench/run.c
+++ b/tools/bench/run.c
@@ -213,6 +213,25 @@
 	    (length_s - BRN_GOODPUT_FROM_S);
 }
 
+/* Whole answers' work from the first arrival to the last answer, as a share of
+ * what all servers can do in that time. */
+static double
+brn_throughput(const struct bench_cluster *cluster,
+    const struct bench_load *load, const struct bench_result *results)
+{
+	double work_ms = 0, last_us = 1;
+	int i;
+
+	for (i = 0; i < load->njobs; i++) {
+		if (results[i].end != BENCH_COMPLETE)
+			continue;
+		work_ms += load->jobs[i].work_ms;
+		if ((double)results[i].end_us > last_us)
+			last_us = (double)results[i].end_us;
+	}
+	return work_ms / bwl_capacity_ms(cluster) / (last_us / 1e6);
+}
+
 /* For each second of arrivals: mean ratio of whole answers, other ends. */
 static json_t *
 brn_curve(const struct bench_load *load, const struct bench_result *results)
@@ -304,6 +323,8 @@
 	json_object_set_new(record, "goodput",
 	    json_real(brn_goodput(cluster, load, results,
 		brn_length_s(bcase) * scale)));
+	json_object_set_new(record, "throughput",
+	    json_real(brn_throughput(cluster, load, results)));
 	json_object_set_new(record, "wasted",
 	    brn_wasted(cluster->counters, bct_counts(client), complete));
 	json_object_set(record, "errors", bct_errors(client));
