Test the chain under random faults with every id sent twice

Ninety requests for 45 ids at three hosts, with lost replies, lost requests, refusals, an outage and stale replicas, seed 14: each id stands once in the history if any reply said 200, and not at all if all said that nothing was written.

--- a/tests/test_config_sync.c
+++ b/tests/test_config_sync.c
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 #include <event2/event.h>
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -467,3 +468,93 @@
 	send_request(&hosts[0], API_GET, "/v1/config", "", "", &box);
 	cr_assert_neq(strstr(box.body, "\"teams\":{\"t1\""), NULL);
 }
+
+#define RANDOM_CHANGES 90
+
+static json_t *
+whole_history(struct host *host)
+{
+	static struct answer_box box;
+	json_t *all = json_array(), *part;
+	char query[64];
+	size_t n;
+
+	do {
+		n = json_array_size(all);
+		snprintf(query, sizeof(query), "after=%zu&limit=20", n);
+		send_request(host, API_GET, "/v1/config/history", query, "",
+		    &box);
+		wait_reply(&box);
+		part = json_loads(box.body, 0, NULL);
+		json_array_extend(all, json_object_get(part, "changes"));
+		json_decref(part);
+	} while (json_array_size(all) > n);
+	return all;
+}
+
+/* How often a change stands in the history. */
+static int
+count_change(const json_t *history, const char *id)
+{
+	json_t *change;
+	int n = 0;
+	size_t i;
+
+	json_array_foreach (history, i, change)
+		n += strcmp(id,
+			 json_string_value(json_object_get(change, "id"))) == 0;
+	return n;
+}
+
+Test(config_sync, random_faults_leave_each_change_once_or_not_at_all)
+{
+	static struct answer_box boxes[RANDOM_CHANGES];
+	unsigned seed = 14, i;
+	struct host *host;
+	json_t *history;
+	char body[256], id[16];
+	int n;
+
+	wait_version(&hosts[0], 0);
+	wait_version(&hosts[1], 0);
+	wait_version(&hosts[2], 0);
+	for (i = 0; i < RANDOM_CHANGES; i++) {
+		host = &hosts[rand_r(&seed) % HOSTS];
+		host->table.lose_replies += rand_r(&seed) % 4 == 0;
+		host->table.lose_requests += rand_r(&seed) % 4 == 0;
+		host->table.refuse_writes += rand_r(&seed) % 4 == 0;
+		host->table.down = rand_r(&seed) % 24 == 0;
+		snprintf(host->table.stale_sk, TABLE_KEY_SIZE,
+		    rand_r(&seed) % 4 == 0 ? "v/%020u" : "", i / 2);
+		/* Each id is sent twice, to hosts that may differ. */
+		snprintf(body, sizeof(body),
+		    "{\"id\":\"c%u\",%s\"ops\":[{\"op\":\"put\",\"kind\":"
+		    "\"team\",\"name\":\"t%u\"}]}",
+		    i / 2, i / 2 % 3 == 0 ? "\"base\":3," : "", i / 2);
+		send_request(host, API_POST, "/v1/config/changes", "", body,
+		    &boxes[i]);
+		if (rand_r(&seed) % 3 == 0)
+			wait_reply(&boxes[i]);
+	}
+	for (i = 0; i < RANDOM_CHANGES; i++)
+		wait_reply(&boxes[i]);
+	for (i = 0; i < HOSTS; i++) {
+		hosts[i].table.down = false;
+		hosts[i].table.stale_sk[0] = '\0';
+	}
+	history = whole_history(&hosts[0]);
+	for (i = 0; i < HOSTS; i++)
+		wait_version(&hosts[i], json_array_size(history));
+	for (i = 0; i < RANDOM_CHANGES; i++) {
+		snprintf(id, sizeof(id), "c%u", i / 2);
+		n = count_change(history, id);
+		cr_assert_leq(n, 1, "%s is there %d times", id, n);
+		if (boxes[i].status == 200)
+			cr_assert_eq(n, 1, "%s is lost", id);
+		else if (boxes[i ^ 1U].status != 200 &&
+		    boxes[i].status != 504 && boxes[i ^ 1U].status != 504)
+			cr_assert_eq(n, 0, "%s: %d", id, boxes[i].status);
+	}
+	cr_assert_gt(json_array_size(history), RANDOM_CHANGES / 8);
+	json_decref(history);
+}
