Let the label leaving of an entry host end its readiness

drain host NAME set a label that nothing read. /readyz now fails while this host's own object carries it, so that the balancer leaves the host out; work that still arrives is served, and taking the label away takes it back. The client passes on a known outcome at once, and asks other hosts only about an unknown one.

--- a/client/cli_http.c
+++ b/client/cli_http.c
@@ -65,10 +65,20 @@
 	free(text);
 }
 
-/* Another entry host may do better than one that is not able now. */
+/*
+ * Another entry host may do better than one that is not able now, or does not
+ * know the outcome; but one that is known holds wherever the ticket is sent.
+ */
 static bool
 cli_is_final(const struct cli_reply *reply)
 {
+	const char *name;
+	enum outcome outcome;
+
+	name = json_string_value(json_object_get(reply->body, "outcome"));
+	if (name != NULL && outcome_from_name(name, &outcome) == 0 &&
+	    outcome != OUTCOME_UNKNOWN)
+		return true;
 	return reply->status != 0 && reply->status != 502 &&
 	    reply->status != 503 && reply->status != 504;
 }
--- a/entry/api_health.c
+++ b/entry/api_health.c
@@ -86,6 +86,8 @@
 		api_reply_text(call, 503, "leaving\n");
 	else if (!config_sync_ready(api->params.config_sync))
 		api_reply_text(call, 503, "no configuration yet\n");
+	else if (config_sync_host_leaving(api->params.config_sync))
+		api_reply_text(call, 503, "leaving by label\n");
 	else
 		api_reply_text(call, 200, "ready\n");
 }
--- a/entry/config_sync.c
+++ b/entry/config_sync.c
@@ -283,6 +283,15 @@
 	return sync->ready;
 }
 
+bool
+config_sync_host_leaving(const struct config_sync *sync)
+{
+	const struct cfg_object *host;
+
+	host = cfg_find(sync->config, CFG_HOST, sync->params.host);
+	return host != NULL && lbl_get(&host->labels, "leaving") != NULL;
+}
+
 void
 config_sync_heard(struct config_sync *sync, uint64_t version)
 {
--- a/entry/config_sync.h
+++ b/entry/config_sync.h
@@ -53,6 +53,9 @@
 /** config_sync_ready() - has any configuration been read since the start? */
 bool config_sync_ready(const struct config_sync *sync);
 
+/** config_sync_host_leaving() - has this host the label "leaving"? */
+bool config_sync_host_leaving(const struct config_sync *sync);
+
 /** config_sync_heard() - a peer says that @version exists: fetch it. */
 void config_sync_heard(struct config_sync *sync, uint64_t version);
 
--- a/tests/support/fake_engine.c
+++ b/tests/support/fake_engine.c
@@ -96,6 +96,13 @@
 	return fake_engine.config_ready;
 }
 
+bool
+config_sync_host_leaving(const struct config_sync *sync)
+{
+	(void)sync;
+	return fake_engine.host_leaving;
+}
+
 void
 config_sync_handle(struct config_sync *sync, const struct api_request *request,
     api_reply_fn reply, void *arg)
--- a/tests/support/fake_engine.h
+++ b/tests/support/fake_engine.h
@@ -20,6 +20,7 @@
 	void *args[FAKE_ENGINE_MAX];
 	enum err_code refuse; /* of the next submissions, or ERR_OK */
 	size_t ncancelled;
+	bool host_leaving;
 	bool config_ready;
 };
 
--- a/tests/test_api.c
+++ b/tests/test_api.c
@@ -224,6 +224,10 @@
 
 	rig_send(0, API_GET, "/readyz", NULL, NULL, NULL, &reply);
 	cr_assert_eq(reply.status, 200);
+	fake_engine.host_leaving = true;
+	rig_send(0, API_GET, "/readyz", NULL, NULL, NULL, &reply);
+	cr_assert_eq(reply.status, 503);
+	fake_engine.host_leaving = false;
 	fake_engine.config_ready = false;
 	rig_send(0, API_GET, "/readyz", NULL, NULL, NULL, &reply);
 	cr_assert_eq(reply.status, 503);
--- a/tests/test_config_sync.c
+++ b/tests/test_config_sync.c
@@ -478,6 +478,32 @@
 	cr_assert_neq(strstr(box.body, "\"teams\":{\"t1\""), NULL);
 }
 
+Test(config_sync, a_host_learns_that_it_is_leaving_and_that_it_is_not)
+{
+	static const char *const changes[] = {
+		"{\"id\":\"c1\",\"ops\":[{\"op\":\"put\",\"kind\":\"host\","
+		"\"name\":\"h1\",\"spec\":{\"az\":\"a\",\"address\":\"::1\","
+		"\"peer_port\":1}}]}",
+		"{\"id\":\"c2\",\"ops\":[{\"op\":\"label\",\"kind\":\"host\","
+		"\"name\":\"h1\",\"set\":{\"leaving\":\"\"}}]}",
+		"{\"id\":\"c3\",\"ops\":[{\"op\":\"label\",\"kind\":\"host\","
+		"\"name\":\"h1\",\"unset\":[\"leaving\"]}]}",
+	};
+	struct answer_box box;
+	uint64_t i;
+
+	wait_version(&hosts[0], 0);
+	for (i = 0; i < 3; i++) {
+		send_request(&hosts[0], API_POST, "/v1/config/changes", "",
+		    changes[i], &box);
+		wait_reply(&box);
+		cr_assert_eq(box.status, 200, "%s", box.body);
+		wait_version(&hosts[1], i + 1);
+		cr_assert_eq(config_sync_host_leaving(hosts[1].sync), i == 1);
+		cr_assert(!config_sync_host_leaving(hosts[0].sync));
+	}
+}
+
 #define RANDOM_CHANGES 90
 
 static json_t *
