--- a/entry/config_change_post.c
+++ b/entry/config_change_post.c
@@ -15,14 +15,15 @@
 static uint64_t
 config_change_digest(const struct cfgop_change *asked)
 {
-	uint64_t hash = 0xcbf29ce484222325ULL;
-	char *text, *p;
+	uint64_t digest;
+	char *text;
 
 	text = json_dumps(asked->ops, JSON_COMPACT | JSON_SORT_KEYS);
-	for (p = text; p != NULL && *p != '\0'; p++)
-		hash = (hash ^ (unsigned char)*p) * 0x100000001b3ULL;
+	if (text == NULL)
+		return 0;
+	digest = config_sync_checksum(text, strlen(text));
 	free(text);
-	return hash;
+	return digest;
 }
 
 /* Who asks, as text that JSON can hold. */
--- a/entry/config_bootstrap.c
+++ b/entry/config_snap.c
@@ -21,18 +21,6 @@
 	.help = "Snapshots in the object store that were damaged",
 };
 
-/* FNV-1a: notices damage by accident, which is all that is asked of it. */
-static uint64_t
-config_snap_checksum(const char *text, size_t len)
-{
-	uint64_t hash = 0xcbf29ce484222325ULL;
-	size_t i;
-
-	for (i = 0; i < len; i++)
-		hash = (hash ^ (unsigned char)text[i]) * 0x100000001b3ULL;
-	return hash;
-}
-
 /* The configuration of a stored snapshot, or NULL if it is damaged. */
 static struct config *
 config_snap_parse(const char *data, size_t len)
@@ -54,7 +42,7 @@
 	if (sscanf(line, CONFIG_SNAP_MAGIC " %" SCNx64 " %zu", &checksum,
 		&text_len) != 2 ||
 	    text_len != len - (size_t)(text - data) ||
-	    config_snap_checksum(text, text_len) != checksum)
+	    config_sync_checksum(text, text_len) != checksum)
 		return NULL;
 	json = cfgj_load(text, text_len, &err);
 	if (json == NULL)
@@ -132,7 +120,7 @@
 	if (text == NULL)
 		return;
 	n = asprintf(&data, "%s %016" PRIx64 " %zu\n%s", CONFIG_SNAP_MAGIC,
-	    config_snap_checksum(text, len), len, text);
+	    config_sync_checksum(text, len), len, text);
 	free(text);
 	if (n < 0)
 		return;
--- a/entry/config_sync.c
+++ b/entry/config_sync.c
@@ -70,6 +70,18 @@
 	return min + (uint32_t)(x % ((uint64_t)max - min + 1));
 }
 
+/* FNV-1a. */
+uint64_t
+config_sync_checksum(const char *text, size_t len)
+{
+	uint64_t hash = 0xcbf29ce484222325ULL;
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		hash = (hash ^ (unsigned char)text[i]) * 0x100000001b3ULL;
+	return hash;
+}
+
 void
 config_sync_timer(struct event *timer, uint32_t ms)
 {
--- a/entry/config_sync_internal.h
+++ b/entry/config_sync_internal.h
@@ -56,6 +56,12 @@
 uint32_t config_sync_random_ms(struct config_sync *sync, uint32_t min,
     uint32_t max);
 
+/**
+ * config_sync_checksum() - notices damage by accident, and an id that is used
+ * for another change by mistake; no more is asked of it.
+ */
+uint64_t config_sync_checksum(const char *text, size_t len);
+
 /** config_sync_timer() - arm a timer. */
 void config_sync_timer(struct event *timer, uint32_t ms);
 
