Admit by the rate at which a job is really served

Cause: under overload the wait was estimated from the servers' whole capacity, though jobs with less work left come first and leave little for the others; large jobs were admitted, started and cut off by their deadline. And every other start went to the oldest submission, which mostly missed its deadline. Now the order keeps the rate at which a waiting job's work is started, and one start in eight goes by age.

--- a/core/order.c
+++ b/core/order.c
@@ -6,11 +6,14 @@
  * clock, so that it can't claim the past. ord_fifo is the naive version.
  */
 
+#include <math.h>
 #include <stddef.h>
 
 #include "core/order.h"
 
 #define ORD_FLOWS_SCANNED 32
+#define ORD_RATE_WINDOW_US 1000000
+#define ORD_AGED_TURN 8		 /* one start in so many goes by age */
 #define ORD_AGE_BOUND_US 2000000 /* from then on the oldest has its turns */
 
 static int
@@ -40,6 +43,16 @@
 	TAILQ_INIT(&order->fifo);
 }
 
+static void
+ord_begin_backlog(struct ord_flow *flow, uint64_t now_us)
+{
+	if (now_us < flow->served_at_us)
+		now_us = flow->served_at_us;
+	flow->backlog_at_us = now_us;
+	flow->served_at_us = now_us;
+	flow->served_us = 0;
+}
+
 void
 ord_add(struct order *order, struct ord_item *item)
 {
@@ -53,7 +66,10 @@
 	}
 	item->queued = true;
 	order->nitems++;
-	order->nflows += flow->nitems++ == 0;
+	if (flow->nitems++ == 0) {
+		order->nflows++;
+		ord_begin_backlog(flow, item->arrived_us);
+	}
 	order->work_us += item->work_us;
 	flow->work_us += item->work_us;
 	order->ops->add(order, item);
@@ -89,13 +105,39 @@
 	return order->ops->last(order);
 }
 
+static double
+ord_decay(uint64_t from_us, uint64_t to_us)
+{
+	if (to_us <= from_us)
+		return 1.0;
+	return exp(-(double)(to_us - from_us) / ORD_RATE_WINDOW_US);
+}
+
+double
+ord_flow_rate(const struct ord_flow *flow, uint64_t now_us)
+{
+	if (flow->nitems == 0 ||
+	    now_us < flow->backlog_at_us + ORD_RATE_WINDOW_US / 2)
+		return 0;
+	return flow->served_us * ord_decay(flow->served_at_us, now_us) /
+	    (ORD_RATE_WINDOW_US *
+		(1.0 - ord_decay(flow->backlog_at_us, now_us)));
+}
+
 void
-ord_started(struct order *order, struct ord_item *item, double work_us)
+ord_started(struct order *order, struct ord_item *item, double work_us,
+    uint64_t now_us)
 {
+	struct ord_flow *flow = item->flow;
+
+	flow->served_us *= ord_decay(flow->served_at_us, now_us);
+	flow->served_us += work_us;
+	if (now_us > flow->served_at_us)
+		flow->served_at_us = now_us;
 	if (work_us > item->work_us)
 		work_us = item->work_us;
 	order->work_us -= work_us;
-	item->flow->work_us -= work_us;
+	flow->work_us -= work_us;
 	order->ops->started(order, item, work_us);
 }
 
@@ -246,15 +288,15 @@
 		ord_flow_deactivate(order, flow);
 }
 
-/* Every other start goes to the flow with the least work so far, and there to
- * the oldest, if that has waited for long. */
+/* One start in ORD_AGED_TURN goes to the flow with the least work so far, and
+ * there to the oldest, if that has waited for long. */
 static struct ord_item *
 ord_fair_aged(struct order *order, uint64_t now_us)
 {
 	struct ord_flow *flow = RB_MIN(ord_flows, &order->flows);
 	struct ord_item *oldest;
 
-	if (flow == NULL || order->nstarts % 2 != 0)
+	if (flow == NULL || order->nstarts % ORD_AGED_TURN != 0)
 		return NULL;
 	oldest = TAILQ_FIRST(&flow->arrivals);
 	return now_us > oldest->arrived_us + ORD_AGE_BOUND_US ? oldest : NULL;
--- a/core/order.h
+++ b/core/order.h
@@ -36,6 +36,9 @@
 struct ord_flow {
 	double work_us; /* expected work of its waiting tasks */
 	uint64_t nitems;
+	double served_us;	/* work started in this backlog, decaying */
+	uint64_t served_at_us;	/* when that was last computed */
+	uint64_t backlog_at_us; /* since when there are items */
 	double tag; /* work started so far, on the order's virtual clock */
 	uint64_t seq;
 	bool blocked; /* has used up its quota */
@@ -82,7 +85,7 @@
 
 /**
  * ord_fair - flows share the servers by expected work; within a flow the
- * submission with the least work left comes first, but every other start goes
+ * submission with the least work left comes first, but one start in eight goes
  * to the oldest one if that has waited for long.
  */
 extern const struct ord_ops ord_fair;
@@ -107,7 +110,14 @@
 struct ord_item *ord_last(struct order *order);
 
 /** ord_started() - a task of a queued item was started; it stays queued. */
-void ord_started(struct order *order, struct ord_item *item, double work_us);
+void ord_started(struct order *order, struct ord_item *item, double work_us,
+    uint64_t now_us);
+
+/**
+ * ord_flow_rate() - work of a flow that is started in a unit of time, as seen
+ * while it has had items; 0 if it has not had any for long enough.
+ */
+double ord_flow_rate(const struct ord_flow *flow, uint64_t now_us);
 
 /** ord_more() - a queued or new item has one more task waiting. */
 void ord_more(struct order *order, struct ord_item *item, double work_us);
--- a/entry/engine.c
+++ b/entry/engine.c
@@ -182,6 +182,31 @@
 	return subm->timeout_us;
 }
 
+/*
+ * How long a submission of @work_us will wait, up to its last task. Within its
+ * job the least work comes first, so only a part of what waits there is ahead
+ * of a small one. How fast that is worked off is known if tasks have been
+ * waiting for a while; else the job is expected to get its share of the
+ * servers.
+ */
+static double
+eng_wait_us(const struct engine *engine, const struct eng_job *job,
+    double work_us, double capacity)
+{
+	const struct ord_flow *flow = &job->flow;
+	const struct order *order = &job->pool->order;
+	double ahead_us = flow->work_us, rate;
+
+	if (flow->nitems == 0 || flow->work_us <= 0)
+		return 0;
+	ahead_us *= fmin(1.0, work_us * (double)flow->nitems / flow->work_us);
+	rate = ord_flow_rate(flow, clock_now_us(engine->clock));
+	if (rate > 0)
+		return (ahead_us + work_us) / rate;
+	return fmin(order->work_us, ahead_us * (double)order->nflows) /
+	    capacity;
+}
+
 /* Estimates lean to the hopeful side by as much as is not known yet. */
 static void
 eng_estimate(const struct engine *engine, const struct submission *subm,
@@ -205,9 +230,7 @@
 	input->longest_us = longest_us / best;
 	input->run_us = fmax(input->longest_us, total_us / capacity);
 	input->wait_us =
-	    fmin(pool->order.work_us,
-		job->flow.work_us * (double)(pool->order.nflows + 1)) *
-	    hope / capacity;
+	    eng_wait_us(engine, job, total_us / hope, capacity) * hope;
 }
 
 static int
--- a/tests/naive/naive_order.c
+++ b/tests/naive/naive_order.c
@@ -6,6 +6,7 @@
 
 #include "naive/naive_order.h"
 
+#define AGED_TURN 8
 #define AGE_BOUND_US 2000000
 
 static bool
@@ -54,7 +55,7 @@
 		    (item->work_us == best->work_us && item->seq < best->seq))
 			best = item;
 	}
-	if (oldest != NULL && order->nstarts % 2 == 0 &&
+	if (oldest != NULL && order->nstarts % AGED_TURN == 0 &&
 	    now_us > oldest->arrived_us + AGE_BOUND_US)
 		return oldest;
 	return best;
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -52,7 +52,7 @@
 
 	if (item == NULL)
 		return NULL;
-	ord_started(&b->order, item, work_us);
+	ord_started(&b->order, item, work_us, b->now_us);
 	if (item->work_us < 1)
 		ord_remove(&b->order, item);
 	return item;
@@ -159,6 +159,23 @@
 	cr_assert_geq(served, 400, "%d of 1000 starts", served);
 }
 
+Test(order, rate_of_a_flow_is_known_once_it_has_waited)
+{
+	struct bench b;
+	int i;
+
+	bench_init(&b, &ord_fair);
+	add(&b, &b.items[0], 0, 1e9);
+	cr_assert_eq(ord_flow_rate(&b.flows[0], b.now_us), 0);
+	for (i = 0; i < 3000; i++) {
+		b.now_us += 1000;
+		start(&b, 2500);
+		if (i > 1000)
+			cr_assert_float_eq(ord_flow_rate(&b.flows[0], b.now_us),
+			    2.5, 0.1);
+	}
+}
+
 Test(order, old_submission_of_a_flooding_job_does_not_starve)
 {
 	struct ord_item *item;
