Let a stand-in server without Content-Length not say that it is leaving

Cause: the stand-in's "nolength" answers carried Connection: close, which is a server's word that it is leaving; since hosts pass that on, after a few such answers all six servers had left for every host, and queued tasks waited for their deadline. Ruled out: the drain itself (its log shows one running submission, that ended at its deadline). The stand-in now just ends the connection.

--- a/tests/standins/backend/server.c
+++ b/tests/standins/backend/server.c
@@ -146,8 +146,7 @@
 srv_answer_head(struct evbuffer *out, const struct task *task)
 {
 	if (srv_does(task, "nolength")) {
-		evbuffer_add_printf(out,
-		    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+		evbuffer_add_printf(out, "HTTP/1.1 200 OK\r\n\r\n");
 		return;
 	}
 	evbuffer_add_printf(out,
