Let epoll collect its changes within a pass of the loop

Cause: perf put 12 to 16% of a saturated host's time into epoll_ctl(2); libevent adds and removes the interest in writing around each write. Ruled out: the API's own code, at 1 to 2% of the samples, and JSON.

Change: the event base is made with EPOLL_USE_CHANGELIST. It must not meet descriptors made by dup(2), of which there are none.

--- a/entry/daemon.c
+++ b/entry/daemon.c
@@ -330,6 +330,26 @@
 	return 0;
 }
 
+/*
+ * epoll's change list: writes that end within one pass of the loop cost no
+ * epoll_ctl(2). It must not meet descriptors made by dup(2); there are none.
+ */
+static struct event_base *
+dmn_create_base(void)
+{
+	struct event_base *base = NULL;
+	struct event_config *config;
+
+	config = event_config_new();
+	if (config == NULL)
+		return NULL;
+	if (event_config_set_flag(config,
+		EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST) == 0)
+		base = event_base_new_with_config(config);
+	event_config_free(config);
+	return base;
+}
+
 static int
 dmn_create(struct daemon *dmn, struct err *err)
 {
@@ -337,7 +357,7 @@
 
 	dmn->clock = clock_real();
 	dmn->crypto = crypto_sodium();
-	dmn->base = event_base_new();
+	dmn->base = dmn_create_base();
 	if (dmn->crypto == NULL || dmn->base == NULL)
 		return err_set(err, ERR_STEP_SETTINGS, ERR_NO_MEMORY, NULL,
 		    "event base or random source");
