--- /dev/null
+++ b/tests/test_digest.c
@@ -0,0 +1,49 @@
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "adapters/crypto_sodium.h"
+#include "core/digest.h"
+
+static const char *
+digest(const struct task_result *results, size_t n)
+{
+	static char hex[2][DIGEST_HEX_SIZE];
+	static int turn;
+
+	turn = !turn;
+	cr_assert_eq(dig_results(crypto_sodium(), results, n, hex[turn]), 0);
+	return hex[turn];
+}
+
+Test(digest, every_part_of_a_result_counts)
+{
+	static char ab[] = "ab", bc[] = "bc", c[] = "c";
+	struct task_result r[2] = {
+		{ .state = TASK_DONE, .http_status = 200, .body = ab,
+		    .body_len = 2 },
+		{ .state = TASK_DONE, .http_status = 200, .body = c,
+		    .body_len = 1 },
+	};
+	struct task_result other[2];
+	char whole[DIGEST_HEX_SIZE];
+
+	strcpy(whole, digest(r, 2));
+	cr_assert_str_eq(digest(r, 2), whole);
+	cr_assert_str_neq(digest(r, 1), whole, "a missing result");
+	memcpy(other, r, sizeof(r));
+	other[0] = r[1];
+	other[1] = r[0];
+	cr_assert_str_neq(digest(other, 2), whole, "another order");
+	memcpy(other, r, sizeof(r));
+	other[1].http_status = 201;
+	cr_assert_str_neq(digest(other, 2), whole, "another status");
+	memcpy(other, r, sizeof(r));
+	other[1].state = TASK_FAILED;
+	cr_assert_str_neq(digest(other, 2), whole, "another state");
+	/* The same bytes in a row, cut elsewhere. */
+	other[0].body_len = 1;
+	other[1] = r[1];
+	other[1].body = bc;
+	other[1].body_len = 2;
+	cr_assert_str_neq(digest(other, 2), whole, "other bounds");
+}
