--- a/entry/engine_call.c
+++ b/entry/engine_call.c
@@ -230,7 +230,8 @@
 	subm->npending--;
 	memmove(&subm->pending[place], &subm->pending[place + 1],
 	    (subm->npending - place) * sizeof(subm->pending[0]));
-	ord_started(order, &subm->item, eng_task_work_us(subm->job, task));
+	ord_started(order, &subm->item, eng_task_work_us(subm->job, task),
+	    clock_now_us(engine->clock));
 	if (subm->npending == 0)
 		ord_remove(order, &subm->item);
 	subm->waiting_bytes -= task->body_len;
@@ -524,9 +525,8 @@
 		engine->log_speed += ENG_SPEED_WEIGHT *
 		    (server->speed.log_value - engine->log_speed);
 	}
-	if (reply->status == BACKEND_OK) {
+	if (reply->status == BACKEND_OK)
 		server->answered_us = now_us;
-	}
 	if (reply->status == BACKEND_REFUSED)
 		server->paused_until_us = now_us + ENG_REFUSED_PAUSE_US;
 	else if (reply->err.code != ERR_OVERLOAD)
--- a/entry/engine_loan.c
+++ b/entry/engine_loan.c
@@ -13,8 +13,9 @@
 
 #include "entry/engine_internal.h"
 
-#define ENG_LOAN_SERVERS_MAX 512    /* looked at for one list of wants */
-#define ENG_LOAN_SLOTS_PER_TASK 2   /* fewer: tasks wait too long */
+#define ENG_LOAN_KEPT_SLOTS 1	  /* idle ones of each server, for own tasks */
+#define ENG_LOAN_SERVERS_MAX 512  /* looked at for one list of wants */
+#define ENG_LOAN_SLOTS_PER_TASK 2 /* fewer: tasks wait too long */
 #define ENG_OVERFLOW_WAIT_US 500000 /* expected wait that allows overflow */
 
 uint32_t
@@ -206,7 +207,7 @@
 	struct eng_server *server = eng_server_find(engine, name);
 	uint64_t now_us = clock_now_us(engine->clock);
 	struct eng_loan *loan;
-	uint32_t idle;
+	uint32_t idle, kept;
 
 	/* Slots that are borrowed themselves are not lent. */
 	if (server == NULL || server->tier != 0 || !server->pick.usable ||
@@ -214,10 +215,8 @@
 	    eng_loans_borrowed(server) != 0)
 		return 0;
 	eng_loan_due(engine, server, now_us);
-	/* One stays for what may arrive here meanwhile. */
-	idle = 0;
-	if (server->own_limit > server->pick.running + 1)
-		idle = server->own_limit - server->pick.running - 1;
+	kept = server->pick.running + ENG_LOAN_KEPT_SLOTS;
+	idle = server->own_limit > kept ? server->own_limit - kept : 0;
 	if (slots > idle)
 		slots = idle;
 	loan = eng_loan_unused(server->lent);
