--- a/adapters/peers_loan.c
+++ b/adapters/peers_loan.c
@@ -230,7 +230,8 @@
 {
 	struct peers_tcp *peers = conn->peers;
 	struct peers_slots unused = { .n = 0 };
-	struct engine_loan taken = { .az = conn->az, .lender = conn->incarnation };
+	struct engine_loan taken = { .az = conn->az,
+		.lender = conn->incarnation };
 	uint32_t ms = loan->start_for_ms;
 	size_t i;
 
