--- a/tools/bench/bench.h
+++ b/tools/bench/bench.h
@@ -39,7 +39,8 @@
 	pid_t pid;
 	unsigned generation;
 	uint16_t http_port;
-	uint16_t peer_link;
+	uint16_t peer_port; /* direct */
+	uint16_t peer_link; /* by the proxy */
 	uint16_t platform_link;
 	bool ready; /* as the balancer sees it */
 };
