--- a/tests/test_digest.c
+++ b/tests/test_digest.c
@@ -19,9 +19,13 @@
 {
 	static char ab[] = "ab", bc[] = "bc", c[] = "c";
 	struct task_result r[2] = {
-		{ .state = TASK_DONE, .http_status = 200, .body = ab,
+		{ .state = TASK_DONE,
+		    .http_status = 200,
+		    .body = ab,
 		    .body_len = 2 },
-		{ .state = TASK_DONE, .http_status = 200, .body = c,
+		{ .state = TASK_DONE,
+		    .http_status = 200,
+		    .body = c,
 		    .body_len = 1 },
 	};
 	struct task_result other[2];
--- a/tests/test_histogram.c
+++ b/tests/test_histogram.c
@@ -23,11 +23,12 @@
 	hist_add(&hist, 11);
 	hist_add(&hist, 1000);
 	hist_render(&hist, emit, text);
-	cr_assert_str_eq(text, "# HELP h_seconds help\n"
-			       "# TYPE h_seconds histogram\n"
-			       "h_seconds_bucket{le=\"0.01\"} 1\n"
-			       "h_seconds_bucket{le=\"0.1\"} 2\n"
-			       "h_seconds_bucket{le=\"+Inf\"} 3\n"
-			       "h_seconds_sum 1.021000\n"
-			       "h_seconds_count 3\n");
+	cr_assert_str_eq(text,
+	    "# HELP h_seconds help\n"
+	    "# TYPE h_seconds histogram\n"
+	    "h_seconds_bucket{le=\"0.01\"} 1\n"
+	    "h_seconds_bucket{le=\"0.1\"} 2\n"
+	    "h_seconds_bucket{le=\"+Inf\"} 3\n"
+	    "h_seconds_sum 1.021000\n"
+	    "h_seconds_count 3\n");
 }
