--- a/tests/torture/actors.c
+++ b/tests/torture/actors.c
@@ -328,6 +328,29 @@
 	return 0;
 }
 
+static void
+notes_free(struct notes *notes)
+{
+	struct note *note;
+
+	while ((note = STAILQ_FIRST(notes)) != NULL) {
+		STAILQ_REMOVE_HEAD(notes, entry);
+		free(note);
+	}
+}
+
+static void
+actors_free(struct actors *actors)
+{
+	int i;
+
+	for (i = 0; i < OPERATORS; i++)
+		notes_free(&actors->operators[i].notes);
+	for (i = 0; i < CALLERS; i++)
+		notes_free(&actors->callers[i].notes);
+	free(actors);
+}
+
 unsigned
 actors_check(struct actors *actors)
 {
@@ -358,6 +381,6 @@
 	       "single requests: %u\n",
 	    accepted, conflicts, (long long)sti_int(versions, "", 0), requests);
 	json_decref(versions);
-	/* The notes go with the process. */
+	actors_free(actors);
 	return violations;
 }
