--- a/tests/test_backend_http.c
+++ b/tests/test_backend_http.c
@@ -127,8 +127,13 @@
 static void
 script_stop(struct script *s)
 {
+	int i;
+
 	backend_http_destroy(s->backend);
 	evconnlistener_free(s->listener);
+	/* The server's ends of the connections close by themselves. */
+	for (i = 0; i < 100; i++)
+		event_base_loop(s->base, EVLOOP_NONBLOCK);
 	event_base_free(s->base);
 }
 
