Torture: end faults in time while a planned stop goes on; test a stop while cut off

A planned stop in the torture run blocked the schedule, so that faults lasted up to 60 s beyond their time.

--- a/adapters/platform_hostlist.c
+++ b/adapters/platform_hostlist.c
@@ -11,8 +11,9 @@
 #include "adapters/platform_http.h"
 #include "core/counters.h"
 
-#define PHLIST_ETAG_SIZE 128 /* bytes, with the NUL; a longer one is ignored \
-			      */
+#define PHLIST_ETAG_SIZE                                    \
+	128 /* bytes, with the NUL; a longer one is ignored \
+	     */
 
 struct phlist {
 	struct hostlist hostlist; /* first */
--- a/tests/integration/test_shutdown.c
+++ b/tests/integration/test_shutdown.c
@@ -150,3 +150,26 @@
 	cr_expect_gt(report.complete, 20);
 	cr_expect_eq(report.task_failed, 0);
 }
+
+/* Cut off from the platform and from all peers: the stop still ends. */
+Test(shutdown, cut_off_under_load)
+{
+	struct load_options options = { .clu = &clu,
+		.nclients = 9,
+		.seed = 6,
+		.tasks_max = 20,
+		.ms_max = 50 };
+	struct load_report report;
+	struct load *load;
+
+	load = load_start(&options);
+	clu_sleep(500);
+	clu_fault(&clu, "platform-h1", "\"mode\": \"drop\"");
+	clu_fault(&clu, "peer-h1", "\"mode\": \"refuse\"");
+	clu_sleep(300);
+	clu_host_signal(&clu, 0, SIGTERM);
+	cr_expect_eq(clu_host_wait(&clu, 0, 3 * CLU_WAIT_MS), 0);
+	load_stop(load);
+	load_check(load, &report);
+	cr_expect_eq(report.violations, 0);
+}
--- a/tests/support/load.c
+++ b/tests/support/load.c
@@ -79,8 +79,10 @@
 
 /* Takes in an answer. Return: is it final, so that nothing can change it? */
 static bool
-load_take(struct load_entry *entry, const struct clu_reply *reply)
+load_take(const struct client *client, struct load_entry *entry,
+    const struct clu_reply *reply)
 {
+	const char *error;
 	enum outcome outcome;
 
 	if (!reply->whole ||
@@ -90,6 +92,10 @@
 	entry->answered = true;
 	entry->outcome = outcome;
 	entry->whole = clu_whole(reply, entry->uid, entry->ntasks);
+	error = memmem(reply->body, reply->len, "\"error\":", 8);
+	if (outcome == OUTCOME_TASK_FAILED && !client->load->options.faults)
+		warnx("%s: %s: %.300s", entry->uid, reply->outcome,
+		    error != NULL ? error : reply->body);
 	json_decref(entry->results);
 	entry->results = json_incref(json_object_get(reply->json, "results"));
 	return outcome != OUTCOME_UNKNOWN;
@@ -154,7 +160,7 @@
 		}
 		clu_submit(load_port(client), headers, body,
 		    LOAD_ANSWER_LIMIT_MS, &reply);
-		final = load_take(entry, &reply);
+		final = load_take(client, entry, &reply);
 		if (reply.whole && reply.ticket[0] != '\0')
 			memcpy(client->ticket, reply.ticket,
 			    sizeof(client->ticket));
--- a/tests/torture/torture.c
+++ b/tests/torture/torture.c
@@ -106,14 +106,51 @@
 	}
 }
 
+static void
+tor_end(struct ongoing *fault)
+{
+	switch (fault->kind) {
+	case FAULT_FREEZE:
+		clu_host_signal(&tor.clu, fault->target, SIGCONT);
+		break;
+	case FAULT_PLATFORM:
+		clu_platform(&tor.clu, "\"mode\": \"ok\"");
+		break;
+	case FAULT_SERVER:
+		clu_server(&tor.clu, fault->target, "\"mode\": \"ok\"");
+		break;
+	default:
+		tor_fault_link("*-[hs]", fault->target, "");
+		break;
+	}
+	fault->until_ms = 0;
+}
+
+/* Ends the faults whose time is over. */
+static void
+tor_expire(void)
+{
+	int i;
+
+	for (i = 0; i < FAULTS_MAX; i++)
+		if (tor.ongoing[i].until_ms != 0 &&
+		    tor.ongoing[i].until_ms <= sti_now_ms())
+			tor_end(&tor.ongoing[i]);
+}
+
 /* A planned stop: must end with 0, whatever else goes on. */
 static void
 tor_graceful(int host)
 {
+	uint64_t deadline;
 	int status;
 
+	deadline = sti_now_ms() + STOP_LIMIT_MS;
 	clu_host_signal(&tor.clu, host, SIGTERM);
-	status = clu_host_wait(&tor.clu, host, STOP_LIMIT_MS);
+	do {
+		tor_expire();
+		status = clu_host_wait(&tor.clu, host, 50);
+	} while (status == -1 && sti_now_ms() < deadline);
 	if (status != 0) {
 		fprintf(stderr, "violation: h%d: planned stop ended with %d\n",
 		    host + 1, status);
@@ -190,26 +227,6 @@
 	return true;
 }
 
-static void
-tor_end(struct ongoing *fault)
-{
-	switch (fault->kind) {
-	case FAULT_FREEZE:
-		clu_host_signal(&tor.clu, fault->target, SIGCONT);
-		break;
-	case FAULT_PLATFORM:
-		clu_platform(&tor.clu, "\"mode\": \"ok\"");
-		break;
-	case FAULT_SERVER:
-		clu_server(&tor.clu, fault->target, "\"mode\": \"ok\"");
-		break;
-	default:
-		tor_fault_link("*-[hs]", fault->target, "");
-		break;
-	}
-	fault->until_ms = 0;
-}
-
 static void
 tor_end_all(void)
 {
@@ -225,12 +242,8 @@
 {
 	struct ongoing *fault;
 	uint32_t ms;
-	int i;
 
-	for (i = 0; i < FAULTS_MAX; i++)
-		if (tor.ongoing[i].until_ms != 0 &&
-		    tor.ongoing[i].until_ms <= sti_now_ms())
-			tor_end(&tor.ongoing[i]);
+	tor_expire();
 	fault = &tor.ongoing[tor_random(FAULTS_MAX)];
 	if (fault->until_ms != 0)
 		return;
