--- /dev/null
+++ b/tests/fuzz/fuzz_frame.c
@@ -0,0 +1,57 @@
+/*
+ * The peers' frame parser, fed in pieces as a socket would, and the decoder
+ * of what each frame holds. The first byte chooses the size of the pieces.
+ */
+#include <stdint.h>
+#include <stdlib.h>
+
+#include "core/frame.h"
+#include "proto/peer.pb-c.h"
+
+#define PAYLOAD_BYTES_MAX 4096
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void
+fuzz_decode(const struct frame_parser *parser)
+{
+	Berylrail__Frame *frame;
+
+	frame = berylrail__frame__unpack(NULL, parser->payload_len,
+	    parser->payload);
+	if (frame != NULL)
+		berylrail__frame__free_unpacked(frame, NULL);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct frame_parser parser;
+	struct err err;
+	size_t piece, used;
+	int status;
+
+	if (size == 0)
+		return 0;
+	piece = (size_t)data[0] + 1;
+	data++;
+	size--;
+	frm_init(&parser, PAYLOAD_BYTES_MAX);
+	while (size > 0) {
+		status = frm_feed(&parser, data, size < piece ? size : piece,
+		    &used, &err);
+		if (status == -1)
+			break;
+		if (used == 0 && status == 0)
+			abort(); /* no progress */
+		if (status == 1) {
+			if (parser.payload_len > PAYLOAD_BYTES_MAX)
+				abort();
+			fuzz_decode(&parser);
+		}
+		data += used;
+		size -= used;
+	}
+	frm_release(&parser);
+	return 0;
+}
