--- a/adapters/peers_conn.c
+++ b/adapters/peers_conn.c
@@ -404,7 +404,6 @@
 	conn->peers = peers;
 	conn->target = target;
 	conn->dialed = target != NULL;
-	conn->serial = ++peers->next_serial;
 	conn->opened_us = conn->heard_us = conn->used_us = peers_now_us(peers);
 	frm_init(&conn->parser, PEERS_HELLO_BYTES_MAX);
 	conn->bev = bufferevent_socket_new(peers->params.base, fd,
--- a/tools/bench/capacity.c
+++ b/tools/bench/capacity.c
@@ -184,7 +184,10 @@
 		.speeds = "100" };
 	struct bcp_series by_hosts = { .what = "entry hosts of one zone" };
 	struct bcp_series by_servers = { .what = "servers configured" };
-	struct bcp_series by_rate = { .what = "changes a second" };
+	struct bcp_series by_rate = { .what = "changes a second, 200 servers" };
+	struct bcp_series by_rate_large = {
+		.what = "changes a second, 1600 servers",
+	};
 	size_t i;
 
 	(void)options;
@@ -205,5 +208,9 @@
 	for (i = 0; i < sizeof(rates) / sizeof(rates[0]); i++)
 		bcp_point(&by_rate, rates[i], &shape, rates[i]);
 	bcp_print(&by_rate);
+	shape.nconfig = 1600;
+	for (i = 0; i < sizeof(rates) / sizeof(rates[0]); i++)
+		bcp_point(&by_rate_large, rates[i], &shape, rates[i]);
+	bcp_print(&by_rate_large);
 	return 0;
 }
