--- a/entry/api.c
+++ b/entry/api.c
@@ -103,34 +103,43 @@
 	return api;
 }
 
+/* Frees a kept call that is on no list of all calls any more. */
 static void
-api_call_free(struct api_call *call)
+api_call_release(struct api_call *call)
 {
-	struct api *api = call->api;
-
-	if (!call->kept)
-		return;
 	if (call->reply != NULL)
 		LIST_REMOVE(call, by_arg);
 	if (call->work != NULL)
 		TAILQ_REMOVE(&call->work->calls, call, of_work);
 	if (call->timer != NULL)
 		event_free(call->timer);
+	free(call);
+}
+
+static void
+api_call_free(struct api_call *call)
+{
+	struct api *api = call->api;
+
+	if (!call->kept)
+		return;
 	TAILQ_REMOVE(&api->all, call, all);
 	api->ncalls--;
-	free(call);
+	api_call_release(call);
 }
 
 void
 api_destroy(struct api *api)
 {
 	struct api_work *work;
-	struct api_call *call;
+	struct api_call *call, *next;
 
 	if (api == NULL)
 		return;
-	while ((call = TAILQ_FIRST(&api->all)) != NULL)
-		api_call_free(call);
+	for (call = TAILQ_FIRST(&api->all); call != NULL; call = next) {
+		next = TAILQ_NEXT(call, all);
+		api_call_release(call);
+	}
 	api_issuers_destroy(api);
 	while ((work = TAILQ_FIRST(&api->running)) != NULL)
 		api_work_drop(work);
