--- a/client/cli_jobs.c
+++ b/client/cli_jobs.c
@@ -88,13 +88,16 @@
 	return cli_exit_of_answer(answer);
 }
 
+/* An answer says how many tasks there were, and that they have ended. */
 static void
 cli_progress(struct cli *cli, const json_t *state)
 {
-	json_int_t ended = 0, tasks = 0;
+	json_int_t ended = -1, tasks = 0;
 
 	(void)json_unpack((json_t *)state, "{s?I, s?I}", "ended", &ended,
 	    "tasks", &tasks);
+	if (ended < 0)
+		ended = tasks;
 	fprintf(cli->err, "\r%lld/%lld tasks", (long long)ended,
 	    (long long)tasks);
 	fflush(cli->err);
@@ -120,6 +123,8 @@
 		cli_progress(cli, reply.body);
 		cli_reply_clear(&reply);
 	}
+	if (reply.status == 200)
+		cli_progress(cli, reply.body);
 	fputc('\n', cli->err);
 	if (reply.status == 200 && reply.body != NULL)
 		result = cli_print_answer(cli, reply.body);
@@ -337,9 +342,8 @@
 		.path = "/v1/config/teams" };
 	struct cli_table table = { NULL, NULL };
 	struct cli_reply reply = { 0 };
-	int result = CLI_EXIT_OK;
 	json_int_t number;
-	size_t i;
+	size_t i, nready = 0;
 
 	cli_table_row(&table);
 	cli_table_cell(&table, "HOST");
@@ -353,8 +357,7 @@
 		    reply.status == 200	    ? "ready"
 			: reply.status != 0 ? "not ready"
 					    : reply.text);
-		if (reply.status != 200)
-			result = CLI_EXIT_UNAVAILABLE;
+		nready += reply.status == 200;
 		cli_call_server(cli, i, &version, &reply);
 		number =
 		    json_integer_value(json_object_get(reply.body, "version"));
@@ -362,7 +365,9 @@
 	}
 	cli_reply_clear(&reply);
 	cli_table_print(&table, cli->out);
-	return result;
+	if (nready == 0)
+		return CLI_EXIT_UNAVAILABLE;
+	return nready == cli->nservers ? CLI_EXIT_OK : CLI_EXIT_FAILED;
 }
 
 int
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -155,6 +155,7 @@
 	    "%s", err_text);
 	cr_assert_neq(strstr(out_text, "wax 3"), NULL);
 	cr_assert_neq(strstr(err_text, "1/2 tasks"), NULL);
+	cr_assert_neq(strstr(err_text, "1/1 tasks"), NULL);
 }
 
 Test(cli, exit_codes_follow_the_outcome)
@@ -212,6 +213,16 @@
 	    "NAME  port  LABELS\ns1    80    az=surat,fast\n");
 }
 
+Test(cli, status_shows_each_host)
+{
+	expect("GET /readyz", NULL, 200, "ready");
+	expect("GET /v1/config/teams", NULL, 200,
+	    "{\"version\":7,\"items\":[]}");
+	cr_assert_eq(run("status"), CLI_EXIT_FAILED);
+	cr_assert_neq(strstr(out_text, "connect failed"), NULL);
+	cr_assert_neq(strstr(out_text, "ready           7"), NULL);
+}
+
 Test(cli, wrong_command_lines_call_nobody)
 {
 	static const char *const lines[] = { "fly", "get", "get cars",
