--- a/adapters/peers_gossip.c
+++ b/adapters/peers_gossip.c
@@ -52,7 +52,10 @@
 
 	heartbeat.config_version = peers_gossip_version(peers);
 	heartbeat.leaving = peers->is_leaving;
-	heartbeat.tasks_running = (uint32_t)engine_busy(peers->params.engine);
+	heartbeat.tasks_waiting =
+	    (uint32_t)engine_waiting(peers->params.engine);
+	heartbeat.tasks_running = (uint32_t)engine_busy(peers->params.engine) -
+	    heartbeat.tasks_waiting;
 	heartbeat.interval_ms = mbr_heartbeat_interval_ms(
 	    peers->params.heartbeat_ms, peers->nconns);
 	if (conn->leaving_told == peers->leaving_changes) {
--- a/tests/test_peers_tcp.c
+++ b/tests/test_peers_tcp.c
@@ -44,7 +44,10 @@
 	uint32_t wants;	   /* slots on "s1" */
 	uint32_t idle;	   /* slots on "s1", to be lent */
 	uint32_t borrowed; /* so far */
-	size_t ngranted;   /* times asked to lend */
+	uint32_t owed;	   /* slots to be given back */
+	uint32_t returned; /* slots given back to it */
+	uint64_t lender;
+	size_t ngranted; /* times asked to lend */
 	uint64_t for_us;
 };
 
@@ -114,6 +117,12 @@
 	api->nhosts = nhosts;
 }
 
+size_t
+engine_waiting(const struct engine *engine)
+{
+	return engine->wants;
+}
+
 size_t
 engine_busy(const struct engine *engine)
 {
@@ -141,6 +150,7 @@
 {
 	cr_assert_gt(size, 0);
 	wants[0].server = "s1";
+	wants[0].az = "z1";
 	wants[0].slots = engine->wants;
 	return engine->wants > 0;
 }
@@ -158,14 +168,38 @@
 	return n;
 }
 
-void
-engine_loan_take(struct engine *engine, const char *server, uint32_t slots,
+bool
+engine_loan_take(struct engine *engine, const struct engine_loan *taken,
     uint64_t for_us)
 {
-	cr_assert_str_eq(server, "s1");
+	cr_assert_str_eq(taken->server, "s1");
 	cr_assert_gt(for_us, 0);
-	engine->borrowed += slots;
-	engine->wants -= slots;
+	if (engine->wants == 0)
+		return false;
+	engine->borrowed += taken->slots;
+	engine->wants -= taken->slots;
+	engine->lender = taken->lender;
+	return true;
+}
+
+size_t
+engine_loan_collect(struct engine *engine, struct engine_loan *owed,
+    size_t size)
+{
+	cr_assert_gt(size, 0);
+	owed[0] = (struct engine_loan){ .server = "s1",
+		.az = "z1",
+		.slots = engine->owed,
+		.lender = engine->lender };
+	engine->owed = 0;
+	return owed[0].slots > 0;
+}
+
+void
+engine_loan_returned(struct engine *engine, const char *server, uint32_t slots)
+{
+	cr_assert_str_eq(server, "s1");
+	engine->returned += slots;
 }
 
 const struct config *
@@ -759,6 +793,10 @@
 	cr_assert_eq(a.engine.borrowed, 3);
 	cr_assert_eq(b.engine.idle, 0);
 	cr_assert_eq(c.engine.ngranted, 0);
+	cr_assert_eq(b.engine.returned, 0);
+	a.engine.owed = 2;
+	WAIT_FOR(b.engine.returned == 2);
+	cr_assert_eq(c.engine.returned, 0);
 	peers_tcp_destroy(a.peers);
 	peers_tcp_destroy(b.peers);
 	peers_tcp_destroy(c.peers);
@@ -781,7 +819,7 @@
 	slots.slots = 4;
 	loan.servers = list;
 	loan.n_servers = 1;
-	loan.lent_for_ms = 100;
+	loan.start_for_ms = 100;
 	raw_send(fd, BERYLRAIL__FRAME__KIND_SLOT_LOAN, &loan);
 	/* What comes after it has been read, so it has been, too. */
 	raw_send(fd, BERYLRAIL__FRAME__KIND_FORWARD_REPLY, &reply);
