--- a/adapters/backend_http.c
+++ b/adapters/backend_http.c
@@ -421,26 +421,6 @@
 	}
 }
 
-static void
-bkh_sweep(evutil_socket_t fd, short what, void *arg)
-{
-	struct backend_http *http = arg;
-	struct bkh_pool *pool, *next;
-	struct timeval now;
-	size_t i;
-
-	(void)fd;
-	(void)what;
-	event_base_gettimeofday_cached(http->base, &now);
-	for (i = 0; i < BKH_BUCKETS; i++) {
-		for (pool = LIST_FIRST(&http->pools[i]); pool != NULL;
-		     pool = next) {
-			next = LIST_NEXT(pool, entry);
-			bkh_pool_sweep(pool, &now);
-		}
-	}
-}
-
 static const struct backend_ops bkh_ops = {
 	.start = bkh_start,
 	.cancel = bkh_cancel,
--- a/adapters/backend_http_internal.h
+++ b/adapters/backend_http_internal.h
@@ -78,8 +78,8 @@
 struct bkh_pool *bkh_pool_get(struct backend_http *http,
     const struct backend_server *server);
 
-/* bkh_pool_sweep() - close what was idle for long; frees an empty pool. */
-void bkh_pool_sweep(struct bkh_pool *pool, const struct timeval *now);
+/* bkh_sweep() - timer: close what was idle for long, free empty pools. */
+void bkh_sweep(evutil_socket_t fd, short what, void *arg);
 
 /* bkh_pool_free() - free a pool with its connections and their calls. */
 void bkh_pool_free(struct bkh_pool *pool);
--- a/adapters/backend_http_pool.c
+++ b/adapters/backend_http_pool.c
@@ -171,7 +171,7 @@
 	return NULL;
 }
 
-void
+static void
 bkh_pool_sweep(struct bkh_pool *pool, const struct timeval *now)
 {
 	struct bkh_conn *conn, *newer;
@@ -211,3 +211,23 @@
 	LIST_REMOVE(pool, entry);
 	free(pool);
 }
+
+void
+bkh_sweep(evutil_socket_t fd, short what, void *arg)
+{
+	struct backend_http *http = arg;
+	struct bkh_pool *pool, *next;
+	struct timeval now;
+	size_t i;
+
+	(void)fd;
+	(void)what;
+	event_base_gettimeofday_cached(http->base, &now);
+	for (i = 0; i < BKH_BUCKETS; i++) {
+		for (pool = LIST_FIRST(&http->pools[i]); pool != NULL;
+		     pool = next) {
+			next = LIST_NEXT(pool, entry);
+			bkh_pool_sweep(pool, &now);
+		}
+	}
+}
--- a/entry/engine_call.c
+++ b/entry/engine_call.c
@@ -13,22 +13,12 @@
 #include "core/counters.h"
 #include "entry/engine_internal.h"
 
-#define ENG_TRIES_MAX 6		    /* starts of one task that were refused */
-#define ENG_REPEATS_MAX 2	    /* starts of a repeatable single request */
-#define ENG_REFUSED_PAUSE_US 20000  /* no new work after "busy" */
-#define ENG_OVERFLOW_WAIT_US 500000 /* expected wait that allows overflow */
-#define ENG_SHARE_SLACK_US 250000   /* of all servers, between jobs */
-#define ENG_HEDGE_FACTOR 2.5	    /* of the expected run time */
-#define ENG_HEDGE_MIN_US 20000
-#define ENG_RUN_WEIGHT 0.1    /* of one task in a server's mean run time */
-#define ENG_SPEED_WEIGHT 0.01 /* of one task in the mean of speeds */
-
-#define ENG_MESSAGES(k)                                     \
-	{                                                   \
-		.name = "berylrail_messages_total",         \
-		.labels = "hop=\"backend\",kind=\"" k "\"", \
-		.help = "Messages sent, by hop and kind.",  \
-	}
+#define ENG_TRIES_MAX 6		   /* starts of one task that were refused */
+#define ENG_REPEATS_MAX 2	   /* starts of a repeatable single request */
+#define ENG_REFUSED_PAUSE_US 20000 /* no new work after "busy" */
+#define ENG_RUN_WEIGHT 0.1	   /* of one task in a server's mean run time */
+#define ENG_SPEED_WEIGHT 0.01	   /* of one task in the mean of speeds */
+
 #define ENG_WASTED(k)                                                \
 	{                                                            \
 		.name = "berylrail_wasted_messages_total",           \
@@ -40,9 +30,6 @@
 	.name = "berylrail_tasks_started_total",
 	.help = "Tasks sent to backend servers, each try counted.",
 };
-static struct counter eng_message_task = ENG_MESSAGES("task");
-static struct counter eng_message_retry = ENG_MESSAGES("retry");
-static struct counter eng_message_hedge = ENG_MESSAGES("hedge");
 static struct counter eng_wasted_refused = ENG_WASTED("refused");
 static struct counter eng_wasted_retry = ENG_WASTED("retry");
 static struct counter eng_wasted_hedge = ENG_WASTED("hedge");
@@ -50,24 +37,6 @@
 static struct counter eng_wasted_late = ENG_WASTED("late");
 static struct counter eng_wasted_not_sent = ENG_WASTED("not_sent");
 
-static double
-eng_declared_us(const struct eng_job *job, const struct task_spec *task)
-{
-	uint32_t run_ms = task->run_ms;
-
-	if (run_ms == 0)
-		run_ms = job->cfg.run_ms;
-	if (run_ms == 0)
-		run_ms = ENG_RUN_DEFAULT_MS;
-	return run_ms * 1000.0;
-}
-
-double
-eng_task_work_us(const struct eng_job *job, const struct task_spec *task)
-{
-	return eng_declared_us(job, task) * job->factor.value;
-}
-
 static bool
 eng_is_repeatable(const struct eng_subm *subm)
 {
@@ -167,7 +136,7 @@
 }
 
 /* Starts a task of @subm, which is on no stack any more. */
-static int
+int
 eng_call_start(struct eng_subm *subm, size_t index, struct eng_server *server)
 {
 	struct engine *engine = subm->engine;
@@ -219,173 +188,6 @@
 	    eng_task_work_us(subm->job, task));
 }
 
-/* Takes the task at @place off the stack of @subm. */
-static size_t
-eng_pop(struct eng_subm *subm, size_t place)
-{
-	struct engine *engine = subm->engine;
-	struct order *order = &subm->job->pool->order;
-	size_t index = subm->pending[place];
-	const struct task_spec *task = &subm->subm->tasks[index];
-
-	subm->npending--;
-	memmove(&subm->pending[place], &subm->pending[place + 1],
-	    (subm->npending - place) * sizeof(subm->pending[0]));
-	ord_started(order, &subm->item, eng_task_work_us(subm->job, task),
-	    clock_now_us(engine->clock));
-	if (subm->npending == 0)
-		ord_remove(order, &subm->item);
-	subm->waiting_bytes -= task->body_len;
-	engine->waiting_bytes -= task->body_len;
-	subm->job->nwaiting--;
-	engine->nwaiting--;
-	return index;
-}
-
-static void
-eng_start_waiting(struct eng_subm *subm, size_t place,
-    struct eng_server *server)
-{
-	size_t index = eng_pop(subm, place);
-	struct err err;
-
-	if (eng_call_start(subm, index, server) == -1) {
-		err_set(&err, ERR_STEP_QUEUE, ERR_NO_MEMORY, NULL,
-		    "out of memory");
-		eng_task_end(subm, index, TASK_NOT_RUN, &err);
-		eng_stop_waiting(subm, &err);
-		return;
-	}
-	subm->answer->results[index].state = TASK_STARTED;
-	if (subm->tries[index]++ == 0) {
-		ctr_inc(&eng_message_task);
-		rtry_started(&subm->engine->retries);
-		rtry_started(&subm->engine->hedges);
-	} else {
-		ctr_inc(&eng_message_retry);
-	}
-}
-
-static struct pick_task
-eng_pick_task(struct engine *engine, const struct eng_subm *subm, size_t place)
-{
-	const struct task_spec *spec = &subm->subm->tasks[subm->pending[place]];
-
-	return (struct pick_task){
-		.work_us = eng_task_work_us(subm->job, spec),
-		.now_us = clock_now_us(engine->clock),
-		.random = eng_random(engine),
-	};
-}
-
-/* A server of the own zone for the task whose turn it is. */
-static bool
-eng_start_first(struct engine *engine, struct eng_pool *pool,
-    struct eng_subm *subm)
-{
-	size_t place = subm->npending - 1U;
-	struct pick_task task = eng_pick_task(engine, subm, place);
-	struct pick_server *server;
-
-	task.ahead_us = task.work_us;
-	server = pick_choose(&pool->pick, 0, &task);
-	if (server == NULL)
-		return false;
-	eng_start_waiting(subm, place, (struct eng_server *)server);
-	return true;
-}
-
-/* The first one waits for a faster server: what is free now may still serve
- * the shortest task of the submission that is furthest from its turn. */
-static bool
-eng_start_last(struct engine *engine, struct eng_pool *pool)
-{
-	struct eng_subm *subm = (struct eng_subm *)ord_last(&pool->order);
-	struct pick_task task = eng_pick_task(engine, subm, 0);
-	struct pick_server *server;
-
-	task.ahead_us = pool->order.work_us;
-	server = pick_choose(&pool->pick, 0, &task);
-	if (server == NULL)
-		return false;
-	eng_start_waiting(subm, 0, (struct eng_server *)server);
-	return true;
-}
-
-/* Another zone's server, if none here is able or the wait here is long. */
-static bool
-eng_start_elsewhere(struct engine *engine, struct eng_pool *pool,
-    struct eng_subm *subm)
-{
-	size_t place = subm->npending - 1U;
-	struct pick_task task = eng_pick_task(engine, subm, place);
-	double capacity = pick_capacity(&pool->pick, 0);
-	struct pick_server *server;
-
-	if (!engine->policy.overflow || pool->pick.tiers[1].nfree == 0)
-		return false;
-	task.ahead_us = pool->order.work_us;
-	if (capacity > 0 && task.ahead_us / capacity < ENG_OVERFLOW_WAIT_US)
-		return false;
-	server = pick_choose(&pool->pick, 1, &task);
-	if (server == NULL)
-		return false;
-	eng_start_waiting(subm, place, (struct eng_server *)server);
-	return true;
-}
-
-void
-eng_pump(struct engine *engine, struct eng_pool *pool)
-{
-	uint64_t now_us = clock_now_us(engine->clock);
-	struct eng_subm *subm;
-
-	if (engine->applying)
-		return;
-	pool->order.slack_us =
-	    pick_capacity(&pool->pick, 0) * ENG_SHARE_SLACK_US;
-	while (pool->pick.tiers[0].nfree + pool->pick.tiers[1].nfree != 0) {
-		subm = (struct eng_subm *)ord_next(&pool->order, now_us);
-		if (subm == NULL)
-			return;
-		if (!eng_start_first(engine, pool, subm) &&
-		    !eng_start_last(engine, pool) &&
-		    !eng_start_elsewhere(engine, pool, subm))
-			return;
-	}
-}
-
-/* Pools take turns at the server, so that none is always first. */
-void
-eng_pump_server(struct engine *engine, struct eng_server *server)
-{
-	struct pick_member *member, *next, *last;
-	struct eng_pool *pool;
-
-	last = TAILQ_LAST(&server->pick.members, pick_members);
-	for (member = TAILQ_FIRST(&server->pick.members); member != NULL;
-	     member = next) {
-		next = member == last ? NULL : TAILQ_NEXT(member, server_entry);
-		pool = (struct eng_pool *)member->pool;
-		if (pool->order.nitems == 0)
-			continue;
-		eng_pump(engine, pool);
-		TAILQ_REMOVE(&server->pick.members, member, server_entry);
-		TAILQ_INSERT_TAIL(&server->pick.members, member, server_entry);
-	}
-}
-
-void
-eng_pump_all(struct engine *engine)
-{
-	struct eng_pool *pool;
-
-	TAILQ_FOREACH (pool, &engine->pools, entry) {
-		if (pool->order.nitems != 0)
-			eng_pump(engine, pool);
-	}
-}
-
 /* 0, or -1 when there is no memory for the whole result. */
 static int
 eng_copy_result(struct eng_call *call, const struct backend_reply *reply,
@@ -558,57 +360,3 @@
 	eng_pump_server(engine, server);
 	eng_server_release(engine, server);
 }
-
-/* A second start of a repeatable request that is late, on another server. */
-static void
-eng_hedge(struct eng_call *call, uint64_t now_us)
-{
-	struct engine *engine = call->engine;
-	struct eng_subm *subm = call->subm;
-	struct eng_pool *pool = subm->job->pool;
-	struct pick_task task = {
-		.work_us = call->expected_us * call->server->speed.value,
-		.ahead_us = call->expected_us * call->server->speed.value,
-		.now_us = now_us,
-		.random = eng_random(engine),
-	};
-	struct eng_server *server;
-
-	/* Hedges only take slots that nothing waits for. */
-	if (pool->order.nitems != 0)
-		return;
-	call->server->pick.usable = false; /* choose among the others */
-	pick_server_changed(&call->server->pick);
-	server = (struct eng_server *)pick_choose(&pool->pick, 0, &task);
-	eng_server_refresh(engine, call->server);
-	if (server == NULL || server->health.state != HLTH_UP)
-		return;
-	if (!rtry_take(&engine->hedges, now_us))
-		return;
-	if (eng_call_start(subm, call->index, server) == -1)
-		return;
-	call->hedged = true;
-	TAILQ_LAST(&subm->calls, eng_calls)->hedged = true;
-	ctr_inc(&eng_message_hedge);
-}
-
-void
-eng_hedge_late(struct engine *engine, uint64_t now_us)
-{
-	struct eng_call *call, *next;
-	double late_us;
-
-	if (!engine->policy.hedge)
-		return;
-	for (call = TAILQ_FIRST(&engine->hedgeable); call != NULL;
-	     call = next) {
-		next = TAILQ_NEXT(call, hedge_entry);
-		late_us =
-		    call->expected_us * ENG_HEDGE_FACTOR * eng_doubt(call);
-		if (late_us < ENG_HEDGE_MIN_US)
-			late_us = ENG_HEDGE_MIN_US;
-		if (!call->hedged &&
-		    (double)(now_us - call->started_us) > late_us)
-			eng_hedge(call, now_us);
-	}
-}
--- a/entry/engine_internal.h
+++ b/entry/engine_internal.h
@@ -14,10 +14,10 @@
 #include "entry/engine.h"
 
 /*
- * Parts of the engine: engine.c (submissions), engine_call.c (starting tasks
- * and their ends), engine_answer.c (answers), engine_config.c (what is
- * configured), engine_server.c (state of backend servers), engine_loan.c
- * (slots lent between entry hosts).
+ * Parts of the engine: engine.c (submissions), engine_pump.c (what is started
+ * where), engine_call.c (calls and their ends), engine_answer.c (answers),
+ * engine_config.c (what is configured), engine_server.c (state of backend
+ * servers), engine_loan.c (slots lent between entry hosts).
  */
 
 #define ENG_TICK_INTERVAL_MS 20
@@ -207,15 +207,20 @@
 void eng_tick_on(struct engine *engine);
 void eng_job_release(struct engine *engine, struct eng_job *job);
 
-/* engine_call.c */
+/* engine_pump.c */
 void eng_pump(struct engine *engine, struct eng_pool *pool);
 void eng_pump_server(struct engine *engine, struct eng_server *server);
 void eng_pump_all(struct engine *engine);
-void eng_call_drop(struct eng_call *call);
 void eng_hedge_late(struct engine *engine, uint64_t now_us);
+double eng_declared_us(const struct eng_job *job, const struct task_spec *task);
 double eng_task_work_us(const struct eng_job *job,
     const struct task_spec *task);
 
+/* engine_call.c */
+int eng_call_start(struct eng_subm *subm, size_t index,
+    struct eng_server *server);
+void eng_call_drop(struct eng_call *call);
+
 /* engine_answer.c */
 void eng_task_end(struct eng_subm *subm, size_t index, enum task_state state,
     const struct err *err);
