--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -286,6 +286,22 @@
 	bench_clear(&b);
 }
 
+Test(engine, server_that_refused_is_left_alone_for_a_moment)
+{
+	struct world world = { .nservers = 1, .slots = 4 };
+	struct bench b;
+
+	bench_init(&b, "default", &world);
+	submit(&b, "j", 2);
+	end_first(&b, BACKEND_REFUSED);
+	cr_assert_eq(b.fake.ncalls, 1, "sent again at once");
+	pass(&b, 30000);
+	cr_assert_eq(b.fake.ncalls, 2);
+	end_all(&b);
+	cr_assert_eq(b.outcome, OUTCOME_COMPLETE);
+	bench_clear(&b);
+}
+
 Test(engine, failed_job_starts_no_more_tasks)
 {
 	struct world world = { .nservers = 1 };
