--- a/tools/bench/main.c
+++ b/tools/bench/main.c
@@ -217,7 +217,7 @@
 		    "default: \"default;naive\""),
 		seeds = arg_int0(NULL, "seeds", "N", "default: 2"),
 		parallel = arg_int0(NULL, "parallel", "N",
-		    "clusters at once, default: 4"),
+		    "clusters at once, default: 6"),
 		scale = arg_dbl0(NULL, "scale", "F",
 		    "factor of every case's length, default: 1"),
 		out = arg_file0(NULL, "out", "DIR",
@@ -233,7 +233,7 @@
 	}
 	options = (struct bench_options){
 		.nseeds = seeds->count > 0 ? seeds->ival[0] : 2,
-		.parallel = parallel->count > 0 ? parallel->ival[0] : 4,
+		.parallel = parallel->count > 0 ? parallel->ival[0] : 6,
 		.scale = scale->count > 0 ? scale->dval[0] : 1,
 		.cases = cases->count > 0 ? cases->sval[0] : NULL,
 		.policies =
