Take a successor as the current host once its predecessor is dead

Cause: a host that was replaced and came in while its predecessor still counted as live was refused as current (unproven), and its Hello is never sent again: its heartbeats were dropped for good. The other host of the zone then took all slots for itself, and servers refused what both started. Ruled out: loans (the refusals came with few of them), the drain (they began after the new process had started).

Change: a heartbeat of such a host introduces it again. The new test waited 20 s in vain before the change and passes with it.

--- a/adapters/peers_gossip.c
+++ b/adapters/peers_gossip.c
@@ -430,6 +430,35 @@
 	peers_gossip_share(conn->peers);
 }
 
+/*
+ * A host that came in under the name of one that was not yet known to be dead
+ * becomes the current one as soon as that is, or once it was reached at its
+ * own address.
+ */
+static bool
+peers_gossip_accept(struct peers_conn *conn, const struct member_load *load)
+{
+	struct peers_tcp *peers = conn->peers;
+	uint64_t now_us = peers_now_us(peers);
+	const struct member_id id = {
+		.name = conn->name,
+		.az = conn->az,
+		.address = conn->advertise.address,
+		.port = conn->advertise.port,
+		.incarnation = conn->incarnation,
+	};
+
+	if (mbr_heartbeat(&peers->members, now_us, conn->name,
+		conn->incarnation, load))
+		return true;
+	if (mbr_hello(&peers->members, now_us, &id, conn->dialed) == NULL) {
+		(void)peers_dial_demand(peers, conn->name);
+		return false;
+	}
+	return mbr_heartbeat(&peers->members, now_us, conn->name,
+	    conn->incarnation, load);
+}
+
 void
 peers_gossip_heartbeat(struct peers_conn *conn,
     const Berylrail__Heartbeat *heartbeat)
@@ -446,8 +475,7 @@
 	if (load.interval_ms > PEERS_INTERVAL_MAX_MS)
 		load.interval_ms = PEERS_INTERVAL_MAX_MS;
 	conn->interval_ms = load.interval_ms;
-	if (!mbr_heartbeat(&peers->members, peers_now_us(peers), conn->name,
-		conn->incarnation, &load)) {
+	if (!peers_gossip_accept(conn, &load)) {
 		ctr_inc(&peers_ctr_stale_heartbeats);
 		return;
 	}
--- a/tests/test_peers_tcp.c
+++ b/tests/test_peers_tcp.c
@@ -524,6 +524,36 @@
 	peers_tcp_destroy(successor.peers);
 }
 
+static void
+raw_beat(int fd)
+{
+	Berylrail__Heartbeat heartbeat = BERYLRAIL__HEARTBEAT__INIT;
+
+	heartbeat.interval_ms = HEARTBEAT_MS;
+	raw_send(fd, BERYLRAIL__FRAME__KIND_HEARTBEAT, &heartbeat);
+}
+
+/* It could not be reached at its address when it came in, and is not since. */
+Test(peers_tcp, a_successor_that_came_early_is_taken_once_the_old_one_is_dead)
+{
+	struct node a = { 0 };
+	int old, successor;
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	old = raw_connect(a.port);
+	raw_hello(old, "b", 22);
+	raw_beat(old);
+	WAIT_FOR(a.engine.nshare == 2);
+	successor = raw_connect(a.port);
+	raw_hello(successor, "b", 33);
+	close(old);
+	WAIT_FOR(a.engine.nshare == 1);
+	raw_beat(successor);
+	WAIT_FOR(a.engine.nshare == 2);
+	peers_tcp_destroy(a.peers);
+	close(successor);
+}
+
 Test(peers_tcp, unknown_and_unreachable_hosts)
 {
 	struct node a = { 0 }, b = { 0 };
