Test a planned stop with tasks longer than the wait for slow readers

On a scratch copy whose drain did not wait for running work, test_shutdown passed: its longest task (2.5 s) ended within the 5 s that slow readers get. With tasks of 7 s under_load fails on that copy, and passes here.

--- a/tests/integration/test_shutdown.c
+++ b/tests/integration/test_shutdown.c
@@ -35,7 +35,7 @@
 
 	clu_ticket(&clu, 0, open);
 	clu_ticket(&clu, 0, used);
-	body[0] = clu_job(used, "booth", "long", 2, 2500, "");
+	body[0] = clu_job(used, "long", "long", 2, 7000, "");
 	body[1] = clu_job(NULL, "booth", "queued", 170, 100, "");
 	body[2] = clu_job(NULL, "booth", "lazy", 170, 1, "");
 	body[3] = clu_job(open, "booth", "open", 3, 1, "");
--- a/tests/support/cluster_work.c
+++ b/tests/support/cluster_work.c
@@ -92,7 +92,10 @@
 	    "\"timeout_ms\": 5000, \"deadline_ms\": 30000}}, "
 	    "{\"op\": \"put\", \"kind\": \"job\", \"name\": \"wax\", "
 	    "\"spec\": {\"service\": \"booth\", \"repeatable\": false, "
-	    "\"timeout_ms\": 2000, \"deadline_ms\": 30000}}";
+	    "\"timeout_ms\": 2000, \"deadline_ms\": 30000}}, "
+	    "{\"op\": \"put\", \"kind\": \"job\", \"name\": \"long\", "
+	    "\"spec\": {\"service\": \"booth\", "
+	    "\"timeout_ms\": 20000, \"deadline_ms\": 60000}}";
 	json_int_t version;
 	uint64_t deadline;
 	size_t len;
