--- a/tests/standins/proxy/link.h
+++ b/tests/standins/proxy/link.h
@@ -73,4 +73,14 @@
 /** link_trace() - set where one line for each fault is printed. */
 void link_trace(int fd);
 
+/** link_random() - a number below @n by the seed. */
+uint32_t link_random(uint32_t n);
+
+/** link_say() - a line of the trace, of the pair with that id. */
+void link_say(const struct link *link, unsigned id, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+
+/** link_shot() - one fault of the rule has happened. */
+void link_shot(struct link *link);
+
 #endif /* STANDIN_PROXY_LINK_H */
