Name the test that provokes each refusal

Two rows had none: a ticket that was not used yet, and an answer that is not in the final record. Out of memory is not provoked, and promises nothing.

--- a/entry/api_internal.h
+++ b/entry/api_internal.h
@@ -193,10 +193,6 @@
 void api_submit(struct api_call *call, struct submission *subm,
     const char *ticket, uint32_t wait_ms);
 
-/** api_submit_own() - as api_submit(), for a ticket that was verified. */
-void api_submit_own(struct api_call *call, struct submission *subm,
-    const char *id, uint64_t seq, uint32_t wait_ms);
-
 /** api_ticket_issue() - a fresh ticket's text and its number. */
 uint64_t api_ticket_issue(struct api *api, char text[TICKET_SIZE]);
 
--- a/entry/api_submit.c
+++ b/entry/api_submit.c
@@ -75,7 +75,7 @@
 		api_work_wait((struct api_work *)existing, call, wait_ms);
 }
 
-void
+static void
 api_submit_own(struct api_call *call, struct submission *subm, const char *id,
     uint64_t seq, uint32_t wait_ms)
 {
--- a/tests/test_api_forward.c
+++ b/tests/test_api_forward.c
@@ -130,6 +130,25 @@
 	cr_assert_eq(rig.blobs.ngets, 1, "a record is read once");
 }
 
+Test(api_forward, answer_not_in_the_record_is_outcome_unknown)
+{
+	struct rig_reply reply = { 0 };
+	char ticket[TICKET_SIZE];
+
+	rig_ticket(0, ticket);
+	post_job(0, ticket, &reply);
+	fake_engine_end(0, TASK_DONE);
+	rig_reply_free(&reply);
+	rig.clock.us += 61 * 1000000ULL;
+	rig_spin(1100);
+	stop_host_0();
+	post_job(1, ticket, &reply);
+	rig_spin(10);
+	cr_assert_str_eq(reply.outcome, "outcome-unknown");
+	cr_assert_eq(fake_engine.n, 1);
+	rig_reply_free(&reply);
+}
+
 Test(api_forward, no_final_record_after_an_outage_of_the_store)
 {
 	struct rig_reply reply = { 0 };
