--- a/entry/api.c
+++ b/entry/api.c
@@ -124,13 +124,15 @@
 void
 api_destroy(struct api *api)
 {
+	struct api_call *call, *next;
 	struct api_work *work;
-	struct api_call *call;
 
 	if (api == NULL)
 		return;
-	while ((call = TAILQ_FIRST(&api->all)) != NULL)
+	for (call = TAILQ_FIRST(&api->all); call != NULL; call = next) {
+		next = TAILQ_NEXT(call, all);
 		api_call_free(call);
+	}
 	api_issuers_destroy(api);
 	while ((work = TAILQ_FIRST(&api->running)) != NULL)
 		api_work_drop(work);
