--- a/adapters/peers_tcp.h
+++ b/adapters/peers_tcp.h
@@ -1,6 +1,7 @@
 #ifndef ADAPTERS_PEERS_TCP_H
 #define ADAPTERS_PEERS_TCP_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
