--- a/adapters/backend_http_internal.h
+++ b/adapters/backend_http_internal.h
@@ -22,7 +22,6 @@
  * with its reply when it ended before start() returned. */
 struct backend_call {
 	struct bkh_conn *conn; /* NULL once deferred */
-	struct bkh_pool *pool;
 	backend_done_fn done;
 	void *arg;
 	const char *task_id; /* borrowed from the request */
