Let the loser of a hedged pair run on, with its slot taken

Cause: the loser's connection was cut and its slot counted as free, but the server still ran the task, so the next one sent there was refused. Now it keeps its slot until it ends; nobody waits for it, and its end still tells about the server. A single request of more than one task is never hedged or repeated.

The random sequences now contain repeatable requests and hedges; they pass, also under ASan and UBSan.

--- a/entry/engine.c
+++ b/entry/engine.c
@@ -276,8 +276,8 @@
 	subm->engine = engine;
 	subm->subm = spec;
 	subm->job = job;
-	subm->hedgeable = spec->single && job->cfg.repeatable &&
-	    job->cfg.hedge && engine->policy.hedge;
+	subm->hedgeable = spec->single && spec->ntasks == 1 &&
+	    job->cfg.repeatable && job->cfg.hedge && engine->policy.hedge;
 	TAILQ_INIT(&subm->calls);
 	for (i = 0; i < spec->ntasks; i++) {
 		subm->pending[i] = (uint16_t)i;
--- a/entry/engine_answer.c
+++ b/entry/engine_answer.c
@@ -132,19 +132,27 @@
 	}
 }
 
-/* Nothing of it waits or runs. */
+/* Nothing of it waits or runs, but for stale calls. */
 void
 eng_subm_free(struct eng_subm *subm)
 {
-	struct engine *engine = subm->engine;
-	struct eng_job *job = subm->job;
-
 	event_del(&subm->deadline);
-	RB_REMOVE(eng_subms, &engine->subms, subm);
-	TAILQ_REMOVE(&job->subms, subm, job_entry);
-	job->nsubms--;
-	eng_job_release(engine, job);
-	subm_free(subm->subm);
+	RB_REMOVE(eng_subms, &subm->engine->subms, subm);
+	TAILQ_REMOVE(&subm->job->subms, subm, job_entry);
 	subm_answer_free(subm->answer);
+	subm->answer = NULL;
+	subm->gone = true;
+	eng_subm_release(subm);
+}
+
+/* Stale calls still use the request and the job. */
+void
+eng_subm_release(struct eng_subm *subm)
+{
+	if (!subm->gone || subm->nstale != 0)
+		return;
+	subm->job->nsubms--;
+	eng_job_release(subm->engine, subm->job);
+	subm_free(subm->subm);
 	free(subm);
 }
--- a/entry/engine_call.c
+++ b/entry/engine_call.c
@@ -39,7 +39,8 @@
 static bool
 eng_is_repeatable(const struct eng_subm *subm)
 {
-	return subm->subm->single && subm->job->cfg.repeatable;
+	return subm->subm->single && subm->subm->ntasks == 1 &&
+	    subm->job->cfg.repeatable;
 }
 
 static void
@@ -59,23 +60,44 @@
 		ord_block(&job->pool->order, &job->flow, full);
 }
 
-/* Takes a call out of all lists and gives back what it held. */
+/* Parts a call from its submission, whose answer no longer waits for it. */
 static void
-eng_call_unlink(struct eng_call *call)
+eng_call_leave(struct eng_call *call)
 {
 	struct engine *engine = call->engine;
-	struct eng_server *server = call->server;
 
-	TAILQ_REMOVE(&server->calls, call, server_entry);
+	if (call->stale)
+		return;
 	TAILQ_REMOVE(&call->subm->calls, call, subm_entry);
 	if (call->subm->hedgeable)
 		TAILQ_REMOVE(&engine->hedgeable, call, hedge_entry);
 	engine->nrunning--;
 	eng_team_add(call->team, -1);
+}
+
+/* Takes a call out of all lists and gives back what it held. */
+static void
+eng_call_unlink(struct eng_call *call)
+{
+	struct engine *engine = call->engine;
+	struct eng_server *server = call->server;
+
+	eng_call_leave(call);
+	TAILQ_REMOVE(&server->calls, call, server_entry);
 	server->pick.running--;
 	eng_server_refresh(engine, server);
 }
 
+static void
+eng_call_free(struct eng_call *call)
+{
+	if (call->stale) {
+		call->subm->nstale--;
+		eng_subm_release(call->subm);
+	}
+	free(call);
+}
+
 void
 eng_call_drop(struct eng_call *call)
 {
@@ -84,7 +106,7 @@
 
 	engine->backend->ops->cancel(engine->backend, call->call);
 	eng_call_unlink(call);
-	free(call);
+	eng_call_free(call);
 	eng_server_release(engine, server);
 }
 
@@ -209,9 +231,13 @@
 	return 0;
 }
 
-/* One of a hedged pair has won: there is at most one rival. */
+/*
+ * One of a hedged pair has won: there is at most one rival. It holds a slot of
+ * its server for as long as it runs, so it runs on, and the slot stays taken;
+ * nobody waits for its answer.
+ */
 static void
-eng_drop_rival(struct eng_subm *subm)
+eng_leave_rival(struct eng_subm *subm)
 {
 	struct eng_call *rival;
 
@@ -221,7 +247,9 @@
 	if (rival == NULL)
 		return;
 	ctr_inc(&eng_wasted_hedge);
-	eng_call_drop(rival);
+	eng_call_leave(rival);
+	rival->stale = true;
+	subm->nstale++;
 }
 
 /* May this task be tried again, after a call that ended with @status? */
@@ -279,7 +307,7 @@
 	struct eng_subm *subm = call->subm;
 	struct err err;
 
-	eng_drop_rival(subm);
+	eng_leave_rival(subm);
 	if (eng_copy_result(call, reply, run_us) == 0) {
 		eng_task_end(subm, call->index, TASK_DONE, NULL);
 		return;
@@ -337,6 +365,17 @@
 		eng_server_set_leaving(engine, server, ENG_LEAVING_SELF, true);
 }
 
+static void
+eng_call_end(struct eng_call *call, const struct backend_reply *reply,
+    uint64_t run_us)
+{
+	eng_count_waste(call, reply);
+	if (reply->status == BACKEND_OK)
+		eng_call_succeeded(call, reply, run_us);
+	else
+		eng_call_failed(call, reply, run_us);
+}
+
 static void
 eng_call_done(void *arg, const struct backend_reply *reply)
 {
@@ -347,12 +386,9 @@
 
 	eng_judge_server(call, reply, now_us);
 	eng_call_unlink(call);
-	eng_count_waste(call, reply);
-	if (reply->status == BACKEND_OK)
-		eng_call_succeeded(call, reply, now_us - call->started_us);
-	else
-		eng_call_failed(call, reply, now_us - call->started_us);
-	free(call);
+	if (!call->stale)
+		eng_call_end(call, reply, now_us - call->started_us);
+	eng_call_free(call);
 	eng_pump_server(engine, server);
 	eng_server_release(engine, server);
 }
--- a/entry/engine_config.c
+++ b/entry/engine_config.c
@@ -427,6 +427,9 @@
 	for (server = RB_MIN(eng_servers, &engine->servers); server != NULL;
 	     server = next_server) {
 		next_server = RB_NEXT(eng_servers, &engine->servers, server);
+		server->configured = true; /* stays until its calls are gone */
+		while (!TAILQ_EMPTY(&server->calls))
+			eng_call_drop(TAILQ_FIRST(&server->calls));
 		server->configured = false;
 		eng_server_release(engine, server);
 	}
--- a/entry/engine_internal.h
+++ b/entry/engine_internal.h
@@ -126,6 +126,8 @@
 	bool failed;	/* nothing more is started */
 	bool cancelled; /* by the caller, while tasks were waiting */
 	bool maybe_ran; /* a repeatable request: an earlier call may have */
+	bool gone;	/* answered and in no list */
+	size_t nstale;	/* calls that still use it */
 	uint16_t npending;
 	uint16_t pending[JOB_TASKS_MAX]; /* a stack of waiting tasks */
 	uint8_t tries[JOB_TASKS_MAX];
@@ -151,6 +153,7 @@
 	double declared_us;
 	double expected_us;
 	bool overdue; /* has counted against the server's health */
+	bool stale;   /* its submission no longer waits for it */
 	bool hedged;  /* has a hedge, or is one */
 	char task_id[TICKET_SIZE + 8];
 	TAILQ_ENTRY(eng_call) server_entry;
@@ -229,6 +232,7 @@
     const struct err *err);
 void eng_stop_waiting(struct eng_subm *subm, const struct err *err);
 void eng_subm_free(struct eng_subm *subm);
+void eng_subm_release(struct eng_subm *subm);
 void eng_count_answer(const struct eng_subm *subm);
 
 /* engine_server.c */
