--- a/entry/engine_internal.h
+++ b/entry/engine_internal.h
@@ -24,7 +24,7 @@
 #define ENG_RUN_DEFAULT_MS 200	     /* of a task that declares none */
 #define ENG_TIMEOUT_DEFAULT_MS 30000 /* of a task */
 #define ENG_LOANS_MAX 16	     /* at once, of one server */
-#define ENG_OVERFLOW_WAIT_US 500000  /* expected wait that allows overflow */
+#define ENG_OVERFLOW_WAIT_US 2000000 /* expected wait that allows overflow */
 
 /* Who has said that a server is leaving. */
 enum eng_leaving_source {
