--- a/entry/engine_loan.c
+++ b/entry/engine_loan.c
@@ -16,7 +16,6 @@
 #define ENG_LOAN_KEPT_SLOTS 1	  /* idle ones of each server, for own tasks */
 #define ENG_LOAN_SERVERS_MAX 512  /* looked at for one list of wants */
 #define ENG_LOAN_SLOTS_PER_TASK 2 /* fewer: tasks wait too long */
-#define ENG_OVERFLOW_WAIT_US 500000 /* expected wait that allows overflow */
 
 uint32_t
 eng_loans_lent(const struct eng_server *server, uint64_t now_us)
--- a/entry/engine_pump.c
+++ b/entry/engine_pump.c
@@ -8,9 +8,8 @@
 #include "core/counters.h"
 #include "entry/engine_internal.h"
 
-#define ENG_OVERFLOW_WAIT_US 500000 /* expected wait that allows overflow */
-#define ENG_SHARE_SLACK_US 250000   /* of all servers, between jobs */
-#define ENG_HEDGE_FACTOR 2.5	    /* of the expected run time */
+#define ENG_SHARE_SLACK_US 250000 /* of all servers, between jobs */
+#define ENG_HEDGE_FACTOR 2.5	  /* of the expected run time */
 #define ENG_HEDGE_MIN_US 20000
 
 #define ENG_MESSAGES(k)                                     \
