Let a refused task wait on instead of failing its job

Cause: six refusals of one task, or an empty retry budget, ended the whole job as task-failed, though a refused task certainly did not start. It is the only way found for a job to fail without a fault; test_leaving and rolling_replacement had each shown one such job on a busy machine. Ruled out: a larger budget, which only moves the point where jobs fail. Change: a refusal never fails a job. The server that refused is asked at growing intervals (20 to 640 ms), so refusals cannot multiply; the deadline ends the wait. What was not sent keeps its limit and budget.

--- a/entry/engine_call.c
+++ b/entry/engine_call.c
@@ -13,10 +13,11 @@
 #include "core/counters.h"
 #include "entry/engine_internal.h"
 
-#define ENG_TRIES_MAX 6		   /* starts of one task that were refused */
-#define ENG_REPEATS_MAX 2	   /* starts of a repeatable single request */
-#define ENG_REFUSED_PAUSE_US 20000 /* no new work after "busy" */
-#define ENG_SPEED_WEIGHT 0.01	   /* of one task in the mean of speeds */
+#define ENG_TRIES_MAX 6	  /* starts of one task that met no server */
+#define ENG_REPEATS_MAX 2 /* starts of a repeatable single request */
+#define ENG_REFUSED_PAUSE_US 20000ULL /* no new work after "busy" */
+#define ENG_REFUSED_DOUBLINGS 5 /* of that pause, while it goes on refusing */
+#define ENG_SPEED_WEIGHT 0.01	/* of one task in the mean of speeds */
 
 #define ENG_WASTED(k)                                                \
 	{                                                            \
@@ -262,7 +263,10 @@
 
 	if (subm->failed)
 		return false;
-	if (status == BACKEND_REFUSED || status == BACKEND_NOT_SENT)
+	/* The server's pause bounds these, and the deadline ends them. */
+	if (status == BACKEND_REFUSED)
+		return true;
+	if (status == BACKEND_NOT_SENT)
 		return tries < ENG_TRIES_MAX &&
 		    rtry_take(&engine->retries, clock_now_us(engine->clock));
 	return eng_is_repeatable(subm) && tries < ENG_REPEATS_MAX &&
@@ -288,6 +292,9 @@
 		return; /* its rival may still succeed */
 	}
 	if (eng_may_retry(call, reply->status)) {
+		if (reply->status == BACKEND_REFUSED &&
+		    subm->tries[call->index] > 1)
+			subm->tries[call->index]--;
 		subm->maybe_ran |= state != TASK_NOT_RUN;
 		eng_push(subm, call->index);
 		return;
@@ -333,6 +340,16 @@
 		ctr_inc(&eng_wasted_retry);
 }
 
+/* A server that refuses again and again is asked at growing intervals. */
+static void
+eng_pause_server(struct eng_server *server, uint64_t now_us)
+{
+	server->paused_until_us =
+	    now_us + (ENG_REFUSED_PAUSE_US << server->nrefusals);
+	if (server->nrefusals < ENG_REFUSED_DOUBLINGS)
+		server->nrefusals++;
+}
+
 /* What a reply tells about the server that gave it. */
 static void
 eng_judge_server(struct eng_call *call, const struct backend_reply *reply,
@@ -357,8 +374,10 @@
 	}
 	if (reply->status == BACKEND_OK)
 		server->answered_us = now_us;
+	if (reply->status != BACKEND_REFUSED)
+		server->nrefusals = 0;
 	if (reply->status == BACKEND_REFUSED)
-		server->paused_until_us = now_us + ENG_REFUSED_PAUSE_US;
+		eng_pause_server(server, now_us);
 	else if (reply->err.code != ERR_OVERLOAD)
 		eng_server_note(engine, server, job, events[reply->status]);
 	if (reply->leaving)
--- a/entry/engine_internal.h
+++ b/entry/engine_internal.h
@@ -56,6 +56,7 @@
 	struct hlth health;
 	struct lrn_estimate speed;
 	uint64_t paused_until_us; /* after a refusal */
+	unsigned nrefusals;	  /* in a row */
 	uint32_t own_limit;	  /* before a pause or probing */
 	uint32_t others_running;
 	struct eng_loan lent[ENG_LOANS_MAX];
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -302,6 +302,31 @@
 	bench_clear(&b);
 }
 
+/* A refused task did not start: it waits on, however often it is refused, and
+ * the server is asked at growing intervals. */
+Test(engine, refusals_never_fail_a_job)
+{
+	struct world world = { .nservers = 1, .slots = 1 };
+	uint64_t waited_us[7];
+	struct bench b;
+	size_t i;
+
+	bench_init(&b, "default", &world);
+	submit(&b, "j", 1);
+	for (i = 0; i < 7; i++) {
+		end_first(&b, BACKEND_REFUSED);
+		for (waited_us[i] = 0; b.fake.ncalls == 0;
+		     waited_us[i] += 10000)
+			pass(&b, 10000);
+	}
+	cr_assert_geq(waited_us[0], 20000);
+	cr_assert_geq(waited_us[3], 4 * waited_us[1] - 10000);
+	cr_assert_leq(waited_us[6], 700000);
+	end_first(&b, BACKEND_OK);
+	cr_assert_eq(b.outcome, OUTCOME_COMPLETE);
+	bench_clear(&b);
+}
+
 Test(engine, failed_job_starts_no_more_tasks)
 {
 	struct world world = { .nservers = 1 };
