--- a/adapters/http_conn.c
+++ b/adapters/http_conn.c
@@ -92,6 +92,15 @@
 	http_discard(fd);
 }
 
+static void
+http_abandon(struct http_server *server, struct http_conn *conn)
+{
+	if (server->params.door != NULL)
+		server->params.door->abandon(server->params.door->arg, conn);
+	else
+		api_abandon(server->params.api, conn);
+}
+
 static evhtp_res
 http_on_fini(evhtp_connection_t *evconn, void *arg)
 {
@@ -117,7 +126,7 @@
 	if (conn->refused && !answering)
 		http_refuse_fd(evconn->sock, conn->refusal, conn->client);
 	if (conn->pending != NULL)
-		api_abandon(server->params.api, conn);
+		http_abandon(server, conn);
 	LIST_REMOVE(conn, entry);
 	ctr_set(&http_connections, --server->nconns);
 	event_free(conn->resume);
@@ -223,6 +232,11 @@
 		http_add_header(req, "Berylrail-Outcome", reply->outcome);
 	if (reply->next_ticket != NULL)
 		http_add_header(req, "Berylrail-Ticket", reply->next_ticket);
+	if (reply->retry_after_s != 0) {
+		(void)snprintf(length, sizeof(length), "%u",
+		    (unsigned int)reply->retry_after_s);
+		http_add_header(req, "Retry-After", length);
+	}
 	if (conn->server->closing) {
 		evhtp_request_disable_flag(req, EVHTP_REQ_FLAG_KEEPALIVE);
 		http_add_header(req, "Connection", "close");
@@ -265,6 +279,15 @@
 		evhtp_connection_disable_flag(evconn, EVHTP_CONN_FLAG_PAUSED);
 }
 
+/* A header's whole number; 0 if it is absent or malformed. */
+static uint32_t
+http_number(const char *text)
+{
+	unsigned long value = text == NULL ? 0 : strtoul(text, NULL, 10);
+
+	return value > UINT32_MAX ? UINT32_MAX : (uint32_t)value;
+}
+
 void
 http_on_request(evhtp_request_t *req, void *arg)
 {
@@ -279,8 +302,13 @@
 		.ticket = evhtp_kv_find(headers, "Berylrail-Ticket"),
 		.who = evhtp_kv_find(headers, "Berylrail-Operator"),
 		.client = conn->client,
+		.host = evhtp_kv_find(headers, "Host"),
+		.deadline_ms = http_number(evhtp_kv_find(headers,
+		    "Deadline-Ms")),
 	};
 
+	if (request.host == NULL)
+		request.host = "";
 	request.path = req->uri == NULL || req->uri->path == NULL ||
 		req->uri->path->full == NULL
 	    ? ""
@@ -293,7 +321,11 @@
 	conn->pending = req;
 	http_hold(conn);
 	conn->in_parser = true;
-	api_handle(server->params.api, &request, http_reply, conn);
+	if (server->params.door != NULL)
+		server->params.door->handle(server->params.door->arg, &request,
+		    http_reply, conn);
+	else
+		api_handle(server->params.api, &request, http_reply, conn);
 	conn->in_parser = false;
 	/* A reply sets the status that tells libevhtp to wait. */
 	req->status = EVHTP_RES_PAUSE;
--- a/adapters/peers_tcp.c
+++ b/adapters/peers_tcp.c
@@ -216,6 +216,19 @@
 	peers_dial_tick(peers, peers_now_us(peers));
 }
 
+bool
+peers_tcp_connected(struct peers *port, const char *host,
+    uint64_t *incarnation)
+{
+	const struct peers_conn *conn =
+	    peers_conn_find_host(peers_of(port), host);
+
+	if (conn == NULL)
+		return false;
+	*incarnation = conn->incarnation;
+	return true;
+}
+
 void
 peers_tcp_leaving(struct peers *port)
 {
--- a/adapters/peers_tcp.h
+++ b/adapters/peers_tcp.h
@@ -44,6 +44,10 @@
 void peers_tcp_hosts(struct peers *peers, const struct hostlist_entry *entries,
     size_t nentries);
 
+/** peers_tcp_connected() - is @host connected; @incarnation is set then. */
+bool peers_tcp_connected(struct peers *peers, const char *host,
+    uint64_t *incarnation);
+
 /** peers_tcp_leaving() - tell peers that this host is shutting down. */
 void peers_tcp_leaving(struct peers *peers);
 
--- /dev/null
+++ b/core/lease.c
@@ -0,0 +1,42 @@
+/*
+ * Lease arithmetic. An answer's clock was read after the call was sent, so
+ * adding the time since sending never overestimates by more than the round
+ * trip; a slow clock makes a lease last longer in this host's time, which the
+ * expiry allows for.
+ */
+
+#include "core/lease.h"
+
+#define LEASE_US_PER_MS UINT64_C(1000)
+
+void
+lease_learn_clock(struct lease *lease, uint64_t clock_ms, uint64_t sent_us)
+{
+	if (lease->clock_known && sent_us < lease->clock_at_us)
+		return;
+	lease->clock_known = true;
+	lease->clock_ms = clock_ms;
+	lease->clock_at_us = sent_us;
+}
+
+uint64_t
+lease_extend(struct lease *lease, uint64_t now_us, uint32_t hold_ms)
+{
+	uint64_t hold_us = hold_ms * LEASE_US_PER_MS;
+	uint64_t expires_us;
+
+	expires_us =
+	    now_us + hold_us + hold_us * LEASE_CLOCK_SKEW_PERCENT / 100;
+	if (expires_us > lease->expires_us)
+		lease->expires_us = expires_us;
+	if (!lease->clock_known)
+		return 0;
+	return lease->clock_ms +
+	    (now_us - lease->clock_at_us) / LEASE_US_PER_MS + hold_ms;
+}
+
+bool
+lease_expired(const struct lease *lease, uint64_t now_us)
+{
+	return now_us >= lease->expires_us;
+}
--- /dev/null
+++ b/core/place.c
@@ -0,0 +1,79 @@
+/*
+ * Placing tasks on backend servers.
+ */
+
+#include "core/place.h"
+
+#define PLACE_SPEED_MIN 50 /* thousandths; keeps expected times finite */
+
+static bool
+place_fits(const struct place_task *task, const struct place_server *server)
+{
+	return server->allowed && server->free_cpu >= (int64_t)task->cpu &&
+	    server->free_mem >= (int64_t)task->mem &&
+	    server->free_gpu >= (int64_t)task->gpu;
+}
+
+uint32_t
+place_expected_ms(const struct place_task *task,
+    const struct place_server *server)
+{
+	uint32_t speed =
+	    server->speed < PLACE_SPEED_MIN ? PLACE_SPEED_MIN : server->speed;
+	uint64_t work_ms = task->work_ms;
+
+	if (!server->near)
+		work_ms = work_ms * task->far_permille / PLACE_SPEED_UNIT;
+	return (uint32_t)(work_ms * PLACE_SPEED_UNIT / speed);
+}
+
+/* Room left beside the task that no typical task could use. */
+static int64_t
+place_waste(const struct place_task *task, const struct place_server *server)
+{
+	int64_t left = server->free_cpu - (int64_t)task->cpu;
+
+	if (task->typical_cpu == 0)
+		return left;
+	return left % (int64_t)task->typical_cpu;
+}
+
+struct place_score {
+	bool in_time;
+	uint32_t expected_ms;
+	int64_t waste;
+};
+
+static bool
+place_better(const struct place_score *a, const struct place_score *b)
+{
+	if (a->in_time != b->in_time)
+		return a->in_time;
+	if (!a->in_time)
+		return a->expected_ms < b->expected_ms;
+	if (a->expected_ms != b->expected_ms)
+		return a->expected_ms > b->expected_ms;
+	return a->waste < b->waste;
+}
+
+int
+place_choose(const struct place_server *servers, size_t nservers,
+    const struct place_task *task)
+{
+	struct place_score score, best_score = { 0 };
+	int best = -1;
+	size_t i;
+
+	for (i = 0; i < nservers; i++) {
+		if (!place_fits(task, &servers[i]))
+			continue;
+		score.expected_ms = place_expected_ms(task, &servers[i]);
+		score.in_time = (int64_t)score.expected_ms <= task->left_ms;
+		score.waste = place_waste(task, &servers[i]);
+		if (best >= 0 && !place_better(&score, &best_score))
+			continue;
+		best = (int)i;
+		best_score = score;
+	}
+	return best;
+}
--- a/entry/api.c
+++ b/entry/api.c
@@ -12,6 +12,7 @@
 #include "entry/idempotency.h"
 #include "entry/problem.h"
 
+#define API_WORK_PATH "/v1/work/"
 #define API_CLAIM_WINDOW (1U << 23) /* sequence numbers */
 #define API_EXPIRY_MS 1000
 #define API_POINTER_ALIGN_BITS 4
@@ -200,8 +201,11 @@
 		if (call->arg == arg)
 			break;
 	}
-	if (call == NULL)
+	if (call == NULL) {
+		if (api->work_door != NULL)
+			api->work_door->abandon(api->work_door->arg, arg);
 		return;
+	}
 	ctr_inc(&api_abandoned);
 	if (call->work != NULL) {
 		api_call_free(call);
@@ -398,6 +402,12 @@
 		api_call_refuse(call, REF_PATH, NULL);
 }
 
+void
+api_set_work_door(struct api *api, const struct api_door *door)
+{
+	api->work_door = door;
+}
+
 void
 api_handle(struct api *api, const struct api_request *request,
     api_reply_fn reply, void *arg)
@@ -411,5 +421,12 @@
 	};
 
 	ctr_inc(request->forwarded ? &api_forwarded_requests : &api_requests);
+	if (api->work_door != NULL && request->forwarded &&
+	    strncmp(request->path, API_WORK_PATH,
+		sizeof(API_WORK_PATH) - 1) == 0) {
+		api->work_door->handle(api->work_door->arg, request, reply,
+		    arg);
+		return;
+	}
 	api_route(&call);
 }
--- a/entry/api.h
+++ b/entry/api.h
@@ -33,6 +33,8 @@
 	const char *ticket;	     /* header Berylrail-Ticket, NULL if none */
 	const char *who;	     /* header Berylrail-Operator, or NULL */
 	const char *client;	     /* address of the caller, for errors */
+	const char *host;	     /* header Host, "" if none */
+	uint32_t deadline_ms;	     /* header Deadline-Ms, 0 if none */
 	const void *body;
 	size_t body_len; /* bytes */
 	bool forwarded;	 /* came from a peer: never forward again */
@@ -44,12 +46,24 @@
 	const char *content_type; /* "application/json" ... */
 	const char *outcome;	  /* header Berylrail-Outcome, or NULL */
 	const char *next_ticket;  /* header Berylrail-Ticket, or NULL */
+	uint32_t retry_after_s;	  /* header Retry-After, 0: none */
 	const void *body;
 	size_t body_len; /* bytes */
 };
 
 typedef void (*api_reply_fn)(void *arg, const struct api_reply *reply);
 
+/**
+ * struct api_door - who serves requests: the API itself, or a part of the
+ * host that speaks to other callers. As api_handle() and api_abandon().
+ */
+struct api_door {
+	void (*handle)(void *arg, const struct api_request *request,
+	    api_reply_fn reply, void *reply_arg);
+	void (*abandon)(void *arg, void *reply_arg);
+	void *arg;
+};
+
 struct api;
 struct blobs;
 struct clock;
@@ -86,6 +100,12 @@
 /** api_set_peers() - the peers, which themselves need the API. */
 void api_set_peers(struct api *api, struct peers *peers);
 
+/**
+ * api_set_work_door() - who serves the paths below /v1/work/, which only
+ * peers may ask for; borrowed.
+ */
+void api_set_work_door(struct api *api, const struct api_door *door);
+
 /** api_set_nhosts() - live entry hosts; stretches the claims' interval. */
 void api_set_nhosts(struct api *api, size_t nhosts);
 
--- a/entry/daemon.c
+++ b/entry/daemon.c
@@ -20,6 +20,9 @@
 #include "entry/config_sync.h"
 #include "entry/daemon.h"
 #include "entry/engine.h"
+#include "entry/jobs/work.h"
+#include "platform/door.h"
+#include "platform/platform.h"
 
 #define DMN_FLUSH_CHECK_MS 20	/* interval of looks for unwritten answers */
 #define DMN_FLUSH_LIMIT_MS 5000 /* slow readers get that long at the end */
@@ -38,6 +41,14 @@
 	struct api *api;
 	struct peers *peers;
 	struct http_server *http;
+	/* With the users' platform; else NULL. */
+	struct worker *worker;
+	struct rows *rows;
+	struct work *work;
+	struct platform_door *door;
+	struct http_server *work_http;
+	struct http_server *ready_http;
+	struct event *sighup;
 	struct event *sigterm;
 	struct event *sigint;
 	struct event *hostlist_timer;
@@ -116,7 +127,9 @@
 
 	(void)fd;
 	(void)what;
-	if (http_server_open(dmn->http) > 0 &&
+	if ((http_server_open(dmn->http) > 0 ||
+		(dmn->work_http != NULL &&
+		    http_server_open(dmn->work_http) > 0)) &&
 	    clock_now_us(dmn->clock) < dmn->flush_deadline_us) {
 		dmn_timer_add(dmn->flush_timer, DMN_FLUSH_CHECK_MS);
 		return;
@@ -147,11 +160,26 @@
 	dmn->draining = true;
 	log_event(LOG_LEVEL_INFO, "draining", "signal=%d", (int)fd);
 	peers_tcp_leaving(dmn->peers);
+	if (dmn->work != NULL) {
+		work_leave(dmn->work);
+		http_server_close_idle(dmn->work_http);
+	}
 	http_server_close_idle(dmn->http);
 	api_drain(dmn->api, dmn->settings->drain_delay_ms,
 	    dmn->settings->drain_limit_ms, dmn_drained, dmn);
 }
 
+/* Settings are flags and environment: they change with the next start. */
+static void
+dmn_reload(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	(void)arg;
+	log_event(LOG_LEVEL_INFO, "reload", "%s",
+	    "outcome=\"settings take effect at the next start\"");
+}
+
 static int
 dmn_create_platform(struct daemon *dmn, struct err *err)
 {
@@ -289,11 +317,108 @@
 	return dmn->http == NULL ? -1 : 0;
 }
 
+static int
+dmn_create_work(struct daemon *dmn, struct err *err)
+{
+	const struct settings *set = dmn->settings;
+	struct work_params params = {
+		.base = dmn->base,
+		.clock = dmn->clock,
+		.peers = dmn->peers,
+		.connected = peers_tcp_connected,
+		.hosts = peers_tcp_hosts,
+		.decode = platform_decode,
+		.host_row = platform_host_row,
+		.lease_ms = set->lease_ms,
+		.far_permille = set->far_permille,
+	};
+
+	params.worker = dmn->worker = platform_worker_create(dmn->base);
+	strlcpy(params.self.name, set->host, NAME_SIZE);
+	strlcpy(params.self.az, set->az, NAME_SIZE);
+	strlcpy(params.self.address, set->peer_advertise.address,
+	    sizeof(params.self.address));
+	params.self.port = peers_tcp_port(dmn->peers);
+	params.self.weight = set->weight;
+	dmn->work = dmn->worker == NULL ? NULL : work_create(&params);
+	if (dmn->work == NULL)
+		return err_set(err, ERR_STEP_SETTINGS, ERR_NO_MEMORY, NULL,
+		    "work");
+	api_set_work_door(dmn->api, work_peer_door(dmn->work));
+	return 0;
+}
+
+static int
+dmn_create_doors(struct daemon *dmn, struct err *err)
+{
+	const struct settings *set = dmn->settings;
+	const struct platform_door_params door_params = {
+		.dir = work_directory(dmn->work),
+		.front = work_front(dmn->work),
+		.ready = work_ready,
+		.arg = dmn->work,
+	};
+	struct http_server_params params = {
+		.base = dmn->base,
+		.body_bytes_max = set->body_bytes_max,
+		.header_timeout_ms = set->header_timeout_ms,
+		.clients_max = set->clients_max,
+	};
+
+	dmn->door = platform_door_create(&door_params);
+	params.door = platform_door_api(dmn->door);
+	params.listen = set->work_listen;
+	dmn->work_http = http_server_create(&params, err);
+	if (dmn->work_http == NULL)
+		return -1;
+	params.listen = set->ready_listen;
+	dmn->ready_http = http_server_create(&params, err);
+	return dmn->ready_http == NULL ? -1 : 0;
+}
+
+/* The users' platform, if the settings name it. */
+static int
+dmn_create_store(struct daemon *dmn, struct err *err)
+{
+	const struct settings *set = dmn->settings;
+	struct rows_listener listener;
+
+	if (set->store.port == 0)
+		return 0;
+	if (dmn_create_work(dmn, err) != 0 || dmn_create_doors(dmn, err) != 0)
+		return -1;
+	work_listener(dmn->work, &listener);
+	dmn->rows = platform_rows_create(dmn->base, &set->store, &listener);
+	if (dmn->rows == NULL)
+		return err_set(err, ERR_STEP_SETTINGS, ERR_NO_MEMORY, NULL,
+		    "store");
+	work_set_rows(dmn->work, dmn->rows);
+	return 0;
+}
+
+static void
+dmn_destroy_store(struct daemon *dmn)
+{
+	if (dmn->ready_http != NULL)
+		http_server_destroy(dmn->ready_http);
+	if (dmn->work_http != NULL)
+		http_server_destroy(dmn->work_http);
+	if (dmn->rows != NULL)
+		platform_rows_destroy(dmn->rows);
+	if (dmn->work != NULL)
+		work_destroy(dmn->work);
+	if (dmn->door != NULL)
+		platform_door_destroy(dmn->door);
+	if (dmn->worker != NULL)
+		platform_worker_destroy(dmn->worker);
+}
+
 static int
 dmn_create_events(struct daemon *dmn, struct err *err)
 {
 	dmn->sigterm = evsignal_new(dmn->base, SIGTERM, dmn_signal, dmn);
 	dmn->sigint = evsignal_new(dmn->base, SIGINT, dmn_signal, dmn);
+	dmn->sighup = evsignal_new(dmn->base, SIGHUP, dmn_reload, dmn);
 	dmn->hostlist_timer = evtimer_new(dmn->base, dmn_hostlist_tick, dmn);
 	dmn->flush_timer = evtimer_new(dmn->base, dmn_flush_tick, dmn);
 	if (dmn->sigterm == NULL || dmn->sigint == NULL ||
@@ -302,6 +427,8 @@
 		    "events");
 	(void)event_add(dmn->sigterm, NULL);
 	(void)event_add(dmn->sigint, NULL);
+	if (dmn->sighup != NULL)
+		(void)event_add(dmn->sighup, NULL);
 	if (dmn->platform->hostlist != NULL)
 		dmn_timer_add(dmn->hostlist_timer, 0);
 	return 0;
@@ -369,7 +496,9 @@
 	    dmn_create_engine(dmn, seed, err) != 0 ||
 	    dmn_create_config_sync(dmn, seed, err) != 0 ||
 	    dmn_create_api(dmn, err) != 0 || dmn_create_peers(dmn, err) != 0 ||
-	    dmn_create_http(dmn, err) != 0 || dmn_create_events(dmn, err) != 0)
+	    dmn_create_http(dmn, err) != 0 ||
+	    dmn_create_store(dmn, err) != 0 ||
+	    dmn_create_events(dmn, err) != 0)
 		return -1;
 	return dmn_write_ports(dmn, err);
 }
@@ -389,6 +518,8 @@
 	dmn_event_free(dmn->hostlist_timer);
 	dmn_event_free(dmn->sigint);
 	dmn_event_free(dmn->sigterm);
+	dmn_event_free(dmn->sighup);
+	dmn_destroy_store(dmn);
 	if (dmn->http != NULL)
 		http_server_destroy(dmn->http);
 	if (dmn->peers != NULL)
--- /dev/null
+++ b/entry/jobs/holder.h
@@ -0,0 +1,107 @@
+#ifndef ENTRY_JOBS_HOLDER_H
+#define ENTRY_JOBS_HOLDER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/job.h"
+#include "entry/jobs/directory.h"
+#include "ports/clock.h"
+#include "ports/worker.h"
+
+/*
+ * The holder of a cell: starts, watches and stops the runs of all jobs on the
+ * backend servers of one availability zone, while its fencing token is the
+ * highest that these servers have seen.
+ */
+
+struct event_base;
+struct holder;
+
+/** enum holder_result - how a job ended for its submitter. */
+enum holder_result {
+	HOLDER_COMPLETED, /* all tasks are done */
+	HOLDER_FAILED,	  /* a task failed as often as it may */
+	HOLDER_NOT_RUN,	  /* refused: nothing was started or will be */
+	HOLDER_GAVE_UP,	  /* out of time; some tasks may have run */
+	HOLDER_MOVED,	  /* this host does not hold the cell (any more) */
+	HOLDER_BAD,	  /* the job can't be run here: see the reason */
+};
+
+/** struct holder_reply - the answer to a submission; borrowed. */
+struct holder_reply {
+	enum holder_result result;
+	uint32_t retry_after_ms; /* for NOT_RUN */
+	const char *reason;	 /* for people, never NULL */
+};
+
+typedef void (
+    *holder_done_fn)(void *arg, const struct holder_reply *reply);
+
+/** struct holder_params - all borrowed. */
+struct holder_params {
+	struct event_base *base;
+	struct clock *clock;
+	struct worker *worker;
+	uint32_t lease_ms; /* longest lease that servers grant */
+	uint32_t far_permille; /* slowdown of a task away from its data */
+	/* The servers have seen a higher token. */
+	void (*fenced)(void *arg);
+	void *arg;
+};
+
+/** struct holder_request - a job to run. */
+struct holder_request {
+	struct job_spec spec;	/* the holder takes what it owns */
+	struct job_queue queue;
+	uint32_t age_ms;	/* since the submitter first sent it */
+	uint32_t patience_ms;	/* the submitter waits so long from now */
+	bool resubmitted;	/* another holder may have started it */
+};
+
+/** struct holder_load - how busy the cell is. */
+struct holder_load {
+	uint64_t cpu_total; /* thousandths of a core */
+	uint64_t cpu_free;
+	uint64_t queued_ms; /* work that waits, in thousandth-core times ms */
+};
+
+/** holder_create() - a holder that holds nothing yet; NULL: no memory. */
+struct holder *holder_create(const struct holder_params *params);
+
+void holder_destroy(struct holder *holder);
+
+/** holder_begin() - hold all servers with @token, which must be a new one. */
+void holder_begin(struct holder *holder, uint64_t token);
+
+/** holder_end() - stop giving orders; all jobs are answered MOVED. */
+void holder_end(struct holder *holder);
+
+/** holder_token() - the token in use, or 0. */
+uint64_t holder_token(const struct holder *holder);
+
+/** holder_server() - a backend server is there, or has changed. */
+void holder_server(struct holder *holder, const struct dir_server *server);
+
+/** holder_server_gone() - a backend server has left the directory. */
+void holder_server_gone(struct holder *holder, const char *id);
+
+/**
+ * holder_submit() - run a job.
+ * @done: runs once, at once or later, unless the job is cancelled. A second
+ *        submission of a job that is under way replaces the first one's
+ *        callback, which is answered GAVE_UP.
+ */
+void holder_submit(struct holder *holder, struct holder_request *request,
+    holder_done_fn done, void *arg);
+
+/** holder_cancel() - stop a job whose submitter is @arg; @done won't run. */
+void holder_cancel(struct holder *holder, const char *id, const void *arg);
+
+/** holder_load() - how busy the cell is. */
+void holder_load(const struct holder *holder, struct holder_load *load);
+
+/** holder_idle() - no job is under way and nothing is running. */
+bool holder_idle(const struct holder *holder);
+
+#endif /* ENTRY_JOBS_HOLDER_H */
--- /dev/null
+++ b/entry/jobs/holder_internal.h
@@ -0,0 +1,186 @@
+#ifndef ENTRY_JOBS_HOLDER_INTERNAL_H
+#define ENTRY_JOBS_HOLDER_INTERNAL_H
+
+#include <event2/event.h>
+#include <sys/queue.h>
+
+#include "core/lease.h"
+#include "core/place.h"
+#include "entry/jobs/holder.h"
+
+/*
+ * Shared by the files of the holder: holder.c (life cycle, jobs),
+ * holder_server.c (leases and lists of servers), holder_run.c (orders and
+ * ends), holder_pump.c (which task starts where).
+ */
+
+#define HLD_JOB_BUCKETS 1024
+
+/* A long poll; the lease is renewed at its start, so at most a third of the
+ * lease passes before the next renewal. */
+#define HLD_HOLD_WAIT_MS 300
+#define HLD_ACK_DELAY_MS 60    /* ends of an idle server are acknowledged */
+#define HLD_RETRY_MS 50	       /* after a call without an answer */
+#define HLD_MISSES_MAX 1       /* unanswered holds before it is suspect */
+#define HLD_ORPHAN_MS 500      /* an unknown run may be claimed by its job */
+#define HLD_FULL_MS 15	       /* no start after a refusal for want of room */
+#define HLD_BUSY_MS 250	       /* no start after a refusal */
+#define HLD_TICK_MS 20	       /* deadlines, stragglers, orphans */
+#define HLD_FAIL_STREAK 3      /* failed runs of different jobs in a row */
+#define HLD_EJECT_MS 2000      /* first ejection; doubles */
+#define HLD_EJECT_MAX_MS 8000
+#define HLD_STRAGGLER_FACTOR 4 /* times the expected run time */
+#define HLD_STRAGGLER_MIN_MS 300
+#define HLD_RECOVER_MS 250     /* wait for all servers after a take-over */
+#define HLD_RUN_IDS 64	       /* runs of one task under one token */
+
+enum hld_task_state {
+	HLD_BLOCKED, /* an earlier step is not done */
+	HLD_WAITING,
+	HLD_STARTING, /* ordered, no answer yet */
+	HLD_RUNNING,
+	HLD_STOPPING, /* to be gone from its server before it goes on */
+	HLD_DONE,
+};
+
+struct hld_job;
+struct hld_order;
+struct hld_server;
+
+/** struct hld_task - one task. */
+struct hld_task {
+	struct hld_job *job;
+	uint32_t step;
+	uint32_t index;
+	enum hld_task_state state;
+	uint32_t runs;	 /* ordered under this token */
+	uint32_t fails;
+	struct hld_server *server; /* where a run is or may be */
+	uint64_t run_id;
+	uint64_t ordered_us; /* the start was sent */
+	uint64_t settled_us; /* its last order was answered or given up */
+	bool order_pending;
+	TAILQ_ENTRY(hld_task) on_server;
+	TAILQ_ENTRY(hld_task) waiting;
+};
+
+TAILQ_HEAD(hld_tasks, hld_task);
+LIST_HEAD(hld_orders, hld_order);
+
+/** struct hld_job - one job. */
+struct hld_job {
+	struct holder *holder;
+	struct job_spec spec;
+	struct job_queue queue;
+	struct hld_task *tasks; /* spec.ntasks of them, by step */
+	uint32_t ndone;
+	uint32_t non_servers; /* tasks with a run somewhere */
+	uint64_t arrived_us;  /* when its submitter first sent it */
+	uint64_t objective_us; /* on time until then */
+	uint64_t late_us;     /* worth something until then */
+	uint64_t gone_us;     /* the submitter has left by then */
+	uint64_t start_after_us; /* another holder's runs may last until then */
+	bool started; /* a start was ordered, here or elsewhere */
+	bool ended;   /* answered; only its runs are left */
+	holder_done_fn done;
+	void *arg;
+	LIST_ENTRY(hld_job) hash;
+	TAILQ_ENTRY(hld_job) entry;
+};
+
+TAILQ_HEAD(hld_jobs, hld_job);
+
+/** struct hld_orphan - a run of a job that is not known (yet). */
+struct hld_orphan {
+	char task[WORKER_TASK_NAME_SIZE];
+	uint64_t run_id;
+	uint64_t seen_us; /* first */
+	bool done;	  /* it has ended so */
+	bool listed;	  /* by the last answer */
+	TAILQ_ENTRY(hld_orphan) entry;
+};
+
+TAILQ_HEAD(hld_orphans, hld_orphan);
+
+/** struct hld_server - one incarnation of a backend server. */
+struct hld_server {
+	struct holder *holder;
+	struct dir_server info;
+	struct worker_link *link;
+	struct lease lease;
+	struct hld_tasks tasks; /* that may be there */
+	struct hld_orphans orphans;
+	struct hld_orders orders; /* pending */
+	int64_t used_cpu;
+	int64_t used_mem;
+	int64_t used_gpu;
+	uint32_t speed; /* thousandths of the nominal one, learned */
+	uint64_t acknowledged;
+	bool held; /* its lists were read under this token */
+	bool gone; /* left the directory; freed when nothing is there */
+	bool hold_pending;
+	uint64_t hold_sent_us;
+	uint64_t hold_due_us; /* next one, if none is pending; 0: none */
+	uint32_t misses;      /* holds without an answer in a row */
+	uint64_t no_start_until_us;
+	uint64_t ejected_until_us;
+	uint32_t eject_ms; /* last ejection */
+	uint32_t fail_streak;
+	char last_failed[JOB_ID_LEN + 1];
+	uint32_t calls; /* pending, beside the hold */
+	TAILQ_ENTRY(hld_server) entry;
+};
+
+TAILQ_HEAD(hld_servers, hld_server);
+
+struct holder {
+	struct holder_params params;
+	uint64_t token;
+	uint64_t begun_us;
+	struct hld_servers servers;
+	struct hld_jobs jobs;
+	LIST_HEAD(, hld_job) buckets[HLD_JOB_BUCKETS];
+	struct hld_tasks waiting; /* by urgency */
+	struct event *tick;
+	struct event *pump;
+	struct place_server *scratch; /* of hld_pump() */
+	size_t nscratch;
+};
+
+/* holder.c */
+uint64_t hld_now(const struct holder *holder);
+struct hld_job *hld_job_find(struct holder *holder, const char *id);
+void hld_job_finish(struct hld_job *job, const struct holder_reply *reply);
+void hld_job_release_ended(struct hld_job *job);
+struct hld_task *hld_task_find(struct holder *holder, const char *name);
+void hld_task_name(const struct hld_task *task,
+    char name[WORKER_TASK_NAME_SIZE]);
+
+/* holder_server.c */
+void hld_server_free(struct hld_server *server);
+void hld_server_hold(struct hld_server *server, uint64_t now_us);
+void hld_server_tick(struct hld_server *server, uint64_t now_us);
+void hld_server_reset(struct hld_server *server);
+void hld_server_lost(struct hld_server *server, const char *why);
+void hld_orphans_claim(struct hld_job *job);
+
+/* holder_run.c */
+void hld_run_start(struct hld_task *task, struct hld_server *server);
+void hld_run_stop(struct hld_task *task);
+void hld_orders_drop(struct hld_server *server);
+void hld_run_stop_orphan(struct hld_server *server, struct hld_orphan *orphan);
+void hld_run_ended(struct hld_task *task, enum worker_end how);
+void hld_run_absent(struct hld_task *task, const char *why);
+void hld_run_adopt(struct hld_task *task, struct hld_server *server,
+    uint64_t run_id, uint64_t now_us);
+
+/* holder_pump.c */
+void hld_pump_wake(struct holder *holder);
+void hld_pump(evutil_socket_t fd, short what, void *arg);
+void hld_queue(struct hld_task *task);
+void hld_dequeue(struct hld_task *task);
+uint32_t hld_task_expected_ms(const struct hld_task *task);
+void hld_job_admit(struct hld_job *job);
+bool hld_job_expired(struct hld_job *job, uint64_t now_us);
+
+#endif /* ENTRY_JOBS_HOLDER_INTERNAL_H */
--- /dev/null
+++ b/entry/jobs/holder_pump.c
@@ -0,0 +1,288 @@
+/*
+ * Which task starts where. Load this answers: bursts above capacity with a
+ * sixth of the servers lost, and tasks that each take a third to a half of a
+ * server. Jobs that can still be on time go before those that can't, by the
+ * latest moment at which they must start; a job that would end after it is
+ * worth anything is refused at once.
+ */
+
+#include <inttypes.h>
+
+#include "adapters/log.h"
+#include "core/mem.h"
+#include "entry/jobs/holder_internal.h"
+
+#define HLD_US_PER_MS UINT64_C(1000)
+#define HLD_ANSWER_MS 10	/* from an end to the submitter's answer */
+#define HLD_RETRY_AFTER_MIN_MS 200
+
+uint32_t
+hld_task_expected_ms(const struct hld_task *task)
+{
+	return task->job->spec.steps[task->step].est_ms;
+}
+
+/* The latest start with which the task's job is on time. */
+static uint64_t
+hld_latest_start(const struct hld_task *task)
+{
+	uint64_t work_us =
+	    (hld_task_expected_ms(task) + HLD_ANSWER_MS) * HLD_US_PER_MS;
+
+	if (task->job->objective_us < work_us)
+		return 0;
+	return task->job->objective_us - work_us;
+}
+
+void
+hld_queue(struct hld_task *task)
+{
+	struct holder *holder = task->job->holder;
+	uint64_t latest_us = hld_latest_start(task);
+	struct hld_task *other;
+
+	task->state = HLD_WAITING;
+	TAILQ_FOREACH_REVERSE (other, &holder->waiting, hld_tasks, waiting) {
+		if (hld_latest_start(other) <= latest_us)
+			break;
+	}
+	if (other != NULL)
+		TAILQ_INSERT_AFTER(&holder->waiting, other, task, waiting);
+	else
+		TAILQ_INSERT_HEAD(&holder->waiting, task, waiting);
+	hld_pump_wake(holder);
+}
+
+void
+hld_dequeue(struct hld_task *task)
+{
+	TAILQ_REMOVE(&task->job->holder->waiting, task, waiting);
+	task->state = HLD_BLOCKED;
+}
+
+void
+hld_pump_wake(struct holder *holder)
+{
+	event_active(holder->pump, EV_TIMEOUT, 0);
+}
+
+static bool
+hld_has_label(const struct hld_server *server, const char *label)
+{
+	size_t i;
+
+	for (i = 0; i < server->info.nlabels; i++) {
+		if (strcmp(server->info.labels[i], label) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool
+hld_server_open(const struct hld_server *server, uint64_t now_us)
+{
+	return server->held && !server->gone && !server->info.draining &&
+	    server->misses == 0 && server->no_start_until_us <= now_us &&
+	    server->ejected_until_us <= now_us &&
+	    (server->eject_ms == 0 || TAILQ_EMPTY(&server->tasks)) &&
+	    TAILQ_EMPTY(&server->orphans);
+}
+
+static bool
+hld_server_permits(const struct hld_server *server,
+    const struct hld_task *task)
+{
+	const struct job_step *step = &task->job->spec.steps[task->step];
+	const struct hld_task *other;
+	uint32_t n = 0;
+
+	if (strcmp(server->info.service, task->job->queue.service) != 0)
+		return false;
+	if (step->needs[0] != '\0' && !hld_has_label(server, step->needs))
+		return false;
+	if (step->per_server_max == 0)
+		return true;
+	TAILQ_FOREACH (other, &server->tasks, on_server) {
+		if (other->job == task->job && other->step == task->step)
+			n++;
+	}
+	return n < step->per_server_max;
+}
+
+/* What the servers offer to @task, in the order of the holder's list. */
+static size_t
+hld_offers(struct holder *holder, const struct hld_task *task,
+    uint64_t now_us)
+{
+	const struct job_step *step = &task->job->spec.steps[task->step];
+	const struct hld_server *server;
+	size_t n = 0;
+
+	TAILQ_FOREACH (server, &holder->servers, entry) {
+		if (n == holder->nscratch) {
+			holder->nscratch = holder->nscratch * 2 + 16;
+			holder->scratch = reallocarray(holder->scratch,
+			    holder->nscratch, sizeof(*holder->scratch));
+			if (holder->scratch == NULL)
+				abort();
+		}
+		holder->scratch[n++] = (struct place_server){
+			.free_cpu = server->info.cpu - server->used_cpu,
+			.free_mem = server->info.mem_mb - server->used_mem,
+			.free_gpu = server->info.gpus - server->used_gpu,
+			.speed = server->speed,
+			.near = step->near[0] == '\0' ||
+			    hld_has_label(server, step->near),
+			.allowed = hld_server_open(server, now_us) &&
+			    hld_server_permits(server, task),
+		};
+	}
+	return n;
+}
+
+static struct hld_server *
+hld_choose(struct holder *holder, const struct hld_task *task, uint64_t now_us)
+{
+	const struct job_step *step = &task->job->spec.steps[task->step];
+	const struct place_task wanted = {
+		.cpu = step->cpu,
+		.mem = step->mem_mb,
+		.gpu = step->gpus,
+		.work_ms = hld_task_expected_ms(task),
+		.left_ms = ((int64_t)task->job->objective_us -
+			       (int64_t)now_us) /
+			(int64_t)HLD_US_PER_MS -
+		    HLD_ANSWER_MS,
+		.far_permille = holder->params.far_permille,
+		.typical_cpu = step->cpu,
+	};
+	size_t n = hld_offers(holder, task, now_us);
+	int chosen = place_choose(holder->scratch, n, &wanted);
+	struct hld_server *server;
+
+	if (chosen < 0)
+		return NULL;
+	TAILQ_FOREACH (server, &holder->servers, entry) {
+		if (chosen-- == 0)
+			break;
+	}
+	return server;
+}
+
+/* Remembers the smallest demand that found no room in this pass. */
+struct hld_pass {
+	uint64_t now_us;
+	uint32_t refused_cpu;
+};
+
+static void
+hld_try(struct hld_task *task, struct hld_pass *pass)
+{
+	const struct job_step *step = &task->job->spec.steps[task->step];
+	bool plain = step->needs[0] == '\0' && step->per_server_max == 0;
+	struct hld_server *server;
+
+	if (step->cpu >= pass->refused_cpu ||
+	    task->job->start_after_us > pass->now_us)
+		return;
+	server = hld_choose(task->job->holder, task, pass->now_us);
+	if (server != NULL)
+		hld_run_start(task, server);
+	else if (plain)
+		pass->refused_cpu = step->cpu;
+}
+
+/* After a take-over nothing starts before the servers have told their runs. */
+static bool
+hld_recovering(const struct holder *holder, uint64_t now_us)
+{
+	const struct hld_server *server;
+
+	if (now_us - holder->begun_us > HLD_RECOVER_MS * HLD_US_PER_MS)
+		return false;
+	TAILQ_FOREACH (server, &holder->servers, entry) {
+		if (!server->held && !server->gone)
+			return true;
+	}
+	return false;
+}
+
+void
+hld_pump(evutil_socket_t fd, short what, void *arg)
+{
+	struct holder *holder = arg;
+	struct hld_pass pass = { .refused_cpu = UINT32_MAX };
+	struct hld_task *task, *next;
+	bool late;
+	int round;
+
+	(void)fd;
+	(void)what;
+	pass.now_us = hld_now(holder);
+	if (holder->token == 0 || TAILQ_EMPTY(&holder->waiting) ||
+	    hld_recovering(holder, pass.now_us))
+		return;
+	for (round = 0; round < 2; round++) {
+		TAILQ_FOREACH_SAFE (task, &holder->waiting, waiting, next) {
+			late = hld_latest_start(task) < pass.now_us;
+			if (late == (round == 1))
+				hld_try(task, &pass);
+		}
+	}
+}
+
+/* Queues the tasks of all steps whose predecessors are done. */
+void
+hld_job_admit(struct hld_job *job)
+{
+	uint64_t done = 0;
+	uint32_t i, n = 0, step, index;
+	bool whole;
+
+	for (step = 0; step < job->spec.nsteps; step++) {
+		whole = true;
+		for (index = 0; index < job->spec.steps[step].count; index++) {
+			if (job->tasks[n + index].state != HLD_DONE)
+				whole = false;
+		}
+		if (whole)
+			done |= UINT64_C(1) << step;
+		n += job->spec.steps[step].count;
+	}
+	for (i = 0; i < job->spec.ntasks; i++) {
+		step = job->tasks[i].step;
+		if (job->tasks[i].state == HLD_BLOCKED &&
+		    (job->spec.steps[step].after & ~done) == 0)
+			hld_queue(&job->tasks[i]);
+	}
+	if (job->ndone == job->spec.ntasks) {
+		const struct holder_reply completed = {
+			.result = HOLDER_COMPLETED, .reason = "all tasks done"
+		};
+
+		hld_job_finish(job, &completed);
+	}
+}
+
+/* Ends a job that is out of time; true if it was. */
+bool
+hld_job_expired(struct hld_job *job, uint64_t now_us)
+{
+	uint64_t work_us = job_chain_ms(&job->spec) * HLD_US_PER_MS / 2;
+	struct holder_reply reply = { .result = HOLDER_GAVE_UP,
+		.reason = "the submitter's deadline has passed" };
+
+	if (job->ended)
+		return false;
+	if (now_us >= job->gone_us) {
+		hld_job_finish(job, &reply);
+		return true;
+	}
+	if (job->started || now_us + work_us < job->late_us)
+		return false;
+	reply.result = HOLDER_NOT_RUN;
+	reply.reason = "no room in time";
+	reply.retry_after_ms = HLD_RETRY_AFTER_MIN_MS;
+	hld_job_finish(job, &reply);
+	return true;
+}
--- /dev/null
+++ b/entry/jobs/holder_run.c
@@ -0,0 +1,398 @@
+/*
+ * Orders to backend servers and the ends of runs. A task goes on elsewhere
+ * only when its run is known to be over: the server has listed its end, or
+ * has confirmed a stop and lists it no more, or its lease has ended. A start
+ * without an answer may still be carried out; a stop forestalls that.
+ */
+
+#include <inttypes.h>
+
+#include "adapters/log.h"
+#include "core/counters.h"
+#include "core/mem.h"
+#include "entry/jobs/holder_internal.h"
+
+#define HLD_US_PER_MS UINT64_C(1000)
+#define HLD_SPEED_WEIGHT 8 /* a run's share in the learned speed is 1/8 */
+#define HLD_SPEED_MAX 4000 /* thousandths */
+
+static struct counter hld_starts = {
+	.name = "berylrail_work_starts_total",
+	.help = "Starts ordered at backend servers.",
+};
+static struct counter hld_refused = {
+	.name = "berylrail_work_starts_refused_total",
+	.help = "Starts that a backend server refused.",
+};
+static struct counter hld_unanswered = {
+	.name = "berylrail_work_orders_unanswered_total",
+	.help = "Orders to backend servers without an answer.",
+};
+
+/* A pending order; it outlives neither its server nor its job's runs. */
+struct hld_order {
+	struct hld_task *task;
+	struct hld_server *server;
+	uint64_t run_id;
+	uint64_t sent_us;
+	LIST_ENTRY(hld_order) entry;
+};
+
+static void
+hld_occupy(struct hld_task *task, struct hld_server *server, uint64_t run_id)
+{
+	const struct job_step *step = &task->job->spec.steps[task->step];
+
+	task->server = server;
+	task->run_id = run_id;
+	task->job->non_servers++;
+	task->job->started = true;
+	server->used_cpu += step->cpu;
+	server->used_mem += step->mem_mb;
+	server->used_gpu += step->gpus;
+	TAILQ_INSERT_TAIL(&server->tasks, task, on_server);
+}
+
+static void
+hld_vacate(struct hld_task *task)
+{
+	const struct job_step *step = &task->job->spec.steps[task->step];
+	struct hld_server *server = task->server;
+
+	task->server = NULL;
+	task->job->non_servers--;
+	server->used_cpu -= step->cpu;
+	server->used_mem -= step->mem_mb;
+	server->used_gpu -= step->gpus;
+	TAILQ_REMOVE(&server->tasks, task, on_server);
+	hld_pump_wake(server->holder);
+}
+
+/* The run is over without an end that counts: the task waits again. */
+void
+hld_run_absent(struct hld_task *task, const char *why)
+{
+	struct hld_job *job = task->job;
+
+	log_event(LOG_LEVEL_INFO, "run-over",
+	    "id=%s task=%" PRIu32 ".%" PRIu32 " run=%" PRIu64
+	    " server=%s outcome=\"%s\"",
+	    job->spec.id, task->step, task->index, task->run_id,
+	    task->server->info.id, why);
+	hld_vacate(task);
+	task->state = HLD_BLOCKED;
+	if (job->ended) {
+		hld_job_release_ended(job);
+		return;
+	}
+	hld_queue(task);
+}
+
+static void
+hld_learn_speed(struct hld_task *task, uint64_t now_us)
+{
+	uint64_t took_us = now_us - task->ordered_us;
+	uint64_t speed = hld_task_expected_ms(task) * HLD_US_PER_MS *
+	    PLACE_SPEED_UNIT / (took_us == 0 ? 1 : took_us);
+	struct hld_server *server = task->server;
+
+	if (speed > HLD_SPEED_MAX)
+		speed = HLD_SPEED_MAX;
+	server->speed = (uint32_t)((server->speed * (HLD_SPEED_WEIGHT - 1) +
+				       speed) /
+	    HLD_SPEED_WEIGHT);
+}
+
+/* Judges a server by failed runs of different jobs without a success. */
+static void
+hld_judge(struct hld_server *server, const struct hld_job *job, bool good)
+{
+	uint64_t now_us = hld_now(server->holder);
+
+	if (good) {
+		if (server->eject_ms != 0)
+			log_event(LOG_LEVEL_WARN, "server-readmitted",
+			    "server=%s", server->info.id);
+		server->fail_streak = 0;
+		server->eject_ms = 0;
+		return;
+	}
+	if (strcmp(server->last_failed, job->spec.id) == 0)
+		return;
+	memcpy(server->last_failed, job->spec.id, sizeof(job->spec.id));
+	if (++server->fail_streak < HLD_FAIL_STREAK)
+		return;
+	server->eject_ms =
+	    server->eject_ms == 0 ? HLD_EJECT_MS : server->eject_ms * 2;
+	if (server->eject_ms > HLD_EJECT_MAX_MS)
+		server->eject_ms = HLD_EJECT_MAX_MS;
+	server->ejected_until_us = now_us + server->eject_ms * HLD_US_PER_MS;
+	log_event(LOG_LEVEL_WARN, "server-ejected",
+	    "server=%s failed_jobs=%" PRIu32 " for_ms=%" PRIu32,
+	    server->info.id, server->fail_streak, server->eject_ms);
+}
+
+static void
+hld_task_done(struct hld_task *task)
+{
+	struct hld_job *job = task->job;
+
+	task->state = HLD_DONE;
+	job->ndone++;
+	if (job->ended)
+		hld_job_release_ended(job);
+	else
+		hld_job_admit(job);
+}
+
+static void
+hld_task_failed(struct hld_task *task)
+{
+	const struct holder_reply failed = { .result = HOLDER_FAILED,
+		.reason = "a task failed as often as it may" };
+	struct hld_job *job = task->job;
+
+	task->fails++;
+	task->state = HLD_BLOCKED;
+	if (job->ended)
+		hld_job_release_ended(job);
+	else if (task->fails >= job->queue.max_attempts)
+		hld_job_finish(job, &failed);
+	else
+		hld_queue(task);
+}
+
+void
+hld_run_ended(struct hld_task *task, enum worker_end how)
+{
+	uint64_t now_us = hld_now(task->job->holder);
+
+	if (how != WORKER_END_DONE && how != WORKER_END_FAILED) {
+		hld_run_absent(task,
+		    how == WORKER_END_LAPSED ? "lapsed" : "stopped");
+		return;
+	}
+	hld_judge(task->server, task->job, how == WORKER_END_DONE);
+	if (how == WORKER_END_DONE && task->ordered_us != 0)
+		hld_learn_speed(task, now_us);
+	hld_vacate(task);
+	if (how == WORKER_END_DONE)
+		hld_task_done(task);
+	else
+		hld_task_failed(task);
+}
+
+void
+hld_run_adopt(struct hld_task *task, struct hld_server *server,
+    uint64_t run_id, uint64_t now_us)
+{
+	if (task->state == HLD_WAITING)
+		hld_dequeue(task);
+	hld_occupy(task, server, run_id);
+	task->state = HLD_RUNNING;
+	task->ordered_us = 0;
+	task->settled_us = now_us;
+}
+
+static struct hld_order *
+hld_order_create(struct hld_task *task)
+{
+	struct hld_order *order = mem_zalloc(1, sizeof(*order));
+
+	order->task = task;
+	order->server = task->server;
+	order->run_id = task->run_id;
+	order->sent_us = hld_now(task->job->holder);
+	order->server->calls++;
+	LIST_INSERT_HEAD(&order->server->orders, order, entry);
+	task->order_pending = true;
+	return order;
+}
+
+/* Ends an order; the task if it still is about that run, else NULL. */
+static struct hld_task *
+hld_order_end(struct hld_order *order, const struct worker_reply *reply)
+{
+	struct hld_server *server = order->server;
+	struct hld_task *task, *found = NULL;
+
+	server->calls--;
+	if (reply->has_clock)
+		lease_learn_clock(&server->lease, reply->clock_ms,
+		    order->sent_us);
+	if (reply->verdict == WORKER_NO_ANSWER)
+		ctr_inc(&hld_unanswered);
+	TAILQ_FOREACH (task, &server->tasks, on_server) {
+		if (task == order->task && task->run_id == order->run_id)
+			found = task;
+	}
+	if (found != NULL) {
+		found->order_pending = false;
+		found->settled_us = hld_now(server->holder);
+	}
+	LIST_REMOVE(order, entry);
+	free(order);
+	return found;
+}
+
+/* The server's link is closed: no order will be answered any more. */
+void
+hld_orders_drop(struct hld_server *server)
+{
+	struct hld_order *order;
+
+	while ((order = LIST_FIRST(&server->orders)) != NULL) {
+		order->task->order_pending = false;
+		LIST_REMOVE(order, entry);
+		free(order);
+	}
+	server->calls = 0;
+}
+
+/* The server has done nothing: the task is free for another one at once. */
+static void
+hld_start_refused(struct hld_task *task, enum worker_verdict verdict)
+{
+	struct hld_server *server = task->server;
+	uint64_t pause_ms =
+	    verdict == WORKER_NO_ROOM ? HLD_FULL_MS : HLD_BUSY_MS;
+
+	ctr_inc(&hld_refused);
+	if (verdict != WORKER_OLD && verdict != WORKER_LATE)
+		server->no_start_until_us =
+		    hld_now(server->holder) + pause_ms * HLD_US_PER_MS;
+	if (verdict == WORKER_NO_ROOM && !server->hold_pending)
+		server->hold_due_us = 1;
+	hld_run_absent(task, verdict == WORKER_NO_ROOM ? "refused: no room"
+						       : "refused");
+}
+
+static void
+hld_started(void *arg, const struct worker_reply *reply)
+{
+	struct hld_order *order = arg;
+	struct holder *holder = order->server->holder;
+	struct hld_server *server = order->server;
+	struct hld_task *task = hld_order_end(order, reply);
+
+	if (reply->verdict == WORKER_FENCED) {
+		holder->params.fenced(holder->params.arg);
+		return;
+	}
+	if (reply->verdict == WORKER_GONE) {
+		hld_server_lost(server, "another incarnation answers");
+		return;
+	}
+	if (task == NULL)
+		return;
+	if (reply->verdict == WORKER_OK) {
+		if (task->state == HLD_STARTING)
+			task->state = HLD_RUNNING;
+		if (task->job->ended)
+			hld_run_stop(task);
+	} else if (reply->verdict == WORKER_NO_ANSWER) {
+		hld_run_stop(task);
+	} else {
+		hld_start_refused(task, reply->verdict);
+	}
+}
+
+void
+hld_run_start(struct hld_task *task, struct hld_server *server)
+{
+	struct holder *holder = server->holder;
+	uint64_t now_us = hld_now(holder);
+	char name[WORKER_TASK_NAME_SIZE];
+	struct worker_start order = {
+		.task = name,
+		.spec = task->job->spec.text,
+		.token = holder->token,
+	};
+
+	hld_dequeue(task);
+	order.run_id = holder->token * HLD_RUN_IDS + ++task->runs;
+	order.deadline_ms =
+	    lease_extend(&server->lease, now_us, holder->params.lease_ms);
+	hld_task_name(task, name);
+	hld_occupy(task, server, order.run_id);
+	task->state = HLD_STARTING;
+	task->ordered_us = now_us;
+	ctr_inc(&hld_starts);
+	log_event(LOG_LEVEL_INFO, "run-start",
+	    "id=%s task=%" PRIu32 ".%" PRIu32 " run=%" PRIu64
+	    " server=%s speed=%" PRIu32 " free_cpu=%" PRId64
+	    " waited_ms=%" PRIu64,
+	    task->job->spec.id, task->step, task->index, order.run_id,
+	    server->info.id, server->speed,
+	    server->info.cpu - server->used_cpu,
+	    (now_us - task->job->arrived_us) / HLD_US_PER_MS);
+	holder->params.worker->ops->start(server->link, &order, hld_started,
+	    hld_order_create(task));
+	if (!server->hold_pending)
+		hld_server_hold(server, now_us);
+}
+
+static void
+hld_stopped(void *arg, const struct worker_reply *reply)
+{
+	struct hld_order *order = arg;
+	struct holder *holder = order->server->holder;
+	struct hld_server *server = order->server;
+	struct hld_task *task = hld_order_end(order, reply);
+
+	if (reply->verdict == WORKER_FENCED) {
+		holder->params.fenced(holder->params.arg);
+		return;
+	}
+	if (reply->verdict == WORKER_GONE) {
+		hld_server_lost(server, "another incarnation answers");
+		return;
+	}
+	if (task == NULL)
+		return;
+	/* Without an answer the next tick sends the stop again. */
+	if (reply->verdict != WORKER_NO_ANSWER && !server->hold_pending)
+		hld_server_hold(server, hld_now(holder));
+}
+
+void
+hld_run_stop(struct hld_task *task)
+{
+	struct hld_server *server = task->server;
+	struct holder *holder = server->holder;
+	char name[WORKER_TASK_NAME_SIZE];
+
+	task->state = HLD_STOPPING;
+	if (task->order_pending)
+		return;
+	hld_task_name(task, name);
+	log_event(LOG_LEVEL_INFO, "run-stop",
+	    "id=%s task=%" PRIu32 ".%" PRIu32 " run=%" PRIu64 " server=%s",
+	    task->job->spec.id, task->step, task->index, task->run_id,
+	    server->info.id);
+	holder->params.worker->ops->stop(server->link, name, task->run_id,
+	    holder->token, hld_stopped, hld_order_create(task));
+}
+
+static void
+hld_orphan_stopped(void *arg, const struct worker_reply *reply)
+{
+	struct hld_server *server = arg;
+
+	server->calls--;
+	if (reply->verdict == WORKER_FENCED)
+		server->holder->params.fenced(server->holder->params.arg);
+}
+
+void
+hld_run_stop_orphan(struct hld_server *server, struct hld_orphan *orphan)
+{
+	struct holder *holder = server->holder;
+
+	log_event(LOG_LEVEL_WARN, "orphan-stop",
+	    "task=%s run=%" PRIu64 " server=%s", orphan->task, orphan->run_id,
+	    server->info.id);
+	server->calls++;
+	holder->params.worker->ops->stop(server->link, orphan->task,
+	    orphan->run_id, holder->token, hld_orphan_stopped, server);
+}
--- /dev/null
+++ b/entry/jobs/job_json.c
@@ -0,0 +1,170 @@
+/*
+ * Jobs of steps from JSON.
+ */
+
+#include <jansson.h>
+
+#include "core/mem.h"
+#include "entry/jobs/job_json.h"
+
+#define JOB_TASKS_TOTAL_MAX 4096 /* tasks of one job, all steps */
+#define JOB_AMOUNT_MAX 1000000000 /* of any number in a step */
+
+static int
+job_bad(struct err *err, const char *what)
+{
+	return err_set(err, ERR_STEP_PARSE, ERR_INVALID, NULL, "%s", what);
+}
+
+/* A number from 0; absent means 0. */
+static int
+job_number(const json_t *object, const char *name, uint32_t *value)
+{
+	const json_t *field = json_object_get(object, name);
+
+	*value = 0;
+	if (field == NULL)
+		return 0;
+	if (!json_is_number(field) || json_number_value(field) < 0 ||
+	    json_number_value(field) > JOB_AMOUNT_MAX)
+		return -1;
+	*value = (uint32_t)json_number_value(field);
+	return 0;
+}
+
+static int
+job_name(const json_t *object, const char *name, char value[NAME_SIZE])
+{
+	const json_t *field = json_object_get(object, name);
+
+	value[0] = '\0';
+	if (field == NULL)
+		return 0;
+	if (!json_is_string(field) || json_string_length(field) >= NAME_SIZE)
+		return -1;
+	memcpy(value, json_string_value(field), json_string_length(field) + 1);
+	return 0;
+}
+
+/* Numbers of earlier steps, as bits. */
+static int
+job_after(const json_t *object, size_t step, uint64_t *after)
+{
+	const json_t *field = json_object_get(object, "after");
+	const json_t *item;
+	size_t i;
+
+	*after = 0;
+	if (field == NULL)
+		return 0;
+	if (!json_is_array(field))
+		return -1;
+	json_array_foreach (field, i, item) {
+		if (!json_is_integer(item) || json_integer_value(item) < 0 ||
+		    (size_t)json_integer_value(item) >= step)
+			return -1;
+		*after |= UINT64_C(1) << json_integer_value(item);
+	}
+	return 0;
+}
+
+static int
+job_parse_step(struct job_spec *spec, const json_t *object, struct err *err)
+{
+	struct job_step *step = &spec->steps[spec->nsteps];
+	static const char *const unsupported[] = { "gang_scheduled",
+		"long_running", "fills" };
+	size_t i;
+
+	if (!json_is_object(object) ||
+	    job_number(object, "count", &step->count) == -1 ||
+	    job_number(object, "cpu", &step->cpu) == -1 ||
+	    job_number(object, "mem_mb", &step->mem_mb) == -1 ||
+	    job_number(object, "gpus", &step->gpus) == -1 ||
+	    job_number(object, "estimated_ms", &step->est_ms) == -1 ||
+	    job_number(object, "anti_affinity", &step->per_server_max) == -1 ||
+	    job_name(object, "requirements", step->needs) == -1 ||
+	    job_name(object, "affinity", step->near) == -1 ||
+	    job_after(object, spec->nsteps, &step->after) == -1)
+		return job_bad(err, "a step has a field of the wrong type");
+	step->copies = json_is_true(json_object_get(object, "allow_duplicates"));
+	for (i = 0; i < sizeof(unsupported) / sizeof(unsupported[0]); i++) {
+		if (json_is_true(json_object_get(object, unsupported[i])))
+			spec->unsupported = unsupported[i];
+	}
+	spec->nsteps++;
+	spec->ntasks += step->count;
+	if (step->count > JOB_TASKS_TOTAL_MAX ||
+	    spec->ntasks > JOB_TASKS_TOTAL_MAX)
+		return err_set(err, ERR_STEP_PARSE, ERR_TOO_LARGE, NULL,
+		    "more than %d tasks", JOB_TASKS_TOTAL_MAX);
+	return 0;
+}
+
+static int
+job_parse_steps(struct job_spec *spec, const json_t *steps, struct err *err)
+{
+	const json_t *step;
+	size_t i;
+
+	if (!json_is_array(steps) || json_array_size(steps) == 0)
+		return job_bad(err, "steps: not a list, or empty");
+	if (json_array_size(steps) > JOB_STEPS_MAX)
+		return err_set(err, ERR_STEP_PARSE, ERR_TOO_LARGE, NULL,
+		    "more than %d steps", JOB_STEPS_MAX);
+	spec->steps = mem_zalloc(json_array_size(steps), sizeof(*spec->steps));
+	json_array_foreach (steps, i, step) {
+		if (job_parse_step(spec, step, err) == -1)
+			return -1;
+	}
+	if (spec->ntasks == 0)
+		return job_bad(err, "no step has a task");
+	return 0;
+}
+
+static int
+job_parse_root(struct job_spec *spec, const json_t *root, struct err *err)
+{
+	const json_t *text = json_object_get(root, "spec");
+	uint32_t occurrences;
+
+	if (!json_is_object(root))
+		return job_bad(err, "not an object");
+	if (text != NULL && !json_is_string(text))
+		return job_bad(err, "spec: not a string");
+	if (text != NULL && json_string_length(text) > JOB_SPEC_MAX)
+		return err_set(err, ERR_STEP_PARSE, ERR_TOO_LARGE, NULL,
+		    "spec: more than %d bytes", JOB_SPEC_MAX);
+	spec->text = mem_strndup(text == NULL ? "" : json_string_value(text),
+	    text == NULL ? 0 : json_string_length(text));
+	spec->best_effort = json_is_true(json_object_get(root, "best_effort"));
+	if (job_number(root, "max_runs", &occurrences) == -1)
+		return job_bad(err, "max_runs: not a number");
+	if (occurrences > 0)
+		spec->unsupported = "max_runs";
+	if (json_is_true(json_object_get(root, "long_running")))
+		spec->unsupported = "long_running";
+	return job_parse_steps(spec, json_object_get(root, "steps"), err);
+}
+
+int
+job_parse(struct job_spec *spec, const char *id, const char *body, size_t len,
+    struct err *err)
+{
+	json_error_t error;
+	json_t *root;
+	int rc;
+
+	memset(spec, 0, sizeof(*spec));
+	if (!job_id_valid(id))
+		return job_bad(err, "the id is not 16 hexadecimal digits");
+	memcpy(spec->id, id, sizeof(spec->id));
+	root = json_loadb(body, len, JSON_REJECT_DUPLICATES, &error);
+	if (root == NULL)
+		return job_bad(err, error.text);
+	rc = job_parse_root(spec, root, err);
+	json_decref(root);
+	if (rc == -1)
+		job_spec_release(spec);
+	return rc;
+}
--- /dev/null
+++ b/entry/jobs/zone_internal.h
@@ -0,0 +1,59 @@
+#ifndef ENTRY_JOBS_ZONE_INTERNAL_H
+#define ENTRY_JOBS_ZONE_INTERNAL_H
+
+#include <event2/event.h>
+#include <sys/queue.h>
+
+#include "core/cell.h"
+#include "entry/jobs/zone.h"
+
+/*
+ * Shared by the files of the zone: zone.c (hosts, who holds), zone_job.c
+ * (jobs on their way to a holder, and requests of peers).
+ */
+
+#define ZONE_PATH "/v1/work/"
+#define ZONE_HOSTS_MAX 256
+
+/** struct zone_host - an entry host. */
+struct zone_host {
+	struct dir_host info;
+	uint64_t token;	       /* that it says it holds with, else 0 */
+	bool leaving;
+	bool connected;	       /* as of the last tick */
+	uint64_t incarnation;  /* while connected */
+	uint64_t connected_us; /* since then */
+	bool silent;	       /* it does not answer pings */
+	bool ping_pending;
+	uint64_t ping_sent_us;
+	uint64_t pong_us; /* last answer */
+	TAILQ_ENTRY(zone_host) entry;
+};
+
+struct zone_submission;
+
+struct zone {
+	struct zone_params params;
+	TAILQ_HEAD(, zone_host) hosts; /* others; all availability zones */
+	TAILQ_HEAD(, zone_submission) served; /* jobs that peers sent here */
+	struct event *tick;
+	uint64_t created_us;
+	uint64_t reserve;	/* own token, not used yet; 0: none */
+	uint64_t highest_token; /* seen in this availability zone */
+	uint64_t reserve_asked_us;
+	bool reserving;
+	bool leaving;
+	const char *holder; /* chosen: own name, another's, or NULL */
+};
+
+/* zone.c */
+uint64_t zone_now(const struct zone *zone);
+struct zone_host *zone_host_find(const struct zone *zone, const char *name);
+void zone_token_heard(struct zone *zone, struct zone_host *host,
+    uint64_t token);
+void zone_choose(struct zone *zone);
+
+/* zone_job.c */
+void zone_served_drop(struct zone *zone);
+
+#endif /* ENTRY_JOBS_ZONE_INTERNAL_H */
--- /dev/null
+++ b/entry/jobs/zone_job.c
@@ -0,0 +1,412 @@
+/*
+ * Jobs on their way to a holder: the submitter's side, which brings a job to
+ * this host's own holder or forwards it, and the side of the holder, which
+ * serves what peers forward.
+ */
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+
+#include "adapters/log.h"
+#include "core/mem.h"
+#include "entry/api_internal.h"
+#include "entry/jobs/job_json.h"
+#include "entry/jobs/zone_internal.h"
+
+#define ZONE_JOBS_PATH ZONE_PATH "jobs/"
+#define ZONE_QUERY_SIZE 512
+#define ZONE_NUMBER_MAX 1000000000
+
+/* HTTP statuses between hosts, by result. */
+static const int zone_statuses[] = {
+	[HOLDER_COMPLETED] = 200,
+	[HOLDER_FAILED] = 422,
+	[HOLDER_NOT_RUN] = 503,
+	[HOLDER_GAVE_UP] = 504,
+	[HOLDER_MOVED] = 421,
+	[HOLDER_BAD] = 400,
+};
+
+/* A job of this host or of a peer in this host's holder. */
+struct zone_submission {
+	struct zone *zone;
+	char id[JOB_ID_LEN + 1];
+	uint64_t nonce;
+	zone_done_fn done; /* of this host's own */
+	api_reply_fn reply; /* of a peer's */
+	void *arg;
+	TAILQ_ENTRY(zone_submission) entry;
+};
+
+static void
+zone_submission_free(struct zone_submission *sub)
+{
+	TAILQ_REMOVE(&sub->zone->served, sub, entry);
+	free(sub);
+}
+
+void
+zone_served_drop(struct zone *zone)
+{
+	struct zone_submission *sub;
+
+	while ((sub = TAILQ_FIRST(&zone->served)) != NULL)
+		zone_submission_free(sub);
+}
+
+static void
+zone_reply(api_reply_fn reply, void *arg, int status, const char *body)
+{
+	const struct api_reply message = {
+		.status = status,
+		.content_type = "application/json",
+		.body = body,
+		.body_len = strlen(body),
+	};
+
+	reply(arg, &message);
+}
+
+static void
+zone_reply_result(api_reply_fn reply, void *arg,
+    const struct holder_reply *result)
+{
+	json_t *body = json_pack("{s:s,s:i}", "reason", result->reason,
+	    "retry_after_ms", (int)result->retry_after_ms);
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	if (text == NULL)
+		abort();
+	zone_reply(reply, arg, zone_statuses[result->result], text);
+	free(text);
+	json_decref(body);
+}
+
+static void
+zone_held_done(void *arg, const struct holder_reply *result)
+{
+	struct zone_submission *sub = arg;
+	zone_done_fn done = sub->done;
+	api_reply_fn reply = sub->reply;
+	void *to = sub->arg;
+
+	zone_submission_free(sub);
+	if (done != NULL)
+		done(to, ZONE_ANSWERED, result);
+	else
+		zone_reply_result(reply, to, result);
+}
+
+static struct zone_submission *
+zone_submission_create(struct zone *zone, const char *id, uint64_t nonce,
+    void *arg)
+{
+	struct zone_submission *sub = mem_zalloc(1, sizeof(*sub));
+
+	sub->zone = zone;
+	strlcpy(sub->id, id, sizeof(sub->id));
+	sub->nonce = nonce;
+	sub->arg = arg;
+	TAILQ_INSERT_TAIL(&zone->served, sub, entry);
+	return sub;
+}
+
+/* Reads a job and hands it to this host's holder. */
+static void
+zone_hold(struct zone_submission *sub, const struct zone_job *job)
+{
+	struct holder_request request = {
+		.queue = *job->queue,
+		.age_ms = job->age_ms,
+		.patience_ms = job->patience_ms,
+		.resubmitted = job->resubmitted,
+	};
+	struct holder_reply bad = { .result = HOLDER_BAD };
+	struct err err;
+
+	if (job_parse(&request.spec, job->id, job->body, job->body_len,
+		&err) == -1) {
+		bad.reason = err.message;
+		zone_held_done(sub, &bad);
+		return;
+	}
+	if (!request.spec.best_effort) {
+		bad.result = HOLDER_NOT_RUN;
+		bad.reason = "jobs that must be stored are not taken yet";
+		job_spec_release(&request.spec);
+		zone_held_done(sub, &bad);
+		return;
+	}
+	holder_submit(sub->zone->params.holder, &request, zone_held_done, sub);
+}
+
+/* The submitter's side */
+
+struct zone_sent {
+	zone_done_fn done;
+	void *arg;
+};
+
+static void
+zone_answered(void *arg, const struct api_reply *reply, const struct err *err)
+{
+	struct zone_sent *sent = arg;
+	struct holder_reply result = { .result = HOLDER_GAVE_UP,
+		.reason = "unknown answer of the holder" };
+	json_t *body;
+	size_t i;
+
+	if (reply == NULL) {
+		sent->done(sent->arg,
+		    err->code == ERR_LOST ? ZONE_LOST : ZONE_NOT_SENT, NULL);
+		free(sent);
+		return;
+	}
+	for (i = 0; i < sizeof(zone_statuses) / sizeof(zone_statuses[0]); i++) {
+		if (zone_statuses[i] == reply->status)
+			result.result = (enum holder_result)i;
+	}
+	body = json_loadb(reply->body, reply->body_len, 0, NULL);
+	if (json_is_string(json_object_get(body, "reason")))
+		result.reason =
+		    json_string_value(json_object_get(body, "reason"));
+	result.retry_after_ms = (uint32_t)json_integer_value(
+	    json_object_get(body, "retry_after_ms"));
+	sent->done(sent->arg, ZONE_ANSWERED, &result);
+	json_decref(body);
+	free(sent);
+}
+
+static void
+zone_forward(struct zone *zone, const struct zone_host *host,
+    const struct zone_job *job, zone_done_fn done, void *arg)
+{
+	char path[sizeof(ZONE_JOBS_PATH) + JOB_ID_LEN + 1];
+	char query[ZONE_QUERY_SIZE];
+	const struct job_queue *queue = job->queue;
+	struct api_request request = {
+		.method = API_POST,
+		.path = path,
+		.query = query,
+		.body = job->body,
+		.body_len = job->body_len,
+	};
+	struct zone_sent *sent = mem_zalloc(1, sizeof(*sent));
+
+	sent->done = done;
+	sent->arg = arg;
+	(void)snprintf(path, sizeof(path), ZONE_JOBS_PATH "%s", job->id);
+	(void)snprintf(query, sizeof(query),
+	    "age_ms=%" PRIu32 "&patience_ms=%" PRIu32 "&again=%d&nonce=%" PRIu64
+	    "&queue=%s&service=%s&priority=%" PRIu32 "&attempts=%" PRIu32
+	    "&slack=%" PRIu32 "&target_ms=%" PRIu32,
+	    job->age_ms, job->patience_ms, job->resubmitted ? 1 : 0, job->nonce,
+	    queue->name, queue->service, queue->priority, queue->max_attempts,
+	    queue->slack_permille, queue->target_ms);
+	zone->params.peers->ops->forward(zone->params.peers, host->info.az,
+	    host->info.name, host->incarnation, &request, zone_answered, sent);
+}
+
+void
+zone_submit(struct zone *zone, const struct zone_job *job, zone_done_fn done,
+    void *arg)
+{
+	struct zone_submission *sub;
+	const struct zone_host *host;
+
+	if (zone->holder != NULL &&
+	    strcmp(zone->holder, zone->params.self.name) == 0 &&
+	    holder_token(zone->params.holder) != 0) {
+		sub = zone_submission_create(zone, job->id, job->nonce, arg);
+		sub->done = done;
+		zone_hold(sub, job);
+		return;
+	}
+	host = zone->holder == NULL ? NULL : zone_host_find(zone, zone->holder);
+	if (host == NULL || !host->connected) {
+		done(arg, ZONE_NOT_SENT, NULL);
+		return;
+	}
+	zone_forward(zone, host, job, done, arg);
+}
+
+static void
+zone_cancelled(void *arg, const struct api_reply *reply, const struct err *err)
+{
+	(void)arg;
+	(void)reply;
+	(void)err;
+}
+
+static struct zone_submission *
+zone_submission_find(const struct zone *zone, const char *id, uint64_t nonce)
+{
+	struct zone_submission *sub;
+
+	TAILQ_FOREACH (sub, &zone->served, entry) {
+		if (sub->nonce == nonce && strcmp(sub->id, id) == 0)
+			return sub;
+	}
+	return NULL;
+}
+
+static void
+zone_submission_cancel(struct zone_submission *sub)
+{
+	const struct holder_reply gave_up = { .result = HOLDER_GAVE_UP,
+		.reason = "cancelled" };
+
+	holder_cancel(sub->zone->params.holder, sub->id, sub);
+	zone_held_done(sub, &gave_up);
+}
+
+void
+zone_cancel(struct zone *zone, const char *id, uint64_t nonce)
+{
+	struct zone_submission *sub = zone_submission_find(zone, id, nonce);
+	char path[sizeof(ZONE_JOBS_PATH) + JOB_ID_LEN + 1], query[64];
+	struct api_request request = { .method = API_DELETE,
+		.path = path,
+		.query = query };
+	const struct zone_host *host;
+
+	if (sub != NULL) {
+		zone_submission_cancel(sub);
+		return;
+	}
+	(void)snprintf(path, sizeof(path), ZONE_JOBS_PATH "%s", id);
+	(void)snprintf(query, sizeof(query), "nonce=%" PRIu64, nonce);
+	host = zone->holder == NULL ? NULL : zone_host_find(zone, zone->holder);
+	if (host != NULL && host->connected)
+		zone->params.peers->ops->forward(zone->params.peers,
+		    host->info.az, host->info.name, host->incarnation, &request,
+		    zone_cancelled, NULL);
+}
+
+/* The holder's side */
+
+static uint64_t
+zone_query_u64(const struct api_request *request, const char *name)
+{
+	char text[24];
+
+	if (!api_query_text(request->query, name, text, sizeof(text)))
+		return 0;
+	return strtoull(text, NULL, 10);
+}
+
+static uint32_t
+zone_query_u32(const struct api_request *request, const char *name)
+{
+	uint64_t value = zone_query_u64(request, name);
+
+	return value > ZONE_NUMBER_MAX ? ZONE_NUMBER_MAX : (uint32_t)value;
+}
+
+static void
+zone_serve_job(struct zone *zone, const struct api_request *request,
+    api_reply_fn reply, void *arg)
+{
+	struct job_queue queue = { 0 };
+	struct zone_job job = {
+		.id = request->path + sizeof(ZONE_JOBS_PATH) - 1,
+		.queue = &queue,
+		.body = request->body == NULL ? "" : request->body,
+		.body_len = request->body_len,
+		.age_ms = zone_query_u32(request, "age_ms"),
+		.patience_ms = zone_query_u32(request, "patience_ms"),
+		.resubmitted = zone_query_u32(request, "again") != 0,
+		.nonce = zone_query_u64(request, "nonce"),
+	};
+	struct zone_submission *sub;
+
+	(void)api_query_text(request->query, "queue", queue.name, NAME_SIZE);
+	(void)api_query_text(request->query, "service", queue.service,
+	    NAME_SIZE);
+	queue.priority = zone_query_u32(request, "priority");
+	queue.max_attempts = zone_query_u32(request, "attempts");
+	queue.slack_permille = zone_query_u32(request, "slack");
+	queue.target_ms = zone_query_u32(request, "target_ms");
+	sub = zone_submission_create(zone, job.id, job.nonce, arg);
+	sub->reply = reply;
+	zone_hold(sub, &job);
+}
+
+static void
+zone_serve_cancel(struct zone *zone, const struct api_request *request,
+    api_reply_fn reply, void *arg)
+{
+	struct zone_submission *sub = zone_submission_find(zone,
+	    request->path + sizeof(ZONE_JOBS_PATH) - 1,
+	    zone_query_u64(request, "nonce"));
+
+	if (sub != NULL)
+		zone_submission_cancel(sub);
+	zone_reply(reply, arg, 200, "{}");
+}
+
+static void
+zone_serve_state(struct zone *zone, api_reply_fn reply, void *arg)
+{
+	char body[128];
+
+	(void)snprintf(body, sizeof(body),
+	    "{\"token\":%" PRIu64 ",\"leaving\":%s}",
+	    holder_token(zone->params.holder),
+	    zone->leaving ? "true" : "false");
+	zone_reply(reply, arg, 200, body);
+}
+
+static void
+zone_serve_held(struct zone *zone, const struct api_request *request,
+    api_reply_fn reply, void *arg)
+{
+	struct zone_host *host;
+	char name[NAME_SIZE];
+
+	if (api_query_text(request->query, "host", name, sizeof(name))) {
+		host = zone_host_find(zone, name);
+		if (host != NULL) {
+			host->leaving = zone_query_u64(request, "leaving") != 0;
+			zone_token_heard(zone, host,
+			    zone_query_u64(request, "token"));
+			zone_choose(zone);
+		}
+	}
+	zone_reply(reply, arg, 200, "{}");
+}
+
+void
+zone_handle(struct zone *zone, const struct api_request *request,
+    api_reply_fn reply, void *arg)
+{
+	if (strncmp(request->path, ZONE_JOBS_PATH,
+		sizeof(ZONE_JOBS_PATH) - 1) == 0) {
+		if (request->method == API_POST)
+			zone_serve_job(zone, request, reply, arg);
+		else
+			zone_serve_cancel(zone, request, reply, arg);
+	} else if (strcmp(request->path, ZONE_PATH "state") == 0) {
+		zone_serve_state(zone, reply, arg);
+	} else if (strcmp(request->path, ZONE_PATH "held") == 0) {
+		zone_serve_held(zone, request, reply, arg);
+	} else {
+		zone_reply(reply, arg, 404, "{}");
+	}
+}
+
+bool
+zone_abandon(struct zone *zone, void *arg)
+{
+	struct zone_submission *sub;
+
+	TAILQ_FOREACH (sub, &zone->served, entry) {
+		if (sub->reply == NULL || sub->arg != arg)
+			continue;
+		holder_cancel(zone->params.holder, sub->id, sub);
+		zone_submission_free(sub);
+		return true;
+	}
+	return false;
+}
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -76,6 +76,18 @@
 	    "error|warn|info|debug", "lines below it are left out" },
 	{ "port-file", SET_PATH, SET_AT(ready_file), "", 0, 256, NULL,
 	    "the ports listened on are written to this file" },
+	{ "store", SET_ENDPOINT, SET_AT(store), NULL, 1, 0, NULL,
+	    "the users' platform; jobs of steps are served if it is given" },
+	{ "work-listen", SET_ENDPOINT, SET_AT(work_listen), NULL, 0, 0, NULL,
+	    "HTTP for callers with jobs of steps" },
+	{ "ready-listen", SET_ENDPOINT, SET_AT(ready_listen), NULL, 0, 0, NULL,
+	    "HTTP for the balancer's checks" },
+	{ "weight", SET_PERMILLE, SET_AT(weight), "1", 0, 1024000, NULL,
+	    "processor share of this host; the heaviest holds the servers" },
+	{ "lease-ms", SET_U32, SET_AT(lease_ms), "1000", 100, 60000, NULL,
+	    "longest lease that backend servers grant" },
+	{ "far-factor", SET_PERMILLE, SET_AT(far_permille), "1", 1000, 100000,
+	    NULL, "run time of a task away from its data" },
 };
 
 #define SET_NDEFS (sizeof(set_defs) / sizeof(set_defs[0]))
@@ -87,7 +99,7 @@
  * client, and of the runner of the project's tests.
  */
 static const char *const set_env_foreign[] = { "BERYLRAIL_SERVER",
-	"BERYLRAIL_OPERATOR", "BERYLRAIL_BIN_DIR" };
+	"BERYLRAIL_OPERATOR", "BERYLRAIL_BIN_DIR", "BERYLRAIL_NODE_FILE" };
 
 /* Name of a setting's environment variable. */
 static void
@@ -198,12 +210,33 @@
 	    strcmp(endpoint->address, "::") == 0;
 }
 
+/* With the users' platform, the product's own one is left out. */
+static void
+set_check_store(struct set_loader *loader)
+{
+	static const char *const needed[] = { "host", "az", "work-listen",
+		"ready-listen" };
+	size_t i;
+
+	loader->settings->memory_platform = true;
+	if (set_given(loader, "platform"))
+		set_error(loader, "platform", "contradicts --store");
+	for (i = 0; i < sizeof(needed) / sizeof(needed[0]); i++) {
+		if (!set_given(loader, needed[i]))
+			set_error(loader, needed[i], "must be given");
+	}
+}
+
 /* What a platform of this kind needs, and what contradicts it. */
 static void
 set_check_platform(struct set_loader *loader)
 {
 	struct settings *settings = loader->settings;
 
+	if (set_given(loader, "store")) {
+		set_check_store(loader);
+		return;
+	}
 	if (!set_given(loader, "platform")) {
 		set_error(loader, "platform",
 		    "must be given: http://ADDRESS:PORT or memory:");
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -50,6 +50,12 @@
 	uint64_t seed;		      /* --seed: 0 for a random one */
 	char log_level[16];	      /* --log-level */
 	char ready_file[256];	      /* --port-file: ports are written here */
+	struct endpoint store;	      /* --store: followed for work */
+	struct endpoint work_listen;  /* --work-listen: jobs of steps */
+	struct endpoint ready_listen; /* --ready-listen: for the balancer */
+	uint32_t weight;	      /* --weight: thousandths of a core */
+	uint32_t lease_ms;	      /* --lease-ms: of servers' work */
+	uint32_t far_permille;	      /* --far-factor, in thousandths */
 	bool check_only;	      /* --check */
 };
 
--- a/entry/settings_internal.h
+++ b/entry/settings_internal.h
@@ -8,7 +8,7 @@
 
 /* Shared by settings.c (the table, the order) and settings_parse.c (values). */
 
-#define SET_DEFS_MAX 32
+#define SET_DEFS_MAX 40
 
 /* enum set_kind - how a setting's text is read. */
 enum set_kind {
@@ -21,6 +21,7 @@
 	SET_PATH,
 	SET_U32,
 	SET_U64,
+	SET_PERMILLE, /* a decimal fraction, stored in thousandths */
 };
 
 /* struct set_def - one setting. */
--- a/entry/settings_parse.c
+++ b/entry/settings_parse.c
@@ -187,6 +187,21 @@
 		*(uint64_t *)field = value;
 }
 
+static void
+set_store_permille(struct set_loader *loader, const struct set_def *def,
+    const char *text, uint32_t *field)
+{
+	char *end;
+	double value = strtod(text, &end);
+
+	if (end == text || *end != '\0' || !(value >= 0) ||
+	    value * 1000 > (double)def->max)
+		set_error(loader, def->name, "\"%s\" is no number in 0..%g",
+		    text, (double)def->max / 1000);
+	else
+		*field = (uint32_t)(value * 1000 + 0.5);
+}
+
 void
 set_store(struct set_loader *loader, const struct set_def *def,
     const char *text)
@@ -227,6 +242,9 @@
 	case SET_U64:
 		set_store_number(loader, def, text, field);
 		break;
+	case SET_PERMILLE:
+		set_store_permille(loader, def, text, field);
+		break;
 	}
 }
 
@@ -249,6 +267,7 @@
 		return "FILE";
 	case SET_U32:
 	case SET_U64:
+	case SET_PERMILLE:
 		break;
 	}
 	return "N";
