--- a/entry/daemon.c
+++ b/entry/daemon.c
@@ -26,6 +26,7 @@
 
 #define DMN_FLUSH_CHECK_MS 20	/* interval of looks for unwritten answers */
 #define DMN_FLUSH_LIMIT_MS 5000 /* slow readers get that long at the end */
+#define DMN_CUT_MS 400 /* to write the answers of jobs that are cut */
 
 /* All owners of one entry host. */
 struct daemon {
@@ -54,7 +55,9 @@
 	struct event *hostlist_timer;
 	struct event *flush_timer;
 	uint64_t flush_deadline_us;
+	uint64_t signalled_us; /* the stop was asked for */
 	bool draining;
+	bool cut; /* jobs of steps have been given up */
 };
 
 static void
@@ -119,6 +122,13 @@
 	list->ops->fetch(list, dmn_hostlist_done, dmn);
 }
 
+static bool
+dmn_answers_open(const struct daemon *dmn)
+{
+	return http_server_open(dmn->http) > 0 ||
+	    (dmn->work_http != NULL && http_server_open(dmn->work_http) > 0);
+}
+
 /* The last answers are still being written to their callers. */
 static void
 dmn_flush_tick(evutil_socket_t fd, short what, void *arg)
@@ -127,14 +137,22 @@
 
 	(void)fd;
 	(void)what;
-	if ((http_server_open(dmn->http) > 0 ||
-		(dmn->work_http != NULL &&
-		    http_server_open(dmn->work_http) > 0)) &&
-	    clock_now_us(dmn->clock) < dmn->flush_deadline_us) {
-		dmn_timer_add(dmn->flush_timer, DMN_FLUSH_CHECK_MS);
+	if (!dmn_answers_open(dmn)) {
+		(void)event_base_loopbreak(dmn->base);
 		return;
 	}
-	(void)event_base_loopbreak(dmn->base);
+	if (clock_now_us(dmn->clock) >= dmn->flush_deadline_us) {
+		if (dmn->work == NULL || dmn->cut) {
+			(void)event_base_loopbreak(dmn->base);
+			return;
+		}
+		log_event(LOG_LEVEL_WARN, "shutdown-cut", "jobs=%zu",
+		    front_pending(work_front(dmn->work)));
+		dmn->cut = true;
+		dmn->flush_deadline_us += DMN_CUT_MS * 1000ULL;
+		front_give_up(work_front(dmn->work));
+	}
+	dmn_timer_add(dmn->flush_timer, DMN_FLUSH_CHECK_MS);
 }
 
 static void
@@ -146,6 +164,12 @@
 	    http_server_open(dmn->http));
 	dmn->flush_deadline_us =
 	    clock_now_us(dmn->clock) + DMN_FLUSH_LIMIT_MS * 1000ULL;
+	if (dmn->work != NULL) {
+		front_refuse(work_front(dmn->work));
+		if (dmn->settings->drain_limit_ms != 0)
+			dmn->flush_deadline_us = dmn->signalled_us +
+			    dmn->settings->drain_limit_ms * 1000ULL;
+	}
 	dmn_timer_add(dmn->flush_timer, 0);
 }
 
@@ -158,6 +182,7 @@
 	if (dmn->draining)
 		return;
 	dmn->draining = true;
+	dmn->signalled_us = clock_now_us(dmn->clock);
 	log_event(LOG_LEVEL_INFO, "draining", "signal=%d", (int)fd);
 	peers_tcp_leaving(dmn->peers);
 	if (dmn->work != NULL) {
--- a/entry/jobs/front.c
+++ b/entry/jobs/front.c
@@ -59,6 +59,7 @@
 	struct clock *clock;
 	struct zone *zone;
 	uint64_t next_nonce;
+	bool refusing;
 	size_t npending;
 	TAILQ_HEAD(, frt_job) jobs;
 };
@@ -260,9 +261,37 @@
 	    "id=%s queue=%s priority=%" PRIu32 " bytes=%zu patience_ms=%" PRIu32,
 	    job->id, job->queue.name, job->queue.priority, job->body_len,
 	    patience_ms);
+	if (front->refusing) {
+		frt_answer(job, FRONT_NOT_RUN, FRT_RETRY_AFTER_MS,
+		    "this host is stopping");
+		frt_job_free(job);
+		return;
+	}
 	frt_send(job);
 }
 
+void
+front_refuse(struct front *front)
+{
+	front->refusing = true;
+}
+
+void
+front_give_up(struct front *front)
+{
+	struct frt_job *job, *next;
+
+	TAILQ_FOREACH_SAFE (job, &front->jobs, entry, next) {
+		if (job->answered)
+			continue;
+		frt_answer(job, FRONT_UNKNOWN, 0, "this host is stopping");
+		if (job->under_way)
+			zone_cancel(front->zone, job->id, job->nonce);
+		else
+			frt_job_free(job);
+	}
+}
+
 void
 front_abandon(struct front *front, void *arg)
 {
--- a/entry/jobs/front.h
+++ b/entry/jobs/front.h
@@ -57,6 +57,12 @@
 /** front_abandon() - the caller of @arg has left; @done must not run. */
 void front_abandon(struct front *front, void *arg);
 
+/** front_refuse() - new jobs are refused from now on: this host stops. */
+void front_refuse(struct front *front);
+
+/** front_give_up() - answer all jobs that are still under way. */
+void front_give_up(struct front *front);
+
 /** front_pending() - jobs that are not answered yet. */
 size_t front_pending(const struct front *front);
 
--- a/entry/jobs/work.c
+++ b/entry/jobs/work.c
@@ -18,6 +18,10 @@
 #define WRK_MIRROR_MS 300	   /* between reads from peers */
 #define WRK_MIRROR_PATH "/v1/work/rows"
 #define WRK_HOSTS_MAX 256
+/* Servers report every 1.5 s; a leaving one must be known in well under 2 s
+ * by the host that starts work on it, and by others when they take over. */
+#define WRK_SERVERS_HOLDER_MS 500
+#define WRK_SERVERS_OTHER_MS 4000
 #define WRK_US_PER_MS UINT64_C(1000)
 
 struct work {
@@ -238,6 +242,10 @@
 	(void)fd;
 	(void)what;
 	dir_tick(work->dir, now_us);
+	if (work->rows != NULL)
+		work->rows->ops->pace(work->rows, ROWS_SERVERS,
+		    holder_token(work->holder) != 0 ? WRK_SERVERS_HOLDER_MS
+						    : WRK_SERVERS_OTHER_MS);
 	wrk_mirror(work, now_us);
 }
 
--- a/ports/rows.h
+++ b/ports/rows.h
@@ -50,6 +50,12 @@
 	/* Writes one row of ROWS_HOSTS whatever it held. */
 	void (*write)(struct rows *rows, const char *key, const char *value,
 	    rows_written_fn done, void *arg);
+	/*
+	 * Pause between two reads of a table's feed: 0 is told at once. A
+	 * shorter pause than the present one takes effect at once.
+	 */
+	void (*pace)(struct rows *rows, enum rows_table table,
+	    uint32_t pause_ms);
 };
 
 struct rows {
