--- a/adapters/http_conn.c
+++ b/adapters/http_conn.c
@@ -303,8 +303,8 @@
 		.who = evhtp_kv_find(headers, "Berylrail-Operator"),
 		.client = conn->client,
 		.host = evhtp_kv_find(headers, "Host"),
-		.deadline_ms = http_number(evhtp_kv_find(headers,
-		    "Deadline-Ms")),
+		.deadline_ms =
+		    http_number(evhtp_kv_find(headers, "Deadline-Ms")),
 	};
 
 	if (request.host == NULL)
--- a/adapters/peers_tcp.c
+++ b/adapters/peers_tcp.c
@@ -217,8 +217,7 @@
 }
 
 bool
-peers_tcp_connected(struct peers *port, const char *host,
-    uint64_t *incarnation)
+peers_tcp_connected(struct peers *port, const char *host, uint64_t *incarnation)
 {
 	const struct peers_conn *conn =
 	    peers_conn_find_host(peers_of(port), host);
--- a/core/job.h
+++ b/core/job.h
@@ -18,12 +18,12 @@
 
 /** struct job_step - one step. */
 struct job_step {
-	uint32_t count;	  /* tasks */
-	uint32_t cpu;	  /* thousandths of a core, for each task */
-	uint32_t mem_mb;  /* for each task */
-	uint32_t gpus;	  /* for each task */
-	uint32_t est_ms;  /* declared run time of a task; often far off */
-	uint64_t after;	  /* bit n: step n must be done first */
+	uint32_t count;	 /* tasks */
+	uint32_t cpu;	 /* thousandths of a core, for each task */
+	uint32_t mem_mb; /* for each task */
+	uint32_t gpus;	 /* for each task */
+	uint32_t est_ms; /* declared run time of a task; often far off */
+	uint64_t after;	 /* bit n: step n must be done first */
 	uint32_t per_server_max; /* tasks on one server; 0: any number */
 	bool copies;		 /* may run more than once at a time */
 	char needs[NAME_SIZE];	 /* label that the server must have, or "" */
@@ -33,8 +33,8 @@
 /** struct job_spec - a whole job. */
 struct job_spec {
 	char id[JOB_ID_LEN + 1];
-	char *text; /* handed to each task; owned */
-	bool best_effort; /* answered when it has ended; not stored */
+	char *text;		/* handed to each task; owned */
+	bool best_effort;	/* answered when it has ended; not stored */
 	struct job_step *steps; /* owned */
 	size_t nsteps;
 	uint32_t ntasks; /* of all steps */
--- a/core/lease.h
+++ b/core/lease.h
@@ -21,7 +21,8 @@
 	uint64_t expires_us;  /* nothing runs on after this; 0: never held */
 };
 
-/** lease_learn_clock() - an answer to a call sent at @sent_us said @clock_ms. */
+/** lease_learn_clock() - an answer to a call sent at @sent_us said @clock_ms.
+ */
 void lease_learn_clock(struct lease *lease, uint64_t clock_ms,
     uint64_t sent_us);
 
--- a/core/place.h
+++ b/core/place.h
@@ -28,10 +28,10 @@
 	uint32_t cpu; /* thousandths of a core */
 	uint32_t mem; /* MB */
 	uint32_t gpu;
-	uint32_t work_ms;	/* expected, at nominal speed */
-	int64_t left_ms;	/* until it should have ended */
-	uint32_t far_permille;	/* work grows by this without near data */
-	uint32_t typical_cpu;	/* of the tasks that wait beside it */
+	uint32_t work_ms;      /* expected, at nominal speed */
+	int64_t left_ms;       /* until it should have ended */
+	uint32_t far_permille; /* work grows by this without near data */
+	uint32_t typical_cpu;  /* of the tasks that wait beside it */
 };
 
 /**
--- a/entry/api.c
+++ b/entry/api.c
@@ -422,8 +422,8 @@
 
 	ctr_inc(request->forwarded ? &api_forwarded_requests : &api_requests);
 	if (api->work_door != NULL && request->forwarded &&
-	    strncmp(request->path, API_WORK_PATH,
-		sizeof(API_WORK_PATH) - 1) == 0) {
+	    strncmp(request->path, API_WORK_PATH, sizeof(API_WORK_PATH) - 1) ==
+		0) {
 		api->work_door->handle(api->work_door->arg, request, reply,
 		    arg);
 		return;
--- a/entry/daemon.c
+++ b/entry/daemon.c
@@ -26,7 +26,7 @@
 
 #define DMN_FLUSH_CHECK_MS 20	/* interval of looks for unwritten answers */
 #define DMN_FLUSH_LIMIT_MS 5000 /* slow readers get that long at the end */
-#define DMN_CUT_MS 400 /* to write the answers of jobs that are cut */
+#define DMN_CUT_MS 400		/* to write the answers of jobs that are cut */
 
 /* All owners of one entry host. */
 struct daemon {
@@ -521,8 +521,7 @@
 	    dmn_create_engine(dmn, seed, err) != 0 ||
 	    dmn_create_config_sync(dmn, seed, err) != 0 ||
 	    dmn_create_api(dmn, err) != 0 || dmn_create_peers(dmn, err) != 0 ||
-	    dmn_create_http(dmn, err) != 0 ||
-	    dmn_create_store(dmn, err) != 0 ||
+	    dmn_create_http(dmn, err) != 0 || dmn_create_store(dmn, err) != 0 ||
 	    dmn_create_events(dmn, err) != 0)
 		return -1;
 	return dmn_write_ports(dmn, err);
--- a/entry/jobs/directory.c
+++ b/entry/jobs/directory.c
@@ -133,8 +133,8 @@
 		return;
 	}
 	row->gone_due_us = 0;
-	if (dir->decode.server(row->key, row->value, row->value_len,
-		&server) == -1) {
+	if (dir->decode.server(row->key, row->value, row->value_len, &server) ==
+	    -1) {
 		dir_bad_row(row);
 		dir->listener.server_gone(dir->listener.arg, row->key);
 		return;
@@ -288,8 +288,7 @@
 }
 
 int
-dir_absorb(struct directory *dir, const char *text, size_t len,
-    uint64_t now_us)
+dir_absorb(struct directory *dir, const char *text, size_t len, uint64_t now_us)
 {
 	json_t *rows = json_loadb(text, len, 0, NULL);
 	struct rows_change change;
--- a/entry/jobs/directory.h
+++ b/entry/jobs/directory.h
@@ -21,7 +21,7 @@
 	struct job_queue queue;
 	char host[NAME_SIZE];	/* Host header of its requests */
 	char prefix[NAME_SIZE]; /* beginning of their path */
-	bool advised; /* an outside policy chooses its servers */
+	bool advised;		/* an outside policy chooses its servers */
 };
 
 /** struct dir_service - a pool of backend servers. */
@@ -115,8 +115,8 @@
  * @rest: set to what follows the queue's prefix in @path.
  * Return: the queue with the longest prefix, or NULL.
  */
-const struct dir_queue *dir_route(const struct directory *dir,
-    const char *host, const char *path, const char **rest);
+const struct dir_queue *dir_route(const struct directory *dir, const char *host,
+    const char *path, const char **rest);
 
 /** dir_version() - the newest row version that was seen. */
 uint64_t dir_version(const struct directory *dir);
--- a/entry/jobs/front.c
+++ b/entry/jobs/front.c
@@ -151,8 +151,7 @@
 		frt_answer(job, FRONT_FAILED, 0, reply->reason);
 		break;
 	case HOLDER_NOT_RUN:
-		frt_answer(job,
-		    job->started ? FRONT_UNKNOWN : FRONT_NOT_RUN,
+		frt_answer(job, job->started ? FRONT_UNKNOWN : FRONT_NOT_RUN,
 		    reply->retry_after_ms, reply->reason);
 		break;
 	case HOLDER_BAD:
@@ -167,8 +166,7 @@
 }
 
 static void
-frt_done(void *arg, enum zone_outcome outcome,
-    const struct holder_reply *reply)
+frt_done(void *arg, enum zone_outcome outcome, const struct holder_reply *reply)
 {
 	struct frt_job *job = arg;
 	bool moved = outcome == ZONE_ANSWERED && reply->result == HOLDER_MOVED;
@@ -185,7 +183,7 @@
 	if (outcome == ZONE_LOST || moved)
 		job->started = true;
 	log_event(LOG_LEVEL_INFO, "job-unheld", "id=%s cause=%s", job->id,
-	    moved		     ? "moved"
+	    moved		       ? "moved"
 		: outcome == ZONE_LOST ? "holder-lost"
 				       : "no-holder");
 	ctr_inc(&frt_resent);
@@ -201,10 +199,10 @@
 		.queue = &job->queue,
 		.body = job->body,
 		.body_len = job->body_len,
-		.age_ms = (uint32_t)((now_us - job->arrived_us) /
-		    FRT_US_PER_MS),
-		.patience_ms = (uint32_t)((job->deadline_us - now_us) /
-		    FRT_US_PER_MS),
+		.age_ms =
+		    (uint32_t)((now_us - job->arrived_us) / FRT_US_PER_MS),
+		.patience_ms =
+		    (uint32_t)((job->deadline_us - now_us) / FRT_US_PER_MS),
 		.resubmitted = job->started,
 		.nonce = job->nonce,
 	};
@@ -237,9 +235,8 @@
 front_submit(struct front *front, const struct front_job *request,
     front_done_fn done, void *arg)
 {
-	uint32_t patience_ms = request->patience_ms == 0
-	    ? FRT_PATIENCE_MS
-	    : request->patience_ms;
+	uint32_t patience_ms =
+	    request->patience_ms == 0 ? FRT_PATIENCE_MS : request->patience_ms;
 	struct frt_job *job = mem_zalloc(1, sizeof(*job));
 
 	job->front = front;
@@ -258,7 +255,8 @@
 	TAILQ_INSERT_TAIL(&front->jobs, job, entry);
 	front->npending++;
 	log_event(LOG_LEVEL_INFO, "accept",
-	    "id=%s queue=%s priority=%" PRIu32 " bytes=%zu patience_ms=%" PRIu32,
+	    "id=%s queue=%s priority=%" PRIu32
+	    " bytes=%zu patience_ms=%" PRIu32,
 	    job->id, job->queue.name, job->queue.priority, job->body_len,
 	    patience_ms);
 	if (front->refusing) {
--- a/entry/jobs/holder.c
+++ b/entry/jobs/holder.c
@@ -22,11 +22,11 @@
 	.help = "Jobs of steps, by event.",
 };
 static struct counter hld_jobs_by_result[] = {
-#define HLD_RESULT(result, label)                            \
-	[result] = {                                         \
-		.name = "berylrail_work_jobs_total",         \
-		.labels = "event=\"" label "\"",             \
-		.help = "Jobs of steps, by event.",          \
+#define HLD_RESULT(result, label)                    \
+	[result] = {                                 \
+		.name = "berylrail_work_jobs_total", \
+		.labels = "event=\"" label "\"",     \
+		.help = "Jobs of steps, by event.",  \
 	}
 	HLD_RESULT(HOLDER_COMPLETED, "completed"),
 	HLD_RESULT(HOLDER_FAILED, "failed"),
@@ -220,8 +220,7 @@
 	job->queue = request->queue;
 	hld_job_create_tasks(job);
 	hld_job_set_times(job, request);
-	LIST_INSERT_HEAD(&holder->buckets[hld_bucket(job->spec.id)], job,
-	    hash);
+	LIST_INSERT_HEAD(&holder->buckets[hld_bucket(job->spec.id)], job, hash);
 	TAILQ_INSERT_TAIL(&holder->jobs, job, entry);
 	return job;
 }
@@ -420,7 +419,8 @@
 	TAILQ_INIT(&holder->waiting);
 	for (i = 0; i < HLD_JOB_BUCKETS; i++)
 		LIST_INIT(&holder->buckets[i]);
-	holder->tick = event_new(params->base, -1, EV_PERSIST, hld_tick, holder);
+	holder->tick =
+	    event_new(params->base, -1, EV_PERSIST, hld_tick, holder);
 	holder->pump = event_new(params->base, -1, 0, hld_pump, holder);
 	if (holder->tick == NULL || holder->pump == NULL ||
 	    event_add(holder->tick, &interval) == -1) {
--- a/entry/jobs/holder.h
+++ b/entry/jobs/holder.h
@@ -35,15 +35,14 @@
 	const char *reason;	 /* for people, never NULL */
 };
 
-typedef void (
-    *holder_done_fn)(void *arg, const struct holder_reply *reply);
+typedef void (*holder_done_fn)(void *arg, const struct holder_reply *reply);
 
 /** struct holder_params - all borrowed. */
 struct holder_params {
 	struct event_base *base;
 	struct clock *clock;
 	struct worker *worker;
-	uint32_t lease_ms; /* longest lease that servers grant */
+	uint32_t lease_ms;     /* longest lease that servers grant */
 	uint32_t far_permille; /* slowdown of a task away from its data */
 	/* The servers have seen a higher token. */
 	void (*fenced)(void *arg);
@@ -52,11 +51,11 @@
 
 /** struct holder_request - a job to run. */
 struct holder_request {
-	struct job_spec spec;	/* the holder takes what it owns */
+	struct job_spec spec; /* the holder takes what it owns */
 	struct job_queue queue;
-	uint32_t age_ms;	/* since the submitter first sent it */
-	uint32_t patience_ms;	/* the submitter waits so long from now */
-	bool resubmitted;	/* another holder may have started it */
+	uint32_t age_ms;      /* since the submitter first sent it */
+	uint32_t patience_ms; /* the submitter waits so long from now */
+	bool resubmitted;     /* another holder may have started it */
 };
 
 /** struct holder_load - how busy the cell is. */
--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -19,20 +19,20 @@
 /* A long poll; the lease is renewed at its start, so at most a third of the
  * lease passes before the next renewal. */
 #define HLD_HOLD_WAIT_MS 300
-#define HLD_ACK_DELAY_MS 60    /* ends of an idle server are acknowledged */
-#define HLD_RETRY_MS 50	       /* after a call without an answer */
-#define HLD_MISSES_MAX 1       /* unanswered holds before it is suspect */
-#define HLD_ORPHAN_MS 500      /* an unknown run may be claimed by its job */
-#define HLD_FULL_MS 15	       /* no start after a refusal for want of room */
-#define HLD_BUSY_MS 250	       /* no start after a refusal */
-#define HLD_TICK_MS 20	       /* deadlines, stragglers, orphans */
-#define HLD_FAIL_STREAK 3      /* failed runs of different jobs in a row */
-#define HLD_EJECT_MS 2000      /* first ejection; doubles */
+#define HLD_ACK_DELAY_MS 60 /* ends of an idle server are acknowledged */
+#define HLD_RETRY_MS 50	    /* after a call without an answer */
+#define HLD_MISSES_MAX 1    /* unanswered holds before it is suspect */
+#define HLD_ORPHAN_MS 500   /* an unknown run may be claimed by its job */
+#define HLD_FULL_MS 15	    /* no start after a refusal for want of room */
+#define HLD_BUSY_MS 250	    /* no start after a refusal */
+#define HLD_TICK_MS 20	    /* deadlines, stragglers, orphans */
+#define HLD_FAIL_STREAK 3   /* failed runs of different jobs in a row */
+#define HLD_EJECT_MS 2000   /* first ejection; doubles */
 #define HLD_EJECT_MAX_MS 8000
 #define HLD_STRAGGLER_FACTOR 4 /* times the expected run time */
 #define HLD_STRAGGLER_MIN_MS 300
-#define HLD_RECOVER_MS 250     /* wait for all servers after a take-over */
-#define HLD_RUN_IDS 64	       /* runs of one task under one token */
+#define HLD_RECOVER_MS 250 /* wait for all servers after a take-over */
+#define HLD_RUN_IDS 64	   /* runs of one task under one token */
 
 enum hld_task_state {
 	HLD_BLOCKED, /* an earlier step is not done */
@@ -53,7 +53,7 @@
 	uint32_t step;
 	uint32_t index;
 	enum hld_task_state state;
-	uint32_t runs;	 /* ordered under this token */
+	uint32_t runs; /* ordered under this token */
 	uint32_t fails;
 	struct hld_server *server; /* where a run is or may be */
 	uint64_t run_id;
@@ -74,14 +74,14 @@
 	struct job_queue queue;
 	struct hld_task *tasks; /* spec.ntasks of them, by step */
 	uint32_t ndone;
-	uint32_t non_servers; /* tasks with a run somewhere */
-	uint64_t arrived_us;  /* when its submitter first sent it */
-	uint64_t objective_us; /* on time until then */
-	uint64_t late_us;     /* worth something until then */
-	uint64_t gone_us;     /* the submitter has left by then */
+	uint32_t non_servers;	 /* tasks with a run somewhere */
+	uint64_t arrived_us;	 /* when its submitter first sent it */
+	uint64_t objective_us;	 /* on time until then */
+	uint64_t late_us;	 /* worth something until then */
+	uint64_t gone_us;	 /* the submitter has left by then */
 	uint64_t start_after_us; /* another holder's runs may last until then */
-	bool started; /* a start was ordered, here or elsewhere */
-	bool ended;   /* answered; only its runs are left */
+	bool started;		 /* a start was ordered, here or elsewhere */
+	bool ended;		 /* answered; only its runs are left */
 	holder_done_fn done;
 	void *arg;
 	LIST_ENTRY(hld_job) hash;
--- a/entry/jobs/holder_pump.c
+++ b/entry/jobs/holder_pump.c
@@ -13,7 +13,7 @@
 #include "entry/jobs/holder_internal.h"
 
 #define HLD_US_PER_MS UINT64_C(1000)
-#define HLD_ANSWER_MS 10	/* from an end to the submitter's answer */
+#define HLD_ANSWER_MS 10 /* from an end to the submitter's answer */
 #define HLD_RETRY_AFTER_MIN_MS 200
 
 uint32_t
@@ -89,8 +89,7 @@
 }
 
 static bool
-hld_server_permits(const struct hld_server *server,
-    const struct hld_task *task)
+hld_server_permits(const struct hld_server *server, const struct hld_task *task)
 {
 	const struct job_step *step = &task->job->spec.steps[task->step];
 	const struct hld_task *other;
@@ -111,8 +110,7 @@
 
 /* What the servers offer to @task, in the order of the holder's list. */
 static size_t
-hld_offers(struct holder *holder, const struct hld_task *task,
-    uint64_t now_us)
+hld_offers(struct holder *holder, const struct hld_task *task, uint64_t now_us)
 {
 	const struct job_step *step = &task->job->spec.steps[task->step];
 	const struct hld_server *server;
@@ -149,8 +147,8 @@
 		.mem = step->mem_mb,
 		.gpu = step->gpus,
 		.work_ms = hld_task_expected_ms(task),
-		.left_ms = ((int64_t)task->job->objective_us -
-			       (int64_t)now_us) /
+		.left_ms =
+		    ((int64_t)task->job->objective_us - (int64_t)now_us) /
 			(int64_t)HLD_US_PER_MS -
 		    HLD_ANSWER_MS,
 		.far_permille = holder->params.far_permille,
@@ -256,9 +254,9 @@
 			hld_queue(&job->tasks[i]);
 	}
 	if (job->ndone == job->spec.ntasks) {
-		const struct holder_reply completed = {
-			.result = HOLDER_COMPLETED, .reason = "all tasks done"
-		};
+		const struct holder_reply completed = { .result =
+							    HOLDER_COMPLETED,
+			.reason = "all tasks done" };
 
 		hld_job_finish(job, &completed);
 	}
--- a/entry/jobs/holder_run.c
+++ b/entry/jobs/holder_run.c
@@ -98,9 +98,9 @@
 
 	if (speed > HLD_SPEED_MAX)
 		speed = HLD_SPEED_MAX;
-	server->speed = (uint32_t)((server->speed * (HLD_SPEED_WEIGHT - 1) +
-				       speed) /
-	    HLD_SPEED_WEIGHT);
+	server->speed =
+	    (uint32_t)((server->speed * (HLD_SPEED_WEIGHT - 1) + speed) /
+		HLD_SPEED_WEIGHT);
 }
 
 /* Judges a server by failed runs of different jobs without a success. */
@@ -183,8 +183,8 @@
 }
 
 void
-hld_run_adopt(struct hld_task *task, struct hld_server *server,
-    uint64_t run_id, uint64_t now_us)
+hld_run_adopt(struct hld_task *task, struct hld_server *server, uint64_t run_id,
+    uint64_t now_us)
 {
 	if (task->state == HLD_WAITING)
 		hld_dequeue(task);
@@ -263,8 +263,8 @@
 		    hld_now(server->holder) + pause_ms * HLD_US_PER_MS;
 	if (verdict == WORKER_NO_ROOM && !server->hold_pending)
 		server->hold_due_us = 1;
-	hld_run_absent(task, verdict == WORKER_NO_ROOM ? "refused: no room"
-						       : "refused");
+	hld_run_absent(task,
+	    verdict == WORKER_NO_ROOM ? "refused: no room" : "refused");
 }
 
 static void
@@ -323,8 +323,7 @@
 	    " server=%s speed=%" PRIu32 " free_cpu=%" PRId64
 	    " waited_ms=%" PRIu64,
 	    task->job->spec.id, task->step, task->index, order.run_id,
-	    server->info.id, server->speed,
-	    server->info.cpu - server->used_cpu,
+	    server->info.id, server->speed, server->info.cpu - server->used_cpu,
 	    (now_us - task->job->arrived_us) / HLD_US_PER_MS);
 	holder->params.worker->ops->start(server->link, &order, hld_started,
 	    hld_order_create(task));
--- a/entry/jobs/holder_server.c
+++ b/entry/jobs/holder_server.c
@@ -65,8 +65,7 @@
 	struct worker_address address = { .port = server->info.port };
 
 	strlcpy(address.id, server->info.id, sizeof(address.id));
-	strlcpy(address.address, server->info.address,
-	    sizeof(address.address));
+	strlcpy(address.address, server->info.address, sizeof(address.address));
 	if (server->link == NULL)
 		server->link = holder->params.worker->ops->open(
 		    holder->params.worker, &address);
@@ -98,9 +97,8 @@
 	orphan->seen_us = now_us;
 	orphan->listed = true;
 	TAILQ_INSERT_TAIL(&server->orphans, orphan, entry);
-	log_event(LOG_LEVEL_INFO, "orphan",
-	    "task=%s run=%" PRIu64 " server=%s", name, run_id,
-	    server->info.id);
+	log_event(LOG_LEVEL_INFO, "orphan", "task=%s run=%" PRIu64 " server=%s",
+	    name, run_id, server->info.id);
 	return orphan;
 }
 
@@ -250,8 +248,8 @@
 hld_server_hold(struct hld_server *server, uint64_t now_us)
 {
 	struct holder *holder = server->holder;
-	bool busy = !TAILQ_EMPTY(&server->tasks) ||
-	    !TAILQ_EMPTY(&server->orphans);
+	bool busy =
+	    !TAILQ_EMPTY(&server->tasks) || !TAILQ_EMPTY(&server->orphans);
 	struct worker_hold hold = {
 		.token = holder->token,
 		.acknowledged = server->acknowledged,
--- a/entry/jobs/job_json.c
+++ b/entry/jobs/job_json.c
@@ -7,7 +7,7 @@
 #include "core/mem.h"
 #include "entry/jobs/job_json.h"
 
-#define JOB_TASKS_TOTAL_MAX 4096 /* tasks of one job, all steps */
+#define JOB_TASKS_TOTAL_MAX 4096  /* tasks of one job, all steps */
 #define JOB_AMOUNT_MAX 1000000000 /* of any number in a step */
 
 static int
@@ -87,7 +87,8 @@
 	    job_name(object, "affinity", step->near) == -1 ||
 	    job_after(object, spec->nsteps, &step->after) == -1)
 		return job_bad(err, "a step has a field of the wrong type");
-	step->copies = json_is_true(json_object_get(object, "allow_duplicates"));
+	step->copies =
+	    json_is_true(json_object_get(object, "allow_duplicates"));
 	for (i = 0; i < sizeof(unsupported) / sizeof(unsupported[0]); i++) {
 		if (json_is_true(json_object_get(object, unsupported[i])))
 			spec->unsupported = unsupported[i];
--- a/entry/jobs/work.c
+++ b/entry/jobs/work.c
@@ -15,7 +15,7 @@
 #include "entry/jobs/zone.h"
 
 #define WRK_TICK_MS 100
-#define WRK_MIRROR_MS 300	   /* between reads from peers */
+#define WRK_MIRROR_MS 300 /* between reads from peers */
 #define WRK_MIRROR_PATH "/v1/work/rows"
 #define WRK_HOSTS_MAX 256
 /* Servers report every 1.5 s; a leaving one must be known in well under 2 s
@@ -356,8 +356,7 @@
 	if (work->zone == NULL)
 		return -1;
 	work->front = front_create(params->base, params->clock, work->zone);
-	work->tick =
-	    event_new(params->base, -1, EV_PERSIST, wrk_tick, work);
+	work->tick = event_new(params->base, -1, EV_PERSIST, wrk_tick, work);
 	if (work->tick == NULL || event_add(work->tick, &interval) == -1)
 		return -1;
 	return 0;
--- a/entry/jobs/zone.c
+++ b/entry/jobs/zone.c
@@ -14,8 +14,8 @@
 
 #define ZONE_US_PER_MS UINT64_C(1000)
 #define ZONE_TICK_MS 25
-#define ZONE_PING_MS 150   /* interval of pings of the holder */
-#define ZONE_SILENT_MS 450 /* a holder without an answer is taken for gone */
+#define ZONE_PING_MS 150    /* interval of pings of the holder */
+#define ZONE_SILENT_MS 450  /* a holder without an answer is taken for gone */
 #define ZONE_SETTLE_MS 2500 /* after a start, hosts find each other first */
 #define ZONE_RESERVE_MS 500 /* between tries to reserve a token */
 #define ZONE_REJOIN_MS 3000 /* connected for so long: fit to take over */
@@ -177,9 +177,9 @@
 	const struct zone_host *host;
 	char query[NAME_SIZE + 64];
 
-	(void)snprintf(query, sizeof(query), "host=%s&token=%" PRIu64 "&leaving=%d",
-	    zone->params.self.name, holder_token(zone->params.holder),
-	    zone->leaving ? 1 : 0);
+	(void)snprintf(query, sizeof(query),
+	    "host=%s&token=%" PRIu64 "&leaving=%d", zone->params.self.name,
+	    holder_token(zone->params.holder), zone->leaving ? 1 : 0);
 	request.query = query;
 	TAILQ_FOREACH (host, &zone->hosts, entry) {
 		if (host->connected)
@@ -229,8 +229,7 @@
 			log_event(LOG_LEVEL_INFO, "host-answers", "host=%s",
 			    host->info.name);
 		host->silent = false;
-		host->leaving =
-		    json_is_true(json_object_get(body, "leaving"));
+		host->leaving = json_is_true(json_object_get(body, "leaving"));
 		zone_token_heard(ping->zone, host,
 		    (uint64_t)json_integer_value(
 			json_object_get(body, "token")));
@@ -338,8 +337,8 @@
 	if (zone->holder == NULL ||
 	    strcmp(zone->holder, cells[chosen].name) != 0)
 		log_event(LOG_LEVEL_INFO, "holder-chosen",
-		    "holder=%s token=%" PRIu64 " hosts=%zu",
-		    cells[chosen].name, cells[chosen].token, n);
+		    "holder=%s token=%" PRIu64 " hosts=%zu", cells[chosen].name,
+		    cells[chosen].token, n);
 	zone->holder = cells[chosen].name;
 }
 
@@ -359,8 +358,7 @@
 		return;
 	if (strcmp(zone->holder, zone->params.self.name) == 0) {
 		if (holder_token(zone->params.holder) == 0 &&
-		    now_us - zone->created_us >
-			ZONE_SETTLE_MS * ZONE_US_PER_MS)
+		    now_us - zone->created_us > ZONE_SETTLE_MS * ZONE_US_PER_MS)
 			zone_take_over(zone, now_us);
 		/* Others that were silent may hold by now. */
 		TAILQ_FOREACH (host, &zone->hosts, entry) {
@@ -405,8 +403,7 @@
 	TAILQ_INIT(&zone->hosts);
 	TAILQ_INIT(&zone->served);
 	zone->created_us = zone_now(zone);
-	zone->tick =
-	    event_new(params->base, -1, EV_PERSIST, zone_tick, zone);
+	zone->tick = event_new(params->base, -1, EV_PERSIST, zone_tick, zone);
 	if (zone->tick == NULL || event_add(zone->tick, &interval) == -1) {
 		zone_destroy(zone);
 		return NULL;
--- a/entry/jobs/zone_internal.h
+++ b/entry/jobs/zone_internal.h
@@ -18,7 +18,7 @@
 /** struct zone_host - an entry host. */
 struct zone_host {
 	struct dir_host info;
-	uint64_t token;	       /* that it says it holds with, else 0 */
+	uint64_t token; /* that it says it holds with, else 0 */
 	bool leaving;
 	bool connected;	       /* as of the last tick */
 	uint64_t incarnation;  /* while connected */
--- a/entry/jobs/zone_job.c
+++ b/entry/jobs/zone_job.c
@@ -33,7 +33,7 @@
 	struct zone *zone;
 	char id[JOB_ID_LEN + 1];
 	uint64_t nonce;
-	zone_done_fn done; /* of this host's own */
+	zone_done_fn done;  /* of this host's own */
 	api_reply_fn reply; /* of a peer's */
 	void *arg;
 	TAILQ_ENTRY(zone_submission) entry;
@@ -125,8 +125,8 @@
 	struct holder_reply bad = { .result = HOLDER_BAD };
 	struct err err;
 
-	if (job_parse(&request.spec, job->id, job->body, job->body_len,
-		&err) == -1) {
+	if (job_parse(&request.spec, job->id, job->body, job->body_len, &err) ==
+	    -1) {
 		bad.reason = err.message;
 		zone_held_done(sub, &bad);
 		return;
--- a/ports/rows.h
+++ b/ports/rows.h
@@ -54,8 +54,8 @@
 	 * Pause between two reads of a table's feed: 0 is told at once. A
 	 * shorter pause than the present one takes effect at once.
 	 */
-	void (*pace)(struct rows *rows, enum rows_table table,
-	    uint32_t pause_ms);
+	void (
+	    *pace)(struct rows *rows, enum rows_table table, uint32_t pause_ms);
 };
 
 struct rows {
--- a/ports/worker.h
+++ b/ports/worker.h
@@ -96,12 +96,12 @@
 /** struct worker_ops - a way to reach such servers. @done runs once, later. */
 struct worker_ops {
 	/* A link to one incarnation, or NULL when out of memory. */
-	struct worker_link *(*open)(struct worker *worker,
-	    const struct worker_address *address);
+	struct worker_link *(
+	    *open)(struct worker *worker, const struct worker_address *address);
 	/* Drops all calls of the link: their callbacks do not run. */
 	void (*close)(struct worker_link *link);
-	void (*start)(struct worker_link *link, const struct worker_start *order,
-	    worker_done_fn done, void *arg);
+	void (*start)(struct worker_link *link,
+	    const struct worker_start *order, worker_done_fn done, void *arg);
 	void (*stop)(struct worker_link *link, const char *task,
 	    uint64_t run_id, uint64_t token, worker_done_fn done, void *arg);
 	void (*hold)(struct worker_link *link, const struct worker_hold *hold,
