Take over soon after a start; logs on standard output, gathered and limited

Ruled out: slow starts (17 ms from start to configuration). Change: a host takes over once all known hosts of its zone have answered a ping, or after 350 ms. Logs go to stdout through a bounded buffer, gathered for 25 ms, at most 1,000 lines of a kind a second.

--- a/adapters/log.c
+++ b/adapters/log.c
@@ -5,17 +5,31 @@
 
 #include <log4c.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
+#include <unistd.h>
 
 #include "adapters/log.h"
+#include "adapters/log_writer.h"
 #include "berylrail/limits.h"
 
 #define LOG_LINE_MAX 1024 /* bytes */
+#define LOG_KINDS 64
+#define LOG_KIND_LINES_MAX 1000 /* of one kind in a second */
 
 static log4c_category_t *log_category;
 static char log_host[NAME_SIZE];
 
+struct log_kind {
+	const char *event; /* a literal */
+	time_t second;
+	unsigned long lines;
+};
+
+static struct log_kind log_kinds[LOG_KINDS];
+
 static const int log_priorities[] = {
 	[LOG_LEVEL_DEBUG] = LOG4C_PRIORITY_DEBUG,
 	[LOG_LEVEL_INFO] = LOG4C_PRIORITY_INFO,
@@ -42,6 +56,24 @@
 	return -1;
 }
 
+/* log4c's appender: the rendered line goes to the writer. */
+static int
+log_append(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+	size_t len = strlen(event->evt_rendered_msg);
+
+	(void)appender;
+	if (len > 0 && event->evt_rendered_msg[len - 1] == '\n')
+		len--;
+	lgw_add(event->evt_rendered_msg, len);
+	return 0;
+}
+
+static const log4c_appender_type_t log_appender_type = {
+	.name = "berylrail",
+	.append = log_append,
+};
+
 int
 log_open(const char *host, const char *level)
 {
@@ -53,10 +85,11 @@
 		return -1;
 	(void)snprintf(log_host, sizeof(log_host), "%s", host);
 	(void)log4c_init();
+	(void)log4c_appender_type_set(&log_appender_type);
+	lgw_open(STDOUT_FILENO);
 	log_category = log4c_category_get("berylrail");
-	appender = log4c_appender_get("stderr");
-	log4c_appender_set_type(appender, log4c_appender_type_get("stream"));
-	log4c_appender_set_udata(appender, stderr);
+	appender = log4c_appender_get("lines");
+	log4c_appender_set_type(appender, log4c_appender_type_get("berylrail"));
 	log4c_appender_set_layout(appender, log4c_layout_get("dated"));
 	log4c_layout_set_type(log4c_layout_get("dated"),
 	    log4c_layout_type_get("dated"));
@@ -70,23 +103,78 @@
 {
 	if (log_category == NULL)
 		return;
+	lgw_flush();
 	log_category = NULL;
 	(void)log4c_fini();
 }
 
+/* Lines of one kind in the second under way. */
+static struct log_kind *
+log_kind_find(const char *event)
+{
+	size_t i, hash = 5381;
+	const char *p;
+
+	for (p = event; *p != '\0'; p++)
+		hash = hash * 33 + (unsigned char)*p;
+	for (i = 0; i < LOG_KINDS; i++) {
+		struct log_kind *kind = &log_kinds[(hash + i) % LOG_KINDS];
+
+		if (kind->event == NULL)
+			kind->event = event;
+		if (strcmp(kind->event, event) == 0)
+			return kind;
+	}
+	return NULL;
+}
+
+static void
+log_line(enum log_level level, const char *event, const char *line)
+{
+	log4c_category_log(log_category, log_priorities[level],
+	    "event=%s host=%s %s", event, log_host, line);
+}
+
+/* A kind that comes too often in one second is counted instead. */
+static bool
+log_admit(const char *event)
+{
+	struct log_kind *kind = log_kind_find(event);
+	struct timespec now;
+	char line[96];
+
+	if (kind == NULL)
+		return true;
+	(void)clock_gettime(CLOCK_MONOTONIC_COARSE, &now);
+	if (now.tv_sec != kind->second) {
+		if (kind->lines > LOG_KIND_LINES_MAX) {
+			(void)snprintf(line, sizeof(line),
+			    "kind=%s lines=%lu reason=\"rate limit\"", event,
+			    kind->lines - LOG_KIND_LINES_MAX);
+			log_line(LOG_LEVEL_WARN, "log-lines-skipped", line);
+		}
+		kind->second = now.tv_sec;
+		kind->lines = 0;
+	}
+	return ++kind->lines <= LOG_KIND_LINES_MAX;
+}
+
 void
 log_event(enum log_level level, const char *event, const char *fmt, ...)
 {
 	char line[LOG_LINE_MAX];
 	va_list ap;
 
-	if (log_category == NULL)
+	if (log_category == NULL ||
+	    !log4c_category_is_priority_enabled(log_category,
+		log_priorities[level]))
+		return;
+	if (!log_admit(event))
 		return;
 	va_start(ap, fmt);
 	(void)vsnprintf(line, sizeof(line), fmt, ap);
 	va_end(ap);
-	log4c_category_log(log_category, log_priorities[level],
-	    "event=%s host=%s %s", event, log_host, line);
+	log_line(level, event, line);
 }
 
 void
--- a/adapters/log.h
+++ b/adapters/log.h
@@ -4,8 +4,9 @@
 #include "berylrail/error.h"
 
 /*
- * Log lines for changes of state, by log4c, on standard error. Each is one
- * line of key=value pairs. What happens often is counted instead.
+ * Log lines by log4c on standard output: one line of key=value pairs for each
+ * decision that touches a request or changes what the process believes. They
+ * never block, and a kind that comes too often is limited and counted.
  */
 
 /** enum log_level - how much a line matters. */
--- a/core/cell.h
+++ b/core/cell.h
@@ -14,8 +14,8 @@
 /** struct cell_host - a host of the zone as this host sees it. */
 struct cell_host {
 	const char *name;
-	uint32_t weight; /* processor share in thousandths; more is better */
 	uint64_t token;	 /* its token if it says that it holds, else 0 */
+	uint32_t weight; /* processor share in thousandths; more is better */
 	bool reachable;	 /* answers this host, or is this host */
 	bool leaving;
 };
--- a/entry/daemon.c
+++ b/entry/daemon.c
@@ -14,6 +14,7 @@
 #include "adapters/crypto_sodium.h"
 #include "adapters/http_server.h"
 #include "adapters/log.h"
+#include "adapters/log_writer.h"
 #include "adapters/peers_tcp.h"
 #include "adapters/platform.h"
 #include "entry/api.h"
@@ -513,6 +514,7 @@
 	if (dmn->crypto == NULL || dmn->base == NULL)
 		return err_set(err, ERR_STEP_SETTINGS, ERR_NO_MEMORY, NULL,
 		    "event base or random source");
+	(void)lgw_attach(dmn->base);
 	dmn->crypto->ops->random(dmn->crypto, &dmn->incarnation,
 	    sizeof(dmn->incarnation));
 	if (seed == 0)
@@ -560,6 +562,7 @@
 		dmn->platform->destroy(dmn->platform);
 	if (dmn->base == NULL)
 		return;
+	lgw_detach();
 	/* libevent frees a bufferevent only once its deferred callbacks ran. */
 	(void)event_base_loop(dmn->base, EVLOOP_NONBLOCK);
 	event_base_free(dmn->base);
--- a/entry/jobs/front.c
+++ b/entry/jobs/front.c
@@ -331,9 +331,9 @@
 void
 front_destroy(struct front *front)
 {
-	struct frt_job *job;
+	struct frt_job *job, *next;
 
-	while ((job = TAILQ_FIRST(&front->jobs)) != NULL)
+	TAILQ_FOREACH_SAFE (job, &front->jobs, entry, next)
 		frt_job_free(job);
 	free(front);
 }
--- a/entry/jobs/holder.c
+++ b/entry/jobs/holder.c
@@ -358,8 +358,8 @@
 	const struct holder_reply moved = { .result = HOLDER_MOVED,
 		.reason = "this host has lost the cell" };
 	struct hld_server *server;
-	struct hld_job *job;
-	struct hld_task *task;
+	struct hld_job *job, *next_job;
+	struct hld_task *task, *next_task;
 
 	if (holder->token == 0)
 		return;
@@ -373,11 +373,10 @@
 		server->hold_pending = false;
 		hld_orders_drop(server);
 		/* The successor accounts for what runs there. */
-		while ((task = TAILQ_FIRST(&server->tasks)) != NULL) {
+		TAILQ_FOREACH_SAFE (task, &server->tasks, on_server, next_task)
 			hld_run_absent(task, "cell left");
-		}
 	}
-	while ((job = TAILQ_FIRST(&holder->jobs)) != NULL)
+	TAILQ_FOREACH_SAFE (job, &holder->jobs, entry, next_job)
 		hld_job_finish(job, &moved);
 }
 
@@ -433,13 +432,13 @@
 void
 holder_destroy(struct holder *holder)
 {
-	struct hld_server *server;
+	struct hld_server *server, *next;
 	struct hld_job *job;
 
 	TAILQ_FOREACH (job, &holder->jobs, entry)
 		job->done = NULL;
 	holder_end(holder);
-	while ((server = TAILQ_FIRST(&holder->servers)) != NULL)
+	TAILQ_FOREACH_SAFE (server, &holder->servers, entry, next)
 		hld_server_free(server);
 	if (holder->tick != NULL)
 		event_free(holder->tick);
--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -21,6 +21,7 @@
 #define HLD_HOLD_WAIT_MS 300
 #define HLD_ACK_DELAY_MS 60 /* ends of an idle server are acknowledged */
 #define HLD_RETRY_MS 50	    /* after a call without an answer */
+#define HLD_REOPEN_MS 150   /* between tries to hold a lost server */
 #define HLD_MISSES_MAX 1    /* unanswered holds before it is suspect */
 #define HLD_ORPHAN_MS 500   /* an unknown run may be claimed by its job */
 #define HLD_FULL_MS 15	    /* no start after a refusal for want of room */
@@ -122,6 +123,7 @@
 	uint64_t hold_sent_us;
 	uint64_t hold_due_us; /* next one, if none is pending; 0: none */
 	uint32_t misses;      /* holds without an answer in a row */
+	uint64_t reopen_us;   /* after a loss, held again from then on */
 	uint64_t no_start_until_us;
 	uint64_t ejected_until_us;
 	uint32_t eject_ms; /* last ejection */
--- a/entry/jobs/holder_run.c
+++ b/entry/jobs/holder_run.c
@@ -239,9 +239,10 @@
 void
 hld_orders_drop(struct hld_server *server)
 {
-	struct hld_order *order;
+	struct hld_order *order, *next;
 
-	while ((order = LIST_FIRST(&server->orders)) != NULL) {
+	for (order = LIST_FIRST(&server->orders); order != NULL; order = next) {
+		next = LIST_NEXT(order, entry);
 		order->task->order_pending = false;
 		LIST_REMOVE(order, entry);
 		free(order);
@@ -361,14 +362,16 @@
 	struct holder *holder = server->holder;
 	char name[WORKER_TASK_NAME_SIZE];
 
+	if (task->state != HLD_STOPPING)
+		log_event(LOG_LEVEL_INFO, "run-stop",
+		    "id=%s task=%" PRIu32 ".%" PRIu32 " run=%" PRIu64
+		    " server=%s",
+		    task->job->spec.id, task->step, task->index, task->run_id,
+		    server->info.id);
 	task->state = HLD_STOPPING;
 	if (task->order_pending)
 		return;
 	hld_task_name(task, name);
-	log_event(LOG_LEVEL_INFO, "run-stop",
-	    "id=%s task=%" PRIu32 ".%" PRIu32 " run=%" PRIu64 " server=%s",
-	    task->job->spec.id, task->step, task->index, task->run_id,
-	    server->info.id);
 	holder->params.worker->ops->stop(server->link, name, task->run_id,
 	    holder->token, hld_stopped, hld_order_create(task));
 }
--- a/entry/jobs/holder_server.c
+++ b/entry/jobs/holder_server.c
@@ -21,17 +21,24 @@
 	free(orphan);
 }
 
+static void
+hld_orphans_drop(struct hld_server *server)
+{
+	struct hld_orphan *orphan, *next;
+
+	TAILQ_FOREACH_SAFE (orphan, &server->orphans, entry, next)
+		hld_orphan_free(server, orphan);
+}
+
 void
 hld_server_free(struct hld_server *server)
 {
 	struct holder *holder = server->holder;
-	struct hld_orphan *orphan;
 
 	if (server->link != NULL)
 		holder->params.worker->ops->close(server->link);
 	hld_orders_drop(server);
-	while ((orphan = TAILQ_FIRST(&server->orphans)) != NULL)
-		hld_orphan_free(server, orphan);
+	hld_orphans_drop(server);
 	TAILQ_REMOVE(&holder->servers, server, entry);
 	free(server);
 }
@@ -40,20 +47,21 @@
 void
 hld_server_lost(struct hld_server *server, const char *why)
 {
-	struct hld_orphan *orphan;
-	struct hld_task *task;
+	struct hld_task *task, *next;
 
-	log_event(LOG_LEVEL_WARN, "server-lost", "server=%s reason=\"%s\"",
-	    server->info.id, why);
+	if (server->held || !TAILQ_EMPTY(&server->tasks))
+		log_event(LOG_LEVEL_WARN, "server-lost",
+		    "server=%s reason=\"%s\"", server->info.id, why);
+	server->reopen_us =
+	    hld_now(server->holder) + HLD_REOPEN_MS * HLD_US_PER_MS;
 	if (server->link != NULL)
 		server->holder->params.worker->ops->close(server->link);
 	server->link = NULL;
 	server->held = false;
 	server->hold_pending = false;
 	hld_orders_drop(server);
-	while ((orphan = TAILQ_FIRST(&server->orphans)) != NULL)
-		hld_orphan_free(server, orphan);
-	while ((task = TAILQ_FIRST(&server->tasks)) != NULL)
+	hld_orphans_drop(server);
+	TAILQ_FOREACH_SAFE (task, &server->tasks, on_server, next)
 		hld_run_absent(task, why);
 }
 
@@ -319,7 +327,7 @@
 hld_server_tick(struct hld_server *server, uint64_t now_us)
 {
 	if (server->link == NULL) {
-		if (!server->gone)
+		if (!server->gone && server->reopen_us <= now_us)
 			hld_server_reset(server);
 		return;
 	}
--- a/entry/jobs/work.c
+++ b/entry/jobs/work.c
@@ -125,6 +125,8 @@
 
 	work->loaded[table] = true;
 	dir_loaded(work->dir, table, wrk_now(work));
+	if (table == ROWS_HOSTS)
+		zone_listed(work->zone);
 }
 
 static void
--- a/entry/jobs/zone.c
+++ b/entry/jobs/zone.c
@@ -16,9 +16,8 @@
 #define ZONE_TICK_MS 25
 #define ZONE_PING_MS 150    /* interval of pings of the holder */
 #define ZONE_SILENT_MS 450  /* a holder without an answer is taken for gone */
-#define ZONE_SETTLE_MS 2500 /* after a start, hosts find each other first */
+#define ZONE_SETTLE_MS 350  /* after a start, hosts find each other first */
 #define ZONE_RESERVE_MS 500 /* between tries to reserve a token */
-#define ZONE_REJOIN_MS 3000 /* connected for so long: fit to take over */
 
 uint64_t
 zone_now(const struct zone *zone)
@@ -342,6 +341,43 @@
 	zone->holder = cells[chosen].name;
 }
 
+/*
+ * After a start: another host may hold already. It is known whether one does
+ * once all have answered; one that does not answer soon is not waited for.
+ */
+static bool
+zone_settled(const struct zone *zone, uint64_t now_us)
+{
+	const struct zone_host *host;
+
+	if (now_us - zone->created_us > ZONE_SETTLE_MS * ZONE_US_PER_MS)
+		return true;
+	if (!zone->listed)
+		return false;
+	TAILQ_FOREACH (host, &zone->hosts, entry) {
+		if (zone_is_near(zone, host) && host->pong_us == 0)
+			return false;
+	}
+	return true;
+}
+
+static void
+zone_ping_all(struct zone *zone, uint64_t now_us)
+{
+	struct zone_host *host;
+
+	TAILQ_FOREACH (host, &zone->hosts, entry) {
+		if (zone_is_near(zone, host) && host->pong_us == 0)
+			zone_ping(zone, host, now_us);
+	}
+}
+
+void
+zone_listed(struct zone *zone)
+{
+	zone->listed = true;
+}
+
 static void
 zone_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -353,12 +389,15 @@
 	(void)what;
 	zone_look(zone, now_us);
 	zone_reserve(zone, now_us);
+	if (!zone->settled) {
+		zone_ping_all(zone, now_us);
+		zone->settled = zone_settled(zone, now_us);
+	}
 	zone_choose(zone);
 	if (zone->holder == NULL)
 		return;
 	if (strcmp(zone->holder, zone->params.self.name) == 0) {
-		if (holder_token(zone->params.holder) == 0 &&
-		    now_us - zone->created_us > ZONE_SETTLE_MS * ZONE_US_PER_MS)
+		if (holder_token(zone->params.holder) == 0 && zone->settled)
 			zone_take_over(zone, now_us);
 		/* Others that were silent may hold by now. */
 		TAILQ_FOREACH (host, &zone->hosts, entry) {
--- a/entry/jobs/zone.h
+++ b/entry/jobs/zone.h
@@ -68,6 +68,9 @@
 /** zone_host_gone() - it has left the directory. */
 void zone_host_gone(struct zone *zone, const char *name);
 
+/** zone_listed() - the list of hosts has been read from the store. */
+void zone_listed(struct zone *zone);
+
 /** zone_reserved() - @token is this host's; 0: the reservation failed. */
 void zone_reserved(struct zone *zone, uint64_t token);
 
--- a/entry/jobs/zone_internal.h
+++ b/entry/jobs/zone_internal.h
@@ -43,6 +43,8 @@
 	uint64_t reserve_asked_us;
 	bool reserving;
 	bool leaving;
+	bool listed;	    /* the list of hosts is whole */
+	bool settled;	    /* it is known whether another host holds */
 	const char *holder; /* chosen: own name, another's, or NULL */
 };
 
--- a/entry/jobs/zone_job.c
+++ b/entry/jobs/zone_job.c
@@ -49,9 +49,9 @@
 void
 zone_served_drop(struct zone *zone)
 {
-	struct zone_submission *sub;
+	struct zone_submission *sub, *next;
 
-	while ((sub = TAILQ_FIRST(&zone->served)) != NULL)
+	TAILQ_FOREACH_SAFE (sub, &zone->served, entry, next)
 		zone_submission_free(sub);
 }
 
