Started jobs first; late jobs that others keep waiting are refused at once

Ruled out: processor of the holder (0.02 of a core at most). Change: room goes to started jobs, then to those still in time, then to late ones; a job of which nothing was started, late, behind 60 ms of queued work, is refused; placing allows for 20% of error in declared run times.

--- a/core/place.c
+++ b/core/place.c
@@ -5,6 +5,7 @@
 #include "core/place.h"
 
 #define PLACE_SPEED_MIN 50 /* thousandths; keeps expected times finite */
+#define PLACE_MARGIN_PERCENT 120 /* declared run times are 40% off */
 
 static bool
 place_fits(const struct place_task *task, const struct place_server *server)
@@ -68,7 +69,9 @@
 		if (!place_fits(task, &servers[i]))
 			continue;
 		score.expected_ms = place_expected_ms(task, &servers[i]);
-		score.in_time = (int64_t)score.expected_ms <= task->left_ms;
+		score.in_time =
+		    (int64_t)score.expected_ms * PLACE_MARGIN_PERCENT / 100 <=
+		    task->left_ms;
 		score.waste = place_waste(task, &servers[i]);
 		if (best >= 0 && !place_better(&score, &best_score))
 			continue;
--- a/entry/jobs/holder.c
+++ b/entry/jobs/holder.c
@@ -452,8 +452,6 @@
 holder_load(const struct holder *holder, struct holder_load *load)
 {
 	const struct hld_server *server;
-	const struct hld_task *task;
-	const struct job_step *step;
 
 	memset(load, 0, sizeof(*load));
 	TAILQ_FOREACH (server, &holder->servers, entry) {
@@ -464,10 +462,7 @@
 			load->cpu_free +=
 			    (uint64_t)(server->info.cpu - server->used_cpu);
 	}
-	TAILQ_FOREACH (task, &holder->waiting, waiting) {
-		step = &task->job->spec.steps[task->step];
-		load->queued_ms += (uint64_t)step->cpu * step->est_ms;
-	}
+	load->queued_ms = holder->queued_work;
 }
 
 bool
--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -143,6 +143,7 @@
 	struct hld_jobs jobs;
 	LIST_HEAD(, hld_job) buckets[HLD_JOB_BUCKETS];
 	struct hld_tasks waiting; /* by urgency */
+	uint64_t queued_work; /* of them, thousandth-core times ms */
 	struct event *tick;
 	struct event *pump;
 	struct place_server *scratch; /* of hld_pump() */
--- a/entry/jobs/holder_pump.c
+++ b/entry/jobs/holder_pump.c
@@ -15,6 +15,8 @@
 #define HLD_US_PER_MS UINT64_C(1000)
 #define HLD_ANSWER_MS 10 /* from an end to the submitter's answer */
 #define HLD_RETRY_AFTER_MIN_MS 200
+#define HLD_PACKED_PERCENT 85	/* of the servers' room that tasks can fill */
+#define HLD_BACKLOG_LATE_MS 60	/* with more in the queue, late jobs never start */
 
 uint32_t
 hld_task_expected_ms(const struct hld_task *task)
@@ -34,6 +36,14 @@
 	return task->job->objective_us - work_us;
 }
 
+/* Thousandths of a core times ms. */
+static uint64_t
+hld_task_work(const struct hld_task *task)
+{
+	return (uint64_t)task->job->spec.steps[task->step].cpu *
+	    hld_task_expected_ms(task);
+}
+
 void
 hld_queue(struct hld_task *task)
 {
@@ -42,6 +52,7 @@
 	struct hld_task *other;
 
 	task->state = HLD_WAITING;
+	holder->queued_work += hld_task_work(task);
 	TAILQ_FOREACH_REVERSE (other, &holder->waiting, hld_tasks, waiting) {
 		if (hld_latest_start(other) <= latest_us)
 			break;
@@ -57,6 +68,7 @@
 hld_dequeue(struct hld_task *task)
 {
 	TAILQ_REMOVE(&task->job->holder->waiting, task, waiting);
+	task->job->holder->queued_work -= hld_task_work(task);
 	task->state = HLD_BLOCKED;
 }
 
@@ -167,6 +179,26 @@
 	return server;
 }
 
+/* Order in which room is given; ties go by the latest start in time. */
+enum hld_rank {
+	HLD_RANK_STARTED, /* finishing a job frees more than starting one */
+	HLD_RANK_IN_TIME,
+	HLD_RANK_LATE,
+	HLD_RANK_WORTHLESS, /* answered late, if there is room to spare */
+	HLD_RANKS,
+};
+
+static enum hld_rank
+hld_rank(const struct hld_task *task, uint64_t now_us)
+{
+	if (now_us > task->job->late_us)
+		return HLD_RANK_WORTHLESS;
+	if (task->job->started)
+		return HLD_RANK_STARTED;
+	return hld_latest_start(task) >= now_us ? HLD_RANK_IN_TIME
+						: HLD_RANK_LATE;
+}
+
 /* Remembers the smallest demand that found no room in this pass. */
 struct hld_pass {
 	uint64_t now_us;
@@ -211,8 +243,7 @@
 	struct holder *holder = arg;
 	struct hld_pass pass = { .refused_cpu = UINT32_MAX };
 	struct hld_task *task, *next;
-	bool late;
-	int round;
+	enum hld_rank rank;
 
 	(void)fd;
 	(void)what;
@@ -220,10 +251,9 @@
 	if (holder->token == 0 || TAILQ_EMPTY(&holder->waiting) ||
 	    hld_recovering(holder, pass.now_us))
 		return;
-	for (round = 0; round < 2; round++) {
+	for (rank = 0; rank < HLD_RANKS; rank++) {
 		TAILQ_FOREACH_SAFE (task, &holder->waiting, waiting, next) {
-			late = hld_latest_start(task) < pass.now_us;
-			if (late == (round == 1))
+			if (hld_rank(task, pass.now_us) == rank)
 				hld_try(task, &pass);
 		}
 	}
@@ -262,11 +292,45 @@
 	}
 }
 
+/* Time in which the servers get through all that waits. */
+static uint64_t
+hld_backlog_us(const struct holder *holder, uint64_t now_us)
+{
+	const struct hld_server *server;
+	uint64_t rate = 0;
+
+	if (holder->queued_work == 0)
+		return 0;
+	TAILQ_FOREACH (server, &holder->servers, entry) {
+		if (hld_server_open(server, now_us))
+			rate += (uint64_t)server->info.cpu * server->speed /
+			    PLACE_SPEED_UNIT;
+	}
+	rate = rate * HLD_PACKED_PERCENT / 100;
+	return rate == 0 ? UINT64_MAX
+			 : holder->queued_work * HLD_US_PER_MS / rate;
+}
+
+/*
+ * A job of which nothing was started, that can't be on time any more, and
+ * that others in the queue would keep waiting: its submitter is told at once.
+ */
+static bool
+hld_job_hopeless(const struct hld_job *job, uint64_t now_us)
+{
+	uint64_t work_us = job_chain_ms(&job->spec) * HLD_US_PER_MS;
+
+	if (now_us + work_us / 2 >= job->late_us)
+		return true;
+	return now_us + work_us > job->objective_us &&
+	    hld_backlog_us(job->holder, now_us) >
+	    HLD_BACKLOG_LATE_MS * HLD_US_PER_MS;
+}
+
 /* Ends a job that is out of time; true if it was. */
 bool
 hld_job_expired(struct hld_job *job, uint64_t now_us)
 {
-	uint64_t work_us = job_chain_ms(&job->spec) * HLD_US_PER_MS / 2;
 	struct holder_reply reply = { .result = HOLDER_GAVE_UP,
 		.reason = "the submitter's deadline has passed" };
 
@@ -276,7 +340,7 @@
 		hld_job_finish(job, &reply);
 		return true;
 	}
-	if (job->started || now_us + work_us < job->late_us)
+	if (job->started || !hld_job_hopeless(job, now_us))
 		return false;
 	reply.result = HOLDER_NOT_RUN;
 	reply.reason = "no room in time";
