Bring jobs to another zone's holder when their own is too busy

Cause: 'refused with servers free': zones peak at different times, and a job was refused while other zones had room. Ruled out: packing within the zone (whole servers were free elsewhere). Change: holders tell their backlog and free room with each ping; a job that its zone could not serve on time is refused at once by it and brought, once, to the zone with the most room.

--- a/adapters/peers_tcp.c
+++ b/adapters/peers_tcp.c
@@ -228,6 +228,12 @@
 	return true;
 }
 
+void
+peers_tcp_want(struct peers *port, const char *host)
+{
+	(void)peers_dial_demand(peers_of(port), host);
+}
+
 void
 peers_tcp_leaving(struct peers *port)
 {
--- a/adapters/peers_tcp.h
+++ b/adapters/peers_tcp.h
@@ -48,6 +48,9 @@
 bool peers_tcp_connected(struct peers *peers, const char *host,
     uint64_t *incarnation);
 
+/** peers_tcp_want() - keep a connection to @host for a while. */
+void peers_tcp_want(struct peers *peers, const char *host);
+
 /** peers_tcp_leaving() - tell peers that this host is shutting down. */
 void peers_tcp_leaving(struct peers *peers);
 
--- a/core/place.c
+++ b/core/place.c
@@ -4,7 +4,7 @@
 
 #include "core/place.h"
 
-#define PLACE_SPEED_MIN 50 /* thousandths; keeps expected times finite */
+#define PLACE_SPEED_MIN 50	 /* thousandths; keeps expected times finite */
 #define PLACE_MARGIN_PERCENT 120 /* declared run times are 40% off */
 
 static bool
--- a/entry/daemon.c
+++ b/entry/daemon.c
@@ -352,6 +352,7 @@
 		.clock = dmn->clock,
 		.peers = dmn->peers,
 		.connected = peers_tcp_connected,
+		.want = peers_tcp_want,
 		.hosts = peers_tcp_hosts,
 		.decode = platform_decode,
 		.host_row = platform_host_row,
--- a/entry/jobs/front.c
+++ b/entry/jobs/front.c
@@ -35,6 +35,11 @@
 	.help = "Jobs brought to another holder than the first.",
 };
 
+static struct counter frt_overflowed = {
+	.name = "berylrail_work_jobs_overflowed_total",
+	.help = "Jobs brought to another zone's holder.",
+};
+
 struct frt_job {
 	struct front *front;
 	char id[JOB_ID_LEN + 1];
@@ -45,8 +50,10 @@
 	uint64_t deadline_us;
 	uint64_t unheld_us; /* since then no holder took it; 0: one did */
 	uint64_t nonce;
-	bool under_way; /* a holder has it */
-	bool started;	/* a holder may have started some of it */
+	char holder[NAME_SIZE]; /* that it was brought to last */
+	bool overflowed;	/* to another zone */
+	bool under_way;		/* a holder has it */
+	bool started;		/* a holder may have started some of it */
 	bool answered;
 	struct event *timer;
 	front_done_fn done;
@@ -176,6 +183,17 @@
 		frt_job_free(job);
 		return;
 	}
+	if (outcome == ZONE_ANSWERED && reply->result == HOLDER_NOT_RUN &&
+	    !job->started && !job->overflowed &&
+	    zone_overflow(job->front->zone) != NULL) {
+		job->overflowed = true;
+		ctr_inc(&frt_overflowed);
+		log_event(LOG_LEVEL_INFO, "job-overflow",
+		    "id=%s from=%s to=%s reason=\"%s\"", job->id, job->holder,
+		    zone_overflow(job->front->zone), reply->reason);
+		frt_send(job);
+		return;
+	}
 	if (outcome == ZONE_ANSWERED && !moved) {
 		frt_finish(job, reply);
 		return;
@@ -194,6 +212,7 @@
 frt_send(struct frt_job *job)
 {
 	uint64_t now_us = clock_now_us(job->front->clock);
+	const char *far = zone_overflow(job->front->zone);
 	const struct zone_job zjob = {
 		.id = job->id,
 		.queue = &job->queue,
@@ -204,16 +223,21 @@
 		.patience_ms =
 		    (uint32_t)((job->deadline_us - now_us) / FRT_US_PER_MS),
 		.resubmitted = job->started,
+		.may_refuse = !job->overflowed && far != NULL,
 		.nonce = job->nonce,
 	};
+	const char *holder = zone_holder(job->front->zone);
 
-	if (!zone_served(job->front->zone)) {
+	if (job->overflowed && far != NULL)
+		holder = far;
+	if (holder == NULL) {
 		frt_unheld(job, "nobody holds the servers");
 		return;
 	}
+	strlcpy(job->holder, holder, sizeof(job->holder));
 	job->under_way = true;
 	frt_timer(job, job->deadline_us);
-	zone_submit(job->front->zone, &zjob, frt_done, job);
+	zone_submit(job->front->zone, job->holder, &zjob, frt_done, job);
 }
 
 static void
@@ -228,7 +252,7 @@
 		return;
 	}
 	frt_answer(job, FRONT_UNKNOWN, 0, "the caller's deadline has passed");
-	zone_cancel(job->front->zone, job->id, job->nonce);
+	zone_cancel(job->front->zone, job->holder, job->id, job->nonce);
 }
 
 void
@@ -284,7 +308,8 @@
 			continue;
 		frt_answer(job, FRONT_UNKNOWN, 0, "this host is stopping");
 		if (job->under_way)
-			zone_cancel(front->zone, job->id, job->nonce);
+			zone_cancel(front->zone, job->holder, job->id,
+			    job->nonce);
 		else
 			frt_job_free(job);
 	}
@@ -304,7 +329,7 @@
 	job->done = NULL;
 	frt_answer(job, FRONT_UNKNOWN, 0, "the caller has left");
 	if (job->under_way)
-		zone_cancel(front->zone, job->id, job->nonce);
+		zone_cancel(front->zone, job->holder, job->id, job->nonce);
 	else
 		frt_job_free(job);
 }
--- a/entry/jobs/holder.c
+++ b/entry/jobs/holder.c
@@ -265,6 +265,8 @@
 holder_submit(struct holder *holder, struct holder_request *request,
     holder_done_fn done, void *arg)
 {
+	const struct holder_reply crowded = { .result = HOLDER_NOT_RUN,
+		.reason = "queue too long" };
 	struct hld_job *job;
 
 	if (hld_reject(holder, request, done, arg)) {
@@ -282,6 +284,10 @@
 	job->done = done;
 	job->arg = arg;
 	hld_orphans_claim(job);
+	if (request->may_refuse && hld_job_crowded(job)) {
+		hld_job_finish(job, &crowded);
+		return;
+	}
 	hld_job_admit(job);
 }
 
@@ -462,7 +468,8 @@
 			load->cpu_free +=
 			    (uint64_t)(server->info.cpu - server->used_cpu);
 	}
-	load->queued_ms = holder->queued_work;
+	load->backlog_ms =
+	    hld_backlog_us(holder, hld_now(holder)) / HLD_US_PER_MS;
 }
 
 bool
--- a/entry/jobs/holder.h
+++ b/entry/jobs/holder.h
@@ -56,13 +56,14 @@
 	uint32_t age_ms;      /* since the submitter first sent it */
 	uint32_t patience_ms; /* the submitter waits so long from now */
 	bool resubmitted;     /* another holder may have started it */
+	bool may_refuse;      /* refuse at once what would wait too long */
 };
 
 /** struct holder_load - how busy the cell is. */
 struct holder_load {
 	uint64_t cpu_total; /* thousandths of a core */
 	uint64_t cpu_free;
-	uint64_t queued_ms; /* work that waits, in thousandth-core times ms */
+	uint64_t backlog_ms; /* to get through what waits */
 };
 
 /** holder_create() - a holder that holds nothing yet; NULL: no memory. */
--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -143,7 +143,7 @@
 	struct hld_jobs jobs;
 	LIST_HEAD(, hld_job) buckets[HLD_JOB_BUCKETS];
 	struct hld_tasks waiting; /* by urgency */
-	uint64_t queued_work; /* of them, thousandth-core times ms */
+	uint64_t queued_work;	  /* of them, thousandth-core times ms */
 	struct event *tick;
 	struct event *pump;
 	struct place_server *scratch; /* of hld_pump() */
@@ -184,6 +184,8 @@
 void hld_dequeue(struct hld_task *task);
 uint32_t hld_task_expected_ms(const struct hld_task *task);
 void hld_job_admit(struct hld_job *job);
+uint64_t hld_backlog_us(const struct holder *holder, uint64_t now_us);
+bool hld_job_crowded(const struct hld_job *job);
 bool hld_job_expired(struct hld_job *job, uint64_t now_us);
 
 #endif /* ENTRY_JOBS_HOLDER_INTERNAL_H */
--- a/entry/jobs/holder_pump.c
+++ b/entry/jobs/holder_pump.c
@@ -15,8 +15,9 @@
 #define HLD_US_PER_MS UINT64_C(1000)
 #define HLD_ANSWER_MS 10 /* from an end to the submitter's answer */
 #define HLD_RETRY_AFTER_MIN_MS 200
-#define HLD_PACKED_PERCENT 85	/* of the servers' room that tasks can fill */
-#define HLD_BACKLOG_LATE_MS 60	/* with more in the queue, late jobs never start */
+#define HLD_PACKED_PERCENT 85 /* of the servers' room that tasks can fill */
+#define HLD_BACKLOG_LATE_MS \
+	60 /* with more in the queue, late jobs never start */
 
 uint32_t
 hld_task_expected_ms(const struct hld_task *task)
@@ -293,7 +294,7 @@
 }
 
 /* Time in which the servers get through all that waits. */
-static uint64_t
+uint64_t
 hld_backlog_us(const struct holder *holder, uint64_t now_us)
 {
 	const struct hld_server *server;
@@ -311,6 +312,18 @@
 			 : holder->queued_work * HLD_US_PER_MS / rate;
 }
 
+/* Work that goes before this job's keeps it from being on time. */
+bool
+hld_job_crowded(const struct hld_job *job)
+{
+	uint64_t work_us = job_chain_ms(&job->spec) * HLD_US_PER_MS;
+	uint64_t now_us = hld_now(job->holder);
+
+	return !job->started &&
+	    now_us + hld_backlog_us(job->holder, now_us) + work_us >
+	    job->objective_us;
+}
+
 /*
  * A job of which nothing was started, that can't be on time any more, and
  * that others in the queue would keep waiting: its submitter is told at once.
--- a/entry/jobs/work.c
+++ b/entry/jobs/work.c
@@ -343,6 +343,7 @@
 		.clock = params->clock,
 		.peers = params->peers,
 		.connected = params->connected,
+		.want = params->want,
 		.reserve = wrk_reserve,
 		.arg = work,
 		.self = params->self,
--- a/entry/jobs/work.h
+++ b/entry/jobs/work.h
@@ -26,6 +26,8 @@
 	struct peers *peers;
 	bool (*connected)(struct peers *peers, const char *host,
 	    uint64_t *incarnation);
+	/* Asks for a connection to a peer. */
+	void (*want)(struct peers *peers, const char *host);
 	/* Tells the peers which hosts there are. */
 	void (*hosts)(struct peers *peers, const struct hostlist_entry *entries,
 	    size_t nentries);
--- a/entry/jobs/zone.c
+++ b/entry/jobs/zone.c
@@ -14,7 +14,11 @@
 
 #define ZONE_US_PER_MS UINT64_C(1000)
 #define ZONE_TICK_MS 25
-#define ZONE_PING_MS 150    /* interval of pings of the holder */
+#define ZONE_PING_MS 150	   /* interval of pings of the holder */
+#define ZONE_FAR_PING_MS 300	   /* of the holders of other zones */
+#define ZONE_FAR_WANTED 3	   /* likely holders of each other zone */
+#define ZONE_FAR_MS 1000	   /* a load told longer ago says nothing */
+#define ZONE_FAR_FREE_PERMILLE 100 /* room that another zone must have */
 #define ZONE_SILENT_MS 450  /* a holder without an answer is taken for gone */
 #define ZONE_SETTLE_MS 350  /* after a start, hosts find each other first */
 #define ZONE_RESERVE_MS 500 /* between tries to reserve a token */
@@ -37,7 +41,7 @@
 	return NULL;
 }
 
-static bool
+bool
 zone_is_near(const struct zone *zone, const struct zone_host *host)
 {
 	return strcmp(host->info.az, zone->params.self.az) == 0;
@@ -229,6 +233,10 @@
 			    host->info.name);
 		host->silent = false;
 		host->leaving = json_is_true(json_object_get(body, "leaving"));
+		host->backlog_ms = (uint32_t)json_integer_value(
+		    json_object_get(body, "backlog_ms"));
+		host->free_permille = (uint32_t)json_integer_value(
+		    json_object_get(body, "free_permille"));
 		zone_token_heard(ping->zone, host,
 		    (uint64_t)json_integer_value(
 			json_object_get(body, "token")));
@@ -243,6 +251,8 @@
 	const struct api_request request = { .method = API_GET,
 		.path = ZONE_PATH "state",
 		.query = "" };
+	uint64_t interval_ms =
+	    zone_is_near(zone, host) ? ZONE_PING_MS : ZONE_FAR_PING_MS;
 	struct zone_ping *ping;
 
 	if (!host->connected)
@@ -258,7 +268,7 @@
 		}
 		return;
 	}
-	if (now_us - host->ping_sent_us < ZONE_PING_MS * ZONE_US_PER_MS)
+	if (now_us - host->ping_sent_us < interval_ms * ZONE_US_PER_MS)
 		return;
 	ping = mem_zalloc(1, sizeof(*ping));
 	ping->zone = zone;
@@ -378,6 +388,41 @@
 	zone->listed = true;
 }
 
+/* How many hosts of its zone are more likely to hold? */
+static size_t
+zone_far_rank(const struct zone *zone, const struct zone_host *host)
+{
+	const struct zone_host *other;
+	size_t rank = 0;
+
+	TAILQ_FOREACH (other, &zone->hosts, entry) {
+		if (strcmp(other->info.az, host->info.az) == 0 &&
+		    (other->info.weight > host->info.weight ||
+			(other->info.weight == host->info.weight &&
+			    strcmp(other->info.name, host->info.name) < 0)))
+			rank++;
+	}
+	return rank;
+}
+
+/* Keeps in touch with the hosts that may hold other zones' servers. */
+static void
+zone_watch_far(struct zone *zone, uint64_t now_us)
+{
+	struct zone_host *host;
+
+	TAILQ_FOREACH (host, &zone->hosts, entry) {
+		if (zone_is_near(zone, host) ||
+		    (host->token == 0 &&
+			zone_far_rank(zone, host) >= ZONE_FAR_WANTED))
+			continue;
+		if (!host->connected)
+			zone->params.want(zone->params.peers, host->info.name);
+		else
+			zone_ping(zone, host, now_us);
+	}
+}
+
 static void
 zone_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -393,6 +438,7 @@
 		zone_ping_all(zone, now_us);
 		zone->settled = zone_settled(zone, now_us);
 	}
+	zone_watch_far(zone, now_us);
 	zone_choose(zone);
 	if (zone->holder == NULL)
 		return;
@@ -412,6 +458,31 @@
 	}
 }
 
+const char *
+zone_holder(const struct zone *zone)
+{
+	return zone_served(zone) ? zone->holder : NULL;
+}
+
+const char *
+zone_overflow(const struct zone *zone)
+{
+	const struct zone_host *host, *best = NULL;
+	uint64_t now_us = zone_now(zone);
+
+	TAILQ_FOREACH (host, &zone->hosts, entry) {
+		if (zone_is_near(zone, host) || !host->connected ||
+		    host->silent || host->token == 0 || host->leaving ||
+		    host->backlog_ms > 0 ||
+		    host->free_permille < ZONE_FAR_FREE_PERMILLE ||
+		    now_us - host->pong_us > ZONE_FAR_MS * ZONE_US_PER_MS)
+			continue;
+		if (best == NULL || host->free_permille > best->free_permille)
+			best = host;
+	}
+	return best == NULL ? NULL : best->info.name;
+}
+
 void
 zone_leave(struct zone *zone)
 {
--- a/entry/jobs/zone.h
+++ b/entry/jobs/zone.h
@@ -28,6 +28,8 @@
 	/* Whether a peer is connected, and its incarnation. */
 	bool (*connected)(struct peers *peers, const char *host,
 	    uint64_t *incarnation);
+	/* Asks for a connection to a peer. */
+	void (*want)(struct peers *peers, const char *host);
 	/* Reserves a fencing token; answered by zone_reserved(). */
 	void (*reserve)(void *arg);
 	/* A list of all entry hosts, for the peers. */
@@ -44,7 +46,8 @@
 	uint32_t age_ms;
 	uint32_t patience_ms;
 	bool resubmitted;
-	uint64_t nonce; /* names this submission, for zone_cancel() */
+	bool may_refuse; /* another zone may serve it sooner */
+	uint64_t nonce;	 /* names this submission, for zone_cancel() */
 };
 
 /** enum zone_outcome - what is known of a submission without an answer. */
@@ -83,15 +86,27 @@
 /** zone_served() - somebody holds the servers of this host's zone. */
 bool zone_served(const struct zone *zone);
 
+/** zone_holder() - the host that holds this zone's servers, or NULL. */
+const char *zone_holder(const struct zone *zone);
+
+/**
+ * zone_overflow() - the holder of another zone with room to spare, or NULL.
+ */
+const char *zone_overflow(const struct zone *zone);
+
 /**
- * zone_submit() - bring a job to the holder of this host's zone.
+ * zone_submit() - bring a job to a holder.
+ * @holder: its host.
  * @done: runs once, later or at once.
  */
-void zone_submit(struct zone *zone, const struct zone_job *job,
-    zone_done_fn done, void *arg);
+void zone_submit(struct zone *zone, const char *holder,
+    const struct zone_job *job, zone_done_fn done, void *arg);
 
-/** zone_cancel() - the submitter of @nonce has left; @done still runs. */
-void zone_cancel(struct zone *zone, const char *id, uint64_t nonce);
+/**
+ * zone_cancel() - the submitter of @nonce has left; @done still runs.
+ */
+void zone_cancel(struct zone *zone, const char *holder, const char *id,
+    uint64_t nonce);
 
 /** zone_peer() - a reachable other entry host, or NULL. */
 const char *zone_peer(const struct zone *zone, uint64_t *incarnation);
--- a/entry/jobs/zone_internal.h
+++ b/entry/jobs/zone_internal.h
@@ -26,7 +26,9 @@
 	bool silent;	       /* it does not answer pings */
 	bool ping_pending;
 	uint64_t ping_sent_us;
-	uint64_t pong_us; /* last answer */
+	uint64_t pong_us;	/* last answer */
+	uint32_t backlog_ms;	/* work that waits there, as of then */
+	uint32_t free_permille; /* of its servers' room */
 	TAILQ_ENTRY(zone_host) entry;
 };
 
@@ -54,6 +56,7 @@
 void zone_token_heard(struct zone *zone, struct zone_host *host,
     uint64_t token);
 void zone_choose(struct zone *zone);
+bool zone_is_near(const struct zone *zone, const struct zone_host *host);
 
 /* zone_job.c */
 void zone_served_drop(struct zone *zone);
--- a/entry/jobs/zone_job.c
+++ b/entry/jobs/zone_job.c
@@ -17,6 +17,7 @@
 #define ZONE_JOBS_PATH ZONE_PATH "jobs/"
 #define ZONE_QUERY_SIZE 512
 #define ZONE_NUMBER_MAX 1000000000
+#define ZONE_PERMILLE 1000
 
 /* HTTP statuses between hosts, by result. */
 static const int zone_statuses[] = {
@@ -121,6 +122,7 @@
 		.age_ms = job->age_ms,
 		.patience_ms = job->patience_ms,
 		.resubmitted = job->resubmitted,
+		.may_refuse = job->may_refuse,
 	};
 	struct holder_reply bad = { .result = HOLDER_BAD };
 	struct err err;
@@ -198,32 +200,32 @@
 	sent->arg = arg;
 	(void)snprintf(path, sizeof(path), ZONE_JOBS_PATH "%s", job->id);
 	(void)snprintf(query, sizeof(query),
-	    "age_ms=%" PRIu32 "&patience_ms=%" PRIu32 "&again=%d&nonce=%" PRIu64
+	    "age_ms=%" PRIu32 "&patience_ms=%" PRIu32
+	    "&again=%d&may_refuse=%d&nonce=%" PRIu64
 	    "&queue=%s&service=%s&priority=%" PRIu32 "&attempts=%" PRIu32
 	    "&slack=%" PRIu32 "&target_ms=%" PRIu32,
-	    job->age_ms, job->patience_ms, job->resubmitted ? 1 : 0, job->nonce,
-	    queue->name, queue->service, queue->priority, queue->max_attempts,
-	    queue->slack_permille, queue->target_ms);
+	    job->age_ms, job->patience_ms, job->resubmitted ? 1 : 0,
+	    job->may_refuse ? 1 : 0, job->nonce, queue->name, queue->service,
+	    queue->priority, queue->max_attempts, queue->slack_permille,
+	    queue->target_ms);
 	zone->params.peers->ops->forward(zone->params.peers, host->info.az,
 	    host->info.name, host->incarnation, &request, zone_answered, sent);
 }
 
 void
-zone_submit(struct zone *zone, const struct zone_job *job, zone_done_fn done,
-    void *arg)
+zone_submit(struct zone *zone, const char *holder, const struct zone_job *job,
+    zone_done_fn done, void *arg)
 {
 	struct zone_submission *sub;
 	const struct zone_host *host;
 
-	if (zone->holder != NULL &&
-	    strcmp(zone->holder, zone->params.self.name) == 0 &&
-	    holder_token(zone->params.holder) != 0) {
+	if (strcmp(holder, zone->params.self.name) == 0) {
 		sub = zone_submission_create(zone, job->id, job->nonce, arg);
 		sub->done = done;
 		zone_hold(sub, job);
 		return;
 	}
-	host = zone->holder == NULL ? NULL : zone_host_find(zone, zone->holder);
+	host = zone_host_find(zone, holder);
 	if (host == NULL || !host->connected) {
 		done(arg, ZONE_NOT_SENT, NULL);
 		return;
@@ -262,7 +264,8 @@
 }
 
 void
-zone_cancel(struct zone *zone, const char *id, uint64_t nonce)
+zone_cancel(struct zone *zone, const char *holder, const char *id,
+    uint64_t nonce)
 {
 	struct zone_submission *sub = zone_submission_find(zone, id, nonce);
 	char path[sizeof(ZONE_JOBS_PATH) + JOB_ID_LEN + 1], query[64];
@@ -277,7 +280,7 @@
 	}
 	(void)snprintf(path, sizeof(path), ZONE_JOBS_PATH "%s", id);
 	(void)snprintf(query, sizeof(query), "nonce=%" PRIu64, nonce);
-	host = zone->holder == NULL ? NULL : zone_host_find(zone, zone->holder);
+	host = zone_host_find(zone, holder);
 	if (host != NULL && host->connected)
 		zone->params.peers->ops->forward(zone->params.peers,
 		    host->info.az, host->info.name, host->incarnation, &request,
@@ -317,6 +320,7 @@
 		.age_ms = zone_query_u32(request, "age_ms"),
 		.patience_ms = zone_query_u32(request, "patience_ms"),
 		.resubmitted = zone_query_u32(request, "again") != 0,
+		.may_refuse = zone_query_u32(request, "may_refuse") != 0,
 		.nonce = zone_query_u64(request, "nonce"),
 	};
 	struct zone_submission *sub;
@@ -349,12 +353,18 @@
 static void
 zone_serve_state(struct zone *zone, api_reply_fn reply, void *arg)
 {
-	char body[128];
+	struct holder_load load;
+	char body[160];
 
+	holder_load(zone->params.holder, &load);
 	(void)snprintf(body, sizeof(body),
-	    "{\"token\":%" PRIu64 ",\"leaving\":%s}",
-	    holder_token(zone->params.holder),
-	    zone->leaving ? "true" : "false");
+	    "{\"token\":%" PRIu64 ",\"leaving\":%s,\"backlog_ms\":%" PRIu64
+	    ",\"free_permille\":%" PRIu64 "}",
+	    holder_token(zone->params.holder), zone->leaving ? "true" : "false",
+	    load.backlog_ms,
+	    load.cpu_total == 0
+		? 0
+		: load.cpu_free * ZONE_PERMILLE / load.cpu_total);
 	zone_reply(reply, arg, 200, body);
 }
 
