Holder: a confirmed stop is not sent again, so that its run is found to be gone

Cause: stops were repeated every 50 ms, each answer newer than the long poll under way, so no list was ever new enough to show that the run was absent; a start that never arrived kept its task and its room for good. Change: the stop is repeated only without an answer; holds wait 25 ms while a stopped run is looked for. Tests: model of backend servers under leases (tests/support/worker_model.c), 13 cases of the holder over it.

--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -19,6 +19,7 @@
 /* A long poll; the lease is renewed at its start, so at most a third of the
  * lease passes before the next renewal. */
 #define HLD_HOLD_WAIT_MS 300
+#define HLD_STOP_WAIT_MS 25 /* of holds while a stopped run is looked for */
 #define HLD_ACK_DELAY_MS 60 /* ends of an idle server are acknowledged */
 #define HLD_RETRY_MS 50	    /* after a call without an answer */
 #define HLD_REOPEN_MS 150   /* between tries to hold a lost server */
@@ -61,6 +62,7 @@
 	uint64_t ordered_us; /* the start was sent */
 	uint64_t settled_us; /* its last order was answered or given up */
 	bool order_pending;
+	bool stop_confirmed; /* the run can't start any more, and ends soon */
 	TAILQ_ENTRY(hld_task) on_server;
 	TAILQ_ENTRY(hld_task) waiting;
 };
--- a/entry/jobs/holder_run.c
+++ b/entry/jobs/holder_run.c
@@ -45,6 +45,7 @@
 
 	task->server = server;
 	task->run_id = run_id;
+	task->stop_confirmed = false;
 	task->job->non_servers++;
 	task->job->started = true;
 	server->used_cpu += step->cpu;
@@ -351,7 +352,10 @@
 	if (task == NULL)
 		return;
 	/* Without an answer the next tick sends the stop again. */
-	if (reply->verdict != WORKER_NO_ANSWER && !server->hold_pending)
+	if (reply->verdict == WORKER_NO_ANSWER)
+		return;
+	task->stop_confirmed = true;
+	if (!server->hold_pending)
 		hld_server_hold(server, hld_now(holder));
 }
 
--- a/entry/jobs/holder_server.c
+++ b/entry/jobs/holder_server.c
@@ -252,6 +252,18 @@
 		server->hold_due_us = now_us + HLD_ACK_DELAY_MS * HLD_US_PER_MS;
 }
 
+static bool
+hld_awaits_stop(const struct hld_server *server)
+{
+	const struct hld_task *task;
+
+	TAILQ_FOREACH (task, &server->tasks, on_server) {
+		if (task->stop_confirmed)
+			return true;
+	}
+	return false;
+}
+
 void
 hld_server_hold(struct hld_server *server, uint64_t now_us)
 {
@@ -269,7 +281,8 @@
 		hold.deadline_ms = lease_extend(&server->lease, now_us,
 		    holder->params.lease_ms);
 	if (busy && server->held && server->misses == 0)
-		hold.wait_ms = HLD_HOLD_WAIT_MS;
+		hold.wait_ms = hld_awaits_stop(server) ? HLD_STOP_WAIT_MS
+						       : HLD_HOLD_WAIT_MS;
 	server->hold_pending = true;
 	server->hold_sent_us = now_us;
 	server->hold_due_us = 0;
@@ -285,7 +298,7 @@
 
 	TAILQ_FOREACH_SAFE (task, &server->tasks, on_server, next) {
 		if (task->state == HLD_STOPPING) {
-			if (!task->order_pending &&
+			if (!task->order_pending && !task->stop_confirmed &&
 			    now_us - task->settled_us >
 				HLD_RETRY_MS * HLD_US_PER_MS)
 				hld_run_stop(task);
--- /dev/null
+++ b/tests/support/worker_model.c
@@ -0,0 +1,321 @@
+/*
+ * Model of backend servers that run tasks under leases and fencing tokens.
+ */
+
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/mem.h"
+#include "tests/support/worker_model.h"
+
+#define WM_STOP_GRACE_MS 20
+
+void
+wm_init(struct wm_world *world, size_t nservers, uint32_t cpu)
+{
+	size_t i;
+
+	memset(world, 0, sizeof(*world));
+	LIST_INIT(&world->tasks);
+	world->max_hold_ms = 1000;
+	world->nservers = nservers;
+	world->servers = mem_zalloc(nservers, sizeof(*world->servers));
+	for (i = 0; i < nservers; i++) {
+		world->servers[i].world = world;
+		world->servers[i].cpu = cpu;
+		world->servers[i].speed = 1000;
+		world->servers[i].next_number = 1;
+		TAILQ_INIT(&world->servers[i].running);
+		TAILQ_INIT(&world->servers[i].ended);
+	}
+}
+
+static void __attribute__((format(printf, 2, 3)))
+wm_violate(struct wm_world *world, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (world->violations++ > 0)
+		return;
+	va_start(ap, fmt);
+	(void)vsnprintf(world->violation, sizeof(world->violation), fmt, ap);
+	va_end(ap);
+}
+
+static struct wm_task *
+wm_task_enter(struct wm_world *world, const char *name)
+{
+	struct wm_task *task = (struct wm_task *)wm_task(world, name);
+
+	if (task != NULL)
+		return task;
+	task = mem_zalloc(1, sizeof(*task));
+	strlcpy(task->task, name, sizeof(task->task));
+	LIST_INSERT_HEAD(&world->tasks, task, entry);
+	return task;
+}
+
+const struct wm_task *
+wm_task(const struct wm_world *world, const char *name)
+{
+	const struct wm_task *task;
+
+	LIST_FOREACH (task, &world->tasks, entry) {
+		if (strcmp(task->task, name) == 0)
+			return task;
+	}
+	return NULL;
+}
+
+static void
+wm_runs_free(struct wm_runs *runs)
+{
+	struct wm_run *run, *next;
+
+	TAILQ_FOREACH_SAFE (run, runs, entry, next)
+		free(run);
+	TAILQ_INIT(runs);
+}
+
+void
+wm_crash(struct wm_server *server)
+{
+	struct wm_run *run;
+
+	TAILQ_FOREACH (run, &server->running, entry)
+		wm_task_enter(server->world, run->task)->live--;
+	wm_runs_free(&server->running);
+	wm_runs_free(&server->ended);
+	server->token = 0;
+	server->next_number = 1;
+	server->lease_ms = 0;
+	server->used_cpu = 0;
+}
+
+void
+wm_release(struct wm_world *world)
+{
+	struct wm_task *task, *next;
+	size_t i;
+
+	for (i = 0; i < world->nservers; i++)
+		wm_crash(&world->servers[i]);
+	for (task = LIST_FIRST(&world->tasks); task != NULL; task = next) {
+		next = LIST_NEXT(task, entry);
+		free(task);
+	}
+	free(world->servers);
+}
+
+uint64_t
+wm_clock_ms(const struct wm_server *server, uint64_t now_ms)
+{
+	return now_ms + (uint64_t)server->skew_ms;
+}
+
+static void
+wm_end(struct wm_server *server, struct wm_run *run, enum worker_end how)
+{
+	struct wm_task *task = wm_task_enter(server->world, run->task);
+
+	task->live--;
+	if (how == WORKER_END_FAILED)
+		task->fails++;
+	run->how = how;
+	run->number = server->next_number++;
+	server->used_cpu -= run->cpu;
+	TAILQ_REMOVE(&server->running, run, entry);
+	TAILQ_INSERT_TAIL(&server->ended, run, entry);
+}
+
+bool
+wm_advance(struct wm_server *server, uint64_t now_ms)
+{
+	bool lapsed =
+	    server->lease_ms < wm_clock_ms(server, now_ms);
+	struct wm_run *run, *next;
+	uint64_t before = server->next_number;
+
+	TAILQ_FOREACH_SAFE (run, &server->running, entry, next) {
+		if (run->stopping && now_ms >= run->stop_ms)
+			wm_end(server, run, WORKER_END_STOPPED);
+		else if (!server->hangs && now_ms >= run->ends_ms)
+			wm_end(server, run,
+			    run->fails ? WORKER_END_FAILED : WORKER_END_DONE);
+		else if (lapsed)
+			wm_end(server, run, WORKER_END_LAPSED);
+	}
+	return server->next_number != before;
+}
+
+/* A deadline never shortens, and is cut to the longest lease. */
+static void
+wm_extend(struct wm_server *server, uint64_t now_ms, uint64_t deadline_ms)
+{
+	uint64_t most_ms =
+	    wm_clock_ms(server, now_ms) + server->world->max_hold_ms;
+
+	if (deadline_ms > most_ms)
+		deadline_ms = most_ms;
+	if (deadline_ms > server->lease_ms)
+		server->lease_ms = deadline_ms;
+}
+
+static bool
+wm_fence(struct wm_server *server, uint64_t token)
+{
+	if (token < server->token)
+		return false;
+	server->token = token;
+	return true;
+}
+
+static struct wm_run *
+wm_find(struct wm_runs *runs, const char *task, uint64_t run_id)
+{
+	struct wm_run *run;
+
+	TAILQ_FOREACH (run, runs, entry) {
+		if (run->run_id >= run_id && strcmp(run->task, task) == 0)
+			return run;
+	}
+	return NULL;
+}
+
+static void
+wm_begin(struct wm_server *server, uint64_t now_ms,
+    const struct worker_start *order, uint32_t cpu, uint32_t work_ms,
+    uint32_t fails)
+{
+	struct wm_world *world = server->world;
+	struct wm_task *task = wm_task_enter(world, order->task);
+	struct wm_run *run = mem_zalloc(1, sizeof(*run));
+
+	strlcpy(run->task, order->task, sizeof(run->task));
+	run->run_id = order->run_id;
+	run->cpu = cpu;
+	run->fails = server->failing || task->fails < fails;
+	run->ends_ms = server->failing
+	    ? now_ms
+	    : now_ms + (uint64_t)work_ms * 1000 / server->speed;
+	server->used_cpu += cpu;
+	server->starts++;
+	task->starts++;
+	if (++task->live > 1)
+		wm_violate(world, "%s runs twice", order->task);
+	if (task->done_known && world->strict)
+		wm_violate(world, "%s starts after its end", order->task);
+	TAILQ_INSERT_TAIL(&server->running, run, entry);
+}
+
+enum worker_verdict
+wm_start(struct wm_server *server, uint64_t now_ms,
+    const struct worker_start *order)
+{
+	uint32_t cpu = 0, work_ms = 0, fails = 0;
+	struct wm_run *run;
+
+	(void)wm_advance(server, now_ms);
+	if (!wm_fence(server, order->token))
+		return WORKER_FENCED;
+	if (order->deadline_ms < wm_clock_ms(server, now_ms))
+		return WORKER_LATE;
+	wm_extend(server, now_ms, order->deadline_ms);
+	if (sscanf(order->spec, "cpu=%" SCNu32 " ms=%" SCNu32 " fail=%" SCNu32,
+		&cpu, &work_ms, &fails) != 3) {
+		wm_violate(server->world, "%s has spec \"%s\"", order->task,
+		    order->spec);
+		return WORKER_REFUSED;
+	}
+	run = wm_find(&server->running, order->task, order->run_id);
+	if (run != NULL)
+		return run->run_id == order->run_id ? WORKER_OK : WORKER_OLD;
+	if (wm_find(&server->ended, order->task, order->run_id) != NULL)
+		return WORKER_OLD;
+	if (server->used_cpu + cpu > server->cpu)
+		return WORKER_NO_ROOM;
+	wm_begin(server, now_ms, order, cpu, work_ms, fails);
+	return WORKER_OK;
+}
+
+enum worker_verdict
+wm_stop(struct wm_server *server, uint64_t now_ms, const char *task,
+    uint64_t run_id, uint64_t token)
+{
+	struct wm_run *run;
+
+	(void)wm_advance(server, now_ms);
+	if (!wm_fence(server, token))
+		return WORKER_FENCED;
+	run = wm_find(&server->running, task, run_id);
+	if (run != NULL && run->run_id == run_id) {
+		run->stopping = true;
+		run->stop_ms = now_ms + WM_STOP_GRACE_MS;
+		return WORKER_OK;
+	}
+	if (wm_find(&server->ended, task, run_id) == NULL) {
+		/* Remembered, so that the run can't come later. */
+		run = mem_zalloc(1, sizeof(*run));
+		strlcpy(run->task, task, sizeof(run->task));
+		run->run_id = run_id;
+		run->number = 0;
+		TAILQ_INSERT_TAIL(&server->ended, run, entry);
+	}
+	return WORKER_OK;
+}
+
+enum worker_verdict
+wm_hold(struct wm_server *server, uint64_t now_ms,
+    const struct worker_hold *hold)
+{
+	struct wm_run *run;
+
+	if (!wm_fence(server, hold->token))
+		return WORKER_FENCED;
+	if (hold->deadline_ms != 0)
+		wm_extend(server, now_ms, hold->deadline_ms);
+	(void)wm_advance(server, now_ms);
+	TAILQ_FOREACH (run, &server->ended, entry) {
+		if (run->number == 0 || run->number > hold->acknowledged)
+			continue;
+		if (run->how == WORKER_END_DONE)
+			wm_task_enter(server->world, run->task)->done_known =
+			    true;
+		/* Kept without a number: the run is still known as ended. */
+		run->number = 0;
+	}
+	return WORKER_OK;
+}
+
+void
+wm_lists(const struct wm_server *server, struct worker_run **running,
+    size_t *nrunning, struct worker_ended **ended, size_t *nended)
+{
+	const struct wm_run *run;
+	size_t n = 0, m = 0;
+
+	TAILQ_FOREACH (run, &server->running, entry)
+		n++;
+	TAILQ_FOREACH (run, &server->ended, entry)
+		m++;
+	*running = mem_zalloc(n, sizeof(**running));
+	*ended = mem_zalloc(m, sizeof(**ended));
+	*nrunning = *nended = 0;
+	TAILQ_FOREACH (run, &server->running, entry) {
+		(*running)[*nrunning].task = run->task;
+		(*running)[(*nrunning)++].run_id = run->run_id;
+	}
+	TAILQ_FOREACH (run, &server->ended, entry) {
+		if (run->number == 0)
+			continue;
+		(*ended)[(*nended)++] = (struct worker_ended){
+			.number = run->number,
+			.task = run->task,
+			.run_id = run->run_id,
+			.how = run->how,
+		};
+	}
+}
--- /dev/null
+++ b/tests/test_holder.c
@@ -0,0 +1,414 @@
+/*
+ * The holder of a cell against a model of backend servers, under lost
+ * answers, late orders, crashes, silence, and a successor with a higher token.
+ */
+
+#include <criterion/criterion.h>
+#include <event2/event.h>
+#include <stdio.h>
+
+#include "adapters/clock_real.h"
+#include "core/mem.h"
+#include "entry/jobs/holder.h"
+#include "entry/jobs/job_json.h"
+#include "tests/support/fake_worker.h"
+
+#define RIG_SERVERS 4
+#define RIG_CPU 64000
+#define RIG_JOBS_MAX 512
+
+struct rig {
+	struct event_base *base;
+	struct wm_world world;
+	struct worker *worker;
+	struct holder *holder;
+	uint32_t fenced;
+	uint32_t results[6];
+	uint32_t answered;
+	struct rig_job {
+		struct rig *rig;
+		char id[JOB_ID_LEN + 1];
+		bool answered;
+		enum holder_result result;
+		uint32_t retry_after_ms;
+	} jobs[RIG_JOBS_MAX];
+	size_t njobs;
+};
+
+static void
+rig_fenced(void *arg)
+{
+	struct rig *rig = arg;
+
+	rig->fenced++;
+	holder_end(rig->holder);
+}
+
+static struct holder *
+rig_holder(struct rig *rig, uint64_t token)
+{
+	const struct holder_params params = {
+		.base = rig->base,
+		.clock = clock_real(),
+		.worker = rig->worker,
+		.lease_ms = 1000,
+		.far_permille = 1000,
+		.fenced = rig_fenced,
+		.arg = rig,
+	};
+	struct dir_server server = { .service = "booth",
+		.az = "a",
+		.cpu = RIG_CPU,
+		.mem_mb = 1024 };
+	struct holder *holder = holder_create(&params);
+	size_t i;
+
+	for (i = 0; i < rig->world.nservers; i++) {
+		(void)snprintf(server.id, sizeof(server.id), "s%zu", i);
+		holder_server(holder, &server);
+	}
+	holder_begin(holder, token);
+	return holder;
+}
+
+static struct rig *
+rig_create(uint64_t seed)
+{
+	struct rig *rig = mem_zalloc(1, sizeof(*rig));
+
+	rig->base = event_base_new();
+	wm_init(&rig->world, RIG_SERVERS, RIG_CPU);
+	rig->worker =
+	    fake_worker_create(rig->base, clock_real(), &rig->world, seed);
+	rig->holder = rig_holder(rig, 10);
+	return rig;
+}
+
+static void
+rig_destroy(struct rig *rig)
+{
+	cr_expect_eq(rig->world.violations, 0, "%s", rig->world.violation);
+	holder_destroy(rig->holder);
+	fake_worker_destroy(rig->worker);
+	wm_release(&rig->world);
+	event_base_free(rig->base);
+	free(rig);
+}
+
+static void
+rig_run(struct rig *rig, uint32_t ms)
+{
+	const struct timeval tv = { .tv_sec = ms / 1000,
+		.tv_usec = (suseconds_t)(ms % 1000) * 1000 };
+
+	(void)event_base_loopexit(rig->base, &tv);
+	(void)event_base_dispatch(rig->base);
+}
+
+static void
+rig_done(void *arg, const struct holder_reply *reply)
+{
+	struct rig_job *job = arg;
+
+	cr_assert_not(job->answered, "%s is answered twice", job->id);
+	job->answered = true;
+	job->result = reply->result;
+	job->retry_after_ms = reply->retry_after_ms;
+	job->rig->results[reply->result]++;
+	job->rig->answered++;
+}
+
+/* A job of @count tasks; @ms of work each, said to take @est_ms. */
+static struct rig_job *
+rig_submit_to(struct holder *holder, struct rig_job *job,
+    uint32_t count, uint32_t cpu, uint32_t ms, uint32_t fails,
+    bool resubmitted)
+{
+	struct holder_request request = {
+		.queue = { .name = "q",
+		    .service = "booth",
+		    .max_attempts = 3,
+		    .slack_permille = 1600,
+		    .target_ms = 60 },
+		.patience_ms = 5000,
+		.resubmitted = resubmitted,
+	};
+	char body[256];
+	struct err err;
+
+	(void)snprintf(body, sizeof(body),
+	    "{\"spec\":\"cpu=%u ms=%u fail=%u\",\"best_effort\":true,"
+	    "\"steps\":[{\"count\":%u,\"cpu\":%u,\"mem_mb\":64,"
+	    "\"estimated_ms\":%u}]}",
+	    cpu, ms, fails, count, cpu, ms);
+	cr_assert_eq(
+	    job_parse(&request.spec, job->id, body, strlen(body), &err), 0);
+	holder_submit(holder, &request, rig_done, job);
+	return job;
+}
+
+static struct rig_job *
+rig_submit(struct rig *rig, uint32_t count, uint32_t cpu, uint32_t ms,
+    uint32_t fails)
+{
+	struct rig_job *job = &rig->jobs[rig->njobs];
+
+	job->rig = rig;
+	(void)snprintf(job->id, sizeof(job->id), "%016zx", ++rig->njobs);
+	return rig_submit_to(rig->holder, job, count, cpu, ms, fails,
+	    false);
+}
+
+Test(holder, job_completes_when_all_tasks_are_done)
+{
+	struct rig *rig = rig_create(1);
+	struct rig_job *job = rig_submit(rig, 4, 27000, 60, 0);
+
+	rig_run(rig, 40);
+	cr_expect_not(job->answered);
+	rig_run(rig, 300);
+	cr_expect(job->answered);
+	cr_expect_eq(job->result, HOLDER_COMPLETED);
+	rig_destroy(rig);
+}
+
+Test(holder, failed_task_runs_again_up_to_its_limit)
+{
+	struct rig *rig = rig_create(1);
+	struct rig_job *twice = rig_submit(rig, 1, 27000, 20, 2);
+	struct rig_job *often = rig_submit(rig, 1, 27000, 20, 9);
+
+	rig_run(rig, 600);
+	cr_expect_eq(twice->result, HOLDER_COMPLETED);
+	cr_expect_eq(often->result, HOLDER_FAILED);
+	cr_expect_eq(wm_task(&rig->world, "0000000000000002.0.0.0")->starts,
+	    3);
+	rig_destroy(rig);
+}
+
+Test(holder, unsupported_work_and_other_services_are_refused)
+{
+	struct rig *rig = rig_create(1);
+	struct rig_job *job = &rig->jobs[0];
+	struct holder_request request = {
+		.queue = { .service = "booth", .max_attempts = 1 },
+		.patience_ms = 1000,
+	};
+	static const char body[] = "{\"spec\":\"x\",\"steps\":[{\"count\":2,"
+				   "\"gang_scheduled\":true}]}";
+	struct err err;
+
+	job->rig = rig;
+	cr_assert_eq(job_parse(&request.spec, "00000000000000ff", body,
+			 sizeof(body) - 1, &err),
+	    0);
+	holder_submit(rig->holder, &request, rig_done, job);
+	cr_expect(job->answered);
+	cr_expect_eq(job->result, HOLDER_BAD);
+	rig_destroy(rig);
+}
+
+Test(holder, start_without_answer_is_forestalled_before_it_goes_elsewhere)
+{
+	struct rig *rig = rig_create(7);
+	uint32_t i;
+
+	fake_worker_faults(rig->worker)->late_permille = 150;
+	fake_worker_faults(rig->worker)->late_ms = 700;
+	for (i = 0; i < 20; i++) {
+		rig_submit(rig, 2, 20000, 80, 0);
+		rig_run(rig, 60);
+	}
+	rig_run(rig, 2500);
+	cr_expect_eq(rig->answered, 20);
+	cr_expect_geq(rig->results[HOLDER_COMPLETED], 15);
+	rig_destroy(rig);
+}
+
+Test(holder, runs_of_a_silent_server_are_waited_out)
+{
+	struct rig *rig = rig_create(3);
+	struct rig_job *job = rig_submit(rig, 8, 27000, 400, 0);
+
+	rig_run(rig, 60);
+	fake_worker_faults(rig->worker)->silent_mask = 1;
+	rig_run(rig, 600);
+	/* The lease is not over: nothing of it may run elsewhere. */
+	cr_expect_not(job->answered);
+	rig_run(rig, 1800);
+	cr_expect(job->answered);
+	cr_expect_eq(job->result, HOLDER_COMPLETED);
+	rig_destroy(rig);
+}
+
+Test(holder, successor_adopts_runs_and_the_old_holder_is_fenced)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *job = rig_submit(rig, 4, 27000, 500, 0);
+	struct rig_job again = { .rig = rig };
+	struct holder *successor;
+
+	rig_run(rig, 100);
+	successor = rig_holder(rig, 20);
+	memcpy(again.id, job->id, sizeof(again.id));
+	(void)rig_submit_to(successor, &again, 4, 27000, 500, 0, true);
+	rig_run(rig, 800);
+	cr_expect_geq(rig->fenced, 1);
+	cr_expect_eq(job->result, HOLDER_MOVED);
+	cr_expect(again.answered);
+	cr_expect_eq(again.result, HOLDER_COMPLETED);
+	cr_expect_eq(wm_task(&rig->world, "0000000000000001.0.0.0")->starts,
+	    1);
+	holder_destroy(successor);
+	rig_destroy(rig);
+}
+
+Test(holder, successor_stops_runs_that_nobody_claims)
+{
+	struct rig *rig = rig_create(5);
+	struct holder *successor;
+	size_t i;
+
+	rig_submit(rig, 4, 27000, 3000, 0);
+	rig_run(rig, 100);
+	successor = rig_holder(rig, 20);
+	rig_run(rig, 900);
+	for (i = 0; i < RIG_SERVERS; i++)
+		cr_expect_eq(rig->world.servers[i].used_cpu, 0);
+	holder_destroy(successor);
+	rig_destroy(rig);
+}
+
+Test(holder, cancelled_job_leaves_nothing_running)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *job = rig_submit(rig, 6, 27000, 2000, 0);
+	size_t i;
+
+	rig_run(rig, 100);
+	holder_cancel(rig->holder, job->id, job);
+	rig_run(rig, 300);
+	cr_expect_not(job->answered);
+	for (i = 0; i < RIG_SERVERS; i++)
+		cr_expect_eq(rig->world.servers[i].used_cpu, 0);
+	cr_expect(holder_idle(rig->holder));
+	rig_destroy(rig);
+}
+
+Test(holder, hanging_task_is_moved)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *job;
+	size_t i;
+
+	rig_run(rig, 50);
+	for (i = 0; i + 1 < RIG_SERVERS; i++)
+		rig->world.servers[i].hangs = true;
+	job = rig_submit(rig, 1, 27000, 100, 0);
+	rig_run(rig, 2500);
+	cr_expect_eq(job->result, HOLDER_COMPLETED);
+	cr_expect(job->answered);
+	rig_destroy(rig);
+}
+
+Test(holder, server_that_fails_everything_is_ejected)
+{
+	struct rig *rig = rig_create(5);
+	uint32_t i;
+
+	rig_run(rig, 50);
+	rig->world.servers[1].failing = true;
+	for (i = 0; i < 60; i++) {
+		rig_submit(rig, 2, 27000, 40, 0);
+		rig_run(rig, 25);
+	}
+	rig_run(rig, 500);
+	cr_expect_eq(rig->answered, 60);
+	cr_expect_geq(rig->results[HOLDER_COMPLETED], 56);
+	cr_expect_leq(rig->world.servers[1].starts, 12);
+	rig_destroy(rig);
+}
+
+/* A burst at twice the capacity: who is served is served in time. */
+Test(holder, overload_refuses_early_and_serves_the_rest)
+{
+	struct rig *rig = rig_create(9);
+	uint32_t i, asked = 0;
+
+	rig_run(rig, 50);
+	/* 4 servers of 2 tasks of 200 ms: 40 tasks a second fit. */
+	for (i = 0; i < 50; i++) {
+		rig_submit(rig, 2, 27000, 200, 0);
+		asked++;
+		rig_run(rig, 25);
+	}
+	rig_run(rig, 2000);
+	cr_expect_eq(rig->answered, asked);
+	cr_expect_geq(rig->results[HOLDER_COMPLETED], asked * 4 / 10);
+	cr_expect_eq(rig->results[HOLDER_FAILED], 0);
+	for (i = 0; i < rig->njobs; i++)
+		cr_expect(rig->jobs[i].result != HOLDER_NOT_RUN ||
+		    rig->jobs[i].retry_after_ms > 0);
+	rig_destroy(rig);
+}
+
+/* "Not run" must be true: no task of such a job was ever started. */
+Test(holder, refusal_as_not_run_is_true)
+{
+	struct rig *rig = rig_create(11);
+	char task[WORKER_TASK_NAME_SIZE];
+	uint32_t i;
+
+	fake_worker_faults(rig->worker)->lost_permille = 100;
+	fake_worker_faults(rig->worker)->late_permille = 50;
+	fake_worker_faults(rig->worker)->late_ms = 500;
+	for (i = 0; i < 60; i++) {
+		rig_submit(rig, 1, 40000, 150, 0);
+		rig_run(rig, 10);
+	}
+	rig_run(rig, 3000);
+	cr_expect_eq(rig->answered, 60);
+	for (i = 0; i < rig->njobs; i++) {
+		(void)snprintf(task, sizeof(task), "%s.0.0.0",
+		    rig->jobs[i].id);
+		cr_expect(rig->jobs[i].result != HOLDER_NOT_RUN ||
+		    wm_task(&rig->world, task) == NULL,
+		    "%s ran and was refused", task);
+	}
+	rig_destroy(rig);
+}
+
+/* Random faults of all kinds, by seed; the model checks what must hold. */
+Test(holder, random_faults)
+{
+	uint32_t seed, i;
+
+	for (seed = 1; seed <= 6; seed++) {
+		struct rig *rig = rig_create(seed);
+		struct fake_worker_faults *faults =
+		    fake_worker_faults(rig->worker);
+
+		srand(seed);
+		faults->lost_permille = 60;
+		faults->late_permille = 60;
+		faults->late_ms = 600;
+		for (i = 0; i < 80; i++) {
+			rig_submit(rig, 1 + (uint32_t)rand() % 5, 27000,
+			    20 + (uint32_t)rand() % 150,
+			    rand() % 20 == 0 ? 1 : 0);
+			faults->silent_mask = rand() % 10 == 0
+			    ? 1U << rand() % RIG_SERVERS
+			    : 0;
+			if (rand() % 5 == 0)
+				holder_cancel(rig->holder,
+				    rig->jobs[rig->njobs - 1].id,
+				    &rig->jobs[rig->njobs - 1]);
+			rig_run(rig, 15);
+		}
+		faults->silent_mask = 0;
+		faults->late_permille = 0;
+		rig_run(rig, 3500);
+		cr_expect(holder_idle(rig->holder), "seed %u", seed);
+		rig_destroy(rig);
+	}
+}
