--- a/entry/daemon.c
+++ b/entry/daemon.c
@@ -382,6 +382,8 @@
 	const struct platform_door_params door_params = {
 		.dir = work_directory(dmn->work),
 		.front = work_front(dmn->work),
+		.status = work_status(dmn->work),
+		.pending = work_pending,
 		.ready = work_ready,
 		.arg = dmn->work,
 	};
@@ -412,15 +414,14 @@
 
 	if (set->store.port == 0)
 		return 0;
-	if (dmn_create_work(dmn, err) != 0 || dmn_create_doors(dmn, err) != 0)
+	if (dmn_create_work(dmn, err) != 0)
 		return -1;
 	work_listener(dmn->work, &listener);
 	dmn->rows = platform_rows_create(dmn->base, &set->store, &listener);
-	if (dmn->rows == NULL)
+	if (dmn->rows == NULL || work_set_rows(dmn->work, dmn->rows) != 0)
 		return err_set(err, ERR_STEP_SETTINGS, ERR_NO_MEMORY, NULL,
 		    "store");
-	work_set_rows(dmn->work, dmn->rows);
-	return 0;
+	return dmn_create_doors(dmn, err);
 }
 
 static void
--- a/entry/jobs/front.c
+++ b/entry/jobs/front.c
@@ -105,6 +105,7 @@
 
 static const char *const frt_result_names[] = {
 	[FRONT_COMPLETED] = "completed",
+	[FRONT_ACCEPTED] = "accepted",
 	[FRONT_FAILED] = "failed",
 	[FRONT_NOT_RUN] = "not-run",
 	[FRONT_UNKNOWN] = "outcome-unknown",
@@ -165,6 +166,9 @@
 	case HOLDER_COMPLETED:
 		frt_answer(job, FRONT_COMPLETED, 0, reply->reason);
 		break;
+	case HOLDER_ACCEPTED:
+		frt_answer(job, FRONT_ACCEPTED, 0, reply->reason);
+		break;
 	case HOLDER_FAILED:
 		frt_answer(job, FRONT_FAILED, 0, reply->reason);
 		break;
@@ -229,8 +233,9 @@
 	struct frt_try *try = arg;
 	struct frt_job *job = try->job;
 	bool moved = outcome == ZONE_ANSWERED && reply->result == HOLDER_MOVED;
-	bool whole =
-	    outcome == ZONE_ANSWERED && reply->result == HOLDER_COMPLETED;
+	bool whole = outcome == ZONE_ANSWERED &&
+	    (reply->result == HOLDER_COMPLETED ||
+		reply->result == HOLDER_ACCEPTED);
 	bool counts = job->current == try;
 
 	free(try);
--- a/entry/jobs/front.h
+++ b/entry/jobs/front.h
@@ -20,10 +20,11 @@
 /** enum front_result - the answer to a caller. */
 enum front_result {
 	FRONT_COMPLETED,
-	FRONT_FAILED,  /* a task failed as often as it may */
-	FRONT_NOT_RUN, /* refused: nothing of it has run or will */
-	FRONT_UNKNOWN, /* given up; some tasks may have run */
-	FRONT_INVALID, /* malformed; nothing has run */
+	FRONT_ACCEPTED, /* stored: it will run, and its state can be asked */
+	FRONT_FAILED,	/* a task failed as often as it may */
+	FRONT_NOT_RUN,	/* refused: nothing of it has run or will */
+	FRONT_UNKNOWN,	/* given up; some tasks may have run */
+	FRONT_INVALID,	/* malformed; nothing has run */
 };
 
 /** struct front_reply - borrowed by the callback. */
--- a/entry/jobs/holder.c
+++ b/entry/jobs/holder.c
@@ -34,6 +34,7 @@
 	HLD_RESULT(HOLDER_GAVE_UP, "gave_up"),
 	HLD_RESULT(HOLDER_MOVED, "moved"),
 	HLD_RESULT(HOLDER_BAD, "bad"),
+	HLD_RESULT(HOLDER_ACCEPTED, "accepted"),
 };
 
 static const char *const hld_result_names[] = {
@@ -43,6 +44,7 @@
 	[HOLDER_GAVE_UP] = "gave-up",
 	[HOLDER_MOVED] = "moved",
 	[HOLDER_BAD] = "bad",
+	[HOLDER_ACCEPTED] = "accepted",
 };
 
 uint64_t
@@ -189,6 +191,25 @@
 	}
 }
 
+/* What a former holder has stored of the job's progress. */
+static void
+hld_job_recall(struct hld_job *job, const struct holder_request *request)
+{
+	uint32_t i;
+
+	if (!job->stored)
+		return;
+	for (i = 0; i < job->spec.ntasks; i++) {
+		job->tasks[i].fails = request->fails[i];
+		if (request->done[i] != 0 || request->fails[i] != 0)
+			job->begun = true;
+		if (request->done[i] == 0)
+			continue;
+		job->tasks[i].state = HLD_DONE;
+		job->ndone++;
+	}
+}
+
 static void
 hld_job_set_times(struct hld_job *job, const struct holder_request *request)
 {
@@ -218,7 +239,9 @@
 	job->spec = request->spec;
 	memset(&request->spec, 0, sizeof(request->spec));
 	job->queue = request->queue;
+	job->stored = request->stored;
 	hld_job_create_tasks(job);
+	hld_job_recall(job, request);
 	hld_job_set_times(job, request);
 	LIST_INSERT_HEAD(&holder->buckets[hld_bucket(job->spec.id)], job, hash);
 	TAILQ_INSERT_TAIL(&holder->jobs, job, entry);
@@ -324,6 +347,7 @@
 		server->speed = PLACE_SPEED_UNIT;
 		TAILQ_INIT(&server->tasks);
 		TAILQ_INIT(&server->orphans);
+		TAILQ_INIT(&server->unstored);
 		LIST_INIT(&server->orders);
 		TAILQ_INSERT_TAIL(&holder->servers, server, entry);
 	}
@@ -351,6 +375,7 @@
 
 	holder->token = token;
 	holder->fresh = false;
+	holder->loaded = holder->params.progress == NULL;
 	holder->begun_us = hld_now(holder);
 	log_event(LOG_LEVEL_WARN, "cell-held", "token=%" PRIu64, token);
 	TAILQ_FOREACH (server, &holder->servers, entry) {
@@ -365,6 +390,51 @@
 	holder->complete = complete;
 }
 
+/*
+ * Ends that were listed while a job was not known yet are listed again; no
+ * task may start before they are read.
+ */
+void
+holder_set_loaded(struct holder *holder)
+{
+	struct hld_server *server;
+	uint64_t now_us = hld_now(holder);
+
+	holder->loaded = true;
+	TAILQ_FOREACH (server, &holder->servers, entry) {
+		server->held = false;
+		if (!server->hold_pending)
+			server->hold_due_us = now_us;
+	}
+	hld_pump_wake(holder);
+}
+
+uint32_t
+holder_pending(const struct holder *holder, const char *queue)
+{
+	const struct hld_job *job;
+	uint32_t n = 0;
+
+	TAILQ_FOREACH (job, &holder->jobs, entry) {
+		if (job->stored && !job->ended && !job->begun &&
+		    strcmp(job->queue.name, queue) == 0)
+			n++;
+	}
+	return n;
+}
+
+void
+holder_each_pending(const struct holder *holder,
+    void (*each)(void *arg, const char *queue), void *arg)
+{
+	const struct hld_job *job;
+
+	TAILQ_FOREACH (job, &holder->jobs, entry) {
+		if (job->stored && !job->ended && !job->begun)
+			each(arg, job->queue.name);
+	}
+}
+
 void
 holder_fresh(struct holder *holder)
 {
--- a/entry/jobs/holder.h
+++ b/entry/jobs/holder.h
@@ -26,6 +26,7 @@
 	HOLDER_GAVE_UP,	  /* out of time; some tasks may have run */
 	HOLDER_MOVED,	  /* this host does not hold the cell (any more) */
 	HOLDER_BAD,	  /* the job can't be run here: see the reason */
+	HOLDER_ACCEPTED,  /* it is stored, and runs on */
 };
 
 /** struct holder_reply - the answer to a submission; borrowed. */
@@ -44,6 +45,12 @@
 	struct worker *worker;
 	uint32_t lease_ms;     /* longest lease that servers grant */
 	uint32_t far_permille; /* slowdown of a task away from its data */
+	/*
+	 * A run of a stored job's task has ended. Returns the number by which
+	 * holder_stored() will name that; 0 if it need not be waited for.
+	 */
+	uint64_t (
+	    *progress)(void *arg, const char *id, uint32_t task, bool done);
 	/* The servers have seen a higher token. */
 	void (*fenced)(void *arg);
 	void *arg;
@@ -57,6 +64,9 @@
 	uint32_t patience_ms; /* the submitter waits so long from now */
 	bool resubmitted;     /* another holder may have started it */
 	bool may_refuse;      /* refuse at once what would wait too long */
+	bool stored;	      /* nobody waits; its progress is stored */
+	const uint8_t *done;  /* by task, of a stored job: it is done */
+	const uint8_t *fails; /* by task: runs that have failed */
 };
 
 /** struct holder_load - how busy the cell is. */
@@ -80,6 +90,19 @@
  */
 void holder_set_complete(struct holder *holder, bool complete);
 
+/** holder_set_loaded() - all stored jobs of this cell have been submitted. */
+void holder_set_loaded(struct holder *holder);
+
+/** holder_stored() - a job's progress up to number @seq is stored. */
+void holder_stored(struct holder *holder, const char *id, uint64_t seq);
+
+/** holder_pending() - jobs of a queue of which nothing has started. */
+uint32_t holder_pending(const struct holder *holder, const char *queue);
+
+/** holder_each_pending() - names the queue of each such job, all queues. */
+void holder_each_pending(const struct holder *holder,
+    void (*each)(void *arg, const char *queue), void *arg);
+
 /** holder_fresh() - the servers' rows have been read anew. */
 void holder_fresh(struct holder *holder);
 
--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -85,8 +85,10 @@
 	uint64_t late_us;	 /* worth something until then */
 	uint64_t gone_us;	 /* the submitter has left by then */
 	uint64_t start_after_us; /* another holder's runs may last until then */
-	bool started;		 /* a start was ordered, here or elsewhere */
-	bool ended;		 /* answered; only its runs are left */
+	bool stored;
+	bool begun;   /* a run of it was seen or has been stored */
+	bool started; /* a start was ordered, here or elsewhere */
+	bool ended;   /* answered; only its runs are left */
 	holder_done_fn done;
 	void *arg;
 	LIST_ENTRY(hld_job) hash;
@@ -107,6 +109,16 @@
 
 TAILQ_HEAD(hld_orphans, hld_orphan);
 
+/** struct hld_unstored - an end that the store does not have yet. */
+struct hld_unstored {
+	uint64_t number; /* at its server */
+	uint64_t seq;	 /* of the job's progress */
+	char id[JOB_ID_LEN + 1];
+	TAILQ_ENTRY(hld_unstored) entry;
+};
+
+TAILQ_HEAD(hld_unstored_list, hld_unstored);
+
 /** struct hld_server - one incarnation of a backend server. */
 struct hld_server {
 	struct holder *holder;
@@ -119,8 +131,11 @@
 	int64_t used_cpu;
 	int64_t used_mem;
 	int64_t used_gpu;
-	uint32_t speed; /* thousandths of the nominal one, learned */
-	uint64_t acknowledged;
+	uint32_t speed;	       /* thousandths of the nominal one, learned */
+	uint64_t acknowledged; /* ends up to it may be forgotten */
+	uint64_t seen;	       /* ends up to it have been taken note of */
+	uint64_t told;	       /* acknowledged by the last hold */
+	struct hld_unstored_list unstored; /* ends, by number */
 	bool held; /* its lists were read under this token */
 	bool gone; /* left the directory; freed when nothing is there */
 	bool hold_pending;
@@ -143,6 +158,7 @@
 	struct holder_params params;
 	uint64_t token;
 	uint64_t begun_us;
+	bool loaded;   /* all stored jobs are known */
 	bool complete; /* no server is missing in the list */
 	bool fresh;    /* the servers' rows were read since then */
 	struct hld_servers servers;
@@ -171,6 +187,7 @@
 void hld_server_tick(struct hld_server *server, uint64_t now_us);
 void hld_server_reset(struct hld_server *server);
 void hld_server_lost(struct hld_server *server, const char *why);
+void hld_unstored_drop(struct hld_server *server);
 void hld_orphans_claim(struct hld_job *job);
 
 /* holder_run.c */
@@ -178,7 +195,8 @@
 void hld_run_stop(struct hld_task *task);
 void hld_orders_drop(struct hld_server *server);
 void hld_run_stop_orphan(struct hld_server *server, struct hld_orphan *orphan);
-void hld_run_ended(struct hld_task *task, enum worker_end how);
+uint64_t hld_run_ended(struct hld_task *task, enum worker_end how);
+uint64_t hld_run_found_done(struct hld_task *task, uint64_t run_id);
 void hld_run_absent(struct hld_task *task, const char *why);
 void hld_run_adopt(struct hld_task *task, struct hld_server *server,
     uint64_t run_id, uint64_t now_us);
--- a/entry/jobs/holder_pump.c
+++ b/entry/jobs/holder_pump.c
@@ -214,6 +214,9 @@
 	bool plain = step->needs[0] == '\0' && step->per_server_max == 0;
 	struct hld_server *server;
 
+	/* Its ends may stand in lists that were read before it was known. */
+	if (task->job->stored && !task->job->holder->loaded)
+		return;
 	if (step->cpu >= pass->refused_cpu ||
 	    (task->job->start_after_us > pass->now_us && !pass->all_held))
 		return;
@@ -356,7 +359,7 @@
 	struct holder_reply reply = { .result = HOLDER_GAVE_UP,
 		.reason = "the submitter's deadline has passed" };
 
-	if (job->ended)
+	if (job->ended || job->stored)
 		return false;
 	if (now_us >= job->gone_us) {
 		hld_job_finish(job, &reply);
--- a/entry/jobs/holder_run.c
+++ b/entry/jobs/holder_run.c
@@ -48,6 +48,7 @@
 	task->stop_confirmed = false;
 	task->job->non_servers++;
 	task->job->started = true;
+	task->job->begun = true;
 	server->used_cpu += step->cpu;
 	server->used_mem += step->mem_mb;
 	server->used_gpu += step->gpus;
@@ -163,24 +164,52 @@
 		hld_queue(task);
 }
 
-void
+/* Return: the number under which the end will be stored, or 0. */
+static uint64_t
+hld_tell_progress(const struct hld_task *task, bool done)
+{
+	const struct hld_job *job = task->job;
+	const struct holder_params *params = &job->holder->params;
+
+	if (!job->stored || job->ended || params->progress == NULL)
+		return 0;
+	return params->progress(params->arg, job->spec.id,
+	    (uint32_t)(task - job->tasks), done);
+}
+
+uint64_t
 hld_run_ended(struct hld_task *task, enum worker_end how)
 {
-	uint64_t now_us = hld_now(task->job->holder);
+	uint64_t now_us = hld_now(task->job->holder), seq;
 
 	if (how != WORKER_END_DONE && how != WORKER_END_FAILED) {
 		hld_run_absent(task,
 		    how == WORKER_END_LAPSED ? "lapsed" : "stopped");
-		return;
+		return 0;
 	}
 	hld_judge(task->server, task->job, how == WORKER_END_DONE);
 	if (how == WORKER_END_DONE && task->ordered_us != 0)
 		hld_learn_speed(task, now_us);
+	seq = hld_tell_progress(task, how == WORKER_END_DONE);
 	hld_vacate(task);
 	if (how == WORKER_END_DONE)
 		hld_task_done(task);
 	else
 		hld_task_failed(task);
+	return seq;
+}
+
+/* A run of a former holder has ended well: the task is done. */
+uint64_t
+hld_run_found_done(struct hld_task *task, uint64_t run_id)
+{
+	uint64_t seq = hld_tell_progress(task, true);
+
+	if (task->state == HLD_WAITING)
+		hld_dequeue(task);
+	task->run_id = run_id;
+	hld_task_done(task);
+	return seq;
 }
 
 void
--- a/entry/jobs/holder_server.c
+++ b/entry/jobs/holder_server.c
@@ -38,6 +38,7 @@
 	if (server->link != NULL)
 		holder->params.worker->ops->close(server->link);
 	hld_orders_drop(server);
+	hld_unstored_drop(server);
 	hld_orphans_drop(server);
 	TAILQ_REMOVE(&holder->servers, server, entry);
 	free(server);
@@ -60,6 +61,7 @@
 	server->held = false;
 	server->hold_pending = false;
 	hld_orders_drop(server);
+	hld_unstored_drop(server);
 	hld_orphans_drop(server);
 	TAILQ_FOREACH_SAFE (task, &server->tasks, on_server, next)
 		hld_run_absent(task, why);
@@ -82,6 +84,9 @@
 	memset(&server->lease, 0, sizeof(server->lease));
 	server->held = false;
 	server->acknowledged = 0;
+	server->seen = 0;
+	server->told = 0;
+	hld_unstored_drop(server);
 	server->misses = 0;
 	hld_server_hold(server, hld_now(holder));
 }
@@ -158,18 +163,84 @@
 	(void)hld_orphan_enter(server, run->task, run->run_id, now_us);
 }
 
+/* A task whose run ended under the former holder, which did not store it. */
+static uint64_t
+hld_ended_before(struct hld_task *task, const struct worker_ended *ended)
+{
+	if (!task->job->stored || task->job->ended ||
+	    (task->state != HLD_WAITING && task->state != HLD_BLOCKED))
+		return 0;
+	return hld_run_found_done(task, ended->run_id);
+}
+
+void
+hld_unstored_drop(struct hld_server *server)
+{
+	struct hld_unstored *end, *next;
+
+	TAILQ_FOREACH_SAFE (end, &server->unstored, entry, next) {
+		TAILQ_REMOVE(&server->unstored, end, entry);
+		free(end);
+	}
+}
+
+/* Ends may be forgotten up to the first one that is not stored. */
+static void
+hld_acknowledge(struct hld_server *server)
+{
+	const struct hld_unstored *first = TAILQ_FIRST(&server->unstored);
+
+	server->acknowledged = first == NULL ? server->seen : first->number - 1;
+}
+
+void
+holder_stored(struct holder *holder, const char *id, uint64_t seq)
+{
+	struct hld_unstored *end, *next;
+	struct hld_server *server;
+
+	TAILQ_FOREACH (server, &holder->servers, entry) {
+		TAILQ_FOREACH_SAFE (end, &server->unstored, entry, next) {
+			if (end->seq > seq || strcmp(end->id, id) != 0)
+				continue;
+			TAILQ_REMOVE(&server->unstored, end, entry);
+			free(end);
+		}
+		hld_acknowledge(server);
+		if (!server->hold_pending && server->hold_due_us == 0 &&
+		    server->acknowledged != server->told)
+			server->hold_due_us =
+			    hld_now(holder) + HLD_ACK_DELAY_MS * HLD_US_PER_MS;
+	}
+}
+
 static void
 hld_list_ended(struct hld_server *server, const struct worker_ended *ended)
 {
+	struct hld_unstored *end;
 	struct hld_task *task;
+	uint64_t seq = 0;
 
-	if (ended->number <= server->acknowledged)
+	if (ended->number <= server->seen)
 		return;
-	server->acknowledged = ended->number;
 	task = hld_task_find(server->holder, ended->task);
+	/* It may belong to a stored job that is still being read. */
+	if (task == NULL && !server->holder->loaded)
+		return;
 	if (task != NULL && task->server == server &&
 	    task->run_id == ended->run_id)
-		hld_run_ended(task, ended->how);
+		seq = hld_run_ended(task, ended->how);
+	else if (task != NULL && ended->how == WORKER_END_DONE)
+		seq = hld_ended_before(task, ended);
+	if (server->holder->loaded)
+		server->seen = ended->number;
+	if (seq == 0)
+		return;
+	end = mem_zalloc(1, sizeof(*end));
+	end->number = ended->number;
+	end->seq = seq;
+	memcpy(end->id, ended->task, JOB_ID_LEN);
+	TAILQ_INSERT_TAIL(&server->unstored, end, entry);
 }
 
 /* Runs that a list written after their last order does not show are over. */
@@ -203,6 +274,7 @@
 		hld_list_ended(server, &reply->ended[i]);
 	for (i = 0; i < reply->nrunning; i++)
 		hld_list_running(server, &reply->running[i], now_us);
+	hld_acknowledge(server);
 	hld_reconcile(server, server->hold_sent_us, now_us);
 	if (!server->held) {
 		server->held = true;
@@ -246,7 +318,9 @@
 	server->misses = 0;
 	hld_read_lists(server, reply, now_us);
 	hld_pump_wake(holder);
-	if (!TAILQ_EMPTY(&server->tasks) || !TAILQ_EMPTY(&server->orphans))
+	if (server->acknowledged != server->seen || !holder->loaded)
+		server->hold_due_us = now_us + HLD_STOP_WAIT_MS * HLD_US_PER_MS;
+	else if (!TAILQ_EMPTY(&server->tasks) || !TAILQ_EMPTY(&server->orphans))
 		hld_server_hold(server, now_us);
 	else if (reply->nended > 0)
 		server->hold_due_us = now_us + HLD_ACK_DELAY_MS * HLD_US_PER_MS;
@@ -281,7 +355,10 @@
 	if (!TAILQ_EMPTY(&server->tasks) && server->misses <= HLD_MISSES_MAX)
 		hold.deadline_ms = lease_extend(&server->lease, now_us,
 		    holder->params.lease_ms);
-	if (busy && server->held && server->misses == 0)
+	server->told = server->acknowledged;
+	/* Ends that are listed again would end a wait at once. */
+	if (busy && server->held && server->misses == 0 &&
+	    server->holder->loaded && server->acknowledged == server->seen)
 		hold.wait_ms = hld_awaits_stop(server) ? HLD_STOP_WAIT_MS
 						       : HLD_HOLD_WAIT_MS;
 	server->hold_pending = true;
--- /dev/null
+++ b/entry/jobs/keeper.c
@@ -0,0 +1,580 @@
+/*
+ * Stored jobs of the cell that this host holds.
+ */
+
+#include <event2/event.h>
+#include <inttypes.h>
+#include <sys/queue.h>
+
+#include "adapters/log.h"
+#include "core/mem.h"
+#include "entry/jobs/job_json.h"
+#include "entry/jobs/keeper.h"
+#include "entry/jobs/ledger.h"
+#include "entry/jobs/record.h"
+
+#define KPR_STATUS_MS 150000 /* an ended job is known for so long */
+#define KPR_SWEEP_MS 5000
+#define KPR_LOAD_RETRY_MS 150
+#define KPR_PAGE 400
+#define KPR_JOBS_MAX 20000
+#define KPR_PATIENCE_MS 1000000000 /* nobody waits for a stored job */
+#define KPR_BUCKETS 1024
+
+/* Somebody who waits for a value of a job to be stored. */
+struct kpr_waiter {
+	uint64_t seq;
+	keeper_done_fn done;   /* or */
+	keeper_state_fn state; /* with the job's state */
+	void *arg;
+	TAILQ_ENTRY(kpr_waiter) entry;
+};
+
+struct kpr_job {
+	struct keeper *keeper;
+	char id[JOB_ID_LEN + 1];
+	struct record record;
+	bool stored;  /* its row is known to be there */
+	uint64_t ended_seq; /* the value that says so; 0: not ended here */
+	uint64_t stored_seq;
+	bool running; /* the holder has it */
+	TAILQ_HEAD(, kpr_waiter) waiters;
+	TAILQ_ENTRY(kpr_job) entry;
+	LIST_ENTRY(kpr_job) hash;
+};
+
+struct kpr_load {
+	struct keeper *keeper;
+	uint64_t generation;
+	uint32_t part;
+	char from[JOB_ID_LEN + 2];
+	struct event *timer;
+};
+
+struct keeper {
+	struct event_base *base;
+	struct clock *clock;
+	struct rows *rows;
+	struct holder *holder;
+	struct ledger *ledger;
+	char az[NAME_SIZE];
+	bool held;
+	uint64_t generation; /* of loads */
+	uint32_t parts_left; /* to be loaded */
+	struct kpr_load loads[ROWS_JOB_PARTS];
+	struct event *sweep;
+	size_t njobs;
+	TAILQ_HEAD(, kpr_job) jobs;
+	LIST_HEAD(, kpr_job) buckets[KPR_BUCKETS];
+};
+
+static size_t
+kpr_bucket(const char *id)
+{
+	return (size_t)strtoull(id, NULL, 16) % KPR_BUCKETS;
+}
+
+static struct kpr_job *
+kpr_find(const struct keeper *keeper, const char *id)
+{
+	struct kpr_job *job;
+
+	LIST_FOREACH (job, &keeper->buckets[kpr_bucket(id)], hash) {
+		if (strcmp(job->id, id) == 0)
+			return job;
+	}
+	return NULL;
+}
+
+static struct kpr_job *
+kpr_enter(struct keeper *keeper, const char *id)
+{
+	struct kpr_job *job = mem_zalloc(1, sizeof(*job));
+
+	job->keeper = keeper;
+	strlcpy(job->id, id, sizeof(job->id));
+	TAILQ_INIT(&job->waiters);
+	TAILQ_INSERT_TAIL(&keeper->jobs, job, entry);
+	LIST_INSERT_HEAD(&keeper->buckets[kpr_bucket(id)], job, hash);
+	keeper->njobs++;
+	return job;
+}
+
+/* Answers those who wait for values up to @seq. */
+static void
+kpr_answer(struct kpr_job *job, uint64_t seq, enum keeper_result result)
+{
+	struct kpr_waiter *waiter, *next;
+
+	TAILQ_FOREACH_SAFE (waiter, &job->waiters, entry, next) {
+		if (waiter->seq > seq)
+			continue;
+		TAILQ_REMOVE(&job->waiters, waiter, entry);
+		if (waiter->state != NULL)
+			waiter->state(waiter->arg, result, job->record.state);
+		else
+			waiter->done(waiter->arg, result);
+		free(waiter);
+	}
+}
+
+static void
+kpr_free(struct kpr_job *job)
+{
+	kpr_answer(job, UINT64_MAX, KEEPER_UNKNOWN);
+	TAILQ_REMOVE(&job->keeper->jobs, job, entry);
+	LIST_REMOVE(job, hash);
+	job->keeper->njobs--;
+	record_release(&job->record);
+	free(job);
+}
+
+static struct kpr_waiter *
+kpr_wait(struct kpr_job *job, uint64_t seq, keeper_done_fn done, void *arg)
+{
+	struct kpr_waiter *waiter = mem_zalloc(1, sizeof(*waiter));
+
+	waiter->seq = seq;
+	waiter->done = done;
+	waiter->arg = arg;
+	TAILQ_INSERT_TAIL(&job->waiters, waiter, entry);
+	return waiter;
+}
+
+static uint64_t
+kpr_store(struct kpr_job *job)
+{
+	size_t len;
+	char *value = record_render(&job->record, &len);
+	uint64_t seq;
+
+	seq = ledger_put(job->keeper->ledger, job->id, value, len);
+	free(value);
+	return seq;
+}
+
+static void
+kpr_end(struct kpr_job *job, enum record_state state)
+{
+	if (job->record.state != RECORD_ACCEPTED)
+		return;
+	job->record.state = state;
+	job->record.ended_ms = clock_wall_ms(job->keeper->clock);
+	job->ended_seq = kpr_store(job);
+}
+
+/* The holder's answer: the job has ended, or the holder has let it go. */
+static void
+kpr_ended(void *arg, const struct holder_reply *reply)
+{
+	struct kpr_job *job = arg;
+
+	job->running = false;
+	if (reply->result == HOLDER_COMPLETED)
+		kpr_end(job, RECORD_COMPLETED);
+	else if (reply->result == HOLDER_FAILED ||
+	    reply->result == HOLDER_BAD)
+		kpr_end(job, RECORD_FAILED);
+}
+
+static void
+kpr_run(struct kpr_job *job, struct holder_request *request)
+{
+	request->stored = true;
+	request->patience_ms = KPR_PATIENCE_MS;
+	request->done = job->record.done;
+	request->fails = job->record.fails;
+	job->running = true;
+	holder_submit(job->keeper->holder, request, kpr_ended, job);
+}
+
+/* Accepting */
+
+void
+keeper_accept(struct keeper *keeper, struct holder_request *request,
+    const char *body, size_t len, keeper_done_fn done, void *arg)
+{
+	struct kpr_job *job = kpr_find(keeper, request->spec.id);
+
+	if (job != NULL) {
+		if (job->stored)
+			done(arg, KEEPER_OK);
+		else
+			(void)kpr_wait(job, 1, done, arg);
+		job_spec_release(&request->spec);
+		return;
+	}
+	if (!keeper->held || keeper->parts_left > 0 ||
+	    keeper->njobs >= KPR_JOBS_MAX) {
+		done(arg, KEEPER_REFUSED);
+		job_spec_release(&request->spec);
+		return;
+	}
+	job = kpr_enter(keeper, request->spec.id);
+	strlcpy(job->record.az, keeper->az, NAME_SIZE);
+	job->record.queue = request->queue;
+	job->record.body = mem_strndup(body, len);
+	job->record.body_len = len;
+	job->record.ntasks = request->spec.ntasks;
+	job->record.done = mem_zalloc(request->spec.ntasks, 1);
+	job->record.fails = mem_zalloc(request->spec.ntasks, 1);
+	/* Tells this acceptance from one by another host. */
+	job->record.nonce = clock_now_us(keeper->clock);
+	(void)kpr_wait(job, kpr_store(job), done, arg);
+	job_spec_release(&request->spec);
+}
+
+/* Its row is there: run it from its stored form. */
+static void
+kpr_start(struct kpr_job *job, bool resubmitted)
+{
+	struct holder_request request = { .queue = job->record.queue,
+		.resubmitted = resubmitted };
+	struct err err;
+
+	if (job_parse(&request.spec, job->id, job->record.body,
+		job->record.body_len, &err) == -1) {
+		log_event(LOG_LEVEL_ERROR, "stored-job-unreadable",
+		    "id=%s reason=\"%s\"", job->id, err.message);
+		kpr_end(job, RECORD_FAILED);
+		return;
+	}
+	kpr_run(job, &request);
+}
+
+static void
+kpr_stored(void *arg, const char *id, uint64_t seq)
+{
+	struct keeper *keeper = arg;
+	struct kpr_job *job = kpr_find(keeper, id);
+	bool first;
+
+	if (job == NULL)
+		return;
+	first = !job->stored;
+	job->stored = true;
+	job->stored_seq = seq;
+	if (first)
+		log_event(LOG_LEVEL_INFO, "job-stored", "id=%s queue=%s", id,
+		    job->record.queue.name);
+	kpr_answer(job, seq, KEEPER_OK);
+	holder_stored(keeper->holder, id, seq);
+	if (first && job->record.state == RECORD_ACCEPTED)
+		kpr_start(job, false);
+}
+
+static void
+kpr_exists(void *arg, const char *id, const char *value, size_t len)
+{
+	struct kpr_job *job = kpr_find(arg, id);
+
+	(void)value;
+	(void)len;
+	if (job == NULL)
+		return;
+	kpr_answer(job, UINT64_MAX, KEEPER_OK);
+	kpr_free(job);
+}
+
+static void
+kpr_refused(void *arg, const char *id)
+{
+	struct kpr_job *job = kpr_find(arg, id);
+
+	if (job == NULL)
+		return;
+	kpr_answer(job, UINT64_MAX, KEEPER_REFUSED);
+	kpr_free(job);
+}
+
+static void
+kpr_lost(void *arg, const char *id)
+{
+	struct keeper *keeper = arg;
+	struct kpr_job *job = kpr_find(keeper, id);
+
+	if (job == NULL)
+		return;
+	if (job->running)
+		holder_cancel(keeper->holder, id, job);
+	kpr_free(job);
+}
+
+uint64_t
+keeper_progress(void *arg, const char *id, uint32_t task, bool done)
+{
+	struct kpr_job *job = kpr_find(arg, id);
+
+	if (job == NULL || task >= job->record.ntasks)
+		return 0;
+	if (done)
+		job->record.done[task] = 1;
+	else if (job->record.fails[task] < UINT8_MAX)
+		job->record.fails[task]++;
+	return kpr_store(job);
+}
+
+void
+keeper_cancel(struct keeper *keeper, const char *id, keeper_done_fn done,
+    void *arg)
+{
+	struct kpr_job *job = kpr_find(keeper, id);
+
+	if (job == NULL) {
+		done(arg, keeper->held && keeper->parts_left == 0
+			? KEEPER_NO_JOB
+			: KEEPER_UNKNOWN);
+		return;
+	}
+	if (job->record.state != RECORD_ACCEPTED) {
+		done(arg, KEEPER_OK);
+		return;
+	}
+	if (job->running)
+		holder_cancel(keeper->holder, id, job);
+	job->running = false;
+	job->record.state = RECORD_CANCELLED;
+	job->record.ended_ms = clock_wall_ms(keeper->clock);
+	job->ended_seq = kpr_store(job);
+	(void)kpr_wait(job, job->ended_seq, done, arg);
+}
+
+void
+keeper_state(struct keeper *keeper, const char *id, keeper_state_fn done,
+    void *arg)
+{
+	struct kpr_job *job = kpr_find(keeper, id);
+
+	if (job == NULL || !job->stored) {
+		done(arg, KEEPER_NO_JOB, RECORD_ACCEPTED);
+		return;
+	}
+	if (job->ended_seq <= job->stored_seq) {
+		done(arg, KEEPER_OK, job->record.state);
+		return;
+	}
+	kpr_wait(job, job->ended_seq, NULL, arg)->state = done;
+}
+
+void
+keeper_drop(struct keeper *keeper, const void *arg)
+{
+	struct kpr_waiter *waiter, *next;
+	struct kpr_job *job;
+
+	TAILQ_FOREACH (job, &keeper->jobs, entry) {
+		TAILQ_FOREACH_SAFE (waiter, &job->waiters, entry, next) {
+			if (waiter->arg != arg)
+				continue;
+			TAILQ_REMOVE(&job->waiters, waiter, entry);
+			free(waiter);
+		}
+	}
+}
+
+/* Reading back */
+
+static void
+kpr_load_row(struct keeper *keeper, const struct rows_row *row)
+{
+	struct kpr_job *job;
+	struct record record;
+
+	if (row->value == NULL || !job_id_valid(row->key) ||
+	    kpr_find(keeper, row->key) != NULL)
+		return;
+	if (record_parse(&record, row->value, row->value_len) == -1) {
+		log_event(LOG_LEVEL_WARN, "row-unreadable",
+		    "table=jobs key=%s version=%" PRIu64, row->key,
+		    row->version);
+		return;
+	}
+	if (strcmp(record.az, keeper->az) != 0) {
+		record_release(&record);
+		return;
+	}
+	job = kpr_enter(keeper, row->key);
+	job->record = record;
+	job->stored = true;
+	ledger_adopt(keeper->ledger, row->key, row->version);
+	if (record.state == RECORD_ACCEPTED)
+		kpr_start(job, true);
+}
+
+static void
+kpr_load_later(struct kpr_load *load, uint32_t ms)
+{
+	const struct timeval tv = { .tv_usec = (suseconds_t)ms * 1000 };
+
+	(void)event_add(load->timer, &tv);
+}
+
+static void kpr_load_next(struct kpr_load *load);
+
+static void
+kpr_loaded(struct keeper *keeper)
+{
+	if (--keeper->parts_left > 0)
+		return;
+	log_event(LOG_LEVEL_INFO, "stored-jobs-read", "jobs=%zu",
+	    keeper->njobs);
+	holder_set_loaded(keeper->holder);
+}
+
+static void
+kpr_load_page(void *arg, enum rows_status status, const struct rows_row *rows,
+    size_t nrows, bool more)
+{
+	struct kpr_load *load = arg;
+	struct keeper *keeper = load->keeper;
+	size_t i;
+
+	if (!keeper->held || load->generation != keeper->generation)
+		return;
+	if (status != ROWS_OK) {
+		kpr_load_later(load, KPR_LOAD_RETRY_MS);
+		return;
+	}
+	for (i = 0; i < nrows; i++)
+		kpr_load_row(keeper, &rows[i]);
+	if (more && nrows > 0) {
+		strlcpy(load->from, rows[nrows - 1].key, sizeof(load->from));
+		kpr_load_next(load);
+		return;
+	}
+	kpr_loaded(keeper);
+}
+
+static void
+kpr_load_next(struct kpr_load *load)
+{
+	load->generation = load->keeper->generation;
+	load->keeper->rows->ops->read(load->keeper->rows, load->part,
+	    load->from, KPR_PAGE, kpr_load_page, load);
+}
+
+static void
+kpr_load_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct kpr_load *load = arg;
+
+	(void)fd;
+	(void)what;
+	if (load->keeper->held)
+		kpr_load_next(load);
+}
+
+void
+keeper_begin(struct keeper *keeper)
+{
+	uint32_t i;
+
+	keeper_end(keeper);
+	keeper->held = true;
+	keeper->generation++;
+	keeper->parts_left = ROWS_JOB_PARTS;
+	for (i = 0; i < ROWS_JOB_PARTS; i++) {
+		keeper->loads[i].from[0] = '\0';
+		kpr_load_next(&keeper->loads[i]);
+	}
+}
+
+void
+keeper_end(struct keeper *keeper)
+{
+	struct kpr_job *job, *next;
+
+	keeper->held = false;
+	ledger_forget_all(keeper->ledger);
+	TAILQ_FOREACH_SAFE (job, &keeper->jobs, entry, next) {
+		if (job->running)
+			holder_cancel(keeper->holder, job->id, job);
+		kpr_free(job);
+	}
+}
+
+/* Ended jobs are forgotten when nobody may ask for them any more. */
+static void
+kpr_sweep(evutil_socket_t fd, short what, void *arg)
+{
+	struct keeper *keeper = arg;
+	uint64_t wall_ms = clock_wall_ms(keeper->clock);
+	struct kpr_job *job, *next;
+
+	(void)fd;
+	(void)what;
+	TAILQ_FOREACH_SAFE (job, &keeper->jobs, entry, next) {
+		if (job->record.state == RECORD_ACCEPTED ||
+		    wall_ms < job->record.ended_ms + KPR_STATUS_MS)
+			continue;
+		ledger_remove(keeper->ledger, job->id);
+		kpr_free(job);
+	}
+}
+
+static int
+kpr_create_events(struct keeper *keeper)
+{
+	const struct timeval interval = { .tv_sec = KPR_SWEEP_MS / 1000 };
+	uint32_t i;
+
+	for (i = 0; i < ROWS_JOB_PARTS; i++) {
+		keeper->loads[i].keeper = keeper;
+		keeper->loads[i].part = i;
+		keeper->loads[i].timer = evtimer_new(keeper->base,
+		    kpr_load_tick, &keeper->loads[i]);
+		if (keeper->loads[i].timer == NULL)
+			return -1;
+	}
+	keeper->sweep =
+	    event_new(keeper->base, -1, EV_PERSIST, kpr_sweep, keeper);
+	if (keeper->sweep == NULL)
+		return -1;
+	return event_add(keeper->sweep, &interval);
+}
+
+struct keeper *
+keeper_create(struct event_base *base, struct clock *clock, struct rows *rows,
+    struct holder *holder, const char *az)
+{
+	const struct ledger_listener listener = {
+		.stored = kpr_stored,
+		.exists = kpr_exists,
+		.refused = kpr_refused,
+		.lost = kpr_lost,
+	};
+	struct ledger_listener own = listener;
+	struct keeper *keeper = mem_zalloc(1, sizeof(*keeper));
+
+	keeper->base = base;
+	keeper->clock = clock;
+	keeper->rows = rows;
+	keeper->holder = holder;
+	strlcpy(keeper->az, az, NAME_SIZE);
+	TAILQ_INIT(&keeper->jobs);
+	own.arg = keeper;
+	keeper->ledger = ledger_create(base, rows, &own);
+	if (keeper->ledger == NULL || kpr_create_events(keeper) == -1) {
+		keeper_destroy(keeper);
+		return NULL;
+	}
+	return keeper;
+}
+
+void
+keeper_destroy(struct keeper *keeper)
+{
+	uint32_t i;
+
+	if (keeper->ledger != NULL) {
+		keeper_end(keeper);
+		ledger_destroy(keeper->ledger);
+	}
+	for (i = 0; i < ROWS_JOB_PARTS; i++) {
+		if (keeper->loads[i].timer != NULL)
+			event_free(keeper->loads[i].timer);
+	}
+	if (keeper->sweep != NULL)
+		event_free(keeper->sweep);
+	free(keeper);
+}
--- /dev/null
+++ b/entry/jobs/ledger.c
@@ -0,0 +1,424 @@
+/*
+ * Group commit of jobs' rows. Each partition has one transaction under way at
+ * a time; what becomes dirty meanwhile goes with the next one.
+ */
+
+#include <event2/event.h>
+#include <sys/queue.h>
+
+#include "adapters/log.h"
+#include "core/counters.h"
+#include "core/mem.h"
+#include "core/job.h"
+#include "entry/jobs/ledger.h"
+
+#define LEDGER_GATHER_MS 2 /* under one transaction of the store, 4 ms */
+#define LEDGER_RETRY_MS 80 /* after a refusal or without an answer */
+#define LEDGER_BUCKETS 1024
+
+static struct counter ledger_transactions = {
+	.name = "berylrail_work_store_writes_total",
+	.help = "Transactions that store jobs.",
+};
+
+struct led_entry {
+	char id[JOB_ID_LEN + 1];
+	uint32_t part;
+	uint64_t version; /* of the row; 0: it is not there */
+	char *value;	  /* newest */
+	size_t len;
+	uint64_t seq;
+	char *sent; /* value of the write under way, kept until settled */
+	size_t sent_len;
+	uint64_t sent_seq;
+	bool dirty;
+	bool uncertain; /* a write of @sent may still be carried out */
+	bool removing;	/* the row is to go */
+	bool forgotten; /* freed once its write has ended */
+	LIST_ENTRY(led_entry) hash;
+	TAILQ_ENTRY(led_entry) order; /* while dirty */
+};
+
+struct led_part {
+	struct ledger *ledger;
+	uint32_t number;
+	struct event *timer;
+	bool under_way;
+	struct led_entry *batch[ROWS_WRITES_MAX];
+	size_t nbatch;
+	TAILQ_HEAD(, led_entry) dirty;
+};
+
+struct ledger {
+	struct rows *rows;
+	struct ledger_listener listener;
+	struct led_part parts[ROWS_JOB_PARTS];
+	LIST_HEAD(, led_entry) buckets[LEDGER_BUCKETS];
+};
+
+static uint32_t
+led_hash(const char *id)
+{
+	uint32_t hash = 2166136261U;
+
+	for (; *id != '\0'; id++)
+		hash = (hash ^ (unsigned char)*id) * 16777619U;
+	return hash;
+}
+
+uint32_t
+ledger_part(const char *id)
+{
+	return led_hash(id) % ROWS_JOB_PARTS;
+}
+
+static struct led_entry *
+led_find(const struct ledger *ledger, const char *id)
+{
+	struct led_entry *entry;
+
+	LIST_FOREACH (entry, &ledger->buckets[led_hash(id) % LEDGER_BUCKETS],
+	    hash) {
+		if (!entry->forgotten && strcmp(entry->id, id) == 0)
+			return entry;
+	}
+	return NULL;
+}
+
+bool
+ledger_known(const struct ledger *ledger, const char *id)
+{
+	return led_find(ledger, id) != NULL;
+}
+
+static struct led_entry *
+led_enter(struct ledger *ledger, const char *id)
+{
+	struct led_entry *entry = led_find(ledger, id);
+
+	if (entry != NULL)
+		return entry;
+	entry = mem_zalloc(1, sizeof(*entry));
+	strlcpy(entry->id, id, sizeof(entry->id));
+	entry->part = ledger_part(id);
+	LIST_INSERT_HEAD(&ledger->buckets[led_hash(id) % LEDGER_BUCKETS],
+	    entry, hash);
+	return entry;
+}
+
+static void
+led_free(struct ledger *ledger, struct led_entry *entry)
+{
+	if (entry->dirty)
+		TAILQ_REMOVE(&ledger->parts[entry->part].dirty, entry, order);
+	LIST_REMOVE(entry, hash);
+	free(entry->value);
+	free(entry->sent);
+	free(entry);
+}
+
+static bool
+led_in_batch(const struct ledger *ledger, const struct led_entry *entry)
+{
+	const struct led_part *part = &ledger->parts[entry->part];
+	size_t i;
+
+	for (i = 0; i < part->nbatch; i++) {
+		if (part->batch[i] == entry)
+			return true;
+	}
+	return false;
+}
+
+static void
+led_drop(struct ledger *ledger, struct led_entry *entry)
+{
+	if (led_in_batch(ledger, entry))
+		entry->forgotten = true;
+	else
+		led_free(ledger, entry);
+}
+
+void
+ledger_forget(struct ledger *ledger, const char *id)
+{
+	struct led_entry *entry = led_find(ledger, id);
+
+	if (entry != NULL)
+		led_drop(ledger, entry);
+}
+
+void
+ledger_forget_all(struct ledger *ledger)
+{
+	struct led_entry *entry, *next;
+	size_t i;
+
+	for (i = 0; i < LEDGER_BUCKETS; i++) {
+		for (entry = LIST_FIRST(&ledger->buckets[i]); entry != NULL;
+		     entry = next) {
+			next = LIST_NEXT(entry, hash);
+			if (!entry->forgotten)
+				led_drop(ledger, entry);
+		}
+	}
+}
+
+static void
+led_arm(struct led_part *part, uint32_t ms)
+{
+	const struct timeval tv = { .tv_usec = (suseconds_t)ms * 1000 };
+
+	if (!part->under_way &&
+	    !event_pending(part->timer, EV_TIMEOUT, NULL))
+		(void)event_add(part->timer, &tv);
+}
+
+static void
+led_mark(struct ledger *ledger, struct led_entry *entry)
+{
+	struct led_part *part = &ledger->parts[entry->part];
+
+	if (!entry->dirty) {
+		entry->dirty = true;
+		TAILQ_INSERT_TAIL(&part->dirty, entry, order);
+	}
+	led_arm(part, LEDGER_GATHER_MS);
+}
+
+uint64_t
+ledger_put(struct ledger *ledger, const char *id, const char *value, size_t len)
+{
+	struct led_entry *entry = led_enter(ledger, id);
+
+	free(entry->value);
+	entry->value = mem_strndup(value, len);
+	entry->len = len;
+	entry->seq++;
+	led_mark(ledger, entry);
+	return entry->seq;
+}
+
+void
+ledger_remove(struct ledger *ledger, const char *id)
+{
+	struct led_entry *entry = led_find(ledger, id);
+
+	if (entry == NULL)
+		return;
+	entry->removing = true;
+	led_mark(ledger, entry);
+}
+
+void
+ledger_adopt(struct ledger *ledger, const char *id, uint64_t version)
+{
+	led_enter(ledger, id)->version = version;
+}
+
+/* The write that was under way has taken effect, at @version. */
+static void
+led_settled(struct ledger *ledger, struct led_entry *entry, uint64_t version)
+{
+	entry->version = version;
+	entry->uncertain = false;
+	if (entry->sent == NULL) {
+		led_free(ledger, entry);
+		return;
+	}
+	if (entry->removing)
+		led_mark(ledger, entry);
+	if (entry->sent_seq < entry->seq)
+		led_mark(ledger, entry);
+	ledger->listener.stored(ledger->listener.arg, entry->id,
+	    entry->sent_seq);
+}
+
+/* The row is not as this host left it. */
+static void
+led_conflict(struct ledger *ledger, struct led_entry *entry,
+    const struct rows_row *row)
+{
+	const struct ledger_listener *listener = &ledger->listener;
+	char id[JOB_ID_LEN + 1];
+
+	if (entry->sent == NULL) {
+		/* To be removed, and somebody did, or has it now. */
+		led_free(ledger, entry);
+		return;
+	}
+	if (row->value != NULL && row->value_len == entry->sent_len &&
+	    memcmp(row->value, entry->sent, row->value_len) == 0) {
+		led_settled(ledger, entry, row->version);
+		return;
+	}
+	memcpy(id, entry->id, sizeof(id));
+	log_event(LOG_LEVEL_INFO, "job-row-conflict",
+	    "id=%s version=%llu found=%llu", id,
+	    (unsigned long long)entry->version,
+	    (unsigned long long)row->version);
+	if (entry->version == 0)
+		listener->exists(listener->arg, id, row->value,
+		    row->value_len);
+	else
+		listener->lost(listener->arg, id);
+	ledger_forget(ledger, id);
+}
+
+static const struct rows_row *
+led_row(const struct rows_row *rows, size_t nrows, const char *id)
+{
+	size_t i;
+
+	for (i = 0; i < nrows; i++) {
+		if (strcmp(rows[i].key, id) == 0)
+			return &rows[i];
+	}
+	return NULL;
+}
+
+static void
+led_entry_done(struct ledger *ledger, struct led_entry *entry,
+    enum rows_status status, uint64_t version, const struct rows_row *row)
+{
+	static const struct rows_row absent = { .version = 0 };
+	char id[JOB_ID_LEN + 1];
+
+	if (entry->forgotten) {
+		led_free(ledger, entry);
+		return;
+	}
+	if (status == ROWS_OK) {
+		led_settled(ledger, entry, version);
+		return;
+	}
+	if (status == ROWS_CONFLICT) {
+		if (row == NULL)
+			row = &absent;
+		if (row->version != entry->version) {
+			led_conflict(ledger, entry, row);
+			return;
+		}
+	}
+	if (status == ROWS_UNKNOWN)
+		entry->uncertain = true;
+	if (status == ROWS_REFUSED && entry->version == 0 &&
+	    !entry->uncertain) {
+		memcpy(id, entry->id, sizeof(id));
+		ledger_forget(ledger, id);
+		ledger->listener.refused(ledger->listener.arg, id);
+		return;
+	}
+	led_mark(ledger, entry);
+}
+
+static void
+led_done(void *arg, enum rows_status status, uint64_t version,
+    const struct rows_row *rows, size_t nrows)
+{
+	struct led_part *part = arg;
+	struct led_entry *batch[ROWS_WRITES_MAX];
+	size_t i, n = part->nbatch;
+
+	memcpy(batch, part->batch, sizeof(batch));
+	part->nbatch = 0;
+	part->under_way = false;
+	if (status == ROWS_REFUSED || status == ROWS_UNKNOWN)
+		led_arm(part, LEDGER_RETRY_MS);
+	for (i = 0; i < n; i++)
+		led_entry_done(part->ledger, batch[i], status, version,
+		    led_row(rows, nrows, batch[i]->id));
+	if (!TAILQ_EMPTY(&part->dirty))
+		led_arm(part, LEDGER_GATHER_MS);
+}
+
+/* An uncertain write is repeated as it was, so that it can be recognised. */
+static void
+led_take(struct led_entry *entry)
+{
+	if (entry->uncertain)
+		return;
+	free(entry->sent);
+	entry->sent = NULL;
+	if (entry->removing)
+		return;
+	entry->sent = mem_strndup(entry->value, entry->len);
+	entry->sent_len = entry->len;
+	entry->sent_seq = entry->seq;
+}
+
+static void
+led_flush(evutil_socket_t fd, short what, void *arg)
+{
+	struct led_part *part = arg;
+	struct rows_row writes[ROWS_WRITES_MAX];
+	struct led_entry *entry;
+
+	(void)fd;
+	(void)what;
+	while ((entry = TAILQ_FIRST(&part->dirty)) != NULL &&
+	    part->nbatch < ROWS_WRITES_MAX) {
+		TAILQ_REMOVE(&part->dirty, entry, order);
+		entry->dirty = false;
+		led_take(entry);
+		writes[part->nbatch] = (struct rows_row){
+			.key = entry->id,
+			.value = entry->sent,
+			.value_len = entry->sent_len,
+			.version = entry->version,
+		};
+		part->batch[part->nbatch++] = entry;
+	}
+	if (part->nbatch == 0)
+		return;
+	part->under_way = true;
+	ctr_inc(&ledger_transactions);
+	part->ledger->rows->ops->transact(part->ledger->rows, part->number,
+	    writes, part->nbatch, led_done, part);
+}
+
+struct ledger *
+ledger_create(struct event_base *base, struct rows *rows,
+    const struct ledger_listener *listener)
+{
+	struct ledger *ledger = mem_zalloc(1, sizeof(*ledger));
+	struct led_part *part;
+	uint32_t i;
+
+	ledger->rows = rows;
+	ledger->listener = *listener;
+	for (i = 0; i < LEDGER_BUCKETS; i++)
+		LIST_INIT(&ledger->buckets[i]);
+	for (i = 0; i < ROWS_JOB_PARTS; i++) {
+		part = &ledger->parts[i];
+		part->ledger = ledger;
+		part->number = i;
+		TAILQ_INIT(&part->dirty);
+		part->timer = evtimer_new(base, led_flush, part);
+		if (part->timer == NULL) {
+			ledger_destroy(ledger);
+			return NULL;
+		}
+	}
+	return ledger;
+}
+
+void
+ledger_destroy(struct ledger *ledger)
+{
+	struct led_entry *entry, *next;
+	size_t i;
+
+	for (i = 0; i < LEDGER_BUCKETS; i++) {
+		for (entry = LIST_FIRST(&ledger->buckets[i]); entry != NULL;
+		     entry = next) {
+			next = LIST_NEXT(entry, hash);
+			led_free(ledger, entry);
+		}
+	}
+	for (i = 0; i < ROWS_JOB_PARTS; i++) {
+		if (ledger->parts[i].timer != NULL)
+			event_free(ledger->parts[i].timer);
+	}
+	free(ledger);
+}
--- /dev/null
+++ b/entry/jobs/record.c
@@ -0,0 +1,114 @@
+/*
+ * Rows of stored jobs. Progress is one character for each task: '+' for done,
+ * else how many of its runs have failed.
+ */
+
+#include <jansson.h>
+
+#include "core/mem.h"
+#include "entry/jobs/record.h"
+
+#define RECORD_FAILS_MAX 9
+#define RECORD_TASKS_MAX 4096
+
+char *
+record_render(const struct record *record, size_t *len)
+{
+	const struct job_queue *queue = &record->queue;
+	char *progress = mem_zalloc(record->ntasks + 1, 1);
+	json_t *root;
+	char *text;
+	uint32_t i;
+
+	for (i = 0; i < record->ntasks; i++)
+		progress[i] = record->done[i] != 0
+		    ? '+'
+		    : (char)('0' + (record->fails[i] > RECORD_FAILS_MAX
+					   ? RECORD_FAILS_MAX
+					   : record->fails[i]));
+	root = json_pack("{s:i,s:s,s:I,s:I,s:s,s:s,s:i,s:i,s:i,s:i,s:s,s:s%}",
+	    "state", (int)record->state, "az", record->az, "nonce",
+	    (json_int_t)record->nonce, "ended_ms",
+	    (json_int_t)record->ended_ms, "queue", queue->name, "service",
+	    queue->service, "priority", (int)queue->priority, "attempts",
+	    (int)queue->max_attempts, "slack", (int)queue->slack_permille,
+	    "target_ms", (int)queue->target_ms, "progress", progress, "body",
+	    record->body, record->body_len);
+	text = json_dumps(root, JSON_COMPACT);
+	if (text == NULL)
+		abort();
+	*len = strlen(text);
+	json_decref(root);
+	free(progress);
+	return text;
+}
+
+static void
+record_parse_progress(struct record *record, const char *progress)
+{
+	uint32_t i;
+
+	record->ntasks = (uint32_t)strlen(progress);
+	record->done = mem_zalloc(record->ntasks, 1);
+	record->fails = mem_zalloc(record->ntasks, 1);
+	for (i = 0; i < record->ntasks; i++) {
+		record->done[i] = progress[i] == '+';
+		if (progress[i] >= '0' && progress[i] <= '9')
+			record->fails[i] = (uint8_t)(progress[i] - '0');
+	}
+}
+
+static uint32_t
+record_number(const json_t *root, const char *name)
+{
+	json_int_t value = json_integer_value(json_object_get(root, name));
+
+	return value < 0 || value > UINT32_MAX ? 0 : (uint32_t)value;
+}
+
+int
+record_parse(struct record *record, const char *value, size_t len)
+{
+	json_t *root = json_loadb(value, len, 0, NULL);
+	const json_t *body = json_object_get(root, "body");
+	const char *az = json_string_value(json_object_get(root, "az"));
+	const char *queue = json_string_value(json_object_get(root, "queue"));
+	const char *service =
+	    json_string_value(json_object_get(root, "service"));
+	const char *progress =
+	    json_string_value(json_object_get(root, "progress"));
+
+	memset(record, 0, sizeof(*record));
+	if (az == NULL || queue == NULL || service == NULL ||
+	    progress == NULL || strlen(progress) > RECORD_TASKS_MAX ||
+	    !json_is_string(body) || record_number(root, "state") > RECORD_CANCELLED) {
+		json_decref(root);
+		return -1;
+	}
+	record->state = (enum record_state)record_number(root, "state");
+	strlcpy(record->az, az, NAME_SIZE);
+	strlcpy(record->queue.name, queue, NAME_SIZE);
+	strlcpy(record->queue.service, service, NAME_SIZE);
+	record->nonce =
+	    (uint64_t)json_integer_value(json_object_get(root, "nonce"));
+	record->ended_ms =
+	    (uint64_t)json_integer_value(json_object_get(root, "ended_ms"));
+	record->queue.priority = record_number(root, "priority");
+	record->queue.max_attempts = record_number(root, "attempts");
+	record->queue.slack_permille = record_number(root, "slack");
+	record->queue.target_ms = record_number(root, "target_ms");
+	record->body_len = json_string_length(body);
+	record->body =
+	    mem_strndup(json_string_value(body), record->body_len);
+	record_parse_progress(record, progress);
+	json_decref(root);
+	return 0;
+}
+
+void
+record_release(struct record *record)
+{
+	free(record->body);
+	free(record->done);
+	free(record->fails);
+}
--- a/entry/jobs/work.c
+++ b/entry/jobs/work.c
@@ -33,6 +33,8 @@
 	struct holder *holder;
 	struct zone *zone;
 	struct front *front;
+	struct keeper *keeper;
+	struct status *status;
 	struct api_door peer_door;
 	struct event *tick;
 	bool store_connected;
@@ -193,10 +195,39 @@
 	free(value);
 }
 
-void
+int
 work_set_rows(struct work *work, struct rows *rows)
 {
 	work->rows = rows;
+	work->keeper = keeper_create(work->params.base, work->params.clock,
+	    rows, work->holder, work->params.self.az);
+	if (work->keeper == NULL)
+		return -1;
+	zone_set_keeper(work->zone, work->keeper);
+	work->status = status_create(rows, work->zone);
+	return 0;
+}
+
+struct status *
+work_status(struct work *work)
+{
+	return work->status;
+}
+
+uint32_t
+work_pending(void *arg, const char *queue)
+{
+	struct work *work = arg;
+
+	return zone_pending(work->zone, queue);
+}
+
+static uint64_t
+wrk_progress(void *arg, const char *id, uint32_t task, bool done)
+{
+	struct work *work = arg;
+
+	return keeper_progress(work->keeper, id, task, done);
 }
 
 static void
@@ -206,6 +237,8 @@
 
 	if (work->rows != NULL)
 		work->rows->ops->refresh(work->rows, ROWS_SERVERS);
+	if (work->keeper != NULL)
+		keeper_begin(work->keeper);
 }
 
 /* Jobs that the former holder had are brought to the new one. */
@@ -276,6 +309,8 @@
 	(void)fd;
 	(void)what;
 	dir_tick(work->dir, now_us);
+	if (work->keeper != NULL && holder_token(work->holder) == 0)
+		keeper_end(work->keeper);
 	holder_set_complete(work->holder,
 	    work->store_connected &&
 		now_us - work->connected_us > WRK_LAPSED_MS * WRK_US_PER_MS);
@@ -370,6 +405,7 @@
 		.worker = params->worker,
 		.lease_ms = params->lease_ms,
 		.far_permille = params->far_permille,
+		.progress = wrk_progress,
 		.fenced = wrk_fenced,
 		.arg = work,
 	};
@@ -425,6 +461,10 @@
 		event_free(work->tick);
 	if (work->front != NULL)
 		front_destroy(work->front);
+	if (work->status != NULL)
+		status_destroy(work->status);
+	if (work->keeper != NULL)
+		keeper_destroy(work->keeper);
 	if (work->zone != NULL)
 		zone_destroy(work->zone);
 	if (work->holder != NULL)
--- a/entry/jobs/work.h
+++ b/entry/jobs/work.h
@@ -4,6 +4,7 @@
 #include "entry/api.h"
 #include "entry/jobs/directory.h"
 #include "entry/jobs/front.h"
+#include "entry/jobs/status.h"
 #include "ports/clock.h"
 #include "ports/hostlist.h"
 #include "ports/peer.h"
@@ -47,8 +48,8 @@
 /** work_listener() - for the store's feed. */
 void work_listener(struct work *work, struct rows_listener *listener);
 
-/** work_set_rows() - the store, for writes; starts them. */
-void work_set_rows(struct work *work, struct rows *rows);
+/** work_set_rows() - the store, for writes; -1 when out of memory. */
+int work_set_rows(struct work *work, struct rows *rows);
 
 /** work_peer_door() - serves what peers ask for. */
 const struct api_door *work_peer_door(struct work *work);
@@ -56,6 +57,10 @@
 /** work_front(), work_directory() - for the callers' door; borrowed. */
 struct front *work_front(struct work *work);
 const struct directory *work_directory(const struct work *work);
+struct status *work_status(struct work *work);
+
+/** work_pending() - stored jobs of a queue of which nothing has started. */
+uint32_t work_pending(void *work, const char *queue);
 
 /** work_ready() - callers may be sent here. */
 bool work_ready(void *work);
--- a/entry/jobs/zone.c
+++ b/entry/jobs/zone.c
@@ -72,6 +72,7 @@
 	if (zone->holder == host->info.name)
 		zone->holder = NULL;
 	TAILQ_REMOVE(&zone->hosts, host, entry);
+	json_decref(host->pending);
 	free(host);
 }
 
@@ -131,6 +132,12 @@
 	zone->params.reserve(zone->params.arg);
 }
 
+void
+zone_set_keeper(struct zone *zone, struct keeper *keeper)
+{
+	zone->keeper = keeper;
+}
+
 void
 zone_reserved(struct zone *zone, uint64_t token)
 {
@@ -238,6 +245,8 @@
 		    json_object_get(body, "backlog_ms"));
 		host->free_permille = (uint32_t)json_integer_value(
 		    json_object_get(body, "free_permille"));
+		json_decref(host->pending);
+		host->pending = json_incref(json_object_get(body, "pending"));
 		zone_token_heard(ping->zone, host,
 		    (uint64_t)json_integer_value(
 			json_object_get(body, "token")));
@@ -548,6 +557,7 @@
 	zone_served_drop(zone);
 	while ((host = TAILQ_FIRST(&zone->hosts)) != NULL) {
 		TAILQ_REMOVE(&zone->hosts, host, entry);
+		json_decref(host->pending);
 		free(host);
 	}
 	if (zone->tick != NULL)
--- a/entry/jobs/zone.h
+++ b/entry/jobs/zone.h
@@ -7,6 +7,7 @@
 #include "entry/api.h"
 #include "entry/jobs/directory.h"
 #include "entry/jobs/holder.h"
+#include "entry/jobs/keeper.h"
 #include "ports/hostlist.h"
 #include "ports/peer.h"
 
@@ -77,6 +78,23 @@
 /** zone_listed() - the list of hosts has been read from the store. */
 void zone_listed(struct zone *zone);
 
+/** zone_set_keeper() - of the stored jobs; borrowed. */
+void zone_set_keeper(struct zone *zone, struct keeper *keeper);
+
+/** zone_cancel_stored() - cancel a stored job at the holder of @az. */
+void zone_cancel_stored(struct zone *zone, const char *az, const char *id,
+    keeper_done_fn done, void *arg);
+
+/**
+ * zone_state() - a job's state, if the holder of this host's zone has it;
+ * else NO_JOB or UNKNOWN.
+ */
+void zone_state(struct zone *zone, const char *id, keeper_state_fn done,
+    void *arg);
+
+/** zone_pending() - stored jobs of a queue, in all zones, not begun. */
+uint32_t zone_pending(const struct zone *zone, const char *queue);
+
 /** zone_reserved() - @token is this host's; 0: the reservation failed. */
 void zone_reserved(struct zone *zone, uint64_t token);
 
--- a/entry/jobs/zone_internal.h
+++ b/entry/jobs/zone_internal.h
@@ -4,6 +4,8 @@
 #include <event2/event.h>
 #include <sys/queue.h>
 
+#include <jansson.h>
+
 #include "core/cell.h"
 #include "entry/jobs/zone.h"
 
@@ -29,6 +31,7 @@
 	uint64_t pong_us;	/* last answer */
 	uint32_t backlog_ms;	/* work that waits there, as of then */
 	uint32_t free_permille; /* of its servers' room */
+	struct json_t *pending; /* stored jobs not begun, by queue; owned */
 	TAILQ_ENTRY(zone_host) entry;
 };
 
@@ -40,7 +43,8 @@
 	TAILQ_HEAD(, zone_submission) served; /* jobs that peers sent here */
 	struct event *tick;
 	uint64_t listed_us; /* the list of hosts was first whole; 0: not yet */
-	uint64_t reserve;   /* own token, not used yet; 0: none */
+	struct keeper *keeper;	/* NULL until the store is known */
+	uint64_t reserve;	/* own token, not used yet; 0: none */
 	uint64_t highest_token; /* seen in this availability zone */
 	uint64_t reserve_asked_us;
 	bool reserving;
--- a/entry/jobs/zone_job.c
+++ b/entry/jobs/zone_job.c
@@ -18,6 +18,8 @@
 #define ZONE_QUERY_SIZE 512
 #define ZONE_NUMBER_MAX 1000000000
 #define ZONE_PERMILLE 1000
+#define ZONE_STORE_RETRY_MS 1000 /* Retry-After while the store is away */
+#define ZONE_CANCEL_PATH ZONE_PATH "cancel/"
 
 /* HTTP statuses between hosts, by result. */
 static const int zone_statuses[] = {
@@ -27,6 +29,7 @@
 	[HOLDER_GAVE_UP] = 504,
 	[HOLDER_MOVED] = 421,
 	[HOLDER_BAD] = 400,
+	[HOLDER_ACCEPTED] = 202,
 };
 
 /* A job of this host or of a peer in this host's holder. */
@@ -113,6 +116,24 @@
 	return sub;
 }
 
+/* A stored job was accepted, or not. */
+static void
+zone_kept(void *arg, enum keeper_result result)
+{
+	static const struct holder_reply replies[] = {
+		[KEEPER_OK] = { .result = HOLDER_ACCEPTED, .reason = "stored" },
+		[KEEPER_REFUSED] = { .result = HOLDER_NOT_RUN,
+		    .retry_after_ms = ZONE_STORE_RETRY_MS,
+		    .reason = "the store does not take it" },
+		[KEEPER_UNKNOWN] = { .result = HOLDER_GAVE_UP,
+		    .reason = "it is not known whether it is stored" },
+		[KEEPER_NO_JOB] = { .result = HOLDER_GAVE_UP,
+		    .reason = "no such job" },
+	};
+
+	zone_held_done(arg, &replies[result]);
+}
+
 /* Reads a job and hands it to this host's holder. */
 static void
 zone_hold(struct zone_submission *sub, const struct zone_job *job)
@@ -133,11 +154,9 @@
 		zone_held_done(sub, &bad);
 		return;
 	}
-	if (!request.spec.best_effort) {
-		bad.result = HOLDER_NOT_RUN;
-		bad.reason = "jobs that must be stored are not taken yet";
-		job_spec_release(&request.spec);
-		zone_held_done(sub, &bad);
+	if (!request.spec.best_effort && request.spec.unsupported == NULL) {
+		keeper_accept(sub->zone->keeper, &request, job->body,
+		    job->body_len, zone_kept, sub);
 		return;
 	}
 	holder_submit(sub->zone->params.holder, &request, zone_held_done, sub);
@@ -260,6 +279,7 @@
 		.reason = "cancelled" };
 
 	holder_cancel(sub->zone->params.holder, sub->id, sub);
+	keeper_drop(sub->zone->keeper, sub);
 	zone_held_done(sub, &gave_up);
 }
 
@@ -350,22 +370,46 @@
 	zone_reply(reply, arg, 200, "{}");
 }
 
+static void
+zone_add_pending(void *arg, const char *queue)
+{
+	json_int_t n = json_integer_value(json_object_get(arg, queue));
+
+	(void)json_object_set_new(arg, queue, json_integer(n + 1));
+}
+
+/* Per queue, so that any host can add up a queue's jobs. */
+static json_t *
+zone_render_pending(const struct zone *zone)
+{
+	json_t *pending = json_object();
+
+	holder_each_pending(zone->params.holder, zone_add_pending, pending);
+	return pending;
+}
+
 static void
 zone_serve_state(struct zone *zone, api_reply_fn reply, void *arg)
 {
 	struct holder_load load;
-	char body[160];
+	json_t *body;
+	char *text;
 
 	holder_load(zone->params.holder, &load);
-	(void)snprintf(body, sizeof(body),
-	    "{\"token\":%" PRIu64 ",\"leaving\":%s,\"backlog_ms\":%" PRIu64
-	    ",\"free_permille\":%" PRIu64 "}",
-	    holder_token(zone->params.holder), zone->leaving ? "true" : "false",
-	    load.backlog_ms,
-	    load.cpu_total == 0
-		? 0
-		: load.cpu_free * ZONE_PERMILLE / load.cpu_total);
-	zone_reply(reply, arg, 200, body);
+	body = json_pack("{s:I,s:b,s:I,s:I,s:o}", "token",
+	    (json_int_t)holder_token(zone->params.holder), "leaving",
+	    (int)zone->leaving, "backlog_ms", (json_int_t)load.backlog_ms,
+	    "free_permille",
+	    (json_int_t)(load.cpu_total == 0
+		    ? 0
+		    : load.cpu_free * ZONE_PERMILLE / load.cpu_total),
+	    "pending", zone_render_pending(zone));
+	text = json_dumps(body, JSON_COMPACT);
+	if (text == NULL)
+		abort();
+	zone_reply(reply, arg, 200, text);
+	free(text);
+	json_decref(body);
 }
 
 static void
@@ -388,6 +432,188 @@
 	zone_reply(reply, arg, 200, "{}");
 }
 
+/* Cancelling of stored jobs */
+
+struct zone_kept_call {
+	keeper_done_fn done; /* of this host's own */
+	api_reply_fn reply;  /* of a peer's */
+	void *arg;
+};
+
+static const int zone_cancel_statuses[] = {
+	[KEEPER_OK] = 200,
+	[KEEPER_NO_JOB] = 404,
+	[KEEPER_REFUSED] = 503,
+	[KEEPER_UNKNOWN] = 504,
+};
+
+/* Jobs cancelled for peers; a peer that is gone is not answered. */
+static void
+zone_cancel_served(void *arg, enum keeper_result result)
+{
+	struct zone_submission *sub = arg;
+	api_reply_fn reply = sub->reply;
+	void *to = sub->arg;
+
+	zone_submission_free(sub);
+	zone_reply(reply, to, zone_cancel_statuses[result], "{}");
+}
+
+static void
+zone_serve_cancel_stored(struct zone *zone, const struct api_request *request,
+    api_reply_fn reply, void *arg)
+{
+	const char *id = request->path + sizeof(ZONE_CANCEL_PATH) - 1;
+	struct zone_submission *sub = zone_submission_create(zone, id, 0, arg);
+
+	sub->reply = reply;
+	keeper_cancel(zone->keeper, id, zone_cancel_served, sub);
+}
+
+static void
+zone_cancel_answered(void *arg, const struct api_reply *reply,
+    const struct err *err)
+{
+	struct zone_kept_call *call = arg;
+	enum keeper_result result = KEEPER_UNKNOWN;
+
+	(void)err;
+	if (reply != NULL && reply->status == zone_cancel_statuses[KEEPER_OK])
+		result = KEEPER_OK;
+	call->done(call->arg, result);
+	free(call);
+}
+
+void
+zone_cancel_stored(struct zone *zone, const char *az, const char *id,
+    keeper_done_fn done, void *arg)
+{
+	char path[sizeof(ZONE_CANCEL_PATH) + JOB_ID_LEN + 1];
+	const struct api_request request = { .method = API_POST,
+		.path = path,
+		.query = "" };
+	const struct zone_host *host, *found = NULL;
+	struct zone_kept_call *call;
+
+	if (strcmp(az, zone->params.self.az) == 0 &&
+	    holder_token(zone->params.holder) != 0) {
+		keeper_cancel(zone->keeper, id, done, arg);
+		return;
+	}
+	TAILQ_FOREACH (host, &zone->hosts, entry) {
+		if (host->connected && host->token != 0 &&
+		    strcmp(host->info.az, az) == 0 &&
+		    (found == NULL || host->token > found->token))
+			found = host;
+	}
+	if (found == NULL) {
+		done(arg, KEEPER_UNKNOWN);
+		return;
+	}
+	call = mem_zalloc(1, sizeof(*call));
+	call->done = done;
+	call->arg = arg;
+	(void)snprintf(path, sizeof(path), ZONE_CANCEL_PATH "%s", id);
+	zone->params.peers->ops->forward(zone->params.peers, found->info.az,
+	    found->info.name, found->incarnation, &request,
+	    zone_cancel_answered, call);
+}
+
+/* States of stored jobs */
+
+struct zone_state_call {
+	keeper_state_fn done;
+	void *arg;
+};
+
+static void
+zone_state_served(void *arg, enum keeper_result result, enum record_state state)
+{
+	struct zone_submission *sub = arg;
+	api_reply_fn reply = sub->reply;
+	void *to = sub->arg;
+	char body[32];
+
+	zone_submission_free(sub);
+	(void)snprintf(body, sizeof(body), "{\"state\":%d}", (int)state);
+	zone_reply(reply, to, zone_cancel_statuses[result], body);
+}
+
+static void
+zone_serve_job_state(struct zone *zone, const struct api_request *request,
+    api_reply_fn reply, void *arg)
+{
+	const char *id = request->path + sizeof(ZONE_JOBS_PATH) - 1;
+	struct zone_submission *sub = zone_submission_create(zone, id, 0, arg);
+
+	sub->reply = reply;
+	keeper_state(zone->keeper, id, zone_state_served, sub);
+}
+
+static void
+zone_state_answered(void *arg, const struct api_reply *reply,
+    const struct err *err)
+{
+	struct zone_state_call *call = arg;
+	enum keeper_result result = KEEPER_UNKNOWN;
+	json_int_t state = RECORD_ACCEPTED;
+	json_t *body;
+
+	(void)err;
+	if (reply != NULL && reply->status == zone_cancel_statuses[KEEPER_OK]) {
+		body = json_loadb(reply->body, reply->body_len, 0, NULL);
+		state = json_integer_value(json_object_get(body, "state"));
+		json_decref(body);
+		if (state >= RECORD_ACCEPTED && state <= RECORD_CANCELLED)
+			result = KEEPER_OK;
+	}
+	call->done(call->arg, result, (enum record_state)state);
+	free(call);
+}
+
+void
+zone_state(struct zone *zone, const char *id, keeper_state_fn done, void *arg)
+{
+	char path[sizeof(ZONE_JOBS_PATH) + JOB_ID_LEN + 1];
+	const struct api_request request = { .method = API_GET,
+		.path = path,
+		.query = "" };
+	const struct zone_host *host;
+	struct zone_state_call *call;
+
+	if (holder_token(zone->params.holder) != 0) {
+		keeper_state(zone->keeper, id, done, arg);
+		return;
+	}
+	host = zone_served(zone) ? zone_host_find(zone, zone->holder) : NULL;
+	if (host == NULL || host->silent) {
+		done(arg, KEEPER_UNKNOWN, RECORD_ACCEPTED);
+		return;
+	}
+	call = mem_zalloc(1, sizeof(*call));
+	call->done = done;
+	call->arg = arg;
+	(void)snprintf(path, sizeof(path), ZONE_JOBS_PATH "%s", id);
+	zone->params.peers->ops->forward(zone->params.peers, host->info.az,
+	    host->info.name, host->incarnation, &request, zone_state_answered,
+	    call);
+}
+
+uint32_t
+zone_pending(const struct zone *zone, const char *queue)
+{
+	uint32_t n = holder_pending(zone->params.holder, queue);
+	const struct zone_host *host;
+
+	TAILQ_FOREACH (host, &zone->hosts, entry) {
+		if (host->connected && host->token != 0 &&
+		    host->pending != NULL)
+			n += (uint32_t)json_integer_value(
+			    json_object_get(host->pending, queue));
+	}
+	return n;
+}
+
 void
 zone_handle(struct zone *zone, const struct api_request *request,
     api_reply_fn reply, void *arg)
@@ -396,8 +622,13 @@
 		sizeof(ZONE_JOBS_PATH) - 1) == 0) {
 		if (request->method == API_POST)
 			zone_serve_job(zone, request, reply, arg);
+		else if (request->method == API_GET)
+			zone_serve_job_state(zone, request, reply, arg);
 		else
 			zone_serve_cancel(zone, request, reply, arg);
+	} else if (strncmp(request->path, ZONE_CANCEL_PATH,
+		       sizeof(ZONE_CANCEL_PATH) - 1) == 0) {
+		zone_serve_cancel_stored(zone, request, reply, arg);
 	} else if (strcmp(request->path, ZONE_PATH "state") == 0) {
 		zone_serve_state(zone, reply, arg);
 	} else if (strcmp(request->path, ZONE_PATH "held") == 0) {
@@ -416,6 +647,7 @@
 		if (sub->reply == NULL || sub->arg != arg)
 			continue;
 		holder_cancel(zone->params.holder, sub->id, sub);
+		keeper_drop(zone->keeper, sub);
 		zone_submission_free(sub);
 		return true;
 	}
