--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -362,10 +362,11 @@
 	if (req == NULL)
 		abort();
 	headers = evhttp_request_get_output_headers(req);
-	(void)evhttp_add_header(headers, "Host", hcl->peer);
 	for (i = 0; i < request->nheaders; i++)
 		(void)evhttp_add_header(headers, request->headers[i].name,
 		    request->headers[i].value);
+	if (evhttp_find_header(headers, "Host") == NULL)
+		(void)evhttp_add_header(headers, "Host", hcl->peer);
 	if (request->body_len > 0 &&
 	    evbuffer_add(evhttp_request_get_output_buffer(req), request->body,
 		request->body_len) != 0)
--- a/entry/jobs/keeper.c
+++ b/entry/jobs/keeper.c
@@ -34,7 +34,7 @@
 	struct keeper *keeper;
 	char id[JOB_ID_LEN + 1];
 	struct record record;
-	bool stored;  /* its row is known to be there */
+	bool stored;	    /* its row is known to be there */
 	uint64_t ended_seq; /* the value that says so; 0: not ended here */
 	uint64_t stored_seq;
 	bool running; /* the holder has it */
@@ -172,8 +172,7 @@
 	job->running = false;
 	if (reply->result == HOLDER_COMPLETED)
 		kpr_end(job, RECORD_COMPLETED);
-	else if (reply->result == HOLDER_FAILED ||
-	    reply->result == HOLDER_BAD)
+	else if (reply->result == HOLDER_FAILED || reply->result == HOLDER_BAD)
 		kpr_end(job, RECORD_FAILED);
 }
 
@@ -321,9 +320,9 @@
 	struct kpr_job *job = kpr_find(keeper, id);
 
 	if (job == NULL) {
-		done(arg, keeper->held && keeper->parts_left == 0
-			? KEEPER_NO_JOB
-			: KEEPER_UNKNOWN);
+		done(arg,
+		    keeper->held && keeper->parts_left == 0 ? KEEPER_NO_JOB
+							    : KEEPER_UNKNOWN);
 		return;
 	}
 	if (job->record.state != RECORD_ACCEPTED) {
@@ -521,8 +520,8 @@
 	for (i = 0; i < ROWS_JOB_PARTS; i++) {
 		keeper->loads[i].keeper = keeper;
 		keeper->loads[i].part = i;
-		keeper->loads[i].timer = evtimer_new(keeper->base,
-		    kpr_load_tick, &keeper->loads[i]);
+		keeper->loads[i].timer =
+		    evtimer_new(keeper->base, kpr_load_tick, &keeper->loads[i]);
 		if (keeper->loads[i].timer == NULL)
 			return -1;
 	}
--- a/entry/jobs/keeper.h
+++ b/entry/jobs/keeper.h
@@ -56,8 +56,8 @@
  * @done: OK with the state once that state is stored, which is soon; NO_JOB
  *        if this holder does not have it.
  */
-void keeper_state(struct keeper *keeper, const char *id,
-    keeper_state_fn done, void *arg);
+void keeper_state(struct keeper *keeper, const char *id, keeper_state_fn done,
+    void *arg);
 
 /** keeper_drop() - no callback with @arg will run. */
 void keeper_drop(struct keeper *keeper, const void *arg);
--- a/entry/jobs/ledger.c
+++ b/entry/jobs/ledger.c
@@ -8,8 +8,8 @@
 
 #include "adapters/log.h"
 #include "core/counters.h"
-#include "core/mem.h"
 #include "core/job.h"
+#include "core/mem.h"
 #include "entry/jobs/ledger.h"
 
 #define LEDGER_GATHER_MS 2 /* under one transaction of the store, 4 ms */
@@ -101,8 +101,8 @@
 	entry = mem_zalloc(1, sizeof(*entry));
 	strlcpy(entry->id, id, sizeof(entry->id));
 	entry->part = ledger_part(id);
-	LIST_INSERT_HEAD(&ledger->buckets[led_hash(id) % LEDGER_BUCKETS],
-	    entry, hash);
+	LIST_INSERT_HEAD(&ledger->buckets[led_hash(id) % LEDGER_BUCKETS], entry,
+	    hash);
 	return entry;
 }
 
@@ -169,8 +169,7 @@
 {
 	const struct timeval tv = { .tv_usec = (suseconds_t)ms * 1000 };
 
-	if (!part->under_way &&
-	    !event_pending(part->timer, EV_TIMEOUT, NULL))
+	if (!part->under_way && !event_pending(part->timer, EV_TIMEOUT, NULL))
 		(void)event_add(part->timer, &tv);
 }
 
@@ -258,8 +257,7 @@
 	    (unsigned long long)entry->version,
 	    (unsigned long long)row->version);
 	if (entry->version == 0)
-		listener->exists(listener->arg, id, row->value,
-		    row->value_len);
+		listener->exists(listener->arg, id, row->value, row->value_len);
 	else
 		listener->lost(listener->arg, id);
 	ledger_forget(ledger, id);
--- a/entry/jobs/ledger.h
+++ b/entry/jobs/ledger.h
@@ -21,8 +21,8 @@
 	/* The value of @seq, and all before it, are stored. */
 	void (*stored)(void *arg, const char *id, uint64_t seq);
 	/* A new job's row was there already, with this value. */
-	void (*exists)(void *arg, const char *id, const char *value,
-	    size_t len);
+	void (
+	    *exists)(void *arg, const char *id, const char *value, size_t len);
 	/* A new job certainly is not stored and will not be. */
 	void (*refused)(void *arg, const char *id);
 	/* Somebody else has changed the row: this host has it no more. */
--- a/entry/jobs/record.c
+++ b/entry/jobs/record.c
@@ -23,17 +23,17 @@
 	for (i = 0; i < record->ntasks; i++)
 		progress[i] = record->done[i] != 0
 		    ? '+'
-		    : (char)('0' + (record->fails[i] > RECORD_FAILS_MAX
-					   ? RECORD_FAILS_MAX
-					   : record->fails[i]));
+		    : (char)('0' +
+			  (record->fails[i] > RECORD_FAILS_MAX
+				  ? RECORD_FAILS_MAX
+				  : record->fails[i]));
 	root = json_pack("{s:i,s:s,s:I,s:I,s:s,s:s,s:i,s:i,s:i,s:i,s:s,s:s%}",
 	    "state", (int)record->state, "az", record->az, "nonce",
-	    (json_int_t)record->nonce, "ended_ms",
-	    (json_int_t)record->ended_ms, "queue", queue->name, "service",
-	    queue->service, "priority", (int)queue->priority, "attempts",
-	    (int)queue->max_attempts, "slack", (int)queue->slack_permille,
-	    "target_ms", (int)queue->target_ms, "progress", progress, "body",
-	    record->body, record->body_len);
+	    (json_int_t)record->nonce, "ended_ms", (json_int_t)record->ended_ms,
+	    "queue", queue->name, "service", queue->service, "priority",
+	    (int)queue->priority, "attempts", (int)queue->max_attempts, "slack",
+	    (int)queue->slack_permille, "target_ms", (int)queue->target_ms,
+	    "progress", progress, "body", record->body, record->body_len);
 	text = json_dumps(root, JSON_COMPACT);
 	if (text == NULL)
 		abort();
@@ -81,7 +81,8 @@
 	memset(record, 0, sizeof(*record));
 	if (az == NULL || queue == NULL || service == NULL ||
 	    progress == NULL || strlen(progress) > RECORD_TASKS_MAX ||
-	    !json_is_string(body) || record_number(root, "state") > RECORD_CANCELLED) {
+	    !json_is_string(body) ||
+	    record_number(root, "state") > RECORD_CANCELLED) {
 		json_decref(root);
 		return -1;
 	}
@@ -98,8 +99,7 @@
 	record->queue.slack_permille = record_number(root, "slack");
 	record->queue.target_ms = record_number(root, "target_ms");
 	record->body_len = json_string_length(body);
-	record->body =
-	    mem_strndup(json_string_value(body), record->body_len);
+	record->body = mem_strndup(json_string_value(body), record->body_len);
 	record_parse_progress(record, progress);
 	json_decref(root);
 	return 0;
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,324 @@
+/*
+ * berylrail-soak: callers' jobs under random faults, by seed. What it checks,
+ * from what callers and backend servers see:
+ *
+ *	- no task runs twice at once; no stored one starts after its end was
+ *	  acknowledged (the stand-in servers check that);
+ *	- a job answered "not run" each time it was sent never started;
+ *	- a job answered "completed" has a good end of each of its tasks;
+ *	- a stored job that was accepted is completed once all faults are over,
+ *	  and every host says so;
+ *	- callers are served again after the last fault.
+ */
+
+#include <argtable2.h>
+#include <err.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "soak.h"
+#include "support/cluster.h"
+#include "support/standin.h"
+
+#define SOAK_PATIENCE_MS 1500
+#define SOAK_RESEND_MS 1300
+#define SOAK_ATTEMPTS_MAX 5
+#define SOAK_JOB_MS 25	  /* mean interval of jobs */
+#define SOAK_FAULT_MS 450 /* mean interval of faults */
+#define SOAK_WARM_MS 2500
+#define SOAK_CALM_MS 7000 /* after the last fault has ended */
+#define SOAK_CALM_JOBS 40
+
+static void
+soak_violation(struct soak *soak, const struct soak_job *job, const char *what)
+{
+	soak->violations++;
+	soak_log("VIOLATION %s: %s (stored %d, attempts %d, refused %d, "
+		 "answer %d, state %s)",
+	    job->id, what, job->stored, job->attempts, job->refused,
+	    job->answer, job->state);
+}
+
+static void
+soak_timer(struct event *timer, uint32_t ms)
+{
+	const struct timeval tv = { .tv_sec = ms / 1000,
+		.tv_usec = (suseconds_t)(ms % 1000) * 1000 };
+
+	event_add(timer, &tv);
+}
+
+static void
+soak_answer(void *arg, const struct hcl_reply *reply)
+{
+	struct soak_job *job = arg;
+	json_t *body;
+
+	job->answer = reply->status;
+	if (reply->status == 200) {
+		body = json_loadb(reply->body, reply->body_len, 0, NULL);
+		snprintf(job->state, sizeof(job->state), "%s",
+		    sti_str(body, "state", "?"));
+		json_decref(body);
+		job->accepted = job->stored;
+		job->ended = true;
+		return;
+	}
+	if (reply->status == 503 || reply->status == 429) {
+		job->refused++;
+		job->ended = true;
+		return;
+	}
+	/* Nothing known: the caller sends it again, to any host. */
+	if (job->attempts >= SOAK_ATTEMPTS_MAX)
+		job->ended = true;
+	else
+		soak_timer(job->timer, SOAK_RESEND_MS);
+}
+
+static void
+soak_send(evutil_socket_t fd, short what, void *arg)
+{
+	struct soak_job *job = arg;
+	struct soak *soak = job->soak;
+	struct soak_host *host = &soak->hosts[soak_random(soak, SOAK_HOSTS)];
+	const struct hcl_header headers[] = { { "Host", "localhost" },
+		{ "Deadline-Ms", "1500" } };
+	char path[64], body[512];
+	const struct hcl_request request = {
+		.method = EVHTTP_REQ_POST,
+		.path = path,
+		.headers = headers,
+		.nheaders = 2,
+		.body = body,
+		.timeout_ms = SOAK_PATIENCE_MS,
+	};
+	struct hcl_request sent = request;
+
+	(void)fd;
+	(void)what;
+	job->attempts++;
+	snprintf(path, sizeof(path), "/jobs/%s", job->id);
+	snprintf(body, sizeof(body),
+	    "{\"spec\":\"cpu=27000 ms=%u fail=0\",%s\"steps\":[{\"count\":%u,"
+	    "\"cpu\":27000,\"mem_mb\":16,\"estimated_ms\":%u}]}",
+	    job->work_ms, job->stored ? "" : "\"best_effort\":true,",
+	    job->ntasks, job->work_ms);
+	sent.body_len = strlen(body);
+	hcl_call(host->hcl, &sent, soak_answer, job);
+}
+
+static struct soak_job *
+soak_submit(struct soak *soak)
+{
+	struct soak_job *job = calloc(1, sizeof(*job));
+
+	job->soak = soak;
+	job->stored = soak_random(soak, 4) == 0;
+	job->ntasks = 1 + soak_random(soak, SOAK_TASKS_MAX);
+	job->work_ms = 20 + soak_random(soak, 120);
+	snprintf(job->id, sizeof(job->id), "%c%015x", job->stored ? 'f' : '0',
+	    ++soak->njobs);
+	job->timer = evtimer_new(soak->base, soak_send, job);
+	TAILQ_INSERT_TAIL(&soak->jobs, job, entry);
+	soak_send(-1, 0, job);
+	return job;
+}
+
+static void
+soak_traffic(evutil_socket_t fd, short what, void *arg)
+{
+	struct soak *soak = arg;
+	struct event *timer;
+
+	(void)fd;
+	(void)what;
+	if (!soak->faults)
+		return;
+	soak_submit(soak);
+	timer = event_base_get_running_event(soak->base);
+	soak_timer(timer, 1 + soak_random(soak, 2 * SOAK_JOB_MS));
+}
+
+static void
+soak_trouble(evutil_socket_t fd, short what, void *arg)
+{
+	struct soak *soak = arg;
+
+	(void)fd;
+	(void)what;
+	if (!soak->faults)
+		return;
+	soak_fault(soak);
+	soak_timer(event_base_get_running_event(soak->base),
+	    50 + soak_random(soak, 2 * SOAK_FAULT_MS));
+}
+
+static void
+soak_run(struct soak *soak, uint32_t ms)
+{
+	const struct timeval tv = { .tv_sec = ms / 1000,
+		.tv_usec = (suseconds_t)(ms % 1000) * 1000 };
+
+	event_base_loopexit(soak->base, &tv);
+	event_base_dispatch(soak->base);
+}
+
+/* Starts and good ends of a task, as the servers saw them. */
+static void
+soak_task(struct soak *soak, const struct soak_job *job, uint32_t index,
+    int64_t *starts, int64_t *dones)
+{
+	struct clu_reply reply;
+	char path[96];
+
+	snprintf(path, sizeof(path), "/task?name=%s.0.0.%u", job->id, index);
+	clu_http(soak->store_port, "GET", path, NULL, NULL, 3000, &reply);
+	*starts = sti_int(reply.json, "starts", -1);
+	*dones = sti_int(reply.json, "done", -1);
+	clu_reply_free(&reply);
+}
+
+static void
+soak_check_stored(struct soak *soak, struct soak_job *job)
+{
+	struct clu_reply reply;
+	char path[64];
+	int i, tries;
+
+	snprintf(path, sizeof(path), "/jobs/%s", job->id);
+	for (i = 0; i < SOAK_HOSTS; i += SOAK_ZONE_HOSTS) {
+		for (tries = 0; tries < 60; tries++) {
+			clu_http(soak->hosts[i].work_port, "GET", path,
+			    NULL, NULL, 2000, &reply);
+			snprintf(job->state, sizeof(job->state), "%s",
+			    reply.status == 200
+				? sti_str(reply.json, "state", "?")
+				: "none");
+			job->answer = reply.status;
+			clu_reply_free(&reply);
+			if (strcmp(job->state, "completed") == 0 ||
+			    strcmp(job->state, "failed") == 0)
+				break;
+			clu_sleep(100);
+		}
+		if (strcmp(job->state, "completed") != 0 &&
+		    strcmp(job->state, "failed") != 0)
+			soak_violation(soak, job, "accepted and not ended");
+	}
+}
+
+static void
+soak_check(struct soak *soak, struct soak_job *job)
+{
+	int64_t starts, dones;
+	bool started = false, whole = true;
+	uint32_t i;
+
+	if (job->accepted)
+		soak_check_stored(soak, job);
+	for (i = 0; i < job->ntasks; i++) {
+		soak_task(soak, job, i, &starts, &dones);
+		started = started || starts > 0;
+		whole = whole && dones > 0;
+	}
+	if (job->refused > 0 && job->refused == job->attempts && started)
+		soak_violation(soak, job, "refused as not run, and it ran");
+	if (strcmp(job->state, "completed") == 0 && !whole)
+		soak_violation(soak, job, "completed without all its ends");
+}
+
+static void
+soak_check_all(struct soak *soak)
+{
+	uint32_t completed = 0, refused = 0, unknown = 0, accepted = 0;
+	struct clu_reply reply;
+	struct soak_job *job;
+
+	TAILQ_FOREACH (job, &soak->jobs, entry) {
+		soak_check(soak, job);
+		if (job->accepted)
+			accepted++;
+		else if (strcmp(job->state, "completed") == 0)
+			completed++;
+		else if (job->answer == 503)
+			refused++;
+		else
+			unknown++;
+	}
+	clu_http(soak->store_port, "GET", "/report", NULL, NULL, 3000, &reply);
+	if (sti_int(reply.json, "violations", -1) != 0) {
+		soak->violations++;
+		soak_log("VIOLATION at the servers: %s (%d)",
+		    sti_str(reply.json, "first", "?"),
+		    (int)sti_int(reply.json, "violations", -1));
+	}
+	clu_reply_free(&reply);
+	soak_log("%u jobs: %u completed, %u stored, %u refused, %u unknown; "
+		 "%u faults; %u violations; logs in %s",
+	    soak->njobs, completed, accepted, refused, unknown, soak->nfaults,
+	    soak->violations, soak->dir);
+}
+
+/* After the last fault callers are served again. */
+static void
+soak_check_recovery(struct soak *soak)
+{
+	struct soak_job *job;
+	int served = 0, asked = 0;
+
+	soak_run(soak, SOAK_CALM_MS);
+	for (asked = 0; asked < SOAK_CALM_JOBS; asked++) {
+		soak_submit(soak);
+		soak_run(soak, 60);
+	}
+	soak_run(soak, 6000);
+	TAILQ_FOREACH_REVERSE (job, &soak->jobs, soak_job_list, entry) {
+		if (asked-- == 0)
+			break;
+		if (job->answer == 200)
+			served++;
+	}
+	if (served < SOAK_CALM_JOBS * 3 / 4) {
+		soak->violations++;
+		soak_log("VIOLATION: %d of %d served after the last fault",
+		    served, SOAK_CALM_JOBS);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	struct arg_int *seed = arg_int0(NULL, "seed", "N", "of all choices");
+	struct arg_int *seconds =
+	    arg_int0(NULL, "seconds", "N", "of traffic under faults");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { seed, seconds, end };
+	struct soak soak = { .faults = true };
+	const char *bin = getenv("BERYLRAIL_BIN_DIR");
+
+	seed->ival[0] = 1;
+	seconds->ival[0] = 20;
+	if (arg_parse(argc, argv, table) > 0) {
+		arg_print_errors(stderr, end, "berylrail-soak");
+		return 2;
+	}
+	soak.base = sti_base();
+	soak.random = (uint64_t)seed->ival[0] * 0x9e3779b97f4a7c15ULL + 1;
+	snprintf(soak.bin, sizeof(soak.bin), "%s", bin == NULL ? "build" : bin);
+	TAILQ_INIT(&soak.jobs);
+	soak_start(&soak);
+	soak_run(&soak, SOAK_WARM_MS);
+	soak_timer(evtimer_new(soak.base, soak_traffic, &soak), 1);
+	soak_timer(evtimer_new(soak.base, soak_trouble, &soak), 500);
+	soak_run(&soak, (uint32_t)seconds->ival[0] * 1000);
+	soak.faults = false;
+	soak_run(&soak, 5200);
+	soak_heal(&soak);
+	soak_check_recovery(&soak);
+	soak_check_all(&soak);
+	soak_stop(&soak);
+	return soak.violations == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/soak_faults.c
@@ -0,0 +1,177 @@
+/*
+ * Faults of a soak, from outside the hosts: signals, links, the store, the
+ * backend servers. Each ends by itself; they overlap.
+ */
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+
+#include "soak.h"
+
+enum soak_fault_kind {
+	SOAK_KILL,
+	SOAK_PAUSE,
+	SOAK_TERM,
+	SOAK_LINK,
+	SOAK_STORE,
+	SOAK_SERVER,
+	SOAK_NFAULTS,
+};
+
+/* A fault that is under way. */
+struct soak_fault {
+	struct soak *soak;
+	enum soak_fault_kind kind;
+	int n; /* host or server */
+	char link[32];
+	struct event *timer;
+};
+
+static const char *const soak_modes[] = { "drop", "freeze", "refuse",
+	"drop_reply", "lose_reply" };
+static const char *const soak_stores[] = { "down", "silent", "lost" };
+static const char *const soak_servers[] = { "hang", "fail", "crash", "slow" };
+
+static void
+soak_fault_end(evutil_socket_t fd, short what, void *arg)
+{
+	struct soak_fault *fault = arg;
+	struct soak *soak = fault->soak;
+	struct soak_host *host = &soak->hosts[fault->n % SOAK_HOSTS];
+
+	(void)fd;
+	(void)what;
+	switch (fault->kind) {
+	case SOAK_TERM:
+		if (host->pid != 0 &&
+		    waitpid(host->pid, NULL, WNOHANG) != host->pid)
+			soak_host_kill(host);
+		host->pid = 0;
+		soak_host_start(soak, host);
+		break;
+	case SOAK_KILL:
+		if (host->pid == 0)
+			soak_host_start(soak, host);
+		break;
+	case SOAK_PAUSE:
+		if (host->pid != 0)
+			kill(host->pid, SIGCONT);
+		host->paused = false;
+		break;
+	case SOAK_LINK:
+		soak_post(soak->proxy_port, "/control",
+		    "{\"link\":\"%s\",\"mode\":\"pass\"}", fault->link);
+		soak_post(soak->proxy_port, "/cut", "{\"link\":\"%s\"}",
+		    fault->link);
+		break;
+	case SOAK_STORE:
+		soak_post(soak->store_port, "/fault", "{\"store\":\"ok\"}");
+		break;
+	case SOAK_SERVER:
+		soak_post(soak->store_port, "/fault",
+		    "{\"server\":%d,\"how\":\"ok\"}", fault->n);
+		break;
+	case SOAK_NFAULTS:
+		break;
+	}
+	event_free(fault->timer);
+	free(fault);
+}
+
+static void
+soak_fault_link(struct soak *soak, struct soak_fault *fault)
+{
+	static const char *const names[] = { "peer-h%d", "store-h%d",
+		"server-%d" };
+	uint32_t kind = soak_random(soak, 3);
+
+	snprintf(fault->link, sizeof(fault->link), names[kind],
+	    (int)soak_random(soak, kind == 2 ? SOAK_SERVERS : SOAK_HOSTS));
+	if (soak_random(soak, 4) == 0) {
+		soak_post(soak->proxy_port, "/control",
+		    "{\"link\":\"%s\",\"mode\":\"pass\",\"delay_ms\":%u}",
+		    fault->link, 10 + soak_random(soak, 150));
+		return;
+	}
+	soak_post(soak->proxy_port, "/control",
+	    "{\"link\":\"%s\",\"mode\":\"%s\"}", fault->link,
+	    soak_modes[soak_random(soak, 5)]);
+}
+
+static void
+soak_fault_begin(struct soak *soak, struct soak_fault *fault)
+{
+	struct soak_host *host = &soak->hosts[fault->n % SOAK_HOSTS];
+
+	switch (fault->kind) {
+	case SOAK_KILL:
+		soak_host_kill(host);
+		break;
+	case SOAK_PAUSE:
+		if (host->pid != 0)
+			kill(host->pid, SIGSTOP);
+		host->paused = true;
+		break;
+	case SOAK_TERM:
+		if (host->pid != 0)
+			kill(host->pid, SIGTERM);
+		break;
+	case SOAK_LINK:
+		soak_fault_link(soak, fault);
+		break;
+	case SOAK_STORE:
+		soak_post(soak->store_port, "/fault", "{\"store\":\"%s\"}",
+		    soak_stores[soak_random(soak, 3)]);
+		break;
+	case SOAK_SERVER:
+		soak_post(soak->store_port, "/fault",
+		    "{\"server\":%d,\"how\":\"%s\"}", fault->n,
+		    soak_servers[soak_random(soak, 4)]);
+		break;
+	case SOAK_NFAULTS:
+		break;
+	}
+}
+
+void
+soak_fault(struct soak *soak)
+{
+	static const char *const names[] = { "kill", "pause", "term", "link",
+		"store", "server" };
+	struct soak_fault *fault = calloc(1, sizeof(*fault));
+	uint32_t ms = 200 + soak_random(soak, 2500);
+	struct timeval tv;
+
+	fault->soak = soak;
+	fault->kind = (enum soak_fault_kind)soak_random(soak, SOAK_NFAULTS);
+	fault->n = (int)soak_random(soak,
+	    fault->kind == SOAK_SERVER ? SOAK_SERVERS : SOAK_HOSTS);
+	if (fault->kind == SOAK_TERM)
+		ms = 4800;
+	tv.tv_sec = ms / 1000;
+	tv.tv_usec = (suseconds_t)(ms % 1000) * 1000;
+	soak->nfaults++;
+	soak_fault_begin(soak, fault);
+	soak_log("fault %s %d %s for %u ms", names[fault->kind], fault->n,
+	    fault->link, ms);
+	fault->timer = evtimer_new(soak->base, soak_fault_end, fault);
+	event_add(fault->timer, &tv);
+}
+
+/* All faults have ended by themselves: everything runs and passes. */
+void
+soak_heal(struct soak *soak)
+{
+	int i;
+
+	soak_post(soak->proxy_port, "/control",
+	    "{\"link\":\"*\",\"mode\":\"pass\"}");
+	soak_post(soak->proxy_port, "/cut", "{\"link\":\"*\"}");
+	soak_post(soak->store_port, "/fault", "{\"store\":\"ok\"}");
+	for (i = 0; i < SOAK_HOSTS; i++) {
+		if (soak->hosts[i].pid == 0)
+			soak_host_start(soak, &soak->hosts[i]);
+	}
+}
--- /dev/null
+++ b/tests/standins/fleet/main.c
@@ -0,0 +1,347 @@
+/*
+ * Stand-in for the users' platform: its store (rows, transactions, feed) and
+ * its backend servers, which run tasks by the model in worker_model.c. Their
+ * ports are written to the port file as "store PORT" and "sN PORT".
+ *
+ * At the store's port, for tests only:
+ *	POST /register {"servers": [{"id": "s0", "port": P, "az": "a"}, ..]}
+ *	POST /config (the value of the row "config")
+ *	POST /fault {"store": "ok"|"down"|"silent"|"lost", "server": N,
+ *	     "how": "hang"|"fail"|"crash"|"slow"|"ok"}
+ *	GET /task?name=T -> {"starts": N, "done": N}; of one task
+ *	GET /report -> {"violations": N, "first": "..", "starts": N}
+ */
+
+#include <argtable2.h>
+#include <err.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "store.h"
+#include "support/standin.h"
+#include "support/worker_model.h"
+
+#define FLT_TICK_MS 2
+#define FLT_SERVERS_MAX 64
+#define FLT_CPU 64000
+#define FLT_STORED_FIRST 'f' /* ids of jobs that tests have stored */
+
+/* A hold whose answer waits for an end. */
+struct flt_wait {
+	struct evhttp_request *req;
+	struct wm_server *server;
+	uint64_t until_ms;
+	TAILQ_ENTRY(flt_wait) entry;
+};
+
+static TAILQ_HEAD(, flt_wait) flt_waits = TAILQ_HEAD_INITIALIZER(flt_waits);
+static struct wm_world flt_world;
+static uint64_t flt_born_ms[FLT_SERVERS_MAX];
+
+static const char *const flt_ends[] = {
+	[WORKER_END_DONE] = "done",
+	[WORKER_END_FAILED] = "failed",
+	[WORKER_END_STOPPED] = "stopped",
+	[WORKER_END_LAPSED] = "lapsed",
+	[WORKER_END_OTHER] = "broken",
+};
+
+static json_t *
+flt_lists(const struct wm_server *server)
+{
+	struct worker_run *running;
+	struct worker_ended *ended;
+	size_t i, nrunning, nended;
+	json_t *body = json_object(), *rows;
+
+	wm_lists(server, &running, &nrunning, &ended, &nended);
+	rows = json_array();
+	for (i = 0; i < nrunning; i++)
+		json_array_append_new(rows,
+		    json_pack("[s,I,s,i]", running[i].task,
+			(json_int_t)running[i].run_id, "", 100));
+	json_object_set_new(body, "running", rows);
+	rows = json_array();
+	for (i = 0; i < nended; i++)
+		json_array_append_new(rows,
+		    json_pack("[I,s,I,s,s]", (json_int_t)ended[i].number,
+			ended[i].task, (json_int_t)ended[i].run_id,
+			flt_ends[ended[i].how], ""));
+	json_object_set_new(body, "ended_runs", rows);
+	free(running);
+	free(ended);
+	return body;
+}
+
+static void
+flt_answer(struct evhttp_request *req, const struct wm_server *server,
+    enum worker_verdict verdict, json_t *body)
+{
+	static const char *const reasons[] = {
+		[WORKER_FENCED] = "fence",
+		[WORKER_OLD] = "old",
+		[WORKER_LATE] = "late",
+		[WORKER_NO_ROOM] = "room",
+	};
+
+	json_object_set_new(body, "clock_ms",
+	    json_integer((json_int_t)wm_clock_ms(server, sti_now_ms())));
+	if (verdict == WORKER_OK) {
+		sti_reply(req, 200, body);
+		return;
+	}
+	json_object_set_new(body, "reason",
+	    json_string(verdict <= WORKER_NO_ROOM ? reasons[verdict] : "?"));
+	sti_reply(req, 409, body);
+}
+
+static bool
+flt_has_ends(const struct wm_server *server)
+{
+	const struct wm_run *run;
+
+	TAILQ_FOREACH (run, &server->ended, entry) {
+		if (run->number > 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+flt_hold(struct evhttp_request *req, struct wm_server *server,
+    const json_t *body)
+{
+	const struct worker_hold hold = {
+		.token = (uint64_t)sti_int(body, "fencing_token", 0),
+		.acknowledged = (uint64_t)sti_int(body, "last_seen", 0),
+		.deadline_ms = (uint64_t)sti_int(body, "deadline_ms", 0),
+		.wait_ms = (uint32_t)sti_int(body, "wait_ms", 0),
+	};
+	uint64_t now_ms = sti_now_ms();
+	enum worker_verdict verdict = wm_hold(server, now_ms, &hold);
+	struct flt_wait *wait;
+
+	if (verdict != WORKER_OK) {
+		flt_answer(req, server, verdict, json_object());
+		return;
+	}
+	if (hold.wait_ms == 0 || flt_has_ends(server)) {
+		flt_answer(req, server, WORKER_OK, flt_lists(server));
+		return;
+	}
+	wait = calloc(1, sizeof(*wait));
+	wait->req = req;
+	wait->server = server;
+	wait->until_ms = now_ms + hold.wait_ms;
+	evhttp_request_own(req);
+	TAILQ_INSERT_TAIL(&flt_waits, wait, entry);
+}
+
+static void
+flt_order(struct evhttp_request *req, void *arg)
+{
+	const char *path = evhttp_request_get_uri(req);
+	struct wm_server *server = arg;
+	json_t *body = sti_body(req);
+	struct worker_start order = {
+		.task = sti_str(body, "task", ""),
+		.run_id = (uint64_t)sti_int(body, "run_id", 0),
+		.spec = sti_str(body, "spec", ""),
+		.deadline_ms = (uint64_t)sti_int(body, "deadline_ms", 0),
+		.token = (uint64_t)sti_int(body, "fencing_token", 0),
+	};
+
+	if (strcmp(path, "/v1/hold") == 0)
+		flt_hold(req, server, body);
+	else if (strcmp(path, "/v1/run-start") == 0)
+		flt_answer(req, server, wm_start(server, sti_now_ms(), &order),
+		    json_object());
+	else
+		flt_answer(req, server,
+		    wm_stop(server, sti_now_ms(), order.task, order.run_id,
+			order.token),
+		    json_object());
+	json_decref(body);
+}
+
+static void
+flt_tick(evutil_socket_t fd, short what, void *arg)
+{
+	uint64_t now_ms = sti_now_ms();
+	struct flt_wait *wait, *next;
+	size_t i;
+
+	(void)fd;
+	(void)what;
+	(void)arg;
+	for (i = 0; i < flt_world.nservers; i++)
+		(void)wm_advance(&flt_world.servers[i], now_ms);
+	for (wait = TAILQ_FIRST(&flt_waits); wait != NULL; wait = next) {
+		next = TAILQ_NEXT(wait, entry);
+		if (!flt_has_ends(wait->server) && now_ms < wait->until_ms)
+			continue;
+		TAILQ_REMOVE(&flt_waits, wait, entry);
+		flt_answer(wait->req, wait->server, WORKER_OK,
+		    flt_lists(wait->server));
+		free(wait);
+	}
+}
+
+/* A server's own report; a new incarnation has another start. */
+static void
+flt_report(size_t server, const char *az, int port)
+{
+	char address[64], id[24];
+	json_t *row;
+	char *text;
+
+	snprintf(id, sizeof(id), "s%zu", server);
+	snprintf(address, sizeof(address), "127.0.0.1:%d", port);
+	row = json_pack("{s:s,s:s,s:s,s:s,s:I,s:{s:i,s:i,s:i}}", "service",
+	    "booth", "address", address, "zone", az, "state", "ready", "born",
+	    (json_int_t)flt_born_ms[server], "capacity", "cpu", FLT_CPU,
+	    "mem_mb", 1024, "gpus", 0);
+	text = json_dumps(row, JSON_COMPACT);
+	store_set("servers", "", id, text);
+	free(text);
+	json_decref(row);
+}
+
+static struct {
+	char az[32];
+	int port;
+} flt_registered[FLT_SERVERS_MAX];
+
+static void
+flt_register(const json_t *body)
+{
+	const json_t *servers = json_object_get(body, "servers"), *item;
+	size_t i;
+
+	json_array_foreach (servers, i, item) {
+		flt_registered[i].port = (int)sti_int(item, "port", 0);
+		snprintf(flt_registered[i].az, sizeof(flt_registered[i].az),
+		    "%s", sti_str(item, "az", ""));
+		flt_report(i, flt_registered[i].az, flt_registered[i].port);
+	}
+}
+
+static void
+flt_fault(const json_t *body)
+{
+	int64_t n = sti_int(body, "server", -1);
+	const char *how = sti_str(body, "how", "ok");
+	struct wm_server *server;
+
+	store_set_mode(sti_str(body, "store", NULL));
+	if (n < 0 || (size_t)n >= flt_world.nservers)
+		return;
+	server = &flt_world.servers[n];
+	server->hangs = strcmp(how, "hang") == 0;
+	server->failing = strcmp(how, "fail") == 0;
+	server->speed = strcmp(how, "slow") == 0 ? 200 : 1000;
+	if (strcmp(how, "crash") == 0) {
+		wm_crash(server);
+		flt_born_ms[n]++;
+		flt_report((size_t)n, flt_registered[n].az,
+		    flt_registered[n].port);
+	}
+}
+
+static void
+flt_task(struct evhttp_request *req)
+{
+	char name[WORKER_TASK_NAME_SIZE];
+	const struct wm_task *task;
+
+	sti_query(req, "name", name, sizeof(name));
+	task = wm_task(&flt_world, name);
+	sti_reply(req, 200,
+	    json_pack("{s:i,s:i}", "starts",
+		task == NULL ? 0 : (int)task->starts, "done",
+		task == NULL ? 0 : (int)task->dones));
+}
+
+static void
+flt_store(struct evhttp_request *req, void *arg)
+{
+	const char *path = evhttp_request_get_uri(req);
+	uint64_t starts = 0;
+	json_t *body;
+	char *text;
+	size_t i;
+
+	(void)arg;
+	if (strncmp(path, "/v1/", 4) == 0) {
+		store_serve(req);
+		return;
+	}
+	if (strncmp(path, "/task?", 6) == 0) {
+		flt_task(req);
+		return;
+	}
+	body = sti_body(req);
+	if (strcmp(path, "/register") == 0) {
+		flt_register(body);
+	} else if (strcmp(path, "/config") == 0) {
+		text = json_dumps(body, JSON_COMPACT);
+		store_set("op", "", "config", text);
+		free(text);
+	} else if (strcmp(path, "/fault") == 0) {
+		flt_fault(body);
+	}
+	json_decref(body);
+	for (i = 0; i < flt_world.nservers; i++)
+		starts += flt_world.servers[i].starts;
+	sti_reply(req, 200,
+	    json_pack("{s:I,s:s,s:I}", "violations",
+		(json_int_t)flt_world.violations, "first",
+		flt_world.violation, "starts", (json_int_t)starts));
+}
+
+int
+main(int argc, char **argv)
+{
+	struct arg_int *servers =
+	    arg_int0(NULL, "servers", "N", "backend servers");
+	struct arg_file *file = arg_file1(NULL, "port-file", "FILE",
+	    "the ports are written here");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { servers, file, end };
+	const struct timeval interval = { .tv_usec = FLT_TICK_MS * 1000 };
+	char text[FLT_SERVERS_MAX * 16 + 32];
+	struct event_base *base;
+	size_t i, n, len;
+	uint16_t port;
+
+	servers->ival[0] = 4;
+	if (arg_parse(argc, argv, table) > 0) {
+		arg_print_errors(stderr, end, "standin_fleet");
+		return 1;
+	}
+	n = (size_t)servers->ival[0];
+	if (n > FLT_SERVERS_MAX)
+		errx(1, "too many servers");
+	base = sti_base();
+	wm_init(&flt_world, n, FLT_CPU);
+	flt_world.strict_first = FLT_STORED_FIRST;
+	store_init(base);
+	sti_http(base, &port, flt_store, NULL);
+	len = (size_t)snprintf(text, sizeof(text), "store %u\n", port);
+	for (i = 0; i < n; i++) {
+		flt_born_ms[i] = 1;
+		sti_http(base, &port, flt_order, &flt_world.servers[i]);
+		len += (size_t)snprintf(text + len, sizeof(text) - len,
+		    "s%zu %u\n", i, port);
+	}
+	event_add(event_new(base, -1, EV_PERSIST, flt_tick, NULL), &interval);
+	if (sti_write_file(file->filename[0], text) != 0)
+		err(1, "%s", file->filename[0]);
+	event_base_dispatch(base);
+	return 0;
+}
--- /dev/null
+++ b/tests/standins/fleet/store.h
@@ -0,0 +1,25 @@
+#ifndef STANDIN_FLEET_STORE_H
+#define STANDIN_FLEET_STORE_H
+
+#include <event2/event.h>
+#include <event2/http.h>
+
+/* The platform's store: rows, conditional transactions, a feed. */
+
+/** store_init() - an empty store. */
+void store_init(struct event_base *base);
+
+/** store_serve() - a call of the store. */
+void store_serve(struct evhttp_request *req);
+
+/** store_set() - write a row, whatever it held. */
+void store_set(const char *table, const char *part, const char *key,
+    const char *value);
+
+/**
+ * store_set_mode() - "ok", "down" (503), "silent" (no answer) or "lost"
+ * (every third write is done and not answered); NULL changes nothing.
+ */
+void store_set_mode(const char *mode);
+
+#endif /* STANDIN_FLEET_STORE_H */
--- /dev/null
+++ b/tests/test_job_json.c
@@ -0,0 +1,72 @@
+/*
+ * Jobs of steps from JSON.
+ */
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "entry/jobs/job_json.h"
+
+#define ID "5c0e7a21d94b36f8"
+
+static int
+parse(struct job_spec *spec, const char *body)
+{
+	struct err err;
+
+	return job_parse(spec, ID, body, strlen(body), &err);
+}
+
+Test(job_json, steps_and_their_order)
+{
+	struct job_spec spec;
+	const struct job_queue queue = { .slack_permille = 1600,
+		.target_ms = 60 };
+
+	cr_assert_eq(parse(&spec,
+			 "{\"spec\":\"x\",\"best_effort\":true,\"steps\":["
+			 "{\"count\":4,\"cpu\":500,\"estimated_ms\":900,"
+			 "\"affinity\":\"r1\"},{\"count\":2,\"cpu\":2000,"
+			 "\"estimated_ms\":100,\"after\":[0],"
+			 "\"requirements\":\"b\",\"anti_affinity\":1}]}"),
+	    0);
+	cr_expect_eq(spec.ntasks, 6);
+	cr_expect(spec.best_effort);
+	cr_expect_eq(spec.steps[1].after, 1);
+	cr_expect_str_eq(spec.steps[1].needs, "b");
+	cr_expect_eq(spec.steps[1].per_server_max, 1);
+	cr_expect_eq(job_chain_ms(&spec), 1000);
+	cr_expect_eq(job_objective_ms(&spec, &queue), 1660);
+	job_spec_release(&spec);
+}
+
+Test(job_json, bad_input_is_refused)
+{
+	static const char *const bad[] = { "", "[]", "{}", "{\"steps\":[]}",
+		"{\"steps\":[{\"count\":0}]}", "{\"steps\":[{\"count\":\"1\"}]}",
+		"{\"steps\":[{\"count\":1,\"after\":[0]}]}",
+		"{\"steps\":[{\"count\":5000}]}",
+		"{\"steps\":[{\"count\":-1}]}",
+		"{\"spec\":1,\"steps\":[{\"count\":1}]}" };
+	struct job_spec spec;
+	struct err err;
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		cr_expect_eq(parse(&spec, bad[i]), -1, "%s", bad[i]);
+	cr_expect_eq(job_parse(&spec, "xyz", "{\"steps\":[{\"count\":1}]}",
+			 23, &err),
+	    -1);
+}
+
+Test(job_json, work_that_is_not_run_is_named)
+{
+	struct job_spec spec;
+
+	cr_assert_eq(
+	    parse(&spec,
+		"{\"steps\":[{\"count\":2,\"gang_scheduled\":true}]}"),
+	    0);
+	cr_expect_str_eq(spec.unsupported, "gang_scheduled");
+	job_spec_release(&spec);
+}
