Incarnations by the servers' own lists; a stored job is never refused as not run while it may be stored

Now the insert decides, and a holder reads the rows again every 4 s, and at once when it meets a row it does not know.

--- a/entry/jobs/holder.c
+++ b/entry/jobs/holder.c
@@ -327,6 +327,23 @@
 	hld_job_finish(job, &gave_up);
 }
 
+/*
+ * Another incarnation at another place. At the same place the server's own
+ * lists tell which one answers: orders may have reached it before its row did.
+ */
+static bool
+hld_server_moved(struct hld_server *server, const struct dir_server *info)
+{
+	if (server->info.born_ms == info->born_ms)
+		return false;
+	if (server->born_ms == 0 || server->info.port != info->port ||
+	    strcmp(server->info.address, info->address) != 0)
+		return true;
+	if (server->born_ms != info->born_ms)
+		server->hold_due_us = hld_now(server->holder);
+	return false;
+}
+
 void
 holder_server(struct holder *holder, const struct dir_server *info)
 {
@@ -336,7 +353,7 @@
 		if (!server->gone && strcmp(server->info.id, info->id) == 0)
 			break;
 	}
-	if (server != NULL && server->info.born_ms != info->born_ms) {
+	if (server != NULL && hld_server_moved(server, info)) {
 		hld_server_lost(server, "restarted");
 		server->gone = true;
 		server = NULL;
--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -131,7 +131,8 @@
 	int64_t used_cpu;
 	int64_t used_mem;
 	int64_t used_gpu;
-	uint32_t speed;	       /* thousandths of the nominal one, learned */
+	uint32_t speed;	  /* thousandths of the nominal one, learned */
+	uint64_t born_ms; /* of the incarnation whose lists were read last */
 	uint64_t acknowledged; /* ends up to it may be forgotten */
 	uint64_t seen;	       /* ends up to it have been taken note of */
 	uint64_t told;	       /* acknowledged by the last hold */
--- a/entry/jobs/holder_server.c
+++ b/entry/jobs/holder_server.c
@@ -85,6 +85,7 @@
 	server->held = false;
 	server->acknowledged = 0;
 	server->seen = 0;
+	server->born_ms = 0;
 	server->told = 0;
 	hld_unstored_drop(server);
 	server->misses = 0;
@@ -285,6 +286,24 @@
 	}
 }
 
+/* A new incarnation has nothing of the old one; its ends count from 1. What
+ * it does not list is over, as reconciling finds. */
+static void
+hld_check_incarnation(struct hld_server *server, uint64_t born_ms)
+{
+	if (born_ms == 0 || born_ms == server->born_ms)
+		return;
+	if (server->born_ms != 0) {
+		log_event(LOG_LEVEL_WARN, "server-restarted",
+		    "server=%s born_ms=%" PRIu64 " before=%" PRIu64,
+		    server->info.id, born_ms, server->born_ms);
+		server->seen = 0;
+		server->acknowledged = 0;
+		hld_unstored_drop(server);
+	}
+	server->born_ms = born_ms;
+}
+
 static void
 hld_held(void *arg, const struct worker_reply *reply)
 {
@@ -316,6 +335,7 @@
 		log_event(LOG_LEVEL_WARN, "server-answers", "server=%s",
 		    server->info.id);
 	server->misses = 0;
+	hld_check_incarnation(server, reply->born_ms);
 	hld_read_lists(server, reply, now_us);
 	hld_pump_wake(holder);
 	if (server->acknowledged != server->seen || !holder->loaded)
--- a/entry/jobs/keeper.c
+++ b/entry/jobs/keeper.c
@@ -15,6 +15,8 @@
 
 #define KPR_STATUS_MS 150000 /* an ended job is known for so long */
 #define KPR_SWEEP_MS 5000
+/* A former holder may store a job after its successor has read the rows. */
+#define KPR_RESCAN_MS 4000
 #define KPR_LOAD_RETRY_MS 150
 #define KPR_PAGE 400
 #define KPR_JOBS_MAX 20000
@@ -48,6 +50,8 @@
 	uint64_t generation;
 	uint32_t part;
 	char from[JOB_ID_LEN + 2];
+	bool again; /* a later read, which nothing waits for */
+	bool under_way;
 	struct event *timer;
 };
 
@@ -68,6 +72,8 @@
 	LIST_HEAD(, kpr_job) buckets[KPR_BUCKETS];
 };
 
+static void kpr_read_again(struct kpr_load *load);
+
 static size_t
 kpr_bucket(const char *id)
 {
@@ -203,9 +209,9 @@
 		job_spec_release(&request->spec);
 		return;
 	}
-	if (!keeper->held || keeper->parts_left > 0 ||
-	    keeper->njobs >= KPR_JOBS_MAX) {
-		done(arg, KEEPER_REFUSED);
+	if (!keeper->held || keeper->njobs >= KPR_JOBS_MAX) {
+		/* It may have been stored before, by another holder. */
+		done(arg, KEEPER_UNKNOWN);
 		job_spec_release(&request->spec);
 		return;
 	}
@@ -262,10 +268,12 @@
 		kpr_start(job, false);
 }
 
+/* A row of this job is there: it is read, and run if it is this cell's. */
 static void
 kpr_exists(void *arg, const char *id, const char *value, size_t len)
 {
-	struct kpr_job *job = kpr_find(arg, id);
+	struct keeper *keeper = arg;
+	struct kpr_job *job = kpr_find(keeper, id);
 
 	(void)value;
 	(void)len;
@@ -273,6 +281,7 @@
 		return;
 	kpr_answer(job, UINT64_MAX, KEEPER_OK);
 	kpr_free(job);
+	kpr_read_again(&keeper->loads[ledger_part(id)]);
 }
 
 static void
@@ -403,7 +412,8 @@
 static void
 kpr_load_later(struct kpr_load *load, uint32_t ms)
 {
-	const struct timeval tv = { .tv_usec = (suseconds_t)ms * 1000 };
+	const struct timeval tv = { .tv_sec = ms / 1000,
+		.tv_usec = (suseconds_t)(ms % 1000) * 1000 };
 
 	(void)event_add(load->timer, &tv);
 }
@@ -428,8 +438,15 @@
 	struct keeper *keeper = load->keeper;
 	size_t i;
 
-	if (!keeper->held || load->generation != keeper->generation)
+	load->under_way = false;
+	if (!keeper->held)
+		return;
+	if (load->generation != keeper->generation) {
+		/* Begun for an earlier time as holder: read all anew. */
+		load->from[0] = '\0';
+		kpr_load_next(load);
 		return;
+	}
 	if (status != ROWS_OK) {
 		kpr_load_later(load, KPR_LOAD_RETRY_MS);
 		return;
@@ -441,17 +458,31 @@
 		kpr_load_next(load);
 		return;
 	}
-	kpr_loaded(keeper);
+	if (!load->again)
+		kpr_loaded(keeper);
+	load->again = true;
+	load->from[0] = '\0';
+	kpr_load_later(load, KPR_RESCAN_MS);
 }
 
 static void
 kpr_load_next(struct kpr_load *load)
 {
+	if (load->under_way)
+		return;
+	load->under_way = true;
 	load->generation = load->keeper->generation;
 	load->keeper->rows->ops->read(load->keeper->rows, load->part,
 	    load->from, KPR_PAGE, kpr_load_page, load);
 }
 
+static void
+kpr_read_again(struct kpr_load *load)
+{
+	if (load->again)
+		kpr_load_later(load, 0);
+}
+
 static void
 kpr_load_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -474,6 +505,7 @@
 	keeper->parts_left = ROWS_JOB_PARTS;
 	for (i = 0; i < ROWS_JOB_PARTS; i++) {
 		keeper->loads[i].from[0] = '\0';
+		keeper->loads[i].again = false;
 		kpr_load_next(&keeper->loads[i]);
 	}
 }
--- a/ports/worker.h
+++ b/ports/worker.h
@@ -57,7 +57,8 @@
 	enum worker_verdict verdict;
 	bool has_clock;
 	uint64_t clock_ms; /* of the server, when it answered */
-	bool has_lists;	   /* the answer to a hold */
+	uint64_t born_ms; /* start of the incarnation that lists; 0: not said */
+	bool has_lists;	  /* the answer to a hold */
 	const struct worker_run *running;
 	size_t nrunning;
 	const struct worker_ended *ended;
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -191,8 +191,8 @@
 	snprintf(path, sizeof(path), "/jobs/%s", job->id);
 	for (i = 0; i < SOAK_HOSTS; i += SOAK_ZONE_HOSTS) {
 		for (tries = 0; tries < 60; tries++) {
-			clu_http(soak->hosts[i].work_port, "GET", path,
-			    NULL, NULL, 2000, &reply);
+			clu_http(soak->hosts[i].work_port, "GET", path, NULL,
+			    NULL, 2000, &reply);
 			snprintf(job->state, sizeof(job->state), "%s",
 			    reply.status == 200
 				? sti_str(reply.json, "state", "?")
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -39,9 +39,9 @@
 	uint32_t ntasks;
 	uint32_t work_ms;
 	int attempts;
-	int refused;  /* attempts answered "not run" */
-	bool ended;   /* answered for good, or given up */
-	int answer;   /* last HTTP status */
+	int refused; /* attempts answered "not run" */
+	bool ended;  /* answered for good, or given up */
+	int answer;  /* last HTTP status */
 	bool accepted;
 	bool settled; /* of a stored one: its end is known */
 	char state[16];
--- a/tests/standins/fleet/main.c
+++ b/tests/standins/fleet/main.c
@@ -59,6 +59,9 @@
 	size_t i, nrunning, nended;
 	json_t *body = json_object(), *rows;
 
+	json_object_set_new(body, "born",
+	    json_integer((json_int_t)flt_born_ms[server - flt_world.servers]));
+
 	wm_lists(server, &running, &nrunning, &ended, &nended);
 	rows = json_array();
 	for (i = 0; i < nrunning; i++)
@@ -300,8 +303,8 @@
 		starts += flt_world.servers[i].starts;
 	sti_reply(req, 200,
 	    json_pack("{s:I,s:s,s:I}", "violations",
-		(json_int_t)flt_world.violations, "first",
-		flt_world.violation, "starts", (json_int_t)starts));
+		(json_int_t)flt_world.violations, "first", flt_world.violation,
+		"starts", (json_int_t)starts));
 }
 
 int
@@ -309,8 +312,8 @@
 {
 	struct arg_int *servers =
 	    arg_int0(NULL, "servers", "N", "backend servers");
-	struct arg_file *file = arg_file1(NULL, "port-file", "FILE",
-	    "the ports are written here");
+	struct arg_file *file =
+	    arg_file1(NULL, "port-file", "FILE", "the ports are written here");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { servers, file, end };
 	const struct timeval interval = { .tv_usec = FLT_TICK_MS * 1000 };
--- a/tests/standins/fleet/store.c
+++ b/tests/standins/fleet/store.c
@@ -63,8 +63,7 @@
 }
 
 static void
-str_put(const char *table, const char *part, const char *key,
-    const char *value)
+str_put(const char *table, const char *part, const char *key, const char *value)
 {
 	struct str_row *row = str_find(table, part, key);
 
@@ -278,8 +277,8 @@
 void
 store_serve(struct evhttp_request *req)
 {
-	const char *path = evhttp_uri_get_path(
-	    evhttp_request_get_evhttp_uri(req));
+	const char *path =
+	    evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
 	json_t *body;
 
 	if (str_mode == STR_DOWN) {
--- a/tests/test_job_json.c
+++ b/tests/test_job_json.c
@@ -43,7 +43,8 @@
 Test(job_json, bad_input_is_refused)
 {
 	static const char *const bad[] = { "", "[]", "{}", "{\"steps\":[]}",
-		"{\"steps\":[{\"count\":0}]}", "{\"steps\":[{\"count\":\"1\"}]}",
+		"{\"steps\":[{\"count\":0}]}",
+		"{\"steps\":[{\"count\":\"1\"}]}",
 		"{\"steps\":[{\"count\":1,\"after\":[0]}]}",
 		"{\"steps\":[{\"count\":5000}]}",
 		"{\"steps\":[{\"count\":-1}]}",
@@ -54,8 +55,8 @@
 
 	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
 		cr_expect_eq(parse(&spec, bad[i]), -1, "%s", bad[i]);
-	cr_expect_eq(job_parse(&spec, "xyz", "{\"steps\":[{\"count\":1}]}",
-			 23, &err),
+	cr_expect_eq(
+	    job_parse(&spec, "xyz", "{\"steps\":[{\"count\":1}]}", 23, &err),
 	    -1);
 }
 
@@ -64,8 +65,7 @@
 	struct job_spec spec;
 
 	cr_assert_eq(
-	    parse(&spec,
-		"{\"steps\":[{\"count\":2,\"gang_scheduled\":true}]}"),
+	    parse(&spec, "{\"steps\":[{\"count\":2,\"gang_scheduled\":true}]}"),
 	    0);
 	cr_expect_str_eq(spec.unsupported, "gang_scheduled");
 	job_spec_release(&spec);
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -17,8 +17,8 @@
 	struct ledger *ledger;
 	char value[64];
 	uint64_t version;
-	int lose_answers;   /* done, and reported as unknown */
-	int lose_requests;  /* not done, and reported as unknown */
+	int lose_answers;  /* done, and reported as unknown */
+	int lose_requests; /* not done, and reported as unknown */
 	int refuse;
 	int transactions;
 	int stored, exists, refused, lost;
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -22,8 +22,14 @@
 Test(place, long_tasks_stay_off_slow_servers)
 {
 	const struct place_server servers[] = {
-		{ .free_cpu = 64000, .speed = 550, .near = true, .allowed = true },
-		{ .free_cpu = 64000, .speed = 1200, .near = true, .allowed = true },
+		{ .free_cpu = 64000,
+		    .speed = 550,
+		    .near = true,
+		    .allowed = true },
+		{ .free_cpu = 64000,
+		    .speed = 1200,
+		    .near = true,
+		    .allowed = true },
 	};
 
 	cr_expect_eq(place_choose(servers, N(servers), &long_task), 1);
@@ -34,7 +40,10 @@
 Test(place, nothing_starts_without_room_or_where_not_allowed)
 {
 	const struct place_server servers[] = {
-		{ .free_cpu = 26999, .speed = 1000, .near = true, .allowed = true },
+		{ .free_cpu = 26999,
+		    .speed = 1000,
+		    .near = true,
+		    .allowed = true },
 		{ .free_cpu = 64000, .speed = 1000, .near = true },
 	};
 
@@ -44,8 +53,14 @@
 Test(place, the_room_that_fits_best_is_used)
 {
 	const struct place_server servers[] = {
-		{ .free_cpu = 47000, .speed = 1000, .near = true, .allowed = true },
-		{ .free_cpu = 28000, .speed = 1000, .near = true, .allowed = true },
+		{ .free_cpu = 47000,
+		    .speed = 1000,
+		    .near = true,
+		    .allowed = true },
+		{ .free_cpu = 28000,
+		    .speed = 1000,
+		    .near = true,
+		    .allowed = true },
 	};
 
 	cr_expect_eq(place_choose(servers, N(servers), &short_task), 1);
@@ -53,10 +68,18 @@
 
 Test(place, too_late_everywhere_goes_where_it_ends_first)
 {
-	const struct place_task late = { .cpu = 1, .work_ms = 900, .left_ms = 10 };
+	const struct place_task late = { .cpu = 1,
+		.work_ms = 900,
+		.left_ms = 10 };
 	const struct place_server servers[] = {
-		{ .free_cpu = 64000, .speed = 550, .near = true, .allowed = true },
-		{ .free_cpu = 64000, .speed = 1200, .near = true, .allowed = true },
+		{ .free_cpu = 64000,
+		    .speed = 550,
+		    .near = true,
+		    .allowed = true },
+		{ .free_cpu = 64000,
+		    .speed = 1200,
+		    .near = true,
+		    .allowed = true },
 	};
 
 	cr_expect_eq(place_choose(servers, N(servers), &late), 1);
@@ -67,7 +90,10 @@
 	struct place_task task = short_task;
 	const struct place_server servers[] = {
 		{ .free_cpu = 64000, .speed = 1000, .allowed = true },
-		{ .free_cpu = 64000, .speed = 1000, .near = true, .allowed = true },
+		{ .free_cpu = 64000,
+		    .speed = 1000,
+		    .near = true,
+		    .allowed = true },
 	};
 
 	task.far_permille = 2000;
