--- a/entry/jobs/holder_server.c
+++ b/entry/jobs/holder_server.c
@@ -194,20 +194,33 @@
 	server->acknowledged = first == NULL ? server->seen : first->number - 1;
 }
 
+/* Drops the ends that are stored now. Return: the first of the others. */
+static const struct hld_unstored *
+hld_unstored_settle(struct hld_server *server, const char *id, uint64_t seq)
+{
+	struct hld_unstored *end, *next, *first = NULL;
+
+	TAILQ_FOREACH_SAFE (end, &server->unstored, entry, next) {
+		if (end->seq <= seq && strcmp(end->id, id) == 0) {
+			TAILQ_REMOVE(&server->unstored, end, entry);
+			free(end);
+		} else if (first == NULL) {
+			first = end;
+		}
+	}
+	return first;
+}
+
 void
 holder_stored(struct holder *holder, const char *id, uint64_t seq)
 {
-	struct hld_unstored *end, *next;
+	const struct hld_unstored *first;
 	struct hld_server *server;
 
 	TAILQ_FOREACH (server, &holder->servers, entry) {
-		TAILQ_FOREACH_SAFE (end, &server->unstored, entry, next) {
-			if (end->seq > seq || strcmp(end->id, id) != 0)
-				continue;
-			TAILQ_REMOVE(&server->unstored, end, entry);
-			free(end);
-		}
-		hld_acknowledge(server);
+		first = hld_unstored_settle(server, id, seq);
+		server->acknowledged =
+		    first == NULL ? server->seen : first->number - 1;
 		if (!server->hold_pending && server->hold_due_us == 0 &&
 		    server->acknowledged != server->told)
 			server->hold_due_us =
--- a/tests/soak/soak_cluster.c
+++ b/tests/soak/soak_cluster.c
@@ -23,6 +23,8 @@
 #define SOAK_ARGS_MAX 32
 #define SOAK_CALL_MS 3000
 #define SOAK_CONNECTIONS_MAX 64
+#define SOAK_PORT_MIN 12000
+#define SOAK_PORTS 18000
 
 uint32_t
 soak_random(struct soak *soak, uint32_t below)
@@ -74,19 +76,31 @@
 	return pid;
 }
 
-/* A port that is free now; hosts keep theirs over restarts. */
+/*
+ * A port that is free now; hosts keep theirs over restarts. Below the range
+ * that the kernel takes for outgoing connections, which would take it while
+ * its host is down.
+ */
 static uint16_t
 soak_free_port(void)
 {
-	struct sockaddr_in sin = sti_loopback(0);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	uint16_t port;
+	struct sockaddr_in sin;
+	int fd, on = 1, tries;
 
-	if (fd == -1 || bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == -1)
-		err(1, "bind");
-	port = sti_port(fd);
-	close(fd);
-	return port;
+	for (tries = 0; tries < 1000; tries++) {
+		sin = sti_loopback(
+		    (uint16_t)(SOAK_PORT_MIN + arc4random_uniform(SOAK_PORTS)));
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		if (fd == -1)
+			err(1, "socket");
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+		if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0) {
+			close(fd);
+			return ntohs(sin.sin_port);
+		}
+		close(fd);
+	}
+	errx(1, "no free port");
 }
 
 static uint16_t
