--- a/entry/jobs/holder.c
+++ b/entry/jobs/holder.c
@@ -131,7 +131,7 @@
 void
 hld_job_release_ended(struct hld_job *job)
 {
-	if (job->ended && job->non_servers == 0)
+	if (job->ended && job->nplaced == 0)
 		hld_job_free(job);
 }
 
--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -79,7 +79,7 @@
 	struct job_queue queue;
 	struct hld_task *tasks; /* spec.ntasks of them, by step */
 	uint32_t ndone;
-	uint32_t non_servers;	 /* tasks with a run somewhere */
+	uint32_t nplaced;	 /* tasks with a run somewhere */
 	uint64_t arrived_us;	 /* when its submitter first sent it */
 	uint64_t objective_us;	 /* on time until then */
 	uint64_t late_us;	 /* worth something until then */
--- a/entry/jobs/holder_run.c
+++ b/entry/jobs/holder_run.c
@@ -46,7 +46,7 @@
 	task->server = server;
 	task->run_id = run_id;
 	task->stop_confirmed = false;
-	task->job->non_servers++;
+	task->job->nplaced++;
 	task->job->started = true;
 	task->job->begun = true;
 	server->used_cpu += step->cpu;
@@ -62,7 +62,7 @@
 	struct hld_server *server = task->server;
 
 	task->server = NULL;
-	task->job->non_servers--;
+	task->job->nplaced--;
 	server->used_cpu -= step->cpu;
 	server->used_mem -= step->mem_mb;
 	server->used_gpu -= step->gpus;
--- a/entry/jobs/keeper.c
+++ b/entry/jobs/keeper.c
@@ -3,76 +3,16 @@
  */
 
 #include <event2/event.h>
-#include <inttypes.h>
-#include <sys/queue.h>
 
 #include "adapters/log.h"
 #include "core/mem.h"
 #include "entry/jobs/job_json.h"
-#include "entry/jobs/keeper.h"
-#include "entry/jobs/ledger.h"
-#include "entry/jobs/record.h"
+#include "entry/jobs/keeper_internal.h"
 
 #define KPR_STATUS_MS 150000 /* an ended job is known for so long */
 #define KPR_SWEEP_MS 5000
-/* A former holder may store a job after its successor has read the rows. */
-#define KPR_RESCAN_MS 4000
-#define KPR_LOAD_RETRY_MS 150
-#define KPR_PAGE 400
 #define KPR_JOBS_MAX 20000
 #define KPR_PATIENCE_MS 1000000000 /* nobody waits for a stored job */
-#define KPR_BUCKETS 1024
-
-/* Somebody who waits for a value of a job to be stored. */
-struct kpr_waiter {
-	uint64_t seq;
-	keeper_done_fn done;   /* or */
-	keeper_state_fn state; /* with the job's state */
-	void *arg;
-	TAILQ_ENTRY(kpr_waiter) entry;
-};
-
-struct kpr_job {
-	struct keeper *keeper;
-	char id[JOB_ID_LEN + 1];
-	struct record record;
-	bool stored;	    /* its row is known to be there */
-	uint64_t ended_seq; /* the value that says so; 0: not ended here */
-	uint64_t stored_seq;
-	bool running; /* the holder has it */
-	TAILQ_HEAD(, kpr_waiter) waiters;
-	TAILQ_ENTRY(kpr_job) entry;
-	LIST_ENTRY(kpr_job) hash;
-};
-
-struct kpr_load {
-	struct keeper *keeper;
-	uint64_t generation;
-	uint32_t part;
-	char from[JOB_ID_LEN + 2];
-	bool again; /* a later read, which nothing waits for */
-	bool under_way;
-	struct event *timer;
-};
-
-struct keeper {
-	struct event_base *base;
-	struct clock *clock;
-	struct rows *rows;
-	struct holder *holder;
-	struct ledger *ledger;
-	char az[NAME_SIZE];
-	bool held;
-	uint64_t generation; /* of loads */
-	uint32_t parts_left; /* to be loaded */
-	struct kpr_load loads[ROWS_JOB_PARTS];
-	struct event *sweep;
-	size_t njobs;
-	TAILQ_HEAD(, kpr_job) jobs;
-	LIST_HEAD(, kpr_job) buckets[KPR_BUCKETS];
-};
-
-static void kpr_read_again(struct kpr_load *load);
 
 static size_t
 kpr_bucket(const char *id)
@@ -80,7 +20,7 @@
 	return (size_t)strtoull(id, NULL, 16) % KPR_BUCKETS;
 }
 
-static struct kpr_job *
+struct kpr_job *
 kpr_find(const struct keeper *keeper, const char *id)
 {
 	struct kpr_job *job;
@@ -92,7 +32,7 @@
 	return NULL;
 }
 
-static struct kpr_job *
+struct kpr_job *
 kpr_enter(struct keeper *keeper, const char *id)
 {
 	struct kpr_job *job = mem_zalloc(1, sizeof(*job));
@@ -230,7 +170,7 @@
 }
 
 /* Its row is there: run it from its stored form. */
-static void
+void
 kpr_start(struct kpr_job *job, bool resubmitted)
 {
 	struct holder_request request = { .queue = job->record.queue,
@@ -380,109 +320,6 @@
 	}
 }
 
-/* Reading back */
-
-static void
-kpr_load_row(struct keeper *keeper, const struct rows_row *row)
-{
-	struct kpr_job *job;
-	struct record record;
-
-	if (row->value == NULL || !job_id_valid(row->key) ||
-	    kpr_find(keeper, row->key) != NULL)
-		return;
-	if (record_parse(&record, row->value, row->value_len) == -1) {
-		log_event(LOG_LEVEL_WARN, "row-unreadable",
-		    "table=jobs key=%s version=%" PRIu64, row->key,
-		    row->version);
-		return;
-	}
-	if (strcmp(record.az, keeper->az) != 0) {
-		record_release(&record);
-		return;
-	}
-	job = kpr_enter(keeper, row->key);
-	job->record = record;
-	job->stored = true;
-	ledger_adopt(keeper->ledger, row->key, row->version);
-	if (record.state == RECORD_ACCEPTED)
-		kpr_start(job, true);
-}
-
-static void
-kpr_load_later(struct kpr_load *load, uint32_t ms)
-{
-	const struct timeval tv = { .tv_sec = ms / 1000,
-		.tv_usec = (suseconds_t)(ms % 1000) * 1000 };
-
-	(void)event_add(load->timer, &tv);
-}
-
-static void kpr_load_next(struct kpr_load *load);
-
-static void
-kpr_loaded(struct keeper *keeper)
-{
-	if (--keeper->parts_left > 0)
-		return;
-	log_event(LOG_LEVEL_INFO, "stored-jobs-read", "jobs=%zu",
-	    keeper->njobs);
-	holder_set_loaded(keeper->holder);
-}
-
-static void
-kpr_load_page(void *arg, enum rows_status status, const struct rows_row *rows,
-    size_t nrows, bool more)
-{
-	struct kpr_load *load = arg;
-	struct keeper *keeper = load->keeper;
-	size_t i;
-
-	load->under_way = false;
-	if (!keeper->held)
-		return;
-	if (load->generation != keeper->generation) {
-		/* Begun for an earlier time as holder: read all anew. */
-		load->from[0] = '\0';
-		kpr_load_next(load);
-		return;
-	}
-	if (status != ROWS_OK) {
-		kpr_load_later(load, KPR_LOAD_RETRY_MS);
-		return;
-	}
-	for (i = 0; i < nrows; i++)
-		kpr_load_row(keeper, &rows[i]);
-	if (more && nrows > 0) {
-		strlcpy(load->from, rows[nrows - 1].key, sizeof(load->from));
-		kpr_load_next(load);
-		return;
-	}
-	if (!load->again)
-		kpr_loaded(keeper);
-	load->again = true;
-	load->from[0] = '\0';
-	kpr_load_later(load, KPR_RESCAN_MS);
-}
-
-static void
-kpr_load_next(struct kpr_load *load)
-{
-	if (load->under_way)
-		return;
-	load->under_way = true;
-	load->generation = load->keeper->generation;
-	load->keeper->rows->ops->read(load->keeper->rows, load->part,
-	    load->from, KPR_PAGE, kpr_load_page, load);
-}
-
-static void
-kpr_read_again(struct kpr_load *load)
-{
-	if (load->again)
-		kpr_load_later(load, 0);
-}
-
 static void
 kpr_load_tick(evutil_socket_t fd, short what, void *arg)
 {
--- /dev/null
+++ b/entry/jobs/keeper_internal.h
@@ -0,0 +1,77 @@
+#ifndef ENTRY_JOBS_KEEPER_INTERNAL_H
+#define ENTRY_JOBS_KEEPER_INTERNAL_H
+
+#include <sys/queue.h>
+
+#include "entry/jobs/keeper.h"
+#include "entry/jobs/ledger.h"
+#include "entry/jobs/record.h"
+
+/*
+ * Shared by the files of the keeper: keeper.c (accepting, progress, ends),
+ * keeper_load.c (reading back).
+ */
+
+#define KPR_BUCKETS 1024
+
+/* Somebody who waits for a value of a job to be stored. */
+struct kpr_waiter {
+	uint64_t seq;
+	keeper_done_fn done;   /* or */
+	keeper_state_fn state; /* with the job's state */
+	void *arg;
+	TAILQ_ENTRY(kpr_waiter) entry;
+};
+
+struct kpr_job {
+	struct keeper *keeper;
+	char id[JOB_ID_LEN + 1];
+	struct record record;
+	bool stored;	    /* its row is known to be there */
+	uint64_t ended_seq; /* the value that says so; 0: not ended here */
+	uint64_t stored_seq;
+	bool running; /* the holder has it */
+	TAILQ_HEAD(, kpr_waiter) waiters;
+	TAILQ_ENTRY(kpr_job) entry;
+	LIST_ENTRY(kpr_job) hash;
+};
+
+struct kpr_load {
+	struct keeper *keeper;
+	uint64_t generation;
+	uint32_t part;
+	char from[JOB_ID_LEN + 2];
+	bool again; /* a later read, which nothing waits for */
+	bool under_way;
+	struct event *timer;
+};
+
+struct keeper {
+	struct event_base *base;
+	struct clock *clock;
+	struct rows *rows;
+	struct holder *holder;
+	struct ledger *ledger;
+	char az[NAME_SIZE];
+	bool held;
+	uint64_t generation; /* of loads */
+	uint32_t parts_left; /* to be loaded */
+	struct kpr_load loads[ROWS_JOB_PARTS];
+	struct event *sweep;
+	size_t njobs;
+	TAILQ_HEAD(, kpr_job) jobs;
+	LIST_HEAD(, kpr_job) buckets[KPR_BUCKETS];
+};
+
+/* keeper.c */
+struct kpr_job *kpr_find(const struct keeper *keeper, const char *id);
+struct kpr_job *kpr_enter(struct keeper *keeper, const char *id);
+/* Runs a job from its stored form. */
+void kpr_start(struct kpr_job *job, bool resubmitted);
+
+/* keeper_load.c */
+void kpr_load_next(struct kpr_load *load);
+/* Reads a partition again now, unless its first read is under way. */
+void kpr_read_again(struct kpr_load *load);
+
+#endif /* ENTRY_JOBS_KEEPER_INTERNAL_H */
--- a/entry/jobs/zone.c
+++ b/entry/jobs/zone.c
@@ -316,8 +316,7 @@
 }
 
 static void
-zone_fill(const struct zone *zone, const struct zone_host *host,
-    struct cell_host *cell)
+zone_fill(const struct zone_host *host, struct cell_host *cell)
 {
 	*cell = (struct cell_host){
 		.name = host->info.name,
@@ -326,7 +325,6 @@
 		.reachable = host->connected && !host->silent,
 		.leaving = host->leaving,
 	};
-	(void)zone;
 }
 
 void
@@ -346,7 +344,7 @@
 	};
 	TAILQ_FOREACH (host, &zone->hosts, entry) {
 		if (zone_is_near(zone, host) && n < ZONE_HOSTS_MAX)
-			zone_fill(zone, host, &cells[n++]);
+			zone_fill(host, &cells[n++]);
 	}
 	chosen = cell_choose(cells, n);
 	if (chosen < 0) {
--- a/entry/jobs/zone_internal.h
+++ b/entry/jobs/zone_internal.h
@@ -11,10 +11,13 @@
 
 /*
  * Shared by the files of the zone: zone.c (hosts, who holds), zone_job.c
- * (jobs on their way to a holder, and requests of peers).
+ * (jobs on their way to a holder, and requests of peers), zone_stored.c
+ * (questions about stored jobs).
  */
 
 #define ZONE_PATH "/v1/work/"
+#define ZONE_JOBS_PATH ZONE_PATH "jobs/"
+#define ZONE_CANCEL_PATH ZONE_PATH "cancel/"
 #define ZONE_HOSTS_MAX 256
 
 /** struct zone_host - an entry host. */
@@ -35,7 +38,17 @@
 	TAILQ_ENTRY(zone_host) entry;
 };
 
-struct zone_submission;
+/** struct zone_submission - a job, or a question about one, of this host or
+ * of a peer, in this host's holder or keeper. */
+struct zone_submission {
+	struct zone *zone;
+	char id[JOB_ID_LEN + 1];
+	uint64_t nonce;
+	zone_done_fn done;  /* of this host's own */
+	api_reply_fn reply; /* of a peer's */
+	void *arg;
+	TAILQ_ENTRY(zone_submission) entry;
+};
 
 struct zone {
 	struct zone_params params;
@@ -66,5 +79,15 @@
 
 /* zone_job.c */
 void zone_served_drop(struct zone *zone);
+struct zone_submission *zone_submission_create(struct zone *zone,
+    const char *id, uint64_t nonce, void *arg);
+void zone_submission_free(struct zone_submission *sub);
+void zone_reply(api_reply_fn reply, void *arg, int status, const char *body);
+
+/* zone_stored.c */
+void zone_serve_cancel_stored(struct zone *zone,
+    const struct api_request *request, api_reply_fn reply, void *arg);
+void zone_serve_job_state(struct zone *zone, const struct api_request *request,
+    api_reply_fn reply, void *arg);
 
 #endif /* ENTRY_JOBS_ZONE_INTERNAL_H */
--- a/entry/jobs/zone_job.c
+++ b/entry/jobs/zone_job.c
@@ -14,12 +14,10 @@
 #include "entry/jobs/job_json.h"
 #include "entry/jobs/zone_internal.h"
 
-#define ZONE_JOBS_PATH ZONE_PATH "jobs/"
 #define ZONE_QUERY_SIZE 512
 #define ZONE_NUMBER_MAX 1000000000
 #define ZONE_PERMILLE 1000
 #define ZONE_STORE_RETRY_MS 1000 /* Retry-After while the store is away */
-#define ZONE_CANCEL_PATH ZONE_PATH "cancel/"
 
 /* HTTP statuses between hosts, by result. */
 static const int zone_statuses[] = {
@@ -32,18 +30,7 @@
 	[HOLDER_ACCEPTED] = 202,
 };
 
-/* A job of this host or of a peer in this host's holder. */
-struct zone_submission {
-	struct zone *zone;
-	char id[JOB_ID_LEN + 1];
-	uint64_t nonce;
-	zone_done_fn done;  /* of this host's own */
-	api_reply_fn reply; /* of a peer's */
-	void *arg;
-	TAILQ_ENTRY(zone_submission) entry;
-};
-
-static void
+void
 zone_submission_free(struct zone_submission *sub)
 {
 	TAILQ_REMOVE(&sub->zone->served, sub, entry);
@@ -59,7 +46,7 @@
 		zone_submission_free(sub);
 }
 
-static void
+void
 zone_reply(api_reply_fn reply, void *arg, int status, const char *body)
 {
 	const struct api_reply message = {
@@ -102,7 +89,7 @@
 		zone_reply_result(reply, to, result);
 }
 
-static struct zone_submission *
+struct zone_submission *
 zone_submission_create(struct zone *zone, const char *id, uint64_t nonce,
     void *arg)
 {
@@ -432,188 +419,6 @@
 	zone_reply(reply, arg, 200, "{}");
 }
 
-/* Cancelling of stored jobs */
-
-struct zone_kept_call {
-	keeper_done_fn done; /* of this host's own */
-	api_reply_fn reply;  /* of a peer's */
-	void *arg;
-};
-
-static const int zone_cancel_statuses[] = {
-	[KEEPER_OK] = 200,
-	[KEEPER_NO_JOB] = 404,
-	[KEEPER_REFUSED] = 503,
-	[KEEPER_UNKNOWN] = 504,
-};
-
-/* Jobs cancelled for peers; a peer that is gone is not answered. */
-static void
-zone_cancel_served(void *arg, enum keeper_result result)
-{
-	struct zone_submission *sub = arg;
-	api_reply_fn reply = sub->reply;
-	void *to = sub->arg;
-
-	zone_submission_free(sub);
-	zone_reply(reply, to, zone_cancel_statuses[result], "{}");
-}
-
-static void
-zone_serve_cancel_stored(struct zone *zone, const struct api_request *request,
-    api_reply_fn reply, void *arg)
-{
-	const char *id = request->path + sizeof(ZONE_CANCEL_PATH) - 1;
-	struct zone_submission *sub = zone_submission_create(zone, id, 0, arg);
-
-	sub->reply = reply;
-	keeper_cancel(zone->keeper, id, zone_cancel_served, sub);
-}
-
-static void
-zone_cancel_answered(void *arg, const struct api_reply *reply,
-    const struct err *err)
-{
-	struct zone_kept_call *call = arg;
-	enum keeper_result result = KEEPER_UNKNOWN;
-
-	(void)err;
-	if (reply != NULL && reply->status == zone_cancel_statuses[KEEPER_OK])
-		result = KEEPER_OK;
-	call->done(call->arg, result);
-	free(call);
-}
-
-void
-zone_cancel_stored(struct zone *zone, const char *az, const char *id,
-    keeper_done_fn done, void *arg)
-{
-	char path[sizeof(ZONE_CANCEL_PATH) + JOB_ID_LEN + 1];
-	const struct api_request request = { .method = API_POST,
-		.path = path,
-		.query = "" };
-	const struct zone_host *host, *found = NULL;
-	struct zone_kept_call *call;
-
-	if (strcmp(az, zone->params.self.az) == 0 &&
-	    holder_token(zone->params.holder) != 0) {
-		keeper_cancel(zone->keeper, id, done, arg);
-		return;
-	}
-	TAILQ_FOREACH (host, &zone->hosts, entry) {
-		if (host->connected && host->token != 0 &&
-		    strcmp(host->info.az, az) == 0 &&
-		    (found == NULL || host->token > found->token))
-			found = host;
-	}
-	if (found == NULL) {
-		done(arg, KEEPER_UNKNOWN);
-		return;
-	}
-	call = mem_zalloc(1, sizeof(*call));
-	call->done = done;
-	call->arg = arg;
-	(void)snprintf(path, sizeof(path), ZONE_CANCEL_PATH "%s", id);
-	zone->params.peers->ops->forward(zone->params.peers, found->info.az,
-	    found->info.name, found->incarnation, &request,
-	    zone_cancel_answered, call);
-}
-
-/* States of stored jobs */
-
-struct zone_state_call {
-	keeper_state_fn done;
-	void *arg;
-};
-
-static void
-zone_state_served(void *arg, enum keeper_result result, enum record_state state)
-{
-	struct zone_submission *sub = arg;
-	api_reply_fn reply = sub->reply;
-	void *to = sub->arg;
-	char body[32];
-
-	zone_submission_free(sub);
-	(void)snprintf(body, sizeof(body), "{\"state\":%d}", (int)state);
-	zone_reply(reply, to, zone_cancel_statuses[result], body);
-}
-
-static void
-zone_serve_job_state(struct zone *zone, const struct api_request *request,
-    api_reply_fn reply, void *arg)
-{
-	const char *id = request->path + sizeof(ZONE_JOBS_PATH) - 1;
-	struct zone_submission *sub = zone_submission_create(zone, id, 0, arg);
-
-	sub->reply = reply;
-	keeper_state(zone->keeper, id, zone_state_served, sub);
-}
-
-static void
-zone_state_answered(void *arg, const struct api_reply *reply,
-    const struct err *err)
-{
-	struct zone_state_call *call = arg;
-	enum keeper_result result = KEEPER_UNKNOWN;
-	json_int_t state = RECORD_ACCEPTED;
-	json_t *body;
-
-	(void)err;
-	if (reply != NULL && reply->status == zone_cancel_statuses[KEEPER_OK]) {
-		body = json_loadb(reply->body, reply->body_len, 0, NULL);
-		state = json_integer_value(json_object_get(body, "state"));
-		json_decref(body);
-		if (state >= RECORD_ACCEPTED && state <= RECORD_CANCELLED)
-			result = KEEPER_OK;
-	}
-	call->done(call->arg, result, (enum record_state)state);
-	free(call);
-}
-
-void
-zone_state(struct zone *zone, const char *id, keeper_state_fn done, void *arg)
-{
-	char path[sizeof(ZONE_JOBS_PATH) + JOB_ID_LEN + 1];
-	const struct api_request request = { .method = API_GET,
-		.path = path,
-		.query = "" };
-	const struct zone_host *host;
-	struct zone_state_call *call;
-
-	if (holder_token(zone->params.holder) != 0) {
-		keeper_state(zone->keeper, id, done, arg);
-		return;
-	}
-	host = zone_served(zone) ? zone_host_find(zone, zone->holder) : NULL;
-	if (host == NULL || host->silent) {
-		done(arg, KEEPER_UNKNOWN, RECORD_ACCEPTED);
-		return;
-	}
-	call = mem_zalloc(1, sizeof(*call));
-	call->done = done;
-	call->arg = arg;
-	(void)snprintf(path, sizeof(path), ZONE_JOBS_PATH "%s", id);
-	zone->params.peers->ops->forward(zone->params.peers, host->info.az,
-	    host->info.name, host->incarnation, &request, zone_state_answered,
-	    call);
-}
-
-uint32_t
-zone_pending(const struct zone *zone, const char *queue)
-{
-	uint32_t n = holder_pending(zone->params.holder, queue);
-	const struct zone_host *host;
-
-	TAILQ_FOREACH (host, &zone->hosts, entry) {
-		if (host->connected && host->token != 0 &&
-		    host->pending != NULL)
-			n += (uint32_t)json_integer_value(
-			    json_object_get(host->pending, queue));
-	}
-	return n;
-}
-
 void
 zone_handle(struct zone *zone, const struct api_request *request,
     api_reply_fn reply, void *arg)
