--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,7 +23,7 @@
 /** struct soak_host - an entry host under test. */
 struct soak_host {
 	char name[16];
-	char az[8];
+	char az[16];
 	pid_t pid; /* 0: not running */
 	bool paused;
 	uint16_t work_port, peer_port, ready_port, http_port; /* own */
