--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -288,6 +288,22 @@
 	}
 }
 
+/* The sanitizers' build looks for leaks in the soak, too. */
+static void
+soak_release(struct soak *soak)
+{
+	struct soak_job *job, *next;
+
+	for (job = TAILQ_FIRST(&soak->jobs); job != NULL; job = next) {
+		next = TAILQ_NEXT(job, entry);
+		event_free(job->timer);
+		free(job);
+	}
+	event_free(soak->traffic);
+	event_free(soak->trouble);
+	event_base_loop(soak->base, EVLOOP_NONBLOCK);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -311,8 +327,10 @@
 	TAILQ_INIT(&soak.jobs);
 	soak_start(&soak);
 	soak_run(&soak, SOAK_WARM_MS);
-	soak_timer(evtimer_new(soak.base, soak_traffic, &soak), 1);
-	soak_timer(evtimer_new(soak.base, soak_trouble, &soak), 500);
+	soak.traffic = evtimer_new(soak.base, soak_traffic, &soak);
+	soak.trouble = evtimer_new(soak.base, soak_trouble, &soak);
+	soak_timer(soak.traffic, 1);
+	soak_timer(soak.trouble, 500);
 	soak_run(&soak, (uint32_t)seconds->ival[0] * 1000);
 	soak.faults = false;
 	soak_run(&soak, 5200);
@@ -320,5 +338,7 @@
 	soak_check_recovery(&soak);
 	soak_check_all(&soak);
 	soak_stop(&soak);
+	soak_release(&soak);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return soak.violations == 0 ? 0 : 1;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -52,6 +52,7 @@
 /** struct soak - one run. */
 struct soak {
 	struct event_base *base;
+	struct event *traffic, *trouble;
 	char dir[64];
 	char bin[256];
 	uint64_t random;
