Holder: no end of a stored job is acknowledged before it is stored

Two ways to that were found by reading: ends of a job that has just been cancelled or failed were acknowledged although that end of the job was not stored yet; and ends told while jobs were still being read entered the list of unstored ends out of order, so that the number before its first entry covered an unstored one. Ruled out: the ledger's sequence (it survives conflicts and lost answers in test_ledger). Change: progress is told for ended jobs too, and the list is kept by number. Test: test_holder_stored, two of three fail before, all pass after.

--- a/entry/jobs/holder_run.c
+++ b/entry/jobs/holder_run.c
@@ -171,7 +171,8 @@
 	const struct hld_job *job = task->job;
 	const struct holder_params *params = &job->holder->params;
 
-	if (!job->stored || job->ended || params->progress == NULL)
+	/* Also of an ended job: its own end may not be stored yet. */
+	if (!job->stored || params->progress == NULL)
 		return 0;
 	return params->progress(params->arg, job->spec.id,
 	    (uint32_t)(task - job->tasks), done);
@@ -205,6 +206,8 @@
 {
 	uint64_t seq = hld_tell_progress(task, true);
 
+	if (task->job->ended)
+		return seq;
 	if (task->state == HLD_WAITING)
 		hld_dequeue(task);
 	task->run_id = run_id;
--- a/entry/jobs/holder_server.c
+++ b/entry/jobs/holder_server.c
@@ -168,7 +168,7 @@
 static uint64_t
 hld_ended_before(struct hld_task *task, const struct worker_ended *ended)
 {
-	if (!task->job->stored || task->job->ended ||
+	if (!task->job->stored ||
 	    (task->state != HLD_WAITING && task->state != HLD_BLOCKED))
 		return 0;
 	return hld_run_found_done(task, ended->run_id);
@@ -228,10 +228,28 @@
 	}
 }
 
+/* Ends are listed again in part while jobs are being read. */
+static void
+hld_unstored_enter(struct hld_server *server, const struct worker_ended *ended,
+    uint64_t seq)
+{
+	struct hld_unstored *end = mem_zalloc(1, sizeof(*end)), *next;
+
+	end->number = ended->number;
+	end->seq = seq;
+	memcpy(end->id, ended->task, JOB_ID_LEN);
+	TAILQ_FOREACH (next, &server->unstored, entry) {
+		if (next->number > end->number) {
+			TAILQ_INSERT_BEFORE(next, end, entry);
+			return;
+		}
+	}
+	TAILQ_INSERT_TAIL(&server->unstored, end, entry);
+}
+
 static void
 hld_list_ended(struct hld_server *server, const struct worker_ended *ended)
 {
-	struct hld_unstored *end;
 	struct hld_task *task;
 	uint64_t seq = 0;
 
@@ -248,13 +266,8 @@
 		seq = hld_ended_before(task, ended);
 	if (server->holder->loaded)
 		server->seen = ended->number;
-	if (seq == 0)
-		return;
-	end = mem_zalloc(1, sizeof(*end));
-	end->number = ended->number;
-	end->seq = seq;
-	memcpy(end->id, ended->task, JOB_ID_LEN);
-	TAILQ_INSERT_TAIL(&server->unstored, end, entry);
+	if (seq != 0)
+		hld_unstored_enter(server, ended, seq);
 }
 
 /* Runs that a list written after their last order does not show are over. */
--- /dev/null
+++ b/tests/test_holder_stored.c
@@ -0,0 +1,260 @@
+/*
+ * What the holder acknowledges of stored jobs: an end may be forgotten by its
+ * server only once the store has it. The servers' answers are given by hand.
+ */
+
+#include <criterion/criterion.h>
+#include <event2/event.h>
+#include <stdio.h>
+
+#include "adapters/clock_real.h"
+#include "core/mem.h"
+#include "entry/jobs/holder.h"
+#include "entry/jobs/job_json.h"
+
+#define ID_A "00000000000000aa"
+#define ID_B "00000000000000bb"
+#define RIG_BORN_MS 1000
+#define RIG_STEP_MS 120 /* covers every pause between two holds */
+
+/* One server, whose last hold waits for its answer. */
+struct worker_link {
+	int unused;
+};
+
+struct rig {
+	struct worker worker; /* first */
+	struct event_base *base;
+	struct worker_link link;
+	struct holder *holder;
+	worker_done_fn hold_done;
+	void *hold_arg;
+	uint64_t acknowledged; /* by the last hold */
+	uint64_t progress;     /* numbers given out */
+};
+
+static struct worker_link *
+rig_open(struct worker *worker, const struct worker_address *address)
+{
+	(void)address;
+	return &((struct rig *)worker)->link;
+}
+
+static void
+rig_close(struct worker_link *link)
+{
+	(void)link;
+}
+
+static void
+rig_start(struct worker_link *link, const struct worker_start *order,
+    worker_done_fn done, void *arg)
+{
+	(void)link;
+	(void)order;
+	(void)done;
+	(void)arg;
+}
+
+static void
+rig_stop(struct worker_link *link, const char *task, uint64_t run_id,
+    uint64_t token, worker_done_fn done, void *arg)
+{
+	(void)link;
+	(void)task;
+	(void)run_id;
+	(void)token;
+	(void)done;
+	(void)arg;
+}
+
+static void
+rig_hold(struct worker_link *link, const struct worker_hold *hold,
+    worker_done_fn done, void *arg)
+{
+	struct rig *rig =
+	    (struct rig *)((char *)link - offsetof(struct rig, link));
+
+	rig->acknowledged = hold->acknowledged;
+	rig->hold_done = done;
+	rig->hold_arg = arg;
+}
+
+static const struct worker_ops rig_ops = {
+	.open = rig_open,
+	.close = rig_close,
+	.start = rig_start,
+	.stop = rig_stop,
+	.hold = rig_hold,
+};
+
+static uint64_t
+rig_progress(void *arg, const char *id, uint32_t task, bool done)
+{
+	(void)id;
+	(void)task;
+	(void)done;
+	return ++((struct rig *)arg)->progress;
+}
+
+static void
+rig_fenced(void *arg)
+{
+	(void)arg;
+	cr_assert_fail("fenced");
+}
+
+static struct rig *
+rig_create(void)
+{
+	const struct dir_server server = { .id = "s0",
+		.service = "booth",
+		.az = "a",
+		.cpu = 64000,
+		.mem_mb = 1024 };
+	struct rig *rig = mem_zalloc(1, sizeof(*rig));
+	const struct holder_params params = {
+		.base = event_base_new(),
+		.clock = clock_real(),
+		.worker = &rig->worker,
+		.lease_ms = 1000,
+		.far_permille = 1000,
+		.progress = rig_progress,
+		.fenced = rig_fenced,
+		.arg = rig,
+	};
+
+	rig->worker.ops = &rig_ops;
+	rig->base = params.base;
+	rig->holder = holder_create(&params);
+	holder_server(rig->holder, &server);
+	holder_begin(rig->holder, 10);
+	holder_fresh(rig->holder);
+	return rig;
+}
+
+static void
+rig_destroy(struct rig *rig)
+{
+	holder_destroy(rig->holder);
+	event_base_free(rig->base);
+	free(rig);
+}
+
+static void
+rig_run(struct rig *rig)
+{
+	const struct timeval tv = { .tv_usec = RIG_STEP_MS * 1000 };
+
+	(void)event_base_loopexit(rig->base, &tv);
+	(void)event_base_dispatch(rig->base);
+}
+
+/* Answers the hold, and lets the next one be sent. */
+static void
+rig_answer(struct rig *rig, const struct worker_run *running, size_t nrunning,
+    const struct worker_ended *ended, size_t nended)
+{
+	const struct worker_reply reply = { .verdict = WORKER_OK,
+		.born_ms = RIG_BORN_MS,
+		.has_lists = true,
+		.running = running,
+		.nrunning = nrunning,
+		.ended = ended,
+		.nended = nended };
+	worker_done_fn done = rig->hold_done;
+
+	cr_assert_not_null(done, "no hold is under way");
+	rig->hold_done = NULL;
+	done(rig->hold_arg, &reply);
+	rig_run(rig);
+}
+
+static void
+rig_done(void *arg, const struct holder_reply *reply)
+{
+	(void)arg;
+	(void)reply;
+}
+
+/* A stored job of two tasks that a former holder had begun. */
+static void
+rig_submit(struct rig *rig, const char *id)
+{
+	static const uint8_t none[2];
+	struct holder_request request = {
+		.queue = { .name = "q",
+		    .service = "booth",
+		    .max_attempts = 3,
+		    .slack_permille = 1600,
+		    .target_ms = 60 },
+		.patience_ms = 60000,
+		.resubmitted = true,
+		.stored = true,
+		.done = none,
+		.fails = none,
+	};
+	const char *body = "{\"spec\":\"x\",\"steps\":[{\"count\":2,"
+			   "\"cpu\":500,\"mem_mb\":64,\"estimated_ms\":100}]}";
+	struct err err;
+
+	cr_assert_eq(job_parse(&request.spec, id, body, strlen(body), &err), 0,
+	    "%s", err.message);
+	holder_submit(rig->holder, &request, rig_done, NULL);
+}
+
+Test(holder_stored, end_is_acknowledged_once_it_is_stored)
+{
+	const struct worker_run run = { ID_A ".0.0.0", 64 };
+	const struct worker_ended end = { 1, ID_A ".0.0.0", 64,
+		WORKER_END_DONE };
+	struct rig *rig = rig_create();
+
+	rig_submit(rig, ID_A);
+	holder_set_loaded(rig->holder);
+	rig_answer(rig, &run, 1, NULL, 0);
+	rig_answer(rig, NULL, 0, &end, 1);
+	cr_expect_eq(rig->acknowledged, 0);
+	holder_stored(rig->holder, ID_A, 1);
+	rig_run(rig);
+	rig_answer(rig, NULL, 0, &end, 1);
+	cr_expect_eq(rig->acknowledged, 1);
+	rig_destroy(rig);
+}
+
+/* Its cancellation may not be stored yet: a successor would run it again. */
+Test(holder_stored, end_of_a_cancelled_job_is_stored_first)
+{
+	const struct worker_run run = { ID_A ".0.0.0", 64 };
+	const struct worker_ended end = { 1, ID_A ".0.0.0", 64,
+		WORKER_END_DONE };
+	struct rig *rig = rig_create();
+
+	rig_submit(rig, ID_A);
+	holder_set_loaded(rig->holder);
+	rig_answer(rig, &run, 1, NULL, 0);
+	holder_cancel(rig->holder, ID_A, NULL);
+	rig_answer(rig, NULL, 0, &end, 1);
+	cr_expect_eq(rig->progress, 1);
+	cr_expect_eq(rig->acknowledged, 0);
+	rig_destroy(rig);
+}
+
+/* The job of the first end is read after that of the second one. */
+Test(holder_stored, ends_told_out_of_order_are_acknowledged_in_order)
+{
+	const struct worker_ended ends[] = {
+		{ 1, ID_B ".0.0.0", 64, WORKER_END_DONE },
+		{ 2, ID_A ".0.0.0", 64, WORKER_END_DONE },
+	};
+	struct rig *rig = rig_create();
+
+	rig_submit(rig, ID_A);
+	rig_answer(rig, NULL, 0, ends, 2);
+	rig_submit(rig, ID_B);
+	holder_set_loaded(rig->holder);
+	rig_answer(rig, NULL, 0, ends, 2);
+	cr_expect_eq(rig->progress, 2);
+	cr_expect_eq(rig->acknowledged, 0);
+	rig_destroy(rig);
+}
