Platform: ends are acknowledged only over the connection that brought them

The hold after the restart acknowledged by the former incarnation's numbers, so that ends were forgotten that nobody had stored. Ruled out: the check of the incarnation in the lists; it comes an answer late. Change: holds have a connection of their own; a hold that can't go over the connection of the last lists acknowledges nothing. The HTTP client can be asked to send a call over one connection or not at all. Test: test_platform_worker.

--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -32,6 +32,7 @@
 	struct evhttp_request *request; /* owned while the call waits */
 	enum evhttp_cmd_type method;
 	char *path;
+	uint64_t connection; /* that it asks for; 0: any */
 	bool sent;
 	struct event *timer;
 	hcl_done_fn done;
@@ -44,6 +45,7 @@
 
 struct hcl_conn {
 	struct hcl *hcl;
+	uint64_t number; /* from 1, in order of opening */
 	struct evhttp_connection *evcon;
 	struct hcl_call *call; /* NULL: idle or dead */
 	TAILQ_ENTRY(hcl_conn) entry;
@@ -61,6 +63,7 @@
 	struct hcl_conns busy;
 	struct hcl_conns dead; /* to be freed */
 	size_t nconns;	       /* idle and busy */
+	uint64_t opened;       /* connections so far */
 	struct event *deferred;
 };
 
@@ -194,6 +197,7 @@
 		conn) == NULL)
 		goto error;
 	hcl->nconns++;
+	conn->number = ++hcl->opened;
 	return conn;
 error:
 	if (conn->evcon != NULL)
@@ -218,6 +222,58 @@
 	    (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/* Sends a call on a connection; evhttp owns the request from here. */
+static void
+hcl_call_send(struct hcl_call *call, struct hcl_conn *conn)
+{
+	struct evhttp_request *request = call->request;
+
+	call->request = NULL;
+	call->conn = conn;
+	conn->call = call;
+	TAILQ_INSERT_TAIL(&conn->hcl->busy, conn, entry);
+	if (evhttp_make_request(conn->evcon, request, call->method,
+		call->path) == 0)
+		return;
+	hcl_conn_release(conn, false);
+	hcl_call_fail(call, "request could not be made", false);
+}
+
+static struct hcl_conn *
+hcl_conn_find_idle(const struct hcl *hcl, uint64_t number)
+{
+	struct hcl_conn *conn;
+
+	TAILQ_FOREACH (conn, &hcl->idle, entry) {
+		if (conn->number == number && hcl_conn_clean(conn))
+			return conn;
+	}
+	return NULL;
+}
+
+bool
+hcl_is_idle(const struct hcl *hcl, uint64_t connection)
+{
+	return hcl_conn_find_idle(hcl, connection) != NULL;
+}
+
+/* Starts a call that asked for a certain connection, or ends it. */
+static void
+hcl_call_send_on(struct hcl_call *call)
+{
+	struct hcl *hcl = call->hcl;
+	struct hcl_conn *conn = hcl_conn_find_idle(hcl, call->connection);
+
+	TAILQ_REMOVE(&hcl->waiting, call, entry);
+	hcl->nwaiting--;
+	if (conn == NULL) {
+		hcl_call_fail(call, "its connection is gone", false);
+		return;
+	}
+	TAILQ_REMOVE(&hcl->idle, conn, entry);
+	hcl_call_send(call, conn);
+}
+
 /* An idle connection or a new one, in no list; NULL if there is none. */
 static struct hcl_conn *
 hcl_conn_get(struct hcl *hcl)
@@ -277,6 +333,7 @@
 	reply.body_len = evbuffer_get_length(input);
 	reply.body = (const char *)evbuffer_pullup(input, -1);
 	reply.headers = evhttp_request_get_input_headers(request);
+	reply.connection = call->conn->number;
 	if (reply.body == NULL)
 		reply.body = "";
 	hcl_conn_release(call->conn, keep);
@@ -305,23 +362,6 @@
 	hcl_call_fail(call, "time limit passed", true);
 }
 
-/* Sends a call on a connection; evhttp owns the request from here. */
-static void
-hcl_call_send(struct hcl_call *call, struct hcl_conn *conn)
-{
-	struct evhttp_request *request = call->request;
-
-	call->request = NULL;
-	call->conn = conn;
-	conn->call = call;
-	TAILQ_INSERT_TAIL(&conn->hcl->busy, conn, entry);
-	if (evhttp_make_request(conn->evcon, request, call->method,
-		call->path) == 0)
-		return;
-	hcl_conn_release(conn, false);
-	hcl_call_fail(call, "request could not be made", false);
-}
-
 static void
 hcl_run_deferred(evutil_socket_t fd, short events, void *arg)
 {
@@ -340,6 +380,10 @@
 		hcl_call_fail(call, "too many calls are waiting", false);
 	}
 	while ((call = TAILQ_FIRST(&hcl->waiting)) != NULL) {
+		if (call->connection != 0) {
+			hcl_call_send_on(call);
+			continue;
+		}
 		conn = hcl_conn_get(hcl);
 		if (conn == NULL)
 			return;
@@ -393,6 +437,7 @@
 	call->arg = arg;
 	call->method = request->method;
 	call->path = strdup(request->path);
+	call->connection = request->connection;
 	call->request = hcl_build_request(hcl, request, call);
 	call->timer = evtimer_new(hcl->params.base, hcl_timed_out, call);
 	if (call->path == NULL || call->timer == NULL)
--- a/adapters/http_client.h
+++ b/adapters/http_client.h
@@ -44,6 +44,7 @@
 	const void *body;    /* may be NULL */
 	size_t body_len;     /* bytes */
 	uint32_t timeout_ms; /* 0: that of the client */
+	uint64_t connection; /* to be sent on no other one; 0: on any */
 	/* Frees @arg if the client is destroyed before the end; may be NULL. */
 	void (*drop)(void *arg);
 };
@@ -56,7 +57,8 @@
 	const char *body;
 	size_t body_len;		 /* bytes */
 	const struct evkeyvalq *headers; /* NULL if status is 0 */
-	const char *reason; /* why there is no answer; NULL if there is */
+	const char *reason;  /* why there is no answer; NULL if there is */
+	uint64_t connection; /* that brought the answer; 0: none */
 };
 
 typedef void (*hcl_done_fn)(void *arg, const struct hcl_reply *reply);
@@ -71,6 +73,9 @@
 void hcl_call(struct hcl *hcl, const struct hcl_request *request,
     hcl_done_fn done, void *arg);
 
+/** hcl_is_idle() - is this connection open and free for a call? */
+bool hcl_is_idle(const struct hcl *hcl, uint64_t connection);
+
 /** hcl_peer() - "ADDRESS:PORT" of the server, for errors. */
 const char *hcl_peer(const struct hcl *hcl);
 
--- a/ports/worker.h
+++ b/ports/worker.h
@@ -79,9 +79,11 @@
 /** struct worker_hold - renew the lease, acknowledge ends, ask for news. */
 struct worker_hold {
 	uint64_t token;
-	uint64_t acknowledged; /* ends up to this number are forgotten */
-	uint64_t deadline_ms;  /* 0: leaves the lease alone */
-	uint32_t wait_ms;      /* the answer waits so long for an end */
+	/* Ends up to this number, of the incarnation that listed last, may be
+	 * forgotten; told only where no other incarnation can hear it. */
+	uint64_t acknowledged;
+	uint64_t deadline_ms; /* 0: leaves the lease alone */
+	uint32_t wait_ms;     /* the answer waits so long for an end */
 };
 
 /** struct worker_address - a backend server's incarnation. */
