Stored jobs: a holder owns the partitions before it reads them

Cause: a former holder that was cut off could still store a job after its successor had read the rows, start it and acknowledge its end; a read every 4 s found such jobs late, and ran their tasks again. Also a transaction had up to 160 entries, which the store refuses above 100, for ever. Ruled out: fencing by the servers alone: it does not reach one whose server the successor has not reached yet. Change: a row in each partition names the token of its owner. A take-over writes it, then reads; all writes are made under the condition that it is unchanged. A transaction has at most 49 rows and 600 kB of values. The periodic read is gone. Test: test_keeper (new), test_ledger (three new cases).

--- a/entry/jobs/keeper.c
+++ b/entry/jobs/keeper.c
@@ -3,6 +3,7 @@
  */
 
 #include <event2/event.h>
+#include <stdio.h>
 
 #include "adapters/log.h"
 #include "core/mem.h"
@@ -208,7 +209,7 @@
 		kpr_start(job, false);
 }
 
-/* A row of this job is there: it is read, and run if it is this cell's. */
+/* Another cell has this job: this one's rows were all read before. */
 static void
 kpr_exists(void *arg, const char *id, const char *value, size_t len)
 {
@@ -221,7 +222,6 @@
 		return;
 	kpr_answer(job, UINT64_MAX, KEEPER_OK);
 	kpr_free(job);
-	kpr_read_again(&keeper->loads[ledger_part(id)]);
 }
 
 static void
@@ -248,6 +248,14 @@
 	kpr_free(job);
 }
 
+static void
+kpr_fenced(void *arg)
+{
+	struct keeper *keeper = arg;
+
+	keeper->fenced(keeper->fenced_arg);
+}
+
 uint64_t
 keeper_progress(void *arg, const char *id, uint32_t task, bool done)
 {
@@ -255,6 +263,9 @@
 
 	if (job == NULL || task >= job->record.ntasks)
 		return 0;
+	/* Nobody runs a job again whose end is stored. */
+	if (job->ended_seq != 0 && job->ended_seq <= job->stored_seq)
+		return 0;
 	if (done)
 		job->record.done[task] = 1;
 	else if (job->record.fails[task] < UINT8_MAX)
@@ -328,22 +339,22 @@
 	(void)fd;
 	(void)what;
 	if (load->keeper->held)
-		kpr_load_next(load);
+		kpr_load_begin(load);
 }
 
 void
-keeper_begin(struct keeper *keeper)
+keeper_begin(struct keeper *keeper, uint64_t token)
 {
 	uint32_t i;
 
 	keeper_end(keeper);
 	keeper->held = true;
+	keeper->token = token;
 	keeper->generation++;
 	keeper->parts_left = ROWS_JOB_PARTS;
 	for (i = 0; i < ROWS_JOB_PARTS; i++) {
-		keeper->loads[i].from[0] = '\0';
-		keeper->loads[i].again = false;
-		kpr_load_next(&keeper->loads[i]);
+		(void)event_del(keeper->loads[i].timer);
+		kpr_load_begin(&keeper->loads[i]);
 	}
 }
 
@@ -403,13 +414,14 @@
 
 struct keeper *
 keeper_create(struct event_base *base, struct clock *clock, struct rows *rows,
-    struct holder *holder, const char *az)
+    struct holder *holder, const char *az, keeper_fenced_fn fenced, void *arg)
 {
 	const struct ledger_listener listener = {
 		.stored = kpr_stored,
 		.exists = kpr_exists,
 		.refused = kpr_refused,
 		.lost = kpr_lost,
+		.fenced = kpr_fenced,
 	};
 	struct ledger_listener own = listener;
 	struct keeper *keeper = mem_zalloc(1, sizeof(*keeper));
@@ -419,6 +431,10 @@
 	keeper->rows = rows;
 	keeper->holder = holder;
 	strlcpy(keeper->az, az, NAME_SIZE);
+	(void)snprintf(keeper->owner_key, sizeof(keeper->owner_key),
+	    KPR_OWNER_PREFIX "%s", az);
+	keeper->fenced = fenced;
+	keeper->fenced_arg = arg;
 	TAILQ_INIT(&keeper->jobs);
 	own.arg = keeper;
 	keeper->ledger = ledger_create(base, rows, &own);
--- a/entry/jobs/keeper.h
+++ b/entry/jobs/keeper.h
@@ -27,14 +27,18 @@
     enum record_state state);
 typedef void (*keeper_done_fn)(void *arg, enum keeper_result result);
 
+/** typedef keeper_fenced_fn - the store names a later holder of the cell. */
+typedef void (*keeper_fenced_fn)(void *arg);
+
 /** keeper_create() - all borrowed; NULL when out of memory. */
 struct keeper *keeper_create(struct event_base *base, struct clock *clock,
-    struct rows *rows, struct holder *holder, const char *az);
+    struct rows *rows, struct holder *holder, const char *az,
+    keeper_fenced_fn fenced, void *arg);
 
 void keeper_destroy(struct keeper *keeper);
 
-/** keeper_begin() - this host holds now: read its jobs. */
-void keeper_begin(struct keeper *keeper);
+/** keeper_begin() - this host holds now, under @token: read its jobs. */
+void keeper_begin(struct keeper *keeper, uint64_t token);
 
 /** keeper_end() - it does not any more: forget them. */
 void keeper_end(struct keeper *keeper);
--- a/entry/jobs/keeper_internal.h
+++ b/entry/jobs/keeper_internal.h
@@ -14,6 +14,10 @@
 
 #define KPR_BUCKETS 1024
 
+/* Of the key of the row that names the owner of a cell's jobs, one in each
+ * partition. No job's id begins so. */
+#define KPR_OWNER_PREFIX "owner-"
+
 /* Somebody who waits for a value of a job to be stored. */
 struct kpr_waiter {
 	uint64_t seq;
@@ -41,7 +45,6 @@
 	uint64_t generation;
 	uint32_t part;
 	char from[JOB_ID_LEN + 2];
-	bool again; /* a later read, which nothing waits for */
 	bool under_way;
 	struct event *timer;
 };
@@ -53,7 +56,11 @@
 	struct holder *holder;
 	struct ledger *ledger;
 	char az[NAME_SIZE];
+	char owner_key[NAME_SIZE + sizeof(KPR_OWNER_PREFIX)];
 	bool held;
+	uint64_t token;
+	keeper_fenced_fn fenced;
+	void *fenced_arg;
 	uint64_t generation; /* of loads */
 	uint32_t parts_left; /* to be loaded */
 	struct kpr_load loads[ROWS_JOB_PARTS];
@@ -70,8 +77,7 @@
 void kpr_start(struct kpr_job *job, bool resubmitted);
 
 /* keeper_load.c */
-void kpr_load_next(struct kpr_load *load);
-/* Reads a partition again now, unless its first read is under way. */
-void kpr_read_again(struct kpr_load *load);
+/* Makes this host the owner of a partition's jobs, then reads them. */
+void kpr_load_begin(struct kpr_load *load);
 
 #endif /* ENTRY_JOBS_KEEPER_INTERNAL_H */
--- a/entry/jobs/keeper_load.c
+++ b/entry/jobs/keeper_load.c
@@ -1,10 +1,13 @@
 /*
- * Stored jobs read back: all of them when this host begins to hold, before
- * any of them starts, and again from time to time.
+ * Stored jobs read back when this host begins to hold, before any of them
+ * starts. First it takes each partition from the former holder: a job stored
+ * after its rows were read would be missed.
  */
 
 #include <event2/event.h>
 #include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
 
 #include "adapters/log.h"
 #include "core/mem.h"
@@ -12,8 +15,6 @@
 
 #define KPR_LOAD_RETRY_MS 150
 #define KPR_PAGE 400
-/* A former holder may store a job after its successor has read the rows. */
-#define KPR_RESCAN_MS 4000
 
 static void
 kpr_load_row(struct keeper *keeper, const struct rows_row *row)
@@ -61,55 +62,148 @@
 	holder_set_loaded(keeper->holder);
 }
 
+/* The call of a load has ended. Return: false if it is not wanted any more. */
+static bool
+kpr_load_ended(struct kpr_load *load)
+{
+	load->under_way = false;
+	if (!load->keeper->held)
+		return false;
+	if (load->generation == load->keeper->generation)
+		return true;
+	/* Begun for an earlier time as holder. */
+	kpr_load_begin(load);
+	return false;
+}
+
+static void kpr_load_next(struct kpr_load *load);
+
 static void
 kpr_load_page(void *arg, enum rows_status status, const struct rows_row *rows,
     size_t nrows, bool more)
 {
 	struct kpr_load *load = arg;
-	struct keeper *keeper = load->keeper;
 	size_t i;
 
-	load->under_way = false;
-	if (!keeper->held)
+	if (!kpr_load_ended(load))
 		return;
-	if (load->generation != keeper->generation) {
-		/* Begun for an earlier time as holder: read all anew. */
-		load->from[0] = '\0';
-		kpr_load_next(load);
-		return;
-	}
 	if (status != ROWS_OK) {
 		kpr_load_later(load, KPR_LOAD_RETRY_MS);
 		return;
 	}
 	for (i = 0; i < nrows; i++)
-		kpr_load_row(keeper, &rows[i]);
+		kpr_load_row(load->keeper, &rows[i]);
 	if (more && nrows > 0) {
 		strlcpy(load->from, rows[nrows - 1].key, sizeof(load->from));
 		kpr_load_next(load);
 		return;
 	}
-	if (!load->again)
-		kpr_loaded(keeper);
-	load->again = true;
-	load->from[0] = '\0';
-	kpr_load_later(load, KPR_RESCAN_MS);
+	kpr_loaded(load->keeper);
 }
 
-void
+static void
 kpr_load_next(struct kpr_load *load)
 {
-	if (load->under_way)
+	struct rows *rows = load->keeper->rows;
+
+	load->under_way = true;
+	rows->ops->read(rows, load->part, load->from, KPR_PAGE, kpr_load_page,
+	    load);
+}
+
+static void
+kpr_claimed(struct kpr_load *load, uint64_t version)
+{
+	ledger_own(load->keeper->ledger, load->part, load->keeper->owner_key,
+	    version);
+	load->from[0] = '\0';
+	kpr_load_next(load);
+}
+
+static void kpr_claim(struct kpr_load *load, const struct rows_row *owner);
+
+static void
+kpr_claim_done(void *arg, enum rows_status status, uint64_t version,
+    const struct rows_row *rows, size_t nrows)
+{
+	static const struct rows_row none = { .version = 0 };
+	struct kpr_load *load = arg;
+
+	if (!kpr_load_ended(load))
 		return;
+	if (status == ROWS_OK)
+		kpr_claimed(load, version);
+	else if (status == ROWS_CONFLICT)
+		kpr_claim(load, nrows == 0 ? &none : &rows[0]);
+	else
+		kpr_load_later(load, KPR_LOAD_RETRY_MS);
+}
+
+/*
+ * Writes this host's token to the owner's row as it was read. From then on
+ * no write of a former holder takes effect, also one that is still on its way.
+ */
+static void
+kpr_claim(struct kpr_load *load, const struct rows_row *owner)
+{
+	struct keeper *keeper = load->keeper;
+	struct rows_row row = { .key = keeper->owner_key,
+		.version = owner->version };
+	char text[32] = "";
+	uint64_t token = 0;
+
+	if (owner->value != NULL) {
+		(void)snprintf(text, sizeof(text), "%.*s",
+		    (int)owner->value_len, owner->value);
+		token = strtoull(text, NULL, 10);
+	}
+	if (token == keeper->token) {
+		kpr_claimed(load, owner->version);
+		return;
+	}
+	if (token > keeper->token) {
+		log_event(LOG_LEVEL_WARN, "partition-owned",
+		    "part=%" PRIu32 " owner_token=%" PRIu64 " token=%" PRIu64,
+		    load->part, token, keeper->token);
+		keeper->fenced(keeper->fenced_arg);
+		return;
+	}
+	(void)snprintf(text, sizeof(text), "%" PRIu64, keeper->token);
+	row.value = text;
+	row.value_len = strlen(text);
 	load->under_way = true;
-	load->generation = load->keeper->generation;
-	load->keeper->rows->ops->read(load->keeper->rows, load->part,
-	    load->from, KPR_PAGE, kpr_load_page, load);
+	keeper->rows->ops->transact(keeper->rows, load->part, &row, 1,
+	    kpr_claim_done, load);
+}
+
+static void
+kpr_owner_read(void *arg, enum rows_status status, const struct rows_row *rows,
+    size_t nrows, bool more)
+{
+	static const struct rows_row none = { .version = 0 };
+	struct kpr_load *load = arg;
+
+	(void)more;
+	if (!kpr_load_ended(load))
+		return;
+	if (status != ROWS_OK)
+		kpr_load_later(load, KPR_LOAD_RETRY_MS);
+	else if (nrows == 0 ||
+	    strcmp(rows[0].key, load->keeper->owner_key) != 0)
+		kpr_claim(load, &none);
+	else
+		kpr_claim(load, &rows[0]);
 }
 
 void
-kpr_read_again(struct kpr_load *load)
+kpr_load_begin(struct kpr_load *load)
 {
-	if (load->again)
-		kpr_load_later(load, 0);
+	struct keeper *keeper = load->keeper;
+
+	if (load->under_way)
+		return;
+	load->under_way = true;
+	load->generation = keeper->generation;
+	keeper->rows->ops->read(keeper->rows, load->part, keeper->owner_key, 1,
+	    kpr_owner_read, load);
 }
--- a/entry/jobs/ledger.c
+++ b/entry/jobs/ledger.c
@@ -15,6 +15,7 @@
 #define LEDGER_GATHER_MS 2 /* under one transaction of the store, 4 ms */
 #define LEDGER_RETRY_MS 80 /* after a refusal or without an answer */
 #define LEDGER_BUCKETS 1024
+#define LEDGER_OWNER_SIZE 80 /* bytes of the key, with the NUL */
 
 static struct counter ledger_transactions = {
 	.name = "berylrail_work_store_writes_total",
@@ -42,6 +43,10 @@
 struct led_part {
 	struct ledger *ledger;
 	uint32_t number;
+	char owner_key[LEDGER_OWNER_SIZE];
+	uint64_t owner_version; /* 0: this host does not own it */
+	char sent_owner_key[LEDGER_OWNER_SIZE]; /* of the write under way */
+	uint64_t sent_owner_version;
 	struct event *timer;
 	bool under_way;
 	struct led_entry *batch[ROWS_WRITES_MAX];
@@ -154,6 +159,8 @@
 	struct led_entry *entry, *next;
 	size_t i;
 
+	for (i = 0; i < ROWS_JOB_PARTS; i++)
+		ledger->parts[i].owner_version = 0;
 	for (i = 0; i < LEDGER_BUCKETS; i++) {
 		for (entry = LIST_FIRST(&ledger->buckets[i]); entry != NULL;
 		     entry = next) {
@@ -169,10 +176,23 @@
 {
 	const struct timeval tv = { .tv_usec = (suseconds_t)ms * 1000 };
 
-	if (!part->under_way && !event_pending(part->timer, EV_TIMEOUT, NULL))
+	if (part->owner_version != 0 && !part->under_way &&
+	    !event_pending(part->timer, EV_TIMEOUT, NULL))
 		(void)event_add(part->timer, &tv);
 }
 
+void
+ledger_own(struct ledger *ledger, uint32_t number, const char *key,
+    uint64_t version)
+{
+	struct led_part *part = &ledger->parts[number];
+
+	strlcpy(part->owner_key, key, sizeof(part->owner_key));
+	part->owner_version = version;
+	if (!TAILQ_EMPTY(&part->dirty))
+		led_arm(part, LEDGER_GATHER_MS);
+}
+
 static void
 led_mark(struct ledger *ledger, struct led_entry *entry)
 {
@@ -310,6 +330,39 @@
 	led_mark(ledger, entry);
 }
 
+/* Has another host taken the partition since the write under way was made? */
+static bool
+led_owner_changed(const struct led_part *part, const struct rows_row *rows,
+    size_t nrows)
+{
+	const struct rows_row *owner =
+	    led_row(rows, nrows, part->sent_owner_key);
+
+	return owner == NULL || owner->version != part->sent_owner_version;
+}
+
+/* Nothing was written. The listener is told unless this host owns anew. */
+static void
+led_fenced(struct led_part *part, struct led_entry **batch, size_t n)
+{
+	struct ledger *ledger = part->ledger;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (batch[i]->forgotten)
+			led_free(ledger, batch[i]);
+		else
+			led_mark(ledger, batch[i]);
+	}
+	if (part->owner_version != part->sent_owner_version)
+		return;
+	log_event(LOG_LEVEL_WARN, "partition-lost",
+	    "part=%u owner=%s version=%llu", part->number, part->owner_key,
+	    (unsigned long long)part->owner_version);
+	part->owner_version = 0;
+	ledger->listener.fenced(ledger->listener.arg);
+}
+
 static void
 led_done(void *arg, enum rows_status status, uint64_t version,
     const struct rows_row *rows, size_t nrows)
@@ -321,6 +374,10 @@
 	memcpy(batch, part->batch, sizeof(batch));
 	part->nbatch = 0;
 	part->under_way = false;
+	if (status == ROWS_CONFLICT && led_owner_changed(part, rows, nrows)) {
+		led_fenced(part, batch, n);
+		return;
+	}
 	if (status == ROWS_REFUSED || status == ROWS_UNKNOWN)
 		led_arm(part, LEDGER_RETRY_MS);
 	for (i = 0; i < n; i++)
@@ -345,34 +402,65 @@
 	entry->sent_seq = entry->seq;
 }
 
-static void
-led_flush(evutil_socket_t fd, short what, void *arg)
+/* Return: bytes of the value that is to be written. */
+static size_t
+led_size(const struct led_entry *entry)
+{
+	return entry->uncertain ? entry->sent_len : entry->len;
+}
+
+/* Takes what is dirty, within the bounds of a transaction. */
+static size_t
+led_gather(struct led_part *part, struct rows_row *writes)
 {
-	struct led_part *part = arg;
-	struct rows_row writes[ROWS_WRITES_MAX];
 	struct led_entry *entry;
+	size_t bytes = 0, n = 0;
 
-	(void)fd;
-	(void)what;
 	while ((entry = TAILQ_FIRST(&part->dirty)) != NULL &&
-	    part->nbatch < ROWS_WRITES_MAX) {
+	    n < ROWS_WRITES_MAX) {
+		bytes += led_size(entry);
+		if (n > 0 && bytes > ROWS_BYTES_MAX)
+			break;
 		TAILQ_REMOVE(&part->dirty, entry, order);
 		entry->dirty = false;
 		led_take(entry);
-		writes[part->nbatch] = (struct rows_row){
+		writes[n] = (struct rows_row){
 			.key = entry->id,
 			.value = entry->sent,
 			.value_len = entry->sent_len,
 			.version = entry->version,
 		};
-		part->batch[part->nbatch++] = entry;
+		part->batch[n++] = entry;
 	}
+	return n;
+}
+
+static void
+led_flush(evutil_socket_t fd, short what, void *arg)
+{
+	struct led_part *part = arg;
+	struct rows_row writes[ROWS_WRITES_MAX + 1];
+	struct rows *rows = part->ledger->rows;
+
+	(void)fd;
+	(void)what;
+	if (part->owner_version == 0 || part->under_way)
+		return;
+	part->nbatch = led_gather(part, writes + 1);
 	if (part->nbatch == 0)
 		return;
+	strlcpy(part->sent_owner_key, part->owner_key,
+	    sizeof(part->sent_owner_key));
+	part->sent_owner_version = part->owner_version;
+	writes[0] = (struct rows_row){
+		.key = part->sent_owner_key,
+		.version = part->sent_owner_version,
+		.only_checked = true,
+	};
 	part->under_way = true;
 	ctr_inc(&ledger_transactions);
-	part->ledger->rows->ops->transact(part->ledger->rows, part->number,
-	    writes, part->nbatch, led_done, part);
+	rows->ops->transact(rows, part->number, writes, part->nbatch + 1,
+	    led_done, part);
 }
 
 struct ledger *
--- a/entry/jobs/ledger.h
+++ b/entry/jobs/ledger.h
@@ -27,6 +27,8 @@
 	void (*refused)(void *arg, const char *id);
 	/* Somebody else has changed the row: this host has it no more. */
 	void (*lost)(void *arg, const char *id);
+	/* Somebody else owns the partition now: nothing is written any more. */
+	void (*fenced)(void *arg);
 	void *arg;
 };
 
@@ -36,6 +38,13 @@
 
 void ledger_destroy(struct ledger *ledger);
 
+/**
+ * ledger_own() - from now on, write to a partition only while the row @key
+ * there, which names its owner, is at @version. Before, nothing is written.
+ */
+void ledger_own(struct ledger *ledger, uint32_t part, const char *key,
+    uint64_t version);
+
 /** ledger_part() - the partition of a job. */
 uint32_t ledger_part(const char *id);
 
--- a/entry/jobs/work.c
+++ b/entry/jobs/work.c
@@ -195,12 +195,20 @@
 	free(value);
 }
 
+static void
+wrk_fenced(void *arg)
+{
+	struct work *work = arg;
+
+	zone_fenced(work->zone);
+}
+
 int
 work_set_rows(struct work *work, struct rows *rows)
 {
 	work->rows = rows;
 	work->keeper = keeper_create(work->params.base, work->params.clock,
-	    rows, work->holder, work->params.self.az);
+	    rows, work->holder, work->params.self.az, wrk_fenced, work);
 	if (work->keeper == NULL)
 		return -1;
 	zone_set_keeper(work->zone, work->keeper);
@@ -238,7 +246,7 @@
 	if (work->rows != NULL)
 		work->rows->ops->refresh(work->rows, ROWS_SERVERS);
 	if (work->keeper != NULL)
-		keeper_begin(work->keeper);
+		keeper_begin(work->keeper, holder_token(work->holder));
 }
 
 /* Jobs that the former holder had are brought to the new one. */
@@ -250,14 +258,6 @@
 	front_holder_changed(work->front, holder);
 }
 
-static void
-wrk_fenced(void *arg)
-{
-	struct work *work = arg;
-
-	zone_fenced(work->zone);
-}
-
 /* The directory by way of a peer */
 
 static void
--- a/ports/rows.h
+++ b/ports/rows.h
@@ -51,7 +51,8 @@
  */
 
 #define ROWS_JOB_PARTS 8   /* partitions of jobs, by a hash of the id */
-#define ROWS_WRITES_MAX 80 /* rows of one transaction */
+#define ROWS_WRITES_MAX 49 /* rows of one transaction, beside its condition */
+#define ROWS_BYTES_MAX 600000 /* of the values of one transaction */
 
 /** enum rows_status - what became of a call. */
 enum rows_status {
@@ -66,7 +67,8 @@
 	const char *key;
 	const char *value; /* NULL: there is no such row */
 	size_t value_len;
-	uint64_t version; /* 0 if there is none */
+	uint64_t version;  /* 0 if there is none */
+	bool only_checked; /* a condition of a transaction; is not written */
 };
 
 /**
--- /dev/null
+++ b/tests/test_keeper.c
@@ -0,0 +1,370 @@
+/*
+ * Who owns the stored jobs of a cell: a holder takes each partition from the
+ * former one before it reads the jobs, and that one writes nothing afterwards.
+ */
+
+#include <criterion/criterion.h>
+#include <event2/event.h>
+#include <stdio.h>
+
+#include "adapters/clock_real.h"
+#include "core/mem.h"
+#include "entry/jobs/job_json.h"
+#include "entry/jobs/keeper.h"
+#include "entry/jobs/ledger.h"
+
+#define ID "5c0e7a21d94b36f8"
+#define STORE_ROWS_MAX 64
+#define VALUE_MAX 4096
+#define BODY                                                                \
+	"{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500,\"mem_mb\":64," \
+	"\"estimated_ms\":100}]}"
+
+/* A store in memory, shared by hosts; answers at once. */
+struct store {
+	struct rows rows; /* first */
+	struct store_row {
+		uint32_t part;
+		char key[80];
+		char value[VALUE_MAX];
+		size_t len;
+		uint64_t version; /* 0: free */
+	} table[STORE_ROWS_MAX];
+	uint64_t version;
+	int lose_answers;   /* of transactions: done, reported as unknown */
+	int lose_requests;  /* not done, reported as unknown */
+	bool hold_writes;   /* of jobs: kept for store_release() */
+	struct rows_row kept;
+	uint32_t kept_part;
+	struct rows_row kept_owner;
+	rows_done_fn kept_done;
+	void *kept_arg;
+};
+
+static struct store_row *
+store_find(struct store *store, uint32_t part, const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < STORE_ROWS_MAX; i++) {
+		if (store->table[i].version != 0 &&
+		    store->table[i].part == part &&
+		    strcmp(store->table[i].key, key) == 0)
+			return &store->table[i];
+	}
+	return NULL;
+}
+
+static void
+store_put(struct store *store, uint32_t part, const struct rows_row *write)
+{
+	struct store_row *row = store_find(store, part, write->key);
+	size_t i;
+
+	for (i = 0; row == NULL && i < STORE_ROWS_MAX; i++) {
+		if (store->table[i].version == 0)
+			row = &store->table[i];
+	}
+	cr_assert_not_null(row);
+	row->part = part;
+	strlcpy(row->key, write->key, sizeof(row->key));
+	cr_assert_lt(write->value_len, VALUE_MAX);
+	memcpy(row->value, write->value, write->value_len);
+	row->len = write->value_len;
+	row->version = store->version;
+}
+
+static bool
+store_matches(struct store *store, uint32_t part,
+    const struct rows_row *writes, size_t n, struct rows_row *found)
+{
+	const struct store_row *row;
+	bool matches = true;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		row = store_find(store, part, writes[i].key);
+		found[i] = (struct rows_row){ .key = writes[i].key };
+		if (row != NULL) {
+			found[i].value = row->value;
+			found[i].value_len = row->len;
+			found[i].version = row->version;
+		}
+		if (found[i].version != writes[i].version)
+			matches = false;
+	}
+	return matches;
+}
+
+static void
+store_apply(struct store *store, uint32_t part, const struct rows_row *writes,
+    size_t n, rows_done_fn done, void *arg)
+{
+	struct rows_row found[ROWS_WRITES_MAX + 1];
+	size_t i;
+
+	if (store->lose_requests > 0) {
+		store->lose_requests--;
+		done(arg, ROWS_UNKNOWN, 0, NULL, 0);
+		return;
+	}
+	if (!store_matches(store, part, writes, n, found)) {
+		done(arg, ROWS_CONFLICT, 0, found, n);
+		return;
+	}
+	store->version += 7;
+	for (i = 0; i < n; i++) {
+		if (!writes[i].only_checked)
+			store_put(store, part, &writes[i]);
+	}
+	if (store->lose_answers > 0) {
+		store->lose_answers--;
+		done(arg, ROWS_UNKNOWN, 0, NULL, 0);
+		return;
+	}
+	done(arg, ROWS_OK, store->version, NULL, 0);
+}
+
+static void
+store_transact(struct rows *rows, uint32_t part, const struct rows_row *writes,
+    size_t n, rows_done_fn done, void *arg)
+{
+	struct store *store = (struct store *)rows;
+
+	if (!store->hold_writes || !writes[0].only_checked) {
+		store_apply(store, part, writes, n, done, arg);
+		return;
+	}
+	cr_assert_eq(n, 2);
+	store->kept_part = part;
+	store->kept_owner = writes[0];
+	store->kept = writes[1];
+	store->kept_done = done;
+	store->kept_arg = arg;
+}
+
+/* Carries out the write that was kept. */
+static void
+store_release(struct store *store)
+{
+	const struct rows_row writes[] = { store->kept_owner, store->kept };
+
+	store->hold_writes = false;
+	store_apply(store, store->kept_part, writes, 2, store->kept_done,
+	    store->kept_arg);
+}
+
+static void
+store_read(struct rows *rows, uint32_t part, const char *from, uint32_t limit,
+    rows_read_fn done, void *arg)
+{
+	struct store *store = (struct store *)rows;
+	struct rows_row found[STORE_ROWS_MAX];
+	size_t i, n = 0;
+
+	for (i = 0; i < STORE_ROWS_MAX && n < limit; i++) {
+		if (store->table[i].version == 0 ||
+		    store->table[i].part != part ||
+		    strcmp(store->table[i].key, from) < 0)
+			continue;
+		found[n++] = (struct rows_row){ .key = store->table[i].key,
+			.value = store->table[i].value,
+			.value_len = store->table[i].len,
+			.version = store->table[i].version };
+	}
+	done(arg, ROWS_OK, found, n, false);
+}
+
+static const struct rows_ops store_ops = {
+	.transact = store_transact,
+	.read = store_read,
+};
+
+/* An entry host with a keeper, and a holder without servers. */
+struct host {
+	struct holder *holder;
+	struct keeper *keeper;
+	int fenced;
+	int accepted;
+	enum keeper_result result;
+};
+
+struct rig {
+	struct event_base *base;
+	struct store store;
+	struct host hosts[2];
+};
+
+static void
+host_fenced(void *arg)
+{
+	((struct host *)arg)->fenced++;
+}
+
+static void
+host_accepted(void *arg, enum keeper_result result)
+{
+	struct host *host = arg;
+
+	host->accepted++;
+	host->result = result;
+}
+
+static struct rig *
+rig_create(void)
+{
+	struct rig *rig = mem_zalloc(1, sizeof(*rig));
+	struct holder_params params = { .clock = clock_real(),
+		.lease_ms = 1000,
+		.far_permille = 1000,
+		.progress = keeper_progress,
+		.fenced = host_fenced };
+	struct host *host;
+	size_t i;
+
+	rig->base = event_base_new();
+	rig->store.rows.ops = &store_ops;
+	rig->store.version = 100;
+	params.base = rig->base;
+	for (i = 0; i < 2; i++) {
+		host = &rig->hosts[i];
+		params.arg = host;
+		host->holder = holder_create(&params);
+		host->keeper = keeper_create(rig->base, clock_real(),
+		    &rig->store.rows, host->holder, "a", host_fenced, host);
+		cr_assert_not_null(host->keeper);
+	}
+	return rig;
+}
+
+static void
+rig_destroy(struct rig *rig)
+{
+	size_t i;
+
+	for (i = 0; i < 2; i++) {
+		keeper_destroy(rig->hosts[i].keeper);
+		holder_destroy(rig->hosts[i].holder);
+	}
+	event_base_free(rig->base);
+	free(rig);
+}
+
+static void
+rig_run(struct rig *rig, int ms)
+{
+	const struct timeval tv = { .tv_usec = ms * 1000 };
+
+	(void)event_base_loopexit(rig->base, &tv);
+	(void)event_base_dispatch(rig->base);
+}
+
+static void
+host_begin(struct host *host, uint64_t token)
+{
+	holder_begin(host->holder, token);
+	keeper_begin(host->keeper, token);
+}
+
+static void
+host_accept(struct host *host, const char *id)
+{
+	struct holder_request request = { .queue = { .name = "q",
+					      .service = "booth",
+					      .max_attempts = 3,
+					      .slack_permille = 1600,
+					      .target_ms = 60 } };
+	struct err err;
+
+	cr_assert_eq(job_parse(&request.spec, id, BODY, strlen(BODY), &err), 0);
+	keeper_accept(host->keeper, &request, BODY, strlen(BODY), host_accepted,
+	    host);
+}
+
+Test(keeper, successor_reads_what_its_predecessor_stored)
+{
+	struct rig *rig = rig_create();
+
+	host_begin(&rig->hosts[0], 10);
+	host_accept(&rig->hosts[0], ID);
+	rig_run(rig, 30);
+	cr_assert_eq(rig->hosts[0].result, KEEPER_OK);
+	host_begin(&rig->hosts[1], 20);
+	rig_run(rig, 30);
+	cr_expect_eq(holder_pending(rig->hosts[1].holder, "q"), 1);
+	cr_expect_eq(rig->hosts[1].fenced, 0);
+	rig_destroy(rig);
+}
+
+/* Stored after the successor has read the rows, nobody would run it. */
+Test(keeper, nothing_is_stored_after_the_successor_has_read)
+{
+	struct rig *rig = rig_create();
+
+	host_begin(&rig->hosts[0], 10);
+	rig->store.hold_writes = true;
+	host_accept(&rig->hosts[0], ID);
+	rig_run(rig, 30);
+	cr_assert_not_null(rig->store.kept_done, "no write was sent");
+	host_begin(&rig->hosts[1], 20);
+	rig_run(rig, 30);
+	store_release(&rig->store);
+	rig_run(rig, 30);
+	cr_expect_null(store_find(&rig->store, ledger_part(ID), ID));
+	cr_expect_eq(rig->hosts[0].fenced, 1);
+	cr_expect(rig->hosts[0].accepted == 0 ||
+		rig->hosts[0].result != KEEPER_OK,
+	    "the job was said to be accepted");
+	rig_destroy(rig);
+}
+
+Test(keeper, older_token_does_not_take_over)
+{
+	struct rig *rig = rig_create();
+
+	host_begin(&rig->hosts[1], 20);
+	rig_run(rig, 30);
+	host_begin(&rig->hosts[0], 10);
+	rig_run(rig, 30);
+	cr_expect_geq(rig->hosts[0].fenced, 1);
+	host_accept(&rig->hosts[1], ID);
+	rig_run(rig, 30);
+	cr_expect_eq(rig->hosts[1].result, KEEPER_OK);
+	cr_expect_eq(rig->hosts[1].accepted, 1);
+	rig_destroy(rig);
+}
+
+/* Claims without an answer are settled by what the row says. */
+Test(keeper, lost_answers_do_not_keep_it_from_owning)
+{
+	struct rig *rig = rig_create();
+
+	rig->store.lose_answers = 3;
+	rig->store.lose_requests = 3;
+	host_begin(&rig->hosts[0], 10);
+	host_accept(&rig->hosts[0], ID);
+	rig_run(rig, 600);
+	cr_expect_eq(rig->store.lose_answers + rig->store.lose_requests, 0);
+	cr_expect_eq(rig->hosts[0].accepted, 1);
+	cr_expect_eq(rig->hosts[0].result, KEEPER_OK);
+	cr_expect_eq(rig->hosts[0].fenced, 0);
+	rig_destroy(rig);
+}
+
+/* Reads begun before a host lost the cell do not count after it is back. */
+Test(keeper, host_that_holds_again_reads_again)
+{
+	struct rig *rig = rig_create();
+
+	host_begin(&rig->hosts[0], 10);
+	rig_run(rig, 10);
+	host_begin(&rig->hosts[1], 20);
+	host_accept(&rig->hosts[1], ID);
+	rig_run(rig, 30);
+	holder_end(rig->hosts[0].holder);
+	keeper_end(rig->hosts[0].keeper);
+	host_begin(&rig->hosts[0], 30);
+	rig_run(rig, 30);
+	cr_expect_eq(holder_pending(rig->hosts[0].holder, "q"), 1);
+	rig_destroy(rig);
+}
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -4,12 +4,18 @@
 
 #include <criterion/criterion.h>
 #include <event2/event.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "core/job.h"
 #include "entry/jobs/ledger.h"
 
 #define ID "5c0e7a21d94b36f8"
 
+#define OWNER_KEY "owner-a"
+#define OWNER_VERSION 3
+
 /* One row, and what becomes of the next transactions. */
 struct rig {
 	struct rows rows; /* first */
@@ -21,7 +27,10 @@
 	int lose_requests; /* not done, and reported as unknown */
 	int refuse;
 	int transactions;
-	int stored, exists, refused, lost;
+	int stored, exists, refused, lost, fenced;
+	uint64_t owner_version;
+	bool any; /* takes any number of new rows */
+	size_t widest;
 	uint64_t stored_seq;
 };
 
@@ -35,17 +44,32 @@
 		.value_len = strlen(rig->value),
 		.version = rig->version };
 
-	(void)part;
-	cr_assert_eq(n, 1);
+	const struct rows_row found[] = {
+		{ .key = OWNER_KEY, .version = rig->owner_version },
+		row,
+	};
+
+	cr_assert_eq(part, ledger_part(ID));
+	cr_assert_str_eq(writes[0].key, OWNER_KEY);
+	cr_assert(writes[0].only_checked);
 	rig->transactions++;
+	if (rig->any) {
+		rig->widest = n > rig->widest ? n : rig->widest;
+		rig->version += 10;
+		done(arg, ROWS_OK, rig->version, NULL, 0);
+		return;
+	}
+	cr_assert_eq(n, 2);
+	writes++;
 	if (rig->refuse > 0) {
 		rig->refuse--;
 		done(arg, ROWS_REFUSED, 0, NULL, 0);
 	} else if (rig->lose_requests > 0) {
 		rig->lose_requests--;
 		done(arg, ROWS_UNKNOWN, 0, NULL, 0);
-	} else if (writes[0].version != rig->version) {
-		done(arg, ROWS_CONFLICT, 0, &row, 1);
+	} else if (writes[0].version != rig->version ||
+	    writes[-1].version != rig->owner_version) {
+		done(arg, ROWS_CONFLICT, 0, found, 2);
 	} else {
 		memcpy(rig->value, writes[0].value, writes[0].value_len);
 		rig->value[writes[0].value_len] = '\0';
@@ -92,6 +116,12 @@
 	((struct rig *)arg)->lost++;
 }
 
+static void
+rig_fenced(void *arg)
+{
+	((struct rig *)arg)->fenced++;
+}
+
 static const struct rows_ops rig_ops = { .transact = rig_transact };
 
 static void
@@ -101,12 +131,15 @@
 		.exists = rig_exists,
 		.refused = rig_refused,
 		.lost = rig_lost,
+		.fenced = rig_fenced,
 		.arg = rig };
 
 	memset(rig, 0, sizeof(*rig));
 	rig->rows.ops = &rig_ops;
 	rig->base = event_base_new();
 	rig->ledger = ledger_create(rig->base, &rig->rows, &listener);
+	rig->owner_version = OWNER_VERSION;
+	ledger_own(rig->ledger, ledger_part(ID), OWNER_KEY, OWNER_VERSION);
 }
 
 static void
@@ -206,3 +239,69 @@
 	cr_expect_str_eq(rig.value, "of the successor");
 	rig_release(&rig);
 }
+
+Test(ledger, nothing_is_written_before_the_partition_is_owned)
+{
+	struct rig rig;
+
+	rig_init(&rig);
+	ledger_forget_all(rig.ledger);
+	(void)ledger_put(rig.ledger, ID, "one", 3);
+	rig_run(&rig, 50);
+	cr_expect_eq(rig.transactions, 0);
+	ledger_own(rig.ledger, ledger_part(ID), OWNER_KEY, OWNER_VERSION);
+	rig_run(&rig, 50);
+	cr_expect_eq(rig.stored, 1);
+	rig_release(&rig);
+}
+
+Test(ledger, nothing_is_written_once_another_host_owns)
+{
+	struct rig rig;
+
+	rig_init(&rig);
+	rig.owner_version = OWNER_VERSION + 1;
+	(void)ledger_put(rig.ledger, ID, "one", 3);
+	rig_run(&rig, 200);
+	cr_expect_eq(rig.fenced, 1);
+	cr_expect_eq(rig.transactions, 1);
+	cr_expect_eq(rig.stored + rig.exists + rig.lost + rig.refused, 0);
+	rig_release(&rig);
+}
+
+/* The store takes 100 entries and a megabyte; a write is two entries. */
+Test(ledger, many_values_are_split_within_the_bounds_of_the_store)
+{
+	char id[JOB_ID_LEN + 1];
+	char *large = calloc(1, 100001);
+	struct rig rig;
+	int i, n = 0;
+
+	rig_init(&rig);
+	rig.any = true;
+	for (i = 0; n < 120; i++) {
+		(void)snprintf(id, sizeof(id), "%016x", i);
+		if (ledger_part(id) != ledger_part(ID))
+			continue;
+		(void)ledger_put(rig.ledger, id, "one", 3);
+		n++;
+	}
+	rig_run(&rig, 100);
+	cr_expect_eq(rig.stored, 120);
+	cr_expect_leq(rig.widest * 2 - 1, 100);
+	rig.widest = 0;
+	memset(large, 'x', 100000);
+	for (n = 0; n < 20; i++) {
+		(void)snprintf(id, sizeof(id), "%016x", i);
+		if (ledger_part(id) != ledger_part(ID))
+			continue;
+		(void)ledger_put(rig.ledger, id, large, 100000);
+		n++;
+	}
+	rig_run(&rig, 100);
+	cr_expect_eq(rig.stored, 140);
+	/* Base64 takes four bytes for three. */
+	cr_expect_leq((rig.widest - 1) * 100000 * 4 / 3, 1000000);
+	free(large);
+	rig_release(&rig);
+}
