Holder: an end passed over while jobs are read stays unacknowledged

The number before the first unstored end, 1, was acknowledged although end 1 had only been passed over. Change: at most the ends taken note of are acknowledged, in one function. Test: test_holder_stored, end_of_a_job_still_to_be_read_is_kept fails before.

--- a/entry/jobs/holder_server.c
+++ b/entry/jobs/holder_server.c
@@ -185,42 +185,42 @@
 	}
 }
 
-/* Ends may be forgotten up to the first one that is not stored. */
+/*
+ * Ends may be forgotten up to the first one that is not stored, and none that
+ * was passed over while its job may still be read.
+ */
 static void
 hld_acknowledge(struct hld_server *server)
 {
 	const struct hld_unstored *first = TAILQ_FIRST(&server->unstored);
 
-	server->acknowledged = first == NULL ? server->seen : first->number - 1;
+	server->acknowledged = server->seen;
+	if (first != NULL && first->number <= server->seen)
+		server->acknowledged = first->number - 1;
 }
 
-/* Drops the ends that are stored now. Return: the first of the others. */
-static const struct hld_unstored *
+/* Drops the ends that are stored now. */
+static void
 hld_unstored_settle(struct hld_server *server, const char *id, uint64_t seq)
 {
-	struct hld_unstored *end, *next, *first = NULL;
+	struct hld_unstored *end, *next;
 
 	TAILQ_FOREACH_SAFE (end, &server->unstored, entry, next) {
 		if (end->seq <= seq && strcmp(end->id, id) == 0) {
 			TAILQ_REMOVE(&server->unstored, end, entry);
 			free(end);
-		} else if (first == NULL) {
-			first = end;
 		}
 	}
-	return first;
 }
 
 void
 holder_stored(struct holder *holder, const char *id, uint64_t seq)
 {
-	const struct hld_unstored *first;
 	struct hld_server *server;
 
 	TAILQ_FOREACH (server, &holder->servers, entry) {
-		first = hld_unstored_settle(server, id, seq);
-		server->acknowledged =
-		    first == NULL ? server->seen : first->number - 1;
+		hld_unstored_settle(server, id, seq);
+		hld_acknowledge(server);
 		if (!server->hold_pending && server->hold_due_us == 0 &&
 		    server->acknowledged != server->told)
 			server->hold_due_us =
--- a/tests/test_holder_stored.c
+++ b/tests/test_holder_stored.c
@@ -258,3 +258,21 @@
 	cr_expect_eq(rig->acknowledged, 0);
 	rig_destroy(rig);
 }
+
+/* The first end's job is not read yet, the second one's is. */
+Test(holder_stored, end_of_a_job_still_to_be_read_is_kept)
+{
+	const struct worker_ended ends[] = {
+		{ 1, ID_B ".0.0.0", 64, WORKER_END_DONE },
+		{ 2, ID_A ".0.0.0", 64, WORKER_END_DONE },
+	};
+	struct rig *rig = rig_create();
+
+	rig_submit(rig, ID_A);
+	rig_answer(rig, NULL, 0, ends, 2);
+	cr_expect_eq(rig->acknowledged, 0);
+	holder_stored(rig->holder, ID_A, 1);
+	rig_answer(rig, NULL, 0, ends, 2);
+	cr_expect_eq(rig->acknowledged, 0);
+	rig_destroy(rig);
+}
