Stored jobs: a partition is read before anything is written there

A job sent again to a new holder entered the keeper before its row was read; the read skipped it as known, the write found the row, and the job was forgotten as another cell's. Also the read took 2.4 to 6 s, in which the loop stood for 200 to 480 ms a page: rows of ended jobs carried the whole job. Ruled out: the store's rates (no 429 in the logs) and the claims of partitions. Change: new jobs of a partition are written once its rows are read; a row read for a job that was just accepted takes its place. An ended job's row holds its state only. States and cancellations of jobs that may not be read yet are not denied. Test: test_keeper, three of four new cases fail before.

--- a/entry/jobs/keeper.c
+++ b/entry/jobs/keeper.c
@@ -209,19 +209,24 @@
 		kpr_start(job, false);
 }
 
+void
+kpr_accepted_before(struct kpr_job *job)
+{
+	ledger_forget(job->keeper->ledger, job->id);
+	kpr_answer(job, UINT64_MAX, KEEPER_OK);
+	kpr_free(job);
+}
+
 /* Another cell has this job: this one's rows were all read before. */
 static void
 kpr_exists(void *arg, const char *id, const char *value, size_t len)
 {
-	struct keeper *keeper = arg;
-	struct kpr_job *job = kpr_find(keeper, id);
+	struct kpr_job *job = kpr_find(arg, id);
 
 	(void)value;
 	(void)len;
-	if (job == NULL)
-		return;
-	kpr_answer(job, UINT64_MAX, KEEPER_OK);
-	kpr_free(job);
+	if (job != NULL)
+		kpr_accepted_before(job);
 }
 
 static void
@@ -273,16 +278,23 @@
 	return kpr_store(job);
 }
 
+/* What to say of a job that is not known to be stored; @job may be NULL. */
+static enum keeper_result
+kpr_missing(const struct keeper *keeper, const struct kpr_job *job)
+{
+	return job == NULL && keeper->held && keeper->parts_left == 0
+	    ? KEEPER_NO_JOB
+	    : KEEPER_UNKNOWN;
+}
+
 void
 keeper_cancel(struct keeper *keeper, const char *id, keeper_done_fn done,
     void *arg)
 {
 	struct kpr_job *job = kpr_find(keeper, id);
 
-	if (job == NULL) {
-		done(arg,
-		    keeper->held && keeper->parts_left == 0 ? KEEPER_NO_JOB
-							    : KEEPER_UNKNOWN);
+	if (job == NULL || !job->stored) {
+		done(arg, kpr_missing(keeper, job));
 		return;
 	}
 	if (job->record.state != RECORD_ACCEPTED) {
@@ -305,7 +317,7 @@
 	struct kpr_job *job = kpr_find(keeper, id);
 
 	if (job == NULL || !job->stored) {
-		done(arg, KEEPER_NO_JOB, RECORD_ACCEPTED);
+		done(arg, kpr_missing(keeper, job), RECORD_ACCEPTED);
 		return;
 	}
 	if (job->ended_seq <= job->stored_seq) {
--- a/entry/jobs/keeper_internal.h
+++ b/entry/jobs/keeper_internal.h
@@ -44,6 +44,7 @@
 	struct keeper *keeper;
 	uint64_t generation;
 	uint32_t part;
+	uint64_t owner_version; /* of the row that names this host */
 	char from[JOB_ID_LEN + 2];
 	bool under_way;
 	struct event *timer;
@@ -73,6 +74,8 @@
 /* keeper.c */
 struct kpr_job *kpr_find(const struct keeper *keeper, const char *id);
 struct kpr_job *kpr_enter(struct keeper *keeper, const char *id);
+/* Its row was there already: its callers are told, and it is forgotten. */
+void kpr_accepted_before(struct kpr_job *job);
 /* Runs a job from its stored form. */
 void kpr_start(struct kpr_job *job, bool resubmitted);
 
--- a/entry/jobs/keeper_load.c
+++ b/entry/jobs/keeper_load.c
@@ -22,9 +22,13 @@
 	struct kpr_job *job;
 	struct record record;
 
-	if (row->value == NULL || !job_id_valid(row->key) ||
-	    kpr_find(keeper, row->key) != NULL)
+	if (row->value == NULL || !job_id_valid(row->key))
 		return;
+	job = kpr_find(keeper, row->key);
+	if (job != NULL && job->stored)
+		return; /* read before, by a call that was repeated */
+	if (job != NULL)
+		kpr_accepted_before(job);
 	if (record_parse(&record, row->value, row->value_len) == -1) {
 		log_event(LOG_LEVEL_WARN, "row-unreadable",
 		    "table=jobs key=%s version=%" PRIu64, row->key,
@@ -52,9 +56,14 @@
 	(void)event_add(load->timer, &tv);
 }
 
+/* New jobs may be stored from now on: none of them is there already. */
 static void
-kpr_loaded(struct keeper *keeper)
+kpr_loaded(struct kpr_load *load)
 {
+	struct keeper *keeper = load->keeper;
+
+	ledger_own(keeper->ledger, load->part, keeper->owner_key,
+	    load->owner_version);
 	if (--keeper->parts_left > 0)
 		return;
 	log_event(LOG_LEVEL_INFO, "stored-jobs-read", "jobs=%zu",
@@ -98,7 +107,7 @@
 		kpr_load_next(load);
 		return;
 	}
-	kpr_loaded(load->keeper);
+	kpr_loaded(load);
 }
 
 static void
@@ -114,8 +123,7 @@
 static void
 kpr_claimed(struct kpr_load *load, uint64_t version)
 {
-	ledger_own(load->keeper->ledger, load->part, load->keeper->owner_key,
-	    version);
+	load->owner_version = version;
 	load->from[0] = '\0';
 	kpr_load_next(load);
 }
--- a/entry/jobs/record.c
+++ b/entry/jobs/record.c
@@ -11,13 +11,20 @@
 #define RECORD_FAILS_MAX 9
 #define RECORD_TASKS_MAX 4096
 
-char *
-record_render(const struct record *record, size_t *len)
+static json_t *
+record_render_ended(const struct record *record)
+{
+	return json_pack("{s:i,s:s,s:I,s:I}", "state", (int)record->state, "az",
+	    record->az, "nonce", (json_int_t)record->nonce, "ended_ms",
+	    (json_int_t)record->ended_ms);
+}
+
+static json_t *
+record_render_accepted(const struct record *record)
 {
 	const struct job_queue *queue = &record->queue;
 	char *progress = mem_zalloc(record->ntasks + 1, 1);
 	json_t *root;
-	char *text;
 	uint32_t i;
 
 	for (i = 0; i < record->ntasks; i++)
@@ -27,19 +34,29 @@
 			  (record->fails[i] > RECORD_FAILS_MAX
 				  ? RECORD_FAILS_MAX
 				  : record->fails[i]));
-	root = json_pack("{s:i,s:s,s:I,s:I,s:s,s:s,s:i,s:i,s:i,s:i,s:s,s:s%}",
+	root = json_pack("{s:i,s:s,s:I,s:s,s:s,s:i,s:i,s:i,s:i,s:s,s:s%}",
 	    "state", (int)record->state, "az", record->az, "nonce",
-	    (json_int_t)record->nonce, "ended_ms", (json_int_t)record->ended_ms,
-	    "queue", queue->name, "service", queue->service, "priority",
-	    (int)queue->priority, "attempts", (int)queue->max_attempts, "slack",
-	    (int)queue->slack_permille, "target_ms", (int)queue->target_ms,
-	    "progress", progress, "body", record->body, record->body_len);
-	text = json_dumps(root, JSON_COMPACT);
+	    (json_int_t)record->nonce, "queue", queue->name, "service",
+	    queue->service, "priority", (int)queue->priority, "attempts",
+	    (int)queue->max_attempts, "slack", (int)queue->slack_permille,
+	    "target_ms", (int)queue->target_ms, "progress", progress, "body",
+	    record->body, record->body_len);
+	free(progress);
+	return root;
+}
+
+char *
+record_render(const struct record *record, size_t *len)
+{
+	json_t *root = record->state == RECORD_ACCEPTED
+	    ? record_render_accepted(record)
+	    : record_render_ended(record);
+	char *text = json_dumps(root, JSON_COMPACT);
+
 	if (text == NULL)
 		abort();
 	*len = strlen(text);
 	json_decref(root);
-	free(progress);
 	return text;
 }
 
@@ -66,34 +83,21 @@
 	return value < 0 || value > UINT32_MAX ? 0 : (uint32_t)value;
 }
 
-int
-record_parse(struct record *record, const char *value, size_t len)
+static int
+record_parse_accepted(struct record *record, const json_t *root)
 {
-	json_t *root = json_loadb(value, len, 0, NULL);
 	const json_t *body = json_object_get(root, "body");
-	const char *az = json_string_value(json_object_get(root, "az"));
 	const char *queue = json_string_value(json_object_get(root, "queue"));
 	const char *service =
 	    json_string_value(json_object_get(root, "service"));
 	const char *progress =
 	    json_string_value(json_object_get(root, "progress"));
 
-	memset(record, 0, sizeof(*record));
-	if (az == NULL || queue == NULL || service == NULL ||
-	    progress == NULL || strlen(progress) > RECORD_TASKS_MAX ||
-	    !json_is_string(body) ||
-	    record_number(root, "state") > RECORD_CANCELLED) {
-		json_decref(root);
+	if (queue == NULL || service == NULL || progress == NULL ||
+	    strlen(progress) > RECORD_TASKS_MAX || !json_is_string(body))
 		return -1;
-	}
-	record->state = (enum record_state)record_number(root, "state");
-	strlcpy(record->az, az, NAME_SIZE);
 	strlcpy(record->queue.name, queue, NAME_SIZE);
 	strlcpy(record->queue.service, service, NAME_SIZE);
-	record->nonce =
-	    (uint64_t)json_integer_value(json_object_get(root, "nonce"));
-	record->ended_ms =
-	    (uint64_t)json_integer_value(json_object_get(root, "ended_ms"));
 	record->queue.priority = record_number(root, "priority");
 	record->queue.max_attempts = record_number(root, "attempts");
 	record->queue.slack_permille = record_number(root, "slack");
@@ -101,10 +105,32 @@
 	record->body_len = json_string_length(body);
 	record->body = mem_strndup(json_string_value(body), record->body_len);
 	record_parse_progress(record, progress);
-	json_decref(root);
 	return 0;
 }
 
+int
+record_parse(struct record *record, const char *value, size_t len)
+{
+	json_t *root = json_loadb(value, len, 0, NULL);
+	const char *az = json_string_value(json_object_get(root, "az"));
+	uint32_t state = record_number(root, "state");
+	int rc = -1;
+
+	memset(record, 0, sizeof(*record));
+	if (az == NULL || state > RECORD_CANCELLED)
+		goto out;
+	record->state = (enum record_state)state;
+	strlcpy(record->az, az, NAME_SIZE);
+	record->nonce =
+	    (uint64_t)json_integer_value(json_object_get(root, "nonce"));
+	record->ended_ms =
+	    (uint64_t)json_integer_value(json_object_get(root, "ended_ms"));
+	rc = state == RECORD_ACCEPTED ? record_parse_accepted(record, root) : 0;
+out:
+	json_decref(root);
+	return rc;
+}
+
 void
 record_release(struct record *record)
 {
--- a/entry/jobs/record.h
+++ b/entry/jobs/record.h
@@ -24,6 +24,7 @@
 	uint64_t nonce;	    /* of its acceptance */
 	uint64_t ended_ms;  /* wall clock, 0 while it is accepted */
 	struct job_queue queue;
+	/* Of an ended job nothing below is stored. */
 	char *body; /* the job's JSON form; owned */
 	size_t body_len;
 	uint32_t ntasks; /* of both arrays */
--- a/tests/test_keeper.c
+++ b/tests/test_keeper.c
@@ -16,7 +16,7 @@
 #define ID "5c0e7a21d94b36f8"
 #define STORE_ROWS_MAX 64
 #define VALUE_MAX 4096
-#define BODY                                                                \
+#define BODY                                                                 \
 	"{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500,\"mem_mb\":64," \
 	"\"estimated_ms\":100}]}"
 
@@ -31,14 +31,17 @@
 		uint64_t version; /* 0: free */
 	} table[STORE_ROWS_MAX];
 	uint64_t version;
-	int lose_answers;   /* of transactions: done, reported as unknown */
-	int lose_requests;  /* not done, reported as unknown */
-	bool hold_writes;   /* of jobs: kept for store_release() */
+	int lose_answers;  /* of transactions: done, reported as unknown */
+	int lose_requests; /* not done, reported as unknown */
+	bool hold_writes;  /* of jobs: kept for store_release() */
 	struct rows_row kept;
 	uint32_t kept_part;
 	struct rows_row kept_owner;
 	rows_done_fn kept_done;
 	void *kept_arg;
+	bool hold_reads; /* of the jobs in the partition of ID, likewise */
+	rows_read_fn kept_read;
+	void *kept_read_arg;
 };
 
 static struct store_row *
@@ -75,8 +78,8 @@
 }
 
 static bool
-store_matches(struct store *store, uint32_t part,
-    const struct rows_row *writes, size_t n, struct rows_row *found)
+store_matches(struct store *store, uint32_t part, const struct rows_row *writes,
+    size_t n, struct rows_row *found)
 {
 	const struct store_row *row;
 	bool matches = true;
@@ -162,6 +165,11 @@
 	struct rows_row found[STORE_ROWS_MAX];
 	size_t i, n = 0;
 
+	if (store->hold_reads && part == ledger_part(ID) && from[0] == '\0') {
+		store->kept_read = done;
+		store->kept_read_arg = arg;
+		return;
+	}
 	for (i = 0; i < STORE_ROWS_MAX && n < limit; i++) {
 		if (store->table[i].version == 0 ||
 		    store->table[i].part != part ||
@@ -175,6 +183,16 @@
 	done(arg, ROWS_OK, found, n, false);
 }
 
+/* Carries out the read that was kept. */
+static void
+store_release_read(struct store *store)
+{
+	store->hold_reads = false;
+	cr_assert_not_null(store->kept_read);
+	store_read(&store->rows, ledger_part(ID), "", STORE_ROWS_MAX,
+	    store->kept_read, store->kept_read_arg);
+}
+
 static const struct rows_ops store_ops = {
 	.transact = store_transact,
 	.read = store_read,
@@ -187,6 +205,8 @@
 	int fenced;
 	int accepted;
 	enum keeper_result result;
+	int states;
+	enum record_state state;
 };
 
 struct rig {
@@ -210,6 +230,16 @@
 	host->result = result;
 }
 
+static void
+host_state(void *arg, enum keeper_result result, enum record_state state)
+{
+	struct host *host = arg;
+
+	host->states++;
+	host->result = result;
+	host->state = state;
+}
+
 static struct rig *
 rig_create(void)
 {
@@ -368,3 +398,89 @@
 	cr_expect_eq(holder_pending(rig->hosts[0].holder, "q"), 1);
 	rig_destroy(rig);
 }
+
+/* Sent again by its caller, who did not hear that it was accepted. */
+Test(keeper, job_accepted_while_it_is_read_back_is_not_lost)
+{
+	struct rig *rig = rig_create();
+
+	host_begin(&rig->hosts[0], 10);
+	host_accept(&rig->hosts[0], ID);
+	rig_run(rig, 30);
+	rig->store.hold_reads = true;
+	rig->store.hold_writes = true;
+	host_begin(&rig->hosts[1], 20);
+	host_accept(&rig->hosts[1], ID);
+	rig_run(rig, 30);
+	store_release_read(&rig->store);
+	rig_run(rig, 30);
+	if (rig->store.kept_done != NULL)
+		store_release(&rig->store);
+	rig_run(rig, 30);
+	cr_expect_eq(rig->hosts[1].accepted, 1);
+	cr_expect_eq(rig->hosts[1].result, KEEPER_OK);
+	cr_expect_eq(holder_pending(rig->hosts[1].holder, "q"), 1);
+	rig_destroy(rig);
+}
+
+Test(keeper, new_job_is_stored_once_the_partition_is_read)
+{
+	struct rig *rig = rig_create();
+
+	rig->store.hold_reads = true;
+	host_begin(&rig->hosts[0], 10);
+	host_accept(&rig->hosts[0], ID);
+	rig_run(rig, 30);
+	cr_expect_eq(rig->hosts[0].accepted, 0);
+	store_release_read(&rig->store);
+	rig_run(rig, 30);
+	cr_expect_eq(rig->hosts[0].accepted, 1);
+	cr_expect_eq(rig->hosts[0].result, KEEPER_OK);
+	cr_expect_eq(holder_pending(rig->hosts[0].holder, "q"), 1);
+	rig_destroy(rig);
+}
+
+Test(keeper, nothing_is_said_of_a_job_that_may_not_be_read_yet)
+{
+	struct rig *rig = rig_create();
+
+	host_begin(&rig->hosts[0], 10);
+	host_accept(&rig->hosts[0], ID);
+	rig_run(rig, 30);
+	rig->store.hold_reads = true;
+	host_begin(&rig->hosts[1], 20);
+	keeper_state(rig->hosts[1].keeper, ID, host_state, &rig->hosts[1]);
+	cr_expect_eq(rig->hosts[1].result, KEEPER_UNKNOWN);
+	host_accept(&rig->hosts[1], ID);
+	keeper_cancel(rig->hosts[1].keeper, ID, host_accepted, &rig->hosts[1]);
+	cr_expect_eq(rig->hosts[1].result, KEEPER_UNKNOWN);
+	store_release_read(&rig->store);
+	rig_run(rig, 30);
+	keeper_state(rig->hosts[1].keeper, ID, host_state, &rig->hosts[1]);
+	cr_expect_eq(rig->hosts[1].result, KEEPER_OK);
+	cr_expect_eq(rig->hosts[1].state, RECORD_ACCEPTED);
+	rig_destroy(rig);
+}
+
+/* What is left of an ended job is its state; a successor still tells it. */
+Test(keeper, ended_job_keeps_its_state_and_little_else)
+{
+	struct rig *rig = rig_create();
+	const struct store_row *row;
+
+	host_begin(&rig->hosts[0], 10);
+	host_accept(&rig->hosts[0], ID);
+	rig_run(rig, 30);
+	keeper_cancel(rig->hosts[0].keeper, ID, host_accepted, &rig->hosts[0]);
+	rig_run(rig, 30);
+	row = store_find(&rig->store, ledger_part(ID), ID);
+	cr_assert_not_null(row);
+	cr_expect_lt(row->len, 120);
+	host_begin(&rig->hosts[1], 20);
+	rig_run(rig, 30);
+	keeper_state(rig->hosts[1].keeper, ID, host_state, &rig->hosts[1]);
+	cr_expect_eq(rig->hosts[1].result, KEEPER_OK);
+	cr_expect_eq(rig->hosts[1].state, RECORD_CANCELLED);
+	cr_expect_eq(holder_pending(rig->hosts[1].holder, "q"), 0);
+	rig_destroy(rig);
+}
