Holder: a busy server is held again as soon as its end is stored

While an end is not stored the hold can't wait, and the next one came 25 ms later. Ruled out: starts (half within 22 ms of the call). Change: once its ends are stored, a server that runs something is held at once. Test: test_holder_stored, busy_server_is_held_again_as_soon_as_its_end_is_stored.

--- a/entry/jobs/holder_server.c
+++ b/entry/jobs/holder_server.c
@@ -221,8 +221,15 @@
 	TAILQ_FOREACH (server, &holder->servers, entry) {
 		hld_unstored_settle(server, id, seq);
 		hld_acknowledge(server);
-		if (!server->hold_pending && server->hold_due_us == 0 &&
-		    server->acknowledged != server->told)
+		if (server->hold_pending ||
+		    server->acknowledged == server->told)
+			continue;
+		/* Only a hold that has all ends acknowledged can wait for the
+		 * next one. */
+		if (server->acknowledged == server->seen &&
+		    !TAILQ_EMPTY(&server->tasks))
+			hld_server_hold(server, hld_now(holder));
+		else if (server->hold_due_us == 0)
 			server->hold_due_us =
 			    hld_now(holder) + HLD_ACK_DELAY_MS * HLD_US_PER_MS;
 	}
--- a/tests/test_holder_stored.c
+++ b/tests/test_holder_stored.c
@@ -276,3 +276,32 @@
 	cr_expect_eq(rig->acknowledged, 0);
 	rig_destroy(rig);
 }
+
+/* The next end would be heard of late otherwise. */
+Test(holder_stored, busy_server_is_held_again_as_soon_as_its_end_is_stored)
+{
+	const struct worker_run runs[] = { { ID_A ".0.0.0", 64 },
+		{ ID_A ".0.0.1", 65 } };
+	const struct worker_ended end = { 1, ID_A ".0.0.0", 64,
+		WORKER_END_DONE };
+	const struct worker_reply reply = { .verdict = WORKER_OK,
+		.born_ms = RIG_BORN_MS,
+		.has_lists = true,
+		.running = &runs[1],
+		.nrunning = 1,
+		.ended = &end,
+		.nended = 1 };
+	struct rig *rig = rig_create();
+	worker_done_fn done;
+
+	rig_submit(rig, ID_A);
+	holder_set_loaded(rig->holder);
+	rig_answer(rig, runs, 2, NULL, 0);
+	done = rig->hold_done;
+	rig->hold_done = NULL;
+	done(rig->hold_arg, &reply);
+	holder_stored(rig->holder, ID_A, 1);
+	cr_expect_not_null(rig->hold_done, "no hold was sent");
+	cr_expect_eq(rig->acknowledged, 1);
+	rig_destroy(rig);
+}
