Stored jobs: failed runs found after a take-over count, once

Ruled out: counting each listed one: a failure that is stored and not yet acknowledged would count twice, and a job would fail too early. Change: the number of the last failed run counted is kept with the task, in its row too. Test: test_holder_stored, failed_run_of_a_former_holder_counts fails before.

--- a/entry/jobs/holder.c
+++ b/entry/jobs/holder.c
@@ -201,6 +201,7 @@
 		return;
 	for (i = 0; i < job->spec.ntasks; i++) {
 		job->tasks[i].fails = request->fails[i];
+		job->tasks[i].failed_run = request->failed_runs[i];
 		if (request->done[i] != 0 || request->fails[i] != 0)
 			job->begun = true;
 		if (request->done[i] == 0)
--- a/entry/jobs/holder.h
+++ b/entry/jobs/holder.h
@@ -49,8 +49,8 @@
 	 * A run of a stored job's task has ended. Returns the number by which
 	 * holder_stored() will name that; 0 if it need not be waited for.
 	 */
-	uint64_t (
-	    *progress)(void *arg, const char *id, uint32_t task, bool done);
+	uint64_t (*progress)(void *arg, const char *id, uint32_t task,
+	    uint64_t run_id, bool done);
 	/* The servers have seen a higher token. */
 	void (*fenced)(void *arg);
 	void *arg;
@@ -67,6 +67,7 @@
 	bool stored;	      /* nobody waits; its progress is stored */
 	const uint8_t *done;  /* by task, of a stored job: it is done */
 	const uint8_t *fails; /* by task: runs that have failed */
+	const uint64_t *failed_runs; /* by task: the last of them, or 0 */
 };
 
 /** struct holder_load - how busy the cell is. */
--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -59,6 +59,7 @@
 	enum hld_task_state state;
 	uint32_t runs; /* ordered under this token */
 	uint32_t fails;
+	uint64_t failed_run;	   /* the last that was counted in fails */
 	struct hld_server *server; /* where a run is or may be */
 	uint64_t run_id;
 	uint64_t ordered_us; /* the start was sent */
@@ -198,6 +199,7 @@
 void hld_run_stop_orphan(struct hld_server *server, struct hld_orphan *orphan);
 uint64_t hld_run_ended(struct hld_task *task, enum worker_end how);
 uint64_t hld_run_found_done(struct hld_task *task, uint64_t run_id);
+uint64_t hld_run_found_failed(struct hld_task *task, uint64_t run_id);
 void hld_run_absent(struct hld_task *task, const char *why);
 void hld_run_adopt(struct hld_task *task, struct hld_server *server,
     uint64_t run_id, uint64_t now_us);
--- a/entry/jobs/holder_run.c
+++ b/entry/jobs/holder_run.c
@@ -155,6 +155,8 @@
 	struct hld_job *job = task->job;
 
 	task->fails++;
+	if (task->run_id > task->failed_run)
+		task->failed_run = task->run_id;
 	task->state = HLD_BLOCKED;
 	if (job->ended)
 		hld_job_release_ended(job);
@@ -166,7 +168,7 @@
 
 /* Return: the number under which the end will be stored, or 0. */
 static uint64_t
-hld_tell_progress(const struct hld_task *task, bool done)
+hld_tell_progress(const struct hld_task *task, uint64_t run_id, bool done)
 {
 	const struct hld_job *job = task->job;
 	const struct holder_params *params = &job->holder->params;
@@ -175,7 +177,7 @@
 	if (!job->stored || params->progress == NULL)
 		return 0;
 	return params->progress(params->arg, job->spec.id,
-	    (uint32_t)(task - job->tasks), done);
+	    (uint32_t)(task - job->tasks), run_id, done);
 }
 
 uint64_t
@@ -191,7 +193,7 @@
 	hld_judge(task->server, task->job, how == WORKER_END_DONE);
 	if (how == WORKER_END_DONE && task->ordered_us != 0)
 		hld_learn_speed(task, now_us);
-	seq = hld_tell_progress(task, how == WORKER_END_DONE);
+	seq = hld_tell_progress(task, task->run_id, how == WORKER_END_DONE);
 	hld_vacate(task);
 	if (how == WORKER_END_DONE)
 		hld_task_done(task);
@@ -204,7 +206,7 @@
 uint64_t
 hld_run_found_done(struct hld_task *task, uint64_t run_id)
 {
-	uint64_t seq = hld_tell_progress(task, true);
+	uint64_t seq = hld_tell_progress(task, run_id, true);
 
 	if (task->job->ended)
 		return seq;
@@ -215,6 +217,29 @@
 	return seq;
 }
 
+/*
+ * A run of a former holder has failed. It counts once, also if that holder
+ * stored it and did not come to acknowledge it.
+ */
+uint64_t
+hld_run_found_failed(struct hld_task *task, uint64_t run_id)
+{
+	uint64_t seq;
+
+	if (run_id <= task->failed_run)
+		return 0;
+	seq = hld_tell_progress(task, run_id, false);
+	task->failed_run = run_id;
+	if (task->state == HLD_WAITING && !task->job->ended) {
+		hld_dequeue(task);
+		task->run_id = run_id;
+		hld_task_failed(task);
+	} else {
+		task->fails++;
+	}
+	return seq;
+}
+
 void
 hld_run_adopt(struct hld_task *task, struct hld_server *server, uint64_t run_id,
     uint64_t now_us)
--- a/entry/jobs/holder_server.c
+++ b/entry/jobs/holder_server.c
@@ -168,10 +168,14 @@
 static uint64_t
 hld_ended_before(struct hld_task *task, const struct worker_ended *ended)
 {
-	if (!task->job->stored ||
-	    (task->state != HLD_WAITING && task->state != HLD_BLOCKED))
+	if (!task->job->stored)
 		return 0;
-	return hld_run_found_done(task, ended->run_id);
+	if (ended->how == WORKER_END_FAILED && task->state != HLD_DONE)
+		return hld_run_found_failed(task, ended->run_id);
+	if (ended->how == WORKER_END_DONE &&
+	    (task->state == HLD_WAITING || task->state == HLD_BLOCKED))
+		return hld_run_found_done(task, ended->run_id);
+	return 0;
 }
 
 void
@@ -269,7 +273,7 @@
 	if (task != NULL && task->server == server &&
 	    task->run_id == ended->run_id)
 		seq = hld_run_ended(task, ended->how);
-	else if (task != NULL && ended->how == WORKER_END_DONE)
+	else if (task != NULL)
 		seq = hld_ended_before(task, ended);
 	if (server->holder->loaded)
 		server->seen = ended->number;
--- a/entry/jobs/keeper.c
+++ b/entry/jobs/keeper.c
@@ -164,6 +164,7 @@
 	request->patience_ms = KPR_PATIENCE_MS;
 	request->done = job->record.done;
 	request->fails = job->record.fails;
+	request->failed_runs = job->record.failed_runs;
 	job->running = true;
 	holder_submit(job->keeper->holder, request, kpr_ended, job);
 }
@@ -198,6 +199,8 @@
 	job->record.ntasks = request->spec.ntasks;
 	job->record.done = mem_zalloc(request->spec.ntasks, 1);
 	job->record.fails = mem_zalloc(request->spec.ntasks, 1);
+	job->record.failed_runs =
+	    mem_zalloc(request->spec.ntasks, sizeof(*job->record.failed_runs));
 	/* Tells this acceptance from one by another host. */
 	job->record.nonce = clock_now_us(keeper->clock);
 	(void)kpr_wait(job, kpr_store(job), done, arg);
@@ -296,7 +299,8 @@
 }
 
 uint64_t
-keeper_progress(void *arg, const char *id, uint32_t task, bool done)
+keeper_progress(void *arg, const char *id, uint32_t task, uint64_t run_id,
+    bool done)
 {
 	struct kpr_job *job = kpr_find(arg, id);
 
@@ -305,10 +309,14 @@
 	/* Nobody runs a job again whose end is stored. */
 	if (job->ended_seq != 0 && job->ended_seq <= job->stored_seq)
 		return 0;
-	if (done)
+	if (done) {
 		job->record.done[task] = 1;
-	else if (job->record.fails[task] < UINT8_MAX)
-		job->record.fails[task]++;
+	} else {
+		if (job->record.fails[task] < UINT8_MAX)
+			job->record.fails[task]++;
+		if (run_id > job->record.failed_runs[task])
+			job->record.failed_runs[task] = run_id;
+	}
 	return kpr_store(job);
 }
 
--- a/entry/jobs/keeper.h
+++ b/entry/jobs/keeper.h
@@ -73,6 +73,6 @@
  * Return: the number of the row's value that says so; 0 if it is not stored.
  */
 uint64_t keeper_progress(void *keeper, const char *id, uint32_t task,
-    bool done);
+    uint64_t run_id, bool done);
 
 #endif /* ENTRY_JOBS_KEEPER_H */
--- a/entry/jobs/record.c
+++ b/entry/jobs/record.c
@@ -19,6 +19,22 @@
 	    (json_int_t)record->ended_ms);
 }
 
+/* Failed runs are few: rows of task and run. */
+static json_t *
+record_render_failed(const struct record *record)
+{
+	json_t *rows = json_array();
+	uint32_t i;
+
+	for (i = 0; i < record->ntasks; i++) {
+		if (record->failed_runs[i] != 0)
+			(void)json_array_append_new(rows,
+			    json_pack("[I,I]", (json_int_t)i,
+				(json_int_t)record->failed_runs[i]));
+	}
+	return rows;
+}
+
 static json_t *
 record_render_accepted(const struct record *record)
 {
@@ -42,6 +58,7 @@
 	    "target_ms", (int)queue->target_ms, "progress", progress, "body",
 	    record->body, record->body_len);
 	free(progress);
+	(void)json_object_set_new(root, "failed", record_render_failed(record));
 	return root;
 }
 
@@ -68,6 +85,8 @@
 	record->ntasks = (uint32_t)strlen(progress);
 	record->done = mem_zalloc(record->ntasks, 1);
 	record->fails = mem_zalloc(record->ntasks, 1);
+	record->failed_runs =
+	    mem_zalloc(record->ntasks, sizeof(*record->failed_runs));
 	for (i = 0; i < record->ntasks; i++) {
 		record->done[i] = progress[i] == '+';
 		if (progress[i] >= '0' && progress[i] <= '9')
@@ -75,6 +94,22 @@
 	}
 }
 
+static void
+record_parse_failed(struct record *record, const json_t *rows)
+{
+	const json_t *row;
+	json_int_t task;
+	size_t i;
+
+	json_array_foreach (rows, i, row) {
+		task = json_integer_value(json_array_get(row, 0));
+		if (task >= 0 && task < record->ntasks)
+			record->failed_runs[task] =
+			    (uint64_t)json_integer_value(
+				json_array_get(row, 1));
+	}
+}
+
 static uint32_t
 record_number(const json_t *root, const char *name)
 {
@@ -105,6 +140,7 @@
 	record->body_len = json_string_length(body);
 	record->body = mem_strndup(json_string_value(body), record->body_len);
 	record_parse_progress(record, progress);
+	record_parse_failed(record, json_object_get(root, "failed"));
 	return 0;
 }
 
@@ -137,4 +173,5 @@
 	free(record->body);
 	free(record->done);
 	free(record->fails);
+	free(record->failed_runs);
 }
--- a/entry/jobs/work.c
+++ b/entry/jobs/work.c
@@ -231,11 +231,12 @@
 }
 
 static uint64_t
-wrk_progress(void *arg, const char *id, uint32_t task, bool done)
+wrk_progress(void *arg, const char *id, uint32_t task, uint64_t run_id,
+    bool done)
 {
 	struct work *work = arg;
 
-	return keeper_progress(work->keeper, id, task, done);
+	return keeper_progress(work->keeper, id, task, run_id, done);
 }
 
 static void
--- a/tests/test_holder_stored.c
+++ b/tests/test_holder_stored.c
@@ -89,10 +89,12 @@
 };
 
 static uint64_t
-rig_progress(void *arg, const char *id, uint32_t task, bool done)
+rig_progress(void *arg, const char *id, uint32_t task, uint64_t run_id,
+    bool done)
 {
 	(void)id;
 	(void)task;
+	(void)run_id;
 	(void)done;
 	return ++((struct rig *)arg)->progress;
 }
@@ -173,26 +175,29 @@
 static void
 rig_done(void *arg, const struct holder_reply *reply)
 {
-	(void)arg;
-	(void)reply;
+	if (arg != NULL)
+		*(enum holder_result *)arg = reply->result;
 }
 
-/* A stored job of two tasks that a former holder had begun. */
+/* A stored job of two tasks that a former holder had begun; run 70 of the
+ * second one has failed and is stored. Two runs of a task may fail. */
 static void
-rig_submit(struct rig *rig, const char *id)
+rig_submit_to(struct rig *rig, const char *id, enum holder_result *result)
 {
-	static const uint8_t none[2];
+	static const uint64_t failed_runs[] = { 0, 70 };
+	static const uint8_t none[2], fails[] = { 0, 1 };
 	struct holder_request request = {
 		.queue = { .name = "q",
 		    .service = "booth",
-		    .max_attempts = 3,
+		    .max_attempts = 2,
 		    .slack_permille = 1600,
 		    .target_ms = 60 },
 		.patience_ms = 60000,
 		.resubmitted = true,
 		.stored = true,
 		.done = none,
-		.fails = none,
+		.fails = fails,
+		.failed_runs = failed_runs,
 	};
 	const char *body = "{\"spec\":\"x\",\"steps\":[{\"count\":2,"
 			   "\"cpu\":500,\"mem_mb\":64,\"estimated_ms\":100}]}";
@@ -200,7 +205,13 @@
 
 	cr_assert_eq(job_parse(&request.spec, id, body, strlen(body), &err), 0,
 	    "%s", err.message);
-	holder_submit(rig->holder, &request, rig_done, NULL);
+	holder_submit(rig->holder, &request, rig_done, result);
+}
+
+static void
+rig_submit(struct rig *rig, const char *id)
+{
+	rig_submit_to(rig, id, NULL);
 }
 
 Test(holder_stored, end_is_acknowledged_once_it_is_stored)
@@ -305,3 +316,23 @@
 	cr_expect_eq(rig->acknowledged, 1);
 	rig_destroy(rig);
 }
+
+Test(holder_stored, failed_run_of_a_former_holder_counts)
+{
+	const struct worker_ended ends[] = {
+		{ 1, ID_A ".0.0.1", 70, WORKER_END_FAILED },
+		{ 2, ID_A ".0.0.1", 71, WORKER_END_FAILED },
+	};
+	enum holder_result result = HOLDER_ACCEPTED;
+	struct rig *rig = rig_create();
+
+	rig_submit_to(rig, ID_A, &result);
+	holder_set_loaded(rig->holder);
+	rig_answer(rig, NULL, 0, ends, 1);
+	cr_expect_eq(result, HOLDER_ACCEPTED, "a stored failure counted twice");
+	cr_expect_eq(rig->progress, 0);
+	rig_answer(rig, NULL, 0, ends, 2);
+	cr_expect_eq(result, HOLDER_FAILED);
+	cr_expect_eq(rig->progress, 1);
+	rig_destroy(rig);
+}
--- a/tests/test_keeper.c
+++ b/tests/test_keeper.c
@@ -249,9 +249,11 @@
 }
 
 static uint64_t
-host_progress(void *arg, const char *id, uint32_t task, bool done)
+host_progress(void *arg, const char *id, uint32_t task, uint64_t run_id,
+    bool done)
 {
-	return keeper_progress(((struct host *)arg)->keeper, id, task, done);
+	return keeper_progress(((struct host *)arg)->keeper, id, task, run_id,
+	    done);
 }
 
 static struct rig *
