--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -9,9 +9,9 @@
 #include "entry/jobs/holder.h"
 
 /*
- * Shared by the files of the holder: holder.c (life cycle, jobs),
- * holder_server.c (leases and lists of servers), holder_run.c (orders and
- * ends), holder_pump.c (which task starts where).
+ * Shared by the files of the holder: holder.c (life cycle), holder_job.c
+ * (jobs), holder_server.c (leases and lists of servers), holder_run.c (orders
+ * and ends), holder_pump.c (which task starts where).
  */
 
 #define HLD_JOB_BUCKETS 1024
@@ -176,6 +176,8 @@
 
 /* holder.c */
 uint64_t hld_now(const struct holder *holder);
+
+/* holder_job.c */
 struct hld_job *hld_job_find(const struct holder *holder, const char *id);
 void hld_job_finish(struct hld_job *job, const struct holder_reply *reply);
 void hld_job_release_ended(struct hld_job *job);
