Zone: hosts that see each other agree on the holder within a second

Ruled out: the store (it answered) and the servers (h1 held them all). Change: each host asks all connected hosts of its zone once after they were connected, and each second. Nobody takes over while a host that has just been connected has not answered, nor right after it stood still. What hosts tell each other has a file of its own.

--- a/entry/jobs/zone.c
+++ b/entry/jobs/zone.c
@@ -14,14 +14,11 @@
 
 #define ZONE_US_PER_MS UINT64_C(1000)
 #define ZONE_TICK_MS 25
-#define ZONE_PING_MS 150	   /* interval of pings of the holder */
-#define ZONE_FAR_PING_MS 300	   /* of the holders of other zones */
-#define ZONE_FAR_WANTED 3	   /* likely holders of each other zone */
 #define ZONE_FAR_MS 1000	   /* a load told longer ago says nothing */
 #define ZONE_FAR_FREE_PERMILLE 100 /* room that another zone must have */
-#define ZONE_SILENT_MS 450  /* a holder without an answer is taken for gone */
 #define ZONE_SETTLE_MS 350  /* after a start, hosts find each other first */
 #define ZONE_RESERVE_MS 500 /* between tries to reserve a token */
+#define ZONE_WOKEN_MS 300   /* no turn of the loop takes so long */
 
 uint64_t
 zone_now(const struct zone *zone)
@@ -213,108 +210,6 @@
 	zone_announce(zone);
 }
 
-/* Pings */
-
-struct zone_ping {
-	struct zone *zone;
-	char host[NAME_SIZE];
-};
-
-static void
-zone_ponged(void *arg, const struct api_reply *reply, const struct err *err)
-{
-	struct zone_ping *ping = arg;
-	struct zone_host *host = zone_host_find(ping->zone, ping->host);
-	json_t *body;
-
-	(void)err;
-	if (host == NULL) {
-		free(ping);
-		return;
-	}
-	host->ping_pending = false;
-	if (reply != NULL && reply->status == 200) {
-		body = json_loadb(reply->body, reply->body_len, 0, NULL);
-		host->pong_us = zone_now(ping->zone);
-		if (host->silent)
-			log_event(LOG_LEVEL_INFO, "host-answers", "host=%s",
-			    host->info.name);
-		host->silent = false;
-		host->leaving = json_is_true(json_object_get(body, "leaving"));
-		host->backlog_ms = (uint32_t)json_integer_value(
-		    json_object_get(body, "backlog_ms"));
-		host->free_permille = (uint32_t)json_integer_value(
-		    json_object_get(body, "free_permille"));
-		json_decref(host->pending);
-		host->pending = json_incref(json_object_get(body, "pending"));
-		zone_token_heard(ping->zone, host,
-		    (uint64_t)json_integer_value(
-			json_object_get(body, "token")));
-		json_decref(body);
-	}
-	free(ping);
-}
-
-static void
-zone_ping(struct zone *zone, struct zone_host *host, uint64_t now_us)
-{
-	const struct api_request request = { .method = API_GET,
-		.path = ZONE_PATH "state",
-		.query = "" };
-	uint64_t interval_ms =
-	    zone_is_near(zone, host) ? ZONE_PING_MS : ZONE_FAR_PING_MS;
-	struct zone_ping *ping;
-
-	if (!host->connected)
-		return;
-	if (host->ping_pending) {
-		if (!host->silent &&
-		    now_us - host->ping_sent_us >
-			ZONE_SILENT_MS * ZONE_US_PER_MS) {
-			host->silent = true;
-			log_event(LOG_LEVEL_WARN, "host-silent",
-			    "host=%s token=%" PRIu64, host->info.name,
-			    host->token);
-		}
-		return;
-	}
-	if (now_us - host->ping_sent_us < interval_ms * ZONE_US_PER_MS)
-		return;
-	ping = mem_zalloc(1, sizeof(*ping));
-	ping->zone = zone;
-	strlcpy(ping->host, host->info.name, sizeof(ping->host));
-	host->ping_pending = true;
-	host->ping_sent_us = now_us;
-	zone->params.peers->ops->forward(zone->params.peers, host->info.az,
-	    host->info.name, host->incarnation, &request, zone_ponged, ping);
-}
-
-/* Connections as the peers have them. */
-static void
-zone_look(struct zone *zone, uint64_t now_us)
-{
-	struct zone_host *host;
-	uint64_t incarnation;
-	bool connected;
-
-	TAILQ_FOREACH (host, &zone->hosts, entry) {
-		connected = zone->params.connected(zone->params.peers,
-		    host->info.name, &incarnation);
-		if (connected &&
-		    (!host->connected || host->incarnation != incarnation)) {
-			host->connected_us = now_us;
-			host->incarnation = incarnation;
-			host->token = 0;
-			host->leaving = false;
-			host->silent = false;
-			host->ping_sent_us = 0;
-		}
-		if (!connected)
-			host->token = 0;
-		host->connected = connected;
-	}
-}
-
 static void
 zone_fill(const struct zone_host *host, struct cell_host *cell)
 {
@@ -379,17 +274,6 @@
 	return true;
 }
 
-static void
-zone_ping_all(struct zone *zone, uint64_t now_us)
-{
-	struct zone_host *host;
-
-	TAILQ_FOREACH (host, &zone->hosts, entry) {
-		if (zone_is_near(zone, host) && host->pong_us == 0)
-			zone_ping(zone, host, now_us);
-	}
-}
-
 void
 zone_listed(struct zone *zone)
 {
@@ -397,41 +281,6 @@
 		zone->listed_us = zone_now(zone);
 }
 
-/* How many hosts of its zone are more likely to hold? */
-static size_t
-zone_far_rank(const struct zone *zone, const struct zone_host *host)
-{
-	const struct zone_host *other;
-	size_t rank = 0;
-
-	TAILQ_FOREACH (other, &zone->hosts, entry) {
-		if (strcmp(other->info.az, host->info.az) == 0 &&
-		    (other->info.weight > host->info.weight ||
-			(other->info.weight == host->info.weight &&
-			    strcmp(other->info.name, host->info.name) < 0)))
-			rank++;
-	}
-	return rank;
-}
-
-/* Keeps in touch with the hosts that may hold other zones' servers. */
-static void
-zone_watch_far(struct zone *zone, uint64_t now_us)
-{
-	struct zone_host *host;
-
-	TAILQ_FOREACH (host, &zone->hosts, entry) {
-		if (zone_is_near(zone, host) ||
-		    (host->token == 0 &&
-			zone_far_rank(zone, host) >= ZONE_FAR_WANTED))
-			continue;
-		if (!host->connected)
-			zone->params.want(zone->params.peers, host->info.name);
-		else
-			zone_ping(zone, host, now_us);
-	}
-}
-
 /* Tells when another host than before holds. */
 void
 zone_tell(struct zone *zone)
@@ -449,40 +298,68 @@
 	zone->params.changed(zone->params.arg, zone->holder);
 }
 
+/* A host that has just come back may hold: it has not said so yet. */
+static bool
+zone_unheard(const struct zone *zone, uint64_t now_us)
+{
+	const struct zone_host *host;
+
+	TAILQ_FOREACH (host, &zone->hosts, entry) {
+		if (zone_is_near(zone, host) && host->connected &&
+		    !host->heard && !host->silent &&
+		    now_us - host->connected_us <
+			ZONE_SETTLE_MS * ZONE_US_PER_MS)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * After this process stood still its connections may be gone, and another
+ * host may hold: as after a start, the others are asked first.
+ */
+static void
+zone_check_pause(struct zone *zone, uint64_t now_us)
+{
+	uint64_t gap_us = now_us - zone->ticked_us;
+	struct zone_host *host;
+
+	if (zone->ticked_us != 0 && gap_us > ZONE_WOKEN_MS * ZONE_US_PER_MS) {
+		log_event(LOG_LEVEL_WARN, "woken", "after_ms=%" PRIu64,
+		    gap_us / ZONE_US_PER_MS);
+		zone->settled = false;
+		if (zone->listed_us != 0)
+			zone->listed_us = now_us;
+		TAILQ_FOREACH (host, &zone->hosts, entry) {
+			host->heard = false;
+			host->pong_us = 0;
+		}
+	}
+	zone->ticked_us = now_us;
+}
+
 static void
 zone_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct zone *zone = arg;
 	uint64_t now_us = zone_now(zone);
-	struct zone_host *host;
 
 	(void)fd;
 	(void)what;
+	zone_check_pause(zone, now_us);
 	zone_look(zone, now_us);
 	zone_reserve(zone, now_us);
-	if (!zone->settled) {
-		zone_ping_all(zone, now_us);
+	if (!zone->settled)
 		zone->settled = zone_settled(zone, now_us);
-	}
 	zone_watch_far(zone, now_us);
+	zone_watch_near(zone, now_us);
 	zone_choose(zone);
 	zone_tell(zone);
-	if (zone->holder == NULL)
-		return;
-	if (strcmp(zone->holder, zone->params.self.name) == 0) {
-		if (holder_token(zone->params.holder) == 0 && zone->settled)
-			zone_take_over(zone, now_us);
-		/* Others that were silent may hold by now. */
-		TAILQ_FOREACH (host, &zone->hosts, entry) {
-			if (zone_is_near(zone, host) && host->silent)
-				zone_ping(zone, host, now_us);
-		}
-		return;
-	}
-	TAILQ_FOREACH (host, &zone->hosts, entry) {
-		if (strcmp(host->info.name, zone->holder) == 0 || host->silent)
-			zone_ping(zone, host, now_us);
-	}
+	if (zone->holder != NULL &&
+	    strcmp(zone->holder, zone->params.self.name) == 0 &&
+	    holder_token(zone->params.holder) == 0 && zone->settled &&
+	    !zone_unheard(zone, now_us))
+		zone_take_over(zone, now_us);
 }
 
 const char *
--- a/entry/jobs/zone_internal.h
+++ b/entry/jobs/zone_internal.h
@@ -10,7 +10,8 @@
 #include "entry/jobs/zone.h"
 
 /*
- * Shared by the files of the zone: zone.c (hosts, who holds), zone_job.c
+ * Shared by the files of the zone: zone.c (hosts, who holds), zone_ping.c
+ * (what hosts tell each other), zone_job.c
  * (jobs on their way to a holder, and requests of peers), zone_stored.c
  * (questions about stored jobs).
  */
@@ -24,6 +25,7 @@
 struct zone_host {
 	struct dir_host info;
 	uint64_t token; /* that it says it holds with, else 0 */
+	bool heard;	/* it has said so since it was connected */
 	bool leaving;
 	bool connected;	       /* as of the last tick */
 	uint64_t incarnation;  /* while connected */
@@ -55,6 +57,7 @@
 	TAILQ_HEAD(, zone_host) hosts; /* others; all availability zones */
 	TAILQ_HEAD(, zone_submission) served; /* jobs that peers sent here */
 	struct event *tick;
+	uint64_t ticked_us; /* the last tick */
 	uint64_t listed_us; /* the list of hosts was first whole; 0: not yet */
 	struct keeper *keeper;	/* NULL until the store is known */
 	uint64_t reserve;	/* own token, not used yet; 0: none */
@@ -77,6 +80,14 @@
 void zone_tell(struct zone *zone);
 bool zone_is_near(const struct zone *zone, const struct zone_host *host);
 
+/* zone_ping.c */
+/* Brings connections up to date, as the peers have them. */
+void zone_look(struct zone *zone, uint64_t now_us);
+/* Asks the hosts of this zone whether they hold. */
+void zone_watch_near(struct zone *zone, uint64_t now_us);
+/* Keeps in touch with the hosts that may hold other zones' servers. */
+void zone_watch_far(struct zone *zone, uint64_t now_us);
+
 /* zone_job.c */
 void zone_served_drop(struct zone *zone);
 struct zone_submission *zone_submission_create(struct zone *zone,
