Jobs: gangs, tasks that last, checkpoints

A gang starts as a whole, under one number, where there is room for all of its tasks (on one rack, if it asks for that); when a run of it is lost the others are stopped, and it starts anew once all are over; one good end stands for all; a successor that finds it whole lets it run. A lasting task is started again however it ends, until its job is cancelled. A task goes on from the newest checkpoint that its server told. The model of backend servers knows gangs and checkpoints.

--- a/core/job.h
+++ b/core/job.h
@@ -26,6 +26,8 @@
 	uint64_t after;	 /* bit n: step n must be done first */
 	uint32_t per_server_max; /* tasks on one server; 0: any number */
 	bool copies;		 /* may run more than once at a time */
+	bool gang;		 /* its tasks work only all together */
+	bool one_rack;		 /* a gang that is slower on two racks */
 	char needs[NAME_SIZE];	 /* label that the server must have, or "" */
 	char near[NAME_SIZE];	 /* rack that holds the data, or "" */
 };
@@ -35,6 +37,7 @@
 	char id[JOB_ID_LEN + 1];
 	char *text;		/* handed to each task; owned */
 	bool best_effort;	/* answered when it has ended; not stored */
+	bool lasting;		/* runs until it is cancelled */
 	struct job_step *steps; /* owned */
 	size_t nsteps;
 	uint32_t ntasks; /* of all steps */
--- a/entry/jobs/directory.h
+++ b/entry/jobs/directory.h
@@ -55,6 +55,7 @@
 	uint64_t leaves_in_ms; /* at the least, while it drains */
 	char labels[DIR_LABELS_MAX][NAME_SIZE];
 	size_t nlabels;
+	char rack[NAME_SIZE]; /* one of the labels, or "" */
 };
 
 /** struct dir_host - an entry host, by its own row. */
--- a/entry/jobs/holder.c
+++ b/entry/jobs/holder.c
@@ -168,8 +168,10 @@
 	(void)what;
 	if (holder->token == 0)
 		return;
-	TAILQ_FOREACH_SAFE (job, &holder->jobs, entry, next_job)
-		(void)hld_job_expired(job, now_us);
+	TAILQ_FOREACH_SAFE (job, &holder->jobs, entry, next_job) {
+		if (!hld_job_expired(job, now_us))
+			hld_gang_check(job);
+	}
 	TAILQ_FOREACH_SAFE (server, &holder->servers, entry, next_server) {
 		hld_server_tick(server, now_us);
 		if (server->gone && TAILQ_EMPTY(&server->tasks) &&
--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -44,7 +44,7 @@
 	HLD_STARTING, /* ordered, no answer yet */
 	HLD_RUNNING,
 	HLD_STOPPING, /* to be gone from its server before it goes on */
-	HLD_DONE,
+	HLD_DONE,     /* in a gang its run may still be listed */
 };
 
 struct hld_job;
@@ -65,6 +65,8 @@
 	uint64_t ordered_us; /* the start was sent */
 	uint64_t settled_us; /* its last order was answered or given up */
 	bool order_pending;
+	char *saved; /* newest checkpoint; owned, NULL: none */
+	uint64_t saved_run;
 	bool stop_confirmed; /* the run can't start any more, and ends soon */
 	TAILQ_ENTRY(hld_task) on_server;
 	TAILQ_ENTRY(hld_task) waiting;
@@ -199,13 +201,28 @@
 void hld_run_stop(struct hld_task *task);
 void hld_orders_drop(struct hld_server *server);
 void hld_run_stop_orphan(struct hld_server *server, struct hld_orphan *orphan);
+void hld_run_saved(struct hld_task *task, uint64_t run_id, const char *saved);
 uint64_t hld_run_ended(struct hld_task *task, enum worker_end how);
+/* Return: the number under which the end will be stored, or 0. */
+uint64_t hld_tell_progress(const struct hld_task *task, uint64_t run_id,
+    bool done);
 uint64_t hld_run_found_done(struct hld_task *task, uint64_t run_id);
 uint64_t hld_run_found_failed(struct hld_task *task, uint64_t run_id);
 void hld_run_absent(struct hld_task *task, const char *why);
 void hld_run_adopt(struct hld_task *task, struct hld_server *server,
     uint64_t run_id, uint64_t now_us);
 
+/* holder_gang.c */
+bool hld_gang_member(const struct hld_task *task);
+/* Failed runs of a task, or of its gang: each has one member that failed. */
+uint32_t hld_gang_fails(struct hld_task *task);
+/* Starts all tasks of the gang if there is room for all of them. */
+void hld_gang_try(struct hld_task *task, uint64_t now_us);
+/* One of its runs has ended well: so have all. */
+void hld_gang_done(struct hld_task *task);
+/* Stops what is left of gangs that have lost a run. */
+void hld_gang_check(struct hld_job *job);
+
 /* holder_pump.c */
 void hld_pump_wake(struct holder *holder);
 void hld_pump(evutil_socket_t fd, short what, void *arg);
@@ -215,6 +232,9 @@
 void hld_job_admit(struct hld_job *job);
 uint64_t hld_backlog_us(const struct holder *holder, uint64_t now_us);
 bool hld_job_crowded(const struct hld_job *job);
+bool hld_all_held(const struct holder *holder);
+struct hld_server *hld_choose(struct holder *holder,
+    const struct hld_task *task, const char *rack, uint64_t now_us);
 bool hld_job_expired(struct hld_job *job, uint64_t now_us);
 
 #endif /* ENTRY_JOBS_HOLDER_INTERNAL_H */
--- a/entry/jobs/holder_job.c
+++ b/entry/jobs/holder_job.c
@@ -109,8 +109,12 @@
 static void
 hld_job_free(struct hld_job *job)
 {
+	uint32_t i;
+
 	TAILQ_REMOVE(&job->holder->jobs, job, entry);
 	LIST_REMOVE(job, hash);
+	for (i = 0; i < job->spec.ntasks; i++)
+		free(job->tasks[i].saved);
 	job_spec_release(&job->spec);
 	free(job->tasks);
 	free(job);
--- a/entry/jobs/holder_pump.c
+++ b/entry/jobs/holder_pump.c
@@ -121,9 +121,11 @@
 	return n < step->per_server_max;
 }
 
-/* What the servers offer to @task, in the order of the holder's list. */
+/* What the servers (with the label @rack, if that is not NULL) offer to @task,
+ * in the order of the holder's list. */
 static size_t
-hld_offers(struct holder *holder, const struct hld_task *task, uint64_t now_us)
+hld_offers(struct holder *holder, const struct hld_task *task, const char *rack,
+    uint64_t now_us)
 {
 	const struct job_step *step = &task->job->spec.steps[task->step];
 	const struct hld_server *server;
@@ -145,14 +147,16 @@
 			.near = step->near[0] == '\0' ||
 			    hld_has_label(server, step->near),
 			.allowed = hld_server_open(server, now_us) &&
-			    hld_server_permits(server, task),
+			    hld_server_permits(server, task) &&
+			    (rack == NULL || hld_has_label(server, rack)),
 		};
 	}
 	return n;
 }
 
-static struct hld_server *
-hld_choose(struct holder *holder, const struct hld_task *task, uint64_t now_us)
+struct hld_server *
+hld_choose(struct holder *holder, const struct hld_task *task, const char *rack,
+    uint64_t now_us)
 {
 	const struct job_step *step = &task->job->spec.steps[task->step];
 	const struct place_task wanted = {
@@ -167,7 +171,7 @@
 		.far_permille = holder->params.far_permille,
 		.typical_cpu = step->cpu,
 	};
-	size_t n = hld_offers(holder, task, now_us);
+	size_t n = hld_offers(holder, task, rack, now_us);
 	int chosen = place_choose(holder->scratch, n, &wanted);
 	struct hld_server *server;
 
@@ -192,6 +196,8 @@
 static enum hld_rank
 hld_rank(const struct hld_task *task, uint64_t now_us)
 {
+	if (task->job->spec.lasting)
+		return HLD_RANK_STARTED;
 	if (now_us > task->job->late_us)
 		return HLD_RANK_WORTHLESS;
 	if (task->job->started)
@@ -220,14 +226,18 @@
 	if (step->cpu >= pass->refused_cpu ||
 	    (task->job->start_after_us > pass->now_us && !pass->all_held))
 		return;
-	server = hld_choose(task->job->holder, task, pass->now_us);
+	if (hld_gang_member(task)) {
+		hld_gang_try(task, pass->now_us);
+		return;
+	}
+	server = hld_choose(task->job->holder, task, NULL, pass->now_us);
 	if (server != NULL)
 		hld_run_start(task, server);
 	else if (plain)
 		pass->refused_cpu = step->cpu;
 }
 
-static bool
+bool
 hld_all_held(const struct holder *holder)
 {
 	const struct hld_server *server;
--- a/entry/jobs/holder_run.c
+++ b/entry/jobs/holder_run.c
@@ -82,11 +82,13 @@
 	    job->spec.id, task->step, task->index, task->run_id,
 	    task->server->info.id, why);
 	hld_vacate(task);
-	task->state = HLD_BLOCKED;
 	if (job->ended) {
 		hld_job_release_ended(job);
 		return;
 	}
+	if (task->state == HLD_DONE)
+		return; /* by another run of its gang */
+	task->state = HLD_BLOCKED;
 	hld_queue(task);
 }
 
@@ -160,48 +162,81 @@
 	task->state = HLD_BLOCKED;
 	if (job->ended)
 		hld_job_release_ended(job);
-	else if (task->fails >= job->queue.max_attempts)
+	else if (hld_gang_fails(task) >= job->queue.max_attempts)
 		hld_job_finish(job, &failed);
 	else
 		hld_queue(task);
 }
 
-/* Return: the number under which the end will be stored, or 0. */
-static uint64_t
+uint64_t
 hld_tell_progress(const struct hld_task *task, uint64_t run_id, bool done)
 {
 	const struct hld_job *job = task->job;
 	const struct holder_params *params = &job->holder->params;
 
 	/* Also of an ended job: its own end may not be stored yet. */
-	if (!job->stored || params->progress == NULL)
+	if (!job->stored || job->spec.lasting || params->progress == NULL)
 		return 0;
 	return params->progress(params->arg, job->spec.id,
 	    (uint32_t)(task - job->tasks), run_id, done);
 }
 
+static const char *const hld_end_names[] = {
+	[WORKER_END_DONE] = "done",
+	[WORKER_END_FAILED] = "failed",
+	[WORKER_END_STOPPED] = "stopped",
+	[WORKER_END_LAPSED] = "lapsed",
+	[WORKER_END_OTHER] = "broken with its gang",
+};
+
+/* Does this end settle the task, or does it only make room? */
+static bool
+hld_end_counts(const struct hld_task *task, enum worker_end how)
+{
+	return !task->job->spec.lasting && task->state != HLD_DONE &&
+	    (how == WORKER_END_DONE || how == WORKER_END_FAILED);
+}
+
 uint64_t
 hld_run_ended(struct hld_task *task, enum worker_end how)
 {
 	uint64_t now_us = hld_now(task->job->holder), seq;
 
-	if (how != WORKER_END_DONE && how != WORKER_END_FAILED) {
-		hld_run_absent(task,
-		    how == WORKER_END_LAPSED ? "lapsed" : "stopped");
-		return 0;
+	if (!hld_end_counts(task, how)) {
+		/* A gang's end was told with its first run. */
+		seq = task->state == HLD_DONE
+		    ? hld_tell_progress(task, task->run_id, true)
+		    : 0;
+		hld_run_absent(task, hld_end_names[how]);
+		return seq;
 	}
 	hld_judge(task->server, task->job, how == WORKER_END_DONE);
 	if (how == WORKER_END_DONE && task->ordered_us != 0)
 		hld_learn_speed(task, now_us);
 	seq = hld_tell_progress(task, task->run_id, how == WORKER_END_DONE);
 	hld_vacate(task);
-	if (how == WORKER_END_DONE)
-		hld_task_done(task);
-	else
+	if (how == WORKER_END_FAILED)
 		hld_task_failed(task);
+	else if (hld_gang_member(task))
+		hld_gang_done(task);
+	else
+		hld_task_done(task);
 	return seq;
 }
 
+/* The newest checkpoint of a task, as its server tells it. */
+void
+hld_run_saved(struct hld_task *task, uint64_t run_id, const char *saved)
+{
+	if (saved == NULL || saved[0] == '\0' || run_id < task->saved_run)
+		return;
+	if (task->saved != NULL && strcmp(task->saved, saved) == 0)
+		return;
+	free(task->saved);
+	task->saved = mem_strndup(saved, strlen(saved));
+	task->saved_run = run_id;
+}
+
 /* A run of a former holder has ended well: the task is done. */
 uint64_t
 hld_run_found_done(struct hld_task *task, uint64_t run_id)
@@ -213,7 +248,10 @@
 	if (task->state == HLD_WAITING)
 		hld_dequeue(task);
 	task->run_id = run_id;
-	hld_task_done(task);
+	if (hld_gang_member(task))
+		hld_gang_done(task);
+	else
+		hld_task_done(task);
 	return seq;
 }
 
@@ -365,6 +403,7 @@
 	struct worker_start order = {
 		.task = name,
 		.spec = task->job->spec.text,
+		.checkpoint = task->saved,
 		.token = holder->token,
 	};
 
--- a/entry/jobs/holder_server.c
+++ b/entry/jobs/holder_server.c
@@ -146,6 +146,8 @@
 {
 	struct hld_task *task = hld_task_find(server->holder, run->task);
 
+	if (task != NULL)
+		hld_run_saved(task, run->run_id, run->saved);
 	if (task != NULL && task->server == server &&
 	    task->run_id == run->run_id) {
 		/* Seen now: it is there whatever became of the order. */
@@ -168,7 +170,7 @@
 static uint64_t
 hld_ended_before(struct hld_task *task, const struct worker_ended *ended)
 {
-	if (!task->job->stored)
+	if (!task->job->stored || task->job->spec.lasting)
 		return 0;
 	if (ended->how == WORKER_END_FAILED && task->state != HLD_DONE)
 		return hld_run_found_failed(task, ended->run_id);
@@ -270,6 +272,8 @@
 	/* It may belong to a stored job that is still being read. */
 	if (task == NULL && !server->holder->loaded)
 		return;
+	if (task != NULL)
+		hld_run_saved(task, ended->run_id, ended->saved);
 	if (task != NULL && task->server == server &&
 	    task->run_id == ended->run_id)
 		seq = hld_run_ended(task, ended->how);
@@ -439,7 +443,8 @@
 				hld_run_stop(task);
 			continue;
 		}
-		if (task->state != HLD_RUNNING || task->ordered_us == 0)
+		if (task->state != HLD_RUNNING || task->ordered_us == 0 ||
+		    task->job->spec.lasting || hld_gang_member(task))
 			continue;
 		expected_ms = (uint64_t)hld_task_expected_ms(task) *
 		    PLACE_SPEED_UNIT / (server->speed | 1);
--- a/entry/jobs/job_json.c
+++ b/entry/jobs/job_json.c
@@ -72,10 +72,6 @@
 job_parse_step(struct job_spec *spec, const json_t *object, struct err *err)
 {
 	struct job_step *step = &spec->steps[spec->nsteps];
-	static const char *const unsupported[] = { "gang_scheduled",
-		"long_running", "fills" };
-	size_t i;
-
 	if (!json_is_object(object) ||
 	    job_number(object, "count", &step->count) == -1 ||
 	    job_number(object, "cpu", &step->cpu) == -1 ||
@@ -89,10 +85,12 @@
 		return job_bad(err, "a step has a field of the wrong type");
 	step->copies =
 	    json_is_true(json_object_get(object, "allow_duplicates"));
-	for (i = 0; i < sizeof(unsupported) / sizeof(unsupported[0]); i++) {
-		if (json_is_true(json_object_get(object, unsupported[i])))
-			spec->unsupported = unsupported[i];
-	}
+	step->gang = json_is_true(json_object_get(object, "gang_scheduled"));
+	step->one_rack = json_is_true(json_object_get(object, "same_rack"));
+	if (json_is_true(json_object_get(object, "long_running")))
+		spec->lasting = true;
+	if (json_is_true(json_object_get(object, "fills")))
+		spec->unsupported = "fills";
 	spec->nsteps++;
 	spec->ntasks += step->count;
 	if (step->count > JOB_TASKS_TOTAL_MAX ||
@@ -144,7 +142,7 @@
 	if (occurrences > 0)
 		spec->unsupported = "max_runs";
 	if (json_is_true(json_object_get(root, "long_running")))
-		spec->unsupported = "long_running";
+		spec->lasting = true;
 	return job_parse_steps(spec, json_object_get(root, "steps"), err);
 }
 
--- a/entry/jobs/zone_ping.c
+++ b/entry/jobs/zone_ping.c
@@ -11,11 +11,11 @@
 #include "entry/jobs/zone_internal.h"
 
 #define ZONE_US_PER_MS UINT64_C(1000)
-#define ZONE_PING_MS 150	/* interval of pings of the holder */
-#define ZONE_NEAR_PING_MS 1000	/* of the other hosts of this zone */
-#define ZONE_FAR_PING_MS 300	/* of the holders of other zones */
-#define ZONE_FAR_WANTED 3	/* likely holders of each other zone */
-#define ZONE_SILENT_MS 450 /* a host without an answer is taken for gone */
+#define ZONE_PING_MS 150       /* interval of pings of the holder */
+#define ZONE_NEAR_PING_MS 1000 /* of the other hosts of this zone */
+#define ZONE_FAR_PING_MS 300   /* of the holders of other zones */
+#define ZONE_FAR_WANTED 3      /* likely holders of each other zone */
+#define ZONE_SILENT_MS 450     /* a host without an answer is taken for gone */
 
 struct zone_ping {
 	struct zone *zone;
--- a/ports/worker.h
+++ b/ports/worker.h
@@ -42,6 +42,7 @@
 struct worker_run {
 	const char *task;
 	uint64_t run_id;
+	const char *saved; /* newest checkpoint, "" if none */
 };
 
 /** struct worker_ended - a run that has ended. */
@@ -50,6 +51,7 @@
 	const char *task;
 	uint64_t run_id;
 	enum worker_end how;
+	const char *saved; /* newest checkpoint, "" if none */
 };
 
 /** struct worker_reply - end of a call; borrowed by the callback. */
@@ -72,7 +74,8 @@
 	const char *task; /* its name */
 	uint64_t run_id;
 	const char *spec;
-	uint64_t deadline_ms; /* lease for the whole server, its clock */
+	const char *checkpoint; /* to go on from; NULL: from the start */
+	uint64_t deadline_ms;	/* lease for the whole server, its clock */
 	uint64_t token;
 };
 
--- a/tests/support/fake_worker.c
+++ b/tests/support/fake_worker.c
@@ -29,6 +29,7 @@
 	struct worker_hold hold;
 	char task[WORKER_TASK_NAME_SIZE];
 	char *spec;
+	char *checkpoint;
 	uint64_t run_id;
 	uint64_t token;
 	uint64_t apply_ms;  /* carried out then; 0: was, or never */
@@ -71,6 +72,7 @@
 {
 	TAILQ_REMOVE(&call->link->fake->calls, call, entry);
 	free(call->spec);
+	free(call->checkpoint);
 	free(call);
 }
 
@@ -208,6 +210,10 @@
 	call->spec = mem_strndup(order->spec, strlen(order->spec));
 	call->start.task = call->task;
 	call->start.spec = call->spec;
+	if (order->checkpoint != NULL)
+		call->checkpoint =
+		    mem_strndup(order->checkpoint, strlen(order->checkpoint));
+	call->start.checkpoint = call->checkpoint;
 }
 
 static void
--- a/tests/support/worker_model.c
+++ b/tests/support/worker_model.c
@@ -12,6 +12,8 @@
 #include "tests/support/worker_model.h"
 
 #define WM_STOP_GRACE_MS 20
+#define WM_GANG_TIMEOUT_MS 400
+#define WM_NEVER UINT64_MAX
 
 void
 wm_init(struct wm_world *world, size_t nservers, uint32_t cpu)
@@ -80,13 +82,108 @@
 	TAILQ_INIT(runs);
 }
 
+uint64_t
+wm_clock_ms(const struct wm_server *server, uint64_t now_ms)
+{
+	return now_ms + (uint64_t)server->skew_ms;
+}
+
+/* Calls @each for all other runs of the same gang. */
+static void
+wm_gang_each(struct wm_server *server, const struct wm_run *run,
+    void (*each)(struct wm_server *server, struct wm_run *run, uint64_t value),
+    uint64_t value)
+{
+	size_t i, len = (size_t)(strrchr(run->task, '.') - run->task);
+	struct wm_world *world = server->world;
+	struct wm_run *other, *next;
+
+	for (i = 0; i < world->nservers; i++) {
+		TAILQ_FOREACH_SAFE (other, &world->servers[i].running, entry,
+		    next) {
+			if (other != run && other->run_id == run->run_id &&
+			    strncmp(other->task, run->task, len + 1) == 0)
+				each(&world->servers[i], other, value);
+		}
+	}
+}
+
+static void
+wm_gang_count(struct wm_server *server, struct wm_run *run, uint64_t value)
+{
+	(void)server;
+	(void)run;
+	++*(uint32_t *)(uintptr_t)value;
+}
+
+static void
+wm_gang_work(struct wm_server *server, struct wm_run *run, uint64_t now_ms)
+{
+	(void)server;
+	run->alone_ms = 0;
+	run->ends_ms = now_ms + run->work_ms;
+}
+
+/* A run of a gang has come; they work when all are there. */
+static void
+wm_gang_join(struct wm_server *server, struct wm_run *run, uint64_t now_ms)
+{
+	uint32_t present = 1;
+
+	run->alone_ms = now_ms;
+	run->ends_ms = WM_NEVER;
+	wm_gang_each(server, run, wm_gang_count, (uint64_t)(uintptr_t)&present);
+	if (present < run->gang)
+		return;
+	wm_gang_work(server, run, now_ms);
+	wm_gang_each(server, run, wm_gang_work, now_ms);
+}
+
+static void
+wm_end(struct wm_server *server, struct wm_run *run, enum worker_end how)
+{
+	struct wm_task *task = wm_task_enter(server->world, run->task);
+
+	task->live--;
+	if (how == WORKER_END_FAILED)
+		task->fails++;
+	if (how == WORKER_END_DONE)
+		task->dones++;
+	run->how = how;
+	run->number = server->next_number++;
+	server->used_cpu -= run->cpu;
+	TAILQ_REMOVE(&server->running, run, entry);
+	TAILQ_INSERT_TAIL(&server->ended, run, entry);
+}
+
+/* All members end as this one did, or are broken by its end. */
+static void
+wm_gang_end(struct wm_server *server, struct wm_run *run, uint64_t how)
+{
+	wm_end(server, run, (enum worker_end)how);
+}
+
+static void
+wm_run_end(struct wm_server *server, struct wm_run *run, enum worker_end how)
+{
+	if (run->gang != 0)
+		wm_gang_each(server, run, wm_gang_end,
+		    how == WORKER_END_DONE ? WORKER_END_DONE
+					   : WORKER_END_OTHER);
+	wm_end(server, run, how);
+}
+
 void
 wm_crash(struct wm_server *server)
 {
 	struct wm_run *run;
 
-	TAILQ_FOREACH (run, &server->running, entry)
+	TAILQ_FOREACH (run, &server->running, entry) {
 		wm_task_enter(server->world, run->task)->live--;
+		if (run->gang != 0)
+			wm_gang_each(server, run, wm_gang_end,
+			    WORKER_END_OTHER);
+	}
 	wm_runs_free(&server->running);
 	wm_runs_free(&server->ended);
 	server->token = 0;
@@ -110,29 +207,6 @@
 	free(world->servers);
 }
 
-uint64_t
-wm_clock_ms(const struct wm_server *server, uint64_t now_ms)
-{
-	return now_ms + (uint64_t)server->skew_ms;
-}
-
-static void
-wm_end(struct wm_server *server, struct wm_run *run, enum worker_end how)
-{
-	struct wm_task *task = wm_task_enter(server->world, run->task);
-
-	task->live--;
-	if (how == WORKER_END_FAILED)
-		task->fails++;
-	if (how == WORKER_END_DONE)
-		task->dones++;
-	run->how = how;
-	run->number = server->next_number++;
-	server->used_cpu -= run->cpu;
-	TAILQ_REMOVE(&server->running, run, entry);
-	TAILQ_INSERT_TAIL(&server->ended, run, entry);
-}
-
 bool
 wm_advance(struct wm_server *server, uint64_t now_ms)
 {
@@ -140,14 +214,30 @@
 	struct wm_run *run, *next;
 	uint64_t before = server->next_number;
 
+	TAILQ_FOREACH (run, &server->running, entry) {
+		if (server->world->checkpoints && run->alone_ms == 0)
+			(void)snprintf(run->saved, sizeof(run->saved),
+			    "%" PRIu64,
+			    run->resumed_ms + now_ms - run->began_ms);
+	}
+
 	TAILQ_FOREACH_SAFE (run, &server->running, entry, next) {
-		if (run->stopping && now_ms >= run->stop_ms)
-			wm_end(server, run, WORKER_END_STOPPED);
-		else if (!server->hangs && now_ms >= run->ends_ms)
-			wm_end(server, run,
+		if (run->stopping && now_ms >= run->stop_ms) {
+			wm_run_end(server, run, WORKER_END_STOPPED);
+		} else if (!server->hangs && now_ms >= run->ends_ms) {
+			wm_run_end(server, run,
 			    run->fails ? WORKER_END_FAILED : WORKER_END_DONE);
-		else if (lapsed)
-			wm_end(server, run, WORKER_END_LAPSED);
+		} else if (lapsed) {
+			wm_run_end(server, run, WORKER_END_LAPSED);
+		} else if (run->alone_ms != 0 &&
+		    now_ms >= run->alone_ms + WM_GANG_TIMEOUT_MS) {
+			server->world->alone++;
+			wm_run_end(server, run, WORKER_END_OTHER);
+		} else {
+			continue;
+		}
+		/* The end of a gang may have ended the next one, too. */
+		next = TAILQ_FIRST(&server->running);
 	}
 	return server->next_number != before;
 }
@@ -186,10 +276,17 @@
 	return NULL;
 }
 
+/* What a spec says. */
+struct wm_spec {
+	uint32_t cpu;
+	uint32_t work_ms;
+	uint32_t fails;
+	uint32_t gang;
+};
+
 static void
 wm_begin(struct wm_server *server, uint64_t now_ms,
-    const struct worker_start *order, uint32_t cpu, uint32_t work_ms,
-    uint32_t fails)
+    const struct worker_start *order, const struct wm_spec *spec)
 {
 	struct wm_world *world = server->world;
 	struct wm_task *task = wm_task_enter(world, order->task);
@@ -197,12 +294,20 @@
 
 	strlcpy(run->task, order->task, sizeof(run->task));
 	run->run_id = order->run_id;
-	run->cpu = cpu;
-	run->fails = server->failing || task->fails < fails;
-	run->ends_ms = server->failing
-	    ? now_ms
-	    : now_ms + (uint64_t)work_ms * 1000 / server->speed;
-	server->used_cpu += cpu;
+	run->cpu = spec->cpu;
+	run->gang = spec->gang;
+	run->work_ms = spec->work_ms * 1000 / server->speed;
+	run->fails = server->failing || task->fails < spec->fails;
+	run->ends_ms = server->failing ? now_ms : now_ms + run->work_ms;
+	if (order->checkpoint != NULL) {
+		world->resumed++;
+		run->resumed_ms = strtoull(order->checkpoint, NULL, 10);
+		run->ends_ms = run->ends_ms > now_ms + run->resumed_ms
+		    ? run->ends_ms - run->resumed_ms
+		    : now_ms;
+	}
+	run->began_ms = now_ms;
+	server->used_cpu += spec->cpu;
 	server->starts++;
 	task->starts++;
 	if (++task->live > 1)
@@ -211,13 +316,15 @@
 	    order->task[0] == world->strict_first)
 		wm_violate(world, "%s starts after its end", order->task);
 	TAILQ_INSERT_TAIL(&server->running, run, entry);
+	if (run->gang != 0 && !server->failing)
+		wm_gang_join(server, run, now_ms);
 }
 
 enum worker_verdict
 wm_start(struct wm_server *server, uint64_t now_ms,
     const struct worker_start *order)
 {
-	uint32_t cpu = 0, work_ms = 0, fails = 0;
+	struct wm_spec spec = { 0 };
 	struct wm_run *run;
 
 	(void)wm_advance(server, now_ms);
@@ -226,8 +333,9 @@
 	if (order->deadline_ms < wm_clock_ms(server, now_ms))
 		return WORKER_LATE;
 	wm_extend(server, now_ms, order->deadline_ms);
-	if (sscanf(order->spec, "cpu=%" SCNu32 " ms=%" SCNu32 " fail=%" SCNu32,
-		&cpu, &work_ms, &fails) != 3) {
+	if (sscanf(order->spec,
+		"cpu=%" SCNu32 " ms=%" SCNu32 " fail=%" SCNu32 " gang=%" SCNu32,
+		&spec.cpu, &spec.work_ms, &spec.fails, &spec.gang) < 3) {
 		wm_violate(server->world, "%s has spec \"%s\"", order->task,
 		    order->spec);
 		return WORKER_REFUSED;
@@ -237,9 +345,9 @@
 		return run->run_id == order->run_id ? WORKER_OK : WORKER_OLD;
 	if (wm_find(&server->ended, order->task, order->run_id) != NULL)
 		return WORKER_OLD;
-	if (server->used_cpu + cpu > server->cpu)
+	if (server->used_cpu + spec.cpu > server->cpu)
 		return WORKER_NO_ROOM;
-	wm_begin(server, now_ms, order, cpu, work_ms, fails);
+	wm_begin(server, now_ms, order, &spec);
 	return WORKER_OK;
 }
 
@@ -307,8 +415,11 @@
 	*ended = mem_zalloc(m, sizeof(**ended));
 	*nrunning = *nended = 0;
 	TAILQ_FOREACH (run, &server->running, entry) {
-		(*running)[*nrunning].task = run->task;
-		(*running)[(*nrunning)++].run_id = run->run_id;
+		(*running)[(*nrunning)++] = (struct worker_run){
+			.task = run->task,
+			.run_id = run->run_id,
+			.saved = run->saved,
+		};
 	}
 	TAILQ_FOREACH (run, &server->ended, entry) {
 		if (run->number == 0)
@@ -318,6 +429,7 @@
 			.task = run->task,
 			.run_id = run->run_id,
 			.how = run->how,
+			.saved = run->saved,
 		};
 	}
 }
--- a/tests/support/worker_model.h
+++ b/tests/support/worker_model.h
@@ -13,7 +13,9 @@
  * that time is passed to. It checks what must hold for all servers together:
  * no two runs of a task at once, no start after a done run was acknowledged,
  * room never exceeded, starts only of tasks whose spec is known to the model
- * ("cpu=N ms=N fail=N": thousandths of a core, work, failed runs first).
+ * ("cpu=N ms=N fail=N gang=N": thousandths of a core, work, failed runs first,
+ * members of its gang, 0 if it is none). A gang works once all its members run
+ * under one number; they end well together, and are broken by any other end.
  */
 
 /** struct wm_run - a run that is under way, or has ended unacknowledged. */
@@ -27,6 +29,12 @@
 	bool stopping; /* gone at stop_ms */
 	uint64_t stop_ms;
 	uint32_t cpu;
+	uint32_t gang; /* members; 0: none */
+	uint32_t work_ms;
+	uint64_t began_ms;
+	uint64_t alone_ms;   /* since then it waits for the others; 0: works */
+	char saved[24];	     /* checkpoint: the work done, in ms */
+	uint64_t resumed_ms; /* work that the checkpoint spared */
 	TAILQ_ENTRY(wm_run) entry;
 };
 
@@ -65,7 +73,10 @@
 	struct wm_server *servers;
 	size_t nservers;
 	uint32_t max_hold_ms;
+	bool checkpoints; /* runs tell how far they are */
 	uint32_t violations;
+	uint32_t alone;	  /* runs of gangs that ended without the others */
+	uint32_t resumed; /* runs that went on from a checkpoint */
 	/* Tasks that begin so may not start after an acknowledged good end. */
 	char strict_first;
 	char violation[256]; /* the first one */
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -194,7 +194,7 @@
 		.patience_ms = 1000,
 	};
 	static const char body[] = "{\"spec\":\"x\",\"steps\":[{\"count\":2,"
-				   "\"gang_scheduled\":true}]}";
+				   "\"fills\":true}]}";
 	struct err err;
 
 	job->rig = rig;
--- a/tests/test_holder_stored.c
+++ b/tests/test_holder_stored.c
@@ -216,9 +216,9 @@
 
 Test(holder_stored, end_is_acknowledged_once_it_is_stored)
 {
-	const struct worker_run run = { ID_A ".0.0.0", 64 };
-	const struct worker_ended end = { 1, ID_A ".0.0.0", 64,
-		WORKER_END_DONE };
+	const struct worker_run run = { ID_A ".0.0.0", 64, "" };
+	const struct worker_ended end = { 1, ID_A ".0.0.0", 64, WORKER_END_DONE,
+		"" };
 	struct rig *rig = rig_create();
 
 	rig_submit(rig, ID_A);
@@ -236,9 +236,9 @@
 /* Its cancellation may not be stored yet: a successor would run it again. */
 Test(holder_stored, end_of_a_cancelled_job_is_stored_first)
 {
-	const struct worker_run run = { ID_A ".0.0.0", 64 };
-	const struct worker_ended end = { 1, ID_A ".0.0.0", 64,
-		WORKER_END_DONE };
+	const struct worker_run run = { ID_A ".0.0.0", 64, "" };
+	const struct worker_ended end = { 1, ID_A ".0.0.0", 64, WORKER_END_DONE,
+		"" };
 	struct rig *rig = rig_create();
 
 	rig_submit(rig, ID_A);
@@ -255,8 +255,8 @@
 Test(holder_stored, ends_told_out_of_order_are_acknowledged_in_order)
 {
 	const struct worker_ended ends[] = {
-		{ 1, ID_B ".0.0.0", 64, WORKER_END_DONE },
-		{ 2, ID_A ".0.0.0", 64, WORKER_END_DONE },
+		{ 1, ID_B ".0.0.0", 64, WORKER_END_DONE, "" },
+		{ 2, ID_A ".0.0.0", 64, WORKER_END_DONE, "" },
 	};
 	struct rig *rig = rig_create();
 
@@ -274,8 +274,8 @@
 Test(holder_stored, end_of_a_job_still_to_be_read_is_kept)
 {
 	const struct worker_ended ends[] = {
-		{ 1, ID_B ".0.0.0", 64, WORKER_END_DONE },
-		{ 2, ID_A ".0.0.0", 64, WORKER_END_DONE },
+		{ 1, ID_B ".0.0.0", 64, WORKER_END_DONE, "" },
+		{ 2, ID_A ".0.0.0", 64, WORKER_END_DONE, "" },
 	};
 	struct rig *rig = rig_create();
 
@@ -291,10 +291,10 @@
 /* The next end would be heard of late otherwise. */
 Test(holder_stored, busy_server_is_held_again_as_soon_as_its_end_is_stored)
 {
-	const struct worker_run runs[] = { { ID_A ".0.0.0", 64 },
-		{ ID_A ".0.0.1", 65 } };
-	const struct worker_ended end = { 1, ID_A ".0.0.0", 64,
-		WORKER_END_DONE };
+	const struct worker_run runs[] = { { ID_A ".0.0.0", 64, "" },
+		{ ID_A ".0.0.1", 65, "" } };
+	const struct worker_ended end = { 1, ID_A ".0.0.0", 64, WORKER_END_DONE,
+		"" };
 	const struct worker_reply reply = { .verdict = WORKER_OK,
 		.born_ms = RIG_BORN_MS,
 		.has_lists = true,
@@ -320,8 +320,8 @@
 Test(holder_stored, failed_run_of_a_former_holder_counts)
 {
 	const struct worker_ended ends[] = {
-		{ 1, ID_A ".0.0.1", 70, WORKER_END_FAILED },
-		{ 2, ID_A ".0.0.1", 71, WORKER_END_FAILED },
+		{ 1, ID_A ".0.0.1", 70, WORKER_END_FAILED, "" },
+		{ 2, ID_A ".0.0.1", 71, WORKER_END_FAILED, "" },
 	};
 	enum holder_result result = HOLDER_ACCEPTED;
 	struct rig *rig = rig_create();
--- a/tests/test_zone.c
+++ b/tests/test_zone.c
@@ -80,8 +80,8 @@
 static void
 host_forward(struct peers *peers, const char *az, const char *issuer,
     uint64_t incarnation, const struct api_request *request,
-    void (*done)(void *arg, const struct api_reply *reply,
-	const struct err *err),
+    void (
+	*done)(void *arg, const struct api_reply *reply, const struct err *err),
     void *arg)
 {
 	const struct timeval tv = { .tv_usec = CALL_MS * 1000 };
