Jobs: queues whose servers a policy chooses

Without the setting such queues are refused, with the reason. Test: test_holder_kinds, two cases on the model, which wants tickets now. test_job_json: gangs and lasting jobs are read, as they are run now; what is still refused is checked for each kind.

--- a/core/job.h
+++ b/core/job.h
@@ -53,6 +53,7 @@
 	uint32_t max_attempts;	 /* failed runs of one task */
 	uint32_t slack_permille; /* of the longest chain, for the objective */
 	uint32_t target_ms;	 /* added to that */
+	bool advised;		 /* an outside policy chooses its servers */
 };
 
 /** job_spec_release() - free what the spec owns. */
--- a/entry/daemon.c
+++ b/entry/daemon.c
@@ -45,6 +45,7 @@
 	struct http_server *http;
 	/* With the users' platform; else NULL. */
 	struct worker *worker;
+	struct advisor *advisor; /* NULL: the platform has none */
 	struct rows *rows;
 	struct work *work;
 	struct platform_door *door;
@@ -361,6 +362,9 @@
 	};
 
 	params.worker = dmn->worker = platform_worker_create(dmn->base);
+	if (set->advice.port != 0)
+		params.advisor = dmn->advisor =
+		    platform_advisor_create(dmn->base, &set->advice);
 	strlcpy(params.self.name, set->host, NAME_SIZE);
 	strlcpy(params.self.az, set->az, NAME_SIZE);
 	strlcpy(params.self.address, set->peer_advertise.address,
@@ -439,6 +443,7 @@
 		platform_door_destroy(dmn->door);
 	if (dmn->worker != NULL)
 		platform_worker_destroy(dmn->worker);
+	platform_advisor_destroy(dmn->advisor);
 }
 
 static int
--- a/entry/jobs/directory.h
+++ b/entry/jobs/directory.h
@@ -21,7 +21,6 @@
 	struct job_queue queue;
 	char host[NAME_SIZE];	/* Host header of its requests */
 	char prefix[NAME_SIZE]; /* beginning of their path */
-	bool advised;		/* an outside policy chooses its servers */
 };
 
 /** struct dir_service - a pool of backend servers. */
--- a/entry/jobs/holder.c
+++ b/entry/jobs/holder.c
@@ -222,6 +222,7 @@
 		event_free(holder->tick);
 	if (holder->pump != NULL)
 		event_free(holder->pump);
+	hld_advice_drop_calls(holder);
 	free(holder->scratch);
 	free(holder);
 }
--- a/entry/jobs/holder.h
+++ b/entry/jobs/holder.h
@@ -6,6 +6,7 @@
 
 #include "core/job.h"
 #include "entry/jobs/directory.h"
+#include "ports/advisor.h"
 #include "ports/clock.h"
 #include "ports/worker.h"
 
@@ -43,8 +44,9 @@
 	struct event_base *base;
 	struct clock *clock;
 	struct worker *worker;
-	uint32_t lease_ms;     /* longest lease that servers grant */
-	uint32_t far_permille; /* slowdown of a task away from its data */
+	struct advisor *advisor; /* NULL: advised queues are refused */
+	uint32_t lease_ms;	 /* longest lease that servers grant */
+	uint32_t far_permille;	 /* slowdown of a task away from its data */
 	/*
 	 * A run of a stored job's task has ended. Returns the number by which
 	 * holder_stored() will name that; 0 if it need not be waited for.
--- a/entry/jobs/holder_gang.c
+++ b/entry/jobs/holder_gang.c
@@ -136,6 +136,8 @@
 			first[i].runs = runs;
 			hld_run_start(&first[i], places[i]);
 		}
+	} else if (first->job->advice != NULL) {
+		hld_advice_ask(first, now_us);
 	}
 	free(places);
 }
@@ -227,8 +229,8 @@
 	uint32_t step;
 
 	for (step = 0; step < job->spec.nsteps; step++) {
-		if (job->spec.steps[step].gang &&
-		    !hld_gang_may_be_found(job) && hld_gang_broken(task))
+		if (job->spec.steps[step].gang && !hld_gang_may_be_found(job) &&
+		    hld_gang_broken(task))
 			hld_gang_stop(task);
 		task += job->spec.steps[step].count;
 	}
--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -47,6 +47,7 @@
 	HLD_DONE,     /* in a gang its run may still be listed */
 };
 
+struct hld_advice;
 struct hld_job;
 struct hld_order;
 struct hld_server;
@@ -80,7 +81,8 @@
 	struct holder *holder;
 	struct job_spec spec;
 	struct job_queue queue;
-	struct hld_task *tasks; /* spec.ntasks of them, by step */
+	struct hld_task *tasks;	   /* spec.ntasks of them, by step */
+	struct hld_advice *advice; /* by step; NULL: the queue needs none */
 	uint32_t ndone;
 	uint32_t nplaced;	 /* tasks with a run somewhere */
 	uint64_t arrived_us;	 /* when its submitter first sent it */
@@ -170,6 +172,8 @@
 	LIST_HEAD(, hld_job) buckets[HLD_JOB_BUCKETS];
 	struct hld_tasks waiting; /* by urgency */
 	uint64_t queued_work;	  /* of them, thousandth-core times ms */
+	LIST_HEAD(, hld_advice_call) advice_calls;
+	uint32_t nadvice_calls; /* under way */
 	struct event *tick;
 	struct event *pump;
 	struct place_server *scratch; /* of hld_pump() */
@@ -212,6 +216,19 @@
 void hld_run_adopt(struct hld_task *task, struct hld_server *server,
     uint64_t run_id, uint64_t now_us);
 
+/* holder_advice.c */
+void hld_advice_create(struct hld_job *job);
+void hld_advice_free(struct hld_job *job);
+/* The ticket for a start of @task at @server, or NULL. */
+const char *hld_advice_ticket(const struct hld_task *task,
+    const struct hld_server *server);
+/* The server did not take the ticket. */
+void hld_advice_drop(struct hld_task *task, const struct hld_server *server);
+/* The holder goes: calls under way end without it. */
+void hld_advice_drop_calls(struct holder *holder);
+/* Asks about more servers for the task's step, if there are any. */
+void hld_advice_ask(struct hld_task *task, uint64_t now_us);
+
 /* holder_gang.c */
 bool hld_gang_member(const struct hld_task *task);
 /* Failed runs of a task, or of its gang: each has one member that failed. */
@@ -232,6 +249,9 @@
 void hld_job_admit(struct hld_job *job);
 uint64_t hld_backlog_us(const struct holder *holder, uint64_t now_us);
 bool hld_job_crowded(const struct hld_job *job);
+/* Could @server run the task, apart from its room and the policy? */
+bool hld_server_suits(const struct hld_server *server,
+    const struct hld_task *task);
 bool hld_all_held(const struct holder *holder);
 struct hld_server *hld_choose(struct holder *holder,
     const struct hld_task *task, const char *rack, uint64_t now_us);
--- a/entry/jobs/holder_job.c
+++ b/entry/jobs/holder_job.c
@@ -115,6 +115,7 @@
 	LIST_REMOVE(job, hash);
 	for (i = 0; i < job->spec.ntasks; i++)
 		free(job->tasks[i].saved);
+	hld_advice_free(job);
 	job_spec_release(&job->spec);
 	free(job->tasks);
 	free(job);
@@ -234,6 +235,8 @@
 	job->queue = request->queue;
 	job->stored = request->stored;
 	hld_job_create_tasks(job);
+	if (job->queue.advised)
+		hld_advice_create(job);
 	hld_job_recall(job, request);
 	hld_job_set_times(job, request);
 	LIST_INSERT_HEAD(&holder->buckets[hld_bucket(job->spec.id)], job, hash);
@@ -254,20 +257,31 @@
 	job->arg = arg;
 }
 
+/* Why this host can't run the job at all, or NULL. */
+static const char *
+hld_unsupported(const struct holder *holder,
+    const struct holder_request *request)
+{
+	if (request->queue.advised && holder->params.advisor == NULL)
+		return "no service for recommendations is configured";
+	return request->spec.unsupported;
+}
+
 static bool
 hld_reject(struct holder *holder, struct holder_request *request,
     holder_done_fn done, void *arg)
 {
 	const struct hld_job *job = hld_job_find(holder, request->spec.id);
+	const char *unsupported = hld_unsupported(holder, request);
 	struct holder_reply reply = { .result = HOLDER_MOVED,
 		.reason = "this host does not hold the cell" };
 
-	if (holder->token != 0 && request->spec.unsupported == NULL &&
+	if (holder->token != 0 && unsupported == NULL &&
 	    (job == NULL || !job->ended))
 		return false;
-	if (holder->token != 0 && request->spec.unsupported != NULL) {
+	if (holder->token != 0 && unsupported != NULL) {
 		reply.result = HOLDER_BAD;
-		reply.reason = request->spec.unsupported;
+		reply.reason = unsupported;
 	} else if (job != NULL && job->ended) {
 		/* Its last runs are still being stopped: come again. */
 		reply.result = HOLDER_GAVE_UP;
--- a/entry/jobs/holder_pump.c
+++ b/entry/jobs/holder_pump.c
@@ -101,6 +101,16 @@
 	    TAILQ_EMPTY(&server->orphans);
 }
 
+bool
+hld_server_suits(const struct hld_server *server, const struct hld_task *task)
+{
+	const struct job_step *step = &task->job->spec.steps[task->step];
+
+	return !server->gone && !server->info.draining &&
+	    strcmp(server->info.service, task->job->queue.service) == 0 &&
+	    (step->needs[0] == '\0' || hld_has_label(server, step->needs));
+}
+
 static bool
 hld_server_permits(const struct hld_server *server, const struct hld_task *task)
 {
@@ -108,9 +118,9 @@
 	const struct hld_task *other;
 	uint32_t n = 0;
 
-	if (strcmp(server->info.service, task->job->queue.service) != 0)
-		return false;
-	if (step->needs[0] != '\0' && !hld_has_label(server, step->needs))
+	if (!hld_server_suits(server, task) ||
+	    (task->job->advice != NULL &&
+		hld_advice_ticket(task, server) == NULL))
 		return false;
 	if (step->per_server_max == 0)
 		return true;
@@ -233,6 +243,8 @@
 	server = hld_choose(task->job->holder, task, NULL, pass->now_us);
 	if (server != NULL)
 		hld_run_start(task, server);
+	else if (task->job->advice != NULL)
+		hld_advice_ask(task, pass->now_us);
 	else if (plain)
 		pass->refused_cpu = step->cpu;
 }
--- a/entry/jobs/holder_run.c
+++ b/entry/jobs/holder_run.c
@@ -355,7 +355,9 @@
 	    verdict == WORKER_NO_ROOM ? HLD_FULL_MS : HLD_BUSY_MS;
 
 	ctr_inc(&hld_refused);
-	if (verdict != WORKER_OLD && verdict != WORKER_LATE)
+	if (verdict == WORKER_NO_TICKET)
+		hld_advice_drop(task, server);
+	else if (verdict != WORKER_OLD && verdict != WORKER_LATE)
 		server->no_start_until_us =
 		    hld_now(server->holder) + pause_ms * HLD_US_PER_MS;
 	if (verdict == WORKER_NO_ROOM && !server->hold_pending)
@@ -404,6 +406,9 @@
 		.task = name,
 		.spec = task->job->spec.text,
 		.checkpoint = task->saved,
+		.ticket = task->job->advice == NULL
+		    ? NULL
+		    : hld_advice_ticket(task, server),
 		.token = holder->token,
 	};
 
--- a/entry/jobs/record.c
+++ b/entry/jobs/record.c
@@ -50,13 +50,13 @@
 			  (record->fails[i] > RECORD_FAILS_MAX
 				  ? RECORD_FAILS_MAX
 				  : record->fails[i]));
-	root = json_pack("{s:i,s:s,s:I,s:s,s:s,s:i,s:i,s:i,s:i,s:s,s:s%}",
+	root = json_pack("{s:i,s:s,s:I,s:s,s:s,s:i,s:i,s:i,s:i,s:b,s:s,s:s%}",
 	    "state", (int)record->state, "az", record->az, "nonce",
 	    (json_int_t)record->nonce, "queue", queue->name, "service",
 	    queue->service, "priority", (int)queue->priority, "attempts",
 	    (int)queue->max_attempts, "slack", (int)queue->slack_permille,
-	    "target_ms", (int)queue->target_ms, "progress", progress, "body",
-	    record->body, record->body_len);
+	    "target_ms", (int)queue->target_ms, "advised", (int)queue->advised,
+	    "progress", progress, "body", record->body, record->body_len);
 	free(progress);
 	(void)json_object_set_new(root, "failed", record_render_failed(record));
 	return root;
@@ -137,6 +137,7 @@
 	record->queue.max_attempts = record_number(root, "attempts");
 	record->queue.slack_permille = record_number(root, "slack");
 	record->queue.target_ms = record_number(root, "target_ms");
+	record->queue.advised = json_is_true(json_object_get(root, "advised"));
 	record->body_len = json_string_length(body);
 	record->body = mem_strndup(json_string_value(body), record->body_len);
 	record_parse_progress(record, progress);
--- a/entry/jobs/work.c
+++ b/entry/jobs/work.c
@@ -404,6 +404,7 @@
 		.base = params->base,
 		.clock = params->clock,
 		.worker = params->worker,
+		.advisor = params->advisor,
 		.lease_ms = params->lease_ms,
 		.far_permille = params->far_permille,
 		.progress = wrk_progress,
--- a/entry/jobs/work.h
+++ b/entry/jobs/work.h
@@ -24,6 +24,7 @@
 	struct event_base *base;
 	struct clock *clock;
 	struct worker *worker;
+	struct advisor *advisor; /* NULL: advised queues are refused */
 	struct peers *peers;
 	bool (*connected)(struct peers *peers, const char *host,
 	    uint64_t *incarnation);
--- a/entry/jobs/zone_job.c
+++ b/entry/jobs/zone_job.c
@@ -209,11 +209,11 @@
 	    "age_ms=%" PRIu32 "&patience_ms=%" PRIu32
 	    "&again=%d&may_refuse=%d&nonce=%" PRIu64
 	    "&queue=%s&service=%s&priority=%" PRIu32 "&attempts=%" PRIu32
-	    "&slack=%" PRIu32 "&target_ms=%" PRIu32,
+	    "&slack=%" PRIu32 "&target_ms=%" PRIu32 "&advised=%d",
 	    job->age_ms, job->patience_ms, job->resubmitted ? 1 : 0,
 	    job->may_refuse ? 1 : 0, job->nonce, queue->name, queue->service,
 	    queue->priority, queue->max_attempts, queue->slack_permille,
-	    queue->target_ms);
+	    queue->target_ms, queue->advised ? 1 : 0);
 	zone->params.peers->ops->forward(zone->params.peers, host->info.az,
 	    host->info.name, host->incarnation, &request, zone_answered, sent);
 }
@@ -339,6 +339,7 @@
 	queue.max_attempts = zone_query_u32(request, "attempts");
 	queue.slack_permille = zone_query_u32(request, "slack");
 	queue.target_ms = zone_query_u32(request, "target_ms");
+	queue.advised = zone_query_u32(request, "advised") != 0;
 	sub = zone_submission_create(zone, job.id, job.nonce, arg);
 	sub->reply = reply;
 	zone_hold(sub, &job);
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -78,6 +78,8 @@
 	    "the ports listened on are written to this file" },
 	{ "store", SET_ENDPOINT, SET_AT(store), NULL, 1, 0, NULL,
 	    "the users' platform; jobs of steps are served if it is given" },
+	{ "advice", SET_ENDPOINT, SET_AT(advice), NULL, 1, 0, NULL,
+	    "the platform's service for recommendations, if it has one" },
 	{ "work-listen", SET_ENDPOINT, SET_AT(work_listen), NULL, 0, 0, NULL,
 	    "HTTP for callers with jobs of steps" },
 	{ "ready-listen", SET_ENDPOINT, SET_AT(ready_listen), NULL, 0, 0, NULL,
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -51,6 +51,7 @@
 	char log_level[16];	      /* --log-level */
 	char ready_file[256];	      /* --port-file: ports are written here */
 	struct endpoint store;	      /* --store: followed for work */
+	struct endpoint advice;	      /* --advice; port 0: there is none */
 	struct endpoint work_listen;  /* --work-listen: jobs of steps */
 	struct endpoint ready_listen; /* --ready-listen: for the balancer */
 	uint32_t weight;	      /* --weight: thousandths of a core */
--- a/ports/worker.h
+++ b/ports/worker.h
@@ -23,6 +23,7 @@
 	WORKER_OLD,	  /* the run's number is not high enough */
 	WORKER_LATE,	  /* the order's deadline had passed */
 	WORKER_NO_ROOM,	  /* the task does not fit */
+	WORKER_NO_TICKET, /* of the policy, or one that has run out */
 	WORKER_BUSY,	  /* unhealthy; it has done nothing */
 	WORKER_GONE,	  /* another incarnation answers there */
 	WORKER_REFUSED,	  /* any other refusal; it has done nothing */
@@ -75,6 +76,7 @@
 	uint64_t run_id;
 	const char *spec;
 	const char *checkpoint; /* to go on from; NULL: from the start */
+	const char *ticket;	/* of the policy; NULL: none is needed */
 	uint64_t deadline_ms;	/* lease for the whole server, its clock */
 	uint64_t token;
 };
--- a/tests/support/fake_worker.c
+++ b/tests/support/fake_worker.c
@@ -30,6 +30,7 @@
 	char task[WORKER_TASK_NAME_SIZE];
 	char *spec;
 	char *checkpoint;
+	char ticket[16];
 	uint64_t run_id;
 	uint64_t token;
 	uint64_t apply_ms;  /* carried out then; 0: was, or never */
@@ -214,6 +215,10 @@
 		call->checkpoint =
 		    mem_strndup(order->checkpoint, strlen(order->checkpoint));
 	call->start.checkpoint = call->checkpoint;
+	if (order->ticket != NULL) {
+		strlcpy(call->ticket, order->ticket, sizeof(call->ticket));
+		call->start.ticket = call->ticket;
+	}
 }
 
 static void
--- a/tests/support/worker_model.c
+++ b/tests/support/worker_model.c
@@ -320,6 +320,16 @@
 		wm_gang_join(server, run, now_ms);
 }
 
+static bool
+wm_ticket_good(const struct wm_server *server, const char *ticket)
+{
+	size_t index = (size_t)(server - server->world->servers);
+
+	return ticket != NULL && ticket[0] == 't' &&
+	    strtoull(ticket + 1, NULL, 10) == index &&
+	    (server->world->barred & (1U << index)) == 0;
+}
+
 enum worker_verdict
 wm_start(struct wm_server *server, uint64_t now_ms,
     const struct worker_start *order)
@@ -340,6 +350,8 @@
 		    order->spec);
 		return WORKER_REFUSED;
 	}
+	if (server->world->tickets && !wm_ticket_good(server, order->ticket))
+		return WORKER_NO_TICKET;
 	run = wm_find(&server->running, order->task, order->run_id);
 	if (run != NULL)
 		return run->run_id == order->run_id ? WORKER_OK : WORKER_OLD;
--- a/tests/support/worker_model.h
+++ b/tests/support/worker_model.h
@@ -74,6 +74,10 @@
 	size_t nservers;
 	uint32_t max_hold_ms;
 	bool checkpoints; /* runs tell how far they are */
+	/* Starts need the ticket "tN" of server N, where @barred lacks bit N.
+	 */
+	bool tickets;
+	uint32_t barred;
 	uint32_t violations;
 	uint32_t alone;	  /* runs of gangs that ended without the others */
 	uint32_t resumed; /* runs that went on from a checkpoint */
--- a/tests/test_holder_kinds.c
+++ b/tests/test_holder_kinds.c
@@ -19,6 +19,10 @@
 #define LASTING_MS 100000
 
 struct rig {
+	struct advisor advisor; /* first; answers after a while */
+	uint32_t asked;		/* calls for advice */
+	uint32_t advice_lost;	/* so many of them are not answered */
+	uint32_t valid_ms;
 	struct event_base *base;
 	struct wm_world world;
 	struct worker *worker;
@@ -37,12 +41,70 @@
 	holder_end(rig->holder);
 }
 
+struct rig_advice {
+	struct rig *rig;
+	bool asked[RIG_SERVERS];
+	advisor_done_fn done;
+	void *arg;
+	struct event *timer;
+};
+
+/* Allows all servers but those that the model bars. */
+static void
+rig_advise(evutil_socket_t fd, short what, void *arg)
+{
+	static const char *const ids[] = { "s0", "s1", "s2", "s3" };
+	static const char *const tickets[] = { "t0", "t1", "t2", "t3" };
+	struct advisor_permit permits[RIG_SERVERS];
+	struct rig_advice *advice = arg;
+	struct rig *rig = advice->rig;
+	size_t i, n = 0;
+
+	(void)fd;
+	(void)what;
+	for (i = 0; i < RIG_SERVERS; i++) {
+		if (advice->asked[i] && (rig->world.barred & (1U << i)) == 0)
+			permits[n++] =
+			    (struct advisor_permit){ ids[i], tickets[i] };
+	}
+	if (rig->advice_lost > 0) {
+		rig->advice_lost--;
+		advice->done(advice->arg, NULL, 0, 0);
+	} else {
+		advice->done(advice->arg, permits, n, rig->valid_ms);
+	}
+	event_free(advice->timer);
+	free(advice);
+}
+
+static void
+rig_ask(struct advisor *advisor, const char *step, const char *const *servers,
+    size_t nservers, advisor_done_fn done, void *arg)
+{
+	const struct timeval tv = { .tv_usec = 20000 };
+	struct rig_advice *advice = mem_zalloc(1, sizeof(*advice));
+	size_t i;
+
+	cr_expect_str_eq(step, ID ".0.0");
+	advice->rig = (struct rig *)advisor;
+	advice->rig->asked++;
+	for (i = 0; i < nservers; i++)
+		advice->asked[servers[i][1] - '0'] = true;
+	advice->done = done;
+	advice->arg = arg;
+	advice->timer = evtimer_new(advice->rig->base, rig_advise, advice);
+	(void)event_add(advice->timer, &tv);
+}
+
+static const struct advisor_ops rig_advisor_ops = { .ask = rig_ask };
+
 static struct holder *
 rig_holder(struct rig *rig, uint64_t token)
 {
 	const struct holder_params params = { .base = rig->base,
 		.clock = clock_real(),
 		.worker = rig->worker,
+		.advisor = &rig->advisor,
 		.lease_ms = 1000,
 		.far_permille = 1000,
 		.fenced = rig_fenced,
@@ -72,6 +134,8 @@
 {
 	struct rig *rig = mem_zalloc(1, sizeof(*rig));
 
+	rig->advisor.ops = &rig_advisor_ops;
+	rig->valid_ms = 2000;
 	rig->base = event_base_new();
 	wm_init(&rig->world, RIG_SERVERS, RIG_CPU);
 	rig->worker =
@@ -119,7 +183,8 @@
 		    .service = "booth",
 		    .max_attempts = 3,
 		    .slack_permille = 1600,
-		    .target_ms = 60 },
+		    .target_ms = 60,
+		    .advised = rig->world.tickets },
 		.patience_ms = LASTING_MS,
 		.resubmitted = resubmitted,
 		.stored = true,
@@ -155,13 +220,14 @@
 }
 
 /* A gang of six, 2 fit on a server; plain tasks fill one server. */
-#define GANG(ms, fail)                                                       \
-	"{\"spec\":\"cpu=30000 ms=" #ms " fail=" #fail                       \
-	" gang=6\",\"steps\":[{\"count\":6,\"cpu\":30000,\"mem_mb\":64,"      \
+#define GANG(ms, fail)                                                   \
+	"{\"spec\":\"cpu=30000 ms=" #ms " fail=" #fail                   \
+	" gang=6\",\"steps\":[{\"count\":6,\"cpu\":30000,\"mem_mb\":64," \
 	"\"estimated_ms\":" #ms ",\"gang_scheduled\":true}]}"
-#define PLAIN(count, ms)                                               \
-	"{\"spec\":\"cpu=30000 ms=" #ms " fail=0\",\"steps\":[{\"count\":" \
-	#count ",\"cpu\":30000,\"mem_mb\":64,\"estimated_ms\":" #ms "}]}"
+#define PLAIN(count, ms)                          \
+	"{\"spec\":\"cpu=30000 ms=" #ms           \
+	" fail=0\",\"steps\":[{\"count\":" #count \
+	",\"cpu\":30000,\"mem_mb\":64,\"estimated_ms\":" #ms "}]}"
 
 Test(kinds, gang_starts_when_there_is_room_for_all_of_it)
 {
@@ -253,7 +319,8 @@
 	    "\"count\":3,\"cpu\":30000,\"mem_mb\":64,\"estimated_ms\":100,"
 	    "\"gang_scheduled\":true,\"same_rack\":true}]}");
 	rig_run(rig, 50);
-	cr_expect_eq(rig->world.servers[0].starts + rig->world.servers[1].starts,
+	cr_expect_eq(rig->world.servers[0].starts +
+		rig->world.servers[1].starts,
 	    rig->world.servers[2].starts == 0 ? 3 : 0);
 	rig_run(rig, 300);
 	cr_expect_eq(rig->result, HOLDER_COMPLETED);
@@ -317,3 +384,38 @@
 	cr_expect_eq(rig->answered, 1, "it began from the start");
 	rig_destroy(rig);
 }
+
+Test(kinds, advised_tasks_run_where_the_policy_allows)
+{
+	struct rig *rig = rig_create(9);
+
+	rig->world.tickets = true;
+	rig->world.barred = 0x5;
+	rig->advice_lost = 1;
+	rig_run(rig, 30);
+	rig_submit(rig, ID, PLAIN(8, 60));
+	rig_run(rig, 700);
+	cr_expect_eq(rig->result, HOLDER_COMPLETED);
+	cr_expect_eq(rig->answered, 1);
+	cr_expect_eq(rig->world.servers[0].starts, 0);
+	cr_expect_eq(rig->world.servers[2].starts, 0);
+	cr_expect_eq(rig->world.servers[1].starts, 4);
+	cr_expect_eq(rig->asked, 2, "asked %u times", rig->asked);
+	rig_destroy(rig);
+}
+
+Test(kinds, ticket_that_has_run_out_is_asked_for_again)
+{
+	struct rig *rig = rig_create(10);
+
+	rig->world.tickets = true;
+	rig->valid_ms = 200;
+	rig_run(rig, 30);
+	/* Two waves of eight. */
+	rig_submit(rig, ID, PLAIN(16, 300));
+	rig_run(rig, 1200);
+	cr_expect_eq(rig->result, HOLDER_COMPLETED);
+	cr_expect_eq(rig->answered, 1);
+	cr_expect_geq(rig->asked, 2);
+	rig_destroy(rig);
+}
--- a/tests/test_job_json.c
+++ b/tests/test_job_json.c
@@ -60,13 +60,35 @@
 	    -1);
 }
 
-Test(job_json, work_that_is_not_run_is_named)
+Test(job_json, kinds_of_work_are_read)
 {
 	struct job_spec spec;
 
-	cr_assert_eq(
-	    parse(&spec, "{\"steps\":[{\"count\":2,\"gang_scheduled\":true}]}"),
+	cr_assert_eq(parse(&spec,
+			 "{\"long_running\":true,\"steps\":[{\"count\":2,"
+			 "\"gang_scheduled\":true,\"same_rack\":true},"
+			 "{\"count\":1}]}"),
 	    0);
-	cr_expect_str_eq(spec.unsupported, "gang_scheduled");
+	cr_expect_null(spec.unsupported);
+	cr_expect(spec.lasting);
+	cr_expect(spec.steps[0].gang);
+	cr_expect(spec.steps[0].one_rack);
+	cr_expect_not(spec.steps[1].gang);
 	job_spec_release(&spec);
 }
+
+Test(job_json, work_that_is_not_run_is_named)
+{
+	static const char *const bodies[][2] = {
+		{ "{\"steps\":[{\"count\":2,\"fills\":true}]}", "fills" },
+		{ "{\"max_runs\":3,\"steps\":[{\"count\":2}]}", "max_runs" },
+	};
+	struct job_spec spec;
+	size_t i;
+
+	for (i = 0; i < sizeof(bodies) / sizeof(bodies[0]); i++) {
+		cr_assert_eq(parse(&spec, bodies[i][0]), 0);
+		cr_expect_str_eq(spec.unsupported, bodies[i][1]);
+		job_spec_release(&spec);
+	}
+}
