Jobs: steps that run at set times

The holder has each of its times as a job of its own, submitted by the keeper when it is due by the wall clock (looked at every 20 ms); the row has the progress of all times, so that a successor goes on with those that are left. At most 4,096 tasks in all; best-effort and lasting jobs with times are refused. Test: test_keeper, test_job_json, test_settings.

--- a/core/job.h
+++ b/core/job.h
@@ -40,7 +40,12 @@
 	bool lasting;		/* runs until it is cancelled */
 	struct job_step *steps; /* owned */
 	size_t nsteps;
-	uint32_t ntasks; /* of all steps */
+	uint32_t ntasks; /* of all steps, each time that they run */
+	/* How often the steps run; time K, from 0, is due at start_at_ms
+	 * (since 1970) and K intervals. Times may overlap. */
+	uint32_t times;
+	uint64_t start_at_ms;
+	uint32_t interval_ms;
 	/* A kind of work that this version does not run, or NULL. */
 	const char *unsupported;
 };
--- a/entry/jobs/holder.h
+++ b/entry/jobs/holder.h
@@ -48,8 +48,9 @@
 	uint32_t lease_ms;	 /* longest lease that servers grant */
 	uint32_t far_permille;	 /* slowdown of a task away from its data */
 	/*
-	 * A run of a stored job's task has ended. Returns the number by which
-	 * holder_stored() will name that; 0 if it need not be waited for.
+	 * A run of a stored job's task has ended; tasks are counted through
+	 * all times of the job. Returns the number by which holder_stored()
+	 * will name that; 0 if it need not be waited for.
 	 */
 	uint64_t (*progress)(void *arg, const char *id, uint32_t task,
 	    uint64_t run_id, bool done);
@@ -62,6 +63,7 @@
 struct holder_request {
 	struct job_spec spec; /* the holder takes what it owns */
 	struct job_queue queue;
+	uint32_t time;	      /* which of the spec's times, from 0 */
 	uint32_t age_ms;      /* since the submitter first sent it */
 	uint32_t patience_ms; /* the submitter waits so long from now */
 	bool resubmitted;     /* another holder may have started it */
--- a/entry/jobs/holder_advice.c
+++ b/entry/jobs/holder_advice.c
@@ -12,7 +12,7 @@
 #include "entry/jobs/holder_internal.h"
 
 #define HLD_US_PER_MS UINT64_C(1000)
-#define HLD_ADVICE_SERVERS 30 /* asked about in one call */
+#define HLD_ADVICE_SERVERS 30  /* asked about in one call */
 #define HLD_ADVICE_CALLS_MAX 8 /* under way; the service takes 32 of all */
 #define HLD_ADVICE_RETRY_MS 100
 #define HLD_ADVICE_SPARE_MS 50 /* of a ticket's time, for the way */
@@ -105,8 +105,8 @@
 hld_advice_drop(struct hld_task *task, const struct hld_server *server)
 {
 	struct hld_advice *advice = &task->job->advice[task->step];
-	struct hld_permit *permit = hld_permit_find(advice, server->info.id,
-	    server->info.born_ms);
+	struct hld_permit *permit =
+	    hld_permit_find(advice, server->info.id, server->info.born_ms);
 
 	if (permit == NULL)
 		return;
@@ -119,8 +119,8 @@
     const struct advisor_permit *granted, uint32_t valid_ms)
 {
 	struct hld_advice *advice = &call->job->advice[call->step];
-	struct hld_permit *permit = hld_permit_find(advice,
-	    call->servers[index], call->born_ms[index]);
+	struct hld_permit *permit =
+	    hld_permit_find(advice, call->servers[index], call->born_ms[index]);
 
 	if (permit == NULL) {
 		permit = mem_zalloc(1, sizeof(*permit));
@@ -185,8 +185,7 @@
 /* Of the servers that the step is not known to be barred from, and that have
  * room for a task now or later: the one with the most room after @before. */
 static const struct hld_server *
-hld_advice_next(const struct hld_task *task,
-    const struct hld_advice_call *call)
+hld_advice_next(const struct hld_task *task, const struct hld_advice_call *call)
 {
 	const struct hld_advice *advice = &task->job->advice[task->step];
 	const struct hld_server *server, *best = NULL;
@@ -260,8 +259,8 @@
 	advice->call = call;
 	holder->nadvice_calls++;
 	LIST_INSERT_HEAD(&holder->advice_calls, call, entry);
-	(void)snprintf(step, sizeof(step), "%s.0.%" PRIu32, job->spec.id,
-	    task->step);
+	(void)snprintf(step, sizeof(step), "%s.%" PRIu32 ".%" PRIu32,
+	    job->spec.id, job->time, task->step);
 	holder->params.advisor->ops->ask(holder->params.advisor, step, ids,
 	    call->nservers, hld_advised, call);
 }
--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -80,6 +80,7 @@
 struct hld_job {
 	struct holder *holder;
 	struct job_spec spec;
+	uint32_t time; /* of the spec's times */
 	struct job_queue queue;
 	struct hld_task *tasks;	   /* spec.ntasks of them, by step */
 	struct hld_advice *advice; /* by step; NULL: the queue needs none */
@@ -184,7 +185,8 @@
 uint64_t hld_now(const struct holder *holder);
 
 /* holder_job.c */
-struct hld_job *hld_job_find(const struct holder *holder, const char *id);
+struct hld_job *hld_job_find(const struct holder *holder, const char *id,
+    uint32_t time);
 void hld_job_finish(struct hld_job *job, const struct holder_reply *reply);
 void hld_job_release_ended(struct hld_job *job);
 struct hld_task *hld_task_find(struct holder *holder, const char *name);
--- a/entry/jobs/holder_job.c
+++ b/entry/jobs/holder_job.c
@@ -58,12 +58,12 @@
 }
 
 struct hld_job *
-hld_job_find(const struct holder *holder, const char *id)
+hld_job_find(const struct holder *holder, const char *id, uint32_t time)
 {
 	struct hld_job *job;
 
 	LIST_FOREACH (job, &holder->buckets[hld_bucket(id)], hash) {
-		if (strcmp(job->spec.id, id) == 0)
+		if (job->time == time && strcmp(job->spec.id, id) == 0)
 			return job;
 	}
 	return NULL;
@@ -72,8 +72,9 @@
 void
 hld_task_name(const struct hld_task *task, char name[WORKER_TASK_NAME_SIZE])
 {
-	(void)snprintf(name, WORKER_TASK_NAME_SIZE, "%s.0.%" PRIu32 ".%" PRIu32,
-	    task->job->spec.id, task->step, task->index);
+	(void)snprintf(name, WORKER_TASK_NAME_SIZE,
+	    "%s.%" PRIu32 ".%" PRIu32 ".%" PRIu32, task->job->spec.id,
+	    task->job->time, task->step, task->index);
 }
 
 static struct hld_task *
@@ -92,17 +93,16 @@
 hld_task_find(struct holder *holder, const char *name)
 {
 	char id[JOB_ID_LEN + 1];
-	uint32_t occurrence, step, index;
+	uint32_t time, step, index;
 	struct hld_job *job;
 
 	if (strlen(name) <= JOB_ID_LEN ||
 	    sscanf(name + JOB_ID_LEN, ".%" SCNu32 ".%" SCNu32 ".%" SCNu32,
-		&occurrence, &step, &index) != 3 ||
-	    occurrence != 0)
+		&time, &step, &index) != 3)
 		return NULL;
 	memcpy(id, name, JOB_ID_LEN);
 	id[JOB_ID_LEN] = '\0';
-	job = hld_job_find(holder, id);
+	job = hld_job_find(holder, id, time);
 	return job == NULL ? NULL : hld_task_at(job, step, index);
 }
 
@@ -232,6 +232,7 @@
 	job->holder = holder;
 	job->spec = request->spec;
 	memset(&request->spec, 0, sizeof(request->spec));
+	job->time = request->time;
 	job->queue = request->queue;
 	job->stored = request->stored;
 	hld_job_create_tasks(job);
@@ -271,7 +272,8 @@
 hld_reject(struct holder *holder, struct holder_request *request,
     holder_done_fn done, void *arg)
 {
-	const struct hld_job *job = hld_job_find(holder, request->spec.id);
+	const struct hld_job *job =
+	    hld_job_find(holder, request->spec.id, request->time);
 	const char *unsupported = hld_unsupported(holder, request);
 	struct holder_reply reply = { .result = HOLDER_MOVED,
 		.reason = "this host does not hold the cell" };
@@ -304,7 +306,7 @@
 		return;
 	}
 	ctr_inc(&hld_jobs_taken);
-	job = hld_job_find(holder, request->spec.id);
+	job = hld_job_find(holder, request->spec.id, request->time);
 	if (job != NULL) {
 		job_spec_release(&request->spec);
 		hld_job_attach(job, done, arg);
@@ -326,9 +328,14 @@
 {
 	const struct holder_reply gave_up = { .result = HOLDER_GAVE_UP,
 		.reason = "the submitter has left" };
-	struct hld_job *job = hld_job_find(holder, id);
+	struct hld_job *job;
 
-	if (job == NULL || job->ended || job->arg != arg)
+	LIST_FOREACH (job, &holder->buckets[hld_bucket(id)], hash) {
+		if (job->arg == arg && !job->ended &&
+		    strcmp(job->spec.id, id) == 0)
+			break;
+	}
+	if (job == NULL)
 		return;
 	job->done = NULL;
 	hld_job_finish(job, &gave_up);
@@ -337,9 +344,13 @@
 bool
 holder_has_begun(const struct holder *holder, const char *id)
 {
-	const struct hld_job *job = hld_job_find(holder, id);
+	const struct hld_job *job;
 
-	return job != NULL && job->begun;
+	LIST_FOREACH (job, &holder->buckets[hld_bucket(id)], hash) {
+		if (job->begun && strcmp(job->spec.id, id) == 0)
+			return true;
+	}
+	return false;
 }
 
 uint32_t
--- a/entry/jobs/holder_run.c
+++ b/entry/jobs/holder_run.c
@@ -178,7 +178,8 @@
 	if (!job->stored || job->spec.lasting || params->progress == NULL)
 		return 0;
 	return params->progress(params->arg, job->spec.id,
-	    (uint32_t)(task - job->tasks), run_id, done);
+	    job->time * job->spec.ntasks + (uint32_t)(task - job->tasks),
+	    run_id, done);
 }
 
 static const char *const hld_end_names[] = {
--- a/entry/jobs/job_json.c
+++ b/entry/jobs/job_json.c
@@ -125,7 +125,7 @@
 job_parse_root(struct job_spec *spec, const json_t *root, struct err *err)
 {
 	const json_t *text = json_object_get(root, "spec");
-	uint32_t occurrences;
+	const json_t *start = json_object_get(root, "start_at_ms");
 
 	if (!json_is_object(root))
 		return job_bad(err, "not an object");
@@ -137,13 +137,21 @@
 	spec->text = mem_strndup(text == NULL ? "" : json_string_value(text),
 	    text == NULL ? 0 : json_string_length(text));
 	spec->best_effort = json_is_true(json_object_get(root, "best_effort"));
-	if (job_number(root, "max_runs", &occurrences) == -1)
-		return job_bad(err, "max_runs: not a number");
-	if (occurrences > 0)
-		spec->unsupported = "max_runs";
+	if (job_number(root, "max_runs", &spec->times) == -1 ||
+	    job_number(root, "interval_ms", &spec->interval_ms) == -1 ||
+	    (start != NULL && !json_is_integer(start)))
+		return job_bad(err, "a time is not a number");
+	spec->start_at_ms = (uint64_t)json_integer_value(start);
 	if (json_is_true(json_object_get(root, "long_running")))
 		spec->lasting = true;
-	return job_parse_steps(spec, json_object_get(root, "steps"), err);
+	if (job_parse_steps(spec, json_object_get(root, "steps"), err) == -1)
+		return -1;
+	if (spec->times == 0)
+		spec->times = 1;
+	else if (spec->best_effort || spec->lasting ||
+	    (uint64_t)spec->times * spec->ntasks > JOB_TASKS_TOTAL_MAX)
+		spec->unsupported = "max_runs";
+	return 0;
 }
 
 int
--- a/entry/jobs/keeper.c
+++ b/entry/jobs/keeper.c
@@ -12,11 +12,11 @@
 
 #define KPR_STATUS_MS 150000 /* an ended job is known for so long */
 #define KPR_SWEEP_MS 5000
+#define KPR_SCHEDULE_MS 20 /* a job's time is late by no more */
 #define KPR_JOBS_MAX 20000
 /* An end that is under way reaches the store within about 30 ms; who asks for
  * the state is spared another call. */
 #define KPR_END_WAIT_MS 50
-#define KPR_PATIENCE_MS 1000000000 /* nobody waits for a stored job */
 
 static size_t
 kpr_bucket(const char *id)
@@ -59,12 +59,20 @@
 	free(waiter);
 }
 
+/* Also between two of its times. */
+static bool
+kpr_has_begun(const struct kpr_job *job)
+{
+	return job->nended > 0 ||
+	    holder_has_begun(job->keeper->holder, job->id);
+}
+
 static void
 kpr_waiter_answer(struct kpr_waiter *waiter, enum keeper_result result)
 {
 	const struct kpr_job *job = waiter->job;
 	enum record_state state = job->record.state;
-	bool begun = holder_has_begun(job->keeper->holder, job->id);
+	bool begun = kpr_has_begun(job);
 	keeper_state_fn tell_state = waiter->state;
 	keeper_done_fn done = waiter->done;
 	void *arg = waiter->arg;
@@ -91,11 +99,13 @@
 static void
 kpr_free(struct kpr_job *job)
 {
+	kpr_stop(job);
 	kpr_answer(job, UINT64_MAX, KEEPER_UNKNOWN);
 	TAILQ_REMOVE(&job->keeper->jobs, job, entry);
 	LIST_REMOVE(job, hash);
 	job->keeper->njobs--;
 	record_release(&job->record);
+	free(job->times);
 	free(job);
 }
 
@@ -124,8 +134,7 @@
 	return seq;
 }
 
-/* Return: the number of the value that says so. */
-static uint64_t
+uint64_t
 kpr_end(struct kpr_job *job, enum record_state state)
 {
 	struct kpr_waiter *waiter;
@@ -144,31 +153,6 @@
 	return job->ended_seq;
 }
 
-/* The holder's answer: the job has ended, or the holder has let it go. */
-static void
-kpr_ended(void *arg, const struct holder_reply *reply)
-{
-	struct kpr_job *job = arg;
-
-	job->running = false;
-	if (reply->result == HOLDER_COMPLETED)
-		(void)kpr_end(job, RECORD_COMPLETED);
-	else if (reply->result == HOLDER_FAILED || reply->result == HOLDER_BAD)
-		(void)kpr_end(job, RECORD_FAILED);
-}
-
-static void
-kpr_run(struct kpr_job *job, struct holder_request *request)
-{
-	request->stored = true;
-	request->patience_ms = KPR_PATIENCE_MS;
-	request->done = job->record.done;
-	request->fails = job->record.fails;
-	request->failed_runs = job->record.failed_runs;
-	job->running = true;
-	holder_submit(job->keeper->holder, request, kpr_ended, job);
-}
-
 /* Accepting */
 
 void
@@ -176,6 +160,7 @@
     const char *body, size_t len, keeper_done_fn done, void *arg)
 {
 	struct kpr_job *job = kpr_find(keeper, request->spec.id);
+	uint32_t ntasks;
 
 	if (job != NULL) {
 		if (job->stored)
@@ -196,35 +181,18 @@
 	job->record.queue = request->queue;
 	job->record.body = mem_strndup(body, len);
 	job->record.body_len = len;
-	job->record.ntasks = request->spec.ntasks;
-	job->record.done = mem_zalloc(request->spec.ntasks, 1);
-	job->record.fails = mem_zalloc(request->spec.ntasks, 1);
+	ntasks = request->spec.ntasks * request->spec.times;
+	job->record.ntasks = ntasks;
+	job->record.done = mem_zalloc(ntasks, 1);
+	job->record.fails = mem_zalloc(ntasks, 1);
 	job->record.failed_runs =
-	    mem_zalloc(request->spec.ntasks, sizeof(*job->record.failed_runs));
+	    mem_zalloc(ntasks, sizeof(*job->record.failed_runs));
 	/* Tells this acceptance from one by another host. */
 	job->record.nonce = clock_now_us(keeper->clock);
 	(void)kpr_wait(job, kpr_store(job), done, arg);
 	job_spec_release(&request->spec);
 }
 
-/* Its row is there: run it from its stored form. */
-void
-kpr_start(struct kpr_job *job, bool resubmitted)
-{
-	struct holder_request request = { .queue = job->record.queue,
-		.resubmitted = resubmitted };
-	struct err err;
-
-	if (job_parse(&request.spec, job->id, job->record.body,
-		job->record.body_len, &err) == -1) {
-		log_event(LOG_LEVEL_ERROR, "stored-job-unreadable",
-		    "id=%s reason=\"%s\"", job->id, err.message);
-		(void)kpr_end(job, RECORD_FAILED);
-		return;
-	}
-	kpr_run(job, &request);
-}
-
 static void
 kpr_stored(void *arg, const char *id, uint64_t seq)
 {
@@ -285,8 +253,6 @@
 
 	if (job == NULL)
 		return;
-	if (job->running)
-		holder_cancel(keeper->holder, id, job);
 	kpr_free(job);
 }
 
@@ -343,9 +309,7 @@
 		done(arg, KEEPER_OK);
 		return;
 	}
-	if (job->running)
-		holder_cancel(keeper->holder, id, job);
-	job->running = false;
+	kpr_stop(job);
 	(void)kpr_wait(job, kpr_end(job, RECORD_CANCELLED), done, arg);
 }
 
@@ -381,7 +345,7 @@
 		done(arg, kpr_missing(keeper, job), RECORD_ACCEPTED, false);
 		return;
 	}
-	begun = holder_has_begun(keeper->holder, id);
+	begun = kpr_has_begun(job);
 	if (job->record.state == RECORD_ACCEPTED && begun)
 		kpr_wait_end(job, done, arg);
 	else if (job->ended_seq <= job->stored_seq)
@@ -439,8 +403,6 @@
 	keeper->held = false;
 	ledger_forget_all(keeper->ledger);
 	TAILQ_FOREACH_SAFE (job, &keeper->jobs, entry, next) {
-		if (job->running)
-			holder_cancel(keeper->holder, job->id, job);
 		kpr_free(job);
 	}
 }
@@ -468,6 +430,7 @@
 kpr_create_events(struct keeper *keeper)
 {
 	const struct timeval interval = { .tv_sec = KPR_SWEEP_MS / 1000 };
+	const struct timeval schedule = { .tv_usec = KPR_SCHEDULE_MS * 1000 };
 	uint32_t i;
 
 	for (i = 0; i < ROWS_JOB_PARTS; i++) {
@@ -480,7 +443,10 @@
 	}
 	keeper->sweep =
 	    event_new(keeper->base, -1, EV_PERSIST, kpr_sweep, keeper);
-	if (keeper->sweep == NULL)
+	keeper->schedule =
+	    event_new(keeper->base, -1, EV_PERSIST, kpr_submit_due, keeper);
+	if (keeper->sweep == NULL || keeper->schedule == NULL ||
+	    event_add(keeper->schedule, &schedule) == -1)
 		return -1;
 	return event_add(keeper->sweep, &interval);
 }
@@ -509,6 +475,7 @@
 	keeper->fenced = fenced;
 	keeper->fenced_arg = arg;
 	TAILQ_INIT(&keeper->jobs);
+	TAILQ_INIT(&keeper->due);
 	own.arg = keeper;
 	keeper->ledger = ledger_create(base, rows, &own);
 	if (keeper->ledger == NULL || kpr_create_events(keeper) == -1) {
@@ -533,5 +500,7 @@
 	}
 	if (keeper->sweep != NULL)
 		event_free(keeper->sweep);
+	if (keeper->schedule != NULL)
+		event_free(keeper->schedule);
 	free(keeper);
 }
--- a/entry/jobs/keeper_internal.h
+++ b/entry/jobs/keeper_internal.h
@@ -1,6 +1,7 @@
 #ifndef ENTRY_JOBS_KEEPER_INTERNAL_H
 #define ENTRY_JOBS_KEEPER_INTERNAL_H
 
+#include <event2/event.h>
 #include <sys/queue.h>
 
 #include "entry/jobs/keeper.h"
@@ -9,6 +10,7 @@
 
 /*
  * Shared by the files of the keeper: keeper.c (accepting, progress, ends),
+ * keeper_times.c (running),
  * keeper_load.c (reading back).
  */
 
@@ -31,6 +33,13 @@
 	TAILQ_ENTRY(kpr_waiter) entry;
 };
 
+/* One of the times that a job's steps run. */
+struct kpr_time {
+	struct kpr_job *job;
+	bool running; /* the holder has it */
+	bool ended;
+};
+
 struct kpr_job {
 	struct keeper *keeper;
 	char id[JOB_ID_LEN + 1];
@@ -38,9 +47,16 @@
 	bool stored;	    /* its row is known to be there */
 	uint64_t ended_seq; /* the value that says so; 0: not ended here */
 	uint64_t stored_seq;
-	bool running; /* the holder has it */
+	struct kpr_time *times; /* of ntimes; NULL until it is started */
+	uint32_t ntimes;
+	uint32_t nsubmitted; /* of them, in order */
+	uint32_t nended;
+	bool scheduled;	      /* times are to be submitted yet */
+	uint64_t start_at_ms; /* wall clock */
+	uint32_t interval_ms;
 	TAILQ_HEAD(, kpr_waiter) waiters;
 	TAILQ_ENTRY(kpr_job) entry;
+	TAILQ_ENTRY(kpr_job) due; /* while times are to be submitted */
 	LIST_ENTRY(kpr_job) hash;
 };
 
@@ -70,6 +86,8 @@
 	uint32_t parts_left; /* to be loaded */
 	struct kpr_load loads[ROWS_JOB_PARTS];
 	struct event *sweep;
+	struct event *schedule;
+	TAILQ_HEAD(, kpr_job) due;
 	size_t njobs;
 	TAILQ_HEAD(, kpr_job) jobs;
 	LIST_HEAD(, kpr_job) buckets[KPR_BUCKETS];
@@ -80,8 +98,16 @@
 struct kpr_job *kpr_enter(struct keeper *keeper, const char *id);
 /* Its row was there already: its callers are told, and it is forgotten. */
 void kpr_accepted_before(struct kpr_job *job);
-/* Runs a job from its stored form. */
+/* Ends a job. Return: the number of the value that says so. */
+uint64_t kpr_end(struct kpr_job *job, enum record_state state);
+
+/* keeper_times.c */
+/* Runs a job from its stored form, each time of it when it is due. */
 void kpr_start(struct kpr_job *job, bool resubmitted);
+/* Takes a job from the holder. */
+void kpr_stop(struct kpr_job *job);
+/* Submits what is due; an event's callback with the keeper. */
+void kpr_submit_due(evutil_socket_t fd, short what, void *arg);
 
 /* keeper_load.c */
 /* Makes this host the owner of a partition's jobs, then reads them. */
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -155,7 +155,8 @@
 			for (j = 0; j < loader->strs[i]->count; j++)
 				set_store(loader, def,
 				    loader->strs[i]->sval[j]);
-		} else if (text != NULL) {
+		} else if (text != NULL && *text != '\0') {
+			/* Who fills in a template can only leave it empty. */
 			set_store_env(loader, def, text);
 		} else {
 			loader->given[i] = false;
--- a/ports/advisor.h
+++ b/ports/advisor.h
@@ -23,8 +23,8 @@
  *           will be in this incarnation. NULL if there was no answer.
  * @valid_ms: for how long the tickets hold.
  */
-typedef void (*advisor_done_fn)(void *arg,
-    const struct advisor_permit *permits, size_t npermits, uint32_t valid_ms);
+typedef void (*advisor_done_fn)(void *arg, const struct advisor_permit *permits,
+    size_t npermits, uint32_t valid_ms);
 
 struct advisor;
 
--- a/tests/test_job_json.c
+++ b/tests/test_job_json.c
@@ -74,6 +74,16 @@
 	cr_expect(spec.steps[0].gang);
 	cr_expect(spec.steps[0].one_rack);
 	cr_expect_not(spec.steps[1].gang);
+	cr_expect_eq(spec.times, 1);
+	job_spec_release(&spec);
+	cr_assert_eq(parse(&spec,
+			 "{\"max_runs\":3,\"start_at_ms\":1784057000123,"
+			 "\"interval_ms\":250,\"steps\":[{\"count\":2}]}"),
+	    0);
+	cr_expect_null(spec.unsupported);
+	cr_expect_eq(spec.times, 3);
+	cr_expect_eq(spec.start_at_ms, UINT64_C(1784057000123));
+	cr_expect_eq(spec.interval_ms, 250);
 	job_spec_release(&spec);
 }
 
@@ -81,7 +91,10 @@
 {
 	static const char *const bodies[][2] = {
 		{ "{\"steps\":[{\"count\":2,\"fills\":true}]}", "fills" },
-		{ "{\"max_runs\":3,\"steps\":[{\"count\":2}]}", "max_runs" },
+		{ "{\"max_runs\":3,\"best_effort\":true,"
+		  "\"steps\":[{\"count\":2}]}",
+		    "max_runs" },
+		{ "{\"max_runs\":4000,\"steps\":[{\"count\":2}]}", "max_runs" },
 	};
 	struct job_spec spec;
 	size_t i;
--- a/tests/test_keeper.c
+++ b/tests/test_keeper.c
@@ -578,3 +578,74 @@
 	cr_expect_eq(host->states, 2);
 	rig_destroy(rig);
 }
+
+static uint32_t
+rig_starts(const struct rig *rig, const char *task)
+{
+	const struct wm_task *found = wm_task(&rig->world, task);
+
+	return found == NULL ? 0 : found->starts;
+}
+
+/* Three times, 200 ms apart, each of 300 ms: they overlap. */
+static void
+host_accept_times(struct host *host, uint32_t first_ms)
+{
+	char body[256];
+
+	(void)snprintf(body, sizeof(body),
+	    "{\"spec\":\"cpu=500 ms=300 fail=0\",\"max_runs\":3,"
+	    "\"start_at_ms\":%llu,\"interval_ms\":200,\"steps\":[{"
+	    "\"count\":1,\"cpu\":500,\"mem_mb\":64,"
+	    "\"estimated_ms\":300}]}",
+	    (unsigned long long)(clock_wall_ms(clock_real()) + first_ms));
+	host_accept_body(host, ID, body);
+}
+
+Test(keeper, each_time_of_a_job_runs_when_it_is_due)
+{
+	struct rig *rig = rig_create();
+	struct host *host = &rig->hosts[0];
+
+	host_begin(host, 10);
+	host_serve(host);
+	host_accept_times(host, 150);
+	rig_run(rig, 100);
+	cr_expect_eq(host->result, KEEPER_OK);
+	cr_expect_eq(rig_starts(rig, ID ".0.0.0"), 0, "too early");
+	rig_run(rig, 150);
+	cr_expect_eq(rig_starts(rig, ID ".0.0.0"), 1);
+	cr_expect_eq(rig_starts(rig, ID ".1.0.0"), 0, "too early");
+	rig_run(rig, 200);
+	cr_expect_eq(rig_starts(rig, ID ".1.0.0"), 1);
+	rig_run(rig, 600);
+	cr_expect_eq(rig_starts(rig, ID ".2.0.0"), 1);
+	keeper_state(host->keeper, ID, host_state, host);
+	rig_run(rig, END_WAIT_MAX_MS);
+	cr_expect_eq(host->state, RECORD_COMPLETED);
+	rig_destroy(rig);
+}
+
+/* The second time runs, the first is over, the third is to come. */
+Test(keeper, successor_goes_on_with_the_times_that_are_left)
+{
+	struct rig *rig = rig_create();
+	struct host *host = &rig->hosts[1];
+
+	host_begin(&rig->hosts[0], 10);
+	host_serve(&rig->hosts[0]);
+	host_accept_times(&rig->hosts[0], 0);
+	rig_run(rig, 330);
+	holder_end(rig->hosts[0].holder);
+	keeper_end(rig->hosts[0].keeper);
+	host_begin(host, 20);
+	host_serve(host);
+	rig_run(rig, 900);
+	cr_expect_eq(rig_starts(rig, ID ".0.0.0"), 1);
+	cr_expect_eq(rig_starts(rig, ID ".1.0.0"), 1);
+	cr_expect_eq(rig_starts(rig, ID ".2.0.0"), 1);
+	keeper_state(host->keeper, ID, host_state, host);
+	rig_run(rig, END_WAIT_MAX_MS);
+	cr_expect_eq(host->state, RECORD_COMPLETED);
+	rig_destroy(rig);
+}
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -73,6 +73,18 @@
 	cr_assert_eq(settings.peers[0].port, 3);
 }
 
+Test(settings, empty_variable_is_not_given)
+{
+	setenv("BERYLRAIL_ADVICE", "", 1);
+	setenv("BERYLRAIL_SEED", "", 1);
+	cr_assert_eq(load("--platform=memory:"), SETTINGS_RUN, "%s", err_text);
+	cr_assert_eq(settings.advice.port, 0);
+	cr_assert_eq(settings.seed, 0);
+	setenv("BERYLRAIL_ADVICE", "127.0.0.1:7", 1);
+	cr_assert_eq(load("--platform=memory:"), SETTINGS_RUN, "%s", err_text);
+	cr_assert_eq(settings.advice.port, 7);
+}
+
 Test(settings, all_errors_are_listed_at_once)
 {
 	static const char *const names[] = { "BERYLRAIL_LISSEN",
