Jobs: tasks that fill do not share a server with tasks that serve

They are run like others, their demand counted in full, on servers without a task that serves users within a target, and the other way round, so that none has to be slowed down beside another. What this costs: room beside serving tasks is not used. Test: test_holder_kinds; test_job_json.

--- a/core/job.h
+++ b/core/job.h
@@ -28,8 +28,10 @@
 	bool copies;		 /* may run more than once at a time */
 	bool gang;		 /* its tasks work only all together */
 	bool one_rack;		 /* a gang that is slower on two racks */
-	char needs[NAME_SIZE];	 /* label that the server must have, or "" */
-	char near[NAME_SIZE];	 /* rack that holds the data, or "" */
+	bool fills;		 /* disturbs tasks that serve */
+	bool serves; /* its tasks answer users of their own, within a target */
+	char needs[NAME_SIZE]; /* label that the server must have, or "" */
+	char near[NAME_SIZE];  /* rack that holds the data, or "" */
 };
 
 /** struct job_spec - a whole job. */
--- a/entry/jobs/holder_pump.c
+++ b/entry/jobs/holder_pump.c
@@ -111,6 +111,28 @@
 	    (step->needs[0] == '\0' || hld_has_label(server, step->needs));
 }
 
+/*
+ * Tasks that fill would have to be slowed down beside tasks that serve, at the
+ * latter's cost until then: the two do not share a server.
+ */
+static bool
+hld_server_disturbs(const struct hld_server *server,
+    const struct job_step *step)
+{
+	const struct job_step *other;
+	const struct hld_task *task;
+
+	if (!step->fills && !step->serves)
+		return false;
+	TAILQ_FOREACH (task, &server->tasks, on_server) {
+		other = &task->job->spec.steps[task->step];
+		if ((step->fills && other->serves) ||
+		    (step->serves && other->fills))
+			return true;
+	}
+	return false;
+}
+
 static bool
 hld_server_permits(const struct hld_server *server, const struct hld_task *task)
 {
@@ -119,6 +141,7 @@
 	uint32_t n = 0;
 
 	if (!hld_server_suits(server, task) ||
+	    hld_server_disturbs(server, step) ||
 	    (task->job->advice != NULL &&
 		hld_advice_ticket(task, server) == NULL))
 		return false;
--- a/entry/jobs/job_json.c
+++ b/entry/jobs/job_json.c
@@ -89,8 +89,8 @@
 	step->one_rack = json_is_true(json_object_get(object, "same_rack"));
 	if (json_is_true(json_object_get(object, "long_running")))
 		spec->lasting = true;
-	if (json_is_true(json_object_get(object, "fills")))
-		spec->unsupported = "fills";
+	step->fills = json_is_true(json_object_get(object, "fills"));
+	step->serves = json_is_number(json_object_get(object, "target_ms"));
 	spec->nsteps++;
 	spec->ntasks += step->count;
 	if (step->count > JOB_TASKS_TOTAL_MAX ||
@@ -121,6 +121,20 @@
 	return 0;
 }
 
+/* What is said of the whole job holds for each step. */
+static void
+job_mark_steps(struct job_spec *spec, const json_t *root)
+{
+	bool serves = json_is_number(json_object_get(root, "target_ms"));
+	bool fills = json_is_true(json_object_get(root, "fills"));
+	size_t i;
+
+	for (i = 0; i < spec->nsteps; i++) {
+		spec->steps[i].serves |= serves;
+		spec->steps[i].fills |= fills;
+	}
+}
+
 static int
 job_parse_root(struct job_spec *spec, const json_t *root, struct err *err)
 {
@@ -146,6 +160,7 @@
 		spec->lasting = true;
 	if (job_parse_steps(spec, json_object_get(root, "steps"), err) == -1)
 		return -1;
+	job_mark_steps(spec, root);
 	if (spec->times == 0)
 		spec->times = 1;
 	else if (spec->best_effort || spec->lasting ||
--- a/tests/test_holder_kinds.c
+++ b/tests/test_holder_kinds.c
@@ -419,3 +419,37 @@
 	cr_expect_geq(rig->asked, 2);
 	rig_destroy(rig);
 }
+
+/* Beside each other the filling ones would have to be slowed down. */
+Test(kinds, tasks_that_fill_and_tasks_that_serve_do_not_share_a_server)
+{
+	struct rig *rig = rig_create(11);
+	const struct wm_run *run;
+	size_t i, nserving = 0, nfilling = 0;
+	bool serves, fills;
+
+	rig_run(rig, 30);
+	rig_submit(rig, ID,
+	    "{\"spec\":\"cpu=1000 ms=9000 fail=0\",\"long_running\":true,"
+	    "\"steps\":[{\"count\":2,\"cpu\":1000,\"mem_mb\":64,"
+	    "\"target_ms\":40}]}");
+	rig_run(rig, 50);
+	rig_submit(rig, "0000000000000001",
+	    "{\"spec\":\"cpu=20000 ms=500 fail=0\",\"steps\":[{"
+	    "\"count\":12,\"cpu\":20000,\"mem_mb\":64,"
+	    "\"estimated_ms\":500,\"fills\":true}]}");
+	rig_run(rig, 100);
+	for (i = 0; i < RIG_SERVERS; i++) {
+		serves = fills = false;
+		TAILQ_FOREACH (run, &rig->world.servers[i].running, entry) {
+			serves |= run->task[0] == ID[0];
+			fills |= run->task[0] == '0';
+		}
+		nserving += serves;
+		nfilling += fills;
+		cr_expect_not(serves && fills, "server %zu", i);
+	}
+	cr_expect_gt(nserving, 0);
+	cr_expect_gt(nfilling, 0);
+	rig_destroy(rig);
+}
