Stored jobs: refused at once when the store is too slow for them

Cause: no job at all was stored for 3.4 s: a write took about 1 s there, calls were given up after 900 ms and made again, which were not answered either; all callers waited until their deadline. Ruled out: refused calls (no 429). Test: test_ledger and test_keeper, one case each.

--- a/entry/jobs/keeper.c
+++ b/entry/jobs/keeper.c
@@ -176,6 +176,14 @@
 		job_spec_release(&request->spec);
 		return;
 	}
+	/* Of a job sent again it can't be said that it is not stored. */
+	if (!request->resubmitted &&
+	    ledger_delay_ms(keeper->ledger, request->spec.id) >
+		request->patience_ms) {
+		done(arg, KEEPER_REFUSED);
+		job_spec_release(&request->spec);
+		return;
+	}
 	job = kpr_enter(keeper, request->spec.id);
 	strlcpy(job->record.az, keeper->az, NAME_SIZE);
 	job->record.queue = request->queue;
@@ -477,7 +485,7 @@
 	TAILQ_INIT(&keeper->jobs);
 	TAILQ_INIT(&keeper->due);
 	own.arg = keeper;
-	keeper->ledger = ledger_create(base, rows, &own);
+	keeper->ledger = ledger_create(base, clock, rows, &own);
 	if (keeper->ledger == NULL || kpr_create_events(keeper) == -1) {
 		keeper_destroy(keeper);
 		return NULL;
--- a/entry/jobs/ledger.c
+++ b/entry/jobs/ledger.c
@@ -15,6 +15,8 @@
 #define LEDGER_GATHER_MS 2 /* under one transaction of the store, 4 ms */
 #define LEDGER_RETRY_MS 80 /* after a refusal or without an answer */
 #define LEDGER_BUCKETS 1024
+#define LEDGER_USUAL_WEIGHT 4 /* a fast write's share is 1/4 */
+#define LEDGER_US_PER_MS UINT64_C(1000)
 #define LEDGER_OWNER_SIZE 80 /* bytes of the key, with the NUL */
 
 static struct counter ledger_transactions = {
@@ -49,12 +51,16 @@
 	uint64_t sent_owner_version;
 	struct event *timer;
 	bool under_way;
+	uint64_t sent_us;  /* the write under way */
+	uint32_t usual_ms; /* of writes that were answered, lately */
+	bool failing;	   /* the last one was not taken */
 	struct led_entry *batch[ROWS_WRITES_MAX];
 	size_t nbatch;
 	TAILQ_HEAD(, led_entry) dirty;
 };
 
 struct ledger {
+	struct clock *clock;
 	struct rows *rows;
 	struct ledger_listener listener;
 	struct led_part parts[ROWS_JOB_PARTS];
@@ -363,6 +369,49 @@
 	ledger->listener.fenced(ledger->listener.arg);
 }
 
+static uint32_t
+led_elapsed_ms(const struct led_part *part)
+{
+	return (uint32_t)((clock_now_us(part->ledger->clock) - part->sent_us) /
+	    LEDGER_US_PER_MS);
+}
+
+static void
+led_learn(struct led_part *part, enum rows_status status)
+{
+	uint32_t took_ms = led_elapsed_ms(part);
+
+	part->failing = status == ROWS_REFUSED || status == ROWS_UNKNOWN;
+	if (part->failing)
+		return;
+	/* A store that turns slow is believed at once, one that recovers by
+	 * and by. */
+	if (took_ms > part->usual_ms)
+		part->usual_ms = took_ms;
+	else
+		part->usual_ms -=
+		    (part->usual_ms - took_ms) / LEDGER_USUAL_WEIGHT;
+}
+
+uint32_t
+ledger_delay_ms(const struct ledger *ledger, const char *id)
+{
+	const struct led_part *part = &ledger->parts[ledger_part(id)];
+	uint32_t elapsed_ms, usual_ms = part->usual_ms;
+
+	if (!part->under_way && TAILQ_EMPTY(&part->dirty))
+		return 0;
+	if (part->failing)
+		return UINT32_MAX;
+	if (!part->under_way)
+		return usual_ms;
+	/* What takes longer than usual is taken to be half done. */
+	elapsed_ms = led_elapsed_ms(part);
+	if (elapsed_ms < usual_ms)
+		return usual_ms - elapsed_ms + usual_ms;
+	return elapsed_ms * 2;
+}
+
 static void
 led_done(void *arg, enum rows_status status, uint64_t version,
     const struct rows_row *rows, size_t nrows)
@@ -374,6 +423,7 @@
 	memcpy(batch, part->batch, sizeof(batch));
 	part->nbatch = 0;
 	part->under_way = false;
+	led_learn(part, status);
 	if (status == ROWS_CONFLICT && led_owner_changed(part, rows, nrows)) {
 		led_fenced(part, batch, n);
 		return;
@@ -458,19 +508,21 @@
 		.only_checked = true,
 	};
 	part->under_way = true;
+	part->sent_us = clock_now_us(part->ledger->clock);
 	ctr_inc(&ledger_transactions);
 	rows->ops->transact(rows, part->number, writes, part->nbatch + 1,
 	    led_done, part);
 }
 
 struct ledger *
-ledger_create(struct event_base *base, struct rows *rows,
+ledger_create(struct event_base *base, struct clock *clock, struct rows *rows,
     const struct ledger_listener *listener)
 {
 	struct ledger *ledger = mem_zalloc(1, sizeof(*ledger));
 	struct led_part *part;
 	uint32_t i;
 
+	ledger->clock = clock;
 	ledger->rows = rows;
 	ledger->listener = *listener;
 	for (i = 0; i < LEDGER_BUCKETS; i++)
--- a/entry/jobs/ledger.h
+++ b/entry/jobs/ledger.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "ports/clock.h"
 #include "ports/rows.h"
 
 /*
@@ -32,9 +33,9 @@
 	void *arg;
 };
 
-/** ledger_create() - NULL when out of memory. */
-struct ledger *ledger_create(struct event_base *base, struct rows *rows,
-    const struct ledger_listener *listener);
+/** ledger_create() - all borrowed; NULL when out of memory. */
+struct ledger *ledger_create(struct event_base *base, struct clock *clock,
+    struct rows *rows, const struct ledger_listener *listener);
 
 void ledger_destroy(struct ledger *ledger);
 
@@ -45,6 +46,13 @@
 void ledger_own(struct ledger *ledger, uint32_t part, const char *key,
     uint64_t version);
 
+/**
+ * ledger_delay_ms() - when a new job is likely to be stored, from now;
+ * UINT32_MAX while the store does not take writes. 0 if nothing else is being
+ * written to its partition: then this job is the one that finds out.
+ */
+uint32_t ledger_delay_ms(const struct ledger *ledger, const char *id);
+
 /** ledger_part() - the partition of a job. */
 uint32_t ledger_part(const char *id);
 
--- a/tests/test_keeper.c
+++ b/tests/test_keeper.c
@@ -335,13 +335,16 @@
 }
 
 static void
-host_accept_body(struct host *host, const char *id, const char *body)
+host_accept_sent(struct host *host, const char *id, const char *body,
+    bool again)
 {
 	struct holder_request request = { .queue = { .name = "q",
 					      .service = "booth",
 					      .max_attempts = 3,
 					      .slack_permille = 1600,
-					      .target_ms = 60 } };
+					      .target_ms = 60 },
+		.patience_ms = 300,
+		.resubmitted = again };
 	struct err err;
 
 	cr_assert_eq(job_parse(&request.spec, id, body, strlen(body), &err), 0);
@@ -349,6 +352,12 @@
 	    host);
 }
 
+static void
+host_accept_body(struct host *host, const char *id, const char *body)
+{
+	host_accept_sent(host, id, body, false);
+}
+
 static void
 host_accept(struct host *host, const char *id)
 {
@@ -649,3 +658,32 @@
 	cr_expect_eq(host->state, RECORD_COMPLETED);
 	rig_destroy(rig);
 }
+
+/* Nobody waits in vain for a store that is too slow. */
+Test(keeper, job_that_cannot_be_stored_in_time_is_refused_at_once)
+{
+	struct rig *rig = rig_create();
+	struct host *host = &rig->hosts[0];
+	char id[JOB_ID_LEN + 1];
+	unsigned int i = 0;
+
+	do
+		(void)snprintf(id, sizeof(id), "%016x", ++i);
+	while (ledger_part(id) != ledger_part(ID));
+	host_begin(host, 10);
+	rig->store.hold_writes = true;
+	host_accept(host, ID);
+	rig_run(rig, 200);
+	cr_assert_eq(host->accepted, 0);
+	host_accept(host, id);
+	cr_expect_eq(host->accepted, 1);
+	cr_expect_eq(host->result, KEEPER_REFUSED);
+	/* Sent before, perhaps to another host that stored it. */
+	host_accept_sent(host, id, BODY, true);
+	cr_expect_eq(host->accepted, 1);
+	store_release(&rig->store);
+	rig_run(rig, 50);
+	cr_expect_eq(host->accepted, 3);
+	cr_expect_eq(host->result, KEEPER_OK);
+	rig_destroy(rig);
+}
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "adapters/clock_real.h"
 #include "core/job.h"
 #include "entry/jobs/ledger.h"
 
@@ -29,6 +30,9 @@
 	int transactions;
 	int stored, exists, refused, lost, fenced;
 	uint64_t owner_version;
+	bool hold; /* the next one is answered by rig_answer() */
+	rows_done_fn held;
+	void *held_arg;
 	bool any; /* takes any number of new rows */
 	size_t widest;
 	uint64_t stored_seq;
@@ -53,6 +57,11 @@
 	cr_assert_str_eq(writes[0].key, OWNER_KEY);
 	cr_assert(writes[0].only_checked);
 	rig->transactions++;
+	if (rig->hold) {
+		rig->held = done;
+		rig->held_arg = arg;
+		return;
+	}
 	if (rig->any) {
 		rig->widest = n > rig->widest ? n : rig->widest;
 		rig->version += 10;
@@ -137,7 +146,8 @@
 	memset(rig, 0, sizeof(*rig));
 	rig->rows.ops = &rig_ops;
 	rig->base = event_base_new();
-	rig->ledger = ledger_create(rig->base, &rig->rows, &listener);
+	rig->ledger =
+	    ledger_create(rig->base, clock_real(), &rig->rows, &listener);
 	rig->owner_version = OWNER_VERSION;
 	ledger_own(rig->ledger, ledger_part(ID), OWNER_KEY, OWNER_VERSION);
 }
@@ -305,3 +315,26 @@
 	free(large);
 	rig_release(&rig);
 }
+
+/* Load: a store that takes 50 times as long as usual. */
+Test(ledger, delay_of_a_new_job_follows_the_store)
+{
+	struct rig rig;
+
+	rig_init(&rig);
+	cr_expect_eq(ledger_delay_ms(rig.ledger, ID), 0);
+	rig.hold = true;
+	(void)ledger_put(rig.ledger, ID, "one", 3);
+	rig_run(&rig, 200);
+	cr_assert_not_null(rig.held);
+	cr_expect_geq(ledger_delay_ms(rig.ledger, ID), 380);
+	cr_expect_lt(ledger_delay_ms(rig.ledger, ID), 1000);
+	rig.hold = false;
+	rig.refuse = 1;
+	rig.held(rig.held_arg, ROWS_UNKNOWN, 0, NULL, 0);
+	cr_expect_eq(ledger_delay_ms(rig.ledger, ID), UINT32_MAX);
+	rig_run(&rig, 500);
+	cr_expect_eq(rig.stored, 1);
+	cr_expect_eq(ledger_delay_ms(rig.ledger, ID), 0, "nothing is written");
+	rig_release(&rig);
+}
