--- a/core/histogram.c
+++ b/core/histogram.c
@@ -7,6 +7,8 @@
 
 #include "core/histogram.h"
 
+static TAILQ_HEAD(, histogram) hist_list = TAILQ_HEAD_INITIALIZER(hist_list);
+
 void
 hist_add(struct histogram *hist, uint64_t value)
 {
@@ -18,6 +20,10 @@
 	}
 	hist->counts[i]++;
 	hist->sum += value;
+	if (!hist->registered) {
+		hist->registered = 1;
+		TAILQ_INSERT_TAIL(&hist_list, hist, entry);
+	}
 }
 
 void
@@ -47,3 +53,13 @@
 	    hist->name, total);
 	emit(arg, line, (size_t)n);
 }
+
+void
+hist_render_all(void (*emit)(void *arg, const char *text, size_t len),
+    void *arg)
+{
+	const struct histogram *hist;
+
+	TAILQ_FOREACH (hist, &hist_list, entry)
+		hist_render(hist, emit, arg);
+}
--- a/core/histogram.h
+++ b/core/histogram.h
@@ -3,6 +3,7 @@
 
 #include <stddef.h>
 #include <stdint.h>
+#include <sys/queue.h>
 
 /* Histograms with cumulative buckets in Prometheus' text form. */
 
@@ -17,6 +18,8 @@
 	double unit;		/* what is shown for one unit, e.g. 1e-6 s */
 	uint64_t counts[HIST_BUCKETS_MAX]; /* the last: above all bounds */
 	uint64_t sum;			   /* units */
+	int registered;			   /* set by the first value */
+	TAILQ_ENTRY(histogram) entry;
 };
 
 /** hist_add() - count one value, in units. */
@@ -26,4 +29,8 @@
 void hist_render(const struct histogram *hist,
     void (*emit)(void *arg, const char *text, size_t len), void *arg);
 
+/** hist_render_all() - all that have a value, in order of their first one. */
+void hist_render_all(void (*emit)(void *arg, const char *text, size_t len),
+    void *arg);
+
 #endif /* CORE_HISTOGRAM_H */
--- a/entry/jobs/front.c
+++ b/entry/jobs/front.c
@@ -40,6 +40,22 @@
 	.help = "Jobs brought to another zone's holder.",
 };
 
+/* Answers to callers, by outcome. */
+static struct counter frt_answers[] = {
+#define FRT_ANSWERS(result, label)                                 \
+	[result] = {                                               \
+		.name = "berylrail_work_answers_total",            \
+		.labels = "outcome=\"" label "\"",                 \
+		.help = "Answers to callers of jobs, by outcome.", \
+	}
+	FRT_ANSWERS(FRONT_COMPLETED, "completed"),
+	FRT_ANSWERS(FRONT_ACCEPTED, "accepted"),
+	FRT_ANSWERS(FRONT_FAILED, "failed"),
+	FRT_ANSWERS(FRONT_NOT_RUN, "not-run"),
+	FRT_ANSWERS(FRONT_UNKNOWN, "outcome-unknown"),
+	FRT_ANSWERS(FRONT_INVALID, "invalid"),
+};
+
 struct frt_try;
 
 struct frt_job {
@@ -129,6 +145,7 @@
 	job->front->npending--;
 	(void)event_del(job->timer);
 	hist_add(&frt_latency, age_us / FRT_US_PER_MS);
+	ctr_inc(&frt_answers[result]);
 	log_event(LOG_LEVEL_INFO, "answer",
 	    "id=%s queue=%s outcome=%s reason=\"%s\" age_ms=%" PRIu64, job->id,
 	    job->queue.name, frt_result_names[result], reason,
--- a/entry/jobs/holder.c
+++ b/entry/jobs/holder.c
@@ -5,6 +5,7 @@
 #include <inttypes.h>
 
 #include "adapters/log.h"
+#include "core/counters.h"
 #include "core/mem.h"
 #include "entry/jobs/holder_internal.h"
 
@@ -156,6 +157,47 @@
 		hld_job_finish(job, &moved);
 }
 
+static struct counter hld_servers_held = {
+	.name = "berylrail_work_servers_held",
+	.help = "Backend servers that this host holds now.",
+	.gauge = 1,
+};
+static struct counter hld_queued[] = {
+#define HLD_QUEUED(label)                                             \
+	{                                                             \
+		.name = "berylrail_work_tasks_queued",                \
+		.labels = "priority=\"" label "\"",                   \
+		.help = "Tasks that wait for a server, by priority; " \
+			"the last: and all above.",                   \
+		.gauge = 1,                                           \
+	}
+	HLD_QUEUED("0"),
+	HLD_QUEUED("1"),
+	HLD_QUEUED("2"),
+	HLD_QUEUED("3"),
+};
+
+#define HLD_PRIORITIES (sizeof(hld_queued) / sizeof(hld_queued[0]))
+
+static void
+hld_count(const struct holder *holder)
+{
+	uint64_t queued[HLD_PRIORITIES] = { 0 }, held = 0;
+	const struct hld_server *server;
+	const struct hld_task *task;
+	size_t i;
+
+	TAILQ_FOREACH (server, &holder->servers, entry)
+		held += server->held;
+	TAILQ_FOREACH (task, &holder->waiting, waiting) {
+		i = task->job->queue.priority;
+		queued[i < HLD_PRIORITIES ? i : HLD_PRIORITIES - 1]++;
+	}
+	ctr_set(&hld_servers_held, held);
+	for (i = 0; i < HLD_PRIORITIES; i++)
+		ctr_set(&hld_queued[i], queued[i]);
+}
+
 static void
 hld_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -166,6 +208,7 @@
 
 	(void)fd;
 	(void)what;
+	hld_count(holder);
 	if (holder->token == 0)
 		return;
 	TAILQ_FOREACH_SAFE (job, &holder->jobs, entry, next_job) {
--- a/entry/jobs/holder_run.c
+++ b/entry/jobs/holder_run.c
@@ -9,6 +9,7 @@
 
 #include "adapters/log.h"
 #include "core/counters.h"
+#include "core/histogram.h"
 #include "core/mem.h"
 #include "entry/jobs/holder_internal.h"
 
@@ -29,6 +30,23 @@
 	.help = "Orders to backend servers without an answer.",
 };
 
+static const uint64_t hld_bounds[] = { 1, 2, 5, 10, 20, 50, 100, 200, 500, 1000,
+	2000, 5000 };
+static struct histogram hld_wait = {
+	.name = "berylrail_work_start_seconds",
+	.help = "Time from a job's arrival to the start of each of its tasks.",
+	.bounds = hld_bounds,
+	.nbounds = sizeof(hld_bounds) / sizeof(hld_bounds[0]),
+	.unit = 1e-3,
+};
+static struct histogram hld_order_time = {
+	.name = "berylrail_work_order_seconds",
+	.help = "Time of an order to a backend server.",
+	.bounds = hld_bounds,
+	.nbounds = sizeof(hld_bounds) / sizeof(hld_bounds[0]),
+	.unit = 1e-3,
+};
+
 /* A pending order; it outlives neither its server nor its job's runs. */
 struct hld_order {
 	struct hld_task *task;
@@ -314,6 +332,8 @@
 	struct hld_task *task, *found = NULL;
 
 	server->calls--;
+	hist_add(&hld_order_time,
+	    (hld_now(server->holder) - order->sent_us) / HLD_US_PER_MS);
 	if (reply->has_clock)
 		lease_learn_clock(&server->lease, reply->clock_ms,
 		    order->sent_us);
@@ -422,6 +442,7 @@
 	task->state = HLD_STARTING;
 	task->ordered_us = now_us;
 	ctr_inc(&hld_starts);
+	hist_add(&hld_wait, (now_us - task->job->arrived_us) / HLD_US_PER_MS);
 	log_event(LOG_LEVEL_INFO, "run-start",
 	    "id=%s task=%" PRIu32 ".%" PRIu32 " run=%" PRIu64
 	    " server=%s speed=%" PRIu32 " free_cpu=%" PRId64
--- a/entry/jobs/ledger.c
+++ b/entry/jobs/ledger.c
@@ -8,6 +8,7 @@
 
 #include "adapters/log.h"
 #include "core/counters.h"
+#include "core/histogram.h"
 #include "core/job.h"
 #include "core/mem.h"
 #include "entry/jobs/ledger.h"
@@ -24,6 +25,16 @@
 	.help = "Transactions that store jobs.",
 };
 
+static const uint64_t ledger_bounds[] = { 5, 10, 20, 50, 100, 200, 500, 1000,
+	2000 };
+static struct histogram ledger_time = {
+	.name = "berylrail_work_store_seconds",
+	.help = "Time of a transaction that stores jobs.",
+	.bounds = ledger_bounds,
+	.nbounds = sizeof(ledger_bounds) / sizeof(ledger_bounds[0]),
+	.unit = 1e-3,
+};
+
 struct led_entry {
 	char id[JOB_ID_LEN + 1];
 	uint32_t part;
@@ -381,6 +392,7 @@
 {
 	uint32_t took_ms = led_elapsed_ms(part);
 
+	hist_add(&ledger_time, took_ms);
 	part->failing = status == ROWS_REFUSED || status == ROWS_UNKNOWN;
 	if (part->failing)
 		return;
--- a/tests/test_histogram.c
+++ b/tests/test_histogram.c
@@ -17,12 +17,14 @@
 		.bounds = bounds,
 		.nbounds = 2,
 		.unit = 0.001 };
-	char text[1024] = "";
+	char text[1024] = "", all[1024] = "";
 
 	hist_add(&hist, 10);
 	hist_add(&hist, 11);
 	hist_add(&hist, 1000);
 	hist_render(&hist, emit, text);
+	hist_render_all(emit, all);
+	cr_expect_str_eq(all, text);
 	cr_assert_str_eq(text,
 	    "# HELP h_seconds help\n"
 	    "# TYPE h_seconds histogram\n"
