Holder: a start without an answer is sent again

Cause: such a start was waited for 150 ms, then stopped, the stop was sent until it was answered, and the task went elsewhere: half of all orders unanswered cost a third of a second each, with the server's room taken. Ruled out: the queue's order; all zones were equally full of waiting orders. The run time is counted from the last one. Test: test_holder, orders_without_an_answer_cost_callers_little.

--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -36,6 +36,7 @@
 #define HLD_STRAGGLER_FACTOR 4 /* times the expected run time */
 #define HLD_STRAGGLER_MIN_MS 300
 #define HLD_RECOVER_MS 250 /* wait for all servers after a take-over */
+#define HLD_START_TRIES 12 /* of one run; half of the orders may be lost */
 #define HLD_RUN_IDS 64	   /* runs of one task under one token */
 
 enum hld_task_state {
@@ -63,7 +64,8 @@
 	uint64_t failed_run;	   /* the last that was counted in fails */
 	struct hld_server *server; /* where a run is or may be */
 	uint64_t run_id;
-	uint64_t ordered_us; /* the start was sent */
+	uint32_t tries;	     /* times that the start of this run was sent */
+	uint64_t ordered_us; /* the start was sent last */
 	uint64_t settled_us; /* its last order was answered or given up */
 	bool order_pending;
 	char *saved; /* newest checkpoint; owned, NULL: none */
--- a/entry/jobs/holder_run.c
+++ b/entry/jobs/holder_run.c
@@ -387,6 +387,50 @@
 	    verdict == WORKER_NO_ROOM ? "refused: no room" : "refused");
 }
 
+static void hld_started(void *arg, const struct worker_reply *reply);
+
+/* Sends the start of the task's run, also once more: it is the same run. */
+static void
+hld_send_start(struct hld_task *task)
+{
+	struct hld_server *server = task->server;
+	struct holder *holder = server->holder;
+	char name[WORKER_TASK_NAME_SIZE];
+	struct worker_start order = {
+		.task = name,
+		.run_id = task->run_id,
+		.spec = task->job->spec.text,
+		.checkpoint = task->saved,
+		.ticket = task->job->advice == NULL
+		    ? NULL
+		    : hld_advice_ticket(task, server),
+		.deadline_ms = lease_extend(&server->lease, hld_now(holder),
+		    holder->params.lease_ms),
+		.token = holder->token,
+	};
+
+	hld_task_name(task, name);
+	task->tries++;
+	task->ordered_us = hld_now(holder);
+	holder->params.worker->ops->start(server->link, &order, hld_started,
+	    hld_order_create(task));
+}
+
+/*
+ * Without an answer the start may be carried out at any time. While the server
+ * answers holds, only the order may be lost, and it is sent again: a run that
+ * is there already is not started twice.
+ */
+static void
+hld_start_unanswered(struct hld_task *task)
+{
+	if (task->state == HLD_STARTING && !task->job->ended &&
+	    task->server->misses == 0 && task->tries < HLD_START_TRIES)
+		hld_send_start(task);
+	else
+		hld_run_stop(task);
+}
+
 static void
 hld_started(void *arg, const struct worker_reply *reply)
 {
@@ -411,7 +455,7 @@
 		if (task->job->ended)
 			hld_run_stop(task);
 	} else if (reply->verdict == WORKER_NO_ANSWER) {
-		hld_run_stop(task);
+		hld_start_unanswered(task);
 	} else {
 		hld_start_refused(task, reply->verdict);
 	}
@@ -422,36 +466,22 @@
 {
 	struct holder *holder = server->holder;
 	uint64_t now_us = hld_now(holder);
-	char name[WORKER_TASK_NAME_SIZE];
-	struct worker_start order = {
-		.task = name,
-		.spec = task->job->spec.text,
-		.checkpoint = task->saved,
-		.ticket = task->job->advice == NULL
-		    ? NULL
-		    : hld_advice_ticket(task, server),
-		.token = holder->token,
-	};
+	uint64_t run_id = holder->token * HLD_RUN_IDS + ++task->runs;
 
 	hld_dequeue(task);
-	order.run_id = holder->token * HLD_RUN_IDS + ++task->runs;
-	order.deadline_ms =
-	    lease_extend(&server->lease, now_us, holder->params.lease_ms);
-	hld_task_name(task, name);
-	hld_occupy(task, server, order.run_id);
+	hld_occupy(task, server, run_id);
 	task->state = HLD_STARTING;
-	task->ordered_us = now_us;
+	task->tries = 0;
 	ctr_inc(&hld_starts);
 	hist_add(&hld_wait, (now_us - task->job->arrived_us) / HLD_US_PER_MS);
 	log_event(LOG_LEVEL_INFO, "run-start",
 	    "id=%s task=%" PRIu32 ".%" PRIu32 " run=%" PRIu64
 	    " server=%s speed=%" PRIu32 " free_cpu=%" PRId64
 	    " waited_ms=%" PRIu64,
-	    task->job->spec.id, task->step, task->index, order.run_id,
+	    task->job->spec.id, task->step, task->index, run_id,
 	    server->info.id, server->speed, server->info.cpu - server->used_cpu,
 	    (now_us - task->job->arrived_us) / HLD_US_PER_MS);
-	holder->params.worker->ops->start(server->link, &order, hld_started,
-	    hld_order_create(task));
+	hld_send_start(task);
 	if (!server->hold_pending)
 		hld_server_hold(server, now_us);
 }
--- a/tests/support/fake_worker.h
+++ b/tests/support/fake_worker.h
@@ -17,6 +17,7 @@
 	uint32_t lost_permille; /* done, but the answer is lost */
 	uint32_t late_permille; /* no answer, done late_ms later */
 	uint32_t late_ms;
+	bool orders_only;     /* these do not concern holds */
 	uint32_t silent_mask; /* bit n: nothing reaches server n */
 };
 
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -31,6 +31,8 @@
 		bool answered;
 		enum holder_result result;
 		uint32_t retry_after_ms;
+		uint64_t sent_us;
+		uint64_t took_ms; /* to its answer */
 	} jobs[RIG_JOBS_MAX];
 	size_t njobs;
 };
@@ -115,6 +117,7 @@
 	cr_assert_not(job->answered, "%s is answered twice", job->id);
 	job->answered = true;
 	job->result = reply->result;
+	job->took_ms = (clock_now_us(clock_real()) - job->sent_us) / 1000;
 	job->retry_after_ms = reply->retry_after_ms;
 	job->rig->results[reply->result]++;
 	job->rig->answered++;
@@ -144,6 +147,7 @@
 	    cpu, ms, fails, count, cpu, ms);
 	cr_assert_eq(
 	    job_parse(&request.spec, job->id, body, strlen(body), &err), 0);
+	job->sent_us = clock_now_us(clock_real());
 	holder_submit(holder, &request, rig_done, job);
 	return job;
 }
@@ -376,6 +380,40 @@
 	rig_destroy(rig);
 }
 
+/*
+ * Load: half of all orders get no answer and are carried out seconds later, at
+ * a third of the capacity. Callers are served nearly as if nothing was wrong.
+ */
+Test(holder, orders_without_an_answer_cost_callers_little)
+{
+	struct rig *rig = rig_create(11);
+	struct fake_worker_faults *faults = fake_worker_faults(rig->worker);
+	uint32_t i, in_time = 0;
+
+	faults->late_permille = 500;
+	faults->late_ms = 2000;
+	faults->orders_only = true;
+	rig_run(rig, 30);
+	for (i = 0; i < 40; i++) {
+		rig_submit(rig, 2, 27000, 60, 0);
+		rig_run(rig, 45);
+	}
+	rig_run(rig, 1500);
+	for (i = 0; i < 40; i++) {
+		if (rig->jobs[i].answered &&
+		    rig->jobs[i].result == HOLDER_COMPLETED &&
+		    rig->jobs[i].took_ms <= 2 * 156)
+			in_time++;
+	}
+	/*
+	 * Within twice the objective of 60 ms * 1.6 and 60 ms there is time
+	 * for five orders of 60 ms: 94 of 100 jobs of two tasks. Of 40 that is
+	 * 37.5, and 33 at three standard deviations below.
+	 */
+	cr_expect_geq(in_time, 33, "%u of 40", in_time);
+	rig_destroy(rig);
+}
+
 /* Random faults of all kinds, by seed; the model checks what must hold. */
 Test(holder, random_faults)
 {
