Holder: a lost answer to a hold is noticed soon after the next end is due

Ruled out: slow servers (other tasks there ended in time) and late starts (the run was answered). Change: a hold waits until 30 ms after the next end is expected, at least 60 ms, at most 300; 50 ms more without an answer is a loss, and the first one is followed by another hold at once. Test: test_holder, lost_answers_to_holds_cost_callers_little: 21 and 25 of 40 before, 32 wanted.

--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -19,6 +19,8 @@
 /* A long poll; the lease is renewed at its start, so at most a third of the
  * lease passes before the next renewal. */
 #define HLD_HOLD_WAIT_MS 300
+#define HLD_HOLD_SPARE_MS 30 /* after an end is expected */
+#define HLD_HOLD_WAIT_MIN_MS 60
 #define HLD_STOP_WAIT_MS 25 /* of holds while a stopped run is looked for */
 #define HLD_ACK_DELAY_MS 60 /* ends of an idle server are acknowledged */
 #define HLD_RETRY_MS 50	    /* after a call without an answer */
--- a/entry/jobs/holder_server.c
+++ b/entry/jobs/holder_server.c
@@ -369,7 +369,12 @@
 			log_event(LOG_LEVEL_WARN, "server-silent",
 			    "server=%s verdict=%d", server->info.id,
 			    (int)reply->verdict);
-		server->hold_due_us = now_us + HLD_RETRY_MS * HLD_US_PER_MS;
+		/* The first may just have been lost. */
+		if (server->misses == 1)
+			hld_server_hold(server, now_us);
+		else
+			server->hold_due_us =
+			    now_us + HLD_RETRY_MS * HLD_US_PER_MS;
 		return;
 	}
 	if (server->misses > HLD_MISSES_MAX)
@@ -399,6 +404,33 @@
 	return false;
 }
 
+/*
+ * The answer comes with the next end. It is asked for until a little after
+ * that is due, so that an answer that is lost costs no more.
+ */
+static uint32_t
+hld_wait_ms(const struct hld_server *server, uint64_t now_us)
+{
+	uint64_t due_us, first_us = now_us + HLD_HOLD_WAIT_MS * HLD_US_PER_MS;
+	const struct hld_task *task;
+
+	if (hld_awaits_stop(server))
+		return HLD_STOP_WAIT_MS;
+	TAILQ_FOREACH (task, &server->tasks, on_server) {
+		due_us = task->ordered_us +
+		    (uint64_t)hld_task_expected_ms(task) * HLD_US_PER_MS *
+			PLACE_SPEED_UNIT / (server->speed | 1);
+		if (task->ordered_us != 0 && due_us < first_us)
+			first_us = due_us;
+	}
+	first_us += HLD_HOLD_SPARE_MS * HLD_US_PER_MS;
+	if (first_us < now_us + HLD_HOLD_WAIT_MIN_MS * HLD_US_PER_MS)
+		return HLD_HOLD_WAIT_MIN_MS;
+	if (first_us > now_us + HLD_HOLD_WAIT_MS * HLD_US_PER_MS)
+		return HLD_HOLD_WAIT_MS;
+	return (uint32_t)((first_us - now_us) / HLD_US_PER_MS);
+}
+
 void
 hld_server_hold(struct hld_server *server, uint64_t now_us)
 {
@@ -420,8 +452,7 @@
 	/* Ends that are listed again would end a wait at once. */
 	if (busy && server->held && server->misses == 0 &&
 	    server->holder->loaded && server->acknowledged == server->seen)
-		hold.wait_ms = hld_awaits_stop(server) ? HLD_STOP_WAIT_MS
-						       : HLD_HOLD_WAIT_MS;
+		hold.wait_ms = hld_wait_ms(server, now_us);
 	server->hold_pending = true;
 	server->hold_sent_us = now_us;
 	server->hold_due_us = 0;
--- a/tests/support/fake_worker.c
+++ b/tests/support/fake_worker.c
@@ -190,6 +190,9 @@
 	if ((fake->faults.silent_mask >> link->index & 1) != 0) {
 		call->apply_ms = 0;
 		call->lost = true;
+	} else if (kind == FKW_HOLD &&
+	    fkw_chance(fake, fake->faults.holds_lost_permille)) {
+		call->lost = true;
 	} else if (kind == FKW_HOLD && fake->faults.orders_only) {
 		call->lost = false;
 	} else if (fkw_chance(fake, fake->faults.late_permille)) {
--- a/tests/support/fake_worker.h
+++ b/tests/support/fake_worker.h
@@ -17,8 +17,9 @@
 	uint32_t lost_permille; /* done, but the answer is lost */
 	uint32_t late_permille; /* no answer, done late_ms later */
 	uint32_t late_ms;
-	bool orders_only;     /* these do not concern holds */
-	uint32_t silent_mask; /* bit n: nothing reaches server n */
+	bool orders_only;	      /* these do not concern holds */
+	uint32_t holds_lost_permille; /* answers of holds alone */
+	uint32_t silent_mask;	      /* bit n: nothing reaches server n */
 };
 
 /** fake_worker_create() - server ids are "s0", "s1" and so on. */
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -414,6 +414,36 @@
 	rig_destroy(rig);
 }
 
+/*
+ * Load: a fifth of the answers to holds are lost, so that ends are not heard
+ * of, at a third of the capacity.
+ */
+Test(holder, lost_answers_to_holds_cost_callers_little)
+{
+	struct rig *rig = rig_create(12);
+	uint32_t i, in_time = 0;
+
+	fake_worker_faults(rig->worker)->holds_lost_permille = 200;
+	rig_run(rig, 30);
+	for (i = 0; i < 40; i++) {
+		rig_submit(rig, 2, 27000, 60, 0);
+		rig_run(rig, 45);
+	}
+	rig_run(rig, 1500);
+	for (i = 0; i < 40; i++) {
+		if (rig->jobs[i].answered &&
+		    rig->jobs[i].result == HOLDER_COMPLETED &&
+		    rig->jobs[i].took_ms <= 2 * 156)
+			in_time++;
+	}
+	/*
+	 * Within twice the objective one answer may be lost, not two in a row:
+	 * 92 of 100 jobs of two tasks; 32 of 40 three deviations below.
+	 */
+	cr_expect_geq(in_time, 32, "%u of 40", in_time);
+	rig_destroy(rig);
+}
+
 /* Random faults of all kinds, by seed; the model checks what must hold. */
 Test(holder, random_faults)
 {
