--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -18,6 +18,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "adapters/clock_real.h"
 #include "soak.h"
 #include "support/cluster.h"
 #include "support/standin.h"
@@ -30,6 +31,7 @@
 #define SOAK_WARM_MS 2500
 #define SOAK_CALM_MS 7000 /* after the last fault has ended */
 #define SOAK_CALM_JOBS 40
+#define SOAK_TIMES_MS 400 /* between the times of one job */
 
 static void
 soak_violation(struct soak *soak, const struct soak_job *job, const char *what)
@@ -86,7 +88,7 @@
 	struct soak_host *host = &soak->hosts[soak_random(soak, SOAK_HOSTS)];
 	const struct hcl_header headers[] = { { "Host", "localhost" },
 		{ "Deadline-Ms", "1500" } };
-	char path[64], body[512];
+	char path[64], body[512], times[96] = "", gang[16] = "";
 	const struct hcl_request request = {
 		.method = EVHTTP_REQ_POST,
 		.path = path,
@@ -101,11 +103,21 @@
 	(void)what;
 	job->attempts++;
 	snprintf(path, sizeof(path), "/jobs/%s", job->id);
+	if (job->times > 1)
+		snprintf(times, sizeof(times),
+		    "\"max_runs\":%u,\"start_at_ms\":%llu,"
+		    "\"interval_ms\":%u,",
+		    job->times, (unsigned long long)job->start_ms,
+		    SOAK_TIMES_MS);
+	if (job->gang)
+		snprintf(gang, sizeof(gang), " gang=%u", job->ntasks);
 	snprintf(body, sizeof(body),
-	    "{\"spec\":\"cpu=27000 ms=%u fail=0\",%s\"steps\":[{\"count\":%u,"
-	    "\"cpu\":27000,\"mem_mb\":16,\"estimated_ms\":%u}]}",
-	    job->work_ms, job->stored ? "" : "\"best_effort\":true,",
-	    job->ntasks, job->work_ms);
+	    "{\"spec\":\"cpu=27000 ms=%u fail=0%s\",%s%s\"steps\":[{"
+	    "\"count\":%u,\"cpu\":27000,\"mem_mb\":16,"
+	    "\"estimated_ms\":%u,\"gang_scheduled\":%s}]}",
+	    job->work_ms, gang, times,
+	    job->stored ? "" : "\"best_effort\":true,", job->ntasks,
+	    job->work_ms, job->gang ? "true" : "false");
 	sent.body_len = strlen(body);
 	hcl_call(host->hcl, &sent, soak_answer, job);
 }
@@ -121,6 +133,10 @@
 	job->work_ms = 20 + soak_random(soak, 120);
 	snprintf(job->id, sizeof(job->id), "%c%015x", job->stored ? 'f' : '0',
 	    ++soak->njobs);
+	/* Some are gangs, some stored ones run three times, by their number. */
+	job->gang = soak->njobs % 8 == 1 && job->ntasks > 1;
+	job->times = soak->njobs % 8 == 5 && job->stored ? 3 : 1;
+	job->start_ms = clock_wall_ms(clock_real());
 	job->timer = evtimer_new(soak->base, soak_send, job);
 	TAILQ_INSERT_TAIL(&soak->jobs, job, entry);
 	soak_send(-1, 0, job);
@@ -168,13 +184,14 @@
 
 /* Starts and good ends of a task, as the servers saw them. */
 static void
-soak_task(struct soak *soak, const struct soak_job *job, uint32_t index,
+soak_task(struct soak *soak, const struct soak_job *job, uint32_t number,
     int64_t *starts, int64_t *dones)
 {
 	struct clu_reply reply;
 	char path[96];
 
-	snprintf(path, sizeof(path), "/task?name=%s.0.0.%u", job->id, index);
+	snprintf(path, sizeof(path), "/task?name=%s.%u.0.%u", job->id,
+	    number / job->ntasks, number % job->ntasks);
 	clu_http(soak->store_port, "GET", path, NULL, NULL, 3000, &reply);
 	*starts = sti_int(reply.json, "starts", -1);
 	*dones = sti_int(reply.json, "done", -1);
@@ -219,7 +236,7 @@
 
 	if (job->accepted)
 		soak_check_stored(soak, job);
-	for (i = 0; i < job->ntasks; i++) {
+	for (i = 0; i < job->times * job->ntasks; i++) {
 		soak_task(soak, job, i, &starts, &dones);
 		started = started || starts > 0;
 		whole = whole && dones > 0;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -36,7 +36,10 @@
 	struct soak *soak;
 	char id[17];
 	bool stored;
-	uint32_t ntasks;
+	uint32_t ntasks; /* each time */
+	bool gang;
+	uint32_t times;	   /* that its step runs */
+	uint64_t start_ms; /* wall clock, of the first of several times */
 	uint32_t work_ms;
 	int attempts;
 	int refused; /* attempts answered "not run" */
