berylrail explain: a request's way through the logs

The command keeps the request's lines and those of the hosts and servers on its way, within its time, and the last word of each of these hosts on who holds its servers.

--- a/client/cli.c
+++ b/client/cli.c
@@ -22,6 +22,7 @@
 	{ "history", cli_history, "the audit trail of changes" },
 	{ "submit", cli_submit, "JOB [-f FILE | --tasks=N --body=TEXT]" },
 	{ "cancel", cli_cancel, "ID: cancel a submission" },
+	{ "explain", cli_explain, "ID [LOG...]: its way through the logs" },
 	{ "status", cli_status, "[ID]: a submission, or the entry hosts" },
 };
 
--- a/client/cli_internal.h
+++ b/client/cli_internal.h
@@ -108,6 +108,7 @@
 };
 
 int cli_get(struct cli *cli, int argc, char **argv);
+int cli_explain(struct cli *cli, int argc, char **argv);
 int cli_label(struct cli *cli, int argc, char **argv);
 int cli_drain(struct cli *cli, int argc, char **argv);
 int cli_undrain(struct cli *cli, int argc, char **argv);
--- /dev/null
+++ b/client/explain.c
@@ -0,0 +1,307 @@
+/*
+ * The way of one request through the logs. Lines are read once: those of the
+ * request are kept, and those that say what a host believed; of the latter only
+ * those are printed that concern a host or server on the way, within its time.
+ */
+
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "berylrail/limits.h"
+#include "client/explain.h"
+#include "core/mem.h"
+
+#define EXP_BEFORE_MS 1000 /* what led to it may have been logged so long ago */
+#define EXP_AFTER_MS 200
+#define EXP_DAY_MS 86400000ULL
+#define EXP_STAMP_LEN 21 /* "YYYYMMDD HH:MM:SS.mmm" */
+
+struct exp_line {
+	char *text; /* from its time on */
+	uint64_t ms;
+	size_t number; /* as read: order among equal times */
+	bool own;
+};
+
+struct exp_names {
+	char (*names)[NAME_SIZE];
+	size_t n;
+};
+
+struct explain {
+	char *id;
+	struct exp_line *lines;
+	size_t nlines;
+	struct exp_names hosts;
+	struct exp_names servers;
+};
+
+/* Events that say what a host believes; others are of single requests. */
+static const char *const exp_context[] = { "cell-held", "cell-left", "fenced",
+	"holder-chosen", "host-silent", "host-answers", "server-silent",
+	"server-answers", "server-lost", "server-restarted", "server-gone",
+	"server-ejected", "server-readmitted", "store-lost", "store-regained",
+	"store-history-gone", "configuration-applied", "partition-lost",
+	"partition-owned", "stored-jobs-read", "woken", "started", "draining",
+	"stopped" };
+
+struct explain *
+explain_create(const char *id)
+{
+	struct explain *explain = mem_zalloc(1, sizeof(*explain));
+
+	explain->id = mem_strndup(id, strlen(id));
+	return explain;
+}
+
+void
+explain_destroy(struct explain *explain)
+{
+	size_t i;
+
+	for (i = 0; i < explain->nlines; i++)
+		free(explain->lines[i].text);
+	free(explain->lines);
+	free(explain->hosts.names);
+	free(explain->servers.names);
+	free(explain->id);
+	free(explain);
+}
+
+/* Copies the value of " KEY=" to @value. Return: false if there is none. */
+static bool
+exp_value(const char *line, const char *key, char value[NAME_SIZE])
+{
+	const char *found = line;
+	size_t len = strlen(key);
+
+	while ((found = strstr(found, key)) != NULL) {
+		if (found > line && found[-1] == ' ' && found[len] == '=')
+			break;
+		found += len;
+	}
+	if (found == NULL)
+		return false;
+	found += len + 1;
+	len = strcspn(found, " \n");
+	if (len >= NAME_SIZE)
+		return false;
+	memcpy(value, found, len);
+	value[len] = '\0';
+	return true;
+}
+
+static bool
+exp_known(const struct exp_names *names, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < names->n; i++) {
+		if (strcmp(names->names[i], name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+exp_note(struct exp_names *names, const char *line, const char *key)
+{
+	char name[NAME_SIZE];
+
+	if (!exp_value(line, key, name) || exp_known(names, name))
+		return;
+	names->names = reallocarray(names->names, names->n + 1, NAME_SIZE);
+	if (names->names == NULL)
+		abort();
+	strlcpy(names->names[names->n++], name, NAME_SIZE);
+}
+
+/* The time of a line stands before its level; -1 if there is none. */
+static int
+exp_time(const char *line, const char **start, uint64_t *ms)
+{
+	unsigned int date, hour, minute, second, part;
+	const char *found = strstr(line, " event=");
+	const char *at;
+
+	if (found == NULL)
+		return -1;
+	for (at = line; at + EXP_STAMP_LEN <= found; at++) {
+		if (at[8] == ' ' && at[11] == ':' && at[14] == ':' &&
+		    sscanf(at, "%8u %2u:%2u:%2u.%3u", &date, &hour, &minute,
+			&second, &part) == 5) {
+			*start = at;
+			*ms = date % 100 * EXP_DAY_MS +
+			    ((hour * 60ULL + minute) * 60 + second) * 1000 +
+			    part;
+			return 0;
+		}
+	}
+	return -1;
+}
+
+static bool
+exp_is_own(const struct explain *explain, const char *line)
+{
+	const char *found = strstr(line, explain->id);
+	size_t len = strlen(explain->id);
+
+	return found != NULL && found > line && found[-1] == '=' &&
+	    (found[len] == ' ' || found[len] == '.' || found[len] == '\n' ||
+		found[len] == '\0');
+}
+
+static bool
+exp_is_context(const char *line)
+{
+	char event[NAME_SIZE];
+	size_t i;
+
+	if (!exp_value(line, "event", event))
+		return false;
+	for (i = 0; i < sizeof(exp_context) / sizeof(exp_context[0]); i++) {
+		if (strcmp(event, exp_context[i]) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+exp_take(struct explain *explain, const char *line)
+{
+	bool own = exp_is_own(explain, line);
+	struct exp_line *kept;
+	const char *start;
+	uint64_t ms;
+
+	if ((!own && !exp_is_context(line)) ||
+	    exp_time(line, &start, &ms) == -1)
+		return;
+	if ((explain->nlines & (explain->nlines - 1)) == 0) {
+		explain->lines = reallocarray(explain->lines,
+		    explain->nlines == 0 ? 1 : explain->nlines * 2,
+		    sizeof(*explain->lines));
+		if (explain->lines == NULL)
+			abort();
+	}
+	kept = &explain->lines[explain->nlines++];
+	kept->text = mem_strndup(start, strcspn(start, "\n"));
+	kept->ms = ms;
+	kept->number = explain->nlines;
+	kept->own = own;
+	if (!own)
+		return;
+	exp_note(&explain->hosts, line, "host");
+	exp_note(&explain->hosts, line, "holder");
+	exp_note(&explain->hosts, line, "from");
+	exp_note(&explain->hosts, line, "to");
+	exp_note(&explain->hosts, line, "next");
+	exp_note(&explain->servers, line, "server");
+}
+
+int
+explain_read(struct explain *explain, FILE *log)
+{
+	char *line = NULL;
+	size_t size = 0;
+
+	while (getline(&line, &size, log) != -1)
+		exp_take(explain, line);
+	free(line);
+	return ferror(log) ? -1 : 0;
+}
+
+static int
+exp_compare(const void *a, const void *b)
+{
+	const struct exp_line *first = a, *second = b;
+
+	if (first->ms != second->ms)
+		return first->ms < second->ms ? -1 : 1;
+	return first->number < second->number ? -1 : 1;
+}
+
+/* Does it concern a server on the way, or else a host on it? */
+static bool
+exp_concerns(const struct explain *explain, const struct exp_line *line)
+{
+	char name[NAME_SIZE];
+
+	if (line->own)
+		return true;
+	if (exp_value(line->text, "server", name))
+		return exp_known(&explain->servers, name);
+	return exp_value(line->text, "host", name) &&
+	    exp_known(&explain->hosts, name);
+}
+
+/* The last word of a host on who holds its servers, however long before. */
+static bool
+exp_is_last_choice(const struct explain *explain, size_t index,
+    uint64_t until_ms)
+{
+	const struct exp_line *line = &explain->lines[index];
+	char host[NAME_SIZE], other[NAME_SIZE];
+	size_t i;
+
+	if (strstr(line->text, "event=holder-chosen ") == NULL ||
+	    !exp_value(line->text, "host", host))
+		return false;
+	for (i = index + 1; i < explain->nlines; i++) {
+		line = &explain->lines[i];
+		if (line->ms > until_ms)
+			break;
+		if (strstr(line->text, "event=holder-chosen ") != NULL &&
+		    exp_value(line->text, "host", other) &&
+		    strcmp(host, other) == 0)
+			return false;
+	}
+	return true;
+}
+
+static void
+exp_print_end(const struct exp_line *last, FILE *out)
+{
+	char outcome[NAME_SIZE] = "none";
+	const char *reason = strstr(last->text, "reason=");
+
+	(void)exp_value(last->text, "outcome", outcome);
+	fprintf(out, "ended: %s%s%s\n", outcome, reason == NULL ? "" : ", ",
+	    reason == NULL ? "" : reason);
+}
+
+size_t
+explain_print(struct explain *explain, FILE *out)
+{
+	const struct exp_line *line, *first = NULL, *last = NULL, *answer = NULL;
+	size_t i, n = 0;
+
+	if (explain->nlines > 0)
+		qsort(explain->lines, explain->nlines, sizeof(*explain->lines),
+		    exp_compare);
+	for (i = 0; i < explain->nlines; i++) {
+		line = &explain->lines[i];
+		if (!line->own)
+			continue;
+		n++;
+		first = first == NULL ? line : first;
+		last = line;
+		if (strstr(line->text, " event=answer ") != NULL)
+			answer = line;
+	}
+	for (i = 0; i < explain->nlines && n > 0; i++) {
+		line = &explain->lines[i];
+		if (line->ms > last->ms + EXP_AFTER_MS ||
+		    !exp_concerns(explain, line) ||
+		    (line->ms + EXP_BEFORE_MS < first->ms &&
+			!exp_is_last_choice(explain, i, first->ms)))
+			continue;
+		fprintf(out, "%+6lld ms %s %s\n",
+		    (long long)line->ms - (long long)first->ms,
+		    line->own ? " " : "|", strstr(line->text, "event="));
+	}
+	if (n > 0)
+		exp_print_end(answer == NULL ? last : answer, out);
+	return n;
+}
