Lint: what the analyzer could not follow

A call whose connection is gone ends with the refused ones; the first unstored end is handed on; the number of tasks of a time is kept. No change of what is done.

--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -34,6 +34,7 @@
 	char *path;
 	uint64_t connection; /* that it asks for; 0: any */
 	bool sent;
+	const char *refusal; /* why it is not sent; NULL: it is */
 	struct event *timer;
 	hcl_done_fn done;
 	void (*drop)(void *arg);
@@ -57,7 +58,7 @@
 	struct hcl_params params;
 	char peer[HCL_PEER_SIZE];
 	struct hcl_calls waiting;
-	struct hcl_calls refused; /* ended at once, for want of room */
+	struct hcl_calls refused; /* ended by the next deferred event */
 	size_t nwaiting;
 	struct hcl_conns idle;
 	struct hcl_conns busy;
@@ -222,6 +223,16 @@
 	    (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/* Ends a call that is in no list, from the next deferred event. */
+static void
+hcl_call_refuse(struct hcl_call *call, const char *reason)
+{
+	(void)event_del(call->timer);
+	call->refusal = reason;
+	TAILQ_INSERT_TAIL(&call->hcl->refused, call, entry);
+	hcl_wake(call->hcl);
+}
+
 /* Sends a call on a connection; evhttp owns the request from here. */
 static void
 hcl_call_send(struct hcl_call *call, struct hcl_conn *conn)
@@ -236,7 +247,7 @@
 		call->path) == 0)
 		return;
 	hcl_conn_release(conn, false);
-	hcl_call_fail(call, "request could not be made", false);
+	hcl_call_refuse(call, "request could not be made");
 }
 
 static struct hcl_conn *
@@ -257,21 +268,15 @@
 	return hcl_conn_find_idle(hcl, connection) != NULL;
 }
 
-/* Starts a call that asked for a certain connection, or ends it. */
-static void
-hcl_call_send_on(struct hcl_call *call)
+/* A certain connection, in no list; NULL if it is not idle and open. */
+static struct hcl_conn *
+hcl_conn_take(struct hcl *hcl, uint64_t number)
 {
-	struct hcl *hcl = call->hcl;
-	struct hcl_conn *conn = hcl_conn_find_idle(hcl, call->connection);
+	struct hcl_conn *conn = hcl_conn_find_idle(hcl, number);
 
-	TAILQ_REMOVE(&hcl->waiting, call, entry);
-	hcl->nwaiting--;
-	if (conn == NULL) {
-		hcl_call_fail(call, "its connection is gone", false);
-		return;
-	}
-	TAILQ_REMOVE(&hcl->idle, conn, entry);
-	hcl_call_send(call, conn);
+	if (conn != NULL)
+		TAILQ_REMOVE(&hcl->idle, conn, entry);
+	return conn;
 }
 
 /* An idle connection or a new one, in no list; NULL if there is none. */
@@ -377,19 +382,20 @@
 	}
 	while ((call = TAILQ_FIRST(&hcl->refused)) != NULL) {
 		TAILQ_REMOVE(&hcl->refused, call, entry);
-		hcl_call_fail(call, "too many calls are waiting", false);
+		hcl_call_fail(call, call->refusal, false);
 	}
 	while ((call = TAILQ_FIRST(&hcl->waiting)) != NULL) {
-		if (call->connection != 0) {
-			hcl_call_send_on(call);
-			continue;
-		}
-		conn = hcl_conn_get(hcl);
-		if (conn == NULL)
+		conn = call->connection == 0
+		    ? hcl_conn_get(hcl)
+		    : hcl_conn_take(hcl, call->connection);
+		if (conn == NULL && call->connection == 0)
 			return;
 		TAILQ_REMOVE(&hcl->waiting, call, entry);
 		hcl->nwaiting--;
-		hcl_call_send(call, conn);
+		if (conn != NULL)
+			hcl_call_send(call, conn);
+		else
+			hcl_call_refuse(call, "its connection is gone");
 	}
 }
 
@@ -443,7 +449,7 @@
 	if (call->path == NULL || call->timer == NULL)
 		abort();
 	if (hcl->nwaiting >= hcl->params.waiting_max) {
-		TAILQ_INSERT_TAIL(&hcl->refused, call, entry);
+		hcl_call_refuse(call, "too many calls are waiting");
 	} else {
 		(void)event_add(call->timer, &limit);
 		TAILQ_INSERT_TAIL(&hcl->waiting, call, entry);
--- a/client/explain.c
+++ b/client/explain.c
@@ -12,7 +12,7 @@
 #include "client/explain.h"
 #include "core/mem.h"
 
-#define EXP_BEFORE_MS 1000 /* what led to it may have been logged so long ago */
+#define EXP_BEFORE_MS 1000 /* its causes may have been logged before */
 #define EXP_AFTER_MS 200
 #define EXP_DAY_MS 86400000ULL
 #define EXP_STAMP_LEN 21 /* "YYYYMMDD HH:MM:SS.mmm" */
@@ -274,7 +274,8 @@
 size_t
 explain_print(struct explain *explain, FILE *out)
 {
-	const struct exp_line *line, *first = NULL, *last = NULL, *answer = NULL;
+	const struct exp_line *line, *first = NULL, *last = NULL,
+				     *answer = NULL;
 	size_t i, n = 0;
 
 	if (explain->nlines > 0)
--- a/entry/jobs/holder_server.c
+++ b/entry/jobs/holder_server.c
@@ -196,27 +196,28 @@
  * was passed over while its job may still be read.
  */
 static void
-hld_acknowledge(struct hld_server *server)
+hld_acknowledge(struct hld_server *server, const struct hld_unstored *first)
 {
-	const struct hld_unstored *first = TAILQ_FIRST(&server->unstored);
-
 	server->acknowledged = server->seen;
 	if (first != NULL && first->number <= server->seen)
 		server->acknowledged = first->number - 1;
 }
 
-/* Drops the ends that are stored now. */
-static void
+/* Drops the ends that are stored now. Return: the first of the others. */
+static const struct hld_unstored *
 hld_unstored_settle(struct hld_server *server, const char *id, uint64_t seq)
 {
-	struct hld_unstored *end, *next;
+	struct hld_unstored *end, *next, *first = NULL;
 
 	TAILQ_FOREACH_SAFE (end, &server->unstored, entry, next) {
 		if (end->seq <= seq && strcmp(end->id, id) == 0) {
 			TAILQ_REMOVE(&server->unstored, end, entry);
 			free(end);
+		} else if (first == NULL) {
+			first = end;
 		}
 	}
+	return first;
 }
 
 void
@@ -225,8 +226,7 @@
 	struct hld_server *server;
 
 	TAILQ_FOREACH (server, &holder->servers, entry) {
-		hld_unstored_settle(server, id, seq);
-		hld_acknowledge(server);
+		hld_acknowledge(server, hld_unstored_settle(server, id, seq));
 		if (server->hold_pending ||
 		    server->acknowledged == server->told)
 			continue;
@@ -316,7 +316,7 @@
 		hld_list_ended(server, &reply->ended[i]);
 	for (i = 0; i < reply->nrunning; i++)
 		hld_list_running(server, &reply->running[i], now_us);
-	hld_acknowledge(server);
+	hld_acknowledge(server, TAILQ_FIRST(&server->unstored));
 	hld_reconcile(server, server->hold_sent_us, now_us);
 	if (!server->held) {
 		server->held = true;
--- a/entry/jobs/keeper_internal.h
+++ b/entry/jobs/keeper_internal.h
@@ -49,7 +49,8 @@
 	uint64_t stored_seq;
 	struct kpr_time *times; /* of ntimes; NULL until it is started */
 	uint32_t ntimes;
-	uint32_t nsubmitted; /* of them, in order */
+	uint32_t time_ntasks; /* tasks of each */
+	uint32_t nsubmitted;  /* of them, in order */
 	uint32_t nended;
 	bool scheduled;	      /* times are to be submitted yet */
 	uint64_t start_at_ms; /* wall clock */
--- a/entry/jobs/keeper_times.c
+++ b/entry/jobs/keeper_times.c
@@ -43,7 +43,7 @@
 		.resubmitted = resubmitted,
 		.stored = true,
 		.patience_ms = KPR_PATIENCE_MS };
-	uint32_t first = time * (job->record.ntasks / job->ntimes);
+	uint32_t first = time * job->time_ntasks;
 	struct err err;
 
 	if (job->start_at_ms != 0)
@@ -65,10 +65,10 @@
 static bool
 kpr_time_done(const struct kpr_job *job, uint32_t time)
 {
-	uint32_t i, n = job->record.ntasks / job->ntimes;
+	uint32_t i, first = time * job->time_ntasks;
 
-	for (i = 0; i < n; i++) {
-		if (job->record.done[time * n + i] == 0)
+	for (i = 0; i < job->time_ntasks; i++) {
+		if (job->record.done[first + i] == 0)
 			return false;
 	}
 	return true;
@@ -128,6 +128,7 @@
 		return;
 	}
 	job->ntimes = spec.times;
+	job->time_ntasks = spec.ntasks;
 	job->start_at_ms = spec.start_at_ms;
 	job->interval_ms = spec.interval_ms;
 	job_spec_release(&spec);
--- a/tests/test_explain.c
+++ b/tests/test_explain.c
@@ -10,7 +10,8 @@
 #include "client/explain.h"
 
 #define ID "00000000000000aa"
-#define LINE(time, rest) "20261204 10:13:" time " INFO     berylrail- " rest "\n"
+#define LINE(time, rest) \
+	"20261204 10:13:" time " INFO     berylrail- " rest "\n"
 
 static char *
 explain(const char *const *logs, size_t nlogs, size_t *found)
@@ -48,8 +49,7 @@
 	};
 	static const char want[] =
 	    "    +0 ms   event=accept host=h2 id=" ID " queue=q\n"
-	    "   +10 ms   event=run-start host=h1 id=" ID
-	    " task=0.0 server=s3\n"
+	    "   +10 ms   event=run-start host=h1 id=" ID " task=0.0 server=s3\n"
 	    "  +500 ms | event=server-silent host=h1 server=s3\n"
 	    "  +900 ms   event=answer host=h2 id=" ID
 	    " outcome=not-run reason=\"no room in time\"\n"
@@ -66,12 +66,14 @@
 {
 	static const char *const logs[] = {
 		LINE("39.000", "event=holder-chosen host=h1 holder=h2 token=5")
-		LINE("39.500", "event=holder-chosen host=h1 holder=h1 token=0")
-		LINE("40.000", "event=cell-held host=h1 token=7")
-		    LINE("43.500", "event=cell-left host=h1 token=7")
-			LINE("44.000", "event=accept host=h1 id=" ID)
-			    LINE("44.000", "event=orphan host=h1 task=" ID
-					   ".0.0.1 server=s1"),
+		    LINE("39.500",
+			"event=holder-chosen host=h1 holder=h1 token=0")
+			LINE("40.000", "event=cell-held host=h1 token=7")
+			    LINE("43.500", "event=cell-left host=h1 token=7")
+				LINE("44.000", "event=accept host=h1 id=" ID)
+				    LINE("44.000",
+					"event=orphan host=h1 task=" ID
+					".0.0.1 server=s1"),
 	};
 	size_t found;
 	char *text = explain(logs, 1, &found);
@@ -88,9 +90,8 @@
 
 Test(explain, unknown_request_has_no_way)
 {
-	static const char *const logs[] = { "no log line at all " ID
-					    "\n" LINE("40.000",
-						"event=accept host=h1 id=b") };
+	static const char *const logs[] = { "no log line at all " ID "\n" LINE(
+	    "40.000", "event=accept host=h1 id=b") };
 	size_t found;
 	char *text = explain(logs, 1, &found);
 
