--- a/core/histogram.c
+++ b/core/histogram.c
@@ -9,6 +9,15 @@
 
 static TAILQ_HEAD(, histogram) hist_list = TAILQ_HEAD_INITIALIZER(hist_list);
 
+void
+hist_register(struct histogram *hist)
+{
+	if (hist->registered)
+		return;
+	hist->registered = 1;
+	TAILQ_INSERT_TAIL(&hist_list, hist, entry);
+}
+
 void
 hist_add(struct histogram *hist, uint64_t value)
 {
@@ -20,10 +29,7 @@
 	}
 	hist->counts[i]++;
 	hist->sum += value;
-	if (!hist->registered) {
-		hist->registered = 1;
-		TAILQ_INSERT_TAIL(&hist_list, hist, entry);
-	}
+	hist_register(hist);
 }
 
 void
--- a/core/histogram.h
+++ b/core/histogram.h
@@ -25,6 +25,9 @@
 /** hist_add() - count one value, in units. */
 void hist_add(struct histogram *hist, uint64_t value);
 
+/** hist_register() - show it from now on, also without a value. */
+void hist_register(struct histogram *hist);
+
 /** hist_render() - write it in Prometheus' text form. */
 void hist_render(const struct histogram *hist,
     void (*emit)(void *arg, const char *text, size_t len), void *arg);
--- a/entry/api_health.c
+++ b/entry/api_health.c
@@ -112,6 +112,7 @@
 	ctr_set(&api_running_gauge, call->api->nrunning);
 	ctr_set(&api_kept_gauge, clm_bytes(call->api->claims));
 	ctr_render(api_metrics_emit, buffer);
+	hist_register(&api_response);
 	hist_render_all(api_metrics_emit, buffer);
 	reply.body_len = evbuffer_get_length(buffer);
 	reply.body = evbuffer_pullup(buffer, -1);
