Holder: a second try of a start does not settle the first one

A second one refused as old meant to the holder that nothing had run, though the run was over and its end not heard yet; one refused for want of room let the task go elsewhere while the first could still come. Either runs a task twice. Change: refused as old, the run is left to the next lists; refused otherwise, it is stopped first, as before starts were sent again. Test: test_holder_stored, two cases, the first seen to fail before.

--- a/entry/jobs/holder_run.c
+++ b/entry/jobs/holder_run.c
@@ -456,6 +456,15 @@
 			hld_run_stop(task);
 	} else if (reply->verdict == WORKER_NO_ANSWER) {
 		hld_start_unanswered(task);
+	} else if (reply->verdict == WORKER_OLD && task->tries > 1) {
+		/* An earlier try was carried out and is over: the next lists
+		 * tell how it ended. */
+		task->state = HLD_RUNNING;
+		if (!server->hold_pending)
+			hld_server_hold(server, hld_now(holder));
+	} else if (task->tries > 1) {
+		/* An earlier try may still be carried out. */
+		hld_run_stop(task);
 	} else {
 		hld_start_refused(task, reply->verdict);
 	}
--- a/tests/test_holder_stored.c
+++ b/tests/test_holder_stored.c
@@ -27,6 +27,9 @@
 	struct event_base *base;
 	struct worker_link link;
 	struct holder *holder;
+	uint32_t starts, stops;
+	worker_done_fn start_done; /* of the first task's last start */
+	void *start_arg;
 	worker_done_fn hold_done;
 	void *hold_arg;
 	uint64_t acknowledged; /* by the last hold */
@@ -50,22 +53,29 @@
 rig_start(struct worker_link *link, const struct worker_start *order,
     worker_done_fn done, void *arg)
 {
-	(void)link;
-	(void)order;
-	(void)done;
-	(void)arg;
+	struct rig *rig =
+	    (struct rig *)((char *)link - offsetof(struct rig, link));
+
+	if (strcmp(order->task, ID_A ".0.0.0") != 0)
+		return;
+	rig->starts++;
+	rig->start_done = done;
+	rig->start_arg = arg;
 }
 
 static void
 rig_stop(struct worker_link *link, const char *task, uint64_t run_id,
     uint64_t token, worker_done_fn done, void *arg)
 {
-	(void)link;
-	(void)task;
+	struct rig *rig =
+	    (struct rig *)((char *)link - offsetof(struct rig, link));
+
 	(void)run_id;
 	(void)token;
 	(void)done;
 	(void)arg;
+	if (strcmp(task, ID_A ".0.0.0") == 0)
+		rig->stops++;
 }
 
 static void
@@ -336,3 +346,48 @@
 	cr_expect_eq(rig->progress, 1);
 	rig_destroy(rig);
 }
+
+/* The first try was carried out, and its run is over before the second one. */
+Test(holder_stored, run_of_an_unanswered_start_is_not_started_again)
+{
+	const struct worker_ended end = { 1, ID_A ".0.0.0", 641,
+		WORKER_END_DONE, "" };
+	const struct worker_reply lost = { .verdict = WORKER_NO_ANSWER },
+				  old = { .verdict = WORKER_OLD };
+	struct rig *rig = rig_create();
+
+	holder_set_complete(rig->holder, true);
+	rig_submit(rig, ID_A);
+	holder_set_loaded(rig->holder);
+	rig_answer(rig, NULL, 0, NULL, 0);
+	cr_assert_eq(rig->starts, 1);
+	rig->start_done(rig->start_arg, &lost);
+	cr_assert_eq(rig->starts, 2, "it is sent again");
+	rig->start_done(rig->start_arg, &old);
+	rig_run(rig);
+	cr_expect_eq(rig->starts, 2, "a run that is over was started again");
+	rig_answer(rig, NULL, 0, &end, 1);
+	cr_expect_eq(rig->progress, 1);
+	cr_expect_eq(rig->starts, 2);
+	rig_destroy(rig);
+}
+
+/* The first try may be carried out seconds later: a stop forestalls it. */
+Test(holder_stored, refused_second_try_does_not_settle_the_first_one)
+{
+	const struct worker_reply lost = { .verdict = WORKER_NO_ANSWER },
+				  full = { .verdict = WORKER_NO_ROOM };
+	struct rig *rig = rig_create();
+
+	holder_set_complete(rig->holder, true);
+	rig_submit(rig, ID_A);
+	holder_set_loaded(rig->holder);
+	rig_answer(rig, NULL, 0, NULL, 0);
+	rig->start_done(rig->start_arg, &lost);
+	cr_assert_eq(rig->starts, 2);
+	rig->start_done(rig->start_arg, &full);
+	rig_run(rig);
+	cr_expect_eq(rig->stops, 1);
+	cr_expect_eq(rig->starts, 2, "it was started elsewhere");
+	rig_destroy(rig);
+}
