Holder: ends listed again wait for the store again

The job was done with by then, so that nobody waited for them: they were acknowledged, h4 was killed, and the next holder ran both tasks again. Ruled out: the lists after a take-over (h5 and h3 read all of them), the connection, the order of ends (berylrail explain and the server's lines). Change: of an end that does not count any more the keeper is asked whether the job's newest value is stored; it is acknowledged with that. Test: test_holder_stored, end_listed_again_waits_for_the_store_again.

--- a/entry/jobs/holder.h
+++ b/entry/jobs/holder.h
@@ -54,6 +54,10 @@
 	 */
 	uint64_t (*progress)(void *arg, const char *id, uint32_t task,
 	    uint64_t run_id, bool done);
+	/* The number of the job's newest progress or end that is not stored
+	 * yet, 0 if all is stored; also of jobs that the holder is done with.
+	 */
+	uint64_t (*unstored)(void *arg, const char *id);
 	/* The servers have seen a higher token. */
 	void (*fenced)(void *arg);
 	void *arg;
--- a/entry/jobs/holder_server.c
+++ b/entry/jobs/holder_server.c
@@ -260,6 +260,24 @@
 	TAILQ_INSERT_TAIL(&server->unstored, end, entry);
 }
 
+/*
+ * A server that was lost for a while lists its ends again: they were counted,
+ * but may not be stored yet.
+ */
+static uint64_t
+hld_counted_before(const struct holder *holder,
+    const struct worker_ended *ended)
+{
+	char id[JOB_ID_LEN + 1];
+
+	if (holder->params.unstored == NULL ||
+	    strlen(ended->task) <= JOB_ID_LEN)
+		return 0;
+	memcpy(id, ended->task, JOB_ID_LEN);
+	id[JOB_ID_LEN] = '\0';
+	return holder->params.unstored(holder->params.arg, id);
+}
+
 static void
 hld_list_ended(struct hld_server *server, const struct worker_ended *ended)
 {
@@ -279,6 +297,8 @@
 		seq = hld_run_ended(task, ended->how);
 	else if (task != NULL)
 		seq = hld_ended_before(task, ended);
+	if (seq == 0)
+		seq = hld_counted_before(server->holder, ended);
 	if (server->holder->loaded)
 		server->seen = ended->number;
 	if (seq != 0)
--- a/entry/jobs/keeper.c
+++ b/entry/jobs/keeper.c
@@ -131,6 +131,7 @@
 
 	seq = ledger_put(job->keeper->ledger, job->id, value, len);
 	free(value);
+	job->newest_seq = seq;
 	return seq;
 }
 
@@ -294,6 +295,16 @@
 	return kpr_store(job);
 }
 
+uint64_t
+keeper_unstored(void *arg, const char *id)
+{
+	const struct kpr_job *job = kpr_find(arg, id);
+
+	return job == NULL || job->newest_seq <= job->stored_seq
+	    ? 0
+	    : job->newest_seq;
+}
+
 /* What to say of a job that is not known to be stored; @job may be NULL. */
 static enum keeper_result
 kpr_missing(const struct keeper *keeper, const struct kpr_job *job)
--- a/entry/jobs/keeper.h
+++ b/entry/jobs/keeper.h
@@ -75,4 +75,8 @@
 uint64_t keeper_progress(void *keeper, const char *id, uint32_t task,
     uint64_t run_id, bool done);
 
+/** keeper_unstored() - for the holder: the job's newest value that is not
+ * stored yet, or 0. */
+uint64_t keeper_unstored(void *keeper, const char *id);
+
 #endif /* ENTRY_JOBS_KEEPER_H */
--- a/entry/jobs/keeper_internal.h
+++ b/entry/jobs/keeper_internal.h
@@ -47,6 +47,7 @@
 	bool stored;	    /* its row is known to be there */
 	uint64_t ended_seq; /* the value that says so; 0: not ended here */
 	uint64_t stored_seq;
+	uint64_t newest_seq;	/* given to the ledger last */
 	struct kpr_time *times; /* of ntimes; NULL until it is started */
 	uint32_t ntimes;
 	uint32_t time_ntasks; /* tasks of each */
--- a/entry/jobs/work.c
+++ b/entry/jobs/work.c
@@ -239,6 +239,14 @@
 	return keeper_progress(work->keeper, id, task, run_id, done);
 }
 
+static uint64_t
+wrk_unstored(void *arg, const char *id)
+{
+	struct work *work = arg;
+
+	return work->keeper == NULL ? 0 : keeper_unstored(work->keeper, id);
+}
+
 static void
 wrk_holding(void *arg)
 {
@@ -408,6 +416,7 @@
 		.lease_ms = params->lease_ms,
 		.far_permille = params->far_permille,
 		.progress = wrk_progress,
+		.unstored = wrk_unstored,
 		.fenced = wrk_fenced,
 		.arg = work,
 	};
--- a/tests/test_holder_stored.c
+++ b/tests/test_holder_stored.c
@@ -33,6 +33,7 @@
 	worker_done_fn hold_done;
 	void *hold_arg;
 	uint64_t acknowledged; /* by the last hold */
+	uint64_t unstored;     /* of any job */
 	uint64_t progress;     /* numbers given out */
 };
 
@@ -109,6 +110,13 @@
 	return ++((struct rig *)arg)->progress;
 }
 
+static uint64_t
+rig_unstored(void *arg, const char *id)
+{
+	(void)id;
+	return ((struct rig *)arg)->unstored;
+}
+
 static void
 rig_fenced(void *arg)
 {
@@ -132,6 +140,7 @@
 		.lease_ms = 1000,
 		.far_permille = 1000,
 		.progress = rig_progress,
+		.unstored = rig_unstored,
 		.fenced = rig_fenced,
 		.arg = rig,
 	};
@@ -391,3 +400,23 @@
 	cr_expect_eq(rig->starts, 2, "it was started elsewhere");
 	rig_destroy(rig);
 }
+
+/* As soak seed 10 showed: the server was lost for a while after its job had
+ * ended here, and the store was down. */
+Test(holder_stored, end_listed_again_waits_for_the_store_again)
+{
+	const struct worker_ended end = { 1, ID_A ".0.0.0", 64, WORKER_END_DONE,
+		"" };
+	struct rig *rig = rig_create();
+
+	holder_set_loaded(rig->holder);
+	rig->unstored = 7;
+	rig_answer(rig, NULL, 0, &end, 1);
+	cr_expect_eq(rig->acknowledged, 0);
+	rig->unstored = 0;
+	holder_stored(rig->holder, ID_A, 7);
+	rig_run(rig);
+	rig_answer(rig, NULL, 0, &end, 1);
+	cr_expect_eq(rig->acknowledged, 1);
+	rig_destroy(rig);
+}
