Holder: a pending order may outlive its task

Old fault; best-effort jobs could meet it at a take-over or a lost server. Change: the tasks that are on the server are cleared, and the orders freed. Test: test_holder_stored under ASan (end_of_a_cancelled_job_is_stored_first), seen to fail before.

--- a/entry/jobs/holder_run.c
+++ b/entry/jobs/holder_run.c
@@ -47,7 +47,7 @@
 	.unit = 1e-3,
 };
 
-/* A pending order; it outlives neither its server nor its job's runs. */
+/* A pending order; its task may be gone before it, its server is not. */
 struct hld_order {
 	struct hld_task *task;
 	struct hld_server *server;
@@ -352,15 +352,20 @@
 	return found;
 }
 
-/* The server's link is closed: no order will be answered any more. */
+/*
+ * The server's link is closed: no order will be answered any more. The task of
+ * an order may be gone already, with its job.
+ */
 void
 hld_orders_drop(struct hld_server *server)
 {
 	struct hld_order *order, *next;
+	struct hld_task *task;
 
+	TAILQ_FOREACH (task, &server->tasks, on_server)
+		task->order_pending = false;
 	for (order = LIST_FIRST(&server->orders); order != NULL; order = next) {
 		next = LIST_NEXT(order, entry);
-		order->task->order_pending = false;
 		LIST_REMOVE(order, entry);
 		free(order);
 	}
