Ledger: a write of an earlier ownership holds up no later one

Cause: by reading, in the review: a host that lost a partition and took it again while its old write was under way did not arm the next write when that one was refused for the old owner: jobs accepted meanwhile were not stored until another one came. Ruled out: a loss: they stay in the ledger. Change: the next write is armed after any answer; a new time as owner does not begin as failing. Test: test_ledger, write_of_an_earlier_ownership_holds_up_no_later_one, seen to fail before.

--- a/entry/jobs/ledger.c
+++ b/entry/jobs/ledger.c
@@ -176,8 +176,10 @@
 	struct led_entry *entry, *next;
 	size_t i;
 
-	for (i = 0; i < ROWS_JOB_PARTS; i++)
+	for (i = 0; i < ROWS_JOB_PARTS; i++) {
 		ledger->parts[i].owner_version = 0;
+		ledger->parts[i].failing = false;
+	}
 	for (i = 0; i < LEDGER_BUCKETS; i++) {
 		for (entry = LIST_FIRST(&ledger->buckets[i]); entry != NULL;
 		     entry = next) {
@@ -436,15 +438,16 @@
 	part->nbatch = 0;
 	part->under_way = false;
 	led_learn(part, status);
+	if (status == ROWS_REFUSED || status == ROWS_UNKNOWN)
+		led_arm(part, LEDGER_RETRY_MS);
 	if (status == ROWS_CONFLICT && led_owner_changed(part, rows, nrows)) {
 		led_fenced(part, batch, n);
-		return;
+	} else {
+		for (i = 0; i < n; i++)
+			led_entry_done(part->ledger, batch[i], status, version,
+			    led_row(rows, nrows, batch[i]->id));
 	}
-	if (status == ROWS_REFUSED || status == ROWS_UNKNOWN)
-		led_arm(part, LEDGER_RETRY_MS);
-	for (i = 0; i < n; i++)
-		led_entry_done(part->ledger, batch[i], status, version,
-		    led_row(rows, nrows, batch[i]->id));
+	/* What came meanwhile, perhaps for a later time as owner. */
 	if (!TAILQ_EMPTY(&part->dirty))
 		led_arm(part, LEDGER_GATHER_MS);
 }
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -338,3 +338,29 @@
 	cr_expect_eq(ledger_delay_ms(rig.ledger, ID), 0, "nothing is written");
 	rig_release(&rig);
 }
+
+/* Begun for an earlier time as owner, and answered in the next one. */
+Test(ledger, write_of_an_earlier_ownership_holds_up_no_later_one)
+{
+	struct rows_row owner = { .key = OWNER_KEY,
+		.version = OWNER_VERSION + 1 };
+	struct rig rig;
+
+	rig_init(&rig);
+	rig.hold = true;
+	(void)ledger_put(rig.ledger, ID, "one", 3);
+	rig_run(&rig, 20);
+	cr_assert_not_null(rig.held);
+	rig.hold = false;
+	ledger_forget_all(rig.ledger);
+	rig.owner_version = OWNER_VERSION + 1;
+	ledger_own(rig.ledger, ledger_part(ID), OWNER_KEY, OWNER_VERSION + 1);
+	(void)ledger_put(rig.ledger, ID, "two", 3);
+	rig_run(&rig, 20);
+	rig.held(rig.held_arg, ROWS_CONFLICT, 0, &owner, 1);
+	rig_run(&rig, 50);
+	cr_expect_eq(rig.fenced, 0);
+	cr_expect_eq(rig.stored, 1);
+	cr_expect_str_eq(rig.value, "two");
+	rig_release(&rig);
+}
