Holder: review: lasting tasks held at the usual pace, log events in own words

- A server with lasting tasks was held every 60 ms, as their end is never due.
- A start refused as old does not undo a stop that was decided meanwhile.
- A job due before the clock began has that as its arrival.
- Fenced and changed servers are handled in one place, for orders and holds.
- Log events run-start, run-stop and run-over are task-start, task-stop and task-over: the first was a word of the wire.
Test: test_keeper, job_that_was_due_long_ago_runs_at_once (passed before, too: the difference wrapped back).

--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -205,6 +205,9 @@
 void hld_server_tick(struct hld_server *server, uint64_t now_us);
 void hld_server_reset(struct hld_server *server);
 void hld_server_lost(struct hld_server *server, const char *why);
+/* Steps down if this holder is fenced, lets the server go if it is another
+ * one now. Return: true if it did. */
+bool hld_server_out(struct hld_server *server, enum worker_verdict verdict);
 void hld_unstored_drop(struct hld_server *server);
 void hld_orphans_claim(struct hld_job *job);
 
--- a/entry/jobs/holder_job.c
+++ b/entry/jobs/holder_job.c
@@ -215,10 +215,14 @@
 hld_job_set_times(struct hld_job *job, const struct holder_request *request)
 {
 	uint64_t now_us = hld_now(job->holder);
+	uint64_t age_us = request->age_ms * HLD_US_PER_MS;
 	uint64_t objective_us =
 	    job_objective_ms(&job->spec, &job->queue) * HLD_US_PER_MS;
 
-	job->arrived_us = now_us - request->age_ms * HLD_US_PER_MS;
+	/* The clock may have begun after the job was due. */
+	if (age_us > now_us)
+		age_us = now_us;
+	job->arrived_us = now_us - age_us;
 	job->objective_us = job->arrived_us + objective_us;
 	job->late_us = job->arrived_us + HLD_LATE_FACTOR * objective_us;
 	job->gone_us = now_us + request->patience_ms * HLD_US_PER_MS;
--- a/entry/jobs/holder_run.c
+++ b/entry/jobs/holder_run.c
@@ -94,7 +94,7 @@
 {
 	struct hld_job *job = task->job;
 
-	log_event(LOG_LEVEL_INFO, "run-over",
+	log_event(LOG_LEVEL_INFO, "task-over",
 	    "id=%s task=%" PRIu32 ".%" PRIu32 " run=%" PRIu64
 	    " server=%s outcome=\"%s\"",
 	    job->spec.id, task->step, task->index, task->run_id,
@@ -440,19 +440,10 @@
 hld_started(void *arg, const struct worker_reply *reply)
 {
 	struct hld_order *order = arg;
-	struct holder *holder = order->server->holder;
 	struct hld_server *server = order->server;
 	struct hld_task *task = hld_order_end(order, reply);
 
-	if (reply->verdict == WORKER_FENCED) {
-		holder->params.fenced(holder->params.arg);
-		return;
-	}
-	if (reply->verdict == WORKER_GONE) {
-		hld_server_lost(server, "another incarnation answers");
-		return;
-	}
-	if (task == NULL)
+	if (hld_server_out(server, reply->verdict) || task == NULL)
 		return;
 	if (reply->verdict == WORKER_OK) {
 		if (task->state == HLD_STARTING)
@@ -464,9 +455,10 @@
 	} else if (reply->verdict == WORKER_OLD && task->tries > 1) {
 		/* An earlier try was carried out and is over: the next lists
 		 * tell how it ended. */
-		task->state = HLD_RUNNING;
+		if (task->state == HLD_STARTING)
+			task->state = HLD_RUNNING;
 		if (!server->hold_pending)
-			hld_server_hold(server, hld_now(holder));
+			hld_server_hold(server, hld_now(server->holder));
 	} else if (task->tries > 1) {
 		/* An earlier try may still be carried out. */
 		hld_run_stop(task);
@@ -488,7 +480,7 @@
 	task->tries = 0;
 	ctr_inc(&hld_starts);
 	hist_add(&hld_wait, (now_us - task->job->arrived_us) / HLD_US_PER_MS);
-	log_event(LOG_LEVEL_INFO, "run-start",
+	log_event(LOG_LEVEL_INFO, "task-start",
 	    "id=%s task=%" PRIu32 ".%" PRIu32 " run=%" PRIu64
 	    " server=%s speed=%" PRIu32 " free_cpu=%" PRId64
 	    " waited_ms=%" PRIu64,
@@ -504,26 +496,17 @@
 hld_stopped(void *arg, const struct worker_reply *reply)
 {
 	struct hld_order *order = arg;
-	struct holder *holder = order->server->holder;
 	struct hld_server *server = order->server;
 	struct hld_task *task = hld_order_end(order, reply);
 
-	if (reply->verdict == WORKER_FENCED) {
-		holder->params.fenced(holder->params.arg);
-		return;
-	}
-	if (reply->verdict == WORKER_GONE) {
-		hld_server_lost(server, "another incarnation answers");
-		return;
-	}
-	if (task == NULL)
+	if (hld_server_out(server, reply->verdict) || task == NULL)
 		return;
 	/* Without an answer the next tick sends the stop again. */
 	if (reply->verdict == WORKER_NO_ANSWER)
 		return;
 	task->stop_confirmed = true;
 	if (!server->hold_pending)
-		hld_server_hold(server, hld_now(holder));
+		hld_server_hold(server, hld_now(server->holder));
 }
 
 void
@@ -534,7 +517,7 @@
 	char name[WORKER_TASK_NAME_SIZE];
 
 	if (task->state != HLD_STOPPING)
-		log_event(LOG_LEVEL_INFO, "run-stop",
+		log_event(LOG_LEVEL_INFO, "task-stop",
 		    "id=%s task=%" PRIu32 ".%" PRIu32 " run=%" PRIu64
 		    " server=%s",
 		    task->job->spec.id, task->step, task->index, task->run_id,
--- a/entry/jobs/holder_server.c
+++ b/entry/jobs/holder_server.c
@@ -365,6 +365,18 @@
 	server->born_ms = born_ms;
 }
 
+bool
+hld_server_out(struct hld_server *server, enum worker_verdict verdict)
+{
+	struct holder *holder = server->holder;
+
+	if (verdict == WORKER_FENCED)
+		holder->params.fenced(holder->params.arg);
+	else if (verdict == WORKER_GONE)
+		hld_server_lost(server, "another incarnation answers");
+	return verdict == WORKER_FENCED || verdict == WORKER_GONE;
+}
+
 static void
 hld_held(void *arg, const struct worker_reply *reply)
 {
@@ -376,14 +388,8 @@
 	if (reply->has_clock)
 		lease_learn_clock(&server->lease, reply->clock_ms,
 		    server->hold_sent_us);
-	if (reply->verdict == WORKER_FENCED) {
-		holder->params.fenced(holder->params.arg);
-		return;
-	}
-	if (reply->verdict == WORKER_GONE) {
-		hld_server_lost(server, "another incarnation answers");
+	if (hld_server_out(server, reply->verdict))
 		return;
-	}
 	if (reply->verdict != WORKER_OK || !reply->has_lists) {
 		if (server->misses++ == HLD_MISSES_MAX)
 			log_event(LOG_LEVEL_WARN, "server-silent",
@@ -437,6 +443,8 @@
 	if (hld_awaits_stop(server))
 		return HLD_STOP_WAIT_MS;
 	TAILQ_FOREACH (task, &server->tasks, on_server) {
+		if (task->job->spec.lasting)
+			continue;
 		due_us = task->ordered_us +
 		    (uint64_t)hld_task_expected_ms(task) * HLD_US_PER_MS *
 			PLACE_SPEED_UNIT / (server->speed | 1);
--- a/tests/test_keeper.c
+++ b/tests/test_keeper.c
@@ -614,6 +614,27 @@
 	host_accept_body(host, ID, body);
 }
 
+/* Due since before this machine was started. */
+Test(keeper, job_that_was_due_long_ago_runs_at_once)
+{
+	struct rig *rig = rig_create();
+	struct host *host = &rig->hosts[0];
+
+	host_begin(host, 10);
+	host_serve(host);
+	host_accept_body(host, ID,
+	    "{\"spec\":\"cpu=500 ms=20 fail=0\",\"max_runs\":2,"
+	    "\"start_at_ms\":1000,\"interval_ms\":10,\"steps\":[{"
+	    "\"count\":1,\"cpu\":500,\"mem_mb\":64,\"estimated_ms\":20}]}");
+	rig_run(rig, 200);
+	cr_expect_eq(rig_starts(rig, ID ".0.0.0"), 1);
+	cr_expect_eq(rig_starts(rig, ID ".1.0.0"), 1);
+	keeper_state(host->keeper, ID, host_state, host);
+	rig_run(rig, END_WAIT_MAX_MS);
+	cr_expect_eq(host->state, RECORD_COMPLETED);
+	rig_destroy(rig);
+}
+
 Test(keeper, each_time_of_a_job_runs_when_it_is_due)
 {
 	struct rig *rig = rig_create();
