Split: orders, ends and acknowledgements of the holder; the daemon's store; shared rigs

Moved, not changed: holder_run.c keeps orders, holder_end.c what ends mean, holder_ack.c which ends may be forgotten, daemon_store.c what a host runs on the users' platform.

--- a/entry/daemon.c
+++ b/entry/daemon.c
@@ -16,52 +16,16 @@
 #include "adapters/log.h"
 #include "adapters/log_writer.h"
 #include "adapters/peers_tcp.h"
-#include "adapters/platform.h"
 #include "entry/api.h"
 #include "entry/config_sync.h"
-#include "entry/daemon.h"
+#include "entry/daemon_internal.h"
 #include "entry/engine.h"
 #include "entry/jobs/work.h"
-#include "platform/door.h"
-#include "platform/platform.h"
 
 #define DMN_FLUSH_CHECK_MS 20	/* interval of looks for unwritten answers */
 #define DMN_FLUSH_LIMIT_MS 5000 /* slow readers get that long at the end */
 #define DMN_CUT_MS 400		/* to write the answers of jobs that are cut */
 
-/* All owners of one entry host. */
-struct daemon {
-	const struct settings *settings;
-	struct event_base *base;
-	struct clock *clock;
-	struct crypto *crypto;
-	uint64_t incarnation;
-	struct platform *platform;
-	struct backend *backend;
-	struct engine *engine;
-	struct config_sync *config_sync;
-	struct api *api;
-	struct peers *peers;
-	struct http_server *http;
-	/* With the users' platform; else NULL. */
-	struct worker *worker;
-	struct advisor *advisor; /* NULL: the platform has none */
-	struct rows *rows;
-	struct work *work;
-	struct platform_door *door;
-	struct http_server *work_http;
-	struct http_server *ready_http;
-	struct event *sighup;
-	struct event *sigterm;
-	struct event *sigint;
-	struct event *hostlist_timer;
-	struct event *flush_timer;
-	uint64_t flush_deadline_us;
-	uint64_t signalled_us; /* the stop was asked for */
-	bool draining;
-	bool cut; /* jobs of steps have been given up */
-};
-
 static void
 dmn_timer_add(struct event *timer, uint32_t ms)
 {
@@ -344,108 +308,6 @@
 	return dmn->http == NULL ? -1 : 0;
 }
 
-static int
-dmn_create_work(struct daemon *dmn, struct err *err)
-{
-	const struct settings *set = dmn->settings;
-	struct work_params params = {
-		.base = dmn->base,
-		.clock = dmn->clock,
-		.peers = dmn->peers,
-		.connected = peers_tcp_connected,
-		.want = peers_tcp_want,
-		.hosts = peers_tcp_hosts,
-		.decode = platform_decode,
-		.host_row = platform_host_row,
-		.lease_ms = set->lease_ms,
-		.far_permille = set->far_permille,
-	};
-
-	params.worker = dmn->worker = platform_worker_create(dmn->base);
-	if (set->advice.port != 0)
-		params.advisor = dmn->advisor =
-		    platform_advisor_create(dmn->base, &set->advice);
-	strlcpy(params.self.name, set->host, NAME_SIZE);
-	strlcpy(params.self.az, set->az, NAME_SIZE);
-	strlcpy(params.self.address, set->peer_advertise.address,
-	    sizeof(params.self.address));
-	params.self.port = peers_tcp_port(dmn->peers);
-	params.self.weight = set->weight;
-	dmn->work = dmn->worker == NULL ? NULL : work_create(&params);
-	if (dmn->work == NULL)
-		return err_set(err, ERR_STEP_SETTINGS, ERR_NO_MEMORY, NULL,
-		    "work");
-	api_set_work_door(dmn->api, work_peer_door(dmn->work));
-	return 0;
-}
-
-static int
-dmn_create_doors(struct daemon *dmn, struct err *err)
-{
-	const struct settings *set = dmn->settings;
-	const struct platform_door_params door_params = {
-		.dir = work_directory(dmn->work),
-		.front = work_front(dmn->work),
-		.status = work_status(dmn->work),
-		.pending = work_pending,
-		.ready = work_ready,
-		.arg = dmn->work,
-	};
-	struct http_server_params params = {
-		.base = dmn->base,
-		.body_bytes_max = set->body_bytes_max,
-		.header_timeout_ms = set->header_timeout_ms,
-		.clients_max = set->clients_max,
-	};
-
-	dmn->door = platform_door_create(&door_params);
-	params.door = platform_door_api(dmn->door);
-	params.listen = set->work_listen;
-	dmn->work_http = http_server_create(&params, err);
-	if (dmn->work_http == NULL)
-		return -1;
-	params.listen = set->ready_listen;
-	dmn->ready_http = http_server_create(&params, err);
-	return dmn->ready_http == NULL ? -1 : 0;
-}
-
-/* The users' platform, if the settings name it. */
-static int
-dmn_create_store(struct daemon *dmn, struct err *err)
-{
-	const struct settings *set = dmn->settings;
-	struct rows_listener listener;
-
-	if (set->store.port == 0)
-		return 0;
-	if (dmn_create_work(dmn, err) != 0)
-		return -1;
-	work_listener(dmn->work, &listener);
-	dmn->rows = platform_rows_create(dmn->base, &set->store, &listener);
-	if (dmn->rows == NULL || work_set_rows(dmn->work, dmn->rows) != 0)
-		return err_set(err, ERR_STEP_SETTINGS, ERR_NO_MEMORY, NULL,
-		    "store");
-	return dmn_create_doors(dmn, err);
-}
-
-static void
-dmn_destroy_store(struct daemon *dmn)
-{
-	if (dmn->ready_http != NULL)
-		http_server_destroy(dmn->ready_http);
-	if (dmn->work_http != NULL)
-		http_server_destroy(dmn->work_http);
-	if (dmn->rows != NULL)
-		platform_rows_destroy(dmn->rows);
-	if (dmn->work != NULL)
-		work_destroy(dmn->work);
-	if (dmn->door != NULL)
-		platform_door_destroy(dmn->door);
-	if (dmn->worker != NULL)
-		platform_worker_destroy(dmn->worker);
-	platform_advisor_destroy(dmn->advisor);
-}
-
 static int
 dmn_create_events(struct daemon *dmn, struct err *err)
 {
--- /dev/null
+++ b/entry/daemon_internal.h
@@ -0,0 +1,55 @@
+#ifndef ENTRY_DAEMON_INTERNAL_H
+#define ENTRY_DAEMON_INTERNAL_H
+
+#include "adapters/http_server.h"
+#include "adapters/platform.h"
+#include "entry/daemon.h"
+#include "entry/engine.h"
+#include "entry/jobs/work.h"
+#include "platform/door.h"
+#include "platform/platform.h"
+
+/*
+ * Shared by daemon.c (the host as a whole) and daemon_store.c (what it runs on
+ * the users' platform).
+ */
+
+/* All owners of one entry host. */
+struct daemon {
+	const struct settings *settings;
+	struct event_base *base;
+	struct clock *clock;
+	struct crypto *crypto;
+	uint64_t incarnation;
+	struct platform *platform;
+	struct backend *backend;
+	struct engine *engine;
+	struct config_sync *config_sync;
+	struct api *api;
+	struct peers *peers;
+	struct http_server *http;
+	/* With the users' platform; else NULL. */
+	struct worker *worker;
+	struct advisor *advisor; /* NULL: the platform has none */
+	struct rows *rows;
+	struct work *work;
+	struct platform_door *door;
+	struct http_server *work_http;
+	struct http_server *ready_http;
+	struct event *sighup;
+	struct event *sigterm;
+	struct event *sigint;
+	struct event *hostlist_timer;
+	struct event *flush_timer;
+	uint64_t flush_deadline_us;
+	uint64_t signalled_us; /* the stop was asked for */
+	bool draining;
+	bool cut; /* jobs of steps have been given up */
+};
+
+/* daemon_store.c */
+/* Nothing if the settings name no store. Return: 0, or -1 with @err. */
+int dmn_create_store(struct daemon *dmn, struct err *err);
+void dmn_destroy_store(struct daemon *dmn);
+
+#endif /* ENTRY_DAEMON_INTERNAL_H */
--- /dev/null
+++ b/entry/jobs/holder_ack.c
@@ -0,0 +1,115 @@
+/*
+ * Which ends a server may forget: those that are stored, or need not be. Until
+ * then it lists them to every holder.
+ */
+
+#include "core/mem.h"
+#include "entry/jobs/holder_internal.h"
+
+#define HLD_US_PER_MS UINT64_C(1000)
+
+void
+hld_unstored_drop(struct hld_server *server)
+{
+	struct hld_unstored *end, *next;
+
+	TAILQ_FOREACH_SAFE (end, &server->unstored, entry, next) {
+		TAILQ_REMOVE(&server->unstored, end, entry);
+		free(end);
+	}
+}
+
+/*
+ * Ends may be forgotten up to the first one that is not stored, and none that
+ * was passed over while its job may still be read.
+ */
+static void
+hld_set_acknowledged(struct hld_server *server,
+    const struct hld_unstored *first)
+{
+	server->acknowledged = server->seen;
+	if (first != NULL && first->number <= server->seen)
+		server->acknowledged = first->number - 1;
+}
+
+/* Drops the ends that are stored now. Return: the first of the others. */
+static const struct hld_unstored *
+hld_unstored_settle(struct hld_server *server, const char *id, uint64_t seq)
+{
+	struct hld_unstored *end, *next, *first = NULL;
+
+	TAILQ_FOREACH_SAFE (end, &server->unstored, entry, next) {
+		if (end->seq <= seq && strcmp(end->id, id) == 0) {
+			TAILQ_REMOVE(&server->unstored, end, entry);
+			free(end);
+		} else if (first == NULL) {
+			first = end;
+		}
+	}
+	return first;
+}
+
+void
+holder_stored(struct holder *holder, const char *id, uint64_t seq)
+{
+	struct hld_server *server;
+
+	TAILQ_FOREACH (server, &holder->servers, entry) {
+		hld_set_acknowledged(server,
+		    hld_unstored_settle(server, id, seq));
+		if (server->hold_pending ||
+		    server->acknowledged == server->told)
+			continue;
+		/* Only a hold that has all ends acknowledged can wait for the
+		 * next one. */
+		if (server->acknowledged == server->seen &&
+		    !TAILQ_EMPTY(&server->tasks))
+			hld_server_hold(server, hld_now(holder));
+		else if (server->hold_due_us == 0)
+			server->hold_due_us =
+			    hld_now(holder) + HLD_ACK_DELAY_MS * HLD_US_PER_MS;
+	}
+}
+
+/* Ends are listed again in part while jobs are being read. */
+void
+hld_unstored_enter(struct hld_server *server, const struct worker_ended *ended,
+    uint64_t seq)
+{
+	struct hld_unstored *end = mem_zalloc(1, sizeof(*end)), *next;
+
+	end->number = ended->number;
+	end->seq = seq;
+	memcpy(end->id, ended->task, JOB_ID_LEN);
+	TAILQ_FOREACH (next, &server->unstored, entry) {
+		if (next->number > end->number) {
+			TAILQ_INSERT_BEFORE(next, end, entry);
+			return;
+		}
+	}
+	TAILQ_INSERT_TAIL(&server->unstored, end, entry);
+}
+
+/*
+ * A server that was lost for a while lists its ends again: they were counted,
+ * but may not be stored yet.
+ */
+uint64_t
+hld_counted_before(const struct holder *holder,
+    const struct worker_ended *ended)
+{
+	char id[JOB_ID_LEN + 1];
+
+	if (holder->params.unstored == NULL ||
+	    strlen(ended->task) <= JOB_ID_LEN)
+		return 0;
+	memcpy(id, ended->task, JOB_ID_LEN);
+	id[JOB_ID_LEN] = '\0';
+	return holder->params.unstored(holder->params.arg, id);
+}
+
+void
+hld_acknowledge(struct hld_server *server)
+{
+	hld_set_acknowledged(server, TAILQ_FIRST(&server->unstored));
+}
--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -10,8 +10,10 @@
 
 /*
  * Shared by the files of the holder: holder.c (life cycle), holder_job.c
- * (jobs), holder_server.c (leases and lists of servers), holder_run.c (orders
- * and ends), holder_pump.c (which task starts where).
+ * (jobs), holder_server.c (leases and lists of servers), holder_run.c
+ * (orders), holder_end.c (ends of runs), holder_ack.c (acknowledging them),
+ * holder_pump.c (which task starts where), holder_gang.c (gangs),
+ * holder_advice.c (outside policies).
  */
 
 #define HLD_JOB_BUCKETS 1024
@@ -208,7 +210,6 @@
 /* Steps down if this holder is fenced, lets the server go if it is another
  * one now. Return: true if it did. */
 bool hld_server_out(struct hld_server *server, enum worker_verdict verdict);
-void hld_unstored_drop(struct hld_server *server);
 void hld_orphans_claim(struct hld_job *job);
 
 /* holder_run.c */
@@ -216,16 +217,31 @@
 void hld_run_stop(struct hld_task *task);
 void hld_orders_drop(struct hld_server *server);
 void hld_run_stop_orphan(struct hld_server *server, struct hld_orphan *orphan);
+void hld_run_adopt(struct hld_task *task, struct hld_server *server,
+    uint64_t run_id, uint64_t now_us);
+/* The task's run takes no room any more. */
+void hld_vacate(struct hld_task *task);
+
+/* holder_ack.c */
+void hld_unstored_drop(struct hld_server *server);
+/* The end may be forgotten once progress number @seq of its job is stored. */
+void hld_unstored_enter(struct hld_server *server,
+    const struct worker_ended *ended, uint64_t seq);
+/* The number that an end waits for which does not count any more, or 0. */
+uint64_t hld_counted_before(const struct holder *holder,
+    const struct worker_ended *ended);
+/* Works out what the next hold acknowledges. */
+void hld_acknowledge(struct hld_server *server);
+
+/* holder_end.c */
 void hld_run_saved(struct hld_task *task, uint64_t run_id, const char *saved);
+/* Returns of numbers: under which the end will be stored, or 0. */
 uint64_t hld_run_ended(struct hld_task *task, enum worker_end how);
-/* Return: the number under which the end will be stored, or 0. */
 uint64_t hld_tell_progress(const struct hld_task *task, uint64_t run_id,
     bool done);
 uint64_t hld_run_found_done(struct hld_task *task, uint64_t run_id);
 uint64_t hld_run_found_failed(struct hld_task *task, uint64_t run_id);
 void hld_run_absent(struct hld_task *task, const char *why);
-void hld_run_adopt(struct hld_task *task, struct hld_server *server,
-    uint64_t run_id, uint64_t now_us);
 
 /* holder_advice.c */
 void hld_advice_create(struct hld_job *job);
--- a/tests/test_zone.c
+++ b/tests/test_zone.c
@@ -280,6 +280,22 @@
 	}
 }
 
+/* The holder is killed, another host takes over, the first one comes back. */
+static void
+net_restart_first(struct net *net)
+{
+	net_link(net, 0, 1, false);
+	net_link(net, 0, 2, false);
+	host_destroy(&net->hosts[0]);
+	host_create(net, 0);
+	net_run(net, 200);
+	cr_expect_neq(holder_token(net->hosts[1].holder), 0);
+	host_learn(&net->hosts[0]);
+	net_link(net, 0, 1, true);
+	net_link(net, 0, 2, true);
+	net_run(net, AGREE_MS);
+}
+
 Test(zone, heaviest_host_holds_after_a_start)
 {
 	struct net *net = net_create();
@@ -295,16 +311,7 @@
 	struct net *net = net_create();
 
 	net_run(net, 600);
-	net_link(net, 0, 1, false);
-	net_link(net, 0, 2, false);
-	host_destroy(&net->hosts[0]);
-	host_create(net, 0);
-	net_run(net, 200);
-	cr_expect_neq(holder_token(net->hosts[1].holder), 0);
-	host_learn(&net->hosts[0]);
-	net_link(net, 0, 1, true);
-	net_link(net, 0, 2, true);
-	net_run(net, AGREE_MS);
+	net_restart_first(net);
 	net_expect(net, 1, "after the return");
 	net_destroy(net);
 }
@@ -315,15 +322,7 @@
 	struct net *net = net_create();
 
 	net_run(net, 600);
-	net_link(net, 0, 1, false);
-	net_link(net, 0, 2, false);
-	host_destroy(&net->hosts[0]);
-	host_create(net, 0);
-	net_run(net, 200);
-	host_learn(&net->hosts[0]);
-	net_link(net, 0, 1, true);
-	net_link(net, 0, 2, true);
-	net_run(net, AGREE_MS);
+	net_restart_first(net);
 	net_link(net, 2, 1, false);
 	net_run(net, 100);
 	net_link(net, 2, 1, true);
