Holder: it decides what a hold acknowledges, not the platform's adapter

Cause: the adapter left an acknowledgement out where the connection of the last lists was gone; platform/ decides nothing. Change: an answer names the way that brought it, a hold may ask for one; a way that is gone is a verdict, after which the holder sends a hold that acknowledges nothing. The HTTP client's question for idle connections is gone. Test: test_platform_worker (what goes over which connection), test_holder_stored (what is acknowledged over it).

--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -262,12 +262,6 @@
 	return NULL;
 }
 
-bool
-hcl_is_idle(const struct hcl *hcl, uint64_t connection)
-{
-	return hcl_conn_find_idle(hcl, connection) != NULL;
-}
-
 /* A certain connection, in no list; NULL if it is not idle and open. */
 static struct hcl_conn *
 hcl_conn_take(struct hcl *hcl, uint64_t number)
--- a/adapters/http_client.h
+++ b/adapters/http_client.h
@@ -73,9 +73,6 @@
 void hcl_call(struct hcl *hcl, const struct hcl_request *request,
     hcl_done_fn done, void *arg);
 
-/** hcl_is_idle() - is this connection open and free for a call? */
-bool hcl_is_idle(const struct hcl *hcl, uint64_t connection);
-
 /** hcl_peer() - "ADDRESS:PORT" of the server, for errors. */
 const char *hcl_peer(const struct hcl *hcl);
 
--- a/entry/jobs/holder_internal.h
+++ b/entry/jobs/holder_internal.h
@@ -146,6 +146,7 @@
 	uint32_t speed;	  /* thousandths of the nominal one, learned */
 	uint64_t born_ms; /* of the incarnation whose lists were read last */
 	uint64_t acknowledged; /* ends up to it may be forgotten */
+	uint64_t lists_way;    /* that brought the last lists; 0: none */
 	uint64_t seen;	       /* ends up to it have been taken note of */
 	uint64_t told;	       /* acknowledged by the last hold */
 	struct hld_unstored_list unstored; /* ends, by number */
--- a/entry/jobs/holder_server.c
+++ b/entry/jobs/holder_server.c
@@ -87,6 +87,7 @@
 	server->seen = 0;
 	server->born_ms = 0;
 	server->told = 0;
+	server->lists_way = 0;
 	hld_unstored_drop(server);
 	server->misses = 0;
 	hld_server_hold(server, hld_now(holder));
@@ -292,6 +293,11 @@
 		    server->hold_sent_us);
 	if (hld_server_out(server, reply->verdict))
 		return;
+	server->lists_way = reply->has_lists ? reply->way : 0;
+	if (reply->verdict == WORKER_NOT_SENT) {
+		hld_server_hold(server, now_us);
+		return;
+	}
 	if (reply->verdict != WORKER_OK || !reply->has_lists) {
 		if (server->misses++ == HLD_MISSES_MAX)
 			log_event(LOG_LEVEL_WARN, "server-silent",
@@ -369,7 +375,7 @@
 	    !TAILQ_EMPTY(&server->tasks) || !TAILQ_EMPTY(&server->orphans);
 	struct worker_hold hold = {
 		.token = holder->token,
-		.acknowledged = server->acknowledged,
+		.way = server->lists_way,
 	};
 
 	if (server->hold_pending || server->link == NULL)
@@ -378,7 +384,11 @@
 	if (!TAILQ_EMPTY(&server->tasks) && server->misses <= HLD_MISSES_MAX)
 		hold.deadline_ms = lease_extend(&server->lease, now_us,
 		    holder->params.lease_ms);
-	server->told = server->acknowledged;
+	/* Ends are numbered anew by each incarnation, and a hold does not name
+	 * the one that it means. */
+	if (server->lists_way != 0)
+		hold.acknowledged = server->acknowledged;
+	server->told = hold.acknowledged;
 	/* Ends that are listed again would end a wait at once. */
 	if (busy && server->held && server->misses == 0 &&
 	    server->holder->loaded && server->acknowledged == server->seen)
--- a/ports/worker.h
+++ b/ports/worker.h
@@ -27,6 +27,7 @@
 	WORKER_BUSY,	  /* unhealthy; it has done nothing */
 	WORKER_GONE,	  /* another incarnation answers there */
 	WORKER_REFUSED,	  /* any other refusal; it has done nothing */
+	WORKER_NOT_SENT,  /* the way that was asked for is gone */
 	WORKER_NO_ANSWER, /* may have been done, or may be done later */
 };
 
@@ -61,6 +62,7 @@
 	bool has_clock;
 	uint64_t clock_ms; /* of the server, when it answered */
 	uint64_t born_ms; /* start of the incarnation that lists; 0: not said */
+	uint64_t way;	  /* that brought this answer; surely leads to it */
 	bool has_lists;	  /* the answer to a hold */
 	const struct worker_run *running;
 	size_t nrunning;
@@ -84,9 +86,10 @@
 /** struct worker_hold - renew the lease, acknowledge ends, ask for news. */
 struct worker_hold {
 	uint64_t token;
-	/* Ends up to this number, of the incarnation that listed last, may be
-	 * forgotten; told only where no other incarnation can hear it. */
-	uint64_t acknowledged;
+	uint64_t acknowledged; /* ends up to this number are forgotten */
+	/* The way that it must go, or not at all: an acknowledgement may be
+	 * heard by no other incarnation than the one that listed. 0: any. */
+	uint64_t way;
 	uint64_t deadline_ms; /* 0: leaves the lease alone */
 	uint32_t wait_ms;     /* the answer waits so long for an end */
 };
--- a/tests/test_holder_stored.c
+++ b/tests/test_holder_stored.c
@@ -15,6 +15,7 @@
 #define ID_A "00000000000000aa"
 #define ID_B "00000000000000bb"
 #define RIG_BORN_MS 1000
+#define RIG_WAY 3
 #define RIG_STEP_MS 120 /* covers every pause between two holds */
 
 /* One server, whose last hold waits for its answer. */
@@ -33,6 +34,7 @@
 	worker_done_fn hold_done;
 	void *hold_arg;
 	uint64_t acknowledged; /* by the last hold */
+	uint64_t way;	       /* that it asked for */
 	uint64_t unstored;     /* of any job */
 	uint64_t progress;     /* numbers given out */
 };
@@ -87,6 +89,7 @@
 	    (struct rig *)((char *)link - offsetof(struct rig, link));
 
 	rig->acknowledged = hold->acknowledged;
+	rig->way = hold->way;
 	rig->hold_done = done;
 	rig->hold_arg = arg;
 }
@@ -178,6 +181,7 @@
 {
 	const struct worker_reply reply = { .verdict = WORKER_OK,
 		.born_ms = RIG_BORN_MS,
+		.way = RIG_WAY,
 		.has_lists = true,
 		.running = running,
 		.nrunning = nrunning,
@@ -316,6 +320,7 @@
 		"" };
 	const struct worker_reply reply = { .verdict = WORKER_OK,
 		.born_ms = RIG_BORN_MS,
+		.way = RIG_WAY,
 		.has_lists = true,
 		.running = &runs[1],
 		.nrunning = 1,
@@ -420,3 +425,26 @@
 	cr_expect_eq(rig->acknowledged, 1);
 	rig_destroy(rig);
 }
+
+/* Another way may lead to an incarnation whose ends are others. */
+Test(holder_stored, ends_are_acknowledged_over_the_way_that_brought_them)
+{
+	const struct worker_ended end = { 1, ID_A ".0.0.0", 64, WORKER_END_DONE,
+		"" };
+	const struct worker_reply gone = { .verdict = WORKER_NOT_SENT };
+	struct rig *rig = rig_create();
+	worker_done_fn done;
+
+	holder_set_loaded(rig->holder);
+	cr_expect_eq(rig->way, 0);
+	rig_answer(rig, NULL, 0, &end, 1);
+	cr_expect_eq(rig->way, RIG_WAY);
+	cr_expect_eq(rig->acknowledged, 1);
+	done = rig->hold_done;
+	rig->hold_done = NULL;
+	done(rig->hold_arg, &gone);
+	cr_assert_not_null(rig->hold_done, "it is sent another way");
+	cr_expect_eq(rig->way, 0);
+	cr_expect_eq(rig->acknowledged, 0);
+	rig_destroy(rig);
+}
--- a/tests/test_platform_worker.c
+++ b/tests/test_platform_worker.c
@@ -1,6 +1,6 @@
 /*
- * Holds over the network: ends are acknowledged only over the connection that
- * brought them, as another one may lead to a later incarnation.
+ * Holds over the network: one that asks for a way goes over that connection, or
+ * not at all, as another one may lead to a later incarnation.
  */
 
 #include <criterion/criterion.h>
@@ -22,6 +22,7 @@
 	json_int_t seen[HOLDS_MAX];
 	size_t nholds;
 	enum worker_verdict verdict;
+	uint64_t way; /* of the last answer */
 };
 
 static void
@@ -81,44 +82,51 @@
 	struct rig *rig = arg;
 
 	rig->verdict = reply->verdict;
+	rig->way = reply->way;
 	(void)event_base_loopbreak(rig->base);
 }
 
-/* Return: what the server was told to forget. */
-static json_int_t
-rig_hold(struct rig *rig, uint64_t acknowledged)
+static enum worker_verdict
+rig_hold(struct rig *rig, uint64_t acknowledged, uint64_t way)
 {
 	const struct worker_hold hold = { .token = 1,
-		.acknowledged = acknowledged };
+		.acknowledged = acknowledged,
+		.way = way };
 	const struct timeval settle = { .tv_usec = 20000 };
 
-	rig->verdict = WORKER_REFUSED;
 	rig->worker->ops->hold(rig->link, &hold, rig_held, rig);
 	(void)event_base_dispatch(rig->base);
-	cr_assert_eq(rig->verdict, WORKER_OK);
 	(void)event_base_loopexit(rig->base, &settle);
 	(void)event_base_dispatch(rig->base);
-	return rig->seen[rig->nholds - 1];
+	return rig->verdict;
 }
 
-Test(platform_worker, ends_are_acknowledged_over_the_same_connection)
+Test(platform_worker, hold_goes_over_the_way_that_it_asks_for)
 {
 	struct rig *rig = rig_create();
-
-	(void)rig_hold(rig, 0);
-	cr_expect_eq(rig_hold(rig, 5), 5);
-	cr_expect_eq(rig_hold(rig, 6), 6);
+	uint64_t way;
+
+	cr_assert_eq(rig_hold(rig, 0, 0), WORKER_OK);
+	way = rig->way;
+	cr_assert_neq(way, 0);
+	cr_expect_eq(rig_hold(rig, 5, way), WORKER_OK);
+	cr_expect_eq(rig->way, way);
+	cr_expect_eq(rig->seen[1], 5);
 	rig_destroy(rig);
 }
 
-Test(platform_worker, nothing_is_acknowledged_over_a_new_connection)
+Test(platform_worker, nothing_is_sent_when_that_way_is_gone)
 {
 	struct rig *rig = rig_create();
+	uint64_t way;
 
 	rig->closes = true;
-	(void)rig_hold(rig, 0);
+	cr_assert_eq(rig_hold(rig, 0, 0), WORKER_OK);
+	way = rig->way;
 	rig->closes = false;
-	cr_expect_eq(rig_hold(rig, 5), 0);
-	cr_expect_eq(rig_hold(rig, 5), 5);
+	cr_expect_eq(rig_hold(rig, 5, way), WORKER_NOT_SENT);
+	cr_expect_eq(rig->nholds, 1);
+	cr_expect_eq(rig_hold(rig, 0, 0), WORKER_OK);
+	cr_expect_neq(rig->way, way);
 	rig_destroy(rig);
 }
