Tests: known red mended: soak ports, a fake's overread, simulated time

The soak tested a random port, closed it, and let its host bind it later: another soak or host could take it first. The cases of test_scheduler ran in real time, so their bounds depended on the load of the machine.

Each soak claims a loopback address by a socket that stays bound, and its hosts listen there; the proxy's links take an address. The fake copies the version before it parses it; its check is unchanged. A program of a test cluster that can't be started is named.

test_configuration, 'all cases crashed': a missing program or temporary folder gives exactly that output (7 of 7 crashing), as the set-up fails; seen with an empty BERYLRAIL_BIN_DIR and with a TMPDIR that doesn't exist.

Ruled out: retrying another port (another run may take the second one, too).

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -18,6 +18,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "adapters/clock_real.h"
 #include "soak.h"
@@ -210,8 +211,8 @@
 	snprintf(path, sizeof(path), "/jobs/%s", job->id);
 	for (i = 0; i < SOAK_HOSTS; i += SOAK_HOSTS_PER_ZONE) {
 		for (attempt = 0; attempt < 60; attempt++) {
-			clu_http(soak->hosts[i].work_port, "GET", path, NULL,
-			    NULL, 2000, &reply);
+			clu_http_at(soak->address, soak->hosts[i].work_port,
+			    "GET", path, NULL, NULL, 2000, &reply);
 			snprintf(job->state, sizeof(job->state), "%s",
 			    reply.status == 200
 				? sti_str(reply.json, "state", "?")
@@ -320,6 +321,7 @@
 		event_free(job->timer);
 		free(job);
 	}
+	close(soak->address_claim);
 	event_free(soak->submit_timer);
 	event_free(soak->fault_timer);
 	event_base_loop(soak->base, EVLOOP_NONBLOCK);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -2,6 +2,7 @@
 #define SOAK_H
 
 #include <event2/event.h>
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <sys/queue.h>
@@ -60,6 +61,9 @@
 	struct event *submit_timer, *fault_timer;
 	char dir[64];
 	char bin[256];
+	/* Hosts listen on a loopback address that no other run uses. */
+	char address[INET_ADDRSTRLEN];
+	int address_claim; /* socket whose bound port claims the address */
 	uint64_t random;
 	pid_t fleet, proxy;
 	uint16_t store_port, proxy_port;
--- a/tests/soak/soak_cluster.c
+++ b/tests/soak/soak_cluster.c
@@ -24,8 +24,10 @@
 #define SOAK_ARGS_MAX 32
 #define SOAK_CALL_TIMEOUT_MS 3000
 #define SOAK_CONNECTIONS_MAX 64
-#define SOAK_PORT_MIN 12000
-#define SOAK_PORT_COUNT 18000
+#define SOAK_CLAIM_PORT 11999
+#define SOAK_FIRST_PORT 12000
+#define SOAK_PORTS_PER_HOST 4
+#define SOAK_ADDRESS_ATTEMPTS 1000
 
 uint32_t
 soak_random(struct soak *soak, uint32_t below)
@@ -78,30 +80,32 @@
 }
 
 /*
- * Returns a port that is free now. A host has the same ports after a restart,
- * so they are below the range that the kernel uses for outgoing connections:
- * such a connection could be assigned the port while the host is down.
+ * Claims a loopback address, by a port that stays bound until this process
+ * ends. All ports of the address then belong to this run: other runs claim
+ * other addresses, and outgoing connections are made from 127.0.0.1. So a host
+ * can have the same ports after a restart.
  */
-static uint16_t
-soak_free_port(void)
+static void
+soak_claim_address(struct soak *soak)
 {
-	struct sockaddr_in sin;
-	int fd, on = 1, attempt;
+	struct sockaddr_in sin = sti_loopback(SOAK_CLAIM_PORT);
+	int attempt;
 
-	for (attempt = 0; attempt < 1000; attempt++) {
-		sin = sti_loopback((uint16_t)(SOAK_PORT_MIN +
-		    arc4random_uniform(SOAK_PORT_COUNT)));
-		fd = socket(AF_INET, SOCK_STREAM, 0);
-		if (fd == -1)
-			err(1, "socket");
-		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-		if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0) {
-			close(fd);
-			return ntohs(sin.sin_port);
+	soak->address_claim = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (soak->address_claim == -1)
+		err(1, "socket");
+	for (attempt = 0; attempt < SOAK_ADDRESS_ATTEMPTS; attempt++) {
+		/* Any address in 127.1.0.0 to 127.254.255.255. */
+		sin.sin_addr.s_addr =
+		    htonl(0x7f010000U + arc4random_uniform(254U << 16));
+		if (bind(soak->address_claim, (struct sockaddr *)&sin,
+			sizeof(sin)) == 0) {
+			inet_ntop(AF_INET, &sin.sin_addr, soak->address,
+			    sizeof(soak->address));
+			return;
 		}
-		close(fd);
 	}
-	errx(1, "no free port found");
+	errx(1, "no free loopback address found");
 }
 
 static uint16_t
@@ -145,13 +149,15 @@
 }
 
 static uint16_t
-soak_create_link(struct soak *soak, const char *name, uint16_t target)
+soak_create_link(struct soak *soak, const char *name, const char *address,
+    uint16_t target)
 {
 	struct clu_reply reply;
 	char body[128];
 	uint16_t port;
 
-	snprintf(body, sizeof(body), "{\"name\":\"%s\",\"target\":%u}", name,
+	snprintf(body, sizeof(body),
+	    "{\"name\":\"%s\",\"address\":\"%s\",\"target\":%u}", name, address,
 	    target);
 	clu_http(soak->proxy_port, "POST", "/link", NULL, body,
 	    SOAK_CALL_TIMEOUT_MS, &reply);
@@ -169,13 +175,13 @@
 
 	snprintf(args, sizeof(args),
 	    "--host=%s --az=%s --store=127.0.0.1:%u "
-	    "--work-listen=127.0.0.1:%u --ready-listen=127.0.0.1:%u "
-	    "--listen=127.0.0.1:%u --peer-listen=127.0.0.1:%u "
+	    "--work-listen=%s:%u --ready-listen=%s:%u "
+	    "--listen=%s:%u --peer-listen=%s:%u "
 	    "--peer-advertise=127.0.0.1:%u --drain-delay-ms=1500 "
 	    "--drain-limit-ms=4000 --heartbeat-ms=200",
-	    host->name, host->az, host->store_link, host->work_port,
-	    host->ready_port, host->http_port, host->peer_port,
-	    host->peer_link);
+	    host->name, host->az, host->store_link, soak->address,
+	    host->work_port, soak->address, host->ready_port, soak->address,
+	    host->http_port, soak->address, host->peer_port, host->peer_link);
 	host->pid = soak_spawn(soak, "berylraild", host->name, args);
 	host->paused = false;
 }
@@ -195,7 +201,6 @@
 {
 	struct hcl_params params = {
 		.base = soak->base,
-		.endpoint = { .address = "127.0.0.1" },
 		.timeout_ms = SOAK_CALL_TIMEOUT_MS,
 		.connections_max = SOAK_CONNECTIONS_MAX,
 		.waiting_max = 1024,
@@ -205,14 +210,18 @@
 
 	snprintf(host->name, sizeof(host->name), "h%d", n);
 	snprintf(host->az, sizeof(host->az), "z%d", n / SOAK_HOSTS_PER_ZONE);
-	host->work_port = soak_free_port();
-	host->peer_port = soak_free_port();
-	host->ready_port = soak_free_port();
-	host->http_port = soak_free_port();
+	host->work_port = (uint16_t)(SOAK_FIRST_PORT + n * SOAK_PORTS_PER_HOST);
+	host->peer_port = (uint16_t)(host->work_port + 1);
+	host->ready_port = (uint16_t)(host->work_port + 2);
+	host->http_port = (uint16_t)(host->work_port + 3);
 	snprintf(name, sizeof(name), "peer-%s", host->name);
-	host->peer_link = soak_create_link(soak, name, host->peer_port);
+	host->peer_link =
+	    soak_create_link(soak, name, soak->address, host->peer_port);
 	snprintf(name, sizeof(name), "store-%s", host->name);
-	host->store_link = soak_create_link(soak, name, soak->store_port);
+	host->store_link =
+	    soak_create_link(soak, name, "127.0.0.1", soak->store_port);
+	strlcpy(params.endpoint.address, soak->address,
+	    sizeof(params.endpoint.address));
 	params.endpoint.port = host->work_port;
 	host->hcl = hcl_create(&params);
 }
@@ -226,8 +235,8 @@
 
 	for (i = 0; i < SOAK_SERVERS; i++) {
 		snprintf(name, sizeof(name), "server-%d", i);
-		soak->server_links[i] =
-		    soak_create_link(soak, name, soak->server_ports[i]);
+		soak->server_links[i] = soak_create_link(soak, name,
+		    "127.0.0.1", soak->server_ports[i]);
 		len += (size_t)snprintf(body + len, sizeof(body) - len,
 		    "%s{\"port\":%u,\"az\":\"z%d\"}", i == 0 ? "" : ",",
 		    soak->server_links[i], i % SOAK_ZONES);
@@ -251,6 +260,7 @@
 	snprintf(soak->dir, sizeof(soak->dir), "/tmp/soak-XXXXXX");
 	if (mkdtemp(soak->dir) == NULL)
 		err(1, "mkdtemp");
+	soak_claim_address(soak);
 	snprintf(args, sizeof(args), "--servers=%d --port-file=%s/fleet",
 	    SOAK_SERVERS, soak->dir);
 	soak->fleet = soak_spawn(soak, "standin_fleet", "fleet-log", args);
--- a/tests/standins/proxy/link.c
+++ b/tests/standins/proxy/link.c
@@ -144,10 +144,11 @@
 }
 
 void
-link_set_target(struct link *link, uint16_t port)
+link_set_target(struct link *link, const struct sockaddr_in *target)
 {
-	link->target_port = port;
-	link_set_listening(link, port != 0 && link->rule.mode != LINK_REFUSE);
+	link->target = *target;
+	link_set_listening(link,
+	    target->sin_port != 0 && link->rule.mode != LINK_REFUSE);
 }
 
 void
@@ -187,7 +188,7 @@
 	link_log(link, 0, "rule: %s", mode);
 	if (rule->mode == LINK_REFUSE)
 		link_cut_all(link);
-	link_set_target(link, link->target_port);
+	link_set_target(link, &link->target);
 	for (pair = LIST_FIRST(&link->pairs); pair != NULL;
 	     pair = pair_next(pair))
 		pair_rule_changed(pair);
--- a/tests/standins/proxy/link.h
+++ b/tests/standins/proxy/link.h
@@ -3,6 +3,7 @@
 
 #include <event2/event.h>
 #include <jansson.h>
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <sys/queue.h>
@@ -46,8 +47,8 @@
 	struct event_base *base;
 	struct evconnlistener *listener;
 	uint16_t port;
-	uint16_t target_port; /* on loopback; 0: none */
-	bool refusing;	      /* the listener does not listen */
+	struct sockaddr_in target; /* port 0: none */
+	bool refusing;		   /* the listener does not listen */
 	struct link_rule rule;
 	int64_t request_bytes; /* since the rule was set */
 	int64_t answer_bytes;
@@ -59,8 +60,11 @@
 /** link_open() - create a link, listening at a free port; NULL on error. */
 struct link *link_open(struct event_base *base, const char *name);
 
-/** link_set_target() - forward new connections to @port; 0: refuse them. */
-void link_set_target(struct link *link, uint16_t port);
+/**
+ * link_set_target() - forward new connections to @target; refuse them if its
+ * port is 0.
+ */
+void link_set_target(struct link *link, const struct sockaddr_in *target);
 
 /** link_set_rule() - replace the rule; 0, or -1 if the mode is unknown. */
 int link_set_rule(struct link *link, const json_t *json);
--- a/tests/standins/proxy/main.c
+++ b/tests/standins/proxy/main.c
@@ -2,15 +2,16 @@
  * Fault-injecting TCP proxy. Links are created and controlled over HTTP at the
  * control port, which is written to the port file as "control PORT":
  *
- *	POST /link {"name": "a", "target": PORT}	-> {"port": PORT}
- *	POST /control {"link": "a*", "mode": ..., see struct link_rule}
- *	POST /target {"link": "a", "target": PORT}	replace the target
- *	POST /cut {"link": "a*"}			reset connections
- *	GET /stats
+ *	POST /link {"name": "a", "target": PORT, "address": IP}	-> {"port":
+ *PORT} POST /control {"link": "a*", "mode": ..., see struct link_rule} POST
+ * /target {"link": "a", "target": PORT, "address": IP}  replace it POST /cut
+ *{"link": "a*"}			reset connections GET /stats
  *
- * A rule replaces the previous one. "link" is a shell pattern.
+ * A rule replaces the previous one. "link" is a shell pattern. The address of a
+ * target is 127.0.0.1 if it is not given.
  */
 #include <argtable2.h>
+#include <arpa/inet.h>
 #include <err.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -26,15 +27,28 @@
 static TAILQ_HEAD(, link) links = TAILQ_HEAD_INITIALIZER(links);
 static struct event_base *prx_base;
 
+static struct sockaddr_in
+prx_parse_target(const json_t *body)
+{
+	struct sockaddr_in target =
+	    sti_loopback((uint16_t)sti_int(body, "target", 0));
+
+	if (inet_pton(AF_INET, sti_str(body, "address", "127.0.0.1"),
+		&target.sin_addr) != 1)
+		target.sin_port = 0;
+	return target;
+}
+
 static int
 prx_create_link(const json_t *body, json_t *reply)
 {
+	const struct sockaddr_in target = prx_parse_target(body);
 	struct link *link;
 
 	link = link_open(prx_base, sti_str(body, "name", ""));
 	if (link == NULL)
 		return 500;
-	link_set_target(link, (uint16_t)sti_int(body, "target", 0));
+	link_set_target(link, &target);
 	TAILQ_INSERT_TAIL(&links, link, entry);
 	json_object_set_new(reply, "port", json_integer(link->port));
 	return 200;
@@ -44,10 +58,12 @@
 static int
 prx_apply(struct link *link, const char *path, const json_t *body)
 {
+	const struct sockaddr_in target = prx_parse_target(body);
+
 	if (strcmp(path, "/control") == 0)
 		return link_set_rule(link, body) == 0 ? 200 : 400;
 	if (strcmp(path, "/target") == 0)
-		link_set_target(link, (uint16_t)sti_int(body, "target", 0));
+		link_set_target(link, &target);
 	else if (strcmp(path, "/cut") == 0)
 		link_cut_all(link);
 	else
--- a/tests/standins/proxy/pair.c
+++ b/tests/standins/proxy/pair.c
@@ -210,7 +210,7 @@
 	struct evbuffer *copy;
 
 	if (pair->duplicate == NULL) {
-		sin = sti_loopback(pair->link->target_port);
+		sin = pair->link->target;
 		pair->duplicate = bufferevent_socket_new(pair->link->base, -1,
 		    BEV_OPT_CLOSE_ON_FREE);
 		bufferevent_enable(pair->duplicate, EV_READ | EV_WRITE);
@@ -340,7 +340,7 @@
 		err(1, "calloc");
 	pair->link = link;
 	pair->id = ++npairs;
-	sin = sti_loopback(link->target_port);
+	sin = link->target;
 	pair->client =
 	    bufferevent_socket_new(link->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	pair->target =
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -37,7 +37,7 @@
 	char path[512], log[512], *copy, *argv[CLU_ARGS_MAX];
 	const char *bin;
 	pid_t pid;
-	int n, fd;
+	int n, fd, parent_stderr;
 
 	bin = getenv("BERYLRAIL_BIN_DIR");
 	snprintf(path, sizeof(path), "%s/%s", bin != NULL ? bin : ".", program);
@@ -52,10 +52,12 @@
 	pid = fork();
 	if (pid == 0) {
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		parent_stderr = fcntl(STDERR_FILENO, F_DUPFD_CLOEXEC, 0);
 		fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
 		execv(path, argv);
+		dprintf(parent_stderr, "%s: %s\n", path, strerror(errno));
 		_exit(127);
 	}
 	free(copy);
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -107,6 +107,11 @@
     const char *headers, const char *body, int timeout_ms,
     struct clu_reply *reply);
 
+/** clu_http_at() - like clu_http(), to an IPv4 address other than 127.0.0.1. */
+void clu_http_at(const char *address, uint16_t port, const char *method,
+    const char *path, const char *headers, const char *body, int timeout_ms,
+    struct clu_reply *reply);
+
 /** clu_reply_free() - free the memory of a response, not @reply itself. */
 void clu_reply_free(struct clu_reply *reply);
 
--- a/tests/support/http_client.c
+++ b/tests/support/http_client.c
@@ -13,12 +13,13 @@
 #include "support/standin.h"
 
 static int
-clu_connect(uint16_t port)
+clu_connect(const char *address, uint16_t port)
 {
-	struct sockaddr_in sin;
+	struct sockaddr_in sin = sti_loopback(port);
 	int fd;
 
-	sin = sti_loopback(port);
+	if (inet_pton(AF_INET, address, &sin.sin_addr) != 1)
+		return -1;
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	if (fd != -1 &&
 	    connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == -1) {
@@ -111,13 +112,22 @@
 clu_http(uint16_t port, const char *method, const char *path,
     const char *headers, const char *body, int timeout_ms,
     struct clu_reply *reply)
+{
+	clu_http_at("127.0.0.1", port, method, path, headers, body, timeout_ms,
+	    reply);
+}
+
+void
+clu_http_at(const char *address, uint16_t port, const char *method,
+    const char *path, const char *headers, const char *body, int timeout_ms,
+    struct clu_reply *reply)
 {
 	char *request;
 	int fd, len;
 
 	memset(reply, 0, sizeof(*reply));
 	reply->body = calloc(1, 1);
-	fd = clu_connect(port);
+	fd = clu_connect(address, port);
 	if (fd == -1)
 		return;
 	len = asprintf(&request,
--- a/tests/support/scheduler_rig.c
+++ b/tests/support/scheduler_rig.c
@@ -5,6 +5,7 @@
 
 #include "adapters/clock_real.h"
 #include "tests/support/scheduler_rig.h"
+#include "tests/support/sim_time.h"
 
 static void
 srig_fenced(void *arg)
@@ -49,6 +50,7 @@
 void
 srig_init(struct scheduler_rig *rig, uint64_t seed, struct advisor *advisor)
 {
+	sim_time_start();
 	rig->base = event_base_new();
 	wm_init(&rig->cluster, SRIG_SERVERS, SRIG_CPU);
 	rig->worker =
--- a/tests/support/scheduler_rig.h
+++ b/tests/support/scheduler_rig.h
@@ -6,7 +6,7 @@
 
 /*
  * Fixture for scheduler tests: an active scheduler, four model servers (two on
- * each of the racks r0 and r1) and an event loop.
+ * each of the racks r0 and r1) and an event loop, in simulated time.
  */
 
 #define SRIG_SERVERS 4
--- /dev/null
+++ b/tests/support/sim_time.h
@@ -0,0 +1,26 @@
+#ifndef TESTS_SUPPORT_SIM_TIME_H
+#define TESTS_SUPPORT_SIM_TIME_H
+
+#include <stdint.h>
+
+/*
+ * Simulated time for a test process whose event loops have timers only, or
+ * sockets between its own objects. The functions clock_gettime() and
+ * epoll_wait() of the C library are replaced: a wait for the next timer ends at
+ * once, and all clocks are advanced instead. The outcome of a test then does
+ * not depend on the load of the machine.
+ */
+
+/** sim_time_start() - replace the real clocks; they start at their present
+ * values. */
+void sim_time_start(void);
+
+/** sim_time_advance() - all clocks proceed by @ms, as if the process had not
+ * been scheduled. */
+void sim_time_advance(uint32_t ms);
+
+/** sim_time_suspend() - the machine is suspended for @ms: CLOCK_MONOTONIC does
+ * not proceed, the other clocks do. */
+void sim_time_suspend(uint32_t ms);
+
+#endif /* TESTS_SUPPORT_SIM_TIME_H */
--- a/tests/test_peers_tcp.c
+++ b/tests/test_peers_tcp.c
@@ -234,9 +234,13 @@
 config_sync_import(struct config_sync *sync, const char *text, size_t len,
     struct err *err)
 {
-	if (len < 2 || text[0] != 'v')
+	char version[32] = "";
+
+	if (len < 2 || len > sizeof(version) || text[0] != 'v')
 		return err_set(err, ERR_STEP_CONFIG, ERR_INVALID, NULL, "bad");
-	sync->config.version = strtoul(text + 1, NULL, 10);
+	/* The snapshot is not terminated by a NUL. */
+	memcpy(version, text + 1, len - 1);
+	sync->config.version = strtoul(version, NULL, 10);
 	return 0;
 }
 
--- a/tests/torture/torture.c
+++ b/tests/torture/torture.c
@@ -413,6 +413,10 @@
 		errx(1, "seed %llu: the cluster did not start", s);
 	}
 	tor_run(s, seconds->count ? seconds->ival[0] : 60);
+	if (tor.violations > 0) {
+		setenv("CLU_KEEP", "1", 1);
+		printf("logs in %s\n", tor.clu.dir);
+	}
 	clu_stop(&tor.clu);
 	printf("seed %llu: %u violations\n", s, tor.violations);
 	arg_freetable(argtable, sizeof(argtable) / sizeof(argtable[0]));
