--- a/core/lease.h
+++ b/core/lease.h
@@ -7,8 +7,8 @@
 /*
  * Lease arithmetic for one backend server. Tasks on the server end at the
  * latest at a deadline on the server's own clock, which may run slow; the
- * holder estimates that clock from the server's latest reply. Times in "us"
- * are of this host's monotonic clock.
+ * holder estimates that clock from the server's replies. Times in "us" are of
+ * this host's monotonic clock.
  */
 
 /* Largest rate by which a server's clock may be slower than this host's. */
@@ -17,19 +17,19 @@
 /** struct lease - estimate of a server's clock, and the end of its lease. */
 struct lease {
 	bool clock_known;
-	uint64_t clock_ms;	/* the server's clock in its latest reply */
-	uint64_t clock_sent_us; /* when the call of that reply was sent */
-	uint64_t expires_us;	/* no task runs after this; 0: never held */
+	uint64_t clock_ms;	    /* the server's clock in a reply */
+	uint64_t clock_received_us; /* when that reply was received */
+	uint64_t expires_us;	    /* no task runs after this; 0: never held */
 };
 
 /**
  * lease_update_clock() - record the server's clock from a reply.
- * @clock_ms: the clock in the reply.
- * @sent_us: when the call of the reply was sent. Replies to calls sent before
- *           the recorded one are ignored.
+ * @clock_ms: the clock in the reply, rounded down.
+ * @sent_us: when the call of the reply was sent.
+ * @received_us: when the reply was received.
  */
 void lease_update_clock(struct lease *lease, uint64_t clock_ms,
-    uint64_t sent_us);
+    uint64_t sent_us, uint64_t received_us);
 
 /**
  * lease_extend() - extend the lease to @duration_ms from now.
--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -124,13 +124,14 @@
 {
 	struct sched_server *server = order->server;
 	struct sched_task *task, *found = NULL;
+	uint64_t now_us = sched_now(server->sched);
 
 	server->pending_calls--;
 	hist_add(&sched_order_time,
-	    (sched_now(server->sched) - order->sent_us) / SCHED_US_PER_MS);
+	    (now_us - order->sent_us) / SCHED_US_PER_MS);
 	if (reply->has_clock)
 		lease_update_clock(&server->lease, reply->clock_ms,
-		    order->sent_us);
+		    order->sent_us, now_us);
 	if (reply->verdict == WORKER_NO_REPLY)
 		ctr_inc(&sched_orders_unanswered);
 	TAILQ_FOREACH (task, &server->tasks, on_server) {
@@ -139,7 +140,7 @@
 	}
 	if (found != NULL) {
 		found->order_pending = false;
-		found->last_update_us = sched_now(server->sched);
+		found->last_update_us = now_us;
 	}
 	LIST_REMOVE(order, entry);
 	free(order);
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -264,8 +264,9 @@
 	}
 }
 
-/* A new incarnation has none of the runs of the old one, and numbers its ends
- * from 1. sched_reconcile() ends the runs that it does not list. */
+/* A new incarnation has none of the runs of the old one, numbers its ends from
+ * 1 and has another clock. sched_reconcile() ends the runs that it does not
+ * list. */
 static void
 sched_check_incarnation(struct sched_server *server,
     uint64_t incarnation_start_ms)
@@ -280,6 +281,7 @@
 		    server->incarnation_start_ms);
 		server->processed_end = 0;
 		server->acknowledged = 0;
+		server->lease.clock_known = false;
 		sched_unstored_clear(server);
 	}
 	server->incarnation_start_ms = incarnation_start_ms;
@@ -306,9 +308,6 @@
 	uint64_t now_us = sched_now(sched);
 
 	server->hold_pending = false;
-	if (reply->has_clock)
-		lease_update_clock(&server->lease, reply->clock_ms,
-		    server->hold_sent_us);
 	if (sched_check_verdict(server, reply->verdict))
 		return;
 	server->lists_connection_id =
@@ -336,6 +335,9 @@
 		    server->info.id);
 	server->unanswered_holds = 0;
 	sched_check_incarnation(server, reply->incarnation_start_ms);
+	if (reply->has_clock)
+		lease_update_clock(&server->lease, reply->clock_ms,
+		    server->hold_sent_us, now_us);
 	sched_process_lists(server, reply, now_us);
 	sched_dispatch_wake(sched);
 	if (server->acknowledged != server->processed_end ||
