Index by name for hosts, connections, servers; no checks of an idle scheduler

The scheduler of a host that holds nothing walked its servers 50 times a second, and each ping summed the load over all servers.

Change: core/name_index, an intrusive hash table (test_name_index: random operations against a list). Members, connections, targets and the scheduler's servers are found by it. The member table has a version; targets and the hosts that share servers are computed again when it changes. The choice of connections keeps the two highest hashes of each zone (members times zones; was members squared). The scheduler's timer runs while it is active; its load and service rate are kept for 50 and 5 ms.

Ruled out: one tree a type (RB macros): the same lookups with more code.

--- a/adapters/peers_conn.c
+++ b/adapters/peers_conn.c
@@ -110,11 +110,12 @@
 peers_conn_find(struct peers_tcp *peers, const char *host, uint64_t incarnation)
 {
 	struct peers_conn *conn, *found = NULL;
+	const struct nidx_entry *entry;
 
-	TAILQ_FOREACH (conn, &peers->conns, entry) {
-		if (!conn->hello_received || conn->closing ||
-		    conn->incarnation != incarnation ||
-		    strcmp(conn->name, host) != 0)
+	for (entry = nidx_find(&peers->conns_by_name, host); entry != NULL;
+	     entry = nidx_next(entry)) {
+		conn = NIDX_OBJECT(entry, struct peers_conn, by_name);
+		if (conn->closing || conn->incarnation != incarnation)
 			continue;
 		if (!conn->redundant)
 			return conn;
@@ -126,11 +127,13 @@
 struct peers_conn *
 peers_conn_find_host(struct peers_tcp *peers, const char *host)
 {
+	const struct nidx_entry *entry;
 	struct peers_conn *conn;
 
-	TAILQ_FOREACH (conn, &peers->conns, entry) {
-		if (conn->hello_received && !conn->closing &&
-		    strcmp(conn->name, host) == 0)
+	for (entry = nidx_find(&peers->conns_by_name, host); entry != NULL;
+	     entry = nidx_next(entry)) {
+		conn = NIDX_OBJECT(entry, struct peers_conn, by_name);
+		if (!conn->closing)
 			return conn;
 	}
 	return NULL;
@@ -144,6 +147,10 @@
 	struct peers_target *target = conn->target;
 
 	TAILQ_REMOVE(&peers->conns, conn, entry);
+	if (conn->hello_received) {
+		nidx_remove(&peers->conns_by_name, &conn->by_name);
+		peers->conns_version++;
+	}
 	ctr_set(&peers_ctr_open, --peers->nconns);
 	ctr_inc(&peers_ctr_closed);
 	peers_forward_conn_closed(conn, code, reason);
@@ -169,14 +176,15 @@
 peers_conn_mark_redundant(struct peers_conn *conn)
 {
 	struct peers_tcp *peers = conn->peers;
+	const struct nidx_entry *entry;
 	struct peers_conn *other;
 	const char *dialer, *other_dialer;
 
-	TAILQ_FOREACH (other, &peers->conns, entry) {
-		if (other == conn || !other->hello_received ||
-		    other->redundant ||
-		    other->incarnation != conn->incarnation ||
-		    strcmp(other->name, conn->name) != 0)
+	for (entry = nidx_find(&peers->conns_by_name, conn->name);
+	     entry != NULL; entry = nidx_next(entry)) {
+		other = NIDX_OBJECT(entry, struct peers_conn, by_name);
+		if (other == conn || other->redundant ||
+		    other->incarnation != conn->incarnation)
 			continue;
 		dialer = conn->dialed ? peers->params.host : conn->name;
 		other_dialer = other->dialed ? peers->params.host : conn->name;
@@ -249,6 +257,8 @@
 	conn->advertise.port = (uint16_t)hello->peer_port;
 	conn->incarnation = hello->incarnation;
 	conn->hello_received = true;
+	nidx_insert(&peers->conns_by_name, &conn->by_name, conn->name);
+	peers->conns_version++;
 	conn->parser.payload_max = FRAME_BYTES_MAX;
 	if (conn->target != NULL) {
 		strlcpy(conn->target->name, conn->name,
@@ -475,22 +485,19 @@
 {
 	const struct peers_tcp *peers = conn->peers;
 	const struct member *member;
-	const struct peers_forward *forward;
 
-	if (!conn->dialed || !conn->hello_received || conn->nserved > 0)
+	if (!conn->dialed || !conn->hello_received || conn->nserved > 0 ||
+	    conn->nforwards > 0)
 		return false;
-	TAILQ_FOREACH (forward, &peers->forwards, entry) {
-		if (forward->conn == conn)
-			return false;
-	}
 	if (conn->redundant)
 		return now_us - conn->opened_us >
 		    (uint64_t)PEERS_HELLO_TIMEOUT_MS * 1000;
+	if (now_us - conn->last_used_us <=
+	    (uint64_t)PEERS_ON_DEMAND_IDLE_MS * 1000)
+		return false;
 	member = mbr_find(&peers->members, conn->name);
 	return !conn->target->is_seed &&
-	    (member == NULL || !member->should_connect) &&
-	    now_us - conn->last_used_us >
-	    (uint64_t)PEERS_ON_DEMAND_IDLE_MS * 1000;
+	    (member == NULL || !member->should_connect);
 }
 
 void
--- a/adapters/peers_dial.c
+++ b/adapters/peers_dial.c
@@ -5,37 +5,33 @@
  * hello. At most one connection is dialed per target at a time.
  */
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "adapters/peers_internal.h"
 
-static struct peers_target *
-peers_target_find(struct peers_tcp *peers, const struct endpoint *endpoint)
-{
-	struct peers_target *target;
-
-	TAILQ_FOREACH (target, &peers->targets, entry) {
-		if (target->endpoint.port == endpoint->port &&
-		    strcmp(target->endpoint.address, endpoint->address) == 0)
-			return target;
-	}
-	return NULL;
-}
-
 /* Returns NULL if memory is exhausted. */
 struct peers_target *
 peers_target_find_or_add(struct peers_tcp *peers,
     const struct endpoint *endpoint)
 {
-	struct peers_target *target = peers_target_find(peers, endpoint);
+	char key[PEERS_ENDPOINT_KEY_SIZE];
+	struct peers_target *target;
+	struct nidx_entry *found;
 
-	if (target != NULL)
-		return target;
+	(void)snprintf(key, sizeof(key), "%s %u", endpoint->address,
+	    endpoint->port);
+	found = nidx_find(&peers->targets_by_endpoint, key);
+	if (found != NULL)
+		return NIDX_OBJECT(found, struct peers_target, by_endpoint);
 	target = calloc(1, sizeof(*target));
 	if (target == NULL)
 		return NULL;
 	target->endpoint = *endpoint;
+	strlcpy(target->key, key, sizeof(target->key));
+	nidx_insert(&peers->targets_by_endpoint, &target->by_endpoint,
+	    target->key);
 	TAILQ_INSERT_TAIL(&peers->targets, target, entry);
 	return target;
 }
@@ -44,6 +40,7 @@
 void
 peers_target_free(struct peers_tcp *peers, struct peers_target *target)
 {
+	nidx_remove(&peers->targets_by_endpoint, &target->by_endpoint);
 	TAILQ_REMOVE(&peers->targets, target, entry);
 	free(target);
 }
@@ -128,16 +125,27 @@
 	    strcmp(member->address, target->endpoint.address) != 0;
 }
 
-void
-peers_dial_tick(struct peers_tcp *peers, uint64_t now_us)
+/* Adds targets for the members to connect to, if these have changed. */
+static void
+peers_dial_update_targets(struct peers_tcp *peers)
 {
-	struct peers_target *target, *next;
 	struct member *member;
 
+	if (peers->targets_version == peers->members.version)
+		return;
+	peers->targets_version = peers->members.version;
 	TAILQ_FOREACH (member, &peers->members.members, entry) {
 		if (member->should_connect)
 			peers_target_for_member(peers, member);
 	}
+}
+
+void
+peers_dial_tick(struct peers_tcp *peers, uint64_t now_us)
+{
+	struct peers_target *target, *next;
+
+	peers_dial_update_targets(peers);
 	TAILQ_FOREACH_SAFE (target, &peers->targets, entry, next) {
 		if (peers_dial_is_stale(peers, target, now_us)) {
 			peers_target_free(peers, target);
--- a/adapters/peers_forward.c
+++ b/adapters/peers_forward.c
@@ -38,6 +38,8 @@
 	TAILQ_REMOVE(&peers->forwards, forward, entry);
 	err_set(&forward->err, ERR_STEP_FORWARD, code, forward->host, "%s",
 	    reason);
+	if (forward->conn != NULL)
+		forward->conn->nforwards--;
 	forward->conn = NULL;
 	TAILQ_INSERT_TAIL(&peers->failed, forward, entry);
 	event_active(peers->failed_event, 0, 0);
@@ -80,6 +82,7 @@
 	free(forward->frame);
 	forward->frame = NULL;
 	forward->conn = conn;
+	conn->nforwards++;
 	forward->deadline_us = peers_now_us(peers) +
 	    (uint64_t)PEERS_FORWARD_REPLY_TIMEOUT_MS * 1000;
 	conn->last_used_us = peers_now_us(peers);
@@ -412,6 +415,7 @@
 		.body_len = message->body.len,
 	};
 	TAILQ_REMOVE(&peers->forwards, forward, entry);
+	conn->nforwards--;
 	forward->done(forward->arg, &reply, NULL);
 	peers_forward_free(peers, forward);
 }
--- a/adapters/peers_internal.h
+++ b/adapters/peers_internal.h
@@ -57,12 +57,17 @@
  */
 #define PEERS_CONFIG_FETCH_DELAY_MS 2000
 
+/* "ADDRESS PORT" with the terminating NUL. */
+#define PEERS_ENDPOINT_KEY_SIZE 56
+
 struct peers_tcp;
 struct peers_conn;
 
 /** struct peers_target - an address to connect to. */
 struct peers_target {
 	struct endpoint endpoint;
+	char key[PEERS_ENDPOINT_KEY_SIZE]; /* endpoint as text */
+	struct nidx_entry by_endpoint;
 	/* Host last connected or expected at the address, or "". */
 	char name[NAME_SIZE];
 	bool is_seed;		 /* listed in the settings */
@@ -98,10 +103,12 @@
 	uint64_t leaving_sent_version;
 	uint32_t interval_ms; /* the peer's heartbeat interval, 0 if unknown */
 	size_t nserved;	      /* requests of the peer in progress here */
+	size_t nforwards;     /* of this host that wait for a reply */
 	bool loan_requested;  /* a slot request was sent, no loan received */
 	/* The peer's slot request while no slot is idle, or NULL; owned. */
 	Berylrail__Frame *loan_request;
 	uint64_t loan_request_deadline_us;
+	struct nidx_entry by_name; /* valid after the hello */
 	TAILQ_ENTRY(peers_conn) entry;
 };
 
@@ -155,8 +162,13 @@
 	struct event *failed_event; /* runs callbacks of failed forwards */
 	struct member_table members;
 	struct peers_target_list targets;
+	struct name_index targets_by_endpoint;
+	uint64_t
+	    targets_version; /* of the members for which there are targets */
 	struct peers_conn_list conns;
+	struct name_index conns_by_name; /* after their hello */
 	size_t nconns;
+	uint64_t conns_version; /* incremented when a host connects or leaves */
 	struct peers_forward_list forwards; /* pending */
 	struct peers_forward_list failed;   /* callbacks have not been run */
 	size_t nforwards;		    /* in both lists */
@@ -173,7 +185,8 @@
 	char own_leaving[PEERS_LEAVING_SERVERS_MAX][NAME_SIZE];
 	size_t nown_leaving;
 	uint64_t leaving_version; /* of own_leaving, incremented from 1 */
-	uint64_t sharing_digest;  /* of the hosts last passed to the engine */
+	/* Version of the members when they were last passed to the engine. */
+	uint64_t sharing_version;
 };
 
 /* peers_tcp.c */
--- a/adapters/peers_state.c
+++ b/adapters/peers_state.c
@@ -90,86 +90,47 @@
 
 /* Hosts that share the servers of an availability zone */
 
-/* FNV-1a, including the terminating NUL. */
-static uint64_t
-peers_sharing_digest_add(uint64_t digest, const char *text)
-{
-	do {
-		digest = (digest ^ (uint8_t)*text) * UINT64_C(0x100000001b3);
-	} while (*text++ != '\0');
-	return digest;
-}
-
-/* Returns true for the first member of each availability zone other than the
- * one of this host. */
-static bool
-peers_sharing_is_first_of_az(const struct peers_tcp *peers,
-    const struct member *member)
-{
-	const struct member *other;
-
-	if (strcmp(member->az, peers->params.az) == 0)
-		return false;
-	TAILQ_FOREACH (other, &peers->members.members, entry) {
-		if (other == member)
-			return true;
-		if (strcmp(other->az, member->az) == 0)
-			return false;
-	}
-	return false;
-}
-
-/* Passes the hosts of one availability zone to the engine. @names: an array
- * with room for all hosts. */
+/* Passes the hosts of the own zone to the engine. @names: an array with room
+ * for all hosts. */
 static void
-peers_sharing_update_az(struct peers_tcp *peers, const char *az,
-    const char **names)
+peers_sharing_update_az(struct peers_tcp *peers, const char **names)
 {
-	struct engine_az_hosts az_hosts = { .az = az, .hosts = names };
+	struct engine_az_hosts az_hosts = { .az = peers->params.az,
+		.hosts = names };
 	const struct member *member;
 
-	if (strcmp(az, peers->params.az) == 0)
-		names[az_hosts.nhosts++] = peers->params.host;
+	names[az_hosts.nhosts++] = peers->params.host;
 	TAILQ_FOREACH (member, &peers->members.members, entry) {
-		if (strcmp(member->az, az) == 0 &&
+		if (strcmp(member->az, peers->params.az) == 0 &&
 		    mbr_shares_servers(&peers->members, member))
 			names[az_hosts.nhosts++] = member->name;
 	}
-	if (az_hosts.nhosts > 0)
-		engine_set_az_hosts(peers->params.engine, &az_hosts);
+	engine_set_az_hosts(peers->params.engine, &az_hosts);
 }
 
-/* Notifies the API and the engine if the hosts that share servers changed. */
+/* Notifies the API and the engine if the hosts that share servers may have
+ * changed. */
 void
 peers_sharing_update(struct peers_tcp *peers)
 {
-	uint64_t digest = UINT64_C(0xcbf29ce484222325);
 	const struct member *member;
 	const char **names;
 	size_t nhosts = 1, nlive = 0;
 
+	if (peers->members.version == peers->sharing_version)
+		return;
 	TAILQ_FOREACH (member, &peers->members.members, entry) {
 		nlive += member->state == MEMBER_LIVE ||
 		    member->state == MEMBER_SUSPECT;
-		if (!mbr_shares_servers(&peers->members, member))
-			continue;
-		nhosts++;
-		digest = peers_sharing_digest_add(digest, member->name);
-		digest = peers_sharing_digest_add(digest, member->az);
+		nhosts += mbr_shares_servers(&peers->members, member);
 	}
 	ctr_set(&peers_ctr_live, nlive);
-	if (digest == peers->sharing_digest)
-		return;
 	names = calloc(nhosts, sizeof(*names));
 	if (names == NULL)
 		return;
-	peers->sharing_digest = digest;
+	peers->sharing_version = peers->members.version;
 	api_set_nhosts(peers->params.api, nhosts);
-	peers_sharing_update_az(peers, peers->params.az, names);
-	TAILQ_FOREACH (member, &peers->members.members, entry) {
-		if (peers_sharing_is_first_of_az(peers, member))
-			peers_sharing_update_az(peers, member->az, names);
-	}
+	peers_sharing_update_az(peers, names);
 	free(names);
 }
 
--- a/adapters/peers_tcp.c
+++ b/adapters/peers_tcp.c
@@ -145,7 +145,9 @@
 	peers->next_correlation = 1;
 	peers->leaving_version = 1;
 	TAILQ_INIT(&peers->targets);
+	nidx_init(&peers->targets_by_endpoint);
 	TAILQ_INIT(&peers->conns);
+	nidx_init(&peers->conns_by_name);
 	TAILQ_INIT(&peers->forwards);
 	TAILQ_INIT(&peers->failed);
 	TAILQ_INIT(&peers->served);
@@ -231,6 +233,12 @@
 	return true;
 }
 
+uint64_t
+peers_tcp_connections_version(struct peers *port)
+{
+	return peers_from_port(port)->conns_version;
+}
+
 void
 peers_tcp_request_connection(struct peers *port, const char *host)
 {
@@ -260,6 +268,8 @@
 	peers_forward_release(peers);
 	peers_state_release(peers);
 	mbr_release(&peers->members);
+	nidx_release(&peers->targets_by_endpoint);
+	nidx_release(&peers->conns_by_name);
 	if (peers->failed_event != NULL)
 		event_free(peers->failed_event);
 	if (peers->loan_timer != NULL)
--- a/adapters/peers_tcp.h
+++ b/adapters/peers_tcp.h
@@ -64,6 +64,10 @@
 bool peers_tcp_is_connected(struct peers *peers, const char *host,
     uint64_t *incarnation);
 
+/** peers_tcp_connections_version() - a number that changes when a host connects
+ * or disconnects. */
+uint64_t peers_tcp_connections_version(struct peers *peers);
+
 /**
  * peers_tcp_request_connection() - dial @host if it is known and no dialed
  * connection to it exists. The connection is retained until it has been idle
--- a/core/member.c
+++ b/core/member.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/mem.h"
 #include "core/member.h"
 
 void
@@ -14,14 +15,18 @@
 	memset(table, 0, sizeof(*table));
 	strlcpy(table->host, host, sizeof(table->host));
 	strlcpy(table->az, az, sizeof(table->az));
+	table->version = 1;
 	TAILQ_INIT(&table->members);
+	nidx_init(&table->by_name);
 }
 
 static void
 mbr_remove(struct member_table *table, struct member *member)
 {
 	TAILQ_REMOVE(&table->members, member, entry);
+	nidx_remove(&table->by_name, &member->index);
 	table->n--;
+	table->version++;
 	free(member);
 }
 
@@ -33,122 +38,169 @@
 	TAILQ_FOREACH_SAFE (member, &table->members, entry, next)
 		free(member);
 	TAILQ_INIT(&table->members);
+	nidx_release(&table->by_name);
 	table->n = 0;
 }
 
 struct member *
 mbr_find(const struct member_table *table, const char *name)
 {
-	struct member *member;
+	struct nidx_entry *entry = nidx_find(&table->by_name, name);
 
-	TAILQ_FOREACH (member, &table->members, entry) {
-		if (strcmp(member->name, name) == 0)
-			return member;
+	return entry == NULL ? NULL : NIDX_OBJECT(entry, struct member, index);
+}
+
+/* FNV-1a of both names, in sorted order, and a finalizer; symmetric. */
+static uint64_t
+mbr_pair_hash(const char *a, const char *b)
+{
+	const char *parts[2] = { a, b };
+	uint64_t hash = UINT64_C(0xcbf29ce484222325);
+	const char *p;
+	int i;
+
+	if (strcmp(a, b) > 0) {
+		parts[0] = b;
+		parts[1] = a;
 	}
-	return NULL;
+	for (i = 0; i < 2; i++) {
+		for (p = parts[i];; p++) {
+			hash ^= (uint8_t)*p;
+			hash *= UINT64_C(0x100000001b3);
+			if (*p == '\0')
+				break;
+		}
+	}
+	hash ^= hash >> 33;
+	hash *= UINT64_C(0xff51afd7ed558ccd);
+	return hash ^ hash >> 33;
 }
 
 /* Returns NULL for the name of this host, or if memory is exhausted. */
 static struct member *
 mbr_find_or_add(struct member_table *table, const char *name)
 {
-	struct member *member, *after = NULL;
-	int order;
+	struct member *member, *after = NULL, *other;
 
 	if (strcmp(name, table->host) == 0)
 		return NULL;
-	TAILQ_FOREACH (member, &table->members, entry) {
-		order = strcmp(member->name, name);
-		if (order == 0)
-			return member;
-		if (order > 0)
+	member = mbr_find(table, name);
+	if (member != NULL)
+		return member;
+	TAILQ_FOREACH (other, &table->members, entry) {
+		if (strcmp(other->name, name) > 0)
 			break;
-		after = member;
+		after = other;
 	}
 	member = calloc(1, sizeof(*member));
 	if (member == NULL)
 		return NULL;
 	strlcpy(member->name, name, sizeof(member->name));
+	member->pair_hash = mbr_pair_hash(table->host, name);
 	if (after != NULL)
 		TAILQ_INSERT_AFTER(&table->members, after, member, entry);
 	else
 		TAILQ_INSERT_HEAD(&table->members, member, entry);
+	nidx_insert(&table->by_name, &member->index, member->name);
 	table->n++;
+	table->version++;
 	return member;
 }
 
 /* Sets zone and address; an unknown address doesn't replace a known one. */
 static void
-mbr_set_address(struct member *member, const struct member_id *id)
+mbr_set_address(struct member_table *table, struct member *member,
+    const struct member_id *id)
 {
+	if (strcmp(member->az, id->az) != 0)
+		table->version++;
 	strlcpy(member->az, id->az, sizeof(member->az));
 	if (id->address == NULL || id->address[0] == '\0' || id->port == 0)
 		return;
+	if (member->port != id->port ||
+	    strcmp(member->address, id->address) != 0)
+		table->version++;
 	strlcpy(member->address, id->address, sizeof(member->address));
 	member->port = id->port;
 }
 
-/* FNV-1a of both names, in sorted order, and a finalizer; symmetric. */
-static uint64_t
-mbr_pair_hash(const char *a, const char *b)
-{
-	const char *parts[2] = { a, b };
-	uint64_t hash = UINT64_C(0xcbf29ce484222325);
-	const char *p;
-	int i;
+/* The highest pair hashes of the members of one zone that are neither leaving
+ * nor dead, in descending order. */
+struct mbr_ranking {
+	const char *az;
+	uint64_t highest[MEMBER_CONNECTIONS_PER_AZ];
+};
 
-	if (strcmp(a, b) > 0) {
-		parts[0] = b;
-		parts[1] = a;
-	}
-	for (i = 0; i < 2; i++) {
-		for (p = parts[i];; p++) {
-			hash ^= (uint8_t)*p;
-			hash *= UINT64_C(0x100000001b3);
-			if (*p == '\0')
-				break;
-		}
+static void
+mbr_ranking_add(struct mbr_ranking *ranking, uint64_t hash)
+{
+	uint64_t lower;
+	size_t i;
+
+	for (i = 0; i < MEMBER_CONNECTIONS_PER_AZ; i++) {
+		if (hash <= ranking->highest[i])
+			continue;
+		lower = ranking->highest[i];
+		ranking->highest[i] = hash;
+		hash = lower;
 	}
-	hash ^= hash >> 33;
-	hash *= UINT64_C(0xff51afd7ed558ccd);
-	return hash ^ hash >> 33;
 }
 
-/*
- * Rendezvous hashing: the number of members in the zone of @member that are
- * neither leaving nor dead and whose hash with this host is higher than that of
- * @member.
- */
-static size_t
-mbr_rank(const struct member_table *table, const struct member *member)
+/* Finds the ranking of a zone, or adds it; there is room for all zones. */
+static struct mbr_ranking *
+mbr_ranking_get(struct mbr_ranking *rankings, size_t *n, const char *az)
 {
-	uint64_t weight = mbr_pair_hash(table->host, member->name);
-	const struct member *other;
-	size_t rank = 0;
+	size_t i;
 
-	TAILQ_FOREACH (other, &table->members, entry) {
-		if (other != member && !other->leaving &&
-		    other->state != MEMBER_DEAD &&
-		    strcmp(other->az, member->az) == 0 &&
-		    mbr_pair_hash(table->host, other->name) > weight)
-			rank++;
+	for (i = 0; i < *n; i++) {
+		if (strcmp(rankings[i].az, az) == 0)
+			return &rankings[i];
 	}
-	return rank;
+	rankings[(*n)++] = (struct mbr_ranking){ .az = az };
+	return &rankings[i];
+}
+
+static void
+mbr_set_should_connect(struct member_table *table, struct member *member,
+    bool should_connect)
+{
+	if (member->should_connect != should_connect)
+		table->version++;
+	member->should_connect = should_connect;
 }
 
+/*
+ * Connects to all members of the own zone, and by rendezvous hashing to
+ * MEMBER_CONNECTIONS_PER_AZ listed members of each other zone: those with fewer
+ * members before them that are neither leaving nor dead. Its cost is
+ * proportional to the number of members times that of zones.
+ */
 static void
 mbr_choose_connections(struct member_table *table)
 {
+	struct mbr_ranking *rankings, *ranking;
 	struct member *member;
+	size_t n = 0;
 
+	rankings = mem_zalloc(table->n, sizeof(*rankings));
 	TAILQ_FOREACH (member, &table->members, entry) {
+		ranking = mbr_ranking_get(rankings, &n, member->az);
+		if (!member->leaving && member->state != MEMBER_DEAD)
+			mbr_ranking_add(ranking, member->pair_hash);
+	}
+	TAILQ_FOREACH (member, &table->members, entry) {
+		ranking = mbr_ranking_get(rankings, &n, member->az);
 		if (strcmp(member->az, table->az) == 0)
-			member->should_connect =
-			    member->listed || member->state != MEMBER_DEAD;
+			mbr_set_should_connect(table, member,
+			    member->listed || member->state != MEMBER_DEAD);
 		else
-			member->should_connect = member->listed &&
-			    mbr_rank(table, member) < MEMBER_CONNECTIONS_PER_AZ;
+			mbr_set_should_connect(table, member,
+			    member->listed &&
+				member->pair_hash >=
+				    ranking->highest[MEMBER_CONNECTIONS_PER_AZ -
+					1]);
 	}
+	free(rankings);
 }
 
 void
@@ -156,8 +208,10 @@
 {
 	struct member *member;
 
-	TAILQ_FOREACH (member, &table->members, entry)
+	TAILQ_FOREACH (member, &table->members, entry) {
+		member->was_listed = member->listed;
 		member->listed = false;
+	}
 }
 
 struct member *
@@ -171,7 +225,9 @@
 	member->listed = true;
 	if (member->state == MEMBER_NEVER_CONNECTED ||
 	    member->state == MEMBER_DEAD)
-		mbr_set_address(member, id);
+		mbr_set_address(table, member, id);
+	if (member->leaving != (leaving || member->load.leaving))
+		table->version++;
 	member->leaving = leaving || member->load.leaving;
 	return member;
 }
@@ -182,6 +238,8 @@
 	struct member *member, *next;
 
 	TAILQ_FOREACH_SAFE (member, &table->members, entry, next) {
+		if (member->listed != member->was_listed)
+			table->version++;
 		if (!member->listed && member->state == MEMBER_NEVER_CONNECTED)
 			mbr_remove(table, member);
 	}
@@ -205,8 +263,9 @@
 	if (!current || member->incarnation != id->incarnation) {
 		memset(&member->load, 0, sizeof(member->load));
 		member->leaving = false;
+		table->version++;
 	}
-	mbr_set_address(member, id);
+	mbr_set_address(table, member, id);
 	member->incarnation = id->incarnation;
 	member->state = MEMBER_LIVE;
 	member->last_contact_us = now_us;
@@ -219,14 +278,21 @@
     uint64_t incarnation, const struct member_load *load)
 {
 	struct member *member = mbr_find(table, name);
+	enum member_state former_state;
+	bool shared;
 
 	if (member == NULL || member->state == MEMBER_NEVER_CONNECTED ||
 	    member->incarnation != incarnation)
 		return false;
+	shared = mbr_shares_servers(table, member);
+	former_state = member->state;
 	member->load = *load;
 	member->leaving = load->leaving;
 	member->last_contact_us = now_us;
 	member->state = MEMBER_LIVE;
+	if (member->state != former_state ||
+	    mbr_shares_servers(table, member) != shared)
+		table->version++;
 	return true;
 }
 
@@ -278,6 +344,7 @@
 		state = mbr_state_at(member, now_us);
 		if (state != member->state) {
 			member->state = state;
+			table->version++;
 			changed = true;
 		}
 	}
--- a/core/member.h
+++ b/core/member.h
@@ -7,6 +7,7 @@
 #include <sys/queue.h>
 
 #include "berylrail/limits.h"
+#include "core/name_index.h"
 
 /*
  * Membership table: the other entry hosts known to this host, their state and
@@ -52,8 +53,11 @@
 	enum member_state state;
 	struct member_load load;
 	bool listed;		   /* by the platform or configuration */
+	bool was_listed;	   /* before the list that is being applied */
 	bool leaving;		   /* according to its heartbeat or the list */
 	bool should_connect;	   /* this host should be connected to it */
+	uint64_t pair_hash;	   /* of its name and that of this host */
+	struct nidx_entry index;   /* by name */
 	TAILQ_ENTRY(member) entry; /* sorted by name */
 };
 
@@ -64,7 +68,12 @@
 	char host[NAME_SIZE]; /* own name */
 	char az[NAME_SIZE];   /* own availability zone */
 	size_t n;
+	/* Incremented when a member is added or removed, or when its zone,
+	 * address, state, should_connect or the result of mbr_shares_servers()
+	 * changes. */
+	uint64_t version;
 	struct member_list members;
+	struct name_index by_name;
 };
 
 /** struct member_id - the identity and address that a host announces. */
--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -44,15 +44,22 @@
 	return false;
 }
 
+static struct sched_server *
+sched_server_find(const struct scheduler *sched, const char *id)
+{
+	struct nidx_entry *entry = nidx_find(&sched->servers_by_id, id);
+
+	return entry == NULL ? NULL
+			     : NIDX_OBJECT(entry, struct sched_server, by_id);
+}
+
 void
 sched_server_update(struct scheduler *sched, const struct reg_server *info)
 {
-	struct sched_server *server;
+	struct sched_server *server = sched_server_find(sched, info->id);
 
-	TAILQ_FOREACH (server, &sched->servers, entry) {
-		if (!server->removed && strcmp(server->info.id, info->id) == 0)
-			break;
-	}
+	if (server != NULL && server->removed)
+		server = NULL;
 	if (server != NULL && sched_server_replaced(server, info)) {
 		sched_server_lost(server, "restarted");
 		server->removed = true;
@@ -67,6 +74,9 @@
 		TAILQ_INIT(&server->unstored_ends);
 		LIST_INIT(&server->orders);
 		TAILQ_INSERT_TAIL(&sched->servers, server, entry);
+		server->info = *info;
+		nidx_insert(&sched->servers_by_id, &server->by_id,
+		    server->info.id);
 	}
 	server->info = *info;
 	if (sched->token != 0 && server->link == NULL)
@@ -75,22 +85,37 @@
 }
 
 void
-sched_server_remove(struct scheduler *sched, const char *id)
+sched_free_removed(struct scheduler *sched)
 {
-	struct sched_server *server;
+	struct sched_server *server, *next;
 
-	TAILQ_FOREACH (server, &sched->servers, entry) {
-		if (strcmp(server->info.id, id) == 0)
-			server->removed = true;
+	TAILQ_FOREACH_SAFE (server, &sched->servers, entry, next) {
+		if (server->removed)
+			sched_server_free(server);
 	}
 }
 
+void
+sched_server_remove(struct scheduler *sched, const char *id)
+{
+	struct sched_server *server = sched_server_find(sched, id);
+
+	if (server == NULL)
+		return;
+	server->removed = true;
+	if (sched->token == 0)
+		sched_dispatch_wake(sched);
+}
+
 void
 sched_activate(struct scheduler *sched, uint64_t token)
 {
 	struct sched_server *server;
 
+	const struct timeval interval = { .tv_usec = SCHED_TICK_MS * 1000 };
+
 	sched->token = token;
+	(void)event_add(sched->tick_event, &interval);
 	sched->rows_refreshed = false;
 	sched->jobs_loaded = sched->params.record_run_end == NULL;
 	sched->activated_us = sched_now(sched);
@@ -140,35 +165,6 @@
 	sched_dispatch_wake(sched);
 }
 
-void
-sched_deactivate(struct scheduler *sched)
-{
-	const struct sched_reply not_holder = { .result = SCHED_NOT_HOLDER,
-		.reason = "this host is no longer the holder of the cell" };
-	struct sched_server *server;
-	struct sched_job *job, *next_job;
-	struct sched_task *task, *next_task;
-
-	if (sched->token == 0)
-		return;
-	log_event(LOG_LEVEL_WARN, "cell-released", "token=%" PRIu64,
-	    sched->token);
-	sched->token = 0;
-	TAILQ_FOREACH (server, &sched->servers, entry) {
-		if (server->link != NULL)
-			sched->params.worker->ops->close(server->link);
-		server->link = NULL;
-		server->held = false;
-		server->hold_pending = false;
-		sched_orders_discard(server);
-		/* The next holder of the cell takes over the server's runs. */
-		TAILQ_FOREACH_SAFE (task, &server->tasks, on_server, next_task)
-			sched_run_discard(task, "scheduler deactivated");
-	}
-	TAILQ_FOREACH_SAFE (job, &sched->jobs, entry, next_job)
-		sched_job_finish(job, &not_holder);
-}
-
 static struct counter sched_servers_held = {
 	.name = "berylrail_work_servers_held",
 	.help = "Backend servers whose leases this host holds.",
@@ -213,6 +209,38 @@
 		ctr_set(&sched_tasks_queued[i], queued_by_priority[i]);
 }
 
+void
+sched_deactivate(struct scheduler *sched)
+{
+	const struct sched_reply not_holder = { .result = SCHED_NOT_HOLDER,
+		.reason = "this host is no longer the holder of the cell" };
+	struct sched_server *server;
+	struct sched_job *job, *next_job;
+	struct sched_task *task, *next_task;
+
+	if (sched->token == 0)
+		return;
+	log_event(LOG_LEVEL_WARN, "cell-released", "token=%" PRIu64,
+	    sched->token);
+	sched->token = 0;
+	(void)event_del(sched->tick_event);
+	TAILQ_FOREACH (server, &sched->servers, entry) {
+		if (server->link != NULL)
+			sched->params.worker->ops->close(server->link);
+		server->link = NULL;
+		server->held = false;
+		server->hold_pending = false;
+		sched_orders_discard(server);
+		/* The next holder of the cell takes over the server's runs. */
+		TAILQ_FOREACH_SAFE (task, &server->tasks, on_server, next_task)
+			sched_run_discard(task, "scheduler deactivated");
+	}
+	TAILQ_FOREACH_SAFE (job, &sched->jobs, entry, next_job)
+		sched_job_finish(job, &not_holder);
+	sched_update_gauges(sched);
+	sched_dispatch_wake(sched);
+}
+
 static void
 sched_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -224,8 +252,6 @@
 	(void)fd;
 	(void)what;
 	sched_update_gauges(sched);
-	if (sched->token == 0)
-		return;
 	TAILQ_FOREACH_SAFE (job, &sched->jobs, entry, next_job) {
 		if (!sched_job_expire(job, now_us))
 			sched_gang_check(job);
@@ -244,12 +270,12 @@
 struct scheduler *
 sched_create(const struct sched_params *params)
 {
-	const struct timeval interval = { .tv_usec = SCHED_TICK_MS * 1000 };
 	struct scheduler *sched = mem_zalloc(1, sizeof(*sched));
 	size_t i;
 
 	sched->params = *params;
 	TAILQ_INIT(&sched->servers);
+	nidx_init(&sched->servers_by_id);
 	TAILQ_INIT(&sched->jobs);
 	TAILQ_INIT(&sched->waiting);
 	for (i = 0; i < SCHED_JOB_BUCKETS; i++)
@@ -258,8 +284,7 @@
 	    event_new(params->base, -1, EV_PERSIST, sched_tick, sched);
 	sched->dispatch_event =
 	    event_new(params->base, -1, 0, sched_dispatch, sched);
-	if (sched->tick_event == NULL || sched->dispatch_event == NULL ||
-	    event_add(sched->tick_event, &interval) == -1) {
+	if (sched->tick_event == NULL || sched->dispatch_event == NULL) {
 		sched_destroy(sched);
 		return NULL;
 	}
@@ -282,26 +307,41 @@
 	if (sched->dispatch_event != NULL)
 		event_free(sched->dispatch_event);
 	sched_advice_detach_calls(sched);
+	nidx_release(&sched->servers_by_id);
 	free(sched->candidates);
 	free(sched);
 }
 
-void
-sched_load(const struct scheduler *sched, struct sched_load *load)
+static void
+sched_update_load(struct scheduler *sched)
 {
 	const struct sched_server *server;
+	struct sched_load load = { 0 };
 
-	memset(load, 0, sizeof(*load));
 	TAILQ_FOREACH (server, &sched->servers, entry) {
 		if (!server->held || server->removed || server->info.draining)
 			continue;
-		load->cpu_total += (uint64_t)server->info.cpu;
+		load.cpu_total += (uint64_t)server->info.cpu;
 		if (server->info.cpu > server->used_cpu)
-			load->cpu_free +=
+			load.cpu_free +=
 			    (uint64_t)(server->info.cpu - server->used_cpu);
 	}
-	load->backlog_ms =
+	load.backlog_ms =
 	    sched_backlog_us(sched, sched_now(sched)) / SCHED_US_PER_MS;
+	sched->load = load;
+}
+
+void
+sched_load(struct scheduler *sched, struct sched_load *load)
+{
+	uint64_t now_us = sched_now(sched);
+
+	if (now_us - sched->load_updated_us >
+	    SCHED_LOAD_VALID_MS * SCHED_US_PER_MS) {
+		sched->load_updated_us = now_us;
+		sched_update_load(sched);
+	}
+	*load = sched->load;
 }
 
 bool
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -173,8 +173,8 @@
  */
 void sched_cancel(struct scheduler *sched, const char *id, const void *arg);
 
-/** sched_load() - get the current load of the cell. */
-void sched_load(const struct scheduler *sched, struct sched_load *load);
+/** sched_load() - get the load of the cell, computed a short time ago. */
+void sched_load(struct scheduler *sched, struct sched_load *load);
 
 /** sched_idle() - whether the scheduler has no job, not even an ended one. */
 bool sched_idle(const struct scheduler *sched);
--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -20,6 +20,7 @@
 /* Share of the servers' CPU that tasks can use; the rest is lost to
  * fragmentation. */
 #define SCHED_USABLE_CPU_PERCENT 85
+#define SCHED_RATE_VALID_MS 5
 /* With a longer backlog, late jobs are refused. */
 #define SCHED_LATE_BACKLOG_MAX_MS 60
 
@@ -327,8 +328,12 @@
 
 	(void)fd;
 	(void)what;
+	if (sched->token == 0) {
+		sched_free_removed(sched);
+		return;
+	}
 	pass.now_us = sched_now(sched);
-	if (sched->token == 0 || TAILQ_EMPTY(&sched->waiting) ||
+	if (TAILQ_EMPTY(&sched->waiting) ||
 	    sched_recovery_pending(sched, pass.now_us))
 		return;
 	pass.all_held =
@@ -375,22 +380,39 @@
 	}
 }
 
-/* Estimated time in which the servers run all waiting tasks, UINT64_MAX if no
- * server accepts starts. */
-uint64_t
-sched_backlog_us(const struct scheduler *sched, uint64_t now_us)
+/* Speed at which the servers that accept starts run tasks, in thousandths of a
+ * core of nominal speed. It is used for each new job, and computed again after
+ * SCHED_RATE_VALID_MS. */
+static uint64_t
+sched_service_rate(struct scheduler *sched, uint64_t now_us)
 {
 	const struct sched_server *server;
 	uint64_t rate = 0;
 
-	if (sched->queued_work == 0)
-		return 0;
+	if (sched->rate_updated_us != 0 &&
+	    now_us - sched->rate_updated_us <
+		SCHED_RATE_VALID_MS * SCHED_US_PER_MS)
+		return sched->service_rate;
 	TAILQ_FOREACH (server, &sched->servers, entry) {
 		if (sched_server_accepts_starts(server, now_us))
 			rate += (uint64_t)server->info.cpu *
 			    server->speed_permille / PLACE_SPEED_NOMINAL;
 	}
-	rate = rate * SCHED_USABLE_CPU_PERCENT / 100;
+	sched->service_rate = rate * SCHED_USABLE_CPU_PERCENT / 100;
+	sched->rate_updated_us = now_us;
+	return sched->service_rate;
+}
+
+/* Estimated time in which the servers run all waiting tasks, UINT64_MAX if no
+ * server accepts starts. */
+uint64_t
+sched_backlog_us(struct scheduler *sched, uint64_t now_us)
+{
+	uint64_t rate;
+
+	if (sched->queued_work == 0)
+		return 0;
+	rate = sched_service_rate(sched, now_us);
 	return rate == 0 ? UINT64_MAX
 			 : sched->queued_work * SCHED_US_PER_MS / rate;
 }
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -5,6 +5,7 @@
 #include <sys/queue.h>
 
 #include "core/lease.h"
+#include "core/name_index.h"
 #include "core/place.h"
 #include "entry/jobs/scheduler.h"
 
@@ -52,6 +53,8 @@
  * free resources, and after it refused one for another reason. */
 #define SCHED_NO_CAPACITY_PAUSE_MS 15
 #define SCHED_REFUSAL_PAUSE_MS 250
+/* The load is computed again after this time. */
+#define SCHED_LOAD_VALID_MS 50
 /* Interval of the checks for deadlines, stragglers and orphans. */
 #define SCHED_TICK_MS 20
 /* A server is ejected after failed runs of this many different jobs without a
@@ -197,6 +200,7 @@
 	uint32_t failed_jobs; /* with a failed run since the last success */
 	char last_failed_job_id[JOB_ID_LEN + 1];
 	uint32_t pending_calls; /* orders without a reply; not the hold */
+	struct nidx_entry by_id;
 	TAILQ_ENTRY(sched_server) entry;
 };
 
@@ -210,6 +214,12 @@
 	bool servers_complete; /* no server is missing in the list */
 	bool rows_refreshed;   /* servers' rows were read since activation */
 	struct sched_servers servers;
+	/* Includes removed servers; one that is not removed is found first. */
+	struct name_index servers_by_id;
+	struct sched_load load; /* as of load_updated_us */
+	uint64_t load_updated_us;
+	uint64_t service_rate; /* as of rate_updated_us; 0: not computed */
+	uint64_t rate_updated_us;
 	struct sched_jobs jobs;
 	LIST_HEAD(, sched_job) buckets[SCHED_JOB_BUCKETS];
 	struct sched_tasks waiting; /* by the latest start that is on time */
@@ -225,6 +235,8 @@
 
 /* scheduler.c */
 uint64_t sched_now(const struct scheduler *sched);
+/* Frees the removed servers of an inactive scheduler. */
+void sched_free_removed(struct scheduler *sched);
 
 /* scheduler_job.c */
 /* Latest expiry of leases that were not renewed after @since_us. */
@@ -331,7 +343,7 @@
 void sched_task_dequeue(struct sched_task *task);
 uint32_t sched_task_expected_ms(const struct sched_task *task);
 void sched_job_advance(struct sched_job *job);
-uint64_t sched_backlog_us(const struct scheduler *sched, uint64_t now_us);
+uint64_t sched_backlog_us(struct scheduler *sched, uint64_t now_us);
 bool sched_job_backlogged(const struct sched_job *job);
 /* Whether @server could run the task, regardless of its free resources, of
  * other tasks on it, and of permits. */
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -43,6 +43,7 @@
 	sched_orders_discard(server);
 	sched_unstored_clear(server);
 	sched_orphans_clear(server);
+	nidx_remove(&sched->servers_by_id, &server->by_id);
 	TAILQ_REMOVE(&sched->servers, server, entry);
 	free(server);
 }
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -260,3 +260,89 @@
 	for (seed = 1; seed <= 500; seed++)
 		differential_run(seed);
 }
+
+#define MANY_MEMBERS 60
+#define MANY_ZONES 4
+
+/* Adds the members of four zones in the order of @step, with every fifth one
+ * leaving. */
+static void
+add_many(struct member_table *table, unsigned step)
+{
+	char name[16], az[8];
+	unsigned i, n;
+
+	mbr_list_begin(table);
+	for (i = 0; i < MANY_MEMBERS; i++) {
+		n = i * step % MANY_MEMBERS;
+		(void)snprintf(name, sizeof(name), "m%u", n);
+		(void)snprintf(az, sizeof(az), "z%u", n % MANY_ZONES);
+		mbr_list_add(table,
+		    &(struct member_id){ .name = name,
+			.az = az,
+			.address = "127.0.0.1",
+			.port = (uint16_t)(7000 + n) },
+		    n % 5 == 0);
+	}
+	mbr_list_end(table);
+}
+
+/* In a table of several zones, the chosen connections are two members of each
+ * other zone that are not leaving, and do not depend on the order in which
+ * the members became known. */
+Test(member, connections_of_many_members)
+{
+	struct member_table a, b;
+	struct member *member;
+	unsigned chosen[MANY_ZONES] = { 0 };
+
+	mbr_init(&a, "host", "z0");
+	mbr_init(&b, "host", "z0");
+	add_many(&a, 1);
+	add_many(&b, 7);
+	TAILQ_FOREACH (member, &a.members, entry) {
+		cr_expect_eq(member->should_connect,
+		    mbr_find(&b, member->name)->should_connect);
+		if (!member->leaving)
+			chosen[member->az[1] - '0'] += member->should_connect;
+		else if (strcmp(member->az, "z0") == 0)
+			cr_expect(member->should_connect);
+	}
+	cr_expect_eq(chosen[0], MANY_MEMBERS / MANY_ZONES * 4 / 5);
+	cr_expect_eq(chosen[1], MEMBER_CONNECTIONS_PER_AZ);
+	cr_expect_eq(chosen[2], MEMBER_CONNECTIONS_PER_AZ);
+	cr_expect_eq(chosen[3], MEMBER_CONNECTIONS_PER_AZ);
+	mbr_release(&a);
+	mbr_release(&b);
+}
+
+/* The version tells whether anything that the users of the table derive from it
+ * may have changed. */
+Test(member, version_changes_only_with_the_members)
+{
+	struct member_table table;
+	struct member_id id = make_id("b", "z1", 7);
+	struct member_load load = heartbeat_load;
+	uint64_t version;
+
+	mbr_init(&table, "a", "z1");
+	mbr_hello(&table, 0, &id, true);
+	cr_assert(mbr_heartbeat(&table, 0, "b", 7, &load));
+	version = table.version;
+	load.tasks_running = 3;
+	cr_assert(mbr_heartbeat(&table, 1, "b", 7, &load));
+	mbr_tick(&table, 2);
+	cr_expect_eq(table.version, version);
+	mbr_list_begin(&table);
+	mbr_list_add(&table, &id, false);
+	mbr_list_end(&table);
+	cr_expect_gt(table.version, version);
+	version = table.version;
+	mbr_list_begin(&table);
+	mbr_list_add(&table, &id, false);
+	mbr_list_end(&table);
+	cr_expect_eq(table.version, version);
+	mbr_tick(&table, 10 * INTERVAL_US);
+	cr_expect_gt(table.version, version);
+	mbr_release(&table);
+}
