--- a/core/cell.c
+++ b/core/cell.c
@@ -6,8 +6,7 @@
 
 #include "core/cell.h"
 
-/* Is @a preferred to @b as a new holder? */
-static bool
+bool
 cell_is_preferred(const struct cell_host *a, const struct cell_host *b)
 {
 	if (a->leaving != b->leaving)
--- a/core/cell.h
+++ b/core/cell.h
@@ -21,6 +21,9 @@
 	bool leaving;
 };
 
+/** cell_is_preferred() - is @a preferred to @b as a new holder? */
+bool cell_is_preferred(const struct cell_host *a, const struct cell_host *b);
+
 /**
  * cell_choose_holder() - choose the host that should hold the cell.
  *
--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -14,7 +14,7 @@
 #include "entry/jobs/cells_internal.h"
 
 #define CELLS_US_PER_MS UINT64_C(1000)
-#define CELLS_TICK_MS 25
+#define CELLS_TICK_MS 50
 /* Older load reports of remote cells are not used. */
 #define CELLS_LOAD_VALID_MS 1000
 /* Free CPU capacity that a remote cell needs to accept overflow. */
@@ -36,19 +36,62 @@
 struct cells_host *
 cells_host_find(const struct cells *cells, const char *name)
 {
-	struct cells_host *host;
+	struct nidx_entry *entry = nidx_find(&cells->hosts_by_name, name);
+
+	return entry == NULL ? NULL
+			     : NIDX_OBJECT(entry, struct cells_host, by_name);
+}
+
+static struct cells_zone *
+cells_zone_get(struct cells *cells, const char *az)
+{
+	struct cells_zone *zone;
 
-	TAILQ_FOREACH (host, &cells->hosts, entry) {
-		if (strcmp(host->info.name, name) == 0)
-			return host;
+	TAILQ_FOREACH (zone, &cells->zones, entry) {
+		if (strcmp(zone->az, az) == 0)
+			return zone;
 	}
-	return NULL;
+	zone = mem_zalloc(1, sizeof(*zone));
+	strlcpy(zone->az, az, sizeof(zone->az));
+	zone->local = strcmp(az, cells->params.self.az) == 0;
+	TAILQ_INIT(&zone->hosts);
+	TAILQ_INSERT_TAIL(&cells->zones, zone, entry);
+	return zone;
 }
 
-bool
-cells_is_local(const struct cells *cells, const struct cells_host *host)
+struct cells_host *
+cells_zone_holder(const struct cells_zone *zone)
+{
+	struct cells_host *host, *found = NULL;
+
+	TAILQ_FOREACH (host, &zone->hosts, entry) {
+		if (host->connected && !host->unreachable && host->token != 0 &&
+		    (found == NULL || host->token > found->token))
+			found = host;
+	}
+	return found;
+}
+
+/* Inserts a host into its zone's list, after all that are preferred to it. */
+static void
+cells_zone_insert(struct cells_zone *zone, struct cells_host *host)
 {
-	return strcmp(host->info.az, cells->params.self.az) == 0;
+	const struct cell_host added = { .name = host->info.name,
+		.weight = host->info.weight };
+	struct cell_host listed;
+	struct cells_host *next;
+
+	host->zone = zone;
+	TAILQ_FOREACH (next, &zone->hosts, entry) {
+		listed = (struct cell_host){ .name = next->info.name,
+			.weight = next->info.weight };
+		if (cell_is_preferred(&added, &listed))
+			break;
+	}
+	if (next == NULL)
+		TAILQ_INSERT_TAIL(&zone->hosts, host, entry);
+	else
+		TAILQ_INSERT_BEFORE(next, host, entry);
 }
 
 void
@@ -61,9 +104,31 @@
 	host = cells_host_find(cells, info->name);
 	if (host == NULL) {
 		host = mem_zalloc(1, sizeof(*host));
-		TAILQ_INSERT_TAIL(&cells->hosts, host, entry);
+		host->info = *info;
+		nidx_insert(&cells->hosts_by_name, &host->by_name,
+		    host->info.name);
+		cells->nhosts++;
+		/* It may be connected already. */
+		cells->connections_known = false;
+	} else {
+		if (host->zone->likely_holder == host)
+			host->zone->likely_holder = NULL;
+		TAILQ_REMOVE(&host->zone->hosts, host, entry);
+		host->info = *info;
 	}
-	host->info = *info;
+	cells_zone_insert(cells_zone_get(cells, info->az), host);
+}
+
+static void
+cells_host_free(struct cells *cells, struct cells_host *host)
+{
+	if (host->zone->likely_holder == host)
+		host->zone->likely_holder = NULL;
+	TAILQ_REMOVE(&host->zone->hosts, host, entry);
+	nidx_remove(&cells->hosts_by_name, &host->by_name);
+	cells->nhosts--;
+	json_decref(host->pending);
+	free(host);
 }
 
 void
@@ -75,54 +140,81 @@
 		return;
 	if (cells->holder == host->info.name)
 		cells->holder = NULL;
-	TAILQ_REMOVE(&cells->hosts, host, entry);
-	json_decref(host->pending);
-	free(host);
+	cells_host_free(cells, host);
 }
 
 size_t
-cells_list_hosts(const struct cells *cells, struct hostlist_entry *entries,
-    size_t max)
+cells_list_hosts(const struct cells *cells, struct hostlist_entry **entries)
 {
+	const struct cells_zone *zone;
 	const struct cells_host *host;
+	struct hostlist_entry *item;
 	size_t n = 0;
 
-	TAILQ_FOREACH (host, &cells->hosts, entry) {
-		if (n == max)
-			break;
-		memset(&entries[n], 0, sizeof(entries[n]));
-		entries[n].role = HOSTLIST_ENTRY;
-		strlcpy(entries[n].name, host->info.name, NAME_SIZE);
-		strlcpy(entries[n].az, host->info.az, NAME_SIZE);
-		strlcpy(entries[n].address, host->info.address,
-		    sizeof(entries[n].address));
-		entries[n].port = host->info.port;
-		n++;
+	*entries = mem_zalloc(cells->nhosts, sizeof(**entries));
+	TAILQ_FOREACH (zone, &cells->zones, entry) {
+		TAILQ_FOREACH (host, &zone->hosts, entry) {
+			item = &(*entries)[n++];
+			item->role = HOSTLIST_ENTRY;
+			strlcpy(item->name, host->info.name, NAME_SIZE);
+			strlcpy(item->az, host->info.az, NAME_SIZE);
+			strlcpy(item->address, host->info.address,
+			    sizeof(item->address));
+			item->port = host->info.port;
+		}
 	}
 	return n;
 }
 
+/* The likely holders of the own zone have all rows, so they are asked first. */
 const char *
 cells_reachable_peer(const struct cells *cells, uint64_t *incarnation)
 {
 	const struct cells_host *host, *found = NULL;
 	uint64_t n = 0, chosen = cells_now_us(cells) / CELLS_US_PER_MS;
 
-	TAILQ_FOREACH (host, &cells->hosts, entry) {
-		if (host->connected && !host->unreachable)
+	TAILQ_FOREACH (host, &cells->local_zone->hosts, entry) {
+		if (host->connected && !host->unreachable &&
+		    n < CELLS_CANDIDATES)
 			n++;
 	}
 	if (n == 0)
 		return NULL;
 	chosen %= n;
-	TAILQ_FOREACH (host, &cells->hosts, entry) {
-		if (host->connected && !host->unreachable && chosen-- == 0)
+	TAILQ_FOREACH (host, &cells->local_zone->hosts, entry) {
+		if (host->connected && !host->unreachable && chosen-- == 0) {
 			found = host;
+			break;
+		}
 	}
 	*incarnation = found->incarnation;
 	return found->info.name;
 }
 
+bool
+cells_is_candidate(const struct cells *cells)
+{
+	const struct cell_host self = { .name = cells->params.self.name,
+		.weight = cells->params.self.weight };
+	const struct cells_host *host;
+	struct cell_host other;
+	uint32_t preferred = 0;
+
+	if (sched_token(cells->params.sched) != 0)
+		return true;
+	TAILQ_FOREACH (host, &cells->local_zone->hosts, entry) {
+		other = (struct cell_host){ .name = host->info.name,
+			.weight = host->info.weight };
+		if (!cell_is_preferred(&other, &self))
+			break;
+		/* At first no host is connected. */
+		if (!cells->discovery_done ||
+		    (host->connected && !host->unreachable && !host->leaving))
+			preferred++;
+	}
+	return cells->hosts_loaded_us != 0 && preferred < CELLS_CANDIDATES;
+}
+
 /* Fencing tokens */
 
 static void
@@ -157,7 +249,7 @@
     uint64_t token)
 {
 	host->token = token;
-	if (!cells_is_local(cells, host) || token <= cells->highest_token)
+	if (!host->zone->local || token <= cells->highest_token)
 		return;
 	cells->highest_token = token;
 	if (sched_token(cells->params.sched) != 0 &&
@@ -195,6 +287,7 @@
 {
 	struct api_request request = { .method = API_POST,
 		.path = CELLS_PATH "held" };
+	const struct cells_zone *zone;
 	const struct cells_host *host;
 	char query[NAME_SIZE + 64];
 
@@ -202,11 +295,14 @@
 	    "host=%s&token=%" PRIu64 "&leaving=%d", cells->params.self.name,
 	    sched_token(cells->params.sched), cells->leaving ? 1 : 0);
 	request.query = query;
-	TAILQ_FOREACH (host, &cells->hosts, entry) {
-		if (host->connected)
-			cells->params.peers->ops->forward(cells->params.peers,
-			    host->info.az, host->info.name, host->incarnation,
-			    &request, cells_announce_done, NULL);
+	TAILQ_FOREACH (zone, &cells->zones, entry) {
+		TAILQ_FOREACH (host, &zone->hosts, entry) {
+			if (host->connected)
+				cells->params.peers->ops->forward(
+				    cells->params.peers, host->info.az,
+				    host->info.name, host->incarnation,
+				    &request, cells_announce_done, NULL);
+		}
 	}
 }
 
@@ -239,11 +335,18 @@
 void
 cells_choose_holder(struct cells *cells)
 {
-	struct cell_host candidates[CELLS_HOSTS_MAX];
+	struct cell_host *candidates;
 	const struct cells_host *host;
 	size_t n = 0;
 	int chosen;
 
+	if (cells->ncandidates <= cells->nhosts) {
+		cells->ncandidates = cells->nhosts * 2 + 1;
+		free(cells->candidates);
+		cells->candidates =
+		    mem_zalloc(cells->ncandidates, sizeof(*cells->candidates));
+	}
+	candidates = cells->candidates;
 	candidates[n++] = (struct cell_host){
 		.name = cells->params.self.name,
 		.weight = cells->params.self.weight,
@@ -251,10 +354,8 @@
 		.reachable = true,
 		.leaving = cells->leaving,
 	};
-	TAILQ_FOREACH (host, &cells->hosts, entry) {
-		if (cells_is_local(cells, host) && n < CELLS_HOSTS_MAX)
-			cells_fill_candidate(host, &candidates[n++]);
-	}
+	TAILQ_FOREACH (host, &cells->local_zone->hosts, entry)
+		cells_fill_candidate(host, &candidates[n++]);
 	chosen = cell_choose_holder(candidates, n);
 	if (chosen < 0) {
 		cells->holder = NULL;
@@ -282,8 +383,8 @@
 	if (now_us - cells->hosts_loaded_us >
 	    CELLS_DISCOVERY_MS * CELLS_US_PER_MS)
 		return true;
-	TAILQ_FOREACH (host, &cells->hosts, entry) {
-		if (cells_is_local(cells, host) && host->last_reply_us == 0)
+	TAILQ_FOREACH (host, &cells->local_zone->hosts, entry) {
+		if (host->last_reply_us == 0)
 			return false;
 	}
 	return true;
@@ -319,9 +420,9 @@
 {
 	const struct cells_host *host;
 
-	TAILQ_FOREACH (host, &cells->hosts, entry) {
-		if (cells_is_local(cells, host) && host->connected &&
-		    !host->state_known && !host->unreachable &&
+	TAILQ_FOREACH (host, &cells->local_zone->hosts, entry) {
+		if (host->connected && !host->state_known &&
+		    !host->unreachable &&
 		    now_us - host->connected_us <
 			CELLS_DISCOVERY_MS * CELLS_US_PER_MS)
 			return true;
@@ -346,7 +447,7 @@
 		cells->discovery_done = false;
 		if (cells->hosts_loaded_us != 0)
 			cells->hosts_loaded_us = now_us;
-		TAILQ_FOREACH (host, &cells->hosts, entry) {
+		TAILQ_FOREACH (host, &cells->local_zone->hosts, entry) {
 			host->state_known = false;
 			host->last_reply_us = 0;
 		}
@@ -367,7 +468,8 @@
 	cells_reserve_token(cells, now_us);
 	if (!cells->discovery_done)
 		cells->discovery_done = cells_discovery_done(cells, now_us);
-	cells_ping_remote(cells, now_us);
+	if (sched_token(cells->params.sched) != 0)
+		cells_ping_remote(cells, now_us);
 	cells_ping_local(cells, now_us);
 	cells_choose_holder(cells);
 	cells_notify_holder(cells);
@@ -389,11 +491,11 @@
 {
 	const struct cells_host *host, *best = NULL;
 	uint64_t now_us = cells_now_us(cells);
+	const struct cells_zone *zone;
 
-	TAILQ_FOREACH (host, &cells->hosts, entry) {
-		if (cells_is_local(cells, host) || !host->connected ||
-		    host->unreachable || host->token == 0 || host->leaving ||
-		    host->backlog_ms > 0 ||
+	TAILQ_FOREACH (zone, &cells->zones, entry) {
+		host = zone->local ? NULL : cells_zone_holder(zone);
+		if (host == NULL || host->leaving || host->backlog_ms > 0 ||
 		    host->free_permille < CELLS_OVERFLOW_FREE_PERMILLE ||
 		    now_us - host->last_reply_us >
 			CELLS_LOAD_VALID_MS * CELLS_US_PER_MS)
@@ -431,7 +533,9 @@
 	struct cells *cells = mem_zalloc(1, sizeof(*cells));
 
 	cells->params = *params;
-	TAILQ_INIT(&cells->hosts);
+	TAILQ_INIT(&cells->zones);
+	nidx_init(&cells->hosts_by_name);
+	cells->local_zone = cells_zone_get(cells, params->self.az);
 	TAILQ_INIT(&cells->submissions);
 	cells->timer =
 	    event_new(params->base, -1, EV_PERSIST, cells_tick, cells);
@@ -445,14 +549,18 @@
 void
 cells_destroy(struct cells *cells)
 {
+	struct cells_zone *zone;
 	struct cells_host *host;
 
 	cells_submissions_free(cells);
-	while ((host = TAILQ_FIRST(&cells->hosts)) != NULL) {
-		TAILQ_REMOVE(&cells->hosts, host, entry);
-		json_decref(host->pending);
-		free(host);
+	while ((zone = TAILQ_FIRST(&cells->zones)) != NULL) {
+		while ((host = TAILQ_FIRST(&zone->hosts)) != NULL)
+			cells_host_free(cells, host);
+		TAILQ_REMOVE(&cells->zones, zone, entry);
+		free(zone);
 	}
+	nidx_release(&cells->hosts_by_name);
+	free(cells->candidates);
 	if (cells->timer != NULL)
 		event_free(cells->timer);
 	free(cells);
--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -32,6 +32,8 @@
 	/* Returns whether a peer is connected; sets @incarnation if so. */
 	bool (*is_connected)(struct peers *peers, const char *host,
 	    uint64_t *incarnation);
+	/* Returns a number that changes when a peer connects or disconnects. */
+	uint64_t (*connections_version)(struct peers *peers);
 	/* Requests a connection to a peer. */
 	void (*request_connection)(struct peers *peers, const char *host);
 	/* Reserves a fencing token; the result is passed to
@@ -66,9 +68,14 @@
 	CELLS_LOST,	/* no reply; a holder may have started it */
 };
 
-/** typedef cells_done_fn - @reply: NULL unless @outcome is CELLS_REPLIED. */
+/**
+ * typedef cells_done_fn - end of a submission.
+ * @reply: NULL unless @outcome is CELLS_REPLIED.
+ * @overflow_holder: holder of another cell that can run a job that was refused
+ *                   sooner, or NULL.
+ */
 typedef void (*cells_done_fn)(void *arg, enum cells_outcome outcome,
-    const struct sched_reply *reply);
+    const struct sched_reply *reply, const char *overflow_holder);
 
 /** cells_create() - Return: NULL when out of memory. */
 struct cells *cells_create(const struct cells_params *params);
@@ -128,7 +135,7 @@
 
 /**
  * cells_overflow_holder() - select a holder for jobs that the local cell
- * refuses.
+ * refuses. Only the holder of the local cell knows the load of other cells.
  * Return: the holder of the remote cell with the most free capacity among
  * those without a backlog, or NULL.
  */
@@ -149,12 +156,18 @@
     uint64_t nonce);
 
 /**
- * cells_reachable_peer() - Return: a reachable host, or NULL; chosen by the
- * clock, so that calls are spread over all hosts.
+ * cells_reachable_peer() - Return: a reachable host of this zone that has all
+ * rows, or NULL; chosen by the clock, so that calls are spread.
  */
 const char *cells_reachable_peer(const struct cells *cells,
     uint64_t *incarnation);
 
+/**
+ * cells_is_candidate() - whether this host holds its cell, or is one of the
+ * first hosts to take it over.
+ */
+bool cells_is_candidate(const struct cells *cells);
+
 /** cells_handle() - serve a request of a peer. */
 void cells_handle(struct cells *cells, const struct api_request *request,
     api_reply_fn reply, void *arg);
@@ -167,10 +180,10 @@
 
 /**
  * cells_list_hosts() - list the other known hosts.
- * @max: size of @entries.
- * Return: number of entries set.
+ * @entries: set to an array that the caller frees.
+ * Return: number of entries.
  */
 size_t cells_list_hosts(const struct cells *cells,
-    struct hostlist_entry *entries, size_t max);
+    struct hostlist_entry **entries);
 
 #endif /* ENTRY_JOBS_CELLS_H */
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -7,6 +7,7 @@
 #include <jansson.h>
 
 #include "core/cell.h"
+#include "core/name_index.h"
 #include "entry/jobs/cells.h"
 
 /*
@@ -18,11 +19,15 @@
 #define CELLS_PATH "/v1/work/"
 #define CELLS_JOBS_PATH CELLS_PATH "jobs/"
 #define CELLS_CANCEL_PATH CELLS_PATH "cancel/"
-#define CELLS_HOSTS_MAX 256
+
+/* Number of hosts of a zone, in the order of preference as holder, that are
+ * prepared to become the holder. */
+#define CELLS_CANDIDATES 3
 
 /** struct cells_host - another entry host. */
 struct cells_host {
 	struct reg_host info;
+	struct cells_zone *zone;
 	uint64_t token;	  /* as last reported; 0: not a holder */
 	bool state_known; /* it has reported its state since it connected */
 	bool leaving;
@@ -37,7 +42,22 @@
 	uint32_t free_permille; /* of its servers' CPU capacity */
 	/* Number of stored jobs that have not started, by queue; owned. */
 	struct json_t *pending;
-	TAILQ_ENTRY(cells_host) entry;
+	struct nidx_entry by_name;
+	TAILQ_ENTRY(cells_host)
+	entry; /* of the zone, preferred holders first */
+};
+
+TAILQ_HEAD(cells_hosts, cells_host);
+
+/** struct cells_zone - an availability zone and its hosts other than this one.
+ */
+struct cells_zone {
+	char az[NAME_SIZE];
+	bool local; /* this host belongs to it */
+	struct cells_hosts hosts;
+	/* Reported as the holder by another host of the zone, or NULL. */
+	struct cells_host *likely_holder;
+	TAILQ_ENTRY(cells_zone) entry;
 };
 
 /** struct cells_submission - a job, or a request about one, of this host or of
@@ -55,7 +75,16 @@
 struct cells {
 	struct cells_params params;
 	/* The other hosts of all availability zones. */
-	TAILQ_HEAD(, cells_host) hosts;
+	TAILQ_HEAD(, cells_zone) zones;
+	struct cells_zone *local_zone;
+	struct name_index hosts_by_name;
+	size_t nhosts;
+	/* Version of the peers' connections at the last tick; valid if
+	 * connections_known is set. */
+	uint64_t connections_version;
+	bool connections_known;
+	struct cell_host *candidates; /* buffer of cells_choose_holder() */
+	size_t ncandidates;	      /* allocated entries */
 	/* Requests that are served on this host. */
 	TAILQ_HEAD(, cells_submission) submissions;
 	struct event *timer;
@@ -87,8 +116,8 @@
 void cells_choose_holder(struct cells *cells);
 /* Reports a new holder of the local cell, once for each token. */
 void cells_notify_holder(struct cells *cells);
-/* Whether the host belongs to this host's availability zone. */
-bool cells_is_local(const struct cells *cells, const struct cells_host *host);
+/* The reachable holder of a zone with the highest token, or NULL. */
+struct cells_host *cells_zone_holder(const struct cells_zone *zone);
 
 /* cells_ping.c */
 
@@ -96,8 +125,8 @@
 void cells_update_connections(struct cells *cells, uint64_t now_us);
 /* Requests the state of the hosts of this availability zone. */
 void cells_ping_local(struct cells *cells, uint64_t now_us);
-/* Connects to the holders, and likely holders, of remote cells and requests
- * their state. */
+/* For the holder: connects to the holders of remote cells and requests their
+ * state. */
 void cells_ping_remote(struct cells *cells, uint64_t now_us);
 
 /* cells_job.c */
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -60,14 +60,28 @@
 	reply(arg, &message);
 }
 
+/* The holder of another cell that can run a job with this result, or NULL. */
+static const char *
+cells_overflow_after(const struct cells *cells,
+    const struct sched_reply *result)
+{
+	return result->result == SCHED_NOT_RUN ? cells_overflow_holder(cells)
+					       : NULL;
+}
+
 static void
-cells_send_result(api_reply_fn reply, void *arg,
+cells_send_result(const struct cells *cells, api_reply_fn reply, void *arg,
     const struct sched_reply *result)
 {
 	json_t *body = json_pack("{s:s,s:i}", "reason", result->reason,
 	    "retry_after_ms", (int)result->retry_after_ms);
-	char *text = json_dumps(body, JSON_COMPACT);
+	const char *overflow_holder = cells_overflow_after(cells, result);
+	char *text;
 
+	if (overflow_holder != NULL)
+		(void)json_object_set_new(body, "overflow",
+		    json_string(overflow_holder));
+	text = json_dumps(body, JSON_COMPACT);
 	if (text == NULL)
 		abort();
 	cells_send_reply(reply, arg, cells_result_statuses[result->result],
@@ -80,15 +94,17 @@
 cells_submission_done(void *arg, const struct sched_reply *result)
 {
 	struct cells_submission *sub = arg;
+	const struct cells *cells = sub->cells;
 	cells_done_fn done = sub->done;
 	api_reply_fn reply = sub->reply;
 	void *reply_arg = sub->arg;
 
 	cells_submission_free(sub);
 	if (done != NULL)
-		done(reply_arg, CELLS_REPLIED, result);
+		done(reply_arg, CELLS_REPLIED, result,
+		    cells_overflow_after(cells, result));
 	else
-		cells_send_result(reply, reply_arg, result);
+		cells_send_result(cells, reply, reply_arg, result);
 }
 
 struct cells_submission *
@@ -134,7 +150,8 @@
 		.age_ms = job->age_ms,
 		.timeout_ms = job->timeout_ms,
 		.resubmitted = job->resubmitted,
-		.may_refuse = job->may_refuse,
+		.may_refuse = job->may_refuse &&
+		    cells_overflow_holder(sub->cells) != NULL,
 	};
 	struct sched_reply invalid = { .result = SCHED_UNSUPPORTED };
 	struct err err;
@@ -174,7 +191,8 @@
 
 	if (reply == NULL) {
 		call->done(call->arg,
-		    err->code == ERR_LOST ? CELLS_LOST : CELLS_NOT_SENT, NULL);
+		    err->code == ERR_LOST ? CELLS_LOST : CELLS_NOT_SENT, NULL,
+		    NULL);
 		free(call);
 		return;
 	}
@@ -190,7 +208,8 @@
 		    json_string_value(json_object_get(body, "reason"));
 	result.retry_after_ms = (uint32_t)json_integer_value(
 	    json_object_get(body, "retry_after_ms"));
-	call->done(call->arg, CELLS_REPLIED, &result);
+	call->done(call->arg, CELLS_REPLIED, &result,
+	    json_string_value(json_object_get(body, "overflow")));
 	json_decref(body);
 	free(call);
 }
@@ -243,7 +262,7 @@
 	}
 	host = cells_host_find(cells, holder);
 	if (host == NULL || !host->connected) {
-		done(arg, CELLS_NOT_SENT, NULL);
+		done(arg, CELLS_NOT_SENT, NULL, NULL);
 		return;
 	}
 	cells_forward(cells, host, job, done, arg);
@@ -370,40 +389,86 @@
 }
 
 static void
-cells_add_pending(void *arg, const char *queue)
+cells_count_pending(void *arg, const char *queue)
 {
 	json_int_t n = json_integer_value(json_object_get(arg, queue));
 
 	(void)json_object_set_new(arg, queue, json_integer(n + 1));
 }
 
-/* Counts the jobs of each queue separately, so that any host can add up the
- * counts of all cells for one queue. */
-static json_t *
-cells_pending_json(const struct cells *cells)
+static void
+cells_add_pending(json_t *sum, json_t *pending)
 {
-	json_t *pending = json_object();
+	const char *queue;
+	json_t *value;
+
+	json_object_foreach (pending, queue, value) {
+		json_int_t n = json_integer_value(json_object_get(sum, queue)) +
+		    json_integer_value(value);
 
-	sched_each_pending_job(cells->params.sched, cells_add_pending, pending);
-	return pending;
+		(void)json_object_set_new(sum, queue, json_integer(n));
+	}
 }
 
+/* Counts the jobs of each queue, of this cell or of all cells. */
+static json_t *
+cells_pending_json(const struct cells *cells, bool all_cells)
+{
+	const struct cells_zone *zone;
+	const struct cells_host *holder;
+	json_t *sum = json_object();
+
+	sched_each_pending_job(cells->params.sched, cells_count_pending, sum);
+	if (!all_cells)
+		return sum;
+	TAILQ_FOREACH (zone, &cells->zones, entry) {
+		holder = zone->local ? NULL : cells_zone_holder(zone);
+		if (holder != NULL)
+			cells_add_pending(sum, holder->pending);
+	}
+	return sum;
+}
+
+/* The members of the state that only a holder has. */
 static void
-cells_handle_state(struct cells *cells, api_reply_fn reply, void *arg)
+cells_add_load(const struct cells *cells, bool all_cells, json_t *body)
 {
 	struct sched_load load;
-	json_t *body;
-	char *text;
 
 	sched_load(cells->params.sched, &load);
-	body = json_pack("{s:I,s:b,s:I,s:I,s:o}", "token",
-	    (json_int_t)sched_token(cells->params.sched), "leaving",
-	    (int)cells->leaving, "backlog_ms", (json_int_t)load.backlog_ms,
-	    "free_permille",
-	    (json_int_t)(load.cpu_total == 0
+	(void)json_object_set_new(body, "backlog_ms",
+	    json_integer((json_int_t)load.backlog_ms));
+	(void)json_object_set_new(body, "free_permille",
+	    json_integer((json_int_t)(load.cpu_total == 0
 		    ? 0
-		    : load.cpu_free * CELLS_PERMILLE / load.cpu_total),
-	    "pending", cells_pending_json(cells));
+		    : load.cpu_free * CELLS_PERMILLE / load.cpu_total)));
+	(void)json_object_set_new(body, "pending",
+	    cells_pending_json(cells, all_cells));
+}
+
+/* Hosts of this zone get the numbers of pending jobs of all cells. */
+static void
+cells_handle_state(struct cells *cells, const struct api_request *request,
+    api_reply_fn reply, void *arg)
+{
+	uint64_t token = sched_token(cells->params.sched);
+	const struct cells_host *holder;
+	char az[NAME_SIZE] = "";
+	json_t *body;
+	char *text;
+
+	body = json_pack("{s:I,s:b}", "token", (json_int_t)token, "leaving",
+	    (int)cells->leaving);
+	holder = cells_zone_holder(cells->local_zone);
+	if (token != 0)
+		cells_add_load(cells,
+		    api_query_text(request->query, "az", az, sizeof(az)) &&
+			strcmp(az, cells->params.self.az) == 0,
+		    body);
+	else if (holder != NULL)
+		(void)json_object_update_new(body,
+		    json_pack("{s:s,s:I}", "holder", holder->info.name,
+			"holder_token", (json_int_t)holder->token));
 	text = json_dumps(body, JSON_COMPACT);
 	if (text == NULL)
 		abort();
@@ -449,7 +514,7 @@
 		       sizeof(CELLS_CANCEL_PATH) - 1) == 0) {
 		cells_handle_cancel_stored(cells, request, reply, arg);
 	} else if (strcmp(request->path, CELLS_PATH "state") == 0) {
-		cells_handle_state(cells, reply, arg);
+		cells_handle_state(cells, request, reply, arg);
 	} else if (strcmp(request->path, CELLS_PATH "held") == 0) {
 		cells_handle_announcement(cells, request, reply, arg);
 	} else {
--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -1,12 +1,16 @@
 /*
- * State of the other hosts. Local hosts, and the holders and likely holders
- * of remote cells, are pinged: a ping requests the host's token and load. The
- * first one is sent as soon as the host connects; later ones are periodic, more
- * frequent for the holder than for other local hosts.
+ * State of the other hosts. A ping requests a host's token and, of a holder,
+ * its load. Each local host is pinged once it connects. Later the holder is
+ * pinged often, and those likely to become the holder now and then; all others
+ * name the holder in their replies, and announce themselves when they become
+ * the holder. Only the holder pings remote cells: it selects the one for jobs
+ * that it refuses. The number of pings of a host so depends neither on the
+ * number of hosts nor on that of servers; a holder answers those of its zone.
  */
 
 #include <inttypes.h>
 #include <jansson.h>
+#include <stdio.h>
 
 #include "adapters/log.h"
 #include "core/mem.h"
@@ -14,11 +18,9 @@
 
 #define CELLS_US_PER_MS UINT64_C(1000)
 /* Intervals of pings. */
-#define CELLS_HOLDER_PING_MS 150 /* of the local cell's holder */
-#define CELLS_LOCAL_PING_MS 1000 /* of other local hosts */
-#define CELLS_REMOTE_PING_MS 300 /* of holders of remote cells */
-
-#define CELLS_REMOTE_CANDIDATES 3 /* likely holders of each remote cell */
+#define CELLS_HOLDER_PING_MS 150  /* of the local cell's holder */
+#define CELLS_LOCAL_PING_MS 1000  /* of likely holders of the local cell */
+#define CELLS_REMOTE_PING_MS 300  /* of holders of remote cells */
 #define CELLS_PING_TIMEOUT_MS 450 /* the host is then unreachable */
 
 /* A ping in flight. */
@@ -27,6 +29,28 @@
 	char host[NAME_SIZE];
 };
 
+/* Processes the name of the holder of @host's cell, as @host sees it. A holder
+ * that this host does not know as such is pinged at once. */
+static void
+cells_learn_holder(struct cells *cells, const struct cells_host *host,
+    const json_t *body)
+{
+	const char *name = json_string_value(json_object_get(body, "holder"));
+	uint64_t token =
+	    (uint64_t)json_integer_value(json_object_get(body, "holder_token"));
+	const struct cells_host *known = cells_zone_holder(host->zone);
+	struct cells_host *holder;
+
+	if (name == NULL || (known != NULL && known->token >= token))
+		return;
+	holder = cells_host_find(cells, name);
+	if (holder == NULL || holder->zone != host->zone || holder->unreachable)
+		return;
+	holder->state_known = false;
+	holder->ping_sent_us = 0;
+	host->zone->likely_holder = holder;
+}
+
 static void
 cells_ping_done(void *arg, const struct api_reply *reply, const struct err *err)
 {
@@ -58,6 +82,7 @@
 		cells_host_set_token(ping->cells, host,
 		    (uint64_t)json_integer_value(
 			json_object_get(body, "token")));
+		cells_learn_holder(ping->cells, host, body);
 		json_decref(body);
 	}
 	free(ping);
@@ -67,9 +92,10 @@
 cells_ping(struct cells *cells, struct cells_host *host, uint64_t interval_ms,
     uint64_t now_us)
 {
+	char query[NAME_SIZE + 8];
 	const struct api_request request = { .method = API_GET,
 		.path = CELLS_PATH "state",
-		.query = "" };
+		.query = query };
 	struct cells_ping *ping;
 
 	if (!host->connected)
@@ -92,89 +118,123 @@
 	strlcpy(ping->host, host->info.name, sizeof(ping->host));
 	host->ping_pending = true;
 	host->ping_sent_us = now_us;
+	(void)snprintf(query, sizeof(query), "az=%s", cells->params.self.az);
 	cells->params.peers->ops->forward(cells->params.peers, host->info.az,
 	    host->info.name, host->incarnation, &request, cells_ping_done,
 	    ping);
 }
 
+static void
+cells_host_update_connection(struct cells *cells, struct cells_host *host,
+    uint64_t now_us)
+{
+	uint64_t incarnation;
+	bool connected = cells->params.is_connected(cells->params.peers,
+	    host->info.name, &incarnation);
+
+	if (connected &&
+	    (!host->connected || host->incarnation != incarnation)) {
+		host->connected_us = now_us;
+		host->incarnation = incarnation;
+		host->token = 0;
+		host->leaving = false;
+		host->unreachable = false;
+		host->state_known = false;
+		host->ping_sent_us = 0;
+	}
+	if (!connected)
+		host->token = 0;
+	host->connected = connected;
+}
+
 void
 cells_update_connections(struct cells *cells, uint64_t now_us)
 {
+	uint64_t version =
+	    cells->params.connections_version(cells->params.peers);
+	struct cells_zone *zone;
 	struct cells_host *host;
-	uint64_t incarnation;
-	bool connected;
-
-	TAILQ_FOREACH (host, &cells->hosts, entry) {
-		connected = cells->params.is_connected(cells->params.peers,
-		    host->info.name, &incarnation);
-		if (connected &&
-		    (!host->connected || host->incarnation != incarnation)) {
-			host->connected_us = now_us;
-			host->incarnation = incarnation;
-			host->token = 0;
-			host->leaving = false;
-			host->unreachable = false;
-			host->state_known = false;
-			host->ping_sent_us = 0;
-		}
-		if (!connected)
-			host->token = 0;
-		host->connected = connected;
+
+	if (cells->connections_known && cells->connections_version == version)
+		return;
+	cells->connections_known = true;
+	cells->connections_version = version;
+	TAILQ_FOREACH (zone, &cells->zones, entry) {
+		TAILQ_FOREACH (host, &zone->hosts, entry)
+			cells_host_update_connection(cells, host, now_us);
 	}
 }
 
-/* Returns how many hosts of its availability zone would be chosen as holder
- * before this one: by weight, then by name. */
-static size_t
-cells_remote_rank(const struct cells *cells, const struct cells_host *host)
+static void
+cells_ping_or_connect(struct cells *cells, struct cells_host *host,
+    uint64_t now_us)
 {
-	const struct cells_host *other;
-	size_t rank = 0;
-
-	TAILQ_FOREACH (other, &cells->hosts, entry) {
-		if (strcmp(other->info.az, host->info.az) == 0 &&
-		    (other->info.weight > host->info.weight ||
-			(other->info.weight == host->info.weight &&
-			    strcmp(other->info.name, host->info.name) < 0)))
-			rank++;
+	if (!host->connected)
+		cells->params.request_connection(cells->params.peers,
+		    host->info.name);
+	else
+		cells_ping(cells, host, CELLS_REMOTE_PING_MS, now_us);
+}
+
+/* Pings the first hosts of a zone without a known holder: they are likely to
+ * be the holder, and know it otherwise. */
+static void
+cells_probe_zone(struct cells *cells, struct cells_zone *zone, uint64_t now_us)
+{
+	struct cells_host *host;
+	uint32_t n = 0;
+
+	if (zone->likely_holder != NULL)
+		cells_ping_or_connect(cells, zone->likely_holder, now_us);
+	TAILQ_FOREACH (host, &zone->hosts, entry) {
+		if (host->unreachable)
+			continue;
+		if (n++ == CELLS_CANDIDATES)
+			return;
+		cells_ping_or_connect(cells, host, now_us);
 	}
-	return rank;
 }
 
 void
 cells_ping_remote(struct cells *cells, uint64_t now_us)
 {
-	struct cells_host *host;
+	struct cells_zone *zone;
+	struct cells_host *holder;
 
-	TAILQ_FOREACH (host, &cells->hosts, entry) {
-		if (cells_is_local(cells, host) ||
-		    (host->token == 0 &&
-			cells_remote_rank(cells, host) >=
-			    CELLS_REMOTE_CANDIDATES))
+	TAILQ_FOREACH (zone, &cells->zones, entry) {
+		if (zone->local)
 			continue;
-		if (!host->connected)
-			cells->params.request_connection(cells->params.peers,
-			    host->info.name);
+		holder = cells_zone_holder(zone);
+		if (holder != NULL && !holder->leaving)
+			cells_ping(cells, holder, CELLS_REMOTE_PING_MS, now_us);
 		else
-			cells_ping(cells, host, CELLS_REMOTE_PING_MS, now_us);
+			cells_probe_zone(cells, zone, now_us);
 	}
 }
 
+/* The interval of pings of a local host; 0: none. */
+static uint32_t
+cells_local_ping_interval_ms(const struct cells *cells,
+    const struct cells_host *host, uint32_t rank)
+{
+	if (host->unreachable || !host->state_known ||
+	    host == host->zone->likely_holder ||
+	    (cells->holder != NULL && cells->holder == host->info.name))
+		return CELLS_HOLDER_PING_MS;
+	return rank < CELLS_CANDIDATES ? CELLS_LOCAL_PING_MS : 0;
+}
+
 void
 cells_ping_local(struct cells *cells, uint64_t now_us)
 {
 	struct cells_host *host;
-	bool holder_or_unknown;
+	uint32_t interval_ms, rank = 0;
 
-	TAILQ_FOREACH (host, &cells->hosts, entry) {
-		if (!cells_is_local(cells, host))
-			continue;
-		holder_or_unknown = host->unreachable || !host->state_known ||
-		    (cells->holder != NULL &&
-			strcmp(host->info.name, cells->holder) == 0);
-		cells_ping(cells, host,
-		    holder_or_unknown ? CELLS_HOLDER_PING_MS
-				      : CELLS_LOCAL_PING_MS,
-		    now_us);
+	TAILQ_FOREACH (host, &cells->local_zone->hosts, entry) {
+		interval_ms = cells_local_ping_interval_ms(cells, host, rank);
+		if (host->connected && !host->unreachable)
+			rank++;
+		if (interval_ms != 0 || host->ping_pending)
+			cells_ping(cells, host, interval_ms, now_us);
 	}
 }
--- a/entry/jobs/cells_stored.c
+++ b/entry/jobs/cells_stored.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 
 #include "core/mem.h"
+#include "entry/api_internal.h"
 #include "entry/jobs/cells_internal.h"
 
 /* Cancellation */
@@ -37,18 +38,6 @@
 	cells_send_reply(reply, reply_arg, cells_store_statuses[result], "{}");
 }
 
-void
-cells_handle_cancel_stored(struct cells *cells,
-    const struct api_request *request, api_reply_fn reply, void *arg)
-{
-	const char *id = request->path + sizeof(CELLS_CANCEL_PATH) - 1;
-	struct cells_submission *sub =
-	    cells_submission_create(cells, id, 0, arg);
-
-	sub->reply = reply;
-	jstore_cancel(cells->job_store, id, cells_cancel_stored_done, sub);
-}
-
 static void
 cells_cancel_forward_done(void *arg, const struct api_reply *reply,
     const struct err *err)
@@ -63,15 +52,34 @@
 	free(call);
 }
 
+/*
+ * The host through which a job of the cell of @az is cancelled: its holder, or,
+ * for another cell, the holder of the own cell, which knows the others.
+ */
+static const struct cells_host *
+cells_cancel_route(const struct cells *cells, const char *az)
+{
+	const struct cells_zone *zone;
+
+	if (sched_token(cells->params.sched) == 0)
+		return cells_zone_holder(cells->local_zone);
+	TAILQ_FOREACH (zone, &cells->zones, entry) {
+		if (strcmp(zone->az, az) == 0)
+			return cells_zone_holder(zone);
+	}
+	return NULL;
+}
+
 void
 cells_cancel_stored(struct cells *cells, const char *az, const char *id,
     jstore_done_fn done, void *arg)
 {
 	char path[sizeof(CELLS_CANCEL_PATH) + JOB_ID_LEN + 1];
+	char query[NAME_SIZE + 8];
 	const struct api_request request = { .method = API_POST,
 		.path = path,
-		.query = "" };
-	const struct cells_host *host, *found = NULL;
+		.query = query };
+	const struct cells_host *host;
 	struct cells_cancel_call *call;
 
 	if (strcmp(az, cells->params.self.az) == 0 &&
@@ -79,13 +87,8 @@
 		jstore_cancel(cells->job_store, id, done, arg);
 		return;
 	}
-	TAILQ_FOREACH (host, &cells->hosts, entry) {
-		if (host->connected && host->token != 0 &&
-		    strcmp(host->info.az, az) == 0 &&
-		    (found == NULL || host->token > found->token))
-			found = host;
-	}
-	if (found == NULL) {
+	host = cells_cancel_route(cells, az);
+	if (host == NULL) {
 		done(arg, JSTORE_UNKNOWN);
 		return;
 	}
@@ -93,11 +96,34 @@
 	call->done = done;
 	call->arg = arg;
 	(void)snprintf(path, sizeof(path), CELLS_CANCEL_PATH "%s", id);
-	cells->params.peers->ops->forward(cells->params.peers, found->info.az,
-	    found->info.name, found->incarnation, &request,
+	(void)snprintf(query, sizeof(query), "az=%s", az);
+	cells->params.peers->ops->forward(cells->params.peers, host->info.az,
+	    host->info.name, host->incarnation, &request,
 	    cells_cancel_forward_done, call);
 }
 
+/* A request for another cell is passed on to its holder, by the holder of this
+ * cell only, so that it is passed on once. */
+void
+cells_handle_cancel_stored(struct cells *cells,
+    const struct api_request *request, api_reply_fn reply, void *arg)
+{
+	const char *id = request->path + sizeof(CELLS_CANCEL_PATH) - 1;
+	struct cells_submission *sub =
+	    cells_submission_create(cells, id, 0, arg);
+	char az[NAME_SIZE] = "";
+
+	sub->reply = reply;
+	if (!api_query_text(request->query, "az", az, sizeof(az)) ||
+	    strcmp(az, cells->params.self.az) == 0 ||
+	    sched_token(cells->params.sched) == 0)
+		jstore_cancel(cells->job_store, id, cells_cancel_stored_done,
+		    sub);
+	else
+		cells_cancel_stored(cells, az, id, cells_cancel_stored_done,
+		    sub);
+}
+
 /* State of jobs */
 
 struct cells_state_call {
@@ -185,17 +211,27 @@
 	    cells_job_state_forward_done, call);
 }
 
+static uint32_t
+cells_host_pending(const struct cells_host *host, const char *queue)
+{
+	return host == NULL ? 0
+			    : (uint32_t)json_integer_value(
+				  json_object_get(host->pending, queue));
+}
+
 uint32_t
 cells_pending(const struct cells *cells, const char *queue)
 {
 	uint32_t n = sched_pending_jobs(cells->params.sched, queue);
-	const struct cells_host *host;
-
-	TAILQ_FOREACH (host, &cells->hosts, entry) {
-		if (host->connected && host->token != 0 &&
-		    host->pending != NULL)
-			n += (uint32_t)json_integer_value(
-			    json_object_get(host->pending, queue));
+	const struct cells_zone *zone;
+
+	/* The holder of the own cell reports the sum over all cells. */
+	if (sched_token(cells->params.sched) == 0)
+		return cells_host_pending(cells_zone_holder(cells->local_zone),
+		    queue);
+	TAILQ_FOREACH (zone, &cells->zones, entry) {
+		if (!zone->local)
+			n += cells_host_pending(cells_zone_holder(zone), queue);
 	}
 	return n;
 }
--- a/entry/jobs/job_gateway.c
+++ b/entry/jobs/job_gateway.c
@@ -71,11 +71,12 @@
 	uint64_t deadline_us;
 	uint64_t unassigned_us; /* first time without a holder; 0: none */
 	uint64_t nonce;
-	char holder[NAME_SIZE];	    /* of the last attempt */
-	bool overflowed;	    /* submitted to a remote cell */
-	uint32_t nattempts;	    /* that have not ended */
-	struct gw_attempt *current; /* NULL: no holder has the job */
-	bool may_have_started;	    /* a task may have been started */
+	char holder[NAME_SIZE];		 /* of the last attempt */
+	bool overflowed;		 /* submitted to a remote cell */
+	char overflow_holder[NAME_SIZE]; /* of that cell; "": not reached */
+	uint32_t nattempts;		 /* that have not ended */
+	struct gw_attempt *current;	 /* NULL: no holder has the job */
+	bool may_have_started;		 /* a task may have been started */
 	bool answered;
 	struct event *timer;
 	gw_done_fn done;
@@ -211,15 +212,15 @@
 
 /* Submits a job that the local cell refused to a remote cell, at most once. */
 static bool
-gw_try_overflow(struct gw_job *job, const struct sched_reply *reply)
+gw_try_overflow(struct gw_job *job, const struct sched_reply *reply,
+    const char *overflow_holder)
 {
-	const char *overflow_holder =
-	    cells_overflow_holder(job->gateway->cells);
-
 	if (reply->result != SCHED_NOT_RUN || job->may_have_started ||
 	    job->overflowed || overflow_holder == NULL)
 		return false;
 	job->overflowed = true;
+	strlcpy(job->overflow_holder, overflow_holder,
+	    sizeof(job->overflow_holder));
 	ctr_inc(&gw_overflowed);
 	log_event(LOG_LEVEL_INFO, "job-overflow",
 	    "id=%s from=%s to=%s reason=\"%s\"", job->id, job->holder,
@@ -235,6 +236,8 @@
 {
 	if (outcome != CELLS_NOT_SENT)
 		job->may_have_started = true;
+	else
+		job->overflow_holder[0] = '\0';
 	log_event(LOG_LEVEL_INFO, "job-unassigned", "id=%s holder=%s cause=%s",
 	    job->id, job->holder,
 	    outcome == CELLS_LOST	    ? "holder-lost"
@@ -254,7 +257,7 @@
 
 static void
 gw_attempt_done(void *arg, enum cells_outcome outcome,
-    const struct sched_reply *reply)
+    const struct sched_reply *reply, const char *overflow_holder)
 {
 	struct gw_attempt *attempt = arg;
 	struct gw_job *job = attempt->job;
@@ -275,7 +278,7 @@
 		return;
 	else if (outcome != CELLS_REPLIED || not_holder)
 		gw_holder_lost(job, outcome);
-	else if (!gw_try_overflow(job, reply))
+	else if (!gw_try_overflow(job, reply, overflow_holder))
 		gw_finish(job, reply);
 }
 
@@ -283,8 +286,6 @@
 gw_send(struct gw_job *job)
 {
 	uint64_t now_us = clock_now_us(job->gateway->clock);
-	const char *overflow_holder =
-	    cells_overflow_holder(job->gateway->cells);
 	const struct cells_job submission = {
 		.id = job->id,
 		.queue = &job->queue,
@@ -294,15 +295,15 @@
 		.timeout_ms =
 		    (uint32_t)((job->deadline_us - now_us) / GW_US_PER_MS),
 		.resubmitted = job->may_have_started,
-		.may_refuse = !job->overflowed && overflow_holder != NULL,
+		.may_refuse = !job->overflowed,
 		.nonce = job->nonce,
 	};
 	const char *holder = cells_holder(job->gateway->cells);
 
 	struct gw_attempt *attempt;
 
-	if (job->overflowed && overflow_holder != NULL)
-		holder = overflow_holder;
+	if (job->overflow_holder[0] != '\0')
+		holder = job->overflow_holder;
 	if (holder == NULL) {
 		gw_retry_or_answer(job,
 		    "the availability zone has no lease holder");
--- a/entry/jobs/job_service.c
+++ b/entry/jobs/job_service.c
@@ -17,15 +17,15 @@
 #define JSVC_TICK_MS 100
 #define JSVC_MIRROR_INTERVAL_MS 300 /* between reads from a peer */
 #define JSVC_MIRROR_PATH "/v1/work/rows"
-#define JSVC_HOSTS_MAX 256
 /* After a reconnection to the store, the rows of servers that expired during
  * its outage may be missing for this long. */
 #define JSVC_ROWS_RESTORED_MS 2500
 /* Pause between reads of the servers' rows. Servers report every 1.5 s. The
  * holder, which starts tasks, must detect a draining server in well under
- * 2 s; another host must have detected it when it becomes the holder. */
+ * 2 s; a host that is likely to become the holder must have detected it then.
+ * The others do not read these rows, which are most of the store's bytes. */
 #define JSVC_SERVERS_POLL_HOLDER_MS 500
-#define JSVC_SERVERS_POLL_OTHER_MS 1500
+#define JSVC_SERVERS_POLL_CANDIDATE_MS 1500
 #define JSVC_US_PER_MS UINT64_C(1000)
 
 struct job_service {
@@ -39,12 +39,15 @@
 	struct job_status *job_status;
 	struct api_handler peer_handler;
 	struct event *timer;
+	struct event *hosts_event; /* active if the hosts have changed */
 	bool store_connected;
-	uint64_t connected_since_us; /* valid while connected */
-	bool tables_read[ROWS_NTABLES];
+	uint64_t connected_since_us;	 /* valid while connected */
+	bool tables_read[ROWS_NTABLES];	 /* in full, from the store */
+	bool tables_known[ROWS_NTABLES]; /* in full, from the store or a peer */
 	bool mirror_pending;
 	uint64_t mirror_due_us;
-	uint64_t mirror_version; /* newest row version after the last read */
+	/* Version of each table up to which rows were read from a peer. */
+	uint64_t mirrored[ROWS_NTABLES];
 	bool leaving;
 };
 
@@ -80,13 +83,18 @@
 	sched_server_remove(svc->sched, id);
 }
 
+/* Passes all hosts to the peers, once for all rows that are read together. */
 static void
-jsvc_update_peer_hosts(struct job_service *svc)
+jsvc_update_peer_hosts(evutil_socket_t fd, short what, void *arg)
 {
-	struct hostlist_entry entries[JSVC_HOSTS_MAX];
-	size_t n = cells_list_hosts(svc->cells, entries, JSVC_HOSTS_MAX);
+	struct job_service *svc = arg;
+	struct hostlist_entry *entries;
+	size_t n = cells_list_hosts(svc->cells, &entries);
 
+	(void)fd;
+	(void)what;
 	svc->params.update_hosts(svc->params.peers, entries, n);
+	free(entries);
 }
 
 static void
@@ -95,7 +103,7 @@
 	struct job_service *svc = arg;
 
 	cells_host_update(svc->cells, host);
-	jsvc_update_peer_hosts(svc);
+	event_active(svc->hosts_event, EV_TIMEOUT, 0);
 }
 
 static void
@@ -104,7 +112,7 @@
 	struct job_service *svc = arg;
 
 	cells_host_remove(svc->cells, name);
-	jsvc_update_peer_hosts(svc);
+	event_active(svc->hosts_event, EV_TIMEOUT, 0);
 }
 
 /* Rows read from the store */
@@ -122,6 +130,8 @@
 {
 	struct job_service *svc = arg;
 
+	/* The rows of a full read are not in the order of their versions. */
+	svc->tables_known[table] = false;
 	reg_read_begin(svc->reg, table);
 }
 
@@ -131,6 +141,7 @@
 	struct job_service *svc = arg;
 
 	svc->tables_read[table] = true;
+	svc->tables_known[table] = true;
 	reg_read_end(svc->reg, table, jsvc_now_us(svc));
 	if (table == ROWS_HOSTS)
 		cells_hosts_loaded(svc->cells);
@@ -209,6 +220,7 @@
 jsvc_set_rows(struct job_service *svc, struct rows *rows)
 {
 	svc->rows = rows;
+	rows->ops->set_poll_pause(rows, ROWS_SERVERS, ROWS_POLL_NEVER);
 	svc->job_store = jstore_create(svc->params.base, svc->params.clock,
 	    rows, svc->sched, svc->params.self.az, jsvc_on_fenced, svc);
 	if (svc->job_store == NULL)
@@ -276,16 +288,23 @@
     const struct err *err)
 {
 	struct job_service *svc = arg;
+	bool merged[ROWS_NTABLES];
+	int i;
 
 	(void)err;
 	svc->mirror_pending = false;
 	if (reply == NULL || reply->status != 200)
 		return;
-	if (reg_merge(svc->reg, reply->body, reply->body_len,
-		jsvc_now_us(svc)) == -1)
+	if (reg_merge(svc->reg, reply->body, reply->body_len, jsvc_now_us(svc),
+		merged) == -1)
 		log_event(LOG_LEVEL_WARN, "mirror-malformed", "bytes=%zu",
 		    reply->body_len);
-	svc->mirror_version = reg_version(svc->reg);
+	for (i = 0; i < ROWS_NTABLES; i++) {
+		if (!merged[i])
+			continue;
+		svc->tables_known[i] = true;
+		svc->mirrored[i] = reg_version(svc->reg, (enum rows_table)i);
+	}
 }
 
 static void
@@ -295,7 +314,7 @@
 		.path = JSVC_MIRROR_PATH };
 	uint64_t incarnation;
 	const char *peer;
-	char query[64];
+	char query[128];
 
 	if (svc->store_connected || svc->mirror_pending ||
 	    now_us < svc->mirror_due_us)
@@ -304,14 +323,27 @@
 	peer = cells_reachable_peer(svc->cells, &incarnation);
 	if (peer == NULL)
 		return;
-	(void)snprintf(query, sizeof(query), "since=%" PRIu64,
-	    svc->mirror_version);
+	(void)snprintf(query, sizeof(query),
+	    "config=%" PRIu64 "&servers=%" PRIu64 "&hosts=%" PRIu64,
+	    svc->mirrored[ROWS_OPERATOR],
+	    cells_is_candidate(svc->cells) ? svc->mirrored[ROWS_SERVERS]
+					   : REG_NO_ROWS,
+	    svc->mirrored[ROWS_HOSTS]);
 	request.query = query;
 	svc->mirror_pending = true;
 	svc->params.peers->ops->forward(svc->params.peers, "", peer,
 	    incarnation, &request, jsvc_mirror_done, svc);
 }
 
+static uint32_t
+jsvc_servers_poll_ms(const struct job_service *svc)
+{
+	if (sched_token(svc->sched) != 0)
+		return JSVC_SERVERS_POLL_HOLDER_MS;
+	return cells_is_candidate(svc->cells) ? JSVC_SERVERS_POLL_CANDIDATE_MS
+					      : ROWS_POLL_NEVER;
+}
+
 static void
 jsvc_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -324,18 +356,36 @@
 	if (svc->job_store != NULL && sched_token(svc->sched) == 0)
 		jstore_deactivate(svc->job_store);
 	sched_set_servers_complete(svc->sched,
-	    svc->store_connected &&
+	    svc->store_connected && svc->tables_read[ROWS_SERVERS] &&
 		now_us - svc->connected_since_us >
 		    JSVC_ROWS_RESTORED_MS * JSVC_US_PER_MS);
 	if (svc->rows != NULL)
 		svc->rows->ops->set_poll_pause(svc->rows, ROWS_SERVERS,
-		    sched_token(svc->sched) != 0 ? JSVC_SERVERS_POLL_HOLDER_MS
-						 : JSVC_SERVERS_POLL_OTHER_MS);
+		    jsvc_servers_poll_ms(svc));
 	jsvc_mirror(svc, now_us);
 }
 
 /* Requests of peers */
 
+/* Encodes the rows that a peer lacks, of the tables that this host knows. */
+static char *
+jsvc_render_rows(const struct job_service *svc, const char *query)
+{
+	uint64_t since[ROWS_NTABLES];
+	int i;
+
+	if (sscanf(query,
+		"config=%" SCNu64 "&servers=%" SCNu64 "&hosts=%" SCNu64,
+		&since[ROWS_OPERATOR], &since[ROWS_SERVERS],
+		&since[ROWS_HOSTS]) != ROWS_NTABLES)
+		memset(since, 0, sizeof(since));
+	for (i = 0; i < ROWS_NTABLES; i++) {
+		if (!svc->tables_known[i])
+			since[i] = REG_NO_ROWS;
+	}
+	return reg_render(svc->reg, since);
+}
+
 static void
 jsvc_handle_peer(void *arg, const struct api_request *request,
     api_reply_fn reply, void *reply_arg)
@@ -343,15 +393,13 @@
 	struct job_service *svc = arg;
 	struct api_reply message = { .status = 200,
 		.content_type = "application/json" };
-	uint64_t since = 0;
 	char *text;
 
 	if (strcmp(request->path, JSVC_MIRROR_PATH) != 0) {
 		cells_handle(svc->cells, request, reply, reply_arg);
 		return;
 	}
-	(void)sscanf(request->query, "since=%" SCNu64, &since);
-	text = reg_render(svc->reg, since);
+	text = jsvc_render_rows(svc, request->query);
 	message.body = text;
 	message.body_len = strlen(text);
 	reply(reply_arg, &message);
@@ -429,6 +477,7 @@
 		.clock = params->clock,
 		.peers = params->peers,
 		.is_connected = params->is_connected,
+		.connections_version = params->connections_version,
 		.request_connection = params->request_connection,
 		.reserve_token = jsvc_reserve_token,
 		.became_holder = jsvc_became_holder,
@@ -447,8 +496,11 @@
 	if (svc->cells == NULL)
 		return -1;
 	svc->gateway = gw_create(params->base, params->clock, svc->cells);
+	svc->hosts_event =
+	    event_new(params->base, -1, 0, jsvc_update_peer_hosts, svc);
 	svc->timer = event_new(params->base, -1, EV_PERSIST, jsvc_tick, svc);
-	if (svc->timer == NULL || event_add(svc->timer, &interval) == -1)
+	if (svc->hosts_event == NULL || svc->timer == NULL ||
+	    event_add(svc->timer, &interval) == -1)
 		return -1;
 	return 0;
 }
@@ -474,6 +526,8 @@
 {
 	if (svc->timer != NULL)
 		event_free(svc->timer);
+	if (svc->hosts_event != NULL)
+		event_free(svc->hosts_event);
 	if (svc->gateway != NULL)
 		gw_destroy(svc->gateway);
 	if (svc->job_status != NULL)
--- a/entry/jobs/job_service.h
+++ b/entry/jobs/job_service.h
@@ -30,6 +30,8 @@
 	/* Returns whether a peer is connected; sets @incarnation if so. */
 	bool (*is_connected)(struct peers *peers, const char *host,
 	    uint64_t *incarnation);
+	/* Returns a number that changes when a peer connects or disconnects. */
+	uint64_t (*connections_version)(struct peers *peers);
 	/* Requests a connection to a peer. */
 	void (*request_connection)(struct peers *peers, const char *host);
 	/* Sets the list of the other entry hosts. */
--- a/entry/jobs/registry.c
+++ b/entry/jobs/registry.c
@@ -8,6 +8,7 @@
 
 #include "adapters/log.h"
 #include "core/mem.h"
+#include "core/name_index.h"
 #include "entry/jobs/registry.h"
 
 /* Rows of live servers may expire during an outage of the store. They are
@@ -23,15 +24,26 @@
 	uint64_t version;
 	uint64_t removal_due_us; /* time to report the removal; 0: none */
 	bool in_current_read;	 /* since the last reg_read_begin() */
+	struct nidx_entry by_key;
 	TAILQ_ENTRY(reg_row) entry;
+	TAILQ_ENTRY(reg_row) removal; /* while removal_due_us is not 0 */
+};
+
+TAILQ_HEAD(reg_rows, reg_row);
+
+/* The rows of one table. */
+struct reg_table {
+	uint64_t version; /* of the newest row */
+	struct reg_rows rows;
+	struct name_index by_key;
 };
 
 struct registry {
 	struct reg_decoder decoder;
 	struct reg_listener listener;
 	struct reg_config config;
-	uint64_t version;
-	TAILQ_HEAD(, reg_row) rows;
+	struct reg_table tables[ROWS_NTABLES];
+	struct reg_rows removals; /* ordered by removal_due_us */
 };
 
 struct registry *
@@ -39,10 +51,15 @@
     const struct reg_listener *listener)
 {
 	struct registry *reg = mem_zalloc(1, sizeof(*reg));
+	int i;
 
 	reg->decoder = *decoder;
 	reg->listener = *listener;
-	TAILQ_INIT(&reg->rows);
+	TAILQ_INIT(&reg->removals);
+	for (i = 0; i < ROWS_NTABLES; i++) {
+		TAILQ_INIT(&reg->tables[i].rows);
+		nidx_init(&reg->tables[i].by_key);
+	}
 	return reg;
 }
 
@@ -53,17 +70,27 @@
 	free(config->services);
 }
 
-void
-reg_destroy(struct registry *reg)
+static void
+reg_table_release(struct reg_table *table)
 {
 	struct reg_row *row;
 
-	while ((row = TAILQ_FIRST(&reg->rows)) != NULL) {
-		TAILQ_REMOVE(&reg->rows, row, entry);
+	while ((row = TAILQ_FIRST(&table->rows)) != NULL) {
+		TAILQ_REMOVE(&table->rows, row, entry);
 		free(row->key);
 		free(row->value);
 		free(row);
 	}
+	nidx_release(&table->by_key);
+}
+
+void
+reg_destroy(struct registry *reg)
+{
+	int i;
+
+	for (i = 0; i < ROWS_NTABLES; i++)
+		reg_table_release(&reg->tables[i]);
 	reg_config_release(&reg->config);
 	free(reg);
 }
@@ -75,21 +102,42 @@
 }
 
 uint64_t
-reg_version(const struct registry *reg)
+reg_version(const struct registry *reg, enum rows_table table)
 {
-	return reg->version;
+	return reg->tables[table].version;
 }
 
 static struct reg_row *
 reg_row_find(struct registry *reg, enum rows_table table, const char *key)
 {
-	struct reg_row *row;
+	struct nidx_entry *entry = nidx_find(&reg->tables[table].by_key, key);
 
-	TAILQ_FOREACH (row, &reg->rows, entry) {
-		if (row->table == table && strcmp(row->key, key) == 0)
-			return row;
-	}
-	return NULL;
+	return entry == NULL ? NULL
+			     : NIDX_OBJECT(entry, struct reg_row, by_key);
+}
+
+static struct reg_row *
+reg_row_add(struct registry *reg, enum rows_table table, const char *key)
+{
+	struct reg_row *row = mem_zalloc(1, sizeof(*row));
+
+	row->table = table;
+	row->key = mem_strndup(key, strlen(key));
+	TAILQ_INSERT_TAIL(&reg->tables[table].rows, row, entry);
+	nidx_insert(&reg->tables[table].by_key, &row->by_key, row->key);
+	return row;
+}
+
+/* Schedules the report of a removal; @due_us 0 cancels it. The delay is always
+ * the same, so that the list stays in order. */
+static void
+reg_set_removal(struct registry *reg, struct reg_row *row, uint64_t due_us)
+{
+	if (row->removal_due_us != 0)
+		TAILQ_REMOVE(&reg->removals, row, removal);
+	row->removal_due_us = due_us;
+	if (due_us != 0)
+		TAILQ_INSERT_TAIL(&reg->removals, row, removal);
 }
 
 static void
@@ -129,10 +177,10 @@
 	struct reg_server server;
 
 	if (row->value == NULL) {
-		row->removal_due_us = now_us + REG_REMOVAL_DELAY_US;
+		reg_set_removal(reg, row, now_us + REG_REMOVAL_DELAY_US);
 		return;
 	}
-	row->removal_due_us = 0;
+	reg_set_removal(reg, row, 0);
 	if (reg->decoder.server(row->key, row->value, row->value_len,
 		&server) == -1) {
 		reg_log_malformed_row(row);
@@ -180,18 +228,14 @@
 {
 	struct reg_row *row = reg_row_find(reg, change->table, change->key);
 
-	if (row == NULL) {
-		row = mem_zalloc(1, sizeof(*row));
-		row->table = change->table;
-		row->key = mem_strndup(change->key, strlen(change->key));
-		TAILQ_INSERT_TAIL(&reg->rows, row, entry);
-	}
+	if (row == NULL)
+		row = reg_row_add(reg, change->table, change->key);
 	row->in_current_read = true;
 	if (change->version <= row->version)
 		return;
 	row->version = change->version;
-	if (change->version > reg->version)
-		reg->version = change->version;
+	if (change->version > reg->tables[change->table].version)
+		reg->tables[change->table].version = change->version;
 	free(row->value);
 	row->value = change->value == NULL
 	    ? NULL
@@ -205,10 +249,8 @@
 {
 	struct reg_row *row;
 
-	TAILQ_FOREACH (row, &reg->rows, entry) {
-		if (row->table == table)
-			row->in_current_read = false;
-	}
+	TAILQ_FOREACH (row, &reg->tables[table].rows, entry)
+		row->in_current_read = false;
 }
 
 void
@@ -216,9 +258,8 @@
 {
 	struct reg_row *row;
 
-	TAILQ_FOREACH (row, &reg->rows, entry) {
-		if (row->table != table || row->in_current_read ||
-		    row->value == NULL)
+	TAILQ_FOREACH (row, &reg->tables[table].rows, entry) {
+		if (row->in_current_read || row->value == NULL)
 			continue;
 		free(row->value);
 		row->value = NULL;
@@ -231,10 +272,9 @@
 {
 	struct reg_row *row;
 
-	TAILQ_FOREACH (row, &reg->rows, entry) {
-		if (row->removal_due_us == 0 || row->removal_due_us > now_us)
-			continue;
-		row->removal_due_us = 0;
+	while ((row = TAILQ_FIRST(&reg->removals)) != NULL &&
+	    row->removal_due_us <= now_us) {
+		reg_set_removal(reg, row, 0);
 		log_event(LOG_LEVEL_INFO, "server-removed",
 		    "server=%s row_version=%" PRIu64, row->key, row->version);
 		reg->listener.server_removed(reg->listener.arg, row->key);
@@ -263,15 +303,17 @@
 	return best;
 }
 
-char *
-reg_render(const struct registry *reg, uint64_t since)
+/* A row without a key shows that the table is encoded. */
+static void
+reg_render_table(const struct registry *reg, enum rows_table table,
+    uint64_t since, json_t *rows)
 {
-	json_t *rows = json_array();
 	const struct reg_row *row;
 	json_t *item;
-	char *text;
 
-	TAILQ_FOREACH (row, &reg->rows, entry) {
+	(void)json_array_append_new(rows,
+	    json_pack("{s:i}", "table", (int)table));
+	TAILQ_FOREACH (row, &reg->tables[table].rows, entry) {
 		if (row->version <= since)
 			continue;
 		item = json_pack("{s:i,s:s,s:I}", "table", (int)row->table,
@@ -281,6 +323,20 @@
 			    json_stringn(row->value, row->value_len));
 		(void)json_array_append_new(rows, item);
 	}
+}
+
+char *
+reg_render(const struct registry *reg, const uint64_t since[ROWS_NTABLES])
+{
+	json_t *rows = json_array();
+	char *text;
+	int i;
+
+	for (i = 0; i < ROWS_NTABLES; i++) {
+		if (since[i] != REG_NO_ROWS)
+			reg_render_table(reg, (enum rows_table)i, since[i],
+			    rows);
+	}
 	text = json_dumps(rows, JSON_COMPACT);
 	json_decref(rows);
 	if (text == NULL)
@@ -288,33 +344,44 @@
 	return text;
 }
 
+static void
+reg_merge_row(struct registry *reg, const json_t *row, uint64_t now_us,
+    bool merged[ROWS_NTABLES])
+{
+	const json_t *value = json_object_get(row, "value");
+	json_int_t table = json_integer_value(json_object_get(row, "table"));
+	const struct rows_change change = {
+		.table = (enum rows_table)table,
+		.key = json_string_value(json_object_get(row, "key")),
+		.value = json_string_value(value),
+		.value_len = json_string_length(value),
+		.version = (uint64_t)json_integer_value(
+		    json_object_get(row, "version")),
+	};
+
+	if (table < 0 || table >= ROWS_NTABLES)
+		return;
+	if (change.key != NULL)
+		reg_row_changed(reg, &change, now_us);
+	else
+		merged[table] = true;
+}
+
 int
-reg_merge(struct registry *reg, const char *text, size_t len, uint64_t now_us)
+reg_merge(struct registry *reg, const char *text, size_t len, uint64_t now_us,
+    bool merged[ROWS_NTABLES])
 {
 	json_t *rows = json_loadb(text, len, 0, NULL);
-	struct rows_change change;
-	const json_t *row, *value;
-	json_int_t table;
+	const json_t *row;
 	size_t i;
 
+	memset(merged, 0, ROWS_NTABLES * sizeof(*merged));
 	if (!json_is_array(rows)) {
 		json_decref(rows);
 		return -1;
 	}
-	json_array_foreach (rows, i, row) {
-		table = json_integer_value(json_object_get(row, "table"));
-		value = json_object_get(row, "value");
-		change = (struct rows_change){
-			.table = (enum rows_table)table,
-			.key = json_string_value(json_object_get(row, "key")),
-			.value = json_string_value(value),
-			.value_len = json_string_length(value),
-			.version = (uint64_t)json_integer_value(
-			    json_object_get(row, "version")),
-		};
-		if (table >= 0 && table < ROWS_NTABLES && change.key != NULL)
-			reg_row_changed(reg, &change, now_us);
-	}
+	json_array_foreach (rows, i, row)
+		reg_merge_row(reg, row, now_us, merged);
 	json_decref(rows);
 	return 0;
 }
--- a/entry/jobs/registry.h
+++ b/entry/jobs/registry.h
@@ -130,20 +130,29 @@
 const struct reg_queue *reg_route(const struct registry *reg, const char *host,
     const char *path, const char **rest);
 
-/** reg_version() - Return: the newest row version that was received. */
-uint64_t reg_version(const struct registry *reg);
+/** reg_version() - Return: the newest row version of @table that was received.
+ */
+uint64_t reg_version(const struct registry *reg, enum rows_table table);
+
+/* Instead of a version: the table is not encoded. */
+#define REG_NO_ROWS UINT64_MAX
 
 /**
- * reg_render() - encode the rows newer than version @since for a peer.
+ * reg_render() - encode rows for a peer.
+ * @since: for each table, the version after which rows are encoded, or
+ *         REG_NO_ROWS. Rows of different tables may be received out of the
+ *         order of their versions, so one version for all is not sufficient.
  * Return: JSON text, freed by the caller.
  */
-char *reg_render(const struct registry *reg, uint64_t since);
+char *reg_render(const struct registry *reg,
+    const uint64_t since[ROWS_NTABLES]);
 
 /**
  * reg_merge() - apply the rows that a peer encoded with reg_render().
+ * @merged: set to whether the peer has encoded the table.
  * Return: 0, or -1 if @text is malformed.
  */
 int reg_merge(struct registry *reg, const char *text, size_t len,
-    uint64_t now_us);
+    uint64_t now_us, bool merged[ROWS_NTABLES]);
 
 #endif /* ENTRY_JOBS_REGISTRY_H */
--- a/ports/rows.h
+++ b/ports/rows.h
@@ -19,6 +19,9 @@
 	ROWS_NTABLES,
 };
 
+/* Pause of a table that is read only on request. */
+#define ROWS_POLL_NEVER UINT32_MAX
+
 /** struct rows_change - current contents of a row that has changed. */
 struct rows_change {
 	enum rows_table table;
@@ -103,7 +106,8 @@
 	    rows_written_fn done, void *arg);
 	/*
 	 * Sets the pause between two reads of a table's feed, from the next
-	 * read on. With 0, changes are reported immediately (long polling).
+	 * read on. With 0, changes are reported immediately (long polling),
+	 * with ROWS_POLL_NEVER only refresh() reads the table.
 	 */
 	void (*set_poll_pause)(struct rows *rows, enum rows_table table,
 	    uint32_t pause_ms);
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1,6 +1,7 @@
 /*
- * Choice of a cell's holder by three entry hosts of one availability zone, over
- * a simulated network in this process that can lose connections.
+ * Choice of a cell's holder by the entry hosts of its availability zone, over a
+ * simulated network in this process that can lose connections. The time is
+ * simulated, too.
  */
 
 #include <criterion/criterion.h>
@@ -11,8 +12,10 @@
 #include "core/mem.h"
 #include "entry/jobs/cells.h"
 #include "tests/support/fake_worker.h"
+#include "tests/support/sim_time.h"
 
-#define NHOSTS 3
+#define NHOSTS 3 /* of most tests */
+#define NHOSTS_MAX 40
 #define CALL_MS 2 /* round trip of a call between hosts */
 /* Connected hosts agree on the holder within one second and one call. */
 #define AGREE_MS 1100
@@ -29,14 +32,18 @@
 	uint64_t incarnation;
 	bool token_requested;
 	uint32_t takeovers;
+	uint32_t calls; /* sent */
 };
 
 struct net {
 	struct event_base *base;
 	struct wm_cluster cluster;
 	struct worker *worker;
-	struct host hosts[NHOSTS];
-	bool connected[NHOSTS][NHOSTS];
+	size_t nhosts;
+	size_t nzones; /* the hosts are assigned to them in turn */
+	struct host hosts[NHOSTS_MAX];
+	bool connected[NHOSTS_MAX][NHOSTS_MAX];
+	uint64_t connections_version;
 	uint64_t token; /* last reserved one */
 };
 
@@ -89,8 +96,9 @@
 
 	(void)az;
 	(void)incarnation;
+	host->calls++;
 	call->from = host;
-	call->to = &host->net->hosts[issuer[1] - '0'];
+	call->to = &host->net->hosts[atoi(issuer + 1)];
 	call->request = *request;
 	strlcpy(call->path, request->path, sizeof(call->path));
 	strlcpy(call->query, request->query, sizeof(call->query));
@@ -106,12 +114,18 @@
 host_connected(struct peers *peers, const char *name, uint64_t *incarnation)
 {
 	struct host *host = (struct host *)peers;
-	const struct host *other = &host->net->hosts[name[1] - '0'];
+	const struct host *other = &host->net->hosts[atoi(name + 1)];
 
 	*incarnation = other->incarnation;
 	return host->net->connected[host->index][other->index];
 }
 
+static uint64_t
+host_connections_version(struct peers *peers)
+{
+	return ((struct host *)peers)->net->connections_version;
+}
+
 static void
 host_request_connection(struct peers *peers, const char *name)
 {
@@ -148,6 +162,18 @@
 
 static const struct peers_ops host_ops = { .forward = host_forward };
 
+/* The row of a host. The hosts are preferred as holders in their order. */
+static struct reg_host
+host_info(const struct net *net, size_t index)
+{
+	struct reg_host info = { .weight = (uint32_t)(1000 - index) };
+
+	(void)snprintf(info.name, sizeof(info.name), "h%zu", index);
+	(void)snprintf(info.az, sizeof(info.az), "%c",
+	    (int)('a' + index % net->nzones));
+	return info;
+}
+
 static void
 host_create(struct net *net, size_t index)
 {
@@ -163,19 +189,20 @@
 		.clock = clock_real(),
 		.peers = &host->peers,
 		.is_connected = host_connected,
+		.connections_version = host_connections_version,
 		.request_connection = host_request_connection,
 		.reserve_token = host_reserve_token,
 		.became_holder = host_became_holder,
 		.holder_changed = host_holder_changed,
 		.arg = host,
-		.self = { .az = "a", .weight = (uint32_t)(1000 - index) } };
+		.self = host_info(net, index) };
 
 	host->peers.ops = &host_ops;
 	host->net = net;
 	host->index = index;
 	host->incarnation++;
-	(void)snprintf(host->name, sizeof(host->name), "h%zu", index);
-	strlcpy(params.self.name, host->name, sizeof(params.self.name));
+	net->connections_version++;
+	strlcpy(host->name, params.self.name, sizeof(host->name));
 	host->sched = sched_create(&scheduler);
 	params.sched = host->sched;
 	host->cells = cells_create(&params);
@@ -184,12 +211,11 @@
 static void
 host_load_list(struct host *host)
 {
-	struct reg_host info = { .az = "a" };
+	struct reg_host info;
 	size_t i;
 
-	for (i = 0; i < NHOSTS; i++) {
-		(void)snprintf(info.name, sizeof(info.name), "h%zu", i);
-		info.weight = (uint32_t)(1000 - i);
+	for (i = 0; i < host->net->nhosts; i++) {
+		info = host_info(host->net, i);
 		cells_host_update(host->cells, &info);
 	}
 	cells_hosts_loaded(host->cells);
@@ -205,6 +231,7 @@
 static void
 net_set_connected(struct net *net, size_t a, size_t b, bool connected)
 {
+	net->connections_version++;
 	net->connected[a][b] = connected;
 	net->connected[b][a] = connected;
 }
@@ -219,7 +246,7 @@
 	for (; ms > 0; ms -= 10) {
 		(void)event_base_loopexit(net->base, &tv);
 		(void)event_base_dispatch(net->base);
-		for (i = 0; i < NHOSTS; i++) {
+		for (i = 0; i < net->nhosts; i++) {
 			if (!net->hosts[i].token_requested)
 				continue;
 			net->hosts[i].token_requested = false;
@@ -229,32 +256,41 @@
 }
 
 static struct net *
-net_create(void)
+net_create_zones(size_t nhosts, size_t nzones)
 {
 	struct net *net = mem_zalloc(1, sizeof(*net));
 	size_t i, j;
 
+	sim_time_start();
+	net->nhosts = nhosts;
+	net->nzones = nzones;
 	net->base = event_base_new();
 	wm_init(&net->cluster, 1, 64000);
 	net->worker =
 	    fake_worker_create(net->base, clock_real(), &net->cluster, 1);
-	for (i = 0; i < NHOSTS; i++)
+	for (i = 0; i < nhosts; i++)
 		host_create(net, i);
-	for (i = 0; i < NHOSTS; i++) {
+	for (i = 0; i < nhosts; i++) {
 		host_load_list(&net->hosts[i]);
-		for (j = 0; j < NHOSTS; j++)
+		for (j = 0; j < nhosts; j++)
 			net->connected[i][j] = i != j;
 	}
 	return net;
 }
 
+static struct net *
+net_create(void)
+{
+	return net_create_zones(NHOSTS, 1);
+}
+
 static void
 net_destroy(struct net *net)
 {
 	size_t i;
 
 	net_run(net, 20);
-	for (i = 0; i < NHOSTS; i++)
+	for (i = 0; i < net->nhosts; i++)
 		host_destroy(&net->hosts[i]);
 	fake_worker_destroy(net->worker);
 	wm_release(&net->cluster);
@@ -270,7 +306,7 @@
 	const char *name;
 	size_t i;
 
-	for (i = 0; i < NHOSTS; i++) {
+	for (i = 0; i < net->nhosts; i++) {
 		name = cells_holder(net->hosts[i].cells);
 		cr_expect(name != NULL &&
 			strcmp(name, net->hosts[holder].name) == 0,
@@ -359,13 +395,12 @@
 Test(cells, host_does_not_take_over_right_after_a_pause)
 {
 	struct net *net = net_create();
-	const struct timespec pause = { .tv_sec = 0, .tv_nsec = 700000000 };
 	size_t i;
 
 	net_run(net, 600);
 	for (i = 0; i < NHOSTS - 1; i++)
 		net_set_connected(net, NHOSTS - 1, i, false);
-	(void)nanosleep(&pause, NULL);
+	sim_time_advance(700);
 	net_run(net, 60);
 	for (i = 0; i < NHOSTS - 1; i++)
 		net_set_connected(net, NHOSTS - 1, i, true);
@@ -374,3 +409,133 @@
 	net_expect_holder(net, 0, "after the pause");
 	net_destroy(net);
 }
+
+/* Takes the connections of a host away, or gives them back. */
+static void
+net_isolate(struct net *net, size_t index, bool isolated)
+{
+	size_t i;
+
+	for (i = 0; i < net->nhosts; i++) {
+		if (i != index)
+			net_set_connected(net, index, i, !isolated);
+	}
+}
+
+/* Calls a second that the last host of a zone of @nhosts sends. */
+static uint32_t
+calls_per_s(size_t nhosts)
+{
+	struct net *net = net_create_zones(nhosts, 1);
+	uint32_t calls;
+
+	net_run(net, 2000);
+	calls = net->hosts[nhosts - 1].calls;
+	net_run(net, 4000);
+	calls = net->hosts[nhosts - 1].calls - calls;
+	net_destroy(net);
+	return calls / 4;
+}
+
+/* With each host of a zone in touch with each other one, the calls of a zone
+ * would be quadratic in its hosts. */
+Test(cells, calls_of_a_host_do_not_depend_on_the_number_of_hosts)
+{
+	uint32_t few = calls_per_s(8);
+
+	cr_expect_gt(few, 0);
+	cr_expect_leq(calls_per_s(NHOSTS_MAX), few);
+}
+
+/* All hosts of a large zone agree on the next holder after the first ones have
+ * disappeared at once. */
+Test(cells, large_zone_fails_over)
+{
+	struct net *net = net_create_zones(NHOSTS_MAX, 1);
+	size_t i;
+
+	net_run(net, 1000);
+	net_expect_holder(net, 0, "after the start");
+	for (i = 0; i < 4; i++)
+		net_isolate(net, i, true);
+	net_run(net, 1200);
+	for (i = 4; i < NHOSTS_MAX; i++)
+		cr_expect_str_eq(cells_holder(net->hosts[i].cells), "h4");
+	net_destroy(net);
+}
+
+/* Only the holder and those that would be the next ones read the servers'
+ * rows. */
+Test(cells, first_hosts_are_candidates)
+{
+	struct net *net = net_create_zones(NHOSTS_MAX, 1);
+	size_t i;
+
+	net_run(net, 20);
+	for (i = 4; i < NHOSTS_MAX; i++)
+		cr_expect_not(cells_is_candidate(net->hosts[i].cells),
+		    "h%zu at the start", i);
+	net_run(net, 1000);
+	for (i = 0; i < NHOSTS_MAX; i++)
+		cr_expect_eq(cells_is_candidate(net->hosts[i].cells), i < 3,
+		    "h%zu", i);
+	net_isolate(net, 0, true);
+	net_run(net, 600);
+	cr_expect(cells_is_candidate(net->hosts[3].cells));
+	net_destroy(net);
+}
+
+static void
+host_add_server(struct host *host)
+{
+	const struct reg_server server = { .id = "s0",
+		.service = "booth",
+		.cpu = 64000,
+		.mem_mb = 1024 };
+
+	sched_server_update(host->sched, &server);
+}
+
+/* h0 and h1 hold the zones a and b, whose only server is idle. */
+Test(cells, holder_knows_the_holder_of_another_zone_with_free_capacity)
+{
+	struct net *net = net_create_zones(8, 2);
+	const char *overflow;
+
+	host_add_server(&net->hosts[1]);
+	net_run(net, 1500);
+	overflow = cells_overflow_holder(net->hosts[0].cells);
+	cr_assert_not_null(overflow);
+	cr_expect_str_eq(overflow, "h1");
+	cr_expect_null(cells_overflow_holder(net->hosts[2].cells),
+	    "it does not hold its cell");
+	net_destroy(net);
+}
+
+/* The holder of zone b is h7, the last of the order: h1, h3 and h5 have been
+ * away and are back. They name it to the holder of zone a. */
+Test(cells, holder_of_another_zone_is_found_through_its_hosts)
+{
+	struct net *net = net_create_zones(8, 2);
+	const char *overflow;
+	size_t i;
+
+	host_add_server(&net->hosts[7]);
+	net_run(net, 1000);
+	for (i = 1; i < 7; i += 2)
+		net_isolate(net, i, true);
+	net_run(net, 1200);
+	cr_assert_neq(sched_token(net->hosts[7].sched), 0);
+	for (i = 1; i < 7; i += 2)
+		net_isolate(net, i, false);
+	/* As if the holder of zone a had just started. */
+	host_destroy(&net->hosts[0]);
+	host_create(net, 0);
+	host_load_list(&net->hosts[0]);
+	net_run(net, 2500);
+	overflow = cells_overflow_holder(
+	    net->hosts[sched_token(net->hosts[0].sched) != 0 ? 0 : 2].cells);
+	cr_assert_not_null(overflow);
+	cr_expect_str_eq(overflow, "h7");
+	net_destroy(net);
+}
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -214,21 +214,77 @@
 	struct observed observed, observed_peer;
 	struct registry *reg = create(&observed),
 			*peer = create(&observed_peer);
+	uint64_t since[ROWS_NTABLES] = { 0 };
+	bool merged[ROWS_NTABLES];
 	char *text;
 
 	change(reg, ROWS_SERVERS, "s1", "64", 10, 0);
 	change(reg, ROWS_SERVERS, "s2", "32", 20, 0);
 	change(reg, ROWS_HOSTS, "h1", NULL, 21, 0);
 	change(peer, ROWS_SERVERS, "s1", "16", 30, 0);
-	text = reg_render(reg, 0);
-	cr_expect_eq(reg_merge(peer, text, strlen(text), 0), 0);
+	text = reg_render(reg, since);
+	cr_expect_eq(reg_merge(peer, text, strlen(text), 0, merged), 0);
 	cr_expect_eq(observed_peer.servers, 2);
 	cr_expect_eq(observed_peer.server.cpu, 32);
-	cr_expect_eq(reg_version(peer), 30);
+	cr_expect_eq(reg_version(peer, ROWS_SERVERS), 30);
+	cr_expect(merged[ROWS_SERVERS] && merged[ROWS_HOSTS]);
 	free(text);
-	text = reg_render(reg, 20);
+	since[ROWS_SERVERS] = 20;
+	text = reg_render(reg, since);
 	cr_expect_null(strstr(text, "s2"));
-	cr_expect_eq(reg_merge(peer, "{}", 2, 0), -1);
+	cr_expect_eq(reg_merge(peer, "{}", 2, 0, merged), -1);
+	free(text);
+	reg_destroy(reg);
+	reg_destroy(peer);
+}
+
+/*
+ * A peer has received a newer row of one table before an older row of another.
+ * The older one must still be read from it later: it shows that a server has
+ * begun to leave.
+ */
+Test(registry, row_that_a_peer_received_late_is_merged)
+{
+	struct observed observed, observed_peer;
+	struct registry *reg = create(&observed),
+			*peer = create(&observed_peer);
+	uint64_t since[ROWS_NTABLES] = { 0 };
+	bool merged[ROWS_NTABLES];
+	char *text;
+	int i;
+
+	change(reg, ROWS_SERVERS, "s1", "64", 10, 0);
+	change(reg, ROWS_HOSTS, "h1", "8", 30, 0);
+	text = reg_render(reg, since);
+	cr_assert_eq(reg_merge(peer, text, strlen(text), 0, merged), 0);
+	free(text);
+	change(reg, ROWS_SERVERS, "s1", "16", 20, 0);
+	for (i = 0; i < ROWS_NTABLES; i++)
+		since[i] = reg_version(peer, (enum rows_table)i);
+	text = reg_render(reg, since);
+	cr_assert_eq(reg_merge(peer, text, strlen(text), 0, merged), 0);
+	free(text);
+	cr_expect_eq(observed_peer.server.cpu, 16);
+	reg_destroy(reg);
+	reg_destroy(peer);
+}
+
+Test(registry, excluded_table_is_not_encoded)
+{
+	struct observed observed, observed_peer;
+	struct registry *reg = create(&observed),
+			*peer = create(&observed_peer);
+	uint64_t since[ROWS_NTABLES] = { 0 };
+	bool merged[ROWS_NTABLES];
+	char *text;
+
+	change(reg, ROWS_SERVERS, "s1", "64", 10, 0);
+	since[ROWS_SERVERS] = REG_NO_ROWS;
+	text = reg_render(reg, since);
+	cr_assert_eq(reg_merge(peer, text, strlen(text), 0, merged), 0);
+	cr_expect_not(merged[ROWS_SERVERS]);
+	cr_expect(merged[ROWS_OPERATOR]);
+	cr_expect_eq(observed_peer.servers, 0);
 	free(text);
 	reg_destroy(reg);
 	reg_destroy(peer);
