--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -17,6 +17,7 @@
 #include <sys/queue.h>
 #include <sys/socket.h>
 
+#include "adapters/clock_real.h"
 #include "adapters/http_client.h"
 
 #define HCL_EVHTTP_TIMEOUT_S 86400 /* each call has its own, shorter timer */
@@ -34,6 +35,9 @@
 	enum evhttp_cmd_type method;
 	char *path;
 	uint64_t conn_id; /* the only connection to use; 0: any */
+	bool new_connection;
+	uint64_t started_us;
+	bool abandoned; /* timed out; @done was called, @timer waits again */
 	bool sent;
 	const char *failure; /* why it could not be sent; or NULL */
 	struct event *timer;
@@ -89,6 +93,12 @@
 	    hcl->peer, "%s after the request was sent", reply->reason);
 }
 
+static uint64_t
+hcl_now_us(void)
+{
+	return clock_now_us(clock_real());
+}
+
 static void
 hcl_schedule_deferred(struct hcl *hcl)
 {
@@ -139,7 +149,8 @@
 	void *arg = call->arg;
 
 	event_del(call->timer);
-	done(arg, reply);
+	if (!call->abandoned)
+		done(arg, reply);
 	hcl_call_free(call);
 }
 
@@ -281,10 +292,12 @@
 /* Returns a reusable idle connection or a new one, in no list; NULL if the
  * limit is reached or memory is exhausted. */
 static struct hcl_conn *
-hcl_conn_acquire(struct hcl *hcl)
+hcl_conn_acquire(struct hcl *hcl, bool new_connection)
 {
 	struct hcl_conn *conn;
 
+	if (new_connection && hcl->nconns < hcl->params.connections_max)
+		return hcl_conn_create(hcl);
 	while ((conn = TAILQ_FIRST(&hcl->idle)) != NULL) {
 		TAILQ_REMOVE(&hcl->idle, conn, entry);
 		if (hcl_conn_reusable(conn))
@@ -337,6 +350,9 @@
 		hcl_call_fail(call, "response without a length", false);
 		return;
 	}
+	if (call->hcl->params.response_time != NULL)
+		call->hcl->params.response_time(call->hcl->params.arg,
+		    hcl_now_us() - call->started_us);
 	input = evhttp_request_get_input_buffer(request);
 	reply.status = evhttp_request_get_response_code(request);
 	reply.body_len = evbuffer_get_length(input);
@@ -349,6 +365,24 @@
 	hcl_call_finish(call, &reply);
 }
 
+/* Reports the time-out of a call, and keeps it and its connection until the
+ * late response or the end of the time for it. */
+static void
+hcl_call_abandon(struct hcl_call *call)
+{
+	const uint32_t ms = call->hcl->params.late_ms;
+	const struct timeval tv = { .tv_sec = ms / 1000,
+		.tv_usec = (suseconds_t)(ms % 1000) * 1000 };
+	const struct hcl_reply reply = { .sent = call->sent,
+		.timed_out = true,
+		.reason = "timed out" };
+
+	call->abandoned = true;
+	call->free_arg = NULL;
+	(void)event_add(call->timer, &tv);
+	call->done(call->arg, &reply);
+}
+
 static void
 hcl_timed_out(evutil_socket_t fd, short events, void *arg)
 {
@@ -358,6 +392,12 @@
 
 	(void)fd;
 	(void)events;
+	/* A request of which nothing was sent must not be sent later. */
+	if (conn != NULL && hcl->params.late_ms != 0 && call->sent &&
+	    !call->abandoned) {
+		hcl_call_abandon(call);
+		return;
+	}
 	if (conn == NULL) {
 		TAILQ_REMOVE(&hcl->waiting, call, entry);
 		hcl->nwaiting--;
@@ -390,7 +430,7 @@
 	}
 	while ((call = TAILQ_FIRST(&hcl->waiting)) != NULL) {
 		conn = call->conn_id == 0
-		    ? hcl_conn_acquire(hcl)
+		    ? hcl_conn_acquire(hcl, call->new_connection)
 		    : hcl_conn_acquire_by_id(hcl, call->conn_id);
 		if (conn == NULL && call->conn_id == 0)
 			return;
@@ -449,6 +489,8 @@
 	call->method = request->method;
 	call->path = strdup(request->path);
 	call->conn_id = request->conn_id;
+	call->new_connection = request->new_connection;
+	call->started_us = hcl_now_us();
 	call->request = hcl_build_request(hcl, request, call);
 	call->timer = evtimer_new(hcl->params.base, hcl_timed_out, call);
 	if (call->path == NULL || call->timer == NULL)
--- a/adapters/http_client.h
+++ b/adapters/http_client.h
@@ -14,6 +14,10 @@
  * connections with one request at a time on each, a bounded queue of calls
  * that wait for a connection, and a timeout for each call. A request is never
  * sent a second time.
+ *
+ * After a time-out the response may still come: the server or the path is slow,
+ * not gone. A new connection for each such call would add to the load, so the
+ * connection can be kept for a while (late_ms).
  */
 
 struct event_base;
@@ -28,6 +32,15 @@
 	uint32_t connections_max;
 	uint32_t waiting_max;	   /* calls that wait for a connection */
 	size_t response_bytes_max; /* body of a response */
+	/*
+	 * A connection whose call has timed out is kept for this time, in which
+	 * the late response makes it usable again. 0: it is closed at once.
+	 */
+	uint32_t late_ms;
+	/* Called with the time of each response since its call, also of late
+	 * ones; may be NULL. */
+	void (*response_time)(void *arg, uint64_t elapsed_us);
+	void *arg;
 };
 
 /** struct hcl_header - one header of a request. */
@@ -46,6 +59,9 @@
 	size_t body_len;     /* bytes */
 	uint32_t timeout_ms; /* 0: hcl_params.timeout_ms */
 	uint64_t conn_id;    /* the only connection to use; 0: any */
+	/* Prefer a new connection: an earlier call had no response, so the
+	 * idle ones may be unusable. */
+	bool new_connection;
 	/* Frees @arg if the client is destroyed during the call; may be NULL */
 	void (*free_arg)(void *arg);
 };
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -102,10 +102,10 @@
 	uint32_t start_attempts; /* start orders sent for this run */
 	uint64_t start_sent_us;	 /* last start order; 0: run was adopted */
 	uint64_t last_update_us; /* last order ended, or run was last listed */
-	bool order_pending;
-	char *last_checkpoint;	 /* owned; NULL: none */
-	uint64_t checkpoint_run; /* run id that wrote last_checkpoint */
-	bool stop_confirmed;	 /* the run can't start later, and ends soon */
+	struct sched_order *order; /* pending, for this run; NULL: none */
+	char *last_checkpoint;	   /* owned; NULL: none */
+	uint64_t checkpoint_run;   /* run id that wrote last_checkpoint */
+	bool stop_confirmed; /* the run can't start later, and ends soon */
 	TAILQ_ENTRY(sched_task) on_server;
 	TAILQ_ENTRY(sched_task) waiting;
 };
--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -47,11 +47,11 @@
 	.unit = 1e-3,
 };
 
-/* A pending order. Its task may be freed before it ends, its server is not. */
+/* A pending order. Its server is not freed before it ends, but the run may be
+ * released, and the task then be freed or have a new run. */
 struct sched_order {
-	struct sched_task *task;
+	struct sched_task *task; /* NULL: the run was released */
 	struct sched_server *server;
-	uint64_t run_id;
 	uint64_t sent_us;
 	LIST_ENTRY(sched_order) entry;
 };
@@ -81,6 +81,9 @@
 	const struct job_step *step = &task->job->spec.steps[task->step];
 	struct sched_server *server = task->server;
 
+	if (task->order != NULL)
+		task->order->task = NULL;
+	task->order = NULL;
 	task->server = NULL;
 	task->job->nassigned--;
 	server->used_cpu -= step->cpu;
@@ -109,21 +112,20 @@
 
 	order->task = task;
 	order->server = task->server;
-	order->run_id = task->run_id;
 	order->sent_us = sched_now(task->job->sched);
 	order->server->pending_calls++;
 	LIST_INSERT_HEAD(&order->server->orders, order, entry);
-	task->order_pending = true;
+	task->order = order;
 	return order;
 }
 
-/* Ends an order and frees it. Return: its task if that still has the run that
- * was ordered, else NULL. */
+/* Ends an order and frees it. Return: its task, or NULL if the run was
+ * released. */
 static struct sched_task *
 sched_order_finish(struct sched_order *order, const struct worker_reply *reply)
 {
 	struct sched_server *server = order->server;
-	struct sched_task *task, *found = NULL;
+	struct sched_task *task = order->task;
 	uint64_t now_us = sched_now(server->sched);
 
 	server->pending_calls--;
@@ -134,39 +136,47 @@
 		    order->sent_us, now_us);
 	if (reply->verdict == WORKER_NO_REPLY)
 		ctr_inc(&sched_orders_unanswered);
-	TAILQ_FOREACH (task, &server->tasks, on_server) {
-		if (task == order->task && task->run_id == order->run_id)
-			found = task;
-	}
-	if (found != NULL) {
-		found->order_pending = false;
-		found->last_update_us = now_us;
+	if (task != NULL) {
+		task->order = NULL;
+		task->last_update_us = now_us;
 	}
 	LIST_REMOVE(order, entry);
 	free(order);
-	return found;
+	return task;
 }
 
-/*
- * Frees the pending orders of a server whose link was closed, since their
- * callbacks do not run. The task of an order may have been freed with its job.
- */
+/* Frees the pending orders of a server whose link was closed, since their
+ * callbacks do not run. */
 void
 sched_orders_discard(struct sched_server *server)
 {
 	struct sched_order *order, *next;
-	struct sched_task *task;
 
-	TAILQ_FOREACH (task, &server->tasks, on_server)
-		task->order_pending = false;
 	for (order = LIST_FIRST(&server->orders); order != NULL; order = next) {
 		next = LIST_NEXT(order, entry);
+		if (order->task != NULL)
+			order->task->order = NULL;
 		LIST_REMOVE(order, entry);
 		free(order);
 	}
 	server->pending_calls = 0;
 }
 
+static const char *const sched_refusal_names[] = {
+	[WORKER_OK] = "started",
+	[WORKER_FENCED] = "refused: fencing token too low",
+	[WORKER_STALE_RUN_ID] = "refused: stale run id",
+	[WORKER_DEADLINE_PASSED] = "refused: the deadline has passed",
+	[WORKER_NO_CAPACITY] =
+	    "refused: not enough free resources on the server",
+	[WORKER_NO_TICKET] = "refused: no valid ticket",
+	[WORKER_UNAVAILABLE] = "refused: the server is unhealthy",
+	[WORKER_OTHER_INCARNATION] = "refused: another incarnation",
+	[WORKER_REFUSED] = "refused",
+	[WORKER_NO_REPLY] = "no reply",
+	[WORKER_NOT_SENT] = "not sent",
+};
+
 /* The server did not execute the start: the task may start elsewhere at once.
  */
 static void
@@ -186,10 +196,7 @@
 		    sched_now(server->sched) + pause_ms * SCHED_US_PER_MS;
 	if (verdict == WORKER_NO_CAPACITY && !server->hold_pending)
 		server->hold_due_us = 1;
-	sched_run_discard(task,
-	    verdict == WORKER_NO_CAPACITY
-		? "refused: not enough free resources on the server"
-		: "refused");
+	sched_run_discard(task, sched_refusal_names[verdict]);
 }
 
 static void sched_start_done(void *arg, const struct worker_reply *reply);
@@ -213,6 +220,7 @@
 		.deadline_ms = lease_extend(&server->lease, sched_now(sched),
 		    sched->params.lease_ms),
 		.token = sched->token,
+		.retry = task->start_attempts > 0,
 	};
 
 	sched_task_name(task, name);
@@ -223,13 +231,15 @@
 }
 
 /*
- * A start order without a reply may be executed at any time. If the server
- * replies to holds, only the order may have been lost, and it is sent again.
- * Otherwise the run is stopped.
+ * A start order without a reply may be executed at any time. If the server has
+ * listed the run, it was executed. If the server replies to holds, only the
+ * order may have been lost, and it is sent again. Otherwise the run is stopped.
  */
 static void
 sched_start_unanswered(struct sched_task *task)
 {
+	if (task->state == SCHED_TASK_RUNNING && !task->job->ended)
+		return;
 	if (task->state == SCHED_TASK_STARTING && !task->job->ended &&
 	    task->server->unanswered_holds == 0 &&
 	    task->start_attempts < SCHED_START_ATTEMPTS_MAX)
@@ -328,7 +338,7 @@
 		    task->job->spec.id, task->step, task->index, task->run_id,
 		    server->info.id);
 	task->state = SCHED_TASK_STOPPING;
-	if (task->order_pending)
+	if (task->order != NULL)
 		return;
 	sched_task_name(task, name);
 	sched->params.worker->ops->stop(server->link, name, task->run_id,
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -230,7 +230,7 @@
 	struct sched_task *task, *next;
 
 	TAILQ_FOREACH_SAFE (task, &server->tasks, on_server, next) {
-		if (task->last_update_us != now_us && !task->order_pending &&
+		if (task->last_update_us != now_us && task->order == NULL &&
 		    task->last_update_us < sent_us)
 			sched_run_discard(task,
 			    "not in the server's list of runs");
@@ -443,7 +443,7 @@
 
 	TAILQ_FOREACH_SAFE (task, &server->tasks, on_server, next) {
 		if (task->state == SCHED_TASK_STOPPING) {
-			if (!task->order_pending && !task->stop_confirmed &&
+			if (task->order == NULL && !task->stop_confirmed &&
 			    now_us - task->last_update_us >
 				SCHED_RETRY_DELAY_MS * SCHED_US_PER_MS)
 				sched_run_stop(task);
--- a/ports/worker.h
+++ b/ports/worker.h
@@ -84,6 +84,7 @@
 	const char *ticket;	/* of the advisor; NULL if not required */
 	uint64_t deadline_ms;	/* of the lease of the server, on its clock */
 	uint64_t token;
+	bool retry; /* an earlier attempt had no reply */
 };
 
 /**
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -397,6 +397,35 @@
 	rig_destroy(rig);
 }
 
+/*
+ * The time-out of a start order whose run has ended comes when its job has been
+ * freed and the next job, whose first runs have the same ids, may have the same
+ * memory: it must not be taken for one of that job's orders.
+ */
+Test(scheduler, late_end_of_an_order_does_not_affect_another_job)
+{
+	struct rig *rig = rig_create(21);
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	uint64_t starts = 0;
+	size_t i;
+
+	srig_run(&rig->srig, 50);
+	faults->orders_only = true;
+	faults->reply_lost_permille = 400;
+	for (i = 0; i < RIG_JOBS_MAX; i++) {
+		rig_submit(rig, 1, 27000, i % 2 == 0 ? 20 : 120, 0);
+		srig_run(&rig->srig, 20);
+	}
+	srig_run(&rig->srig, 500);
+	cr_expect_eq(rig->results[SCHED_COMPLETED], RIG_JOBS_MAX);
+	for (i = 0; i < rig->srig.cluster.nservers; i++)
+		starts += rig->srig.cluster.servers[i].starts;
+	cr_expect_eq(starts, RIG_JOBS_MAX, "%lu starts of %d tasks", starts,
+	    RIG_JOBS_MAX);
+	rig_destroy(rig);
+}
+
 /* Random faults of all kinds for several seeds; the model checks its
  * invariants, and no job may remain at the end. */
 Test(scheduler, random_faults)
