HTTP server: a request that arrives in pieces is received whole

Cause: libevhtp's parser inserts a stray byte into the path or query of a request whose request line reaches it in two reads.

Change: headers are kept out of the parser's input until they are complete, also those of a pipelined request that begin in the read that ends the one before. A refused request writes a line with its path and reason.

Ruled out: reading the library's source; feeding the parser one byte at a time (the same fault).

--- a/adapters/http_conn.c
+++ b/adapters/http_conn.c
@@ -7,6 +7,11 @@
  * rejects a request. The refusal is therefore sent by the hook that runs at
  * the end of the connection, directly to the socket: no other output is
  * pending at that time.
+ *
+ * libevhtp's parser inserts a byte into the path or query of a request that
+ * reaches it in two pieces. It is therefore given headers only when they are
+ * complete; until then they are kept apart from the input, which libevhtp also
+ * parses without a callback here when a connection is resumed.
  */
 
 #include <stdio.h>
@@ -14,6 +19,7 @@
 #include <sys/socket.h>
 
 #include "adapters/http_internal.h"
+#include "adapters/log.h"
 #include "berylrail/limits.h"
 #include "core/counters.h"
 #include "entry/problem.h"
@@ -21,6 +27,8 @@
 #define HTTP_HEADER_BYTES_MAX 16384 /* all headers of a request */
 /* Input that is discarded before a refused connection is closed. */
 #define HTTP_DISCARD_BYTES_MAX (1U << 20)
+/* Longer headers are passed to the parser, which refuses them. */
+#define HTTP_PARTIAL_HEADERS_BYTES_MAX (2 * HTTP_HEADER_BYTES_MAX)
 /* Input that is buffered while the parser is paused. */
 #define HTTP_READ_AHEAD_BYTES_MAX 65536
 
@@ -82,6 +90,7 @@
 
 	refusal_set_err(&err, refusal, client);
 	refusal_count(&err);
+	log_error(LOG_LEVEL_INFO, "request-refused", &err);
 	body = problem_render(row, &err, &len);
 	if (body == NULL)
 		return;
@@ -134,6 +143,7 @@
 	LIST_REMOVE(conn, entry);
 	ctr_set(&http_connections, --server->nconns);
 	event_free(conn->resume);
+	evbuffer_free(conn->partial_headers);
 	free(conn);
 	return EVHTP_RES_OK;
 }
@@ -177,6 +187,7 @@
 	struct http_conn *conn = arg;
 	evhtp_kv_t *type;
 
+	conn->awaiting_headers = false;
 	if (evhtp_request_content_len(req) >
 	    conn->server->params.body_bytes_max)
 		return http_refuse(conn, REF_BODY_BYTES);
@@ -211,6 +222,48 @@
 	    evhtp_header_new(name, value, 0, 1));
 }
 
+/* Whether the input contains the empty line at the end of the headers. */
+static bool
+http_headers_complete(struct evbuffer *input)
+{
+	return evbuffer_search(input, "\n\r\n", 3, NULL).pos != -1 ||
+	    evbuffer_search(input, "\n\n", 2, NULL).pos != -1;
+}
+
+/* Takes incomplete headers out of the input, to which more was added. */
+static void
+http_hold_partial_headers(struct http_conn *conn)
+{
+	struct evbuffer *input = bufferevent_get_input(conn->evconn->bev);
+
+	if (!conn->awaiting_headers)
+		return;
+	if (evbuffer_get_length(conn->partial_headers) > 0)
+		(void)evbuffer_prepend_buffer(input, conn->partial_headers);
+	if (!http_headers_complete(input) &&
+	    evbuffer_get_length(input) < HTTP_PARTIAL_HEADERS_BYTES_MAX)
+		(void)evbuffer_add_buffer(conn->partial_headers, input);
+}
+
+static void
+http_on_readable(struct bufferevent *bev, void *arg)
+{
+	evhtp_connection_t *evconn = arg;
+	struct http_conn *conn = evconn->hooks->on_header_arg;
+
+	http_hold_partial_headers(conn);
+	if (evbuffer_get_length(bufferevent_get_input(bev)) > 0)
+		conn->parse(bev, evconn);
+}
+
+/* Lets the parser continue with the next request. */
+static void
+http_resume_parser(struct http_conn *conn)
+{
+	http_hold_partial_headers(conn);
+	evhtp_connection_resume(conn->evconn);
+}
+
 static void
 http_reply(void *arg, const struct api_reply *reply)
 {
@@ -249,7 +302,7 @@
 	if (conn->in_parser)
 		event_active(conn->resume, EV_TIMEOUT, 1);
 	else
-		evhtp_connection_resume(conn->evconn);
+		http_resume_parser(conn);
 }
 
 /* Resumes the parser, which has returned; it processes the buffered input. */
@@ -260,7 +313,7 @@
 
 	(void)fd;
 	(void)what;
-	evhtp_connection_resume(conn->evconn);
+	http_resume_parser(conn);
 }
 
 /*
@@ -324,6 +377,7 @@
 	if (request.body_len > 0)
 		request.body = evbuffer_pullup(req->buffer_in, -1);
 	conn->pending = req;
+	conn->awaiting_headers = true;
 	http_pause_parser(conn);
 	conn->in_parser = true;
 	if (server->params.handler != NULL)
@@ -341,6 +395,9 @@
 http_set_hooks(struct http_conn *conn)
 {
 	evhtp_connection_t *evconn = conn->evconn;
+	bufferevent_data_cb write_cb;
+	bufferevent_event_cb event_cb;
+	void *cb_arg;
 
 	if (evhtp_connection_set_hook(evconn, evhtp_hook_on_headers_start,
 		(evhtp_hook)http_on_headers_start, conn) != 0 ||
@@ -355,6 +412,10 @@
 		return -1;
 	bufferevent_setwatermark(evconn->bev, EV_READ, 0,
 	    HTTP_READ_AHEAD_BYTES_MAX);
+	bufferevent_getcb(evconn->bev, &conn->parse, &write_cb, &event_cb,
+	    &cb_arg);
+	bufferevent_setcb(evconn->bev, http_on_readable, write_cb, event_cb,
+	    cb_arg);
 	return 0;
 }
 
@@ -375,12 +436,17 @@
 	conn->evconn = evconn;
 	conn->last_progress_ms = http_now_ms();
 	http_format_client_name(conn->client, evconn->saddr);
+	conn->awaiting_headers = true;
+	conn->partial_headers = evbuffer_new();
 	conn->resume = event_new(server->params.base, -1, 0, http_resume, conn);
-	if (conn->resume == NULL || http_set_hooks(conn) == -1) {
+	if (conn->partial_headers == NULL || conn->resume == NULL ||
+	    http_set_hooks(conn) == -1) {
 		evhtp_connection_unset_hook(evconn,
 		    evhtp_hook_on_connection_fini);
 		if (conn->resume != NULL)
 			event_free(conn->resume);
+		if (conn->partial_headers != NULL)
+			evbuffer_free(conn->partial_headers);
 		free(conn);
 		return EVHTP_RES_ERROR;
 	}
--- a/adapters/http_internal.h
+++ b/adapters/http_internal.h
@@ -23,6 +23,10 @@
 struct http_conn {
 	struct http_server *server;
 	evhtp_connection_t *evconn;
+	bufferevent_data_cb parse; /* libevhtp's; parses the input */
+	/* Received bytes of headers that are not complete; owned. */
+	struct evbuffer *partial_headers;
+	bool awaiting_headers;	  /* the next byte belongs to headers */
 	evhtp_request_t *pending; /* request in the API, or NULL */
 	struct event *resume;	  /* resumes the parser after a reply from it */
 	bool in_parser;
--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -42,7 +42,8 @@
 		return HTTP_HANDLING;
 	if (http_unsent_bytes(conn) > 0)
 		return HTTP_WRITING;
-	if (req != NULL && !(req->flags & EVHTP_REQ_FLAG_FINISHED))
+	if (evbuffer_get_length(conn->partial_headers) > 0 ||
+	    (req != NULL && !(req->flags & EVHTP_REQ_FLAG_FINISHED)))
 		return HTTP_READING;
 	return HTTP_IDLE;
 }
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -331,3 +331,123 @@
 	cr_assert(strstr(exchange("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"),
 	    "Connection: close"));
 }
+
+/* The request that the handler of split_requests() received last. */
+static struct {
+	char path[64];
+	char query[64];
+	char host[32];
+	char body[64];
+	uint32_t deadline_ms;
+	unsigned n;
+} received;
+
+static void
+handle_split(void *arg, const struct api_request *request, api_reply_fn reply,
+    void *reply_arg)
+{
+	const struct api_reply message = { .status = 200, .body = "" };
+
+	(void)arg;
+	received.n++;
+	strlcpy(received.path, request->path, sizeof(received.path));
+	strlcpy(received.query, request->query, sizeof(received.query));
+	strlcpy(received.host, request->host, sizeof(received.host));
+	memcpy(received.body, request->body, request->body_len);
+	received.deadline_ms = request->deadline_ms;
+	reply(reply_arg, &message);
+}
+
+static void
+abandon_split(void *arg, void *reply_arg)
+{
+	(void)arg;
+	(void)reply_arg;
+}
+
+#define SPLIT_REQUEST                                     \
+	"POST /gony/1a2b3c4d5e6f7081?wait=7 HTTP/1.1\r\n" \
+	"Host: pude.example\r\nDeadline-Ms: 1500\r\n"     \
+	"Content-Length: 11\r\n\r\n{\"steps\":[]"
+
+static void
+start_split_server(void)
+{
+	static const struct api_handler handler = { .handle = handle_split,
+		.abandon = abandon_split };
+	struct http_server_params params = {
+		.base = rig.base,
+		.handler = &handler,
+		.listen = { .address = "127.0.0.1" },
+		.body_bytes_max = REQUEST_BODY_BYTES_MAX,
+		.header_timeout_ms = 1000,
+		.clients_max = 8,
+	};
+	struct err err;
+
+	http_server_destroy(server);
+	server = http_server_create(&params, &err);
+	cr_assert_not_null(server);
+}
+
+static void
+expect_received(unsigned n, size_t split)
+{
+	cr_expect_eq(received.n, n, "split at %zu", split);
+	cr_expect_str_eq(received.path, "/gony/1a2b3c4d5e6f7081",
+	    "split at %zu: %s", split, received.path);
+	cr_expect_str_eq(received.query, "wait=7", "split at %zu: %s", split,
+	    received.query);
+	cr_expect_str_eq(received.host, "pude.example", "split at %zu: %s",
+	    split, received.host);
+	cr_expect_str_eq(received.body, "{\"steps\":[]", "split at %zu: %s",
+	    split, received.body);
+	cr_expect_eq(received.deadline_ms, 1500, "split at %zu", split);
+}
+
+/* On a slow link a request arrives in pieces. It is split at each byte, also
+ * the second request of a connection. */
+Test(http_server, request_in_two_pieces_is_received_whole)
+{
+	static const char text[] = SPLIT_REQUEST;
+	size_t split;
+	bool ended;
+	int fd;
+
+	start_split_server();
+	for (split = 1; split < sizeof(text) - 1; split++) {
+		fd = client_connect();
+		client_send(fd, text);
+		(void)client_read(fd, "\r\n\r\n", &ended);
+		memset(&received, 0, sizeof(received));
+		(void)send(fd, text, split, MSG_NOSIGNAL);
+		rig_run_loop(2);
+		client_send(fd, text + split);
+		(void)client_read(fd, "\r\n\r\n", &ended);
+		expect_received(1, split);
+		close(fd);
+	}
+}
+
+/* The first piece of the second request arrives with the first request. */
+Test(http_server, pipelined_request_in_two_pieces_is_received_whole)
+{
+	static const char text[] = SPLIT_REQUEST SPLIT_REQUEST;
+	const size_t first = (sizeof(text) - 1) / 2;
+	size_t split;
+	bool ended;
+	int fd;
+
+	start_split_server();
+	for (split = first + 1; split < sizeof(text) - 1; split++) {
+		fd = client_connect();
+		memset(&received, 0, sizeof(received));
+		(void)send(fd, text, split, MSG_NOSIGNAL);
+		rig_run_loop(2);
+		client_send(fd, text + split);
+		(void)client_read(fd, "\r\n\r\n", &ended);
+		rig_run_loop(2);
+		expect_received(2, split);
+		close(fd);
+	}
+}
