HTTP client: a connection that waits for a late response gives way

Change: when the limit is reached, the connection that has waited longest for a late response is closed for a new one.

Ruled out: a higher limit (as many answers can be lost); no late responses for holds (slow links then cost a connection for each).

Test: silent_connections_do_not_delay_further_calls (2 of 4 calls were sent before).

--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -289,6 +289,28 @@
 	return conn;
 }
 
+/* Closes the connection that has waited longest for a late response. Return:
+ * true if there was one. */
+static bool
+hcl_close_abandoned(struct hcl *hcl)
+{
+	struct hcl_conn *conn;
+	struct hcl_call *call;
+
+	TAILQ_FOREACH (conn, &hcl->busy, entry) {
+		if (conn->call->abandoned)
+			break;
+	}
+	if (conn == NULL)
+		return false;
+	call = conn->call;
+	TAILQ_REMOVE(&hcl->busy, conn, entry);
+	hcl->nconns--;
+	hcl_conn_free(conn);
+	hcl_call_free(call);
+	return true;
+}
+
 /* Returns a reusable idle connection or a new one, in no list; NULL if the
  * limit is reached or memory is exhausted. */
 static struct hcl_conn *
@@ -305,7 +327,8 @@
 		hcl->nconns--;
 		hcl_conn_free(conn);
 	}
-	if (hcl->nconns >= hcl->params.connections_max)
+	if (hcl->nconns >= hcl->params.connections_max &&
+	    !hcl_close_abandoned(hcl))
 		return NULL;
 	return hcl_conn_create(hcl);
 }
