--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -549,14 +549,13 @@
 void
 cells_destroy(struct cells *cells)
 {
-	struct cells_zone *zone;
-	struct cells_host *host;
+	struct cells_zone *zone, *next_zone;
+	struct cells_host *host, *next_host;
 
 	cells_submissions_free(cells);
-	while ((zone = TAILQ_FIRST(&cells->zones)) != NULL) {
-		while ((host = TAILQ_FIRST(&zone->hosts)) != NULL)
+	TAILQ_FOREACH_SAFE (zone, &cells->zones, entry, next_zone) {
+		TAILQ_FOREACH_SAFE (host, &zone->hosts, entry, next_host)
 			cells_host_free(cells, host);
-		TAILQ_REMOVE(&cells->zones, zone, entry);
 		free(zone);
 	}
 	nidx_release(&cells->hosts_by_name);
