--- /dev/null
+++ b/tests/test_platform_rows.c
@@ -0,0 +1,242 @@
+/*
+ * The feed of a table over HTTP. The store returns at most 500 changes at a
+ * time; more of them are read at once, and a refresh ends with the last one.
+ */
+
+#include <criterion/criterion.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "platform/platform.h"
+
+#define PAGE_ROWS 500
+#define ROWS 1200 /* servers; the version of a row is in its order of change \
+		   */
+#define RUN_MS 300
+
+struct rig {
+	struct event_base *base;
+	struct evhttp *server;
+	struct rows *rows;
+	uint64_t newest;	 /* version of the store */
+	uint64_t versions[ROWS]; /* of the rows in the store */
+	uint64_t received[ROWS]; /* as reported to the listener */
+	unsigned int changes;	 /* reported by the feed */
+	bool read_ended;	 /* of the servers, in full */
+	bool refreshed;
+	bool complete_at_refresh;
+};
+
+static json_t *
+rig_row(const struct rig *rig, size_t i)
+{
+	char key[16];
+
+	(void)snprintf(key, sizeof(key), "s%04zu", i);
+	return json_pack("{s:s,s:s,s:s,s:s,s:I}", "table", "servers", "part",
+	    "", "key", key, "value", "e30=", "row_version",
+	    (json_int_t)rig->versions[i]);
+}
+
+/* Rows from @start_key on, in the order of their keys. */
+static bool
+rig_page(const struct rig *rig, const char *start_key, json_t *rows)
+{
+	size_t i = start_key == NULL || start_key[0] == '\0'
+	    ? 0
+	    : (size_t)atoi(start_key + 1);
+
+	for (; i < ROWS && json_array_size(rows) < PAGE_ROWS; i++)
+		(void)json_array_append_new(rows, rig_row(rig, i));
+	return i < ROWS;
+}
+
+/* Rows changed after @after, in the order of their versions: row i is changed
+ * with the version newest - ROWS + 1 + i. */
+static void
+rig_changes(const struct rig *rig, uint64_t after, json_t *rows)
+{
+	size_t i;
+
+	for (i = 0; i < ROWS && json_array_size(rows) < PAGE_ROWS; i++) {
+		if (rig->versions[i] > after)
+			(void)json_array_append_new(rows, rig_row(rig, i));
+	}
+}
+
+static void
+rig_serve(struct evhttp_request *req, void *arg)
+{
+	struct rig *rig = arg;
+	const char *query =
+	    evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req));
+	json_t *rows = json_array(), *body;
+	struct evkeyvalq params;
+	const char *table, *after;
+	bool more = false;
+	char *text;
+
+	(void)evhttp_parse_query_str(query, &params);
+	table = evhttp_find_header(&params, "table");
+	after = evhttp_find_header(&params, "after");
+	if (strcmp(table, "servers") == 0) {
+		if (after == NULL)
+			more = rig_page(rig,
+			    evhttp_find_header(&params, "start_key"), rows);
+		else
+			rig_changes(rig, strtoull(after, NULL, 10), rows);
+	}
+	evhttp_clear_headers(&params);
+	body = json_pack("{s:o,s:I,s:b}", "rows", rows, "row_version",
+	    (json_int_t)rig->newest, "has_more", more);
+	text = json_dumps(body, JSON_COMPACT);
+	(void)evbuffer_add(evhttp_request_get_output_buffer(req), text,
+	    strlen(text));
+	free(text);
+	json_decref(body);
+	evhttp_send_reply(req, HTTP_OK, "OK", NULL);
+}
+
+static void
+on_changed(void *arg, const struct rows_change *change)
+{
+	struct rig *rig = arg;
+	size_t i = (size_t)atoi(change->key + 1);
+
+	cr_assert_lt(i, (size_t)ROWS);
+	rig->received[i] = change->version;
+	if (rig->read_ended)
+		rig->changes++;
+}
+
+static void
+on_read_begin(void *arg, enum rows_table table)
+{
+	(void)arg;
+	(void)table;
+}
+
+static void
+on_read_end(void *arg, enum rows_table table)
+{
+	if (table == ROWS_SERVERS)
+		((struct rig *)arg)->read_ended = true;
+}
+
+static void
+on_refreshed(void *arg, enum rows_table table)
+{
+	struct rig *rig = arg;
+
+	cr_assert_eq(table, ROWS_SERVERS);
+	rig->refreshed = true;
+	rig->complete_at_refresh =
+	    memcmp(rig->received, rig->versions, sizeof(rig->versions)) == 0;
+}
+
+static void
+on_connected(void *arg, bool connected)
+{
+	(void)arg;
+	(void)connected;
+}
+
+static void
+rig_change_all(struct rig *rig)
+{
+	size_t i;
+
+	for (i = 0; i < ROWS; i++)
+		rig->versions[i] = ++rig->newest;
+}
+
+static void
+rig_run(struct rig *rig)
+{
+	const struct timeval tv = { .tv_usec = RUN_MS * 1000 };
+
+	(void)event_base_loopexit(rig->base, &tv);
+	(void)event_base_dispatch(rig->base);
+}
+
+static struct rig *
+rig_create(void)
+{
+	struct rig *rig = calloc(1, sizeof(*rig));
+	const struct rows_listener listener = { .changed = on_changed,
+		.read_begin = on_read_begin,
+		.read_end = on_read_end,
+		.refreshed = on_refreshed,
+		.connected = on_connected,
+		.arg = rig };
+	struct endpoint endpoint = { .address = "127.0.0.1" };
+	struct evhttp_bound_socket *bound;
+	struct sockaddr_in sin;
+	socklen_t len = sizeof(sin);
+
+	rig_change_all(rig);
+	rig->base = event_base_new();
+	rig->server = evhttp_new(rig->base);
+	evhttp_set_gencb(rig->server, rig_serve, rig);
+	bound = evhttp_bind_socket_with_handle(rig->server, "127.0.0.1", 0);
+	(void)getsockname(evhttp_bound_socket_get_fd(bound),
+	    (struct sockaddr *)&sin, &len);
+	endpoint.port = ntohs(sin.sin_port);
+	rig->rows = platform_rows_create(rig->base, &endpoint, &listener);
+	rig->rows->ops->set_poll_pause(rig->rows, ROWS_OPERATOR,
+	    ROWS_POLL_NEVER);
+	rig->rows->ops->set_poll_pause(rig->rows, ROWS_HOSTS, ROWS_POLL_NEVER);
+	rig->rows->ops->set_poll_pause(rig->rows, ROWS_SERVERS,
+	    ROWS_POLL_NEVER);
+	return rig;
+}
+
+static void
+rig_destroy(struct rig *rig)
+{
+	platform_rows_destroy(rig->rows);
+	evhttp_free(rig->server);
+	event_base_free(rig->base);
+	free(rig);
+}
+
+Test(platform_rows, refresh_ends_with_the_newest_change)
+{
+	struct rig *rig = rig_create();
+
+	rig->rows->ops->refresh(rig->rows, ROWS_SERVERS);
+	rig_run(rig);
+	cr_assert(rig->read_ended);
+	rig_change_all(rig);
+	rig->refreshed = false;
+	rig->rows->ops->refresh(rig->rows, ROWS_SERVERS);
+	rig_run(rig);
+	cr_expect(rig->refreshed);
+	cr_expect(rig->complete_at_refresh);
+	cr_expect_eq(rig->changes, ROWS);
+	rig_destroy(rig);
+}
+
+/* All rows are changed more often than the feed is read: it does not fall
+ * behind. */
+Test(platform_rows, feed_with_a_pause_does_not_fall_behind)
+{
+	struct rig *rig = rig_create();
+	int i;
+
+	rig->rows->ops->set_poll_pause(rig->rows, ROWS_SERVERS, RUN_MS / 2);
+	rig_run(rig);
+	cr_assert(rig->read_ended);
+	for (i = 0; i < 3; i++) {
+		rig_change_all(rig);
+		rig_run(rig);
+		cr_expect_arr_eq(rig->received, rig->versions,
+		    sizeof(rig->versions), "change %d", i);
+	}
+	rig_destroy(rig);
+}
