Servers' rows: the holder's successors read them from it; complete reads

(4) A row that changed while further pages of a full read were read was known only after the next read of the feed, though the table was said to be complete.

The registry keeps the version with which the decoded row changed, and neither reports nor encodes a heartbeat that changes nothing. The three hosts that are first in line ask the holder every 500 ms for changed rows; it sends them only if it has received a row from the store within 1.5 s; without them for 1.2 s they read the store. A full read ends when the feed has no more changes and has a version, under which missing rows are removed. All runs of a former holder are known only when the rows were read after the take-over.

Order: a request of a successor walks the table (linear in servers, six a second at a holder).

Ruled out: feed positions taken over from the holder (all rows change every 1.5 s: as many pages as a full read); one reader for all zones (left open: docs/CAPACITY.md).

Tests: test_registry (3 cases), test_platform_rows, test_scheduler resubmitted_job_waits_until_servers_are_read: each fails without its part, the last with two runs at the same time.

--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -191,6 +191,20 @@
 	return found->info.name;
 }
 
+const char *
+cells_holder_peer(const struct cells *cells, uint64_t *incarnation)
+{
+	const struct cells_host *host;
+
+	if (!cells_has_holder(cells))
+		return NULL;
+	host = cells_host_find(cells, cells->holder);
+	if (host == NULL || host->unreachable)
+		return NULL;
+	*incarnation = host->incarnation;
+	return host->info.name;
+}
+
 bool
 cells_is_candidate(const struct cells *cells)
 {
--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -162,6 +162,12 @@
 const char *cells_reachable_peer(const struct cells *cells,
     uint64_t *incarnation);
 
+/**
+ * cells_holder_peer() - Return: the holder of the local cell if it is another
+ * host that can be reached, or NULL.
+ */
+const char *cells_holder_peer(const struct cells *cells, uint64_t *incarnation);
+
 /**
  * cells_is_candidate() - whether this host holds its cell, or is one of the
  * first hosts to take it over.
--- a/entry/jobs/job_service.c
+++ b/entry/jobs/job_service.c
@@ -15,15 +15,25 @@
 #include "entry/jobs/scheduler.h"
 
 #define JSVC_TICK_MS 100
-#define JSVC_MIRROR_INTERVAL_MS 300 /* between reads from a peer */
+/* Between reads from a peer, while the store is unreachable. */
+#define JSVC_MIRROR_INTERVAL_MS 300
 #define JSVC_MIRROR_PATH "/v1/work/rows"
+/* A host that is likely to become the holder reads the servers' rows from the
+ * holder, at this interval. Only their changes are sent, not each heartbeat. */
+#define JSVC_MIRROR_SERVERS_MS 500
+/* The holder's rows of servers are current for this time after it has received
+ * one from the store. */
+#define JSVC_SERVERS_CURRENT_MS 1500
+/* Without a reply for this time, they are read from the store. */
+#define JSVC_MIRROR_VALID_MS 1200
 /* After a reconnection to the store, the rows of servers that expired during
  * its outage may be missing for this long. */
 #define JSVC_ROWS_RESTORED_MS 2500
 /* Pause between reads of the servers' rows. Servers report every 1.5 s. The
  * holder, which starts tasks, must detect a draining server in well under
- * 2 s; a host that is likely to become the holder must have detected it then.
- * The others do not read these rows, which are most of the store's bytes. */
+ * 2 s; a host that is likely to become the holder must have detected it then,
+ * also while the holder can't read the store. The others do not read these
+ * rows, which are most of the store's bytes. */
 #define JSVC_SERVERS_POLL_HOLDER_MS 500
 #define JSVC_SERVERS_POLL_CANDIDATE_MS 1500
 #define JSVC_US_PER_MS UINT64_C(1000)
@@ -44,8 +54,11 @@
 	uint64_t connected_since_us;	 /* valid while connected */
 	bool tables_read[ROWS_NTABLES];	 /* in full, from the store */
 	bool tables_known[ROWS_NTABLES]; /* in full, from the store or a peer */
+	uint64_t server_received_us; /* last row of a server from the store */
 	bool mirror_pending;
+	bool mirror_of_servers; /* the pending one is from the holder */
 	uint64_t mirror_due_us;
+	uint64_t servers_mirrored_us; /* last reply of the holder; 0: none */
 	/* Version of each table up to which rows were read from a peer. */
 	uint64_t mirrored[ROWS_NTABLES];
 	bool leaving;
@@ -117,12 +130,36 @@
 
 /* Rows read from the store */
 
+static uint32_t
+jsvc_servers_poll_ms(const struct job_service *svc)
+{
+	if (sched_token(svc->sched) != 0)
+		return JSVC_SERVERS_POLL_HOLDER_MS;
+	if (!cells_is_candidate(svc->cells) ||
+	    (svc->servers_mirrored_us != 0 &&
+		jsvc_now_us(svc) - svc->servers_mirrored_us <
+		    JSVC_MIRROR_VALID_MS * JSVC_US_PER_MS))
+		return ROWS_POLL_NEVER;
+	return JSVC_SERVERS_POLL_CANDIDATE_MS;
+}
+
+static void
+jsvc_set_servers_poll(struct job_service *svc)
+{
+	if (svc->rows != NULL)
+		svc->rows->ops->set_poll_pause(svc->rows, ROWS_SERVERS,
+		    jsvc_servers_poll_ms(svc));
+}
+
 static void
 jsvc_on_row_changed(void *arg, const struct rows_change *change)
 {
 	struct job_service *svc = arg;
+	uint64_t now_us = jsvc_now_us(svc);
 
-	reg_row_changed(svc->reg, change, jsvc_now_us(svc));
+	if (change->table == ROWS_SERVERS)
+		svc->server_received_us = now_us;
+	reg_row_changed(svc->reg, change, now_us);
 }
 
 static void
@@ -136,13 +173,13 @@
 }
 
 static void
-jsvc_on_read_end(void *arg, enum rows_table table)
+jsvc_on_read_end(void *arg, enum rows_table table, uint64_t version)
 {
 	struct job_service *svc = arg;
 
 	svc->tables_read[table] = true;
 	svc->tables_known[table] = true;
-	reg_read_end(svc->reg, table, jsvc_now_us(svc));
+	reg_read_end(svc->reg, table, version, jsvc_now_us(svc));
 	if (table == ROWS_HOSTS)
 		cells_hosts_loaded(svc->cells);
 }
@@ -305,43 +342,80 @@
 		svc->tables_known[i] = true;
 		svc->mirrored[i] = reg_version(svc->reg, (enum rows_table)i);
 	}
+	if (svc->mirror_of_servers)
+		svc->servers_mirrored_us =
+		    merged[ROWS_SERVERS] ? jsvc_now_us(svc) : 0;
 }
 
+/* Requests the rows of each table after the version in @since. */
 static void
-jsvc_mirror(struct job_service *svc, uint64_t now_us)
+jsvc_mirror_send(struct job_service *svc, const char *peer,
+    uint64_t incarnation, const uint64_t since[ROWS_NTABLES], bool current)
 {
 	struct api_request request = { .method = API_GET,
 		.path = JSVC_MIRROR_PATH };
-	uint64_t incarnation;
-	const char *peer;
 	char query[128];
 
-	if (svc->store_connected || svc->mirror_pending ||
-	    now_us < svc->mirror_due_us)
-		return;
-	svc->mirror_due_us = now_us + JSVC_MIRROR_INTERVAL_MS * JSVC_US_PER_MS;
-	peer = cells_reachable_peer(svc->cells, &incarnation);
-	if (peer == NULL)
-		return;
 	(void)snprintf(query, sizeof(query),
-	    "config=%" PRIu64 "&servers=%" PRIu64 "&hosts=%" PRIu64,
-	    svc->mirrored[ROWS_OPERATOR],
-	    cells_is_candidate(svc->cells) ? svc->mirrored[ROWS_SERVERS]
-					   : REG_NO_ROWS,
-	    svc->mirrored[ROWS_HOSTS]);
+	    "config=%" PRIu64 "&servers=%" PRIu64 "&hosts=%" PRIu64
+	    "&current=%d",
+	    since[ROWS_OPERATOR], since[ROWS_SERVERS], since[ROWS_HOSTS],
+	    current ? 1 : 0);
 	request.query = query;
 	svc->mirror_pending = true;
 	svc->params.peers->ops->forward(svc->params.peers, "", peer,
 	    incarnation, &request, jsvc_mirror_done, svc);
 }
 
-static uint32_t
-jsvc_servers_poll_ms(const struct job_service *svc)
+/* Reads all rows from a peer, while the store is unreachable. */
+static void
+jsvc_mirror_all(struct job_service *svc, uint64_t now_us)
 {
-	if (sched_token(svc->sched) != 0)
-		return JSVC_SERVERS_POLL_HOLDER_MS;
-	return cells_is_candidate(svc->cells) ? JSVC_SERVERS_POLL_CANDIDATE_MS
-					      : ROWS_POLL_NEVER;
+	uint64_t incarnation, since[ROWS_NTABLES];
+	const char *peer;
+
+	svc->mirror_due_us = now_us + JSVC_MIRROR_INTERVAL_MS * JSVC_US_PER_MS;
+	peer = cells_reachable_peer(svc->cells, &incarnation);
+	if (peer == NULL)
+		return;
+	memcpy(since, svc->mirrored, sizeof(since));
+	if (!cells_is_candidate(svc->cells))
+		since[ROWS_SERVERS] = REG_NO_ROWS;
+	svc->mirror_of_servers = false;
+	jsvc_mirror_send(svc, peer, incarnation, since, false);
+}
+
+/* Reads the servers' rows from the holder, if this host may succeed it. */
+static void
+jsvc_mirror_servers(struct job_service *svc, uint64_t now_us)
+{
+	uint64_t incarnation;
+	const uint64_t since[ROWS_NTABLES] = {
+		[ROWS_OPERATOR] = REG_NO_ROWS,
+		[ROWS_SERVERS] = svc->tables_known[ROWS_SERVERS]
+		    ? reg_version(svc->reg, ROWS_SERVERS)
+		    : 0,
+		[ROWS_HOSTS] = REG_NO_ROWS,
+	};
+	const char *holder;
+
+	svc->mirror_due_us = now_us + JSVC_MIRROR_SERVERS_MS * JSVC_US_PER_MS;
+	holder = cells_holder_peer(svc->cells, &incarnation);
+	if (holder == NULL || !cells_is_candidate(svc->cells))
+		return;
+	svc->mirror_of_servers = true;
+	jsvc_mirror_send(svc, holder, incarnation, since, true);
+}
+
+static void
+jsvc_mirror(struct job_service *svc, uint64_t now_us)
+{
+	if (svc->mirror_pending || now_us < svc->mirror_due_us)
+		return;
+	if (svc->store_connected)
+		jsvc_mirror_servers(svc, now_us);
+	else
+		jsvc_mirror_all(svc, now_us);
 }
 
 static void
@@ -359,26 +433,36 @@
 	    svc->store_connected && svc->tables_read[ROWS_SERVERS] &&
 		now_us - svc->connected_since_us >
 		    JSVC_ROWS_RESTORED_MS * JSVC_US_PER_MS);
-	if (svc->rows != NULL)
-		svc->rows->ops->set_poll_pause(svc->rows, ROWS_SERVERS,
-		    jsvc_servers_poll_ms(svc));
+	jsvc_set_servers_poll(svc);
 	jsvc_mirror(svc, now_us);
 }
 
 /* Requests of peers */
 
-/* Encodes the rows that a peer lacks, of the tables that this host knows. */
+static bool
+jsvc_servers_current(const struct job_service *svc)
+{
+	return svc->store_connected &&
+	    jsvc_now_us(svc) - svc->server_received_us <
+	    JSVC_SERVERS_CURRENT_MS * JSVC_US_PER_MS;
+}
+
+/* Encodes the rows that a peer lacks, of the tables that this host knows. A
+ * peer that can read the store itself needs none that may be outdated. */
 static char *
 jsvc_render_rows(const struct job_service *svc, const char *query)
 {
 	uint64_t since[ROWS_NTABLES];
-	int i;
+	int i, current = 0;
 
 	if (sscanf(query,
-		"config=%" SCNu64 "&servers=%" SCNu64 "&hosts=%" SCNu64,
-		&since[ROWS_OPERATOR], &since[ROWS_SERVERS],
-		&since[ROWS_HOSTS]) != ROWS_NTABLES)
+		"config=%" SCNu64 "&servers=%" SCNu64 "&hosts=%" SCNu64
+		"&current=%d",
+		&since[ROWS_OPERATOR], &since[ROWS_SERVERS], &since[ROWS_HOSTS],
+		&current) < ROWS_NTABLES)
 		memset(since, 0, sizeof(since));
+	if (current != 0 && !jsvc_servers_current(svc))
+		since[ROWS_SERVERS] = REG_NO_ROWS;
 	for (i = 0; i < ROWS_NTABLES; i++) {
 		if (!svc->tables_known[i])
 			since[i] = REG_NO_ROWS;
--- a/entry/jobs/registry.c
+++ b/entry/jobs/registry.c
@@ -22,8 +22,12 @@
 	char *value; /* NULL: removed */
 	size_t value_len;
 	uint64_t version;
-	uint64_t removal_due_us; /* time to report the removal; 0: none */
-	bool in_current_read;	 /* since the last reg_read_begin() */
+	/* Version with which the decoded row changed last. Rows of servers are
+	 * written at every heartbeat, mostly without such a change. */
+	uint64_t changed_version;
+	struct reg_server *server; /* as last reported; owned, or NULL */
+	uint64_t removal_due_us;   /* time to report the removal; 0: none */
+	bool in_current_read;	   /* since the last reg_read_begin() */
 	struct nidx_entry by_key;
 	TAILQ_ENTRY(reg_row) entry;
 	TAILQ_ENTRY(reg_row) removal; /* while removal_due_us is not 0 */
@@ -79,6 +83,7 @@
 		TAILQ_REMOVE(&table->rows, row, entry);
 		free(row->key);
 		free(row->value);
+		free(row->server);
 		free(row);
 	}
 	nidx_release(&table->by_key);
@@ -171,22 +176,40 @@
 	reg->listener.config(reg->listener.arg, &reg->config);
 }
 
+static void
+reg_report_server_removed(struct registry *reg, struct reg_row *row)
+{
+	free(row->server);
+	row->server = NULL;
+	reg->listener.server_removed(reg->listener.arg, row->key);
+}
+
 static void
 reg_apply_server(struct registry *reg, struct reg_row *row, uint64_t now_us)
 {
 	struct reg_server server;
 
 	if (row->value == NULL) {
+		row->changed_version = row->version;
 		reg_set_removal(reg, row, now_us + REG_REMOVAL_DELAY_US);
 		return;
 	}
-	reg_set_removal(reg, row, 0);
 	if (reg->decoder.server(row->key, row->value, row->value_len,
 		&server) == -1) {
+		row->changed_version = row->version;
+		reg_set_removal(reg, row, 0);
 		reg_log_malformed_row(row);
-		reg->listener.server_removed(reg->listener.arg, row->key);
+		reg_report_server_removed(reg, row);
 		return;
 	}
+	if (row->server != NULL && row->removal_due_us == 0 &&
+	    memcmp(row->server, &server, sizeof(server)) == 0)
+		return;
+	reg_set_removal(reg, row, 0);
+	if (row->server == NULL)
+		row->server = mem_zalloc(1, sizeof(*row->server));
+	*row->server = server;
+	row->changed_version = row->version;
 	reg->listener.server(reg->listener.arg, &server);
 }
 
@@ -209,12 +232,14 @@
 {
 	switch (row->table) {
 	case ROWS_OPERATOR:
+		row->changed_version = row->version;
 		reg_apply_config(reg, row);
 		break;
 	case ROWS_SERVERS:
 		reg_apply_server(reg, row, now_us);
 		break;
 	case ROWS_HOSTS:
+		row->changed_version = row->version;
 		reg_apply_host(reg, row);
 		break;
 	case ROWS_NTABLES:
@@ -254,15 +279,22 @@
 }
 
 void
-reg_read_end(struct registry *reg, enum rows_table table, uint64_t now_us)
+reg_read_end(struct registry *reg, enum rows_table table, uint64_t version,
+    uint64_t now_us)
 {
 	struct reg_row *row;
 
+	if (version > reg->tables[table].version)
+		reg->tables[table].version = version;
 	TAILQ_FOREACH (row, &reg->tables[table].rows, entry) {
-		if (row->in_current_read || row->value == NULL)
+		if (row->in_current_read || row->value == NULL ||
+		    row->version > version)
 			continue;
 		free(row->value);
 		row->value = NULL;
+		/* A peer that has an earlier version of the row must replace
+		 * it. */
+		row->version = version;
 		reg_apply(reg, row, now_us);
 	}
 }
@@ -277,7 +309,7 @@
 		reg_set_removal(reg, row, 0);
 		log_event(LOG_LEVEL_INFO, "server-removed",
 		    "server=%s row_version=%" PRIu64, row->key, row->version);
-		reg->listener.server_removed(reg->listener.arg, row->key);
+		reg_report_server_removed(reg, row);
 	}
 }
 
@@ -314,7 +346,7 @@
 	(void)json_array_append_new(rows,
 	    json_pack("{s:i}", "table", (int)table));
 	TAILQ_FOREACH (row, &reg->tables[table].rows, entry) {
-		if (row->version <= since)
+		if (row->changed_version <= since)
 			continue;
 		item = json_pack("{s:i,s:s,s:I}", "table", (int)row->table,
 		    "key", row->key, "version", (json_int_t)row->version);
--- a/entry/jobs/registry.h
+++ b/entry/jobs/registry.h
@@ -85,7 +85,8 @@
 
 /** struct reg_listener - callbacks for changes; all receive @arg. */
 struct reg_listener {
-	/* An object was added or changed. */
+	/* An object was added or changed. A change that does not alter the
+	 * decoded server is not reported. */
 	void (*config)(void *arg, const struct reg_config *config);
 	void (*server)(void *arg, const struct reg_server *server);
 	void (*server_removed)(void *arg, const char *id);
@@ -112,8 +113,12 @@
 /** reg_read_begin() - a full read of @table begins. */
 void reg_read_begin(struct registry *reg, enum rows_table table);
 
-/** reg_read_end() - the read has ended; rows missing in it are removed. */
-void reg_read_end(struct registry *reg, enum rows_table table, uint64_t now_us);
+/**
+ * reg_read_end() - the read has ended; rows missing in it are removed.
+ * @version: all changes up to this version of the store have been reported.
+ */
+void reg_read_end(struct registry *reg, enum rows_table table, uint64_t version,
+    uint64_t now_us);
 
 /** reg_tick() - report removed servers whose removal delay has passed. */
 void reg_tick(struct registry *reg, uint64_t now_us);
@@ -138,7 +143,8 @@
 #define REG_NO_ROWS UINT64_MAX
 
 /**
- * reg_render() - encode rows for a peer.
+ * reg_render() - encode rows for a peer. The row of a server is written at
+ * every heartbeat; it is encoded only if its decoded contents have changed.
  * @since: for each table, the version after which rows are encoded, or
  *         REG_NO_ROWS. Rows of different tables may be received out of the
  *         order of their versions, so one version for all is not sufficient.
--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -307,6 +307,13 @@
 	return true;
 }
 
+bool
+sched_all_runs_known(const struct scheduler *sched)
+{
+	return sched->servers_complete && sched->rows_refreshed &&
+	    sched_all_servers_held(sched);
+}
+
 /* Whether starts are delayed after a take-over, until all servers have listed
  * their runs and the store's rows show which servers are draining. */
 static bool
@@ -336,8 +343,7 @@
 	if (TAILQ_EMPTY(&sched->waiting) ||
 	    sched_recovery_pending(sched, pass.now_us))
 		return;
-	pass.all_held =
-	    sched->servers_complete && sched_all_servers_held(sched);
+	pass.all_held = sched_all_runs_known(sched);
 	for (rank = 0; rank < SCHED_RANKS; rank++) {
 		TAILQ_FOREACH_SAFE (task, &sched->waiting, waiting, next) {
 			if (sched_rank(task, pass.now_us) == rank)
--- a/entry/jobs/scheduler_gang.c
+++ b/entry/jobs/scheduler_gang.c
@@ -229,7 +229,7 @@
 	const struct scheduler *sched = job->sched;
 
 	return job->start_after_us > sched_now(sched) &&
-	    !(sched->servers_complete && sched_all_servers_held(sched));
+	    !sched_all_runs_known(sched);
 }
 
 void
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -350,6 +350,9 @@
 bool sched_server_matches(const struct sched_server *server,
     const struct sched_task *task);
 bool sched_all_servers_held(const struct scheduler *sched);
+/* Whether all servers that may run tasks of a former holder are known and have
+ * listed their runs. */
+bool sched_all_runs_known(const struct scheduler *sched);
 struct sched_server *sched_choose_server(struct scheduler *sched,
     const struct sched_task *task, const char *rack, uint64_t now_us);
 bool sched_job_expire(struct sched_job *job, uint64_t now_us);
--- a/ports/rows.h
+++ b/ports/rows.h
@@ -37,10 +37,11 @@
 	/*
 	 * read_begin() precedes and read_end() follows a complete read of the
 	 * table, in which changed() is called for every row. Rows not reported
-	 * in between no longer exist.
+	 * in between no longer exist. All changes up to @version of the store
+	 * have been reported then.
 	 */
 	void (*read_begin)(void *arg, enum rows_table table);
-	void (*read_end)(void *arg, enum rows_table table);
+	void (*read_end)(void *arg, enum rows_table table, uint64_t version);
 	/* All changes made before the last refresh() have been reported. */
 	void (*refreshed)(void *arg, enum rows_table table);
 	/* The store has become reachable or unreachable. */
--- a/tests/test_platform_rows.c
+++ b/tests/test_platform_rows.c
@@ -15,19 +15,23 @@
 #include "platform/platform.h"
 
 #define PAGE_ROWS 500
-#define ROWS 1200 /* servers; the version of a row is in its order of change \
-		   */
+#define ROWS                                                            \
+	1200 /* servers; the version of a row is in its order of change \
+	      */
 #define RUN_MS 300
 
 struct rig {
 	struct event_base *base;
 	struct evhttp *server;
 	struct rows *rows;
-	uint64_t newest;	 /* version of the store */
-	uint64_t versions[ROWS]; /* of the rows in the store */
-	uint64_t received[ROWS]; /* as reported to the listener */
-	unsigned int changes;	 /* reported by the feed */
-	bool read_ended;	 /* of the servers, in full */
+	uint64_t newest;	    /* version of the store */
+	uint64_t versions[ROWS];    /* of the rows in the store */
+	uint64_t received[ROWS];    /* as reported to the listener */
+	unsigned int changes;	    /* reported by the feed */
+	bool read_ended;	    /* of the servers, in full */
+	uint64_t received_0_at_end; /* version of row 0, likewise */
+	uint64_t read_version;	    /* as of the end of that read */
+	bool change_in_full_read;   /* after its first page */
 	bool refreshed;
 	bool complete_at_refresh;
 };
@@ -78,6 +82,7 @@
 	json_t *rows = json_array(), *body;
 	struct evkeyvalq params;
 	const char *table, *after;
+	uint64_t version = rig->newest;
 	bool more = false;
 	char *text;
 
@@ -90,10 +95,15 @@
 			    evhttp_find_header(&params, "start_key"), rows);
 		else
 			rig_changes(rig, strtoull(after, NULL, 10), rows);
+		if (after == NULL && rig->change_in_full_read) {
+			rig->change_in_full_read = false;
+			rig->versions[ROWS - 1] = ++rig->newest;
+			rig->versions[0] = ++rig->newest;
+		}
 	}
 	evhttp_clear_headers(&params);
 	body = json_pack("{s:o,s:I,s:b}", "rows", rows, "row_version",
-	    (json_int_t)rig->newest, "has_more", more);
+	    (json_int_t)version, "has_more", more);
 	text = json_dumps(body, JSON_COMPACT);
 	(void)evbuffer_add(evhttp_request_get_output_buffer(req), text,
 	    strlen(text));
@@ -122,10 +132,15 @@
 }
 
 static void
-on_read_end(void *arg, enum rows_table table)
+on_read_end(void *arg, enum rows_table table, uint64_t version)
 {
-	if (table == ROWS_SERVERS)
-		((struct rig *)arg)->read_ended = true;
+	struct rig *rig = arg;
+
+	if (table != ROWS_SERVERS)
+		return;
+	rig->read_ended = true;
+	rig->read_version = version;
+	rig->received_0_at_end = rig->received[0];
 }
 
 static void
@@ -240,3 +255,18 @@
 	}
 	rig_destroy(rig);
 }
+
+/* A row of the first page changes while the further pages are read: the read
+ * ends when this is known, too. */
+Test(platform_rows, full_read_is_complete_up_to_its_version)
+{
+	struct rig *rig = rig_create();
+
+	rig->change_in_full_read = true;
+	rig->rows->ops->refresh(rig->rows, ROWS_SERVERS);
+	rig_run(rig);
+	cr_assert(rig->read_ended);
+	cr_expect_eq(rig->read_version, rig->newest);
+	cr_expect_eq(rig->received_0_at_end, rig->versions[0]);
+	rig_destroy(rig);
+}
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -159,7 +159,7 @@
 	change(reg, ROWS_SERVERS, "s2", "64", 2, 0);
 	change(reg, ROWS_SERVERS, "s1", NULL, 3, SECOND_US);
 	reg_read_begin(reg, ROWS_SERVERS);
-	reg_read_end(reg, ROWS_SERVERS, SECOND_US);
+	reg_read_end(reg, ROWS_SERVERS, 4, SECOND_US);
 	reg_tick(reg, 2 * SECOND_US);
 	cr_expect_str_eq(observed.server_removed, "");
 	change(reg, ROWS_SERVERS, "s2", "64", 5, 2 * SECOND_US);
@@ -289,3 +289,72 @@
 	reg_destroy(reg);
 	reg_destroy(peer);
 }
+
+/* Servers write their rows at every heartbeat. Only changes of their decoded
+ * contents are reported, and encoded for a peer. */
+Test(registry, heartbeats_without_a_change_are_not_encoded)
+{
+	struct observed observed;
+	struct registry *reg = create(&observed);
+	uint64_t since[ROWS_NTABLES] = { 0 };
+	char *text;
+
+	change(reg, ROWS_SERVERS, "s1", "64", 10, 0);
+	change(reg, ROWS_SERVERS, "s2", "32", 11, 0);
+	change(reg, ROWS_SERVERS, "s1", "64", 20, 0);
+	change(reg, ROWS_SERVERS, "s2", "16", 21, 0);
+	cr_expect_eq(observed.servers, 3);
+	since[ROWS_SERVERS] = 11;
+	text = reg_render(reg, since);
+	cr_expect_null(strstr(text, "s1"));
+	cr_expect_not_null(strstr(text, "s2"));
+	free(text);
+	reg_destroy(reg);
+}
+
+/* A server that was removed, or whose row was malformed, is reported again when
+ * its former row returns. */
+Test(registry, server_that_returns_unchanged_is_reported)
+{
+	struct observed observed;
+	struct registry *reg = create(&observed);
+
+	change(reg, ROWS_SERVERS, "s1", "64", 10, 0);
+	change(reg, ROWS_SERVERS, "s1", NULL, 11, 0);
+	reg_tick(reg, REMOVAL_US);
+	cr_expect_str_eq(observed.server_removed, "s1");
+	change(reg, ROWS_SERVERS, "s1", "64", 12, REMOVAL_US);
+	cr_expect_eq(observed.servers, 2);
+	change(reg, ROWS_SERVERS, "s1", "?", 13, REMOVAL_US);
+	change(reg, ROWS_SERVERS, "s1", "64", 14, REMOVAL_US);
+	cr_expect_eq(observed.servers, 3);
+	reg_destroy(reg);
+}
+
+/* A host finds by a full read that a server has left, as the store no longer
+ * has its history. A peer that still has the server's row must learn it. */
+Test(registry, removal_found_by_a_full_read_reaches_a_peer)
+{
+	struct observed observed, observed_peer;
+	struct registry *reg = create(&observed),
+			*peer = create(&observed_peer);
+	uint64_t since[ROWS_NTABLES] = { 0 };
+	bool merged[ROWS_NTABLES];
+	char *text;
+
+	change(reg, ROWS_SERVERS, "s1", "64", 10, 0);
+	change(reg, ROWS_SERVERS, "s2", "64", 12, 0);
+	change(peer, ROWS_SERVERS, "s1", "64", 10, 0);
+	change(peer, ROWS_SERVERS, "s2", "64", 12, 0);
+	reg_read_begin(reg, ROWS_SERVERS);
+	change(reg, ROWS_SERVERS, "s2", "64", 30, 0);
+	reg_read_end(reg, ROWS_SERVERS, 30, 0);
+	since[ROWS_SERVERS] = reg_version(peer, ROWS_SERVERS);
+	text = reg_render(reg, since);
+	cr_assert_eq(reg_merge(peer, text, strlen(text), 0, merged), 0);
+	reg_tick(peer, REMOVAL_US);
+	cr_expect_str_eq(observed_peer.server_removed, "s1");
+	free(text);
+	reg_destroy(reg);
+	reg_destroy(peer);
+}
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -461,27 +461,35 @@
 	}
 }
 
-/* A server that runs a task of the former holder may be missing in the list of
- * servers. A resubmitted job must then wait until that lease has expired. */
-Test(scheduler, resubmitted_job_waits_while_servers_may_be_unknown)
+/*
+ * A server that runs a task of the former holder is missing in the successor's
+ * list of servers. The resubmitted job must wait until that lease has expired.
+ * @read: the successor has read the servers' rows since its take-over.
+ * @complete: no row was missing when they were read last.
+ */
+static void
+rig_expect_resubmitted_job_waits(bool read, bool complete)
 {
 	struct rig *rig = rig_create(5);
 	struct rig_job *job = rig_submit(rig, 1, 27000, 700, 0);
 	struct rig_job resubmission = { .rig = rig };
 	struct scheduler *successor;
+	char id[8];
+	size_t i;
 
 	srig_run(&rig->srig, 100);
 	sched_deactivate(rig->srig.sched);
 	successor = srig_scheduler(&rig->srig, 20);
-	for (size_t i = 0; i < SRIG_SERVERS; i++) {
-		char id[8];
-
-		/* Remove the busy server from the successor's list. */
+	for (i = 0; i < SRIG_SERVERS; i++) {
 		(void)snprintf(id, sizeof(id), "s%zu", i);
 		if (rig->srig.cluster.servers[i].used_cpu > 0)
 			sched_server_remove(successor, id);
 	}
-	sched_set_servers_complete(successor, false);
+	sched_deactivate(successor);
+	sched_activate(successor, 21);
+	if (read)
+		sched_servers_refreshed(successor);
+	sched_set_servers_complete(successor, complete);
 	memcpy(resubmission.id, job->id, sizeof(resubmission.id));
 	(void)rig_submit_to(successor, &resubmission, 1, 27000, 100, 0, true);
 	srig_run(&rig->srig, 500);
@@ -491,3 +499,14 @@
 	sched_destroy(successor);
 	rig_destroy(rig);
 }
+
+Test(scheduler, resubmitted_job_waits_while_servers_may_be_unknown)
+{
+	rig_expect_resubmitted_job_waits(true, false);
+}
+
+/* The successor's list is that of its last read, before the take-over. */
+Test(scheduler, resubmitted_job_waits_until_servers_are_read)
+{
+	rig_expect_resubmitted_job_waits(false, true);
+}
