Take-over: starts wait for the servers' rows only

Change: starts wait until the rows show which servers are draining. Only servers that have listed their runs accept starts, and jobs that another host may have started wait for all servers, as before. Hosts that may become the holder read the servers' rows as soon as the hosts are known.

Tried and reverted: discovery that ends after 120 ms when no report is outstanding (two forms: after reports of most hosts, or of two).

Ruled out: fewer holds in flight (the servers' lists were there 100 ms after the take-over).

Test: successor_starts_jobs_while_a_server_is_silent fails before.

--- a/entry/jobs/job_service.c
+++ b/entry/jobs/job_service.c
@@ -180,8 +180,10 @@
 	svc->tables_read[table] = true;
 	svc->tables_known[table] = true;
 	reg_read_end(svc->reg, table, version, jsvc_now_us(svc));
-	if (table == ROWS_HOSTS)
-		cells_hosts_loaded(svc->cells);
+	if (table != ROWS_HOSTS)
+		return;
+	cells_hosts_loaded(svc->cells);
+	jsvc_set_servers_poll(svc);
 }
 
 static void
--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -314,15 +314,15 @@
 	    sched_all_servers_held(sched);
 }
 
-/* Whether starts are delayed after a take-over, until all servers have listed
- * their runs and the store's rows show which servers are draining. */
+/* Whether starts are delayed after a take-over, until the store's rows show
+ * which servers are draining. Only servers that have listed their runs accept
+ * starts, and jobs that another host may have started wait for all of them. */
 static bool
 sched_recovery_pending(const struct scheduler *sched, uint64_t now_us)
 {
-	if (now_us - sched->activated_us >
-	    SCHED_RECOVERY_MAX_MS * SCHED_US_PER_MS)
-		return false;
-	return !sched->rows_refreshed || !sched_all_servers_held(sched);
+	return !sched->rows_refreshed &&
+	    now_us - sched->activated_us <=
+	    SCHED_RECOVERY_MAX_MS * SCHED_US_PER_MS;
 }
 
 void
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -66,8 +66,8 @@
  * multiple of its expected time, and at least the minimum. */
 #define SCHED_STRAGGLER_FACTOR 4
 #define SCHED_STRAGGLER_MIN_MS 300
-/* After a take-over no task is started until all servers have listed their runs
- * and their rows have been read, or for at most this time. */
+/* After a take-over no task is started until the servers' rows have been read,
+ * or for at most this time. */
 #define SCHED_RECOVERY_MAX_MS 250
 /* Limit of start orders for one run; sufficient if half of them are lost. */
 #define SCHED_START_ATTEMPTS_MAX 12
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -211,6 +211,26 @@
 	rig_destroy(rig);
 }
 
+/* One server does not answer the new holder. Jobs that the former holder can't
+ * have started begin on the servers that have listed their runs. */
+Test(scheduler, successor_starts_jobs_while_a_server_is_silent)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job job = { .rig = rig, .id = "00000000000000ff" };
+	struct scheduler *successor;
+
+	srig_run(&rig->srig, 100);
+	sched_deactivate(rig->srig.sched);
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = 1;
+	successor = srig_scheduler(&rig->srig, 20);
+	(void)rig_submit_to(successor, &job, 4, 27000, 60, 0, false);
+	srig_run(&rig->srig, 200);
+	cr_expect(job.answered);
+	cr_expect_eq(job.result, SCHED_COMPLETED);
+	sched_destroy(successor);
+	rig_destroy(rig);
+}
+
 Test(scheduler, successor_stops_runs_without_a_job)
 {
 	struct rig *rig = rig_create(5);
