Cells: a host short of processor time does not take others for unreachable

Change: a host is unreachable only if at least four ticks have run since the ping, in which a reply would have been read; an announcement shows that its sender is up. Order: constant for each ping.

Ruled out: a time-out that follows the response times (a host that answers slowly must be replaced); a delay before a former holder returns (alone in its zone, it is needed); requiring another host's reply (two hosts a zone).

Test: holder_stays_while_hosts_are_slow (two hosts take over before).

--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -477,6 +477,7 @@
 
 	(void)fd;
 	(void)what;
+	cells->nticks++;
 	cells_check_pause(cells, now_us);
 	cells_update_connections(cells, now_us);
 	cells_reserve_token(cells, now_us);
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -37,6 +37,7 @@
 	bool unreachable;      /* a ping timed out */
 	bool ping_pending;
 	uint64_t ping_sent_us;
+	uint64_t ping_sent_tick;
 	uint64_t last_reply_us; /* to a ping; 0: none */
 	uint32_t backlog_ms;	/* queued work, as of the last reply */
 	uint32_t free_permille; /* of its servers' CPU capacity */
@@ -89,6 +90,7 @@
 	TAILQ_HEAD(, cells_submission) submissions;
 	struct event *timer;
 	uint64_t last_tick_us;
+	uint64_t nticks;
 	/* Time at which all hosts were loaded; starts discovery. 0: none. */
 	uint64_t hosts_loaded_us;
 	struct job_store *job_store; /* NULL until it is set */
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -487,6 +487,11 @@
 	if (api_query_text(request->query, "host", name, sizeof(name))) {
 		host = cells_host_find(cells, name);
 		if (host != NULL) {
+			/* The host is up, even if a ping to it has had no
+			 * reply yet. */
+			host->unreachable = false;
+			host->ping_sent_us = cells_now_us(cells);
+			host->ping_sent_tick = cells->nticks;
 			host->leaving =
 			    cells_query_u64(request, "leaving") != 0;
 			cells_host_set_token(cells, host,
--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -22,6 +22,9 @@
 #define CELLS_LOCAL_PING_MS 1000  /* of likely holders of the local cell */
 #define CELLS_REMOTE_PING_MS 300  /* of holders of remote cells */
 #define CELLS_PING_TIMEOUT_MS 450 /* the host is then unreachable */
+/* A process that is short of processor time reads a reply late. It runs this
+ * number of ticks before it takes the host for unreachable. */
+#define CELLS_PING_MIN_TICKS 4
 
 /* A ping in flight. */
 struct cells_ping {
@@ -103,7 +106,9 @@
 	if (host->ping_pending) {
 		if (!host->unreachable &&
 		    now_us - host->ping_sent_us >
-			CELLS_PING_TIMEOUT_MS * CELLS_US_PER_MS) {
+			CELLS_PING_TIMEOUT_MS * CELLS_US_PER_MS &&
+		    cells->nticks - host->ping_sent_tick >=
+			CELLS_PING_MIN_TICKS) {
 			host->unreachable = true;
 			log_event(LOG_LEVEL_WARN, "host-unreachable",
 			    "host=%s token=%" PRIu64, host->info.name,
@@ -118,6 +123,7 @@
 	strlcpy(ping->host, host->info.name, sizeof(ping->host));
 	host->ping_pending = true;
 	host->ping_sent_us = now_us;
+	host->ping_sent_tick = cells->nticks;
 	(void)snprintf(query, sizeof(query), "az=%s", cells->params.self.az);
 	cells->params.peers->ops->forward(cells->params.peers, host->info.az,
 	    host->info.name, host->incarnation, &request, cells_ping_done,
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -16,7 +16,7 @@
 
 #define NHOSTS 3 /* of most tests */
 #define NHOSTS_MAX 40
-#define CALL_MS 2 /* round trip of a call between hosts */
+#define CALL_MS 2 /* usual round trip of a call between hosts */
 /* Connected hosts agree on the holder within one second and one call. */
 #define AGREE_MS 1100
 
@@ -44,7 +44,9 @@
 	struct host hosts[NHOSTS_MAX];
 	bool connected[NHOSTS_MAX][NHOSTS_MAX];
 	uint64_t connections_version;
-	uint64_t token; /* last reserved one */
+	uint64_t token;	   /* last reserved one */
+	uint32_t call_ms;  /* round trip of a call between hosts */
+	uint32_t stall_ms; /* no host runs for this time in each step */
 };
 
 /* A call in flight. */
@@ -90,8 +92,8 @@
 	*done)(void *arg, const struct api_reply *reply, const struct err *err),
     void *arg)
 {
-	const struct timeval tv = { .tv_usec = CALL_MS * 1000 };
 	struct host *host = (struct host *)peers;
+	const struct timeval tv = { .tv_usec = host->net->call_ms * 1000 };
 	struct call *call = mem_zalloc(1, sizeof(*call));
 
 	(void)az;
@@ -236,7 +238,8 @@
 	net->connected[b][a] = connected;
 }
 
-/* Runs the event loop for @ms; requested tokens are reserved within 10 ms. */
+/* Runs the event loop for @ms, in steps of 10 ms, besides the time in which no
+ * host runs; requested tokens are reserved within a step. */
 static void
 net_run(struct net *net, int ms)
 {
@@ -246,6 +249,7 @@
 	for (; ms > 0; ms -= 10) {
 		(void)event_base_loopexit(net->base, &tv);
 		(void)event_base_dispatch(net->base);
+		sim_time_advance(net->stall_ms);
 		for (i = 0; i < net->nhosts; i++) {
 			if (!net->hosts[i].token_requested)
 				continue;
@@ -262,6 +266,7 @@
 	size_t i, j;
 
 	sim_time_start();
+	net->call_ms = CALL_MS;
 	net->nhosts = nhosts;
 	net->nzones = nzones;
 	net->base = event_base_new();
@@ -539,3 +544,23 @@
 	cr_expect_str_eq(overflow, "h7");
 	net_destroy(net);
 }
+
+/* The hosts get little processor time, so that they read replies late, and run
+ * few ticks meanwhile. None of them is taken for unreachable. */
+Test(cells, holder_stays_while_hosts_are_slow)
+{
+	struct net *net = net_create();
+	size_t i;
+
+	net_run(net, 600);
+	cr_assert_neq(sched_token(net->hosts[0].sched), 0);
+	for (i = 0; i < NHOSTS; i++)
+		net->hosts[i].takeovers = 0;
+	net->stall_ms = 200;
+	net->call_ms = 500;
+	net_run(net, 500);
+	for (i = 0; i < NHOSTS; i++)
+		cr_expect_eq(net->hosts[i].takeovers, 0, "h%zu", i);
+	cr_expect_neq(sched_token(net->hosts[0].sched), 0);
+	net_destroy(net);
+}
