--- a/tests/test_platform_rows.c
+++ b/tests/test_platform_rows.c
@@ -39,9 +39,10 @@
 static json_t *
 rig_row(const struct rig *rig, size_t i)
 {
-	char key[16];
+	char key[64];
 
-	(void)snprintf(key, sizeof(key), "s%04zu", i);
+	/* Keys may have any characters. */
+	(void)snprintf(key, sizeof(key), "&s%04zu #%%\u00e4", i);
 	return json_pack("{s:s,s:s,s:s,s:s,s:I}", "table", "servers", "part",
 	    "", "key", key, "value", "e30=", "row_version",
 	    (json_int_t)rig->versions[i]);
@@ -53,7 +54,7 @@
 {
 	size_t i = start_key == NULL || start_key[0] == '\0'
 	    ? 0
-	    : (size_t)atoi(start_key + 1);
+	    : (size_t)atoi(start_key + 2);
 
 	for (; i < ROWS && json_array_size(rows) < PAGE_ROWS; i++)
 		(void)json_array_append_new(rows, rig_row(rig, i));
@@ -116,7 +117,7 @@
 on_changed(void *arg, const struct rows_change *change)
 {
 	struct rig *rig = arg;
-	size_t i = (size_t)atoi(change->key + 1);
+	size_t i = (size_t)atoi(change->key + 2);
 
 	cr_assert_lt(i, (size_t)ROWS);
 	rig->received[i] = change->version;
--- a/tests/test_platform_worker.c
+++ b/tests/test_platform_worker.c
@@ -22,8 +22,16 @@
 	bool close_connections;
 	json_int_t acknowledgements[HOLDS_MAX];
 	size_t nholds;
+	const char *lists; /* in the server's replies; NULL: empty ones */
 	enum worker_verdict verdict;
 	uint64_t connection_id; /* of the last reply */
+	/* Of the last reply. */
+	size_t nrunning;
+	size_t nended;
+	char running[WORKER_TASK_NAME_SIZE]; /* the last one */
+	char ended[WORKER_TASK_NAME_SIZE];   /* the last one */
+	uint64_t ended_number;		     /* the last one */
+	bool has_clock;
 };
 
 static void
@@ -42,8 +50,10 @@
 	if (rig->close_connections)
 		(void)evhttp_add_header(evhttp_request_get_output_headers(req),
 		    "Connection", "close");
-	(void)evbuffer_add_printf(output,
-	    "{\"clock_ms\":5,\"born\":7,\"running\":[],\"ended_runs\":[]}");
+	(void)evbuffer_add_printf(output, "%s",
+	    rig->lists != NULL ? rig->lists
+			       : "{\"clock_ms\":5,\"born\":7,\"running\":[],"
+				 "\"ended_runs\":[]}");
 	evhttp_send_reply(req, HTTP_OK, "OK", NULL);
 }
 
@@ -84,6 +94,18 @@
 
 	rig->verdict = reply->verdict;
 	rig->connection_id = reply->connection_id;
+	rig->has_clock = reply->has_clock;
+	rig->nrunning = reply->nrunning;
+	rig->nended = reply->nended;
+	/* The scheduler copies names in this way. */
+	if (reply->nrunning > 0)
+		strlcpy(rig->running, reply->running[reply->nrunning - 1].task,
+		    sizeof(rig->running));
+	if (reply->nended > 0) {
+		strlcpy(rig->ended, reply->ended[reply->nended - 1].task,
+		    sizeof(rig->ended));
+		rig->ended_number = reply->ended[reply->nended - 1].number;
+	}
 	(void)event_base_loopbreak(rig->base);
 }
 
@@ -131,3 +153,62 @@
 	cr_expect_neq(rig->connection_id, connection_id);
 	rig_destroy(rig);
 }
+
+static void
+rig_stop_done(void *arg, const struct worker_reply *reply)
+{
+	(void)reply;
+	(void)event_base_loopbreak(((struct rig *)arg)->base);
+}
+
+/* A task name that was cut within a character can't be encoded: the order to
+ * stop the unknown run ended the process. */
+Test(platform_worker, run_with_an_overlong_name_is_not_listed)
+{
+	struct rig *rig = rig_create();
+	char lists[256], name[128] = "";
+	size_t i;
+
+	for (i = 0; i < 40; i++)
+		strlcat(name, "\u00e4", sizeof(name));
+	(void)snprintf(lists, sizeof(lists),
+	    "{\"clock_ms\":5,\"born\":7,\"running\":[[\"%s\",1,\"\",0]],"
+	    "\"ended_runs\":[]}",
+	    name);
+	rig->lists = lists;
+	cr_assert_eq(rig_hold(rig, 0, 0), WORKER_OK);
+	if (rig->nrunning > 0) {
+		rig->worker->ops->stop(rig->link, rig->running, 1, 1,
+		    rig_stop_done, rig);
+		(void)event_base_dispatch(rig->base);
+	}
+	cr_expect_eq(rig->nrunning, 0);
+	rig_destroy(rig);
+}
+
+/* Each element is missing, of another type, negative or huge. The rows that are
+ * well-formed are used. */
+Test(platform_worker, malformed_rows_are_skipped)
+{
+	struct rig *rig = rig_create();
+
+	rig->lists =
+	    "{\"clock_ms\":-5,\"born\":-7,\"running\":["
+	    "[],{},null,7,[7],[\"t\"],[\"t\",\"1\"],[\"t\",-1],[\"t\",1e300],"
+	    "[\"t.ok\",2,7,[]]],"
+	    "\"ended_runs\":["
+	    "[],{},null,[-1,\"t\",1,\"done\",\"\"],[\"1\",\"t\",1],[1e300],"
+	    "[5,7,1,\"done\",\"\"],[6,\"t.end\",3,7,8]]}";
+	cr_assert_eq(rig_hold(rig, 0, 0), WORKER_OK);
+	cr_expect_not(rig->has_clock);
+	cr_expect_eq(rig->nrunning, 1);
+	cr_expect_str_eq(rig->running, "t.ok");
+	cr_expect_eq(rig->nended, 2,
+	    "the one with a number, and the well-formed one");
+	cr_expect_eq(rig->ended_number, 6);
+	cr_expect_str_eq(rig->ended, "t.end");
+	rig->lists = "[1,2";
+	cr_expect_eq(rig_hold(rig, 0, 0), WORKER_OK);
+	cr_expect_eq(rig->nrunning, 0);
+	rig_destroy(rig);
+}
