Scheduler: a saturated holder refuses what other cells can run on time

Load: a zone of the large site loses its 3 large and 7 medium hosts one after the other (1,264 requests a second on all five zones). From 21 s on a host of 0.09 cores holds 220 servers.

Cause: its processor is saturated, runs start and end late, and 250 to 430 of about 500 jobs in two seconds are late. The backlog, from which a job's refusal and its overflow to another zone follow, counted only the room of the servers, which was free.

Jobs that no other cell can run are accepted as before.

Test: saturated_holder_refuses_jobs_that_others_can_run_on_time (orders take 150 ms; fails before).

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -315,6 +315,7 @@
 static void
 sched_update_load(struct scheduler *sched)
 {
+	uint64_t now_us = sched_now(sched);
 	const struct sched_server *server;
 	struct sched_load load = { 0 };
 
@@ -326,8 +327,8 @@
 			load.cpu_free +=
 			    (uint64_t)(server->info.cpu - server->used_cpu);
 	}
-	load.backlog_ms =
-	    sched_backlog_us(sched, sched_now(sched)) / SCHED_US_PER_MS;
+	load.backlog_ms = sched_backlog_us(sched, now_us) / SCHED_US_PER_MS +
+	    sched_order_delay_us(sched, now_us) / SCHED_US_PER_MS;
 	sched->load = load;
 }
 
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -7,6 +7,7 @@
 #include "core/lease.h"
 #include "core/name_index.h"
 #include "core/place.h"
+#include "core/rtt.h"
 #include "entry/jobs/scheduler.h"
 
 /*
@@ -216,7 +217,9 @@
 	struct sched_servers servers;
 	/* Includes removed servers; one that is not removed is found first. */
 	struct name_index servers_by_id;
-	struct sched_load load; /* as of load_updated_us */
+	struct rtt order_time;	    /* of orders to all servers */
+	uint64_t order_answered_us; /* the last one; 0: none */
+	struct sched_load load;	    /* as of load_updated_us */
 	uint64_t load_updated_us;
 	uint64_t service_rate; /* as of rate_updated_us; 0: not computed */
 	uint64_t rate_updated_us;
@@ -345,6 +348,9 @@
 void sched_job_advance(struct sched_job *job);
 uint64_t sched_backlog_us(struct scheduler *sched, uint64_t now_us);
 bool sched_job_backlogged(const struct sched_job *job);
+/* Time by which runs start and end late because the link or the processor of
+ * this host is saturated. */
+uint64_t sched_order_delay_us(const struct scheduler *sched, uint64_t now_us);
 /* Whether @server could run the task, regardless of its free resources, of
  * other tasks on it, and of permits. */
 bool sched_server_matches(const struct sched_server *server,
--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -134,8 +134,12 @@
 	if (reply->has_clock)
 		lease_update_clock(&server->lease, reply->clock_ms,
 		    order->sent_us, now_us);
-	if (reply->verdict == WORKER_NO_REPLY)
+	if (reply->verdict == WORKER_NO_REPLY) {
 		ctr_inc(&sched_orders_unanswered);
+	} else {
+		rtt_add(&server->sched->order_time, now_us - order->sent_us);
+		server->sched->order_answered_us = now_us;
+	}
 	if (task != NULL) {
 		task->order = NULL;
 		task->last_update_us = now_us;
--- a/tests/support/fake_worker.c
+++ b/tests/support/fake_worker.c
@@ -191,6 +191,10 @@
 	call->arg = arg;
 	call->execute_ms = now_ms;
 	call->reply_due_ms = now_ms + wait_ms + FKW_TIMEOUT_MS;
+	if (kind != FKW_HOLD) {
+		call->execute_ms += fake->faults.order_transit_ms;
+		call->reply_due_ms += fake->faults.order_transit_ms;
+	}
 	if ((fake->faults.unreachable_mask >> link->index & 1) != 0) {
 		call->execute_ms = 0;
 		call->lost = true;
--- a/tests/support/fake_worker.h
+++ b/tests/support/fake_worker.h
@@ -18,7 +18,8 @@
 	uint32_t reply_lost_permille; /* executed, but the reply is lost */
 	uint32_t delayed_permille;    /* no reply, executed after delay_ms */
 	uint32_t delay_ms;
-	bool orders_only;		   /* no fault above affects holds */
+	uint32_t order_transit_ms; /* of all starts and stops; they reply */
+	bool orders_only;	   /* no fault above affects holds */
 	uint32_t hold_reply_lost_permille; /* holds whose reply is lost */
 	uint32_t unreachable_mask;	   /* bit n: server n is unreachable */
 };
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -28,6 +28,7 @@
 		uint32_t retry_after_ms;
 		uint64_t sent_us;
 		uint64_t elapsed_ms; /* from submission to reply */
+		bool may_refuse;     /* another cell can run the job */
 	} jobs[RIG_JOBS_MAX];
 	size_t njobs;
 };
@@ -78,6 +79,7 @@
 		    .target_ms = 60 },
 		.timeout_ms = 5000,
 		.resubmitted = resubmitted,
+		.may_refuse = job->may_refuse,
 	};
 	char body[256];
 	struct err err;
@@ -322,6 +324,49 @@
 	rig_destroy(rig);
 }
 
+/*
+ * Orders take 150 ms, as if the link or the processor of this host were
+ * saturated. While another cell can run a job, it is refused if it would be
+ * late, and accepted if it has the time. Without orders the delay is unknown.
+ */
+Test(scheduler, saturated_holder_refuses_jobs_that_others_can_run_on_time)
+{
+	struct rig *rig = rig_create(9);
+	struct rig_job short_job = { .rig = rig,
+		.id = "00000000000000f1",
+		.may_refuse = true };
+	struct rig_job long_job = { .rig = rig,
+		.id = "00000000000000f2",
+		.may_refuse = true };
+	struct rig_job later_job = { .rig = rig,
+		.id = "00000000000000f3",
+		.may_refuse = true };
+	struct scheduler *sched = rig->srig.sched;
+	uint32_t i;
+
+	srig_run(&rig->srig, 50);
+	fake_worker_faults(rig->srig.worker)->order_transit_ms = 150;
+	for (i = 0; i < 20; i++) {
+		rig_submit(rig, 1, 12000, 40, 0);
+		srig_run(&rig->srig, 20);
+	}
+	(void)rig_submit_to(sched, &short_job, 1, 12000, 60, 0, false);
+	(void)rig_submit_to(sched, &long_job, 1, 12000, 900, 0, false);
+	srig_run(&rig->srig, 10);
+	cr_expect(short_job.answered);
+	cr_expect_eq(short_job.result, SCHED_NOT_RUN);
+	cr_expect_not(long_job.answered);
+	srig_run(&rig->srig, 2000);
+	cr_expect_eq(long_job.result, SCHED_COMPLETED);
+	fake_worker_faults(rig->srig.worker)->order_transit_ms = 0;
+	(void)rig_submit_to(sched, &later_job, 1, 12000, 60, 0, false);
+	srig_run(&rig->srig, 200);
+	cr_expect(later_job.answered);
+	cr_expect_eq(later_job.result, SCHED_COMPLETED);
+	cr_expect_eq(rig->results[SCHED_COMPLETED], 22);
+	rig_destroy(rig);
+}
+
 /* No task of a job that was reported as not run may have been started. */
 Test(scheduler, job_refused_as_not_run_was_never_started)
 {
