--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -11,6 +11,10 @@
 #include "entry/jobs/scheduler_internal.h"
 
 #define SCHED_US_PER_MS UINT64_C(1000)
+/* The weight of one tick's delay is 1/8. A pause of the process counts as the
+ * maximum. */
+#define SCHED_TICK_DELAY_WEIGHT 8
+#define SCHED_TICK_DELAY_MAX_MS 300
 
 uint64_t
 sched_now(const struct scheduler *sched)
@@ -115,6 +119,8 @@
 	const struct timeval interval = { .tv_usec = SCHED_TICK_MS * 1000 };
 
 	sched->token = token;
+	sched->last_tick_us = 0;
+	sched->tick_delay_us = 0;
 	(void)event_add(sched->tick_event, &interval);
 	sched->rows_refreshed = false;
 	sched->jobs_loaded = sched->params.record_run_end == NULL;
@@ -241,6 +247,23 @@
 	sched_dispatch_wake(sched);
 }
 
+/* Updates the moving average of the delay of ticks. */
+static void
+sched_update_tick_delay(struct scheduler *sched, uint64_t now_us)
+{
+	uint64_t due_us = sched->last_tick_us + SCHED_TICK_MS * SCHED_US_PER_MS;
+	uint64_t delay_us = now_us > due_us ? now_us - due_us : 0;
+
+	if (delay_us > SCHED_TICK_DELAY_MAX_MS * SCHED_US_PER_MS)
+		delay_us = SCHED_TICK_DELAY_MAX_MS * SCHED_US_PER_MS;
+	if (sched->last_tick_us != 0)
+		sched->tick_delay_us =
+		    (sched->tick_delay_us * (SCHED_TICK_DELAY_WEIGHT - 1) +
+			delay_us) /
+		    SCHED_TICK_DELAY_WEIGHT;
+	sched->last_tick_us = now_us;
+}
+
 static void
 sched_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -251,6 +274,7 @@
 
 	(void)fd;
 	(void)what;
+	sched_update_tick_delay(sched, now_us);
 	sched_update_gauges(sched);
 	TAILQ_FOREACH_SAFE (job, &sched->jobs, entry, next_job) {
 		if (!sched_job_expire(job, now_us))
@@ -328,7 +352,7 @@
 			    (uint64_t)(server->info.cpu - server->used_cpu);
 	}
 	load.backlog_ms = sched_backlog_us(sched, now_us) / SCHED_US_PER_MS +
-	    sched_order_delay_us(sched, now_us) / SCHED_US_PER_MS;
+	    sched_processing_delay_us(sched, now_us) / SCHED_US_PER_MS;
 	sched->load = load;
 }
 
--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -23,12 +23,14 @@
 #define SCHED_RATE_VALID_MS 5
 /* With a longer backlog, late jobs are refused. */
 #define SCHED_LATE_BACKLOG_MAX_MS 60
+/* With longer delays of ticks the processor of this host is saturated. */
+#define SCHED_TICK_DELAY_MS 5
 /* Usual response time of an order; what exceeds it is a delay of this host. */
 #define SCHED_ORDER_TIME_MS 20
 /* A run is delayed by the order that starts it and by the list of its end. */
 #define SCHED_ORDER_DELAYS 2
 /* Without an answered order for this time, the delay is unknown. */
-#define SCHED_ORDER_DELAY_VALID_MS 300
+#define SCHED_ORDER_TIME_VALID_MS 300
 
 uint32_t
 sched_task_expected_ms(const struct sched_task *task)
@@ -429,14 +431,17 @@
 			 : sched->queued_work * SCHED_US_PER_MS / rate;
 }
 
+/* If the link is saturated, orders are slow, too, but to pass jobs on would add
+ * to its load. */
 uint64_t
-sched_order_delay_us(const struct scheduler *sched, uint64_t now_us)
+sched_processing_delay_us(const struct scheduler *sched, uint64_t now_us)
 {
 	uint64_t usual_us = SCHED_ORDER_TIME_MS * SCHED_US_PER_MS;
 
-	if (sched->order_answered_us == 0 ||
+	if (sched->tick_delay_us < SCHED_TICK_DELAY_MS * SCHED_US_PER_MS ||
+	    sched->order_answered_us == 0 ||
 	    now_us - sched->order_answered_us >
-		SCHED_ORDER_DELAY_VALID_MS * SCHED_US_PER_MS ||
+		SCHED_ORDER_TIME_VALID_MS * SCHED_US_PER_MS ||
 	    sched->order_time.smoothed_us <= usual_us)
 		return 0;
 	return (sched->order_time.smoothed_us - usual_us) * SCHED_ORDER_DELAYS;
@@ -452,7 +457,7 @@
 
 	return !job->may_have_started &&
 	    now_us + sched_backlog_us(job->sched, now_us) +
-		sched_order_delay_us(job->sched, now_us) + work_us >
+		sched_processing_delay_us(job->sched, now_us) + work_us >
 	    job->objective_us;
 }
 
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -217,6 +217,8 @@
 	struct sched_servers servers;
 	/* Includes removed servers; one that is not removed is found first. */
 	struct name_index servers_by_id;
+	uint64_t last_tick_us;	    /* 0: none since the activation */
+	uint64_t tick_delay_us;	    /* smoothed; by which ticks run late */
 	struct rtt order_time;	    /* of orders to all servers */
 	uint64_t order_answered_us; /* the last one; 0: none */
 	struct sched_load load;	    /* as of load_updated_us */
@@ -348,9 +350,10 @@
 void sched_job_advance(struct sched_job *job);
 uint64_t sched_backlog_us(struct scheduler *sched, uint64_t now_us);
 bool sched_job_backlogged(const struct sched_job *job);
-/* Time by which runs start and end late because the link or the processor of
- * this host is saturated. */
-uint64_t sched_order_delay_us(const struct scheduler *sched, uint64_t now_us);
+/* Time by which runs start and end late because the processor of this host is
+ * saturated. */
+uint64_t sched_processing_delay_us(const struct scheduler *sched,
+    uint64_t now_us);
 /* Whether @server could run the task, regardless of its free resources, of
  * other tasks on it, and of permits. */
 bool sched_server_matches(const struct sched_server *server,
