Registry: servers are compared by their members

At worst an unchanged heartbeat would have been passed on.

Change: the members are compared. Test: change_of_each_member_of_a_server_is_ reported, so that none is forgotten.

--- a/entry/jobs/registry.c
+++ b/entry/jobs/registry.c
@@ -176,6 +176,26 @@
 	reg->listener.config(reg->listener.arg, &reg->config);
 }
 
+static bool
+reg_server_equal(const struct reg_server *a, const struct reg_server *b)
+{
+	size_t i;
+
+	if (strcmp(a->service, b->service) != 0 || strcmp(a->az, b->az) != 0 ||
+	    strcmp(a->address, b->address) != 0 || a->port != b->port ||
+	    a->incarnation_start_ms != b->incarnation_start_ms ||
+	    a->cpu != b->cpu || a->mem_mb != b->mem_mb || a->gpus != b->gpus ||
+	    a->draining != b->draining ||
+	    a->drain_remaining_ms != b->drain_remaining_ms ||
+	    strcmp(a->rack, b->rack) != 0 || a->nlabels != b->nlabels)
+		return false;
+	for (i = 0; i < a->nlabels; i++) {
+		if (strcmp(a->labels[i], b->labels[i]) != 0)
+			return false;
+	}
+	return true;
+}
+
 static void
 reg_report_server_removed(struct registry *reg, struct reg_row *row)
 {
@@ -203,7 +223,7 @@
 		return;
 	}
 	if (row->server != NULL && row->removal_due_us == 0 &&
-	    memcmp(row->server, &server, sizeof(server)) == 0)
+	    reg_server_equal(row->server, &server))
 		return;
 	reg_set_removal(reg, row, 0);
 	if (row->server == NULL)
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -42,7 +42,8 @@
 	return 0;
 }
 
-/* A row of a server is its processor share, a row of a host is its weight. */
+/* A row of a server is its processor share, and letters that change further
+ * members; a row of a host is its weight. */
 static int
 decode_server(const char *key, const char *value, size_t len,
     struct reg_server *server)
@@ -51,6 +52,23 @@
 	memset(server, 0, sizeof(*server));
 	strlcpy(server->id, key, sizeof(server->id));
 	server->cpu = atoi(value);
+	if (strchr(value, 's') != NULL)
+		strlcpy(server->service, "s", NAME_SIZE);
+	if (strchr(value, 'z') != NULL)
+		strlcpy(server->az, "z", NAME_SIZE);
+	if (strchr(value, 'a') != NULL)
+		strlcpy(server->address, "a", sizeof(server->address));
+	if (strchr(value, 'r') != NULL)
+		strlcpy(server->rack, "r", NAME_SIZE);
+	server->nlabels = strpbrk(value, "lL") != NULL;
+	strlcpy(server->labels[0], strchr(value, 'L') != NULL ? "L" : "l",
+	    NAME_SIZE);
+	server->port = strchr(value, 'p') != NULL;
+	server->incarnation_start_ms = strchr(value, 'i') != NULL;
+	server->mem_mb = strchr(value, 'm') != NULL;
+	server->gpus = strchr(value, 'g') != NULL;
+	server->draining = strchr(value, 'd') != NULL;
+	server->drain_remaining_ms = strchr(value, 't') != NULL;
 	return server->cpu == 0 ? -1 : 0;
 }
 
@@ -312,6 +330,22 @@
 	reg_destroy(reg);
 }
 
+Test(registry, change_of_each_member_of_a_server_is_reported)
+{
+	static const char *const rows[] = { "64", "65", "65s", "65z", "65a",
+		"65r", "65l", "65L", "65p", "65i", "65m", "65g", "65d", "65t",
+		"65" };
+	struct observed observed;
+	struct registry *reg = create(&observed);
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		change(reg, ROWS_SERVERS, "s1", rows[i], 10 + i, 0);
+		cr_expect_eq(observed.servers, (int)i + 1, "%s", rows[i]);
+	}
+	reg_destroy(reg);
+}
+
 /* A server that was removed, or whose row was malformed, is reported again when
  * its former row returns. */
 Test(registry, server_that_returns_unchanged_is_reported)
