Scheduler: the backlog of a new holder is taken from all known servers

Change: for 250 ms after the take-over servers that have not listed their runs count towards the service rate.

Ruled out: no refusals after a take-over (a zone of 280 jobs a second has a real backlog by then, which would make the next jobs late).

Test: successor_does_not_refuse_jobs_that_waited_for_it fails before.

--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -394,8 +394,21 @@
 	}
 }
 
-/* Speed at which the servers that accept starts run tasks, in thousandths of a
- * core of nominal speed. It is used for each new job, and computed again after
+/* Whether the server counts towards the service rate. Soon after a take-over,
+ * servers that have not listed their runs will accept starts shortly. */
+static bool
+sched_server_serves(const struct sched_server *server, uint64_t now_us)
+{
+	const struct scheduler *sched = server->sched;
+
+	if (!server->held && !server->removed && !server->info.draining)
+		return now_us - sched->activated_us <=
+		    SCHED_RECOVERY_MAX_MS * SCHED_US_PER_MS;
+	return sched_server_accepts_starts(server, now_us);
+}
+
+/* Speed at which the servers run tasks, in thousandths of a core of nominal
+ * speed. It is used for each new job, and computed again after
  * SCHED_RATE_VALID_MS. */
 static uint64_t
 sched_service_rate(struct scheduler *sched, uint64_t now_us)
@@ -408,7 +421,7 @@
 		SCHED_RATE_VALID_MS * SCHED_US_PER_MS)
 		return sched->service_rate;
 	TAILQ_FOREACH (server, &sched->servers, entry) {
-		if (sched_server_accepts_starts(server, now_us))
+		if (sched_server_serves(server, now_us))
 			rate += (uint64_t)server->info.cpu *
 			    server->speed_permille / PLACE_SPEED_NOMINAL;
 	}
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -30,6 +30,7 @@
 		uint64_t sent_us;
 		uint64_t elapsed_ms; /* from submission to reply */
 		bool may_refuse;     /* another cell can run the job */
+		uint32_t age_ms;     /* at the submission */
 	} jobs[RIG_JOBS_MAX];
 	size_t njobs;
 };
@@ -81,6 +82,7 @@
 		.timeout_ms = 5000,
 		.resubmitted = resubmitted,
 		.may_refuse = job->may_refuse,
+		.age_ms = job->age_ms,
 	};
 	char body[256];
 	struct err err;
@@ -234,6 +236,37 @@
 	rig_destroy(rig);
 }
 
+/* The cell had no holder for a while, so jobs that waited for one are late. The
+ * new holder serves them, although no server has listed its runs yet. */
+Test(scheduler, successor_does_not_refuse_jobs_that_waited_for_it)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job jobs[2];
+	struct scheduler *successor;
+	size_t i;
+
+	srig_run(&rig->srig, 100);
+	sched_deactivate(rig->srig.sched);
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = ~UINT32_C(0);
+	successor = srig_scheduler(&rig->srig, 20);
+	for (i = 0; i < 2; i++) {
+		jobs[i] = (struct rig_job){ .rig = rig, .age_ms = 400 };
+		(void)snprintf(jobs[i].id, sizeof(jobs[i].id), "%016zx",
+		    0xf0 + i);
+		(void)rig_submit_to(successor, &jobs[i], 1, 27000, 200, 0,
+		    false);
+	}
+	srig_run(&rig->srig, 60);
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = 0;
+	srig_run(&rig->srig, 1500);
+	for (i = 0; i < 2; i++) {
+		cr_expect(jobs[i].answered);
+		cr_expect_eq(jobs[i].result, SCHED_COMPLETED, "job %zu", i);
+	}
+	sched_destroy(successor);
+	rig_destroy(rig);
+}
+
 Test(scheduler, successor_stops_runs_without_a_job)
 {
 	struct rig *rig = rig_create(5);
