--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -93,7 +93,8 @@
     void *arg)
 {
 	struct host *host = (struct host *)peers;
-	const struct timeval tv = { .tv_usec = host->net->call_ms * 1000 };
+	const struct timeval tv = { .tv_sec = host->net->call_ms / 1000,
+		.tv_usec = host->net->call_ms % 1000 * 1000 };
 	struct call *call = mem_zalloc(1, sizeof(*call));
 
 	(void)az;
@@ -576,3 +577,33 @@
 	cr_expect_neq(sched_token(net->hosts[0].sched), 0);
 	net_destroy(net);
 }
+
+static void
+ignore_reply(void *arg, const struct api_reply *reply)
+{
+	(void)arg;
+	(void)reply;
+}
+
+/* Replies take so long that h2 takes the others for unreachable. The
+ * announcement of h1 shows that it is up, and the holder. */
+Test(cells, announcement_shows_that_its_sender_is_up)
+{
+	const struct api_request announcement = { .method = API_POST,
+		.path = "/v1/work/held",
+		.query = "host=h1&token=99&leaving=0" };
+	struct net *net = net_create();
+	struct host *host = &net->hosts[2];
+
+	net_run(net, 600);
+	net->call_ms = 5000;
+	net_run(net, 2000);
+	cr_assert_neq(sched_token(host->sched), 0);
+	cells_handle(host->cells, &announcement, ignore_reply, NULL);
+	net_run(net, 100);
+	cr_expect_eq(sched_token(host->sched), 0);
+	cr_assert_not_null(cells_holder(host->cells));
+	cr_expect_str_eq(cells_holder(host->cells), "h1");
+	net_run(net, 5000);
+	net_destroy(net);
+}
