Row source: the choice between the store, the holder and a peer is a module

Reading it showed a fault: a request to a peer that neither replied nor lost its connection (a frozen holder) kept all further requests back, also those of a host that then lost the store.

Change: entry/jobs/row_source.c. A reply is waited for 1 s; late rows are merged.

--- /dev/null
+++ b/entry/jobs/row_source.c
@@ -0,0 +1,366 @@
+/*
+ * Reading of rows from the store and from peers. The version of each table up
+ * to which rows were received is known, so that only changes are requested;
+ * heartbeats that change nothing are not sent (see reg_render()).
+ */
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "adapters/log.h"
+#include "core/mem.h"
+#include "entry/jobs/row_source.h"
+
+/* Interval of reads from a peer while the store is unreachable. */
+#define ROWSRC_PEER_INTERVAL_MS 300
+/* Interval at which the holder's likely successors read from it. */
+#define ROWSRC_HOLDER_INTERVAL_MS 500
+/* Time after which the reply of a peer is no longer waited for. */
+#define ROWSRC_PEER_TIMEOUT_MS 1000
+/* The holder's rows of servers are current for this time after it has received
+ * one from the store. */
+#define ROWSRC_SERVERS_CURRENT_MS 1500
+/* Without rows of the holder for this time, they are read from the store. */
+#define ROWSRC_HOLDER_VALID_MS 1200
+/* After a reconnection to the store, the rows of servers that expired during
+ * its outage may be missing for this long. */
+#define ROWSRC_ROWS_RESTORED_MS 2500
+/* Pause between reads of the servers' rows. Servers report every 1.5 s. The
+ * holder, which starts tasks, must detect a draining server in well under
+ * 2 s; a host that is likely to become the holder must have detected it then,
+ * also while the holder can't read the store. */
+#define ROWSRC_POLL_HOLDER_MS 500
+#define ROWSRC_POLL_CANDIDATE_MS 1500
+#define ROWSRC_US_PER_MS UINT64_C(1000)
+
+/* A request for rows of a peer. */
+struct rowsrc_request {
+	struct row_source *src;
+	bool from_holder; /* for the servers' rows only */
+};
+
+struct row_source {
+	struct rowsrc_params params;
+	struct rows *rows;		 /* NULL until it is set */
+	bool connected;			 /* to the store */
+	uint64_t connected_since_us;	 /* valid while connected */
+	bool tables_read[ROWS_NTABLES];	 /* in full, from the store */
+	bool tables_known[ROWS_NTABLES]; /* in full, from the store or a peer */
+	uint64_t server_received_us; /* last row of a server from the store */
+	struct rowsrc_request *pending; /* waited for; NULL: none */
+	uint64_t requested_us;		/* the pending one */
+	uint64_t request_due_us;
+	uint64_t holder_replied_us; /* with the servers' rows; 0: not lately */
+	/* Version of each table up to which rows were read from a peer. */
+	uint64_t received[ROWS_NTABLES];
+};
+
+static uint64_t
+rowsrc_now_us(const struct row_source *src)
+{
+	return clock_now_us(src->params.clock);
+}
+
+/* Rows of the store */
+
+static uint32_t
+rowsrc_servers_poll_ms(const struct row_source *src, uint64_t now_us)
+{
+	const struct rowsrc_cell *cell = &src->params.cell;
+
+	if (cell->is_holder(src->params.arg))
+		return ROWSRC_POLL_HOLDER_MS;
+	if (!cell->is_candidate(src->params.arg) ||
+	    (src->holder_replied_us != 0 &&
+		now_us - src->holder_replied_us <
+		    ROWSRC_HOLDER_VALID_MS * ROWSRC_US_PER_MS))
+		return ROWS_POLL_NEVER;
+	return ROWSRC_POLL_CANDIDATE_MS;
+}
+
+static void
+rowsrc_set_servers_poll(struct row_source *src, uint64_t now_us)
+{
+	if (src->rows != NULL)
+		src->rows->ops->set_poll_pause(src->rows, ROWS_SERVERS,
+		    rowsrc_servers_poll_ms(src, now_us));
+}
+
+static void
+rowsrc_on_changed(void *arg, const struct rows_change *change)
+{
+	struct row_source *src = arg;
+	uint64_t now_us = rowsrc_now_us(src);
+
+	if (change->table == ROWS_SERVERS)
+		src->server_received_us = now_us;
+	reg_row_changed(src->params.reg, change, now_us);
+}
+
+static void
+rowsrc_on_read_begin(void *arg, enum rows_table table)
+{
+	struct row_source *src = arg;
+
+	/* The rows of a full read are not in the order of their versions. */
+	src->tables_known[table] = false;
+	reg_read_begin(src->params.reg, table);
+}
+
+static void
+rowsrc_on_read_end(void *arg, enum rows_table table, uint64_t version)
+{
+	struct row_source *src = arg;
+	uint64_t now_us = rowsrc_now_us(src);
+
+	src->tables_read[table] = true;
+	src->tables_known[table] = true;
+	reg_read_end(src->params.reg, table, version, now_us);
+	if (table != ROWS_HOSTS)
+		return;
+	src->params.cell.hosts_loaded(src->params.arg);
+	rowsrc_set_servers_poll(src, now_us);
+}
+
+static void
+rowsrc_on_refreshed(void *arg, enum rows_table table)
+{
+	struct row_source *src = arg;
+
+	if (table == ROWS_SERVERS)
+		src->params.cell.servers_refreshed(src->params.arg);
+}
+
+static void
+rowsrc_on_connected(void *arg, bool connected)
+{
+	struct row_source *src = arg;
+
+	src->connected = connected;
+	src->connected_since_us = rowsrc_now_us(src);
+	src->request_due_us = rowsrc_now_us(src);
+}
+
+void
+rowsrc_listener(struct row_source *src, struct rows_listener *listener)
+{
+	*listener = (struct rows_listener){
+		.changed = rowsrc_on_changed,
+		.read_begin = rowsrc_on_read_begin,
+		.read_end = rowsrc_on_read_end,
+		.refreshed = rowsrc_on_refreshed,
+		.connected = rowsrc_on_connected,
+		.arg = src,
+	};
+}
+
+void
+rowsrc_set_rows(struct row_source *src, struct rows *rows)
+{
+	src->rows = rows;
+	rows->ops->set_poll_pause(rows, ROWS_SERVERS, ROWS_POLL_NEVER);
+}
+
+void
+rowsrc_refresh(struct row_source *src)
+{
+	if (src->rows != NULL)
+		src->rows->ops->refresh(src->rows, ROWS_SERVERS);
+}
+
+bool
+rowsrc_servers_complete(const struct row_source *src, uint64_t now_us)
+{
+	return src->connected && src->tables_read[ROWS_SERVERS] &&
+	    now_us - src->connected_since_us >
+	    ROWSRC_ROWS_RESTORED_MS * ROWSRC_US_PER_MS;
+}
+
+/* Rows of peers */
+
+static void
+rowsrc_merge(struct row_source *src, const struct api_reply *reply,
+    bool merged[ROWS_NTABLES])
+{
+	int i;
+
+	if (reg_merge(src->params.reg, reply->body, reply->body_len,
+		rowsrc_now_us(src), merged) == -1)
+		log_event(LOG_LEVEL_WARN, "mirror-malformed", "bytes=%zu",
+		    reply->body_len);
+	for (i = 0; i < ROWS_NTABLES; i++) {
+		if (!merged[i])
+			continue;
+		src->tables_known[i] = true;
+		src->received[i] =
+		    reg_version(src->params.reg, (enum rows_table)i);
+	}
+}
+
+/* Late rows are merged, too: none replaces a newer one. */
+static void
+rowsrc_replied(void *arg, const struct api_reply *reply, const struct err *err)
+{
+	struct rowsrc_request *request = arg;
+	struct row_source *src = request->src;
+	bool is_pending = src->pending == request;
+	bool merged[ROWS_NTABLES] = { false };
+
+	(void)err;
+	if (is_pending)
+		src->pending = NULL;
+	if (reply != NULL && reply->status == 200) {
+		rowsrc_merge(src, reply, merged);
+		if (is_pending && request->from_holder)
+			src->holder_replied_us =
+			    merged[ROWS_SERVERS] ? rowsrc_now_us(src) : 0;
+	}
+	free(request);
+}
+
+/* Requests the rows of each table after the version in @since. */
+static void
+rowsrc_request(struct row_source *src, const char *host, uint64_t incarnation,
+    const uint64_t since[ROWS_NTABLES], bool from_holder)
+{
+	struct api_request message = { .method = API_GET,
+		.path = ROWSRC_PEER_PATH };
+	struct rowsrc_request *request = mem_zalloc(1, sizeof(*request));
+	char query[128];
+
+	request->src = src;
+	request->from_holder = from_holder;
+	(void)snprintf(query, sizeof(query),
+	    "config=%" PRIu64 "&servers=%" PRIu64 "&hosts=%" PRIu64
+	    "&current=%d",
+	    since[ROWS_OPERATOR], since[ROWS_SERVERS], since[ROWS_HOSTS],
+	    from_holder ? 1 : 0);
+	message.query = query;
+	src->pending = request;
+	src->requested_us = rowsrc_now_us(src);
+	src->params.peers->ops->forward(src->params.peers, "", host,
+	    incarnation, &message, rowsrc_replied, request);
+}
+
+static void
+rowsrc_request_all(struct row_source *src, uint64_t now_us)
+{
+	const struct rowsrc_cell *cell = &src->params.cell;
+	uint64_t incarnation, since[ROWS_NTABLES];
+	const char *peer;
+
+	src->request_due_us =
+	    now_us + ROWSRC_PEER_INTERVAL_MS * ROWSRC_US_PER_MS;
+	peer = cell->peer(src->params.arg, &incarnation);
+	if (peer == NULL)
+		return;
+	memcpy(since, src->received, sizeof(since));
+	if (!cell->is_candidate(src->params.arg))
+		since[ROWS_SERVERS] = REG_NO_ROWS;
+	rowsrc_request(src, peer, incarnation, since, false);
+}
+
+static void
+rowsrc_request_servers(struct row_source *src, uint64_t now_us)
+{
+	const struct rowsrc_cell *cell = &src->params.cell;
+	const uint64_t since[ROWS_NTABLES] = {
+		[ROWS_OPERATOR] = REG_NO_ROWS,
+		[ROWS_SERVERS] = src->tables_known[ROWS_SERVERS]
+		    ? reg_version(src->params.reg, ROWS_SERVERS)
+		    : 0,
+		[ROWS_HOSTS] = REG_NO_ROWS,
+	};
+	uint64_t incarnation;
+	const char *holder;
+
+	src->request_due_us =
+	    now_us + ROWSRC_HOLDER_INTERVAL_MS * ROWSRC_US_PER_MS;
+	if (!cell->is_candidate(src->params.arg))
+		return;
+	holder = cell->holder(src->params.arg, &incarnation);
+	if (holder != NULL)
+		rowsrc_request(src, holder, incarnation, since, true);
+}
+
+void
+rowsrc_tick(struct row_source *src, uint64_t now_us)
+{
+	rowsrc_set_servers_poll(src, now_us);
+	if (src->pending != NULL &&
+	    now_us - src->requested_us >
+		ROWSRC_PEER_TIMEOUT_MS * ROWSRC_US_PER_MS)
+		src->pending = NULL;
+	if (src->pending != NULL || now_us < src->request_due_us)
+		return;
+	if (src->connected)
+		rowsrc_request_servers(src, now_us);
+	else
+		rowsrc_request_all(src, now_us);
+}
+
+/* Requests of peers */
+
+static bool
+rowsrc_servers_current(const struct row_source *src)
+{
+	return src->connected &&
+	    rowsrc_now_us(src) - src->server_received_us <
+	    ROWSRC_SERVERS_CURRENT_MS * ROWSRC_US_PER_MS;
+}
+
+/* Encodes the rows that a peer lacks, of the tables that this host knows. A
+ * peer that can read the store itself needs none that may be outdated. */
+static char *
+rowsrc_render(const struct row_source *src, const char *query)
+{
+	uint64_t since[ROWS_NTABLES];
+	int i, current = 0;
+
+	if (sscanf(query,
+		"config=%" SCNu64 "&servers=%" SCNu64 "&hosts=%" SCNu64
+		"&current=%d",
+		&since[ROWS_OPERATOR], &since[ROWS_SERVERS], &since[ROWS_HOSTS],
+		&current) < ROWS_NTABLES)
+		memset(since, 0, sizeof(since));
+	if (current != 0 && !rowsrc_servers_current(src))
+		since[ROWS_SERVERS] = REG_NO_ROWS;
+	for (i = 0; i < ROWS_NTABLES; i++) {
+		if (!src->tables_known[i])
+			since[i] = REG_NO_ROWS;
+	}
+	return reg_render(src->params.reg, since);
+}
+
+void
+rowsrc_handle(struct row_source *src, const struct api_request *request,
+    api_reply_fn reply, void *arg)
+{
+	char *text = rowsrc_render(src, request->query);
+	const struct api_reply message = {
+		.status = 200,
+		.content_type = "application/json",
+		.body = text,
+		.body_len = strlen(text),
+	};
+
+	reply(arg, &message);
+	free(text);
+}
+
+struct row_source *
+rowsrc_create(const struct rowsrc_params *params)
+{
+	struct row_source *src = mem_zalloc(1, sizeof(*src));
+
+	src->params = *params;
+	return src;
+}
+
+void
+rowsrc_destroy(struct row_source *src)
+{
+	free(src);
+}
