--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -5,73 +5,16 @@
  * never within a callback of evhttp.
  */
 
-#include <errno.h>
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/keyvalq_struct.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/queue.h>
-#include <sys/socket.h>
 
 #include "adapters/clock_real.h"
-#include "adapters/http_client.h"
-
-#define HCL_EVHTTP_TIMEOUT_S 86400 /* each call has its own, shorter timer */
-#define HCL_HEADERS_BYTES_MAX 16384
-#define HCL_PEER_SIZE 64 /* bytes, with the NUL */
-
-struct hcl_conn;
-
-/* A call is in the queue of waiting calls, in the list of failed calls, or
- * assigned to a connection. */
-struct hcl_call {
-	struct hcl *hcl;
-	struct hcl_conn *conn;		/* NULL if none is assigned */
-	struct evhttp_request *request; /* owned until it is sent */
-	enum evhttp_cmd_type method;
-	char *path;
-	uint64_t conn_id; /* the only connection to use; 0: any */
-	bool new_connection;
-	uint64_t started_us;
-	bool abandoned; /* timed out; @done was called, @timer waits again */
-	bool sent;
-	const char *failure; /* why it could not be sent; or NULL */
-	struct event *timer;
-	hcl_done_fn done;
-	void (*free_arg)(void *arg);
-	void *arg;
-	TAILQ_ENTRY(hcl_call) entry;
-};
-
-TAILQ_HEAD(hcl_calls, hcl_call);
-
-struct hcl_conn {
-	struct hcl *hcl;
-	uint64_t id; /* 1 or more, in the order of creation */
-	struct evhttp_connection *evcon;
-	struct hcl_call *call; /* NULL if idle or discarded */
-	TAILQ_ENTRY(hcl_conn) entry;
-};
-
-TAILQ_HEAD(hcl_conns, hcl_conn);
-
-struct hcl {
-	struct hcl_params params;
-	char peer[HCL_PEER_SIZE];
-	struct hcl_calls waiting;
-	struct hcl_calls failed; /* reported by the next deferred event */
-	size_t nwaiting;
-	struct hcl_conns idle;
-	struct hcl_conns busy;
-	struct hcl_conns discarded; /* freed by the next deferred event */
-	size_t nconns;		    /* in @idle and @busy */
-	uint64_t last_conn_id;	    /* 0 if none was opened */
-	struct event *deferred;
-};
+#include "adapters/http_client_internal.h"
 
 const char *
 hcl_peer(const struct hcl *hcl)
@@ -99,13 +42,13 @@
 	return clock_now_us(clock_real());
 }
 
-static void
+void
 hcl_schedule_deferred(struct hcl *hcl)
 {
 	event_active(hcl->deferred, EV_TIMEOUT, 0);
 }
 
-static void
+void
 hcl_call_free(struct hcl_call *call)
 {
 	if (call->timer != NULL)
@@ -116,31 +59,6 @@
 	free(call);
 }
 
-static void
-hcl_conn_free(struct hcl_conn *conn)
-{
-	evhttp_connection_free(conn->evcon);
-	free(conn);
-}
-
-/* Separates a connection from its call; makes it idle, or discards it. */
-static void
-hcl_conn_release(struct hcl_conn *conn, bool keep_alive)
-{
-	struct hcl *hcl = conn->hcl;
-
-	conn->call->conn = NULL;
-	conn->call = NULL;
-	TAILQ_REMOVE(&hcl->busy, conn, entry);
-	if (keep_alive) {
-		TAILQ_INSERT_HEAD(&hcl->idle, conn, entry);
-	} else {
-		hcl->nconns--;
-		TAILQ_INSERT_TAIL(&hcl->discarded, conn, entry);
-	}
-	hcl_schedule_deferred(hcl);
-}
-
 /* Reports the result of a call that is in no list and has no connection. */
 static void
 hcl_call_finish(struct hcl_call *call, const struct hcl_reply *reply)
@@ -164,79 +82,6 @@
 	hcl_call_finish(call, &reply);
 }
 
-/*
- * Records that bytes of a request were sent. evhttp also drains the buffer when
- * it resets a connection, but with writing disabled; those bytes were not
- * sent.
- */
-static void
-hcl_output_changed(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
-    void *arg)
-{
-	struct hcl_conn *conn = arg;
-	struct bufferevent *bev;
-
-	(void)buffer;
-	if (info->n_deleted == 0 || conn->call == NULL)
-		return;
-	bev = evhttp_connection_get_bufferevent(conn->evcon);
-	if ((bufferevent_get_enabled(bev) & EV_WRITE) != 0)
-		conn->call->sent = true;
-}
-
-static struct hcl_conn *
-hcl_conn_create(struct hcl *hcl)
-{
-	struct timeval timeout = { .tv_sec = HCL_EVHTTP_TIMEOUT_S };
-	struct bufferevent *bev;
-	struct hcl_conn *conn;
-
-	conn = calloc(1, sizeof(*conn));
-	if (conn == NULL)
-		return NULL;
-	conn->hcl = hcl;
-	conn->evcon =
-	    evhttp_connection_base_bufferevent_new(hcl->params.base, NULL, NULL,
-		hcl->params.endpoint.address, hcl->params.endpoint.port);
-	if (conn->evcon == NULL)
-		goto error;
-	evhttp_connection_set_retries(conn->evcon, 0);
-	evhttp_connection_set_timeout_tv(conn->evcon, &timeout);
-	evhttp_connection_set_max_body_size(conn->evcon,
-	    (ev_ssize_t)hcl->params.response_bytes_max);
-	evhttp_connection_set_max_headers_size(conn->evcon,
-	    HCL_HEADERS_BYTES_MAX);
-	bev = evhttp_connection_get_bufferevent(conn->evcon);
-	if (evbuffer_add_cb(bufferevent_get_output(bev), hcl_output_changed,
-		conn) == NULL)
-		goto error;
-	hcl->nconns++;
-	conn->id = ++hcl->last_conn_id;
-	return conn;
-error:
-	if (conn->evcon != NULL)
-		evhttp_connection_free(conn->evcon);
-	free(conn);
-	return NULL;
-}
-
-/* Returns true if an idle connection is open and has received nothing since
- * its last response. */
-static bool
-hcl_conn_reusable(const struct hcl_conn *conn)
-{
-	struct bufferevent *bev;
-	evutil_socket_t fd;
-	char byte;
-
-	bev = evhttp_connection_get_bufferevent(conn->evcon);
-	fd = bufferevent_getfd(bev);
-	if (fd == -1 || evbuffer_get_length(bufferevent_get_input(bev)) != 0)
-		return false;
-	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == -1 &&
-	    (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 /* Queues a failed call, which is in no list; the next deferred event reports
  * it. */
 static void
@@ -265,74 +110,6 @@
 	hcl_call_defer_failure(call, "request could not be started");
 }
 
-static struct hcl_conn *
-hcl_conn_find_idle(const struct hcl *hcl, uint64_t id)
-{
-	struct hcl_conn *conn;
-
-	TAILQ_FOREACH (conn, &hcl->idle, entry) {
-		if (conn->id == id && hcl_conn_reusable(conn))
-			return conn;
-	}
-	return NULL;
-}
-
-/* Removes the connection @id from the idle list and returns it; NULL if it is
- * not idle or not reusable. */
-static struct hcl_conn *
-hcl_conn_acquire_by_id(struct hcl *hcl, uint64_t id)
-{
-	struct hcl_conn *conn = hcl_conn_find_idle(hcl, id);
-
-	if (conn != NULL)
-		TAILQ_REMOVE(&hcl->idle, conn, entry);
-	return conn;
-}
-
-/* Closes the connection that has waited longest for a late response. Return:
- * true if there was one. */
-static bool
-hcl_close_abandoned(struct hcl *hcl)
-{
-	struct hcl_conn *conn;
-	struct hcl_call *call;
-
-	TAILQ_FOREACH (conn, &hcl->busy, entry) {
-		if (conn->call->abandoned)
-			break;
-	}
-	if (conn == NULL)
-		return false;
-	call = conn->call;
-	TAILQ_REMOVE(&hcl->busy, conn, entry);
-	hcl->nconns--;
-	hcl_conn_free(conn);
-	hcl_call_free(call);
-	return true;
-}
-
-/* Returns a reusable idle connection or a new one, in no list; NULL if the
- * limit is reached or memory is exhausted. */
-static struct hcl_conn *
-hcl_conn_acquire(struct hcl *hcl, bool new_connection)
-{
-	struct hcl_conn *conn;
-
-	if (new_connection && hcl->nconns < hcl->params.connections_max)
-		return hcl_conn_create(hcl);
-	while ((conn = TAILQ_FIRST(&hcl->idle)) != NULL) {
-		TAILQ_REMOVE(&hcl->idle, conn, entry);
-		if (hcl_conn_reusable(conn))
-			return conn;
-		hcl->nconns--;
-		hcl_conn_free(conn);
-	}
-	if (hcl->nconns >= hcl->params.connections_max &&
-	    !hcl_close_abandoned(hcl))
-		return NULL;
-	return hcl_conn_create(hcl);
-}
-
 /* Returns true if the headers prove that the response is complete: they state
  * the length of the body (Content-Length or chunked), or the status allows no
  * body. @keep_alive: set to false if the server closes the connection. */
