--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -99,7 +99,6 @@
 	uint64_t reserve_sent_us;
 	bool reserve_pending;
 	bool leaving;
-	bool hosts_loaded; /* unused */
 	/* Discovery of an existing holder has ended. */
 	bool discovery_done;
 	uint64_t notified_token; /* of the last holder_changed() */
--- a/entry/jobs/cells_stored.c
+++ b/entry/jobs/cells_stored.c
@@ -14,7 +14,6 @@
 
 struct cells_cancel_call {
 	jstore_done_fn done;
-	api_reply_fn reply; /* unused */
 	void *arg;
 };
 
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -151,7 +151,6 @@
 	uint64_t run_id;
 	/* Time of the first list with the run, or of the last stop order. */
 	uint64_t grace_start_us;
-	bool done;   /* unused */
 	bool listed; /* in the last reply to a hold */
 	TAILQ_ENTRY(sched_orphan) entry;
 };
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -14,8 +14,6 @@
 #include "entry/jobs/scheduler_internal.h"
 
 #define SCHED_US_PER_MS UINT64_C(1000)
-/* Unused: retention of an ended run whose job is unknown. */
-#define SCHED_ENDED_RETENTION_MS 3000
 
 static void
 sched_orphan_free(struct sched_server *server, struct sched_orphan *orphan)
