Logs and metrics: the configuration that a request was handled under, and its age

The version travels with a job to the holder and into its row.

No decision depends on any of it. Cost: one clock reading a request.

--- a/core/job.h
+++ b/core/job.h
@@ -63,6 +63,9 @@
 				  * job_objective_ms() */
 	uint32_t target_ms;	 /* added to that product */
 	bool advised; /* starts require a permit; see ports/advisor.h */
+	/* Version of the configuration; a job keeps the one that it was
+	 * accepted under. 0: unknown. */
+	uint64_t config_version;
 };
 
 /** job_spec_release() - free the memory that a spec owns. */
--- a/entry/daemon_jobs.c
+++ b/entry/daemon_jobs.c
@@ -50,6 +50,7 @@
 {
 	const struct settings *set = dmn->settings;
 	const struct platform_http_api_params http_api_params = {
+		.clock = dmn->clock,
 		.reg = jsvc_registry(dmn->jobs),
 		.gateway = jsvc_gateway(dmn->jobs),
 		.jstat = jsvc_status(dmn->jobs),
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -237,11 +237,12 @@
 	    "age_ms=%" PRIu32 "&patience_ms=%" PRIu32
 	    "&again=%d&may_refuse=%d&nonce=%" PRIu64
 	    "&queue=%s&service=%s&priority=%" PRIu32 "&attempts=%" PRIu32
-	    "&slack=%" PRIu32 "&target_ms=%" PRIu32 "&advised=%d",
+	    "&slack=%" PRIu32 "&target_ms=%" PRIu32
+	    "&advised=%d&config=%" PRIu64,
 	    job->age_ms, job->timeout_ms, job->resubmitted ? 1 : 0,
 	    job->may_refuse ? 1 : 0, job->nonce, queue->name, queue->service,
 	    queue->priority, queue->max_attempts, queue->slack_permille,
-	    queue->target_ms, queue->advised ? 1 : 0);
+	    queue->target_ms, queue->advised ? 1 : 0, queue->config_version);
 	cells->params.peers->ops->forward(cells->params.peers, host->info.az,
 	    host->info.name, host->incarnation, &request, cells_forward_done,
 	    call);
@@ -370,6 +371,7 @@
 	queue.slack_permille = cells_query_u32(request, "slack");
 	queue.target_ms = cells_query_u32(request, "target_ms");
 	queue.advised = cells_query_u32(request, "advised") != 0;
+	queue.config_version = cells_query_u64(request, "config");
 	sub = cells_submission_create(cells, job.id, job.nonce, arg);
 	sub->reply = reply;
 	cells_submit_local(sub, &job);
--- a/entry/jobs/job_gateway.c
+++ b/entry/jobs/job_gateway.c
@@ -152,9 +152,10 @@
 	hist_add(&gw_answer_latency, age_us / GW_US_PER_MS);
 	ctr_inc(&gw_answers[result]);
 	log_event(LOG_LEVEL_INFO, "answer",
-	    "id=%s queue=%s outcome=%s reason=\"%s\" age_ms=%" PRIu64, job->id,
-	    job->queue.name, gw_result_names[result], reason,
-	    age_us / GW_US_PER_MS);
+	    "id=%s queue=%s outcome=%s reason=\"%s\" age_ms=%" PRIu64
+	    " config=%" PRIu64,
+	    job->id, job->queue.name, gw_result_names[result], reason,
+	    age_us / GW_US_PER_MS, job->queue.config_version);
 	if (done != NULL)
 		done(job->arg, &reply);
 }
@@ -357,10 +358,10 @@
 	TAILQ_INSERT_TAIL(&gateway->jobs, job, entry);
 	gateway->npending++;
 	log_event(LOG_LEVEL_INFO, "accept",
-	    "id=%s queue=%s priority=%" PRIu32
-	    " bytes=%zu patience_ms=%" PRIu32,
+	    "id=%s queue=%s priority=%" PRIu32 " bytes=%zu patience_ms=%" PRIu32
+	    " config=%" PRIu64 " config_age_ms=%" PRIu64,
 	    job->id, job->queue.name, job->queue.priority, job->body_len,
-	    timeout_ms);
+	    timeout_ms, job->queue.config_version, request->config_age_ms);
 	if (gateway->refuse_new) {
 		gw_answer(job, GW_NOT_RUN, GW_RETRY_AFTER_MS,
 		    "this entry host is shutting down");
--- a/entry/jobs/job_gateway.h
+++ b/entry/jobs/job_gateway.h
@@ -43,7 +43,8 @@
 	const struct job_queue *queue;
 	const char *body; /* the job's JSON form */
 	size_t body_len;
-	uint32_t timeout_ms; /* the caller waits this long; 0: the default */
+	uint32_t timeout_ms;	/* the caller waits this long; 0: the default */
+	uint64_t config_age_ms; /* see reg_age_ms(); for the log */
 };
 
 /** gw_create() - the arguments are borrowed. */
--- a/entry/jobs/job_record.c
+++ b/entry/jobs/job_record.c
@@ -58,6 +58,8 @@
 	    "target_ms", (int)queue->target_ms, "advised", (int)queue->advised,
 	    "progress", progress, "body", record->body, record->body_len);
 	free(progress);
+	(void)json_object_set_new(root, "config",
+	    json_integer((json_int_t)queue->config_version));
 	(void)json_object_set_new(root, "failed",
 	    jrec_render_failed_runs(record));
 	return root;
@@ -139,6 +141,8 @@
 	record->queue.slack_permille = jrec_number(root, "slack");
 	record->queue.target_ms = jrec_number(root, "target_ms");
 	record->queue.advised = json_is_true(json_object_get(root, "advised"));
+	record->queue.config_version =
+	    (uint64_t)json_integer_value(json_object_get(root, "config"));
 	record->body_len = json_string_length(body);
 	record->body = mem_strndup(json_string_value(body), record->body_len);
 	jrec_parse_progress(record, progress);
--- a/entry/jobs/job_service.c
+++ b/entry/jobs/job_service.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 
 #include "adapters/log.h"
+#include "core/counters.h"
 #include "core/mem.h"
 #include "entry/jobs/cells.h"
 #include "entry/jobs/job_service.h"
@@ -16,6 +17,17 @@
 
 #define JSVC_TICK_MS 100
 
+static struct counter jsvc_config_version = {
+	.name = "berylrail_work_config_version",
+	.help = "Version of the configuration of queues and services.",
+	.gauge = 1,
+};
+static struct counter jsvc_config_age = {
+	.name = "berylrail_work_config_age_milliseconds",
+	.help = "Time since the configuration was known to be current.",
+	.gauge = 1,
+};
+
 struct job_service {
 	struct jsvc_params params;
 	struct rows *rows;
@@ -267,6 +279,10 @@
 	sched_set_servers_complete(svc->sched,
 	    rowsrc_servers_complete(svc->row_source, now_us));
 	rowsrc_tick(svc->row_source, now_us);
+	ctr_set(&jsvc_config_version, reg_config(svc->reg)->version);
+	if (reg_config(svc->reg)->version != 0)
+		ctr_set(&jsvc_config_age,
+		    reg_age_ms(svc->reg, ROWS_OPERATOR, now_us));
 }
 
 /* Requests of peers */
--- a/entry/jobs/registry.c
+++ b/entry/jobs/registry.c
@@ -15,6 +15,7 @@
  * written again within two seconds after it ends. */
 #define REG_REMOVAL_DELAY_US 2500000ULL
 #define REG_CONFIG_KEY "config"
+#define REG_US_PER_MS UINT64_C(1000)
 
 struct reg_row {
 	enum rows_table table;
@@ -37,7 +38,8 @@
 
 /* The rows of one table. */
 struct reg_table {
-	uint64_t version; /* of the newest row */
+	uint64_t version;      /* of the newest row */
+	uint64_t confirmed_us; /* the rows were current then; 0: never */
 	struct reg_rows rows;
 	struct name_index by_key;
 };
@@ -112,6 +114,22 @@
 	return reg->tables[table].version;
 }
 
+void
+reg_confirm(struct registry *reg, enum rows_table table, uint64_t confirmed_us)
+{
+	if (confirmed_us > reg->tables[table].confirmed_us)
+		reg->tables[table].confirmed_us = confirmed_us;
+}
+
+uint64_t
+reg_age_ms(const struct registry *reg, enum rows_table table, uint64_t now_us)
+{
+	uint64_t confirmed_us = reg->tables[table].confirmed_us;
+
+	return confirmed_us == 0 ? UINT64_MAX
+				 : (now_us - confirmed_us) / REG_US_PER_MS;
+}
+
 static struct reg_row *
 reg_row_find(struct registry *reg, enum rows_table table, const char *key)
 {
@@ -355,16 +373,18 @@
 	return best;
 }
 
-/* A row without a key shows that the table is encoded. */
+/* A row without a key shows that the table is encoded, and how old it is. */
 static void
 reg_render_table(const struct registry *reg, enum rows_table table,
-    uint64_t since, json_t *rows)
+    uint64_t since, uint64_t now_us, json_t *rows)
 {
 	const struct reg_row *row;
-	json_t *item;
+	json_t *item = json_pack("{s:i}", "table", (int)table);
 
-	(void)json_array_append_new(rows,
-	    json_pack("{s:i}", "table", (int)table));
+	if (reg->tables[table].confirmed_us != 0)
+		(void)json_object_set_new(item, "age_ms",
+		    json_integer((json_int_t)reg_age_ms(reg, table, now_us)));
+	(void)json_array_append_new(rows, item);
 	TAILQ_FOREACH (row, &reg->tables[table].rows, entry) {
 		if (row->changed_version <= since)
 			continue;
@@ -378,7 +398,8 @@
 }
 
 char *
-reg_render(const struct registry *reg, const uint64_t since[ROWS_NTABLES])
+reg_render(const struct registry *reg, const uint64_t since[ROWS_NTABLES],
+    uint64_t now_us)
 {
 	json_t *rows = json_array();
 	char *text;
@@ -387,7 +408,7 @@
 	for (i = 0; i < ROWS_NTABLES; i++) {
 		if (since[i] != REG_NO_ROWS)
 			reg_render_table(reg, (enum rows_table)i, since[i],
-			    rows);
+			    now_us, rows);
 	}
 	text = json_dumps(rows, JSON_COMPACT);
 	json_decref(rows);
@@ -396,6 +417,21 @@
 	return text;
 }
 
+/* The age counts from the merge: the time of the transfer is not known. */
+static void
+reg_merge_age(struct registry *reg, const json_t *row, enum rows_table table,
+    uint64_t now_us)
+{
+	const json_t *age = json_object_get(row, "age_ms");
+	uint64_t age_us;
+
+	if (!json_is_integer(age) || json_integer_value(age) < 0)
+		return;
+	age_us = (uint64_t)json_integer_value(age) * REG_US_PER_MS;
+	if (age_us < now_us)
+		reg_confirm(reg, table, now_us - age_us);
+}
+
 static void
 reg_merge_row(struct registry *reg, const json_t *row, uint64_t now_us,
     bool merged[ROWS_NTABLES])
@@ -413,10 +449,12 @@
 
 	if (table < 0 || table >= ROWS_NTABLES)
 		return;
-	if (change.key != NULL)
+	if (change.key != NULL) {
 		reg_row_changed(reg, &change, now_us);
-	else
-		merged[table] = true;
+		return;
+	}
+	merged[table] = true;
+	reg_merge_age(reg, row, change.table, now_us);
 }
 
 int
--- a/entry/jobs/registry.h
+++ b/entry/jobs/registry.h
@@ -120,6 +120,20 @@
 void reg_read_end(struct registry *reg, enum rows_table table, uint64_t version,
     uint64_t now_us);
 
+/**
+ * reg_confirm() - the store had no further changes of @table at @confirmed_us.
+ * An earlier time than the known one is ignored.
+ */
+void reg_confirm(struct registry *reg, enum rows_table table,
+    uint64_t confirmed_us);
+
+/**
+ * reg_age_ms() - Return: time since the rows of @table were known to be
+ * current; UINT64_MAX if they never were.
+ */
+uint64_t reg_age_ms(const struct registry *reg, enum rows_table table,
+    uint64_t now_us);
+
 /** reg_tick() - report removed servers whose removal delay has passed. */
 void reg_tick(struct registry *reg, uint64_t now_us);
 
@@ -150,8 +164,8 @@
  *         order of their versions, so one version for all is not sufficient.
  * Return: JSON text, freed by the caller.
  */
-char *reg_render(const struct registry *reg,
-    const uint64_t since[ROWS_NTABLES]);
+char *reg_render(const struct registry *reg, const uint64_t since[ROWS_NTABLES],
+    uint64_t now_us);
 
 /**
  * reg_merge() - apply the rows that a peer encoded with reg_render().
--- a/entry/jobs/row_source.c
+++ b/entry/jobs/row_source.c
@@ -124,6 +124,15 @@
 	rowsrc_set_servers_poll(src, now_us);
 }
 
+static void
+rowsrc_on_current(void *arg, enum rows_table table, uint64_t version)
+{
+	struct row_source *src = arg;
+
+	(void)version;
+	reg_confirm(src->params.reg, table, rowsrc_now_us(src));
+}
+
 static void
 rowsrc_on_refreshed(void *arg, enum rows_table table)
 {
@@ -150,6 +159,7 @@
 		.changed = rowsrc_on_changed,
 		.read_begin = rowsrc_on_read_begin,
 		.read_end = rowsrc_on_read_end,
+		.current = rowsrc_on_current,
 		.refreshed = rowsrc_on_refreshed,
 		.connected = rowsrc_on_connected,
 		.arg = src,
@@ -331,7 +341,7 @@
 		if (!src->tables_known[i])
 			since[i] = REG_NO_ROWS;
 	}
-	return reg_render(src->params.reg, since);
+	return reg_render(src->params.reg, since, rowsrc_now_us(src));
 }
 
 void
--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -301,11 +301,12 @@
 	log_event(LOG_LEVEL_INFO, "task-start",
 	    "id=%s task=%" PRIu32 ".%" PRIu32 " run=%" PRIu64
 	    " server=%s speed=%" PRIu32 " free_cpu=%" PRId64
-	    " waited_ms=%" PRIu64,
+	    " waited_ms=%" PRIu64 " config=%" PRIu64,
 	    task->job->spec.id, task->step, task->index, run_id,
 	    server->info.id, server->speed_permille,
 	    server->info.cpu - server->used_cpu,
-	    (now_us - task->job->submitted_us) / SCHED_US_PER_MS);
+	    (now_us - task->job->submitted_us) / SCHED_US_PER_MS,
+	    task->job->queue.config_version);
 	sched_send_start(task);
 	if (!server->hold_pending)
 		sched_server_hold(server, now_us);
--- a/ports/rows.h
+++ b/ports/rows.h
@@ -42,6 +42,9 @@
 	 */
 	void (*read_begin)(void *arg, enum rows_table table);
 	void (*read_end)(void *arg, enum rows_table table, uint64_t version);
+	/* The store has confirmed that all changes of @table up to @version
+	 * have been reported, and that there was no later one. */
+	void (*current)(void *arg, enum rows_table table, uint64_t version);
 	/* All changes made before the last refresh() have been reported. */
 	void (*refreshed)(void *arg, enum rows_table table);
 	/* The store has become reachable or unreachable. */
--- a/tests/test_platform_rows.c
+++ b/tests/test_platform_rows.c
@@ -31,6 +31,7 @@
 	bool read_ended;	    /* of the servers, in full */
 	uint64_t received_0_at_end; /* version of row 0, likewise */
 	uint64_t read_version;	    /* as of the end of that read */
+	uint64_t current_version;   /* of the servers, as confirmed last */
 	bool change_in_full_read;   /* after its first page */
 	bool refreshed;
 	bool complete_at_refresh;
@@ -144,6 +145,15 @@
 	rig->received_0_at_end = rig->received[0];
 }
 
+static void
+on_current(void *arg, enum rows_table table, uint64_t version)
+{
+	struct rig *rig = arg;
+
+	if (table == ROWS_SERVERS)
+		rig->current_version = version;
+}
+
 static void
 on_refreshed(void *arg, enum rows_table table)
 {
@@ -187,6 +197,7 @@
 	const struct rows_listener listener = { .changed = on_changed,
 		.read_begin = on_read_begin,
 		.read_end = on_read_end,
+		.current = on_current,
 		.refreshed = on_refreshed,
 		.connected = on_connected,
 		.arg = rig };
@@ -234,6 +245,7 @@
 	rig_run(rig);
 	cr_expect(rig->refreshed);
 	cr_expect(rig->complete_at_refresh);
+	cr_expect_eq(rig->current_version, rig->newest);
 	cr_expect_eq(rig->changes, ROWS);
 	rig_destroy(rig);
 }
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -240,7 +240,7 @@
 	change(reg, ROWS_SERVERS, "s2", "32", 20, 0);
 	change(reg, ROWS_HOSTS, "h1", NULL, 21, 0);
 	change(peer, ROWS_SERVERS, "s1", "16", 30, 0);
-	text = reg_render(reg, since);
+	text = reg_render(reg, since, SECOND_US);
 	cr_expect_eq(reg_merge(peer, text, strlen(text), 0, merged), 0);
 	cr_expect_eq(observed_peer.servers, 2);
 	cr_expect_eq(observed_peer.server.cpu, 32);
@@ -248,7 +248,7 @@
 	cr_expect(merged[ROWS_SERVERS] && merged[ROWS_HOSTS]);
 	free(text);
 	since[ROWS_SERVERS] = 20;
-	text = reg_render(reg, since);
+	text = reg_render(reg, since, SECOND_US);
 	cr_expect_null(strstr(text, "s2"));
 	cr_expect_eq(reg_merge(peer, "{}", 2, 0, merged), -1);
 	free(text);
@@ -273,13 +273,13 @@
 
 	change(reg, ROWS_SERVERS, "s1", "64", 10, 0);
 	change(reg, ROWS_HOSTS, "h1", "8", 30, 0);
-	text = reg_render(reg, since);
+	text = reg_render(reg, since, SECOND_US);
 	cr_assert_eq(reg_merge(peer, text, strlen(text), 0, merged), 0);
 	free(text);
 	change(reg, ROWS_SERVERS, "s1", "16", 20, 0);
 	for (i = 0; i < ROWS_NTABLES; i++)
 		since[i] = reg_version(peer, (enum rows_table)i);
-	text = reg_render(reg, since);
+	text = reg_render(reg, since, SECOND_US);
 	cr_assert_eq(reg_merge(peer, text, strlen(text), 0, merged), 0);
 	free(text);
 	cr_expect_eq(observed_peer.server.cpu, 16);
@@ -298,7 +298,7 @@
 
 	change(reg, ROWS_SERVERS, "s1", "64", 10, 0);
 	since[ROWS_SERVERS] = REG_NO_ROWS;
-	text = reg_render(reg, since);
+	text = reg_render(reg, since, SECOND_US);
 	cr_assert_eq(reg_merge(peer, text, strlen(text), 0, merged), 0);
 	cr_expect_not(merged[ROWS_SERVERS]);
 	cr_expect(merged[ROWS_OPERATOR]);
@@ -323,7 +323,7 @@
 	change(reg, ROWS_SERVERS, "s2", "16", 21, 0);
 	cr_expect_eq(observed.servers, 3);
 	since[ROWS_SERVERS] = 11;
-	text = reg_render(reg, since);
+	text = reg_render(reg, since, SECOND_US);
 	cr_expect_null(strstr(text, "s1"));
 	cr_expect_not_null(strstr(text, "s2"));
 	free(text);
@@ -394,7 +394,7 @@
 	change(reg, ROWS_SERVERS, "s2", "64", 30, 0);
 	reg_read_end(reg, ROWS_SERVERS, 30, 0);
 	since[ROWS_SERVERS] = reg_version(peer, ROWS_SERVERS);
-	text = reg_render(reg, since);
+	text = reg_render(reg, since, SECOND_US);
 	cr_assert_eq(reg_merge(peer, text, strlen(text), 0, merged), 0);
 	reg_tick(peer, REMOVAL_US);
 	cr_expect_str_eq(observed_peer.server_removed, "s1");
@@ -402,3 +402,27 @@
 	reg_destroy(reg);
 	reg_destroy(peer);
 }
+
+/* The age that a peer reports counts from the merge. */
+Test(registry, age_of_rows_is_known)
+{
+	struct observed observed, observed_peer;
+	struct registry *reg = create(&observed),
+			*peer = create(&observed_peer);
+	uint64_t since[ROWS_NTABLES] = { 0 };
+	bool merged[ROWS_NTABLES];
+	char *text;
+
+	cr_expect_eq(reg_age_ms(reg, ROWS_HOSTS, 9 * SECOND_US), UINT64_MAX);
+	reg_confirm(reg, ROWS_HOSTS, 2 * SECOND_US);
+	cr_expect_eq(reg_age_ms(reg, ROWS_HOSTS, 5 * SECOND_US), 3000);
+	reg_confirm(peer, ROWS_HOSTS, 4 * SECOND_US);
+	text = reg_render(peer, since, 5 * SECOND_US);
+	cr_assert_eq(reg_merge(reg, text, strlen(text), 7 * SECOND_US, merged),
+	    0);
+	free(text);
+	cr_expect_eq(reg_age_ms(reg, ROWS_HOSTS, 8 * SECOND_US), 2000);
+	cr_expect_eq(reg_age_ms(reg, ROWS_SERVERS, 8 * SECOND_US), UINT64_MAX);
+	reg_destroy(reg);
+	reg_destroy(peer);
+}
