Test, red: a configuration that the store tells one host reaches the others

CONFIG on the current code: nine hosts in three zones, of which the store answers one and the others do not know it. Two seconds after each of nine versions, one for each reader, all other hosts handle requests under an older one.

--- /dev/null
+++ b/tests/test_job_service.c
@@ -0,0 +1,484 @@
+/*
+ * The job services of entry hosts in three availability zones, over a simulated
+ * network, with a store that answers some of them. The time is simulated, too.
+ */
+
+#include <criterion/criterion.h>
+#include <event2/event.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "adapters/clock_real.h"
+#include "core/mem.h"
+#include "entry/jobs/job_service.h"
+#include "tests/support/fake_worker.h"
+#include "tests/support/memory_rows.h"
+#include "tests/support/sim_time.h"
+
+#define NZONES 3
+#define NHOSTS 9
+#define ROWS_MAX 32
+#define CALL_MS 3     /* a call between hosts, in both directions */
+#define STORE_MS 4    /* a write's acknowledgement */
+#define START_MS 2000 /* until all zones have a holder */
+#define APPLY_MS 2000 /* a confirmed version is in force by then */
+#define CONFIG_KEY "config"
+
+struct net;
+
+struct host {
+	struct peers peers; /* first member: cast to struct host */
+	struct rows rows;
+	struct net *net;
+	size_t index;
+	char name[NAME_SIZE];
+	struct job_service *svc;
+	struct rows_listener listener;
+	bool store_answers;
+	bool cut; /* from all other hosts */
+};
+
+/* A row of the store's tables that have a feed. */
+struct row {
+	enum rows_table table;
+	char key[NAME_SIZE];
+	char value[64]; /* "": removed */
+	uint64_t version;
+};
+
+struct net {
+	struct event_base *base;
+	struct wm_cluster cluster;
+	struct worker *worker;
+	struct memory_rows job_rows;
+	struct row rows[ROWS_MAX];
+	size_t nrows;
+	uint64_t version; /* of the store */
+	uint64_t connections_version;
+	struct host hosts[NHOSTS];
+};
+
+/* The store */
+
+static void
+store_report(struct host *host, const struct row *row)
+{
+	const struct rows_change change = { .table = row->table,
+		.key = row->key,
+		.value = row->value[0] == '\0' ? NULL : row->value,
+		.value_len = strlen(row->value),
+		.version = row->version };
+
+	host->listener.changed(host->listener.arg, &change);
+}
+
+static void
+store_put(struct net *net, enum rows_table table, const char *key,
+    const char *value)
+{
+	struct row *row;
+	size_t i;
+
+	for (i = 0; i < net->nrows; i++) {
+		row = &net->rows[i];
+		if (row->table == table && strcmp(row->key, key) == 0)
+			break;
+	}
+	cr_assert_lt(i, ROWS_MAX);
+	if (i == net->nrows)
+		net->nrows++;
+	row = &net->rows[i];
+	row->table = table;
+	strlcpy(row->key, key, sizeof(row->key));
+	strlcpy(row->value, value, sizeof(row->value));
+	row->version = ++net->version;
+	for (i = 0; i < NHOSTS; i++) {
+		if (net->hosts[i].store_answers && net->hosts[i].svc != NULL)
+			store_report(&net->hosts[i], row);
+	}
+}
+
+/* Reads all tables in full, as after a start. */
+static void
+store_read(struct host *host)
+{
+	const struct rows_listener *listener = &host->listener;
+	struct net *net = host->net;
+	enum rows_table table;
+	size_t i;
+
+	listener->connected(listener->arg, true);
+	for (table = 0; table < ROWS_NTABLES; table++) {
+		listener->read_begin(listener->arg, table);
+		for (i = 0; i < net->nrows; i++) {
+			if (net->rows[i].table == table)
+				store_report(host, &net->rows[i]);
+		}
+		listener->read_end(listener->arg, table, net->version);
+		listener->current(listener->arg, table, net->version);
+	}
+}
+
+struct store_write {
+	rows_written_fn done;
+	void *arg;
+	uint64_t version;
+};
+
+static void
+store_written(evutil_socket_t fd, short what, void *arg)
+{
+	struct store_write *write = arg;
+
+	(void)fd;
+	(void)what;
+	write->done(write->arg, write->version);
+	free(write);
+}
+
+static struct host *
+rows_host(struct rows *rows)
+{
+	return (struct host *)((char *)rows - offsetof(struct host, rows));
+}
+
+static void
+rows_write(struct rows *rows, const char *key, const char *value,
+    rows_written_fn done, void *arg)
+{
+	const struct timeval tv = { .tv_usec = STORE_MS * 1000 };
+	struct host *host = rows_host(rows);
+	struct store_write *write = mem_zalloc(1, sizeof(*write));
+
+	write->done = done;
+	write->arg = arg;
+	if (host->store_answers) {
+		store_put(host->net, ROWS_HOSTS, key, value);
+		write->version = host->net->version;
+	}
+	(void)event_base_once(host->net->base, -1, EV_TIMEOUT, store_written,
+	    write, &tv);
+}
+
+static void
+rows_set_poll_pause(struct rows *rows, enum rows_table table, uint32_t pause_ms)
+{
+	(void)rows;
+	(void)table;
+	(void)pause_ms;
+}
+
+static void
+rows_refresh(struct rows *rows, enum rows_table table)
+{
+	struct host *host = rows_host(rows);
+
+	if (host->store_answers)
+		host->listener.refreshed(host->listener.arg, table);
+}
+
+static void
+rows_transact(struct rows *rows, uint32_t part, const struct rows_row *writes,
+    size_t n, rows_done_fn done, void *arg)
+{
+	struct rows *jobs = &rows_host(rows)->net->job_rows.rows;
+
+	jobs->ops->transact(jobs, part, writes, n, done, arg);
+}
+
+static void
+rows_read(struct rows *rows, uint32_t part, const char *from, uint32_t limit,
+    rows_read_fn done, void *arg)
+{
+	struct rows *jobs = &rows_host(rows)->net->job_rows.rows;
+
+	jobs->ops->read(jobs, part, from, limit, done, arg);
+}
+
+static const struct rows_ops rows_ops = {
+	.write = rows_write,
+	.set_poll_pause = rows_set_poll_pause,
+	.refresh = rows_refresh,
+	.transact = rows_transact,
+	.read = rows_read,
+};
+
+/* The network between hosts */
+
+struct call {
+	struct host *from, *to;
+	struct api_request request;
+	char path[128], query[512];
+	void (*done)(void *arg, const struct api_reply *reply,
+	    const struct err *err);
+	void *arg;
+};
+
+static struct host *
+net_host(struct net *net, const char *name)
+{
+	return &net->hosts[atoi(name + 1)];
+}
+
+static bool
+net_connected(const struct host *a, const struct host *b)
+{
+	return a != b && !a->cut && !b->cut && a->svc != NULL && b->svc != NULL;
+}
+
+static void
+call_reply(void *arg, const struct api_reply *reply)
+{
+	struct call *call = arg;
+
+	call->done(call->arg, reply, NULL);
+	free(call);
+}
+
+static void
+call_arrive(evutil_socket_t fd, short what, void *arg)
+{
+	const struct err lost = { .message = "lost" };
+	const struct api_handler *handler;
+	struct call *call = arg;
+
+	(void)fd;
+	(void)what;
+	if (!net_connected(call->from, call->to)) {
+		call->done(call->arg, NULL, &lost);
+		free(call);
+		return;
+	}
+	handler = jsvc_peer_handler(call->to->svc);
+	handler->handle(handler->arg, &call->request, call_reply, call);
+}
+
+static void
+host_forward(struct peers *peers, const char *az, const char *name,
+    uint64_t incarnation, const struct api_request *request,
+    void (
+	*done)(void *arg, const struct api_reply *reply, const struct err *err),
+    void *arg)
+{
+	const struct timeval tv = { .tv_usec = CALL_MS * 1000 };
+	struct host *host = (struct host *)peers;
+	struct call *call = mem_zalloc(1, sizeof(*call));
+
+	(void)az;
+	(void)incarnation;
+	call->from = host;
+	call->to = net_host(host->net, name);
+	call->request = *request;
+	strlcpy(call->path, request->path, sizeof(call->path));
+	strlcpy(call->query, request->query == NULL ? "" : request->query,
+	    sizeof(call->query));
+	call->request.path = call->path;
+	call->request.query = call->query;
+	call->done = done;
+	call->arg = arg;
+	(void)event_base_once(host->net->base, -1, EV_TIMEOUT, call_arrive,
+	    call, &tv);
+}
+
+static bool
+host_connected(struct peers *peers, const char *name, uint64_t *incarnation)
+{
+	struct host *host = (struct host *)peers;
+
+	*incarnation = 1;
+	return net_connected(host, net_host(host->net, name));
+}
+
+static uint64_t
+host_connections_version(struct peers *peers)
+{
+	return ((struct host *)peers)->net->connections_version;
+}
+
+static void
+host_request_connection(struct peers *peers, const char *name)
+{
+	(void)peers;
+	(void)name;
+}
+
+static void
+host_update_hosts(struct peers *peers, const struct hostlist_entry *entries,
+    size_t n)
+{
+	(void)peers;
+	(void)entries;
+	(void)n;
+}
+
+static const struct peers_ops host_peers_ops = { .forward = host_forward };
+
+/* Rows: a configuration is its version, a host its zone and weight. */
+
+static int
+decode_config(const char *value, size_t len, struct reg_config *config)
+{
+	(void)len;
+	memset(config, 0, sizeof(*config));
+	config->version = strtoull(value, NULL, 10);
+	return config->version == 0 ? -1 : 0;
+}
+
+static int
+decode_server(const char *key, const char *value, size_t len,
+    struct reg_server *server)
+{
+	memset(server, 0, sizeof(*server));
+	strlcpy(server->id, key, sizeof(server->id));
+	strlcpy(server->az, value, len < NAME_SIZE ? len + 1 : NAME_SIZE);
+	return 0;
+}
+
+static int
+decode_host(const char *key, const char *value, size_t len,
+    struct reg_host *host)
+{
+	(void)len;
+	memset(host, 0, sizeof(*host));
+	strlcpy(host->name, key, sizeof(host->name));
+	return sscanf(value, "%7s %" SCNu32, host->az, &host->weight) == 2 ? 0
+									   : -1;
+}
+
+static char *
+encode_host(const struct reg_host *host)
+{
+	char text[NAME_SIZE + 16];
+
+	(void)snprintf(text, sizeof(text), "%s %" PRIu32, host->az,
+	    host->weight);
+	return mem_strndup(text, strlen(text));
+}
+
+/* Hosts */
+
+static void
+host_start(struct net *net, size_t index)
+{
+	struct host *host = &net->hosts[index];
+	struct jsvc_params params = {
+		.base = net->base,
+		.clock = clock_real(),
+		.worker = net->worker,
+		.peers = &host->peers,
+		.is_connected = host_connected,
+		.connections_version = host_connections_version,
+		.request_connection = host_request_connection,
+		.update_hosts = host_update_hosts,
+		.row_decoder = { decode_config, decode_server, decode_host },
+		.encode_host_row = encode_host,
+		.lease_ms = 1000,
+		.far_permille = 1000,
+	};
+
+	host->net = net;
+	host->index = index;
+	host->peers.ops = &host_peers_ops;
+	host->rows.ops = &rows_ops;
+	(void)snprintf(host->name, sizeof(host->name), "h%zu", index);
+	strlcpy(params.self.name, host->name, sizeof(params.self.name));
+	(void)snprintf(params.self.az, sizeof(params.self.az), "z%zu",
+	    index % NZONES);
+	params.self.weight = (uint32_t)(1000 - index);
+	host->store_answers = true;
+	net->connections_version++;
+	host->svc = jsvc_create(&params);
+	cr_assert_not_null(host->svc);
+	jsvc_rows_listener(host->svc, &host->listener);
+	cr_assert_eq(jsvc_set_rows(host->svc, &host->rows), 0);
+	store_read(host);
+}
+
+static void
+net_run(struct net *net, int ms)
+{
+	const struct timeval tv = { .tv_sec = ms / 1000,
+		.tv_usec = ms % 1000 * 1000 };
+
+	(void)event_base_loopexit(net->base, &tv);
+	(void)event_base_dispatch(net->base);
+}
+
+static void
+net_apply_config(struct net *net, const char *version)
+{
+	store_put(net, ROWS_OPERATOR, CONFIG_KEY, version);
+}
+
+static struct net *
+net_create(void)
+{
+	struct net *net = mem_zalloc(1, sizeof(*net));
+	size_t i;
+
+	sim_time_start();
+	net->base = event_base_new();
+	wm_init(&net->cluster, 1, 64000);
+	net->worker =
+	    fake_worker_create(net->base, clock_real(), &net->cluster, 1);
+	mrows_init(&net->job_rows, 0);
+	net_apply_config(net, "1");
+	for (i = 0; i < NHOSTS; i++)
+		host_start(net, i);
+	net_run(net, START_MS);
+	return net;
+}
+
+static void
+net_destroy(struct net *net)
+{
+	size_t i;
+
+	for (i = 0; i < NHOSTS; i++)
+		net->hosts[i].cut = true;
+	net_run(net, 100);
+	for (i = 0; i < NHOSTS; i++)
+		jsvc_destroy(net->hosts[i].svc);
+	fake_worker_destroy(net->worker);
+	wm_release(&net->cluster);
+	event_base_free(net->base);
+	free(net);
+}
+
+/* The version under which a host handles a request. */
+static uint64_t
+host_config(const struct host *host)
+{
+	return reg_config(jsvc_registry(host->svc))->version;
+}
+
+static void
+net_answer_only(struct net *net, size_t index)
+{
+	size_t i;
+
+	for (i = 0; i < NHOSTS; i++)
+		net->hosts[i].store_answers = i == index;
+}
+
+/* The hosts that the store does not answer are not told so. */
+Test(job_service, config_reaches_hosts_that_the_store_does_not_answer)
+{
+	struct net *net = net_create();
+	char version[8];
+	size_t i, reader;
+
+	for (reader = 0; reader < NHOSTS; reader++) {
+		net_answer_only(net, reader);
+		(void)snprintf(version, sizeof(version), "%zu", reader + 2);
+		net_apply_config(net, version);
+		net_run(net, APPLY_MS);
+		for (i = 0; i < NHOSTS; i++)
+			cr_expect_eq(host_config(&net->hosts[i]), reader + 2,
+			    "reader %zu, host %zu: version %" PRIu64, reader, i,
+			    host_config(&net->hosts[i]));
+	}
+	net_destroy(net);
+}
