Cells: pings carry the version of the configuration; a newer one is requested

Callers saw a new route refused with 404, and a dropped one served, for up to 14.3 s after the change, on every host of a zone that the store did not answer.

Cause: a host learned of a version only by asking the store or, once it had noticed that the store was away, a peer of its own zone. A host that is not answered does not know that its configuration is old, and no message told it. State was used without its age.

Change: pings, which every host sends to its holder and holders to each other, and their replies carry the version of the sender's configuration. A host that sees a newer one requests the configuration from that peer, one request at a time, and logs configuration-behind.

Cost: about 40 bytes in each ping and 14 in each reply; no message more. The number of pings of a host is as before, so it does not grow with the hosts.

--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -229,6 +229,18 @@
 	return cells->hosts_loaded_us != 0 && preferred < CELLS_CANDIDATES;
 }
 
+void
+cells_report_config(const struct cells *cells, const char *host,
+    uint64_t version)
+{
+	uint64_t incarnation;
+
+	if (version != 0 &&
+	    cells->params.is_connected(cells->params.peers, host, &incarnation))
+		cells->params.config_reported(cells->params.arg, host,
+		    incarnation, version);
+}
+
 /* Fencing tokens */
 
 static void
--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -43,6 +43,11 @@
 	void (*became_holder)(void *arg);
 	/* @holder is the new holder of this host's cell. */
 	void (*holder_changed)(void *arg, const char *holder);
+	/* Returns the version of this host's configuration; 0: none. */
+	uint64_t (*config_version)(void *arg);
+	/* A connected host reports the version of its configuration. */
+	void (*config_reported)(void *arg, const char *host,
+	    uint64_t incarnation, uint64_t version);
 	void *arg;
 	struct reg_host self; /* this host */
 };
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -117,6 +117,10 @@
 void cells_choose_holder(struct cells *cells);
 /* Reports a new holder of the local cell, once for each token. */
 void cells_notify_holder(struct cells *cells);
+/* Passes on the version of the configuration that a host has reported; does
+ * nothing if the host is not connected. */
+void cells_report_config(const struct cells *cells, const char *host,
+    uint64_t version);
 /* The reachable holder of a zone with the highest token, or NULL. */
 struct cells_host *cells_zone_holder(const struct cells_zone *zone);
 
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -454,13 +454,15 @@
     api_reply_fn reply, void *arg)
 {
 	uint64_t token = sched_token(cells->params.sched);
+	const struct cells_params *params = &cells->params;
 	const struct cells_host *holder;
-	char az[NAME_SIZE] = "";
+	char az[NAME_SIZE] = "", name[NAME_SIZE];
 	json_t *body;
 	char *text;
 
-	body = json_pack("{s:I,s:b}", "token", (json_int_t)token, "leaving",
-	    (int)cells->leaving);
+	body = json_pack("{s:I,s:b,s:I}", "token", (json_int_t)token, "leaving",
+	    (int)cells->leaving, "config",
+	    (json_int_t)params->config_version(params->arg));
 	holder = cells_zone_holder(cells->local_zone);
 	if (token != 0)
 		cells_add_load(cells,
@@ -477,6 +479,9 @@
 	cells_send_reply(reply, arg, 200, text);
 	free(text);
 	json_decref(body);
+	if (api_query_text(request->query, "host", name, sizeof(name)))
+		cells_report_config(cells, name,
+		    cells_query_u64(request, "config"));
 }
 
 static void
--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -6,6 +6,11 @@
  * the holder. Only the holder pings remote cells: it selects the one for jobs
  * that it refuses. The number of pings of a host so depends neither on the
  * number of hosts nor on that of servers; a holder answers those of its zone.
+ *
+ * Pings and replies carry the version of the sender's configuration. As every
+ * host pings its holder and holders ping each other, a version that one host
+ * has read becomes known to all connected hosts, also to those that the store
+ * does not answer.
  */
 
 #include <inttypes.h>
@@ -86,6 +91,9 @@
 		    (uint64_t)json_integer_value(
 			json_object_get(body, "token")));
 		cells_learn_holder(ping->cells, host, body);
+		cells_report_config(ping->cells, ping->host,
+		    (uint64_t)json_integer_value(
+			json_object_get(body, "config")));
 		json_decref(body);
 	}
 	free(ping);
@@ -95,7 +103,8 @@
 cells_ping(struct cells *cells, struct cells_host *host, uint64_t interval_ms,
     uint64_t now_us)
 {
-	char query[NAME_SIZE + 8];
+	const struct cells_params *params = &cells->params;
+	char query[2 * NAME_SIZE + 48];
 	const struct api_request request = { .method = API_GET,
 		.path = CELLS_PATH "state",
 		.query = query };
@@ -124,8 +133,10 @@
 	host->ping_pending = true;
 	host->ping_sent_us = now_us;
 	host->ping_sent_tick = cells->nticks;
-	(void)snprintf(query, sizeof(query), "az=%s", cells->params.self.az);
-	cells->params.peers->ops->forward(cells->params.peers, host->info.az,
+	(void)snprintf(query, sizeof(query), "az=%s&host=%s&config=%" PRIu64,
+	    params->self.az, params->self.name,
+	    params->config_version(params->arg));
+	params->peers->ops->forward(params->peers, host->info.az,
 	    host->info.name, host->incarnation, &request, cells_ping_done,
 	    ping);
 }
--- a/entry/jobs/job_service.c
+++ b/entry/jobs/job_service.c
@@ -265,6 +265,23 @@
 	gw_holder_changed(svc->gateway, holder);
 }
 
+static uint64_t
+jsvc_get_config_version(void *arg)
+{
+	struct job_service *svc = arg;
+
+	return reg_config(svc->reg)->version;
+}
+
+static void
+jsvc_on_config_reported(void *arg, const char *host, uint64_t incarnation,
+    uint64_t version)
+{
+	struct job_service *svc = arg;
+
+	rowsrc_config_reported(svc->row_source, host, incarnation, version);
+}
+
 static void
 jsvc_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -396,6 +413,8 @@
 		.reserve_token = jsvc_reserve_token,
 		.became_holder = jsvc_became_holder,
 		.holder_changed = jsvc_on_holder_changed,
+		.config_version = jsvc_get_config_version,
+		.config_reported = jsvc_on_config_reported,
 		.arg = svc,
 		.self = params->self,
 	};
--- a/entry/jobs/row_source.c
+++ b/entry/jobs/row_source.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "adapters/log.h"
+#include "core/counters.h"
 #include "core/mem.h"
 #include "entry/jobs/row_source.h"
 
@@ -17,6 +18,8 @@
 #define ROWSRC_PEER_INTERVAL_MS 300
 /* Interval at which the holder's likely successors read from it. */
 #define ROWSRC_HOLDER_INTERVAL_MS 500
+/* Minimum interval of requests for a newer configuration. */
+#define ROWSRC_CONFIG_INTERVAL_MS 100
 /* Time after which the reply of a peer is no longer waited for. */
 #define ROWSRC_PEER_TIMEOUT_MS 1000
 /* The holder's rows of servers are current for this time after it has received
@@ -35,9 +38,17 @@
 #define ROWSRC_POLL_CANDIDATE_MS 1500
 #define ROWSRC_US_PER_MS UINT64_C(1000)
 
+static struct counter rowsrc_config_behind = {
+	.name = "berylrail_work_config_behind_total",
+	.help = "Requests to peers that reported a newer configuration.",
+};
+
 /* A request for rows of a peer. */
 struct rowsrc_request {
 	struct row_source *src;
+	/* The member of @src that points to this request while its reply is
+	 * waited for. */
+	struct rowsrc_request **pending;
 	bool from_holder; /* for the servers' rows only */
 };
 
@@ -49,8 +60,10 @@
 	bool tables_read[ROWS_NTABLES];	 /* in full, from the store */
 	bool tables_known[ROWS_NTABLES]; /* in full, from the store or a peer */
 	uint64_t server_received_us; /* last row of a server from the store */
-	struct rowsrc_request *pending; /* waited for; NULL: none */
-	uint64_t requested_us;		/* the pending one */
+	struct rowsrc_request *pending;	       /* waited for; NULL: none */
+	uint64_t requested_us;		       /* the pending one */
+	struct rowsrc_request *config_pending; /* waited for; NULL: none */
+	uint64_t config_requested_us;	       /* the last one */
 	uint64_t request_due_us;
 	uint64_t holder_replied_us; /* with the servers' rows; 0: not lately */
 	/* Version of each table up to which rows were read from a peer. */
@@ -215,12 +228,12 @@
 {
 	struct rowsrc_request *request = arg;
 	struct row_source *src = request->src;
-	bool is_pending = src->pending == request;
+	bool is_pending = *request->pending == request;
 	bool merged[ROWS_NTABLES] = { false };
 
 	(void)err;
 	if (is_pending)
-		src->pending = NULL;
+		*request->pending = NULL;
 	if (reply != NULL && reply->status == 200) {
 		rowsrc_merge(src, reply, merged);
 		if (is_pending && request->from_holder)
@@ -232,8 +245,9 @@
 
 /* Requests the rows of each table after the version in @since. */
 static void
-rowsrc_request(struct row_source *src, const char *host, uint64_t incarnation,
-    const uint64_t since[ROWS_NTABLES], bool from_holder)
+rowsrc_send_request(struct row_source *src, const char *host,
+    uint64_t incarnation, const uint64_t since[ROWS_NTABLES], bool from_holder,
+    struct rowsrc_request **pending)
 {
 	struct api_request message = { .method = API_GET,
 		.path = ROWSRC_PEER_PATH };
@@ -241,6 +255,7 @@
 	char query[128];
 
 	request->src = src;
+	request->pending = pending;
 	request->from_holder = from_holder;
 	(void)snprintf(query, sizeof(query),
 	    "config=%" PRIu64 "&servers=%" PRIu64 "&hosts=%" PRIu64
@@ -248,12 +263,52 @@
 	    since[ROWS_OPERATOR], since[ROWS_SERVERS], since[ROWS_HOSTS],
 	    from_holder ? 1 : 0);
 	message.query = query;
-	src->pending = request;
-	src->requested_us = rowsrc_now_us(src);
+	*pending = request;
 	src->params.peers->ops->forward(src->params.peers, "", host,
 	    incarnation, &message, rowsrc_replied, request);
 }
 
+static void
+rowsrc_request(struct row_source *src, const char *host, uint64_t incarnation,
+    const uint64_t since[ROWS_NTABLES], bool from_holder)
+{
+	src->requested_us = rowsrc_now_us(src);
+	rowsrc_send_request(src, host, incarnation, since, from_holder,
+	    &src->pending);
+}
+
+void
+rowsrc_config_reported(struct row_source *src, const char *host,
+    uint64_t incarnation, uint64_t version)
+{
+	const uint64_t since[ROWS_NTABLES] = {
+		[ROWS_OPERATOR] = src->received[ROWS_OPERATOR],
+		[ROWS_SERVERS] = REG_NO_ROWS,
+		[ROWS_HOSTS] = REG_NO_ROWS,
+	};
+	const struct reg_config *config = reg_config(src->params.reg);
+	uint64_t now_us = rowsrc_now_us(src);
+	uint64_t interval_ms = src->config_pending == NULL
+	    ? ROWSRC_CONFIG_INTERVAL_MS
+	    : ROWSRC_PEER_TIMEOUT_MS;
+
+	if (version <= config->version ||
+	    (src->config_requested_us != 0 &&
+		now_us - src->config_requested_us <
+		    interval_ms * ROWSRC_US_PER_MS))
+		return;
+	log_event(LOG_LEVEL_INFO, "configuration-behind",
+	    "peer=%s version=%" PRIu64 " known=%" PRIu64 " age_ms=%" PRIu64
+	    " store=%s",
+	    host, version, config->version,
+	    reg_age_ms(src->params.reg, ROWS_OPERATOR, now_us),
+	    src->connected ? "reachable" : "unreachable");
+	ctr_inc(&rowsrc_config_behind);
+	src->config_requested_us = now_us;
+	rowsrc_send_request(src, host, incarnation, since, false,
+	    &src->config_pending);
+}
+
 static void
 rowsrc_request_all(struct row_source *src, uint64_t now_us)
 {
--- a/entry/jobs/row_source.h
+++ b/entry/jobs/row_source.h
@@ -15,7 +15,9 @@
  * the store's feed. The servers' rows, which are most of the store's bytes, are
  * read from it by the holder of the cell; the hosts that are likely to succeed
  * it read their changes from the holder, and the others do not need them. A
- * host that can't reach the store reads all rows from a peer.
+ * host that can't reach the store reads all rows from a peer. A host does not
+ * always notice that the store no longer answers it: a newer version of the
+ * configuration is requested from any peer that reports it.
  */
 
 #define ROWSRC_PEER_PATH "/v1/work/rows"
@@ -60,6 +62,13 @@
 /** rowsrc_tick() - periodic reads from peers, and choice of the source. */
 void rowsrc_tick(struct row_source *src, uint64_t now_us);
 
+/**
+ * rowsrc_config_reported() - a peer has version @version of the configuration.
+ * If it is newer than this host's, it is requested from that peer.
+ */
+void rowsrc_config_reported(struct row_source *src, const char *host,
+    uint64_t incarnation, uint64_t version);
+
 /** rowsrc_refresh() - read the servers' rows from the store without delay. */
 void rowsrc_refresh(struct row_source *src);
 
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -32,7 +32,8 @@
 	uint64_t incarnation;
 	bool token_requested;
 	uint32_t takeovers;
-	uint32_t calls; /* sent */
+	uint32_t calls;			  /* sent */
+	uint64_t config, config_reported; /* own version; newest of a peer */
 };
 
 struct net {
@@ -157,6 +158,24 @@
 	(void)holder;
 }
 
+static uint64_t
+host_config_version(void *arg)
+{
+	return ((struct host *)arg)->config;
+}
+
+static void
+host_config_reported(void *arg, const char *name, uint64_t incarnation,
+    uint64_t version)
+{
+	struct host *host = arg;
+
+	(void)name;
+	(void)incarnation;
+	if (version > host->config_reported)
+		host->config_reported = version;
+}
+
 static void
 host_fenced(void *arg)
 {
@@ -197,6 +216,8 @@
 		.reserve_token = host_reserve_token,
 		.became_holder = host_became_holder,
 		.holder_changed = host_holder_changed,
+		.config_version = host_config_version,
+		.config_reported = host_config_reported,
 		.arg = host,
 		.self = host_info(net, index) };
 
@@ -607,3 +628,22 @@
 	net_run(net, 5000);
 	net_destroy(net);
 }
+
+/* Every host learns of the newest version that any connected host has, in its
+ * zone and in others. */
+Test(cells, configuration_versions_are_reported_to_all_hosts)
+{
+	struct net *net = net_create_zones(9, 3);
+	size_t i;
+
+	net_run(net, 2000);
+	net->hosts[8].config = 5;
+	net_run(net, 500);
+	cr_expect_eq(net->hosts[2].config_reported, 5, "the holder");
+	for (i = 0; i < 3; i++)
+		net->hosts[i].config = 5; /* holders have requested it */
+	net_run(net, 500);
+	for (i = 0; i < 8; i++)
+		cr_expect_eq(net->hosts[i].config_reported, 5, "host %zu", i);
+	net_destroy(net);
+}
--- a/tests/test_job_service.c
+++ b/tests/test_job_service.c
@@ -482,3 +482,21 @@
 	}
 	net_destroy(net);
 }
+
+Test(job_service, config_reaches_a_zone_that_has_lost_its_holder)
+{
+	struct net *net = net_create();
+	size_t i;
+
+	net_answer_only(net, 4);
+	net->hosts[0].cut = true;
+	net->connections_version++;
+	net_run(net, 1500);
+	net_apply_config(net, "2");
+	net_run(net, APPLY_MS);
+	for (i = 1; i < NHOSTS; i++)
+		cr_expect_eq(host_config(&net->hosts[i]), 2,
+		    "host %zu: version %" PRIu64, i,
+		    host_config(&net->hosts[i]));
+	net_destroy(net);
+}
--- a/tests/test_row_source.c
+++ b/tests/test_row_source.c
@@ -393,3 +393,37 @@
 	cr_expect(rowsrc_servers_complete(rig->src, rig->clock.us));
 	rig_destroy(rig);
 }
+
+/* The store no longer answers this host, which has not noticed. */
+Test(row_source, newer_configuration_is_requested_from_the_peer_that_has_it)
+{
+	struct rig *rig = rig_create();
+	void *first;
+
+	rowsrc_config_reported(rig->src, "h3", 7, 0);
+	cr_expect_eq(rig->nrequests, 0);
+	rowsrc_config_reported(rig->src, "h3", 7, 5);
+	cr_assert_eq(rig->nrequests, 1);
+	cr_expect_str_eq(rig->requested, "h3");
+	cr_expect_not_null(strstr(rig->query, "config=0&"));
+	cr_expect_null(strstr(rig->query, "servers=0&"));
+	cr_expect_null(strstr(rig->query, "hosts=0&"));
+	rig_run(rig, 500);
+	rowsrc_config_reported(rig->src, "h4", 7, 5);
+	cr_expect_eq(rig->nrequests, 1, "one request at a time");
+	/* h3 does not reply. */
+	first = rig->done_arg;
+	rig_run(rig, 500);
+	rowsrc_config_reported(rig->src, "h4", 7, 5);
+	cr_expect_str_eq(rig->requested, "h4");
+	/* The reply has no newer version: the next request waits a little. */
+	rig_reply(rig, "[{\"table\":0}]");
+	rowsrc_config_reported(rig->src, "h5", 7, 5);
+	cr_expect_eq(rig->nrequests, 2);
+	rig_run(rig, 100);
+	rowsrc_config_reported(rig->src, "h5", 7, 5);
+	cr_expect_eq(rig->nrequests, 3);
+	rig_reply(rig, "[]");
+	free(first);
+	rig_destroy(rig);
+}
