Tests, red: removed rows that a peer brings back, rows that are never requested

Three cases fail on the current code: a peer that lags restores a row that the store has removed; a peer's reply during a full read keeps one; after a full read that failed, a gap remains below its newest row.

--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -426,3 +426,81 @@
 	reg_destroy(reg);
 	reg_destroy(peer);
 }
+
+/* A peer's delayed reply has a row that the store has removed since. */
+Test(registry, removed_row_is_not_restored_by_a_lagging_peer)
+{
+	struct observed observed, observed_peer;
+	struct registry *reg = create(&observed),
+			*peer = create(&observed_peer);
+	uint64_t since[ROWS_NTABLES] = { 0 };
+	bool merged[ROWS_NTABLES];
+	char *text;
+
+	reg_read_begin(peer, ROWS_HOSTS);
+	change(peer, ROWS_HOSTS, "h1", "8", 7, 0);
+	reg_read_end(peer, ROWS_HOSTS, 7, 0);
+	change(peer, ROWS_HOSTS, "h3", "8", 11, 0);
+	reg_read_begin(reg, ROWS_HOSTS);
+	change(reg, ROWS_HOSTS, "h2", "8", 9, 0);
+	reg_read_end(reg, ROWS_HOSTS, 10, 0);
+	text = reg_render(peer, since, SECOND_US);
+	cr_assert_eq(reg_merge(reg, text, strlen(text), SECOND_US, merged), 0);
+	free(text);
+	cr_expect_eq(observed.hosts, 2, "h2 of the store and h3 of the peer");
+	cr_expect_eq(reg_version(reg, ROWS_HOSTS), 11);
+	reg_destroy(reg);
+	reg_destroy(peer);
+}
+
+Test(registry, full_read_removes_a_row_that_only_a_peer_has)
+{
+	struct observed observed, observed_peer;
+	struct registry *reg = create(&observed),
+			*peer = create(&observed_peer);
+	uint64_t since[ROWS_NTABLES] = { 0 };
+	bool merged[ROWS_NTABLES];
+	char *text;
+
+	change(reg, ROWS_HOSTS, "h1", "8", 7, 0);
+	change(peer, ROWS_HOSTS, "h1", "8", 7, 0);
+	reg_read_begin(reg, ROWS_HOSTS);
+	text = reg_render(peer, since, SECOND_US);
+	cr_assert_eq(reg_merge(reg, text, strlen(text), SECOND_US, merged), 0);
+	free(text);
+	reg_read_end(reg, ROWS_HOSTS, 10, 0);
+	cr_expect_str_eq(observed.host_removed, "h1");
+	reg_destroy(reg);
+	reg_destroy(peer);
+}
+
+/* The rows of a full read are not in the order of their versions. */
+Test(registry, full_read_that_failed_leaves_no_gap)
+{
+	struct observed observed, observed_peer;
+	struct registry *reg = create(&observed),
+			*peer = create(&observed_peer);
+	uint64_t since[ROWS_NTABLES] = { 0 };
+	bool merged[ROWS_NTABLES];
+	char *text;
+
+	reg_read_begin(peer, ROWS_HOSTS);
+	change(peer, ROWS_HOSTS, "h1", "8", 5, 0);
+	reg_read_end(peer, ROWS_HOSTS, 5, 0);
+	reg_read_begin(reg, ROWS_HOSTS);
+	change(reg, ROWS_HOSTS, "h9", "8", 9, 0);
+	text = reg_render(peer, since, SECOND_US);
+	cr_assert_eq(reg_merge(reg, text, strlen(text), SECOND_US, merged), 0);
+	free(text);
+	cr_expect_eq(reg_version(reg, ROWS_HOSTS), 5);
+	change(peer, ROWS_HOSTS, "h2", "8", 7, 0);
+	change(peer, ROWS_HOSTS, "h9", "8", 9, 0);
+	since[ROWS_HOSTS] = reg_version(reg, ROWS_HOSTS);
+	text = reg_render(peer, since, SECOND_US);
+	cr_assert_eq(reg_merge(reg, text, strlen(text), SECOND_US, merged), 0);
+	free(text);
+	cr_expect_eq(observed.hosts, 3);
+	cr_expect_eq(reg_version(reg, ROWS_HOSTS), 9);
+	reg_destroy(reg);
+	reg_destroy(peer);
+}
