Registry: the version of a table is the one up to which all changes are known

What callers could see: a host that has left is called again and a server that has left is started on, until the next full read, as a peer that lags has told of it; a host that restarts beside such a peer asks it for all rows.

Cause: a row was compared with the row of the same key only, so that one which is not known, as it was removed, was new. A peer's row counted as a row of the store's full read. The version of a table was that of its newest row, though a full read returns rows in the order of their keys: after one that failed, or when a peer's rows were merged meanwhile, rows below it were never requested.

Change: a table's version is the one up to which all its changes are known: from the feed, which is in order, a full read that has ended, the store's word that there is no change, and a peer's reply, which states from which to which version it is complete. A peer's row that is not known and not newer than that was removed, and is ignored. Only rows of the store count in its full read.

The test of merging expected the version of the newest row of a peer that had read one row; it now expects the version up to which that peer is complete, and the newest one after its full read. The reply in test_row_source states its range, as replies do now. A host of an older build states none: rows of it are merged and requested again.

--- a/entry/jobs/registry.c
+++ b/entry/jobs/registry.c
@@ -38,7 +38,8 @@
 
 /* The rows of one table. */
 struct reg_table {
-	uint64_t version;      /* of the newest row */
+	uint64_t version;      /* all changes up to it are known; 0: none */
+	bool reading;	       /* a full read has begun and has not ended */
 	uint64_t confirmed_us; /* the rows were current then; 0: never */
 	struct reg_rows rows;
 	struct name_index by_key;
@@ -114,11 +115,26 @@
 	return reg->tables[table].version;
 }
 
+static void
+reg_confirm(struct reg_table *table, uint64_t confirmed_us)
+{
+	if (confirmed_us > table->confirmed_us)
+		table->confirmed_us = confirmed_us;
+}
+
+static void
+reg_set_version(struct reg_table *table, uint64_t version)
+{
+	if (version > table->version)
+		table->version = version;
+}
+
 void
-reg_confirm(struct registry *reg, enum rows_table table, uint64_t confirmed_us)
+reg_current(struct registry *reg, enum rows_table table, uint64_t version,
+    uint64_t now_us)
 {
-	if (confirmed_us > reg->tables[table].confirmed_us)
-		reg->tables[table].confirmed_us = confirmed_us;
+	reg_set_version(&reg->tables[table], version);
+	reg_confirm(&reg->tables[table], now_us);
 }
 
 uint64_t
@@ -285,20 +301,13 @@
 	}
 }
 
-void
-reg_row_changed(struct registry *reg, const struct rows_change *change,
-    uint64_t now_us)
+static void
+reg_row_update(struct registry *reg, struct reg_row *row,
+    const struct rows_change *change, uint64_t now_us)
 {
-	struct reg_row *row = reg_row_find(reg, change->table, change->key);
-
-	if (row == NULL)
-		row = reg_row_add(reg, change->table, change->key);
-	row->in_current_read = true;
 	if (change->version <= row->version)
 		return;
 	row->version = change->version;
-	if (change->version > reg->tables[change->table].version)
-		reg->tables[change->table].version = change->version;
 	free(row->value);
 	row->value = change->value == NULL
 	    ? NULL
@@ -307,11 +316,42 @@
 	reg_apply(reg, row, now_us);
 }
 
+void
+reg_row_changed(struct registry *reg, const struct rows_change *change,
+    uint64_t now_us)
+{
+	struct reg_table *table = &reg->tables[change->table];
+	struct reg_row *row = reg_row_find(reg, change->table, change->key);
+
+	if (row == NULL)
+		row = reg_row_add(reg, change->table, change->key);
+	row->in_current_read = true;
+	reg_row_update(reg, row, change, now_us);
+	if (!table->reading)
+		reg_set_version(table, change->version);
+}
+
+/* Only rows of the store count as rows of its full read. */
+static void
+reg_peer_row_changed(struct registry *reg, const struct rows_change *change,
+    uint64_t now_us)
+{
+	struct reg_row *row = reg_row_find(reg, change->table, change->key);
+
+	if (row == NULL) {
+		if (change->version <= reg->tables[change->table].version)
+			return;
+		row = reg_row_add(reg, change->table, change->key);
+	}
+	reg_row_update(reg, row, change, now_us);
+}
+
 void
 reg_read_begin(struct registry *reg, enum rows_table table)
 {
 	struct reg_row *row;
 
+	reg->tables[table].reading = true;
 	TAILQ_FOREACH (row, &reg->tables[table].rows, entry)
 		row->in_current_read = false;
 }
@@ -322,8 +362,8 @@
 {
 	struct reg_row *row;
 
-	if (version > reg->tables[table].version)
-		reg->tables[table].version = version;
+	reg->tables[table].reading = false;
+	reg_set_version(&reg->tables[table], version);
 	TAILQ_FOREACH (row, &reg->tables[table].rows, entry) {
 		if (row->in_current_read || row->value == NULL ||
 		    row->version > version)
@@ -373,13 +413,16 @@
 	return best;
 }
 
-/* A row without a key shows that the table is encoded, and how old it is. */
+/* A row without a key shows that the table is encoded, the versions between
+ * which all changes are encoded, and how old the table is. */
 static void
 reg_render_table(const struct registry *reg, enum rows_table table,
     uint64_t since, uint64_t now_us, json_t *rows)
 {
 	const struct reg_row *row;
-	json_t *item = json_pack("{s:i}", "table", (int)table);
+	json_t *item = json_pack("{s:i,s:I,s:I}", "table", (int)table, "since",
+	    (json_int_t)since, "version",
+	    (json_int_t)reg->tables[table].version);
 
 	if (reg->tables[table].confirmed_us != 0)
 		(void)json_object_set_new(item, "age_ms",
@@ -417,7 +460,8 @@
 	return text;
 }
 
-/* The age counts from the merge: the time of the transfer is not known. */
+/* The age of a peer's table is that of the request's end at most: the time of
+ * the transfer is not known. */
 static void
 reg_merge_age(struct registry *reg, const json_t *row, enum rows_table table,
     uint64_t now_us)
@@ -429,12 +473,28 @@
 		return;
 	age_us = (uint64_t)json_integer_value(age) * REG_US_PER_MS;
 	if (age_us < now_us)
-		reg_confirm(reg, table, now_us - age_us);
+		reg_confirm(&reg->tables[table], now_us - age_us);
+}
+
+/* Return: the version up to which all changes of @table are known once the
+ * peer's rows are merged. */
+static uint64_t
+reg_merged_version(const struct registry *reg, const json_t *row,
+    enum rows_table table)
+{
+	json_int_t since = json_integer_value(json_object_get(row, "since"));
+	json_int_t version =
+	    json_integer_value(json_object_get(row, "version"));
+
+	if (since < 0 || version < 0 ||
+	    (uint64_t)since > reg->tables[table].version)
+		return 0;
+	return (uint64_t)version;
 }
 
 static void
 reg_merge_row(struct registry *reg, const json_t *row, uint64_t now_us,
-    bool merged[ROWS_NTABLES])
+    bool merged[ROWS_NTABLES], uint64_t versions[ROWS_NTABLES])
 {
 	const json_t *value = json_object_get(row, "value");
 	json_int_t table = json_integer_value(json_object_get(row, "table"));
@@ -450,10 +510,11 @@
 	if (table < 0 || table >= ROWS_NTABLES)
 		return;
 	if (change.key != NULL) {
-		reg_row_changed(reg, &change, now_us);
+		reg_peer_row_changed(reg, &change, now_us);
 		return;
 	}
 	merged[table] = true;
+	versions[table] = reg_merged_version(reg, row, change.table);
 	reg_merge_age(reg, row, change.table, now_us);
 }
 
@@ -462,6 +523,7 @@
     bool merged[ROWS_NTABLES])
 {
 	json_t *rows = json_loadb(text, len, 0, NULL);
+	uint64_t versions[ROWS_NTABLES] = { 0 };
 	const json_t *row;
 	size_t i;
 
@@ -471,7 +533,9 @@
 		return -1;
 	}
 	json_array_foreach (rows, i, row)
-		reg_merge_row(reg, row, now_us, merged);
+		reg_merge_row(reg, row, now_us, merged, versions);
+	for (i = 0; i < ROWS_NTABLES; i++)
+		reg_set_version(&reg->tables[i], versions[i]);
 	json_decref(rows);
 	return 0;
 }
--- a/entry/jobs/registry.h
+++ b/entry/jobs/registry.h
@@ -102,7 +102,8 @@
 void reg_destroy(struct registry *reg);
 
 /**
- * reg_row_changed() - apply a row that was received from the store or a peer.
+ * reg_row_changed() - apply a row that was received from the store. Outside of
+ * a full read, the rows of a table are in the order of their versions.
  * A row that is no newer than the known version is ignored. A malformed row of
  * a server removes the server; a malformed configuration or row of a host is
  * not applied.
@@ -121,11 +122,12 @@
     uint64_t now_us);
 
 /**
- * reg_confirm() - the store had no further changes of @table at @confirmed_us.
- * An earlier time than the known one is ignored.
+ * reg_current() - the store has no changes of @table but those that were
+ * reported.
+ * @version: all changes up to this version of the store have been reported.
  */
-void reg_confirm(struct registry *reg, enum rows_table table,
-    uint64_t confirmed_us);
+void reg_current(struct registry *reg, enum rows_table table, uint64_t version,
+    uint64_t now_us);
 
 /**
  * reg_age_ms() - Return: time since the rows of @table were known to be
@@ -149,8 +151,8 @@
 const struct reg_queue *reg_route(const struct registry *reg, const char *host,
     const char *path, const char **rest);
 
-/** reg_version() - Return: the newest row version of @table that was received.
- */
+/** reg_version() - Return: the version of the store up to which all changes of
+ * @table are known; 0: none. Single rows may be newer. */
 uint64_t reg_version(const struct registry *reg, enum rows_table table);
 
 /* Instead of a version: the table is not encoded. */
@@ -168,7 +170,9 @@
     uint64_t now_us);
 
 /**
- * reg_merge() - apply the rows that a peer encoded with reg_render().
+ * reg_merge() - apply the rows that a peer encoded with reg_render(), which may
+ * be older than those of this registry. A row that is not known, with a version
+ * up to which all changes are known, was removed: it is ignored.
  * @merged: set to whether the peer has encoded the table.
  * Return: 0, or -1 if @text is malformed.
  */
--- a/entry/jobs/row_source.c
+++ b/entry/jobs/row_source.c
@@ -66,8 +66,6 @@
 	uint64_t config_requested_us;	       /* the last one */
 	uint64_t request_due_us;
 	uint64_t holder_replied_us; /* with the servers' rows; 0: not lately */
-	/* Version of each table up to which rows were read from a peer. */
-	uint64_t received[ROWS_NTABLES];
 };
 
 static uint64_t
@@ -142,8 +140,7 @@
 {
 	struct row_source *src = arg;
 
-	(void)version;
-	reg_confirm(src->params.reg, table, rowsrc_now_us(src));
+	reg_current(src->params.reg, table, version, rowsrc_now_us(src));
 }
 
 static void
@@ -214,11 +211,8 @@
 		log_event(LOG_LEVEL_WARN, "mirror-malformed", "bytes=%zu",
 		    reply->body_len);
 	for (i = 0; i < ROWS_NTABLES; i++) {
-		if (!merged[i])
-			continue;
-		src->tables_known[i] = true;
-		src->received[i] =
-		    reg_version(src->params.reg, (enum rows_table)i);
+		if (merged[i])
+			src->tables_known[i] = true;
 	}
 }
 
@@ -282,7 +276,7 @@
     uint64_t incarnation, uint64_t version)
 {
 	const uint64_t since[ROWS_NTABLES] = {
-		[ROWS_OPERATOR] = src->received[ROWS_OPERATOR],
+		[ROWS_OPERATOR] = reg_version(src->params.reg, ROWS_OPERATOR),
 		[ROWS_SERVERS] = REG_NO_ROWS,
 		[ROWS_HOSTS] = REG_NO_ROWS,
 	};
@@ -315,13 +309,15 @@
 	const struct rowsrc_cell *cell = &src->params.cell;
 	uint64_t incarnation, since[ROWS_NTABLES];
 	const char *peer;
+	int i;
 
 	src->request_due_us =
 	    now_us + ROWSRC_PEER_INTERVAL_MS * ROWSRC_US_PER_MS;
 	peer = cell->peer(src->params.arg, &incarnation);
 	if (peer == NULL)
 		return;
-	memcpy(since, src->received, sizeof(since));
+	for (i = 0; i < ROWS_NTABLES; i++)
+		since[i] = reg_version(src->params.reg, (enum rows_table)i);
 	if (!cell->is_candidate(src->params.arg))
 		since[ROWS_SERVERS] = REG_NO_ROWS;
 	rowsrc_request(src, peer, incarnation, since, false);
@@ -333,9 +329,7 @@
 	const struct rowsrc_cell *cell = &src->params.cell;
 	const uint64_t since[ROWS_NTABLES] = {
 		[ROWS_OPERATOR] = REG_NO_ROWS,
-		[ROWS_SERVERS] = src->tables_known[ROWS_SERVERS]
-		    ? reg_version(src->params.reg, ROWS_SERVERS)
-		    : 0,
+		[ROWS_SERVERS] = reg_version(src->params.reg, ROWS_SERVERS),
 		[ROWS_HOSTS] = REG_NO_ROWS,
 	};
 	uint64_t incarnation;
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -239,11 +239,15 @@
 	change(reg, ROWS_SERVERS, "s1", "64", 10, 0);
 	change(reg, ROWS_SERVERS, "s2", "32", 20, 0);
 	change(reg, ROWS_HOSTS, "h1", NULL, 21, 0);
+	/* The peer has read one row of several. */
+	reg_read_begin(peer, ROWS_SERVERS);
 	change(peer, ROWS_SERVERS, "s1", "16", 30, 0);
 	text = reg_render(reg, since, SECOND_US);
 	cr_expect_eq(reg_merge(peer, text, strlen(text), 0, merged), 0);
 	cr_expect_eq(observed_peer.servers, 2);
 	cr_expect_eq(observed_peer.server.cpu, 32);
+	cr_expect_eq(reg_version(peer, ROWS_SERVERS), 20);
+	reg_read_end(peer, ROWS_SERVERS, 30, 0);
 	cr_expect_eq(reg_version(peer, ROWS_SERVERS), 30);
 	cr_expect(merged[ROWS_SERVERS] && merged[ROWS_HOSTS]);
 	free(text);
@@ -414,9 +418,9 @@
 	char *text;
 
 	cr_expect_eq(reg_age_ms(reg, ROWS_HOSTS, 9 * SECOND_US), UINT64_MAX);
-	reg_confirm(reg, ROWS_HOSTS, 2 * SECOND_US);
+	reg_current(reg, ROWS_HOSTS, 1, 2 * SECOND_US);
 	cr_expect_eq(reg_age_ms(reg, ROWS_HOSTS, 5 * SECOND_US), 3000);
-	reg_confirm(peer, ROWS_HOSTS, 4 * SECOND_US);
+	reg_current(peer, ROWS_HOSTS, 1, 4 * SECOND_US);
 	text = reg_render(peer, since, 5 * SECOND_US);
 	cr_assert_eq(reg_merge(reg, text, strlen(text), 7 * SECOND_US, merged),
 	    0);
--- a/tests/test_row_source.c
+++ b/tests/test_row_source.c
@@ -281,7 +281,8 @@
 	cr_expect_str_eq(rig->requested, "h1");
 	cr_expect_not_null(strstr(rig->query, "servers=10&"));
 	rig_reply(rig,
-	    "[{\"table\":1},{\"table\":1,\"key\":\"s1\",\"version\":20,"
+	    "[{\"table\":1,\"since\":10,\"version\":20},"
+	    "{\"table\":1,\"key\":\"s1\",\"version\":20,"
 	    "\"value\":\"32\"}]");
 	cr_expect_eq(rig->nservers, 2);
 	rig_run(rig, 100);
