Test, red: a zone that the store does not answer learns of servers and hosts

The store answers one host, in one of three zones. The holders of the two others know that it does not answer them, and ask peers of their own zone only, which have no newer rows: they never learn of a server that leaves, or of a host.

--- a/tests/test_job_service.c
+++ b/tests/test_job_service.c
@@ -500,3 +500,29 @@
 		    host_config(&net->hosts[i]));
 	net_destroy(net);
 }
+/* The store does not answer any host of a zone, and these know it. */
+Test(job_service, zone_without_the_store_learns_of_servers_and_hosts)
+{
+	struct net *net = net_create();
+	struct host *host;
+	size_t i;
+
+	net_answer_only(net, 1);
+	for (i = 0; i < NHOSTS; i++) {
+		host = &net->hosts[i];
+		if (i != 1)
+			host->listener.connected(host->listener.arg, false);
+	}
+	store_put(net, ROWS_SERVERS, "s1", "z0");
+	store_put(net, ROWS_HOSTS, "h1", "z1 2000");
+	net_run(net, APPLY_MS);
+	for (i = 0; i < NZONES; i++) {
+		host = &net->hosts[i];
+		cr_expect_geq(
+		    reg_version(jsvc_registry(host->svc), ROWS_SERVERS),
+		    net->version - 1, "holder %zu", i);
+		cr_expect_geq(reg_version(jsvc_registry(host->svc), ROWS_HOSTS),
+		    net->version, "holder %zu", i);
+	}
+	net_destroy(net);
+}
