Cells: rows are also read from the holders of other zones

What callers could see: while the store answers no host of a zone, the zone's holder starts tasks on servers that leave and knows no new ones, for as long as that lasts, though hosts of other zones have their rows and can be reached.

Cause: cells_reachable_peer() returned hosts of its own zone only.

Change: a holder also asks the holders of the other zones, which read the rows of all servers; sources are asked in turn, one every 300 ms as before, so that with five zones each is asked every 2.1 s. Other hosts ask the likely holders of their zone, as before.

--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -21,6 +21,8 @@
 #define CELLS_OVERFLOW_FREE_PERMILLE 100
 /* After its start a host waits up to this long for the others' state. */
 #define CELLS_DISCOVERY_MS 350
+/* Hosts that are asked for rows while the store does not answer. */
+#define CELLS_SOURCES_MAX 16
 /* Minimum interval of requests to reserve a fencing token. */
 #define CELLS_RESERVE_RETRY_MS 500
 /* A longer time between ticks means that the process was paused: no iteration
@@ -166,29 +168,40 @@
 	return n;
 }
 
-/* The likely holders of the own zone have all rows, so they are asked first. */
-const char *
-cells_reachable_peer(const struct cells *cells, uint64_t *incarnation)
+/* Lists the hosts that have all rows: the likely holders of the own zone, and
+ * the holders of the other zones, of which a holder knows. */
+static size_t
+cells_list_sources(const struct cells *cells, const struct cells_host **sources,
+    size_t max)
 {
-	const struct cells_host *host, *found = NULL;
-	uint64_t n = 0, chosen = cells_now_us(cells) / CELLS_US_PER_MS;
+	const struct cells_zone *zone;
+	const struct cells_host *host;
+	size_t n = 0;
 
 	TAILQ_FOREACH (host, &cells->local_zone->hosts, entry) {
 		if (host->connected && !host->unreachable &&
 		    n < CELLS_CANDIDATES)
-			n++;
+			sources[n++] = host;
 	}
+	TAILQ_FOREACH (zone, &cells->zones, entry) {
+		host = zone->local ? NULL : cells_zone_holder(zone);
+		if (host != NULL && n < max)
+			sources[n++] = host;
+	}
+	return n;
+}
+
+const char *
+cells_reachable_peer(struct cells *cells, uint64_t *incarnation)
+{
+	const struct cells_host *sources[CELLS_SOURCES_MAX], *source;
+	size_t n = cells_list_sources(cells, sources, CELLS_SOURCES_MAX);
+
 	if (n == 0)
 		return NULL;
-	chosen %= n;
-	TAILQ_FOREACH (host, &cells->local_zone->hosts, entry) {
-		if (host->connected && !host->unreachable && chosen-- == 0) {
-			found = host;
-			break;
-		}
-	}
-	*incarnation = found->incarnation;
-	return found->info.name;
+	source = sources[cells->next_source++ % n];
+	*incarnation = source->incarnation;
+	return source->info.name;
 }
 
 const char *
--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -161,11 +161,11 @@
     uint64_t nonce);
 
 /**
- * cells_reachable_peer() - Return: a reachable host of this zone that has all
- * rows, or NULL; chosen by the clock, so that calls are spread.
+ * cells_reachable_peer() - Return: a reachable host that has all rows, or NULL;
+ * each call returns the next one. It may be of another zone: the store may
+ * answer no host of this one.
  */
-const char *cells_reachable_peer(const struct cells *cells,
-    uint64_t *incarnation);
+const char *cells_reachable_peer(struct cells *cells, uint64_t *incarnation);
 
 /**
  * cells_holder_peer() - Return: the holder of the local cell if it is another
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -91,6 +91,7 @@
 	struct event *timer;
 	uint64_t last_tick_us; /* of the clock that counts suspensions */
 	uint64_t nticks;
+	size_t next_source; /* of cells_reachable_peer() */
 	/* Time at which all hosts were loaded; starts discovery. 0: none. */
 	uint64_t hosts_loaded_us;
 	struct job_store *job_store; /* NULL until it is set */
