Tests, red: a store that stops replying is noticed, reads of jobs delay no configuration

Two more ways to an old configuration. A long poll that fails (3.3 s) is sent again as a long poll (3.3 s) before the store counts as unreachable, so rows are asked of peers after 6.6 s, beyond the users' 6 s. And the feeds share 24 connections and a queue with the rows of jobs: while these are not answered, the feed's reads time out in the queue.

--- a/tests/test_platform_rows.c
+++ b/tests/test_platform_rows.c
@@ -35,6 +35,11 @@
 	bool change_in_full_read;   /* after its first page */
 	bool refreshed;
 	bool complete_at_refresh;
+	bool silent;		  /* the store replies to no request */
+	bool jobs_silent;	  /* nor to those about jobs */
+	bool connected;		  /* as reported to the listener */
+	uint64_t config;	  /* version of the row "config"; 0: none */
+	uint64_t config_received; /* as reported to the listener */
 };
 
 static json_t *
@@ -85,11 +90,18 @@
 	struct evkeyvalq params;
 	const char *table, *after;
 	uint64_t version = rig->newest;
-	bool more = false;
+	bool more = false, jobs;
 	char *text;
 
 	(void)evhttp_parse_query_str(query, &params);
 	table = evhttp_find_header(&params, "table");
+	jobs = strcmp(table, "berylrail-jobs") == 0;
+	if (rig->silent || (rig->jobs_silent && jobs)) {
+		evhttp_clear_headers(&params);
+		json_decref(rows);
+		evhttp_request_own(req);
+		return;
+	}
 	after = evhttp_find_header(&params, "after");
 	if (strcmp(table, "servers") == 0) {
 		if (after == NULL)
@@ -103,6 +115,11 @@
 			rig->versions[0] = ++rig->newest;
 		}
 	}
+	if (strcmp(table, "op") == 0 && rig->config != 0 &&
+	    (after == NULL || strtoull(after, NULL, 10) < rig->config))
+		(void)json_array_append_new(rows,
+		    json_pack("{s:s,s:s,s:I}", "key", "config", "value",
+			"e30=", "row_version", (json_int_t)rig->config));
 	evhttp_clear_headers(&params);
 	body = json_pack("{s:o,s:I,s:b}", "rows", rows, "row_version",
 	    (json_int_t)version, "has_more", more);
@@ -120,6 +137,10 @@
 	struct rig *rig = arg;
 	size_t i = (size_t)atoi(change->key + 2);
 
+	if (change->table == ROWS_OPERATOR) {
+		rig->config_received = change->version;
+		return;
+	}
 	cr_assert_lt(i, (size_t)ROWS);
 	rig->received[i] = change->version;
 	if (rig->read_ended)
@@ -168,8 +189,7 @@
 static void
 on_connected(void *arg, bool connected)
 {
-	(void)arg;
-	(void)connected;
+	((struct rig *)arg)->connected = connected;
 }
 
 static void
@@ -182,14 +202,21 @@
 }
 
 static void
-rig_run(struct rig *rig)
+rig_run_ms(struct rig *rig, uint32_t ms)
 {
-	const struct timeval tv = { .tv_usec = RUN_MS * 1000 };
+	const struct timeval tv = { .tv_sec = ms / 1000,
+		.tv_usec = ms % 1000 * 1000 };
 
 	(void)event_base_loopexit(rig->base, &tv);
 	(void)event_base_dispatch(rig->base);
 }
 
+static void
+rig_run(struct rig *rig)
+{
+	rig_run_ms(rig, RUN_MS);
+}
+
 static struct rig *
 rig_create(void)
 {
@@ -283,3 +310,49 @@
 	cr_expect_eq(rig->received_0_at_end, rig->versions[0]);
 	rig_destroy(rig);
 }
+
+/* A new configuration is in force within 6 s, also on a host that has to read
+ * it from a peer. */
+Test(platform_rows, store_that_stops_replying_is_noticed)
+{
+	struct rig *rig = rig_create();
+
+	rig->rows->ops->set_poll_pause(rig->rows, ROWS_OPERATOR, 0);
+	rig_run(rig);
+	cr_assert(rig->connected);
+	rig->silent = true;
+	rig_run_ms(rig, 5700);
+	cr_expect_not(rig->connected);
+	rig_destroy(rig);
+}
+
+static void
+on_jobs_read(void *arg, enum rows_status status, const struct rows_row *rows,
+    size_t nrows, bool more)
+{
+	struct rig *rig = arg;
+
+	(void)status;
+	(void)rows;
+	(void)nrows;
+	(void)more;
+	if (rig->jobs_silent)
+		rig->rows->ops->read(rig->rows, 0, "", 10, on_jobs_read, rig);
+}
+
+Test(platform_rows, configuration_is_read_while_reads_of_jobs_wait)
+{
+	struct rig *rig = rig_create();
+	int i;
+
+	rig->rows->ops->set_poll_pause(rig->rows, ROWS_OPERATOR, 100);
+	rig_run(rig);
+	rig->jobs_silent = true;
+	for (i = 0; i < 240; i++)
+		rig->rows->ops->read(rig->rows, 0, "", 10, on_jobs_read, rig);
+	rig->config = ++rig->newest;
+	rig_run_ms(rig, 2000);
+	cr_expect_eq(rig->config_received, rig->config);
+	rig->jobs_silent = false;
+	rig_destroy(rig);
+}
