Logs: whether a lost server has ended or is only unreachable

The HTTP client reports a refused connection, which shows that no process listens at the address, apart from silence; server-unreachable has refused=, and server-lost and server-held the incarnation (started_ms=), so that a server that is back under the same or a later one can be told. No decision depends on it.

evhttp closes the socket before it reports that a connect has failed, so the cause is read in a callback of our own for the connect.

Test: test_http_client, refused_connection_is_distinguished_from_silence.

--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -77,6 +77,7 @@
 {
 	struct hcl_reply reply = { .sent = call->sent,
 		.timed_out = timed_out,
+		.refused = call->refused,
 		.reason = reason };
 
 	hcl_call_finish(call, &reply);
@@ -104,8 +105,10 @@
 	conn->call = call;
 	TAILQ_INSERT_TAIL(&conn->hcl->busy, conn, entry);
 	if (evhttp_make_request(conn->evcon, request, call->method,
-		call->path) == 0)
+		call->path) == 0) {
+		hcl_conn_watch_connect(conn);
 		return;
+	}
 	hcl_conn_release(conn, false);
 	hcl_call_defer_failure(call, "request could not be started");
 }
--- a/adapters/http_client.h
+++ b/adapters/http_client.h
@@ -71,6 +71,7 @@
 	int status;	/* HTTP status; 0: no complete response was received */
 	bool sent;	/* part of the request may have been sent */
 	bool timed_out; /* the call timed out */
+	bool refused;	/* the server's address refused the connection */
 	const char *body;
 	size_t body_len;		 /* bytes */
 	const struct evkeyvalq *headers; /* NULL if status is 0 */
--- a/adapters/http_client_conn.c
+++ b/adapters/http_client_conn.c
@@ -59,6 +59,37 @@
 		conn->call->sent = true;
 }
 
+/* evhttp closes the socket, and so loses the cause, before it reports that a
+ * connect has failed. */
+static void
+hcl_connect_done(struct bufferevent *bev, short what, void *arg)
+{
+	struct hcl_conn *conn = arg;
+
+	if ((what & BEV_EVENT_ERROR) != 0 && conn->call != NULL)
+		conn->call->refused =
+		    !conn->call->sent && EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+	conn->connect_done(bev, what, conn->connect_done_arg);
+}
+
+void
+hcl_conn_watch_connect(struct hcl_conn *conn)
+{
+	struct bufferevent *bev =
+	    evhttp_connection_get_bufferevent(conn->evcon);
+	bufferevent_data_cb read_done, write_done;
+	bufferevent_event_cb event_done;
+	void *arg;
+
+	bufferevent_getcb(bev, &read_done, &write_done, &event_done, &arg);
+	/* A connection that is established has callbacks for its data. */
+	if (event_done == NULL || read_done != NULL || write_done != NULL)
+		return;
+	conn->connect_done = event_done;
+	conn->connect_done_arg = arg;
+	bufferevent_setcb(bev, NULL, NULL, hcl_connect_done, conn);
+}
+
 static struct hcl_conn *
 hcl_conn_create(struct hcl *hcl)
 {
--- a/adapters/http_client_internal.h
+++ b/adapters/http_client_internal.h
@@ -1,6 +1,7 @@
 #ifndef ADAPTERS_HTTP_CLIENT_INTERNAL_H
 #define ADAPTERS_HTTP_CLIENT_INTERNAL_H
 
+#include <event2/bufferevent.h>
 #include <sys/queue.h>
 
 #include "adapters/http_client.h"
@@ -27,6 +28,7 @@
 	uint64_t started_us;
 	bool abandoned; /* timed out; @done was called, @timer waits again */
 	bool sent;
+	bool refused;	     /* the server's address refused the connection */
 	const char *failure; /* why it could not be sent; or NULL */
 	struct event *timer;
 	hcl_done_fn done;
@@ -42,6 +44,9 @@
 	uint64_t id; /* 1 or more, in the order of creation */
 	struct evhttp_connection *evcon;
 	struct hcl_call *call; /* NULL if idle or discarded */
+	/* The callback of evhttp for the end of a connect. */
+	bufferevent_event_cb connect_done;
+	void *connect_done_arg;
 	TAILQ_ENTRY(hcl_conn) entry;
 };
 
@@ -72,6 +77,8 @@
 void hcl_conn_free(struct hcl_conn *conn);
 /* Separates a connection from its call; makes it idle, or discards it. */
 void hcl_conn_release(struct hcl_conn *conn, bool keep_alive);
+/* Records whether a connect that is in progress is refused. */
+void hcl_conn_watch_connect(struct hcl_conn *conn);
 /* Removes the connection @id from the idle list and returns it; NULL if it is
  * not idle or not reusable. */
 struct hcl_conn *hcl_conn_acquire_by_id(struct hcl *hcl, uint64_t id);
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -55,7 +55,8 @@
 
 	if (server->held || !TAILQ_EMPTY(&server->tasks))
 		log_event(LOG_LEVEL_WARN, "server-lost",
-		    "server=%s reason=\"%s\"", server->info.id, reason);
+		    "server=%s reason=\"%s\" started_ms=%" PRIu64,
+		    server->info.id, reason, server->incarnation_start_ms);
 	server->reopen_at_us =
 	    sched_now(server->sched) + SCHED_REOPEN_DELAY_MS * SCHED_US_PER_MS;
 	if (server->link != NULL)
@@ -257,9 +258,10 @@
 	if (!server->held) {
 		server->held = true;
 		log_event(LOG_LEVEL_INFO, "server-held",
-		    "server=%s token=%" PRIu64 " running=%zu ended=%zu",
+		    "server=%s token=%" PRIu64
+		    " running=%zu ended=%zu started_ms=%" PRIu64,
 		    server->info.id, server->sched->token, reply->nrunning,
-		    reply->nended);
+		    reply->nended, server->incarnation_start_ms);
 	}
 }
 
@@ -318,8 +320,8 @@
 	if (reply->verdict != WORKER_OK || !reply->has_lists) {
 		if (server->unanswered_holds++ == SCHED_UNANSWERED_HOLDS_MAX)
 			log_event(LOG_LEVEL_WARN, "server-unreachable",
-			    "server=%s verdict=%d", server->info.id,
-			    (int)reply->verdict);
+			    "server=%s verdict=%d refused=%d", server->info.id,
+			    (int)reply->verdict, reply->refused ? 1 : 0);
 		/* The first retry has no delay, as perhaps only the reply was
 		 * lost. */
 		if (server->unanswered_holds == 1)
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -26,7 +26,7 @@
 	unsigned nrequests;
 	unsigned nresponse_times;
 	uint64_t last_response_us;
-	unsigned ndone, ntimed_out, nsucceeded;
+	unsigned ndone, ntimed_out, nsucceeded, nrefused;
 	uint64_t conn_id; /* of the last response */
 };
 
@@ -128,6 +128,7 @@
 
 	rig->ndone++;
 	rig->ntimed_out += reply->timed_out;
+	rig->nrefused += reply->refused;
 	rig->nsucceeded += reply->status == 200;
 	if (reply->status != 0)
 		rig->conn_id = reply->conn_id;
@@ -198,3 +199,22 @@
 	cr_expect_eq(rig->nsucceeded, 1);
 	rig_destroy(rig);
 }
+
+/* No process listens at the address any more. */
+Test(http_client, refused_connection_is_distinguished_from_silence)
+{
+	struct rig *rig = rig_create(1);
+
+	rig->silent = true;
+	rig_call(rig);
+	rig_run(rig, TIMEOUT_MS + LATE_MS + 50);
+	cr_expect_eq(rig->ndone, 1);
+	cr_expect_eq(rig->nrefused, 0);
+	evhttp_free(rig->server);
+	rig->server = evhttp_new(rig->base);
+	rig_call(rig);
+	rig_run(rig, 30);
+	cr_expect_eq(rig->ndone, 2);
+	cr_expect_eq(rig->nrefused, 1);
+	rig_destroy(rig);
+}
