--- a/tests/support/fake_worker.c
+++ b/tests/support/fake_worker.c
@@ -37,6 +37,7 @@
 	uint64_t execute_ms; /* due time; 0: executed, or the request is lost */
 	uint64_t reply_due_ms; /* latest time of the reply; 0: replied */
 	bool lost;
+	bool refused; /* the server was down when the call was sent */
 	enum worker_verdict verdict;
 	worker_done_fn done;
 	void *arg;
@@ -82,7 +83,8 @@
 fkw_send_reply(struct fkw_call *call, enum worker_verdict verdict,
     uint64_t now_ms)
 {
-	struct worker_reply reply = { .verdict = verdict };
+	struct worker_reply reply = { .verdict = verdict,
+		.refused = verdict == WORKER_NO_REPLY && call->refused };
 	struct wm_server *server = call->link->server;
 	struct worker_ended *ended = NULL;
 	struct worker_run *running = NULL;
@@ -94,6 +96,7 @@
 	if (verdict != WORKER_NO_REPLY) {
 		reply.has_clock = true;
 		reply.clock_ms = wm_clock_ms(server, now_ms);
+		reply.incarnation_start_ms = server->started_ms;
 	}
 	if (call->kind == FKW_HOLD && verdict == WORKER_OK) {
 		wm_list_runs(server, &running, &nrunning, &ended, &nended);
@@ -148,6 +151,13 @@
 static void
 fkw_call_advance(struct fkw_call *call, uint64_t now_ms)
 {
+	if (wm_is_down(call->link->server, now_ms)) {
+		call->execute_ms = 0;
+		call->lost = true;
+		if (!call->link->fake->faults.crashed_are_silent &&
+		    call->reply_due_ms != 0)
+			call->reply_due_ms = now_ms;
+	}
 	if (call->execute_ms != 0 && now_ms >= call->execute_ms)
 		fkw_execute(call, now_ms);
 	if (call->reply_due_ms == 0)
@@ -195,7 +205,11 @@
 		call->execute_ms += fake->faults.order_transit_ms;
 		call->reply_due_ms += fake->faults.order_transit_ms;
 	}
-	if ((fake->faults.unreachable_mask >> link->index & 1) != 0) {
+	if (wm_is_down(link->server, now_ms)) {
+		call->execute_ms = 0;
+		call->lost = true;
+		call->refused = !fake->faults.crashed_are_silent;
+	} else if ((fake->faults.unreachable_mask >> link->index & 1) != 0) {
 		call->execute_ms = 0;
 		call->lost = true;
 	} else if (kind == FKW_HOLD &&
--- a/tests/support/fake_worker.h
+++ b/tests/support/fake_worker.h
@@ -22,6 +22,7 @@
 	bool orders_only;	   /* no fault above affects holds */
 	uint32_t hold_reply_lost_permille; /* holds whose reply is lost */
 	uint32_t unreachable_mask;	   /* bit n: server n is unreachable */
+	bool crashed_are_silent; /* crashed servers don't refuse connections */
 };
 
 /** fake_worker_create() - the ids of the servers are "s0", "s1" and so on. */
--- a/tests/support/scheduler_rig.c
+++ b/tests/support/scheduler_rig.c
@@ -16,8 +16,34 @@
 	sched_deactivate(rig->sched);
 }
 
+static void
+srig_server_info(const struct scheduler_rig *rig, size_t i,
+    struct reg_server *info)
+{
+	*info = (struct reg_server){ .service = "booth",
+		.az = "a",
+		.cpu = rig->cluster.servers[i].cpu,
+		.mem_mb = 1024,
+		.nlabels = 1 };
+	(void)snprintf(info->id, sizeof(info->id), "s%zu", i);
+	(void)snprintf(info->rack, sizeof(info->rack), "r%zu", i / 2);
+	(void)snprintf(info->labels[0], NAME_SIZE, "r%zu", i / 2);
+}
+
+void
+srig_set_cpu(struct scheduler_rig *rig, size_t index, uint32_t cpu, bool told)
+{
+	struct reg_server info;
+
+	rig->cluster.servers[index].guards_cpu = false;
+	rig->cluster.servers[index].cpu = cpu;
+	srig_server_info(rig, index, &info);
+	if (told)
+		sched_server_update(rig->sched, &info);
+}
+
 struct scheduler *
-srig_scheduler(struct scheduler_rig *rig, uint64_t token)
+srig_scheduler_inactive(struct scheduler_rig *rig)
 {
 	const struct sched_params params = { .base = rig->base,
 		.clock = clock_real(),
@@ -27,23 +53,31 @@
 		.far_permille = 1000,
 		.fenced = srig_fenced,
 		.arg = rig };
-	struct reg_server server = { .service = "booth",
-		.az = "a",
-		.cpu = SRIG_CPU,
-		.mem_mb = 1024,
-		.nlabels = 1 };
+	struct reg_server server;
 	struct scheduler *sched = sched_create(&params);
 	size_t i;
 
 	for (i = 0; i < rig->cluster.nservers; i++) {
-		(void)snprintf(server.id, sizeof(server.id), "s%zu", i);
-		(void)snprintf(server.rack, sizeof(server.rack), "r%zu", i / 2);
-		(void)snprintf(server.labels[0], NAME_SIZE, "r%zu", i / 2);
+		srig_server_info(rig, i, &server);
 		sched_server_update(sched, &server);
 	}
+	return sched;
+}
+
+void
+srig_activate(struct scheduler *sched, uint64_t token)
+{
 	sched_activate(sched, token);
 	sched_servers_refreshed(sched);
 	sched_set_servers_complete(sched, true);
+}
+
+struct scheduler *
+srig_scheduler(struct scheduler_rig *rig, uint64_t token)
+{
+	struct scheduler *sched = srig_scheduler_inactive(rig);
+
+	srig_activate(sched, token);
 	return sched;
 }
 
--- a/tests/support/scheduler_rig.h
+++ b/tests/support/scheduler_rig.h
@@ -31,6 +31,19 @@
 /** srig_scheduler() - create and activate another scheduler of the servers. */
 struct scheduler *srig_scheduler(struct scheduler_rig *rig, uint64_t token);
 
+/** srig_scheduler_inactive() - create another scheduler of the servers. */
+struct scheduler *srig_scheduler_inactive(struct scheduler_rig *rig);
+
+/** srig_activate() - make a scheduler the holder. */
+void srig_activate(struct scheduler *sched, uint64_t token);
+
+/**
+ * srig_set_cpu() - the capacity of a server that does not guard it changes.
+ * @told: whether its row is read, too.
+ */
+void srig_set_cpu(struct scheduler_rig *rig, size_t index, uint32_t cpu,
+    bool told);
+
 /** srig_run() - run the event loop for @ms milliseconds. */
 void srig_run(struct scheduler_rig *rig, uint32_t ms);
 
--- a/tests/support/worker_model.c
+++ b/tests/support/worker_model.c
@@ -14,6 +14,8 @@
 
 #define WM_STOP_GRACE_MS 20
 #define WM_GANG_TIMEOUT_MS 400
+#define WM_CRASH_MS 10	/* from the start of a run that crashes its server */
+#define WM_DOWN_MS 3300 /* until a crashed server is back */
 #define WM_NEVER UINT64_MAX
 
 void
@@ -31,6 +33,8 @@
 		cluster->servers[i].cpu = cpu;
 		cluster->servers[i].speed = 1000;
 		cluster->servers[i].next_number = 1;
+		cluster->servers[i].guards_cpu = true;
+		cluster->servers[i].started_ms = 1;
 		TAILQ_INIT(&cluster->servers[i].running);
 		TAILQ_INIT(&cluster->servers[i].ended);
 	}
@@ -195,6 +199,30 @@
 	server->next_number = 1;
 	server->lease_end_ms = 0;
 	server->used_cpu = 0;
+	server->started_ms++;
+}
+
+bool
+wm_is_down(const struct wm_server *server, uint64_t now_ms)
+{
+	return now_ms < server->down_until_ms;
+}
+
+/* Return: whether the server has crashed. */
+static bool
+wm_check_crash(struct wm_server *server, uint64_t now_ms)
+{
+	struct wm_run *run;
+
+	TAILQ_FOREACH (run, &server->running, entry) {
+		if (run->crash_ms == 0 || now_ms < run->crash_ms)
+			continue;
+		wm_task_get(server->cluster, run->task)->crashes++;
+		server->down_until_ms = now_ms + WM_DOWN_MS;
+		wm_crash(server);
+		return true;
+	}
+	return false;
 }
 
 void
@@ -219,6 +247,8 @@
 	struct wm_run *run, *next;
 	uint64_t before = server->next_number;
 
+	if (wm_check_crash(server, now_ms))
+		return false;
 	TAILQ_FOREACH (run, &server->running, entry) {
 		if (server->cluster->checkpoints &&
 		    run->gang_wait_since_ms == 0)
@@ -290,8 +320,17 @@
 	uint32_t work_ms;
 	uint32_t failing_runs;
 	uint32_t gang;
+	char crash[16]; /* end of the name of the task that crashes servers */
 };
 
+static bool
+wm_crashes(const struct wm_spec *spec, const char *task)
+{
+	size_t len = strlen(task), n = strlen(spec->crash);
+
+	return n != 0 && n <= len && strcmp(task + len - n, spec->crash) == 0;
+}
+
 static void
 wm_run_start(struct wm_server *server, uint64_t now_ms,
     const struct worker_start *order, const struct wm_spec *spec)
@@ -315,6 +354,10 @@
 		    : now_ms;
 	}
 	run->started_ms = now_ms;
+	if (wm_crashes(spec, order->task))
+		run->crash_ms = now_ms + WM_CRASH_MS;
+	if (server->used_cpu + spec->cpu > server->cpu)
+		server->overcommits++;
 	server->used_cpu += spec->cpu;
 	server->starts++;
 	task->starts++;
@@ -354,8 +397,10 @@
 		return WORKER_DEADLINE_PASSED;
 	wm_extend_lease(server, now_ms, order->deadline_ms);
 	if (sscanf(order->spec,
-		"cpu=%" SCNu32 " ms=%" SCNu32 " fail=%" SCNu32 " gang=%" SCNu32,
-		&spec.cpu, &spec.work_ms, &spec.failing_runs, &spec.gang) < 3) {
+		"cpu=%" SCNu32 " ms=%" SCNu32 " fail=%" SCNu32 " gang=%" SCNu32
+		" crash=%15s",
+		&spec.cpu, &spec.work_ms, &spec.failing_runs, &spec.gang,
+		spec.crash) < 3) {
 		wm_report_violation(server->cluster,
 		    "%s was started with the invalid spec \"%s\"", order->task,
 		    order->spec);
@@ -369,7 +414,7 @@
 						    : WORKER_STALE_RUN_ID;
 	if (wm_run_find(&server->ended, order->task, order->run_id) != NULL)
 		return WORKER_STALE_RUN_ID;
-	if (server->used_cpu + spec.cpu > server->cpu)
+	if (server->guards_cpu && server->used_cpu + spec.cpu > server->cpu)
 		return WORKER_NO_CAPACITY;
 	wm_run_start(server, now_ms, order, &spec);
 	return WORKER_OK;
--- a/tests/support/worker_model.h
+++ b/tests/support/worker_model.h
@@ -13,13 +13,15 @@
  * caller passes the time. The model checks these invariants across all servers:
  * a task never has two runs at the same time, no task is started after the
  * acknowledged end of a completed run (see strict_prefix), and every spec is
- * valid. A start that would overcommit the CPU of a server is refused.
+ * valid. A start that would overcommit the CPU of a server is refused, unless
+ * the server does not guard it.
  *
- * A spec has the form "cpu=N ms=N fail=N gang=N": thousandths of a core; run
- * time at the nominal speed; number of runs that fail before one completes;
- * number of members of the gang, 0 if the task is in none. A gang makes
- * progress while all its members run with the same run id. They complete
- * together; any other end of a member also ends the runs of the others.
+ * A spec has the form "cpu=N ms=N fail=N gang=N crash=NAME": thousandths of a
+ * core; run time at the nominal speed; number of runs that fail before one
+ * completes; number of members of the gang, 0 if the task is in none. A gang
+ * makes progress while all its members run with the same run id. They complete
+ * together; any other end of a member also ends the runs of the others. The
+ * task whose name ends with NAME crashes each server that starts it.
  */
 
 /** struct wm_run - a run, or the record of an ended one. */
@@ -39,6 +41,7 @@
 	uint64_t started_ms;
 	uint64_t gang_wait_since_ms; /* start of the wait for other members;
 					0: it makes progress */
+	uint64_t crash_ms;	     /* the server crashes then; 0: never */
 	char last_checkpoint[24];    /* the work done, in ms */
 	uint64_t skipped_ms; /* work before the checkpoint it resumed from */
 	TAILQ_ENTRY(wm_run) entry;
@@ -53,13 +56,17 @@
 	struct wm_runs ended;
 	uint64_t token;
 	uint64_t next_number;
-	uint64_t lease_end_ms; /* expiry on the server's clock; 0: no lease */
-	int64_t skew_ms;       /* of the server's clock */
-	uint32_t cpu;	       /* thousandths of a core */
-	uint32_t used_cpu;     /* thousandths of a core */
-	uint32_t speed;	       /* thousandths of the nominal speed */
-	bool hangs;	       /* runs make no progress */
-	bool failing;	       /* all runs fail immediately */
+	uint64_t lease_end_ms;	/* expiry on the server's clock; 0: no lease */
+	int64_t skew_ms;	/* of the server's clock */
+	uint32_t cpu;		/* thousandths of a core */
+	uint32_t used_cpu;	/* thousandths of a core */
+	uint32_t speed;		/* thousandths of the nominal speed */
+	bool hangs;		/* runs make no progress */
+	bool failing;		/* all runs fail immediately */
+	bool guards_cpu;	/* starts that overcommit it are refused */
+	uint64_t started_ms;	/* number of the incarnation, from 1 */
+	uint64_t down_until_ms; /* crashed; 0: up */
+	uint32_t overcommits;	/* starts that have overcommitted the CPU */
 	uint64_t starts;
 };
 
@@ -70,6 +77,7 @@
 	uint32_t failures;
 	uint32_t starts;
 	uint32_t completions;
+	uint32_t crashes; /* of servers, by this task */
 	bool done_acknowledged;
 	LIST_ENTRY(wm_task) entry;
 };
@@ -103,6 +111,9 @@
 /** wm_crash() - end all runs of the server and clear its state. */
 void wm_crash(struct wm_server *server);
 
+/** wm_is_down() - whether the server has crashed and is not back yet. */
+bool wm_is_down(const struct wm_server *server, uint64_t now_ms);
+
 uint64_t wm_clock_ms(const struct wm_server *server, uint64_t now_ms);
 
 enum worker_verdict wm_start(struct wm_server *server, uint64_t now_ms,
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -634,3 +634,99 @@
 {
 	rig_expect_resubmitted_job_waits(false, true);
 }
+
+static uint32_t
+rig_overcommits(const struct rig *rig)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < SRIG_SERVERS; i++)
+		n += rig->srig.cluster.servers[i].overcommits;
+	return n;
+}
+
+/* LIMIT: a server that does not guard its capacity shrinks below what runs on
+ * it, and grows again. */
+Test(scheduler, capacity_that_has_shrunk_is_not_exceeded)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *jobs[4];
+	uint32_t i;
+
+	srig_run(&rig->srig, 50);
+	for (i = 0; i < 4; i++)
+		jobs[i] = rig_submit(rig, 2, 27000, 600, 0);
+	srig_run(&rig->srig, 100);
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		cr_assert_eq(rig->srig.cluster.servers[i].used_cpu, 54000);
+		srig_set_cpu(&rig->srig, i, 30000, true);
+	}
+	for (i = 0; i < 4; i++)
+		rig_submit(rig, 2, 27000, 100, 0);
+	srig_run(&rig->srig, 400);
+	/* Nothing was stopped for it, and nothing was started. */
+	for (i = 0; i < SRIG_SERVERS; i++)
+		cr_expect_eq(rig->srig.cluster.servers[i].used_cpu, 54000);
+	srig_run(&rig->srig, 1500);
+	for (i = 0; i < 4; i++) {
+		cr_expect(jobs[i]->answered);
+		cr_expect_eq(jobs[i]->result, SCHED_COMPLETED);
+	}
+	cr_expect_eq(rig_overcommits(rig), 0);
+	for (i = 0; i < SRIG_SERVERS; i++)
+		srig_set_cpu(&rig->srig, i, 64000, true);
+	for (i = 0; i < 4; i++)
+		rig_submit(rig, 2, 27000, 300, 0);
+	srig_run(&rig->srig, 150);
+	for (i = 0; i < SRIG_SERVERS; i++)
+		cr_expect_eq(rig->srig.cluster.servers[i].used_cpu, 54000);
+	srig_run(&rig->srig, 1000);
+	cr_expect_eq(rig_overcommits(rig), 0);
+	rig_destroy(rig);
+}
+
+/* What is being stopped still counts. */
+Test(scheduler, stopping_runs_count_against_a_capacity_that_has_shrunk)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *jobs[4];
+	uint32_t i;
+
+	srig_run(&rig->srig, 50);
+	for (i = 0; i < 4; i++)
+		jobs[i] = rig_submit(rig, 2, 27000, 5000, 0);
+	srig_run(&rig->srig, 100);
+	for (i = 0; i < SRIG_SERVERS; i++)
+		srig_set_cpu(&rig->srig, i, 54000, true);
+	for (i = 0; i < 4; i++)
+		sched_cancel(rig->srig.sched, jobs[i]->id, jobs[i]);
+	for (i = 0; i < 4; i++)
+		rig_submit(rig, 2, 27000, 100, 0);
+	srig_run(&rig->srig, 1500);
+	cr_expect_eq(rig->results[SCHED_COMPLETED], 4);
+	cr_expect_eq(rig_overcommits(rig), 0);
+	rig_destroy(rig);
+}
+
+/* A successor has read the smaller capacity; the runs are those of the former
+ * holder. */
+Test(scheduler, successor_does_not_exceed_a_capacity_that_has_shrunk)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job job = { .rig = rig, .id = "00000000000000ff" };
+	struct scheduler *successor;
+	uint32_t i;
+
+	srig_run(&rig->srig, 50);
+	for (i = 0; i < 4; i++)
+		rig_submit(rig, 2, 27000, 600, 0);
+	srig_run(&rig->srig, 100);
+	for (i = 0; i < SRIG_SERVERS; i++)
+		srig_set_cpu(&rig->srig, i, 30000, false);
+	successor = srig_scheduler(&rig->srig, 20);
+	(void)rig_submit_to(successor, &job, 4, 27000, 100, 0, false);
+	srig_run(&rig->srig, 3000);
+	cr_expect_eq(rig_overcommits(rig), 0);
+	sched_destroy(successor);
+	rig_destroy(rig);
+}
