--- /dev/null
+++ b/tests/test_scheduler_suspect.c
@@ -0,0 +1,257 @@
+/*
+ * The scheduler on a model of backend servers, some of whose tasks crash each
+ * server that starts them.
+ */
+
+#include <criterion/criterion.h>
+#include <event2/event.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "adapters/clock_real.h"
+#include "core/mem.h"
+#include "entry/jobs/job_json.h"
+#include "entry/jobs/scheduler.h"
+#include "tests/support/scheduler_rig.h"
+#include "tests/support/sim_time.h"
+
+#define JOBS_MAX 256
+#define CPU 27000 /* of a task; a server has room for two of them */
+/* A job without servers that crash ends within this time. */
+#define PLAIN_JOB_MS 400
+
+struct rig {
+	struct scheduler_rig srig;
+	struct job {
+		char id[JOB_ID_LEN + 1];
+		uint32_t answers;
+		enum sched_result result;
+		uint64_t sent_us;
+		uint64_t elapsed_ms;
+	} jobs[JOBS_MAX];
+	size_t njobs;
+};
+
+static struct rig *
+rig_create(void)
+{
+	struct rig *rig = mem_zalloc(1, sizeof(*rig));
+
+	srig_init(&rig->srig, 1, NULL);
+	srig_run(&rig->srig, 50);
+	return rig;
+}
+
+static void
+rig_destroy(struct rig *rig)
+{
+	cr_expect_eq(rig->srig.cluster.violations, 0, "%s",
+	    rig->srig.cluster.first_violation);
+	srig_release(&rig->srig);
+	free(rig);
+}
+
+static void
+rig_done(void *arg, const struct sched_reply *reply)
+{
+	struct job *job = arg;
+
+	job->answers++;
+	job->result = reply->result;
+	job->elapsed_ms = (clock_now_us(clock_real()) - job->sent_us) / 1000;
+}
+
+/* Submits a job of @count tasks; @crash: end of the name of the task that
+ * crashes servers, or "". */
+static void
+rig_submit_to(struct scheduler *sched, struct job *job, uint32_t count,
+    uint32_t ms, const char *crash, bool resubmitted)
+{
+	struct sched_request request = {
+		.queue = { .name = "q",
+		    .service = "booth",
+		    .max_attempts = 3,
+		    .slack_permille = 1600,
+		    .target_ms = 60 },
+		.timeout_ms = 30000,
+		.resubmitted = resubmitted,
+	};
+	char body[256];
+	struct err err;
+
+	(void)snprintf(body, sizeof(body),
+	    "{\"spec\":\"cpu=%u ms=%u fail=0 gang=0%s%s\","
+	    "\"best_effort\":true,\"steps\":[{\"count\":%u,\"cpu\":%u,"
+	    "\"mem_mb\":64,\"estimated_ms\":%u}]}",
+	    CPU, ms, crash[0] == '\0' ? "" : " crash=", crash, count, CPU, ms);
+	cr_assert_eq(
+	    job_parse(&request.spec, job->id, body, strlen(body), &err), 0);
+	job->sent_us = clock_now_us(clock_real());
+	sched_submit(sched, &request, rig_done, job);
+}
+
+static struct job *
+rig_submit(struct rig *rig, uint32_t count, uint32_t ms, const char *crash)
+{
+	struct job *job = &rig->jobs[rig->njobs];
+
+	(void)snprintf(job->id, sizeof(job->id), "%016zx", ++rig->njobs);
+	rig_submit_to(rig->srig.sched, job, count, ms, crash, false);
+	return job;
+}
+
+static uint32_t
+rig_crashes(const struct rig *rig, const struct job *job, uint32_t index)
+{
+	char name[WORKER_TASK_NAME_SIZE];
+	const struct wm_task *task;
+
+	(void)snprintf(name, sizeof(name), "%s.0.0.%u", job->id, index);
+	task = wm_task(&rig->srig.cluster, name);
+	return task == NULL ? 0 : task->crashes;
+}
+
+Test(scheduler_suspect, task_that_crashes_its_servers_is_given_up)
+{
+	struct rig *rig = rig_create();
+	struct job *job = rig_submit(rig, 1, 60, ".0");
+
+	srig_run(&rig->srig, 20000);
+	cr_expect_eq(job->answers, 1);
+	cr_expect_eq(job->result, SCHED_FAILED);
+	cr_expect_eq(rig_crashes(rig, job, 0), 2);
+	/* The second start waits for the end of the first one's lease; the
+	 * evidence stands with the second crash. */
+	cr_expect_lt(job->elapsed_ms, 1500);
+	rig_destroy(rig);
+}
+
+/* Crashed servers do not refuse connections, so that only their return shows
+ * that they have crashed. */
+Test(scheduler_suspect, task_that_crashes_silent_servers_is_given_up)
+{
+	struct rig *rig = rig_create();
+	struct job *job;
+
+	fake_worker_faults(rig->srig.worker)->crashed_are_silent = true;
+	job = rig_submit(rig, 1, 60, ".0");
+	srig_run(&rig->srig, 20000);
+	cr_expect_eq(job->result, SCHED_FAILED);
+	cr_expect_leq(rig_crashes(rig, job, 0), 3);
+	rig_destroy(rig);
+}
+
+Test(scheduler_suspect, bystanders_of_a_crash_are_completed)
+{
+	struct rig *rig = rig_create();
+	struct job *guilty, *bystanders[6];
+	size_t i;
+
+	for (i = 0; i < 3; i++)
+		bystanders[i] = rig_submit(rig, 1, 300, "");
+	guilty = rig_submit(rig, 2, 60, ".0");
+	for (; i < 6; i++)
+		bystanders[i] = rig_submit(rig, 1, 300, "");
+	srig_run(&rig->srig, 8000);
+	cr_expect_eq(guilty->result, SCHED_FAILED);
+	cr_expect_leq(rig_crashes(rig, guilty, 0), 2);
+	for (i = 0; i < 6; i++) {
+		cr_expect_eq(bystanders[i]->answers, 1);
+		cr_expect_eq(bystanders[i]->result, SCHED_COMPLETED,
+		    "bystander %zu", i);
+	}
+	rig_destroy(rig);
+}
+
+/* Load: two jobs a second, one in ten of which crashes the servers that start
+ * it. A crashed server is away for 3.3 s, and two crashes for each such task
+ * leave enough servers for the others. */
+Test(scheduler_suspect, jobs_beside_crashing_tasks_are_completed)
+{
+	struct rig *rig = rig_create();
+	uint32_t i, completed = 0, failed = 0, crashes = 0, most = 0, n;
+	struct job *job;
+
+	for (i = 0; i < 100; i++) {
+		(void)rig_submit(rig, 1, 60, i % 10 == 5 ? ".0" : "");
+		srig_run(&rig->srig, 500);
+	}
+	srig_run(&rig->srig, 20000);
+	for (i = 0; i < 100; i++) {
+		job = &rig->jobs[i];
+		n = rig_crashes(rig, job, 0);
+		crashes += n;
+		most = n > most ? n : most;
+		if (i % 10 == 5)
+			failed += job->result == SCHED_FAILED;
+		else
+			completed += job->result == SCHED_COMPLETED;
+	}
+	cr_expect_eq(completed, 90, "%u", completed);
+	cr_expect_eq(failed, 10, "%u", failed);
+	cr_expect_leq(most, 3, "%u", most);
+	cr_expect_leq(crashes, 20, "%u", crashes);
+	rig_destroy(rig);
+}
+
+/* The servers that run the job are cut off twice; they have not crashed. */
+Test(scheduler_suspect, task_of_unreachable_servers_is_not_given_up)
+{
+	struct rig *rig = rig_create();
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	struct job *job = rig_submit(rig, 2, 700, "");
+	uint32_t i, mask, cut;
+
+	for (cut = 0; cut < 3; cut++) {
+		srig_run(&rig->srig, 50);
+		mask = 0;
+		for (i = 0; i < SRIG_SERVERS; i++) {
+			if (rig->srig.cluster.servers[i].used_cpu != 0)
+				mask |= 1U << i;
+		}
+		faults->unreachable_mask = mask;
+		srig_run(&rig->srig, 1200);
+		faults->unreachable_mask = 0;
+		srig_run(&rig->srig, 200);
+	}
+	srig_run(&rig->srig, 8000);
+	cr_expect_eq(job->answers, 1);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
+Test(scheduler_suspect, suspect_runs_on_a_server_of_its_own)
+{
+	struct rig *rig = rig_create();
+	struct job *job = rig_submit(rig, 1, 400, "");
+	const struct wm_task *task;
+	struct wm_server *server;
+	uint32_t i;
+
+	srig_run(&rig->srig, 30);
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		server = &rig->srig.cluster.servers[i];
+		if (server->used_cpu == 0)
+			continue;
+		wm_crash(server);
+		server->down_until_ms = clock_now_us(clock_real()) / 1000 + 800;
+		break;
+	}
+	srig_run(&rig->srig, 1100);
+	task = wm_task(&rig->srig.cluster, "0000000000000001.0.0.0");
+	cr_assert_eq(task->running_now, 1);
+	(void)rig_submit(rig, 5, 100, "");
+	srig_run(&rig->srig, 40);
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		server = &rig->srig.cluster.servers[i];
+		if (!TAILQ_EMPTY(&server->running) &&
+		    strcmp(TAILQ_FIRST(&server->running)->task, task->task) ==
+			0)
+			cr_expect_eq(server->used_cpu, CPU);
+	}
+	srig_run(&rig->srig, 4000);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	cr_expect_eq(rig->jobs[1].result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
