Scheduler: tasks that crash their servers are isolated and given up

Cause: a run that ends with its server is never counted against the task (only ends 'failed' are), and all tasks of a lost server are started together elsewhere, where the guilty one takes down bystanders again.

Change: core/suspect keeps the losses of servers under each task and judges; a refused connection or a later incarnation shows a crash, the same incarnation that the server was only unreachable. A suspect is started alone; a second crash, at one of which it was alone, or a third in any case fails its job at once; two losses that are not explained delay it for 5 s at most. The holder's likely successors mirror the record with their pings, so it outlives the holder without a write. Runs are released as before: a refused connection ends no lease.

Ruled out: counting each loss against all tasks (gives up bystanders); releasing runs at a refused connection (a second run behind a firewall).

Cost: a lookup for each waiting task of a job that has lost a server, else none; in replies to pings of three hosts about 90 bytes for each suspect, 64 at most.

--- /dev/null
+++ b/core/suspect.c
@@ -0,0 +1,203 @@
+/*
+ * Tasks under which backend servers were lost.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/mem.h"
+#include "core/suspect.h"
+
+#define SUSP_US_PER_MS UINT64_C(1000)
+/* Crashes after which a task is guilty if it was alone at one of them, and if
+ * it never was. */
+#define SUSP_CRASHES_ALONE 2
+#define SUSP_CRASHES_MAX 3
+/* A task that has lost this many servers is not started while it is not known
+ * whether they have crashed, but for at most this time. */
+#define SUSP_WAIT_LOSSES 2
+#define SUSP_WAIT_MS 5000
+#define SUSP_VALID_MS 60000
+
+void
+susp_init(struct suspects *suspects)
+{
+	TAILQ_INIT(&suspects->tasks);
+	nidx_init(&suspects->by_name);
+	suspects->n = 0;
+}
+
+static void
+susp_task_free(struct suspects *suspects, struct susp_task *task)
+{
+	TAILQ_REMOVE(&suspects->tasks, task, entry);
+	nidx_remove(&suspects->by_name, &task->by_name);
+	suspects->n--;
+	free(task);
+}
+
+void
+susp_release(struct suspects *suspects)
+{
+	struct susp_task *task, *next;
+
+	TAILQ_FOREACH_SAFE (task, &suspects->tasks, entry, next)
+		susp_task_free(suspects, task);
+	nidx_release(&suspects->by_name);
+}
+
+static struct susp_task *
+susp_get(const struct suspects *suspects, const char *name)
+{
+	struct nidx_entry *entry = nidx_find(&suspects->by_name, name);
+
+	return entry == NULL ? NULL
+			     : NIDX_OBJECT(entry, struct susp_task, by_name);
+}
+
+const struct susp_task *
+susp_find(const struct suspects *suspects, const char *task)
+{
+	return susp_get(suspects, task);
+}
+
+static struct susp_task *
+susp_task_add(struct suspects *suspects, const char *name)
+{
+	struct susp_task *task;
+
+	if (suspects->n == SUSP_TASKS_MAX)
+		susp_task_free(suspects, TAILQ_FIRST(&suspects->tasks));
+	task = mem_zalloc(1, sizeof(*task));
+	strlcpy(task->name, name, sizeof(task->name));
+	nidx_insert(&suspects->by_name, &task->by_name, task->name);
+	TAILQ_INSERT_TAIL(&suspects->tasks, task, entry);
+	suspects->n++;
+	return task;
+}
+
+static void
+susp_loss_remove(struct susp_task *task, size_t i)
+{
+	task->nlosses--;
+	memmove(&task->losses[i], &task->losses[i + 1],
+	    (task->nlosses - i) * sizeof(task->losses[0]));
+}
+
+static bool
+susp_loss_same(const struct susp_loss *a, const struct susp_loss *b)
+{
+	return a->incarnation_start_ms == b->incarnation_start_ms &&
+	    strcmp(a->server, b->server) == 0;
+}
+
+bool
+susp_add_loss(struct suspects *suspects, const char *name,
+    const struct susp_loss *loss)
+{
+	struct susp_task *task = susp_get(suspects, name);
+	bool known;
+	size_t i;
+
+	if (task == NULL)
+		task = susp_task_add(suspects, name);
+	for (i = 0; i < task->nlosses; i++) {
+		if (!susp_loss_same(&task->losses[i], loss))
+			continue;
+		known = task->losses[i].crashed || !loss->crashed;
+		task->losses[i].crashed |= loss->crashed;
+		return !known;
+	}
+	if (task->nlosses == SUSP_LOSSES_MAX)
+		susp_loss_remove(task, 0);
+	task->losses[task->nlosses++] = *loss;
+	TAILQ_REMOVE(&suspects->tasks, task, entry);
+	TAILQ_INSERT_TAIL(&suspects->tasks, task, entry);
+	return true;
+}
+
+bool
+susp_server_seen(struct suspects *suspects, const char *server,
+    uint64_t incarnation_start_ms)
+{
+	struct susp_task *task, *next;
+	struct susp_loss *loss;
+	bool found = false;
+	size_t i;
+
+	TAILQ_FOREACH_SAFE (task, &suspects->tasks, entry, next) {
+		for (i = task->nlosses; i-- > 0;) {
+			loss = &task->losses[i];
+			if (loss->incarnation_start_ms == 0 ||
+			    strcmp(loss->server, server) != 0)
+				continue;
+			found = true;
+			if (loss->incarnation_start_ms == incarnation_start_ms)
+				susp_loss_remove(task, i);
+			else if (loss->incarnation_start_ms <
+			    incarnation_start_ms)
+				loss->crashed = true;
+		}
+		if (task->nlosses == 0)
+			susp_task_free(suspects, task);
+	}
+	return found;
+}
+
+void
+susp_acquit(struct suspects *suspects, const char *name)
+{
+	struct susp_task *task = susp_get(suspects, name);
+
+	if (task != NULL)
+		susp_task_free(suspects, task);
+}
+
+static uint64_t
+susp_last_loss_us(const struct susp_task *task)
+{
+	return task->losses[task->nlosses - 1].lost_us;
+}
+
+void
+susp_expire(struct suspects *suspects, uint64_t now_us)
+{
+	struct susp_task *task;
+
+	while ((task = TAILQ_FIRST(&suspects->tasks)) != NULL &&
+	    now_us - susp_last_loss_us(task) > SUSP_VALID_MS * SUSP_US_PER_MS)
+		susp_task_free(suspects, task);
+}
+
+static bool
+susp_task_guilty(const struct susp_task *task, size_t *crashes)
+{
+	bool alone = false;
+	size_t i;
+
+	*crashes = 0;
+	for (i = 0; i < task->nlosses; i++) {
+		if (!task->losses[i].crashed)
+			continue;
+		(*crashes)++;
+		alone |= task->losses[i].alone;
+	}
+	return *crashes >= SUSP_CRASHES_MAX ||
+	    (*crashes >= SUSP_CRASHES_ALONE && alone);
+}
+
+enum susp_verdict
+susp_judge(const struct suspects *suspects, const char *name, uint64_t now_us)
+{
+	const struct susp_task *task = susp_get(suspects, name);
+	size_t crashes;
+
+	if (task == NULL)
+		return SUSP_NONE;
+	if (susp_task_guilty(task, &crashes))
+		return SUSP_GUILTY;
+	if (task->nlosses >= SUSP_WAIT_LOSSES && crashes < task->nlosses &&
+	    now_us - susp_last_loss_us(task) < SUSP_WAIT_MS * SUSP_US_PER_MS)
+		return SUSP_WAIT;
+	return SUSP_ISOLATE;
+}
--- /dev/null
+++ b/core/suspect.h
@@ -0,0 +1,94 @@
+#ifndef CORE_SUSPECT_H
+#define CORE_SUSPECT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+#include "berylrail/limits.h"
+#include "core/name_index.h"
+
+/*
+ * Tasks under which backend servers were lost. A server that crashes ends all
+ * runs on it; one of them may have caused the crash. It can't be told at once
+ * which one, nor whether the server has crashed or is only unreachable. So each
+ * of its tasks is a suspect: it is started again on a server of its own, which
+ * then either crashes, too, or completes the task. See docs/design/suspects.md.
+ */
+
+#define SUSP_TASK_NAME_SIZE 64
+#define SUSP_LOSSES_MAX 4 /* of one task; the oldest one is dropped */
+#define SUSP_TASKS_MAX 512
+
+/** struct susp_loss - the loss of a server under a task. */
+struct susp_loss {
+	char server[NAME_SIZE];
+	uint64_t incarnation_start_ms; /* of the lost one; 0: unknown */
+	uint64_t lost_us;
+	bool crashed; /* else it is perhaps only unreachable */
+	bool alone;   /* no other task was on the server */
+};
+
+/** struct susp_task - a suspect. */
+struct susp_task {
+	char name[SUSP_TASK_NAME_SIZE];
+	struct susp_loss losses[SUSP_LOSSES_MAX]; /* oldest first */
+	size_t nlosses;
+	struct nidx_entry by_name;
+	TAILQ_ENTRY(susp_task) entry;
+};
+
+TAILQ_HEAD(susp_tasks, susp_task);
+
+/** struct suspects - all suspects, by the time of their last loss. */
+struct suspects {
+	struct susp_tasks tasks;
+	struct name_index by_name;
+	size_t n;
+};
+
+/** enum susp_verdict - what is known of a task. */
+enum susp_verdict {
+	SUSP_NONE,    /* no server was lost under it */
+	SUSP_ISOLATE, /* start it on a server without other tasks */
+	SUSP_WAIT,    /* do not start it until a lost server is back */
+	SUSP_GUILTY,  /* it crashes servers: do not start it again */
+};
+
+void susp_init(struct suspects *suspects);
+
+void susp_release(struct suspects *suspects);
+
+/**
+ * susp_add_loss() - record the loss of a server under a task. A second record
+ * of the same loss adds what is known of it.
+ * Return: whether it adds anything.
+ */
+bool susp_add_loss(struct suspects *suspects, const char *task,
+    const struct susp_loss *loss);
+
+/**
+ * susp_server_seen() - a server replies. If it is the lost incarnation, it was
+ * only unreachable and the loss is forgotten; if it is a later one, the lost
+ * incarnation has crashed.
+ * Return: whether a suspect is concerned.
+ */
+bool susp_server_seen(struct suspects *suspects, const char *server,
+    uint64_t incarnation_start_ms);
+
+/** susp_acquit() - the task has ended without a crash. */
+void susp_acquit(struct suspects *suspects, const char *task);
+
+/** susp_expire() - forget tasks whose last loss is too old to matter. */
+void susp_expire(struct suspects *suspects, uint64_t now_us);
+
+/** susp_find() - Return: the suspect, or NULL. */
+const struct susp_task *susp_find(const struct suspects *suspects,
+    const char *task);
+
+/** susp_judge() - whether and how the task may be started. */
+enum susp_verdict susp_judge(const struct suspects *suspects, const char *task,
+    uint64_t now_us);
+
+#endif /* CORE_SUSPECT_H */
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -464,6 +464,9 @@
 	    (int)cells->leaving, "config",
 	    (json_int_t)params->config_version(params->arg));
 	holder = cells_zone_holder(cells->local_zone);
+	if (token != 0 && cells_query_u64(request, "suspects") != 0)
+		(void)json_object_set_new(body, "suspects",
+		    sched_suspects_render(cells->params.sched));
 	if (token != 0)
 		cells_add_load(cells,
 		    api_query_text(request->query, "az", az, sizeof(az)) &&
--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -7,6 +7,9 @@
  * that it refuses. The number of pings of a host so depends neither on the
  * number of hosts nor on that of servers; a holder answers those of its zone.
  *
+ * The holder's replies to its likely successors have its record of tasks that
+ * may crash servers (see core/suspect.h), which so outlives it.
+ *
  * Pings and replies carry the version of the sender's configuration. As every
  * host pings its holder and holders ping each other, a version that one host
  * has read becomes known to all connected hosts, also to those that the store
@@ -90,6 +93,9 @@
 		cells_host_set_token(ping->cells, host,
 		    (uint64_t)json_integer_value(
 			json_object_get(body, "token")));
+		if (host->zone->local && host->token != 0)
+			sched_suspects_mirror(ping->cells->params.sched,
+			    json_object_get(body, "suspects"));
 		cells_learn_holder(ping->cells, host, body);
 		cells_report_config(ping->cells, ping->host,
 		    (uint64_t)json_integer_value(
@@ -104,7 +110,7 @@
     uint64_t now_us)
 {
 	const struct cells_params *params = &cells->params;
-	char query[2 * NAME_SIZE + 48];
+	char query[2 * NAME_SIZE + 64];
 	const struct api_request request = { .method = API_GET,
 		.path = CELLS_PATH "state",
 		.query = query };
@@ -133,9 +139,10 @@
 	host->ping_pending = true;
 	host->ping_sent_us = now_us;
 	host->ping_sent_tick = cells->nticks;
-	(void)snprintf(query, sizeof(query), "az=%s&host=%s&config=%" PRIu64,
-	    params->self.az, params->self.name,
-	    params->config_version(params->arg));
+	(void)snprintf(query, sizeof(query),
+	    "az=%s&host=%s&config=%" PRIu64 "&suspects=%d", params->self.az,
+	    params->self.name, params->config_version(params->arg),
+	    host->zone->local && cells_is_candidate(cells) ? 1 : 0);
 	params->peers->ops->forward(params->peers, host->info.az,
 	    host->info.name, host->incarnation, &request, cells_ping_done,
 	    ping);
--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -65,7 +65,7 @@
 	if (server != NULL && server->removed)
 		server = NULL;
 	if (server != NULL && sched_server_replaced(server, info)) {
-		sched_server_lost(server, "restarted");
+		sched_server_lost(server, "restarted", true);
 		server->removed = true;
 		server = NULL;
 	}
@@ -276,8 +276,10 @@
 	(void)what;
 	sched_update_tick_delay(sched, now_us);
 	sched_update_gauges(sched);
+	susp_expire(&sched->suspects, now_us);
 	TAILQ_FOREACH_SAFE (job, &sched->jobs, entry, next_job) {
-		if (!sched_job_expire(job, now_us))
+		if (!sched_suspects_end_job(job) &&
+		    !sched_job_expire(job, now_us))
 			sched_gang_check(job);
 	}
 	TAILQ_FOREACH_SAFE (server, &sched->servers, entry, next_server) {
@@ -302,6 +304,7 @@
 	nidx_init(&sched->servers_by_id);
 	TAILQ_INIT(&sched->jobs);
 	TAILQ_INIT(&sched->waiting);
+	susp_init(&sched->suspects);
 	for (i = 0; i < SCHED_JOB_BUCKETS; i++)
 		LIST_INIT(&sched->buckets[i]);
 	sched->tick_event =
@@ -332,6 +335,7 @@
 		event_free(sched->dispatch_event);
 	sched_advice_detach_calls(sched);
 	nidx_release(&sched->servers_by_id);
+	susp_release(&sched->suspects);
 	free(sched->candidates);
 	free(sched);
 }
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -18,6 +18,7 @@
  */
 
 struct event_base;
+struct json_t;
 struct scheduler;
 
 /** enum sched_result - the outcome of a job, as reported to its submitter. */
@@ -176,6 +177,17 @@
 /** sched_load() - get the load of the cell, computed a short time ago. */
 void sched_load(struct scheduler *sched, struct sched_load *load);
 
+/**
+ * sched_suspects_render() - encode the tasks under which servers were lost, for
+ * hosts that may become the holder.
+ * Return: a JSON array, owned by the caller.
+ */
+struct json_t *sched_suspects_render(const struct scheduler *sched);
+
+/** sched_suspects_mirror() - replace the record of suspects by the holder's;
+ * does nothing on a holder. */
+void sched_suspects_mirror(struct scheduler *sched, const struct json_t *items);
+
 /** sched_idle() - whether the scheduler has no job, not even an ended one. */
 bool sched_idle(const struct scheduler *sched);
 
--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -29,6 +29,8 @@
 #define SCHED_ORDER_TIME_MS 20
 /* A run is delayed by the order that starts it and by the list of its end. */
 #define SCHED_ORDER_DELAYS 2
+/* A suspect waits this long for a server without other tasks. */
+#define SCHED_ISOLATION_WAIT_MS 300
 /* Without an answered order for this time, the delay is unknown. */
 #define SCHED_ORDER_TIME_VALID_MS 300
 
@@ -108,7 +110,7 @@
 sched_server_accepts_starts(const struct sched_server *server, uint64_t now_us)
 {
 	return server->held && !server->removed && !server->info.draining &&
-	    server->unanswered_holds == 0 &&
+	    server->unanswered_holds == 0 && server->nisolated == 0 &&
 	    server->no_start_until_us <= now_us &&
 	    server->ejected_until_us <= now_us &&
 	    (server->eject_ms == 0 || TAILQ_EMPTY(&server->tasks)) &&
@@ -151,6 +153,16 @@
 	return false;
 }
 
+/* A suspect is started on a server of its own, or, if it has waited for one, on
+ * one without other suspects. */
+static bool
+sched_server_isolates(const struct sched_server *server,
+    const struct sched_task *task)
+{
+	return !task->isolate || TAILQ_EMPTY(&server->tasks) ||
+	    task->isolate_until_us <= sched_now(server->sched);
+}
+
 static bool
 sched_server_eligible(const struct sched_server *server,
     const struct sched_task *task)
@@ -161,6 +173,7 @@
 
 	if (!sched_server_matches(server, task) ||
 	    sched_server_conflicts(server, step) ||
+	    !sched_server_isolates(server, task) ||
 	    (task->job->advice != NULL &&
 		sched_advice_ticket(task, server) == NULL))
 		return false;
@@ -274,6 +287,22 @@
 	    no_capacity_cpu; /* smallest demand that no server could meet */
 };
 
+/* Whether the task may be started, as far as the crashes of its former servers
+ * are concerned. A gang, which needs several servers, is not isolated. */
+static bool
+sched_suspect_may_start(struct sched_task *task, uint64_t now_us)
+{
+	enum susp_verdict verdict = sched_suspect_judge(task, now_us);
+
+	if (verdict == SUSP_GUILTY)
+		task->job->crashes_servers = true;
+	task->isolate = verdict == SUSP_ISOLATE && !sched_gang_member(task);
+	if (task->isolate && task->isolate_until_us == 0)
+		task->isolate_until_us =
+		    now_us + SCHED_ISOLATION_WAIT_MS * SCHED_US_PER_MS;
+	return verdict == SUSP_NONE || verdict == SUSP_ISOLATE;
+}
+
 static void
 sched_try_start(struct sched_task *task, struct sched_pass *pass)
 {
@@ -287,7 +316,8 @@
 	if (task->job->stored && !task->job->sched->jobs_loaded)
 		return;
 	if (step->cpu >= pass->no_capacity_cpu ||
-	    (task->job->start_after_us > pass->now_us && !pass->all_held))
+	    (task->job->start_after_us > pass->now_us && !pass->all_held) ||
+	    !sched_suspect_may_start(task, pass->now_us))
 		return;
 	if (sched_gang_member(task)) {
 		sched_gang_try_start(task, pass->now_us);
@@ -299,7 +329,7 @@
 		sched_run_start(task, server);
 	else if (task->job->advice != NULL)
 		sched_advice_request(task, pass->now_us);
-	else if (unconstrained)
+	else if (unconstrained && !task->isolate)
 		pass->no_capacity_cpu = step->cpu;
 }
 
--- a/entry/jobs/scheduler_end.c
+++ b/entry/jobs/scheduler_end.c
@@ -166,6 +166,7 @@
 		sched_run_discard(task, sched_end_names[end_state]);
 		return seq;
 	}
+	sched_suspect_acquit(task);
 	sched_update_server_health(task->server, task->job,
 	    end_state == WORKER_END_DONE);
 	if (end_state == WORKER_END_DONE && task->start_sent_us != 0)
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -8,6 +8,7 @@
 #include "core/name_index.h"
 #include "core/place.h"
 #include "core/rtt.h"
+#include "core/suspect.h"
 #include "entry/jobs/scheduler.h"
 
 /*
@@ -21,6 +22,7 @@
  *   scheduler_dispatch.c  order of waiting tasks and choice of their servers
  *   scheduler_gang.c      gang scheduling
  *   scheduler_advice.c    placement permits from an external policy
+ *   scheduler_suspect.c   tasks that may crash servers
  *
  * A hold is the long-poll request to a server that renews its lease,
  * acknowledges ended runs and returns the lists of running and ended runs.
@@ -107,6 +109,10 @@
 	char *last_checkpoint;	   /* owned; NULL: none */
 	uint64_t checkpoint_run;   /* run id that wrote last_checkpoint */
 	bool stop_confirmed; /* the run can't start later, and ends soon */
+	bool isolate;  /* a suspect: its next run needs a server of its own */
+	bool isolated; /* no other task is started beside its run */
+	uint64_t
+	    isolate_until_us; /* then the server may have others; 0: unset */
 	TAILQ_ENTRY(sched_task) on_server;
 	TAILQ_ENTRY(sched_task) waiting;
 };
@@ -136,7 +142,9 @@
 	bool has_started;
 	/* A start was ordered by this host, or perhaps by another one. */
 	bool may_have_started;
-	bool ended; /* the submitter has its reply; runs may remain */
+	bool has_suspects;    /* servers were lost under its tasks */
+	bool crashes_servers; /* one of its tasks does; the job is to fail */
+	bool ended;	      /* the submitter has its reply; runs may remain */
 	sched_done_fn done;
 	void *arg;
 	LIST_ENTRY(sched_job) hash;
@@ -187,8 +195,10 @@
 	uint64_t processed_end;	      /* number of the last processed end */
 	uint64_t acknowledged_sent;   /* value that the last hold sent */
 	struct sched_unstored_ends unstored_ends; /* ordered by number */
-	bool held;    /* its lists were processed under this token */
-	bool removed; /* from the registry; freed when unused */
+	bool held;	     /* its lists were processed under this token */
+	bool removed;	     /* from the registry; freed when unused */
+	bool crash_reported; /* it refuses connections since it was held */
+	uint32_t nisolated;  /* runs that no other task is started beside */
 	bool hold_pending;
 	uint64_t hold_sent_us;
 	uint64_t hold_due_us;	   /* next hold; 0: not scheduled */
@@ -231,6 +241,7 @@
 	uint64_t queued_work;
 	LIST_HEAD(, sched_advice_call) advice_calls; /* pending */
 	uint32_t nadvice_calls;
+	struct suspects suspects; /* of this holder, or mirrored from it */
 	struct event *tick_event;
 	struct event *dispatch_event;
 	struct place_server *candidates; /* buffer of sched_dispatch() */
@@ -262,7 +273,11 @@
 /* Periodic checks: link, lease, next hold, stragglers and orphans. */
 void sched_server_tick(struct sched_server *server, uint64_t now_us);
 void sched_server_reset(struct sched_server *server);
-void sched_server_lost(struct sched_server *server, const char *reason);
+/* @crashed: whether it is known that its process has ended. */
+void sched_server_lost(struct sched_server *server, const char *reason,
+    bool crashed);
+/* The server refuses connections: its process has ended. */
+void sched_server_refused(struct sched_server *server);
 /*
  * Calls the fenced callback if the server has a higher token, and closes the
  * link if another incarnation replies. Return: true in both cases; the caller
@@ -326,6 +341,22 @@
  * servers that match it and have neither a ticket nor a refusal. */
 void sched_advice_request(struct sched_task *task, uint64_t now_us);
 
+/* scheduler_suspect.c */
+/* Whether and how a waiting task may be started. */
+enum susp_verdict sched_suspect_judge(const struct sched_task *task,
+    uint64_t now_us);
+/* The task's run has ended without a crash. */
+void sched_suspect_acquit(const struct sched_task *task);
+/* Records the loss of a server under its tasks. */
+void sched_suspects_server_lost(struct sched_server *server, bool crashed);
+/* A lost server replies. */
+void sched_suspects_server_seen(struct sched_server *server,
+    uint64_t incarnation_start_ms);
+/* Finds suspects among the tasks of a new job. */
+void sched_suspects_check_job(struct sched_job *job);
+/* Fails a job of which a task crashes servers. Return: whether it was ended. */
+bool sched_suspects_end_job(struct sched_job *job);
+
 /* scheduler_gang.c */
 bool sched_gang_member(const struct sched_task *task);
 /* Number of failed runs of a task, or of its gang: exactly one member is
--- a/entry/jobs/scheduler_job.c
+++ b/entry/jobs/scheduler_job.c
@@ -260,6 +260,7 @@
 		sched_advice_create(job);
 	sched_job_load_progress(job, request);
 	sched_job_set_times(job, request);
+	sched_suspects_check_job(job);
 	LIST_INSERT_HEAD(&sched->buckets[sched_job_bucket(job->spec.id)], job,
 	    hash);
 	TAILQ_INSERT_TAIL(&sched->jobs, job, entry);
--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -72,6 +72,7 @@
 	server->used_cpu += step->cpu;
 	server->used_mem += step->mem_mb;
 	server->used_gpu += step->gpus;
+	server->nisolated += task->isolated;
 	TAILQ_INSERT_TAIL(&server->tasks, task, on_server);
 }
 
@@ -89,6 +90,8 @@
 	server->used_cpu -= step->cpu;
 	server->used_mem -= step->mem_mb;
 	server->used_gpu -= step->gpus;
+	server->nisolated -= task->isolated;
+	task->isolated = false;
 	TAILQ_REMOVE(&server->tasks, task, on_server);
 	sched_dispatch_wake(server->sched);
 }
@@ -136,6 +139,8 @@
 		    order->sent_us, now_us);
 	if (reply->verdict == WORKER_NO_REPLY) {
 		ctr_inc(&sched_orders_unanswered);
+		if (reply->refused)
+			sched_server_refused(server);
 	} else {
 		rtt_add(&server->sched->order_time, now_us - order->sent_us);
 		server->sched->order_answered_us = now_us;
@@ -292,6 +297,8 @@
 	uint64_t run_id = sched->token * SCHED_RUN_IDS_PER_TOKEN + ++task->runs;
 
 	sched_task_dequeue(task);
+	task->isolated = task->isolate;
+	task->isolate_until_us = 0;
 	sched_task_assign(task, server, run_id);
 	task->state = SCHED_TASK_STARTING;
 	task->start_attempts = 0;
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -49,7 +49,7 @@
 /* Closes the link to a server and discards its runs. They have ended: its lease
  * has expired, or another incarnation has replaced it. */
 void
-sched_server_lost(struct sched_server *server, const char *reason)
+sched_server_lost(struct sched_server *server, const char *reason, bool crashed)
 {
 	struct sched_task *task, *next;
 
@@ -57,6 +57,8 @@
 		log_event(LOG_LEVEL_WARN, "server-lost",
 		    "server=%s reason=\"%s\" started_ms=%" PRIu64,
 		    server->info.id, reason, server->incarnation_start_ms);
+	if (!server->crash_reported)
+		sched_suspects_server_lost(server, crashed);
 	server->reopen_at_us =
 	    sched_now(server->sched) + SCHED_REOPEN_DELAY_MS * SCHED_US_PER_MS;
 	if (server->link != NULL)
@@ -71,6 +73,18 @@
 		sched_run_discard(task, reason);
 }
 
+void
+sched_server_refused(struct sched_server *server)
+{
+	if (!server->held || server->crash_reported)
+		return;
+	server->crash_reported = true;
+	log_event(LOG_LEVEL_WARN, "server-crashed",
+	    "server=%s started_ms=%" PRIu64 " reason=\"connection refused\"",
+	    server->info.id, server->incarnation_start_ms);
+	sched_suspects_server_lost(server, true);
+}
+
 /* Resets the state of a server and requests its lists. */
 void
 sched_server_reset(struct sched_server *server)
@@ -87,6 +101,7 @@
 		abort();
 	memset(&server->lease, 0, sizeof(server->lease));
 	server->held = false;
+	server->crash_reported = false;
 	server->acknowledged = 0;
 	server->processed_end = 0;
 	server->incarnation_start_ms = 0;
@@ -272,10 +287,19 @@
 sched_check_incarnation(struct sched_server *server,
     uint64_t incarnation_start_ms)
 {
+	bool crash_reported = server->crash_reported;
+
 	if (incarnation_start_ms == 0 ||
-	    incarnation_start_ms == server->incarnation_start_ms)
+	    (incarnation_start_ms == server->incarnation_start_ms &&
+		!crash_reported))
+		return;
+	sched_suspects_server_seen(server, incarnation_start_ms);
+	server->crash_reported = false;
+	if (incarnation_start_ms == server->incarnation_start_ms)
 		return;
 	if (server->incarnation_start_ms != 0) {
+		if (!crash_reported)
+			sched_suspects_server_lost(server, true);
 		log_event(LOG_LEVEL_WARN, "server-restarted",
 		    "server=%s started_ms=%" PRIu64 " previous_ms=%" PRIu64,
 		    server->info.id, incarnation_start_ms,
@@ -297,7 +321,7 @@
 		sched->params.fenced(sched->params.arg);
 	else if (verdict == WORKER_OTHER_INCARNATION)
 		sched_server_lost(server,
-		    "another incarnation replies at the address");
+		    "another incarnation replies at the address", true);
 	return verdict == WORKER_FENCED || verdict == WORKER_OTHER_INCARNATION;
 }
 
@@ -318,6 +342,8 @@
 		return;
 	}
 	if (reply->verdict != WORKER_OK || !reply->has_lists) {
+		if (reply->refused)
+			sched_server_refused(server);
 		if (server->unanswered_holds++ == SCHED_UNANSWERED_HOLDS_MAX)
 			log_event(LOG_LEVEL_WARN, "server-unreachable",
 			    "server=%s verdict=%d refused=%d", server->info.id,
@@ -496,8 +522,8 @@
 	if (server->unanswered_holds > SCHED_UNANSWERED_HOLDS_MAX &&
 	    server->pending_calls == 0 && !TAILQ_EMPTY(&server->tasks) &&
 	    lease_expired(&server->lease, now_us)) {
-		sched_server_lost(server,
-		    "unreachable until its lease expired");
+		sched_server_lost(server, "unreachable until its lease expired",
+		    false);
 		return;
 	}
 	if (!server->hold_pending && server->hold_due_us != 0 &&
--- /dev/null
+++ b/entry/jobs/scheduler_suspect.c
@@ -0,0 +1,253 @@
+/*
+ * Tasks that may crash backend servers (see core/suspect.h). All tasks of a
+ * server that is lost are recorded; one that is found guilty fails its job. The
+ * likely successors of the holder mirror its record.
+ */
+
+#include <inttypes.h>
+#include <jansson.h>
+
+#include "adapters/log.h"
+#include "core/counters.h"
+#include "core/mem.h"
+#include "entry/jobs/scheduler_internal.h"
+
+#define SCHED_US_PER_MS UINT64_C(1000)
+/* A lasting task that has run for longer did not crash its server by being
+ * started there. */
+#define SCHED_SUSPECT_RUN_MAX_MS 5000
+/* Number of suspects that a successor mirrors, the latest ones. */
+#define SCHED_SUSPECTS_MIRRORED 64
+
+static struct counter sched_server_crashes = {
+	.name = "berylrail_work_server_crashes_total",
+	.help = "Backend servers that have crashed under tasks.",
+};
+static struct counter sched_tasks_given_up = {
+	.name = "berylrail_work_tasks_given_up_total",
+	.help = "Tasks that were given up as they crash backend servers.",
+};
+
+static const char *const sched_verdict_names[] = {
+	[SUSP_NONE] = "none",
+	[SUSP_ISOLATE] = "isolate",
+	[SUSP_WAIT] = "wait",
+	[SUSP_GUILTY] = "guilty",
+};
+
+/* Tasks of earlier submissions of the job may be on record. */
+void
+sched_suspects_check_job(struct sched_job *job)
+{
+	const struct susp_task *suspect;
+
+	TAILQ_FOREACH (suspect, &job->sched->suspects.tasks, entry) {
+		if (strncmp(suspect->name, job->spec.id, JOB_ID_LEN) == 0)
+			job->has_suspects = true;
+	}
+}
+
+enum susp_verdict
+sched_suspect_judge(const struct sched_task *task, uint64_t now_us)
+{
+	char name[WORKER_TASK_NAME_SIZE];
+
+	if (!task->job->has_suspects)
+		return SUSP_NONE;
+	sched_task_name(task, name);
+	return susp_judge(&task->job->sched->suspects, name, now_us);
+}
+
+void
+sched_suspect_acquit(const struct sched_task *task)
+{
+	char name[WORKER_TASK_NAME_SIZE];
+
+	if (!task->job->has_suspects)
+		return;
+	sched_task_name(task, name);
+	susp_acquit(&task->job->sched->suspects, name);
+}
+
+/* Whether the loss of its server says anything of the task. */
+static bool
+sched_suspect_concerned(const struct sched_task *task, uint64_t now_us)
+{
+	return !task->job->ended && task->state != SCHED_TASK_DONE &&
+	    (!task->job->spec.long_running ||
+		(task->start_sent_us != 0 &&
+		    now_us - task->start_sent_us <
+			SCHED_SUSPECT_RUN_MAX_MS * SCHED_US_PER_MS));
+}
+
+/* Records the loss of its server under a task. Return: whether the task is
+ * guilty now. */
+static bool
+sched_suspect_record(struct sched_task *task, struct susp_loss *loss)
+{
+	char name[WORKER_TASK_NAME_SIZE];
+	struct sched_job *job = task->job;
+	enum susp_verdict verdict;
+
+	sched_task_name(task, name);
+	job->has_suspects = true;
+	if (!susp_add_loss(&job->sched->suspects, name, loss))
+		return false;
+	verdict = susp_judge(&job->sched->suspects, name, loss->lost_us);
+	log_event(LOG_LEVEL_INFO, "task-suspected",
+	    "id=%s task=%" PRIu32 ".%" PRIu32
+	    " server=%s crashed=%d alone=%d losses=%zu verdict=%s",
+	    job->spec.id, task->step, task->index, loss->server,
+	    loss->crashed ? 1 : 0, loss->alone ? 1 : 0,
+	    susp_find(&job->sched->suspects, name)->nlosses,
+	    sched_verdict_names[verdict]);
+	if (verdict == SUSP_GUILTY)
+		job->crashes_servers = true;
+	return verdict == SUSP_GUILTY;
+}
+
+/* Records the loss under the tasks that are on record, or under the others. */
+static bool
+sched_suspects_record(struct sched_server *server, struct susp_loss *loss,
+    bool on_record)
+{
+	enum susp_verdict verdict;
+	struct sched_task *task;
+	bool guilty = false;
+
+	TAILQ_FOREACH (task, &server->tasks, on_server) {
+		verdict = sched_suspect_judge(task, loss->lost_us);
+		if ((verdict != SUSP_NONE) == on_record &&
+		    sched_suspect_concerned(task, loss->lost_us))
+			guilty |= sched_suspect_record(task, loss);
+	}
+	return guilty;
+}
+
+/* If a suspect is found guilty, the others on the server are bystanders. */
+void
+sched_suspects_server_lost(struct sched_server *server, bool crashed)
+{
+	struct susp_loss loss = {
+		.incarnation_start_ms = server->incarnation_start_ms,
+		.lost_us = sched_now(server->sched),
+		.crashed = crashed,
+		.alone = TAILQ_FIRST(&server->tasks) ==
+		    TAILQ_LAST(&server->tasks, sched_tasks),
+	};
+
+	/* The process of a draining server ends without a crash. */
+	if (TAILQ_EMPTY(&server->tasks) || server->info.draining)
+		return;
+	if (crashed)
+		ctr_inc(&sched_server_crashes);
+	strlcpy(loss.server, server->info.id, sizeof(loss.server));
+	if (!sched_suspects_record(server, &loss, true))
+		(void)sched_suspects_record(server, &loss, false);
+}
+
+void
+sched_suspects_server_seen(struct sched_server *server,
+    uint64_t incarnation_start_ms)
+{
+	if (susp_server_seen(&server->sched->suspects, server->info.id,
+		incarnation_start_ms))
+		log_event(LOG_LEVEL_INFO, "lost-server-back",
+		    "server=%s started_ms=%" PRIu64, server->info.id,
+		    incarnation_start_ms);
+}
+
+bool
+sched_suspects_end_job(struct sched_job *job)
+{
+	const struct sched_reply failed = { .result = SCHED_FAILED,
+		.reason = "a task has crashed the servers that started it" };
+
+	if (job->ended || !job->crashes_servers)
+		return false;
+	ctr_inc(&sched_tasks_given_up);
+	sched_job_finish(job, &failed);
+	return true;
+}
+
+/* Mirroring: each suspect is an array of its name and its losses. */
+
+static json_t *
+sched_render_suspect(const struct susp_task *suspect, uint64_t now_us)
+{
+	json_t *item = json_pack("[s]", suspect->name);
+	const struct susp_loss *loss;
+	size_t i;
+
+	for (i = 0; i < suspect->nlosses; i++) {
+		loss = &suspect->losses[i];
+		(void)json_array_append_new(item,
+		    json_pack("[s,I,I,b,b]", loss->server,
+			(json_int_t)loss->incarnation_start_ms,
+			(json_int_t)((now_us - loss->lost_us) /
+			    SCHED_US_PER_MS),
+			(int)loss->crashed, (int)loss->alone));
+	}
+	return item;
+}
+
+struct json_t *
+sched_suspects_render(const struct scheduler *sched)
+{
+	const struct susp_task *suspect;
+	uint64_t now_us = sched_now(sched);
+	json_t *items = json_array();
+
+	TAILQ_FOREACH_REVERSE (suspect, &sched->suspects.tasks, susp_tasks,
+	    entry) {
+		if (json_array_size(items) == SCHED_SUSPECTS_MIRRORED)
+			break;
+		(void)json_array_insert_new(items, 0,
+		    sched_render_suspect(suspect, now_us));
+	}
+	return items;
+}
+
+static void
+sched_mirror_suspect(struct scheduler *sched, const json_t *item,
+    uint64_t now_us)
+{
+	const char *name = json_string_value(json_array_get(item, 0)), *server;
+	struct susp_loss loss = { 0 };
+	const json_t *fields;
+	uint64_t age_us;
+	size_t i;
+
+	if (name == NULL || strlen(name) >= SUSP_TASK_NAME_SIZE)
+		return;
+	for (i = 1; i < json_array_size(item); i++) {
+		fields = json_array_get(item, i);
+		server = json_string_value(json_array_get(fields, 0));
+		if (server == NULL)
+			continue;
+		strlcpy(loss.server, server, sizeof(loss.server));
+		loss.incarnation_start_ms = (uint64_t)json_integer_value(
+		    json_array_get(fields, 1));
+		age_us = (uint64_t)json_integer_value(
+			     json_array_get(fields, 2)) *
+		    SCHED_US_PER_MS;
+		loss.lost_us = age_us < now_us ? now_us - age_us : 0;
+		loss.crashed = json_is_true(json_array_get(fields, 3));
+		loss.alone = json_is_true(json_array_get(fields, 4));
+		(void)susp_add_loss(&sched->suspects, name, &loss);
+	}
+}
+
+void
+sched_suspects_mirror(struct scheduler *sched, const struct json_t *items)
+{
+	const json_t *item;
+	size_t i;
+
+	if (sched->token != 0 || !json_is_array(items))
+		return;
+	susp_release(&sched->suspects);
+	susp_init(&sched->suspects);
+	json_array_foreach (items, i, item)
+		sched_mirror_suspect(sched, item, sched_now(sched));
+}
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -6,6 +6,7 @@
 
 #include <criterion/criterion.h>
 #include <event2/event.h>
+#include <jansson.h>
 #include <stdio.h>
 
 #include "adapters/clock_real.h"
@@ -647,3 +648,28 @@
 		cr_expect_eq(net->hosts[i].config_reported, 5, "host %zu", i);
 	net_destroy(net);
 }
+
+/* The holder's record of tasks that may crash servers outlives it. */
+Test(cells, likely_successors_mirror_the_record_of_suspects)
+{
+	struct net *net = net_create_zones(6, 1);
+	json_t *suspects = json_pack("[[s,[s,I,I,b,b]]]",
+	    "00000000000000aa.0.0.0", "s1", (json_int_t)5, (json_int_t)0, 1, 1);
+	json_t *mirrored;
+	size_t i;
+
+	/* A record that the holder has from its predecessor. */
+	for (i = 0; i < 6; i++)
+		sched_suspects_mirror(net->hosts[i].sched,
+		    i == 0 ? suspects : NULL);
+	net_run(net, 2000);
+	cr_assert_neq(sched_token(net->hosts[0].sched), 0);
+	for (i = 0; i < 6; i++) {
+		mirrored = sched_suspects_render(net->hosts[i].sched);
+		cr_expect_eq(json_array_size(mirrored), i < 3 ? 1 : 0,
+		    "host %zu", i);
+		json_decref(mirrored);
+	}
+	json_decref(suspects);
+	net_destroy(net);
+}
--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 #include <event2/event.h>
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -255,3 +256,27 @@
 	cr_expect_eq(rig->jobs[1].result, SCHED_COMPLETED);
 	rig_destroy(rig);
 }
+
+/* The holder is lost after the first crash. */
+Test(scheduler_suspect, successor_knows_the_crashes_of_the_former_holder)
+{
+	struct rig *rig = rig_create();
+	struct job *job = rig_submit(rig, 1, 60, ".0"), resubmission = *job;
+	struct scheduler *successor;
+	json_t *suspects;
+
+	srig_run(&rig->srig, 300);
+	cr_assert_eq(rig_crashes(rig, job, 0), 1);
+	suspects = sched_suspects_render(rig->srig.sched);
+	sched_deactivate(rig->srig.sched);
+	successor = srig_scheduler_inactive(&rig->srig);
+	sched_suspects_mirror(successor, suspects);
+	json_decref(suspects);
+	srig_activate(successor, 20);
+	rig_submit_to(successor, &resubmission, 1, 60, ".0", true);
+	srig_run(&rig->srig, 8000);
+	cr_expect_eq(resubmission.result, SCHED_FAILED);
+	cr_expect_eq(rig_crashes(rig, job, 0), 2);
+	sched_destroy(successor);
+	rig_destroy(rig);
+}
