Hosts: the row of a host has the advertised port; soak: changes of configuration

What callers could see: where hosts are reached at another port than the one that they listen at (--peer-advertise), no host of a zone reaches another. Each takes itself for the holder, they fence each other several times a second, jobs are refused or late, and a host that the store does not answer learns nothing of a configuration.

Cause: the row that a host writes had the advertised address, but the port that it listens at. The soak passes all connections between hosts through a proxy and since listens at an address of its own: its hosts have had no connection to each other since, and it has tested hosts alone.

Change: the advertised port is written if one is set.

--- a/entry/daemon_jobs.c
+++ b/entry/daemon_jobs.c
@@ -35,7 +35,9 @@
 	strlcpy(params.self.az, set->az, NAME_SIZE);
 	strlcpy(params.self.address, set->peer_advertise.address,
 	    sizeof(params.self.address));
-	params.self.port = peers_tcp_port(dmn->peers);
+	params.self.port = set->peer_advertise.port != 0
+	    ? set->peer_advertise.port
+	    : peers_tcp_port(dmn->peers);
 	params.self.weight = set->weight;
 	dmn->jobs = dmn->worker == NULL ? NULL : jsvc_create(&params);
 	if (dmn->jobs == NULL)
--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -226,10 +226,10 @@
 		if (server == NULL)
 			continue;
 		strlcpy(loss.server, server, sizeof(loss.server));
-		loss.incarnation_start_ms = (uint64_t)json_integer_value(
-		    json_array_get(fields, 1));
-		age_us = (uint64_t)json_integer_value(
-			     json_array_get(fields, 2)) *
+		loss.incarnation_start_ms =
+		    (uint64_t)json_integer_value(json_array_get(fields, 1));
+		age_us =
+		    (uint64_t)json_integer_value(json_array_get(fields, 2)) *
 		    SCHED_US_PER_MS;
 		loss.lost_us = age_us < now_us ? now_us - age_us : 0;
 		loss.crashed = json_is_true(json_array_get(fields, 3));
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -9,6 +9,8 @@
  *	- all tasks of a job that was answered "completed" have completed;
  *	- a stored job that was accepted ends once all faults are over, and a
  *	  host of each zone reports that;
+ *	- a process never goes back to an older configuration, and all of them
+ *	  have the newest one within 6 s of the last fault;
  *	- jobs are completed again after the last fault.
  */
 
@@ -33,6 +35,7 @@
 #define SOAK_WARM_UP_MS 2500
 #define SOAK_RECOVERY_MS 7000 /* from the end of the last fault */
 #define SOAK_RECOVERY_JOBS 40
+#define SOAK_CONFIG_MS 6000	 /* a configuration is in force by then */
 #define SOAK_RUN_INTERVAL_MS 400 /* between the runs of a job */
 
 static void
@@ -324,6 +327,7 @@
 	close(soak->address_claim);
 	event_free(soak->submit_timer);
 	event_free(soak->fault_timer);
+	event_free(soak->config_timer);
 	event_base_loop(soak->base, EVLOOP_NONBLOCK);
 }
 
@@ -353,6 +357,9 @@
 	soak_run_loop(&soak, SOAK_WARM_UP_MS);
 	soak.submit_timer = evtimer_new(soak.base, soak_submit_next, &soak);
 	soak.fault_timer = evtimer_new(soak.base, soak_inject_next, &soak);
+	soak.config_timer =
+	    evtimer_new(soak.base, soak_config_change_next, &soak);
+	soak_set_timer(soak.config_timer, 300);
 	soak_set_timer(soak.submit_timer, 1);
 	soak_set_timer(soak.fault_timer, 500);
 	soak_run_loop(&soak, (uint32_t)seconds->ival[0] * 1000);
@@ -360,6 +367,10 @@
 	/* All faults end within this time. */
 	soak_run_loop(&soak, 5200);
 	soak_restore(&soak);
+	soak_config_write(&soak);
+	soak_run_loop(&soak, SOAK_CONFIG_MS);
+	soak_config_check(&soak, true);
+	soak_check_connected(&soak);
 	soak_check_recovery(&soak);
 	soak_check_all(&soak);
 	soak_stop(&soak);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -75,6 +75,10 @@
 	bool load_active; /* jobs are submitted and faults injected */
 	uint32_t nfaults;
 	uint32_t violations;
+	uint64_t config_version;	      /* written last */
+	uint64_t config_written_ms;	      /* its time */
+	uint64_t config_in_force[SOAK_HOSTS]; /* by process, as observed */
+	struct event *config_timer;
 };
 
 /* soak_cluster.c */
@@ -82,11 +86,17 @@
 void soak_stop(struct soak *soak);
 void soak_host_start(struct soak *soak, struct soak_host *host);
 void soak_host_kill(struct soak_host *host);
+void soak_check_connected(struct soak *soak);
 void soak_post(uint16_t port, const char *path, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
 uint32_t soak_random(struct soak *soak, uint32_t below);
 void soak_log(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
 
+/* soak_config.c */
+void soak_config_write(struct soak *soak);
+void soak_config_change_next(evutil_socket_t fd, short what, void *arg);
+void soak_config_check(struct soak *soak, bool settled);
+
 /* soak_faults.c */
 void soak_inject_fault(struct soak *soak);
 void soak_restore(struct soak *soak);
--- a/tests/soak/soak_cluster.c
+++ b/tests/soak/soak_cluster.c
@@ -183,6 +183,7 @@
 	    host->work_port, soak->address, host->ready_port, soak->address,
 	    host->http_port, soak->address, host->peer_port, host->peer_link);
 	host->pid = soak_spawn(soak, "berylraild", host->name, args);
+	soak->config_in_force[host - soak->hosts] = 0;
 	host->paused = false;
 }
 
@@ -242,13 +243,7 @@
 		    soak->server_links[i], i % SOAK_ZONES);
 	}
 	soak_post(soak->store_port, "/register", "{\"servers\":[%s]}", body);
-	soak_post(soak->store_port, "/config",
-	    "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"localhost\","
-	    "\"prefix\":\"/jobs/\",\"service\":\"booth\",\"priority\":0,"
-	    "\"max_attempts\":4,\"slack_factor\":1.6,"
-	    "\"target_latency_ms\":100}],\"services\":[{\"name\":\"booth\","
-	    "\"admission_check\":true}],"
-	    "\"limits\":{\"max_body_bytes\":65536}}");
+	soak_config_write(soak);
 }
 
 void
@@ -293,3 +288,27 @@
 	kill(soak->proxy, SIGKILL);
 	waitpid(soak->proxy, NULL, 0);
 }
+
+/* All hosts are up and connected to those of their zone, or the test would run
+ * without what it is to test. */
+void
+soak_check_connected(struct soak *soak)
+{
+	static const char name[] = "\nberylrail_peer_connections ";
+	struct clu_reply reply;
+	const char *found;
+	int i, n;
+
+	for (i = 0; i < SOAK_HOSTS; i++) {
+		clu_http_at(soak->address, soak->hosts[i].http_port, "GET",
+		    "/metrics", NULL, NULL, SOAK_CALL_TIMEOUT_MS, &reply);
+		found = reply.body == NULL ? NULL : strstr(reply.body, name);
+		n = found == NULL ? 0 : atoi(found + sizeof(name) - 1);
+		clu_reply_free(&reply);
+		if (n >= SOAK_HOSTS_PER_ZONE - 1)
+			continue;
+		soak->violations++;
+		soak_log("VIOLATION: %s has %d connections to other hosts",
+		    soak->hosts[i].name, n);
+	}
+}
