Suspects: the losses of a job that has ended count for its next submission

Callers of jobs that are not stored submit them again after their deadline. A server that crashes silently is known to be lost a second later, when the job had ended, and the loss was not recorded: each submission crashed servers anew.

Test: test_scheduler_suspect, crashes_are_counted_over_all_submissions_of_a_job, failed before.

Change: losses of ended jobs' runs are recorded, too. The soak submits jobs whose first task crashes each server that starts it, and the model reports a task that is started three times after three crashes.

--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -69,11 +69,12 @@
 	susp_acquit(&task->job->sched->suspects, name);
 }
 
-/* Whether the loss of its server says anything of the task. */
+/* Whether the loss of its server says anything of the task. A job that has
+ * ended may be submitted again. */
 static bool
 sched_suspect_concerned(const struct sched_task *task, uint64_t now_us)
 {
-	return !task->job->ended && task->state != SCHED_TASK_DONE &&
+	return task->state != SCHED_TASK_DONE &&
 	    (!task->job->spec.long_running ||
 		(task->start_sent_us != 0 &&
 		    now_us - task->start_sent_us <
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -9,6 +9,7 @@
  *	- all tasks of a job that was answered "completed" have completed;
  *	- a stored job that was accepted ends once all faults are over, and a
  *	  host of each zone reports that;
+ *	- a task that has crashed three servers is not started three times more;
  *	- a process never goes back to an older configuration, and all of them
  *	  have the newest one within 6 s of the last fault;
  *	- jobs are completed again after the last fault.
@@ -35,8 +36,9 @@
 #define SOAK_WARM_UP_MS 2500
 #define SOAK_RECOVERY_MS 7000 /* from the end of the last fault */
 #define SOAK_RECOVERY_JOBS 40
-#define SOAK_CONFIG_MS 6000	 /* a configuration is in force by then */
-#define SOAK_RUN_INTERVAL_MS 400 /* between the runs of a job */
+#define SOAK_CONFIG_MS 6000	       /* a configuration is in force by then */
+#define SOAK_CRASHING_JOBS_INTERVAL 97 /* in jobs */
+#define SOAK_RUN_INTERVAL_MS 400       /* between the runs of a job */
 
 static void
 soak_violation(struct soak *soak, const struct soak_job *job,
@@ -94,7 +96,7 @@
 	struct soak_host *host = &soak->hosts[soak_random(soak, SOAK_HOSTS)];
 	const struct hcl_header headers[] = { { "Host", "localhost" },
 		{ "Deadline-Ms", "1500" } };
-	char path[64], body[512], schedule[96] = "", gang[16] = "";
+	char path[64], body[512], schedule[96] = "", gang[32] = "";
 	const struct hcl_request request = {
 		.method = EVHTTP_REQ_POST,
 		.path = path,
@@ -117,6 +119,8 @@
 		    SOAK_RUN_INTERVAL_MS);
 	if (job->gang)
 		snprintf(gang, sizeof(gang), " gang=%u", job->ntasks);
+	else if (job->crashes)
+		snprintf(gang, sizeof(gang), " gang=0 crash=.0.0");
 	snprintf(body, sizeof(body),
 	    "{\"spec\":\"cpu=27000 ms=%u fail=0%s\",%s%s\"steps\":[{"
 	    "\"count\":%u,\"cpu\":27000,\"mem_mb\":16,"
@@ -142,6 +146,8 @@
 	/* By number: some jobs are gangs, and some stored ones run 3 times. */
 	job->gang = soak->njobs % 8 == 1 && job->ntasks > 1;
 	job->max_runs = soak->njobs % 8 == 5 && job->stored ? 3 : 1;
+	job->crashes =
+	    soak->load_active && soak->njobs % SOAK_CRASHING_JOBS_INTERVAL == 7;
 	job->start_ms = clock_wall_ms(clock_real());
 	job->timer = evtimer_new(soak->base, soak_send_job, job);
 	TAILQ_INSERT_TAIL(&soak->jobs, job, entry);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -41,6 +41,7 @@
 	bool stored;
 	uint32_t ntasks; /* of each run of its step */
 	bool gang;
+	bool crashes; /* its first task crashes each server that starts it */
 	uint32_t max_runs; /* number of scheduled runs of its step */
 	uint64_t start_ms; /* wall clock time of the first scheduled run */
 	uint32_t work_ms;  /* run time of a task */
--- a/tests/soak/soak_config.c
+++ b/tests/soak/soak_config.c
@@ -91,8 +91,8 @@
 		soak->config_in_force[i] = soak->config_version;
 	} else if (settled) {
 		soak->violations++;
-		soak_log("VIOLATION: %s does not have version %llu",
-		    host->name, (unsigned long long)soak->config_version);
+		soak_log("VIOLATION: %s does not have version %llu", host->name,
+		    (unsigned long long)soak->config_version);
 	}
 }
 
--- a/tests/standins/fleet/main.c
+++ b/tests/standins/fleet/main.c
@@ -1,6 +1,7 @@
 /*
  * Stand-in for the platform: its store (rows, transactions, change feed) and
- * its backend servers, which run tasks in the model of worker_model.c. Their
+ * its backend servers, which run tasks in the model of worker_model.c; one that
+ * a task has crashed is silent until it is back as another incarnation. Their
  * ports are written to the port file as "store PORT" and "sN PORT".
  *
  * Control requests of tests, at the store's port:
@@ -42,9 +43,6 @@
 static TAILQ_HEAD(, flt_pending_hold)
     flt_pending_holds = TAILQ_HEAD_INITIALIZER(flt_pending_holds);
 static struct wm_cluster flt_cluster;
-/* Simulated start time of each server's incarnation, a counter. */
-static uint64_t flt_incarnation_ms[FLT_SERVERS_MAX];
-
 static const char *const flt_end_names[] = {
 	[WORKER_END_DONE] = "done",
 	[WORKER_END_FAILED] = "failed",
@@ -62,8 +60,7 @@
 	json_t *body = json_object(), *entries;
 
 	json_object_set_new(body, "born",
-	    json_integer(
-		(json_int_t)flt_incarnation_ms[server - flt_cluster.servers]));
+	    json_integer((json_int_t)server->started_ms));
 
 	wm_list_runs(server, &running, &nrunning, &ended, &nended);
 	entries = json_array();
@@ -163,7 +160,10 @@
 		.token = (uint64_t)sti_int(body, "fencing_token", 0),
 	};
 
-	if (strcmp(path, "/v1/hold") == 0)
+	(void)wm_advance(server, sti_now_ms());
+	if (wm_is_down(server, sti_now_ms()))
+		evhttp_request_own(req); /* no reply is sent */
+	else if (strcmp(path, "/v1/hold") == 0)
 		flt_hold(req, server, body);
 	else if (strcmp(path, "/v1/run-start") == 0)
 		flt_reply(req, server, wm_start(server, sti_now_ms(), &order),
@@ -191,8 +191,9 @@
 	for (pending = TAILQ_FIRST(&flt_pending_holds); pending != NULL;
 	     pending = next) {
 		next = TAILQ_NEXT(pending, entry);
-		if (!flt_has_unacknowledged(pending->server) &&
-		    now_ms < pending->timeout_at_ms)
+		if ((!flt_has_unacknowledged(pending->server) &&
+			now_ms < pending->timeout_at_ms) ||
+		    wm_is_down(pending->server, now_ms))
 			continue;
 		TAILQ_REMOVE(&flt_pending_holds, pending, entry);
 		flt_reply(pending->req, pending->server, WORKER_OK,
@@ -213,8 +214,8 @@
 	snprintf(address, sizeof(address), "127.0.0.1:%d", port);
 	row = json_pack("{s:s,s:s,s:s,s:s,s:I,s:{s:i,s:i,s:i}}", "service",
 	    "booth", "address", address, "zone", az, "state", "ready", "born",
-	    (json_int_t)flt_incarnation_ms[server], "capacity", "cpu",
-	    FLT_CPU_MILLICORES, "mem_mb", 1024, "gpus", 0);
+	    (json_int_t)flt_cluster.servers[server].started_ms, "capacity",
+	    "cpu", FLT_CPU_MILLICORES, "mem_mb", 1024, "gpus", 0);
 	text = json_dumps(row, JSON_COMPACT);
 	store_set("servers", "", id, text);
 	free(text);
@@ -257,7 +258,6 @@
 	server->speed = strcmp(how, "slow") == 0 ? 200 : 1000;
 	if (strcmp(how, "crash") == 0) {
 		wm_crash(server);
-		flt_incarnation_ms[n]++;
 		flt_write_server_row((size_t)n, flt_registered[n].az,
 		    flt_registered[n].port);
 	}
@@ -344,7 +344,6 @@
 	sti_http_server(base, &port, flt_store_request, NULL);
 	len = (size_t)snprintf(text, sizeof(text), "store %u\n", port);
 	for (i = 0; i < n; i++) {
-		flt_incarnation_ms[i] = 1;
 		sti_http_server(base, &port, flt_server_request,
 		    &flt_cluster.servers[i]);
 		len += (size_t)snprintf(text + len, sizeof(text) - len,
--- a/tests/support/worker_model.c
+++ b/tests/support/worker_model.c
@@ -16,6 +16,8 @@
 #define WM_GANG_TIMEOUT_MS 400
 #define WM_CRASH_MS 10	/* from the start of a run that crashes its server */
 #define WM_DOWN_MS 3300 /* until a crashed server is back */
+#define WM_CRASHES_MAX 3
+#define WM_STARTS_AFTER_CRASHES 3
 #define WM_NEVER UINT64_MAX
 
 void
@@ -361,6 +363,11 @@
 	server->used_cpu += spec->cpu;
 	server->starts++;
 	task->starts++;
+	if (task->crashes >= WM_CRASHES_MAX &&
+	    ++task->starts_after_crashes >= WM_STARTS_AFTER_CRASHES)
+		wm_report_violation(cluster,
+		    "%s was started %u times after it had crashed %d servers",
+		    order->task, task->starts_after_crashes, WM_CRASHES_MAX);
 	if (++task->running_now > 1)
 		wm_report_violation(cluster, "%s has two runs at the same time",
 		    order->task);
--- a/tests/support/worker_model.h
+++ b/tests/support/worker_model.h
@@ -12,7 +12,8 @@
  * Model of backend servers that run tasks under leases and fencing tokens. The
  * caller passes the time. The model checks these invariants across all servers:
  * a task never has two runs at the same time, no task is started after the
- * acknowledged end of a completed run (see strict_prefix), and every spec is
+ * acknowledged end of a completed run (see strict_prefix), a task that has
+ * crashed three servers is not started three times more, and every spec is
  * valid. A start that would overcommit the CPU of a server is refused, unless
  * the server does not guard it.
  *
@@ -77,7 +78,8 @@
 	uint32_t failures;
 	uint32_t starts;
 	uint32_t completions;
-	uint32_t crashes; /* of servers, by this task */
+	uint32_t crashes;	       /* of servers, by this task */
+	uint32_t starts_after_crashes; /* after three of them */
 	bool done_acknowledged;
 	LIST_ENTRY(wm_task) entry;
 };
--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -280,3 +280,25 @@
 	sched_destroy(successor);
 	rig_destroy(rig);
 }
+
+/* The caller gives up before it is known that the server was lost, and submits
+ * the job again. */
+Test(scheduler_suspect, crashes_are_counted_over_all_submissions_of_a_job)
+{
+	struct rig *rig = rig_create();
+	struct job *job = &rig->jobs[0];
+	uint32_t i;
+
+	fake_worker_faults(rig->srig.worker)->crashed_are_silent = true;
+	(void)snprintf(job->id, sizeof(job->id), "%016x", 1);
+	for (i = 0; i < 8; i++) {
+		job->answers = 0;
+		rig_submit_to(rig->srig.sched, job, 1, 60, ".0", false);
+		srig_run(&rig->srig, 500);
+		sched_cancel(rig->srig.sched, job->id, job);
+		srig_run(&rig->srig, 2500);
+	}
+	cr_expect_leq(rig_crashes(rig, job, 0), 3);
+	cr_expect_eq(job->result, SCHED_FAILED);
+	rig_destroy(rig);
+}
