Suspects: holders report crashes to each other

A caller that submits its job again, to a host of another zone, crashed servers of that zone anew: its holder knew nothing of those that the task had crashed.

A server that may only be unreachable is not reported, as the other holder can't see its return. Cost: nothing without crashes, else about 90 bytes for each suspect and ping between holders.

Test: test_cells, holders_report_crashes_to_each_other.

--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -457,21 +457,21 @@
 	const struct cells_params *params = &cells->params;
 	const struct cells_host *holder;
 	char az[NAME_SIZE] = "", name[NAME_SIZE];
+	bool local;
 	json_t *body;
 	char *text;
 
+	local = api_query_text(request->query, "az", az, sizeof(az)) &&
+	    strcmp(az, cells->params.self.az) == 0;
 	body = json_pack("{s:I,s:b,s:I}", "token", (json_int_t)token, "leaving",
 	    (int)cells->leaving, "config",
 	    (json_int_t)params->config_version(params->arg));
 	holder = cells_zone_holder(cells->local_zone);
 	if (token != 0 && cells_query_u64(request, "suspects") != 0)
 		(void)json_object_set_new(body, "suspects",
-		    sched_suspects_render(cells->params.sched));
+		    sched_suspects_render(cells->params.sched, !local));
 	if (token != 0)
-		cells_add_load(cells,
-		    api_query_text(request->query, "az", az, sizeof(az)) &&
-			strcmp(az, cells->params.self.az) == 0,
-		    body);
+		cells_add_load(cells, local, body);
 	else if (holder != NULL)
 		(void)json_object_update_new(body,
 		    json_pack("{s:s,s:I}", "holder", holder->info.name,
--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -8,7 +8,8 @@
  * number of hosts nor on that of servers; a holder answers those of its zone.
  *
  * The holder's replies to its likely successors have its record of tasks that
- * may crash servers (see core/suspect.h), which so outlives it.
+ * may crash servers (see core/suspect.h), which so outlives it; those to other
+ * holders have the crashes, as callers may submit a job again in another zone.
  *
  * Pings and replies carry the version of the sender's configuration. As every
  * host pings its holder and holders ping each other, a version that one host
@@ -96,6 +97,9 @@
 		if (host->zone->local && host->token != 0)
 			sched_suspects_mirror(ping->cells->params.sched,
 			    json_object_get(body, "suspects"));
+		else if (!host->zone->local)
+			sched_suspects_merge(ping->cells->params.sched,
+			    json_object_get(body, "suspects"));
 		cells_learn_holder(ping->cells, host, body);
 		cells_report_config(ping->cells, ping->host,
 		    (uint64_t)json_integer_value(
@@ -142,7 +146,7 @@
 	(void)snprintf(query, sizeof(query),
 	    "az=%s&host=%s&config=%" PRIu64 "&suspects=%d", params->self.az,
 	    params->self.name, params->config_version(params->arg),
-	    host->zone->local && cells_is_candidate(cells) ? 1 : 0);
+	    cells_is_candidate(cells) ? 1 : 0);
 	params->peers->ops->forward(params->peers, host->info.az,
 	    host->info.name, host->incarnation, &request, cells_ping_done,
 	    ping);
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -180,14 +180,21 @@
 /**
  * sched_suspects_render() - encode the tasks under which servers were lost, for
  * hosts that may become the holder.
+ * @crashes_only: encode crashes only, for the holders of other cells, where the
+ *                callers of these tasks may submit their jobs again.
  * Return: a JSON array, owned by the caller.
  */
-struct json_t *sched_suspects_render(const struct scheduler *sched);
+struct json_t *sched_suspects_render(const struct scheduler *sched,
+    bool crashes_only);
 
 /** sched_suspects_mirror() - replace the record of suspects by the holder's;
  * does nothing on a holder. */
 void sched_suspects_mirror(struct scheduler *sched, const struct json_t *items);
 
+/** sched_suspects_merge() - add the crashes that another cell's holder reports.
+ */
+void sched_suspects_merge(struct scheduler *sched, const struct json_t *items);
+
 /** sched_idle() - whether the scheduler has no job, not even an ended one. */
 bool sched_idle(const struct scheduler *sched);
 
--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -16,8 +16,10 @@
 /* A lasting task that has run for longer did not crash its server by being
  * started there. */
 #define SCHED_SUSPECT_RUN_MAX_MS 5000
-/* Number of suspects that a successor mirrors, the latest ones. */
+/* Numbers of suspects, the latest ones, that a successor mirrors and that the
+ * holders of other cells are told. */
 #define SCHED_SUSPECTS_MIRRORED 64
+#define SCHED_SUSPECTS_REPORTED 16
 
 static struct counter sched_server_crashes = {
 	.name = "berylrail_work_server_crashes_total",
@@ -171,10 +173,11 @@
 	return true;
 }
 
-/* Mirroring: each suspect is an array of its name and its losses. */
-
+/* Exchange: each suspect is an array of its name and its losses. Returns NULL
+ * if no loss is to be encoded. */
 static json_t *
-sched_render_suspect(const struct susp_task *suspect, uint64_t now_us)
+sched_render_suspect(const struct susp_task *suspect, bool crashes_only,
+    uint64_t now_us)
 {
 	json_t *item = json_pack("[s]", suspect->name);
 	const struct susp_loss *loss;
@@ -182,6 +185,8 @@
 
 	for (i = 0; i < suspect->nlosses; i++) {
 		loss = &suspect->losses[i];
+		if (crashes_only && !loss->crashed)
+			continue;
 		(void)json_array_append_new(item,
 		    json_pack("[s,I,I,b,b]", loss->server,
 			(json_int_t)loss->incarnation_start_ms,
@@ -189,38 +194,48 @@
 			    SCHED_US_PER_MS),
 			(int)loss->crashed, (int)loss->alone));
 	}
-	return item;
+	if (json_array_size(item) > 1)
+		return item;
+	json_decref(item);
+	return NULL;
 }
 
 struct json_t *
-sched_suspects_render(const struct scheduler *sched)
+sched_suspects_render(const struct scheduler *sched, bool crashes_only)
 {
+	size_t max =
+	    crashes_only ? SCHED_SUSPECTS_REPORTED : SCHED_SUSPECTS_MIRRORED;
 	const struct susp_task *suspect;
 	uint64_t now_us = sched_now(sched);
-	json_t *items = json_array();
+	json_t *items = json_array(), *item;
 
 	TAILQ_FOREACH_REVERSE (suspect, &sched->suspects.tasks, susp_tasks,
 	    entry) {
-		if (json_array_size(items) == SCHED_SUSPECTS_MIRRORED)
+		if (json_array_size(items) == max)
 			break;
-		(void)json_array_insert_new(items, 0,
-		    sched_render_suspect(suspect, now_us));
+		item = sched_render_suspect(suspect, crashes_only, now_us);
+		if (item != NULL)
+			(void)json_array_insert_new(items, 0, item);
 	}
 	return items;
 }
 
 static void
-sched_mirror_suspect(struct scheduler *sched, const json_t *item,
+sched_merge_suspect(struct scheduler *sched, const json_t *item,
     uint64_t now_us)
 {
 	const char *name = json_string_value(json_array_get(item, 0)), *server;
 	struct susp_loss loss = { 0 };
+	struct sched_task *task;
 	const json_t *fields;
 	uint64_t age_us;
 	size_t i;
 
 	if (name == NULL || strlen(name) >= SUSP_TASK_NAME_SIZE)
 		return;
+	task = sched_task_find(sched, name);
+	if (task != NULL)
+		task->job->has_suspects = true;
 	for (i = 1; i < json_array_size(item); i++) {
 		fields = json_array_get(item, i);
 		server = json_string_value(json_array_get(fields, 0));
@@ -240,15 +255,22 @@
 }
 
 void
-sched_suspects_mirror(struct scheduler *sched, const struct json_t *items)
+sched_suspects_merge(struct scheduler *sched, const struct json_t *items)
 {
+	uint64_t now_us = sched_now(sched);
 	const json_t *item;
 	size_t i;
 
+	json_array_foreach (items, i, item)
+		sched_merge_suspect(sched, item, now_us);
+}
+
+void
+sched_suspects_mirror(struct scheduler *sched, const struct json_t *items)
+{
 	if (sched->token != 0 || !json_is_array(items))
 		return;
 	susp_release(&sched->suspects);
 	susp_init(&sched->suspects);
-	json_array_foreach (items, i, item)
-		sched_mirror_suspect(sched, item, sched_now(sched));
+	sched_suspects_merge(sched, items);
 }
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -665,7 +665,7 @@
 	net_run(net, 2000);
 	cr_assert_neq(sched_token(net->hosts[0].sched), 0);
 	for (i = 0; i < 6; i++) {
-		mirrored = sched_suspects_render(net->hosts[i].sched);
+		mirrored = sched_suspects_render(net->hosts[i].sched, false);
 		cr_expect_eq(json_array_size(mirrored), i < 3 ? 1 : 0,
 		    "host %zu", i);
 		json_decref(mirrored);
@@ -673,3 +673,24 @@
 	json_decref(suspects);
 	net_destroy(net);
 }
+
+/* A caller may submit its job again in another zone. */
+Test(cells, holders_report_crashes_to_each_other)
+{
+	struct net *net = net_create_zones(6, 2);
+	json_t *suspects = json_pack("[[s,[s,I,I,b,b]],[s,[s,I,I,b,b]]]",
+	    "00000000000000aa.0.0.0", "s1", (json_int_t)5, (json_int_t)0, 1, 1,
+	    "00000000000000bb.0.0.0", "s2", (json_int_t)6, (json_int_t)0, 0, 1);
+	json_t *reported;
+
+	/* The second server is perhaps only unreachable. */
+	sched_suspects_mirror(net->hosts[0].sched, suspects);
+	json_decref(suspects);
+	net_run(net, 2000);
+	cr_assert_neq(sched_token(net->hosts[0].sched), 0);
+	cr_assert_neq(sched_token(net->hosts[1].sched), 0);
+	reported = sched_suspects_render(net->hosts[1].sched, false);
+	cr_expect_eq(json_array_size(reported), 1);
+	json_decref(reported);
+	net_destroy(net);
+}
--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -267,7 +267,7 @@
 
 	srig_run(&rig->srig, 300);
 	cr_assert_eq(rig_crashes(rig, job, 0), 1);
-	suspects = sched_suspects_render(rig->srig.sched);
+	suspects = sched_suspects_render(rig->srig.sched, false);
 	sched_deactivate(rig->srig.sched);
 	successor = srig_scheduler_inactive(&rig->srig);
 	sched_suspects_mirror(successor, suspects);
