Row source: a host without rows takes them from the peer that reports a configuration

A host that is restarted while the store does not answer it refused all requests until the store did, though the other hosts of its zone, which have its row, are connected to it and ping it.

Cause: without the rows of hosts it knows no peer to ask, and no holder.

Change: the request for a newer configuration also asks for the hosts, if they were never read. The host then serves by way of the holder; it does not become the holder itself before it has read the store.

Test: test_job_service, host_that_starts_without_the_store_serves, failed before. In test_row_source the host of the former test has read the hosts now, as it is to request the configuration only; a new case is for one that has not.

--- a/entry/jobs/row_source.c
+++ b/entry/jobs/row_source.c
@@ -278,7 +278,8 @@
 	const uint64_t since[ROWS_NTABLES] = {
 		[ROWS_OPERATOR] = reg_version(src->params.reg, ROWS_OPERATOR),
 		[ROWS_SERVERS] = REG_NO_ROWS,
-		[ROWS_HOSTS] = REG_NO_ROWS,
+		/* A host that has not read the store knows no other host. */
+		[ROWS_HOSTS] = src->tables_known[ROWS_HOSTS] ? REG_NO_ROWS : 0,
 	};
 	const struct reg_config *config = reg_config(src->params.reg);
 	uint64_t now_us = rowsrc_now_us(src);
--- a/tests/test_job_service.c
+++ b/tests/test_job_service.c
@@ -360,7 +360,7 @@
 /* Hosts */
 
 static void
-host_start(struct net *net, size_t index)
+host_start(struct net *net, size_t index, bool store_answers)
 {
 	struct host *host = &net->hosts[index];
 	struct jsvc_params params = {
@@ -387,13 +387,14 @@
 	(void)snprintf(params.self.az, sizeof(params.self.az), "z%zu",
 	    index % NZONES);
 	params.self.weight = (uint32_t)(1000 - index);
-	host->store_answers = true;
+	host->store_answers = store_answers;
 	net->connections_version++;
 	host->svc = jsvc_create(&params);
 	cr_assert_not_null(host->svc);
 	jsvc_rows_listener(host->svc, &host->listener);
 	cr_assert_eq(jsvc_set_rows(host->svc, &host->rows), 0);
-	store_read(host);
+	if (store_answers)
+		store_read(host);
 }
 
 static void
@@ -426,7 +427,7 @@
 	mrows_init(&net->job_rows, 0);
 	net_apply_config(net, "1");
 	for (i = 0; i < NHOSTS; i++)
-		host_start(net, i);
+		host_start(net, i, true);
 	net_run(net, START_MS);
 	return net;
 }
@@ -526,3 +527,21 @@
 	}
 	net_destroy(net);
 }
+
+/* The other hosts have connections to the host, as they have its row. */
+Test(job_service, host_that_starts_without_the_store_serves)
+{
+	struct net *net = net_create();
+	struct host *host = &net->hosts[3];
+	struct job_service *former = host->svc;
+
+	host->svc = NULL;
+	net->connections_version++;
+	net_run(net, 1000);
+	jsvc_destroy(former);
+	host_start(net, 3, false);
+	net_run(net, APPLY_MS);
+	cr_expect_eq(host_config(host), 1);
+	cr_expect(jsvc_ready(host->svc));
+	net_destroy(net);
+}
--- a/tests/test_row_source.c
+++ b/tests/test_row_source.c
@@ -401,6 +401,8 @@
 	struct rig *rig = rig_create();
 	void *first;
 
+	rig->listener.read_begin(rig->listener.arg, ROWS_HOSTS);
+	rig->listener.read_end(rig->listener.arg, ROWS_HOSTS, 3);
 	rowsrc_config_reported(rig->src, "h3", 7, 0);
 	cr_expect_eq(rig->nrequests, 0);
 	rowsrc_config_reported(rig->src, "h3", 7, 5);
@@ -428,3 +430,15 @@
 	free(first);
 	rig_destroy(rig);
 }
+
+/* A host that was restarted while the store does not answer it. */
+Test(row_source, host_without_hosts_requests_them_with_the_configuration)
+{
+	struct rig *rig = rig_create();
+
+	rowsrc_config_reported(rig->src, "h3", 7, 5);
+	cr_expect_not_null(strstr(rig->query, "config=0&"));
+	cr_expect_not_null(strstr(rig->query, "hosts=0&"));
+	rig_reply(rig, "[]");
+	rig_destroy(rig);
+}
