Suspects: hosts of a cell unite their records

A task went on crashing servers after the cell had changed its holder twice: a host that had been the holder replaced its record by that of the next one, which had not heard of it, and began anew when it became the holder again.

Change: records are united, not replaced, and exchanged both ways between the holder and its likely successors. What one host has dropped may return from another: a task that has ended is not started again, and one that failed may be isolated.

Test: test_cells, holder_has_the_record_of_former_holders.

--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -467,7 +467,7 @@
 	    (int)cells->leaving, "config",
 	    (json_int_t)params->config_version(params->arg));
 	holder = cells_zone_holder(cells->local_zone);
-	if (token != 0 && cells_query_u64(request, "suspects") != 0)
+	if (cells_query_u64(request, "suspects") != 0)
 		(void)json_object_set_new(body, "suspects",
 		    sched_suspects_render(cells->params.sched, !local));
 	if (token != 0)
--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -7,9 +7,10 @@
  * that it refuses. The number of pings of a host so depends neither on the
  * number of hosts nor on that of servers; a holder answers those of its zone.
  *
- * The holder's replies to its likely successors have its record of tasks that
- * may crash servers (see core/suspect.h), which so outlives it; those to other
- * holders have the crashes, as callers may submit a job again in another zone.
+ * Replies to the holder and its likely successors have the record of tasks that
+ * may crash servers (see core/suspect.h), which so outlives a holder; those to
+ * other holders have the crashes, as callers may submit a job again in another
+ * zone.
  *
  * Pings and replies carry the version of the sender's configuration. As every
  * host pings its holder and holders ping each other, a version that one host
@@ -94,12 +95,8 @@
 		cells_host_set_token(ping->cells, host,
 		    (uint64_t)json_integer_value(
 			json_object_get(body, "token")));
-		if (host->zone->local && host->token != 0)
-			sched_suspects_mirror(ping->cells->params.sched,
-			    json_object_get(body, "suspects"));
-		else if (!host->zone->local)
-			sched_suspects_merge(ping->cells->params.sched,
-			    json_object_get(body, "suspects"));
+		sched_suspects_merge(ping->cells->params.sched,
+		    json_object_get(body, "suspects"));
 		cells_learn_holder(ping->cells, host, body);
 		cells_report_config(ping->cells, ping->host,
 		    (uint64_t)json_integer_value(
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -178,21 +178,16 @@
 void sched_load(struct scheduler *sched, struct sched_load *load);
 
 /**
- * sched_suspects_render() - encode the tasks under which servers were lost, for
- * hosts that may become the holder.
+ * sched_suspects_render() - encode the tasks under which servers were lost.
  * @crashes_only: encode crashes only, for the holders of other cells, where the
- *                callers of these tasks may submit their jobs again.
+ *                callers of these tasks may submit their jobs again. Only the
+ *                holder of the cell sees that a server was just unreachable.
  * Return: a JSON array, owned by the caller.
  */
 struct json_t *sched_suspects_render(const struct scheduler *sched,
     bool crashes_only);
 
-/** sched_suspects_mirror() - replace the record of suspects by the holder's;
- * does nothing on a holder. */
-void sched_suspects_mirror(struct scheduler *sched, const struct json_t *items);
-
-/** sched_suspects_merge() - add the crashes that another cell's holder reports.
- */
+/** sched_suspects_merge() - add what another host has on record. */
 void sched_suspects_merge(struct scheduler *sched, const struct json_t *items);
 
 /** sched_idle() - whether the scheduler has no job, not even an ended one. */
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -241,7 +241,7 @@
 	uint64_t queued_work;
 	LIST_HEAD(, sched_advice_call) advice_calls; /* pending */
 	uint32_t nadvice_calls;
-	struct suspects suspects; /* of this holder, or mirrored from it */
+	struct suspects suspects;
 	struct event *tick_event;
 	struct event *dispatch_event;
 	struct place_server *candidates; /* buffer of sched_dispatch() */
--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -1,7 +1,8 @@
 /*
  * Tasks that may crash backend servers (see core/suspect.h). All tasks of a
  * server that is lost are recorded; one that is found guilty fails its job. The
- * likely successors of the holder mirror its record.
+ * hosts of a cell that hold it or are likely to exchange their records. What
+ * one has dropped may so return; at most a task is isolated for it.
  */
 
 #include <inttypes.h>
@@ -16,10 +17,10 @@
 /* A lasting task that has run for longer did not crash its server by being
  * started there. */
 #define SCHED_SUSPECT_RUN_MAX_MS 5000
-/* Numbers of suspects, the latest ones, that a successor mirrors and that the
+/* Numbers of suspects, the latest ones, that the hosts of the cell and the
  * holders of other cells are told. */
-#define SCHED_SUSPECTS_MIRRORED 64
-#define SCHED_SUSPECTS_REPORTED 16
+#define SCHED_SUSPECTS_LOCAL_MAX 64
+#define SCHED_SUSPECTS_REMOTE_MAX 16
 
 static struct counter sched_server_crashes = {
 	.name = "berylrail_work_server_crashes_total",
@@ -204,7 +205,7 @@
 sched_suspects_render(const struct scheduler *sched, bool crashes_only)
 {
 	size_t max =
-	    crashes_only ? SCHED_SUSPECTS_REPORTED : SCHED_SUSPECTS_MIRRORED;
+	    crashes_only ? SCHED_SUSPECTS_REMOTE_MAX : SCHED_SUSPECTS_LOCAL_MAX;
 	const struct susp_task *suspect;
 	uint64_t now_us = sched_now(sched);
 	json_t *items = json_array(), *item;
@@ -264,13 +265,3 @@
 	json_array_foreach (items, i, item)
 		sched_merge_suspect(sched, item, now_us);
 }
-
-void
-sched_suspects_mirror(struct scheduler *sched, const struct json_t *items)
-{
-	if (sched->token != 0 || !json_is_array(items))
-		return;
-	susp_release(&sched->suspects);
-	susp_init(&sched->suspects);
-	sched_suspects_merge(sched, items);
-}
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -649,28 +649,49 @@
 	net_destroy(net);
 }
 
+static size_t
+host_nsuspects(const struct host *host)
+{
+	json_t *suspects = sched_suspects_render(host->sched, false);
+	size_t n = json_array_size(suspects);
+
+	json_decref(suspects);
+	return n;
+}
+
 /* The holder's record of tasks that may crash servers outlives it. */
-Test(cells, likely_successors_mirror_the_record_of_suspects)
+Test(cells, likely_successors_have_the_record_of_suspects)
 {
 	struct net *net = net_create_zones(6, 1);
 	json_t *suspects = json_pack("[[s,[s,I,I,b,b]]]",
-	    "00000000000000aa.0.0.0", "s1", (json_int_t)5, (json_int_t)0, 1, 1);
-	json_t *mirrored;
+	    "00000000000000aa.0.0.0", "s1", (json_int_t)5, (json_int_t)0, 0, 1);
 	size_t i;
 
-	/* A record that the holder has from its predecessor. */
-	for (i = 0; i < 6; i++)
-		sched_suspects_mirror(net->hosts[i].sched,
-		    i == 0 ? suspects : NULL);
 	net_run(net, 2000);
 	cr_assert_neq(sched_token(net->hosts[0].sched), 0);
-	for (i = 0; i < 6; i++) {
-		mirrored = sched_suspects_render(net->hosts[i].sched, false);
-		cr_expect_eq(json_array_size(mirrored), i < 3 ? 1 : 0,
+	sched_suspects_merge(net->hosts[0].sched, suspects);
+	json_decref(suspects);
+	net_run(net, 1000);
+	for (i = 0; i < 6; i++)
+		cr_expect_eq(host_nsuspects(&net->hosts[i]), i < 3 ? 1 : 0,
 		    "host %zu", i);
-		json_decref(mirrored);
-	}
+	net_destroy(net);
+}
+
+/* A host that has been the holder knows more than the present one. */
+Test(cells, holder_has_the_record_of_former_holders)
+{
+	struct net *net = net_create_zones(6, 1);
+	json_t *suspects = json_pack("[[s,[s,I,I,b,b]]]",
+	    "00000000000000aa.0.0.0", "s1", (json_int_t)5, (json_int_t)0, 0, 1);
+
+	net_run(net, 2000);
+	cr_assert_neq(sched_token(net->hosts[0].sched), 0);
+	sched_suspects_merge(net->hosts[1].sched, suspects);
 	json_decref(suspects);
+	net_run(net, 1500);
+	cr_expect_eq(host_nsuspects(&net->hosts[0]), 1);
+	cr_expect_eq(host_nsuspects(&net->hosts[1]), 1);
 	net_destroy(net);
 }
 
@@ -681,16 +702,14 @@
 	json_t *suspects = json_pack("[[s,[s,I,I,b,b]],[s,[s,I,I,b,b]]]",
 	    "00000000000000aa.0.0.0", "s1", (json_int_t)5, (json_int_t)0, 1, 1,
 	    "00000000000000bb.0.0.0", "s2", (json_int_t)6, (json_int_t)0, 0, 1);
-	json_t *reported;
 
 	/* The second server is perhaps only unreachable. */
-	sched_suspects_mirror(net->hosts[0].sched, suspects);
-	json_decref(suspects);
 	net_run(net, 2000);
 	cr_assert_neq(sched_token(net->hosts[0].sched), 0);
 	cr_assert_neq(sched_token(net->hosts[1].sched), 0);
-	reported = sched_suspects_render(net->hosts[1].sched, false);
-	cr_expect_eq(json_array_size(reported), 1);
-	json_decref(reported);
+	sched_suspects_merge(net->hosts[0].sched, suspects);
+	json_decref(suspects);
+	net_run(net, 1000);
+	cr_expect_eq(host_nsuspects(&net->hosts[1]), 1);
 	net_destroy(net);
 }
--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -270,7 +270,7 @@
 	suspects = sched_suspects_render(rig->srig.sched, false);
 	sched_deactivate(rig->srig.sched);
 	successor = srig_scheduler_inactive(&rig->srig);
-	sched_suspects_mirror(successor, suspects);
+	sched_suspects_merge(successor, suspects);
 	json_decref(suspects);
 	srig_activate(successor, 20);
 	rig_submit_to(successor, &resubmission, 1, 60, ".0", true);
