Suspects: a single loss that is not known to be a crash does not isolate

When many servers are cut off together, all their tasks would each need a server of their own, at a time when servers are few. A loss without evidence of a crash counts (two of them delay a task, and a later incarnation shows the crash), but the task is started as any other.

Test: test_suspect, one_loss_without_a_crash_does_not_isolate.

--- a/core/suspect.c
+++ b/core/suspect.c
@@ -199,5 +199,6 @@
 	if (task->nlosses >= SUSP_WAIT_LOSSES && crashes < task->nlosses &&
 	    now_us - susp_last_loss_us(task) < SUSP_WAIT_MS * SUSP_US_PER_MS)
 		return SUSP_WAIT;
-	return SUSP_ISOLATE;
+	return crashes == 0 && task->nlosses < SUSP_WAIT_LOSSES ? SUSP_NONE
+								: SUSP_ISOLATE;
 }
--- a/core/suspect.h
+++ b/core/suspect.h
@@ -50,7 +50,7 @@
 
 /** enum susp_verdict - what is known of a task. */
 enum susp_verdict {
-	SUSP_NONE,    /* no server was lost under it */
+	SUSP_NONE,    /* no server is known to have crashed under it */
 	SUSP_ISOLATE, /* start it on a server without other tasks */
 	SUSP_WAIT,    /* do not start it until a lost server is back */
 	SUSP_GUILTY,  /* it crashes servers: do not start it again */
