Scheduler: the choice of a server is a file of its own

Code is moved only; the declarations of the moved functions and SCHED_REPLY_MS, which both use, are in scheduler_internal.h.

--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -1,6 +1,6 @@
 /*
- * Dispatch: the order in which waiting tasks are started, and the choice of
- * their servers. It is designed for bursts above capacity with a sixth of the
+ * Dispatch: the order in which waiting tasks are started, and which jobs are
+ * refused. It is designed for bursts above capacity with a sixth of the
  * servers lost, and for tasks that each take a third to a half of a server.
  * Jobs that can still be on time precede those that can't, in the order of the
  * latest start that is on time. A job of which nothing was started and that
@@ -14,8 +14,6 @@
 #include "entry/jobs/scheduler_internal.h"
 
 #define SCHED_US_PER_MS UINT64_C(1000)
-/* Time from the end of a task until the submitter receives the reply. */
-#define SCHED_REPLY_MS 10
 #define SCHED_RETRY_AFTER_MS 200
 /* Share of the servers' CPU that tasks can use; the rest is lost to
  * fragmentation. */
@@ -94,167 +92,6 @@
 	event_active(sched->dispatch_event, EV_TIMEOUT, 0);
 }
 
-static bool
-sched_has_label(const struct sched_server *server, const char *label)
-{
-	size_t i;
-
-	for (i = 0; i < server->info.nlabels; i++) {
-		if (strcmp(server->info.labels[i], label) == 0)
-			return true;
-	}
-	return false;
-}
-
-static bool
-sched_server_accepts_starts(const struct sched_server *server, uint64_t now_us)
-{
-	return server->held && !server->removed && !server->info.draining &&
-	    server->unanswered_holds == 0 && server->nisolated == 0 &&
-	    server->no_start_until_us <= now_us &&
-	    server->ejected_until_us <= now_us &&
-	    (server->eject_ms == 0 || TAILQ_EMPTY(&server->tasks)) &&
-	    TAILQ_EMPTY(&server->orphans);
-}
-
-bool
-sched_server_matches(const struct sched_server *server,
-    const struct sched_task *task)
-{
-	const struct job_step *step = &task->job->spec.steps[task->step];
-
-	return !server->removed && !server->info.draining &&
-	    strcmp(server->info.service, task->job->queue.service) == 0 &&
-	    (step->required_label[0] == '\0' ||
-		sched_has_label(server, step->required_label));
-}
-
-/*
- * Whether the server runs tasks that a task of @step must not share it with.
- * Filling tasks (see job_step.fills) raise the latency of latency-sensitive
- * tasks on the same server until they are throttled, so the two kinds are kept
- * on separate servers.
- */
-static bool
-sched_server_conflicts(const struct sched_server *server,
-    const struct job_step *step)
-{
-	const struct job_step *other;
-	const struct sched_task *task;
-
-	if (!step->fills && !step->latency_sensitive)
-		return false;
-	TAILQ_FOREACH (task, &server->tasks, on_server) {
-		other = &task->job->spec.steps[task->step];
-		if ((step->fills && other->latency_sensitive) ||
-		    (step->latency_sensitive && other->fills))
-			return true;
-	}
-	return false;
-}
-
-/* A suspect is started on a server of its own, or, if it has waited for one, on
- * one without other suspects. */
-static bool
-sched_server_isolates(const struct sched_server *server,
-    const struct sched_task *task)
-{
-	return !task->isolate || TAILQ_EMPTY(&server->tasks) ||
-	    task->isolate_until_us <= sched_now(server->sched);
-}
-
-static bool
-sched_server_eligible(const struct sched_server *server,
-    const struct sched_task *task)
-{
-	const struct job_step *step = &task->job->spec.steps[task->step];
-	const struct sched_task *other;
-	uint32_t n = 0;
-
-	if (!sched_server_matches(server, task) ||
-	    sched_server_conflicts(server, step) ||
-	    !sched_server_isolates(server, task) ||
-	    (task->job->advice != NULL &&
-		sched_advice_ticket(task, server) == NULL))
-		return false;
-	if (step->per_server_max == 0)
-		return true;
-	TAILQ_FOREACH (other, &server->tasks, on_server) {
-		if (other->job == task->job && other->step == task->step)
-			n++;
-	}
-	return n < step->per_server_max;
-}
-
-/*
- * Fills the buffer of candidates with the free resources of all servers, in the
- * order of the scheduler's list. Servers that may not run @task, or lack the
- * label @rack if that is not NULL, are marked as not eligible.
- *
- * Return: the number of candidates.
- */
-static size_t
-sched_list_candidates(struct scheduler *sched, const struct sched_task *task,
-    const char *rack, uint64_t now_us)
-{
-	const struct job_step *step = &task->job->spec.steps[task->step];
-	const struct sched_server *server;
-	size_t n = 0;
-
-	TAILQ_FOREACH (server, &sched->servers, entry) {
-		if (n == sched->ncandidates) {
-			sched->ncandidates = sched->ncandidates * 2 + 16;
-			sched->candidates = reallocarray(sched->candidates,
-			    sched->ncandidates, sizeof(*sched->candidates));
-			if (sched->candidates == NULL)
-				abort();
-		}
-		sched->candidates[n++] = (struct place_server){
-			.free_cpu = server->info.cpu - server->used_cpu,
-			.free_mem = server->info.mem_mb - server->used_mem,
-			.free_gpu = server->info.gpus - server->used_gpu,
-			.speed_permille = server->speed_permille,
-			.data_local = step->preferred_rack[0] == '\0' ||
-			    sched_has_label(server, step->preferred_rack),
-			.eligible =
-			    sched_server_accepts_starts(server, now_us) &&
-			    sched_server_eligible(server, task) &&
-			    (rack == NULL || sched_has_label(server, rack)),
-		};
-	}
-	return n;
-}
-
-struct sched_server *
-sched_choose_server(struct scheduler *sched, const struct sched_task *task,
-    const char *rack, uint64_t now_us)
-{
-	const struct job_step *step = &task->job->spec.steps[task->step];
-	const struct place_task demand = {
-		.cpu = step->cpu,
-		.mem = step->mem_mb,
-		.gpu = step->gpus,
-		.work_ms = sched_task_expected_ms(task),
-		.remaining_ms =
-		    ((int64_t)task->job->objective_us - (int64_t)now_us) /
-			(int64_t)SCHED_US_PER_MS -
-		    SCHED_REPLY_MS,
-		.far_permille = sched->params.far_permille,
-		.typical_cpu = step->cpu,
-	};
-	size_t n = sched_list_candidates(sched, task, rack, now_us);
-	int chosen = place_choose(sched->candidates, n, &demand);
-	struct sched_server *server;
-
-	if (chosen < 0)
-		return NULL;
-	TAILQ_FOREACH (server, &sched->servers, entry) {
-		if (chosen-- == 0)
-			break;
-	}
-	return server;
-}
-
 /* Order in which waiting tasks are started; tasks of one rank are ordered by
  * the latest start that is on time. */
 enum sched_rank {
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -19,7 +19,8 @@
  *   scheduler_run.c       start and stop orders
  *   scheduler_end.c       processing of ended runs
  *   scheduler_ack.c       acknowledgement of ended runs
- *   scheduler_dispatch.c  order of waiting tasks and choice of their servers
+ *   scheduler_dispatch.c  order of waiting tasks, and refusals
+ *   scheduler_place.c     choice of a server for a task
  *   scheduler_gang.c      gang scheduling
  *   scheduler_advice.c    placement permits from an external policy
  *   scheduler_suspect.c   tasks that may crash servers
@@ -74,6 +75,8 @@
 #define SCHED_RECOVERY_MAX_MS 250
 /* Limit of start orders for one run; sufficient if half of them are lost. */
 #define SCHED_START_ATTEMPTS_MAX 12
+/* Time from the end of a task until the submitter receives the reply. */
+#define SCHED_REPLY_MS 10
 /* Number of run ids that each task has under one token. */
 #define SCHED_RUN_IDS_PER_TOKEN 64
 
@@ -384,16 +387,22 @@
  * saturated. */
 uint64_t sched_processing_delay_us(const struct scheduler *sched,
     uint64_t now_us);
-/* Whether @server could run the task, regardless of its free resources, of
- * other tasks on it, and of permits. */
-bool sched_server_matches(const struct sched_server *server,
-    const struct sched_task *task);
 bool sched_all_servers_held(const struct scheduler *sched);
 /* Whether all servers that may run tasks of a former holder are known and have
  * listed their runs. */
 bool sched_all_runs_known(const struct scheduler *sched);
+bool sched_job_expire(struct sched_job *job, uint64_t now_us);
+
+/* scheduler_place.c */
+bool sched_server_accepts_starts(const struct sched_server *server,
+    uint64_t now_us);
+/* Whether @server could run the task, regardless of its free resources, of
+ * other tasks on it, and of permits. */
+bool sched_server_matches(const struct sched_server *server,
+    const struct sched_task *task);
+/* The server for the next run of the task, or NULL if none has room. @rack: the
+ * label that it must have; NULL: any. */
 struct sched_server *sched_choose_server(struct scheduler *sched,
     const struct sched_task *task, const char *rack, uint64_t now_us);
-bool sched_job_expire(struct sched_job *job, uint64_t now_us);
 
 #endif /* ENTRY_JOBS_SCHEDULER_INTERNAL_H */
