Cells: the query of a ping is read before its reply is sent

What callers saw: nothing yet in a plain build, where the freed memory usually still has its text. A host could take another version, or another host's name, from memory that was in use again, and so request the configuration from the wrong peer; under ASan each host ended at its first ping.

Cause: cells_handle_state() read the name and version of the sender after its reply. The reply frees the frame that the request is in: api_handle() has it borrowed until the reply has run. Class: use of borrowed memory after its owner was told that it is no longer needed. The other handlers of peers' requests were read for it (submit, cancel, announcement, stored jobs, rows): none uses its request after the reply.

Test: test_cells, request_is_not_used_after_its_reply, failed before in the plain build as well; the rig now discards a request when its reply runs, as the peers do.

--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -456,11 +456,13 @@
 	uint64_t token = sched_token(cells->params.sched);
 	const struct cells_params *params = &cells->params;
 	const struct cells_host *holder;
-	char az[NAME_SIZE] = "", name[NAME_SIZE];
+	char az[NAME_SIZE] = "", sender[NAME_SIZE] = "";
+	uint64_t config = cells_query_u64(request, "config");
 	bool local;
 	json_t *body;
 	char *text;
 
+	(void)api_query_text(request->query, "host", sender, sizeof(sender));
 	local = api_query_text(request->query, "az", az, sizeof(az)) &&
 	    strcmp(az, cells->params.self.az) == 0;
 	body = json_pack("{s:I,s:b,s:I}", "token", (json_int_t)token, "leaving",
@@ -482,9 +484,8 @@
 	cells_send_reply(reply, arg, 200, text);
 	free(text);
 	json_decref(body);
-	if (api_query_text(request->query, "host", name, sizeof(name)))
-		cells_report_config(cells, name,
-		    cells_query_u64(request, "config"));
+	if (sender[0] != '\0')
+		cells_report_config(cells, sender, config);
 }
 
 static void
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -63,12 +63,16 @@
 	struct event *timer;
 };
 
+/* The request is borrowed until its reply has run (see api_handle()). */
 static void
 call_reply(void *arg, const struct api_reply *reply)
 {
 	struct call *call = arg;
 
 	call->done(call->arg, reply, NULL);
+	call->request = (struct api_request){ .path = "", .query = "" };
+	memset(call->path, 0, sizeof(call->path));
+	memset(call->query, 0, sizeof(call->query));
 }
 
 static void
@@ -649,6 +653,28 @@
 	net_destroy(net);
 }
 
+static void
+discard_query(void *arg, const struct api_reply *reply)
+{
+	struct api_request *ping = arg;
+
+	(void)reply;
+	ping->query = "";
+}
+
+Test(cells, request_is_not_used_after_its_reply)
+{
+	struct api_request ping = { .method = API_GET,
+		.path = "/v1/work/state",
+		.query = "az=a&host=h1&config=7&suspects=0" };
+	struct net *net = net_create();
+
+	net_run(net, 600);
+	cells_handle(net->hosts[0].cells, &ping, discard_query, &ping);
+	cr_expect_eq(net->hosts[0].config_reported, 7);
+	net_destroy(net);
+}
+
 static size_t
 host_nsuspects(const struct host *host)
 {
