Scheduler: a queue whose tasks crash most servers is confined to half of them

Cause: each guilty task is allowed a crash or two before it is known, and all queues share all servers. 10 guilty jobs a second in a zone of 16 servers, each away for 3.3 s, leave none for anybody. Class: a shared resource without a bulkhead, so that the fault of one caller becomes that of all.

Change: core/bulkhead finds the queue that alone explains the crashes of the last 5 s; while half of the servers are away it is confined to each second server, and shares none with other queues. Its jobs are refused at once if that half can't complete them on time. Nothing changes without crashes of five servers, and half of the servers away.

Cost: one test of a flag for each candidate server without crashes. After crashes: linear in the zone's servers each 20 ms; while a queue is confined: linear in the waiting tasks each 5 ms, and in the tasks of each candidate server.

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -61,9 +61,14 @@
 sched_server_update(struct scheduler *sched, const struct reg_server *info)
 {
 	struct sched_server *server = sched_server_find(sched, info->id);
+	bool reserved = sched->reserve_next_server;
 
 	if (server != NULL && server->removed)
 		server = NULL;
+	if (server == NULL)
+		sched->reserve_next_server = !reserved;
+	else
+		reserved = server->reserved;
 	if (server != NULL && sched_server_replaced(server, info)) {
 		sched_server_lost(server, "restarted", true);
 		server->removed = true;
@@ -73,6 +78,7 @@
 		server = mem_zalloc(1, sizeof(*server));
 		server->sched = sched;
 		server->speed_permille = PLACE_SPEED_NOMINAL;
+		server->reserved = reserved;
 		TAILQ_INIT(&server->tasks);
 		TAILQ_INIT(&server->orphans);
 		TAILQ_INIT(&server->unstored_ends);
@@ -277,6 +283,7 @@
 	sched_update_tick_delay(sched, now_us);
 	sched_update_gauges(sched);
 	susp_expire(&sched->suspects, now_us);
+	sched_bulkhead_update(sched, now_us);
 	TAILQ_FOREACH_SAFE (job, &sched->jobs, entry, next_job) {
 		if (!sched_suspects_end_job(job) &&
 		    !sched_job_expire(job, now_us))
@@ -355,7 +362,8 @@
 			load.cpu_free +=
 			    (uint64_t)(server->info.cpu - server->used_cpu);
 	}
-	load.backlog_ms = sched_backlog_us(sched, now_us) / SCHED_US_PER_MS +
+	load.backlog_ms = sched_backlog_us(sched, SCHED_SHARE_OTHERS, now_us) /
+		SCHED_US_PER_MS +
 	    sched_processing_delay_us(sched, now_us) / SCHED_US_PER_MS;
 	sched->load = load;
 }
--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -18,7 +18,7 @@
 /* Share of the servers' CPU that tasks can use; the rest is lost to
  * fragmentation. */
 #define SCHED_USABLE_CPU_PERCENT 85
-#define SCHED_RATE_VALID_MS 5
+#define SCHED_SHARES_VALID_MS 5
 /* With a longer backlog, late jobs are refused. */
 #define SCHED_LATE_BACKLOG_MAX_MS 60
 /* With longer delays of ticks the processor of this host is saturated. */
@@ -116,12 +116,20 @@
 						     : SCHED_RANK_LATE;
 }
 
+/* The share of the servers that tasks of the job may use. */
+static enum sched_share_name
+sched_share_of(const struct sched_job *job)
+{
+	return sched_job_confined(job) ? SCHED_SHARE_CONFINED
+				       : SCHED_SHARE_OTHERS;
+}
+
 /* State of one pass over the waiting tasks. */
 struct sched_pass {
 	uint64_t now_us;
 	bool all_held; /* all runs of a former holder are known */
-	uint32_t
-	    no_capacity_cpu; /* smallest demand that no server could meet */
+	/* The smallest demand that no server of the share could meet. */
+	uint32_t no_capacity_cpu[SCHED_SHARES];
 };
 
 /* Whether the task may be started, as far as the crashes of its former servers
@@ -146,13 +154,15 @@
 	const struct job_step *step = &task->job->spec.steps[task->step];
 	bool unconstrained =
 	    step->required_label[0] == '\0' && step->per_server_max == 0;
+	uint32_t *no_capacity_cpu =
+	    &pass->no_capacity_cpu[sched_share_of(task->job)];
 	struct sched_server *server;
 
 	/* Runs of a stored job may have ended before the job was loaded. The
 	 * servers list these ends again once all stored jobs are loaded. */
 	if (task->job->stored && !task->job->sched->jobs_loaded)
 		return;
-	if (step->cpu >= pass->no_capacity_cpu ||
+	if (step->cpu >= *no_capacity_cpu ||
 	    (task->job->start_after_us > pass->now_us && !pass->all_held) ||
 	    !sched_suspect_may_start(task, pass->now_us))
 		return;
@@ -167,7 +177,7 @@
 	else if (task->job->advice != NULL)
 		sched_advice_request(task, pass->now_us);
 	else if (unconstrained && !task->isolate)
-		pass->no_capacity_cpu = step->cpu;
+		*no_capacity_cpu = step->cpu;
 }
 
 bool
@@ -204,7 +214,9 @@
 sched_dispatch(evutil_socket_t fd, short what, void *arg)
 {
 	struct scheduler *sched = arg;
-	struct sched_pass pass = { .no_capacity_cpu = UINT32_MAX };
+	struct sched_pass pass = {
+		.no_capacity_cpu = { UINT32_MAX, UINT32_MAX },
+	};
 	struct sched_task *task, *next;
 	enum sched_rank rank;
 
@@ -274,41 +286,61 @@
 	return sched_server_accepts_starts(server, now_us);
 }
 
-/* Speed at which the servers run tasks, in thousandths of a core of nominal
- * speed. It is used for each new job, and computed again after
- * SCHED_RATE_VALID_MS. */
-static uint64_t
-sched_service_rate(struct scheduler *sched, uint64_t now_us)
+static void
+sched_add_queued_work(struct scheduler *sched)
 {
+	const struct sched_task *task;
+
+	TAILQ_FOREACH (task, &sched->waiting, waiting)
+		sched->shares[sched_share_of(task->job)].queued_work +=
+		    sched_task_work(task);
+}
+
+/* Shares are used for each new job, and computed again after
+ * SCHED_SHARES_VALID_MS. */
+static void
+sched_update_shares(struct scheduler *sched, uint64_t now_us)
+{
+	bool active = bulk_active(&sched->bulkhead);
 	const struct sched_server *server;
-	uint64_t rate = 0;
+	enum sched_share_name share;
 
-	if (sched->rate_updated_us != 0 &&
-	    now_us - sched->rate_updated_us <
-		SCHED_RATE_VALID_MS * SCHED_US_PER_MS)
-		return sched->service_rate;
+	if (sched->shares_updated_us != 0 &&
+	    now_us - sched->shares_updated_us <
+		SCHED_SHARES_VALID_MS * SCHED_US_PER_MS)
+		return;
+	sched->shares_updated_us = now_us;
+	memset(sched->shares, 0, sizeof(sched->shares));
+	if (active)
+		sched_add_queued_work(sched);
 	TAILQ_FOREACH (server, &sched->servers, entry) {
-		if (sched_server_serves(server, now_us))
-			rate += (uint64_t)server->info.cpu *
-			    server->speed_permille / PLACE_SPEED_NOMINAL;
+		if (!sched_server_serves(server, now_us))
+			continue;
+		share = active && !server->reserved ? SCHED_SHARE_CONFINED
+						    : SCHED_SHARE_OTHERS;
+		sched->shares[share].service_rate +=
+		    (uint64_t)server->info.cpu * server->speed_permille /
+		    PLACE_SPEED_NOMINAL * SCHED_USABLE_CPU_PERCENT / 100;
 	}
-	sched->service_rate = rate * SCHED_USABLE_CPU_PERCENT / 100;
-	sched->rate_updated_us = now_us;
-	return sched->service_rate;
 }
 
-/* Estimated time in which the servers run all waiting tasks, UINT64_MAX if no
- * server accepts starts. */
 uint64_t
-sched_backlog_us(struct scheduler *sched, uint64_t now_us)
+sched_backlog_us(struct scheduler *sched, enum sched_share_name name,
+    uint64_t now_us)
 {
-	uint64_t rate;
+	const struct sched_share *share = &sched->shares[name];
+	uint64_t work = sched->queued_work;
 
-	if (sched->queued_work == 0)
+	if (work == 0)
+		return 0;
+	sched_update_shares(sched, now_us);
+	if (bulk_active(&sched->bulkhead))
+		work = share->queued_work;
+	if (work == 0)
 		return 0;
-	rate = sched_service_rate(sched, now_us);
-	return rate == 0 ? UINT64_MAX
-			 : sched->queued_work * SCHED_US_PER_MS / rate;
+	return share->service_rate == 0
+	    ? UINT64_MAX
+	    : work * SCHED_US_PER_MS / share->service_rate;
 }
 
 /* If the link is saturated, orders are slow, too, but to pass jobs on would add
@@ -336,7 +368,7 @@
 	uint64_t now_us = sched_now(job->sched);
 
 	return !job->may_have_started &&
-	    now_us + sched_backlog_us(job->sched, now_us) +
+	    now_us + sched_backlog_us(job->sched, sched_share_of(job), now_us) +
 		sched_processing_delay_us(job->sched, now_us) + work_us >
 	    job->objective_us;
 }
@@ -349,12 +381,17 @@
 sched_job_should_refuse(const struct sched_job *job, uint64_t now_us)
 {
 	uint64_t work_us = job_critical_path_ms(&job->spec) * SCHED_US_PER_MS;
+	enum sched_share_name share = sched_share_of(job);
+	uint64_t backlog_us;
 
 	if (now_us + work_us / 2 >= job->value_until_us)
 		return true;
+	backlog_us = sched_backlog_us(job->sched, share, now_us);
+	if (share == SCHED_SHARE_CONFINED && now_us < job->objective_us &&
+	    backlog_us > job->objective_us - now_us)
+		return true;
 	return now_us + work_us > job->objective_us &&
-	    sched_backlog_us(job->sched, now_us) >
-	    SCHED_LATE_BACKLOG_MAX_MS * SCHED_US_PER_MS;
+	    backlog_us > SCHED_LATE_BACKLOG_MAX_MS * SCHED_US_PER_MS;
 }
 
 /* Ends a job whose submitter has timed out or that is to be refused. Return:
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -4,6 +4,7 @@
 #include <event2/event.h>
 #include <sys/queue.h>
 
+#include "core/bulkhead.h"
 #include "core/lease.h"
 #include "core/name_index.h"
 #include "core/place.h"
@@ -24,6 +25,7 @@
  *   scheduler_gang.c      gang scheduling
  *   scheduler_advice.c    placement permits from an external policy
  *   scheduler_suspect.c   tasks that may crash servers
+ *   scheduler_bulkhead.c  queues with many of them
  *
  * A hold is the long-poll request to a server that renews its lease,
  * acknowledges ended runs and returns the lists of running and ended runs.
@@ -201,6 +203,7 @@
 	bool held;	     /* its lists were processed under this token */
 	bool removed;	     /* from the registry; freed when unused */
 	bool crash_reported; /* it refuses connections since it was held */
+	bool reserved;	     /* not for confined queues (core/bulkhead.h) */
 	uint32_t nisolated;  /* runs that no other task is started beside */
 	bool hold_pending;
 	uint64_t hold_sent_us;
@@ -219,6 +222,24 @@
 
 TAILQ_HEAD(sched_servers, sched_server);
 
+/* The servers that tasks of confined queues may use, and those of the others;
+ * see core/bulkhead.h. All are in the second one if no queue is confined. */
+enum sched_share_name {
+	SCHED_SHARE_CONFINED,
+	SCHED_SHARE_OTHERS,
+	SCHED_SHARES,
+};
+
+/** struct sched_share - load of a share of the servers. */
+struct sched_share {
+	/* Speed at which its servers run tasks, in thousandths of a core of
+	 * nominal speed. */
+	uint64_t service_rate;
+	/* Work of its waiting tasks, in thousandths of a core * ms, while a
+	 * queue is confined. */
+	uint64_t queued_work;
+};
+
 struct scheduler {
 	struct sched_params params;
 	uint64_t token; /* 0: inactive */
@@ -235,8 +256,8 @@
 	uint64_t order_answered_us; /* the last one; 0: none */
 	struct sched_load load;	    /* as of load_updated_us */
 	uint64_t load_updated_us;
-	uint64_t service_rate; /* as of rate_updated_us; 0: not computed */
-	uint64_t rate_updated_us;
+	struct sched_share shares[SCHED_SHARES]; /* as of shares_updated_us */
+	uint64_t shares_updated_us;		 /* 0: not computed */
 	struct sched_jobs jobs;
 	LIST_HEAD(, sched_job) buckets[SCHED_JOB_BUCKETS];
 	struct sched_tasks waiting; /* by the latest start that is on time */
@@ -245,6 +266,8 @@
 	LIST_HEAD(, sched_advice_call) advice_calls; /* pending */
 	uint32_t nadvice_calls;
 	struct suspects suspects;
+	struct bulkhead bulkhead;
+	bool reserve_next_server; /* each second one is reserved */
 	struct event *tick_event;
 	struct event *dispatch_event;
 	struct place_server *candidates; /* buffer of sched_dispatch() */
@@ -381,7 +404,10 @@
 void sched_task_dequeue(struct sched_task *task);
 uint32_t sched_task_expected_ms(const struct sched_task *task);
 void sched_job_advance(struct sched_job *job);
-uint64_t sched_backlog_us(struct scheduler *sched, uint64_t now_us);
+/* Estimated time in which the servers of a share run its waiting tasks,
+ * UINT64_MAX if none of them accepts starts. */
+uint64_t sched_backlog_us(struct scheduler *sched, enum sched_share_name name,
+    uint64_t now_us);
 bool sched_job_backlogged(const struct sched_job *job);
 /* Time by which runs start and end late because the processor of this host is
  * saturated. */
@@ -393,6 +419,17 @@
 bool sched_all_runs_known(const struct scheduler *sched);
 bool sched_job_expire(struct sched_job *job, uint64_t now_us);
 
+/* scheduler_bulkhead.c */
+/* Records the crash of a server that has tasks. */
+void sched_bulkhead_server_crashed(struct sched_server *server);
+/* Determines which queues are confined. */
+void sched_bulkhead_update(struct scheduler *sched, uint64_t now_us);
+/* Whether the job's queue is confined. */
+bool sched_job_confined(const struct sched_job *job);
+/* Whether the server is for tasks of confined queues, if @confined, or for the
+ * others, as far as crashes are concerned. */
+bool sched_bulkhead_admits(const struct sched_server *server, bool confined);
+
 /* scheduler_place.c */
 bool sched_server_accepts_starts(const struct sched_server *server,
     uint64_t now_us);
--- a/entry/jobs/scheduler_place.c
+++ b/entry/jobs/scheduler_place.c
@@ -1,6 +1,6 @@
 /*
- * The choice of a server for a task: those that accept starts, that the task may
- * run on and that have the resources for it; core/place decides among them.
+ * The choice of a server for a task: those that accept starts, that the task
+ * may run on and that have the resources for it; core/place decides among them.
  */
 
 #include "core/mem.h"
@@ -86,6 +86,7 @@
 	uint32_t n = 0;
 
 	if (!sched_server_matches(server, task) ||
+	    !sched_bulkhead_admits(server, sched_job_confined(task->job)) ||
 	    sched_server_conflicts(server, step) ||
 	    !sched_server_isolates(server, task) ||
 	    (task->job->advice != NULL &&
--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -143,8 +143,10 @@
 	/* The process of a draining server ends without a crash. */
 	if (TAILQ_EMPTY(&server->tasks) || server->info.draining)
 		return;
-	if (crashed)
+	if (crashed) {
 		ctr_inc(&sched_server_crashes);
+		sched_bulkhead_server_crashed(server);
+	}
 	strlcpy(loss.server, server->info.id, sizeof(loss.server));
 	if (!sched_suspects_record(server, &loss, true))
 		(void)sched_suspects_record(server, &loss, false);
--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -25,6 +25,7 @@
 	struct scheduler_rig srig;
 	struct job {
 		char id[JOB_ID_LEN + 1];
+		const char *queue; /* NULL: "q" */
 		uint32_t answers;
 		enum sched_result result;
 		uint64_t sent_us;
@@ -69,8 +70,7 @@
     uint32_t ms, const char *crash, bool resubmitted)
 {
 	struct sched_request request = {
-		.queue = { .name = "q",
-		    .service = "booth",
+		.queue = { .service = "booth",
 		    .max_attempts = 3,
 		    .slack_permille = 1600,
 		    .target_ms = 60 },
@@ -80,6 +80,8 @@
 	char body[256];
 	struct err err;
 
+	strlcpy(request.queue.name, job->queue == NULL ? "q" : job->queue,
+	    sizeof(request.queue.name));
 	(void)snprintf(body, sizeof(body),
 	    "{\"spec\":\"cpu=%u ms=%u fail=0 gang=0%s%s\","
 	    "\"best_effort\":true,\"steps\":[{\"count\":%u,\"cpu\":%u,"
@@ -195,6 +197,32 @@
 	rig_destroy(rig);
 }
 
+/* Load: twelve jobs a second of a queue of which one in three crashes servers,
+ * which restart at 0.3 of that rate, and four a second of another queue. */
+Test(scheduler_suspect, queue_that_crashes_many_servers_leaves_some_to_others)
+{
+	uint32_t i, sent = 0, completed = 0;
+	struct rig *rig = rig_create();
+	struct job *job;
+
+	for (i = 0; i < 160; i++) {
+		job = &rig->jobs[rig->njobs];
+		if (i % 4 != 0)
+			job->queue = "wax";
+		(void)rig_submit(rig, 1, 60, i % 4 == 1 ? ".0" : "");
+		srig_run(&rig->srig, 62);
+	}
+	srig_run(&rig->srig, 2000);
+	for (i = 80; i < 160; i += 4) {
+		job = &rig->jobs[i];
+		sent++;
+		completed += job->result == SCHED_COMPLETED &&
+		    job->answers == 1 && job->elapsed_ms < PLAIN_JOB_MS;
+	}
+	cr_expect_geq(completed * 10, sent * 9, "%u of %u", completed, sent);
+	rig_destroy(rig);
+}
+
 /* The servers that run the job are cut off twice; they have not crashed. */
 Test(scheduler_suspect, task_of_unreachable_servers_is_not_given_up)
 {
