Scheduler: servers are reserved by what the other queues use

Cause: reserved each second server, whatever the other queues used; and these took any server, so that few were left for the confined queue.

The other queues prefer reserved servers.

Test: test_scheduler_suspect, confined_queue_uses_more_than_half_while_others_are_idle, failed before (0 of 4 servers).

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -61,14 +61,9 @@
 sched_server_update(struct scheduler *sched, const struct reg_server *info)
 {
 	struct sched_server *server = sched_server_find(sched, info->id);
-	bool reserved = sched->reserve_next_server;
 
 	if (server != NULL && server->removed)
 		server = NULL;
-	if (server == NULL)
-		sched->reserve_next_server = !reserved;
-	else
-		reserved = server->reserved;
 	if (server != NULL && sched_server_replaced(server, info)) {
 		sched_server_lost(server, "restarted", true);
 		server->removed = true;
@@ -78,7 +73,6 @@
 		server = mem_zalloc(1, sizeof(*server));
 		server->sched = sched;
 		server->speed_permille = PLACE_SPEED_NOMINAL;
-		server->reserved = reserved;
 		TAILQ_INIT(&server->tasks);
 		TAILQ_INIT(&server->orphans);
 		TAILQ_INIT(&server->unstored_ends);
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -203,7 +203,7 @@
 	bool held;	     /* its lists were processed under this token */
 	bool removed;	     /* from the registry; freed when unused */
 	bool crash_reported; /* it refuses connections since it was held */
-	bool reserved;	     /* not for confined queues (core/bulkhead.h) */
+	bool reserved;	     /* no starts of confined queues; see bulkhead.h */
 	uint32_t nisolated;  /* runs that no other task is started beside */
 	bool hold_pending;
 	uint64_t hold_sent_us;
@@ -267,7 +267,9 @@
 	uint32_t nadvice_calls;
 	struct suspects suspects;
 	struct bulkhead bulkhead;
-	bool reserve_next_server; /* each second one is reserved */
+	/* Demand of the queues that are not confined, in thousandths of a core;
+	 * its recent maximum. */
+	int64_t others_cpu;
 	struct event *tick_event;
 	struct event *dispatch_event;
 	struct place_server *candidates; /* buffer of sched_dispatch() */
@@ -424,6 +426,8 @@
 void sched_bulkhead_server_crashed(struct sched_server *server);
 /* Determines which queues are confined. */
 void sched_bulkhead_update(struct scheduler *sched, uint64_t now_us);
+/* Reserves servers for the queues that are not confined. */
+void sched_bulkhead_reserve(struct scheduler *sched);
 /* Whether the job's queue is confined. */
 bool sched_job_confined(const struct sched_job *job);
 /* Whether the server is for tasks of confined queues, if @confined, or for the
--- a/entry/jobs/scheduler_place.c
+++ b/entry/jobs/scheduler_place.c
@@ -101,16 +101,22 @@
 	return n < step->per_server_max;
 }
 
+/* What is required of a server beside what the task itself requires. */
+struct sched_filter {
+	const char *rack; /* a label that it must have; NULL: any */
+	bool reserved;	  /* it must be reserved (see scheduler_bulkhead.c) */
+};
+
 /*
  * Fills the buffer of candidates with the free resources of all servers, in the
- * order of the scheduler's list. Servers that may not run @task, or lack the
- * label @rack if that is not NULL, are marked as not eligible.
+ * order of the scheduler's list. Servers that may not run @task, or are not
+ * what @filter requires, are marked as not eligible.
  *
  * Return: the number of candidates.
  */
 static size_t
 sched_list_candidates(struct scheduler *sched, const struct sched_task *task,
-    const char *rack, uint64_t now_us)
+    const struct sched_filter *filter, uint64_t now_us)
 {
 	const struct job_step *step = &task->job->spec.steps[task->step];
 	const struct sched_server *server;
@@ -131,18 +137,19 @@
 			.speed_permille = server->speed_permille,
 			.data_local = step->preferred_rack[0] == '\0' ||
 			    sched_has_label(server, step->preferred_rack),
-			.eligible =
+			.eligible = (server->reserved || !filter->reserved) &&
 			    sched_server_accepts_starts(server, now_us) &&
 			    sched_server_eligible(server, task) &&
-			    (rack == NULL || sched_has_label(server, rack)),
+			    (filter->rack == NULL ||
+				sched_has_label(server, filter->rack)),
 		};
 	}
 	return n;
 }
 
-struct sched_server *
-sched_choose_server(struct scheduler *sched, const struct sched_task *task,
-    const char *rack, uint64_t now_us)
+static struct sched_server *
+sched_choose_filtered(struct scheduler *sched, const struct sched_task *task,
+    const struct sched_filter *filter, uint64_t now_us)
 {
 	const struct job_step *step = &task->job->spec.steps[task->step];
 	const struct place_task demand = {
@@ -157,7 +164,7 @@
 		.far_permille = sched->params.far_permille,
 		.typical_cpu = step->cpu,
 	};
-	size_t n = sched_list_candidates(sched, task, rack, now_us);
+	size_t n = sched_list_candidates(sched, task, filter, now_us);
 	int chosen = place_choose(sched->candidates, n, &demand);
 	struct sched_server *server;
 
@@ -169,3 +176,21 @@
 	}
 	return server;
 }
+
+struct sched_server *
+sched_choose_server(struct scheduler *sched, const struct sched_task *task,
+    const char *rack, uint64_t now_us)
+{
+	struct sched_filter filter = { .rack = rack };
+	struct sched_server *server = NULL;
+
+	/* The servers that are not reserved are left to confined queues. */
+	filter.reserved =
+	    bulk_active(&sched->bulkhead) && !sched_job_confined(task->job);
+	if (filter.reserved)
+		server = sched_choose_filtered(sched, task, &filter, now_us);
+	filter.reserved = false;
+	return server != NULL
+	    ? server
+	    : sched_choose_filtered(sched, task, &filter, now_us);
+}
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -272,6 +272,7 @@
 	sched_reconcile(server, server->hold_sent_us, now_us);
 	if (!server->held) {
 		server->held = true;
+		sched_bulkhead_reserve(server->sched);
 		log_event(LOG_LEVEL_INFO, "server-held",
 		    "server=%s token=%" PRIu64
 		    " running=%zu ended=%zu started_ms=%" PRIu64,
--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -223,6 +223,34 @@
 	rig_destroy(rig);
 }
 
+/* The same queue alone: its tasks run on all servers, though some crash them.
+ */
+Test(scheduler_suspect,
+    confined_queue_uses_more_than_half_while_others_are_idle)
+{
+	struct rig *rig = rig_create();
+	struct job *job = NULL;
+	uint32_t i, n = 0;
+
+	for (i = 0; i < 100; i++) {
+		job = &rig->jobs[rig->njobs];
+		job->queue = "wax";
+		(void)rig_submit(rig, 1, 60, i % 2 == 0 ? ".0" : "");
+		srig_run(&rig->srig, 62);
+	}
+	srig_run(&rig->srig, 4000);
+	job = &rig->jobs[rig->njobs];
+	job->queue = "wax";
+	(void)rig_submit(rig, 8, 200, "");
+	srig_run(&rig->srig, 60);
+	for (i = 0; i < SRIG_SERVERS; i++)
+		n += rig->srig.cluster.servers[i].used_cpu > 0;
+	cr_expect_gt(n, SRIG_SERVERS / 2, "%u", n);
+	srig_run(&rig->srig, 2000);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
 /* The servers that run the job are cut off twice; they have not crashed. */
 Test(scheduler_suspect, task_of_unreachable_servers_is_not_given_up)
 {
