Suspects: a server that crashes before a start is confirmed convicts nobody

What callers saw: a job that could be done was answered as failed; only one server had crashed under its task.

Cause: the loss of a server was recorded for all tasks assigned to it, also for those whose start order had not been answered and perhaps never arrived. Such a task looked as if it had been alone at a crash, and the next one convicted it. Class: an order that was sent is taken for one that was carried out.

Test: test_scheduler_suspect, crash_before_the_start_arrives_does_not_convict, failed before.

Change: a loss says whether the start was confirmed, by the reply to the order or by a list of runs. Only crashes with a confirmed start convict at the second or third; four crashes convict in any case, as a task may crash servers before they reply. The exchanged record has the flag.

Ruled out: ignoring such losses, as a task that crashes servers at once would never be given up.

Most servers under one task as before, 2 and 3.

--- a/core/suspect.c
+++ b/core/suspect.c
@@ -10,9 +10,12 @@
 
 #define SUSP_US_PER_MS UINT64_C(1000)
 /* Crashes after which a task is guilty if it was alone at one of them, and if
- * it never was. */
+ * it never was. Only those of servers that had started it count, but with more
+ * crashes a task is guilty in any case: it may crash servers before they reply.
+ */
 #define SUSP_CRASHES_ALONE 2
 #define SUSP_CRASHES_MAX 3
+#define SUSP_CRASHES_UNCONFIRMED_MAX 4
 /* A task that has lost this many servers is not started while it is not known
  * whether they have crashed, but for at most this time. */
 #define SUSP_WAIT_LOSSES 2
@@ -104,8 +107,10 @@
 	for (i = 0; i < task->nlosses; i++) {
 		if (!susp_loss_same(&task->losses[i], loss))
 			continue;
-		known = task->losses[i].crashed || !loss->crashed;
+		known = (task->losses[i].crashed || !loss->crashed) &&
+		    (task->losses[i].started || !loss->started);
 		task->losses[i].crashed |= loss->crashed;
+		task->losses[i].started |= loss->started;
 		return !known;
 	}
 	if (task->nlosses == SUSP_LOSSES_MAX)
@@ -173,17 +178,21 @@
 susp_task_guilty(const struct susp_task *task, size_t *crashes)
 {
 	bool alone = false;
-	size_t i;
+	size_t i, started = 0;
 
 	*crashes = 0;
 	for (i = 0; i < task->nlosses; i++) {
 		if (!task->losses[i].crashed)
 			continue;
 		(*crashes)++;
+		if (!task->losses[i].started)
+			continue;
+		started++;
 		alone |= task->losses[i].alone;
 	}
-	return *crashes >= SUSP_CRASHES_MAX ||
-	    (*crashes >= SUSP_CRASHES_ALONE && alone);
+	return started >= SUSP_CRASHES_MAX ||
+	    (started >= SUSP_CRASHES_ALONE && alone) ||
+	    *crashes >= SUSP_CRASHES_UNCONFIRMED_MAX;
 }
 
 enum susp_verdict
--- a/core/suspect.h
+++ b/core/suspect.h
@@ -28,6 +28,7 @@
 	uint64_t lost_us;
 	bool crashed; /* else it is perhaps only unreachable */
 	bool alone;   /* no other task was on the server */
+	bool started; /* the task is known to have been started there */
 };
 
 /** struct susp_task - a suspect. */
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -113,6 +113,7 @@
 	struct sched_order *order; /* pending, for this run; NULL: none */
 	char *last_checkpoint;	   /* owned; NULL: none */
 	uint64_t checkpoint_run;   /* run id that wrote last_checkpoint */
+	bool start_confirmed;	   /* by a reply to the order, or by a list */
 	bool stop_confirmed; /* the run can't start later, and ends soon */
 	bool isolate;  /* a suspect: its next run needs a server of its own */
 	bool isolated; /* no other task is started beside its run */
--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -65,6 +65,7 @@
 
 	task->server = server;
 	task->run_id = run_id;
+	task->start_confirmed = false;
 	task->stop_confirmed = false;
 	task->job->nassigned++;
 	task->job->may_have_started = true;
@@ -104,6 +105,7 @@
 		sched_task_dequeue(task);
 	sched_task_assign(task, server, run_id);
 	task->state = SCHED_TASK_RUNNING;
+	task->start_confirmed = true;
 	task->start_sent_us = 0;
 	task->last_update_us = now_us;
 }
@@ -267,6 +269,7 @@
 	if (sched_check_verdict(server, reply->verdict) || task == NULL)
 		return;
 	if (reply->verdict == WORKER_OK) {
+		task->start_confirmed = true;
 		if (task->state == SCHED_TASK_STARTING)
 			task->state = SCHED_TASK_RUNNING;
 		if (task->job->ended)
@@ -277,6 +280,7 @@
 	    task->start_attempts > 1) {
 		/* An earlier attempt was executed and its run has ended: the
 		 * next lists contain its end. */
+		task->start_confirmed = true;
 		if (task->state == SCHED_TASK_STARTING)
 			task->state = SCHED_TASK_RUNNING;
 		if (!server->hold_pending)
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -174,6 +174,7 @@
 		/* The list shows that the run was started, even if the start
 		 * order got no reply. */
 		task->last_update_us = now_us;
+		task->start_confirmed = true;
 		if (task->state == SCHED_TASK_STARTING)
 			task->state = SCHED_TASK_RUNNING;
 		if (task->job->ended && task->state == SCHED_TASK_RUNNING)
--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -95,14 +95,15 @@
 
 	sched_task_name(task, name);
 	job->has_suspects = true;
+	loss->started = task->start_confirmed;
 	if (!susp_add_loss(&job->sched->suspects, name, loss))
 		return false;
 	verdict = susp_judge(&job->sched->suspects, name, loss->lost_us);
 	log_event(LOG_LEVEL_INFO, "task-suspected",
 	    "id=%s task=%" PRIu32 ".%" PRIu32
-	    " server=%s crashed=%d alone=%d losses=%zu verdict=%s",
+	    " server=%s crashed=%d alone=%d started=%d losses=%zu verdict=%s",
 	    job->spec.id, task->step, task->index, loss->server,
-	    loss->crashed ? 1 : 0, loss->alone ? 1 : 0,
+	    loss->crashed ? 1 : 0, loss->alone ? 1 : 0, loss->started ? 1 : 0,
 	    susp_find(&job->sched->suspects, name)->nlosses,
 	    sched_verdict_names[verdict]);
 	if (verdict == SUSP_GUILTY)
@@ -191,11 +192,12 @@
 		if (crashes_only && !loss->crashed)
 			continue;
 		(void)json_array_append_new(item,
-		    json_pack("[s,I,I,b,b]", loss->server,
+		    json_pack("[s,I,I,b,b,b]", loss->server,
 			(json_int_t)loss->incarnation_start_ms,
 			(json_int_t)((now_us - loss->lost_us) /
 			    SCHED_US_PER_MS),
-			(int)loss->crashed, (int)loss->alone));
+			(int)loss->crashed, (int)loss->alone,
+			(int)loss->started));
 	}
 	if (json_array_size(item) > 1)
 		return item;
@@ -253,6 +255,7 @@
 		loss.lost_us = age_us < now_us ? now_us - age_us : 0;
 		loss.crashed = json_is_true(json_array_get(fields, 3));
 		loss.alone = json_is_true(json_array_get(fields, 4));
+		loss.started = json_is_true(json_array_get(fields, 5));
 		(void)susp_add_loss(&sched->suspects, name, &loss);
 	}
 }
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -689,8 +689,9 @@
 Test(cells, likely_successors_have_the_record_of_suspects)
 {
 	struct net *net = net_create_zones(6, 1);
-	json_t *suspects = json_pack("[[s,[s,I,I,b,b]]]",
-	    "00000000000000aa.0.0.0", "s1", (json_int_t)5, (json_int_t)0, 0, 1);
+	json_t *suspects =
+	    json_pack("[[s,[s,I,I,b,b,b]]]", "00000000000000aa.0.0.0", "s1",
+		(json_int_t)5, (json_int_t)0, 0, 1, 1);
 	size_t i;
 
 	net_run(net, 2000);
@@ -708,8 +709,9 @@
 Test(cells, holder_has_the_record_of_former_holders)
 {
 	struct net *net = net_create_zones(6, 1);
-	json_t *suspects = json_pack("[[s,[s,I,I,b,b]]]",
-	    "00000000000000aa.0.0.0", "s1", (json_int_t)5, (json_int_t)0, 0, 1);
+	json_t *suspects =
+	    json_pack("[[s,[s,I,I,b,b,b]]]", "00000000000000aa.0.0.0", "s1",
+		(json_int_t)5, (json_int_t)0, 0, 1, 1);
 
 	net_run(net, 2000);
 	cr_assert_neq(sched_token(net->hosts[0].sched), 0);
@@ -725,9 +727,10 @@
 Test(cells, holders_report_crashes_to_each_other)
 {
 	struct net *net = net_create_zones(6, 2);
-	json_t *suspects = json_pack("[[s,[s,I,I,b,b]],[s,[s,I,I,b,b]]]",
+	json_t *suspects = json_pack("[[s,[s,I,I,b,b,b]],[s,[s,I,I,b,b,b]]]",
 	    "00000000000000aa.0.0.0", "s1", (json_int_t)5, (json_int_t)0, 1, 1,
-	    "00000000000000bb.0.0.0", "s2", (json_int_t)6, (json_int_t)0, 0, 1);
+	    1, "00000000000000bb.0.0.0", "s2", (json_int_t)6, (json_int_t)0, 0,
+	    1, 1);
 
 	/* The second server is perhaps only unreachable. */
 	net_run(net, 2000);
--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -313,6 +313,44 @@
 	rig_destroy(rig);
 }
 
+static void
+crash_for(struct wm_server *server, uint64_t ms)
+{
+	wm_crash(server);
+	server->down_until_ms = clock_now_us(clock_real()) / 1000 + ms;
+}
+
+/* The first server crashes before the start order arrives, the second one while
+ * it runs the task. */
+Test(scheduler_suspect, crash_before_the_start_arrives_does_not_convict)
+{
+	struct rig *rig = rig_create();
+	struct wm_server *servers = rig->srig.cluster.servers;
+	struct job *job;
+	uint32_t i;
+
+	fake_worker_faults(rig->srig.worker)->order_transit_ms = 40;
+	job = rig_submit(rig, 1, 400, "");
+	srig_run(&rig->srig, 20);
+	for (i = 0; i < SRIG_SERVERS; i++)
+		crash_for(&servers[i], 500);
+	for (i = 0; i < 200 &&
+	     servers[0].used_cpu + servers[1].used_cpu + servers[2].used_cpu +
+		     servers[3].used_cpu ==
+		 0;
+	     i++)
+		srig_run(&rig->srig, 10);
+	srig_run(&rig->srig, 100);
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		if (servers[i].used_cpu != 0)
+			crash_for(&servers[i], 500);
+	}
+	srig_run(&rig->srig, 5000);
+	cr_expect_eq(job->answers, 1);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
 /* The holder is lost after the first crash. */
 Test(scheduler_suspect, successor_knows_the_crashes_of_the_former_holder)
 {
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -12,6 +12,7 @@
 #define TASK "00000000000000aa.0.0.0"
 #define OTHER "00000000000000bb.0.0.1"
 
+/* A loss of a server that had started the task. */
 static void
 lose(struct suspects *suspects, const char *task, const char *server,
     uint64_t incarnation, uint64_t at_us, bool crashed, bool alone)
@@ -19,7 +20,8 @@
 	struct susp_loss loss = { .incarnation_start_ms = incarnation,
 		.lost_us = at_us,
 		.crashed = crashed,
-		.alone = alone };
+		.alone = alone,
+		.started = true };
 
 	strlcpy(loss.server, server, sizeof(loss.server));
 	(void)susp_add_loss(suspects, task, &loss);
@@ -76,6 +78,33 @@
 	susp_release(&suspects);
 }
 
+/* The start orders may not have arrived. A task that crashes servers before
+ * they reply is given up, too. */
+Test(suspect, crash_before_a_confirmed_start_is_weak_evidence)
+{
+	static const char *const servers[] = { "s1", "s2", "s3", "s4" };
+	struct susp_loss loss = { .crashed = true, .alone = true };
+	struct suspects suspects;
+	uint32_t i;
+
+	susp_init(&suspects);
+	for (i = 0; i < 4; i++) {
+		strlcpy(loss.server, servers[i], sizeof(loss.server));
+		loss.incarnation_start_ms = i + 5;
+		loss.lost_us = (i + 1) * SECOND_US;
+		(void)susp_add_loss(&suspects, TASK, &loss);
+		cr_expect_eq(susp_judge(&suspects, TASK, 5 * SECOND_US),
+		    i < 3 ? SUSP_ISOLATE : SUSP_GUILTY);
+	}
+	lose(&suspects, OTHER, "s1", 5, SECOND_US, true, true);
+	(void)susp_add_loss(&suspects, OTHER, &loss);
+	cr_expect_eq(susp_judge(&suspects, OTHER, 5 * SECOND_US), SUSP_ISOLATE);
+	loss.started = true;
+	cr_expect(susp_add_loss(&suspects, OTHER, &loss));
+	cr_expect_eq(susp_judge(&suspects, OTHER, 5 * SECOND_US), SUSP_GUILTY);
+	susp_release(&suspects);
+}
+
 Test(suspect, unreachable_server_has_not_crashed)
 {
 	struct suspects suspects;
