--- a/core/bulkhead.c
+++ b/core/bulkhead.c
@@ -60,6 +60,8 @@
 	uint32_t mask = 0;
 	size_t i;
 
+	/* An addition may begin the record anew: the indices are final only
+	 * after all additions. */
 	for (i = 0; i < nqueues; i++)
 		(void)bulk_find_or_add(bulkhead, queues[i]);
 	for (i = 0; i < nqueues; i++)
--- a/entry/jobs/scheduler_bulkhead.c
+++ b/entry/jobs/scheduler_bulkhead.c
@@ -1,7 +1,7 @@
 /*
  * Confinement of queues whose tasks crash many servers (see core/bulkhead.h).
- * Its tasks are not started on servers that are reserved for the other queues,
- * and share none with their tasks.
+ * Their tasks are not started on servers that are reserved for the other
+ * queues, and share no server with tasks of those.
  */
 
 #include <inttypes.h>
@@ -13,7 +13,7 @@
 #define SCHED_CRASH_QUEUES_MAX 16
 /* Reserved processors, as a multiple of what the other queues use. */
 #define SCHED_RESERVE_FACTOR 2
-/* Time constant with which the maximum of their use decreases. */
+/* Time constant with which the recent maximum of their use decreases. */
 #define SCHED_OTHERS_DECAY_TICKS 100
 
 bool
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -204,7 +204,7 @@
 	bool held;	     /* its lists were processed under this token */
 	bool removed;	     /* from the registry; freed when unused */
 	bool crash_reported; /* it refuses connections since it was held */
-	bool reserved;	     /* no starts of confined queues; see bulkhead.h */
+	bool reserved;	     /* for queues that are not confined */
 	uint32_t nisolated;  /* runs that no other task is started beside */
 	bool hold_pending;
 	uint64_t hold_sent_us;
