--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -129,7 +129,8 @@
 	return guilty;
 }
 
-/* If a suspect is found guilty, the others on the server are bystanders. */
+/* If a suspect is found guilty, the other tasks of the server are not
+ * recorded. */
 void
 sched_suspects_server_lost(struct sched_server *server, bool crashed)
 {
