Review, case 4: jobs of a lost zone are never run (LOST)

Four accepted jobs have nothing running 25 s after their zone was lost, with the other two zones idle.

--- /dev/null
+++ b/review/4/case.c
@@ -0,0 +1,63 @@
+/*
+ * Jobs are accepted in a zone, which is then lost for good: both of its entry
+ * hosts, and its minions. The other two zones are untouched and nearly idle.
+ */
+
+#include <stdio.h>
+#include <string.h>
+
+#include "review/rig/rig.h"
+
+#define CASE_JOBS 4
+#define CASE_TASKS 2 /* of each job */
+#define CASE_JOB                                                  \
+	"{\"spec\":\"ms=1500 cpu=8000\",\"steps\":[{\"count\":2," \
+	"\"cpu\":8000,\"mem_mb\":64,\"estimated_ms\":1500}]}"
+#define CASE_ASKED_INTERVAL_MS 5000
+
+int
+main(int argc, char **argv)
+{
+	char id[RIG_NAME_SIZE], state[RIG_NAME_SIZE];
+	uint32_t completed = 0, running = 0, n;
+	char task[2 * RIG_NAME_SIZE];
+	size_t i;
+
+	rig_start(argc, argv, false);
+	for (n = 0; n < CASE_JOBS; n++) {
+		snprintf(id, sizeof(id), "c4a000000000000%u", n);
+		rig_submit(&rig.hosts[n % RIG_HOSTS_PER_ZONE], id, CASE_JOB);
+	}
+	if (rig.trouble) {
+		rig_record("%s is lost", rig.hosts[0].zone);
+		for (i = 0; i < RIG_HOSTS_PER_ZONE; i++)
+			rig_host_kill(&rig.hosts[i]);
+		for (i = 0; i < RIG_MINIONS_PER_ZONE; i++)
+			minion_crash(&rig.minions[i]);
+	}
+	/* finish_s, and as long again for the loss to be noticed. */
+	for (i = 0; i < 2 * RIG_FINISH_MS / CASE_ASKED_INTERVAL_MS; i++) {
+		rig_wait(CASE_ASKED_INTERVAL_MS);
+		rig_call(&rig.hosts[RIG_HOSTS_PER_ZONE], "GET",
+		    "c4a0000000000000", NULL, 1500, NULL);
+	}
+	for (n = 0; n < CASE_JOBS; n++) {
+		snprintf(id, sizeof(id), "c4a000000000000%u", n);
+		rig_call(&rig.hosts[RIG_HOSTS - 1], "GET", id, NULL, 1500,
+		    state);
+		completed += strcmp(state, "completed") == 0;
+		for (i = 0; i < CASE_TASKS; i++) {
+			snprintf(task, sizeof(task), "%s.0.0.%zu", id, i);
+			running += rig_find_run(task, NULL) != NULL;
+		}
+	}
+	if (completed < CASE_JOBS && running == 0)
+		rig_end(RIG_BROKEN,
+		    "%u of %d accepted jobs are completed, the others have "
+		    "nothing running",
+		    completed, CASE_JOBS);
+	if (completed < CASE_JOBS)
+		rig_end(RIG_HELD, "%u jobs are completed, others run",
+		    completed);
+	rig_end(RIG_HELD, "all accepted jobs are completed");
+}
