--- a/review/4/case.c
+++ b/review/4/case.c
@@ -1,6 +1,6 @@
 /*
- * Jobs are accepted in a zone, which is then lost for good: both of its entry
- * hosts, and its minions. The other two zones are untouched and nearly idle.
+ * A minion crashes and starts again under its id and at its address, as one of
+ * another kind. A client submits small jobs that require the former kind.
  */
 
 #include <stdio.h>
@@ -8,56 +8,83 @@
 
 #include "review/rig/rig.h"
 
-#define CASE_JOBS 4
-#define CASE_TASKS 2 /* of each job */
-#define CASE_JOB                                                  \
-	"{\"spec\":\"ms=1500 cpu=8000\",\"steps\":[{\"count\":2," \
-	"\"cpu\":8000,\"mem_mb\":64,\"estimated_ms\":1500}]}"
-#define CASE_ASKED_INTERVAL_MS 5000
+#define CASE_ID_PREFIX "c4a0"
+#define CASE_JOB                                               \
+	"{\"spec\":\"ms=400 cpu=4000\",\"best_effort\":true,"  \
+	"\"steps\":[{\"count\":28,\"cpu\":4000,\"mem_mb\":64," \
+	"\"estimated_ms\":400,\"requirements\":\"a\"}]}"
+#define CASE_ROUNDS 3
+#define CASE_JOBS 3 /* after each start */
+#define CASE_DOWN_MS 2000
+
+static uint32_t case_wrong_kind;
+static uint32_t case_next;
+
+static void
+case_started(struct rig_minion *minion, const struct rig_run *run,
+    const char *checkpoint)
+{
+	(void)checkpoint;
+	if (strncmp(run->task, CASE_ID_PREFIX, strlen(CASE_ID_PREFIX)) != 0 ||
+	    strcmp(minion->kind, "a") == 0)
+		return;
+	case_wrong_kind++;
+	rig_record("%s, of kind %s, starts %s, which requires a", minion->id,
+	    minion->kind, run->task);
+}
+
+static void
+case_submit(void)
+{
+	char id[RIG_NAME_SIZE];
+
+	snprintf(id, sizeof(id), CASE_ID_PREFIX "%012x", case_next++);
+	rig_call(&rig.hosts[0], "POST", id, CASE_JOB, 1500, NULL);
+}
+
+/* The minion crashes and starts again. */
+static void
+case_restart(struct rig_minion *minion, const char *kind)
+{
+	if (!rig.trouble)
+		return;
+	minion_crash(minion);
+	rig_wait(CASE_DOWN_MS);
+	minion->kind = kind;
+	minion_start(minion);
+}
+
+static void
+case_submit_jobs(void)
+{
+	int i;
+
+	for (i = 0; i < CASE_JOBS; i++)
+		case_submit();
+}
 
 int
 main(int argc, char **argv)
 {
-	char id[RIG_NAME_SIZE], state[RIG_NAME_SIZE];
-	uint32_t completed = 0, running = 0, n;
-	char task[2 * RIG_NAME_SIZE];
-	size_t i;
+	struct rig_minion *minion = &rig.minions[0];
+	uint32_t before, rounds = 0;
+	int i;
 
+	rig.on_start = case_started;
 	rig_start(argc, argv, false);
-	for (n = 0; n < CASE_JOBS; n++) {
-		snprintf(id, sizeof(id), "c4a000000000000%u", n);
-		rig_submit(&rig.hosts[n % RIG_HOSTS_PER_ZONE], id, CASE_JOB);
-	}
-	if (rig.trouble) {
-		rig_record("%s is lost", rig.hosts[0].zone);
-		for (i = 0; i < RIG_HOSTS_PER_ZONE; i++)
-			rig_host_kill(&rig.hosts[i]);
-		for (i = 0; i < RIG_MINIONS_PER_ZONE; i++)
-			minion_crash(&rig.minions[i]);
-	}
-	/* finish_s, and as long again for the loss to be noticed. */
-	for (i = 0; i < 2 * RIG_FINISH_MS / CASE_ASKED_INTERVAL_MS; i++) {
-		rig_wait(CASE_ASKED_INTERVAL_MS);
-		rig_call(&rig.hosts[RIG_HOSTS_PER_ZONE], "GET",
-		    "c4a0000000000000", NULL, 1500, NULL);
-	}
-	for (n = 0; n < CASE_JOBS; n++) {
-		snprintf(id, sizeof(id), "c4a000000000000%u", n);
-		rig_call(&rig.hosts[RIG_HOSTS - 1], "GET", id, NULL, 1500,
-		    state);
-		completed += strcmp(state, "completed") == 0;
-		for (i = 0; i < CASE_TASKS; i++) {
-			snprintf(task, sizeof(task), "%s.0.0.%zu", id, i);
-			running += rig_find_run(task, NULL) != NULL;
-		}
+	case_submit_jobs();
+	for (i = 0; i < CASE_ROUNDS; i++) {
+		before = case_wrong_kind;
+		case_restart(minion, "b");
+		case_submit_jobs();
+		rounds += case_wrong_kind > before;
+		case_restart(minion, "a");
+		case_submit_jobs();
 	}
-	if (completed < CASE_JOBS && running == 0)
+	if (case_wrong_kind > 0)
 		rig_end(RIG_BROKEN,
-		    "%u of %d accepted jobs are completed, the others have "
-		    "nothing running",
-		    completed, CASE_JOBS);
-	if (completed < CASE_JOBS)
-		rig_end(RIG_HELD, "%u jobs are completed, others run",
-		    completed);
-	rig_end(RIG_HELD, "all accepted jobs are completed");
+		    "%u tasks started on a minion without the label that they "
+		    "require, after %u of %d restarts",
+		    case_wrong_kind, rounds, CASE_ROUNDS);
+	rig_end(RIG_HELD, "all tasks started on minions with the label");
 }
