--- a/review/5/case.c
+++ b/review/5/case.c
@@ -1,6 +1,6 @@
 /*
- * A minion crashes and starts again under its id and at its address, as one of
- * another kind. A client submits small jobs that require the former kind.
+ * A minion is unhealthy: it refuses all starts. The other minions of its zone
+ * are busy, so that ten jobs wait. A client asks how many haven't begun.
  */
 
 #include <stdio.h>
@@ -8,62 +8,111 @@
 
 #include "review/rig/rig.h"
 
-#define CASE_ID_PREFIX "c5a0"
-#define CASE_JOB                                               \
-	"{\"spec\":\"ms=400 cpu=4000\",\"best_effort\":true,"  \
-	"\"steps\":[{\"count\":28,\"cpu\":4000,\"mem_mb\":64," \
-	"\"estimated_ms\":400,\"requirements\":\"a\"}]}"
-#define CASE_JOBS_BEFORE 3
-#define CASE_JOBS_AFTER 8
-#define CASE_DOWN_MS 2000
+#define CASE_BUSY_ID "c5b0000000000000"
+/* Three tasks, each of which leaves no room for the other jobs. */
+#define CASE_BUSY_JOB                                               \
+	"{\"spec\":\"ms=12000 cpu=31000\",\"steps\":[{\"count\":3," \
+	"\"cpu\":31000,\"mem_mb\":64,\"estimated_ms\":12000}]}"
+#define CASE_JOBS 10
+#define CASE_JOB                                                 \
+	"{\"spec\":\"ms=500 cpu=3000\",\"steps\":[{\"count\":1," \
+	"\"cpu\":3000,\"mem_mb\":64,\"estimated_ms\":500}]}"
+/* srv_grey of the site okapi-renew: for_s. */
+#define CASE_UNHEALTHY_MS 6500
+/* "pending" counts jobs that were accepted this long before, and more. */
+#define CASE_PENDING_AGE_MS (RIG_VISIBLE_MS + 2000)
+#define CASE_ASK_INTERVAL_MS 300
 
-static uint32_t case_wrong_kind;
-static uint32_t case_next;
+static bool
+case_busy(void *arg)
+{
+	(void)arg;
+	return rig_find_run(CASE_BUSY_ID ".0.0.0", NULL) != NULL &&
+	    rig_find_run(CASE_BUSY_ID ".0.0.1", NULL) != NULL &&
+	    rig_find_run(CASE_BUSY_ID ".0.0.2", NULL) != NULL;
+}
 
 static void
-case_started(struct rig_minion *minion, const struct rig_run *run,
-    const char *checkpoint)
+case_job_id(char id[RIG_NAME_SIZE], unsigned number)
 {
-	(void)checkpoint;
-	if (strncmp(run->task, CASE_ID_PREFIX, strlen(CASE_ID_PREFIX)) != 0 ||
-	    strcmp(minion->kind, "a") == 0)
-		return;
-	case_wrong_kind++;
-	rig_record("%s, of kind %s, starts %s, which requires a", minion->id,
-	    minion->kind, run->task);
+	snprintf(id, RIG_NAME_SIZE, "c5a%013x", number + 1);
 }
 
-static void
-case_submit(void)
+/* Jobs of which no minion has started a task. */
+static int
+case_not_begun(void)
 {
-	char id[RIG_NAME_SIZE];
+	char id[RIG_NAME_SIZE], task[RIG_NAME_SIZE + 8];
+	unsigned i;
+	int n = 0;
+
+	for (i = 0; i < CASE_JOBS; i++) {
+		case_job_id(id, i);
+		snprintf(task, sizeof(task), "%s.0.0.0", id);
+		n += rig_task(task)->starts == 0;
+	}
+	return n;
+}
+
+/* The minion of the zone that runs nothing. */
+static struct rig_minion *
+case_idle_minion(void)
+{
+	size_t i;
 
-	snprintf(id, sizeof(id), CASE_ID_PREFIX "%012x", case_next++);
-	rig_call(&rig.hosts[0], "POST", id, CASE_JOB, 1500, NULL);
+	for (i = 0; i < RIG_MINIONS_PER_ZONE; i++) {
+		if (TAILQ_EMPTY(&rig.minions[i].running))
+			return &rig.minions[i];
+	}
+	rig_end(RIG_NOT_RUN, "all minions of the zone are busy");
 }
 
 int
 main(int argc, char **argv)
 {
-	struct rig_minion *minion = &rig.minions[0];
-	uint32_t i;
+	struct rig_minion *minion;
+	char id[RIG_NAME_SIZE];
+	uint64_t since_ms, unhealthy_ms;
+	int wrong = 0, asked = 0, pending, waiting;
+	unsigned i;
 
-	rig.on_start = case_started;
 	rig_start(argc, argv, false);
-	for (i = 0; i < CASE_JOBS_BEFORE; i++)
-		case_submit();
-	if (rig.trouble) {
-		minion_crash(minion);
-		rig_wait(CASE_DOWN_MS);
-		minion->kind = "b";
-		minion_start(minion);
+	rig_submit(&rig.hosts[0], CASE_BUSY_ID, CASE_BUSY_JOB);
+	if (!rig_wait_for(case_busy, NULL, 5000))
+		rig_end(RIG_NOT_RUN, "the first job does not run");
+	minion = case_idle_minion();
+	unhealthy_ms = rig_now_ms();
+	minion->unhealthy = rig.trouble;
+	rig_record("%s is %s", minion->id, rig.trouble ? "unhealthy" : "sound");
+	for (i = 0; i < CASE_JOBS; i++) {
+		case_job_id(id, i);
+		rig_submit(&rig.hosts[0], id, CASE_JOB);
+	}
+	since_ms = rig_now_ms();
+	while (rig_now_ms() < unhealthy_ms + CASE_UNHEALTHY_MS) {
+		rig_wait(CASE_ASK_INTERVAL_MS);
+		if (rig_now_ms() < since_ms + CASE_PENDING_AGE_MS)
+			continue;
+		pending = rig_pending(&rig.hosts[RIG_HOSTS - 1]);
+		/* Jobs that begin while the client asks are not counted. */
+		waiting = case_not_begun();
+		if (pending < 0)
+			continue;
+		asked++;
+		if (2 * pending < waiting) {
+			wrong++;
+			rig_record("pending is %d, %d jobs have not begun",
+			    pending, waiting);
+		}
 	}
-	for (i = 0; i < CASE_JOBS_AFTER; i++)
-		case_submit();
-	if (case_wrong_kind > 0)
+	minion->unhealthy = false;
+	rig_record("%s is sound again", minion->id);
+	if (asked == 0)
+		rig_end(RIG_NOT_RUN, "no answer to the client");
+	if (wrong > 0)
 		rig_end(RIG_BROKEN,
-		    "%u tasks started on a minion without the label that they "
-		    "require",
-		    case_wrong_kind);
-	rig_end(RIG_HELD, "all tasks started on minions with the label");
+		    "%d of %d answers gave under half of the jobs that had not "
+		    "begun",
+		    wrong, asked);
+	rig_end(RIG_HELD, "%d answers were right", asked);
 }
--- a/review/rig/minion.c
+++ b/review/rig/minion.c
@@ -402,6 +402,10 @@
 		minion_reply(req, minion, 421, NULL, json_object());
 	} else if (token < minion->token) {
 		minion_reply(req, minion, 409, "fence", json_object());
+	} else if (minion->unhealthy && strcmp(path, "/v1/run-start") == 0) {
+		rig_record("%s refuses to start %s: 503", minion->id,
+		    sti_str(body, "task", ""));
+		minion_reply(req, minion, 503, NULL, json_object());
 	} else {
 		if (token > minion->token) {
 			const struct rig_host *host = rig_host_of_token(token);
--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -32,6 +32,7 @@
 #define RIG_ADVICE_PORT 8169 /* nobody listens there */
 #define RIG_READY_TIMEOUT_MS 15000
 #define RIG_SETTLE_MS 1500
+#define RIG_CALL_TIMEOUT_MS 1500
 #define RIG_QUEUE_HOST "renew.example"
 #define RIG_QUEUE_PREFIX "/pass/"
 
@@ -414,9 +415,10 @@
 	return ((struct rig_answer *)arg)->ended;
 }
 
-int
-rig_call(struct rig_host *host, const char *method, const char *id,
-    const char *body, uint32_t deadline_ms, char state[RIG_NAME_SIZE])
+/* Return: the answer as JSON, or NULL. */
+static json_t *
+rig_request(struct rig_host *host, const char *method, const char *id,
+    const char *body, uint32_t deadline_ms, int *status)
 {
 	struct evhttp_connection *conn = evhttp_connection_base_new(rig.base,
 	    NULL, host->ip, RIG_FRONTEND_PORT);
@@ -424,7 +426,6 @@
 	struct evhttp_request *req = evhttp_request_new(rig_answered, &answer);
 	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
 	char path[128], deadline[16];
-	json_t *json;
 
 	evhttp_connection_set_retries(conn, 0);
 	snprintf(path, sizeof(path), RIG_QUEUE_PREFIX "%s", id);
@@ -444,14 +445,37 @@
 	if (!answer.ended)
 		evhttp_cancel_request(req);
 	evhttp_connection_free(conn);
-	json = json_loads(answer.body, 0, NULL);
+	*status = answer.status;
+	rig_record("client: %s %s at %s -> %d %s", method, id, host->name,
+	    answer.status, answer.body);
+	return json_loads(answer.body, 0, NULL);
+}
+
+int
+rig_call(struct rig_host *host, const char *method, const char *id,
+    const char *body, uint32_t deadline_ms, char state[RIG_NAME_SIZE])
+{
+	int status;
+	json_t *json =
+	    rig_request(host, method, id, body, deadline_ms, &status);
+
 	if (state != NULL)
 		snprintf(state, RIG_NAME_SIZE, "%s",
 		    sti_str(json, "state", ""));
 	json_decref(json);
-	rig_record("client: %s %s at %s -> %d %s", method, id, host->name,
-	    answer.status, answer.body);
-	return answer.status;
+	return status;
+}
+
+int
+rig_pending(struct rig_host *host)
+{
+	int status, pending;
+	json_t *json =
+	    rig_request(host, "GET", "", NULL, RIG_CALL_TIMEOUT_MS, &status);
+
+	pending = status == 200 ? (int)sti_int(json, "pending", -1) : -1;
+	json_decref(json);
+	return pending;
 }
 
 void
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -102,6 +102,7 @@
 	bool registered;
 	/* Calls with a higher token don't reach it; 0: all do. */
 	uint64_t cut_above_token;
+	bool unhealthy; /* refuses starts with 503 */
 	struct rig_runs running, ended, stopped;
 };
 
@@ -170,6 +171,13 @@
 int rig_call(struct rig_host *host, const char *method, const char *id,
     const char *body, uint32_t deadline_ms, char state[RIG_NAME_SIZE]);
 
+/**
+ * rig_pending() - ask a host for the number of accepted jobs that have not
+ * begun.
+ * Return: the number, or -1 if there was no answer.
+ */
+int rig_pending(struct rig_host *host);
+
 /** rig_submit() - submit a job until it is accepted; exits otherwise. */
 void rig_submit(struct rig_host *host, const char *id, const char *body);
 
