--- a/review/rig/proxy.c
+++ b/review/rig/proxy.c
@@ -140,12 +140,10 @@
 	host->cut_off = cut_off;
 	for (link = LIST_FIRST(&proxy_links); link != NULL; link = next) {
 		next = LIST_NEXT(link, entry);
-		if (link->target == host || link->origin == host)
-			proxy_update(link);
-		if (!cut_off && link->origin == host) {
-			proxy_readable(link->from, link);
-			proxy_readable(link->to, link);
-		} else if (!cut_off && link->target == host) {
+		if (link->target != host && link->origin != host)
+			continue;
+		proxy_update(link);
+		if (!cut_off) {
 			proxy_readable(link->from, link);
 			proxy_readable(link->to, link);
 		}
