--- a/review/4/case.c
+++ b/review/4/case.c
@@ -1,6 +1,6 @@
 /*
- * A minion crashes and starts again under its id and at its address, as one of
- * another kind. A client submits small jobs that require the former kind.
+ * A server refuses a share of all calls, with good health, while a job is
+ * cancelled that has lasting tasks on it. Later it refuses none.
  */
 
 #include <stdio.h>
@@ -8,83 +8,78 @@
 
 #include "review/rig/rig.h"
 
-#define CASE_ID_PREFIX "c4a0"
-#define CASE_JOB                                               \
-	"{\"spec\":\"ms=400 cpu=4000\",\"best_effort\":true,"  \
-	"\"steps\":[{\"count\":28,\"cpu\":4000,\"mem_mb\":64," \
-	"\"estimated_ms\":400,\"requirements\":\"a\"}]}"
-#define CASE_ROUNDS 3
-#define CASE_JOBS 3 /* after each start */
-#define CASE_DOWN_MS 2000
-
-static uint32_t case_wrong_kind;
-static uint32_t case_next;
-
-static void
-case_started(struct rig_minion *minion, const struct rig_run *run,
-    const char *checkpoint)
-{
-	(void)checkpoint;
-	if (strncmp(run->task, CASE_ID_PREFIX, strlen(CASE_ID_PREFIX)) != 0 ||
-	    strcmp(minion->kind, "a") == 0)
-		return;
-	case_wrong_kind++;
-	rig_record("%s, of kind %s, starts %s, which requires a", minion->id,
-	    minion->kind, run->task);
-}
+#define CASE_ID "c4a0000000000001"
+#define CASE_TASKS 8
+#define CASE_JOB                                                      \
+	"{\"spec\":\"ms=1000000000 cpu=4000\",\"long_running\":true," \
+	"\"steps\":[{\"count\":8,\"cpu\":4000,\"mem_mb\":64,"         \
+	"\"estimated_ms\":1000}]}"
+#define CASE_GREY_MS 6500
+#define CASE_SHED_PERCENT 45
+/* The bound of the rule, after the time in which the system is in touch again.
+ */
+#define CASE_GONE_MS (RIG_CONTACT_MS + RIG_CANCEL_MS + RIG_STOP_GRACE_MS)
+#define CASE_LOOK_MS 10000
 
-static void
-case_submit(void)
+static uint32_t
+case_running(void)
 {
-	char id[RIG_NAME_SIZE];
+	char task[RIG_NAME_SIZE];
+	uint32_t i, n = 0;
 
-	snprintf(id, sizeof(id), CASE_ID_PREFIX "%012x", case_next++);
-	rig_call(&rig.hosts[0], "POST", id, CASE_JOB, 1500, NULL);
+	for (i = 0; i < CASE_TASKS; i++) {
+		snprintf(task, sizeof(task), CASE_ID ".0.0.%u", i);
+		n += rig_find_run(task, NULL) != NULL;
+	}
+	return n;
 }
 
-/* The minion crashes and starts again. */
-static void
-case_restart(struct rig_minion *minion, const char *kind)
+static bool
+case_all_run(void *arg)
 {
-	if (!rig.trouble)
-		return;
-	minion_crash(minion);
-	rig_wait(CASE_DOWN_MS);
-	minion->kind = kind;
-	minion_start(minion);
+	(void)arg;
+	return case_running() == CASE_TASKS;
 }
 
-static void
-case_submit_jobs(void)
+static bool
+case_none_runs(void *arg)
 {
-	int i;
-
-	for (i = 0; i < CASE_JOBS; i++)
-		case_submit();
+	(void)arg;
+	return case_running() == 0;
 }
 
 int
 main(int argc, char **argv)
 {
-	struct rig_minion *minion = &rig.minions[0];
-	uint32_t before, rounds = 0;
-	int i;
+	struct rig_minion *minion;
+	uint32_t n;
+	int status;
 
-	rig.on_start = case_started;
 	rig_start(argc, argv, false);
-	case_submit_jobs();
-	for (i = 0; i < CASE_ROUNDS; i++) {
-		before = case_wrong_kind;
-		case_restart(minion, "b");
-		case_submit_jobs();
-		rounds += case_wrong_kind > before;
-		case_restart(minion, "a");
-		case_submit_jobs();
+	rig_submit(&rig.hosts[0], CASE_ID, CASE_JOB);
+	if (!rig_wait_for(case_all_run, NULL, 5000))
+		rig_end(RIG_NOT_RUN, "the tasks are not started");
+	rig_wait(1000);
+	if (rig_find_run(CASE_ID ".0.0.0", &minion) == NULL)
+		rig_end(RIG_NOT_RUN, "a task has ended");
+	if (rig.trouble) {
+		rig_record("%s refuses %d%% of all calls", minion->id,
+		    CASE_SHED_PERCENT);
+		minion->shed_percent = CASE_SHED_PERCENT;
 	}
-	if (case_wrong_kind > 0)
-		rig_end(RIG_BROKEN,
-		    "%u tasks started on a minion without the label that they "
-		    "require, after %u of %d restarts",
-		    case_wrong_kind, rounds, CASE_ROUNDS);
-	rig_end(RIG_HELD, "all tasks started on minions with the label");
+	status = rig_call(&rig.hosts[0], "DELETE", CASE_ID, NULL, 1500, NULL);
+	if (status < 200 || status >= 300)
+		rig_end(RIG_NOT_RUN, "the cancel is not acknowledged");
+	rig_wait(CASE_GREY_MS);
+	rig_record("%s refuses nothing", minion->id);
+	minion->shed_percent = 0;
+	(void)rig_wait_for(case_none_runs, NULL, CASE_GONE_MS);
+	n = case_running();
+	if (n == 0)
+		rig_end(RIG_HELD, "all tasks of the cancelled job have ended");
+	rig_wait(CASE_LOOK_MS);
+	rig_end(RIG_BROKEN,
+	    "%u tasks of the cancelled job work on %d ms after the server "
+	    "refuses nothing any more, %u still %d ms later",
+	    n, CASE_GONE_MS, case_running(), CASE_LOOK_MS);
 }
