Review, case 5: a job is failed as its server goes down and up (LOST)

No run of the job's only task has ended as failed; after two crashes of the server the job is shown as failed.

--- a/review/5/case.c
+++ b/review/5/case.c
@@ -1,6 +1,6 @@
 /*
- * A minion is unhealthy: it refuses all starts. The other minions of its zone
- * are busy, so that ten jobs wait. A client asks how many haven't begun.
+ * One server goes down and up by turns. A stored job has its only task on it,
+ * as the other servers of the zone are full. No run of the task fails.
  */
 
 #include <stdio.h>
@@ -8,111 +8,77 @@
 
 #include "review/rig/rig.h"
 
-#define CASE_BUSY_ID "c5b0000000000000"
-/* Three tasks, each of which leaves no room for the other jobs. */
-#define CASE_BUSY_JOB                                               \
-	"{\"spec\":\"ms=12000 cpu=31000\",\"steps\":[{\"count\":3," \
-	"\"cpu\":31000,\"mem_mb\":64,\"estimated_ms\":12000}]}"
-#define CASE_JOBS 10
-#define CASE_JOB                                                 \
-	"{\"spec\":\"ms=500 cpu=3000\",\"steps\":[{\"count\":1," \
-	"\"cpu\":3000,\"mem_mb\":64,\"estimated_ms\":500}]}"
-/* srv_grey of the site okapi-renew: for_s. */
-#define CASE_UNHEALTHY_MS 6500
-/* "pending" counts jobs that were accepted this long before, and more. */
-#define CASE_PENDING_AGE_MS (RIG_VISIBLE_MS + 2000)
-#define CASE_ASK_INTERVAL_MS 300
+#define CASE_FULL_ID "c5a0000000000001"
+#define CASE_FULL_JOB                                                  \
+	"{\"spec\":\"ms=1000000000 cpu=32000\",\"long_running\":true," \
+	"\"steps\":[{\"count\":3,\"cpu\":32000,\"mem_mb\":64,"         \
+	"\"estimated_ms\":1000,\"checkpointing\":true}]}"
+#define CASE_ID "c5a0000000000002"
+#define CASE_TASK CASE_ID ".0.0.0"
+#define CASE_JOB                                                   \
+	"{\"spec\":\"ms=12000 cpu=8000\",\"steps\":[{\"count\":1," \
+	"\"cpu\":8000,\"mem_mb\":64,\"estimated_ms\":12000,"       \
+	"\"checkpointing\":true}]}"
+#define CASE_FLAP_MS 5000
+#define CASE_GAP_MS 1400
 
 static bool
-case_busy(void *arg)
+case_full(void *arg)
 {
 	(void)arg;
-	return rig_find_run(CASE_BUSY_ID ".0.0.0", NULL) != NULL &&
-	    rig_find_run(CASE_BUSY_ID ".0.0.1", NULL) != NULL &&
-	    rig_find_run(CASE_BUSY_ID ".0.0.2", NULL) != NULL;
+	return rig_find_run(CASE_FULL_ID ".0.0.0", NULL) != NULL &&
+	    rig_find_run(CASE_FULL_ID ".0.0.1", NULL) != NULL &&
+	    rig_find_run(CASE_FULL_ID ".0.0.2", NULL) != NULL;
 }
 
-static void
-case_job_id(char id[RIG_NAME_SIZE], unsigned number)
-{
-	snprintf(id, RIG_NAME_SIZE, "c5a%013x", number + 1);
-}
-
-/* Jobs of which no minion has started a task. */
-static int
-case_not_begun(void)
+static bool
+case_task_runs(void *arg)
 {
-	char id[RIG_NAME_SIZE], task[RIG_NAME_SIZE + 8];
-	unsigned i;
-	int n = 0;
-
-	for (i = 0; i < CASE_JOBS; i++) {
-		case_job_id(id, i);
-		snprintf(task, sizeof(task), "%s.0.0.0", id);
-		n += rig_task(task)->starts == 0;
-	}
-	return n;
+	(void)arg;
+	return rig_find_run(CASE_TASK, NULL) != NULL;
 }
 
-/* The minion of the zone that runs nothing. */
-static struct rig_minion *
-case_idle_minion(void)
+static bool
+case_task_is_done(void *arg)
 {
-	size_t i;
-
-	for (i = 0; i < RIG_MINIONS_PER_ZONE; i++) {
-		if (TAILQ_EMPTY(&rig.minions[i].running))
-			return &rig.minions[i];
-	}
-	rig_end(RIG_NOT_RUN, "all minions of the zone are busy");
+	(void)arg;
+	return rig_task(CASE_TASK)->done > 0;
 }
 
 int
 main(int argc, char **argv)
 {
 	struct rig_minion *minion;
-	char id[RIG_NAME_SIZE];
-	uint64_t since_ms, unhealthy_ms;
-	int wrong = 0, asked = 0, pending, waiting;
-	unsigned i;
+	char state[RIG_NAME_SIZE];
+	uint64_t end_ms;
 
+	rig.checkpoint_ms = 1000;
 	rig_start(argc, argv, false);
-	rig_submit(&rig.hosts[0], CASE_BUSY_ID, CASE_BUSY_JOB);
-	if (!rig_wait_for(case_busy, NULL, 5000))
-		rig_end(RIG_NOT_RUN, "the first job does not run");
-	minion = case_idle_minion();
-	unhealthy_ms = rig_now_ms();
-	minion->unhealthy = rig.trouble;
-	rig_record("%s is %s", minion->id, rig.trouble ? "unhealthy" : "sound");
-	for (i = 0; i < CASE_JOBS; i++) {
-		case_job_id(id, i);
-		rig_submit(&rig.hosts[0], id, CASE_JOB);
-	}
-	since_ms = rig_now_ms();
-	while (rig_now_ms() < unhealthy_ms + CASE_UNHEALTHY_MS) {
-		rig_wait(CASE_ASK_INTERVAL_MS);
-		if (rig_now_ms() < since_ms + CASE_PENDING_AGE_MS)
-			continue;
-		pending = rig_pending(&rig.hosts[RIG_HOSTS - 1]);
-		/* Jobs that begin while the client asks are not counted. */
-		waiting = case_not_begun();
-		if (pending < 0)
-			continue;
-		asked++;
-		if (2 * pending < waiting) {
-			wrong++;
-			rig_record("pending is %d, %d jobs have not begun",
-			    pending, waiting);
-		}
+	rig_submit(&rig.hosts[0], CASE_FULL_ID, CASE_FULL_JOB);
+	if (!rig_wait_for(case_full, NULL, 5000))
+		rig_end(RIG_NOT_RUN, "the servers are not full");
+	rig_submit(&rig.hosts[0], CASE_ID, CASE_JOB);
+	if (!rig_wait_for(case_task_runs, NULL, 5000))
+		rig_end(RIG_NOT_RUN, "the task is not started");
+	rig_wait(500);
+	if (rig_find_run(CASE_TASK, &minion) == NULL)
+		rig_end(RIG_NOT_RUN, "the task does not run");
+	end_ms = rig_now_ms() + CASE_FLAP_MS;
+	while (rig.trouble && rig_now_ms() < end_ms) {
+		minion_crash(minion);
+		rig_wait(CASE_GAP_MS);
+		minion_start(minion);
+		rig_wait(CASE_GAP_MS);
 	}
-	minion->unhealthy = false;
-	rig_record("%s is sound again", minion->id);
-	if (asked == 0)
-		rig_end(RIG_NOT_RUN, "no answer to the client");
-	if (wrong > 0)
+	(void)rig_wait_for(case_task_is_done, NULL, 30000);
+	rig_wait(1500);
+	rig_call(&rig.hosts[0], "GET", CASE_ID, NULL, 1500, state);
+	if (strcmp(state, "failed") == 0 && rig_task(CASE_TASK)->failed == 0)
 		rig_end(RIG_BROKEN,
-		    "%d of %d answers gave under half of the jobs that had not "
-		    "begun",
-		    wrong, asked);
-	rig_end(RIG_HELD, "%d answers were right", asked);
+		    "the job is shown as failed; none of its %u runs has ended "
+		    "so",
+		    rig_task(CASE_TASK)->starts);
+	if (strcmp(state, "completed") != 0)
+		rig_end(RIG_NOT_RUN, "the job is %s", state);
+	rig_end(RIG_HELD, "the job is completed");
 }
