Cells, scheduler: report how long a holder is confirmed as such

The logs could not tell whether a second start of a task came from a former holder that went on renewing leases, or from a successor that took all runs for known. Two kinds of lines do: holder-confirmed and holder-unconfirmed, when the time in which no other host can have replaced the holder begins and ends, and former-runs-ended, when a task is started on the assumption that the former holder's leases have ended, with the servers that have not answered.

Each ping returns the time in the last reply, and names the sender's token and the highest one that it has seen. The holder so learns without a call of its own at which time the other hosts of its zone had not replaced it, and steps down also for a token that it hears of through another host.

No decision about leases or starts depends on it yet.

--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -35,6 +35,12 @@
 	return clock_now_us(cells->params.clock);
 }
 
+uint64_t
+cells_boot_us(const struct cells *cells)
+{
+	return clock_boot_us(cells->params.clock);
+}
+
 struct cells_host *
 cells_host_find(const struct cells *cells, const char *name)
 {
@@ -284,11 +290,9 @@
 }
 
 void
-cells_host_set_token(struct cells *cells, struct cells_host *host,
-    uint64_t token)
+cells_observe_token(struct cells *cells, uint64_t token)
 {
-	host->token = token;
-	if (!host->zone->local || token <= cells->highest_token)
+	if (token <= cells->highest_token)
 		return;
 	cells->highest_token = token;
 	if (sched_token(cells->params.sched) != 0 &&
@@ -296,6 +300,15 @@
 		sched_deactivate(cells->params.sched);
 }
 
+void
+cells_host_set_token(struct cells *cells, struct cells_host *host,
+    uint64_t token)
+{
+	host->token = token;
+	if (host->zone->local)
+		cells_observe_token(cells, token);
+}
+
 void
 cells_fenced(struct cells *cells)
 {
@@ -477,7 +490,7 @@
 static void
 cells_check_pause(struct cells *cells, uint64_t now_us)
 {
-	uint64_t boot_us = clock_boot_us(cells->params.clock);
+	uint64_t boot_us = cells_boot_us(cells);
 	uint64_t pause_us = boot_us - cells->last_tick_us;
 	struct cells_host *host;
 
@@ -513,6 +526,8 @@
 	if (sched_token(cells->params.sched) != 0)
 		cells_ping_remote(cells, now_us);
 	cells_ping_local(cells, now_us);
+	if (sched_token(cells->params.sched) != 0)
+		cells_confirm_holder(cells);
 	cells_choose_holder(cells);
 	cells_notify_holder(cells);
 	if (cells->holder != NULL &&
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -39,6 +39,12 @@
 	uint64_t ping_sent_us;
 	uint64_t ping_sent_tick;
 	uint64_t last_reply_us; /* to a ping; 0: none */
+	/* Time of its last reply on its own clock; 0: none since it connected.
+	 * The next ping returns it. */
+	uint64_t replied_at;
+	/* The host had not replaced this one as the holder at this time of the
+	 * clock that counts suspensions. */
+	uint64_t confirmed_boot_us;
 	uint32_t backlog_ms;	/* queued work, as of the last reply */
 	uint32_t free_permille; /* of its servers' CPU capacity */
 	/* Number of stored jobs that have not started, by queue; owned. */
@@ -114,6 +120,10 @@
  * this host's own. */
 void cells_host_set_token(struct cells *cells, struct cells_host *host,
     uint64_t token);
+/* Records that a host of the local cell has taken over with @token, and steps
+ * down if it is higher than this host's own. */
+void cells_observe_token(struct cells *cells, uint64_t token);
+uint64_t cells_boot_us(const struct cells *cells);
 /* Chooses the host that should be the holder of the local cell. */
 void cells_choose_holder(struct cells *cells);
 /* Reports a new holder of the local cell, once for each token. */
@@ -135,8 +145,18 @@
  * state. */
 void cells_ping_remote(struct cells *cells, uint64_t now_us);
 
+/* Processes what the ping of a host of this availability zone reports. */
+void cells_ping_received(struct cells *cells, struct cells_host *host,
+    const struct api_request *request);
+/* For the holder: renews its lease up to the time at which no other host of the
+ * zone had replaced it. */
+void cells_confirm_holder(struct cells *cells);
+
 /* cells_job.c */
 
+/* A number in the query of a peer's request, or 0. */
+uint64_t cells_query_u64(const struct api_request *request, const char *name);
+
 void cells_submissions_free(struct cells *cells);
 struct cells_submission *cells_submission_create(struct cells *cells,
     const char *id, uint64_t nonce, void *arg);
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -327,7 +327,7 @@
 
 /* Holder's side */
 
-static uint64_t
+uint64_t
 cells_query_u64(const struct api_request *request, const char *name)
 {
 	char text[24];
@@ -455,11 +455,11 @@
 cells_handle_state(struct cells *cells, const struct api_request *request,
     api_reply_fn reply, void *arg)
 {
-	uint64_t token = sched_token(cells->params.sched);
 	const struct cells_params *params = &cells->params;
 	const struct cells_host *holder;
 	char az[NAME_SIZE] = "", sender[NAME_SIZE] = "";
-	uint64_t config = cells_query_u64(request, "config");
+	uint64_t config = cells_query_u64(request, "config"), token;
+	struct cells_host *host;
 	bool local;
 	json_t *body;
 	char *text;
@@ -467,9 +467,15 @@
 	(void)api_query_text(request->query, "host", sender, sizeof(sender));
 	local = api_query_text(request->query, "az", az, sizeof(az)) &&
 	    strcmp(az, cells->params.self.az) == 0;
-	body = json_pack("{s:I,s:b,s:I}", "token", (json_int_t)token, "leaving",
-	    (int)cells->leaving, "config",
-	    (json_int_t)params->config_version(params->arg));
+	host = local ? cells_host_find(cells, sender) : NULL;
+	if (host != NULL)
+		cells_ping_received(cells, host, request);
+	token = sched_token(params->sched);
+	body = json_pack("{s:I,s:b,s:I,s:I,s:I}", "token", (json_int_t)token,
+	    "leaving", (int)cells->leaving, "config",
+	    (json_int_t)params->config_version(params->arg), "seen",
+	    (json_int_t)(local ? cells->highest_token : 0), "replied_at",
+	    (json_int_t)cells_boot_us(cells));
 	holder = cells_zone_holder(cells->local_zone);
 	if (cells_query_u64(request, "suspects") != 0)
 		(void)json_object_set_new(body, "suspects",
--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -12,6 +12,10 @@
  * other holders have the crashes, as callers may submit a job again in another
  * zone.
  *
+ * Each ping returns the time in the last reply. The holder so learns at which
+ * time the other hosts of its zone had not replaced it, and renews its lease on
+ * that role (see core/holder_lease.h).
+ *
  * Pings and replies carry the version of the sender's configuration. As every
  * host pings its holder and holders ping each other, a version that one host
  * has read becomes known to all connected hosts, also to those that the store
@@ -40,8 +44,49 @@
 struct cells_ping {
 	struct cells *cells;
 	char host[NAME_SIZE];
+	uint64_t sent_boot_us;
 };
 
+/* Processes a reply, or a ping, that a host has sent at @boot_us or later: it
+ * has not replaced this holder, unless it reports a higher token. */
+static void
+cells_host_confirm(struct cells *cells, struct cells_host *host, uint64_t token,
+    uint64_t seen, uint64_t boot_us)
+{
+	cells_observe_token(cells, token);
+	cells_observe_token(cells, seen);
+	if (boot_us > host->confirmed_boot_us &&
+	    token <= sched_token(cells->params.sched))
+		host->confirmed_boot_us = boot_us;
+}
+
+/* The time in the ping is that of this host's last reply, which the sender
+ * received before it sent the ping. */
+void
+cells_ping_received(struct cells *cells, struct cells_host *host,
+    const struct api_request *request)
+{
+	uint64_t replied_at = cells_query_u64(request, "replied_at");
+
+	if (replied_at <= cells_boot_us(cells))
+		cells_host_confirm(cells, host,
+		    cells_query_u64(request, "token"),
+		    cells_query_u64(request, "seen"), replied_at);
+}
+
+void
+cells_confirm_holder(struct cells *cells)
+{
+	uint64_t confirmed_us = cells_boot_us(cells);
+	const struct cells_host *host;
+
+	TAILQ_FOREACH (host, &cells->local_zone->hosts, entry) {
+		if (host->confirmed_boot_us < confirmed_us)
+			confirmed_us = host->confirmed_boot_us;
+	}
+	sched_confirm_holder(cells->params.sched, confirmed_us);
+}
+
 /* Processes the name of the holder of @host's cell, as @host sees it. A holder
  * that this host does not know as such is pinged at once. */
 static void
@@ -64,6 +109,12 @@
 	host->zone->likely_holder = holder;
 }
 
+static uint64_t
+cells_json_u64(const json_t *body, const char *name)
+{
+	return (uint64_t)json_integer_value(json_object_get(body, name));
+}
+
 static void
 cells_ping_done(void *arg, const struct api_reply *reply, const struct err *err)
 {
@@ -93,8 +144,11 @@
 		json_decref(host->pending);
 		host->pending = json_incref(json_object_get(body, "pending"));
 		cells_host_set_token(ping->cells, host,
-		    (uint64_t)json_integer_value(
-			json_object_get(body, "token")));
+		    cells_json_u64(body, "token"));
+		host->replied_at = cells_json_u64(body, "replied_at");
+		if (host->zone->local)
+			cells_host_confirm(ping->cells, host, host->token,
+			    cells_json_u64(body, "seen"), ping->sent_boot_us);
 		if (host->zone->local && host->token != 0 &&
 		    host->token == ping->cells->highest_token)
 			sched_set_former_runs_known(ping->cells->params.sched,
@@ -103,8 +157,7 @@
 		    json_object_get(body, "suspects"));
 		cells_learn_holder(ping->cells, host, body);
 		cells_report_config(ping->cells, ping->host,
-		    (uint64_t)json_integer_value(
-			json_object_get(body, "config")));
+		    cells_json_u64(body, "config"));
 		json_decref(body);
 	}
 	free(ping);
@@ -115,7 +168,7 @@
     uint64_t now_us)
 {
 	const struct cells_params *params = &cells->params;
-	char query[2 * NAME_SIZE + 64];
+	char query[2 * NAME_SIZE + 160];
 	const struct api_request request = { .method = API_GET,
 		.path = CELLS_PATH "state",
 		.query = query };
@@ -140,14 +193,18 @@
 		return;
 	ping = mem_zalloc(1, sizeof(*ping));
 	ping->cells = cells;
+	ping->sent_boot_us = cells_boot_us(cells);
 	strlcpy(ping->host, host->info.name, sizeof(ping->host));
 	host->ping_pending = true;
 	host->ping_sent_us = now_us;
 	host->ping_sent_tick = cells->nticks;
 	(void)snprintf(query, sizeof(query),
-	    "az=%s&host=%s&config=%" PRIu64 "&suspects=%d", params->self.az,
-	    params->self.name, params->config_version(params->arg),
-	    cells_is_candidate(cells) ? 1 : 0);
+	    "az=%s&host=%s&config=%" PRIu64 "&suspects=%d&token=%" PRIu64
+	    "&seen=%" PRIu64 "&replied_at=%" PRIu64,
+	    params->self.az, params->self.name,
+	    params->config_version(params->arg),
+	    cells_is_candidate(cells) ? 1 : 0, sched_token(params->sched),
+	    cells->highest_token, host->replied_at);
 	params->peers->ops->forward(params->peers, host->info.az,
 	    host->info.name, host->incarnation, &request, cells_ping_done,
 	    ping);
@@ -170,6 +227,7 @@
 		host->unreachable = false;
 		host->state_known = false;
 		host->ping_sent_us = 0;
+		host->replied_at = 0;
 	}
 	if (!connected)
 		host->token = 0;
--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -15,6 +15,9 @@
  * maximum. */
 #define SCHED_TICK_DELAY_WEIGHT 8
 #define SCHED_TICK_DELAY_MAX_MS 300
+/* The lease on the role of holder, in percent of the longest lease of a server.
+ * While confirmations are frequent, it does not shorten those leases. */
+#define SCHED_HOLDER_LEASE_PERCENT 150
 
 uint64_t
 sched_now(const struct scheduler *sched)
@@ -127,6 +130,10 @@
 	sched->rows_refreshed = false;
 	sched->jobs_loaded = sched->params.record_run_end == NULL;
 	sched->activated_us = sched_now(sched);
+	hlease_start(&sched->holder_lease,
+	    sched->params.lease_ms * SCHED_HOLDER_LEASE_PERCENT / 100,
+	    clock_boot_us(sched->params.clock));
+	sched->holder_confirmed = false;
 	log_event(LOG_LEVEL_WARN, "cell-acquired",
 	    "token=%" PRIu64 " former_runs=%s", token,
 	    sched->former_runs_known ? "known" : "unknown");
@@ -283,6 +290,53 @@
 	sched_dispatch_wake(sched);
 }
 
+static struct counter sched_holder_age = {
+	.name = "berylrail_work_holder_confirmation_age_milliseconds",
+	.help = "Time since it was last confirmed that no other host has "
+		"replaced this holder.",
+	.gauge = 1,
+};
+
+/* Reports that the lease on the role of holder has begun or has expired. */
+static void
+sched_check_holder_lease(struct scheduler *sched)
+{
+	bool confirmed = sched_holder_remaining_ms(sched) > 0;
+	uint64_t age_ms = sched_holder_age_ms(sched);
+
+	ctr_set(&sched_holder_age, age_ms);
+	if (confirmed == sched->holder_confirmed)
+		return;
+	sched->holder_confirmed = confirmed;
+	log_event(LOG_LEVEL_WARN,
+	    confirmed ? "holder-confirmed" : "holder-unconfirmed",
+	    "token=%" PRIu64 " age_ms=%" PRIu64, sched->token, age_ms);
+}
+
+uint32_t
+sched_holder_remaining_ms(const struct scheduler *sched)
+{
+	return hlease_remaining_ms(&sched->holder_lease,
+	    clock_boot_us(sched->params.clock));
+}
+
+uint64_t
+sched_holder_age_ms(const struct scheduler *sched)
+{
+	return hlease_age_ms(&sched->holder_lease,
+	    clock_boot_us(sched->params.clock));
+}
+
+void
+sched_confirm_holder(struct scheduler *sched, uint64_t confirmed_boot_us)
+{
+	if (sched->token == 0)
+		return;
+	if (hlease_confirm(&sched->holder_lease, confirmed_boot_us,
+		sched_now(sched)))
+		sched_check_holder_lease(sched);
+}
+
 /* Updates the moving average of the delay of ticks. */
 static void
 sched_update_tick_delay(struct scheduler *sched, uint64_t now_us)
@@ -327,6 +381,7 @@
 	(void)what;
 	sched_update_tick_delay(sched, now_us);
 	sched_update_gauges(sched);
+	sched_check_holder_lease(sched);
 	susp_expire(&sched->suspects, now_us);
 	sched_bulkhead_update(sched, now_us);
 	sched_check_jobs(sched, now_us);
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -159,6 +159,17 @@
  */
 void sched_deactivate(struct scheduler *sched);
 
+/**
+ * sched_confirm_holder() - renew the lease on the role of holder (see
+ * core/holder_lease.h). Does nothing while inactive.
+ * @confirmed_boot_us: no other host had taken over then, see clock_boot_us().
+ */
+void sched_confirm_holder(struct scheduler *sched, uint64_t confirmed_boot_us);
+
+/** sched_holder_age_ms() - time since the last confirmation of this holder, or
+ * since it took over. */
+uint64_t sched_holder_age_ms(const struct scheduler *sched);
+
 /** sched_token() - the fencing token in use, or 0 if inactive. */
 uint64_t sched_token(const struct scheduler *sched);
 
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -5,6 +5,7 @@
 #include <sys/queue.h>
 
 #include "core/bulkhead.h"
+#include "core/holder_lease.h"
 #include "core/lease.h"
 #include "core/name_index.h"
 #include "core/place.h"
@@ -245,6 +246,8 @@
 	struct sched_params params;
 	uint64_t token; /* 0: inactive */
 	uint64_t activated_us;
+	struct holder_lease holder_lease;
+	bool holder_confirmed; /* holder_lease has not expired; at last tick */
 	bool jobs_loaded;      /* all stored jobs were submitted */
 	bool servers_complete; /* no server is missing in the list */
 	bool rows_refreshed;   /* servers' rows were read since activation */
@@ -282,6 +285,10 @@
 
 /* scheduler.c */
 uint64_t sched_now(const struct scheduler *sched);
+/* How long the lease on the role of holder lasts from now on; 0: it has
+ * expired.
+ */
+uint32_t sched_holder_remaining_ms(const struct scheduler *sched);
 /* Frees the removed servers of an inactive scheduler. */
 void sched_free_removed(struct scheduler *sched);
 
--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -297,6 +297,36 @@
 	}
 }
 
+/* Reports a start that relies on the end of leases of a former holder, as not
+ * all of its runs are known. */
+static void
+sched_log_former_runs(const struct sched_task *task, uint64_t now_us)
+{
+	const struct scheduler *sched = task->job->sched;
+	const struct sched_server *server, *unheld = NULL;
+	uint32_t n = 0;
+
+	if (task->job->start_after_us == 0 || sched_all_runs_known(sched))
+		return;
+	TAILQ_FOREACH (server, &sched->servers, entry) {
+		if (server->held || server->removed)
+			continue;
+		unheld = server;
+		n++;
+	}
+	log_event(LOG_LEVEL_INFO, "former-runs-ended",
+	    "id=%s task=%" PRIu32 ".%" PRIu32 " unheld_servers=%" PRIu32
+	    " server=%s former_runs=%s"
+	    " servers=%s since_take_over_ms=%" PRIu64
+	    " confirmation_age_ms=%" PRIu64,
+	    task->job->spec.id, task->step, task->index, n,
+	    unheld == NULL ? "-" : unheld->info.id,
+	    sched->former_runs_known ? "known" : "unknown",
+	    sched->servers_complete ? "complete" : "incomplete",
+	    (now_us - sched->activated_us) / SCHED_US_PER_MS,
+	    sched_holder_age_ms(sched));
+}
+
 void
 sched_run_start(struct sched_task *task, struct sched_server *server)
 {
@@ -322,6 +352,7 @@
 	    server->info.cpu - server->used_cpu,
 	    (now_us - task->job->submitted_us) / SCHED_US_PER_MS,
 	    task->job->queue.config_version);
+	sched_log_former_runs(task, now_us);
 	sched_send_start(task);
 	if (!server->hold_pending)
 		sched_server_hold(server, now_us);
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -20,6 +20,8 @@
 #define CALL_MS 2 /* usual round trip of a call between hosts */
 /* Connected hosts agree on the holder within one second and one call. */
 #define AGREE_MS 1100
+/* Two pings of a host to its holder, and as many ticks. */
+#define CONFIRM_MS 400
 
 struct net;
 
@@ -466,6 +468,28 @@
 	}
 }
 
+/* The pings of the other hosts, which the holder does not have to request. */
+Test(cells, holder_is_confirmed_while_all_hosts_of_its_zone_reach_it)
+{
+	struct net *net = net_create();
+	uint32_t calls;
+
+	net_run(net, 2000);
+	cr_expect_leq(sched_holder_age_ms(net->hosts[0].sched), CONFIRM_MS);
+	calls = net->hosts[0].calls;
+	net_run(net, 4000);
+	cr_expect_leq(sched_holder_age_ms(net->hosts[0].sched), CONFIRM_MS);
+	/* It pings each of the two likely successors once a second. */
+	cr_expect_leq(net->hosts[0].calls - calls, 2 * 4);
+	net_set_connected(net, 0, 2, false);
+	net_run(net, 1000);
+	cr_expect_geq(sched_holder_age_ms(net->hosts[0].sched), 1000);
+	net_set_connected(net, 0, 2, true);
+	net_run(net, AGREE_MS);
+	cr_expect_leq(sched_holder_age_ms(net->hosts[0].sched), CONFIRM_MS);
+	net_destroy(net);
+}
+
 /* Calls a second that the last host of a zone of @nhosts sends. */
 static uint32_t
 calls_per_s(size_t nhosts)
