Test: a replaced holder that still reaches a server renews its leases (red)

Two hosts of a zone and four servers, in simulated time: the holder is cut off from the other host and from the store, not from the servers; those that run the job's tasks are out of reach of the other host, which takes over.

Fails on this tree for a plain task, a gang and a lasting task: "has two runs at the same time".

--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -12,12 +12,14 @@
 #include "adapters/clock_real.h"
 #include "core/mem.h"
 #include "entry/jobs/cells.h"
+#include "entry/jobs/job_json.h"
 #include "tests/support/fake_worker.h"
 #include "tests/support/sim_time.h"
 
 #define NHOSTS 3 /* of most tests */
 #define NHOSTS_MAX 40
-#define CALL_MS 2 /* usual round trip of a call between hosts */
+#define SERVER_CPU 64000 /* thousandths of a core */
+#define CALL_MS 2	 /* usual round trip of a call between hosts */
 /* Connected hosts agree on the holder within one second and one call. */
 #define AGREE_MS 1100
 /* Two pings of a host to its holder, and as many ticks. */
@@ -32,8 +34,10 @@
 	char name[NAME_SIZE];
 	struct scheduler *sched;
 	struct cells *cells;
+	struct worker *own_worker; /* NULL: that of the net */
 	uint64_t incarnation;
 	bool token_requested;
+	bool store_lost; /* it reserves no token */
 	uint32_t takeovers;
 	uint32_t calls;			  /* sent */
 	uint64_t config, config_reported; /* own version; newest of a peer */
@@ -209,7 +213,8 @@
 	struct host *host = &net->hosts[index];
 	struct sched_params scheduler = { .base = net->base,
 		.clock = clock_real(),
-		.worker = net->worker,
+		.worker =
+		    host->own_worker != NULL ? host->own_worker : net->worker,
 		.lease_ms = 1000,
 		.far_permille = 1000,
 		.fenced = host_fenced,
@@ -280,7 +285,8 @@
 		(void)event_base_dispatch(net->base);
 		sim_time_advance(net->stall_ms);
 		for (i = 0; i < net->nhosts; i++) {
-			if (!net->hosts[i].token_requested)
+			if (!net->hosts[i].token_requested ||
+			    net->hosts[i].store_lost)
 				continue;
 			net->hosts[i].token_requested = false;
 			cells_token_reserved(net->hosts[i].cells, ++net->token);
@@ -289,7 +295,7 @@
 }
 
 static struct net *
-net_create_zones(size_t nhosts, size_t nzones)
+net_create_servers(size_t nhosts, size_t nzones, size_t nservers)
 {
 	struct net *net = mem_zalloc(1, sizeof(*net));
 	size_t i, j;
@@ -299,7 +305,7 @@
 	net->nhosts = nhosts;
 	net->nzones = nzones;
 	net->base = event_base_new();
-	wm_init(&net->cluster, 1, 64000);
+	wm_init(&net->cluster, nservers, SERVER_CPU);
 	net->worker =
 	    fake_worker_create(net->base, clock_real(), &net->cluster, 1);
 	for (i = 0; i < nhosts; i++)
@@ -312,6 +318,12 @@
 	return net;
 }
 
+static struct net *
+net_create_zones(size_t nhosts, size_t nzones)
+{
+	return net_create_servers(nhosts, nzones, 1);
+}
+
 static struct net *
 net_create(void)
 {
@@ -324,8 +336,11 @@
 	size_t i;
 
 	net_run(net, 20);
-	for (i = 0; i < net->nhosts; i++)
+	for (i = 0; i < net->nhosts; i++) {
 		host_destroy(&net->hosts[i]);
+		if (net->hosts[i].own_worker != NULL)
+			fake_worker_destroy(net->hosts[i].own_worker);
+	}
 	fake_worker_destroy(net->worker);
 	wm_release(&net->cluster);
 	event_base_free(net->base);
@@ -558,12 +573,158 @@
 {
 	const struct reg_server server = { .id = "s0",
 		.service = "booth",
-		.cpu = 64000,
+		.cpu = SERVER_CPU,
 		.mem_mb = 1024 };
 
 	sched_server_update(host->sched, &server);
 }
 
+#define ID "5c0e7a21d94b36f8"
+#define JOB_TIMEOUT_MS 100000
+#define TASK_MS 7000 /* longer than the partition and all leases */
+#define PARTITION_MS 5500
+#define NSERVERS 4
+#define PLAIN_JOB                                                         \
+	"{\"spec\":\"cpu=40000 ms=7000 fail=0\",\"steps\":[{\"count\":1," \
+	"\"cpu\":40000,\"mem_mb\":64,\"estimated_ms\":7000}]}"
+#define GANG_JOB                                                         \
+	"{\"spec\":\"cpu=40000 ms=7000 fail=0 gang=2\",\"steps\":[{"     \
+	"\"count\":2,\"cpu\":40000,\"mem_mb\":64,\"estimated_ms\":7000," \
+	"\"gang_scheduled\":true}]}"
+#define LASTING_JOB                                                      \
+	"{\"spec\":\"cpu=40000 ms=70000 fail=0\",\"long_running\":true," \
+	"\"steps\":[{\"count\":1,\"cpu\":40000,\"mem_mb\":64}]}"
+
+static void
+ignore_result(void *arg, const struct sched_reply *reply)
+{
+	(void)arg;
+	(void)reply;
+}
+
+/* Submits a stored job of at most two tasks to the host's own scheduler. */
+static void
+host_submit(struct host *host, const char *body, bool resubmitted)
+{
+	struct sched_request request = {
+		.queue = { .name = "q",
+		    .service = "booth",
+		    .max_attempts = 3,
+		    .slack_permille = 1600,
+		    .target_ms = 60 },
+		.timeout_ms = JOB_TIMEOUT_MS,
+		.resubmitted = resubmitted,
+		.stored = true,
+		.done = (const uint8_t[2]){ 0 },
+		.failures = (const uint8_t[2]){ 0 },
+		.last_failed_run_ids = (const uint64_t[2]){ 0 },
+	};
+	struct err err;
+
+	cr_assert_eq(job_parse(&request.spec, ID, body, strlen(body), &err), 0,
+	    "%s", err.message);
+	sched_submit(host->sched, &request, ignore_result, host);
+}
+
+/* As if the rows of all servers had been read. */
+static void
+host_read_servers(struct host *host)
+{
+	struct reg_server server = { .service = "booth",
+		.cpu = SERVER_CPU,
+		.mem_mb = 1024 };
+	int i;
+
+	for (i = 0; i < NSERVERS; i++) {
+		(void)snprintf(server.id, sizeof(server.id), "s%d", i);
+		sched_server_update(host->sched, &server);
+	}
+	sched_servers_refreshed(host->sched);
+	sched_set_servers_complete(host->sched, true);
+}
+
+/* A zone of two hosts, h0 of which is the holder and h1 has its own paths to
+ * the servers. */
+static struct net *
+net_create_pair(void)
+{
+	struct net *net = net_create_servers(2, 1, NSERVERS);
+	size_t i;
+
+	host_destroy(&net->hosts[1]);
+	net->hosts[1].own_worker =
+	    fake_worker_create(net->base, clock_real(), &net->cluster, 2);
+	host_create(net, 1);
+	host_load_list(&net->hosts[1]);
+	for (i = 0; i < 2; i++)
+		host_read_servers(&net->hosts[i]);
+	net_run(net, 3000);
+	cr_assert_neq(sched_token(net->hosts[0].sched), 0);
+	host_read_servers(&net->hosts[0]);
+	return net;
+}
+
+/* A mask of the servers that run a task. */
+static uint32_t
+net_busy_servers(const struct net *net)
+{
+	uint32_t i, mask = 0;
+
+	for (i = 0; i < NSERVERS; i++) {
+		if (!TAILQ_EMPTY(&net->cluster.servers[i].running))
+			mask |= 1U << i;
+	}
+	return mask;
+}
+
+/* The holder is cut off from the other host, but not from the servers.
+ * Those that run the job's tasks are out of reach of the other host. */
+static void
+net_expect_one_run_at_a_time(const char *body)
+{
+	struct net *net = net_create_pair();
+	struct host *successor = &net->hosts[1];
+	uint32_t ms, busy;
+
+	host_submit(&net->hosts[0], body, false);
+	net_run(net, 500);
+	busy = net_busy_servers(net);
+	cr_assert_neq(busy, 0);
+	net->hosts[0].store_lost = true;
+	net_isolate(net, 0, true);
+	fake_worker_faults(successor->own_worker)->unreachable_mask = busy;
+	for (ms = 0; sched_token(successor->sched) == 0 || ms < 500; ms += 100)
+		net_run(net, 100);
+	host_read_servers(successor);
+	host_submit(successor, body, true);
+	net_run(net, PARTITION_MS);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	net->hosts[0].store_lost = false;
+	net_isolate(net, 0, false);
+	fake_worker_faults(successor->own_worker)->unreachable_mask = 0;
+	net_run(net, AGREE_MS);
+	cr_expect_neq(net_busy_servers(net), 0);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	net_destroy(net);
+}
+
+Test(cells, no_second_run_while_a_replaced_holder_reaches_its_server)
+{
+	net_expect_one_run_at_a_time(PLAIN_JOB);
+}
+
+Test(cells, no_second_gang_while_a_replaced_holder_reaches_its_server)
+{
+	net_expect_one_run_at_a_time(GANG_JOB);
+}
+
+Test(cells, no_second_lasting_run_while_a_replaced_holder_reaches_its_server)
+{
+	net_expect_one_run_at_a_time(LASTING_JOB);
+}
+
 /* h0 and h1 hold the zones a and b, whose only server is idle. */
 Test(cells, holder_knows_the_holder_of_another_zone_with_free_capacity)
 {
