--- a/core/holder_lease.c
+++ b/core/holder_lease.c
@@ -19,24 +19,29 @@
 	};
 }
 
+uint64_t
+hlease_span_us(uint32_t length_ms)
+{
+	/* A server's clock may be slow, as in lease_extend(). */
+	return (length_ms * UINT64_C(100) / (100 - LEASE_CLOCK_SKEW_PERCENT) +
+		   HLEASE_MARGIN_MS) *
+	    HLEASE_US_PER_MS;
+}
+
 bool
 hlease_confirm(struct holder_lease *lease, uint64_t confirmed_boot_us,
-    uint64_t now_us)
+    uint64_t boot_us, uint64_t now_us)
 {
-	bool first = lease->confirmed_boot_us == 0;
+	bool begins = hlease_remaining_ms(lease, boot_us) == 0;
 
 	if (confirmed_boot_us < lease->started_boot_us ||
 	    confirmed_boot_us <= lease->confirmed_boot_us)
 		return false;
 	lease->confirmed_boot_us = confirmed_boot_us;
-	/* A server's clock may be slow, as in lease_extend(). */
-	if (first)
-		lease->former_end_us = now_us +
-		    (lease->length_ms * UINT64_C(100) /
-			    (100 - LEASE_CLOCK_SKEW_PERCENT) +
-			HLEASE_MARGIN_MS) *
-			HLEASE_US_PER_MS;
-	return first;
+	if (begins)
+		lease->former_end_us =
+		    now_us + hlease_span_us(lease->length_ms);
+	return begins;
 }
 
 uint64_t
--- a/core/holder_lease.h
+++ b/core/holder_lease.h
@@ -19,7 +19,7 @@
 	uint32_t length_ms;
 	uint64_t started_boot_us;   /* time of the take-over */
 	uint64_t confirmed_boot_us; /* time of the last confirmation; 0: none */
-	/* No lease that a former holder has granted lasts longer. */
+	/* No lease that another holder has granted lasts longer. */
 	uint64_t former_end_us;
 };
 
@@ -34,14 +34,18 @@
  * hlease_confirm() - no other host had taken over at @confirmed_boot_us.
  *
  * Confirmations of a time before the take-over are ignored, as they concern
- * the former holder. The first one ends the former holder's lease, too: the
- * hosts or the store that have confirmed this holder don't confirm that one
- * again.
+ * the former holder. The first one, and the first after the lease has expired,
+ * begins the lease. It ends that of any other holder, too: the hosts or the
+ * store that have confirmed this one don't confirm that one again.
  *
- * Return: true if this is the first confirmation.
+ * Return: true if the lease begins.
  */
 bool hlease_confirm(struct holder_lease *lease, uint64_t confirmed_boot_us,
-    uint64_t now_us);
+    uint64_t boot_us, uint64_t now_us);
+
+/** hlease_span_us() - how long leases of servers last at most that a holder
+ * with a lease of @length_ms has granted, from its last confirmation on. */
+uint64_t hlease_span_us(uint32_t length_ms);
 
 /** hlease_age_ms() - time since the last confirmation, or since the take-over.
  */
--- a/core/lease.c
+++ b/core/lease.c
@@ -36,6 +36,8 @@
 	    clock_ms < lease_clock_ms(lease, received_us) &&
 	    clock_ms >= lease_clock_ms(lease, sent_us))
 		return;
+	if (!lease->clock_known || clock_ms < lease_clock_ms(lease, sent_us))
+		lease->deadline_ms = 0;
 	lease->clock_known = true;
 	lease->clock_ms = clock_ms;
 	lease->clock_received_us = received_us;
@@ -45,7 +47,7 @@
 lease_extend(struct lease *lease, uint64_t now_us, uint32_t duration_ms)
 {
 	uint64_t duration_us = duration_ms * LEASE_US_PER_MS;
-	uint64_t expires_us;
+	uint64_t expires_us, deadline_ms;
 
 	/* The longest time in which a slow clock proceeds by the duration. */
 	expires_us =
@@ -54,7 +56,25 @@
 		lease->expires_us = expires_us;
 	if (!lease->clock_known)
 		return 0;
-	return lease_clock_ms(lease, now_us) + duration_ms;
+	deadline_ms = lease_clock_ms(lease, now_us) + duration_ms;
+	if (deadline_ms > lease->deadline_ms)
+		lease->deadline_ms = deadline_ms;
+	return lease->deadline_ms;
+}
+
+uint32_t
+lease_remaining_ms(const struct lease *lease, uint64_t now_us)
+{
+	uint64_t elapsed_ms;
+
+	if (!lease->clock_known || now_us < lease->clock_received_us)
+		return 0;
+	/* The server read its clock up to one round trip before; its lease then
+	 * is shorter by that time. */
+	elapsed_ms = (now_us - lease->clock_received_us) / LEASE_US_PER_MS + 1;
+	if (lease->clock_ms + elapsed_ms >= lease->deadline_ms)
+		return 0;
+	return (uint32_t)(lease->deadline_ms - lease->clock_ms - elapsed_ms);
 }
 
 bool
--- a/core/lease.h
+++ b/core/lease.h
@@ -20,6 +20,7 @@
 	uint64_t clock_ms;	    /* the server's clock in a reply */
 	uint64_t clock_received_us; /* when that reply was received */
 	uint64_t expires_us;	    /* no task runs after this; 0: never held */
+	uint64_t deadline_ms;	    /* latest one for the server; 0: none */
 };
 
 /**
@@ -37,11 +38,16 @@
  * The expiry is moved on the assumption that the server accepts the deadline.
  *
  * Return: the deadline to send, on the server's clock; 0 while that clock is
- * unknown.
+ * unknown. It is not earlier than any before, since a server does not shorten a
+ * lease.
  */
 uint64_t lease_extend(struct lease *lease, uint64_t now_us,
     uint32_t duration_ms);
 
+/** lease_remaining_ms() - how long tasks run at least if the lease is not
+ * extended. */
+uint32_t lease_remaining_ms(const struct lease *lease, uint64_t now_us);
+
 /** lease_expired() - have all tasks started under the lease ended? */
 bool lease_expired(const struct lease *lease, uint64_t now_us);
 
--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -322,42 +322,6 @@
 		cells->reserved_token = 0;
 }
 
-/* A failure is ignored: the next ping reports the same state. */
-static void
-cells_announce_done(void *arg, const struct api_reply *reply,
-    const struct err *err)
-{
-	(void)arg;
-	(void)reply;
-	(void)err;
-}
-
-/* Sends this host's token to all connected hosts, so that they forward jobs to
- * the new holder without waiting for the next ping. */
-static void
-cells_announce_state(struct cells *cells)
-{
-	struct api_request request = { .method = API_POST,
-		.path = CELLS_PATH "held" };
-	const struct cells_zone *zone;
-	const struct cells_host *host;
-	char query[NAME_SIZE + 64];
-
-	(void)snprintf(query, sizeof(query),
-	    "host=%s&token=%" PRIu64 "&leaving=%d", cells->params.self.name,
-	    sched_token(cells->params.sched), cells->leaving ? 1 : 0);
-	request.query = query;
-	TAILQ_FOREACH (zone, &cells->zones, entry) {
-		TAILQ_FOREACH (host, &zone->hosts, entry) {
-			if (host->connected)
-				cells->params.peers->ops->forward(
-				    cells->params.peers, host->info.az,
-				    host->info.name, host->incarnation,
-				    &request, cells_announce_done, NULL);
-		}
-	}
-}
-
 static void
 cells_take_over(struct cells *cells, uint64_t now_us)
 {
--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -20,6 +20,11 @@
  * then accept only the higher fencing token.
  */
 
+/* While all hosts of a zone confirm its holder, no confirmation is older. A
+ * holder's lease exceeds those of servers by this time, so that it does not
+ * shorten them then. */
+#define CELLS_CONFIRMED_AGE_MS 400
+
 struct event_base;
 struct cells;
 
@@ -39,6 +44,9 @@
 	/* Reserves a fencing token; the result is passed to
 	 * cells_token_reserved(). */
 	void (*reserve_token)(void *arg);
+	/* Reads from the store whether this host still owns the cell; the
+	 * result is passed to cells_owner_read(). */
+	void (*read_owner)(void *arg);
 	/* This host has become the holder of its cell. */
 	void (*became_holder)(void *arg);
 	/* @holder is the new holder of this host's cell. */
@@ -58,9 +66,10 @@
 	const struct job_queue *queue;
 	const char *body; /* the job's JSON form */
 	size_t body_len;
-	uint32_t age_ms;     /* since the caller submitted it */
-	uint32_t timeout_ms; /* the caller waits this long from now */
-	bool resubmitted;    /* another holder may have started the job */
+	uint32_t age_ms;      /* since the caller submitted it */
+	uint32_t timeout_ms;  /* the caller waits this long from now */
+	uint64_t sent_ago_ms; /* see struct sched_request; set for a holder */
+	bool resubmitted;     /* another holder may have started the job */
 	/* The holder may refuse it at once; another cell may run it sooner. */
 	bool may_refuse;
 	uint64_t nonce; /* identifies this submission for cells_cancel() */
@@ -125,6 +134,12 @@
  */
 void cells_token_reserved(struct cells *cells, uint64_t token);
 
+/**
+ * cells_owner_read() - result of a read of the cell's owner.
+ * @confirmed: the store names this host's token; false also if the read failed.
+ */
+void cells_owner_read(struct cells *cells, bool confirmed);
+
 /** cells_fenced() - step down, as this host's token was rejected as too low. */
 void cells_fenced(struct cells *cells);
 
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -105,6 +105,8 @@
 	uint64_t highest_token;	     /* observed in the local cell */
 	uint64_t reserve_sent_us;
 	bool reserve_pending;
+	uint64_t owner_read_boot_us; /* start of the last read of the owner */
+	bool owner_read_pending;
 	bool leaving;
 	/* Discovery of an existing holder has ended. */
 	bool discovery_done;
@@ -145,11 +147,14 @@
  * state. */
 void cells_ping_remote(struct cells *cells, uint64_t now_us);
 
+/* Sends this host's token to all connected hosts, so that they forward jobs to
+ * the new holder without waiting for the next ping. */
+void cells_announce_state(struct cells *cells);
 /* Processes what the ping of a host of this availability zone reports. */
 void cells_ping_received(struct cells *cells, struct cells_host *host,
     const struct api_request *request);
-/* For the holder: renews its lease up to the time at which no other host of the
- * zone had replaced it. */
+/* For the holder: renews its lease, as the other hosts of the zone have
+ * confirmed it; without all of them, requests a confirmation by the store. */
 void cells_confirm_holder(struct cells *cells);
 
 /* cells_job.c */
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -14,6 +14,7 @@
 #include "entry/jobs/cells_internal.h"
 #include "entry/jobs/job_json.h"
 
+#define CELLS_US_PER_MS UINT64_C(1000)
 #define CELLS_QUERY_SIZE 512
 #define CELLS_NUMBER_MAX 1000000000 /* larger query values are capped */
 #define CELLS_PERMILLE 1000
@@ -149,6 +150,7 @@
 		.queue = *job->queue,
 		.age_ms = job->age_ms,
 		.timeout_ms = job->timeout_ms,
+		.sent_ago_ms = job->sent_ago_ms,
 		.resubmitted = job->resubmitted,
 		.may_refuse = job->may_refuse &&
 		    cells_overflow_holder(sub->cells) != NULL,
@@ -238,11 +240,12 @@
 	    "&again=%d&may_refuse=%d&nonce=%" PRIu64
 	    "&queue=%s&service=%s&priority=%" PRIu32 "&attempts=%" PRIu32
 	    "&slack=%" PRIu32 "&target_ms=%" PRIu32
-	    "&advised=%d&config=%" PRIu64,
+	    "&advised=%d&config=%" PRIu64 "&replied_at=%" PRIu64,
 	    job->age_ms, job->timeout_ms, job->resubmitted ? 1 : 0,
 	    job->may_refuse ? 1 : 0, job->nonce, queue->name, queue->service,
 	    queue->priority, queue->max_attempts, queue->slack_permille,
-	    queue->target_ms, queue->advised ? 1 : 0, queue->config_version);
+	    queue->target_ms, queue->advised ? 1 : 0, queue->config_version,
+	    host->replied_at);
 	cells->params.peers->ops->forward(cells->params.peers, host->info.az,
 	    host->info.name, host->incarnation, &request, cells_forward_done,
 	    call);
@@ -345,6 +348,18 @@
 	return value > CELLS_NUMBER_MAX ? CELLS_NUMBER_MAX : (uint32_t)value;
 }
 
+/* How long ago at most a peer sent a request with the time in this host's last
+ * reply to it. */
+static uint64_t
+cells_sent_ago_ms(const struct cells *cells, const struct api_request *request)
+{
+	uint64_t replied_at = cells_query_u64(request, "replied_at");
+	uint64_t now_us = cells_boot_us(cells);
+
+	return replied_at > now_us ? now_us / CELLS_US_PER_MS
+				   : (now_us - replied_at) / CELLS_US_PER_MS;
+}
+
 static void
 cells_handle_submit(struct cells *cells, const struct api_request *request,
     api_reply_fn reply, void *arg)
@@ -357,6 +372,7 @@
 		.body_len = request->body_len,
 		.age_ms = cells_query_u32(request, "age_ms"),
 		.timeout_ms = cells_query_u32(request, "patience_ms"),
+		.sent_ago_ms = cells_sent_ago_ms(cells, request),
 		.resubmitted = cells_query_u32(request, "again") != 0,
 		.may_refuse = cells_query_u32(request, "may_refuse") != 0,
 		.nonce = cells_query_u64(request, "nonce"),
@@ -501,7 +517,7 @@
     const struct api_request *request, api_reply_fn reply, void *arg)
 {
 	struct cells_host *host;
-	char name[NAME_SIZE];
+	char name[NAME_SIZE], body[64];
 
 	if (api_query_text(request->query, "host", name, sizeof(name))) {
 		host = cells_host_find(cells, name);
@@ -519,7 +535,10 @@
 			cells_notify_holder(cells);
 		}
 	}
-	cells_send_reply(reply, arg, 200, "{}");
+	(void)snprintf(body, sizeof(body),
+	    "{\"token\":%" PRIu64 ",\"seen\":%" PRIu64 "}",
+	    sched_token(cells->params.sched), cells->highest_token);
+	cells_send_reply(reply, arg, 200, body);
 }
 
 void
--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -36,17 +36,31 @@
 #define CELLS_LOCAL_PING_MS 1000  /* of likely holders of the local cell */
 #define CELLS_REMOTE_PING_MS 300  /* of holders of remote cells */
 #define CELLS_PING_TIMEOUT_MS 450 /* the host is then unreachable */
+/* Intervals of reads of the cell's owner, while some hosts don't confirm it. */
+#define CELLS_OWNER_READ_MS 300
+#define CELLS_OWNER_RETRY_MS 100 /* after the holder's lease has expired */
 /* A process that is short of processor time reads a reply late. It runs this
  * number of ticks before it takes the host for unreachable. */
 #define CELLS_PING_MIN_TICKS 4
 
-/* A ping in flight. */
+/* A ping or an announcement in flight. */
 struct cells_ping {
 	struct cells *cells;
 	char host[NAME_SIZE];
 	uint64_t sent_boot_us;
 };
 
+static struct cells_ping *
+cells_ping_create(struct cells *cells, const struct cells_host *host)
+{
+	struct cells_ping *ping = mem_zalloc(1, sizeof(*ping));
+
+	ping->cells = cells;
+	ping->sent_boot_us = cells_boot_us(cells);
+	strlcpy(ping->host, host->info.name, sizeof(ping->host));
+	return ping;
+}
+
 /* Processes a reply, or a ping, that a host has sent at @boot_us or later: it
  * has not replaced this holder, unless it reports a higher token. */
 static void
@@ -74,9 +88,32 @@
 		    cells_query_u64(request, "seen"), replied_at);
 }
 
+void
+cells_owner_read(struct cells *cells, bool confirmed)
+{
+	cells->owner_read_pending = false;
+	if (confirmed)
+		sched_confirm_holder(cells->params.sched,
+		    cells->owner_read_boot_us);
+}
+
+static void
+cells_read_owner(struct cells *cells, uint64_t interval_ms)
+{
+	uint64_t now_us = cells_boot_us(cells);
+
+	if (cells->owner_read_pending ||
+	    now_us - cells->owner_read_boot_us < interval_ms * CELLS_US_PER_MS)
+		return;
+	cells->owner_read_pending = true;
+	cells->owner_read_boot_us = now_us;
+	cells->params.read_owner(cells->params.arg);
+}
+
 void
 cells_confirm_holder(struct cells *cells)
 {
+	struct scheduler *sched = cells->params.sched;
 	uint64_t confirmed_us = cells_boot_us(cells);
 	const struct cells_host *host;
 
@@ -84,7 +121,11 @@
 		if (host->confirmed_boot_us < confirmed_us)
 			confirmed_us = host->confirmed_boot_us;
 	}
-	sched_confirm_holder(cells->params.sched, confirmed_us);
+	sched_confirm_holder(sched, confirmed_us);
+	if (!sched_holder_confirmed(sched))
+		cells_read_owner(cells, CELLS_OWNER_RETRY_MS);
+	else if (sched_holder_age_ms(sched) > CELLS_CONFIRMED_AGE_MS)
+		cells_read_owner(cells, CELLS_OWNER_READ_MS);
 }
 
 /* Processes the name of the holder of @host's cell, as @host sees it. A holder
@@ -191,10 +232,7 @@
 	}
 	if (now_us - host->ping_sent_us < interval_ms * CELLS_US_PER_MS)
 		return;
-	ping = mem_zalloc(1, sizeof(*ping));
-	ping->cells = cells;
-	ping->sent_boot_us = cells_boot_us(cells);
-	strlcpy(ping->host, host->info.name, sizeof(ping->host));
+	ping = cells_ping_create(cells, host);
 	host->ping_pending = true;
 	host->ping_sent_us = now_us;
 	host->ping_sent_tick = cells->nticks;
@@ -210,6 +248,59 @@
 	    ping);
 }
 
+/* A failure is ignored: the next ping reports the same state. */
+static void
+cells_announce_done(void *arg, const struct api_reply *reply,
+    const struct err *err)
+{
+	struct cells_ping *announcement = arg;
+	struct cells *cells = announcement->cells;
+	struct cells_host *host = cells_host_find(cells, announcement->host);
+	json_t *body;
+
+	(void)err;
+	if (host != NULL && host->zone->local && reply != NULL &&
+	    reply->status == 200) {
+		body = json_loadb(reply->body, reply->body_len, 0, NULL);
+		cells_host_confirm(cells, host, cells_json_u64(body, "token"),
+		    cells_json_u64(body, "seen"), announcement->sent_boot_us);
+		json_decref(body);
+	}
+	free(announcement);
+}
+
+static void
+cells_announce_to(struct cells *cells, const struct cells_host *host)
+{
+	struct api_request request = { .method = API_POST,
+		.path = CELLS_PATH "held" };
+	struct cells_ping *announcement;
+	char query[NAME_SIZE + 64];
+
+	(void)snprintf(query, sizeof(query),
+	    "host=%s&token=%" PRIu64 "&leaving=%d", cells->params.self.name,
+	    sched_token(cells->params.sched), cells->leaving ? 1 : 0);
+	request.query = query;
+	announcement = cells_ping_create(cells, host);
+	cells->params.peers->ops->forward(cells->params.peers, host->info.az,
+	    host->info.name, host->incarnation, &request, cells_announce_done,
+	    announcement);
+}
+
+void
+cells_announce_state(struct cells *cells)
+{
+	const struct cells_zone *zone;
+	const struct cells_host *host;
+
+	TAILQ_FOREACH (zone, &cells->zones, entry) {
+		TAILQ_FOREACH (host, &zone->hosts, entry) {
+			if (host->connected)
+				cells_announce_to(cells, host);
+		}
+	}
+}
+
 static void
 cells_host_update_connection(struct cells *cells, struct cells_host *host,
     uint64_t now_us)
--- a/entry/jobs/job_service.c
+++ b/entry/jobs/job_service.c
@@ -201,6 +201,25 @@
 	free(value);
 }
 
+static void
+jsvc_owner_read(void *arg, bool confirmed)
+{
+	struct job_service *svc = arg;
+
+	cells_owner_read(svc->cells, confirmed);
+}
+
+static void
+jsvc_read_owner(void *arg)
+{
+	struct job_service *svc = arg;
+
+	if (svc->job_store == NULL)
+		cells_owner_read(svc->cells, false);
+	else
+		jstore_read_owner(svc->job_store, jsvc_owner_read, svc);
+}
+
 static void
 jsvc_on_fenced(void *arg)
 {
@@ -404,6 +423,7 @@
 		.worker = params->worker,
 		.advisor = params->advisor,
 		.lease_ms = params->lease_ms,
+		.holder_lease_ms = params->lease_ms + CELLS_CONFIRMED_AGE_MS,
 		.far_permille = params->far_permille,
 		.record_run_end = jsvc_record_run_end,
 		.unstored_seq = jsvc_unstored_seq,
@@ -418,6 +438,7 @@
 		.connections_version = params->connections_version,
 		.request_connection = params->request_connection,
 		.reserve_token = jsvc_reserve_token,
+		.read_owner = jsvc_read_owner,
 		.became_holder = jsvc_became_holder,
 		.holder_changed = jsvc_on_holder_changed,
 		.config_version = jsvc_get_config_version,
--- a/entry/jobs/job_store.h
+++ b/entry/jobs/job_store.h
@@ -57,6 +57,18 @@
  */
 void jstore_activate(struct job_store *store, uint64_t token);
 
+/** typedef jstore_owner_fn - @confirmed: the store names this host's token as
+ * that of the cell's owner; false also if it could not be read. */
+typedef void (*jstore_owner_fn)(void *arg, bool confirmed);
+
+/**
+ * jstore_read_owner() - read from the store whether this host still owns the
+ * cell, which it does until a successor has claimed the cell's rows. At most
+ * one call at a time. Calls the fenced callback if it has been replaced.
+ */
+void jstore_read_owner(struct job_store *store, jstore_owner_fn done,
+    void *arg);
+
 /**
  * jstore_deactivate() - discard all jobs in memory. Called when this host has
  * ceased to be the lease holder. Pending callbacks receive JSTORE_UNKNOWN.
--- a/entry/jobs/job_store_internal.h
+++ b/entry/jobs/job_store_internal.h
@@ -93,6 +93,8 @@
 	uint64_t token;
 	jstore_fenced_fn fenced;
 	void *fenced_arg;
+	jstore_owner_fn owner_read; /* of the read in flight */
+	void *owner_read_arg;
 	uint64_t generation;	 /* counts the calls of jstore_activate() */
 	uint32_t parts_unloaded; /* partitions that are not read back */
 	struct jstore_load loads[ROWS_JOB_PARTS];
@@ -128,6 +130,8 @@
 void jstore_submit_due(evutil_socket_t fd, short what, void *arg);
 
 /* job_store_load.c */
+/* The partition whose owner row decides who owns the cell. */
+#define JSTORE_OWNER_PART 0
 /* Makes this host the owner of the cell's jobs in a partition and reads them
  * back. */
 void jstore_load_part(struct jstore_load *load);
--- a/entry/jobs/job_store_load.c
+++ b/entry/jobs/job_store_load.c
@@ -149,6 +149,18 @@
 		jstore_schedule_load(load, JSTORE_LOAD_RETRY_MS);
 }
 
+/* The fencing token in an owner row; 0: none. */
+static uint64_t
+jstore_owner_token(const struct rows_row *owner)
+{
+	char text[32] = "";
+
+	if (owner->value != NULL)
+		(void)snprintf(text, sizeof(text), "%.*s",
+		    (int)owner->value_len, owner->value);
+	return strtoull(text, NULL, 10);
+}
+
 /*
  * Writes this host's fencing token to the owner row, on condition that the row
  * is still as it was read. No write of a former holder takes effect after
@@ -160,14 +172,9 @@
 	struct job_store *store = load->store;
 	struct rows_row row = { .key = store->owner_key,
 		.version = owner->version };
-	char text[32] = "";
-	uint64_t token = 0;
+	uint64_t token = jstore_owner_token(owner);
+	char text[32];
 
-	if (owner->value != NULL) {
-		(void)snprintf(text, sizeof(text), "%.*s",
-		    (int)owner->value_len, owner->value);
-		token = strtoull(text, NULL, 10);
-	}
 	if (token == store->token) {
 		jstore_part_claimed(load, owner->version);
 		return;
@@ -217,3 +224,34 @@
 	store->rows->ops->read(store->rows, load->part, store->owner_key, 1,
 	    jstore_owner_read, load);
 }
+
+static void
+jstore_owner_checked(void *arg, enum rows_status status,
+    const struct rows_row *rows, size_t nrows, bool more)
+{
+	struct job_store *store = arg;
+	jstore_owner_fn done = store->owner_read;
+	uint64_t token = 0;
+
+	(void)more;
+	store->owner_read = NULL;
+	if (status == ROWS_OK && nrows > 0 &&
+	    strcmp(rows[0].key, store->owner_key) == 0)
+		token = jstore_owner_token(&rows[0]);
+	done(store->owner_read_arg, store->active && token == store->token);
+	if (store->active && token > store->token) {
+		log_event(LOG_LEVEL_WARN, "cell-owner-replaced",
+		    "owner_token=%" PRIu64 " token=%" PRIu64, token,
+		    store->token);
+		store->fenced(store->fenced_arg);
+	}
+}
+
+void
+jstore_read_owner(struct job_store *store, jstore_owner_fn done, void *arg)
+{
+	store->owner_read = done;
+	store->owner_read_arg = arg;
+	store->rows->ops->read(store->rows, JSTORE_OWNER_PART, store->owner_key,
+	    1, jstore_owner_checked, store);
+}
--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -15,9 +15,6 @@
  * maximum. */
 #define SCHED_TICK_DELAY_WEIGHT 8
 #define SCHED_TICK_DELAY_MAX_MS 300
-/* The lease on the role of holder, in percent of the longest lease of a server.
- * While confirmations are frequent, it does not shorten those leases. */
-#define SCHED_HOLDER_LEASE_PERCENT 150
 
 uint64_t
 sched_now(const struct scheduler *sched)
@@ -130,8 +127,7 @@
 	sched->rows_refreshed = false;
 	sched->jobs_loaded = sched->params.record_run_end == NULL;
 	sched->activated_us = sched_now(sched);
-	hlease_start(&sched->holder_lease,
-	    sched->params.lease_ms * SCHED_HOLDER_LEASE_PERCENT / 100,
+	hlease_start(&sched->holder_lease, sched->params.holder_lease_ms,
 	    clock_boot_us(sched->params.clock));
 	sched->holder_confirmed = false;
 	log_event(LOG_LEVEL_WARN, "cell-acquired",
@@ -156,8 +152,7 @@
 			!TAILQ_EMPTY(&server->orphans)))
 			return true;
 	}
-	return sched_now(sched) <
-	    sched_leases_end_us(sched, sched->activated_us) &&
+	return sched_now(sched) < sched_former_leases_end_us(sched) &&
 	    !sched_all_runs_known(sched);
 }
 
@@ -180,6 +175,20 @@
 	sched->servers_complete = servers_complete;
 }
 
+/* No server counts as held until it has listed its runs again. */
+static void
+sched_request_lists(struct scheduler *sched, uint64_t now_us)
+{
+	struct sched_server *server;
+
+	TAILQ_FOREACH (server, &sched->servers, entry) {
+		server->held = false;
+		if (!server->hold_pending)
+			server->hold_due_us = now_us;
+	}
+	sched_dispatch_wake(sched);
+}
+
 /*
  * Ended runs that were listed before their job was loaded are listed again. No
  * task of a stored job may start until they have been processed, or until the
@@ -188,7 +197,6 @@
 void
 sched_set_jobs_loaded(struct scheduler *sched)
 {
-	struct sched_server *server;
 	uint64_t now_us = sched_now(sched);
 	struct sched_job *job;
 
@@ -198,12 +206,7 @@
 			job->start_after_us =
 			    sched_leases_end_us(sched, now_us);
 	}
-	TAILQ_FOREACH (server, &sched->servers, entry) {
-		server->held = false;
-		if (!server->hold_pending)
-			server->hold_due_us = now_us;
-	}
-	sched_dispatch_wake(sched);
+	sched_request_lists(sched, now_us);
 }
 
 void
@@ -233,6 +236,13 @@
 	SCHED_QUEUED_GAUGE("3"),
 };
 
+static struct counter sched_holder_age = {
+	.name = "berylrail_work_holder_confirmation_age_milliseconds",
+	.help = "Time since it was last confirmed that no other host has "
+		"replaced this holder.",
+	.gauge = 1,
+};
+
 #define SCHED_PRIORITIES \
 	(sizeof(sched_tasks_queued) / sizeof(sched_tasks_queued[0]))
 
@@ -253,6 +263,8 @@
 			: SCHED_PRIORITIES - 1]++;
 	}
 	ctr_set(&sched_servers_held, held);
+	ctr_set(&sched_holder_age,
+	    sched->token == 0 ? 0 : sched_holder_age_ms(sched));
 	for (i = 0; i < SCHED_PRIORITIES; i++)
 		ctr_set(&sched_tasks_queued[i], queued_by_priority[i]);
 }
@@ -262,6 +274,10 @@
 {
 	const struct sched_reply not_holder = { .result = SCHED_NOT_HOLDER,
 		.reason = "this host is no longer the holder of the cell" };
+	/* A successor does not wait for the end of these runs. */
+	const struct sched_reply may_run = { .result = SCHED_OUTCOME_UNKNOWN,
+		.reason = "its tasks were started by a holder that was not "
+			  "confirmed and has been replaced" };
 	struct sched_server *server;
 	struct sched_job *job, *next_job;
 	struct sched_task *task, *next_task;
@@ -285,41 +301,41 @@
 			sched_run_discard(task, "scheduler deactivated");
 	}
 	TAILQ_FOREACH_SAFE (job, &sched->jobs, entry, next_job)
-		sched_job_finish(job, &not_holder);
+		sched_job_finish(job,
+		    job->started_unconfirmed ? &may_run : &not_holder);
 	sched_update_gauges(sched);
 	sched_dispatch_wake(sched);
 }
 
-static struct counter sched_holder_age = {
-	.name = "berylrail_work_holder_confirmation_age_milliseconds",
-	.help = "Time since it was last confirmed that no other host has "
-		"replaced this holder.",
-	.gauge = 1,
-};
-
-/* Reports that the lease on the role of holder has begun or has expired. */
-static void
+void
 sched_check_holder_lease(struct scheduler *sched)
 {
 	bool confirmed = sched_holder_remaining_ms(sched) > 0;
-	uint64_t age_ms = sched_holder_age_ms(sched);
 
-	ctr_set(&sched_holder_age, age_ms);
 	if (confirmed == sched->holder_confirmed)
 		return;
 	sched->holder_confirmed = confirmed;
 	log_event(LOG_LEVEL_WARN,
 	    confirmed ? "holder-confirmed" : "holder-unconfirmed",
-	    "token=%" PRIu64 " age_ms=%" PRIu64, sched->token, age_ms);
+	    "token=%" PRIu64 " age_ms=%" PRIu64, sched->token,
+	    sched_holder_age_ms(sched));
 }
 
 uint32_t
 sched_holder_remaining_ms(const struct scheduler *sched)
 {
+	if (sched->params.holder_lease_ms == 0)
+		return UINT32_MAX;
 	return hlease_remaining_ms(&sched->holder_lease,
 	    clock_boot_us(sched->params.clock));
 }
 
+bool
+sched_holder_confirmed(const struct scheduler *sched)
+{
+	return sched->token != 0 && sched_holder_remaining_ms(sched) > 0;
+}
+
 uint64_t
 sched_holder_age_ms(const struct scheduler *sched)
 {
@@ -327,14 +343,37 @@
 	    clock_boot_us(sched->params.clock));
 }
 
+/*
+ * The lease on the role of holder has expired, and another host may have held
+ * the cell since then. Its runs are not known: the servers list theirs anew,
+ * and jobs that it may have started wait for the end of its leases.
+ */
+static void
+sched_resume_holder(struct scheduler *sched, uint64_t now_us)
+{
+	struct sched_job *job;
+
+	sched->former_runs_known = false;
+	TAILQ_FOREACH (job, &sched->jobs, entry) {
+		if (job->stored || job->may_have_started)
+			job->start_after_us = now_us;
+	}
+	sched_request_lists(sched, now_us);
+}
+
 void
 sched_confirm_holder(struct scheduler *sched, uint64_t confirmed_boot_us)
 {
-	if (sched->token == 0)
+	bool was_confirmed = sched->holder_lease.confirmed_boot_us != 0;
+	uint64_t now_us = sched_now(sched);
+
+	if (sched->token == 0 ||
+	    !hlease_confirm(&sched->holder_lease, confirmed_boot_us,
+		clock_boot_us(sched->params.clock), now_us))
 		return;
-	if (hlease_confirm(&sched->holder_lease, confirmed_boot_us,
-		sched_now(sched)))
-		sched_check_holder_lease(sched);
+	sched_check_holder_lease(sched);
+	if (was_confirmed)
+		sched_resume_holder(sched, now_us);
 }
 
 /* Updates the moving average of the delay of ticks. */
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -48,6 +48,10 @@
 	struct worker *worker;
 	struct advisor *advisor; /* NULL: jobs of advised queues are refused */
 	uint32_t lease_ms;	 /* longest lease that servers grant */
+	/* Length of the lease on the role of holder (core/holder_lease.h), the
+	 * same on all hosts of the cell; at least lease_ms. 0: no other host
+	 * takes over while this one is the holder. */
+	uint32_t holder_lease_ms;
 	/* Factor on the run time of a task that is away from its data. */
 	uint32_t far_permille;
 	/*
@@ -76,9 +80,12 @@
 	uint32_t occurrence; /* number of the scheduled start, from 0 */
 	uint32_t age_ms;     /* since the submitter first sent the job */
 	uint32_t timeout_ms; /* from now until the submitter stops waiting */
-	bool resubmitted;    /* another host may have started the job */
-	bool may_refuse;     /* refuse at once if the backlog is too long */
-	bool stored;	     /* ends are stored; the submitter does not wait */
+	/* Since a time at which the submitter's host had not passed the job to
+	 * any other holder. */
+	uint64_t sent_ago_ms;
+	bool resubmitted; /* another host may have started the job */
+	bool may_refuse;  /* refuse at once if the backlog is too long */
+	bool stored;	  /* ends are stored; the submitter does not wait */
 	/* The next three are indexed by task and set for stored jobs. */
 	const uint8_t *done;	 /* nonzero: the task is done */
 	const uint8_t *failures; /* number of failed runs */
@@ -166,6 +173,10 @@
  */
 void sched_confirm_holder(struct scheduler *sched, uint64_t confirmed_boot_us);
 
+/** sched_holder_confirmed() - whether the lease on the role of holder is valid.
+ */
+bool sched_holder_confirmed(const struct scheduler *sched);
+
 /** sched_holder_age_ms() - time since the last confirmation of this holder, or
  * since it took over. */
 uint64_t sched_holder_age_ms(const struct scheduler *sched);
--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -178,8 +178,12 @@
 	if ((task->job->stored && !task->job->sched->jobs_loaded) ||
 	    sched_waits_for_rows(task->job, pass->now_us))
 		return;
+	if (!task->job->sched->holder_confirmed &&
+	    !sched_job_may_start_unconfirmed(task->job, pass->now_us))
+		return;
 	if (step->cpu >= *no_capacity_cpu ||
-	    (task->job->start_after_us > pass->now_us && !pass->all_held) ||
+	    (!pass->all_held &&
+		sched_job_awaits_leases(task->job, pass->now_us)) ||
 	    !sched_suspect_may_start(task, pass->now_us))
 		return;
 	if (sched_gang_member(task)) {
@@ -211,8 +215,10 @@
 bool
 sched_all_runs_known(const struct scheduler *sched)
 {
-	return sched->former_runs_known && sched->servers_complete &&
-	    sched->rows_refreshed && sched_all_servers_held(sched);
+	return (sched->former_runs_known ||
+		   sched_now(sched) >= sched_former_leases_end_us(sched)) &&
+	    sched->servers_complete && sched->rows_refreshed &&
+	    sched_all_servers_held(sched);
 }
 
 /* Whether starts are delayed after a take-over, until the store's rows show
@@ -247,6 +253,7 @@
 	    sched_recovery_pending(sched, pass.now_us))
 		return;
 	pass.all_held = sched_all_runs_known(sched);
+	sched_check_holder_lease(sched);
 	for (rank = 0; rank < SCHED_RANKS; rank++) {
 		TAILQ_FOREACH_SAFE (task, &sched->waiting, waiting, next) {
 			if (sched_rank(task, pass.now_us) == rank)
@@ -391,7 +398,8 @@
 
 /*
  * Whether a job that was not started is to be refused: it can't end while its
- * result has value, or it would be late and the backlog is long.
+ * result has value, this host may have been replaced as the holder, or it would
+ * be late and the backlog is long.
  */
 static bool
 sched_job_should_refuse(const struct sched_job *job, uint64_t now_us)
@@ -402,6 +410,9 @@
 
 	if (now_us + work_us / 2 >= job->value_until_us)
 		return true;
+	if (!job->sched->holder_confirmed &&
+	    !sched_job_may_start_unconfirmed(job, now_us))
+		return true;
 	backlog_us = sched_backlog_us(job->sched, share, now_us);
 	if (share == SCHED_SHARE_CONFINED && now_us < job->objective_us &&
 	    backlog_us > job->objective_us - now_us)
--- a/entry/jobs/scheduler_gang.c
+++ b/entry/jobs/scheduler_gang.c
@@ -228,7 +228,7 @@
 {
 	const struct scheduler *sched = job->sched;
 
-	return job->start_after_us > sched_now(sched) &&
+	return sched_job_awaits_leases(job, sched_now(sched)) &&
 	    !sched_all_runs_known(sched);
 }
 
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -115,7 +115,8 @@
 	char *last_checkpoint;	   /* owned; NULL: none */
 	uint64_t checkpoint_run;   /* run id that wrote last_checkpoint */
 	bool start_confirmed;	   /* by a reply to the order, or by a list */
-	bool stop_confirmed; /* the run can't start later, and ends soon */
+	bool stop_confirmed;   /* the run can't start later, and ends soon */
+	bool has_server_alone; /* the server was vacant before its start */
 	bool isolate;  /* a suspect: its next run needs a server of its own */
 	bool isolated; /* no other task is started beside its run */
 	uint64_t
@@ -141,14 +142,20 @@
 	uint64_t objective_us;	 /* the job is on time if it ends before */
 	uint64_t value_until_us; /* a later end has no value */
 	uint64_t submitter_deadline_us; /* the submitter stops waiting then */
-	/* Runs that another host started may last until this time. Until then,
-	 * no task is started unless all servers are known and held. */
+	/* The host of its submitter had not passed it to another holder then.
+	 */
+	uint64_t sent_us;
+	/* Runs that another host started may last until this time, or until
+	 * the leases of former holders have ended. Until then, no task is
+	 * started unless all servers are known and held. 0: no host did. */
 	uint64_t start_after_us;
 	bool stored;
 	/* A run of the job was found or started, or is stored as ended. */
 	bool has_started;
 	/* A start was ordered by this host, or perhaps by another one. */
 	bool may_have_started;
+	/* A run may last longer than the lease on the role of holder. */
+	bool started_unconfirmed;
 	bool has_suspects;    /* servers were lost under its tasks */
 	bool crashes_servers; /* one of its tasks does; the job is to fail */
 	bool ended;	      /* the submitter has its reply; runs may remain */
@@ -289,12 +296,23 @@
  * expired.
  */
 uint32_t sched_holder_remaining_ms(const struct scheduler *sched);
+/* Updates holder_confirmed, and reports a change of it. */
+void sched_check_holder_lease(struct scheduler *sched);
 /* Frees the removed servers of an inactive scheduler. */
 void sched_free_removed(struct scheduler *sched);
 
 /* scheduler_job.c */
 /* Latest expiry of leases that were not renewed after @since_us. */
 uint64_t sched_leases_end_us(const struct scheduler *sched, uint64_t since_us);
+/* Latest expiry of leases that a former holder has granted; UINT64_MAX until
+ * this host is confirmed as the holder. */
+uint64_t sched_former_leases_end_us(const struct scheduler *sched);
+/* Whether tasks of the job may be running that another host has started. */
+bool sched_job_awaits_leases(const struct sched_job *job, uint64_t now_us);
+/* Whether a run of the job that is started now, with a lease that is not
+ * extended, has ended before the job can be submitted to a successor. */
+bool sched_job_may_start_unconfirmed(const struct sched_job *job,
+    uint64_t now_us);
 struct sched_job *sched_job_find(const struct scheduler *sched, const char *id,
     uint32_t occurrence);
 /* Replies to the submitter and stops the runs of the job. */
@@ -307,6 +325,13 @@
 
 /* scheduler_server.c */
 void sched_server_free(struct sched_server *server);
+/* Whether a lease for a new run affects nothing else: the server has no other
+ * run, and no end that is not acknowledged, which must not outlive the lease
+ * under which its run has ended. */
+bool sched_server_vacant(const struct sched_server *server);
+/* Extends the server's lease, within the lease on the role of holder. Return:
+ * the deadline to send. */
+uint64_t sched_lease_extend(struct sched_server *server, uint64_t now_us);
 /* Sends a hold, unless one is pending. */
 void sched_server_hold(struct sched_server *server, uint64_t now_us);
 /* Periodic checks: link, lease, next hold, stragglers and orphans. */
--- a/entry/jobs/scheduler_job.c
+++ b/entry/jobs/scheduler_job.c
@@ -220,6 +220,33 @@
 	    (sched->params.lease_ms + SCHED_LEASE_MARGIN_MS) * SCHED_US_PER_MS;
 }
 
+uint64_t
+sched_former_leases_end_us(const struct scheduler *sched)
+{
+	return sched->params.holder_lease_ms == 0
+	    ? sched_leases_end_us(sched, sched->activated_us)
+	    : sched->holder_lease.former_end_us;
+}
+
+bool
+sched_job_awaits_leases(const struct sched_job *job, uint64_t now_us)
+{
+	return job->start_after_us != 0 &&
+	    (job->start_after_us > now_us ||
+		sched_former_leases_end_us(job->sched) > now_us);
+}
+
+bool
+sched_job_may_start_unconfirmed(const struct sched_job *job, uint64_t now_us)
+{
+	const struct sched_params *params = &job->sched->params;
+	uint64_t max_age_ms = params->holder_lease_ms - params->lease_ms;
+
+	return !job->stored &&
+	    job_critical_path_ms(&job->spec) <= params->lease_ms &&
+	    now_us - job->sent_us <= max_age_ms * SCHED_US_PER_MS;
+}
+
 static void
 sched_job_set_times(struct sched_job *job, const struct sched_request *request)
 {
@@ -232,6 +259,9 @@
 	 * the time of submission is then 0. */
 	if (age_us > now_us)
 		age_us = now_us;
+	job->sent_us = request->sent_ago_ms * SCHED_US_PER_MS < now_us
+	    ? now_us - request->sent_ago_ms * SCHED_US_PER_MS
+	    : 0;
 	job->submitted_us = now_us - age_us;
 	job->objective_us = job->submitted_us + objective_us;
 	job->value_until_us =
@@ -241,9 +271,13 @@
 	if (job->value_until_us > job->submitter_deadline_us)
 		job->value_until_us = job->submitter_deadline_us;
 	job->may_have_started = request->resubmitted;
-	if (request->resubmitted)
+	if (request->resubmitted && request->stored)
 		job->start_after_us =
 		    sched_leases_end_us(job->sched, job->sched->activated_us);
+	/* A holder that is not confirmed may have just started it. */
+	else if (request->resubmitted)
+		job->start_after_us =
+		    now_us + hlease_span_us(job->sched->params.holder_lease_ms);
 }
 
 static struct sched_job *
--- a/entry/jobs/scheduler_place.c
+++ b/entry/jobs/scheduler_place.c
@@ -77,6 +77,24 @@
 	    task->isolate_until_us <= sched_now(server->sched);
 }
 
+/* Whether a run of the task ends within the server's lease, if that will not be
+ * extended: the holder is not confirmed (see sched_start_deadline()). */
+static bool
+sched_server_lease_suffices(const struct sched_server *server,
+    const struct sched_task *task)
+{
+	const struct scheduler *sched = server->sched;
+	uint64_t run_ms = (uint64_t)sched_task_expected_ms(task) *
+	    PLACE_SPEED_NOMINAL / (server->speed_permille | 1);
+
+	if (sched->holder_confirmed)
+		return true;
+	return run_ms <=
+	    (sched_server_vacant(server)
+		    ? sched->params.lease_ms
+		    : lease_remaining_ms(&server->lease, sched_now(sched)));
+}
+
 static bool
 sched_server_eligible(const struct sched_server *server,
     const struct sched_task *task)
@@ -88,6 +106,7 @@
 	if (!sched_server_matches(server, task) ||
 	    !sched_bulkhead_admits(server, sched_job_confined(task->job)) ||
 	    sched_server_conflicts(server, step) ||
+	    !sched_server_lease_suffices(server, task) ||
 	    !sched_server_isolates(server, task) ||
 	    (task->job->advice != NULL &&
 		sched_advice_ticket(task, server) == NULL))
--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -216,6 +216,26 @@
 
 static void sched_start_done(void *arg, const struct worker_reply *reply);
 
+/*
+ * The deadline for a start. A holder that is not confirmed grants a lease if
+ * that affects nothing else on the server, and does not extend it: neither for
+ * tasks that are started beside the first one, nor by a retry.
+ */
+static uint64_t
+sched_start_deadline(struct sched_task *task, uint64_t now_us)
+{
+	struct sched_server *server = task->server;
+	struct scheduler *sched = server->sched;
+
+	if (sched_holder_remaining_ms(sched) > 0)
+		return sched_lease_extend(server, now_us);
+	task->job->started_unconfirmed = true;
+	if (task->has_server_alone && task->start_attempts == 0)
+		return lease_extend(&server->lease, now_us,
+		    sched->params.lease_ms);
+	return sched_lease_extend(server, now_us);
+}
+
 /* Sends the start order of the task's run. A retry has the same run id, so the
  * run is not started twice. */
 static void
@@ -232,8 +252,7 @@
 		.ticket = task->job->advice == NULL
 		    ? NULL
 		    : sched_advice_ticket(task, server),
-		.deadline_ms = lease_extend(&server->lease, sched_now(sched),
-		    sched->params.lease_ms),
+		.deadline_ms = sched_start_deadline(task, sched_now(sched)),
 		.token = sched->token,
 		.retry = task->start_attempts > 0,
 	};
@@ -337,6 +356,7 @@
 	sched_task_dequeue(task);
 	task->isolated = task->isolate;
 	task->isolate_until_us = 0;
+	task->has_server_alone = sched_server_vacant(server);
 	sched_task_assign(task, server, run_id);
 	task->state = SCHED_TASK_STARTING;
 	task->start_attempts = 0;
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -435,6 +435,23 @@
 	return (uint32_t)((first_us - now_us) / SCHED_US_PER_MS);
 }
 
+bool
+sched_server_vacant(const struct sched_server *server)
+{
+	return TAILQ_EMPTY(&server->tasks) && TAILQ_EMPTY(&server->orphans) &&
+	    TAILQ_EMPTY(&server->unstored_ends);
+}
+
+uint64_t
+sched_lease_extend(struct sched_server *server, uint64_t now_us)
+{
+	uint32_t duration_ms = sched_holder_remaining_ms(server->sched);
+
+	if (duration_ms > server->sched->params.lease_ms)
+		duration_ms = server->sched->params.lease_ms;
+	return lease_extend(&server->lease, now_us, duration_ms);
+}
+
 void
 sched_server_hold(struct sched_server *server, uint64_t now_us)
 {
@@ -451,8 +468,7 @@
 	/* The lease is not renewed for orphans alone. */
 	if (!TAILQ_EMPTY(&server->tasks) &&
 	    server->unanswered_holds <= SCHED_UNANSWERED_HOLDS_MAX)
-		hold.deadline_ms = lease_extend(&server->lease, now_us,
-		    sched->params.lease_ms);
+		hold.deadline_ms = sched_lease_extend(server, now_us);
 	/* Each incarnation numbers its ends from 1, and a hold does not name an
 	 * incarnation: only the connection on which the lists were received is
 	 * certain to lead to the same incarnation. */
--- a/tests/support/memory_rows.c
+++ b/tests/support/memory_rows.c
@@ -141,6 +141,11 @@
 		store->deferred_read_arg = arg;
 		return;
 	}
+	if (store->lose_reads > 0) {
+		store->lose_reads--;
+		done(arg, ROWS_UNKNOWN, NULL, 0, false);
+		return;
+	}
 	for (i = 0; i < MROWS_ROWS_MAX && n < limit; i++) {
 		if (store->table[i].version == 0 ||
 		    store->table[i].part != part ||
--- a/tests/support/memory_rows.h
+++ b/tests/support/memory_rows.h
@@ -26,6 +26,7 @@
 	uint64_t version;
 	int lose_replies;  /* transactions to apply and report as unknown */
 	int lose_requests; /* transactions to drop and report as unknown */
+	int lose_reads;	   /* reads without a reply */
 	bool defer_writes; /* with a condition, until mrows_release_write() */
 	struct rows_row deferred_write;
 	uint32_t deferred_write_part;
--- a/tests/support/scheduler_rig.c
+++ b/tests/support/scheduler_rig.c
@@ -58,7 +58,8 @@
 		.clock = clock_real(),
 		.worker = rig->worker,
 		.advisor = rig->advisor,
-		.lease_ms = 1000,
+		.lease_ms = SRIG_LEASE_MS,
+		.holder_lease_ms = rig->holder_lease_ms,
 		.far_permille = 1000,
 		.fenced = srig_fenced,
 		.arg = rig };
--- a/tests/support/scheduler_rig.h
+++ b/tests/support/scheduler_rig.h
@@ -10,6 +10,7 @@
  */
 
 #define SRIG_SERVERS 4
+#define SRIG_LEASE_MS 1000
 #define SRIG_CPU 64000 /* of each server, in thousandths of a core */
 
 /** struct scheduler_rig - member of a test's own fixture. */
@@ -20,6 +21,8 @@
 	struct advisor *advisor; /* NULL: none */
 	struct scheduler *sched;
 	uint32_t fenced; /* calls of the fenced callback */
+	/* Of the schedulers that are created from now on. */
+	uint32_t holder_lease_ms;
 };
 
 /** srig_init() - create the scheduler and activate it with token 10. */
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -24,6 +24,7 @@
 #define AGREE_MS 1100
 /* Two pings of a host to its holder, and as many ticks. */
 #define CONFIRM_MS 400
+#define TICK_MS 50 /* of the hosts */
 
 struct net;
 
@@ -37,7 +38,8 @@
 	struct worker *own_worker; /* NULL: that of the net */
 	uint64_t incarnation;
 	bool token_requested;
-	bool store_lost; /* it reserves no token */
+	bool store_lost;	  /* the store does not answer it */
+	bool claims, reads_owner; /* calls of the store in flight */
 	uint32_t takeovers;
 	uint32_t calls;			  /* sent */
 	uint64_t config, config_reported; /* own version; newest of a peer */
@@ -52,7 +54,9 @@
 	struct host hosts[NHOSTS_MAX];
 	bool connected[NHOSTS_MAX][NHOSTS_MAX];
 	uint64_t connections_version;
-	uint64_t token;	   /* last reserved one */
+	uint64_t token; /* last reserved one */
+	uint64_t owner; /* token with which the cell was claimed last */
+	uint32_t owner_reads;
 	uint32_t call_ms;  /* round trip of a call between hosts */
 	uint32_t stall_ms; /* no host runs for this time in each step */
 };
@@ -156,10 +160,22 @@
 	host->token_requested = true;
 }
 
+/* The host's claim to the cell is stored at the end of the step. */
 static void
 host_became_holder(void *arg)
 {
-	((struct host *)arg)->takeovers++;
+	struct host *host = arg;
+
+	host->takeovers++;
+	host->claims = true;
+}
+
+static void
+host_read_owner(void *arg)
+{
+	struct host *host = arg;
+
+	host->reads_owner = true;
 }
 
 static void
@@ -216,6 +232,7 @@
 		.worker =
 		    host->own_worker != NULL ? host->own_worker : net->worker,
 		.lease_ms = 1000,
+		.holder_lease_ms = 1000 + CELLS_CONFIRMED_AGE_MS,
 		.far_permille = 1000,
 		.fenced = host_fenced,
 		.arg = host };
@@ -226,6 +243,7 @@
 		.connections_version = host_connections_version,
 		.request_connection = host_request_connection,
 		.reserve_token = host_reserve_token,
+		.read_owner = host_read_owner,
 		.became_holder = host_became_holder,
 		.holder_changed = host_holder_changed,
 		.config_version = host_config_version,
@@ -272,8 +290,33 @@
 	net->connected[b][a] = connected;
 }
 
+/* Ends the host's calls of the store. While that does not answer, they go on.
+ */
+static void
+host_serve_store(struct host *host)
+{
+	struct net *net = host->net;
+	uint64_t token = sched_token(host->sched);
+
+	if (host->store_lost)
+		return;
+	if (host->token_requested) {
+		host->token_requested = false;
+		cells_token_reserved(host->cells, ++net->token);
+	}
+	if (host->claims && token > net->owner)
+		net->owner = token;
+	host->claims = false;
+	if (host->reads_owner) {
+		host->reads_owner = false;
+		net->owner_reads++;
+		cells_owner_read(host->cells,
+		    token != 0 && token == net->owner);
+	}
+}
+
 /* Runs the event loop for @ms, in steps of 10 ms, besides the time in which no
- * host runs; requested tokens are reserved within a step. */
+ * host runs; calls of the store end within a step. */
 static void
 net_run(struct net *net, int ms)
 {
@@ -284,13 +327,8 @@
 		(void)event_base_loopexit(net->base, &tv);
 		(void)event_base_dispatch(net->base);
 		sim_time_advance(net->stall_ms);
-		for (i = 0; i < net->nhosts; i++) {
-			if (!net->hosts[i].token_requested ||
-			    net->hosts[i].store_lost)
-				continue;
-			net->hosts[i].token_requested = false;
-			cells_token_reserved(net->hosts[i].cells, ++net->token);
-		}
+		for (i = 0; i < net->nhosts; i++)
+			host_serve_store(&net->hosts[i]);
 	}
 }
 
@@ -483,28 +521,75 @@
 	}
 }
 
-/* The pings of the other hosts, which the holder does not have to request. */
+/* Neither calls of the holder nor of the store are needed. */
 Test(cells, holder_is_confirmed_while_all_hosts_of_its_zone_reach_it)
 {
 	struct net *net = net_create();
-	uint32_t calls;
+	uint32_t calls, reads;
 
 	net_run(net, 2000);
 	cr_expect_leq(sched_holder_age_ms(net->hosts[0].sched), CONFIRM_MS);
 	calls = net->hosts[0].calls;
+	reads = net->owner_reads;
 	net_run(net, 4000);
 	cr_expect_leq(sched_holder_age_ms(net->hosts[0].sched), CONFIRM_MS);
 	/* It pings each of the two likely successors once a second. */
 	cr_expect_leq(net->hosts[0].calls - calls, 2 * 4);
+	cr_expect_eq(net->owner_reads, reads);
+	net_destroy(net);
+}
+
+/* The store answers in the next step of 10 ms. */
+Test(cells, store_confirms_a_holder_that_a_host_of_its_zone_does_not_reach)
+{
+	struct net *net = net_create();
+	uint64_t age_ms, max_age_ms = 0;
+	uint32_t ms, reads;
+
+	net_run(net, 2000);
 	net_set_connected(net, 0, 2, false);
+	reads = net->owner_reads;
+	for (ms = 0; ms < 4000; ms += 100) {
+		net_run(net, 100);
+		age_ms = sched_holder_age_ms(net->hosts[0].sched);
+		if (age_ms > max_age_ms)
+			max_age_ms = age_ms;
+	}
+	cr_expect_leq(max_age_ms, CONFIRM_MS + TICK_MS + 10);
+	cr_expect_leq(net->owner_reads - reads, 4 * 4);
+	net->hosts[0].store_lost = true;
+	net_run(net, 1000);
+	cr_expect_geq(sched_holder_age_ms(net->hosts[0].sched), 900);
+	cr_expect(sched_holder_confirmed(net->hosts[0].sched));
 	net_run(net, 1000);
-	cr_expect_geq(sched_holder_age_ms(net->hosts[0].sched), 1000);
+	cr_expect_not(sched_holder_confirmed(net->hosts[0].sched));
 	net_set_connected(net, 0, 2, true);
 	net_run(net, AGREE_MS);
 	cr_expect_leq(sched_holder_age_ms(net->hosts[0].sched), CONFIRM_MS);
 	net_destroy(net);
 }
 
+/* h2 sees both holders; it reports the new one to the former one. */
+Test(cells, holder_steps_down_for_a_token_that_another_host_has_seen)
+{
+	struct net *net = net_create();
+	uint64_t token;
+
+	net_run(net, 2000);
+	token = sched_token(net->hosts[0].sched);
+	cr_assert_neq(token, 0);
+	net_set_connected(net, 0, 1, false);
+	net_set_connected(net, 1, 2, false);
+	net_run(net, 500);
+	cr_assert_eq(sched_token(net->hosts[0].sched), token);
+	cr_assert_gt(sched_token(net->hosts[1].sched), token);
+	net_set_connected(net, 1, 2, true);
+	net_run(net, AGREE_MS + 200);
+	/* It may have taken over again, with a higher token. */
+	cr_expect_neq(sched_token(net->hosts[0].sched), token);
+	net_destroy(net);
+}
+
 /* Calls a second that the last host of a zone of @nhosts sends. */
 static uint32_t
 calls_per_s(size_t nhosts)
@@ -890,6 +975,59 @@
 	net_destroy(net);
 }
 
+/* Runs a task of 7 s, for 5 s of which the store answers no host. */
+static void
+net_expect_undisturbed_run(struct net *net)
+{
+	size_t i;
+
+	host_submit(&net->hosts[0], PLAIN_JOB, false);
+	net_run(net, 500);
+	for (i = 0; i < net->nhosts; i++)
+		net->hosts[i].store_lost = true;
+	net_run(net, 5000);
+	for (i = 0; i < net->nhosts; i++)
+		net->hosts[i].store_lost = false;
+	net_run(net, TASK_MS);
+	cr_expect_eq(wm_task(&net->cluster, ID ".0.0.0")->starts, 1);
+	cr_expect_eq(wm_task(&net->cluster, ID ".0.0.0")->completions, 1);
+}
+
+Test(cells, zone_that_is_cut_off_goes_on_with_long_runs)
+{
+	struct net *net = net_create_pair();
+
+	net_expect_undisturbed_run(net);
+	net_destroy(net);
+}
+
+Test(cells, only_host_of_a_zone_that_is_cut_off_goes_on_with_long_runs)
+{
+	struct net *net = net_create_servers(1, 1, NSERVERS);
+
+	net_run(net, 3000);
+	host_read_servers(&net->hosts[0]);
+	net_run(net, 100);
+	net_expect_undisturbed_run(net);
+	net_destroy(net);
+}
+
+Test(cells, holder_goes_on_with_long_runs_while_the_other_host_is_lost)
+{
+	struct net *net = net_create_pair();
+
+	host_submit(&net->hosts[0], PLAIN_JOB, false);
+	net_run(net, 500);
+	net->hosts[1].store_lost = true;
+	fake_worker_faults(net->hosts[1].own_worker)->unreachable_mask =
+	    UINT32_MAX;
+	net_isolate(net, 1, true);
+	net_run(net, TASK_MS);
+	cr_expect_eq(wm_task(&net->cluster, ID ".0.0.0")->starts, 1);
+	cr_expect_eq(wm_task(&net->cluster, ID ".0.0.0")->completions, 1);
+	net_destroy(net);
+}
+
 /* For a time after a take-over, and while it goes on with runs on servers
  * without rows, the holder has runs that a successor may not know. */
 Test(cells, likely_successors_learn_that_runs_may_be_unknown)
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -28,6 +28,7 @@
 	struct scheduler *sched;
 	struct job_store *job_store;
 	int fenced;
+	int owner_confirmed, owner_denied; /* replies to reads of the owner */
 	int done_calls;
 	enum jstore_result result;
 	int state_calls;
@@ -70,6 +71,17 @@
 	host->state = state;
 }
 
+static void
+host_owner_read(void *arg, bool confirmed)
+{
+	struct host *host = arg;
+
+	if (confirmed)
+		host->owner_confirmed++;
+	else
+		host->owner_denied++;
+}
+
 static uint64_t
 host_record_run_end(void *arg, const char *id, uint32_t task, uint64_t run_id,
     bool done)
@@ -242,6 +254,41 @@
 	rig_destroy(rig);
 }
 
+Test(job_store, owner_is_confirmed_until_a_successor_has_claimed_the_cell)
+{
+	struct rig *rig = rig_create();
+	struct host *host = &rig->hosts[0];
+
+	host_become_holder(host, 10);
+	rig_run(rig, 30);
+	jstore_read_owner(host->job_store, host_owner_read, host);
+	rig_run(rig, 30);
+	cr_expect_eq(host->owner_confirmed, 1);
+	host_become_holder(&rig->hosts[1], 20);
+	rig_run(rig, 30);
+	jstore_read_owner(host->job_store, host_owner_read, host);
+	rig_run(rig, 30);
+	cr_expect_eq(host->owner_denied, 1);
+	cr_expect_eq(host->fenced, 1);
+	rig_destroy(rig);
+}
+
+Test(job_store, owner_is_not_confirmed_by_a_lost_reply)
+{
+	struct rig *rig = rig_create();
+	struct host *host = &rig->hosts[0];
+
+	host_become_holder(host, 10);
+	rig_run(rig, 30);
+	rig->store.lose_reads = 1;
+	jstore_read_owner(host->job_store, host_owner_read, host);
+	rig_run(rig, 30);
+	cr_expect_eq(host->owner_confirmed, 0);
+	cr_expect_eq(host->owner_denied, 1);
+	cr_expect_eq(host->fenced, 0);
+	rig_destroy(rig);
+}
+
 /* The outcome of a claim without a reply is read from the owner row. */
 Test(job_store, lost_replies_do_not_prevent_a_claim)
 {
--- /dev/null
+++ b/tests/test_scheduler_holder.c
@@ -0,0 +1,342 @@
+/*
+ * The lease on the role of holder: what a holder starts and extends while it is
+ * not confirmed, and how long a successor waits for the runs of a former one.
+ */
+
+#include <criterion/criterion.h>
+#include <event2/event.h>
+#include <stdio.h>
+
+#include "adapters/clock_real.h"
+#include "core/mem.h"
+#include "entry/jobs/job_json.h"
+#include "entry/jobs/scheduler.h"
+#include "tests/support/scheduler_rig.h"
+#include "tests/support/sim_time.h"
+
+#define TOKEN 20
+#define HOLDER_LEASE_MS 1400
+/* With a server's clock that is 2% slow. */
+#define HOLDER_LEASE_MAX_MS 1429
+#define JOBS_MAX 256
+#define STEP_MS 10
+#define SHORT_MS 60
+#define LONG_MS 5000
+
+struct rig_job {
+	struct rig *rig;
+	char id[JOB_ID_LEN + 1];
+	bool answered;
+	enum sched_result result;
+	uint64_t sent_us;
+	uint64_t elapsed_ms; /* from submission to reply */
+};
+
+struct rig {
+	struct scheduler_rig srig;
+	struct scheduler *sched; /* active, not confirmed */
+	struct rig_job jobs[JOBS_MAX];
+	size_t njobs;
+};
+
+static uint64_t
+rig_now_ms(void)
+{
+	return clock_now_us(clock_real()) / 1000;
+}
+
+static void
+rig_confirm(struct rig *rig)
+{
+	sched_confirm_holder(rig->sched, clock_boot_us(clock_real()));
+}
+
+static struct rig *
+rig_create(void)
+{
+	struct rig *rig = mem_zalloc(1, sizeof(*rig));
+
+	srig_init(&rig->srig, 1, NULL);
+	sched_deactivate(rig->srig.sched);
+	rig->srig.holder_lease_ms = HOLDER_LEASE_MS;
+	rig->sched = srig_scheduler(&rig->srig, TOKEN);
+	srig_run(&rig->srig, 100);
+	return rig;
+}
+
+static void
+rig_destroy(struct rig *rig)
+{
+	cr_expect_eq(rig->srig.cluster.violations, 0, "%s",
+	    rig->srig.cluster.first_violation);
+	sched_destroy(rig->sched);
+	srig_release(&rig->srig);
+	free(rig);
+}
+
+static void
+rig_done(void *arg, const struct sched_reply *reply)
+{
+	struct rig_job *job = arg;
+
+	job->answered = true;
+	job->result = reply->result;
+	job->elapsed_ms = rig_now_ms() - job->sent_us / 1000;
+}
+
+/* Submits a best-effort job of one task, of which two fit on a server. */
+static struct rig_job *
+rig_submit_request(struct rig *rig, uint32_t ms, uint32_t estimated_ms,
+    bool resubmitted, uint32_t sent_ago_ms)
+{
+	struct sched_request request = {
+		.queue = { .name = "q",
+		    .service = "booth",
+		    .max_attempts = 3,
+		    .slack_permille = 1600,
+		    .target_ms = 60 },
+		.timeout_ms = 10000,
+		.resubmitted = resubmitted,
+		.sent_ago_ms = sent_ago_ms,
+	};
+	struct rig_job *job = &rig->jobs[rig->njobs];
+	char body[256];
+	struct err err;
+
+	job->rig = rig;
+	(void)snprintf(job->id, sizeof(job->id), "%016zx", ++rig->njobs);
+	(void)snprintf(body, sizeof(body),
+	    "{\"spec\":\"cpu=27000 ms=%u fail=0\",\"best_effort\":true,"
+	    "\"steps\":[{\"count\":1,\"cpu\":27000,\"mem_mb\":64,"
+	    "\"estimated_ms\":%u}]}",
+	    ms, estimated_ms);
+	cr_assert_eq(
+	    job_parse(&request.spec, job->id, body, strlen(body), &err), 0);
+	job->sent_us = clock_now_us(clock_real());
+	sched_submit(rig->sched, &request, rig_done, job);
+	return job;
+}
+
+static struct rig_job *
+rig_submit(struct rig *rig, uint32_t ms, bool resubmitted)
+{
+	return rig_submit_request(rig, ms, ms, resubmitted, 0);
+}
+
+static const struct wm_task *
+rig_task(const struct rig *rig, const struct rig_job *job)
+{
+	char name[WORKER_TASK_NAME_SIZE];
+
+	(void)snprintf(name, sizeof(name), "%s.0.0.0", job->id);
+	return wm_task(&rig->srig.cluster, name);
+}
+
+/* A zone that is cut off serves what ends within a lease. */
+Test(scheduler_holder, unconfirmed_holder_runs_short_jobs)
+{
+	struct rig *rig = rig_create();
+	uint32_t i;
+
+	srig_run(&rig->srig, 3000);
+	cr_expect_not(sched_holder_confirmed(rig->sched));
+	for (i = 0; i < 100; i++) {
+		rig_submit(rig, SHORT_MS, false);
+		srig_run(&rig->srig, 20);
+	}
+	srig_run(&rig->srig, 500);
+	for (i = 0; i < 100; i++) {
+		cr_expect(rig->jobs[i].answered);
+		cr_expect_eq(rig->jobs[i].result, SCHED_COMPLETED);
+	}
+	rig_destroy(rig);
+}
+
+Test(scheduler_holder, unconfirmed_holder_refuses_long_jobs_at_once)
+{
+	struct rig *rig = rig_create();
+	struct rig_job *job;
+
+	srig_run(&rig->srig, 3000);
+	job = rig_submit(rig, LONG_MS, false);
+	srig_run(&rig->srig, 50);
+	cr_expect(job->answered);
+	cr_expect_eq(job->result, SCHED_NOT_RUN);
+	srig_run(&rig->srig, 500);
+	cr_expect_null(rig_task(rig, job));
+	rig_destroy(rig);
+}
+
+/* Short tasks go on being started, also on the server with the long run, whose
+ * lease covers everything that runs there. */
+Test(scheduler_holder, unconfirmed_holder_extends_no_lease_by_starting_tasks)
+{
+	struct rig *rig = rig_create();
+	struct rig_job *job;
+	uint64_t confirmed_ms, ended_ms = 0;
+	uint32_t ms;
+
+	rig_confirm(rig);
+	job = rig_submit(rig, LONG_MS, false);
+	srig_run(&rig->srig, 500);
+	rig_confirm(rig);
+	confirmed_ms = rig_now_ms();
+	for (ms = 0; ms < 2 * HOLDER_LEASE_MS; ms += STEP_MS) {
+		if (ms % (4 * STEP_MS) == 0)
+			rig_submit(rig, SHORT_MS, false);
+		srig_run(&rig->srig, STEP_MS);
+		if (ended_ms == 0 && rig_task(rig, job)->running_now == 0)
+			ended_ms = rig_now_ms();
+	}
+	cr_expect_neq(ended_ms, 0, "the long run goes on");
+	cr_expect_geq(ended_ms, confirmed_ms + HOLDER_LEASE_MS / 2);
+	cr_expect_leq(ended_ms, confirmed_ms + HOLDER_LEASE_MAX_MS);
+	cr_expect_eq(rig_task(rig, job)->starts, 1);
+	rig_destroy(rig);
+}
+
+/* On the only server that is reached, tasks are started beside one that takes
+ * longer than estimated. */
+Test(scheduler_holder,
+    unconfirmed_holder_does_not_extend_a_lease_it_has_granted)
+{
+	struct rig *rig = rig_create();
+	struct rig_job *job;
+	uint64_t started_ms, ended_ms = 0;
+	uint32_t ms;
+
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = ~1U;
+	srig_run(&rig->srig, 3000);
+	job = rig_submit_request(rig, LONG_MS, 700, false, 0);
+	started_ms = rig_now_ms();
+	for (ms = 0; ms < 2 * SRIG_LEASE_MS; ms += STEP_MS) {
+		if (ms % (8 * STEP_MS) == 0)
+			rig_submit(rig, SHORT_MS, false);
+		srig_run(&rig->srig, STEP_MS);
+		if (ended_ms == 0 && ms > 100 &&
+		    rig_task(rig, job)->running_now == 0)
+			ended_ms = rig_now_ms();
+	}
+	cr_expect_eq(rig->jobs[2].result, SCHED_COMPLETED);
+	cr_expect_neq(ended_ms, 0, "the long run goes on");
+	cr_expect_leq(ended_ms, started_ms + SRIG_LEASE_MS + 50);
+	rig_destroy(rig);
+}
+
+/* Its host may have passed it to another holder meanwhile. */
+Test(scheduler_holder, unconfirmed_holder_refuses_jobs_that_were_sent_long_ago)
+{
+	struct rig *rig = rig_create();
+	struct rig_job *job;
+
+	srig_run(&rig->srig, 3000);
+	job = rig_submit_request(rig, SHORT_MS, SHORT_MS, false, 500);
+	srig_run(&rig->srig, 50);
+	cr_expect_eq(job->result, SCHED_NOT_RUN);
+	cr_expect_null(rig_task(rig, job));
+	rig_destroy(rig);
+}
+
+/* Runs for @ms, in which the holder is confirmed. */
+static void
+rig_run_confirmed(struct rig *rig, uint32_t ms)
+{
+	uint32_t elapsed_ms;
+
+	for (elapsed_ms = 0; elapsed_ms < ms; elapsed_ms += STEP_MS) {
+		rig_confirm(rig);
+		srig_run(&rig->srig, STEP_MS);
+	}
+}
+
+/* A holder that is not confirmed may have just started it. */
+Test(scheduler_holder, job_resubmitted_long_after_a_take_over_waits)
+{
+	struct rig *rig = rig_create();
+	struct rig_job *job;
+
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = 1;
+	sched_deactivate(rig->sched);
+	srig_activate(rig->sched, TOKEN + 1);
+	rig_run_confirmed(rig, 4000);
+	job = rig_submit(rig, SHORT_MS, true);
+	rig_run_confirmed(rig, HOLDER_LEASE_MAX_MS);
+	cr_expect_null(rig_task(rig, job));
+	rig_run_confirmed(rig, 500);
+	cr_expect(job->answered);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
+/* Another host may have held the cell, and run the job, meanwhile. */
+Test(scheduler_holder, interrupted_job_waits_when_the_holder_is_confirmed_again)
+{
+	struct rig *rig = rig_create();
+	struct rig_job *job;
+
+	rig_confirm(rig);
+	job = rig_submit(rig, 2000, false);
+	srig_run(&rig->srig, 100);
+	fake_worker_faults(rig->srig.worker)->unreachable_mask =
+	    rig->srig.cluster.servers[0].starts == 0 ? 1 : 2;
+	srig_run(&rig->srig, 2 * HOLDER_LEASE_MS);
+	cr_expect_eq(rig_task(rig, job)->running_now, 0);
+	rig_run_confirmed(rig, HOLDER_LEASE_MAX_MS);
+	cr_expect_eq(rig_task(rig, job)->starts, 1);
+	rig_run_confirmed(rig, 3000);
+	cr_expect(job->answered);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
+/* A successor would start it again at once, while its run lasts. */
+Test(scheduler_holder, job_of_an_unconfirmed_holder_is_not_passed_on)
+{
+	struct rig *rig = rig_create();
+	struct rig_job *started, *waiting;
+	size_t i;
+
+	for (i = 0; i < 2 * SRIG_SERVERS; i++)
+		started = rig_submit(rig, 700, false);
+	waiting = rig_submit(rig, 700, false);
+	srig_run(&rig->srig, 100);
+	cr_assert_eq(rig_task(rig, started)->running_now, 1);
+	cr_assert_null(rig_task(rig, waiting));
+	sched_deactivate(rig->sched);
+	cr_expect_eq(started->result, SCHED_OUTCOME_UNKNOWN);
+	cr_expect_eq(waiting->result, SCHED_NOT_HOLDER);
+	rig_destroy(rig);
+}
+
+/* A server can't be reached, so that not all runs are known. */
+Test(scheduler_holder, resubmitted_job_waits_for_the_former_holders_lease)
+{
+	struct rig *rig = rig_create();
+	struct rig_job *job;
+
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = 1;
+	sched_deactivate(rig->sched);
+	srig_activate(rig->sched, TOKEN + 1);
+	job = rig_submit(rig, SHORT_MS, true);
+	srig_run(&rig->srig, 3000);
+	cr_expect_null(rig_task(rig, job), "started before a confirmation");
+	rig_run_confirmed(rig, HOLDER_LEASE_MAX_MS);
+	cr_expect_null(rig_task(rig, job), "started in the former lease");
+	rig_run_confirmed(rig, 300);
+	cr_expect(job->answered);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
+Test(scheduler_holder, resubmitted_job_does_not_wait_if_all_runs_are_known)
+{
+	struct rig *rig = rig_create();
+	struct rig_job *job;
+
+	rig_confirm(rig);
+	job = rig_submit(rig, SHORT_MS, true);
+	srig_run(&rig->srig, 200);
+	cr_expect(job->answered);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
