Tests: the job store runs in simulated time; waits over 1 s are corrected

Cause: the test. rig_run() passed 1,500 ms to libevent as { 0, 1500000 }. timeradd() carries once, so the end of a wait begun at s.925 became (s+1, 1425000). That sorts before the timers of s+2: from s+2.0 on the loop slept until the end of the wait, without a tick of the scheduler. If the first of two waits began about .39 to .50 s after a full second of CLOCK_MONOTONIC, the last tick came less than 2.6 s after the take-over.

Ruled out: load, a job that is not stored within 40 ms, a late start by the product. By reading, its timers carry or stay below 1 s.

rig_run() now carries, and the program runs in simulated time, so that load can't matter. The test is stricter: the job must be stored by the first holder, 0 starts 2,590 ms after the take-over (not checked before), 1 start at 3,000 ms as before.

--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -15,10 +15,12 @@
 #include "entry/jobs/row_writer.h"
 #include "tests/support/fake_worker.h"
 #include "tests/support/memory_rows.h"
+#include "tests/support/sim_time.h"
 
 #define ID "5c0e7a21d94b36f8"
 #define SERVER_CPU 64000
 #define END_WAIT_MAX_MS 80 /* longest delay of a state query, with a margin */
+#define ROWS_RESTORED_MS 2600 /* expired rows are back, after a take-over */
 #define BODY                                                                 \
 	"{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500,\"mem_mb\":64," \
 	"\"estimated_ms\":100}]}"
@@ -102,6 +104,7 @@
 	struct host *host;
 	size_t i;
 
+	sim_time_start();
 	rig->base = event_base_new();
 	mrows_init(&rig->store, rowwr_partition(ID));
 	params.base = rig->base;
@@ -140,7 +143,8 @@
 static void
 rig_run(struct rig *rig, int ms)
 {
-	const struct timeval tv = { .tv_usec = ms * 1000 };
+	const struct timeval tv = { .tv_sec = ms / 1000,
+		.tv_usec = (suseconds_t)(ms % 1000) * 1000 };
 
 	(void)event_base_loopexit(rig->base, &tv);
 	(void)event_base_dispatch(rig->base);
@@ -685,13 +689,17 @@
 	    "{\"spec\":\"cpu=40000 ms=60 fail=0\",\"steps\":[{\"count\":1,"
 	    "\"cpu\":40000,\"mem_mb\":64,\"estimated_ms\":60}]}");
 	rig_run(rig, 40);
+	cr_assert_eq(rig->hosts[0].done_calls, 1);
+	cr_assert_eq(rig->hosts[0].result, JSTORE_OK);
 	sched_deactivate(rig->hosts[0].sched);
 	jstore_deactivate(rig->hosts[0].job_store);
 	host_become_holder(host, 20);
 	sched_server_update(host->sched, &server);
 	sched_servers_refreshed(host->sched);
-	rig_run(rig, 1500);
-	rig_run(rig, 1500);
+	rig_run(rig, ROWS_RESTORED_MS - 10);
+	cr_expect_eq(rig_starts(rig, ID ".0.0.0"), 0,
+	    "started before the rows could be back");
+	rig_run(rig, 410);
 	cr_expect_eq(rig_starts(rig, ID ".0.0.0"), 1);
 	rig_destroy(rig);
 }
