Scheduler: report runs on a removed server without delay

Cause: the holder's report of its runs is part of the load, which is kept for 50 ms. A reply within 50 ms of the removal of a server's row still said that all runs are known. A successor may have dropped that server as well and start its tasks again at once.

Evidence, before the change:

tests/test_scheduler.c:691: Assertion Failed The expression load.runs_unknown is false. [FAIL] scheduler::runs_on_a_server_are_reported_as_soon_as_it_is_removed

A removal makes the load be computed again at the next reply, so that a report never is older than a removal that the holder has processed. Price: one more computation for each removed server, of the order of the number of servers.

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -107,6 +107,7 @@
 	if (server == NULL)
 		return;
 	server->removed = true;
+	sched->load_updated_us = 0; /* it may have runs: see runs_unknown */
 	if (sched->token == 0)
 		sched_dispatch_wake(sched);
 	else if (!server->held)
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -670,6 +670,28 @@
 	rig_destroy(rig);
 }
 
+/* The load is computed now and then; a report of it follows any removal. */
+Test(scheduler, runs_on_a_server_are_reported_as_soon_as_it_is_removed)
+{
+	struct rig *rig = rig_create(5);
+	struct sched_load load;
+	char id[8];
+	size_t i;
+
+	srig_run(&rig->srig, 100);
+	rig_submit(rig, 1, 27000, 500, 0);
+	srig_run(&rig->srig, 100);
+	sched_load(rig->srig.sched, &load);
+	cr_expect_not(load.runs_unknown);
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		(void)snprintf(id, sizeof(id), "s%zu", i);
+		sched_server_remove(rig->srig.sched, id);
+	}
+	sched_load(rig->srig.sched, &load);
+	cr_expect(load.runs_unknown);
+	rig_destroy(rig);
+}
+
 /* The runs of a server that has not listed them are not known when its row
  * expires. */
 Test(scheduler, resubmitted_job_waits_for_a_removed_server)
