Cells: a report of runs counts up to the removals that the holder knows

A server's row is removed while the server works. The successor reads the removal and drops the server; the holder has not read it, goes on with its runs there, and reports that it has none on servers without a row. Then the holder is cut off from the successor, which starts the task again at once, 2.5 s or more after it has dropped the server.

Cause: the report says nothing of servers that the holder has not dropped, and nothing compared the rows of both hosts. rowsrc_servers_complete() is false for 2.5 s after a host has dropped a server, whatever the holder does then; a removal that was seen without the token had no effect on former_runs_known. A host that starts after the removal never knew the server: its full read shows no removals and counts as complete after 2.5 s.

Evidence: before the change, half a second after the take-over:

With the check in cells_take_over() taken out these two and test_cells report_of_runs_counts_once_the_holder_has_dropped_the_server ("settled 4") fail; without the version of full reads the former and test_registry versions_of_dropped_and_settled_removals_are_known.

The holder's replies now have the version of the servers' rows up to which it has dropped all removed servers. A host that takes over and has dropped, or by a full read may have missed, a removal with a later version takes the runs as unknown and waits. Versions are the store's and the same for all hosts, so neither the age of a report nor the time at which each host read matters: a report that was sent early, or comes late, has the version of its time. Ruled out: a time after which a report is trusted, as a holder that the store does not answer may lag for any time; servers_complete of the holder, which it keeps until it notices that.

Price for callers: jobs that are submitted again wait for the end of the leases instead of starting at once, if the take-over falls between the drop of a server at the successor and the holder's first reply to a ping after its own (about the lag between both reads). In all other take-overs nothing changes; successor_starts_at_once_if_the_holder_has_read_removals fails if reports never count. Periodic cost: one pass over the rows whose removal is pending, usually none, for each ping that the holder answers, and one number in the reply.

The test's store no longer shows removed rows in a full read, as the platform's doesn't.

--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -331,6 +331,11 @@
 	}
 	cells->highest_token = cells->reserved_token;
 	cells->reserved_token = 0;
+	/* The former holder may not have dropped a server that this host has,
+	 * and have gone on with its runs there. */
+	if (cells->params.servers_dropped(cells->params.arg) >
+	    cells->holder_settled)
+		sched_set_former_runs_known(cells->params.sched, false);
 	sched_activate(cells->params.sched, cells->highest_token);
 	cells->params.became_holder(cells->params.arg);
 	cells_announce_state(cells);
--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -53,6 +53,10 @@
 	void (*holder_changed)(void *arg, const char *holder);
 	/* Returns the version of this host's configuration; 0: none. */
 	uint64_t (*config_version)(void *arg);
+	/* Return the versions of the servers' rows up to which this host has
+	 * dropped all removed servers, and of the last that it has dropped. */
+	uint64_t (*servers_settled)(void *arg);
+	uint64_t (*servers_dropped)(void *arg);
 	/* A connected host reports the version of its configuration. */
 	void (*config_reported)(void *arg, const char *host,
 	    uint64_t incarnation, uint64_t version);
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -103,6 +103,9 @@
 	struct job_store *job_store; /* NULL until it is set */
 	uint64_t reserved_token;     /* reserved, not in use; 0: none */
 	uint64_t highest_token;	     /* observed in the local cell */
+	/* Version of the servers' rows up to which the holder had dropped
+	 * removed servers at its last report of its runs. */
+	uint64_t holder_settled;
 	uint64_t reserve_sent_us;
 	bool reserve_pending;
 	uint64_t owner_read_boot_us; /* start of the last read of the owner */
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -462,6 +462,9 @@
 		    : load.cpu_free * CELLS_PERMILLE / load.cpu_total)));
 	(void)json_object_set_new(body, "runs_known",
 	    json_boolean(!load.runs_unknown));
+	(void)json_object_set_new(body, "servers_settled",
+	    json_integer(
+		(json_int_t)cells->params.servers_settled(cells->params.arg)));
 	(void)json_object_set_new(body, "pending",
 	    cells_pending_json(cells, all_cells));
 }
--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -156,6 +156,15 @@
 	return (uint64_t)json_integer_value(json_object_get(body, name));
 }
 
+/* Processes the holder's report of its runs. */
+static void
+cells_learn_runs(struct cells *cells, const json_t *body)
+{
+	sched_set_former_runs_known(cells->params.sched,
+	    json_is_true(json_object_get(body, "runs_known")));
+	cells->holder_settled = cells_json_u64(body, "servers_settled");
+}
+
 static void
 cells_ping_done(void *arg, const struct api_reply *reply, const struct err *err)
 {
@@ -192,8 +201,7 @@
 			    cells_json_u64(body, "seen"), ping->sent_boot_us);
 		if (host->zone->local && host->token != 0 &&
 		    host->token == ping->cells->highest_token)
-			sched_set_former_runs_known(ping->cells->params.sched,
-			    json_is_true(json_object_get(body, "runs_known")));
+			cells_learn_runs(ping->cells, body);
 		sched_suspects_merge(ping->cells->params.sched,
 		    json_object_get(body, "suspects"));
 		cells_learn_holder(ping->cells, host, body);
--- a/entry/jobs/job_service.c
+++ b/entry/jobs/job_service.c
@@ -300,6 +300,22 @@
 	return reg_config(svc->reg)->version;
 }
 
+static uint64_t
+jsvc_servers_settled(void *arg)
+{
+	struct job_service *svc = arg;
+
+	return reg_settled_version(svc->reg);
+}
+
+static uint64_t
+jsvc_servers_dropped(void *arg)
+{
+	struct job_service *svc = arg;
+
+	return reg_dropped_version(svc->reg);
+}
+
 static void
 jsvc_on_config_reported(void *arg, const char *host, uint64_t incarnation,
     uint64_t version)
@@ -442,6 +458,8 @@
 		.became_holder = jsvc_became_holder,
 		.holder_changed = jsvc_on_holder_changed,
 		.config_version = jsvc_get_config_version,
+		.servers_settled = jsvc_servers_settled,
+		.servers_dropped = jsvc_servers_dropped,
 		.config_reported = jsvc_on_config_reported,
 		.arg = svc,
 		.self = params->self,
--- a/entry/jobs/registry.c
+++ b/entry/jobs/registry.c
@@ -52,6 +52,7 @@
 	struct reg_table tables[ROWS_NTABLES];
 	struct reg_rows removals;   /* ordered by removal_due_us */
 	uint64_t server_removed_us; /* the last report of one; 0: none */
+	uint64_t dropped_version;   /* see reg_dropped_version() */
 };
 
 struct registry *
@@ -231,12 +232,20 @@
 	return true;
 }
 
+static void
+reg_set_dropped(struct registry *reg, uint64_t version)
+{
+	if (version > reg->dropped_version)
+		reg->dropped_version = version;
+}
+
 static void
 reg_report_server_removed(struct registry *reg, struct reg_row *row,
     uint64_t now_us)
 {
 	if (row->server != NULL)
 		reg->server_removed_us = now_us;
+	reg_set_dropped(reg, row->version);
 	free(row->server);
 	row->server = NULL;
 	reg->listener.server_removed(reg->listener.arg, row->key);
@@ -249,6 +258,8 @@
 
 	if (row->value == NULL) {
 		row->changed_version = row->version;
+		if (row->server == NULL)
+			reg_set_dropped(reg, row->version);
 		reg_set_removal(reg, row, now_us + REG_REMOVAL_DELAY_US);
 		return;
 	}
@@ -368,6 +379,9 @@
 
 	reg->tables[table].reading = false;
 	reg_set_version(&reg->tables[table], version);
+	/* Rows that were removed before the read are not shown. */
+	if (table == ROWS_SERVERS)
+		reg_set_dropped(reg, version);
 	TAILQ_FOREACH (row, &reg->tables[table].rows, entry) {
 		if (row->in_current_read || row->value == NULL ||
 		    row->version > version)
@@ -410,6 +424,25 @@
 	return false;
 }
 
+uint64_t
+reg_dropped_version(const struct registry *reg)
+{
+	return reg->dropped_version;
+}
+
+uint64_t
+reg_settled_version(const struct registry *reg)
+{
+	uint64_t version = reg->tables[ROWS_SERVERS].version;
+	const struct reg_row *row;
+
+	TAILQ_FOREACH (row, &reg->removals, removal) {
+		if (row->version <= version)
+			version = row->version - 1;
+	}
+	return version;
+}
+
 const struct reg_queue *
 reg_route(const struct registry *reg, const char *host, const char *path,
     const char **rest)
--- a/entry/jobs/registry.h
+++ b/entry/jobs/registry.h
@@ -144,6 +144,14 @@
  * known was removed, or one was reported as removed. */
 bool reg_server_missing(const struct registry *reg, uint64_t now_us);
 
+/** reg_dropped_version() - Return: the newest version with which a server that
+ * is not known may have been removed; 0: none. */
+uint64_t reg_dropped_version(const struct registry *reg);
+
+/** reg_settled_version() - Return: the version up to which all removals of
+ * servers were reported. */
+uint64_t reg_settled_version(const struct registry *reg);
+
 /** reg_config() - Return: the newest configuration; its version is 0 if none
  * was loaded. */
 const struct reg_config *reg_config(const struct registry *reg);
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -6,6 +6,7 @@
 
 #include <criterion/criterion.h>
 #include <event2/event.h>
+#include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
 
@@ -43,6 +44,8 @@
 	uint32_t takeovers;
 	uint32_t calls;			  /* sent */
 	uint64_t config, config_reported; /* own version; newest of a peer */
+	/* Versions of the servers' rows. */
+	uint64_t servers_settled, servers_dropped;
 };
 
 struct net {
@@ -191,6 +194,18 @@
 	return ((struct host *)arg)->config;
 }
 
+static uint64_t
+host_servers_settled(void *arg)
+{
+	return ((struct host *)arg)->servers_settled;
+}
+
+static uint64_t
+host_servers_dropped(void *arg)
+{
+	return ((struct host *)arg)->servers_dropped;
+}
+
 static void
 host_config_reported(void *arg, const char *name, uint64_t incarnation,
     uint64_t version)
@@ -247,6 +262,8 @@
 		.became_holder = host_became_holder,
 		.holder_changed = host_holder_changed,
 		.config_version = host_config_version,
+		.servers_settled = host_servers_settled,
+		.servers_dropped = host_servers_dropped,
 		.config_reported = host_config_reported,
 		.arg = host,
 		.self = host_info(net, index) };
@@ -1047,6 +1064,30 @@
 	net_destroy(net);
 }
 
+/* A report that the holder sent before it dropped a server says nothing of its
+ * runs there. */
+Test(cells, report_of_runs_counts_once_the_holder_has_dropped_the_server)
+{
+	struct net *net;
+	uint64_t settled;
+
+	for (settled = 4; settled <= 5; settled++) {
+		net = net_create_zones(3, 1);
+		net_run(net, 3400);
+		cr_assert_neq(sched_token(net->hosts[0].sched), 0);
+		net->hosts[1].servers_dropped = 5;
+		net->hosts[0].servers_settled = settled;
+		net_run(net, 200);
+		net_set_connected(net, 0, 1, false);
+		net_set_connected(net, 0, 2, false);
+		net_run(net, 200);
+		cr_assert_neq(sched_token(net->hosts[1].sched), 0);
+		cr_expect_eq(sched_former_runs_known(net->hosts[1].sched),
+		    settled == 5, "settled %" PRIu64, settled);
+		net_destroy(net);
+	}
+}
+
 /* A host that has been the holder knows more than the present one. */
 Test(cells, holder_has_the_record_of_former_holders)
 {
--- a/tests/test_job_service.c
+++ b/tests/test_job_service.c
@@ -19,6 +19,8 @@
 
 #define NZONES 3
 #define NHOSTS 9
+#define NSERVERS 2
+#define SERVER_CPU 64000
 #define ROWS_MAX 32
 #define CALL_MS 3     /* a call between hosts, in both directions */
 #define STORE_MS 4    /* a write's acknowledgement */
@@ -113,7 +115,8 @@
 	for (table = 0; table < ROWS_NTABLES; table++) {
 		listener->read_begin(listener->arg, table);
 		for (i = 0; i < net->nrows; i++) {
-			if (net->rows[i].table == table)
+			if (net->rows[i].table == table &&
+			    net->rows[i].value[0] != '\0')
 				store_report(host, &net->rows[i]);
 		}
 		listener->read_end(listener->arg, table, net->version);
@@ -333,6 +336,8 @@
 	memset(server, 0, sizeof(*server));
 	strlcpy(server->id, key, sizeof(server->id));
 	strlcpy(server->az, value, len < NAME_SIZE ? len + 1 : NAME_SIZE);
+	server->cpu = SERVER_CPU;
+	server->mem_mb = 1000;
 	return 0;
 }
 
@@ -421,7 +426,7 @@
 
 	sim_time_start();
 	net->base = event_base_new();
-	wm_init(&net->cluster, 1, 64000);
+	wm_init(&net->cluster, NSERVERS, SERVER_CPU);
 	net->worker =
 	    fake_worker_create(net->base, clock_real(), &net->cluster, 1);
 	mrows_init(&net->job_rows, 0);
@@ -545,3 +550,108 @@
 	cr_expect(jsvc_ready(host->svc));
 	net_destroy(net);
 }
+
+static void
+ignore_reply(void *arg, const struct gw_reply *reply)
+{
+	(void)arg;
+	(void)reply;
+}
+
+/* Submits a long job to h0, the holder of z0, by way of h6. */
+static void
+net_submit(struct net *net)
+{
+	static const char body[] =
+	    "{\"spec\":\"cpu=1000 ms=20000 fail=0\",\"best_effort\":true,"
+	    "\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":64,"
+	    "\"estimated_ms\":20000}]}";
+	const struct job_queue queue = { .name = "q", .slack_permille = 3000 };
+	const struct gw_request request = { .id = "00000000000000aa",
+		.queue = &queue,
+		.body = body,
+		.body_len = strlen(body),
+		.timeout_ms = 60000 };
+
+	gw_submit(jsvc_gateway(net->hosts[6].svc), &request, ignore_reply,
+	    NULL);
+	net_run(net, 100);
+}
+
+/* The job runs on s0, whose row is then removed, and the store no longer
+ * answers h0. */
+static void
+net_run_task_without_a_row(struct net *net)
+{
+	store_put(net, ROWS_SERVERS, "s0", "z0");
+	net_run(net, 3000);
+	net_submit(net);
+	net->hosts[0].store_answers = false;
+	store_put(net, ROWS_SERVERS, "s0", "");
+	store_put(net, ROWS_SERVERS, "s1", "z0");
+}
+
+/* h3 takes over from h0, which goes on with its run. */
+static void
+net_expect_one_run_after_a_take_over(struct net *net)
+{
+	net->hosts[0].cut = true;
+	net->connections_version++;
+	net_run(net, 500);
+	cr_expect_gt(net->cluster.servers[0].used_cpu, 0);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+}
+
+/* The successor has dropped a server that the holder, whose rows are older,
+ * still uses. */
+Test(job_service, successor_waits_if_the_holder_reads_a_removal_late)
+{
+	struct net *net = net_create();
+
+	net_run_task_without_a_row(net);
+	net_run(net, 5500);
+	net_expect_one_run_after_a_take_over(net);
+	net_destroy(net);
+}
+
+/* The successor has never read the row. */
+Test(job_service, successor_waits_if_it_starts_after_a_removal)
+{
+	struct net *net = net_create();
+	struct job_service *former = net->hosts[3].svc;
+
+	net_run_task_without_a_row(net);
+	net->hosts[3].svc = NULL;
+	net->connections_version++;
+	net_run(net, CALL_MS + 2);
+	jsvc_destroy(former);
+	net_run(net, 1000);
+	host_start(net, 3, true);
+	net_run(net, 4000);
+	net_expect_one_run_after_a_take_over(net);
+	net_destroy(net);
+}
+
+/* The wait is for holders that lag; the job was submitted, but not started. */
+Test(job_service, successor_starts_at_once_if_the_holder_has_read_removals)
+{
+	struct net *net = net_create();
+	struct fake_worker_faults *faults = fake_worker_faults(net->worker);
+
+	store_put(net, ROWS_SERVERS, "s0", "z0");
+	net_run(net, 3000);
+	store_put(net, ROWS_SERVERS, "s0", "");
+	faults->unreachable_mask = 1 << 1;
+	store_put(net, ROWS_SERVERS, "s1", "z0");
+	net_run(net, 5500);
+	net_submit(net);
+	cr_expect_eq(net->cluster.servers[1].used_cpu, 0);
+	faults->unreachable_mask = 0;
+	net->hosts[0].store_answers = false;
+	net->hosts[0].cut = true;
+	net->connections_version++;
+	net_run(net, 500);
+	cr_expect_gt(net->cluster.servers[1].used_cpu, 0);
+	net_destroy(net);
+}
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -186,6 +186,39 @@
 	reg_destroy(reg);
 }
 
+/* A host that has settled the version that another one has dropped has dropped
+ * the same servers. */
+Test(registry, versions_of_dropped_and_settled_removals_are_known)
+{
+	struct observed observed;
+	struct registry *reg = create(&observed);
+
+	change(reg, ROWS_SERVERS, "s1", "64", 10, 0);
+	change(reg, ROWS_SERVERS, "s1", NULL, 11, 0);
+	change(reg, ROWS_SERVERS, "s2", "64", 12, 0);
+	cr_expect_eq(reg_settled_version(reg), 10);
+	cr_expect_eq(reg_dropped_version(reg), 0);
+	reg_tick(reg, REMOVAL_US);
+	cr_expect_eq(reg_settled_version(reg), 12);
+	cr_expect_eq(reg_dropped_version(reg), 11);
+	/* A server that was never known is dropped from the start. */
+	change(reg, ROWS_SERVERS, "s3", NULL, 13, REMOVAL_US);
+	cr_expect_eq(reg_settled_version(reg), 12);
+	cr_expect_eq(reg_dropped_version(reg), 13);
+	reg_tick(reg, 2 * REMOVAL_US);
+	cr_expect_eq(reg_settled_version(reg), 13);
+	change(reg, ROWS_SERVERS, "s2", "?", 14, 2 * REMOVAL_US);
+	cr_expect_eq(reg_settled_version(reg), 14);
+	cr_expect_eq(reg_dropped_version(reg), 14);
+	/* A full read does not show what was removed before it. */
+	reg_read_begin(reg, ROWS_SERVERS);
+	change(reg, ROWS_SERVERS, "s2", "64", 15, 2 * REMOVAL_US);
+	reg_read_end(reg, ROWS_SERVERS, 20, 2 * REMOVAL_US);
+	cr_expect_eq(reg_settled_version(reg), 20);
+	cr_expect_eq(reg_dropped_version(reg), 20);
+	reg_destroy(reg);
+}
+
 Test(registry, malformed_rows_are_not_used)
 {
 	struct observed observed;
