Cells: runs of a holder that has not reported are unknown

Cause: former_runs_known was kept from the last report of any holder. A host that learns of a new holder, by its announcement or a ping, and loses it before the first reply takes over by the report of the holder before.

That it leads to two runs at the same time was not shown: the new holder would have to start a task on a server that its successor dropped long ago.

A higher token makes the runs unknown until a report with that token. A new holder reports its runs as known only once it knows its predecessor's. Price: jobs that are submitted again wait for the end of the leases if two holders are lost within the time of a ping (150 ms and a reply).

--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -298,6 +298,8 @@
 	if (sched_token(cells->params.sched) != 0 &&
 	    sched_token(cells->params.sched) < token)
 		sched_deactivate(cells->params.sched);
+	/* Not before the new holder's first report. */
+	sched_set_former_runs_known(cells->params.sched, false);
 }
 
 void
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1088,6 +1088,29 @@
 	}
 }
 
+/* The report of the holder before says nothing of a holder that is lost before
+ * its first report. */
+Test(cells, runs_of_a_holder_that_has_not_reported_are_unknown)
+{
+	struct net *net = net_create_zones(3, 1);
+	uint32_t ms;
+
+	net_run(net, 3400);
+	cr_assert(sched_former_runs_known(net->hosts[2].sched));
+	net_set_connected(net, 0, 1, false);
+	net_set_connected(net, 0, 2, false);
+	for (ms = 0; ms < 300 && sched_token(net->hosts[1].sched) == 0; ms++)
+		net_run(net, 1);
+	/* The announcement arrives, and no reply to a ping. */
+	net_run(net, CALL_MS);
+	net_set_connected(net, 1, 2, false);
+	net_run(net, 200);
+	cr_assert_neq(sched_token(net->hosts[1].sched), 0);
+	cr_assert_neq(sched_token(net->hosts[2].sched), 0);
+	cr_expect_not(sched_former_runs_known(net->hosts[2].sched));
+	net_destroy(net);
+}
+
 /* A host that has been the holder knows more than the present one. */
 Test(cells, holder_has_the_record_of_former_holders)
 {
