Runs of an occurrence that is not due yet are taken over

Cause: an occurrence is submitted to the scheduler when it is due by the wall clock of the present holder. A former holder whose clock was ahead had started it before that. The new holder found no task for the listed run or end: the run became an orphan and was stopped, and the end was acknowledged without being stored. When the occurrence became due, all its tasks were started.

Now a listed run or end of an occurrence that is not submitted makes the job store submit it and those before it, as it was due by the clock of the holder that started it; the run is then adopted and the end stored before it is acknowledged, as for any other job.

Cost: one more hash lookup for each listed run or end without a job.

--- a/entry/jobs/job_service.c
+++ b/entry/jobs/job_service.c
@@ -274,6 +274,15 @@
 				      : jstore_unstored_seq(svc->job_store, id);
 }
 
+static void
+jsvc_submit_occurrence(void *arg, const char *id, uint32_t occurrence)
+{
+	struct job_service *svc = arg;
+
+	if (svc->job_store != NULL)
+		jstore_submit_occurrence(svc->job_store, id, occurrence);
+}
+
 static void
 jsvc_became_holder(void *arg)
 {
@@ -443,6 +452,7 @@
 		.far_permille = params->far_permille,
 		.record_run_end = jsvc_record_run_end,
 		.unstored_seq = jsvc_unstored_seq,
+		.submit_occurrence = jsvc_submit_occurrence,
 		.fenced = jsvc_on_fenced,
 		.arg = svc,
 	};
--- a/entry/jobs/job_store.h
+++ b/entry/jobs/job_store.h
@@ -123,4 +123,10 @@
  */
 uint64_t jstore_unstored_seq(void *store, const char *id);
 
+/**
+ * jstore_submit_occurrence() - submit an occurrence of a stored job, and those
+ * before it, although it may not be due; a callback of the scheduler.
+ */
+void jstore_submit_occurrence(void *store, const char *id, uint32_t occurrence);
+
 #endif /* ENTRY_JOBS_JOB_STORE_H */
--- a/entry/jobs/job_store_schedule.c
+++ b/entry/jobs/job_store_schedule.c
@@ -38,9 +38,10 @@
 }
 
 static void
-jstore_submit_occurrence(struct jstore_job *job, uint32_t index,
-    bool resubmitted)
+jstore_run_occurrence(struct jstore_job *job, uint32_t index, bool resubmitted)
 {
+	uint64_t wall_ms = clock_wall_ms(job->store->clock);
+	uint64_t due_ms = jstore_due_ms(job, index);
 	struct sched_request request = { .queue = job->record.queue,
 		.occurrence = index,
 		.resubmitted = resubmitted,
@@ -49,9 +50,8 @@
 	uint32_t first = index * job->occurrence_ntasks;
 	struct err err;
 
-	if (job->start_at_ms != 0)
-		request.age_ms = (uint32_t)(clock_wall_ms(job->store->clock) -
-		    jstore_due_ms(job, index));
+	if (job->start_at_ms != 0 && due_ms < wall_ms)
+		request.age_ms = (uint32_t)(wall_ms - due_ms);
 	/* The body was parsed before: this fails only when out of memory. */
 	if (job_parse(&request.spec, job->id, job->record.body,
 		job->record.body_len, &err) == -1)
@@ -77,30 +77,6 @@
 	return true;
 }
 
-/* Submits the occurrences that are due. Return: true if none is left. */
-static bool
-jstore_submit_occurrences(struct jstore_job *job, bool resubmitted)
-{
-	uint64_t wall_ms = clock_wall_ms(job->store->clock);
-	uint32_t index;
-
-	while (job->record.state == JREC_ACCEPTED &&
-	    job->nsubmitted < job->noccurrences &&
-	    jstore_due_ms(job, job->nsubmitted) <= wall_ms) {
-		index = job->nsubmitted++;
-		if (job->noccurrences > 1 &&
-		    jstore_all_tasks_done(job, index)) {
-			job->occurrences[index].ended = true;
-			if (++job->nended == job->noccurrences)
-				(void)jstore_end_job(job, JREC_COMPLETED);
-			continue;
-		}
-		jstore_submit_occurrence(job, index, resubmitted);
-	}
-	return job->record.state != JREC_ACCEPTED ||
-	    job->nsubmitted == job->noccurrences;
-}
-
 static void
 jstore_unschedule(struct jstore_job *job)
 {
@@ -110,6 +86,44 @@
 	TAILQ_REMOVE(&job->store->due, job, due_entry);
 }
 
+static void
+jstore_submit_next(struct jstore_job *job, bool resubmitted)
+{
+	uint32_t index = job->nsubmitted++;
+
+	if (job->noccurrences > 1 && jstore_all_tasks_done(job, index)) {
+		job->occurrences[index].ended = true;
+		if (++job->nended == job->noccurrences)
+			(void)jstore_end_job(job, JREC_COMPLETED);
+	} else {
+		jstore_run_occurrence(job, index, resubmitted);
+	}
+	if (job->record.state != JREC_ACCEPTED ||
+	    job->nsubmitted == job->noccurrences)
+		jstore_unschedule(job);
+}
+
+/* Submits the occurrences that are due. */
+static void
+jstore_submit_occurrences(struct jstore_job *job, bool resubmitted)
+{
+	uint64_t wall_ms = clock_wall_ms(job->store->clock);
+
+	while (job->scheduled && jstore_due_ms(job, job->nsubmitted) <= wall_ms)
+		jstore_submit_next(job, resubmitted);
+}
+
+void
+jstore_submit_occurrence(void *arg, const char *id, uint32_t occurrence)
+{
+	struct jstore_job *job = jstore_find_job(arg, id);
+
+	if (job == NULL || occurrence >= job->noccurrences)
+		return;
+	while (job->scheduled && job->nsubmitted <= occurrence)
+		jstore_submit_next(job, true);
+}
+
 void
 jstore_start_job(struct jstore_job *job, bool resubmitted)
 {
@@ -142,8 +156,7 @@
 		job->occurrences[i].job = job;
 	job->scheduled = true;
 	TAILQ_INSERT_TAIL(&job->store->due, job, due_entry);
-	if (jstore_submit_occurrences(job, resubmitted))
-		jstore_unschedule(job);
+	jstore_submit_occurrences(job, resubmitted);
 }
 
 void
@@ -169,7 +182,6 @@
 	(void)fd;
 	(void)what;
 	TAILQ_FOREACH_SAFE (job, &store->due, due_entry, next) {
-		if (jstore_submit_occurrences(job, false))
-			jstore_unschedule(job);
+		jstore_submit_occurrences(job, false);
 	}
 }
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -68,6 +68,13 @@
 	 * scheduler has already released.
 	 */
 	uint64_t (*unstored_seq)(void *arg, const char *id);
+	/*
+	 * Called when a server lists a run of an unknown job: submits the job
+	 * if it is an occurrence of a stored one. It was due by the clock of
+	 * the former holder that started it. NULL: there are no stored jobs.
+	 */
+	void (
+	    *submit_occurrence)(void *arg, const char *id, uint32_t occurrence);
 	/* Called when a server reports a higher fencing token. */
 	void (*fenced)(void *arg);
 	void *arg;
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -320,6 +320,10 @@
 /* Frees an ended job that has no runs. */
 void sched_job_release_ended(struct sched_job *job);
 struct sched_task *sched_task_find(struct scheduler *sched, const char *name);
+/* Finds the task of a listed run. Its job is submitted if it is an occurrence
+ * that only a former holder took for due. */
+struct sched_task *sched_task_find_listed(struct scheduler *sched,
+    const char *name);
 void sched_task_name(const struct sched_task *task,
     char name[WORKER_TASK_NAME_SIZE]);
 
--- a/entry/jobs/scheduler_job.c
+++ b/entry/jobs/scheduler_job.c
@@ -93,21 +93,48 @@
 	return &job->tasks[first + index];
 }
 
+/* A parsed name of a task. */
+struct sched_task_id {
+	char job[JOB_ID_LEN + 1];
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t index;
+};
+
+static bool
+sched_task_parse(struct sched_task_id *id, const char *name)
+{
+	if (strlen(name) <= JOB_ID_LEN ||
+	    sscanf(name + JOB_ID_LEN, ".%" SCNu32 ".%" SCNu32 ".%" SCNu32,
+		&id->occurrence, &id->step, &id->index) != 3)
+		return false;
+	memcpy(id->job, name, JOB_ID_LEN);
+	id->job[JOB_ID_LEN] = '\0';
+	return true;
+}
+
 struct sched_task *
 sched_task_find(struct scheduler *sched, const char *name)
 {
-	char id[JOB_ID_LEN + 1];
-	uint32_t occurrence, step, index;
+	struct sched_task_id id;
 	struct sched_job *job;
 
-	if (strlen(name) <= JOB_ID_LEN ||
-	    sscanf(name + JOB_ID_LEN, ".%" SCNu32 ".%" SCNu32 ".%" SCNu32,
-		&occurrence, &step, &index) != 3)
+	if (!sched_task_parse(&id, name))
 		return NULL;
-	memcpy(id, name, JOB_ID_LEN);
-	id[JOB_ID_LEN] = '\0';
-	job = sched_job_find(sched, id, occurrence);
-	return job == NULL ? NULL : sched_task_at(job, step, index);
+	job = sched_job_find(sched, id.job, id.occurrence);
+	return job == NULL ? NULL : sched_task_at(job, id.step, id.index);
+}
+
+struct sched_task *
+sched_task_find_listed(struct scheduler *sched, const char *name)
+{
+	const struct sched_params *params = &sched->params;
+	struct sched_task_id id;
+
+	if (params->submit_occurrence != NULL && sched_task_parse(&id, name) &&
+	    sched_job_find(sched, id.job, id.occurrence) == NULL)
+		params->submit_occurrence(params->arg, id.job, id.occurrence);
+	return sched_task_find(sched, name);
 }
 
 static void
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -164,7 +164,8 @@
 sched_process_running(struct sched_server *server, const struct worker_run *run,
     uint64_t now_us)
 {
-	struct sched_task *task = sched_task_find(server->sched, run->task);
+	struct sched_task *task =
+	    sched_task_find_listed(server->sched, run->task);
 
 	if (task != NULL)
 		sched_task_set_checkpoint(task, run->run_id,
@@ -217,7 +218,7 @@
 
 	if (ended->number <= server->processed_end)
 		return;
-	task = sched_task_find(server->sched, ended->task);
+	task = sched_task_find_listed(server->sched, ended->task);
 	/* The run may belong to a stored job that is not loaded. */
 	if (task == NULL && !server->sched->jobs_loaded)
 		return;
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -27,6 +27,8 @@
 
 /* An entry host with a job store, and a scheduler without servers. */
 struct host {
+	struct clock clock; /* first: the functions cast to it */
+	uint64_t wall_ahead_ms;
 	struct scheduler *sched;
 	struct job_store *job_store;
 	int fenced;
@@ -46,6 +48,25 @@
 	struct host hosts[2];
 };
 
+static uint64_t
+host_now_us(struct clock *clock)
+{
+	(void)clock;
+	return clock_now_us(clock_real());
+}
+
+static uint64_t
+host_wall_ms(struct clock *clock)
+{
+	return clock_wall_ms(clock_real()) +
+	    ((struct host *)clock)->wall_ahead_ms;
+}
+
+static const struct clock_ops host_clock_ops = {
+	.now_us = host_now_us,
+	.wall_ms = host_wall_ms,
+};
+
 static void
 host_fenced(void *arg)
 {
@@ -92,14 +113,21 @@
 	    run_id, done);
 }
 
+static void
+host_submit_occurrence(void *arg, const char *id, uint32_t occurrence)
+{
+	jstore_submit_occurrence(((struct host *)arg)->job_store, id,
+	    occurrence);
+}
+
 static struct rig *
 rig_create(void)
 {
 	struct rig *rig = mem_zalloc(1, sizeof(*rig));
-	struct sched_params params = { .clock = clock_real(),
-		.lease_ms = 1000,
+	struct sched_params params = { .lease_ms = 1000,
 		.far_permille = 1000,
 		.record_run_end = host_record_run_end,
+		.submit_occurrence = host_submit_occurrence,
 		.fenced = host_fenced };
 	struct host *host;
 	size_t i;
@@ -114,9 +142,11 @@
 	params.worker = rig->worker;
 	for (i = 0; i < 2; i++) {
 		host = &rig->hosts[i];
+		host->clock.ops = &host_clock_ops;
+		params.clock = &host->clock;
 		params.arg = host;
 		host->sched = sched_create(&params);
-		host->job_store = jstore_create(rig->base, clock_real(),
+		host->job_store = jstore_create(rig->base, &host->clock,
 		    &rig->store.rows, host->sched, "a", host_fenced, host);
 		cr_assert_not_null(host->job_store);
 	}
@@ -158,23 +188,29 @@
 	jstore_activate(host->job_store, token);
 }
 
-/* Adds the servers to a host's scheduler, so that jobs run. */
+/* Adds a server to a host's scheduler. No other one is missing. */
 static void
-host_add_servers(struct host *host)
+host_add_server(struct host *host, const char *id)
 {
-	struct reg_server server = { .id = "s0",
-		.service = "booth",
+	struct reg_server server = { .service = "booth",
 		.az = "a",
 		.cpu = SERVER_CPU,
 		.mem_mb = 1024 };
 
-	sched_server_update(host->sched, &server);
-	server.id[1] = '1';
+	strlcpy(server.id, id, sizeof(server.id));
 	sched_server_update(host->sched, &server);
 	sched_servers_refreshed(host->sched);
 	sched_set_servers_complete(host->sched, true);
 }
 
+/* Adds the servers to a host's scheduler, so that jobs run. */
+static void
+host_add_servers(struct host *host)
+{
+	host_add_server(host, "s0");
+	host_add_server(host, "s1");
+}
+
 static void
 host_accept_request(struct host *host, const char *id, const char *body,
     bool is_retry)
@@ -480,18 +516,30 @@
 	return found == NULL ? 0 : found->starts;
 }
 
-/* Three overlapping occurrences: 200 ms apart, 300 ms each. */
 static void
-host_accept_recurring(struct host *host, uint32_t start_in_ms)
+rig_run_until_started(struct rig *rig, const char *task)
+{
+	uint32_t i;
+
+	for (i = 0; i < 600 && rig_starts(rig, task) == 0; i++)
+		rig_run(rig, 5);
+	cr_assert_eq(rig_starts(rig, task), 1);
+}
+
+/* Three occurrences of 300 ms each. */
+static void
+host_accept_recurring(struct host *host, uint32_t start_in_ms,
+    uint32_t interval_ms)
 {
 	char body[256];
 
 	(void)snprintf(body, sizeof(body),
 	    "{\"spec\":\"cpu=500 ms=300 fail=0\",\"max_runs\":3,"
-	    "\"start_at_ms\":%llu,\"interval_ms\":200,\"steps\":[{"
+	    "\"start_at_ms\":%llu,\"interval_ms\":%u,\"steps\":[{"
 	    "\"count\":1,\"cpu\":500,\"mem_mb\":64,"
 	    "\"estimated_ms\":300}]}",
-	    (unsigned long long)(clock_wall_ms(clock_real()) + start_in_ms));
+	    (unsigned long long)(clock_wall_ms(clock_real()) + start_in_ms),
+	    interval_ms);
 	host_accept_body(host, ID, body);
 }
 
@@ -523,7 +571,7 @@
 
 	host_become_holder(host, 10);
 	host_add_servers(host);
-	host_accept_recurring(host, 150);
+	host_accept_recurring(host, 150, 200);
 	rig_run(rig, 100);
 	cr_expect_eq(host->result, JSTORE_OK);
 	cr_expect_eq(rig_starts(rig, ID ".0.0.0"), 0,
@@ -553,7 +601,7 @@
 
 	host_become_holder(&rig->hosts[0], 10);
 	host_add_servers(&rig->hosts[0]);
-	host_accept_recurring(&rig->hosts[0], 0);
+	host_accept_recurring(&rig->hosts[0], 0, 200);
 	rig_run(rig, 330);
 	sched_deactivate(rig->hosts[0].sched);
 	jstore_deactivate(rig->hosts[0].job_store);
@@ -741,3 +789,97 @@
 	cr_expect_eq(host->state, JREC_COMPLETED);
 	rig_destroy(rig);
 }
+
+/*
+ * The first holder's wall clock is ahead, so that it starts the only occurrence
+ * of a job on s0; it goes out of service then. By the second one's clock the
+ * occurrence is due @due_ms after it was accepted.
+ */
+static void
+rig_start_occurrence_early(struct rig *rig, uint32_t due_ms, uint32_t task_ms)
+{
+	struct host *host = &rig->hosts[0];
+	char body[256];
+
+	(void)snprintf(body, sizeof(body),
+	    "{\"spec\":\"cpu=40000 ms=%u fail=0\",\"max_runs\":1,"
+	    "\"start_at_ms\":%llu,\"steps\":[{\"count\":1,\"cpu\":40000,"
+	    "\"mem_mb\":64,\"estimated_ms\":%u}]}",
+	    task_ms, (unsigned long long)(clock_wall_ms(clock_real()) + due_ms),
+	    task_ms);
+	rig->cluster.strict_prefix = ID[0];
+	host->wall_ahead_ms = due_ms;
+	host_become_holder(host, 10);
+	host_add_server(host, "s0");
+	host_accept_body(host, ID, body);
+	rig_run_until_started(rig, ID ".0.0.0");
+	sched_deactivate(host->sched);
+	jstore_deactivate(host->job_store);
+}
+
+static void
+rig_expect_completed(struct rig *rig, struct host *host)
+{
+	jstore_get_state(host->job_store, ID, host_state_reported, host);
+	rig_run(rig, END_WAIT_MAX_MS);
+	cr_expect_eq(host->state, JREC_COMPLETED);
+	cr_expect_eq(rig_starts(rig, ID ".0.0.0"), 1);
+}
+
+/* Its end is listed before it is due by the clock of the new holder. */
+Test(job_store, occurrence_that_a_former_holder_completed_is_not_started)
+{
+	struct rig *rig = rig_create();
+	struct host *host = &rig->hosts[1];
+
+	rig_start_occurrence_early(rig, 500, 60);
+	rig_run(rig, 40);
+	host_become_holder(host, 20);
+	host_add_servers(host);
+	rig_run(rig, 900);
+	rig_expect_completed(rig, host);
+	rig_destroy(rig);
+}
+
+/* Its run is listed before it is due by the clock of the new holder. */
+Test(job_store, run_of_an_occurrence_that_is_not_due_is_adopted)
+{
+	struct rig *rig = rig_create();
+	struct host *host = &rig->hosts[1];
+
+	rig_start_occurrence_early(rig, 500, 600);
+	host_become_holder(host, 20);
+	host_add_servers(host);
+	rig_run(rig, 900);
+	rig_expect_completed(rig, host);
+	rig_destroy(rig);
+}
+
+/* By the clock of the new holder, none of the occurrences is due. */
+Test(job_store, occurrence_that_no_former_holder_started_runs_when_it_is_due)
+{
+	struct rig *rig = rig_create();
+	struct host *host = &rig->hosts[1];
+	uint64_t third_due_ms = clock_wall_ms(clock_real()) + 500 + 2 * 800;
+
+	rig->hosts[0].wall_ahead_ms = 500 + 800;
+	host_become_holder(&rig->hosts[0], 10);
+	host_add_servers(&rig->hosts[0]);
+	host_accept_recurring(&rig->hosts[0], 500, 800);
+	rig_run_until_started(rig, ID ".1.0.0");
+	sched_deactivate(rig->hosts[0].sched);
+	jstore_deactivate(rig->hosts[0].job_store);
+	host_become_holder(host, 20);
+	host_add_servers(host);
+	rig_run_until_started(rig, ID ".2.0.0");
+	cr_expect_geq(clock_wall_ms(clock_real()), third_due_ms,
+	    "started before it was due");
+	rig_run(rig, 400);
+	cr_expect_eq(rig_starts(rig, ID ".0.0.0"), 1);
+	cr_expect_eq(rig_starts(rig, ID ".1.0.0"), 1);
+	cr_expect_eq(rig_starts(rig, ID ".2.0.0"), 1);
+	jstore_get_state(host->job_store, ID, host_state_reported, host);
+	rig_run(rig, END_WAIT_MAX_MS);
+	cr_expect_eq(host->state, JREC_COMPLETED);
+	rig_destroy(rig);
+}
