Occurrences that become due after a take-over wait for former leases

Seen: a task of a scheduled job had two runs at the same time (TWICE), or was started again after an end that its server listed later.

Cause: a job that was read back was submitted as perhaps started by a former holder (resubmitted) only for the occurrences that were due at that moment. Those that became due later started at once, though a former holder may have started them: its wall clock was ahead (shown by the tests), or it was cut off and did not know yet that it had been replaced (follows from the code, not shown). Its run was on a server that the new holder had not held yet.

Now every occurrence of a job that was read back waits until all runs of former holders are known or their leases have ended. The new wait_for_leases, unlike resubmitted, does not put the job in front of others that are on time, as most such occurrences were never started.

--- a/entry/jobs/job_store.c
+++ b/entry/jobs/job_store.c
@@ -226,7 +226,7 @@
 	jstore_complete_waiters(job, seq, JSTORE_OK);
 	sched_progress_stored(store->sched, id, seq);
 	if (first && job->record.state == JREC_ACCEPTED)
-		jstore_start_job(job, false);
+		jstore_start_job(job);
 }
 
 void
--- a/entry/jobs/job_store_internal.h
+++ b/entry/jobs/job_store_internal.h
@@ -51,7 +51,8 @@
 	struct job_store *store;
 	char id[JOB_ID_LEN + 1];
 	struct job_record record;
-	bool stored; /* the job's row is known to exist */
+	bool stored;	/* the job's row is known to exist */
+	bool read_back; /* a former lease holder may have started it */
 	/* Sequence numbers of values of the row. */
 	uint64_t ended_seq;  /* value that has the end; 0: not ended here */
 	uint64_t stored_seq; /* newest value that is stored */
@@ -119,11 +120,8 @@
 uint64_t jstore_end_job(struct jstore_job *job, enum jrec_state state);
 
 /* job_store_schedule.c */
-/*
- * Starts a job from its record: submits each occurrence when it is due.
- * @resubmitted: another lease holder may have started it.
- */
-void jstore_start_job(struct jstore_job *job, bool resubmitted);
+/* Starts a job from its record: submits each occurrence when it is due. */
+void jstore_start_job(struct jstore_job *job);
 /* Cancels a job's occurrences in the scheduler. */
 void jstore_stop_job(struct jstore_job *job);
 /* Timer callback: submits the occurrences that are due; @arg: job store. */
--- a/entry/jobs/job_store_load.c
+++ b/entry/jobs/job_store_load.c
@@ -43,9 +43,10 @@
 	job = jstore_add_job(store, row->key);
 	job->record = record;
 	job->stored = true;
+	job->read_back = true;
 	rowwr_set_version(store->writer, row->key, row->version);
 	if (record.state == JREC_ACCEPTED)
-		jstore_start_job(job, true);
+		jstore_start_job(job);
 }
 
 static void
--- a/entry/jobs/job_store_schedule.c
+++ b/entry/jobs/job_store_schedule.c
@@ -45,6 +45,9 @@
 	struct sched_request request = { .queue = job->record.queue,
 		.occurrence = index,
 		.resubmitted = resubmitted,
+		/* A former holder that is cut off, or whose wall clock is
+		 * ahead, may have started it. */
+		.wait_for_leases = job->read_back,
 		.stored = true,
 		.timeout_ms = JSTORE_JOB_TIMEOUT_MS };
 	uint32_t first = index * job->occurrence_ntasks;
@@ -125,7 +128,7 @@
 }
 
 void
-jstore_start_job(struct jstore_job *job, bool resubmitted)
+jstore_start_job(struct jstore_job *job)
 {
 	struct job_spec spec;
 	struct err err;
@@ -156,7 +159,7 @@
 		job->occurrences[i].job = job;
 	job->scheduled = true;
 	TAILQ_INSERT_TAIL(&job->store->due, job, due_entry);
-	jstore_submit_occurrences(job, resubmitted);
+	jstore_submit_occurrences(job, job->read_back);
 }
 
 void
--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -128,6 +128,7 @@
 	sched->rows_refreshed = false;
 	sched->jobs_loaded = sched->params.record_run_end == NULL;
 	sched->activated_us = sched_now(sched);
+	sched->loaded_us = sched->activated_us;
 	hlease_start(&sched->holder_lease, sched->params.holder_lease_ms,
 	    clock_boot_us(sched->params.clock));
 	sched->holder_confirmed = false;
@@ -202,6 +203,7 @@
 	struct sched_job *job;
 
 	sched->jobs_loaded = true;
+	sched->loaded_us = now_us;
 	TAILQ_FOREACH (job, &sched->jobs, entry) {
 		if (job->stored && job->start_after_us != 0)
 			job->start_after_us =
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -91,8 +91,10 @@
 	 * any other holder. */
 	uint64_t sent_ago_ms;
 	bool resubmitted; /* another host may have started the job */
-	bool may_refuse;  /* refuse at once if the backlog is too long */
-	bool stored;	  /* ends are stored; the submitter does not wait */
+	/* As resubmitted, but not likely: the job gets no precedence. */
+	bool wait_for_leases;
+	bool may_refuse; /* refuse at once if the backlog is too long */
+	bool stored;	 /* ends are stored; the submitter does not wait */
 	/* The next three are indexed by task and set for stored jobs. */
 	const uint8_t *done;	 /* nonzero: the task is done */
 	const uint8_t *failures; /* number of failed runs */
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -256,6 +256,7 @@
 	struct holder_lease holder_lease;
 	bool holder_confirmed; /* holder_lease has not expired; at last tick */
 	bool jobs_loaded;      /* all stored jobs were submitted */
+	uint64_t loaded_us;    /* when they were; until then activated_us */
 	bool servers_complete; /* no server is missing in the list */
 	bool rows_refreshed;   /* servers' rows were read since activation */
 	/* The former holder had no runs on servers that may not be known. */
--- a/entry/jobs/scheduler_job.c
+++ b/entry/jobs/scheduler_job.c
@@ -298,13 +298,13 @@
 	if (job->value_until_us > job->submitter_deadline_us)
 		job->value_until_us = job->submitter_deadline_us;
 	job->may_have_started = request->resubmitted;
-	if (request->resubmitted && request->stored)
-		job->start_after_us =
-		    sched_leases_end_us(job->sched, job->sched->activated_us);
-	/* A holder that is not confirmed may have just started it. */
-	else if (request->resubmitted)
-		job->start_after_us =
-		    now_us + hlease_span_us(job->sched->params.holder_lease_ms);
+	if (!request->resubmitted && !request->wait_for_leases)
+		return;
+	/* A holder that is not confirmed may have just started a job that is
+	 * not stored. */
+	job->start_after_us = job->stored
+	    ? sched_leases_end_us(job->sched, job->sched->loaded_us)
+	    : now_us + hlease_span_us(job->sched->params.holder_lease_ms);
 }
 
 static struct sched_job *
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -883,3 +883,42 @@
 	cr_expect_eq(host->state, JREC_COMPLETED);
 	rig_destroy(rig);
 }
+
+/* A former holder started it on a server that has not listed its runs. */
+Test(job_store, occurrence_has_no_second_run_beside_that_of_a_former_holder)
+{
+	struct rig *rig = rig_create();
+	struct host *host = &rig->hosts[1];
+
+	rig_start_occurrence_early(rig, 300, 3000);
+	fake_worker_faults(rig->worker)->unreachable_mask = 1;
+	host_become_holder(host, 20);
+	host_add_servers(host);
+	rig_run(rig, 900);
+	cr_expect_eq(rig_starts(rig, ID ".0.0.0"), 1);
+	rig_run(rig, 1900);
+	cr_expect_eq(rig_starts(rig, ID ".0.0.0"), 2,
+	    "not started when the former leases had ended");
+	rig_destroy(rig);
+}
+
+/* As no_task_starts_before_all_ends_are_reported, and the occurrence becomes
+ * due when the job has been read. */
+Test(job_store, no_occurrence_starts_before_all_ends_are_reported)
+{
+	struct rig *rig = rig_create();
+	struct host *host = &rig->hosts[1];
+
+	rig_start_occurrence_early(rig, 1350, 60);
+	rig->store.defer_reads = true;
+	host_become_holder(host, 20);
+	host_add_servers(host);
+	rig_run(rig, 1300);
+	fake_worker_faults(rig->worker)->unreachable_mask = 1;
+	mrows_release_read(&rig->store);
+	rig_run(rig, 250);
+	fake_worker_faults(rig->worker)->unreachable_mask = 0;
+	rig_run(rig, 1500);
+	rig_expect_completed(rig, host);
+	rig_destroy(rig);
+}
