Scheduler: test that leases for other jobs don't keep an unstored end

An end that is listed and can't be stored must not outlive the lease under which its run has ended: a successor has started the task again by then. The test fails if sched_server_vacant() does not look at unstored ends.

--- a/entry/jobs/job_service.c
+++ b/entry/jobs/job_service.c
@@ -430,6 +430,33 @@
 	return rowsrc_create(&source_params);
 }
 
+static struct cells *
+jsvc_create_cells(struct job_service *svc)
+{
+	const struct jsvc_params *params = &svc->params;
+	const struct cells_params cells_params = {
+		.base = params->base,
+		.clock = params->clock,
+		.sched = svc->sched,
+		.peers = params->peers,
+		.is_connected = params->is_connected,
+		.connections_version = params->connections_version,
+		.request_connection = params->request_connection,
+		.reserve_token = jsvc_reserve_token,
+		.read_owner = jsvc_read_owner,
+		.became_holder = jsvc_became_holder,
+		.holder_changed = jsvc_on_holder_changed,
+		.config_version = jsvc_get_config_version,
+		.servers_settled = jsvc_servers_settled,
+		.servers_dropped = jsvc_servers_dropped,
+		.config_reported = jsvc_on_config_reported,
+		.arg = svc,
+		.self = params->self,
+	};
+
+	return cells_create(&cells_params);
+}
+
 static int
 jsvc_create_modules(struct job_service *svc)
 {
@@ -456,24 +483,6 @@
 		.fenced = jsvc_on_fenced,
 		.arg = svc,
 	};
-	struct cells_params cells_params = {
-		.base = params->base,
-		.clock = params->clock,
-		.peers = params->peers,
-		.is_connected = params->is_connected,
-		.connections_version = params->connections_version,
-		.request_connection = params->request_connection,
-		.reserve_token = jsvc_reserve_token,
-		.read_owner = jsvc_read_owner,
-		.became_holder = jsvc_became_holder,
-		.holder_changed = jsvc_on_holder_changed,
-		.config_version = jsvc_get_config_version,
-		.servers_settled = jsvc_servers_settled,
-		.servers_dropped = jsvc_servers_dropped,
-		.config_reported = jsvc_on_config_reported,
-		.arg = svc,
-		.self = params->self,
-	};
 	const struct timeval interval = { .tv_usec = JSVC_TICK_MS * 1000 };
 
 	svc->reg = reg_create(&params->row_decoder, &listener);
@@ -481,8 +490,7 @@
 	svc->sched = sched_create(&scheduler_params);
 	if (svc->sched == NULL)
 		return -1;
-	cells_params.sched = svc->sched;
-	svc->cells = cells_create(&cells_params);
+	svc->cells = jsvc_create_cells(svc);
 	if (svc->cells == NULL)
 		return -1;
 	svc->gateway = gw_create(params->base, params->clock, svc->cells);
--- a/tests/support/scheduler_rig.c
+++ b/tests/support/scheduler_rig.c
@@ -61,6 +61,7 @@
 		.lease_ms = SRIG_LEASE_MS,
 		.holder_lease_ms = rig->holder_lease_ms,
 		.far_permille = 1000,
+		.record_run_end = rig->record_run_end,
 		.fenced = srig_fenced,
 		.arg = rig };
 	struct reg_server server;
--- a/tests/support/scheduler_rig.h
+++ b/tests/support/scheduler_rig.h
@@ -23,6 +23,8 @@
 	uint32_t fenced; /* calls of the fenced callback */
 	/* Of the schedulers that are created from now on. */
 	uint32_t holder_lease_ms;
+	uint64_t (*record_run_end)(void *arg, const char *id, uint32_t task,
+	    uint64_t run_id, bool done); /* may be NULL */
 };
 
 /** srig_init() - create the scheduler and activate it with token 10. */
--- a/tests/test_scheduler_holder.c
+++ b/tests/test_scheduler_holder.c
@@ -51,6 +51,19 @@
 	sched_confirm_holder(rig->sched, clock_boot_us(clock_real()));
 }
 
+/* The store does not answer. */
+static uint64_t
+rig_record_run_end(void *arg, const char *id, uint32_t task, uint64_t run_id,
+    bool done)
+{
+	(void)arg;
+	(void)id;
+	(void)task;
+	(void)run_id;
+	(void)done;
+	return 1;
+}
+
 static struct rig *
 rig_create(void)
 {
@@ -59,7 +72,9 @@
 	srig_init(&rig->srig, 1, NULL);
 	sched_deactivate(rig->srig.sched);
 	rig->srig.holder_lease_ms = HOLDER_LEASE_MS;
+	rig->srig.record_run_end = rig_record_run_end;
 	rig->sched = srig_scheduler(&rig->srig, TOKEN);
+	sched_set_jobs_loaded(rig->sched);
 	srig_run(&rig->srig, 100);
 	return rig;
 }
@@ -84,10 +99,17 @@
 	job->elapsed_ms = rig_now_ms() - job->sent_us / 1000;
 }
 
-/* Submits a best-effort job of one task, of which two fit on a server. */
+/* A job of one task, of which two fit on a server. */
+struct rig_spec {
+	uint32_t ms;
+	uint32_t estimated_ms; /* 0: as ms */
+	uint32_t sent_ago_ms;
+	bool resubmitted;
+	bool stored;
+};
+
 static struct rig_job *
-rig_submit_request(struct rig *rig, uint32_t ms, uint32_t estimated_ms,
-    bool resubmitted, uint32_t sent_ago_ms)
+rig_submit_spec(struct rig *rig, const struct rig_spec *spec)
 {
 	struct sched_request request = {
 		.queue = { .name = "q",
@@ -96,8 +118,12 @@
 		    .slack_permille = 1600,
 		    .target_ms = 60 },
 		.timeout_ms = 10000,
-		.resubmitted = resubmitted,
-		.sent_ago_ms = sent_ago_ms,
+		.resubmitted = spec->resubmitted,
+		.sent_ago_ms = spec->sent_ago_ms,
+		.stored = spec->stored,
+		.done = (const uint8_t[1]){ 0 },
+		.failures = (const uint8_t[1]){ 0 },
+		.last_failed_run_ids = (const uint64_t[1]){ 0 },
 	};
 	struct rig_job *job = &rig->jobs[rig->njobs];
 	char body[256];
@@ -109,7 +135,7 @@
 	    "{\"spec\":\"cpu=27000 ms=%u fail=0\",\"best_effort\":true,"
 	    "\"steps\":[{\"count\":1,\"cpu\":27000,\"mem_mb\":64,"
 	    "\"estimated_ms\":%u}]}",
-	    ms, estimated_ms);
+	    spec->ms, spec->estimated_ms == 0 ? spec->ms : spec->estimated_ms);
 	cr_assert_eq(
 	    job_parse(&request.spec, job->id, body, strlen(body), &err), 0);
 	job->sent_us = clock_now_us(clock_real());
@@ -120,7 +146,9 @@
 static struct rig_job *
 rig_submit(struct rig *rig, uint32_t ms, bool resubmitted)
 {
-	return rig_submit_request(rig, ms, ms, resubmitted, 0);
+	const struct rig_spec spec = { .ms = ms, .resubmitted = resubmitted };
+
+	return rig_submit_spec(rig, &spec);
 }
 
 static const struct wm_task *
@@ -200,6 +228,7 @@
 Test(scheduler_holder,
     unconfirmed_holder_does_not_extend_a_lease_it_has_granted)
 {
+	const struct rig_spec spec = { .ms = LONG_MS, .estimated_ms = 700 };
 	struct rig *rig = rig_create();
 	struct rig_job *job;
 	uint64_t started_ms, ended_ms = 0;
@@ -207,7 +236,7 @@
 
 	fake_worker_faults(rig->srig.worker)->unreachable_mask = ~1U;
 	srig_run(&rig->srig, 3000);
-	job = rig_submit_request(rig, LONG_MS, 700, false, 0);
+	job = rig_submit_spec(rig, &spec);
 	started_ms = rig_now_ms();
 	for (ms = 0; ms < 2 * SRIG_LEASE_MS; ms += STEP_MS) {
 		if (ms % (8 * STEP_MS) == 0)
@@ -223,14 +252,39 @@
 	rig_destroy(rig);
 }
 
+/* A successor that starts the task again must find that the lease under which
+ * it has ended before has expired. */
+Test(scheduler_holder, unstored_end_is_not_kept_by_leases_for_other_jobs)
+{
+	const struct rig_spec spec = { .ms = SHORT_MS, .stored = true };
+	struct rig *rig = rig_create();
+	struct wm_server *server = &rig->srig.cluster.servers[0];
+	struct rig_job *job;
+	uint32_t i;
+
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = ~1U;
+	srig_run(&rig->srig, 200);
+	rig_confirm(rig);
+	job = rig_submit_spec(rig, &spec);
+	srig_run(&rig->srig, 500);
+	cr_assert_eq(rig_task(rig, job)->completions, 1);
+	for (i = 0; i < 30; i++) {
+		rig_submit(rig, SHORT_MS, false);
+		srig_run(&rig->srig, 100);
+	}
+	cr_expect_lt(server->lease_end_ms, wm_clock_ms(server, rig_now_ms()));
+	rig_destroy(rig);
+}
+
 /* Its host may have passed it to another holder meanwhile. */
 Test(scheduler_holder, unconfirmed_holder_refuses_jobs_that_were_sent_long_ago)
 {
+	const struct rig_spec spec = { .ms = SHORT_MS, .sent_ago_ms = 500 };
 	struct rig *rig = rig_create();
 	struct rig_job *job;
 
 	srig_run(&rig->srig, 3000);
-	job = rig_submit_request(rig, SHORT_MS, SHORT_MS, false, 500);
+	job = rig_submit_spec(rig, &spec);
 	srig_run(&rig->srig, 50);
 	cr_expect_eq(job->result, SCHED_NOT_RUN);
 	cr_expect_null(rig_task(rig, job));
