Scheduler, cells: what a review of the holder lease found

- Two runs: a pause within a pass over the waiting tasks let the holder grant a new lease for any job (paused_holder_grants_no_lease_for_a_long_job), and a suspension made an old job look new (job_from_before_a_suspension_...): the conditions are checked as the start is sent, by the clock that counts suspensions.
- Two runs: a job that a holder without confirmation had just started was taken for known at the successor if its server had lost its row.
A server that was removed before the successor held it keeps runs unknown for such jobs (no_second_run_beside_that_of_an_unconfirmed_holder).
- A start after the end: a holder that is confirmed again forgot that its successor, since restarted, may have completed stored jobs.
They wait until the store confirms that nobody has claimed the cell (holder_that_is_confirmed_again_does_not_repeat_a_completed_job).
- Two confirmed holders: a host confirmed a holder that was missing in its list, whose token it did not note (host_that_does_not_know_the_new_holder_...).
- Price: one lost or slow read of the owner row, and the time until a new holder's first confirmation.
Reads don't wait for each other, a hold waits for at most half of the lease that is left, the claim of the cell is the first confirmation, and jobs are kept for 400 ms after a take-over (holder_goes_on_..., new_holder_keeps_jobs_until_its_first_confirmation).

Periodic cost: while a host of the zone is silent, a read of one row of the store every 250 ms a zone.

--- a/core/holder_lease.c
+++ b/core/holder_lease.c
@@ -35,7 +35,8 @@
 	bool begins = hlease_remaining_ms(lease, boot_us) == 0;
 
 	if (confirmed_boot_us < lease->started_boot_us ||
-	    confirmed_boot_us <= lease->confirmed_boot_us)
+	    confirmed_boot_us <= lease->confirmed_boot_us ||
+	    confirmed_boot_us + lease->length_ms * HLEASE_US_PER_MS <= boot_us)
 		return false;
 	lease->confirmed_boot_us = confirmed_boot_us;
 	if (begins)
--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -327,6 +327,8 @@
 static void
 cells_take_over(struct cells *cells, uint64_t now_us)
 {
+	bool server_unknown;
+
 	if (cells->reserved_token <= cells->highest_token) {
 		cells_reserve_token(cells, now_us);
 		return;
@@ -335,10 +337,13 @@
 	cells->reserved_token = 0;
 	/* The former holder may not have dropped a server that this host has,
 	 * and have gone on with its runs there. */
-	if (cells->params.servers_dropped(cells->params.arg) >
-	    cells->holder_settled)
+	server_unknown = cells->params.servers_dropped(cells->params.arg) >
+	    cells->holder_settled;
+	if (server_unknown)
 		sched_set_former_runs_known(cells->params.sched, false);
 	sched_activate(cells->params.sched, cells->highest_token);
+	if (server_unknown)
+		sched_set_server_unknown(cells->params.sched);
 	cells->params.became_holder(cells->params.arg);
 	cells_announce_state(cells);
 }
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -109,7 +109,6 @@
 	uint64_t reserve_sent_us;
 	bool reserve_pending;
 	uint64_t owner_read_boot_us; /* start of the last read of the owner */
-	bool owner_read_pending;
 	bool leaving;
 	/* Discovery of an existing holder has ended. */
 	bool discovery_done;
@@ -153,7 +152,8 @@
 /* Sends this host's token to all connected hosts, so that they forward jobs to
  * the new holder without waiting for the next ping. */
 void cells_announce_state(struct cells *cells);
-/* Processes what the ping of a host of this availability zone reports. */
+/* Processes what the ping of a host of this availability zone reports. @host:
+ * NULL if it is not known. */
 void cells_ping_received(struct cells *cells, struct cells_host *host,
     const struct api_request *request);
 /* For the holder: renews its lease, as the other hosts of the zone have
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -486,8 +486,8 @@
 	(void)api_query_text(request->query, "host", sender, sizeof(sender));
 	local = api_query_text(request->query, "az", az, sizeof(az)) &&
 	    strcmp(az, cells->params.self.az) == 0;
-	host = local ? cells_host_find(cells, sender) : NULL;
-	if (host != NULL)
+	host = cells_host_find(cells, sender);
+	if (local)
 		cells_ping_received(cells, host, request);
 	token = sched_token(params->sched);
 	body = json_pack("{s:I,s:b,s:I,s:I,s:I}", "token", (json_int_t)token,
@@ -520,8 +520,11 @@
     const struct api_request *request, api_reply_fn reply, void *arg)
 {
 	struct cells_host *host;
-	char name[NAME_SIZE], body[64];
+	char az[NAME_SIZE], name[NAME_SIZE], body[64];
 
+	if (api_query_text(request->query, "az", az, sizeof(az)) &&
+	    strcmp(az, cells->params.self.az) == 0)
+		cells_observe_token(cells, cells_query_u64(request, "token"));
 	if (api_query_text(request->query, "host", name, sizeof(name))) {
 		host = cells_host_find(cells, name);
 		if (host != NULL) {
--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -36,9 +36,8 @@
 #define CELLS_LOCAL_PING_MS 1000  /* of likely holders of the local cell */
 #define CELLS_REMOTE_PING_MS 300  /* of holders of remote cells */
 #define CELLS_PING_TIMEOUT_MS 450 /* the host is then unreachable */
-/* Intervals of reads of the cell's owner, while some hosts don't confirm it. */
-#define CELLS_OWNER_READ_MS 300
-#define CELLS_OWNER_RETRY_MS 100 /* after the holder's lease has expired */
+/* Interval of reads of the cell's owner, while some hosts don't confirm it. */
+#define CELLS_OWNER_READ_MS 250
 /* A process that is short of processor time reads a reply late. It runs this
  * number of ticks before it takes the host for unreachable. */
 #define CELLS_PING_MIN_TICKS 4
@@ -75,39 +74,40 @@
 }
 
 /* The time in the ping is that of this host's last reply, which the sender
- * received before it sent the ping. */
+ * received before it sent the ping. Its tokens count even if this host does not
+ * know it: the reply confirms that they were noted. */
 void
 cells_ping_received(struct cells *cells, struct cells_host *host,
     const struct api_request *request)
 {
 	uint64_t replied_at = cells_query_u64(request, "replied_at");
+	uint64_t token = cells_query_u64(request, "token");
+	uint64_t seen = cells_query_u64(request, "seen");
 
-	if (replied_at <= cells_boot_us(cells))
-		cells_host_confirm(cells, host,
-		    cells_query_u64(request, "token"),
-		    cells_query_u64(request, "seen"), replied_at);
+	cells_observe_token(cells, token);
+	cells_observe_token(cells, seen);
+	if (host != NULL && replied_at <= cells_boot_us(cells))
+		cells_host_confirm(cells, host, token, seen, replied_at);
 }
 
 void
-cells_owner_read(struct cells *cells, bool confirmed)
+cells_owner_read(struct cells *cells, uint64_t sent_boot_us, bool confirmed)
 {
-	cells->owner_read_pending = false;
 	if (confirmed)
-		sched_confirm_holder(cells->params.sched,
-		    cells->owner_read_boot_us);
+		sched_confirm_owner(cells->params.sched, sent_boot_us);
 }
 
+/* A read does not wait for the end of the one before: that may be slow, or its
+ * reply lost. */
 static void
 cells_read_owner(struct cells *cells, uint64_t interval_ms)
 {
 	uint64_t now_us = cells_boot_us(cells);
 
-	if (cells->owner_read_pending ||
-	    now_us - cells->owner_read_boot_us < interval_ms * CELLS_US_PER_MS)
+	if (now_us - cells->owner_read_boot_us < interval_ms * CELLS_US_PER_MS)
 		return;
-	cells->owner_read_pending = true;
 	cells->owner_read_boot_us = now_us;
-	cells->params.read_owner(cells->params.arg);
+	cells->params.read_owner(cells->params.arg, now_us);
 }
 
 void
@@ -122,9 +122,8 @@
 			confirmed_us = host->confirmed_boot_us;
 	}
 	sched_confirm_holder(sched, confirmed_us);
-	if (!sched_holder_confirmed(sched))
-		cells_read_owner(cells, CELLS_OWNER_RETRY_MS);
-	else if (sched_holder_age_ms(sched) > CELLS_CONFIRMED_AGE_MS)
+	if (sched_awaits_owner(sched) ||
+	    sched_holder_age_ms(sched) > CELLS_CONFIRMED_AGE_MS)
 		cells_read_owner(cells, CELLS_OWNER_READ_MS);
 }
 
@@ -156,6 +155,16 @@
 	return (uint64_t)json_integer_value(json_object_get(body, name));
 }
 
+/* A host of an earlier version does not report the highest token. */
+static void
+cells_reply_received(struct cells *cells, struct cells_host *host,
+    const json_t *body, uint64_t sent_boot_us)
+{
+	if (host->zone->local && json_is_integer(json_object_get(body, "seen")))
+		cells_host_confirm(cells, host, cells_json_u64(body, "token"),
+		    cells_json_u64(body, "seen"), sent_boot_us);
+}
+
 /* Processes the holder's report of its runs. */
 static void
 cells_learn_runs(struct cells *cells, const json_t *body)
@@ -196,9 +205,8 @@
 		cells_host_set_token(ping->cells, host,
 		    cells_json_u64(body, "token"));
 		host->replied_at = cells_json_u64(body, "replied_at");
-		if (host->zone->local)
-			cells_host_confirm(ping->cells, host, host->token,
-			    cells_json_u64(body, "seen"), ping->sent_boot_us);
+		cells_reply_received(ping->cells, host, body,
+		    ping->sent_boot_us);
 		if (host->zone->local && host->token != 0 &&
 		    host->token == ping->cells->highest_token)
 			cells_learn_runs(ping->cells, body);
@@ -267,11 +275,10 @@
 	json_t *body;
 
 	(void)err;
-	if (host != NULL && host->zone->local && reply != NULL &&
-	    reply->status == 200) {
+	if (host != NULL && reply != NULL && reply->status == 200) {
 		body = json_loadb(reply->body, reply->body_len, 0, NULL);
-		cells_host_confirm(cells, host, cells_json_u64(body, "token"),
-		    cells_json_u64(body, "seen"), announcement->sent_boot_us);
+		cells_reply_received(cells, host, body,
+		    announcement->sent_boot_us);
 		json_decref(body);
 	}
 	free(announcement);
@@ -283,11 +290,12 @@
 	struct api_request request = { .method = API_POST,
 		.path = CELLS_PATH "held" };
 	struct cells_ping *announcement;
-	char query[NAME_SIZE + 64];
+	char query[2 * NAME_SIZE + 64];
 
 	(void)snprintf(query, sizeof(query),
-	    "host=%s&token=%" PRIu64 "&leaving=%d", cells->params.self.name,
-	    sched_token(cells->params.sched), cells->leaving ? 1 : 0);
+	    "az=%s&host=%s&token=%" PRIu64 "&leaving=%d", cells->params.self.az,
+	    cells->params.self.name, sched_token(cells->params.sched),
+	    cells->leaving ? 1 : 0);
 	request.query = query;
 	announcement = cells_ping_create(cells, host);
 	cells->params.peers->ops->forward(cells->params.peers, host->info.az,
--- a/entry/jobs/job_store_internal.h
+++ b/entry/jobs/job_store_internal.h
@@ -15,6 +15,8 @@
  */
 
 #define JSTORE_BUCKETS 1024
+/* Reads of the owner row in flight. */
+#define JSTORE_OWNER_READS_MAX 16
 
 /*
  * Prefix of the key of the owner row, which each partition has for a cell: it
@@ -77,11 +79,22 @@
 	uint64_t generation;
 	uint32_t part;
 	uint64_t owner_version; /* of the owner row with this host's token */
+	/* When the claim was sent, by the clock that counts suspensions. */
+	uint64_t claimed_boot_us;
 	char start_key[JOB_ID_LEN + 2];
 	bool in_flight; /* a call to the store has not ended */
 	struct event *timer;
 };
 
+/* A read of the owner row. */
+struct jstore_owner_read {
+	struct job_store *store;
+	bool in_flight;
+	uint64_t sent_boot_us;
+	jstore_owner_fn done;
+	void *arg;
+};
+
 struct job_store {
 	struct event_base *base;
 	struct clock *clock;
@@ -94,8 +107,7 @@
 	uint64_t token;
 	jstore_fenced_fn fenced;
 	void *fenced_arg;
-	jstore_owner_fn owner_read; /* of the read in flight */
-	void *owner_read_arg;
+	struct jstore_owner_read owner_reads[JSTORE_OWNER_READS_MAX];
 	uint64_t generation;	 /* counts the calls of jstore_activate() */
 	uint32_t parts_unloaded; /* partitions that are not read back */
 	struct jstore_load loads[ROWS_JOB_PARTS];
--- a/entry/jobs/job_store_load.c
+++ b/entry/jobs/job_store_load.c
@@ -142,9 +142,12 @@
 
 	if (!jstore_load_call_done(load))
 		return;
-	if (status == ROWS_OK)
+	if (status == ROWS_OK) {
+		if (load->part == JSTORE_OWNER_PART)
+			sched_confirm_owner(load->store->sched,
+			    load->claimed_boot_us);
 		jstore_part_claimed(load, version);
-	else if (status == ROWS_CONFLICT)
+	} else if (status == ROWS_CONFLICT)
 		jstore_claim_part(load, nrows == 0 ? &none : &rows[0]);
 	else
 		jstore_schedule_load(load, JSTORE_LOAD_RETRY_MS);
@@ -190,6 +193,7 @@
 	(void)snprintf(text, sizeof(text), "%" PRIu64, store->token);
 	row.value = text;
 	row.value_len = strlen(text);
+	load->claimed_boot_us = clock_boot_us(store->clock);
 	load->in_flight = true;
 	store->rows->ops->transact(store->rows, load->part, &row, 1,
 	    jstore_claim_done, load);
@@ -230,16 +234,17 @@
 jstore_owner_checked(void *arg, enum rows_status status,
     const struct rows_row *rows, size_t nrows, bool more)
 {
-	struct job_store *store = arg;
-	jstore_owner_fn done = store->owner_read;
+	struct jstore_owner_read *read = arg;
+	struct job_store *store = read->store;
 	uint64_t token = 0;
 
 	(void)more;
-	store->owner_read = NULL;
+	read->in_flight = false;
 	if (status == ROWS_OK && nrows > 0 &&
 	    strcmp(rows[0].key, store->owner_key) == 0)
 		token = jstore_owner_token(&rows[0]);
-	done(store->owner_read_arg, store->active && token == store->token);
+	read->done(read->arg, read->sent_boot_us,
+	    store->active && token == store->token);
 	if (store->active && token > store->token) {
 		log_event(LOG_LEVEL_WARN, "cell-owner-replaced",
 		    "owner_token=%" PRIu64 " token=%" PRIu64, token,
@@ -249,10 +254,23 @@
 }
 
 void
-jstore_read_owner(struct job_store *store, jstore_owner_fn done, void *arg)
+jstore_read_owner(struct job_store *store, uint64_t sent_boot_us,
+    jstore_owner_fn done, void *arg)
 {
-	store->owner_read = done;
-	store->owner_read_arg = arg;
+	struct jstore_owner_read *read = store->owner_reads;
+
+	while (read < store->owner_reads + JSTORE_OWNER_READS_MAX &&
+	    read->in_flight)
+		read++;
+	if (read == store->owner_reads + JSTORE_OWNER_READS_MAX) {
+		done(arg, sent_boot_us, false);
+		return;
+	}
+	*read = (struct jstore_owner_read){ .store = store,
+		.in_flight = true,
+		.sent_boot_us = sent_boot_us,
+		.done = done,
+		.arg = arg };
 	store->rows->ops->read(store->rows, JSTORE_OWNER_PART, store->owner_key,
-	    1, jstore_owner_checked, store);
+	    1, jstore_owner_checked, read);
 }
--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -110,8 +110,8 @@
 	sched->load_updated_us = 0; /* it may have runs: see runs_unknown */
 	if (sched->token == 0)
 		sched_dispatch_wake(sched);
-	else if (!server->held)
-		sched->former_runs_known = false;
+	else if (!server->was_held)
+		sched->server_unknown = true;
 }
 
 void
@@ -132,10 +132,13 @@
 	hlease_start(&sched->holder_lease, sched->params.holder_lease_ms,
 	    clock_boot_us(sched->params.clock));
 	sched->holder_confirmed = false;
+	sched->awaits_owner_boot_us = 0;
+	sched->server_unknown = false;
 	log_event(LOG_LEVEL_WARN, "cell-acquired",
 	    "token=%" PRIu64 " former_runs=%s", token,
 	    sched->former_runs_known ? "known" : "unknown");
 	TAILQ_FOREACH (server, &sched->servers, entry) {
+		server->was_held = false;
 		if (!server->removed)
 			sched_server_reset(server);
 	}
@@ -158,6 +161,12 @@
 	    !sched_all_runs_known(sched);
 }
 
+void
+sched_set_server_unknown(struct scheduler *sched)
+{
+	sched->server_unknown = true;
+}
+
 void
 sched_set_former_runs_known(struct scheduler *sched, bool known)
 {
@@ -356,6 +365,7 @@
 {
 	struct sched_job *job;
 
+	sched->awaits_owner_boot_us = clock_boot_us(sched->params.clock);
 	sched->former_runs_known = false;
 	TAILQ_FOREACH (job, &sched->jobs, entry) {
 		if (job->stored || job->may_have_started)
@@ -379,6 +389,20 @@
 		sched_resume_holder(sched, now_us);
 }
 
+void
+sched_confirm_owner(struct scheduler *sched, uint64_t confirmed_boot_us)
+{
+	sched_confirm_holder(sched, confirmed_boot_us);
+	if (confirmed_boot_us >= sched->awaits_owner_boot_us)
+		sched->awaits_owner_boot_us = 0;
+}
+
+bool
+sched_awaits_owner(const struct scheduler *sched)
+{
+	return sched->awaits_owner_boot_us != 0;
+}
+
 /* Updates the moving average of the delay of ticks. */
 static void
 sched_update_tick_delay(struct scheduler *sched, uint64_t now_us)
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -140,6 +140,12 @@
  */
 void sched_set_former_runs_known(struct scheduler *sched, bool known);
 
+/**
+ * sched_set_server_unknown() - a former holder may have runs on a server that
+ * this host has dropped. For the time until the next take-over.
+ */
+void sched_set_server_unknown(struct scheduler *sched);
+
 bool sched_former_runs_known(const struct scheduler *sched);
 
 /** sched_set_jobs_loaded() - all stored jobs of this cell were submitted. */
@@ -182,6 +188,19 @@
  */
 void sched_confirm_holder(struct scheduler *sched, uint64_t confirmed_boot_us);
 
+/**
+ * sched_confirm_owner() - as sched_confirm_holder(), by the store: no other
+ * host had claimed the cell's rows then.
+ */
+void sched_confirm_owner(struct scheduler *sched, uint64_t confirmed_boot_us);
+
+/**
+ * sched_awaits_owner() - whether the store has to confirm this holder: it was
+ * not confirmed for a while, and another host may have run its stored jobs.
+ * They are not started until then.
+ */
+bool sched_awaits_owner(const struct scheduler *sched);
+
 /** sched_holder_confirmed() - whether the lease on the role of holder is valid.
  */
 bool sched_holder_confirmed(const struct scheduler *sched);
--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -27,6 +27,9 @@
 #define SCHED_ORDER_TIME_MS 20
 /* A run is delayed by the order that starts it and by the list of its end. */
 #define SCHED_ORDER_DELAYS 2
+/* A new holder is confirmed by then, unless a host of its zone does not reply
+ * and the store is away. */
+#define SCHED_FIRST_CONFIRMATION_MS 400
 /* A suspect waits this long for a server without other tasks. */
 #define SCHED_ISOLATION_WAIT_MS 300
 /* Rows of servers that have expired are back by then. */
@@ -175,11 +178,13 @@
 
 	/* Runs of a stored job may have ended before the job was loaded. The
 	 * servers list these ends again once all stored jobs are loaded. */
-	if ((task->job->stored && !task->job->sched->jobs_loaded) ||
+	if ((task->job->stored &&
+		(!task->job->sched->jobs_loaded ||
+		    sched_awaits_owner(task->job->sched))) ||
 	    sched_waits_for_rows(task->job, pass->now_us))
 		return;
 	if (!task->job->sched->holder_confirmed &&
-	    !sched_job_may_start_unconfirmed(task->job, pass->now_us))
+	    !sched_job_may_start_unconfirmed(task->job))
 		return;
 	if (step->cpu >= *no_capacity_cpu ||
 	    (!pass->all_held &&
@@ -217,8 +222,8 @@
 {
 	return (sched->former_runs_known ||
 		   sched_now(sched) >= sched_former_leases_end_us(sched)) &&
-	    sched->servers_complete && sched->rows_refreshed &&
-	    sched_all_servers_held(sched);
+	    !sched->server_unknown && sched->servers_complete &&
+	    sched->rows_refreshed && sched_all_servers_held(sched);
 }
 
 /* Whether starts are delayed after a take-over, until the store's rows show
@@ -411,7 +416,9 @@
 	if (now_us + work_us / 2 >= job->value_until_us)
 		return true;
 	if (!job->sched->holder_confirmed &&
-	    !sched_job_may_start_unconfirmed(job, now_us))
+	    now_us - job->sched->activated_us >
+		SCHED_FIRST_CONFIRMATION_MS * SCHED_US_PER_MS &&
+	    !sched_job_may_start_unconfirmed(job))
 		return true;
 	backlog_us = sched_backlog_us(job->sched, share, now_us);
 	if (share == SCHED_SHARE_CONFINED && now_us < job->objective_us &&
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -142,9 +142,9 @@
 	uint64_t objective_us;	 /* the job is on time if it ends before */
 	uint64_t value_until_us; /* a later end has no value */
 	uint64_t submitter_deadline_us; /* the submitter stops waiting then */
-	/* The host of its submitter had not passed it to another holder then.
-	 */
-	uint64_t sent_us;
+	/* The host of its submitter had not passed it to another holder at this
+	 * time of the clock that counts suspensions. */
+	uint64_t sent_boot_us;
 	/* Runs that another host started may last until this time, or until
 	 * the leases of former holders have ended. Until then, no task is
 	 * started unless all servers are known and held. 0: no host did. */
@@ -210,6 +210,7 @@
 	uint64_t acknowledged_sent;   /* value that the last hold sent */
 	struct sched_unstored_ends unstored_ends; /* ordered by number */
 	bool held;	     /* its lists were processed under this token */
+	bool was_held;	     /* under this token, perhaps not now */
 	bool removed;	     /* from the registry; freed when unused */
 	bool crash_reported; /* it refuses connections since it was held */
 	bool reserved;	     /* for queues that are not confined */
@@ -255,6 +256,12 @@
 	uint64_t activated_us;
 	struct holder_lease holder_lease;
 	bool holder_confirmed; /* holder_lease has not expired; at last tick */
+	/* See sched_awaits_owner(). If set, it is since the time of the clock
+	 * that counts suspensions. */
+	uint64_t awaits_owner_boot_us;
+	/* A server was removed before it was held, so that a former holder may
+	 * have runs there. */
+	bool server_unknown;
 	bool jobs_loaded;      /* all stored jobs were submitted */
 	uint64_t loaded_us;    /* when they were; until then activated_us */
 	bool servers_complete; /* no server is missing in the list */
@@ -294,8 +301,7 @@
 /* scheduler.c */
 uint64_t sched_now(const struct scheduler *sched);
 /* How long the lease on the role of holder lasts from now on; 0: it has
- * expired.
- */
+ * expired, UINT32_MAX: it does not expire. */
 uint32_t sched_holder_remaining_ms(const struct scheduler *sched);
 /* Updates holder_confirmed, and reports a change of it. */
 void sched_check_holder_lease(struct scheduler *sched);
@@ -312,8 +318,7 @@
 bool sched_job_awaits_leases(const struct sched_job *job, uint64_t now_us);
 /* Whether a run of the job that is started now, with a lease that is not
  * extended, has ended before the job can be submitted to a successor. */
-bool sched_job_may_start_unconfirmed(const struct sched_job *job,
-    uint64_t now_us);
+bool sched_job_may_start_unconfirmed(const struct sched_job *job);
 struct sched_job *sched_job_find(const struct scheduler *sched, const char *id,
     uint32_t occurrence);
 /* Replies to the submitter and stops the runs of the job. */
--- a/entry/jobs/scheduler_job.c
+++ b/entry/jobs/scheduler_job.c
@@ -17,6 +17,10 @@
 #define SCHED_VALUE_OBJECTIVES 3
 /* Margin that is added to the length of a lease whose expiry is awaited. */
 #define SCHED_LEASE_MARGIN_MS 100
+/* A holder that is not confirmed starts only jobs that were sent to it in this
+ * time: their runs end within a lease, before a caller that has lost its
+ * connection sends the job to another host, after 1.3 s. */
+#define SCHED_UNCONFIRMED_AGE_MS 250
 
 static struct counter sched_jobs_submitted = {
 	.name = "berylrail_work_jobs_total",
@@ -264,14 +268,15 @@
 }
 
 bool
-sched_job_may_start_unconfirmed(const struct sched_job *job, uint64_t now_us)
+sched_job_may_start_unconfirmed(const struct sched_job *job)
 {
 	const struct sched_params *params = &job->sched->params;
-	uint64_t max_age_ms = params->holder_lease_ms - params->lease_ms;
+	uint64_t boot_us = clock_boot_us(params->clock);
 
-	return !job->stored &&
+	return !job->stored && job->start_after_us == 0 &&
 	    job_critical_path_ms(&job->spec) <= params->lease_ms &&
-	    now_us - job->sent_us <= max_age_ms * SCHED_US_PER_MS;
+	    boot_us - job->sent_boot_us <=
+	    SCHED_UNCONFIRMED_AGE_MS * SCHED_US_PER_MS;
 }
 
 static void
@@ -279,6 +284,7 @@
 {
 	uint64_t now_us = sched_now(job->sched);
 	uint64_t age_us = request->age_ms * SCHED_US_PER_MS;
+	uint64_t boot_us = clock_boot_us(job->sched->params.clock);
 	uint64_t objective_us =
 	    job_objective_ms(&job->spec, &job->queue) * SCHED_US_PER_MS;
 
@@ -286,8 +292,8 @@
 	 * the time of submission is then 0. */
 	if (age_us > now_us)
 		age_us = now_us;
-	job->sent_us = request->sent_ago_ms * SCHED_US_PER_MS < now_us
-	    ? now_us - request->sent_ago_ms * SCHED_US_PER_MS
+	job->sent_boot_us = request->sent_ago_ms * SCHED_US_PER_MS < boot_us
+	    ? boot_us - request->sent_ago_ms * SCHED_US_PER_MS
 	    : 0;
 	job->submitted_us = now_us - age_us;
 	job->objective_us = job->submitted_us + objective_us;
--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -230,7 +230,8 @@
 	if (sched_holder_remaining_ms(sched) > 0)
 		return sched_lease_extend(server, now_us);
 	task->job->started_unconfirmed = true;
-	if (task->has_server_alone && task->start_attempts == 0)
+	if (task->has_server_alone && task->start_attempts == 0 &&
+	    sched_job_may_start_unconfirmed(task->job))
 		return lease_extend(&server->lease, now_us,
 		    sched->params.lease_ms);
 	return sched_lease_extend(server, now_us);
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -285,6 +285,7 @@
 	sched_reconcile(server, server->hold_sent_us, now_us, reply->ended_cut);
 	if (!server->held) {
 		server->held = true;
+		server->was_held = true;
 		sched_bulkhead_reserve(server->sched);
 		log_event(LOG_LEVEL_INFO, "server-held",
 		    "server=%s token=%" PRIu64
@@ -443,6 +444,19 @@
 	    TAILQ_EMPTY(&server->unstored_ends);
 }
 
+/* A lease that the end of the holder's own has shortened is renewed in time. */
+static uint32_t
+sched_hold_wait_limit_ms(const struct scheduler *sched)
+{
+	uint32_t remaining_ms = sched_holder_remaining_ms(sched);
+
+	if (remaining_ms == 0)
+		return SCHED_HOLD_WAIT_MAX_MS;
+	if (remaining_ms < 2 * SCHED_SHORT_POLL_MS)
+		return SCHED_SHORT_POLL_MS;
+	return remaining_ms / 2;
+}
+
 uint64_t
 sched_lease_extend(struct sched_server *server, uint64_t now_us)
 {
@@ -459,6 +473,7 @@
 	struct scheduler *sched = server->sched;
 	bool busy =
 	    !TAILQ_EMPTY(&server->tasks) || !TAILQ_EMPTY(&server->orphans);
+	uint32_t wait_limit_ms;
 	struct worker_hold hold = {
 		.token = sched->token,
 		.connection_id = server->lists_connection_id,
@@ -482,6 +497,9 @@
 	    server->sched->jobs_loaded &&
 	    server->acknowledged == server->processed_end)
 		hold.wait_ms = sched_hold_wait_ms(server, now_us);
+	wait_limit_ms = sched_hold_wait_limit_ms(sched);
+	if (hold.wait_ms > wait_limit_ms)
+		hold.wait_ms = wait_limit_ms;
 	server->hold_pending = true;
 	server->hold_sent_us = now_us;
 	server->hold_due_us = 0;
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -26,6 +26,8 @@
 /* Two pings of a host to its holder, and as many ticks. */
 #define CONFIRM_MS 400
 #define TICK_MS 50 /* of the hosts */
+#define READS_MAX 16
+#define READ_TIMEOUT_MS 2500 /* PJOBS_CALL_TIMEOUT_MS */
 
 struct net;
 
@@ -39,8 +41,13 @@
 	struct worker *own_worker; /* NULL: that of the net */
 	uint64_t incarnation;
 	bool token_requested;
-	bool store_lost;	  /* the store does not answer it */
-	bool claims, reads_owner; /* calls of the store in flight */
+	bool store_lost; /* the store does not answer it */
+	bool claims;	 /* its claim of the cell is in flight */
+	struct owner_read {
+		uint64_t sent_boot_us;
+		uint64_t ends_us; /* 0: not in flight */
+		bool lost;	  /* it has no reply */
+	} reads[READS_MAX];
 	uint32_t takeovers;
 	uint32_t calls;			  /* sent */
 	uint64_t config, config_reported; /* own version; newest of a peer */
@@ -60,8 +67,10 @@
 	uint64_t token; /* last reserved one */
 	uint64_t owner; /* token with which the cell was claimed last */
 	uint32_t owner_reads;
-	uint32_t call_ms;  /* round trip of a call between hosts */
-	uint32_t stall_ms; /* no host runs for this time in each step */
+	uint32_t call_ms;    /* round trip of a call between hosts */
+	uint32_t lost_reads; /* so many next reads have no reply */
+	uint32_t store_ms;   /* duration of a read of the owner row */
+	uint32_t stall_ms;   /* no host runs for this time in each step */
 };
 
 /* A call in flight. */
@@ -174,11 +183,22 @@
 }
 
 static void
-host_read_owner(void *arg)
+host_read_owner(void *arg, uint64_t sent_boot_us)
 {
 	struct host *host = arg;
+	struct net *net = host->net;
+	struct owner_read *read = host->reads;
 
-	host->reads_owner = true;
+	while (read < host->reads + READS_MAX && read->ends_us != 0)
+		read++;
+	if (read == host->reads + READS_MAX)
+		return;
+	read->sent_boot_us = sent_boot_us;
+	read->lost = net->lost_reads > 0;
+	if (read->lost)
+		net->lost_reads--;
+	read->ends_us = clock_now_us(clock_real()) +
+	    (read->lost ? READ_TIMEOUT_MS : net->store_ms) * UINT64_C(1000);
 }
 
 static void
@@ -314,6 +334,7 @@
 {
 	struct net *net = host->net;
 	uint64_t token = sched_token(host->sched);
+	struct owner_read *read;
 
 	if (host->store_lost)
 		return;
@@ -324,11 +345,14 @@
 	if (host->claims && token > net->owner)
 		net->owner = token;
 	host->claims = false;
-	if (host->reads_owner) {
-		host->reads_owner = false;
+	for (read = host->reads; read < host->reads + READS_MAX; read++) {
+		if (read->ends_us == 0 ||
+		    clock_now_us(clock_real()) < read->ends_us)
+			continue;
+		read->ends_us = 0;
 		net->owner_reads++;
-		cells_owner_read(host->cells,
-		    token != 0 && token == net->owner);
+		cells_owner_read(host->cells, read->sent_boot_us,
+		    !read->lost && token != 0 && token == net->owner);
 	}
 }
 
@@ -1148,3 +1172,156 @@
 	cr_expect_eq(host_nsuspects(&net->hosts[1]), 1);
 	net_destroy(net);
 }
+
+/* h0 has dropped h1 from its list, and h1 reaches it again after it has taken
+ * over. */
+Test(cells, host_that_does_not_know_the_new_holder_does_not_confirm_it)
+{
+	struct net *net = net_create_zones(2, 1);
+	uint64_t token;
+
+	net_run(net, 3000);
+	token = sched_token(net->hosts[0].sched);
+	cr_assert_neq(token, 0);
+	net->hosts[0].store_lost = true;
+	net->hosts[1].store_lost = true;
+	cells_host_remove(net->hosts[0].cells, "h1");
+	net_set_connected(net, 0, 1, false);
+	net_run(net, 1000);
+	cr_assert_gt(sched_token(net->hosts[1].sched), token);
+	net_set_connected(net, 0, 1, true);
+	net_run(net, 3000);
+	cr_expect_not(sched_holder_confirmed(net->hosts[0].sched) &&
+		sched_holder_confirmed(net->hosts[1].sched),
+	    "two holders are confirmed: tokens %" PRIu64 " and %" PRIu64,
+	    sched_token(net->hosts[0].sched), sched_token(net->hosts[1].sched));
+	net_destroy(net);
+}
+
+/* The store answers within the time limit of a call, which is 800 ms. */
+Test(cells, holder_goes_on_with_a_slow_store_while_the_other_host_is_lost)
+{
+	struct net *net = net_create_pair();
+
+	net->store_ms = 720;
+	host_submit(&net->hosts[0], PLAIN_JOB, false);
+	net_run(net, 500);
+	net->hosts[1].store_lost = true;
+	fake_worker_faults(net->hosts[1].own_worker)->unreachable_mask =
+	    UINT32_MAX;
+	net_isolate(net, 1, true);
+	net_run(net, TASK_MS);
+	cr_expect_eq(wm_task(&net->cluster, ID ".0.0.0")->starts, 1);
+	cr_expect_eq(wm_task(&net->cluster, ID ".0.0.0")->completions, 1);
+	net_destroy(net);
+}
+
+/* A best-effort job of one task. */
+static void
+host_submit_short(struct host *host, bool resubmitted)
+{
+	static const char body[] =
+	    "{\"spec\":\"cpu=40000 ms=700 fail=0\",\"best_effort\":true,"
+	    "\"steps\":[{\"count\":1,\"cpu\":40000,\"mem_mb\":64,"
+	    "\"estimated_ms\":700}]}";
+	struct sched_request request = {
+		.queue = { .name = "q",
+		    .service = "booth",
+		    .max_attempts = 3,
+		    .slack_permille = 9600,
+		    .target_ms = 60 },
+		.timeout_ms = JOB_TIMEOUT_MS,
+		.resubmitted = resubmitted,
+	};
+	struct err err;
+
+	cr_assert_eq(job_parse(&request.spec, ID, body, strlen(body), &err), 0,
+	    "%s", err.message);
+	sched_submit(host->sched, &request, ignore_result, host);
+}
+
+/* A server that is cut off together with the replaced holder has lost its row.
+ * The job is sent to that holder, and 100 ms later to its successor. */
+Test(cells, no_second_run_beside_that_of_an_unconfirmed_holder)
+{
+	struct net *net = net_create_pair();
+	struct host *successor = &net->hosts[1];
+	uint32_t ms;
+
+	net->hosts[0].store_lost = true;
+	net_isolate(net, 0, true);
+	fake_worker_faults(net->worker)->unreachable_mask = ~1U;
+	fake_worker_faults(successor->own_worker)->unreachable_mask = 1;
+	for (ms = 0; sched_token(successor->sched) == 0 || ms < 500; ms += 100)
+		net_run(net, 100);
+	host_read_servers(successor);
+	sched_server_remove(successor->sched, "s0");
+	net_run(net, 4000);
+	cr_assert_neq(sched_token(net->hosts[0].sched), 0);
+	cr_assert_not(sched_holder_confirmed(net->hosts[0].sched));
+	cr_assert(sched_holder_confirmed(successor->sched));
+	host_submit_short(&net->hosts[0], false);
+	net_run(net, 100);
+	cr_assert_eq(net_busy_servers(net), 1);
+	host_submit_short(successor, true);
+	net_run(net, 3000);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	net_destroy(net);
+}
+
+/* The successor has completed the job and is restarted. */
+Test(cells, holder_that_is_confirmed_again_does_not_repeat_a_completed_job)
+{
+	struct net *net = net_create_pair();
+	struct host *successor = &net->hosts[1];
+	static const char body[] =
+	    "{\"spec\":\"cpu=40000 ms=3000 fail=0\",\"steps\":[{\"count\":1,"
+	    "\"cpu\":40000,\"mem_mb\":64,\"estimated_ms\":3000}]}";
+	uint32_t ms;
+
+	fake_worker_faults(net->worker)->unreachable_mask = ~1U;
+	fake_worker_faults(successor->own_worker)->unreachable_mask = 1;
+	net_run(net, 2000);
+	host_submit(&net->hosts[0], body, false);
+	net_run(net, 200);
+	cr_assert_eq(net_busy_servers(net), 1);
+	net->hosts[0].store_lost = true;
+	net_isolate(net, 0, true);
+	for (ms = 0; sched_token(successor->sched) == 0 || ms < 500; ms += 100)
+		net_run(net, 100);
+	host_read_servers(successor);
+	host_submit(successor, body, true);
+	net_run(net, 8000);
+	cr_assert_eq(wm_task(&net->cluster, ID ".0.0.0")->completions, 1);
+	cr_assert_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	host_destroy(successor);
+	host_create(net, 1);
+	host_load_list(successor);
+	net->hosts[0].store_lost = false;
+	net_isolate(net, 0, false);
+	net_run(net, 5000);
+	cr_expect_eq(wm_task(&net->cluster, ID ".0.0.0")->starts, 2);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	net_destroy(net);
+}
+
+Test(cells, holder_goes_on_after_a_lost_read_while_the_other_host_is_lost)
+{
+	struct net *net = net_create_pair();
+
+	host_submit(&net->hosts[0], PLAIN_JOB, false);
+	net_run(net, 500);
+	net->hosts[1].store_lost = true;
+	fake_worker_faults(net->hosts[1].own_worker)->unreachable_mask =
+	    UINT32_MAX;
+	net_isolate(net, 1, true);
+	net_run(net, 1000);
+	net->lost_reads = 1;
+	net_run(net, TASK_MS);
+	cr_expect_eq(wm_task(&net->cluster, ID ".0.0.0")->starts, 1);
+	cr_expect_eq(wm_task(&net->cluster, ID ".0.0.0")->completions, 1);
+	net_destroy(net);
+}
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -95,10 +95,11 @@
 }
 
 static void
-host_owner_read(void *arg, bool confirmed)
+host_owner_read(void *arg, uint64_t sent_boot_us, bool confirmed)
 {
 	struct host *host = arg;
 
+	cr_expect_eq(sent_boot_us, 7);
 	if (confirmed)
 		host->owner_confirmed++;
 	else
@@ -301,12 +302,12 @@
 
 	host_become_holder(host, 10);
 	rig_run(rig, 30);
-	jstore_read_owner(host->job_store, host_owner_read, host);
+	jstore_read_owner(host->job_store, 7, host_owner_read, host);
 	rig_run(rig, 30);
 	cr_expect_eq(host->owner_confirmed, 1);
 	host_become_holder(&rig->hosts[1], 20);
 	rig_run(rig, 30);
-	jstore_read_owner(host->job_store, host_owner_read, host);
+	jstore_read_owner(host->job_store, 7, host_owner_read, host);
 	rig_run(rig, 30);
 	cr_expect_eq(host->owner_denied, 1);
 	cr_expect_eq(host->fenced, 1);
@@ -321,7 +322,7 @@
 	host_become_holder(host, 10);
 	rig_run(rig, 30);
 	rig->store.lose_reads = 1;
-	jstore_read_owner(host->job_store, host_owner_read, host);
+	jstore_read_owner(host->job_store, 7, host_owner_read, host);
 	rig_run(rig, 30);
 	cr_expect_eq(host->owner_confirmed, 0);
 	cr_expect_eq(host->owner_denied, 1);
--- a/tests/test_scheduler_holder.c
+++ b/tests/test_scheduler_holder.c
@@ -394,3 +394,96 @@
 	cr_expect_eq(job->result, SCHED_COMPLETED);
 	rig_destroy(rig);
 }
+
+/* The first confirmation takes a read of the store if a host is lost. */
+Test(scheduler_holder, new_holder_keeps_jobs_until_its_first_confirmation)
+{
+	const struct rig_spec spec = { .ms = SHORT_MS, .sent_ago_ms = 500 };
+	struct rig *rig = rig_create();
+	struct rig_job *job, *long_job;
+
+	sched_deactivate(rig->sched);
+	srig_activate(rig->sched, TOKEN + 1);
+	job = rig_submit_spec(rig, &spec);
+	long_job = rig_submit(rig, 2000, false);
+	srig_run(&rig->srig, 50);
+	rig_run_confirmed(rig, 3000);
+	cr_expect_eq(job->result, SCHED_COMPLETED, "%d after %d ms",
+	    (int)job->result, (int)job->elapsed_ms);
+	cr_expect_eq(long_job->result, SCHED_COMPLETED, "%d after %d ms",
+	    (int)long_job->result, (int)long_job->elapsed_ms);
+	rig_destroy(rig);
+}
+
+static const struct worker_ops *rig_worker_ops;
+static bool rig_paused;
+
+/* The process is not scheduled for two leases after its first start. */
+static void
+rig_start_then_pause(struct worker_link *link, const struct worker_start *order,
+    worker_done_fn done, void *arg)
+{
+	rig_worker_ops->start(link, order, done, arg);
+	if (!rig_paused)
+		sim_time_advance(2 * HOLDER_LEASE_MS);
+	rig_paused = true;
+}
+
+/* The lease on the role of holder expires within a pass over the tasks. */
+Test(scheduler_holder, paused_holder_grants_no_lease_for_a_long_job)
+{
+	struct rig *rig = rig_create();
+	struct worker_ops ops;
+	uint32_t i, starts = 0;
+
+	rig_worker_ops = rig->srig.worker->ops;
+	ops = *rig_worker_ops;
+	ops.start = rig_start_then_pause;
+	rig_confirm(rig);
+	for (i = 0; i < 2 * SRIG_SERVERS; i++)
+		rig_submit(rig, LONG_MS, false);
+	rig->srig.worker->ops = &ops;
+	srig_run(&rig->srig, STEP_MS);
+	rig->srig.worker->ops = rig_worker_ops;
+	srig_run(&rig->srig, 300);
+	for (i = 0; i < 2 * SRIG_SERVERS; i++)
+		starts += rig_task(rig, &rig->jobs[i]) != NULL;
+	cr_expect_leq(starts, 1, "%u runs started", starts);
+	rig_destroy(rig);
+}
+
+/* A server that is cut off together with a former holder has lost its row. The
+ * former holder, not confirmed, may have just started the job there. */
+Test(scheduler_holder, resubmitted_job_waits_although_the_server_was_removed)
+{
+	struct rig *rig = rig_create();
+	struct rig_job *job;
+
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = 1;
+	sched_deactivate(rig->sched);
+	srig_activate(rig->sched, TOKEN + 1);
+	rig_run_confirmed(rig, 100);
+	sched_server_remove(rig->sched, "s0");
+	rig_run_confirmed(rig, 4000);
+	job = rig_submit(rig, SHORT_MS, true);
+	rig_run_confirmed(rig, HOLDER_LEASE_MAX_MS);
+	cr_expect_null(rig_task(rig, job));
+	rig_run_confirmed(rig, 500);
+	cr_expect(job->answered);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
+/* The machine was suspended: the job's caller may have sent it again. */
+Test(scheduler_holder, job_from_before_a_suspension_is_not_started_unconfirmed)
+{
+	struct rig *rig = rig_create();
+	struct rig_job *job;
+
+	srig_run(&rig->srig, 3000);
+	job = rig_submit(rig, SHORT_MS, false);
+	sim_time_suspend(5000);
+	srig_run(&rig->srig, 50);
+	cr_expect_null(rig_task(rig, job));
+	rig_destroy(rig);
+}
