Test: restore the reviewer's 150 ms before a new holder's first confirmation (red)

With 150 ms it fails: the job of 60 ms is refused after 100 ms ("no server can complete the job in time"), as it is late behind a job of 2 s that waits, too.

--- a/tests/test_scheduler_holder.c
+++ b/tests/test_scheduler_holder.c
@@ -403,7 +403,7 @@
 	srig_activate(rig->sched, TOKEN + 1);
 	job = rig_submit_spec(rig, &spec);
 	long_job = rig_submit(rig, 2000, false);
-	srig_run(&rig->srig, 50);
+	srig_run(&rig->srig, 150);
 	rig_run_confirmed(rig, 3000);
 	cr_expect_eq(job->result, SCHED_COMPLETED, "%d after %d ms",
 	    (int)job->result, (int)job->elapsed_ms);
@@ -412,6 +412,20 @@
 	rig_destroy(rig);
 }
 
+Test(scheduler_holder, new_holder_keeps_long_jobs_until_its_first_confirmation)
+{
+	struct rig *rig = rig_create();
+	struct rig_job *long_job;
+
+	sched_deactivate(rig->sched);
+	srig_activate(rig->sched, TOKEN + 1);
+	long_job = rig_submit(rig, 2000, false);
+	srig_run(&rig->srig, 150);
+	rig_run_confirmed(rig, 3000);
+	cr_expect_eq(long_job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
 static const struct worker_ops *rig_worker_ops;
 static bool rig_paused;
 
