Forwards: log how each failed, and what a holder receives

The logs could not tell the hypotheses about TWICE apart: `job-unassigned cause=no-holder` did not say whether the forward had been sent and why it ended, and nothing was logged by the holder that receives a job.

- forward-failed: sent=0|1, code and reason of each call to another host without a reply;
- forward-received: the holder's token, the mark of a resubmission, the age that the frame claims and the longest time since it was sent;
- job-unassigned: may_have_started.

No decision changed. Cost: one line a forwarded job and one a failed call, under the limit of each event's rate.

--- a/adapters/peers_forward.c
+++ b/adapters/peers_forward.c
@@ -5,9 +5,11 @@
  * that a late or duplicate reply matches no forward and is dropped.
  */
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "adapters/log.h"
 #include "adapters/peers_internal.h"
 
 #define PEERS_WASTED(kind)                                               \
@@ -35,6 +37,11 @@
 {
 	if (code == ERR_LOST)
 		ctr_inc(&peers_ctr_lost);
+	log_event(LOG_LEVEL_INFO, "forward-failed",
+	    "peer=%s incarnation=%" PRIu64 " correlation=%" PRIu64
+	    " sent=%d code=%s reason=\"%s\"",
+	    forward->host, forward->incarnation, forward->correlation,
+	    forward->conn != NULL ? 1 : 0, err_code_name(code), reason);
 	TAILQ_REMOVE(&peers->forwards, forward, entry);
 	err_set(&forward->err, ERR_STEP_FORWARD, code, forward->host, "%s",
 	    reason);
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -388,6 +388,11 @@
 	queue.target_ms = cells_query_u32(request, "target_ms");
 	queue.advised = cells_query_u32(request, "advised") != 0;
 	queue.config_version = cells_query_u64(request, "config");
+	log_event(LOG_LEVEL_INFO, "forward-received",
+	    "id=%s nonce=%" PRIu64 " token=%" PRIu64 " resubmitted=%d"
+	    " age_ms=%" PRIu32 " sent_ago_ms=%" PRIu64,
+	    job.id, job.nonce, sched_token(cells->params.sched),
+	    job.resubmitted ? 1 : 0, job.age_ms, job.sent_ago_ms);
 	sub = cells_submission_create(cells, job.id, job.nonce, arg);
 	sub->reply = reply;
 	cells_submit_local(sub, &job);
--- a/entry/jobs/job_gateway.c
+++ b/entry/jobs/job_gateway.c
@@ -239,11 +239,13 @@
 		job->may_have_started = true;
 	else
 		job->overflow_holder[0] = '\0';
-	log_event(LOG_LEVEL_INFO, "job-unassigned", "id=%s holder=%s cause=%s",
-	    job->id, job->holder,
+	log_event(LOG_LEVEL_INFO, "job-unassigned",
+	    "id=%s holder=%s cause=%s may_have_started=%d", job->id,
+	    job->holder,
 	    outcome == CELLS_LOST	    ? "holder-lost"
 		: outcome == CELLS_NOT_SENT ? "no-holder"
-					    : "moved");
+					    : "moved",
+	    job->may_have_started ? 1 : 0);
 	ctr_inc(&gw_resent);
 	if (job->overflowed && job->may_have_started) {
 		/* Only the remote cell has the state of the job's runs, which
