--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -71,6 +71,8 @@
 	uint32_t lost_reads; /* so many next reads have no reply */
 	uint32_t store_ms;   /* duration of a read of the owner row */
 	uint32_t stall_ms;   /* no host runs for this time in each step */
+	bool hold_calls;     /* calls don't arrive until net_deliver() */
+	TAILQ_HEAD(, call) calls;
 };
 
 /* A call in flight. */
@@ -78,13 +80,23 @@
 	struct host *from, *to;
 	struct api_request request;
 	char path[64];
-	char query[128];
+	char query[512];
 	void (*done)(void *arg, const struct api_reply *reply,
 	    const struct err *err);
 	void *arg;
 	struct event *timer;
+	bool ended;
+	TAILQ_ENTRY(call) entry;
 };
 
+static void
+call_free(struct call *call)
+{
+	TAILQ_REMOVE(&call->from->net->calls, call, entry);
+	event_free(call->timer);
+	free(call);
+}
+
 /* The request is borrowed until its reply has run (see api_handle()). */
 static void
 call_reply(void *arg, const struct api_reply *reply)
@@ -95,22 +107,36 @@
 	call->request = (struct api_request){ .path = "", .query = "" };
 	memset(call->path, 0, sizeof(call->path));
 	memset(call->query, 0, sizeof(call->query));
+	call->ended = true;
+}
+
+/* Frees the calls that have ended. */
+static void
+net_free_calls(struct net *net)
+{
+	struct call *call, *next;
+
+	for (call = TAILQ_FIRST(&net->calls); call != NULL; call = next) {
+		next = TAILQ_NEXT(call, entry);
+		if (call->ended)
+			call_free(call);
+	}
 }
 
 static void
 call_arrive(evutil_socket_t fd, short what, void *arg)
 {
 	struct call *call = arg;
-	const struct err lost = { .message = "lost" };
+	const struct err lost = { .code = ERR_LOST, .message = "lost" };
 
 	(void)fd;
 	(void)what;
-	if (call->from->net->connected[call->from->index][call->to->index])
+	if (call->from->net->connected[call->from->index][call->to->index]) {
 		cells_handle(call->to->cells, &call->request, call_reply, call);
-	else
-		call->done(call->arg, NULL, &lost);
-	event_free(call->timer);
-	free(call);
+		return;
+	}
+	call->done(call->arg, NULL, &lost);
+	call->ended = true;
 }
 
 static void
@@ -138,7 +164,23 @@
 	call->done = done;
 	call->arg = arg;
 	call->timer = evtimer_new(host->net->base, call_arrive, call);
-	(void)event_add(call->timer, &tv);
+	TAILQ_INSERT_TAIL(&host->net->calls, call, entry);
+	if (!host->net->hold_calls)
+		(void)event_add(call->timer, &tv);
+}
+
+/* Delivers the calls that were held back. */
+static void
+net_deliver(struct net *net)
+{
+	struct call *call;
+
+	net->hold_calls = false;
+	TAILQ_FOREACH (call, &net->calls, entry) {
+		if (!call->ended &&
+		    !event_pending(call->timer, EV_TIMEOUT, NULL))
+			event_active(call->timer, EV_TIMEOUT, 0);
+	}
 }
 
 static bool
@@ -368,6 +410,7 @@
 		(void)event_base_loopexit(net->base, &tv);
 		(void)event_base_dispatch(net->base);
 		sim_time_advance(net->stall_ms);
+		net_free_calls(net);
 		for (i = 0; i < net->nhosts; i++)
 			host_serve_store(&net->hosts[i]);
 	}
@@ -380,6 +423,7 @@
 	size_t i, j;
 
 	sim_time_start();
+	TAILQ_INIT(&net->calls);
 	net->call_ms = CALL_MS;
 	net->nhosts = nhosts;
 	net->nzones = nzones;
@@ -420,6 +464,8 @@
 		if (net->hosts[i].own_worker != NULL)
 			fake_worker_destroy(net->hosts[i].own_worker);
 	}
+	while (!TAILQ_EMPTY(&net->calls))
+		call_free(TAILQ_FIRST(&net->calls));
 	fake_worker_destroy(net->worker);
 	wm_release(&net->cluster);
 	event_base_free(net->base);
@@ -1306,3 +1352,94 @@
 	    net->cluster.first_violation);
 	net_destroy(net);
 }
+
+#define BEST_EFFORT_JOB                                                \
+	"{\"spec\":\"cpu=40000 ms=3000 fail=0\",\"best_effort\":true," \
+	"\"steps\":[{\"count\":1,\"cpu\":40000,\"mem_mb\":64,"         \
+	"\"estimated_ms\":3000}]}"
+
+/* The end of a submission. */
+struct submission {
+	uint32_t n;
+	enum cells_outcome outcome;
+	enum sched_result result;
+};
+
+static void
+submission_done(void *arg, enum cells_outcome outcome,
+    const struct sched_reply *reply, const char *overflow_holder)
+{
+	struct submission *submission = arg;
+
+	(void)overflow_holder;
+	submission->n++;
+	submission->outcome = outcome;
+	if (reply != NULL)
+		submission->result = reply->result;
+}
+
+static void
+host_submit_to(struct host *host, const char *holder, bool resubmitted,
+    struct submission *submission)
+{
+	const struct job_queue queue = { .name = "q",
+		.service = "booth",
+		.max_attempts = 3,
+		.slack_permille = 9600,
+		.target_ms = 60 };
+	const struct cells_job job = { .id = ID,
+		.queue = &queue,
+		.body = BEST_EFFORT_JOB,
+		.body_len = sizeof(BEST_EFFORT_JOB) - 1,
+		.timeout_ms = JOB_TIMEOUT_MS,
+		.resubmitted = resubmitted,
+		.nonce = 1 };
+
+	*submission = (struct submission){ .n = 0 };
+	cells_submit(host->cells, holder, &job, submission_done, submission);
+}
+
+/* Runs until the host is the holder. */
+static void
+host_await_holder(struct host *host)
+{
+	int ms;
+
+	for (ms = 0; sched_token(host->sched) == 0 && ms < 3000; ms += 10)
+		net_run(host->net, 10);
+	cr_assert_neq(sched_token(host->sched), 0);
+}
+
+/* The sender takes over, starts the job and is replaced in turn. */
+Test(cells, job_sent_before_two_take_overs_is_not_started_after_them)
+{
+	struct net *net = net_create_pair();
+	struct host *former = &net->hosts[0], *sender = &net->hosts[1];
+	struct submission first, second;
+	int ms;
+
+	fake_worker_faults(net->worker)->unreachable_mask = ~1U;
+	fake_worker_faults(sender->own_worker)->unreachable_mask = 1;
+	net->hold_calls = true;
+	host_submit_to(sender, "h0", false, &first);
+	net->hold_calls = false;
+	net_isolate(net, 0, true);
+	host_await_holder(sender);
+	host_read_servers(sender);
+	host_submit_to(sender, "h1", true, &second);
+	for (ms = 0; net_busy_servers(net) == 0 && ms < 5000; ms += 10)
+		net_run(net, 10);
+	cr_assert_neq(net_busy_servers(net), 0);
+	net_isolate(net, 0, false);
+	net_run(net, 300);
+	cr_assert_eq(sched_token(former->sched), 0);
+	net_isolate(net, 0, true);
+	host_await_holder(former);
+	net_isolate(net, 0, false);
+	net_deliver(net);
+	net_run(net, 300);
+	cr_expect_eq(first.n, 1);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	net_destroy(net);
+}
--- a/tests/test_peers_tcp.c
+++ b/tests/test_peers_tcp.c
@@ -381,7 +381,7 @@
 }
 
 static void
-raw_hello(int fd, const char *host, uint64_t incarnation)
+raw_hello_from(int fd, const char *host, uint64_t incarnation, uint16_t port)
 {
 	Berylrail__Hello hello = BERYLRAIL__HELLO__INIT;
 	char name[NAME_SIZE], address[] = "127.0.0.1", az[] = "z1";
@@ -391,10 +391,16 @@
 	hello.az = az;
 	hello.incarnation = incarnation;
 	hello.peer_address = address;
-	hello.peer_port = 1;
+	hello.peer_port = port;
 	raw_send(fd, BERYLRAIL__FRAME__KIND_HELLO, &hello);
 }
 
+static void
+raw_hello(int fd, const char *host, uint64_t incarnation)
+{
+	raw_hello_from(fd, host, incarnation, 1);
+}
+
 static bool
 raw_is_closed(int fd)
 {
@@ -539,14 +545,20 @@
 }
 
 static void
-raw_heartbeat(int fd)
+raw_heartbeat_every(int fd, uint32_t interval_ms)
 {
 	Berylrail__Heartbeat heartbeat = BERYLRAIL__HEARTBEAT__INIT;
 
-	heartbeat.interval_ms = HEARTBEAT_MS;
+	heartbeat.interval_ms = interval_ms;
 	raw_send(fd, BERYLRAIL__FRAME__KIND_HEARTBEAT, &heartbeat);
 }
 
+static void
+raw_heartbeat(int fd)
+{
+	raw_heartbeat_every(fd, HEARTBEAT_MS);
+}
+
 /*
  * The second incarnation connects while the first one is live. It cannot be
  * verified, because its address is never reachable, and must be accepted once
@@ -614,6 +626,35 @@
 	peers_tcp_destroy(a.peers);
 }
 
+/* No reset is received from a host that loses power. */
+Test(peers_tcp, sent_forward_is_lost_when_its_host_is_back_before_the_timeout)
+{
+	struct frame_parser parser;
+	struct node a = { 0 }, successor = { 0 };
+	struct result result;
+	int old, verified;
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	node_start(&successor, "b", "z1", 33, 0, 0);
+	old = raw_connect(a.port);
+	raw_hello_from(old, "b", 22, successor.port);
+	raw_heartbeat_every(old, WAIT_TIMEOUT_MS);
+	WAIT_FOR(a.engine.nsharing_hosts == 2);
+	send_forward(&a, "b", 22, &result);
+	frm_init(&parser, FRAME_BYTES_MAX);
+	WAIT_FOR(raw_read_forward(old, &parser) != 0);
+	frm_release(&parser);
+	verified = raw_connect(a.port);
+	raw_hello_from(verified, "b", 33, successor.port);
+	WAIT_FOR(result.n == 1);
+	cr_assert_eq(result.code, ERR_LOST);
+	cr_assert(raw_is_closed(old));
+	peers_tcp_destroy(a.peers);
+	peers_tcp_destroy(successor.peers);
+	close(old);
+	close(verified);
+}
+
 Test(peers_tcp, request_is_abandoned_when_sender_disconnects)
 {
 	struct node a = { 0 }, b = { 0 };
