A forward that was sent ends as lost, whatever closed its connection

Callers saw TWICE, and jobs answered "not run" that had run (REFUSED), after a host lost power and was back within a second.

Cause: peers_conn_close() had an error code, which the forwards on that connection got. The hello of another process closed the connections to its predecessor with ERR_NOT_FOUND, "the incarnation no longer exists"; cells_forward_done() took each code but ERR_LOST for "not sent". The gateway then submitted the job as a new one, which does not wait for former runs, or refused it as not run.

Now only the state of the forward itself decides: peers_forward_lost() ends one that was sent, and has no code to choose; peers_forward_not_executed() one that was never sent, or that its receiver refused in a reply. Closing a connection takes no code. peers_not_executed() lists the codes that mean so; any other one means unknown. CELLS_NOT_SENT is renamed to CELLS_NOT_ACCEPTED, which is what it says.

Evidence: forward-failed sent=1 code=not-found reason="another incarnation uses the address of the host" just before each job-unassigned cause=no-holder of the broken jobs. Ruled out: a refusal by the new process (no reply of it), a list of runs that is incomplete (the jobs were not marked as resubmitted).

No periodic cost.

--- a/adapters/peers_conn.c
+++ b/adapters/peers_conn.c
@@ -140,8 +140,7 @@
 }
 
 void
-peers_conn_close(struct peers_conn *conn, enum err_code code,
-    const char *reason)
+peers_conn_close(struct peers_conn *conn, const char *reason)
 {
 	struct peers_tcp *peers = conn->peers;
 	struct peers_target *target = conn->target;
@@ -153,7 +152,7 @@
 	}
 	ctr_set(&peers_ctr_open, --peers->nconns);
 	ctr_inc(&peers_ctr_closed);
-	peers_forward_conn_closed(conn, code, reason);
+	peers_forward_conn_closed(conn, reason);
 	if (target != NULL) {
 		peers_dial_conn_ended(peers, target, conn->hello_received);
 		if (!conn->hello_received && target->name[0] != '\0')
@@ -211,7 +210,7 @@
 		    other->advertise.port == conn->advertise.port &&
 		    strcmp(other->advertise.address, conn->advertise.address) ==
 			0)
-			peers_conn_close(other, ERR_NOT_FOUND,
+			peers_conn_close(other,
 			    "another incarnation uses the address of the host");
 	}
 }
@@ -363,14 +362,12 @@
 			rc = peers_conn_process_payload(conn);
 		if (rc < 0) {
 			ctr_inc(&peers_ctr_bad_frames);
-			peers_conn_close(conn, ERR_LOST,
-			    "peer violated the protocol");
+			peers_conn_close(conn, "peer violated the protocol");
 			return;
 		}
 	}
 	if (conn->closing)
-		peers_conn_close(conn, ERR_LOST,
-		    "connection closed by this host");
+		peers_conn_close(conn, "connection closed by this host");
 }
 
 static void
@@ -379,7 +376,7 @@
 	(void)bev;
 	if (what & BEV_EVENT_CONNECTED)
 		return;
-	peers_conn_close(arg, ERR_LOST,
+	peers_conn_close(arg,
 	    what & BEV_EVENT_EOF ? "connection closed by the peer"
 				 : "connection failed");
 }
@@ -453,7 +450,7 @@
 	ctr_set(&peers_ctr_open, ++peers->nconns);
 	if (target != NULL && peers_conn_connect(conn, &target->endpoint) < 0) {
 		conn->target = NULL;
-		peers_conn_close(conn, ERR_UNAVAILABLE, "connect");
+		peers_conn_close(conn, "connect");
 		return NULL;
 	}
 	setsockopt(bufferevent_getfd(conn->bev), IPPROTO_TCP, TCP_NODELAY, &on,
@@ -507,12 +504,12 @@
 
 	TAILQ_FOREACH_SAFE (conn, &peers->conns, entry, next) {
 		if (conn->closing)
-			peers_conn_close(conn, ERR_LOST,
+			peers_conn_close(conn,
 			    "connection closed by this host");
 		else if (now_us - conn->last_received_us >
 		    peers_conn_receive_timeout_us(conn))
-			peers_conn_close(conn, ERR_LOST, "silent");
+			peers_conn_close(conn, "silent");
 		else if (peers_conn_is_idle(conn, now_us))
-			peers_conn_close(conn, ERR_LOST, "idle");
+			peers_conn_close(conn, "idle");
 	}
 }
--- a/adapters/peers_forward.c
+++ b/adapters/peers_forward.c
@@ -32,11 +32,9 @@
 
 /* Ends a forward with an error; its callback is called by the event loop. */
 static void
-peers_forward_fail(struct peers_tcp *peers, struct peers_forward *forward,
+peers_forward_end(struct peers_tcp *peers, struct peers_forward *forward,
     enum err_code code, const char *reason)
 {
-	if (code == ERR_LOST)
-		ctr_inc(&peers_ctr_lost);
 	log_event(LOG_LEVEL_INFO, "forward-failed",
 	    "peer=%s incarnation=%" PRIu64 " correlation=%" PRIu64
 	    " sent=%d code=%s reason=\"%s\"",
@@ -52,6 +50,25 @@
 	event_active(peers->failed_event, 0, 0);
 }
 
+/* Ends a forward that was not sent, or that its receiver refused. @code: see
+ * peers_not_executed(). */
+static void
+peers_forward_not_executed(struct peers_tcp *peers,
+    struct peers_forward *forward, enum err_code code, const char *reason)
+{
+	peers_forward_end(peers, forward, code, reason);
+}
+
+/* Ends a forward that was sent and has no reply. Whether the peer has executed
+ * it is unknown, whatever ended the connection. */
+static void
+peers_forward_lost(struct peers_tcp *peers, struct peers_forward *forward,
+    const char *reason)
+{
+	ctr_inc(&peers_ctr_lost);
+	peers_forward_end(peers, forward, ERR_LOST, reason);
+}
+
 static void
 peers_forward_free(struct peers_tcp *peers, struct peers_forward *forward)
 {
@@ -82,7 +99,7 @@
 
 	if (peers_conn_send_packed(conn, forward->frame, forward->frame_len,
 		BERYLRAIL__FRAME__KIND_FORWARD_REQUEST) < 0) {
-		peers_forward_fail(peers, forward, ERR_UNAVAILABLE,
+		peers_forward_not_executed(peers, forward, ERR_UNAVAILABLE,
 		    "connection has too much unsent data");
 		return;
 	}
@@ -144,10 +161,10 @@
 	    (member != NULL && member->state != MEMBER_NEVER_CONNECTED &&
 		member->incarnation != forward->incarnation &&
 		peers_conn_find(peers, host, member->incarnation) != NULL))
-		peers_forward_fail(peers, forward, ERR_NOT_FOUND,
+		peers_forward_not_executed(peers, forward, ERR_NOT_FOUND,
 		    "another incarnation uses the address of the host");
 	else if (peers_dial_on_demand(peers, host) < 0)
-		peers_forward_fail(peers, forward, ERR_UNAVAILABLE,
+		peers_forward_not_executed(peers, forward, ERR_UNAVAILABLE,
 		    member == NULL ? "host is unknown" : "host is unreachable");
 }
 
@@ -183,12 +200,13 @@
 	TAILQ_INSERT_TAIL(&peers->forwards, forward, entry);
 	ctr_set(&peers_ctr_pending, ++peers->nforwards);
 	if (peers->nforwards > PEERS_FORWARDS_MAX)
-		peers_forward_fail(peers, forward, ERR_UNAVAILABLE,
+		peers_forward_not_executed(peers, forward, ERR_UNAVAILABLE,
 		    "too many forwards are pending");
 	else if (forward->frame == NULL)
-		peers_forward_fail(peers, forward, ERR_NO_MEMORY, "forward");
+		peers_forward_not_executed(peers, forward, ERR_NO_MEMORY,
+		    "forward");
 	else if (forward->frame_len > FRAME_BYTES_MAX)
-		peers_forward_fail(peers, forward, ERR_TOO_LARGE,
+		peers_forward_not_executed(peers, forward, ERR_TOO_LARGE,
 		    "request exceeds the size of a frame");
 	else
 		peers_forward_route(peers, forward);
@@ -210,7 +228,8 @@
 		if (forward->incarnation == conn->incarnation)
 			peers_forward_send(conn, forward);
 		else if (conn->dialed)
-			peers_forward_fail(peers, forward, ERR_NOT_FOUND,
+			peers_forward_not_executed(peers, forward,
+			    ERR_NOT_FOUND,
 			    "another incarnation uses the address of the host");
 	}
 }
@@ -223,8 +242,8 @@
 
 	TAILQ_FOREACH_SAFE (forward, &peers->forwards, entry, next) {
 		if (forward->conn == NULL && strcmp(forward->host, host) == 0)
-			peers_forward_fail(peers, forward, ERR_UNAVAILABLE,
-			    "host is unreachable");
+			peers_forward_not_executed(peers, forward,
+			    ERR_UNAVAILABLE, "host is unreachable");
 	}
 }
 
@@ -243,8 +262,7 @@
  * about to be freed.
  */
 void
-peers_forward_conn_closed(struct peers_conn *conn, enum err_code code,
-    const char *reason)
+peers_forward_conn_closed(struct peers_conn *conn, const char *reason)
 {
 	struct peers_tcp *peers = conn->peers;
 	struct peers_forward *forward, *next;
@@ -252,7 +270,7 @@
 
 	TAILQ_FOREACH_SAFE (forward, &peers->forwards, entry, next) {
 		if (forward->conn == conn)
-			peers_forward_fail(peers, forward, code, reason);
+			peers_forward_lost(peers, forward, reason);
 	}
 	TAILQ_FOREACH_SAFE (served, &peers->served, entry, next_served) {
 		if (served->conn != conn)
@@ -402,13 +420,13 @@
 	conn->last_used_us = peers_now_us(peers);
 	if (message->wrong_incarnation) {
 		ctr_inc(&peers_ctr_wrong_incarnation);
-		peers_forward_fail(peers, forward, ERR_NOT_FOUND,
+		peers_forward_not_executed(peers, forward, ERR_NOT_FOUND,
 		    "the incarnation no longer exists");
 		return;
 	}
 	if (message->overloaded) {
 		ctr_inc(&peers_ctr_overloaded);
-		peers_forward_fail(peers, forward, ERR_UNAVAILABLE,
+		peers_forward_not_executed(peers, forward, ERR_UNAVAILABLE,
 		    "host has too many forwarded requests in progress");
 		return;
 	}
@@ -436,10 +454,11 @@
 		if (now_us < forward->deadline_us)
 			continue;
 		if (forward->conn == NULL)
-			peers_forward_fail(peers, forward, ERR_UNAVAILABLE,
+			peers_forward_not_executed(peers, forward,
+			    ERR_UNAVAILABLE,
 			    "connecting to the host timed out");
 		else
-			peers_forward_fail(peers, forward, ERR_LOST,
+			peers_forward_lost(peers, forward,
 			    "reply of the host timed out");
 	}
 }
--- a/adapters/peers_internal.h
+++ b/adapters/peers_internal.h
@@ -214,8 +214,7 @@
 /* peers_conn.c */
 struct peers_conn *peers_conn_open(struct peers_tcp *peers,
     struct peers_target *target, evutil_socket_t fd);
-void peers_conn_close(struct peers_conn *conn, enum err_code code,
-    const char *reason);
+void peers_conn_close(struct peers_conn *conn, const char *reason);
 struct peers_conn *peers_conn_find(struct peers_tcp *peers, const char *host,
     uint64_t incarnation);
 struct peers_conn *peers_conn_find_host(struct peers_tcp *peers,
@@ -241,8 +240,7 @@
     void *arg);
 void peers_forward_connected(struct peers_tcp *peers, struct peers_conn *conn);
 void peers_forward_unreachable(struct peers_tcp *peers, const char *host);
-void peers_forward_conn_closed(struct peers_conn *conn, enum err_code code,
-    const char *reason);
+void peers_forward_conn_closed(struct peers_conn *conn, const char *reason);
 /* Takes ownership of @frame, which contains a ForwardRequest. */
 void peers_forward_request_received(struct peers_conn *conn,
     Berylrail__Frame *frame);
--- a/adapters/peers_tcp.c
+++ b/adapters/peers_tcp.c
@@ -262,7 +262,7 @@
 	struct peers_target *target;
 
 	while ((conn = TAILQ_FIRST(&peers->conns)) != NULL)
-		peers_conn_close(conn, ERR_LOST, "this host is shutting down");
+		peers_conn_close(conn, "this host is shutting down");
 	while ((target = TAILQ_FIRST(&peers->targets)) != NULL)
 		peers_target_free(peers, target);
 	peers_forward_release(peers);
--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -81,9 +81,9 @@
 
 /** enum cells_outcome - how a submission to a holder ended. */
 enum cells_outcome {
-	CELLS_REPLIED,	/* the holder has replied */
-	CELLS_NOT_SENT, /* no holder received it */
-	CELLS_LOST,	/* no reply; a holder may have started it */
+	CELLS_REPLIED,	    /* the holder has replied */
+	CELLS_NOT_ACCEPTED, /* it was not sent, or refused on arrival */
+	CELLS_LOST,	    /* no reply; a holder may have started it */
 };
 
 /**
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -193,8 +193,8 @@
 
 	if (reply == NULL) {
 		call->done(call->arg,
-		    err->code == ERR_LOST ? CELLS_LOST : CELLS_NOT_SENT, NULL,
-		    NULL);
+		    peers_not_executed(err) ? CELLS_NOT_ACCEPTED : CELLS_LOST,
+		    NULL, NULL);
 		free(call);
 		return;
 	}
@@ -266,7 +266,7 @@
 	}
 	host = cells_host_find(cells, holder);
 	if (host == NULL || !host->connected) {
-		done(arg, CELLS_NOT_SENT, NULL, NULL);
+		done(arg, CELLS_NOT_ACCEPTED, NULL, NULL);
 		return;
 	}
 	cells_forward(cells, host, job, done, arg);
--- a/entry/jobs/job_gateway.c
+++ b/entry/jobs/job_gateway.c
@@ -235,16 +235,16 @@
 static void
 gw_holder_lost(struct gw_job *job, enum cells_outcome outcome)
 {
-	if (outcome != CELLS_NOT_SENT)
+	if (outcome != CELLS_NOT_ACCEPTED)
 		job->may_have_started = true;
 	else
 		job->overflow_holder[0] = '\0';
 	log_event(LOG_LEVEL_INFO, "job-unassigned",
 	    "id=%s holder=%s cause=%s may_have_started=%d", job->id,
 	    job->holder,
-	    outcome == CELLS_LOST	    ? "holder-lost"
-		: outcome == CELLS_NOT_SENT ? "no-holder"
-					    : "moved",
+	    outcome == CELLS_LOST		? "holder-lost"
+		: outcome == CELLS_NOT_ACCEPTED ? "no-holder"
+						: "moved",
 	    job->may_have_started ? 1 : 0);
 	ctr_inc(&gw_resent);
 	if (job->overflowed && job->may_have_started) {
--- a/ports/peer.h
+++ b/ports/peer.h
@@ -1,6 +1,7 @@
 #ifndef PORTS_PEER_H
 #define PORTS_PEER_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -22,12 +23,13 @@
 	 * Forwards an API request to incarnation @incarnation of host @issuer
 	 * in availability zone @az, but to no other incarnation. @done is
 	 * called once. On failure the reply is NULL and @err has one of these
-	 * codes:
-	 * - ERR_NOT_FOUND: the incarnation no longer exists;
-	 * - ERR_LOST: after the request was sent, the connection was closed or
-	 *   the reply timed out;
-	 * - ERR_UNAVAILABLE: the host is unreachable or overloaded, and the
-	 *   request was not executed;
+	 * codes. peers_not_executed() is true for all but the first.
+	 * - ERR_LOST: the request was sent and has no reply, for whatever
+	 *   reason; whether it was executed is unknown;
+	 * - ERR_NOT_FOUND: the incarnation no longer exists; the request was
+	 *   not sent, or refused by another incarnation;
+	 * - ERR_UNAVAILABLE: the host is unreachable, or it is overloaded and
+	 *   refused the request;
 	 * - ERR_TOO_LARGE, ERR_NO_MEMORY: the request was not sent.
 	 */
 	void (*forward)(struct peers *peers, const char *az, const char *issuer,
@@ -43,4 +45,13 @@
 	const struct peers_ops *ops;
 };
 
+/** peers_not_executed() - whether a failed request was certainly not executed:
+ * it was not sent, or its receiver refused it. */
+static inline bool
+peers_not_executed(const struct err *err)
+{
+	return err->code == ERR_NOT_FOUND || err->code == ERR_UNAVAILABLE ||
+	    err->code == ERR_TOO_LARGE || err->code == ERR_NO_MEMORY;
+}
+
 #endif /* PORTS_PEER_H */
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -72,6 +72,7 @@
 	uint32_t store_ms;   /* duration of a read of the owner row */
 	uint32_t stall_ms;   /* no host runs for this time in each step */
 	bool hold_calls;     /* calls don't arrive until net_deliver() */
+	enum err_code lost;  /* of calls that don't arrive */
 	TAILQ_HEAD(, call) calls;
 };
 
@@ -127,7 +128,7 @@
 call_arrive(evutil_socket_t fd, short what, void *arg)
 {
 	struct call *call = arg;
-	const struct err lost = { .code = ERR_LOST, .message = "lost" };
+	const struct err lost = { .code = call->from->net->lost };
 
 	(void)fd;
 	(void)what;
@@ -424,6 +425,7 @@
 
 	sim_time_start();
 	TAILQ_INIT(&net->calls);
+	net->lost = ERR_LOST;
 	net->call_ms = CALL_MS;
 	net->nhosts = nhosts;
 	net->nzones = nzones;
@@ -1443,3 +1445,34 @@
 	    net->cluster.first_violation);
 	net_destroy(net);
 }
+
+Test(cells, only_forwards_that_were_certainly_not_executed_are_not_accepted)
+{
+	static const struct {
+		enum err_code code;
+		enum cells_outcome outcome;
+	} cases[] = {
+		{ ERR_LOST, CELLS_LOST },
+		{ ERR_DEADLINE, CELLS_LOST },
+		{ ERR_CANCELLED, CELLS_LOST },
+		{ ERR_NOT_FOUND, CELLS_NOT_ACCEPTED },
+		{ ERR_UNAVAILABLE, CELLS_NOT_ACCEPTED },
+		{ ERR_TOO_LARGE, CELLS_NOT_ACCEPTED },
+	};
+	struct net *net = net_create_pair();
+	struct submission submission;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		net->lost = cases[i].code;
+		host_submit_to(&net->hosts[1], "h0", false, &submission);
+		net_set_connected(net, 0, 1, false);
+		net_run(net, 20);
+		net_set_connected(net, 0, 1, true);
+		cr_expect_eq(submission.n, 1);
+		cr_expect_eq(submission.outcome, cases[i].outcome, "%s",
+		    err_code_name(cases[i].code));
+		net_run(net, AGREE_MS);
+	}
+	net_destroy(net);
+}
