Jobs are accepted only by the holder that they were sent to

Callers saw TWICE: a job was started again beside its run, by a forward that reached the holder a second after it had been sent.

Cause: a forward counted whenever it arrived. Its sender submits the job elsewhere as soon as another host takes over. If the former holder takes over again before the first forward arrives, it starts the job at once: that forward says that no holder has had it. The run of the holder in between lives on, up to a lease.

Now a forward has the fencing token under which its receiver held the cell when the job was sent, and another one refuses it. So of all holders that a job is sent to, only the one that its sender meant can start it, and the runs of that one have ended when its successor stops waiting for its lease (docs/design/holder-lease.md). A job that is refused on arrival was not started by this submission: the reply says so ("accepted": false), also where the host holds nothing, and the gateway does not mark the job as possibly started for it. Hosts of earlier versions send no token, and take the reply for "moved" as before.

Jobs for another zone have no token: they are submitted there once, and by nobody else while their sender waits.

Ruled out: a resubmission without its mark (the marked one arrived behind it).

No periodic cost.

--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -188,6 +188,7 @@
 	struct cells_forward_call *call = arg;
 	struct sched_reply result = { .result = SCHED_OUTCOME_UNKNOWN,
 		.reason = "the holder's reply has an unknown HTTP status" };
+	bool accepted;
 	json_t *body;
 	size_t i;
 
@@ -210,7 +211,9 @@
 		    json_string_value(json_object_get(body, "reason"));
 	result.retry_after_ms = (uint32_t)json_integer_value(
 	    json_object_get(body, "retry_after_ms"));
-	call->done(call->arg, CELLS_REPLIED, &result,
+	accepted = !json_is_false(json_object_get(body, "accepted"));
+	call->done(call->arg, accepted ? CELLS_REPLIED : CELLS_NOT_ACCEPTED,
+	    accepted ? &result : NULL,
 	    json_string_value(json_object_get(body, "overflow")));
 	json_decref(body);
 	free(call);
@@ -240,12 +243,13 @@
 	    "&again=%d&may_refuse=%d&nonce=%" PRIu64
 	    "&queue=%s&service=%s&priority=%" PRIu32 "&attempts=%" PRIu32
 	    "&slack=%" PRIu32 "&target_ms=%" PRIu32
-	    "&advised=%d&config=%" PRIu64 "&replied_at=%" PRIu64,
+	    "&advised=%d&config=%" PRIu64 "&replied_at=%" PRIu64
+	    "&token=%" PRIu64,
 	    job->age_ms, job->timeout_ms, job->resubmitted ? 1 : 0,
 	    job->may_refuse ? 1 : 0, job->nonce, queue->name, queue->service,
 	    queue->priority, queue->max_attempts, queue->slack_permille,
 	    queue->target_ms, queue->advised ? 1 : 0, queue->config_version,
-	    host->replied_at);
+	    host->replied_at, host->zone->local ? host->token : 0);
 	cells->params.peers->ops->forward(cells->params.peers, host->info.az,
 	    host->info.name, host->incarnation, &request, cells_forward_done,
 	    call);
@@ -360,6 +364,36 @@
 				   : (now_us - replied_at) / CELLS_US_PER_MS;
 }
 
+/* The reason why a job of a peer is not accepted, or NULL. */
+static const char *
+cells_refusal(const struct cells *cells, uint64_t token)
+{
+	uint64_t own_token = sched_token(cells->params.sched);
+
+	if (own_token == 0)
+		return "this host is not the holder of the cell";
+	/* Its sender may have submitted it to the holder in between. */
+	if (token != 0 && token != own_token)
+		return "this host became the holder after the job was sent";
+	return NULL;
+}
+
+/* Replies that a job was not accepted. Hosts of earlier versions take it for
+ * one that may have been started. */
+static void
+cells_refuse(api_reply_fn reply, void *arg, const char *reason)
+{
+	json_t *body = json_pack("{s:s,s:b}", "reason", reason, "accepted", 0);
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	if (text == NULL)
+		abort();
+	cells_send_reply(reply, arg, cells_result_statuses[SCHED_NOT_HOLDER],
+	    text);
+	free(text);
+	json_decref(body);
+}
+
 static void
 cells_handle_submit(struct cells *cells, const struct api_request *request,
     api_reply_fn reply, void *arg)
@@ -377,6 +411,8 @@
 		.may_refuse = cells_query_u32(request, "may_refuse") != 0,
 		.nonce = cells_query_u64(request, "nonce"),
 	};
+	uint64_t token = cells_query_u64(request, "token");
+	const char *refusal = cells_refusal(cells, token);
 	struct cells_submission *sub;
 
 	(void)api_query_text(request->query, "queue", queue.name, NAME_SIZE);
@@ -389,10 +425,16 @@
 	queue.advised = cells_query_u32(request, "advised") != 0;
 	queue.config_version = cells_query_u64(request, "config");
 	log_event(LOG_LEVEL_INFO, "forward-received",
-	    "id=%s nonce=%" PRIu64 " token=%" PRIu64 " resubmitted=%d"
-	    " age_ms=%" PRIu32 " sent_ago_ms=%" PRIu64,
-	    job.id, job.nonce, sched_token(cells->params.sched),
-	    job.resubmitted ? 1 : 0, job.age_ms, job.sent_ago_ms);
+	    "id=%s nonce=%" PRIu64 " token=%" PRIu64 " sent_to_token=%" PRIu64
+	    " resubmitted=%d age_ms=%" PRIu32 " sent_ago_ms=%" PRIu64
+	    " refusal=\"%s\"",
+	    job.id, job.nonce, sched_token(cells->params.sched), token,
+	    job.resubmitted ? 1 : 0, job.age_ms, job.sent_ago_ms,
+	    refusal == NULL ? "" : refusal);
+	if (refusal != NULL) {
+		cells_refuse(reply, arg, refusal);
+		return;
+	}
 	sub = cells_submission_create(cells, job.id, job.nonce, arg);
 	sub->reply = reply;
 	cells_submit_local(sub, &job);
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1441,11 +1441,28 @@
 	net_deliver(net);
 	net_run(net, 300);
 	cr_expect_eq(first.n, 1);
+	cr_expect_eq(first.outcome, CELLS_NOT_ACCEPTED);
 	cr_expect_eq(net->cluster.violations, 0, "%s",
 	    net->cluster.first_violation);
 	net_destroy(net);
 }
 
+Test(cells, job_that_a_host_refuses_as_it_holds_nothing_was_not_started)
+{
+	struct net *net = net_create_pair();
+	struct submission submission;
+
+	net->hold_calls = true;
+	host_submit_to(&net->hosts[1], "h0", false, &submission);
+	net->hold_calls = false;
+	cells_fenced(net->hosts[0].cells);
+	net_deliver(net);
+	net_run(net, 10);
+	cr_expect_eq(submission.n, 1);
+	cr_expect_eq(submission.outcome, CELLS_NOT_ACCEPTED);
+	net_destroy(net);
+}
+
 Test(cells, only_forwards_that_were_certainly_not_executed_are_not_accepted)
 {
 	static const struct {
