Jobs are refused that arrive over a second after they were sent

A forward whose sender has lost the connection may still arrive: the kernel goes on sending what it has, and a holder that was paused reads what it had received. Its sender has submitted the job again or has answered its caller, who submits it again. The fencing token does not cover jobs for another zone, nor the same holder by another connection.

Now a holder refuses a job that was sent over 1 s ago, on its own clock: the job carries the time in the last message of the holder that its sender had, so the age is an upper bound and needs no common clock. That time was known only to hosts that ping the holder; it now comes with announcements, and with the holder that a refused job may overflow to (struct cells_overflow), as far as the holder of the own zone knows it. The reply is the same as for a wrong token: not accepted, hence not started by this submission. A job without such a time, from a host of an earlier version, is accepted.

Test: job_for_another_zone_is_not_started_long_after_it_was_sent; without the limit the job starts.

No periodic cost.

--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -77,6 +77,16 @@
 	/* The holder may refuse it at once; another cell may run it sooner. */
 	bool may_refuse;
 	uint64_t nonce; /* identifies this submission for cells_cancel() */
+	/* Of a holder of another cell, see struct cells_overflow. */
+	uint64_t holder_replied_at;
+};
+
+/** struct cells_overflow - the holder of another cell that can run a job that
+ * was refused sooner. */
+struct cells_overflow {
+	char holder[NAME_SIZE]; /* "": none */
+	/* The time of its last reply on its own clock; 0: unknown. */
+	uint64_t replied_at;
 };
 
 /** enum cells_outcome - how a submission to a holder ended. */
@@ -89,11 +99,10 @@
 /**
  * typedef cells_done_fn - end of a submission.
  * @reply: NULL unless @outcome is CELLS_REPLIED.
- * @overflow_holder: holder of another cell that can run a job that was refused
- *                   sooner, or NULL.
+ * @overflow: NULL unless @outcome is CELLS_REPLIED.
  */
 typedef void (*cells_done_fn)(void *arg, enum cells_outcome outcome,
-    const struct sched_reply *reply, const char *overflow_holder);
+    const struct sched_reply *reply, const struct cells_overflow *overflow);
 
 /** cells_create() - Return: NULL when out of memory. */
 struct cells *cells_create(const struct cells_params *params);
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -39,8 +39,8 @@
 	uint64_t ping_sent_us;
 	uint64_t ping_sent_tick;
 	uint64_t last_reply_us; /* to a ping; 0: none */
-	/* Time of its last reply on its own clock; 0: none since it connected.
-	 * The next ping returns it. */
+	/* Time of its last reply or announcement on its own clock; 0: none
+	 * since it connected. Pings and jobs that are sent to it return it. */
 	uint64_t replied_at;
 	/* The host had not replaced this one as the holder at this time of the
 	 * clock that counts suspensions. */
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -21,6 +21,12 @@
 /* Delay after which a caller may retry a job that the store refused. */
 #define CELLS_STORE_RETRY_AFTER_MS 1000
 
+/* A job that arrives later is refused: its sender may have lost the connection
+ * and answered its caller, who submits it again after 1.3 s. */
+#define CELLS_FORWARD_VALID_MS 1000
+/* Sent at an unknown time, as by hosts of earlier versions. */
+#define CELLS_SENT_UNKNOWN UINT32_MAX
+
 /* HTTP statuses of replies between hosts, by result. */
 static const int cells_result_statuses[] = {
 	[SCHED_COMPLETED] = 200,
@@ -61,13 +67,21 @@
 	reply(arg, &message);
 }
 
-/* The holder of another cell that can run a job with this result, or NULL. */
-static const char *
+/* The holder of another cell that can run a job with this result. */
+static struct cells_overflow
 cells_overflow_after(const struct cells *cells,
     const struct sched_reply *result)
 {
-	return result->result == SCHED_NOT_RUN ? cells_overflow_holder(cells)
-					       : NULL;
+	const char *name = result->result == SCHED_NOT_RUN
+	    ? cells_overflow_holder(cells)
+	    : NULL;
+	struct cells_overflow overflow = { .holder = "" };
+
+	if (name != NULL) {
+		strlcpy(overflow.holder, name, sizeof(overflow.holder));
+		overflow.replied_at = cells_host_find(cells, name)->replied_at;
+	}
+	return overflow;
 }
 
 static void
@@ -76,12 +90,14 @@
 {
 	json_t *body = json_pack("{s:s,s:i}", "reason", result->reason,
 	    "retry_after_ms", (int)result->retry_after_ms);
-	const char *overflow_holder = cells_overflow_after(cells, result);
+	struct cells_overflow overflow = cells_overflow_after(cells, result);
 	char *text;
 
-	if (overflow_holder != NULL)
-		(void)json_object_set_new(body, "overflow",
-		    json_string(overflow_holder));
+	if (overflow.holder[0] != '\0')
+		(void)json_object_update_new(body,
+		    json_pack("{s:s,s:I}", "overflow", overflow.holder,
+			"overflow_replied_at",
+			(json_int_t)overflow.replied_at));
 	text = json_dumps(body, JSON_COMPACT);
 	if (text == NULL)
 		abort();
@@ -99,13 +115,15 @@
 	cells_done_fn done = sub->done;
 	api_reply_fn reply = sub->reply;
 	void *reply_arg = sub->arg;
+	struct cells_overflow overflow;
 
 	cells_submission_free(sub);
-	if (done != NULL)
-		done(reply_arg, CELLS_REPLIED, result,
-		    cells_overflow_after(cells, result));
-	else
+	if (done != NULL) {
+		overflow = cells_overflow_after(cells, result);
+		done(reply_arg, CELLS_REPLIED, result, &overflow);
+	} else {
 		cells_send_result(cells, reply, reply_arg, result);
+	}
 }
 
 struct cells_submission *
@@ -188,7 +206,8 @@
 	struct cells_forward_call *call = arg;
 	struct sched_reply result = { .result = SCHED_OUTCOME_UNKNOWN,
 		.reason = "the holder's reply has an unknown HTTP status" };
-	bool accepted;
+	struct cells_overflow overflow = { .holder = "" };
+	const char *holder;
 	json_t *body;
 	size_t i;
 
@@ -211,10 +230,15 @@
 		    json_string_value(json_object_get(body, "reason"));
 	result.retry_after_ms = (uint32_t)json_integer_value(
 	    json_object_get(body, "retry_after_ms"));
-	accepted = !json_is_false(json_object_get(body, "accepted"));
-	call->done(call->arg, accepted ? CELLS_REPLIED : CELLS_NOT_ACCEPTED,
-	    accepted ? &result : NULL,
-	    json_string_value(json_object_get(body, "overflow")));
+	holder = json_string_value(json_object_get(body, "overflow"));
+	if (holder != NULL)
+		strlcpy(overflow.holder, holder, sizeof(overflow.holder));
+	overflow.replied_at = (uint64_t)json_integer_value(
+	    json_object_get(body, "overflow_replied_at"));
+	if (json_is_false(json_object_get(body, "accepted")))
+		call->done(call->arg, CELLS_NOT_ACCEPTED, NULL, NULL);
+	else
+		call->done(call->arg, CELLS_REPLIED, &result, &overflow);
 	json_decref(body);
 	free(call);
 }
@@ -249,7 +273,9 @@
 	    job->may_refuse ? 1 : 0, job->nonce, queue->name, queue->service,
 	    queue->priority, queue->max_attempts, queue->slack_permille,
 	    queue->target_ms, queue->advised ? 1 : 0, queue->config_version,
-	    host->replied_at, host->zone->local ? host->token : 0);
+	    host->replied_at > job->holder_replied_at ? host->replied_at
+						      : job->holder_replied_at,
+	    host->zone->local ? host->token : 0);
 	cells->params.peers->ops->forward(cells->params.peers, host->info.az,
 	    host->info.name, host->incarnation, &request, cells_forward_done,
 	    call);
@@ -353,20 +379,22 @@
 }
 
 /* How long ago at most a peer sent a request with the time in this host's last
- * reply to it. */
+ * reply, of which its sender knew. */
 static uint64_t
 cells_sent_ago_ms(const struct cells *cells, const struct api_request *request)
 {
 	uint64_t replied_at = cells_query_u64(request, "replied_at");
 	uint64_t now_us = cells_boot_us(cells);
 
+	if (replied_at == 0)
+		return CELLS_SENT_UNKNOWN;
 	return replied_at > now_us ? now_us / CELLS_US_PER_MS
 				   : (now_us - replied_at) / CELLS_US_PER_MS;
 }
 
 /* The reason why a job of a peer is not accepted, or NULL. */
 static const char *
-cells_refusal(const struct cells *cells, uint64_t token)
+cells_refusal(const struct cells *cells, uint64_t token, uint64_t sent_ago_ms)
 {
 	uint64_t own_token = sched_token(cells->params.sched);
 
@@ -375,6 +403,9 @@
 	/* Its sender may have submitted it to the holder in between. */
 	if (token != 0 && token != own_token)
 		return "this host became the holder after the job was sent";
+	if (sent_ago_ms != CELLS_SENT_UNKNOWN &&
+	    sent_ago_ms > CELLS_FORWARD_VALID_MS)
+		return "the job was sent too long ago";
 	return NULL;
 }
 
@@ -412,7 +443,7 @@
 		.nonce = cells_query_u64(request, "nonce"),
 	};
 	uint64_t token = cells_query_u64(request, "token");
-	const char *refusal = cells_refusal(cells, token);
+	const char *refusal = cells_refusal(cells, token, job.sent_ago_ms);
 	struct cells_submission *sub;
 
 	(void)api_query_text(request->query, "queue", queue.name, NAME_SIZE);
@@ -567,6 +598,7 @@
     const struct api_request *request, api_reply_fn reply, void *arg)
 {
 	struct cells_host *host;
+	uint64_t sent_at = cells_query_u64(request, "replied_at");
 	char az[NAME_SIZE], name[NAME_SIZE], body[64];
 
 	if (api_query_text(request->query, "az", az, sizeof(az)) &&
@@ -578,6 +610,8 @@
 			/* The host is up, even if a ping to it has had no
 			 * reply yet. */
 			host->unreachable = false;
+			if (sent_at > host->replied_at)
+				host->replied_at = sent_at;
 			host->ping_sent_us = cells_now_us(cells);
 			host->ping_sent_tick = cells->nticks;
 			host->leaving =
--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -290,12 +290,13 @@
 	struct api_request request = { .method = API_POST,
 		.path = CELLS_PATH "held" };
 	struct cells_ping *announcement;
-	char query[2 * NAME_SIZE + 64];
+	char query[2 * NAME_SIZE + 96];
 
 	(void)snprintf(query, sizeof(query),
-	    "az=%s&host=%s&token=%" PRIu64 "&leaving=%d", cells->params.self.az,
-	    cells->params.self.name, sched_token(cells->params.sched),
-	    cells->leaving ? 1 : 0);
+	    "az=%s&host=%s&token=%" PRIu64 "&leaving=%d&replied_at=%" PRIu64,
+	    cells->params.self.az, cells->params.self.name,
+	    sched_token(cells->params.sched), cells->leaving ? 1 : 0,
+	    cells_boot_us(cells));
 	request.query = query;
 	announcement = cells_ping_create(cells, host);
 	cells->params.peers->ops->forward(cells->params.peers, host->info.az,
--- a/entry/jobs/job_gateway.c
+++ b/entry/jobs/job_gateway.c
@@ -71,12 +71,12 @@
 	uint64_t deadline_us;
 	uint64_t unassigned_us; /* first time without a holder; 0: none */
 	uint64_t nonce;
-	char holder[NAME_SIZE];		 /* of the last attempt */
-	bool overflowed;		 /* submitted to a remote cell */
-	char overflow_holder[NAME_SIZE]; /* of that cell; "": not reached */
-	uint32_t nattempts;		 /* that have not ended */
-	struct gw_attempt *current;	 /* NULL: no holder has the job */
-	bool may_have_started;		 /* a task may have been started */
+	char holder[NAME_SIZE];		/* of the last attempt */
+	bool overflowed;		/* submitted to a remote cell */
+	struct cells_overflow overflow; /* of that cell; "": not reached */
+	uint32_t nattempts;		/* that have not ended */
+	struct gw_attempt *current;	/* NULL: no holder has the job */
+	bool may_have_started;		/* a task may have been started */
 	bool answered;
 	struct event *timer;
 	gw_done_fn done;
@@ -214,18 +214,17 @@
 /* Submits a job that the local cell refused to a remote cell, at most once. */
 static bool
 gw_try_overflow(struct gw_job *job, const struct sched_reply *reply,
-    const char *overflow_holder)
+    const struct cells_overflow *overflow)
 {
 	if (reply->result != SCHED_NOT_RUN || job->may_have_started ||
-	    job->overflowed || overflow_holder == NULL)
+	    job->overflowed || overflow->holder[0] == '\0')
 		return false;
 	job->overflowed = true;
-	strlcpy(job->overflow_holder, overflow_holder,
-	    sizeof(job->overflow_holder));
+	job->overflow = *overflow;
 	ctr_inc(&gw_overflowed);
 	log_event(LOG_LEVEL_INFO, "job-overflow",
 	    "id=%s from=%s to=%s reason=\"%s\"", job->id, job->holder,
-	    overflow_holder, reply->reason);
+	    overflow->holder, reply->reason);
 	gw_send(job);
 	return true;
 }
@@ -238,7 +237,7 @@
 	if (outcome != CELLS_NOT_ACCEPTED)
 		job->may_have_started = true;
 	else
-		job->overflow_holder[0] = '\0';
+		job->overflow.holder[0] = '\0';
 	log_event(LOG_LEVEL_INFO, "job-unassigned",
 	    "id=%s holder=%s cause=%s may_have_started=%d", job->id,
 	    job->holder,
@@ -260,7 +259,7 @@
 
 static void
 gw_attempt_done(void *arg, enum cells_outcome outcome,
-    const struct sched_reply *reply, const char *overflow_holder)
+    const struct sched_reply *reply, const struct cells_overflow *overflow)
 {
 	struct gw_attempt *attempt = arg;
 	struct gw_job *job = attempt->job;
@@ -281,7 +280,7 @@
 		return;
 	else if (outcome != CELLS_REPLIED || not_holder)
 		gw_holder_lost(job, outcome);
-	else if (!gw_try_overflow(job, reply, overflow_holder))
+	else if (!gw_try_overflow(job, reply, overflow))
 		gw_finish(job, reply);
 }
 
@@ -300,13 +299,16 @@
 		.resubmitted = job->may_have_started,
 		.may_refuse = !job->overflowed,
 		.nonce = job->nonce,
+		.holder_replied_at = job->overflow.holder[0] != '\0'
+		    ? job->overflow.replied_at
+		    : 0,
 	};
 	const char *holder = cells_holder(job->gateway->cells);
 
 	struct gw_attempt *attempt;
 
-	if (job->overflow_holder[0] != '\0')
-		holder = job->overflow_holder;
+	if (job->overflow.holder[0] != '\0')
+		holder = job->overflow.holder;
 	if (holder == NULL) {
 		gw_retry_or_answer(job,
 		    "the availability zone has no lease holder");
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1369,11 +1369,11 @@
 
 static void
 submission_done(void *arg, enum cells_outcome outcome,
-    const struct sched_reply *reply, const char *overflow_holder)
+    const struct sched_reply *reply, const struct cells_overflow *overflow)
 {
 	struct submission *submission = arg;
 
-	(void)overflow_holder;
+	(void)overflow;
 	submission->n++;
 	submission->outcome = outcome;
 	if (reply != NULL)
@@ -1463,6 +1463,34 @@
 	net_destroy(net);
 }
 
+/* Its sender has lost the connection and answered its caller. */
+Test(cells, job_for_another_zone_is_not_started_long_after_it_was_sent)
+{
+	struct net *net = net_create_zones(2, 2);
+	struct submission late, in_time;
+
+	host_add_server(&net->hosts[1]);
+	sched_servers_refreshed(net->hosts[1].sched);
+	sched_set_servers_complete(net->hosts[1].sched, true);
+	net_run(net, 3000);
+	cr_assert_neq(sched_token(net->hosts[1].sched), 0);
+	sched_servers_refreshed(net->hosts[1].sched);
+	net->hold_calls = true;
+	host_submit_to(&net->hosts[0], "h1", false, &late);
+	net->hold_calls = false;
+	net_run(net, 1100);
+	net_deliver(net);
+	net_run(net, 100);
+	cr_expect_eq(late.n, 1);
+	cr_expect_eq(late.outcome, CELLS_NOT_ACCEPTED);
+	cr_expect_eq(net->cluster.servers[0].used_cpu, 0);
+	host_submit_to(&net->hosts[0], "h1", false, &in_time);
+	net_run(net, 100);
+	cr_expect_eq(in_time.n, 0);
+	cr_expect_gt(net->cluster.servers[0].used_cpu, 0);
+	net_destroy(net);
+}
+
 Test(cells, only_forwards_that_were_certainly_not_executed_are_not_accepted)
 {
 	static const struct {
