Cells: a fenced host does not take its successor's runs for known

sched_deactivate() notes whether the host's own runs are known. A host that steps down because it learns of the token discards that in cells_observe_token(); one that was fenced, by a server or the store, did not.

Test: runs_of_a_holder_that_is_known_by_its_fence_are_unknown failed before. Price: a host that takes over again before it hears its successor keeps such jobs waiting until that one's leases have ended. No periodic cost.

--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -318,6 +318,8 @@
 
 	log_event(LOG_LEVEL_WARN, "fenced", "token=%" PRIu64, token);
 	sched_deactivate(cells->params.sched);
+	/* The host that has replaced this one has reported nothing yet. */
+	sched_set_former_runs_known(cells->params.sched, false);
 	/* Another host has a higher token: a new one must be reserved before
 	 * this host can become the holder again. */
 	if (cells->reserved_token <= token)
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1202,6 +1202,18 @@
 	net_destroy(net);
 }
 
+Test(cells, runs_of_a_holder_that_is_known_by_its_fence_are_unknown)
+{
+	struct net *net = net_create_pair();
+	struct host *host = &net->hosts[0];
+
+	net_run(net, 1000);
+	cells_fenced(host->cells);
+	cr_expect_eq(sched_token(host->sched), 0);
+	cr_expect_not(sched_former_runs_known(host->sched));
+	net_destroy(net);
+}
+
 /* A host that has been the holder knows more than the present one. */
 Test(cells, holder_has_the_record_of_former_holders)
 {
