Scheduler: a submission that joins a job keeps its mark of a resubmission

Callers could see a task with two runs at the same time (TWICE), or a job answered "not run" that a former holder had started.

Cause: a job is marked as perhaps started by another host by its first submission only. A later one that joined it while it waited replaced the callback and dropped the mark: sched_submit() called sched_job_attach() without the request. This happens if a caller has sent the job to a second host, or a forward has been delayed, so that the unmarked submission reaches the new holder first.

Evidence: test_scheduler_holder waiting_job_that_is_resubmitted_waits_for_leases failed before (started within the former lease, while a server can't be reached), and passes.

Now a marked submission that joins a job marks it: it is not refused as not run, and tasks that have not been started wait as those of a new job so marked do.

--- a/entry/jobs/scheduler_job.c
+++ b/entry/jobs/scheduler_job.c
@@ -279,6 +279,18 @@
 	    SCHED_UNCONFIRMED_AGE_MS * SCHED_US_PER_MS;
 }
 
+/* Makes tasks of a job that another host may have started wait until its runs
+ * are known or have ended. */
+static void
+sched_job_await_leases(struct sched_job *job, uint64_t now_us)
+{
+	/* A holder that is not confirmed may have just started a job that is
+	 * not stored. */
+	job->start_after_us = job->stored
+	    ? sched_leases_end_us(job->sched, job->sched->loaded_us)
+	    : now_us + hlease_span_us(job->sched->params.holder_lease_ms);
+}
+
 static void
 sched_job_set_times(struct sched_job *job, const struct sched_request *request)
 {
@@ -304,13 +316,8 @@
 	if (job->value_until_us > job->submitter_deadline_us)
 		job->value_until_us = job->submitter_deadline_us;
 	job->may_have_started = request->resubmitted;
-	if (!request->resubmitted && !request->wait_for_leases)
-		return;
-	/* A holder that is not confirmed may have just started a job that is
-	 * not stored. */
-	job->start_after_us = job->stored
-	    ? sched_leases_end_us(job->sched, job->sched->loaded_us)
-	    : now_us + hlease_span_us(job->sched->params.holder_lease_ms);
+	if (request->resubmitted || request->wait_for_leases)
+		sched_job_await_leases(job, now_us);
 }
 
 static struct sched_job *
@@ -337,13 +344,18 @@
 }
 
 /* Replaces the callback of a job that has not ended by that of a later
- * submission. */
+ * submission, whose submitter may know that another host has had the job. */
 static void
-sched_job_attach(struct sched_job *job, sched_done_fn done, void *arg)
+sched_job_attach(struct sched_job *job, const struct sched_request *request,
+    sched_done_fn done, void *arg)
 {
 	const struct sched_reply replaced = { .result = SCHED_OUTCOME_UNKNOWN,
 		.reason = "replaced by another submission of the same job" };
 
+	if (request->resubmitted) {
+		job->may_have_started = true;
+		sched_job_await_leases(job, sched_now(job->sched));
+	}
 	if (job->done != NULL)
 		job->done(job->arg, &replaced);
 	job->done = done;
@@ -406,7 +418,7 @@
 	job = sched_job_find(sched, request->spec.id, request->occurrence);
 	if (job != NULL) {
 		job_spec_release(&request->spec);
-		sched_job_attach(job, done, arg);
+		sched_job_attach(job, request, done, arg);
 		return;
 	}
 	job = sched_job_create(sched, request);
--- a/tests/test_scheduler_holder.c
+++ b/tests/test_scheduler_holder.c
@@ -106,6 +106,7 @@
 	uint32_t sent_ago_ms;
 	bool resubmitted;
 	bool stored;
+	const struct rig_job *again; /* submitted before; NULL: a new job */
 };
 
 static struct rig_job *
@@ -131,6 +132,8 @@
 
 	job->rig = rig;
 	(void)snprintf(job->id, sizeof(job->id), "%016zx", ++rig->njobs);
+	if (spec->again != NULL)
+		memcpy(job->id, spec->again->id, sizeof(job->id));
 	(void)snprintf(body, sizeof(body),
 	    "{\"spec\":\"cpu=27000 ms=%u fail=0\",\"best_effort\":true,"
 	    "\"steps\":[{\"count\":1,\"cpu\":27000,\"mem_mb\":64,"
@@ -379,6 +382,33 @@
 	rig_destroy(rig);
 }
 
+/* Its caller has sent it to another host, which forwards it as a new job. */
+Test(scheduler_holder, waiting_job_that_is_resubmitted_waits_for_leases)
+{
+	struct rig_spec spec = { .ms = SHORT_MS, .estimated_ms = 600 };
+	struct rig *rig = rig_create();
+	struct rig_job *job, *again;
+	size_t i;
+
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = 1;
+	sched_deactivate(rig->sched);
+	srig_activate(rig->sched, TOKEN + 1);
+	rig_run_confirmed(rig, 100);
+	for (i = 0; i < 2 * SRIG_SERVERS; i++)
+		rig_submit(rig, 200, false);
+	rig_run_confirmed(rig, STEP_MS);
+	job = rig_submit_spec(rig, &spec);
+	spec.resubmitted = true;
+	spec.again = job;
+	again = rig_submit_spec(rig, &spec);
+	rig_run_confirmed(rig, HOLDER_LEASE_MAX_MS);
+	cr_expect_null(rig_task(rig, job));
+	rig_run_confirmed(rig, 500);
+	cr_expect_eq(job->result, SCHED_OUTCOME_UNKNOWN);
+	cr_expect_eq(again->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
 Test(scheduler_holder, resubmitted_job_does_not_wait_if_all_runs_are_known)
 {
 	struct rig *rig = rig_create();
