Platform: a start with an unexpected status may have been executed

A task could have two runs at the same time, or a job be answered "not run" that had run.

Cause: pworker_parse_verdict() took every status that it does not know for a refusal, also 500, 502 and 2xx other than 200: the task was started on another server at once. Such a status says nothing on whether the order was executed; only a 4xx, and the statuses that servers refuse with, do.

Evidence: test_platform_worker status_that_is_no_refusal_leaves_the_outcome_unknown failed before (202, 500 and 502: refused) and passes.

--- a/tests/test_platform_worker.c
+++ b/tests/test_platform_worker.c
@@ -23,6 +23,7 @@
 	json_int_t acknowledgements[HOLDS_MAX];
 	size_t nholds;
 	const char *lists; /* in the server's replies; NULL: empty ones */
+	int status;	   /* of the server's replies; 0: 200 */
 	enum worker_verdict verdict;
 	uint64_t connection_id; /* of the last reply */
 	/* Of the last reply. */
@@ -55,7 +56,8 @@
 	    rig->lists != NULL ? rig->lists
 			       : "{\"clock_ms\":5,\"born\":7,\"running\":[],"
 				 "\"ended_runs\":[]}");
-	evhttp_send_reply(req, HTTP_OK, "OK", NULL);
+	evhttp_send_reply(req, rig->status != 0 ? rig->status : HTTP_OK, "-",
+	    NULL);
 }
 
 static struct rig *
@@ -163,6 +165,48 @@
 	(void)event_base_loopbreak(((struct rig *)arg)->base);
 }
 
+static void
+rig_start_done(void *arg, const struct worker_reply *reply)
+{
+	struct rig *rig = arg;
+
+	rig->verdict = reply->verdict;
+	(void)event_base_loopbreak(rig->base);
+}
+
+/* A start that the server has executed was taken for refused. */
+Test(platform_worker, status_that_is_no_refusal_leaves_the_outcome_unknown)
+{
+	const struct worker_start order = { .task = "t",
+		.run_id = 1,
+		.spec = "",
+		.token = 1 };
+	const struct {
+		int status;
+		enum worker_verdict verdict;
+	} cases[] = {
+		{ 200, WORKER_OK },
+		{ 202, WORKER_NO_REPLY },
+		{ 400, WORKER_REFUSED },
+		{ 409, WORKER_REFUSED },
+		{ 429, WORKER_UNAVAILABLE },
+		{ 503, WORKER_UNAVAILABLE },
+		{ 500, WORKER_NO_REPLY },
+		{ 502, WORKER_NO_REPLY },
+	};
+	struct rig *rig = rig_create();
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		rig->status = cases[i].status;
+		rig->worker->ops->start(rig->link, &order, rig_start_done, rig);
+		(void)event_base_dispatch(rig->base);
+		cr_expect_eq(rig->verdict, cases[i].verdict, "%d: %d",
+		    cases[i].status, (int)rig->verdict);
+	}
+	rig_destroy(rig);
+}
+
 /* A task name that was cut within a character can't be encoded: the order to
  * stop the unknown run ended the process. */
 Test(platform_worker, run_with_an_overlong_name_is_not_listed)
