Platform: a write with an unexpected status may have been executed

A stored job could be answered "not run" and run nevertheless.

Cause: pjobs_status() took every status but 0, 500, 502 and 504 for a refusal, so that the job store reported a new job as refused while its row may have been written.

--- a/tests/test_platform_rows.c
+++ b/tests/test_platform_rows.c
@@ -37,6 +37,8 @@
 	bool complete_at_refresh;
 	bool silent;		  /* the store replies to no request */
 	bool jobs_silent;	  /* nor to those about jobs */
+	int write_status;	  /* of replies to transactions */
+	enum rows_status written; /* as reported */
 	bool connected;		  /* as reported to the listener */
 	uint64_t config;	  /* version of the row "config"; 0: none */
 	uint64_t config_received; /* as reported to the listener */
@@ -93,6 +95,11 @@
 	bool more = false, jobs;
 	char *text;
 
+	if (evhttp_request_get_command(req) == EVHTTP_REQ_POST) {
+		json_decref(rows);
+		evhttp_send_reply(req, rig->write_status, "-", NULL);
+		return;
+	}
 	(void)evhttp_parse_query_str(query, &params);
 	table = evhttp_find_header(&params, "table");
 	jobs = strcmp(table, "berylrail-jobs") == 0;
@@ -356,3 +363,50 @@
 	rig->jobs_silent = false;
 	rig_destroy(rig);
 }
+
+static void
+rig_written(void *arg, enum rows_status status, uint64_t version,
+    const struct rows_row *rows, size_t nrows)
+{
+	struct rig *rig = arg;
+
+	(void)version;
+	(void)rows;
+	(void)nrows;
+	rig->written = status;
+	(void)event_base_loopbreak(rig->base);
+}
+
+/* A job whose row was written was refused as not run. */
+Test(platform_rows, status_that_is_no_refusal_leaves_a_write_unknown)
+{
+	const struct rows_row row = { .key = "k",
+		.value = "v",
+		.value_len = 1 };
+	const struct {
+		int status;
+		enum rows_status written;
+	} cases[] = {
+		{ 200, ROWS_OK },
+		{ 202, ROWS_UNKNOWN },
+		{ 400, ROWS_REFUSED },
+		{ 412, ROWS_CONFLICT },
+		{ 429, ROWS_REFUSED },
+		{ 500, ROWS_UNKNOWN },
+		{ 503, ROWS_REFUSED },
+		{ 504, ROWS_UNKNOWN },
+		{ 507, ROWS_UNKNOWN },
+	};
+	struct rig *rig = rig_create();
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		rig->write_status = cases[i].status;
+		rig->rows->ops->transact(rig->rows, 0, &row, 1, rig_written,
+		    rig);
+		(void)event_base_dispatch(rig->base);
+		cr_expect_eq(rig->written, cases[i].written, "%d: %d",
+		    cases[i].status, (int)rig->written);
+	}
+	rig_destroy(rig);
+}
