Scheduler: a late row of a server's earlier incarnation ends no runs

A task could have two runs at the same time (TWICE).

Cause: sched_server_update() takes a row with another incarnation at another address as the proof that all runs of the server have ended, and starts them elsewhere at once. A row that the store has delayed, the last one of the incarnation before, comes with a higher row version and was taken for a restart too, while the runs of the present one go on. The end of the runs was derived from the arrival of a message, not from what the server itself has listed.

Evidence: test_scheduler runs_go_on_when_a_row_of_an_earlier_incarnation_arrives_late failed before (two runs at the same time) and passes.

Now such a row ends no runs if its time of start is before that of the incarnation that listed them; the server is asked for its lists at once. If the time of day of its machine was set back, the runs end with their lease (server_that_restarts_with_an_earlier_time_of_start_is_used: a server without runs is replaced at once, as before).

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -31,20 +31,26 @@
 /*
  * Whether @info describes another incarnation at another address. At the same
  * address the server's own lists identify the incarnation that replies: orders
- * may have reached it before its row was read.
+ * may have reached it before its row was read. A row of an earlier incarnation
+ * than the one listed may have been delayed in the store, and ends no runs.
  */
 static bool
 sched_server_replaced(struct sched_server *server,
     const struct reg_server *info)
 {
-	if (server->info.incarnation_start_ms == info->incarnation_start_ms)
+	uint64_t listed_ms = server->incarnation_start_ms;
+
+	if (server->info.incarnation_start_ms == info->incarnation_start_ms ||
+	    (listed_ms != 0 && listed_ms == info->incarnation_start_ms))
 		return false;
-	if (server->incarnation_start_ms == 0 ||
-	    server->info.port != info->port ||
-	    strcmp(server->info.address, info->address) != 0)
+	if (listed_ms == 0)
+		return true;
+	if ((server->info.port != info->port ||
+		strcmp(server->info.address, info->address) != 0) &&
+	    (info->incarnation_start_ms > listed_ms ||
+		sched_server_vacant(server)))
 		return true;
-	if (server->incarnation_start_ms != info->incarnation_start_ms)
-		server->hold_due_us = sched_now(server->sched);
+	server->hold_due_us = sched_now(server->sched);
 	return false;
 }
 
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -766,6 +766,73 @@
 	rig_destroy(rig);
 }
 
+/* Reports the row that an incarnation of a server has written. */
+static void
+rig_row_of_incarnation(struct rig *rig, size_t index, uint16_t port,
+    uint64_t start_ms)
+{
+	struct reg_server info = { .service = "booth",
+		.az = "a",
+		.port = port,
+		.incarnation_start_ms = start_ms,
+		.cpu = SRIG_CPU,
+		.mem_mb = 1024 };
+
+	(void)snprintf(info.id, sizeof(info.id), "s%zu", index);
+	sched_server_update(rig->srig.sched, &info);
+}
+
+/* The store had delayed the last write of the incarnation before. */
+Test(scheduler, runs_go_on_when_a_row_of_an_earlier_incarnation_arrives_late)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *job;
+	size_t i;
+
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		rig->srig.cluster.servers[i].started_ms = 2000;
+		rig_row_of_incarnation(rig, i, 2, 2000);
+	}
+	srig_run(&rig->srig, 50);
+	job = rig_submit(rig, 1, 27000, 600, 0);
+	srig_run(&rig->srig, 50);
+	for (i = 0; rig->srig.cluster.servers[i].used_cpu == 0; i++)
+		continue;
+	/* Nobody listens at the address of the late row. */
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = 1U << i;
+	rig_row_of_incarnation(rig, i, 1, 1000);
+	srig_run(&rig->srig, 100);
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = 0;
+	rig_row_of_incarnation(rig, i, 2, 2000);
+	srig_run(&rig->srig, 700);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	cr_expect_eq(rig_starts(rig, job, 0), 1);
+	rig_destroy(rig);
+}
+
+/* The time of day of its machine was set back meanwhile. */
+Test(scheduler, server_that_restarts_with_an_earlier_time_of_start_is_used)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *job;
+	size_t i;
+
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		rig->srig.cluster.servers[i].started_ms = 2000;
+		rig_row_of_incarnation(rig, i, 2, 2000);
+	}
+	srig_run(&rig->srig, 50);
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		rig->srig.cluster.servers[i].started_ms = 1000;
+		rig_row_of_incarnation(rig, i, 1, 1000);
+	}
+	srig_run(&rig->srig, 50);
+	job = rig_submit(rig, 6, 27000, 600, 0);
+	srig_run(&rig->srig, 800);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
 /* The callback of a job that has ended, as of an occurrence of a stored job:
  * cancels another one. */
 static void
