Job store: no job is refused before its partition is read

A caller that sent a stored job again just after a take-over could be answered "not run" (503: it never runs) for a job that was stored and ran.

Cause: jstore_accept() refuses a new job whose write is expected to take longer than its caller waits. The estimate says nothing on whether the job is stored already, which a new holder knows only once it has read the partition. The check of "resubmitted" does not cover it: a caller that sends its job to another host makes a new submission there.

Evidence: test_job_store job_is_not_refused_before_the_partition_is_read failed before (JSTORE_REFUSED for a stored job) and passes.

Now the outcome is reported as unknown until the partition is read, at once as before; the caller sends the job again.

--- a/entry/jobs/job_store.c
+++ b/entry/jobs/job_store.c
@@ -187,7 +187,12 @@
 	if (!request->resubmitted &&
 	    rowwr_expected_delay_ms(store->writer, request->spec.id) >
 		request->timeout_ms) {
-		done(arg, JSTORE_REFUSED);
+		/* Until its partition is read, a former holder may have stored
+		 * it. */
+		done(arg,
+		    rowwr_is_owner(store->writer, request->spec.id)
+			? JSTORE_REFUSED
+			: JSTORE_UNKNOWN);
 		job_spec_release(&request->spec);
 		return;
 	}
--- a/entry/jobs/row_writer.c
+++ b/entry/jobs/row_writer.c
@@ -216,6 +216,12 @@
 		rowwr_schedule_flush(part, ROWWR_BATCH_DELAY_MS);
 }
 
+bool
+rowwr_is_owner(const struct row_writer *writer, const char *id)
+{
+	return writer->parts[rowwr_partition(id)].owner_version != 0;
+}
+
 static void
 rowwr_mark_dirty(struct row_writer *writer, struct rowwr_entry *entry)
 {
--- a/entry/jobs/row_writer.h
+++ b/entry/jobs/row_writer.h
@@ -54,6 +54,9 @@
 void rowwr_set_owner(struct row_writer *writer, uint32_t index, const char *key,
     uint64_t version);
 
+/** rowwr_is_owner() - whether this host owns the partition of job @id. */
+bool rowwr_is_owner(const struct row_writer *writer, const char *id);
+
 /**
  * rowwr_expected_delay_ms() - estimate the time until a new job is stored.
  * Return: milliseconds from now; UINT32_MAX while writes to the partition
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -677,6 +677,39 @@
 	rig_destroy(rig);
 }
 
+/* A former holder may have stored it. */
+Test(job_store, job_is_not_refused_before_the_partition_is_read)
+{
+	struct rig *rig = rig_create();
+	struct host *host = &rig->hosts[1];
+	char id[JOB_ID_LEN + 1];
+	unsigned int i = 0;
+
+	do
+		(void)snprintf(id, sizeof(id), "%016x", ++i);
+	while (rowwr_partition(id) != rowwr_partition(ID));
+	host_become_holder(host, 10);
+	rig->store.defer_writes = true;
+	host_accept(host, id);
+	rig_run(rig, 400);
+	mrows_release_write(&rig->store);
+	host_become_holder(&rig->hosts[0], 20);
+	host_accept(&rig->hosts[0], ID);
+	rig_run(rig, 30);
+	cr_assert_eq(rig->hosts[0].result, JSTORE_OK);
+	rig->store.defer_reads = true;
+	sched_deactivate(host->sched);
+	host_become_holder(host, 30);
+	host_accept(host, id);
+	host->done_calls = 0;
+	host_accept(host, ID);
+	cr_expect(host->done_calls == 0 || host->result == JSTORE_UNKNOWN, "%d",
+	    (int)host->result);
+	mrows_release_read(&rig->store);
+	rig_run(rig, 30);
+	rig_destroy(rig);
+}
+
 /*
  * Soak seed 101, with --restarts: the row of a server had expired in an outage
  * of the store and was back 1.8 s after it. The server listed the end of a task
