Loans: a late return ends no loan to another host

A server could be given more tasks at a time than it has slots.

Cause: engine_loan_returned() took returned slots off any loans of the server. A borrower that was paused, or whose task ran for longer than the loan lasts, returns slots that the lender has reclaimed; they were then taken off the loan to another host, whose tasks go on, and used twice. With two loans of one server the same could happen to their times of expiry.

Evidence: test_engine late_return_of_an_expired_loan_ends_no_other_loan failed before (lent slots are used) and passes. The callers of the two functions in test_engine and test_peers_tcp name a borrower now; test_peers_tcp also checks that it is the peer's incarnation.

Now a loan has its borrower, and a return counts for that one's loans only. Open: a late return while the same host has a newer loan of the server; the messages have no number of the loan.

--- a/adapters/peers_loan.c
+++ b/adapters/peers_loan.c
@@ -163,7 +163,7 @@
 	for (i = 0; i < request->n_servers && i < PEERS_LOAN_SERVERS_MAX; i++) {
 		requested = request->servers[i];
 		lent = engine_loan_grant(engine, requested->server,
-		    peers_slots_clamp(requested->slots),
+		    conn->incarnation, peers_slots_clamp(requested->slots),
 		    (uint64_t)PEERS_LOAN_TIMEOUT_MS * 1000);
 		if (lent == 0)
 			continue;
@@ -288,5 +288,5 @@
 
 	for (i = 0; i < returned->n_servers; i++)
 		engine_loan_returned(engine, returned->servers[i]->server,
-		    returned->servers[i]->slots);
+		    conn->incarnation, returned->servers[i]->slots);
 }
--- a/entry/engine.h
+++ b/entry/engine.h
@@ -166,17 +166,21 @@
 
 /**
  * engine_loan_grant() - lend idle slots to another host.
+ * @borrower: id of that host, for engine_loan_returned().
  * @slots: maximum number of slots.
  * @duration_us: after this time the slots are reclaimed, returned or not.
  *
  * Return: number of slots lent; 0 if this host needs them itself.
  */
 uint32_t engine_loan_grant(struct engine *engine, const char *server,
-    uint32_t slots, uint64_t duration_us);
+    uint64_t borrower, uint32_t slots, uint64_t duration_us);
 
-/** engine_loan_returned() - take back slots that a borrower returned. */
+/**
+ * engine_loan_returned() - take back slots that a borrower returned. Slots of
+ * an expired loan have been reclaimed before.
+ */
 void engine_loan_returned(struct engine *engine, const char *server,
-    uint32_t slots);
+    uint64_t borrower, uint32_t slots);
 
 /**
  * engine_loan_accept() - borrow slots that another host has lent.
--- a/entry/engine_internal.h
+++ b/entry/engine_internal.h
@@ -41,7 +41,7 @@
 struct eng_loan {
 	uint32_t slots;
 	uint32_t returnable; /* borrowed slots to be returned to the lender */
-	uint64_t lender;     /* set for borrowed slots only */
+	uint64_t peer;	     /* the lender or the borrower */
 	/* Lent slots are reclaimed at this time. On borrowed slots, no task is
 	 * started after it. */
 	uint64_t expires_us;
--- a/entry/engine_loan.c
+++ b/entry/engine_loan.c
@@ -214,8 +214,8 @@
 /* Lending */
 
 uint32_t
-engine_loan_grant(struct engine *engine, const char *name, uint32_t slots,
-    uint64_t duration_us)
+engine_loan_grant(struct engine *engine, const char *name, uint64_t borrower,
+    uint32_t slots, uint64_t duration_us)
 {
 	struct eng_server *server = eng_server_find(engine, name);
 	uint64_t now_us = clock_now_us(engine->clock);
@@ -238,6 +238,7 @@
 	if (slots == 0 || loan == NULL)
 		return 0;
 	loan->slots = slots;
+	loan->peer = borrower;
 	loan->expires_us = now_us + duration_us;
 	server->nloans++;
 	eng_server_update_limit(engine, server, now_us);
@@ -246,7 +247,8 @@
 }
 
 void
-engine_loan_returned(struct engine *engine, const char *name, uint32_t slots)
+engine_loan_returned(struct engine *engine, const char *name, uint64_t borrower,
+    uint32_t slots)
 {
 	struct eng_server *server = eng_server_find(engine, name);
 	struct eng_loan *loan;
@@ -258,7 +260,7 @@
 	for (i = 0; i < ENG_LOANS_MAX && slots != 0; i++) {
 		loan = &server->lent[i];
 		nreturned = loan->slots < slots ? loan->slots : slots;
-		if (nreturned == 0)
+		if (nreturned == 0 || loan->peer != borrower)
 			continue;
 		loan->slots -= nreturned;
 		slots -= nreturned;
@@ -285,7 +287,7 @@
 	if (loan == NULL)
 		return false;
 	loan->slots = granted->slots;
-	loan->lender = granted->lender;
+	loan->peer = granted->lender;
 	loan->expires_us = now_us + duration_us;
 	server->nloans++;
 	eng_server_update_limit(engine, server, now_us);
@@ -311,7 +313,7 @@
 				continue;
 			returns[n].server = server->address.name;
 			returns[n].az = server->cfg.az;
-			returns[n].lender = loan->lender;
+			returns[n].lender = loan->peer;
 			returns[n++].slots = loan->returnable;
 			engine->nreturnable -= loan->returnable;
 			loan->returnable = 0;
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -581,17 +581,17 @@
 
 	fixture_init(&fx, "default", &setup);
 	engine_set_az_hosts(fx.engine, &az_hosts);
-	cr_assert_eq(engine_loan_grant(fx.engine, "s0", 3, 1000000), 3);
-	cr_assert_eq(engine_loan_grant(fx.engine, "s0", 3, 1000000), 0,
+	cr_assert_eq(engine_loan_grant(fx.engine, "s0", 7, 3, 1000000), 3);
+	cr_assert_eq(engine_loan_grant(fx.engine, "s0", 7, 3, 1000000), 0,
 	    "the reserved slot was lent");
 	submit(&fx, "j", 100);
 	cr_assert_eq(fake_backend_open_calls(&fx.fake, "s0"), 1);
 	cr_assert_eq(fake_backend_open_calls(&fx.fake, "s1"), 4);
-	cr_assert_eq(engine_loan_grant(fx.engine, "s1", 1, 1000000), 0);
+	cr_assert_eq(engine_loan_grant(fx.engine, "s1", 7, 1, 1000000), 0);
 	cr_assert_eq(engine_loan_requests(fx.engine, requests, 4), 2);
 	cr_assert(engine_loan_accept(fx.engine, &granted, 1000000));
 	cr_assert_eq(fake_backend_open_calls(&fx.fake, "s1"), 6);
-	engine_loan_returned(fx.engine, "s0", 1);
+	engine_loan_returned(fx.engine, "s0", 7, 1);
 	cr_assert_eq(fake_backend_open_calls(&fx.fake, "s0"), 2,
 	    "a returned slot is not used");
 	advance_time(&fx, 2000000);
@@ -602,6 +602,28 @@
 	fixture_clear(&fx);
 }
 
+/* The borrower was paused; its return ended the loan to another host. */
+Test(engine, late_return_of_an_expired_loan_ends_no_other_loan)
+{
+	const char *hosts[] = { "e1", "e2" };
+	struct engine_az_hosts az_hosts = { .az = "ikeja",
+		.nhosts = 2,
+		.hosts = hosts };
+	struct setup setup = { .nservers = 1, .slots = 8 };
+	struct fixture fx;
+
+	fixture_init(&fx, "default", &setup);
+	engine_set_az_hosts(fx.engine, &az_hosts);
+	cr_assert_eq(engine_loan_grant(fx.engine, "s0", 1, 3, 100000), 3);
+	advance_time(&fx, 200000);
+	cr_assert_eq(engine_loan_grant(fx.engine, "s0", 2, 3, 1000000), 3);
+	engine_loan_returned(fx.engine, "s0", 1, 3);
+	submit(&fx, "j", 4);
+	cr_expect_eq(fake_backend_open_calls(&fx.fake, "s0"), 1,
+	    "lent slots are used");
+	fixture_clear(&fx);
+}
+
 /* A borrowed slot is returned when its loan has expired and no task uses it. */
 Test(engine, unused_borrowed_slots_are_returned)
 {
--- a/tests/test_peers_tcp.c
+++ b/tests/test_peers_tcp.c
@@ -49,6 +49,7 @@
 	uint32_t slots_to_return; /* to the lender */
 	uint32_t returned_slots;  /* by the borrower, total */
 	uint64_t lender;
+	uint64_t borrower;
 	size_t grant_calls;
 	uint64_t granted_for_us;
 };
@@ -162,13 +163,14 @@
 }
 
 uint32_t
-engine_loan_grant(struct engine *engine, const char *server, uint32_t slots,
-    uint64_t for_us)
+engine_loan_grant(struct engine *engine, const char *server, uint64_t borrower,
+    uint32_t slots, uint64_t for_us)
 {
 	uint32_t n = slots < engine->idle_slots ? slots : engine->idle_slots;
 
 	cr_assert_str_eq(server, "s1");
 	engine->grant_calls++;
+	engine->borrower = borrower;
 	engine->granted_for_us = for_us;
 	engine->idle_slots -= n;
 	return n;
@@ -202,9 +204,11 @@
 }
 
 void
-engine_loan_returned(struct engine *engine, const char *server, uint32_t slots)
+engine_loan_returned(struct engine *engine, const char *server,
+    uint64_t borrower, uint32_t slots)
 {
 	cr_assert_str_eq(server, "s1");
+	cr_assert_eq(borrower, engine->borrower);
 	engine->returned_slots += slots;
 }
 
@@ -888,6 +892,7 @@
 	cr_assert_eq(b.engine.returned_slots, 0);
 	a.engine.slots_to_return = 2;
 	WAIT_FOR(b.engine.returned_slots == 2);
+	cr_assert_eq(b.engine.borrower, 11);
 	cr_assert_eq(c.engine.returned_slots, 0);
 	peers_tcp_destroy(a.peers);
 	peers_tcp_destroy(b.peers);
