Job status: a job that is being stored is not said to be missing

A caller that had no answer to its job and then cancelled it, or asked for its state, was told that there is no such job (410). The job was stored and ran later.

Cause: jstat_read_done() took a missing row for the proof that there is no job. A holder that has taken the job writes its row again and again while the store does not answer. A query had even asked that holder before, which had said that it does not know the outcome; that was passed over.

Evidence: test_job_service job_that_is_being_stored_is_not_said_to_be_missing failed before (410 to both) and passes. The memory store of the tests returned the first matching rows in the order of their writes, not of their keys as ports/rows.h says; the cancellation of the stored job in this test found the owner row so.

Now a job with no row is missing only if the local cell's holder has said that it has none. Its reply 404 counts as that; a row that is there outweighs it. Price: one more call to the holder for a cancellation of an unknown job. Not covered: a job that only a holder of another cell is storing.

--- a/entry/jobs/cells_stored.c
+++ b/entry/jobs/cells_stored.c
@@ -47,6 +47,9 @@
 	(void)err;
 	if (reply != NULL && reply->status == cells_store_statuses[JSTORE_OK])
 		result = JSTORE_OK;
+	else if (reply != NULL &&
+	    reply->status == cells_store_statuses[JSTORE_NO_JOB])
+		result = JSTORE_NO_JOB;
 	call->done(call->arg, result);
 	free(call);
 }
@@ -175,6 +178,9 @@
 		json_decref(body);
 		if (state >= JREC_ACCEPTED && state <= JREC_CANCELLED)
 			result = JSTORE_OK;
+	} else if (reply != NULL &&
+	    reply->status == cells_store_statuses[JSTORE_NO_JOB]) {
+		result = JSTORE_NO_JOB;
 	}
 	call->done(call->arg, result, (enum jrec_state)state, has_started);
 	free(call);
--- a/entry/jobs/job_service.c
+++ b/entry/jobs/job_service.c
@@ -237,7 +237,7 @@
 	if (svc->job_store == NULL)
 		return -1;
 	cells_set_job_store(svc->cells, svc->job_store);
-	svc->job_status = jstat_create(rows, svc->cells);
+	svc->job_status = jstat_create(rows, svc->cells, svc->params.self.az);
 	return 0;
 }
 
--- a/entry/jobs/job_status.c
+++ b/entry/jobs/job_status.c
@@ -16,6 +16,8 @@
 	char id[JOB_ID_LEN + 1];
 	bool cancel;
 	bool abandoned;
+	bool row_missing;
+	bool holder_has_none; /* the local cell's holder has said so */
 	jstat_done_fn done;
 	void *arg;
 	TAILQ_ENTRY(jstat_query) entry;
@@ -24,6 +26,7 @@
 struct job_status {
 	struct rows *rows;
 	struct cells *cells;
+	char az[NAME_SIZE]; /* of the local cell */
 	TAILQ_HEAD(, jstat_query) queries;
 };
 
@@ -56,12 +59,15 @@
 static void
 jstat_cancel_done(void *arg, enum jstore_result result)
 {
+	const struct jstat_query *query = arg;
+
 	switch (result) {
 	case JSTORE_OK:
 		jstat_finish(arg, JSTAT_CANCELLED);
 		break;
 	case JSTORE_NO_JOB:
-		jstat_finish(arg, JSTAT_NO_JOB);
+		jstat_finish(arg,
+		    query->row_missing ? JSTAT_NO_JOB : JSTAT_UNKNOWN);
 		break;
 	case JSTORE_REFUSED:
 	case JSTORE_UNKNOWN:
@@ -86,6 +92,22 @@
 	return has_started ? JSTAT_RUNNING : JSTAT_QUEUED;
 }
 
+/* The holder may be storing the job, so a missing row does not show that there
+ * is none. */
+static void
+jstat_row_missing(struct jstat_query *query)
+{
+	struct job_status *jstat = query->jstat;
+
+	query->row_missing = true;
+	if (query->cancel)
+		cells_cancel_stored(jstat->cells, jstat->az, query->id,
+		    jstat_cancel_done, query);
+	else
+		jstat_finish(query,
+		    query->holder_has_none ? JSTAT_NO_JOB : JSTAT_UNKNOWN);
+}
+
 static void
 jstat_read_done(void *arg, enum rows_status status, const struct rows_row *rows,
     size_t nrows, bool more)
@@ -100,7 +122,7 @@
 		return;
 	}
 	if (nrows == 0 || strcmp(rows[0].key, query->id) != 0) {
-		jstat_finish(query, JSTAT_NO_JOB);
+		jstat_row_missing(query);
 		return;
 	}
 	if (jrec_parse(&record, rows[0].value, rows[0].value_len) == -1) {
@@ -135,6 +157,7 @@
 {
 	struct jstat_query *query = arg;
 
+	query->holder_has_none = result == JSTORE_NO_JOB;
 	if (result == JSTORE_OK)
 		jstat_finish(query, jstat_from_record(state, has_started));
 	else
@@ -186,12 +209,13 @@
 }
 
 struct job_status *
-jstat_create(struct rows *rows, struct cells *cells)
+jstat_create(struct rows *rows, struct cells *cells, const char *az)
 {
 	struct job_status *jstat = mem_zalloc(1, sizeof(*jstat));
 
 	jstat->rows = rows;
 	jstat->cells = cells;
+	strlcpy(jstat->az, az, sizeof(jstat->az));
 	TAILQ_INIT(&jstat->queries);
 	return jstat;
 }
--- a/entry/jobs/job_status.h
+++ b/entry/jobs/job_status.h
@@ -26,8 +26,9 @@
 
 typedef void (*jstat_done_fn)(void *arg, enum jstat_state state);
 
-/** jstat_create() - both arguments are borrowed. */
-struct job_status *jstat_create(struct rows *rows, struct cells *cells);
+/** jstat_create() - @rows and @cells are borrowed; @az: of the local cell. */
+struct job_status *jstat_create(struct rows *rows, struct cells *cells,
+    const char *az);
 
 void jstat_destroy(struct job_status *jstat);
 
--- a/tests/support/memory_rows.c
+++ b/tests/support/memory_rows.c
@@ -3,6 +3,7 @@
  */
 
 #include <err.h>
+#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
@@ -127,6 +128,13 @@
 	    store->deferred_done, store->deferred_arg);
 }
 
+static int
+mrows_cmp(const void *a, const void *b)
+{
+	return strcmp(((const struct rows_row *)a)->key,
+	    ((const struct rows_row *)b)->key);
+}
+
 static void
 mrows_read(struct rows *rows, uint32_t part, const char *from, uint32_t limit,
     rows_read_fn done, void *arg)
@@ -146,7 +154,7 @@
 		done(arg, ROWS_UNKNOWN, NULL, 0, false);
 		return;
 	}
-	for (i = 0; i < MROWS_ROWS_MAX && n < limit; i++) {
+	for (i = 0; i < MROWS_ROWS_MAX; i++) {
 		if (store->table[i].version == 0 ||
 		    store->table[i].part != part ||
 		    strcmp(store->table[i].key, from) < 0)
@@ -156,7 +164,8 @@
 			.value_len = store->table[i].len,
 			.version = store->table[i].version };
 	}
-	done(arg, ROWS_OK, found, n, false);
+	qsort(found, n, sizeof(found[0]), mrows_cmp);
+	done(arg, ROWS_OK, found, n < limit ? n : limit, false);
 }
 
 void
--- a/tests/test_job_service.c
+++ b/tests/test_job_service.c
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 #include <event2/event.h>
 #include <inttypes.h>
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -654,3 +655,60 @@
 	cr_expect_gt(net->cluster.servers[1].used_cpu, 0);
 	net_destroy(net);
 }
+
+#define PENDING_ID "00000000000000bb"
+#define UNKNOWN_ID "00000000000000cc"
+
+static void
+note_state(void *arg, enum jstat_state state)
+{
+	*(enum jstat_state *)arg = state;
+}
+
+/* The states of two jobs, as a request to cancel them is answered, or one for
+ * their state. */
+static void
+net_expect_states(struct net *net, bool cancel, enum jstat_state pending)
+{
+	struct job_status *jstat = jsvc_status(net->hosts[6].svc);
+	enum jstat_state states[] = { JSTAT_COMPLETED, JSTAT_COMPLETED };
+
+	if (cancel) {
+		jstat_cancel(jstat, PENDING_ID, note_state, &states[0]);
+		jstat_cancel(jstat, UNKNOWN_ID, note_state, &states[1]);
+	} else {
+		jstat_get(jstat, PENDING_ID, note_state, &states[0]);
+		jstat_get(jstat, UNKNOWN_ID, note_state, &states[1]);
+	}
+	net_run(net, 100);
+	cr_expect_eq(states[0], pending, "%s: state %d",
+	    cancel ? "cancellation" : "query", (int)states[0]);
+	cr_expect_eq(states[1], JSTAT_NO_JOB, "%s: state %d",
+	    cancel ? "cancellation" : "query", (int)states[1]);
+}
+
+/* A job that was said not to exist, as its row was missing, ran later. */
+Test(job_service, job_that_is_being_stored_is_not_said_to_be_missing)
+{
+	static const char body[] = "{\"spec\":\"x\",\"steps\":[{\"count\":1,"
+				   "\"cpu\":1,\"mem_mb\":1}]}";
+	const struct job_queue queue = { .name = "q", .slack_permille = 3000 };
+	const struct gw_request request = { .id = PENDING_ID,
+		.queue = &queue,
+		.body = body,
+		.body_len = strlen(body),
+		.timeout_ms = 60000 };
+	struct net *net = net_create();
+
+	net->job_rows.lose_requests = INT_MAX;
+	gw_submit(jsvc_gateway(net->hosts[6].svc), &request, ignore_reply,
+	    NULL);
+	net_run(net, 100);
+	net_expect_states(net, false, JSTAT_UNKNOWN);
+	net_expect_states(net, true, JSTAT_UNKNOWN);
+	net->job_rows.lose_requests = 0;
+	net_run(net, 500);
+	net_expect_states(net, false, JSTAT_QUEUED);
+	net_expect_states(net, true, JSTAT_CANCELLED);
+	net_destroy(net);
+}
