Gateway: a cancellation ends only the submission that it names

A caller's job could be ended by the cancellation of another host, and be answered outcome-unknown.

Cause: a cancellation names a submission by the job's id and a nonce. The nonces of each gateway counted from 1, so those of two hosts, or of two processes of one, are often the same. A caller that sends its job to a second host and drops the first connection makes both hosts submit it to one holder; the first host's cancellation, which may be late, then ended the second submission.

Now they count from a random number of 64 bits.

--- a/entry/jobs/job_gateway.c
+++ b/entry/jobs/job_gateway.c
@@ -451,7 +451,10 @@
 	gateway->base = base;
 	gateway->clock = clock;
 	gateway->cells = cells;
-	gateway->next_nonce = 1;
+	/* Not that of another host, or of a former process of this one: a
+	 * cancellation must not name their submissions. */
+	evutil_secure_rng_get_bytes(&gateway->next_nonce,
+	    sizeof(gateway->next_nonce));
 	TAILQ_INIT(&gateway->jobs);
 	return gateway;
 }
--- /dev/null
+++ b/tests/test_job_gateway.c
@@ -0,0 +1,110 @@
+/*
+ * The gateway of one host, with holders of which only the calls are recorded.
+ */
+
+#include <criterion/criterion.h>
+#include <event2/event.h>
+#include <stdio.h>
+
+#include "adapters/clock_real.h"
+#include "core/mem.h"
+#include "entry/jobs/cells.h"
+#include "entry/jobs/job_gateway.h"
+#include "tests/support/sim_time.h"
+
+#define ID "5c0e7a21d94b36f8"
+#define TIMEOUT_MS 1500
+#define SUBMISSIONS_MAX 8
+
+/* The calls of one gateway to its cells. */
+struct cells {
+	struct {
+		char holder[NAME_SIZE];
+		uint64_t nonce;
+		uint32_t timeout_ms;
+		bool resubmitted;
+		cells_done_fn done;
+		void *arg;
+	} submissions[SUBMISSIONS_MAX];
+	size_t nsubmissions;
+	const char *holder;	  /* of the local cell; NULL: none */
+	uint64_t cancelled_nonce; /* of the last cancellation */
+};
+
+const char *
+cells_holder(const struct cells *cells)
+{
+	return cells->holder;
+}
+
+void
+cells_submit(struct cells *cells, const char *holder,
+    const struct cells_job *job, cells_done_fn done, void *arg)
+{
+	size_t i = cells->nsubmissions++;
+
+	cr_assert_lt(i, (size_t)SUBMISSIONS_MAX);
+	strlcpy(cells->submissions[i].holder, holder, NAME_SIZE);
+	cells->submissions[i].nonce = job->nonce;
+	cells->submissions[i].timeout_ms = job->timeout_ms;
+	cells->submissions[i].resubmitted = job->resubmitted;
+	cells->submissions[i].done = done;
+	cells->submissions[i].arg = arg;
+}
+
+void
+cells_cancel(struct cells *cells, const char *holder, const char *id,
+    uint64_t nonce)
+{
+	(void)holder;
+	cr_expect_str_eq(id, ID);
+	cells->cancelled_nonce = nonce;
+}
+
+struct caller {
+	int answers;
+	enum gw_result result;
+};
+
+static void
+caller_answered(void *arg, const struct gw_reply *reply)
+{
+	struct caller *caller = arg;
+
+	caller->answers++;
+	caller->result = reply->result;
+}
+
+static void
+submit(struct job_gateway *gateway, struct caller *caller)
+{
+	const struct job_queue queue = { .name = "q", .service = "booth" };
+	const struct gw_request request = { .id = ID,
+		.queue = &queue,
+		.body = "{}",
+		.body_len = 2,
+		.timeout_ms = TIMEOUT_MS };
+
+	gw_submit(gateway, &request, caller_answered, caller);
+}
+
+/* A holder had the job from two hosts, as its caller had sent it again. */
+Test(job_gateway, cancellation_ends_no_submission_of_another_host)
+{
+	struct event_base *base = event_base_new();
+	struct cells cells[2] = { { .holder = "h0" }, { .holder = "h1" } };
+	struct job_gateway *gateways[2];
+	struct caller callers[2] = { 0 };
+	size_t i;
+
+	for (i = 0; i < 2; i++) {
+		gateways[i] = gw_create(base, clock_real(), &cells[i]);
+		submit(gateways[i], &callers[i]);
+	}
+	gw_abandon(gateways[0], &callers[0]);
+	cr_expect_eq(cells[0].cancelled_nonce, cells[0].submissions[0].nonce);
+	cr_expect_neq(cells[0].cancelled_nonce, cells[1].submissions[0].nonce);
+	for (i = 0; i < 2; i++)
+		gw_destroy(gateways[i]);
+	event_base_free(base);
+}
