Gateway: no job is submitted after its caller's deadline

Cause: gw_send() computes the time that the caller still waits, without a check that some is left. After a pause of the process, gw_holder_changed() submits jobs whose timer is due but has not run: the difference wraps (1,271,309,819 ms in the test). If the cancellation that follows is lost, nothing ends the job.

Now such a job is answered, "not run" only if no holder may have had it.

--- a/entry/jobs/job_gateway.c
+++ b/entry/jobs/job_gateway.c
@@ -307,6 +307,11 @@
 
 	struct gw_attempt *attempt;
 
+	/* The process may have been paused. */
+	if (now_us >= job->deadline_us) {
+		gw_retry_or_answer(job, "the caller's deadline has passed");
+		return;
+	}
 	if (job->overflow.holder[0] != '\0')
 		holder = job->overflow.holder;
 	if (holder == NULL) {
--- a/tests/test_job_gateway.c
+++ b/tests/test_job_gateway.c
@@ -108,3 +108,30 @@
 		gw_destroy(gateways[i]);
 	event_base_free(base);
 }
+
+/* The holder was told to serve it for days. */
+Test(job_gateway, job_is_not_submitted_after_its_callers_deadline)
+{
+	const struct timeval tv = { .tv_usec = 50000 };
+	struct event_base *base;
+	struct job_gateway *gateway;
+	struct cells cells = { .holder = "h0" };
+	struct caller caller = { 0 };
+	size_t i;
+
+	sim_time_start();
+	base = event_base_new();
+	gateway = gw_create(base, clock_real(), &cells);
+	submit(gateway, &caller);
+	sim_time_advance(TIMEOUT_MS + 500);
+	gw_holder_changed(gateway, "h1");
+	(void)event_base_loopexit(base, &tv);
+	(void)event_base_dispatch(base);
+	for (i = 0; i < cells.nsubmissions; i++)
+		cr_expect_leq(cells.submissions[i].timeout_ms, TIMEOUT_MS,
+		    "%u ms", cells.submissions[i].timeout_ms);
+	cr_expect_eq(caller.answers, 1);
+	cr_expect_eq(caller.result, GW_UNKNOWN);
+	gw_destroy(gateway);
+	event_base_free(base);
+}
