Gateway: a job that came back from another zone follows its holder

A job that was to overflow into another zone, whose holder was not reached, came back to its own one. If that holder was then replaced, the job stayed with the former one; if it was lost, the caller was told "the remote holder was lost, outcome unknown" at once, though the successor could have completed the job.

Cause: `overflowed`, which says that the job was sent to another zone once, was also read as "it is there now". Where the job is, is said by the holder of the other zone, which is cleared when it did not accept the job.

--- a/entry/jobs/job_gateway.c
+++ b/entry/jobs/job_gateway.c
@@ -246,7 +246,7 @@
 						: "moved",
 	    job->may_have_started ? 1 : 0);
 	ctr_inc(&gw_resent);
-	if (job->overflowed && job->may_have_started) {
+	if (job->overflow.holder[0] != '\0' && job->may_have_started) {
 		/* Only the remote cell has the state of the job's runs, which
 		 * end when their leases expire. The job can't be resubmitted
 		 * to another cell. */
@@ -386,7 +386,8 @@
 	struct gw_job *job, *next;
 
 	TAILQ_FOREACH_SAFE (job, &gateway->jobs, entry, next) {
-		if (job->answered || job->current == NULL || job->overflowed ||
+		if (job->answered || job->current == NULL ||
+		    job->overflow.holder[0] != '\0' ||
 		    strcmp(job->holder, holder) == 0)
 			continue;
 		job->current = NULL;
--- a/tests/test_job_gateway.c
+++ b/tests/test_job_gateway.c
@@ -135,3 +135,55 @@
 	gw_destroy(gateway);
 	event_base_free(base);
 }
+
+static void
+run_ms(struct event_base *base, uint32_t ms)
+{
+	const struct timeval tv = { .tv_sec = ms / 1000,
+		.tv_usec = (suseconds_t)(ms % 1000) * 1000 };
+
+	(void)event_base_loopexit(base, &tv);
+	(void)event_base_dispatch(base);
+}
+
+static void
+end_submission(struct cells *cells, size_t i, enum cells_outcome outcome,
+    const struct sched_reply *reply, const char *overflow_holder)
+{
+	struct cells_overflow overflow = { .holder = "" };
+
+	strlcpy(overflow.holder, overflow_holder, sizeof(overflow.holder));
+	cells->submissions[i].done(cells->submissions[i].arg, outcome, reply,
+	    &overflow);
+}
+
+/* The other cell was not reached, and the job came back to its own one. */
+Test(job_gateway, job_that_came_back_is_resubmitted_when_its_holder_is_lost)
+{
+	const struct sched_reply refused = { .result = SCHED_NOT_RUN,
+		.reason = "busy" };
+	struct event_base *base;
+	struct job_gateway *gateway;
+	struct cells cells = { .holder = "h0" };
+	struct caller caller = { 0 };
+
+	sim_time_start();
+	base = event_base_new();
+	gateway = gw_create(base, clock_real(), &cells);
+	submit(gateway, &caller);
+	end_submission(&cells, 0, CELLS_REPLIED, &refused, "h9");
+	cr_assert_str_eq(cells.submissions[1].holder, "h9");
+	end_submission(&cells, 1, CELLS_NOT_ACCEPTED, NULL, "");
+	run_ms(base, 50);
+	cr_assert_eq(cells.nsubmissions, 3);
+	cr_assert_str_eq(cells.submissions[2].holder, "h0");
+	cells.holder = "h1";
+	end_submission(&cells, 2, CELLS_LOST, NULL, "");
+	run_ms(base, 50);
+	cr_expect_eq(caller.answers, 0, "result %d", (int)caller.result);
+	cr_assert_eq(cells.nsubmissions, 4);
+	cr_expect_str_eq(cells.submissions[3].holder, "h1");
+	cr_expect(cells.submissions[3].resubmitted);
+	gw_destroy(gateway);
+	event_base_free(base);
+}
