Gateway: the wait for a holder starts anew with each loss

A job that lost its holder a second time was answered outcome-unknown at once, though a successor would have taken it within the usual 600 ms.

Cause: the wait was counted from the first time without a holder, also if one had had the job in between. Refusals of jobs on arrival make a first short wait likelier.

Now the wait ends when a holder accepts the job, and a later loss starts another one. A job that no holder accepts is still answered after 600 ms.

--- a/entry/jobs/job_gateway.c
+++ b/entry/jobs/job_gateway.c
@@ -69,7 +69,8 @@
 	size_t body_len;
 	uint64_t arrived_us;
 	uint64_t deadline_us;
-	uint64_t unassigned_us; /* first time without a holder; 0: none */
+	/* Since when no holder has accepted it; 0: one has. */
+	uint64_t unassigned_us;
 	uint64_t nonce;
 	char holder[NAME_SIZE];		/* of the last attempt */
 	bool overflowed;		/* submitted to a remote cell */
@@ -246,6 +247,8 @@
 						: "moved",
 	    job->may_have_started ? 1 : 0);
 	ctr_inc(&gw_resent);
+	if (outcome != CELLS_NOT_ACCEPTED)
+		job->unassigned_us = 0; /* it had a holder until now */
 	if (job->overflow.holder[0] != '\0' && job->may_have_started) {
 		/* Only the remote cell has the state of the job's runs, which
 		 * end when their leases expire. The job can't be resubmitted
--- a/tests/test_job_gateway.c
+++ b/tests/test_job_gateway.c
@@ -187,3 +187,30 @@
 	gw_destroy(gateway);
 	event_base_free(base);
 }
+
+/* The time without a holder was counted from the first one. */
+Test(job_gateway, each_loss_of_a_holder_is_waited_for)
+{
+	struct event_base *base;
+	struct job_gateway *gateway;
+	struct cells cells = { .holder = NULL };
+	struct caller caller = { 0 };
+
+	sim_time_start();
+	base = event_base_new();
+	gateway = gw_create(base, clock_real(), &cells);
+	submit(gateway, &caller);
+	run_ms(base, 100);
+	cells.holder = "h0";
+	run_ms(base, 700);
+	cr_assert_eq(cells.nsubmissions, 1);
+	cells.holder = NULL;
+	end_submission(&cells, 0, CELLS_LOST, NULL, "");
+	run_ms(base, 100);
+	cells.holder = "h1";
+	run_ms(base, 100);
+	cr_expect_eq(caller.answers, 0, "result %d", (int)caller.result);
+	cr_expect_eq(cells.nsubmissions, 2);
+	gw_destroy(gateway);
+	event_base_free(base);
+}
