Cells: a token is also known from the row that reserves it

With x = 60, a standard impairment of the sites, two zones of three served nothing.

Cause: a fencing token is the version of the host's own row, and it was known from the reply to the write only. The call is given up after 0.8 s, and each try writes anew, although the store has carried out the one before. With x = 120, 32 of 142 writes timed out, and 110 were refused with 429, since the retries of all hosts fill the partition. The host received its own row by the feed meanwhile.

Ruled out: hosts that do not know each other (lists complete 0.6 s after the start), a missing configuration (applied after 0.6 s). With a store that answers no host at all, no host has a configuration; that stays as it is.

Change: the row names the process that wrote it, and a host takes the version of such a row for a token. It works as the version is unique to the transaction, and no other process uses the version of a row that names this one.

The rig of test_job_service carried out a write within the call and reported the row at once, before the hosts had read each other's rows; it now does so when the write arrives. hosts_that_start_without_replies_to_writes_serve failed before (hosts were not ready), in both forms of the rig; row_of_a_former_process_reserves_no_token fails without the comparison of the processes.

--- a/entry/daemon_jobs.c
+++ b/entry/daemon_jobs.c
@@ -39,6 +39,7 @@
 	    ? set->peer_advertise.port
 	    : peers_tcp_port(dmn->peers);
 	params.self.weight = set->weight;
+	params.self.incarnation = dmn->incarnation;
 	dmn->jobs = dmn->worker == NULL ? NULL : jsvc_create(&params);
 	if (dmn->jobs == NULL)
 		return err_set(err, ERR_STEP_SETTINGS, ERR_NO_MEMORY, NULL,
--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -281,12 +281,21 @@
 	cells->job_store = job_store;
 }
 
-void
+bool
+cells_own_row_received(struct cells *cells, uint64_t token)
+{
+	/* The token in use, or a former one, must not be used again. */
+	if (token <= cells->highest_token || token <= cells->reserved_token)
+		return false;
+	cells->reserved_token = token;
+	return true;
+}
+
+bool
 cells_token_reserved(struct cells *cells, uint64_t token)
 {
 	cells->reserve_pending = false;
-	if (token > cells->reserved_token)
-		cells->reserved_token = token;
+	return cells_own_row_received(cells, token);
 }
 
 void
--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -144,8 +144,17 @@
 /**
  * cells_token_reserved() - result of a reservation.
  * @token: reserved for this host; 0 if the reservation failed.
+ * Return: whether the token is a new one.
  */
-void cells_token_reserved(struct cells *cells, uint64_t token);
+bool cells_token_reserved(struct cells *cells, uint64_t token);
+
+/**
+ * cells_own_row_received() - the store has a row of this host that this process
+ * wrote, which reserves its version as a token. The reply to the write may be
+ * late or lost.
+ * Return: as cells_token_reserved().
+ */
+bool cells_own_row_received(struct cells *cells, uint64_t token);
 
 /**
  * cells_owner_read() - result of a read of the cell's owner.
--- a/entry/jobs/job_service.c
+++ b/entry/jobs/job_service.c
@@ -90,11 +90,26 @@
 	free(entries);
 }
 
+/* A former process of this host may have used the version of its row. */
+static bool
+jsvc_is_own_row(const struct job_service *svc, const struct reg_host *host)
+{
+	const struct reg_host *self = &svc->params.self;
+
+	return self->incarnation != 0 &&
+	    host->incarnation == self->incarnation &&
+	    strcmp(host->name, self->name) == 0;
+}
+
 static void
 jsvc_on_host(void *arg, const struct reg_host *host)
 {
 	struct job_service *svc = arg;
 
+	if (jsvc_is_own_row(svc, host) &&
+	    cells_own_row_received(svc->cells, host->row_version))
+		log_event(LOG_LEVEL_INFO, "token-reserved",
+		    "token=%" PRIu64 " source=row", host->row_version);
 	cells_host_update(svc->cells, host);
 	event_active(svc->hosts_event, EV_TIMEOUT, 0);
 }
@@ -172,17 +187,17 @@
 	rowsrc_listener(svc->row_source, listener);
 }
 
-/* Fencing tokens are versions of this host's own row: a write reserves one. */
+/* Fencing tokens are versions of this host's own row: a write reserves one,
+ * which is known from its reply or from the row itself. */
 
 static void
 jsvc_host_row_written(void *arg, uint64_t version)
 {
 	struct job_service *svc = arg;
 
-	if (version != 0)
-		log_event(LOG_LEVEL_INFO, "token-reserved", "token=%" PRIu64,
-		    version);
-	cells_token_reserved(svc->cells, version);
+	if (cells_token_reserved(svc->cells, version))
+		log_event(LOG_LEVEL_INFO, "token-reserved",
+		    "token=%" PRIu64 " source=reply", version);
 }
 
 static void
@@ -192,7 +207,7 @@
 	char *value;
 
 	if (svc->rows == NULL) {
-		cells_token_reserved(svc->cells, 0);
+		(void)cells_token_reserved(svc->cells, 0);
 		return;
 	}
 	value = svc->params.encode_host_row(&svc->params.self);
--- a/entry/jobs/registry.c
+++ b/entry/jobs/registry.c
@@ -292,8 +292,10 @@
 	else if (reg->decoder.host(row->key, row->value, row->value_len,
 		     &host) == -1)
 		reg_log_malformed_row(row);
-	else
+	else {
+		host.row_version = row->version;
 		reg->listener.host(reg->listener.arg, &host);
+	}
 }
 
 static void
--- a/entry/jobs/registry.h
+++ b/entry/jobs/registry.h
@@ -66,7 +66,9 @@
 	char az[NAME_SIZE];
 	char address[46]; /* for connections of peers */
 	uint16_t port;
-	uint32_t weight; /* processor share in thousandths */
+	uint32_t weight;      /* processor share in thousandths */
+	uint64_t incarnation; /* of the process that wrote it; 0: unknown */
+	uint64_t row_version; /* set by the registry */
 };
 
 /**
--- a/tests/test_job_service.c
+++ b/tests/test_job_service.c
@@ -23,10 +23,11 @@
 #define NSERVERS 2
 #define SERVER_CPU 64000
 #define ROWS_MAX 32
-#define CALL_MS 3     /* a call between hosts, in both directions */
-#define STORE_MS 4    /* a write's acknowledgement */
-#define START_MS 2000 /* until all zones have a holder */
-#define APPLY_MS 2000 /* a confirmed version is in force by then */
+#define CALL_MS 3      /* a call between hosts, in both directions */
+#define STORE_MS 4     /* a write's acknowledgement */
+#define TIMEOUT_MS 800 /* a write without one */
+#define START_MS 2000  /* until all zones have a holder */
+#define APPLY_MS 2000  /* a confirmed version is in force by then */
 #define CONFIG_KEY "config"
 
 struct net;
@@ -60,6 +61,8 @@
 	size_t nrows;
 	uint64_t version; /* of the store */
 	uint64_t connections_version;
+	bool replies_lost;   /* to writes, which are carried out */
+	bool writes_refused; /* by the store */
 	struct host hosts[NHOSTS];
 };
 
@@ -126,19 +129,49 @@
 }
 
 struct store_write {
+	struct host *host;
+	char key[NAME_SIZE];
+	char value[64];
+	bool refused;
 	rows_written_fn done;
 	void *arg;
-	uint64_t version;
 };
 
+static void
+store_timed_out(evutil_socket_t fd, short what, void *arg)
+{
+	struct store_write *write = arg;
+
+	(void)fd;
+	(void)what;
+	write->done(write->arg, 0);
+	free(write);
+}
+
+static void
+store_lose_reply(struct store_write *write)
+{
+	const struct timeval tv = { .tv_usec = TIMEOUT_MS * 1000 };
+
+	(void)event_base_once(write->host->net->base, -1, EV_TIMEOUT,
+	    store_timed_out, write, &tv);
+}
+
 static void
 store_written(evutil_socket_t fd, short what, void *arg)
 {
 	struct store_write *write = arg;
+	struct net *net = write->host->net;
 
 	(void)fd;
 	(void)what;
-	write->done(write->arg, write->version);
+	if (!write->refused)
+		store_put(net, ROWS_HOSTS, write->key, write->value);
+	if (!write->refused && net->replies_lost) {
+		store_lose_reply(write);
+		return;
+	}
+	write->done(write->arg, write->refused ? 0 : net->version);
 	free(write);
 }
 
@@ -156,12 +189,12 @@
 	struct host *host = rows_host(rows);
 	struct store_write *write = mem_zalloc(1, sizeof(*write));
 
+	write->host = host;
+	strlcpy(write->key, key, sizeof(write->key));
+	strlcpy(write->value, value, sizeof(write->value));
+	write->refused = !host->store_answers || host->net->writes_refused;
 	write->done = done;
 	write->arg = arg;
-	if (host->store_answers) {
-		store_put(host->net, ROWS_HOSTS, key, value);
-		write->version = host->net->version;
-	}
 	(void)event_base_once(host->net->base, -1, EV_TIMEOUT, store_written,
 	    write, &tv);
 }
@@ -319,7 +352,8 @@
 
 static const struct peers_ops host_peers_ops = { .forward = host_forward };
 
-/* Rows: a configuration is its version, a host its zone and weight. */
+/* Rows: a configuration is its version, a host its zone, weight and
+ * incarnation. */
 
 static int
 decode_config(const char *value, size_t len, struct reg_config *config)
@@ -349,17 +383,19 @@
 	(void)len;
 	memset(host, 0, sizeof(*host));
 	strlcpy(host->name, key, sizeof(host->name));
-	return sscanf(value, "%7s %" SCNu32, host->az, &host->weight) == 2 ? 0
-									   : -1;
+	return sscanf(value, "%7s %" SCNu32 " %" SCNu64, host->az,
+		   &host->weight, &host->incarnation) >= 2
+	    ? 0
+	    : -1;
 }
 
 static char *
 encode_host(const struct reg_host *host)
 {
-	char text[NAME_SIZE + 16];
+	char text[NAME_SIZE + 48];
 
-	(void)snprintf(text, sizeof(text), "%s %" PRIu32, host->az,
-	    host->weight);
+	(void)snprintf(text, sizeof(text), "%s %" PRIu32 " %" PRIu64, host->az,
+	    host->weight, host->incarnation);
 	return mem_strndup(text, strlen(text));
 }
 
@@ -393,6 +429,7 @@
 	(void)snprintf(params.self.az, sizeof(params.self.az), "z%zu",
 	    index % NZONES);
 	params.self.weight = (uint32_t)(1000 - index);
+	params.self.incarnation = index + 1;
 	host->store_answers = store_answers;
 	net->connections_version++;
 	host->svc = jsvc_create(&params);
@@ -419,11 +456,11 @@
 	store_put(net, ROWS_OPERATOR, CONFIG_KEY, version);
 }
 
+/* Starts the network and the store, and no host. */
 static struct net *
-net_create(void)
+net_create_empty(void)
 {
 	struct net *net = mem_zalloc(1, sizeof(*net));
-	size_t i;
 
 	sim_time_start();
 	net->base = event_base_new();
@@ -432,9 +469,25 @@
 	    fake_worker_create(net->base, clock_real(), &net->cluster, 1);
 	mrows_init(&net->job_rows, 0);
 	net_apply_config(net, "1");
+	return net;
+}
+
+static void
+net_start_hosts(struct net *net)
+{
+	size_t i;
+
 	for (i = 0; i < NHOSTS; i++)
 		host_start(net, i, true);
 	net_run(net, START_MS);
+}
+
+static struct net *
+net_create(void)
+{
+	struct net *net = net_create_empty();
+
+	net_start_hosts(net);
 	return net;
 }
 
@@ -552,6 +605,36 @@
 	net_destroy(net);
 }
 
+Test(job_service, hosts_that_start_without_replies_to_writes_serve)
+{
+	struct net *net = net_create_empty();
+	size_t i;
+
+	net->replies_lost = true;
+	net_start_hosts(net);
+	for (i = 0; i < NHOSTS; i++)
+		cr_expect(jsvc_ready(net->hosts[i].svc), "host %zu", i);
+	net_destroy(net);
+}
+
+/* The former process of the host may have used the row's version. */
+Test(job_service, row_of_a_former_process_reserves_no_token)
+{
+	struct net *net = net_create_empty();
+	size_t i;
+
+	net->writes_refused = true;
+	store_put(net, ROWS_HOSTS, "h0", "z0 1000 77");
+	store_put(net, ROWS_HOSTS, "h1", "z1 999 0");
+	net_start_hosts(net);
+	for (i = 0; i < NHOSTS; i++)
+		cr_expect_not(jsvc_ready(net->hosts[i].svc), "host %zu", i);
+	store_put(net, ROWS_HOSTS, "h0", "z0 1000 77");
+	net_run(net, START_MS);
+	cr_expect_not(jsvc_ready(net->hosts[0].svc));
+	net_destroy(net);
+}
+
 static void
 ignore_reply(void *arg, const struct gw_reply *reply)
 {
--- a/tests/test_platform_decode.c
+++ b/tests/test_platform_decode.c
@@ -185,3 +185,27 @@
 	cr_expect_eq(server.incarnation_start_ms, 1000);
 	cr_expect_str_eq(server.rack, "r");
 }
+
+/* Of two processes of a host, each must know its own row. */
+Test(platform_decode, row_of_a_host_names_its_process)
+{
+	static const char former[] =
+	    "{\"az\":\"a\",\"address\":\"10.0.0.1\",\"port\":80}";
+	struct reg_host host = { .az = "a",
+		.address = "10.0.0.1",
+		.port = 80,
+		.weight = 250,
+		.incarnation = UINT64_C(0xfedcba9876543210) };
+	char *text = platform_encode_host_row(&host);
+	struct reg_host decoded;
+
+	cr_assert_eq(
+	    platform_row_decoders.host("h", text, strlen(text), &decoded), 0);
+	cr_expect_eq(decoded.incarnation, host.incarnation);
+	cr_expect_eq(decoded.weight, host.weight);
+	cr_assert_eq(
+	    platform_row_decoders.host("h", former, strlen(former), &decoded),
+	    0);
+	cr_expect_eq(decoded.incarnation, 0);
+	free(text);
+}
