Cells: a zone's waiting jobs count while its holder is unreachable

A zone's number was read from the last reply of its reachable holder. Without one, and until a new holder that had announced itself was asked, it was 0, and the sum of the other zones was answered as if it were complete.

Now the number belongs to the zone, is replaced by the next report of its holder, and is kept by a holder that steps down. A new holder forgets the numbers of other zones, which may date from its last term.

Tests: waiting_jobs_of_an_unreachable_zone_are_counted and waiting_jobs_are_counted_until_a_new_holder_has_reported failed before ("h0 reports 0").

No periodic cost.

--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -135,7 +135,6 @@
 	TAILQ_REMOVE(&host->zone->hosts, host, entry);
 	nidx_remove(&cells->hosts_by_name, &host->by_name);
 	cells->nhosts--;
-	json_decref(host->pending);
 	free(host);
 }
 
@@ -298,6 +297,16 @@
 	return cells_own_row_received(cells, token);
 }
 
+static void
+cells_step_down(struct cells *cells)
+{
+	/* It counts until the new holder has reported. */
+	if (sched_token(cells->params.sched) != 0)
+		cells_set_pending(cells->local_zone,
+		    cells_pending_json(cells, true));
+	sched_deactivate(cells->params.sched);
+}
+
 void
 cells_observe_token(struct cells *cells, uint64_t token)
 {
@@ -306,7 +315,7 @@
 	cells->highest_token = token;
 	if (sched_token(cells->params.sched) != 0 &&
 	    sched_token(cells->params.sched) < token)
-		sched_deactivate(cells->params.sched);
+		cells_step_down(cells);
 	/* Not before the new holder's first report. */
 	sched_set_former_runs_known(cells->params.sched, false);
 }
@@ -326,7 +335,7 @@
 	uint64_t token = sched_token(cells->params.sched);
 
 	log_event(LOG_LEVEL_WARN, "fenced", "token=%" PRIu64, token);
-	sched_deactivate(cells->params.sched);
+	cells_step_down(cells);
 	/* The host that has replaced this one has reported nothing yet. */
 	sched_set_former_runs_known(cells->params.sched, false);
 	/* Another host has a higher token: a new one must be reserved before
@@ -352,6 +361,7 @@
 	    cells->holder_settled;
 	if (server_unknown)
 		sched_set_former_runs_known(cells->params.sched, false);
+	cells_drop_remote_pending(cells);
 	sched_activate(cells->params.sched, cells->highest_token);
 	if (server_unknown)
 		sched_set_server_unknown(cells->params.sched);
@@ -600,6 +610,7 @@
 	TAILQ_FOREACH_SAFE (zone, &cells->zones, entry, next_zone) {
 		TAILQ_FOREACH_SAFE (host, &zone->hosts, entry, next_host)
 			cells_host_free(cells, host);
+		json_decref(zone->pending);
 		free(zone);
 	}
 	nidx_release(&cells->hosts_by_name);
--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -138,7 +138,7 @@
     void *arg);
 
 /** cells_pending() - Return: number of stored jobs of a queue that have not
- * started, in all cells. */
+ * started, in all cells, as last reported by their holders. */
 uint32_t cells_pending(const struct cells *cells, const char *queue);
 
 /**
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -47,8 +47,6 @@
 	uint64_t confirmed_boot_us;
 	uint32_t backlog_ms;	/* queued work, as of the last reply */
 	uint32_t free_permille; /* of its servers' CPU capacity */
-	/* Number of stored jobs that have not started, by queue; owned. */
-	struct json_t *pending;
 	struct nidx_entry by_name;
 	TAILQ_ENTRY(cells_host)
 	entry; /* of the zone, preferred holders first */
@@ -64,6 +62,11 @@
 	struct cells_hosts hosts;
 	/* Reported as the holder by another host of the zone, or NULL. */
 	struct cells_host *likely_holder;
+	/* Number of stored jobs that have not started, by queue, as last
+	 * reported by the zone's holder: of this zone, or of all zones if it is
+	 * the local one; owned. NULL: none reported. Kept while the zone has no
+	 * reachable holder. */
+	struct json_t *pending;
 	TAILQ_ENTRY(cells_zone) entry;
 };
 
@@ -178,5 +181,14 @@
     const struct api_request *request, api_reply_fn reply, void *arg);
 void cells_handle_job_state(struct cells *cells,
     const struct api_request *request, api_reply_fn reply, void *arg);
+/* Counts the stored jobs of each queue that have not started, of this cell or
+ * of all cells. Return: a new reference. */
+json_t *cells_pending_json(const struct cells *cells, bool all_cells);
+/* Replaces what the zone's holder has reported; takes the reference. @pending:
+ * NULL: nothing reported, no change. */
+void cells_set_pending(struct cells_zone *zone, json_t *pending);
+/* For a new holder: what it knows of other zones may date from the last time
+ * that it was the holder. */
+void cells_drop_remote_pending(struct cells *cells);
 
 #endif /* ENTRY_JOBS_CELLS_INTERNAL_H */
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -484,47 +484,6 @@
 	cells_send_reply(reply, arg, 200, "{}");
 }
 
-static void
-cells_count_pending(void *arg, const char *queue)
-{
-	json_int_t n = json_integer_value(json_object_get(arg, queue));
-
-	(void)json_object_set_new(arg, queue, json_integer(n + 1));
-}
-
-static void
-cells_add_pending(json_t *sum, json_t *pending)
-{
-	const char *queue;
-	json_t *value;
-
-	json_object_foreach (pending, queue, value) {
-		json_int_t n = json_integer_value(json_object_get(sum, queue)) +
-		    json_integer_value(value);
-
-		(void)json_object_set_new(sum, queue, json_integer(n));
-	}
-}
-
-/* Counts the jobs of each queue, of this cell or of all cells. */
-static json_t *
-cells_pending_json(const struct cells *cells, bool all_cells)
-{
-	const struct cells_zone *zone;
-	const struct cells_host *holder;
-	json_t *sum = json_object();
-
-	sched_each_pending_job(cells->params.sched, cells_count_pending, sum);
-	if (!all_cells)
-		return sum;
-	TAILQ_FOREACH (zone, &cells->zones, entry) {
-		holder = zone->local ? NULL : cells_zone_holder(zone);
-		if (holder != NULL)
-			cells_add_pending(sum, holder->pending);
-	}
-	return sum;
-}
-
 /* The members of the state that only a holder has. */
 static void
 cells_add_load(const struct cells *cells, bool all_cells, json_t *body)
--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -200,10 +200,11 @@
 		    json_object_get(body, "backlog_ms"));
 		host->free_permille = (uint32_t)json_integer_value(
 		    json_object_get(body, "free_permille"));
-		json_decref(host->pending);
-		host->pending = json_incref(json_object_get(body, "pending"));
 		cells_host_set_token(ping->cells, host,
 		    cells_json_u64(body, "token"));
+		if (host == cells_zone_holder(host->zone))
+			cells_set_pending(host->zone,
+			    json_incref(json_object_get(body, "pending")));
 		host->replied_at = cells_json_u64(body, "replied_at");
 		cells_reply_received(ping->cells, host, body,
 		    ping->sent_boot_us);
--- a/entry/jobs/cells_stored.c
+++ b/entry/jobs/cells_stored.c
@@ -216,12 +216,73 @@
 	    cells_job_state_forward_done, call);
 }
 
+/* Number of stored jobs that have not started */
+
+void
+cells_set_pending(struct cells_zone *zone, json_t *pending)
+{
+	if (pending == NULL)
+		return;
+	json_decref(zone->pending);
+	zone->pending = pending;
+}
+
+void
+cells_drop_remote_pending(struct cells *cells)
+{
+	struct cells_zone *zone;
+
+	TAILQ_FOREACH (zone, &cells->zones, entry) {
+		if (zone->local)
+			continue;
+		json_decref(zone->pending);
+		zone->pending = NULL;
+	}
+}
+
+static void
+cells_count_pending(void *arg, const char *queue)
+{
+	json_int_t n = json_integer_value(json_object_get(arg, queue));
+
+	(void)json_object_set_new(arg, queue, json_integer(n + 1));
+}
+
+static void
+cells_add_pending(json_t *sum, json_t *pending)
+{
+	const char *queue;
+	json_t *value;
+
+	json_object_foreach (pending, queue, value) {
+		json_int_t n = json_integer_value(json_object_get(sum, queue)) +
+		    json_integer_value(value);
+
+		(void)json_object_set_new(sum, queue, json_integer(n));
+	}
+}
+
+json_t *
+cells_pending_json(const struct cells *cells, bool all_cells)
+{
+	const struct cells_zone *zone;
+	json_t *sum = json_object();
+
+	sched_each_pending_job(cells->params.sched, cells_count_pending, sum);
+	if (!all_cells)
+		return sum;
+	TAILQ_FOREACH (zone, &cells->zones, entry) {
+		if (!zone->local)
+			cells_add_pending(sum, zone->pending);
+	}
+	return sum;
+}
+
 static uint32_t
-cells_host_pending(const struct cells_host *host, const char *queue)
+cells_zone_pending(const struct cells_zone *zone, const char *queue)
 {
-	return host == NULL ? 0
-			    : (uint32_t)json_integer_value(
-				  json_object_get(host->pending, queue));
+	return (uint32_t)json_integer_value(
+	    json_object_get(zone->pending, queue));
 }
 
 uint32_t
@@ -232,11 +293,10 @@
 
 	/* The holder of the own cell reports the sum over all cells. */
 	if (sched_token(cells->params.sched) == 0)
-		return cells_host_pending(cells_zone_holder(cells->local_zone),
-		    queue);
+		return cells_zone_pending(cells->local_zone, queue);
 	TAILQ_FOREACH (zone, &cells->zones, entry) {
 		if (!zone->local)
-			n += cells_host_pending(cells_zone_holder(zone), queue);
+			n += cells_zone_pending(zone, queue);
 	}
 	return n;
 }
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1533,3 +1533,74 @@
 	}
 	net_destroy(net);
 }
+
+/* Sets whether the hosts of zone b, h1 and h3, reach those of zone a. */
+static void
+net_set_zone_connected(struct net *net, bool connected)
+{
+	size_t a, b;
+
+	for (a = 0; a < 4; a += 2) {
+		for (b = 1; b < 4; b += 2)
+			net_set_connected(net, a, b, connected);
+	}
+}
+
+static void
+net_expect_pending(struct net *net, uint32_t expected, const char *when)
+{
+	size_t i;
+
+	for (i = 0; i < net->nhosts; i++)
+		cr_expect_eq(cells_pending(net->hosts[i].cells, "q"), expected,
+		    "%s: h%zu reports %u", when, i,
+		    cells_pending(net->hosts[i].cells, "q"));
+}
+
+/* Two zones, of which b, held by h1, has a job that waits. */
+static struct net *
+net_create_waiting_job(void)
+{
+	struct net *net = net_create_zones(4, 2);
+
+	net_run(net, 2000);
+	cr_assert_neq(sched_token(net->hosts[0].sched), 0);
+	cr_assert_neq(sched_token(net->hosts[1].sched), 0);
+	host_submit(&net->hosts[1], PLAIN_JOB, false);
+	net_run(net, 2000);
+	net_expect_pending(net, 1, "at first");
+	return net;
+}
+
+Test(cells, waiting_jobs_of_an_unreachable_zone_are_counted)
+{
+	struct net *net = net_create_waiting_job();
+
+	net_set_zone_connected(net, false);
+	net_run(net, 1500);
+	net_expect_pending(net, 1, "without connections");
+	net_set_zone_connected(net, true);
+	sched_cancel(net->hosts[1].sched, ID, &net->hosts[1]);
+	net_run(net, 2000);
+	net_expect_pending(net, 0, "after the job's end");
+	net_destroy(net);
+}
+
+Test(cells, waiting_jobs_are_counted_until_a_new_holder_has_reported)
+{
+	struct net *net = net_create_waiting_job();
+	int ms;
+
+	net_isolate(net, 1, true);
+	for (ms = 0; sched_token(net->hosts[3].sched) == 0 && ms < 3000;
+	     ms += 10) {
+		net_run(net, 10);
+		cr_expect_eq(cells_pending(net->hosts[0].cells, "q"), 1,
+		    "after %d ms", ms);
+	}
+	cr_assert_neq(sched_token(net->hosts[3].sched), 0);
+	net_run(net, 2000);
+	cr_expect_eq(cells_pending(net->hosts[0].cells, "q"), 0,
+	    "h3 has no jobs");
+	net_destroy(net);
+}
