Tests: a new holder's number of waiting jobs lacks those it has not read (red)

waiting_jobs_are_counted_until_a_new_holder_has_read_its_jobs fails: all hosts report 0 from the take-over on.

--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -43,6 +43,7 @@
 	bool token_requested;
 	bool store_lost; /* the store does not answer it */
 	bool claims;	 /* its claim of the cell is in flight */
+	bool reads_jobs; /* stored jobs, before it runs any */
 	struct owner_read {
 		uint64_t sent_boot_us;
 		uint64_t ends_us; /* 0: not in flight */
@@ -281,6 +282,18 @@
 		host->config_reported = version;
 }
 
+static uint64_t
+host_record_run_end(void *arg, const char *id, uint32_t task, uint64_t run_id,
+    bool done)
+{
+	(void)arg;
+	(void)id;
+	(void)task;
+	(void)run_id;
+	(void)done;
+	return 0;
+}
+
 static void
 host_fenced(void *arg)
 {
@@ -312,6 +325,8 @@
 		.lease_ms = 1000,
 		.holder_lease_ms = 1000 + CELLS_CONFIRMED_AGE_MS,
 		.far_permille = 1000,
+		.record_run_end =
+		    host->reads_jobs ? host_record_run_end : NULL,
 		.fenced = host_fenced,
 		.arg = host };
 	struct cells_params params = { .base = net->base,
@@ -1557,25 +1572,23 @@
 		    cells_pending(net->hosts[i].cells, "q"));
 }
 
-/* Two zones, of which b, held by h1, has a job that waits. */
-static struct net *
-net_create_waiting_job(void)
+/* A job of zone b, which h1 holds, waits. */
+static void
+net_add_waiting_job(struct net *net)
 {
-	struct net *net = net_create_zones(4, 2);
-
 	net_run(net, 2000);
 	cr_assert_neq(sched_token(net->hosts[0].sched), 0);
 	cr_assert_neq(sched_token(net->hosts[1].sched), 0);
 	host_submit(&net->hosts[1], PLAIN_JOB, false);
 	net_run(net, 2000);
 	net_expect_pending(net, 1, "at first");
-	return net;
 }
 
 Test(cells, waiting_jobs_of_an_unreachable_zone_are_counted)
 {
-	struct net *net = net_create_waiting_job();
+	struct net *net = net_create_zones(4, 2);
 
+	net_add_waiting_job(net);
 	net_set_zone_connected(net, false);
 	net_run(net, 1500);
 	net_expect_pending(net, 1, "without connections");
@@ -1588,9 +1601,10 @@
 
 Test(cells, waiting_jobs_are_counted_until_a_new_holder_has_reported)
 {
-	struct net *net = net_create_waiting_job();
+	struct net *net = net_create_zones(4, 2);
 	int ms;
 
+	net_add_waiting_job(net);
 	net_isolate(net, 1, true);
 	for (ms = 0; sched_token(net->hosts[3].sched) == 0 && ms < 3000;
 	     ms += 10) {
@@ -1604,3 +1618,25 @@
 	    "h3 has no jobs");
 	net_destroy(net);
 }
+
+Test(cells, waiting_jobs_are_counted_until_a_new_holder_has_read_its_jobs)
+{
+	struct net *net = net_create_zones(4, 2);
+	struct host *successor = &net->hosts[3];
+
+	host_destroy(successor);
+	successor->reads_jobs = true;
+	host_create(net, 3);
+	host_load_list(successor);
+	net_add_waiting_job(net);
+	net_isolate(net, 1, true);
+	host_await_holder(successor);
+	net_isolate(net, 1, false);
+	net_run(net, 2000);
+	cr_assert_eq(sched_token(net->hosts[1].sched), 0);
+	net_expect_pending(net, 1, "before");
+	sched_set_jobs_loaded(successor->sched);
+	net_run(net, 2000);
+	net_expect_pending(net, 0, "after it has read none");
+	net_destroy(net);
+}
