--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -301,7 +301,7 @@
 cells_step_down(struct cells *cells)
 {
 	/* It counts until the new holder has reported. */
-	if (sched_token(cells->params.sched) != 0)
+	if (sched_jobs_loaded(cells->params.sched))
 		cells_set_pending(cells->local_zone,
 		    cells_pending_json(cells, true));
 	sched_deactivate(cells->params.sched);
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -502,8 +502,10 @@
 	(void)json_object_set_new(body, "servers_settled",
 	    json_integer(
 		(json_int_t)cells->params.servers_settled(cells->params.arg)));
-	(void)json_object_set_new(body, "pending",
-	    cells_pending_json(cells, all_cells));
+	/* Until then the number that was reported last is nearer. */
+	if (sched_jobs_loaded(cells->params.sched))
+		(void)json_object_set_new(body, "pending",
+		    cells_pending_json(cells, all_cells));
 }
 
 /* Hosts of this zone get the numbers of pending jobs of all cells. */
--- a/entry/jobs/cells_stored.c
+++ b/entry/jobs/cells_stored.c
@@ -291,8 +291,11 @@
 	uint32_t n = sched_pending_jobs(cells->params.sched, queue);
 	const struct cells_zone *zone;
 
-	/* The holder of the own cell reports the sum over all cells. */
-	if (sched_token(cells->params.sched) == 0)
+	/* The holder of the own cell reports the sum over all cells; the
+	 * report of a former one counts until this host has read its jobs. */
+	if (!sched_jobs_loaded(cells->params.sched) &&
+	    (sched_token(cells->params.sched) == 0 ||
+		cells->local_zone->pending != NULL))
 		return cells_zone_pending(cells->local_zone, queue);
 	TAILQ_FOREACH (zone, &cells->zones, entry) {
 		if (!zone->local)
--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -287,6 +287,12 @@
 		ctr_set(&sched_tasks_queued[i], queued_by_priority[i]);
 }
 
+bool
+sched_jobs_loaded(const struct scheduler *sched)
+{
+	return sched->token != 0 && sched->jobs_loaded;
+}
+
 void
 sched_deactivate(struct scheduler *sched)
 {
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -151,6 +151,10 @@
 /** sched_set_jobs_loaded() - all stored jobs of this cell were submitted. */
 void sched_set_jobs_loaded(struct scheduler *sched);
 
+/** sched_jobs_loaded() - whether this host is the holder and has all stored
+ * jobs of this cell. */
+bool sched_jobs_loaded(const struct scheduler *sched);
+
 /** sched_progress_stored() - the values of a job's row up to sequence number
  * @seq are stored. */
 void sched_progress_stored(struct scheduler *sched, const char *id,
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -325,8 +325,7 @@
 		.lease_ms = 1000,
 		.holder_lease_ms = 1000 + CELLS_CONFIRMED_AGE_MS,
 		.far_permille = 1000,
-		.record_run_end =
-		    host->reads_jobs ? host_record_run_end : NULL,
+		.record_run_end = host->reads_jobs ? host_record_run_end : NULL,
 		.fenced = host_fenced,
 		.arg = host };
 	struct cells_params params = { .base = net->base,
