A host that refuses a job returns its time

After a sender had been paused, its holder refused each of its jobs for 150 ms as sent too long ago: the ping that the sender sent as it resumed was lost with its connection, the next one followed 150 ms later, and the gateway submitted each job again every 20 ms with the same old time. Callers' jobs waited, and were sent eight times.

Now the refusal has the holder's time, and the next submission is in time.

Test: job_of_a_host_that_was_paused_is_refused_once failed before (the second submission was refused too). No periodic cost.

--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -195,10 +195,26 @@
 
 /* A forwarded job. */
 struct cells_forward_call {
+	struct cells *cells;
+	char holder[NAME_SIZE];
 	cells_done_fn done;
 	void *arg;
 };
 
+/* A host that refuses a job returns its time, so that the next submission to it
+ * does not count as sent long ago. */
+static void
+cells_refused(struct cells_forward_call *call, const json_t *body)
+{
+	struct cells_host *host = cells_host_find(call->cells, call->holder);
+	uint64_t replied_at =
+	    (uint64_t)json_integer_value(json_object_get(body, "replied_at"));
+
+	if (host != NULL && replied_at > host->replied_at)
+		host->replied_at = replied_at;
+	call->done(call->arg, CELLS_NOT_ACCEPTED, NULL, NULL);
+}
+
 static void
 cells_forward_done(void *arg, const struct api_reply *reply,
     const struct err *err)
@@ -236,7 +252,7 @@
 	overflow.replied_at = (uint64_t)json_integer_value(
 	    json_object_get(body, "overflow_replied_at"));
 	if (json_is_false(json_object_get(body, "accepted")))
-		call->done(call->arg, CELLS_NOT_ACCEPTED, NULL, NULL);
+		cells_refused(call, body);
 	else
 		call->done(call->arg, CELLS_REPLIED, &result, &overflow);
 	json_decref(body);
@@ -259,6 +275,8 @@
 	};
 	struct cells_forward_call *call = mem_zalloc(1, sizeof(*call));
 
+	call->cells = cells;
+	strlcpy(call->holder, host->info.name, sizeof(call->holder));
 	call->done = done;
 	call->arg = arg;
 	(void)snprintf(path, sizeof(path), CELLS_JOBS_PATH "%s", job->id);
@@ -412,9 +430,11 @@
 /* Replies that a job was not accepted. Hosts of earlier versions take it for
  * one that may have been started. */
 static void
-cells_refuse(api_reply_fn reply, void *arg, const char *reason)
+cells_refuse(const struct cells *cells, api_reply_fn reply, void *arg,
+    const char *reason)
 {
-	json_t *body = json_pack("{s:s,s:b}", "reason", reason, "accepted", 0);
+	json_t *body = json_pack("{s:s,s:b,s:I}", "reason", reason, "accepted",
+	    0, "replied_at", (json_int_t)cells_boot_us(cells));
 	char *text = json_dumps(body, JSON_COMPACT);
 
 	if (text == NULL)
@@ -463,7 +483,7 @@
 	    job.resubmitted ? 1 : 0, job.age_ms, job.sent_ago_ms,
 	    refusal == NULL ? "" : refusal);
 	if (refusal != NULL) {
-		cells_refuse(reply, arg, refusal);
+		cells_refuse(cells, reply, arg, refusal);
 		return;
 	}
 	sub = cells_submission_create(cells, job.id, job.nonce, arg);
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1517,6 +1517,31 @@
 	net_destroy(net);
 }
 
+/* The ping that it sends as it resumes is lost. */
+Test(cells, job_of_a_host_that_was_paused_is_refused_once)
+{
+	struct net *net = net_create_pair();
+	struct host *sender = &net->hosts[1];
+	struct submission first, second;
+
+	net_run(net, 20); /* no call is in flight */
+	sim_time_advance(1200);
+	net->hold_calls = true;
+	net_run(net, 10);
+	net_set_connected(net, 0, 1, false);
+	net_deliver(net);
+	net_run(net, 10);
+	net_set_connected(net, 0, 1, true);
+	host_submit_to(sender, "h0", false, &first);
+	net_run(net, 10);
+	cr_expect_eq(first.n, 1);
+	cr_expect_eq(first.outcome, CELLS_NOT_ACCEPTED);
+	host_submit_to(sender, "h0", false, &second);
+	net_run(net, 10);
+	cr_expect_eq(second.n, 0);
+	net_destroy(net);
+}
+
 Test(cells, only_forwards_that_were_certainly_not_executed_are_not_accepted)
 {
 	static const struct {
