Jobs of hosts of an earlier version are not refused for their age

While hosts of two versions run, a holder refuses jobs that a host of the earlier version sends to it from another zone, if that host was the holder of its zone before: it sends the time of the last ping that it sent as such, as it no longer pings holders of other zones. It takes the reply for one of a holder that has stepped down, and answers its caller that the outcome is unknown.

A job has the fencing token since the same version as the limit; one without it is now not limited. The comment at CELLS_SENT_UNKNOWN had promised that.

No periodic cost.

--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -397,7 +397,7 @@
 }
 
 /* How long ago at most a peer sent a request with the time in this host's last
- * reply, of which its sender knew. */
+ * message that its sender knew of. */
 static uint64_t
 cells_sent_ago_ms(const struct cells *cells, const struct api_request *request)
 {
@@ -410,11 +410,16 @@
 				   : (now_us - replied_at) / CELLS_US_PER_MS;
 }
 
-/* The reason why a job of a peer is not accepted, or NULL. */
+/* The reason why a job of a peer is not accepted, or NULL. A host of an earlier
+ * version sends no token, and may send a time at which it was the holder
+ * itself. */
 static const char *
-cells_refusal(const struct cells *cells, uint64_t token, uint64_t sent_ago_ms)
+cells_refusal(const struct cells *cells, const struct api_request *request,
+    uint64_t sent_ago_ms)
 {
 	uint64_t own_token = sched_token(cells->params.sched);
+	uint64_t token = cells_query_u64(request, "token");
+	char text[2];
 
 	if (own_token == 0)
 		return "this host is not the holder of the cell";
@@ -422,7 +427,8 @@
 	if (token != 0 && token != own_token)
 		return "this host became the holder after the job was sent";
 	if (sent_ago_ms != CELLS_SENT_UNKNOWN &&
-	    sent_ago_ms > CELLS_FORWARD_VALID_MS)
+	    sent_ago_ms > CELLS_FORWARD_VALID_MS &&
+	    api_query_text(request->query, "token", text, sizeof(text)))
 		return "the job was sent too long ago";
 	return NULL;
 }
@@ -462,8 +468,7 @@
 		.may_refuse = cells_query_u32(request, "may_refuse") != 0,
 		.nonce = cells_query_u64(request, "nonce"),
 	};
-	uint64_t token = cells_query_u64(request, "token");
-	const char *refusal = cells_refusal(cells, token, job.sent_ago_ms);
+	const char *refusal = cells_refusal(cells, request, job.sent_ago_ms);
 	struct cells_submission *sub;
 
 	(void)api_query_text(request->query, "queue", queue.name, NAME_SIZE);
@@ -479,9 +484,9 @@
 	    "id=%s nonce=%" PRIu64 " token=%" PRIu64 " sent_to_token=%" PRIu64
 	    " resubmitted=%d age_ms=%" PRIu32 " sent_ago_ms=%" PRIu64
 	    " refusal=\"%s\"",
-	    job.id, job.nonce, sched_token(cells->params.sched), token,
-	    job.resubmitted ? 1 : 0, job.age_ms, job.sent_ago_ms,
-	    refusal == NULL ? "" : refusal);
+	    job.id, job.nonce, sched_token(cells->params.sched),
+	    cells_query_u64(request, "token"), job.resubmitted ? 1 : 0,
+	    job.age_ms, job.sent_ago_ms, refusal == NULL ? "" : refusal);
 	if (refusal != NULL) {
 		cells_refuse(cells, reply, arg, refusal);
 		return;
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1542,6 +1542,32 @@
 	net_destroy(net);
 }
 
+static void
+count_reply(void *arg, const struct api_reply *reply)
+{
+	(void)reply;
+	++*(uint32_t *)arg;
+}
+
+/* Its time is that of the last ping that it sent as a holder. */
+Test(cells, job_of_an_earlier_version_is_accepted_whatever_time_it_has)
+{
+	struct net *net = net_create_pair();
+	const struct api_request request = { .method = API_POST,
+		.path = "/v1/work/jobs/" ID,
+		.query = "patience_ms=100000&nonce=1&queue=q&service=booth"
+			 "&attempts=3&slack=9600&target_ms=60&replied_at=1",
+		.body = BEST_EFFORT_JOB,
+		.body_len = sizeof(BEST_EFFORT_JOB) - 1 };
+	uint32_t nreplies = 0;
+
+	cells_handle(net->hosts[0].cells, &request, count_reply, &nreplies);
+	net_run(net, 100);
+	cr_expect_eq(nreplies, 0);
+	cr_expect_neq(net_busy_servers(net), 0);
+	net_destroy(net);
+}
+
 Test(cells, only_forwards_that_were_certainly_not_executed_are_not_accepted)
 {
 	static const struct {
