A job for another zone has the time that its holder passed on, or none

While the holder of a zone has an earlier version, it passes on no time with the holder of another zone that a refused job may overflow to. A host of the new version sent the time that it knew itself: that of the announcement as the other host became the holder, perhaps minutes ago. The job was refused there as sent too long ago and came back to its own zone, which had just refused it.

Only holders ping other zones' holders, so only the time that comes with the holder's name counts now; without one, the job is accepted as before. A holder passes its own time on to itself.

Test: job_for_another_zone_without_a_time_is_accepted failed before. The other tests now name the time of such a holder. No periodic cost.

--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -77,7 +77,8 @@
 	/* The holder may refuse it at once; another cell may run it sooner. */
 	bool may_refuse;
 	uint64_t nonce; /* identifies this submission for cells_cancel() */
-	/* Of a holder of another cell, see struct cells_overflow. */
+	/* For a holder of another cell, see struct cells_overflow. What this
+	 * host knows of it may be old, as only holders ping it. */
 	uint64_t holder_replied_at;
 };
 
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -291,8 +291,7 @@
 	    job->may_refuse ? 1 : 0, job->nonce, queue->name, queue->service,
 	    queue->priority, queue->max_attempts, queue->slack_permille,
 	    queue->target_ms, queue->advised ? 1 : 0, queue->config_version,
-	    host->replied_at > job->holder_replied_at ? host->replied_at
-						      : job->holder_replied_at,
+	    host->zone->local ? host->replied_at : job->holder_replied_at,
 	    host->zone->local ? host->token : 0);
 	cells->params.peers->ops->forward(cells->params.peers, host->info.az,
 	    host->info.name, host->incarnation, &request, cells_forward_done,
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1406,9 +1406,10 @@
 		submission->result = reply->result;
 }
 
+/* @replied_at: of a holder of another zone. */
 static void
-host_submit_to(struct host *host, const char *holder, bool resubmitted,
-    struct submission *submission)
+host_submit_at(struct host *host, const char *holder, bool resubmitted,
+    uint64_t replied_at, struct submission *submission)
 {
 	const struct job_queue queue = { .name = "q",
 		.service = "booth",
@@ -1421,12 +1422,21 @@
 		.body_len = sizeof(BEST_EFFORT_JOB) - 1,
 		.timeout_ms = JOB_TIMEOUT_MS,
 		.resubmitted = resubmitted,
-		.nonce = 1 };
+		.nonce = 1,
+		.holder_replied_at = replied_at };
 
 	*submission = (struct submission){ .n = 0 };
 	cells_submit(host->cells, holder, &job, submission_done, submission);
 }
 
+static void
+host_submit_to(struct host *host, const char *holder, bool resubmitted,
+    struct submission *submission)
+{
+	host_submit_at(host, holder, resubmitted, clock_boot_us(clock_real()),
+	    submission);
+}
+
 /* Runs until the host is the holder. */
 static void
 host_await_holder(struct host *host)
@@ -1542,6 +1552,21 @@
 	net_destroy(net);
 }
 
+/* The holder of its own zone has an earlier version. */
+Test(cells, job_for_another_zone_without_a_time_is_accepted)
+{
+	struct net *net = net_create_zones(3, 2);
+	struct submission submission;
+
+	net_run(net, 3000);
+	cr_assert_neq(sched_token(net->hosts[1].sched), 0);
+	cr_assert_eq(sched_token(net->hosts[2].sched), 0);
+	host_submit_at(&net->hosts[2], "h1", false, 0, &submission);
+	net_run(net, 20);
+	cr_expect_eq(submission.n, 0);
+	net_destroy(net);
+}
+
 static void
 count_reply(void *arg, const struct api_reply *reply)
 {
