--- a/entry/jobs/job_gateway.c
+++ b/entry/jobs/job_gateway.c
@@ -69,8 +69,7 @@
 	size_t body_len;
 	uint64_t arrived_us;
 	uint64_t deadline_us;
-	/* Since when no holder has accepted it; 0: one has. */
-	uint64_t unassigned_us;
+	uint64_t unassigned_us; /* start of the wait for a holder; 0: none */
 	uint64_t nonce;
 	char holder[NAME_SIZE];		/* of the last attempt */
 	bool overflowed;		/* submitted to a remote cell */
@@ -89,6 +88,7 @@
  * is no longer the job's current attempt. */
 struct gw_attempt {
 	struct gw_job *job;
+	uint64_t sent_us;
 };
 
 struct job_gateway {
@@ -230,6 +230,19 @@
 	return true;
 }
 
+/* Ends the job's current attempt. If it lasted longer than a wait for a holder,
+ * the next wait is a new one; a holder that fails all jobs at once is not tried
+ * until the deadline. */
+static void
+gw_end_attempt(struct gw_job *job)
+{
+	uint64_t now_us = clock_now_us(job->gateway->clock);
+
+	if (now_us - job->current->sent_us > GW_HOLDER_WAIT_MS * GW_US_PER_MS)
+		job->unassigned_us = 0;
+	job->current = NULL;
+}
+
 /* Processes the end of an attempt that gave no result: the holder was lost, was
  * not reached, or is no longer the holder. */
 static void
@@ -247,8 +260,6 @@
 						: "moved",
 	    job->may_have_started ? 1 : 0);
 	ctr_inc(&gw_resent);
-	if (outcome != CELLS_NOT_ACCEPTED)
-		job->unassigned_us = 0; /* it had a holder until now */
 	if (job->overflow.holder[0] != '\0' && job->may_have_started) {
 		/* Only the remote cell has the state of the job's runs, which
 		 * end when their leases expire. The job can't be resubmitted
@@ -273,10 +284,10 @@
 		reply->result == SCHED_ACCEPTED);
 	bool is_current = job->current == attempt;
 
+	if (is_current)
+		gw_end_attempt(job);
 	free(attempt);
 	job->nattempts--;
-	if (is_current)
-		job->current = NULL;
 	if (job->answered)
 		gw_job_free(job);
 	else if (!is_current && !succeeded)
@@ -325,6 +336,7 @@
 	strlcpy(job->holder, holder, sizeof(job->holder));
 	job->current = attempt = mem_zalloc(1, sizeof(*attempt));
 	attempt->job = job;
+	attempt->sent_us = now_us;
 	job->nattempts++;
 	gw_set_timer(job, job->deadline_us);
 	cells_submit(job->gateway->cells, job->holder, &submission,
@@ -393,7 +405,7 @@
 		    job->overflow.holder[0] != '\0' ||
 		    strcmp(job->holder, holder) == 0)
 			continue;
-		job->current = NULL;
+		gw_end_attempt(job);
 		job->may_have_started = true;
 		log_event(LOG_LEVEL_INFO, "job-unassigned",
 		    "id=%s holder=%s cause=taken-over next=%s", job->id,
