Test: a job for a former fencing token is refused in time, too

Without the check of the token in cells_refusal(), no test failed: the job of job_sent_before_two_take_overs_is_not_started_after_them arrives over 1 s after it was sent, so the limit on its age, which landed after the check, refuses it as well. The new case has the job arrive within 1 s; without the check, it fails.

--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1499,6 +1499,26 @@
 	net_destroy(net);
 }
 
+/* It arrives in time, but for another token. */
+Test(cells, job_sent_before_its_receiver_took_over_again_is_not_started)
+{
+	struct net *net = net_create_pair();
+	struct host *holder = &net->hosts[0];
+	struct submission submission;
+
+	net->hold_calls = true;
+	host_submit_to(&net->hosts[1], "h0", false, &submission);
+	net->hold_calls = false;
+	cells_fenced(holder->cells);
+	host_await_holder(holder);
+	net_deliver(net);
+	net_run(net, 20);
+	cr_expect_eq(submission.n, 1);
+	cr_expect_eq(submission.outcome, CELLS_NOT_ACCEPTED);
+	cr_expect_eq(net_busy_servers(net), 0);
+	net_destroy(net);
+}
+
 /* Its sender has lost the connection and answered its caller. */
 Test(cells, job_for_another_zone_is_not_started_long_after_it_was_sent)
 {
