--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -12,9 +12,9 @@
  * other holders have the crashes, as callers may submit a job again in another
  * zone.
  *
- * Each ping returns the time in the last reply. The holder so learns at which
- * time the other hosts of its zone had not replaced it, and renews its lease on
- * that role (see core/holder_lease.h).
+ * Each ping returns the time in the last message of its receiver. The holder so
+ * learns at which time the other hosts of its zone had not replaced it, and
+ * renews its lease on that role (see core/holder_lease.h).
  *
  * Pings and replies carry the version of the sender's configuration. As every
  * host pings its holder and holders ping each other, a version that one host
@@ -73,9 +73,9 @@
 		host->confirmed_boot_us = boot_us;
 }
 
-/* The time in the ping is that of this host's last reply, which the sender
- * received before it sent the ping. Its tokens count even if this host does not
- * know it: the reply confirms that they were noted. */
+/* The time in the ping is that of this host's last reply or announcement, which
+ * the sender received before it sent the ping. Its tokens count even if this
+ * host does not know it: the reply confirms that they were noted. */
 void
 cells_ping_received(struct cells *cells, struct cells_host *host,
     const struct api_request *request)
