--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1735,3 +1735,17 @@
 	net_expect_pending(net, 0, "after it has read none");
 	net_destroy(net);
 }
+
+Test(cells, waiting_jobs_of_an_unreachable_zone_are_counted_by_a_new_holder)
+{
+	struct net *net = net_create_zones(4, 2);
+
+	net_add_waiting_job(net);
+	net_set_zone_connected(net, false);
+	net_run(net, 1000);
+	net_isolate(net, 0, true);
+	host_await_holder(&net->hosts[2]);
+	net_run(net, 1000);
+	cr_expect_eq(cells_pending(net->hosts[2].cells, "q"), 1);
+	net_destroy(net);
+}
