Cells: likely successors know the waiting jobs of each zone

A host that took over while another zone could not be reached left the waiting jobs of that zone out: it had the sum of its predecessor, and the parts only of zones that it had asked itself. Ruled out: a wrong sum before (no wrong number before a take-over).

A holder's reply to the hosts that hold the servers' rows as its likely successors now has the part of each other zone (remote_pending), as it has the suspects. A new holder no longer forgets these, as they are at most two pings old; a part that the holder doesn't know is kept.

--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -361,7 +361,6 @@
 	    cells->holder_settled;
 	if (server_unknown)
 		sched_set_former_runs_known(cells->params.sched, false);
-	cells_drop_remote_pending(cells);
 	sched_activate(cells->params.sched, cells->highest_token);
 	if (server_unknown)
 		sched_set_server_unknown(cells->params.sched);
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -187,8 +187,11 @@
 /* Replaces what the zone's holder has reported; takes the reference. @pending:
  * NULL: nothing reported, no change. */
 void cells_set_pending(struct cells_zone *zone, json_t *pending);
-/* For a new holder: what it knows of other zones may date from the last time
- * that it was the holder. */
-void cells_drop_remote_pending(struct cells *cells);
+/* The parts of the other zones, by zone, for the likely successors of this
+ * holder. Return: a new reference. */
+json_t *cells_remote_pending_json(const struct cells *cells);
+/* Replaces the parts of the other zones by those that the holder of the own
+ * cell reports; @parts: NULL: none. */
+void cells_set_remote_pending(struct cells *cells, json_t *parts);
 
 #endif /* ENTRY_JOBS_CELLS_INTERNAL_H */
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -562,6 +562,9 @@
 	if (cells_query_u64(request, "suspects") != 0)
 		(void)json_object_set_new(body, "suspects",
 		    sched_suspects_render(cells->params.sched, !local));
+	if (token != 0 && local && cells_query_u64(request, "suspects") != 0)
+		(void)json_object_set_new(body, "remote_pending",
+		    cells_remote_pending_json(cells));
 	if (token != 0)
 		cells_add_load(cells, local, body);
 	else if (holder != NULL)
--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -174,6 +174,17 @@
 	cells->holder_settled = cells_json_u64(body, "servers_settled");
 }
 
+/* Processes the holder's report of the jobs that have not started. */
+static void
+cells_learn_pending(struct cells *cells, struct cells_zone *zone,
+    const json_t *body)
+{
+	cells_set_pending(zone, json_incref(json_object_get(body, "pending")));
+	if (zone->local)
+		cells_set_remote_pending(cells,
+		    json_object_get(body, "remote_pending"));
+}
+
 static void
 cells_ping_done(void *arg, const struct api_reply *reply, const struct err *err)
 {
@@ -203,8 +214,7 @@
 		cells_host_set_token(ping->cells, host,
 		    cells_json_u64(body, "token"));
 		if (host == cells_zone_holder(host->zone))
-			cells_set_pending(host->zone,
-			    json_incref(json_object_get(body, "pending")));
+			cells_learn_pending(ping->cells, host->zone, body);
 		host->replied_at = cells_json_u64(body, "replied_at");
 		cells_reply_received(ping->cells, host, body,
 		    ping->sent_boot_us);
--- a/entry/jobs/cells_stored.c
+++ b/entry/jobs/cells_stored.c
@@ -227,16 +227,28 @@
 	zone->pending = pending;
 }
 
+json_t *
+cells_remote_pending_json(const struct cells *cells)
+{
+	const struct cells_zone *zone;
+	json_t *parts = json_object();
+
+	TAILQ_FOREACH (zone, &cells->zones, entry) {
+		if (!zone->local && zone->pending != NULL)
+			(void)json_object_set(parts, zone->az, zone->pending);
+	}
+	return parts;
+}
+
 void
-cells_drop_remote_pending(struct cells *cells)
+cells_set_remote_pending(struct cells *cells, json_t *parts)
 {
 	struct cells_zone *zone;
 
 	TAILQ_FOREACH (zone, &cells->zones, entry) {
-		if (zone->local)
-			continue;
-		json_decref(zone->pending);
-		zone->pending = NULL;
+		if (!zone->local)
+			cells_set_pending(zone,
+			    json_incref(json_object_get(parts, zone->az)));
 	}
 }
 
