Do not fail a job for servers that refuse connections

Cause: a refused connection was taken for proof of a crash. A path that resets connections refuses for a server that runs on; two of them, one while the task was alone on its server, gave its job up for good.

A loss is now refused or crashed. Only a server's return shows a crash: as a later incarnation, or with another server at its address, which was ignored once the runs had been released. A task that would be guilty if refusing servers have crashed waits for them, 5 to 15 s at most, and is then isolated as before.

Ruled out: an incarnation that was taken for another one (started_ms is the same throughout).

--- a/core/suspect.c
+++ b/core/suspect.c
@@ -17,7 +17,8 @@
 #define SUSP_CRASHES_MAX 3
 #define SUSP_CRASHES_UNCONFIRMED_MAX 4
 /* A task that has lost this many servers is not started while it is not known
- * whether they have crashed, but for at most this time. */
+ * whether they have crashed, but for at most this time; if it is guilty should
+ * they have, for that much longer after each further loss. */
 #define SUSP_WAIT_LOSSES 2
 #define SUSP_WAIT_MS 5000
 #define SUSP_VALID_MS 60000
@@ -108,8 +109,11 @@
 		if (!susp_loss_same(&task->losses[i], loss))
 			continue;
 		known = (task->losses[i].crashed || !loss->crashed) &&
+		    (task->losses[i].crashed || task->losses[i].refused ||
+			!loss->refused) &&
 		    (task->losses[i].started || !loss->started);
 		task->losses[i].crashed |= loss->crashed;
+		task->losses[i].refused |= loss->refused;
 		task->losses[i].started |= loss->started;
 		return !known;
 	}
@@ -149,6 +153,25 @@
 	return found;
 }
 
+bool
+susp_server_ended(struct suspects *suspects, const char *server)
+{
+	struct susp_task *task;
+	bool added = false;
+	size_t i;
+
+	TAILQ_FOREACH (task, &suspects->tasks, entry) {
+		for (i = 0; i < task->nlosses; i++) {
+			if (task->losses[i].crashed ||
+			    strcmp(task->losses[i].server, server) != 0)
+				continue;
+			task->losses[i].crashed = true;
+			added = true;
+		}
+	}
+	return added;
+}
+
 void
 susp_acquit(struct suspects *suspects, const char *name)
 {
@@ -174,15 +197,17 @@
 		susp_task_free(suspects, task);
 }
 
+/* @refused: whether servers that refused connections count as crashed, too. */
 static bool
-susp_task_guilty(const struct susp_task *task, size_t *crashes)
+susp_task_guilty(const struct susp_task *task, bool refused, size_t *crashes)
 {
 	bool alone = false;
 	size_t i, started = 0;
 
 	*crashes = 0;
 	for (i = 0; i < task->nlosses; i++) {
-		if (!task->losses[i].crashed)
+		if (!task->losses[i].crashed &&
+		    !(refused && task->losses[i].refused))
 			continue;
 		(*crashes)++;
 		if (!task->losses[i].started)
@@ -199,14 +224,21 @@
 susp_judge(const struct suspects *suspects, const char *name, uint64_t now_us)
 {
 	const struct susp_task *task = susp_get(suspects, name);
+	uint64_t waited_us;
 	size_t crashes;
 
 	if (task == NULL)
 		return SUSP_NONE;
-	if (susp_task_guilty(task, &crashes))
+	if (susp_task_guilty(task, false, &crashes))
 		return SUSP_GUILTY;
+	waited_us = now_us - susp_last_loss_us(task);
+	if (susp_task_guilty(task, true, &crashes))
+		return waited_us <
+			(task->nlosses - 1) * SUSP_WAIT_MS * SUSP_US_PER_MS
+		    ? SUSP_UNPROVEN
+		    : SUSP_ISOLATE;
 	if (task->nlosses >= SUSP_WAIT_LOSSES && crashes < task->nlosses &&
-	    now_us - susp_last_loss_us(task) < SUSP_WAIT_MS * SUSP_US_PER_MS)
+	    waited_us < SUSP_WAIT_MS * SUSP_US_PER_MS)
 		return SUSP_WAIT;
 	return crashes == 0 && task->nlosses < SUSP_WAIT_LOSSES ? SUSP_NONE
 								: SUSP_ISOLATE;
--- a/core/suspect.h
+++ b/core/suspect.h
@@ -27,6 +27,7 @@
 	uint64_t incarnation_start_ms; /* of the lost one; 0: unknown */
 	uint64_t lost_us;
 	bool crashed; /* else it is perhaps only unreachable */
+	bool refused; /* it refused connections, as if it had crashed */
 	bool alone;   /* no other task was on the server */
 	bool started; /* the task is known to have been started there */
 };
@@ -54,7 +55,10 @@
 	SUSP_NONE,    /* no server is known to have crashed under it */
 	SUSP_ISOLATE, /* start it on a server without other tasks */
 	SUSP_WAIT,    /* do not start it until a lost server is back */
-	SUSP_GUILTY,  /* it crashes servers: do not start it again */
+	/* It is guilty if the servers that refuse connections have crashed: do
+	 * not start it until they are back. */
+	SUSP_UNPROVEN,
+	SUSP_GUILTY, /* it crashes servers: do not start it again */
 };
 
 void susp_init(struct suspects *suspects);
@@ -78,6 +82,13 @@
 bool susp_server_seen(struct suspects *suspects, const char *server,
     uint64_t incarnation_start_ms);
 
+/**
+ * susp_server_ended() - another server replies at the address of a lost one,
+ * which has crashed.
+ * Return: whether this adds anything.
+ */
+bool susp_server_ended(struct suspects *suspects, const char *server);
+
 /** susp_acquit() - the task has ended without a crash. */
 void susp_acquit(struct suspects *suspects, const char *task);
 
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -244,7 +244,8 @@
 
 /**
  * sched_suspects_render() - encode the tasks under which servers were lost.
- * @crashes_only: encode crashes only, for the holders of other cells, where the
+ * @crashes_only: encode losses only of servers that have crashed or that refuse
+ *                connections, for the holders of other cells, where the
  *                callers of these tasks may submit their jobs again. Only the
  *                holder of the cell sees that a server was just unreachable.
  * Return: a JSON array, owned by the caller.
--- a/entry/jobs/scheduler_bulkhead.c
+++ b/entry/jobs/scheduler_bulkhead.c
@@ -56,7 +56,7 @@
 static bool
 sched_server_away(const struct sched_server *server)
 {
-	return !server->held || server->crash_reported;
+	return !server->held || server->refusing;
 }
 
 /* Whether half of the servers are away. */
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -209,12 +209,12 @@
 	uint64_t processed_end;	      /* number of the last processed end */
 	uint64_t acknowledged_sent;   /* value that the last hold sent */
 	struct sched_unstored_ends unstored_ends; /* ordered by number */
-	bool held;	     /* its lists were processed under this token */
-	bool was_held;	     /* under this token, perhaps not now */
-	bool removed;	     /* from the registry; freed when unused */
-	bool crash_reported; /* it refuses connections since it was held */
-	bool reserved;	     /* for queues that are not confined */
-	uint32_t nisolated;  /* runs that no other task is started beside */
+	bool held;	    /* its lists were processed under this token */
+	bool was_held;	    /* under this token, perhaps not now */
+	bool removed;	    /* from the registry; freed when unused */
+	bool refusing;	    /* it refuses connections since it was held */
+	bool reserved;	    /* for queues that are not confined */
+	uint32_t nisolated; /* runs that no other task is started beside */
 	bool hold_pending;
 	uint64_t hold_sent_us;
 	uint64_t hold_due_us;	   /* next hold; 0: not scheduled */
@@ -350,7 +350,7 @@
 /* @crashed: whether it is known that its process has ended. */
 void sched_server_lost(struct sched_server *server, const char *reason,
     bool crashed);
-/* The server refuses connections: its process has ended. */
+/* The server refuses connections: perhaps its process has ended. */
 void sched_server_refused(struct sched_server *server);
 /*
  * Calls the fenced callback if the server has a higher token, and closes the
@@ -421,8 +421,13 @@
     uint64_t now_us);
 /* The task's run has ended without a crash. */
 void sched_suspect_acquit(const struct sched_task *task);
-/* Records the loss of a server under its tasks. */
+/* Records the loss of a server under its tasks. @crashed: whether it is known
+ * that its process has ended. */
 void sched_suspects_server_lost(struct sched_server *server, bool crashed);
+/* Records under its tasks that a server refuses connections. */
+void sched_suspects_server_refused(struct sched_server *server);
+/* Another server replies at the address of a lost one. */
+void sched_suspects_server_ended(struct sched_server *server);
 /* A lost server replies. */
 void sched_suspects_server_seen(struct sched_server *server,
     uint64_t incarnation_start_ms);
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -57,7 +57,7 @@
 		log_event(LOG_LEVEL_WARN, "server-lost",
 		    "server=%s reason=\"%s\" started_ms=%" PRIu64,
 		    server->info.id, reason, server->incarnation_start_ms);
-	if (!server->crash_reported)
+	if (crashed || !server->refusing)
 		sched_suspects_server_lost(server, crashed);
 	server->reopen_at_us =
 	    sched_now(server->sched) + SCHED_REOPEN_DELAY_MS * SCHED_US_PER_MS;
@@ -76,13 +76,13 @@
 void
 sched_server_refused(struct sched_server *server)
 {
-	if (!server->held || server->crash_reported)
+	if (!server->held || server->refusing)
 		return;
-	server->crash_reported = true;
-	log_event(LOG_LEVEL_WARN, "server-crashed",
-	    "server=%s started_ms=%" PRIu64 " reason=\"connection refused\"",
-	    server->info.id, server->incarnation_start_ms);
-	sched_suspects_server_lost(server, true);
+	log_event(LOG_LEVEL_WARN, "server-refusing",
+	    "server=%s started_ms=%" PRIu64, server->info.id,
+	    server->incarnation_start_ms);
+	sched_suspects_server_refused(server);
+	server->refusing = true;
 }
 
 /* Resets the state of a server and requests its lists. */
@@ -101,7 +101,7 @@
 		abort();
 	memset(&server->lease, 0, sizeof(server->lease));
 	server->held = false;
-	server->crash_reported = false;
+	server->refusing = false;
 	server->acknowledged = 0;
 	server->processed_end = 0;
 	server->incarnation_start_ms = 0;
@@ -302,18 +302,17 @@
 sched_check_incarnation(struct sched_server *server,
     uint64_t incarnation_start_ms)
 {
-	bool crash_reported = server->crash_reported;
+	bool refusing = server->refusing;
 
 	if (incarnation_start_ms == 0 ||
-	    (incarnation_start_ms == server->incarnation_start_ms &&
-		!crash_reported))
+	    (incarnation_start_ms == server->incarnation_start_ms && !refusing))
 		return;
 	sched_suspects_server_seen(server, incarnation_start_ms);
-	server->crash_reported = false;
+	server->refusing = false;
 	if (incarnation_start_ms == server->incarnation_start_ms)
 		return;
 	if (server->incarnation_start_ms != 0) {
-		if (!crash_reported)
+		if (!refusing)
 			sched_suspects_server_lost(server, true);
 		log_event(LOG_LEVEL_WARN, "server-restarted",
 		    "server=%s started_ms=%" PRIu64 " previous_ms=%" PRIu64,
@@ -334,9 +333,11 @@
 
 	if (verdict == WORKER_FENCED)
 		sched->params.fenced(sched->params.arg);
-	else if (verdict == WORKER_OTHER_INCARNATION)
+	else if (verdict == WORKER_OTHER_INCARNATION) {
+		sched_suspects_server_ended(server);
 		sched_server_lost(server,
 		    "another incarnation replies at the address", true);
+	}
 	return verdict == WORKER_FENCED || verdict == WORKER_OTHER_INCARNATION;
 }
 
--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -2,7 +2,7 @@
  * Tasks that may crash backend servers (see core/suspect.h). All tasks of a
  * server that is lost are recorded; one that is found guilty fails its job. The
  * hosts of a cell that hold it or are likely to exchange their records. What
- * one has dropped may so return; at most a task is isolated for it.
+ * one has dropped may so return; at most a task is isolated or delayed for it.
  */
 
 #include <inttypes.h>
@@ -24,7 +24,8 @@
 
 static struct counter sched_server_crashes = {
 	.name = "berylrail_work_server_crashes_total",
-	.help = "Backend servers that have crashed under tasks.",
+	.help = "Backend servers that crashed or refused connections under "
+		"tasks.",
 };
 static struct counter sched_tasks_given_up = {
 	.name = "berylrail_work_tasks_given_up_total",
@@ -35,6 +36,7 @@
 	[SUSP_NONE] = "none",
 	[SUSP_ISOLATE] = "isolate",
 	[SUSP_WAIT] = "wait",
+	[SUSP_UNPROVEN] = "unproven",
 	[SUSP_GUILTY] = "guilty",
 };
 
@@ -85,7 +87,7 @@
 }
 
 /* Records the loss of its server under a task. Return: whether the task is
- * guilty now. */
+ * guilty now, or will be if the server has crashed. */
 static bool
 sched_suspect_record(struct sched_task *task, struct susp_loss *loss)
 {
@@ -101,14 +103,16 @@
 	verdict = susp_judge(&job->sched->suspects, name, loss->lost_us);
 	log_event(LOG_LEVEL_INFO, "task-suspected",
 	    "id=%s task=%" PRIu32 ".%" PRIu32
-	    " server=%s crashed=%d alone=%d started=%d losses=%zu verdict=%s",
+	    " server=%s crashed=%d refused=%d alone=%d started=%d losses=%zu"
+	    " verdict=%s",
 	    job->spec.id, task->step, task->index, loss->server,
-	    loss->crashed ? 1 : 0, loss->alone ? 1 : 0, loss->started ? 1 : 0,
+	    loss->crashed ? 1 : 0, loss->refused ? 1 : 0, loss->alone ? 1 : 0,
+	    loss->started ? 1 : 0,
 	    susp_find(&job->sched->suspects, name)->nlosses,
 	    sched_verdict_names[verdict]);
 	if (verdict == SUSP_GUILTY)
 		job->crashes_servers = true;
-	return verdict == SUSP_GUILTY;
+	return verdict == SUSP_GUILTY || verdict == SUSP_UNPROVEN;
 }
 
 /* Records the loss under the tasks that are on record, or under the others. */
@@ -129,29 +133,40 @@
 	return guilty;
 }
 
-/* If a suspect is found guilty, the other tasks of the server are not
- * recorded. */
-void
-sched_suspects_server_lost(struct sched_server *server, bool crashed)
+/* If a suspect is to blame, the other tasks of the server are not recorded. */
+static void
+sched_suspects_add_loss(struct sched_server *server, struct susp_loss *loss)
 {
-	struct susp_loss loss = {
-		.incarnation_start_ms = server->incarnation_start_ms,
-		.lost_us = sched_now(server->sched),
-		.crashed = crashed,
-		.alone = TAILQ_FIRST(&server->tasks) ==
-		    TAILQ_LAST(&server->tasks, sched_tasks),
-	};
-
 	/* The process of a draining server ends without a crash. */
 	if (TAILQ_EMPTY(&server->tasks) || server->info.draining)
 		return;
-	if (crashed) {
+	if ((loss->crashed || loss->refused) && !server->refusing) {
 		ctr_inc(&sched_server_crashes);
 		sched_bulkhead_server_crashed(server);
 	}
-	strlcpy(loss.server, server->info.id, sizeof(loss.server));
-	if (!sched_suspects_record(server, &loss, true))
-		(void)sched_suspects_record(server, &loss, false);
+	strlcpy(loss->server, server->info.id, sizeof(loss->server));
+	loss->incarnation_start_ms = server->incarnation_start_ms;
+	loss->lost_us = sched_now(server->sched);
+	loss->alone = TAILQ_FIRST(&server->tasks) ==
+	    TAILQ_LAST(&server->tasks, sched_tasks);
+	if (!sched_suspects_record(server, loss, true))
+		(void)sched_suspects_record(server, loss, false);
+}
+
+void
+sched_suspects_server_lost(struct sched_server *server, bool crashed)
+{
+	struct susp_loss loss = { .crashed = crashed };
+
+	sched_suspects_add_loss(server, &loss);
+}
+
+void
+sched_suspects_server_refused(struct sched_server *server)
+{
+	struct susp_loss loss = { .refused = true };
+
+	sched_suspects_add_loss(server, &loss);
 }
 
 void
@@ -165,6 +180,16 @@
 		    incarnation_start_ms);
 }
 
+void
+sched_suspects_server_ended(struct sched_server *server)
+{
+	if (susp_server_ended(&server->sched->suspects, server->info.id)) {
+		log_event(LOG_LEVEL_INFO, "lost-server-replaced", "server=%s",
+		    server->info.id);
+		sched_dispatch_wake(server->sched);
+	}
+}
+
 bool
 sched_suspects_end_job(struct sched_job *job)
 {
@@ -190,15 +215,15 @@
 
 	for (i = 0; i < suspect->nlosses; i++) {
 		loss = &suspect->losses[i];
-		if (crashes_only && !loss->crashed)
+		if (crashes_only && !loss->crashed && !loss->refused)
 			continue;
 		(void)json_array_append_new(item,
-		    json_pack("[s,I,I,b,b,b]", loss->server,
+		    json_pack("[s,I,I,b,b,b,b]", loss->server,
 			(json_int_t)loss->incarnation_start_ms,
 			(json_int_t)((now_us - loss->lost_us) /
 			    SCHED_US_PER_MS),
 			(int)loss->crashed, (int)loss->alone,
-			(int)loss->started));
+			(int)loss->started, (int)loss->refused));
 	}
 	if (json_array_size(item) > 1)
 		return item;
@@ -257,6 +282,7 @@
 		loss.crashed = json_is_true(json_array_get(fields, 3));
 		loss.alone = json_is_true(json_array_get(fields, 4));
 		loss.started = json_is_true(json_array_get(fields, 5));
+		loss.refused = json_is_true(json_array_get(fields, 6));
 		(void)susp_add_loss(&sched->suspects, name, &loss);
 	}
 }
--- a/ports/worker.h
+++ b/ports/worker.h
@@ -62,8 +62,8 @@
 /** struct worker_reply - reply to a call; valid during the callback. */
 struct worker_reply {
 	enum worker_verdict verdict;
-	/* With WORKER_NO_REPLY: no process listens at the address. If the
-	 * server could be reached before, it has ended. */
+	/* With WORKER_NO_REPLY: the connection was refused. No process listens
+	 * at the address, or a firewall refuses for one that runs on. */
 	bool refused;
 	bool has_clock;
 	uint64_t clock_ms; /* clock of the server, at the time of the reply */
--- a/tests/support/fake_worker.c
+++ b/tests/support/fake_worker.c
@@ -118,6 +118,11 @@
 	struct wm_server *server = call->link->server;
 
 	call->execute_ms = 0;
+	if ((call->link->fake->faults.replaced_mask >> call->link->index & 1) !=
+	    0) {
+		call->verdict = WORKER_OTHER_INCARNATION;
+		return;
+	}
 	switch (call->kind) {
 	case FKW_START:
 		call->verdict = wm_start(server, now_ms, &call->start);
@@ -148,9 +153,20 @@
 	return now_ms + FKW_TIMEOUT_MS >= call->reply_due_ms;
 }
 
+static bool
+fkw_refusing(const struct worker_link *link)
+{
+	return (link->fake->faults.refusing_mask >> link->index & 1) != 0;
+}
+
 static void
 fkw_call_advance(struct fkw_call *call, uint64_t now_ms)
 {
+	if (fkw_refusing(call->link) && call->reply_due_ms != 0) {
+		call->execute_ms = 0;
+		call->lost = true;
+		call->reply_due_ms = now_ms;
+	}
 	if (wm_is_down(call->link->server, now_ms)) {
 		call->execute_ms = 0;
 		call->lost = true;
@@ -209,6 +225,10 @@
 		call->execute_ms = 0;
 		call->lost = true;
 		call->refused = !fake->faults.crashed_are_silent;
+	} else if (fkw_refusing(link)) {
+		call->execute_ms = 0;
+		call->lost = true;
+		call->refused = true;
 	} else if ((fake->faults.unreachable_mask >> link->index & 1) != 0) {
 		call->execute_ms = 0;
 		call->lost = true;
--- a/tests/support/fake_worker.h
+++ b/tests/support/fake_worker.h
@@ -22,6 +22,8 @@
 	bool orders_only;	   /* no fault above affects holds */
 	uint32_t hold_reply_lost_permille; /* holds whose reply is lost */
 	uint32_t unreachable_mask;	   /* bit n: server n is unreachable */
+	uint32_t refusing_mask;	 /* bit n: packets to server n are reset */
+	uint32_t replaced_mask;	 /* bit n: another one has server n's address */
 	bool crashed_are_silent; /* crashed servers don't refuse connections */
 };
 
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -135,6 +135,87 @@
 	susp_release(&suspects);
 }
 
+/* A server that is cut off by resets can't be told from one that has crashed.
+ */
+static void
+refuse(struct suspects *suspects, const char *server, uint64_t incarnation,
+    uint64_t at_us)
+{
+	struct susp_loss loss = { .incarnation_start_ms = incarnation,
+		.lost_us = at_us,
+		.refused = true,
+		.alone = true,
+		.started = true };
+
+	strlcpy(loss.server, server, sizeof(loss.server));
+	(void)susp_add_loss(suspects, TASK, &loss);
+}
+
+Test(suspect, refused_connections_do_not_convict)
+{
+	struct suspects suspects;
+
+	susp_init(&suspects);
+	refuse(&suspects, "s1", 5, SECOND_US);
+	cr_expect_eq(susp_judge(&suspects, TASK, SECOND_US), SUSP_ISOLATE);
+	refuse(&suspects, "s2", 6, 2 * SECOND_US);
+	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_UNPROVEN);
+	(void)susp_server_seen(&suspects, "s1", 5);
+	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_ISOLATE);
+	(void)susp_server_seen(&suspects, "s2", 6);
+	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_NONE);
+	susp_release(&suspects);
+}
+
+Test(suspect, return_of_refusing_servers_convicts)
+{
+	struct suspects suspects;
+
+	susp_init(&suspects);
+	refuse(&suspects, "s1", 5, SECOND_US);
+	refuse(&suspects, "s2", 6, 2 * SECOND_US);
+	(void)susp_server_seen(&suspects, "s1", 500);
+	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_UNPROVEN);
+	(void)susp_server_seen(&suspects, "s2", 600);
+	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_GUILTY);
+	susp_release(&suspects);
+}
+
+Test(suspect, other_server_at_the_address_shows_a_crash)
+{
+	struct suspects suspects;
+
+	susp_init(&suspects);
+	refuse(&suspects, "s1", 5, SECOND_US);
+	refuse(&suspects, "s2", 6, 2 * SECOND_US);
+	cr_expect(susp_server_ended(&suspects, "s1"));
+	cr_expect_not(susp_server_ended(&suspects, "s1"));
+	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_UNPROVEN);
+	cr_expect(susp_server_ended(&suspects, "s2"));
+	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_GUILTY);
+	susp_release(&suspects);
+}
+
+/* It may be guilty, and no server returns to show it. */
+Test(suspect, starts_after_unproven_crashes_are_rare)
+{
+	struct suspects suspects;
+
+	susp_init(&suspects);
+	refuse(&suspects, "s1", 5, SECOND_US);
+	refuse(&suspects, "s2", 6, 2 * SECOND_US);
+	cr_expect_eq(susp_judge(&suspects, TASK, 6 * SECOND_US), SUSP_UNPROVEN);
+	cr_expect_eq(susp_judge(&suspects, TASK, 7 * SECOND_US), SUSP_ISOLATE);
+	refuse(&suspects, "s3", 7, 8 * SECOND_US);
+	cr_expect_eq(susp_judge(&suspects, TASK, 17 * SECOND_US),
+	    SUSP_UNPROVEN);
+	cr_expect_eq(susp_judge(&suspects, TASK, 18 * SECOND_US), SUSP_ISOLATE);
+	refuse(&suspects, "s4", 8, 19 * SECOND_US);
+	cr_expect_eq(susp_judge(&suspects, TASK, 33 * SECOND_US),
+	    SUSP_UNPROVEN);
+	susp_release(&suspects);
+}
+
 Test(suspect, servers_that_stay_away_delay_a_task_for_a_limited_time)
 {
 	struct suspects suspects;
