Ignore reported losses of servers that reply to the holder

Cause: hosts unite their records of suspects. The holder forgets a loss when the lost incarnation replies, but hosts that have not seen it return their copy.

A host now ignores the loss of an incarnation whose lists it has under its own token and that does not refuse connections: it would withdraw it at once. A new loss is recorded by this host itself, and copies of it come with each ping after that.

Evidence: test_scheduler_suspect withdrawn_loss_does_not_return_from_another_host failed before.

--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -2,7 +2,8 @@
  * Tasks that may crash backend servers (see core/suspect.h). All tasks of a
  * server that is lost are recorded; one that is found guilty fails its job. The
  * hosts of a cell that hold it or are likely to exchange their records. What
- * one has dropped may so return; at most a task is isolated or delayed for it.
+ * one has dropped may so return, unless its holder sees that the server has not
+ * crashed; at most a task is isolated or delayed for it.
  */
 
 #include <inttypes.h>
@@ -251,6 +252,23 @@
 	return items;
 }
 
+/* Whether the loss is of an incarnation that replies to this host: it has been
+ * withdrawn here, or would be. */
+static bool
+sched_loss_disproved(const struct scheduler *sched,
+    const struct susp_loss *loss)
+{
+	struct nidx_entry *entry =
+	    nidx_find(&sched->servers_by_id, loss->server);
+	const struct sched_server *server;
+
+	if (entry == NULL || loss->incarnation_start_ms == 0)
+		return false;
+	server = NIDX_OBJECT(entry, struct sched_server, by_id);
+	return server->held && !server->refusing &&
+	    server->incarnation_start_ms == loss->incarnation_start_ms;
+}
+
 static void
 sched_merge_suspect(struct scheduler *sched, const json_t *item,
     uint64_t now_us)
@@ -283,7 +301,8 @@
 		loss.alone = json_is_true(json_array_get(fields, 4));
 		loss.started = json_is_true(json_array_get(fields, 5));
 		loss.refused = json_is_true(json_array_get(fields, 6));
-		(void)susp_add_loss(&sched->suspects, name, &loss);
+		if (!sched_loss_disproved(sched, &loss))
+			(void)susp_add_loss(&sched->suspects, name, &loss);
 	}
 }
 
--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -447,6 +447,29 @@
 	rig_destroy(rig);
 }
 
+Test(scheduler_suspect, withdrawn_loss_does_not_return_from_another_host)
+{
+	struct rig *rig = rig_create();
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	json_t *copy, *suspects;
+
+	(void)rig_submit(rig, 1, 1500, "");
+	srig_run(&rig->srig, 300);
+	faults->refusing_mask = rig_busy_mask(rig);
+	srig_run(&rig->srig, 300);
+	copy = sched_suspects_render(rig->srig.sched, false);
+	cr_expect_eq(json_array_size(copy), 1);
+	faults->refusing_mask = 0;
+	srig_run(&rig->srig, 300);
+	sched_suspects_merge(rig->srig.sched, copy);
+	suspects = sched_suspects_render(rig->srig.sched, false);
+	cr_expect_eq(json_array_size(suspects), 0);
+	json_decref(suspects);
+	json_decref(copy);
+	rig_destroy(rig);
+}
+
 /* The caller may submit its job in another zone before the server is back. */
 Test(scheduler_suspect, other_holders_are_told_of_refused_connections)
 {
