Cells: a host that can't take over is passed over

Cause: the holder is chosen by weight and name. The store turned away the hosts that come first in these zones, so they had no token and could not take over; the others of the zone, which had one 90 ms after their start, named them as the holders and waited for as long as the store did not answer them (holder-chosen on both hosts of each zone, token-reserved on the second, no cell-acquired).

Ruled out: hosts that are not connected (the first ones had the configuration from a peer), and something else that the second ones lacked (they did not choose themselves).

Change: if the chosen host has not taken over after 1.5 s, the next one in the order that has a token does, after 3 s the one after that. Only the three first hosts do, which ask each other each second, so they know a holder by then; two that take over at the same time are told apart by their tokens, as before.

host_without_a_token_is_passed_over_as_the_holder failed before (no host was ready after 3 s).

--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -25,6 +25,8 @@
 #define CELLS_SOURCES_MAX 16
 /* Minimum interval of requests to reserve a fencing token. */
 #define CELLS_RESERVE_RETRY_MS 500
+/* Longer than the interval at which candidates ping each other. */
+#define CELLS_VACANT_MS 1500
 /* A longer time between ticks means that the process was paused: no iteration
  * of the event loop takes this long. */
 #define CELLS_PAUSE_MIN_MS 300
@@ -415,6 +417,36 @@
 		    "holder=%s token=%" PRIu64 " hosts=%zu",
 		    candidates[chosen].name, candidates[chosen].token, n);
 	cells->holder = candidates[chosen].name;
+	if (candidates[chosen].token != 0 || !cells->discovery_done)
+		cells->vacant_since_us = 0;
+	else if (cells->vacant_since_us == 0)
+		cells->vacant_since_us = cells_now_us(cells);
+}
+
+/*
+ * The chosen host may be unable to take over: the store may turn it away, so
+ * that it has no token. The next ones in the order of preference then do so, if
+ * they have one, each after a further CELLS_VACANT_MS.
+ */
+static bool
+cells_is_substitute(const struct cells *cells, uint64_t now_us)
+{
+	const struct cell_host self = { .name = cells->params.self.name,
+		.weight = cells->params.self.weight };
+	const struct cells_host *host;
+	struct cell_host other;
+	uint64_t rank = 0;
+
+	if (cells->vacant_since_us == 0 || cells->leaving ||
+	    !cells_is_candidate(cells))
+		return false;
+	TAILQ_FOREACH (host, &cells->local_zone->hosts, entry) {
+		cells_fill_candidate(host, &other);
+		if (other.reachable && cell_is_preferred(&other, &self))
+			rank++;
+	}
+	return now_us - cells->vacant_since_us >
+	    rank * CELLS_VACANT_MS * CELLS_US_PER_MS;
 }
 
 /*
@@ -527,7 +559,8 @@
 	cells_choose_holder(cells);
 	cells_notify_holder(cells);
 	if (cells->holder != NULL &&
-	    strcmp(cells->holder, cells->params.self.name) == 0 &&
+	    (strcmp(cells->holder, cells->params.self.name) == 0 ||
+		cells_is_substitute(cells, now_us)) &&
 	    sched_token(cells->params.sched) == 0 && cells->discovery_done &&
 	    !cells_state_outstanding(cells, now_us))
 		cells_take_over(cells, now_us);
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -117,6 +117,8 @@
 	bool discovery_done;
 	uint64_t notified_token; /* of the last holder_changed() */
 	const char *holder;	 /* host chosen for the local cell, or NULL */
+	/* Since then the chosen host has not taken over; 0: it has. */
+	uint64_t vacant_since_us;
 };
 
 /* cells.c */
--- a/tests/test_job_service.c
+++ b/tests/test_job_service.c
@@ -635,6 +635,23 @@
 	net_destroy(net);
 }
 
+/* The heaviest hosts of each zone are turned away by the store. */
+Test(job_service, host_without_a_token_is_passed_over_as_the_holder)
+{
+	struct net *net = net_create_empty();
+	size_t i;
+
+	store_put(net, ROWS_HOSTS, "h0", "z0 1000 77");
+	store_put(net, ROWS_HOSTS, "h1", "z1 999 77");
+	store_put(net, ROWS_HOSTS, "h2", "z2 998 77");
+	for (i = 0; i < NHOSTS; i++)
+		host_start(net, i, i >= NZONES);
+	net_run(net, 3000);
+	for (i = 0; i < NHOSTS; i++)
+		cr_expect(jsvc_ready(net->hosts[i].svc), "host %zu", i);
+	net_destroy(net);
+}
+
 static void
 ignore_reply(void *arg, const struct gw_reply *reply)
 {
