Logs: stops without a reply, and what a start after a take-over relies on

The logs could not tell the three hypotheses of the incident apart:

- nothing said that a stop had no reply, how long its run went on, or how many runs a job had left when its caller or its host gave it up: stop-unanswered (the first one of a run, with what the server's lease has left), runs= in job-ended, stopping_ms= in run-discarded, and a counter of all such stops;
- a start of a job that another host may have started was reported only if not all servers had listed their runs: former-runs-listed names the server with the oldest lists otherwise;
- a row that ends all runs of a server was logged without the start times it was judged by: server-replaced.

No decision is changed, nothing periodic is added.

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -69,6 +69,12 @@
 	struct sched_server *server = sched_server_find(sched, info->id);
 
 	if (server != NULL && sched_server_replaced(server, info)) {
+		log_event(LOG_LEVEL_WARN, "server-replaced",
+		    "server=%s row_started_ms=%" PRIu64
+		    " former_row_started_ms=%" PRIu64 " listed_ms=%" PRIu64,
+		    info->id, info->incarnation_start_ms,
+		    server->info.incarnation_start_ms,
+		    server->incarnation_start_ms);
 		sched_server_lost(server, "restarted", true);
 		server->removed = true;
 		server = NULL;
--- a/entry/jobs/scheduler_end.c
+++ b/entry/jobs/scheduler_end.c
@@ -19,12 +19,15 @@
 sched_run_discard(struct sched_task *task, const char *cause)
 {
 	struct sched_job *job = task->job;
+	uint64_t stopping_us = task->stopping_since_us == 0
+	    ? 0
+	    : sched_now(job->sched) - task->stopping_since_us;
 
 	log_event(LOG_LEVEL_INFO, "run-discarded",
 	    "id=%s task=%" PRIu32 ".%" PRIu32 " run=%" PRIu64
-	    " server=%s outcome=\"%s\"",
+	    " server=%s outcome=\"%s\" stopping_ms=%" PRIu64,
 	    job->spec.id, task->step, task->index, task->run_id,
-	    task->server->info.id, cause);
+	    task->server->info.id, cause, stopping_us / SCHED_US_PER_MS);
 	sched_task_unassign(task);
 	if (job->ended) {
 		sched_job_release_ended(job);
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -111,6 +111,8 @@
 	uint32_t start_attempts; /* start orders sent for this run */
 	uint64_t start_sent_us;	 /* last start order; 0: run was adopted */
 	uint64_t last_update_us; /* last order ended, or run was last listed */
+	uint64_t stopping_since_us; /* first stop order; 0: none */
+	uint32_t stops_unanswered;
 	struct sched_order *order; /* pending, for this run; NULL: none */
 	char *last_checkpoint;	   /* owned; NULL: none */
 	uint64_t checkpoint_run;   /* run id that wrote last_checkpoint */
@@ -209,6 +211,7 @@
 	uint64_t processed_end;	      /* number of the last processed end */
 	uint64_t acknowledged_sent;   /* value that the last hold sent */
 	struct sched_unstored_ends unstored_ends; /* ordered by number */
+	uint64_t listed_us; /* last lists that were processed */
 	bool held;	    /* its lists were processed under this token */
 	bool was_held;	    /* under this token, perhaps not now */
 	bool removed;	    /* from the registry; freed when unused */
--- a/entry/jobs/scheduler_job.c
+++ b/entry/jobs/scheduler_job.c
@@ -191,11 +191,12 @@
 	ctr_inc(&sched_jobs_ended_by_result[reply->result]);
 	log_event(LOG_LEVEL_INFO, "job-ended",
 	    "id=%s queue=%s outcome=%s reason=\"%s\" age_ms=%" PRIu64
-	    " objective_ms=%" PRIu64 " tasks=%" PRIu32 " done=%" PRIu32,
+	    " objective_ms=%" PRIu64 " tasks=%" PRIu32 " done=%" PRIu32
+	    " runs=%" PRIu32,
 	    job->spec.id, job->queue.name, sched_result_names[reply->result],
 	    reply->reason, age_us / SCHED_US_PER_MS,
 	    (job->objective_us - job->submitted_us) / SCHED_US_PER_MS,
-	    job->spec.ntasks, job->ndone);
+	    job->spec.ntasks, job->ndone, job->nassigned);
 	job->done = NULL;
 	if (done != NULL)
 		done(job->arg, reply);
--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -28,6 +28,11 @@
 	.name = "berylrail_work_stops_refused_total",
 	.help = "Stops that a backend server refused; they are sent again.",
 };
+static struct counter sched_stops_unanswered = {
+	.name = "berylrail_work_stops_unanswered_total",
+	.help = "Stops that a backend server did not answer; they are sent "
+		"again.",
+};
 static struct counter sched_orders_unanswered = {
 	.name = "berylrail_work_orders_unanswered_total",
 	.help = "Orders to backend servers that were not answered.",
@@ -71,6 +76,8 @@
 	task->run_id = run_id;
 	task->start_confirmed = false;
 	task->stop_confirmed = false;
+	task->stopping_since_us = 0;
+	task->stops_unanswered = 0;
 	task->job->nassigned++;
 	task->job->may_have_started = true;
 	task->job->has_started = true;
@@ -317,7 +324,30 @@
 	}
 }
 
-/* Reports a start that relies on the end of leases of a former holder, as not
+/* Reports a start that relies on the lists of all servers, as another host may
+ * have started the task. */
+static void
+sched_log_lists(const struct sched_task *task, uint64_t now_us)
+{
+	const struct scheduler *sched = task->job->sched;
+	const struct sched_server *server, *oldest = NULL;
+
+	TAILQ_FOREACH (server, &sched->servers, entry) {
+		if (!server->removed &&
+		    (oldest == NULL || server->listed_us < oldest->listed_us))
+			oldest = server;
+	}
+	log_event(LOG_LEVEL_INFO, "former-runs-listed",
+	    "id=%s task=%" PRIu32 ".%" PRIu32
+	    " server=%s listed_ms_ago=%" PRIu64 " since_take_over_ms=%" PRIu64,
+	    task->job->spec.id, task->step, task->index,
+	    oldest == NULL ? "-" : oldest->info.id,
+	    oldest == NULL ? 0 : (now_us - oldest->listed_us) / SCHED_US_PER_MS,
+	    (now_us - sched->activated_us) / SCHED_US_PER_MS);
+}
+
+/* Reports what the start of a task that another host may have started relies
+ * on: the lists of all servers, or the end of leases of a former holder, as not
  * all of its runs are known. */
 static void
 sched_log_former_runs(const struct sched_task *task, uint64_t now_us)
@@ -326,8 +356,12 @@
 	const struct sched_server *server, *unheld = NULL;
 	uint32_t n = 0;
 
-	if (task->job->start_after_us == 0 || sched_all_runs_known(sched))
+	if (task->job->start_after_us == 0)
 		return;
+	if (sched_all_runs_known(sched)) {
+		sched_log_lists(task, now_us);
+		return;
+	}
 	TAILQ_FOREACH (server, &sched->servers, entry) {
 		if (server->held || server->removed)
 			continue;
@@ -398,6 +432,27 @@
 	    task->server->info.id, sched_refusal_names[verdict]);
 }
 
+/* Reports the first stop of a run that has no reply. */
+static void
+sched_stop_unanswered(struct sched_task *task)
+{
+	struct sched_server *server = task->server;
+	uint64_t now_us = sched_now(server->sched);
+
+	ctr_inc(&sched_stops_unanswered);
+	if (task->stops_unanswered++ > 0)
+		return;
+	log_event(LOG_LEVEL_WARN, "stop-unanswered",
+	    "id=%s task=%" PRIu32 ".%" PRIu32 " run=%" PRIu64
+	    " server=%s stopping_ms=%" PRIu64 " lease_ms=%" PRIu32
+	    " job_ended=%d",
+	    task->job->spec.id, task->step, task->index, task->run_id,
+	    server->info.id,
+	    (now_us - task->stopping_since_us) / SCHED_US_PER_MS,
+	    lease_remaining_ms(&server->lease, now_us),
+	    task->job->ended ? 1 : 0);
+}
+
 static void
 sched_stop_done(void *arg, const struct worker_reply *reply)
 {
@@ -409,7 +464,9 @@
 		return;
 	/* sched_check_stragglers() retries a stop that is not confirmed. */
 	if (!sched_stop_is_confirmed(reply->verdict)) {
-		if (reply->verdict != WORKER_NO_REPLY)
+		if (reply->verdict == WORKER_NO_REPLY)
+			sched_stop_unanswered(task);
+		else
 			sched_stop_refused(task, reply->verdict);
 		return;
 	}
@@ -431,6 +488,8 @@
 		    " server=%s",
 		    task->job->spec.id, task->step, task->index, task->run_id,
 		    server->info.id);
+	if (task->stopping_since_us == 0)
+		task->stopping_since_us = sched_now(sched);
 	task->state = SCHED_TASK_STOPPING;
 	if (task->order != NULL)
 		return;
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -275,6 +275,7 @@
 	struct sched_orphan *orphan;
 	size_t i;
 
+	server->listed_us = now_us;
 	TAILQ_FOREACH (orphan, &server->orphans, entry)
 		orphan->listed = false;
 	for (i = 0; i < reply->nended; i++)
