End the runs of a job before its caller can send it again

What callers saw: a task of a best-effort job had two runs at the same time. Its caller had lost its connection and sent the job again 1.3 s later, as PROTOCOL.md says, to another host, where the job started while its first run went on.

Cause: nothing ended the first run in time. All that did were a stop that arrives, or a lease that is not renewed. But a server's lease is renewed for all its runs, and for those that are being stopped; a holder learns of the end of a caller's host from its connection, which counts as silent only after five heartbeat intervals of 640 ms with nine hosts; and a successor renews the lease of a server for runs that no job has claimed. Other zones, and successors that do not reach the server, know nothing of it. Two notes named the 1.3 s (SCHED_ORPHAN_GRACE_MS, docs/design/holder-lease.md), no rule kept them.

Class: a promise to others (all runs have ended by then) that rests on messages that may be lost, where only a bound on time holds.

Change: a holder extends the lease of a server only up to 1.25 s after the submitter of each best-effort job with a run there was last known to wait for it, unless the run's stop is confirmed; for an orphan up to 250 ms after its first list. A host with forwarded jobs sends something every 200 ms on that connection. A job whose submitter is silent for 1 s is given up, so that its runs are stopped before leases run out. A time that this process has read counts from its last tick before, so that a pause does not make it younger.

Why it works: the bound is kept by the server's own clock, whatever is lost. The successor's or other zone's start comes after at least 1.3 s; 1.25 s include the 2% of a slow clock.

Each hold and start: O(tasks of the server), each with a look-up of a host by name.

--- a/adapters/peers_conn.c
+++ b/adapters/peers_conn.c
@@ -86,6 +86,7 @@
 	if (evbuffer_get_length(output) + len > PEERS_OUTPUT_BYTES_MAX ||
 	    evbuffer_add(output, frame, len) < 0)
 		return -1;
+	conn->last_sent_us = peers_now_us(conn->peers);
 	ctr_inc(&peers_ctr_sent[kind]);
 	ctr_add(&peers_ctr_sent_bytes, len);
 	return 0;
@@ -338,6 +339,7 @@
 	if (frame == NULL)
 		return -1;
 	conn->last_received_us = peers_now_us(conn->peers);
+	conn->alive_us = conn->peers->last_tick_us;
 	ctr_add(&peers_ctr_received_bytes,
 	    FRAME_HEADER_BYTES + conn->parser.payload_len);
 	return peers_conn_process_frame(conn, frame);
--- a/adapters/peers_internal.h
+++ b/adapters/peers_internal.h
@@ -97,7 +97,11 @@
 	uint64_t incarnation;
 	uint64_t opened_us;
 	uint64_t last_received_us; /* last complete frame */
-	uint64_t last_used_us;	   /* last forward in either direction */
+	/* The last frame was not readable before this time, however late this
+	 * process has read it. */
+	uint64_t alive_us;
+	uint64_t last_sent_us;
+	uint64_t last_used_us; /* last forward in either direction */
 	uint64_t heartbeat_due_us;
 	/* Value of peers_tcp.leaving_version in the last heartbeat sent. */
 	uint64_t leaving_sent_version;
@@ -169,6 +173,7 @@
 	struct name_index conns_by_name; /* after their hello */
 	size_t nconns;
 	uint64_t conns_version; /* incremented when a host connects or leaves */
+	uint64_t last_tick_us;
 	struct peers_forward_list forwards; /* pending */
 	struct peers_forward_list failed;   /* callbacks have not been run */
 	size_t nforwards;		    /* in both lists */
--- a/adapters/peers_state.c
+++ b/adapters/peers_state.c
@@ -76,6 +76,18 @@
 	    now_us + peers_jitter_us(peers, heartbeat.interval_ms);
 }
 
+/* A host that serves requests of this one has to know that this one is alive.
+ */
+static bool
+peers_heartbeat_due(const struct peers_conn *conn, uint64_t now_us)
+{
+	uint64_t interval_us =
+	    (uint64_t)conn->peers->params.heartbeat_ms * 1000;
+
+	return now_us >= conn->heartbeat_due_us ||
+	    (conn->nforwards > 0 && now_us - conn->last_sent_us >= interval_us);
+}
+
 void
 peers_heartbeat_send_all(struct peers_tcp *peers)
 {
@@ -481,7 +493,7 @@
 	struct peers_conn *conn;
 
 	TAILQ_FOREACH (conn, &peers->conns, entry) {
-		if (conn->hello_received && now_us >= conn->heartbeat_due_us)
+		if (conn->hello_received && peers_heartbeat_due(conn, now_us))
 			peers_heartbeat_send(conn, now_us);
 	}
 	peers_leaving_tick(peers);
--- a/adapters/peers_tcp.c
+++ b/adapters/peers_tcp.c
@@ -59,6 +59,7 @@
 
 	(void)fd;
 	(void)what;
+	peers->last_tick_us = now_us;
 	if (mbr_tick(&peers->members, now_us))
 		peers_sharing_update(peers);
 	peers_conn_tick(peers, now_us);
@@ -233,6 +234,23 @@
 	return true;
 }
 
+uint64_t
+peers_tcp_alive_us(struct peers *port, const char *host)
+{
+	const struct peers_tcp *peers = peers_from_port(port);
+	const struct nidx_entry *entry;
+	const struct peers_conn *conn;
+	uint64_t alive_us = 0;
+
+	for (entry = nidx_find(&peers->conns_by_name, host); entry != NULL;
+	     entry = nidx_next(entry)) {
+		conn = NIDX_OBJECT(entry, struct peers_conn, by_name);
+		if (conn->alive_us > alive_us)
+			alive_us = conn->alive_us;
+	}
+	return alive_us;
+}
+
 uint64_t
 peers_tcp_connections_version(struct peers *port)
 {
--- a/client/explain.c
+++ b/client/explain.c
@@ -44,11 +44,11 @@
 	"host-reachable", "server-unreachable", "server-reachable",
 	"server-lost", "server-refusing", "lost-server-back",
 	"lost-server-replaced", "server-replaced", "server-restarted",
-	"server-removed", "server-ejected", "server-readmitted",
-	"store-unreachable", "store-reachable", "store-history-unavailable",
-	"configuration-applied", "partition-lost", "partition-claim-rejected",
-	"stored-jobs-read", "process-resumed", "started", "draining",
-	"stopped" };
+	"server-removed", "lease-not-extended", "lease-extended",
+	"server-ejected", "server-readmitted", "store-unreachable",
+	"store-reachable", "store-history-unavailable", "configuration-applied",
+	"partition-lost", "partition-claim-rejected", "stored-jobs-read",
+	"process-resumed", "started", "draining", "stopped" };
 
 struct explain *
 explain_create(const char *id)
--- a/entry/daemon_jobs.c
+++ b/entry/daemon_jobs.c
@@ -19,6 +19,7 @@
 		.peers = dmn->peers,
 		.is_connected = peers_tcp_is_connected,
 		.connections_version = peers_tcp_connections_version,
+		.alive_us = peers_tcp_alive_us,
 		.request_connection = peers_tcp_request_connection,
 		.update_hosts = peers_tcp_update_hosts,
 		.row_decoder = platform_row_decoders,
--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -39,6 +39,8 @@
 	    uint64_t *incarnation);
 	/* Returns a number that changes when a peer connects or disconnects. */
 	uint64_t (*connections_version)(struct peers *peers);
+	/* Returns a time at which a connected peer was alive; 0: none. */
+	uint64_t (*alive_us)(struct peers *peers, const char *host);
 	/* Requests a connection to a peer. */
 	void (*request_connection)(struct peers *peers, const char *host);
 	/* Reserves a fencing token; the result is passed to
@@ -219,6 +221,14 @@
  */
 bool cells_is_candidate(const struct cells *cells);
 
+/**
+ * cells_submitter_alive_us() - when the host of a submission's caller was last
+ * known to be alive.
+ * @submission: as passed to sched_submit().
+ * Return: time of the monotonic clock (us).
+ */
+uint64_t cells_submitter_alive_us(struct cells *cells, void *submission);
+
 /** cells_handle() - serve a request of a peer. */
 void cells_handle(struct cells *cells, const struct api_request *request,
     api_reply_fn reply, void *arg);
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -76,6 +76,10 @@
 	struct cells *cells;
 	char id[JOB_ID_LEN + 1];
 	uint64_t nonce;
+	/* Host that forwarded it; "": this one, or one of an earlier version,
+	 * which does not name itself. */
+	char host[NAME_SIZE];
+	uint64_t alive_us;  /* the host was known to be alive; 0: unknown */
 	cells_done_fn done; /* for requests of this host, else NULL */
 	api_reply_fn reply; /* for requests of peers, else NULL */
 	void *arg;
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -15,7 +15,7 @@
 #include "entry/jobs/job_json.h"
 
 #define CELLS_US_PER_MS UINT64_C(1000)
-#define CELLS_QUERY_SIZE 512
+#define CELLS_QUERY_SIZE 640
 #define CELLS_NUMBER_MAX 1000000000 /* larger query values are capped */
 #define CELLS_PERMILLE 1000
 /* Delay after which a caller may retry a job that the store refused. */
@@ -286,13 +286,13 @@
 	    "&queue=%s&service=%s&priority=%" PRIu32 "&attempts=%" PRIu32
 	    "&slack=%" PRIu32 "&target_ms=%" PRIu32
 	    "&advised=%d&config=%" PRIu64 "&replied_at=%" PRIu64
-	    "&token=%" PRIu64,
+	    "&token=%" PRIu64 "&host=%s",
 	    job->age_ms, job->timeout_ms, job->resubmitted ? 1 : 0,
 	    job->may_refuse ? 1 : 0, job->nonce, queue->name, queue->service,
 	    queue->priority, queue->max_attempts, queue->slack_permille,
 	    queue->target_ms, queue->advised ? 1 : 0, queue->config_version,
 	    host->zone->local ? host->replied_at : job->holder_replied_at,
-	    host->zone->local ? host->token : 0);
+	    host->zone->local ? host->token : 0, cells->params.self.name);
 	cells->params.peers->ops->forward(cells->params.peers, host->info.az,
 	    host->info.name, host->incarnation, &request, cells_forward_done,
 	    call);
@@ -492,6 +492,7 @@
 	}
 	sub = cells_submission_create(cells, job.id, job.nonce, arg);
 	sub->reply = reply;
+	(void)api_query_text(request->query, "host", sub->host, NAME_SIZE);
 	cells_submit_local(sub, &job);
 }
 
@@ -508,6 +509,22 @@
 	cells_send_reply(reply, arg, 200, "{}");
 }
 
+uint64_t
+cells_submitter_alive_us(struct cells *cells, void *submission)
+{
+	struct cells_submission *sub = submission;
+	const struct cells_params *params = &cells->params;
+	uint64_t alive_us;
+
+	if (sub->host[0] == '\0')
+		return cells_now_us(cells);
+	alive_us = params->alive_us(params->peers, sub->host);
+	/* The host may have disconnected since. */
+	if (alive_us > sub->alive_us)
+		sub->alive_us = alive_us;
+	return sub->alive_us;
+}
+
 /* The members of the state that only a holder has. */
 static void
 cells_add_load(const struct cells *cells, bool all_cells, json_t *body)
--- a/entry/jobs/job_service.c
+++ b/entry/jobs/job_service.c
@@ -288,6 +288,14 @@
 				      : jstore_unstored_seq(svc->job_store, id);
 }
 
+static uint64_t
+jsvc_submitter_alive_us(void *arg, void *submission)
+{
+	struct job_service *svc = arg;
+
+	return cells_submitter_alive_us(svc->cells, submission);
+}
+
 static void
 jsvc_submit_occurrence(void *arg, const char *id, uint32_t occurrence)
 {
@@ -455,6 +463,7 @@
 		.peers = params->peers,
 		.is_connected = params->is_connected,
 		.connections_version = params->connections_version,
+		.alive_us = params->alive_us,
 		.request_connection = params->request_connection,
 		.reserve_token = jsvc_reserve_token,
 		.read_owner = jsvc_read_owner,
@@ -495,6 +504,7 @@
 		.unstored_seq = jsvc_unstored_seq,
 		.submit_occurrence = jsvc_submit_occurrence,
 		.fenced = jsvc_on_fenced,
+		.submitter_alive_us = jsvc_submitter_alive_us,
 		.arg = svc,
 	};
 	const struct timeval interval = { .tv_usec = JSVC_TICK_MS * 1000 };
--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -15,6 +15,7 @@
  * maximum. */
 #define SCHED_TICK_DELAY_WEIGHT 8
 #define SCHED_TICK_DELAY_MAX_MS 300
+#define SCHED_SUBMITTERS_CHECK_MS 100
 
 uint64_t
 sched_now(const struct scheduler *sched)
@@ -83,6 +84,7 @@
 		server = mem_zalloc(1, sizeof(*server));
 		server->sched = sched;
 		server->speed_permille = PLACE_SPEED_NOMINAL;
+		server->lease_end_us = UINT64_MAX;
 		TAILQ_INIT(&server->tasks);
 		TAILQ_INIT(&server->orphans);
 		TAILQ_INIT(&server->unstored_ends);
@@ -443,13 +445,18 @@
 static void
 sched_check_jobs(struct scheduler *sched, uint64_t now_us)
 {
+	bool check_submitters = now_us - sched->submitters_checked_us >=
+	    SCHED_SUBMITTERS_CHECK_MS * SCHED_US_PER_MS;
 	struct sched_job *job;
 
+	if (check_submitters)
+		sched->submitters_checked_us = now_us;
 	for (job = TAILQ_FIRST(&sched->jobs); job != NULL;
 	     job = sched->next_checked) {
 		sched->next_checked = TAILQ_NEXT(job, entry);
 		if (!sched_suspects_end_job(job) &&
-		    !sched_job_expire(job, now_us))
+		    !sched_job_expire(job, now_us) &&
+		    !(check_submitters && sched_job_give_up(job, now_us)))
 			sched_gang_check(job);
 	}
 }
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -77,6 +77,10 @@
 	    *submit_occurrence)(void *arg, const char *id, uint32_t occurrence);
 	/* Called when a server reports a higher fencing token. */
 	void (*fenced)(void *arg);
+	/* Returns when the submitter of a best-effort job was last known to
+	 * wait for it (us of the monotonic clock); @submission: the @arg of
+	 * sched_submit(). NULL: submitters are not lost. */
+	uint64_t (*submitter_alive_us)(void *arg, void *submission);
 	void *arg;
 };
 
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -18,6 +18,7 @@
  *   scheduler.c           life cycle
  *   scheduler_job.c       submission and end of jobs
  *   scheduler_server.c    leases, and the lists of runs that servers return
+ *   scheduler_lease.c     time until which leases may be extended
  *   scheduler_run.c       start and stop orders
  *   scheduler_end.c       processing of ended runs
  *   scheduler_ack.c       acknowledgement of ended runs
@@ -51,10 +52,8 @@
 #define SCHED_REOPEN_DELAY_MS 150
 /* With more consecutive unanswered holds a server counts as unreachable. */
 #define SCHED_UNANSWERED_HOLDS_MAX 1
-/* Time for an unknown run to be adopted by its job before it is stopped. A
- * caller that has lost the connection to its host resubmits the job after
- * 1.3 s, possibly in another availability zone: the run must have ended then.
- */
+/* Time for an unknown run to be adopted by its job before it is stopped; see
+ * also scheduler_lease.c. */
 #define SCHED_ORPHAN_GRACE_MS 150
 /* No starts on a server for this time after it refused one because it lacks
  * free resources, and after it refused one for another reason. */
@@ -92,6 +91,16 @@
 	SCHED_TASK_DONE,     /* a gang member's run may still be listed */
 };
 
+/* A pending order. Its server is not freed before it ends, but the run may be
+ * released, and the task then be freed or have a new run. */
+struct sched_order {
+	struct sched_task *task;     /* NULL: the run was released */
+	struct sched_orphan *orphan; /* that is stopped, or NULL */
+	struct sched_server *server;
+	uint64_t sent_us;
+	LIST_ENTRY(sched_order) entry;
+};
+
 struct sched_advice;
 struct sched_job;
 struct sched_order;
@@ -144,6 +153,8 @@
 	uint64_t objective_us;	 /* the job is on time if it ends before */
 	uint64_t value_until_us; /* a later end has no value */
 	uint64_t submitter_deadline_us; /* the submitter stops waiting then */
+	/* The submitter of an ended job was last known to wait for it. */
+	uint64_t attended_us;
 	/* The host of its submitter had not passed it to another holder at this
 	 * time of the clock that counts suspensions. */
 	uint64_t sent_boot_us;
@@ -175,6 +186,9 @@
 	uint64_t run_id;
 	/* Time of the first list with the run, or of the last stop order. */
 	uint64_t grace_start_us;
+	uint64_t found_us;	   /* first list with the run */
+	struct sched_order *order; /* pending stop; NULL: none */
+	bool stop_confirmed;
 	bool listed; /* in the last reply to a hold */
 	TAILQ_ENTRY(sched_orphan) entry;
 };
@@ -197,6 +211,9 @@
 	struct reg_server info;
 	struct worker_link *link; /* NULL: closed; inactive or lost */
 	struct lease lease;
+	/* The lease must not last longer, as of its last extension or the last
+	 * start of a run; UINT64_MAX: no limit. */
+	uint64_t lease_end_us;
 	struct sched_tasks tasks; /* that have or may have a run on it */
 	struct sched_orphans orphans;
 	struct sched_orders orders; /* pending */
@@ -215,6 +232,7 @@
 	bool held;	    /* its lists were processed under this token */
 	bool was_held;	    /* under this token, perhaps not now */
 	bool removed;	    /* from the registry; freed when unused */
+	bool lease_limited; /* its lease may not be extended now */
 	bool refusing;	    /* it refuses connections since it was held */
 	bool reserved;	    /* for queues that are not confined */
 	uint32_t nisolated; /* runs that no other task is started beside */
@@ -274,7 +292,8 @@
 	struct sched_servers servers;
 	/* Includes removed servers; one that is not removed is found first. */
 	struct name_index servers_by_id;
-	uint64_t last_tick_us;	    /* 0: none since the activation */
+	uint64_t last_tick_us; /* 0: none since the activation */
+	uint64_t submitters_checked_us;
 	uint64_t tick_delay_us;	    /* smoothed; by which ticks run late */
 	struct rtt order_time;	    /* of orders to all servers */
 	uint64_t order_answered_us; /* the last one; 0: none */
@@ -342,9 +361,6 @@
  * run, and no end that is not acknowledged, which must not outlive the lease
  * under which its run has ended. */
 bool sched_server_vacant(const struct sched_server *server);
-/* Extends the server's lease, within the lease on the role of holder. Return:
- * the deadline to send. */
-uint64_t sched_lease_extend(struct sched_server *server, uint64_t now_us);
 /* Sends a hold, unless one is pending. */
 void sched_server_hold(struct sched_server *server, uint64_t now_us);
 /* Periodic checks: link, lease, next hold, stragglers and orphans. */
@@ -390,6 +406,25 @@
 /* Updates what the next hold acknowledges. */
 void sched_update_acknowledged(struct sched_server *server);
 
+/* scheduler_lease.c */
+/* Records when the submitter of a job that ends was last known to wait. */
+void sched_job_unattended(struct sched_job *job);
+/* Ends a job whose submitter is no longer known to wait for it. Return: true if
+ * the job was ended. */
+bool sched_job_give_up(struct sched_job *job, uint64_t now_us);
+/* Updates the time until which the server's lease may be extended. */
+void sched_lease_update_end(struct sched_server *server);
+/* Extends the server's lease, within the lease on the role of holder, and as
+ * long as submitters are known to wait for the jobs that run there. Return: the
+ * deadline to send. */
+uint64_t sched_lease_extend(struct sched_server *server, uint64_t now_us);
+/* Whether the lease is long enough for further runs. */
+bool sched_lease_admits_starts(const struct sched_server *server,
+    uint64_t now_us);
+/* The longest wait of a hold with which the lease is renewed in time. */
+uint32_t sched_hold_wait_limit_ms(const struct sched_server *server,
+    uint64_t now_us);
+
 /* scheduler_end.c */
 void sched_task_set_checkpoint(struct sched_task *task, uint64_t run_id,
     const char *checkpoint);
--- a/entry/jobs/scheduler_job.c
+++ b/entry/jobs/scheduler_job.c
@@ -187,6 +187,7 @@
 
 	if (job->ended)
 		return;
+	sched_job_unattended(job);
 	job->ended = true;
 	ctr_inc(&sched_jobs_ended_by_result[reply->result]);
 	log_event(LOG_LEVEL_INFO, "job-ended",
@@ -447,6 +448,7 @@
 	}
 	if (job == NULL)
 		return;
+	sched_job_unattended(job);
 	job->done = NULL;
 	sched_job_finish(job, &cancelled);
 }
--- a/entry/jobs/scheduler_place.c
+++ b/entry/jobs/scheduler_place.c
@@ -24,6 +24,7 @@
 sched_server_accepts_starts(const struct sched_server *server, uint64_t now_us)
 {
 	return server->held && !server->removed && !server->info.draining &&
+	    sched_lease_admits_starts(server, now_us) &&
 	    server->unanswered_holds == 0 && server->nisolated == 0 &&
 	    server->no_start_until_us <= now_us &&
 	    server->ejected_until_us <= now_us &&
--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -56,15 +56,6 @@
 	.unit = 1e-3,
 };
 
-/* A pending order. Its server is not freed before it ends, but the run may be
- * released, and the task then be freed or have a new run. */
-struct sched_order {
-	struct sched_task *task; /* NULL: the run was released */
-	struct sched_server *server;
-	uint64_t sent_us;
-	LIST_ENTRY(sched_order) entry;
-};
-
 /* Reserves the resources of @server for a run of the task. */
 static void
 sched_task_assign(struct sched_task *task, struct sched_server *server,
@@ -86,6 +77,7 @@
 	server->used_gpu += step->gpus;
 	server->nisolated += task->isolated;
 	TAILQ_INSERT_TAIL(&server->tasks, task, on_server);
+	sched_lease_update_end(server);
 }
 
 void
@@ -105,6 +97,8 @@
 	server->nisolated -= task->isolated;
 	task->isolated = false;
 	TAILQ_REMOVE(&server->tasks, task, on_server);
+	if (TAILQ_EMPTY(&server->tasks))
+		server->lease_end_us = UINT64_MAX;
 	sched_dispatch_wake(server->sched);
 }
 
@@ -122,19 +116,25 @@
 }
 
 static struct sched_order *
-sched_order_create(struct sched_task *task)
+sched_order_create(struct sched_server *server)
 {
 	struct sched_order *order = mem_zalloc(1, sizeof(*order));
 
-	order->task = task;
-	order->server = task->server;
-	order->sent_us = sched_now(task->job->sched);
-	order->server->pending_calls++;
-	LIST_INSERT_HEAD(&order->server->orders, order, entry);
-	task->order = order;
+	order->server = server;
+	order->sent_us = sched_now(server->sched);
+	server->pending_calls++;
+	LIST_INSERT_HEAD(&server->orders, order, entry);
 	return order;
 }
 
+static struct sched_order *
+sched_task_order(struct sched_task *task)
+{
+	task->order = sched_order_create(task->server);
+	task->order->task = task;
+	return task->order;
+}
+
 /* Ends an order and frees it. Return: its task, or NULL if the run was
  * released. */
 static struct sched_task *
@@ -178,6 +178,8 @@
 		next = LIST_NEXT(order, entry);
 		if (order->task != NULL)
 			order->task->order = NULL;
+		if (order->orphan != NULL)
+			order->orphan->order = NULL;
 		LIST_REMOVE(order, entry);
 		free(order);
 	}
@@ -233,15 +235,16 @@
 {
 	struct sched_server *server = task->server;
 	struct scheduler *sched = server->sched;
+	uint64_t deadline_ms = sched_lease_extend(server, now_us);
 
 	if (sched_holder_remaining_ms(sched) > 0)
-		return sched_lease_extend(server, now_us);
+		return deadline_ms;
 	task->job->started_unconfirmed = true;
 	if (task->has_server_alone && task->start_attempts == 0 &&
 	    sched_job_may_start_unconfirmed(task->job))
 		return lease_extend(&server->lease, now_us,
 		    sched->params.lease_ms);
-	return sched_lease_extend(server, now_us);
+	return deadline_ms;
 }
 
 /* Sends the start order of the task's run. A retry has the same run id, so the
@@ -269,7 +272,7 @@
 	task->start_attempts++;
 	task->start_sent_us = sched_now(sched);
 	sched->params.worker->ops->start(server->link, &order, sched_start_done,
-	    sched_order_create(task));
+	    sched_task_order(task));
 }
 
 /*
@@ -495,15 +498,22 @@
 		return;
 	sched_task_name(task, name);
 	sched->params.worker->ops->stop(server->link, name, task->run_id,
-	    sched->token, sched_stop_done, sched_order_create(task));
+	    sched->token, sched_stop_done, sched_task_order(task));
 }
 
 static void
 sched_orphan_stop_done(void *arg, const struct worker_reply *reply)
 {
-	struct sched_server *server = arg;
+	struct sched_order *order = arg;
+	struct sched_server *server = order->server;
+	struct sched_orphan *orphan = order->orphan;
 
-	server->pending_calls--;
+	(void)sched_order_finish(order, reply);
+	if (orphan != NULL) {
+		orphan->order = NULL;
+		orphan->stop_confirmed =
+		    sched_stop_is_confirmed(reply->verdict);
+	}
 	if (reply->verdict == WORKER_FENCED)
 		server->sched->params.fenced(server->sched->params.arg);
 }
@@ -516,7 +526,9 @@
 	log_event(LOG_LEVEL_WARN, "orphan-stop",
 	    "task=%s run=%" PRIu64 " server=%s", orphan->task, orphan->run_id,
 	    server->info.id);
-	server->pending_calls++;
+	orphan->order = sched_order_create(server);
+	orphan->order->orphan = orphan;
 	sched->params.worker->ops->stop(server->link, orphan->task,
-	    orphan->run_id, sched->token, sched_orphan_stop_done, server);
+	    orphan->run_id, sched->token, sched_orphan_stop_done,
+	    orphan->order);
 }
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -18,6 +18,8 @@
 static void
 sched_orphan_free(struct sched_server *server, struct sched_orphan *orphan)
 {
+	if (orphan->order != NULL)
+		orphan->order->orphan = NULL;
 	TAILQ_REMOVE(&server->orphans, orphan, entry);
 	free(orphan);
 }
@@ -128,6 +130,7 @@
 	orphan = mem_zalloc(1, sizeof(*orphan));
 	strlcpy(orphan->task, name, sizeof(orphan->task));
 	orphan->run_id = run_id;
+	orphan->found_us = now_us;
 	orphan->grace_start_us = now_us;
 	orphan->listed = true;
 	TAILQ_INSERT_TAIL(&server->orphans, orphan, entry);
@@ -446,29 +449,6 @@
 	    TAILQ_EMPTY(&server->unstored_ends);
 }
 
-/* A lease that the end of the holder's own has shortened is renewed in time. */
-static uint32_t
-sched_hold_wait_limit_ms(const struct scheduler *sched)
-{
-	uint32_t remaining_ms = sched_holder_remaining_ms(sched);
-
-	if (remaining_ms == 0)
-		return SCHED_HOLD_WAIT_MAX_MS;
-	if (remaining_ms < 2 * SCHED_SHORT_POLL_MS)
-		return SCHED_SHORT_POLL_MS;
-	return remaining_ms / 2;
-}
-
-uint64_t
-sched_lease_extend(struct sched_server *server, uint64_t now_us)
-{
-	uint32_t duration_ms = sched_holder_remaining_ms(server->sched);
-
-	if (duration_ms > server->sched->params.lease_ms)
-		duration_ms = server->sched->params.lease_ms;
-	return lease_extend(&server->lease, now_us, duration_ms);
-}
-
 void
 sched_server_hold(struct sched_server *server, uint64_t now_us)
 {
@@ -499,7 +479,7 @@
 	    server->sched->jobs_loaded &&
 	    server->acknowledged == server->processed_end)
 		hold.wait_ms = sched_hold_wait_ms(server, now_us);
-	wait_limit_ms = sched_hold_wait_limit_ms(sched);
+	wait_limit_ms = sched_hold_wait_limit_ms(server, now_us);
 	if (hold.wait_ms > wait_limit_ms)
 		hold.wait_ms = wait_limit_ms;
 	server->hold_pending = true;
@@ -553,8 +533,9 @@
 	struct sched_orphan *orphan;
 
 	TAILQ_FOREACH (orphan, &server->orphans, entry) {
-		if (now_us - orphan->grace_start_us <
-		    SCHED_ORPHAN_GRACE_MS * SCHED_US_PER_MS)
+		if (orphan->order != NULL ||
+		    now_us - orphan->grace_start_us <
+			SCHED_ORPHAN_GRACE_MS * SCHED_US_PER_MS)
 			continue;
 		orphan->grace_start_us = now_us;
 		sched_run_stop_orphan(server, orphan);
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -27,6 +27,7 @@
 /* Two pings of a host to its holder, and as many ticks. */
 #define CONFIRM_MS 400
 #define TICK_MS 50 /* of the hosts */
+#define HEARTBEAT_MS 200
 #define READS_MAX 16
 #define READ_TIMEOUT_MS 2500 /* PJOBS_CALL_TIMEOUT_MS */
 
@@ -65,6 +66,7 @@
 	size_t nzones; /* the hosts are assigned to them in turn */
 	struct host hosts[NHOSTS_MAX];
 	bool connected[NHOSTS_MAX][NHOSTS_MAX];
+	uint64_t alive_us[NHOSTS_MAX][NHOSTS_MAX]; /* last heartbeat */
 	uint64_t connections_version;
 	uint64_t token;		     /* last reserved one */
 	uint64_t owners[NHOSTS_MAX]; /* tokens that claimed each cell last */
@@ -202,6 +204,14 @@
 	return ((struct host *)peers)->net->connections_version;
 }
 
+static uint64_t
+host_alive_us(struct peers *peers, const char *name)
+{
+	const struct host *host = (struct host *)peers;
+
+	return host->net->alive_us[host->index][atoi(name + 1)];
+}
+
 static void
 host_request_connection(struct peers *peers, const char *name)
 {
@@ -301,6 +311,14 @@
 	cells_fenced(((struct host *)arg)->cells);
 }
 
+static uint64_t
+host_submitter_alive_us(void *arg, void *submission)
+{
+	const struct host *host = arg;
+
+	return cells_submitter_alive_us(host->cells, submission);
+}
+
 static const struct peers_ops host_ops = { .forward = host_forward };
 
 /* The row of a host. The hosts are preferred as holders in their order. */
@@ -328,12 +346,14 @@
 		.far_permille = 1000,
 		.record_run_end = host->reads_jobs ? host_record_run_end : NULL,
 		.fenced = host_fenced,
+		.submitter_alive_us = host_submitter_alive_us,
 		.arg = host };
 	struct cells_params params = { .base = net->base,
 		.clock = clock_real(),
 		.peers = &host->peers,
 		.is_connected = host_connected,
 		.connections_version = host_connections_version,
+		.alive_us = host_alive_us,
 		.request_connection = host_request_connection,
 		.reserve_token = host_reserve_token,
 		.read_owner = host_read_owner,
@@ -415,6 +435,22 @@
 	}
 }
 
+static void
+net_send_heartbeats(struct net *net)
+{
+	uint64_t now_us = clock_now_us(clock_real());
+	size_t i, j;
+
+	for (i = 0; i < net->nhosts; i++) {
+		for (j = 0; j < net->nhosts; j++) {
+			if (net->connected[i][j] &&
+			    now_us - net->alive_us[i][j] >=
+				HEARTBEAT_MS * UINT64_C(1000))
+				net->alive_us[i][j] = now_us;
+		}
+	}
+}
+
 /* Runs the event loop for @ms, in steps of 10 ms, besides the time in which no
  * host runs; calls of the store end within a step. */
 static void
@@ -428,6 +464,7 @@
 		(void)event_base_dispatch(net->base);
 		sim_time_advance(net->stall_ms);
 		net_free_calls(net);
+		net_send_heartbeats(net);
 		for (i = 0; i < net->nhosts; i++)
 			host_serve_store(&net->hosts[i]);
 	}
--- a/tests/test_job_service.c
+++ b/tests/test_job_service.c
@@ -334,6 +334,14 @@
 	return ((struct host *)peers)->net->connections_version;
 }
 
+static uint64_t
+host_alive_us(struct peers *peers, const char *name)
+{
+	(void)peers;
+	(void)name;
+	return clock_now_us(clock_real());
+}
+
 static void
 host_request_connection(struct peers *peers, const char *name)
 {
@@ -412,6 +420,7 @@
 		.peers = &host->peers,
 		.is_connected = host_connected,
 		.connections_version = host_connections_version,
+		.alive_us = host_alive_us,
 		.request_connection = host_request_connection,
 		.update_hosts = host_update_hosts,
 		.row_decoder = { decode_config, decode_server, decode_host },
