Cancel a job at its former holders, too

Cause: when another host takes over, the gateway submits its jobs to that one, and leaves the attempt at the former holder alone, whose answer may still come. If the caller then disconnects, or is answered "outcome-unknown" because no holder is found, only the current attempt was cancelled, or none. A former holder that the successor does not reach goes on with the run for as long as it hears of the gateway's host, which is alive.

Change: an answered job is cancelled at every holder that has not replied. A cancellation names its holder: the local one no longer ends the submission of another holder with the same number, which is the same for all attempts of a job.

Evidence: test_job_gateway job_of_a_lost_caller_is_cancelled_at_a_former_holder (cancelled at "h1 " only) and job_of_unknown_outcome_is_cancelled_at_a_former_holder ("") fail on the parent and pass. Nothing periodic is added.

--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -355,7 +355,9 @@
 cells_cancel(struct cells *cells, const char *holder, const char *id,
     uint64_t nonce)
 {
-	struct cells_submission *sub = cells_submission_find(cells, id, nonce);
+	bool local = strcmp(holder, cells->params.self.name) == 0;
+	struct cells_submission *sub =
+	    local ? cells_submission_find(cells, id, nonce) : NULL;
 	char path[sizeof(CELLS_JOBS_PATH) + JOB_ID_LEN + 1], query[64];
 	struct api_request request = { .method = API_DELETE,
 		.path = path,
@@ -366,6 +368,8 @@
 		cells_submission_cancel(sub);
 		return;
 	}
+	if (local)
+		return;
 	(void)snprintf(path, sizeof(path), CELLS_JOBS_PATH "%s", id);
 	(void)snprintf(query, sizeof(query), "nonce=%" PRIu64, nonce);
 	host = cells_host_find(cells, holder);
--- a/entry/jobs/job_gateway.c
+++ b/entry/jobs/job_gateway.c
@@ -71,12 +71,12 @@
 	uint64_t deadline_us;
 	uint64_t unassigned_us; /* start of the wait for a holder; 0: none */
 	uint64_t nonce;
-	char holder[NAME_SIZE];		/* of the last attempt */
-	bool overflowed;		/* submitted to a remote cell */
-	struct cells_overflow overflow; /* of that cell; "": not reached */
-	uint32_t nattempts;		/* that have not ended */
-	struct gw_attempt *current;	/* NULL: no holder has the job */
-	bool may_have_started;		/* a task may have been started */
+	char holder[NAME_SIZE];		   /* of the last attempt */
+	bool overflowed;		   /* submitted to a remote cell */
+	struct cells_overflow overflow;	   /* of that cell; "": not reached */
+	TAILQ_HEAD(, gw_attempt) attempts; /* that have not ended */
+	struct gw_attempt *current;	   /* NULL: no holder has the job */
+	bool may_have_started;		   /* a task may have been started */
 	bool answered;
 	struct event *timer;
 	gw_done_fn done;
@@ -88,7 +88,9 @@
  * is no longer the job's current attempt. */
 struct gw_attempt {
 	struct gw_job *job;
+	char holder[NAME_SIZE];
 	uint64_t sent_us;
+	TAILQ_ENTRY(gw_attempt) entry;
 };
 
 struct job_gateway {
@@ -105,7 +107,7 @@
 static void
 gw_job_free(struct gw_job *job)
 {
-	if (job->nattempts > 0)
+	if (!TAILQ_EMPTY(&job->attempts))
 		return;
 	TAILQ_REMOVE(&job->gateway->jobs, job, entry);
 	if (job->timer != NULL)
@@ -161,6 +163,26 @@
 		done(job->arg, &reply);
 }
 
+/* Cancels all attempts of an answered job, also those at former holders, which
+ * may not know that they were replaced; frees it once they have ended. */
+static void
+gw_job_end(struct gw_job *job)
+{
+	struct gw_attempt *attempt, *next;
+
+	/* A local attempt ends in the call, and with the last one the job. */
+	if (TAILQ_EMPTY(&job->attempts)) {
+		gw_job_free(job);
+		return;
+	}
+	for (attempt = TAILQ_FIRST(&job->attempts); attempt != NULL;
+	     attempt = next) {
+		next = TAILQ_NEXT(attempt, entry);
+		cells_cancel(job->gateway->cells, attempt->holder, job->id,
+		    job->nonce);
+	}
+}
+
 static void gw_send(struct gw_job *job);
 
 /* No holder has the job: schedules a retry, or answers the caller when the wait
@@ -181,7 +203,7 @@
 		gw_answer(job, GW_UNKNOWN, 0, cause);
 	else
 		gw_answer(job, GW_NOT_RUN, GW_RETRY_AFTER_MS, cause);
-	gw_job_free(job);
+	gw_job_end(job);
 }
 
 static void
@@ -209,7 +231,7 @@
 		gw_answer(job, GW_UNKNOWN, 0, reply->reason);
 		break;
 	}
-	gw_job_free(job);
+	gw_job_end(job);
 }
 
 /* Submits a job that the local cell refused to a remote cell, at most once. */
@@ -265,7 +287,7 @@
 		 * end when their leases expire. The job can't be resubmitted
 		 * to another cell. */
 		gw_answer(job, GW_UNKNOWN, 0, "the remote holder was lost");
-		gw_job_free(job);
+		gw_job_end(job);
 		return;
 	}
 	gw_retry_or_answer(job, "the availability zone has no lease holder");
@@ -286,8 +308,8 @@
 
 	if (is_current)
 		gw_end_attempt(job);
+	TAILQ_REMOVE(&job->attempts, attempt, entry);
 	free(attempt);
-	job->nattempts--;
 	if (job->answered)
 		gw_job_free(job);
 	else if (!is_current && !succeeded)
@@ -336,8 +358,9 @@
 	strlcpy(job->holder, holder, sizeof(job->holder));
 	job->current = attempt = mem_zalloc(1, sizeof(*attempt));
 	attempt->job = job;
+	strlcpy(attempt->holder, holder, sizeof(attempt->holder));
 	attempt->sent_us = now_us;
-	job->nattempts++;
+	TAILQ_INSERT_TAIL(&job->attempts, attempt, entry);
 	gw_set_timer(job, job->deadline_us);
 	cells_submit(job->gateway->cells, job->holder, &submission,
 	    gw_attempt_done, attempt);
@@ -355,7 +378,7 @@
 		return;
 	}
 	gw_answer(job, GW_UNKNOWN, 0, "the caller's deadline has passed");
-	cells_cancel(job->gateway->cells, job->holder, job->id, job->nonce);
+	gw_job_end(job);
 }
 
 void
@@ -376,6 +399,7 @@
 	job->nonce = gateway->next_nonce++;
 	job->done = done;
 	job->arg = arg;
+	TAILQ_INIT(&job->attempts);
 	job->timer = evtimer_new(gateway->base, gw_timer_expired, job);
 	if (job->timer == NULL)
 		abort();
@@ -389,7 +413,7 @@
 	if (gateway->refuse_new) {
 		gw_answer(job, GW_NOT_RUN, GW_RETRY_AFTER_MS,
 		    "this entry host is shutting down");
-		gw_job_free(job);
+		gw_job_end(job);
 		return;
 	}
 	gw_send(job);
@@ -431,11 +455,7 @@
 			continue;
 		gw_answer(job, GW_UNKNOWN, 0,
 		    "this entry host is shutting down");
-		if (job->current != NULL)
-			cells_cancel(gateway->cells, job->holder, job->id,
-			    job->nonce);
-		else
-			gw_job_free(job);
+		gw_job_end(job);
 	}
 }
 
@@ -452,10 +472,7 @@
 		return;
 	job->done = NULL;
 	gw_answer(job, GW_UNKNOWN, 0, "the caller has disconnected");
-	if (job->current != NULL)
-		cells_cancel(gateway->cells, job->holder, job->id, job->nonce);
-	else
-		gw_job_free(job);
+	gw_job_end(job);
 }
 
 size_t
@@ -483,10 +500,14 @@
 void
 gw_destroy(struct job_gateway *gateway)
 {
-	struct gw_job *job, *next;
+	struct gw_attempt *attempt;
+	struct gw_job *job;
 
-	TAILQ_FOREACH_SAFE (job, &gateway->jobs, entry, next) {
-		job->nattempts = 0;
+	while ((job = TAILQ_FIRST(&gateway->jobs)) != NULL) {
+		while ((attempt = TAILQ_FIRST(&job->attempts)) != NULL) {
+			TAILQ_REMOVE(&job->attempts, attempt, entry);
+			free(attempt);
+		}
 		gw_job_free(job);
 	}
 	free(gateway);
--- a/tests/test_job_gateway.c
+++ b/tests/test_job_gateway.c
@@ -29,6 +29,7 @@
 	size_t nsubmissions;
 	const char *holder;	  /* of the local cell; NULL: none */
 	uint64_t cancelled_nonce; /* of the last cancellation */
+	char cancelled[64];	  /* the holders of all, in their order */
 };
 
 const char *
@@ -56,8 +57,9 @@
 cells_cancel(struct cells *cells, const char *holder, const char *id,
     uint64_t nonce)
 {
-	(void)holder;
 	cr_expect_str_eq(id, ID);
+	strlcat(cells->cancelled, holder, sizeof(cells->cancelled));
+	strlcat(cells->cancelled, " ", sizeof(cells->cancelled));
 	cells->cancelled_nonce = nonce;
 }
 
@@ -214,3 +216,44 @@
 	gw_destroy(gateway);
 	event_base_free(base);
 }
+
+/* The former holder may not know that it was replaced. */
+Test(job_gateway, job_of_a_lost_caller_is_cancelled_at_a_former_holder)
+{
+	struct event_base *base = event_base_new();
+	struct cells cells = { .holder = "h0" };
+	struct job_gateway *gateway = gw_create(base, clock_real(), &cells);
+	struct caller caller = { 0 };
+
+	submit(gateway, &caller);
+	cells.holder = "h1";
+	gw_holder_changed(gateway, "h1");
+	cr_assert_eq(cells.nsubmissions, 2);
+	gw_abandon(gateway, &caller);
+	cr_expect_str_eq(cells.cancelled, "h0 h1 ");
+	gw_destroy(gateway);
+	event_base_free(base);
+}
+
+Test(job_gateway, job_of_unknown_outcome_is_cancelled_at_a_former_holder)
+{
+	struct event_base *base;
+	struct job_gateway *gateway;
+	struct cells cells = { .holder = "h0" };
+	struct caller caller = { 0 };
+
+	sim_time_start();
+	base = event_base_new();
+	gateway = gw_create(base, clock_real(), &cells);
+	submit(gateway, &caller);
+	cells.holder = "h1";
+	gw_holder_changed(gateway, "h1");
+	cells.holder = NULL;
+	end_submission(&cells, 1, CELLS_LOST, NULL, "");
+	run_ms(base, 800);
+	cr_assert_eq(caller.answers, 1);
+	cr_assert_eq(caller.result, GW_UNKNOWN);
+	cr_expect_str_eq(cells.cancelled, "h0 ");
+	gw_destroy(gateway);
+	event_base_free(base);
+}
