Cancellations say how long ago the caller may have been lost

Cause: a host that was paused finds its caller's connection closed afterwards, and sends the cancellation then. The holder counted the 1.25 s from its arrival, later than the caller's 1.3 s by up to the pause.

Change: the cancellation carries the time since the last tick of its sender before it found the connection closed; the holder counts from then.

Nothing periodic is added.

--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -358,6 +358,10 @@
 	bool local = strcmp(holder, cells->params.self.name) == 0;
 	struct cells_submission *sub =
 	    local ? cells_submission_find(cells, id, nonce) : NULL;
+	/* A connection that was closed while this process was paused is found
+	 * closed afterwards. */
+	uint64_t lost_ms =
+	    (cells_boot_us(cells) - cells->last_tick_us) / CELLS_US_PER_MS;
 	char path[sizeof(CELLS_JOBS_PATH) + JOB_ID_LEN + 1], query[64];
 	struct api_request request = { .method = API_DELETE,
 		.path = path,
@@ -371,7 +375,8 @@
 	if (local)
 		return;
 	(void)snprintf(path, sizeof(path), CELLS_JOBS_PATH "%s", id);
-	(void)snprintf(query, sizeof(query), "nonce=%" PRIu64, nonce);
+	(void)snprintf(query, sizeof(query),
+	    "nonce=%" PRIu64 "&lost_ms=%" PRIu64, nonce, lost_ms);
 	host = cells_host_find(cells, holder);
 	if (host != NULL && host->connected)
 		cells->params.peers->ops->forward(cells->params.peers,
@@ -508,8 +513,11 @@
 	    request->path + sizeof(CELLS_JOBS_PATH) - 1,
 	    cells_query_u64(request, "nonce"));
 
-	if (sub != NULL)
+	if (sub != NULL) {
+		sub->lost_us = cells_now_us(cells) -
+		    cells_query_u32(request, "lost_ms") * CELLS_US_PER_MS;
 		cells_submission_cancel(sub);
+	}
 	cells_send_reply(reply, arg, 200, "{}");
 }
 
@@ -526,7 +534,9 @@
 	/* The host may have disconnected since. */
 	if (alive_us > sub->alive_us)
 		sub->alive_us = alive_us;
-	return sub->alive_us;
+	return sub->lost_us != 0 && sub->lost_us < sub->alive_us
+	    ? sub->lost_us
+	    : sub->alive_us;
 }
 
 /* The members of the state that only a holder has. */
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -66,7 +66,7 @@
 	size_t nzones; /* the hosts are assigned to them in turn */
 	struct host hosts[NHOSTS_MAX];
 	bool connected[NHOSTS_MAX][NHOSTS_MAX];
-	uint64_t alive_us[NHOSTS_MAX][NHOSTS_MAX]; /* last heartbeat */
+	uint64_t alive_us[NHOSTS_MAX][NHOSTS_MAX]; /* last message */
 	uint64_t connections_version;
 	uint64_t token;		     /* last reserved one */
 	uint64_t owners[NHOSTS_MAX]; /* tokens that claimed each cell last */
@@ -137,6 +137,8 @@
 	(void)fd;
 	(void)what;
 	if (call->from->net->connected[call->from->index][call->to->index]) {
+		call->from->net->alive_us[call->to->index][call->from->index] =
+		    clock_now_us(clock_real());
 		cells_handle(call->to->cells, &call->request, call_reply, call);
 		return;
 	}
@@ -1795,6 +1797,7 @@
  * h0 and h1 are the holders.
  */
 #define RESEND_MS 1300
+#define PAUSE_MS 600
 #define NEIGHBOUR "6d1f8b32ea45c709" /* a job that its caller waits for */
 
 struct resubmission {
@@ -1980,6 +1983,19 @@
 	resubmission_end(&test, 1);
 }
 
+/* Both hosts are paused as the caller is lost. */
+Test(cells, no_second_run_of_a_resubmitted_job_whose_host_was_paused)
+{
+	struct resubmission test;
+
+	resubmission_start(&test, 2, 2, 0);
+	resubmission_delay_orders(&test, 0);
+	sim_time_advance(PAUSE_MS);
+	resubmission_cancel(&test);
+	net_run(test.net, RESEND_MS - PAUSE_MS);
+	resubmission_end(&test, 1);
+}
+
 /* The job was passed to the holder of another zone. */
 Test(cells, no_second_run_of_a_resubmitted_job_that_another_zone_runs)
 {
