Tests: what the limit of leases leaves alone

Runs beside one whose stop is confirmed, or whose host was lost, go on; a waiting job of a lost host is refused as not run, and was not started.

--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1940,12 +1940,23 @@
 	host_create(test->net, host);
 }
 
+static void
+resubmission_release(struct resubmission *test)
+{
+	size_t i;
+
+	for (i = 0; i < 2; i++) {
+		if (test->job_stores[i] != NULL)
+			jstore_destroy(test->job_stores[i]);
+	}
+	net_destroy(test->net);
+}
+
 /* The caller submits its job to @host again. */
 static void
 resubmission_end(struct resubmission *test, size_t host)
 {
 	struct net *net = test->net;
-	size_t i;
 
 	fake_worker_faults(net->hosts[host].own_worker)->delayed_permille = 0;
 	resubmission_submit(&net->hosts[host], net->hosts[host].name, ID, false,
@@ -1955,11 +1966,7 @@
 	    net->cluster.first_violation);
 	cr_expect_geq(wm_task(&net->cluster, ID ".0.0.0")->starts, 2);
 	cr_expect_eq(wm_task(&net->cluster, ID ".0.0.0")->completions, 1);
-	for (i = 0; i < 2; i++) {
-		if (test->job_stores[i] != NULL)
-			jstore_destroy(test->job_stores[i]);
-	}
-	net_destroy(net);
+	resubmission_release(test);
 }
 
 Test(cells, no_second_run_of_a_resubmitted_job_while_stops_are_delayed)
@@ -2043,3 +2050,59 @@
 	net_run(net, RESEND_MS - RESEND_MS / 4);
 	resubmission_end(&test, 1);
 }
+
+#define OTHER "7e2a9c43fb56d810" /* a job of a caller of h0 */
+
+/* A stop that is confirmed does not limit the server's lease. */
+Test(cells, runs_beside_a_cancelled_one_go_on)
+{
+	struct resubmission test;
+
+	resubmission_start(&test, 2, 2, 0);
+	resubmission_cancel(&test);
+	net_run(test.net, RESEND_MS);
+	cr_expect_eq(wm_task(&test.net->cluster, ID ".0.0.0")->running_now, 0);
+	net_run(test.net, 3000);
+	cr_expect_eq(wm_task(&test.net->cluster, NEIGHBOUR ".0.0.0")->starts,
+	    1);
+	cr_expect_eq(
+	    wm_task(&test.net->cluster, NEIGHBOUR ".0.0.0")->completions, 1);
+	resubmission_release(&test);
+}
+
+Test(cells, runs_beside_those_of_a_lost_host_go_on)
+{
+	struct resubmission test;
+	const struct wm_task *task;
+
+	resubmission_start(&test, 2, 2, 0);
+	resubmission_submit(&test.net->hosts[0], "h0", OTHER, false,
+	    &test.second);
+	net_run(test.net, 100);
+	resubmission_lose_host(&test, 2);
+	net_run(test.net, 3500);
+	task = wm_task(&test.net->cluster, OTHER ".0.0.0");
+	cr_expect_eq(task->starts, 1);
+	cr_expect_eq(task->completions, 1);
+	resubmission_release(&test);
+}
+
+Test(cells, waiting_job_of_a_lost_host_is_refused_as_not_run)
+{
+	struct resubmission test;
+
+	resubmission_start(&test, 2, 2, 0);
+	fake_worker_faults(test.net->hosts[0].own_worker)->unreachable_mask =
+	    UINT32_MAX;
+	net_run(test.net, 2000);
+	resubmission_submit(&test.net->hosts[2], "h0", OTHER, false,
+	    &test.second);
+	net_run(test.net, 100);
+	cr_assert_eq(test.second.n, 0);
+	resubmission_lose_host(&test, 2);
+	net_run(test.net, RESEND_MS);
+	cr_expect_eq(test.second.n, 1);
+	cr_expect_eq(test.second.result, SCHED_NOT_RUN);
+	cr_expect_null(wm_task(&test.net->cluster, OTHER ".0.0.0"));
+	resubmission_release(&test);
+}
