--- a/tests/test_peers_tcp.c
+++ b/tests/test_peers_tcp.c
@@ -675,6 +675,40 @@
 	peers_tcp_destroy(b.peers);
 }
 
+/* With many peers, heartbeats are sent every 3.2 s. */
+Test(peers_tcp, host_that_waits_for_a_reply_is_known_to_be_alive)
+{
+	struct node a = { 0 }, b = { 0 };
+	uint64_t alive_us, began_us;
+	struct result result;
+	int fds[40], i;
+	char name[16];
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	node_start(&b, "b", "z1", 22, 0, a.port);
+	b.api.withhold_reply = true;
+	for (i = 0; i < 40; i++) {
+		fds[i] = raw_connect(a.port);
+		(void)snprintf(name, sizeof(name), "c%d", i);
+		raw_hello(fds[i], name, 100 + (uint64_t)i);
+		raw_heartbeat_every(fds[i], WAIT_TIMEOUT_MS);
+	}
+	WAIT_FOR(a.engine.nsharing_hosts == 42);
+	send_forward(&a, "b", 22, &result);
+	WAIT_FOR(b.api.nhandled == 1);
+	began_us = real_now_us(NULL);
+	for (i = 0; i < 4; i++) {
+		alive_us = peers_tcp_alive_us(b.peers, "a");
+		WAIT_FOR(peers_tcp_alive_us(b.peers, "a") > alive_us);
+	}
+	cr_expect_lt(real_now_us(NULL) - began_us, 3200 * 1000);
+	cr_expect_eq(peers_tcp_alive_us(b.peers, "z"), 0);
+	peers_tcp_destroy(a.peers);
+	peers_tcp_destroy(b.peers);
+	for (i = 0; i < 40; i++)
+		close(fds[i]);
+}
+
 Test(peers_tcp, malformed_data_closes_only_its_connection)
 {
 	static const char *const garbage[] = {
