--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -418,6 +418,10 @@
  * long as submitters are known to wait for the jobs that run there. Return: the
  * deadline to send. */
 uint64_t sched_lease_extend(struct sched_server *server, uint64_t now_us);
+/* Whether a run of the job may be started under the lease that the server has:
+ * it must not last longer than the job's submitter is known to wait. */
+bool sched_lease_admits_job(const struct sched_server *server,
+    const struct sched_job *job);
 /* Whether the lease is long enough for further runs. */
 bool sched_lease_admits_starts(const struct sched_server *server,
     uint64_t now_us);
--- a/entry/jobs/scheduler_lease.c
+++ b/entry/jobs/scheduler_lease.c
@@ -161,6 +161,13 @@
 	return lease_extend(&server->lease, now_us, duration_ms);
 }
 
+bool
+sched_lease_admits_job(const struct sched_server *server,
+    const struct sched_job *job)
+{
+	return server->lease.expires_us <= sched_job_lease_end_us(job);
+}
+
 bool
 sched_lease_admits_starts(const struct sched_server *server, uint64_t now_us)
 {
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -2043,3 +2043,39 @@
 	net_run(net, RESEND_MS - RESEND_MS / 4);
 	resubmission_end(&test, 1);
 }
+
+#define QUEUED "83f2c5d94e0b716a" /* waits until a server has room */
+
+/* The host is lost while its job waits for a server. */
+Test(cells, no_second_run_of_a_resubmitted_job_that_waited_for_a_server)
+{
+	static const char *const fillers[] = { "e41b7a90c85d2630",
+		"e41b7a90c85d2631", "e41b7a90c85d2632", "e41b7a90c85d2633" };
+	struct submission filling[4], queued;
+	struct resubmission test;
+	struct net *net;
+	size_t i;
+
+	resubmission_start(&test, 2, 2, 0);
+	net = test.net;
+	for (i = 0; i < 4; i++)
+		resubmission_submit(&net->hosts[2], "h0", fillers[i], false,
+		    &filling[i]);
+	net_run(net, 100);
+	resubmission_submit(&net->hosts[3], "h0", QUEUED, false, &queued);
+	net_run(net, 300);
+	resubmission_lose_host(&test, 3);
+	net_run(net, RESEND_MS - 650);
+	cr_assert_null(wm_task(&net->cluster, QUEUED ".0.0.0"));
+	resubmission_cancel(&test);
+	net_run(net, 100);
+	cr_assert_eq(wm_task(&net->cluster, ID ".0.0.0")->running_now, 0);
+	resubmission_delay_orders(&test, 0);
+	net_run(net, 550);
+	resubmission_submit(&net->hosts[1], "h1", QUEUED, false, &test.second);
+	net_run(net, 4000);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	cr_expect_eq(wm_task(&net->cluster, QUEUED ".0.0.0")->completions, 1);
+	resubmission_end(&test, 1);
+}
