Extend no lease for the runs beside an unknown one

What callers saw: as in, a second run beside the first one of a job that was sent again, after a second loss.

Cause: a successor extended the lease of a server to 250 ms after it had found an unknown run there, taking the run's caller for lost with the former holder, up to a lease before. The caller may have been lost earlier: if its stops have no reply, the former holder extends the lease up to 1.25 s after the caller was lost, so that the successor finds the run until then, and it lasts up to 1.5 s. Each further holder, and a holder that steps down and takes over again, counts anew.

Change: while there is an unknown run whose stop is not confirmed, the lease is not extended.

Price: after a take-over the other runs of a server have the rest of their lease until all of its runs are claimed or their stops are confirmed, which begin 150 ms after the first list; so far they had 250 ms from that list if that was longer.

--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -186,7 +186,6 @@
 	uint64_t run_id;
 	/* Time of the first list with the run, or of the last stop order. */
 	uint64_t grace_start_us;
-	uint64_t found_us;	   /* first list with the run */
 	struct sched_order *order; /* pending stop; NULL: none */
 	bool stop_confirmed;
 	bool listed; /* in the last reply to a hold */
--- a/entry/jobs/scheduler_lease.c
+++ b/entry/jobs/scheduler_lease.c
@@ -7,7 +7,8 @@
  *
  *	- after the submitter of a job was last known to wait for it, unless the
  *	  server has confirmed the stop of the job's runs;
- *	- after an unknown run was found there, likewise.
+ *	- and not at all while there is an unknown run, likewise: its caller may
+ *	  have been lost as long before as a former holder allowed it to last.
  *
  * All runs on the server end then, as its lease is that of all of them. This
  * happens only if stops have no reply until then.
@@ -25,9 +26,6 @@
 /* Then a job is given up, so that its runs are stopped before leases end. */
 #define SCHED_SUBMITTER_SILENT_MS 1000
 #define SCHED_SILENT_RETRY_AFTER_MS 200
-/* An orphan may have lost its caller together with its holder, up to a lease
- * before it is found. */
-#define SCHED_ORPHAN_LEASE_MS 250
 /* No starts under a shorter lease. */
 #define SCHED_START_LEASE_MIN_MS 250
 
@@ -100,12 +98,8 @@
 			end_us = run_end_us;
 	}
 	TAILQ_FOREACH (orphan, &server->orphans, entry) {
-		if (orphan->stop_confirmed)
-			continue;
-		run_end_us =
-		    orphan->found_us + SCHED_ORPHAN_LEASE_MS * SCHED_US_PER_MS;
-		if (run_end_us < end_us)
-			end_us = run_end_us;
+		if (!orphan->stop_confirmed)
+			return 0;
 	}
 	return end_us;
 }
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -130,7 +130,6 @@
 	orphan = mem_zalloc(1, sizeof(*orphan));
 	strlcpy(orphan->task, name, sizeof(orphan->task));
 	orphan->run_id = run_id;
-	orphan->found_us = now_us;
 	orphan->grace_start_us = now_us;
 	orphan->listed = true;
 	TAILQ_INSERT_TAIL(&server->orphans, orphan, entry);
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -2079,3 +2079,31 @@
 	cr_expect_eq(wm_task(&net->cluster, QUEUED ".0.0.0")->completions, 1);
 	resubmission_end(&test, 1);
 }
+
+/* The holder is lost shortly before the caller submits its job again. */
+Test(cells, no_second_run_of_a_resubmitted_job_that_a_successor_finds_late)
+{
+	struct fake_worker_faults *faults;
+	struct resubmission test;
+	struct net *net;
+
+	resubmission_start(&test, 2, 2, 0);
+	net = test.net;
+	faults = fake_worker_faults(net->hosts[2].own_worker);
+	resubmission_delay_orders(&test, 0);
+	resubmission_delay_orders(&test, 2);
+	resubmission_cancel(&test);
+	net_run(net, RESEND_MS - 300);
+	faults->unreachable_mask = UINT32_MAX;
+	resubmission_kill_host(&test, 0);
+	net_run(net, 100);
+	cr_assert_neq(sched_token(net->hosts[2].sched), 0);
+	/* It has claimed the cell. */
+	cells_owner_read(net->hosts[2].cells, clock_boot_us(clock_real()),
+	    true);
+	resubmission_submit(&net->hosts[2], "h2", NEIGHBOUR, true,
+	    &test.neighbour);
+	faults->unreachable_mask = 0;
+	net_run(net, 200);
+	resubmission_end(&test, 1);
+}
