Count a message from before the pause that delayed its reading

What callers saw: as in, a second run of a job that was sent again, if the holder was paused as the host of its caller was lost.

Cause: a message counted as sent after the last tick before it was read. After a pause, the tick is due, and the event loop runs it first: the callbacks of the connections are deferred to the end of an iteration, and each iteration reads 4 KB. So a host that was lost at the beginning of the pause seemed alive at its end, the job was given up and its leases ended later by the length of the pause (a pause of 0.4 s suffices for a job that is given up after 1 s: no stop has to be lost).

Change: it counts from the tick before the last one.

--- a/adapters/peers_internal.h
+++ b/adapters/peers_internal.h
@@ -174,6 +174,7 @@
 	size_t nconns;
 	uint64_t conns_version; /* incremented when a host connects or leaves */
 	uint64_t last_tick_us;
+	uint64_t previous_tick_us;	    /* the one before the last */
 	struct peers_forward_list forwards; /* pending */
 	struct peers_forward_list failed;   /* callbacks have not been run */
 	size_t nforwards;		    /* in both lists */
--- a/tests/test_peers_tcp.c
+++ b/tests/test_peers_tcp.c
@@ -24,6 +24,7 @@
  */
 
 #define HEARTBEAT_MS 20
+#define PAUSE_MS 600
 #define WAIT_TIMEOUT_MS 20000 /* a test fails instead of hanging */
 
 /* Fake API: replies with the body of the request. */
@@ -752,6 +753,38 @@
 	peers_tcp_destroy(a.peers);
 }
 
+/* The host may have been lost while the messages were not read. */
+Test(peers_tcp, messages_that_a_pause_delays_are_as_old_as_the_pause)
+{
+	static const char *const received =
+	    "berylrail_wasted_messages_total{hop=\"peer\","
+	    "kind=\"unknown_reply\"} ";
+	Berylrail__ForwardReply reply = BERYLRAIL__FORWARD_REPLY__INIT;
+	struct node a = { 0 };
+	uint8_t body[400] = { 0 };
+	uint64_t sent_us;
+	size_t i;
+	int fd;
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	fd = raw_connect(a.port);
+	raw_hello(fd, "b", 22);
+	WAIT_FOR(a.engine.nsharing_hosts == 2);
+	reply.correlation = 1;
+	reply.body.data = body;
+	reply.body.len = sizeof(body);
+	for (i = 0; i < 50; i++)
+		raw_send(fd, BERYLRAIL__FRAME__KIND_FORWARD_REPLY, &reply);
+	sent_us = real_now_us(NULL);
+	usleep(PAUSE_MS * 1000);
+	WAIT_FOR(counter_value(received) == 50);
+	cr_expect_leq(peers_tcp_alive_us(a.peers, "b"), sent_us,
+	    "%lld us after the pause began",
+	    (long long)(peers_tcp_alive_us(a.peers, "b") - sent_us));
+	close(fd);
+	peers_tcp_destroy(a.peers);
+}
+
 Test(peers_tcp, late_duplicate_and_unknown_replies_are_dropped)
 {
 	static const char *const unknown_replies =
