Count the loss of a caller from before a pause, also after its tick

Cause: both ends of a job count the loss of its caller from their last tick, as a closed connection may have waited to be found. After a pause, the event loop finds 32 of the connections that are ready (libevent's first size of its list) and then runs the tick that is due; the others are found after it, and count from the end of the pause.

Change: the loss counts from the tick before the last one.

Evidence: test_cells no_second_run_of_a_resubmitted_job_whose_loss_is_found_after_a_tick reports "two runs at the same time" on the parent and passes.

--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -534,6 +534,7 @@
 			host->last_reply_us = 0;
 		}
 	}
+	cells->previous_tick_us = cells->last_tick_us;
 	cells->last_tick_us = boot_us;
 }
 
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -103,7 +103,8 @@
 	/* Requests that are served on this host. */
 	TAILQ_HEAD(, cells_submission) submissions;
 	struct event *timer;
-	uint64_t last_tick_us; /* of the clock that counts suspensions */
+	uint64_t last_tick_us;	   /* of the clock that counts suspensions */
+	uint64_t previous_tick_us; /* the one before the last; 0: none */
 	uint64_t nticks;
 	size_t next_source; /* of cells_reachable_peer() */
 	/* Time at which all hosts were loaded; starts discovery. 0: none. */
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -359,9 +359,9 @@
 	struct cells_submission *sub =
 	    local ? cells_submission_find(cells, id, nonce) : NULL;
 	/* A connection that was closed while this process was paused is found
-	 * closed afterwards. */
+	 * closed afterwards, perhaps after a tick. */
 	uint64_t lost_ms =
-	    (cells_boot_us(cells) - cells->last_tick_us) / CELLS_US_PER_MS;
+	    (cells_boot_us(cells) - cells->previous_tick_us) / CELLS_US_PER_MS;
 	char path[sizeof(CELLS_JOBS_PATH) + JOB_ID_LEN + 1], query[64];
 	struct api_request request = { .method = API_DELETE,
 		.path = path,
--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -137,6 +137,7 @@
 
 	sched->token = token;
 	sched->last_tick_us = 0;
+	sched->previous_tick_us = 0;
 	sched->tick_delay_us = 0;
 	(void)event_add(sched->tick_event, &interval);
 	sched->rows_refreshed = false;
@@ -437,6 +438,7 @@
 		    (sched->tick_delay_us * (SCHED_TICK_DELAY_WEIGHT - 1) +
 			delay_us) /
 		    SCHED_TICK_DELAY_WEIGHT;
+	sched->previous_tick_us = sched->last_tick_us;
 	sched->last_tick_us = now_us;
 }
 
--- a/entry/jobs/scheduler_lease.c
+++ b/entry/jobs/scheduler_lease.c
@@ -30,15 +30,16 @@
 #define SCHED_START_LEASE_MIN_MS 250
 
 /* When the submitter was last known to wait for the job. After a pause of this
- * process, that is a time before the pause. */
+ * process, that is a time before the pause until the second tick: the event
+ * loop may run the first one before it finds a connection closed. */
 static uint64_t
 sched_submitter_alive_us(const struct sched_job *job)
 {
 	const struct scheduler *sched = job->sched;
 	uint64_t alive_us = sched_now(sched);
 
-	if (sched->last_tick_us != 0)
-		alive_us = sched->last_tick_us;
+	if (sched->previous_tick_us != 0)
+		alive_us = sched->previous_tick_us;
 	if (sched->params.submitter_alive_us != NULL) {
 		uint64_t seen_us = sched->params.submitter_alive_us(
 		    sched->params.arg, job->arg);
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1996,6 +1996,20 @@
 	resubmission_end(&test, 1);
 }
 
+/* Their event loops run a tick before they find the connection closed. */
+Test(cells, no_second_run_of_a_resubmitted_job_whose_loss_is_found_after_a_tick)
+{
+	struct resubmission test;
+
+	resubmission_start(&test, 2, 2, 0);
+	resubmission_delay_orders(&test, 0);
+	sim_time_advance(PAUSE_MS);
+	(void)event_base_loop(test.net->base, EVLOOP_NONBLOCK);
+	resubmission_cancel(&test);
+	net_run(test.net, RESEND_MS - PAUSE_MS);
+	resubmission_end(&test, 1);
+}
+
 /* The job was passed to the holder of another zone. */
 Test(cells, no_second_run_of_a_resubmitted_job_that_another_zone_runs)
 {
