Give up no job before what a pause delayed was read

What callers saw: 503 or 504 for jobs of which tasks ran or waited, after the holder was paused for 0.9 s or more; they were answered before.

Cause: gives up a job whose submitter's host was silent for 1 s. After a pause of the holder, all are: the tick that checks this runs before the loop has read the messages that arrived meanwhile.

Change: after a tick that is late by 300 ms, submitters are checked 300 ms later. The leases do not depend on this check.

Evidence: test_cells jobs_are_not_given_up_after_a_pause_of_the_holder fails on the parent, for the forwarded job and the local one (pause of 1.1 s).

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -16,6 +16,8 @@
 #define SCHED_TICK_DELAY_WEIGHT 8
 #define SCHED_TICK_DELAY_MAX_MS 300
 #define SCHED_SUBMITTERS_CHECK_MS 100
+/* After a pause: two ticks of the connections to peers, and a heartbeat. */
+#define SCHED_SUBMITTERS_RESUME_MS 300
 
 uint64_t
 sched_now(const struct scheduler *sched)
@@ -447,12 +449,18 @@
 static void
 sched_check_jobs(struct scheduler *sched, uint64_t now_us)
 {
-	bool check_submitters = now_us - sched->submitters_checked_us >=
-	    SCHED_SUBMITTERS_CHECK_MS * SCHED_US_PER_MS;
+	bool check_submitters = now_us >= sched->submitters_check_us;
 	struct sched_job *job;
 
-	if (check_submitters)
-		sched->submitters_checked_us = now_us;
+	if (now_us - sched->previous_tick_us >
+	    SCHED_SUBMITTERS_RESUME_MS * SCHED_US_PER_MS) {
+		check_submitters = false;
+		sched->submitters_check_us =
+		    now_us + SCHED_SUBMITTERS_RESUME_MS * SCHED_US_PER_MS;
+	} else if (check_submitters) {
+		sched->submitters_check_us =
+		    now_us + SCHED_SUBMITTERS_CHECK_MS * SCHED_US_PER_MS;
+	}
 	for (job = TAILQ_FIRST(&sched->jobs); job != NULL;
 	     job = sched->next_checked) {
 		sched->next_checked = TAILQ_NEXT(job, entry);
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -291,13 +291,13 @@
 	struct sched_servers servers;
 	/* Includes removed servers; one that is not removed is found first. */
 	struct name_index servers_by_id;
-	uint64_t last_tick_us;	   /* 0: none since the activation */
-	uint64_t previous_tick_us; /* the one before the last; 0: none */
-	uint64_t submitters_checked_us;
-	uint64_t tick_delay_us;	    /* smoothed; by which ticks run late */
-	struct rtt order_time;	    /* of orders to all servers */
-	uint64_t order_answered_us; /* the last one; 0: none */
-	struct sched_load load;	    /* as of load_updated_us */
+	uint64_t last_tick_us;	      /* 0: none since the activation */
+	uint64_t previous_tick_us;    /* the one before the last; 0: none */
+	uint64_t submitters_check_us; /* next check */
+	uint64_t tick_delay_us;	      /* smoothed; by which ticks run late */
+	struct rtt order_time;	      /* of orders to all servers */
+	uint64_t order_answered_us;   /* the last one; 0: none */
+	struct sched_load load;	      /* as of load_updated_us */
 	uint64_t load_updated_us;
 	struct sched_share shares[SCHED_SHARES]; /* as of shares_updated_us */
 	uint64_t shares_updated_us;		 /* 0: not computed */
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -2121,3 +2121,24 @@
 	net_run(net, 200);
 	resubmission_end(&test, 1);
 }
+
+/* The messages of their submitters' hosts have not been read yet. */
+Test(cells, jobs_are_not_given_up_after_a_pause_of_the_holder)
+{
+	struct submission local;
+	struct resubmission test;
+	size_t i;
+
+	resubmission_start(&test, 2, 2, 0);
+	resubmission_submit(&test.net->hosts[0], "h0", QUEUED, false, &local);
+	net_run(test.net, 100);
+	sim_time_advance(RESEND_MS - 200);
+	net_run(test.net, 8000);
+	cr_expect_eq(local.n, 1);
+	cr_expect_eq(local.result, SCHED_COMPLETED);
+	cr_expect_eq(test.first.n, 1);
+	cr_expect_eq(test.first.result, SCHED_COMPLETED);
+	for (i = 0; i < 2; i++)
+		jstore_destroy(test.job_stores[i]);
+	net_destroy(test.net);
+}
