--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -186,7 +186,6 @@
 	uint64_t run_id;
 	/* Time of the first list with the run, or of the last stop order. */
 	uint64_t grace_start_us;
-	uint64_t found_us;	   /* first list with the run */
 	struct sched_order *order; /* pending stop; NULL: none */
 	bool stop_confirmed;
 	bool listed; /* in the last reply to a hold */
@@ -292,12 +291,13 @@
 	struct sched_servers servers;
 	/* Includes removed servers; one that is not removed is found first. */
 	struct name_index servers_by_id;
-	uint64_t last_tick_us; /* 0: none since the activation */
-	uint64_t submitters_checked_us;
-	uint64_t tick_delay_us;	    /* smoothed; by which ticks run late */
-	struct rtt order_time;	    /* of orders to all servers */
-	uint64_t order_answered_us; /* the last one; 0: none */
-	struct sched_load load;	    /* as of load_updated_us */
+	uint64_t last_tick_us;	      /* 0: none since the activation */
+	uint64_t previous_tick_us;    /* the one before the last; 0: none */
+	uint64_t submitters_check_us; /* next check */
+	uint64_t tick_delay_us;	      /* smoothed; by which ticks run late */
+	struct rtt order_time;	      /* of orders to all servers */
+	uint64_t order_answered_us;   /* the last one; 0: none */
+	struct sched_load load;	      /* as of load_updated_us */
 	uint64_t load_updated_us;
 	struct sched_share shares[SCHED_SHARES]; /* as of shares_updated_us */
 	uint64_t shares_updated_us;		 /* 0: not computed */
@@ -418,6 +418,10 @@
  * long as submitters are known to wait for the jobs that run there. Return: the
  * deadline to send. */
 uint64_t sched_lease_extend(struct sched_server *server, uint64_t now_us);
+/* Whether a run of the job may be started under the lease that the server has:
+ * it must not last longer than the job's submitter is known to wait. */
+bool sched_lease_admits_job(const struct sched_server *server,
+    const struct sched_job *job);
 /* Whether the lease is long enough for further runs. */
 bool sched_lease_admits_starts(const struct sched_server *server,
     uint64_t now_us);
--- a/entry/jobs/scheduler_lease.c
+++ b/entry/jobs/scheduler_lease.c
@@ -7,7 +7,8 @@
  *
  *	- after the submitter of a job was last known to wait for it, unless the
  *	  server has confirmed the stop of the job's runs;
- *	- after an unknown run was found there, likewise.
+ *	- and not at all while there is an unknown run, likewise: its caller may
+ *	  have been lost as long before as a former holder allowed it to last.
  *
  * All runs on the server end then, as its lease is that of all of them. This
  * happens only if stops have no reply until then.
@@ -25,22 +26,20 @@
 /* Then a job is given up, so that its runs are stopped before leases end. */
 #define SCHED_SUBMITTER_SILENT_MS 1000
 #define SCHED_SILENT_RETRY_AFTER_MS 200
-/* An orphan may have lost its caller together with its holder, up to a lease
- * before it is found. */
-#define SCHED_ORPHAN_LEASE_MS 250
 /* No starts under a shorter lease. */
 #define SCHED_START_LEASE_MIN_MS 250
 
 /* When the submitter was last known to wait for the job. After a pause of this
- * process, that is a time before the pause. */
+ * process, that is a time before the pause until the second tick: the event
+ * loop may run the first one before it finds a connection closed. */
 static uint64_t
 sched_submitter_alive_us(const struct sched_job *job)
 {
 	const struct scheduler *sched = job->sched;
 	uint64_t alive_us = sched_now(sched);
 
-	if (sched->last_tick_us != 0)
-		alive_us = sched->last_tick_us;
+	if (sched->previous_tick_us != 0)
+		alive_us = sched->previous_tick_us;
 	if (sched->params.submitter_alive_us != NULL) {
 		uint64_t seen_us = sched->params.submitter_alive_us(
 		    sched->params.arg, job->arg);
@@ -100,12 +99,8 @@
 			end_us = run_end_us;
 	}
 	TAILQ_FOREACH (orphan, &server->orphans, entry) {
-		if (orphan->stop_confirmed)
-			continue;
-		run_end_us =
-		    orphan->found_us + SCHED_ORPHAN_LEASE_MS * SCHED_US_PER_MS;
-		if (run_end_us < end_us)
-			end_us = run_end_us;
+		if (!orphan->stop_confirmed)
+			return 0;
 	}
 	return end_us;
 }
@@ -161,6 +156,13 @@
 	return lease_extend(&server->lease, now_us, duration_ms);
 }
 
+bool
+sched_lease_admits_job(const struct sched_server *server,
+    const struct sched_job *job)
+{
+	return server->lease.expires_us <= sched_job_lease_end_us(job);
+}
+
 bool
 sched_lease_admits_starts(const struct sched_server *server, uint64_t now_us)
 {
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -2003,6 +2003,20 @@
 	resubmission_end(&test, 1);
 }
 
+/* Their event loops run a tick before they find the connection closed. */
+Test(cells, no_second_run_of_a_resubmitted_job_whose_loss_is_found_after_a_tick)
+{
+	struct resubmission test;
+
+	resubmission_start(&test, 2, 2, 0);
+	resubmission_delay_orders(&test, 0);
+	sim_time_advance(PAUSE_MS);
+	(void)event_base_loop(test.net->base, EVLOOP_NONBLOCK);
+	resubmission_cancel(&test);
+	net_run(test.net, RESEND_MS - PAUSE_MS);
+	resubmission_end(&test, 1);
+}
+
 /* The job was passed to the holder of another zone. */
 Test(cells, no_second_run_of_a_resubmitted_job_that_another_zone_runs)
 {
@@ -2105,4 +2119,87 @@
 	cr_expect_eq(test.second.result, SCHED_NOT_RUN);
 	cr_expect_null(wm_task(&test.net->cluster, OTHER ".0.0.0"));
 	resubmission_release(&test);
+#define QUEUED "83f2c5d94e0b716a" /* waits until a server has room */
+
+/* The host is lost while its job waits for a server. */
+Test(cells, no_second_run_of_a_resubmitted_job_that_waited_for_a_server)
+{
+	static const char *const fillers[] = { "e41b7a90c85d2630",
+		"e41b7a90c85d2631", "e41b7a90c85d2632", "e41b7a90c85d2633" };
+	struct submission filling[4], queued;
+	struct resubmission test;
+	struct net *net;
+	size_t i;
+
+	resubmission_start(&test, 2, 2, 0);
+	net = test.net;
+	for (i = 0; i < 4; i++)
+		resubmission_submit(&net->hosts[2], "h0", fillers[i], false,
+		    &filling[i]);
+	net_run(net, 100);
+	resubmission_submit(&net->hosts[3], "h0", QUEUED, false, &queued);
+	net_run(net, 300);
+	resubmission_lose_host(&test, 3);
+	net_run(net, RESEND_MS - 650);
+	cr_assert_null(wm_task(&net->cluster, QUEUED ".0.0.0"));
+	resubmission_cancel(&test);
+	net_run(net, 100);
+	cr_assert_eq(wm_task(&net->cluster, ID ".0.0.0")->running_now, 0);
+	resubmission_delay_orders(&test, 0);
+	net_run(net, 550);
+	resubmission_submit(&net->hosts[1], "h1", QUEUED, false, &test.second);
+	net_run(net, 4000);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	cr_expect_eq(wm_task(&net->cluster, QUEUED ".0.0.0")->completions, 1);
+	resubmission_end(&test, 1);
+}
+
+/* The holder is lost shortly before the caller submits its job again. */
+Test(cells, no_second_run_of_a_resubmitted_job_that_a_successor_finds_late)
+{
+	struct fake_worker_faults *faults;
+	struct resubmission test;
+	struct net *net;
+
+	resubmission_start(&test, 2, 2, 0);
+	net = test.net;
+	faults = fake_worker_faults(net->hosts[2].own_worker);
+	resubmission_delay_orders(&test, 0);
+	resubmission_delay_orders(&test, 2);
+	resubmission_cancel(&test);
+	net_run(net, RESEND_MS - 300);
+	faults->unreachable_mask = UINT32_MAX;
+	resubmission_kill_host(&test, 0);
+	net_run(net, 100);
+	cr_assert_neq(sched_token(net->hosts[2].sched), 0);
+	/* It has claimed the cell. */
+	cells_owner_read(net->hosts[2].cells, clock_boot_us(clock_real()),
+	    true);
+	resubmission_submit(&net->hosts[2], "h2", NEIGHBOUR, true,
+	    &test.neighbour);
+	faults->unreachable_mask = 0;
+	net_run(net, 200);
+	resubmission_end(&test, 1);
+}
+
+/* The messages of their submitters' hosts have not been read yet. */
+Test(cells, jobs_are_not_given_up_after_a_pause_of_the_holder)
+{
+	struct submission local;
+	struct resubmission test;
+	size_t i;
+
+	resubmission_start(&test, 2, 2, 0);
+	resubmission_submit(&test.net->hosts[0], "h0", QUEUED, false, &local);
+	net_run(test.net, 100);
+	sim_time_advance(RESEND_MS - 200);
+	net_run(test.net, 8000);
+	cr_expect_eq(local.n, 1);
+	cr_expect_eq(local.result, SCHED_COMPLETED);
+	cr_expect_eq(test.first.n, 1);
+	cr_expect_eq(test.first.result, SCHED_COMPLETED);
+	for (i = 0; i < 2; i++)
+		jstore_destroy(test.job_stores[i]);
+	net_destroy(test.net);
 }
