Jobs passed on start at once only after lists of that time

What callers saw. TWICE is possible on any site whose backend servers start again under their id: a holder that was replaced, and is cut off from its successor, starts a best-effort job on a server that has restarted since it listed its runs to the successor. Its host then passes the job on, and the successor starts it elsewhere at once.

A new holder relied on lists of all servers, one of each under its token. A server that restarts has forgotten the token, and an idle one is not asked again: the list is of a process that has ended.

A job that another host has passed on starts at once only if all servers have listed their runs since it arrived, to holds that were sent at most 50 ms before that. If some have not, they are asked once, with one hold each for all such jobs; a server that is silent lets these jobs wait until the leases have ended, as one that has never listed its runs does. The process that lists its runs now has the token, so the former holder starts nothing there. While a server has runs, its next hold is sent as the last lists arrive, on their connection, which a restart breaks: it is not asked again.

None for jobs that arrive within 50 ms of the lists that a new holder has requested. Nothing is sent periodically. By the code, not measured: a job waits up to 300 ms longer if a server that was idle has just been given its first run, and for the end of leases (1.5 s) while a server that was held is silent.

Not covered: a server that restarts after it has listed its runs to the successor, and then gets the job from a former holder that still has it queued and is within its lease (1.4 s); a server that has lost its row and restarts out of the successor's reach.

--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -132,7 +132,8 @@
 /* State of one pass over the waiting tasks. */
 struct sched_pass {
 	uint64_t now_us;
-	bool all_held; /* all runs of a former holder are known */
+	bool all_held;		  /* all runs of a former holder are known */
+	uint64_t lists_wanted_us; /* a task waits for lists since then; or 0 */
 	/* The smallest demand that no server of the share could meet. */
 	uint32_t no_capacity_cpu[SCHED_SHARES];
 };
@@ -166,6 +167,85 @@
 	    SCHED_ROWS_RESTORED_MS * SCHED_US_PER_MS;
 }
 
+/* Whether the hold that was sent at once after the last lists is pending, on
+ * their connection: the process that has sent them is still there. */
+static bool
+sched_server_lists_on(const struct sched_server *server)
+{
+	return server->hold_pending && server->lists_connection_id != 0 &&
+	    server->hold_sent_us == server->listed_us;
+}
+
+/* Whether the server's process has listed its runs just now, and was asked to
+ * at @since_us or later. */
+static bool
+sched_server_listed(const struct sched_server *server, uint64_t since_us,
+    uint64_t now_us)
+{
+	uint64_t restart_us = SCHED_RESTART_MIN_MS * SCHED_US_PER_MS;
+
+	return sched_server_lists_on(server) ||
+	    (server->list_sent_us + restart_us >= since_us &&
+		server->listed_us + restart_us >= now_us);
+}
+
+static bool
+sched_all_listed(const struct scheduler *sched, uint64_t since_us,
+    uint64_t now_us)
+{
+	const struct sched_server *server;
+
+	TAILQ_FOREACH (server, &sched->servers, entry) {
+		if (!server->removed &&
+		    !sched_server_listed(server, since_us, now_us))
+			return false;
+	}
+	return true;
+}
+
+bool
+sched_job_runs_known(const struct sched_job *job)
+{
+	return sched_all_runs_known(job->sched) &&
+	    sched_all_listed(job->sched, job->passed_on_us,
+		sched_now(job->sched));
+}
+
+/* Requests the lists of servers that have not listed their runs since. They
+ * are all asked together, once those that do not reply have done so. */
+static void
+sched_request_newer_lists(struct scheduler *sched, uint64_t since_us,
+    uint64_t now_us)
+{
+	struct sched_server *server;
+
+	TAILQ_FOREACH (server, &sched->servers, entry) {
+		if (!server->removed &&
+		    !sched_server_listed(server, since_us, now_us) &&
+		    (server->hold_pending || server->unanswered_holds > 0))
+			return;
+	}
+	TAILQ_FOREACH (server, &sched->servers, entry) {
+		if (!server->removed &&
+		    !sched_server_listed(server, since_us, now_us))
+			sched_server_hold(server, now_us);
+	}
+}
+
+/* Whether the task, which could be started, waits for newer lists. */
+static bool
+sched_needs_lists(const struct sched_task *task, struct sched_pass *pass)
+{
+	const struct sched_job *job = task->job;
+
+	if (!sched_job_awaits_leases(job, pass->now_us) ||
+	    sched_all_listed(job->sched, job->passed_on_us, pass->now_us))
+		return false;
+	if (job->passed_on_us > pass->lists_wanted_us)
+		pass->lists_wanted_us = job->passed_on_us;
+	return true;
+}
+
 static void
 sched_try_start(struct sched_task *task, struct sched_pass *pass)
 {
@@ -192,11 +272,14 @@
 	    !sched_suspect_may_start(task, pass->now_us))
 		return;
 	if (sched_gang_member(task)) {
-		sched_gang_try_start(task, pass->now_us);
+		if (!sched_needs_lists(task, pass))
+			sched_gang_try_start(task, pass->now_us);
 		return;
 	}
 	server =
 	    sched_choose_server(task->job->sched, task, NULL, pass->now_us);
+	if (server != NULL && sched_needs_lists(task, pass))
+		return;
 	if (server != NULL)
 		sched_run_start(task, server);
 	else if (task->job->advice != NULL)
@@ -265,6 +348,9 @@
 				sched_try_start(task, &pass);
 		}
 	}
+	if (pass.lists_wanted_us != 0)
+		sched_request_newer_lists(sched, pass.lists_wanted_us,
+		    pass.now_us);
 }
 
 /* Queues the tasks of all steps whose prerequisites are done. Finishes the job
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -62,6 +62,9 @@
 #define SCHED_REFUSAL_PAUSE_MS 250
 /* The load is computed again after this time. */
 #define SCHED_LOAD_VALID_MS 50
+/* A server does not restart and get a run from a former holder in less than
+ * this time. */
+#define SCHED_RESTART_MIN_MS 50
 /* Interval of the checks for deadlines, stragglers and orphans. */
 #define SCHED_TICK_MS 20
 /* A server is ejected after failed runs of this many different jobs without a
@@ -151,6 +154,8 @@
 	 * the leases of former holders have ended. Until then, no task is
 	 * started unless all servers are known and held. 0: no host did. */
 	uint64_t start_after_us;
+	/* When another host had passed the job on to this one; 0: none did. */
+	uint64_t passed_on_us;
 	bool stored;
 	/* A run of the job was found or started, or is stored as ended. */
 	bool has_started;
@@ -211,13 +216,14 @@
 	uint64_t processed_end;	      /* number of the last processed end */
 	uint64_t acknowledged_sent;   /* value that the last hold sent */
 	struct sched_unstored_ends unstored_ends; /* ordered by number */
-	uint64_t listed_us; /* last lists that were processed */
-	bool held;	    /* its lists were processed under this token */
-	bool was_held;	    /* under this token, perhaps not now */
-	bool removed;	    /* from the registry; freed when unused */
-	bool refusing;	    /* it refuses connections since it was held */
-	bool reserved;	    /* for queues that are not confined */
-	uint32_t nisolated; /* runs that no other task is started beside */
+	uint64_t listed_us;    /* last lists that were processed */
+	uint64_t list_sent_us; /* the hold that returned them */
+	bool held;	       /* its lists were processed under this token */
+	bool was_held;	       /* under this token, perhaps not now */
+	bool removed;	       /* from the registry; freed when unused */
+	bool refusing;	       /* it refuses connections since it was held */
+	bool reserved;	       /* for queues that are not confined */
+	uint32_t nisolated;    /* runs that no other task is started beside */
 	bool hold_pending;
 	uint64_t hold_sent_us;
 	uint64_t hold_due_us;	   /* next hold; 0: not scheduled */
@@ -473,6 +479,10 @@
 /* Whether all servers that may run tasks of a former holder are known and have
  * listed their runs. */
 bool sched_all_runs_known(const struct scheduler *sched);
+/* Whether all servers have also listed their runs just now, and since another
+ * host has passed the job on: one that has restarted accepts the orders of a
+ * former holder until it is asked again. */
+bool sched_job_runs_known(const struct sched_job *job);
 bool sched_job_expire(struct sched_job *job, uint64_t now_us);
 
 /* scheduler_bulkhead.c */
--- a/entry/jobs/scheduler_job.c
+++ b/entry/jobs/scheduler_job.c
@@ -285,6 +285,7 @@
 static void
 sched_job_await_leases(struct sched_job *job, uint64_t now_us)
 {
+	job->passed_on_us = now_us;
 	/* A holder that is not confirmed may have just started a job that is
 	 * not stored. */
 	job->start_after_us = job->stored
--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -358,7 +358,7 @@
 
 	if (task->job->start_after_us == 0)
 		return;
-	if (sched_all_runs_known(sched)) {
+	if (sched_job_runs_known(task->job)) {
 		sched_log_lists(task, now_us);
 		return;
 	}
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -276,6 +276,7 @@
 	size_t i;
 
 	server->listed_us = now_us;
+	server->list_sent_us = server->hold_sent_us;
 	TAILQ_FOREACH (orphan, &server->orphans, entry)
 		orphan->listed = false;
 	for (i = 0; i < reply->nended; i++)
--- a/tests/support/worker_model.c
+++ b/tests/support/worker_model.c
@@ -461,6 +461,7 @@
 
 	if (!wm_fence(server, hold->token))
 		return WORKER_FENCED;
+	server->holds++;
 	if (hold->deadline_ms != 0)
 		wm_extend_lease(server, now_ms, hold->deadline_ms);
 	(void)wm_advance(server, now_ms);
--- a/tests/support/worker_model.h
+++ b/tests/support/worker_model.h
@@ -69,6 +69,7 @@
 	uint64_t down_until_ms; /* crashed; 0: up */
 	uint32_t overcommits;	/* starts that have overcommitted the CPU */
 	uint64_t starts;
+	uint64_t holds;
 };
 
 /** struct wm_task - statistics of a task across all servers. */
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1294,12 +1294,8 @@
 
 /* A best-effort job of one task. */
 static void
-host_submit_short(struct host *host, bool resubmitted)
+host_submit_best_effort(struct host *host, const char *body, bool resubmitted)
 {
-	static const char body[] =
-	    "{\"spec\":\"cpu=40000 ms=700 fail=0\",\"best_effort\":true,"
-	    "\"steps\":[{\"count\":1,\"cpu\":40000,\"mem_mb\":64,"
-	    "\"estimated_ms\":700}]}";
 	struct sched_request request = {
 		.queue = { .name = "q",
 		    .service = "booth",
@@ -1316,6 +1312,17 @@
 	sched_submit(host->sched, &request, ignore_result, host);
 }
 
+static void
+host_submit_short(struct host *host, bool resubmitted)
+{
+	static const char body[] =
+	    "{\"spec\":\"cpu=40000 ms=700 fail=0\",\"best_effort\":true,"
+	    "\"steps\":[{\"count\":1,\"cpu\":40000,\"mem_mb\":64,"
+	    "\"estimated_ms\":700}]}";
+
+	host_submit_best_effort(host, body, resubmitted);
+}
+
 /* The server is cut off together with that holder, and has lost its row. */
 Test(cells, no_second_run_beside_that_of_an_unconfirmed_holder)
 {
@@ -1485,6 +1492,88 @@
 	net_destroy(net);
 }
 
+/* The successor has listed the runs of all servers; the last one, the only one
+ * that the former holder uses, restarts after that. */
+static void
+net_restart_listed_server(struct net *net, int replaced_ms)
+{
+	struct host *former = &net->hosts[0], *successor = &net->hosts[1];
+
+	former->store_lost = true;
+	net_isolate(net, 0, true);
+	sched_server_remove(former->sched, "s0");
+	sched_server_remove(former->sched, "s1");
+	sched_server_remove(former->sched, "s2");
+	host_await_holder(successor);
+	host_read_servers(successor);
+	net_run(net, replaced_ms);
+	cr_assert_neq(sched_token(former->sched), 0);
+	wm_crash(&net->cluster.servers[3]);
+}
+
+/* An unconfirmed holder does not pass its jobs on, but their hosts do. */
+Test(cells, no_second_run_beside_one_on_a_server_that_restarted_since_its_list)
+{
+	struct net *net = net_create_pair();
+	struct host *successor = &net->hosts[1];
+
+	net_restart_listed_server(net, 4000);
+	cr_assert_not(sched_holder_confirmed(net->hosts[0].sched));
+	cr_assert(sched_holder_confirmed(successor->sched));
+	host_submit_short(&net->hosts[0], false);
+	net_run(net, 100);
+	cr_assert_eq(net_busy_servers(net), 8);
+	host_submit_short(successor, true);
+	net_run(net, 3000);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	cr_expect_eq(wm_task(&net->cluster, ID ".0.0.0")->running_now, 0);
+	net_destroy(net);
+}
+
+/* Nor does the successor reach it. */
+Test(cells, no_second_run_beside_one_on_a_silent_server_that_has_restarted)
+{
+	struct net *net = net_create_pair();
+	struct host *successor = &net->hosts[1];
+
+	net_restart_listed_server(net, 4000);
+	fake_worker_faults(successor->own_worker)->unreachable_mask = 8;
+	host_submit_short(&net->hosts[0], false);
+	net_run(net, 100);
+	cr_assert_eq(net_busy_servers(net), 8);
+	host_submit_short(successor, true);
+	net_run(net, 4000);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	cr_expect_eq(wm_task(&net->cluster, ID ".0.0.0")->starts, 2);
+	net_destroy(net);
+}
+
+/* The former holder is within its lease; its host passes the job on. */
+Test(cells, no_second_run_of_a_passed_on_job_on_a_server_that_has_restarted)
+{
+	struct net *net = net_create_pair();
+	struct submission first, second;
+
+	net_restart_listed_server(net, 300);
+	cr_assert(sched_holder_confirmed(net->hosts[0].sched));
+	host_submit_to(&net->hosts[0], "h0", false, &first);
+	net_run(net, 100);
+	cr_assert_eq(net_busy_servers(net), 8);
+	net_isolate(net, 0, false);
+	net_run(net, 100);
+	cr_assert_eq(first.n, 1);
+	cr_assert_eq(first.result, SCHED_NOT_HOLDER);
+	host_submit_to(&net->hosts[0], "h1", true, &second);
+	net_run(net, 5000);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	cr_expect_eq(second.n, 1);
+	cr_expect_eq(second.result, SCHED_COMPLETED);
+	net_destroy(net);
+}
+
 Test(cells, job_that_a_host_refuses_as_it_holds_nothing_was_not_started)
 {
 	struct net *net = net_create_pair();
@@ -1615,6 +1704,39 @@
 	net_destroy(net);
 }
 
+/* The successor has no store, and is not confirmed: it lets the run end. The
+ * holder, which the store confirms, starts it again on a server that has
+ * restarted, and steps down when it hears of its successor. */
+Test(cells, no_second_run_by_a_successor_that_is_confirmed_late)
+{
+	struct net *net = net_create_pair();
+	struct host *former = &net->hosts[0], *successor = &net->hosts[1];
+	int ms;
+
+	host_submit_best_effort(former, BEST_EFFORT_JOB, false);
+	net_run(net, 500);
+	cr_assert_neq(net_busy_servers(net), 8);
+	successor->store_lost = true;
+	sched_server_remove(former->sched, "s1");
+	sched_server_remove(former->sched, "s2");
+	net_isolate(net, 0, true);
+	fake_worker_faults(net->worker)->unreachable_mask = ~8U;
+	host_await_holder(successor);
+	host_read_servers(successor);
+	host_submit_best_effort(successor, BEST_EFFORT_JOB, true);
+	net_run(net, 100);
+	wm_crash(&net->cluster.servers[3]);
+	for (ms = 0; net_busy_servers(net) != 8 && ms < 4000; ms += 10)
+		net_run(net, 10);
+	cr_assert_eq(net_busy_servers(net), 8);
+	net_isolate(net, 0, false);
+	net_run(net, 6000);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	cr_expect_eq(wm_task(&net->cluster, ID ".0.0.0")->completions, 1);
+	net_destroy(net);
+}
+
 Test(cells, only_forwards_that_were_certainly_not_executed_are_not_accepted)
 {
 	static const struct {
--- a/tests/test_scheduler_holder.c
+++ b/tests/test_scheduler_holder.c
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 #include <event2/event.h>
+#include <inttypes.h>
 #include <stdio.h>
 
 #include "adapters/clock_real.h"
@@ -422,6 +423,38 @@
 	rig_destroy(rig);
 }
 
+/* Holds of all servers while the jobs of a host are submitted together. */
+static uint64_t
+count_holds(bool resubmitted)
+{
+	struct rig *rig = rig_create();
+	uint64_t holds = 0;
+	size_t i;
+
+	rig_run_confirmed(rig, 4000);
+	for (i = 0; i < SRIG_SERVERS; i++)
+		holds -= rig->srig.cluster.servers[i].holds;
+	for (i = 0; i < 20; i++) {
+		rig_submit(rig, SHORT_MS, resubmitted);
+		srig_run(&rig->srig, 2);
+	}
+	rig_run_confirmed(rig, 1000);
+	for (i = 0; i < 20; i++)
+		cr_expect_eq(rig->jobs[i].result, SCHED_COMPLETED);
+	for (i = 0; i < SRIG_SERVERS; i++)
+		holds += rig->srig.cluster.servers[i].holds;
+	rig_destroy(rig);
+	return holds;
+}
+
+Test(scheduler_holder, jobs_passed_on_together_need_one_list_of_each_server)
+{
+	uint64_t holds = count_holds(false);
+
+	cr_expect_leq(count_holds(true), holds + SRIG_SERVERS,
+	    "%" PRIu64 " and %" PRIu64 " holds", count_holds(true), holds);
+}
+
 /* The first confirmation takes a read of the store if a host is lost. */
 Test(scheduler_holder, new_holder_keeps_jobs_until_its_first_confirmation)
 {
