Runs of a former holder on a silent server last as long as its lease

What callers saw. A holder is replaced and its successor lists a run of a job that it does not know. The server goes silent, so that the run is not stopped, and the caller, who has lost its connection, sends the job again to the successor within the lease of that run. The job is taken to have this run, which is given up at the next check: the lease was taken for expired, as the successor has never extended it. The job starts elsewhere while the first run goes on, for up to 1 s.

With the first list of a run that another holder has started, the longest lease that a server grants is assumed from then on. The server has the successor's token by then, so none is granted later. No deadline is sent for it.

Evidence. job_sent_again_waits_for_its_run_on_a_silent_server had two runs before, and has none at the same time now. A job that a host passes on had waited before, as the server no longer counts as held: the test beside it passed before, too.

--- a/core/lease.c
+++ b/core/lease.c
@@ -43,17 +43,25 @@
 	lease->clock_received_us = received_us;
 }
 
-uint64_t
-lease_extend(struct lease *lease, uint64_t now_us, uint32_t duration_ms)
+void
+lease_assume(struct lease *lease, uint64_t now_us, uint32_t duration_ms)
 {
-	uint64_t duration_us = duration_ms * LEASE_US_PER_MS;
-	uint64_t expires_us, deadline_ms;
-
 	/* The longest time in which a slow clock proceeds by the duration. */
-	expires_us =
-	    now_us + duration_us * 100 / (100 - LEASE_CLOCK_SKEW_PERCENT) + 1;
+	uint64_t expires_us = now_us +
+	    duration_ms * LEASE_US_PER_MS * 100 /
+		(100 - LEASE_CLOCK_SKEW_PERCENT) +
+	    1;
+
 	if (expires_us > lease->expires_us)
 		lease->expires_us = expires_us;
+}
+
+uint64_t
+lease_extend(struct lease *lease, uint64_t now_us, uint32_t duration_ms)
+{
+	uint64_t deadline_ms;
+
+	lease_assume(lease, now_us, duration_ms);
 	if (!lease->clock_known)
 		return 0;
 	deadline_ms = lease_clock_ms(lease, now_us) + duration_ms;
--- a/core/lease.h
+++ b/core/lease.h
@@ -44,6 +44,12 @@
 uint64_t lease_extend(struct lease *lease, uint64_t now_us,
     uint32_t duration_ms);
 
+/**
+ * lease_assume() - another holder may have granted a lease.
+ * @duration_ms: the longest one that the server grants.
+ */
+void lease_assume(struct lease *lease, uint64_t now_us, uint32_t duration_ms);
+
 /** lease_remaining_ms() - how long tasks run at least if the lease is not
  * extended. */
 uint32_t lease_remaining_ms(const struct lease *lease, uint64_t now_us);
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -130,6 +130,7 @@
 	orphan->run_id = run_id;
 	orphan->grace_start_us = now_us;
 	orphan->listed = true;
+	lease_assume(&server->lease, now_us, server->sched->params.lease_ms);
 	TAILQ_INSERT_TAIL(&server->orphans, orphan, entry);
 	log_event(LOG_LEVEL_INFO, "orphan-found",
 	    "task=%s run=%" PRIu64 " server=%s", name, run_id, server->info.id);
@@ -185,6 +186,8 @@
 	if (task != NULL && task->server == NULL && !task->job->ended &&
 	    (task->state == SCHED_TASK_WAITING ||
 		task->state == SCHED_TASK_BLOCKED)) {
+		lease_assume(&server->lease, now_us,
+		    server->sched->params.lease_ms);
 		sched_run_adopt(task, server, run->run_id, now_us);
 		return;
 	}
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -51,6 +51,17 @@
 	cr_expect_eq(lease_extend(&lease, 2001000, 1000), 20 + 1000);
 }
 
+Test(lease, assumed_lease_of_another_holder_is_not_sent_as_a_deadline)
+{
+	struct lease lease = { 0 };
+
+	lease_update_clock(&lease, 500, 1000000, 1000000);
+	lease_assume(&lease, 1000000, 1000);
+	cr_expect_not(lease_expired(&lease, 2020408));
+	cr_expect(lease_expired(&lease, 2020500));
+	cr_expect_eq(lease_extend(&lease, 1000000, 100), 500 + 100);
+}
+
 Test(lease, expiry_allows_for_slow_clock)
 {
 	struct lease lease = { 0 };
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -727,6 +727,55 @@
 	rig_destroy(rig);
 }
 
+/* The lists of its server have shown a former holder's run of a job, which is
+ * passed on after that. */
+static void
+rig_expect_listed_run_goes_on(uint32_t passed_on_ms, bool removed, bool silent,
+    bool resubmitted)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *job = rig_submit(rig, 1, 27000, 3000, 0);
+	struct rig_job resubmission = { .rig = rig };
+	struct scheduler *successor;
+	char id[24];
+	size_t i;
+
+	srig_run(&rig->srig, 100);
+	sched_deactivate(rig->srig.sched);
+	successor = srig_scheduler(&rig->srig, 20);
+	srig_run(&rig->srig, 20);
+	for (i = 0; rig->srig.cluster.servers[i].used_cpu == 0; i++)
+		continue;
+	(void)snprintf(id, sizeof(id), "s%zu", i);
+	if (removed)
+		sched_server_remove(successor, id);
+	if (silent)
+		fake_worker_faults(rig->srig.worker)->unreachable_mask = 1U
+		    << i;
+	srig_run(&rig->srig, passed_on_ms);
+	memcpy(resubmission.id, job->id, sizeof(resubmission.id));
+	(void)rig_submit_to(successor, &resubmission, 1, 27000, 300, 0,
+	    resubmitted);
+	srig_run(&rig->srig, 4000);
+	cr_expect(resubmission.answered);
+	cr_expect_eq(resubmission.result, SCHED_COMPLETED);
+	sched_destroy(successor);
+	rig_destroy(rig);
+}
+
+Test(scheduler, resubmitted_job_waits_for_its_run_on_a_silent_server)
+{
+	rig_expect_listed_run_goes_on(200, false, true, true);
+	rig_expect_listed_run_goes_on(700, false, true, true);
+}
+
+/* Its caller has sent it again. */
+Test(scheduler, job_sent_again_waits_for_its_run_on_a_silent_server)
+{
+	rig_expect_listed_run_goes_on(200, false, true, false);
+	rig_expect_listed_run_goes_on(700, false, true, false);
+}
+
 static uint32_t
 rig_starts(const struct rig *rig, const struct rig_job *job, size_t index)
 {
