Runs that were listed are kept when their server's row expires

What callers saw. A successor lists a run of a former holder, whose job its host has not passed on yet. The row of the server expires at that time, as in an outage of the store or of the server's path to it. The job then starts elsewhere at once, while its run goes on.

A server without a row was forgotten as soon as no task of a known job ran on it, with the runs that it had listed; and as it had been held, it did not count as one whose runs are unknown either.

It is kept until its runs of unknown jobs have ended, or have been stopped (150 ms after they were listed), or, if it is silent, their lease has expired. A job that arrives takes its run there, as from a server with a row. Such runs were meant to be reported to successors (sched_runs_unknown()), and are now.

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -454,6 +454,16 @@
 	}
 }
 
+/* Whether nothing runs on the server. It may be silent, so that it does not
+ * list the ends of a former holder's runs. */
+static bool
+sched_server_unused(const struct sched_server *server, uint64_t now_us)
+{
+	return TAILQ_EMPTY(&server->tasks) && server->pending_calls == 0 &&
+	    (TAILQ_EMPTY(&server->orphans) ||
+		lease_expired(&server->lease, now_us));
+}
+
 static void
 sched_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -471,8 +481,7 @@
 	sched_check_jobs(sched, now_us);
 	TAILQ_FOREACH_SAFE (server, &sched->servers, entry, next_server) {
 		sched_server_tick(server, now_us);
-		if (server->removed && TAILQ_EMPTY(&server->tasks) &&
-		    server->pending_calls == 0)
+		if (server->removed && sched_server_unused(server, now_us))
 			sched_server_free(server);
 		if (sched->token == 0)
 			return;
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -776,6 +776,17 @@
 	rig_expect_listed_run_goes_on(700, false, true, false);
 }
 
+Test(scheduler, resubmitted_job_keeps_its_run_on_a_removed_server)
+{
+	rig_expect_listed_run_goes_on(50, true, false, true);
+}
+
+Test(scheduler, resubmitted_job_waits_for_its_run_on_a_silent_removed_server)
+{
+	rig_expect_listed_run_goes_on(50, true, true, true);
+	rig_expect_listed_run_goes_on(700, true, true, true);
+}
+
 static uint32_t
 rig_starts(const struct rig *rig, const struct rig_job *job, size_t index)
 {
