A row of a server with a later time of start ends no runs alone

A backend server starts while its time of day is ahead (as of clock_step), starts again under its id once that has gone back, and the store executes the last write of the first process late.

Such a row opens a link to its address, beside the one on which the server has listed its runs, which is kept like that of a server without a row. The runs end when a process replies at the new address, as an id has one at a time, or with their lease. If the row of the present process comes back, its link is used again.

A server that has moved loses its runs one round trip later than before; they wait for the lease (up to 1 s) if its new address can't be reached. After a late row, the server gets no starts until its next heartbeat.

Evidence. runs_go_on_when_a_late_row_has_a_later_time_of_start had two runs before. runs_of_a_server_that_has_moved_start_again_at_once passed before, and does: within 50 ms.

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -63,6 +63,27 @@
 			     : NIDX_OBJECT(entry, struct sched_server, by_id);
 }
 
+/* A server without a row whose runs go on, and which has listed them as the
+ * incarnation that has now written the row; or NULL. */
+static struct sched_server *
+sched_server_restore(struct scheduler *sched, const struct reg_server *info)
+{
+	struct nidx_entry *entry = nidx_find(&sched->servers_by_id, info->id);
+	struct sched_server *server;
+
+	for (; entry != NULL; entry = nidx_next(entry)) {
+		server = NIDX_OBJECT(entry, struct sched_server, by_id);
+		if (server->link == NULL || server->incarnation_start_ms == 0 ||
+		    server->incarnation_start_ms != info->incarnation_start_ms)
+			continue;
+		nidx_remove(&sched->servers_by_id, &server->by_id);
+		nidx_insert(&sched->servers_by_id, &server->by_id,
+		    server->info.id);
+		return server;
+	}
+	return NULL;
+}
+
 void
 sched_server_update(struct scheduler *sched, const struct reg_server *info)
 {
@@ -75,9 +96,15 @@
 		    info->id, info->incarnation_start_ms,
 		    server->info.incarnation_start_ms,
 		    server->incarnation_start_ms);
-		sched_server_lost(server, "restarted", true);
+		/* The row may be that of an earlier incarnation, whose time of
+		 * day was ahead: runs end by the word of the one that replies
+		 * at its address, see sched_check_incarnation(). */
+		if (server->incarnation_start_ms == 0 ||
+		    sched_server_vacant(server))
+			sched_server_lost(server, "restarted", true);
 		server->removed = true;
-		server = NULL;
+		sched->load_updated_us = 0; /* see sched_server_remove() */
+		server = sched_server_restore(sched, info);
 	}
 	if (server == NULL) {
 		server = mem_zalloc(1, sizeof(*server));
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -300,6 +300,22 @@
 	}
 }
 
+/* A server lists its runs: those of its other incarnations have ended. */
+static void
+sched_end_other_incarnations(struct sched_server *server)
+{
+	struct nidx_entry *entry =
+	    nidx_find(&server->sched->servers_by_id, server->info.id);
+	struct sched_server *other;
+
+	for (; entry != NULL; entry = nidx_next(entry)) {
+		other = NIDX_OBJECT(entry, struct sched_server, by_id);
+		if (other != server && other->link != NULL &&
+		    other->incarnation_start_ms != server->incarnation_start_ms)
+			sched_server_lost(other, "restarted", true);
+	}
+}
+
 /* A new incarnation has none of the runs of the old one, numbers its ends from
  * 1 and has another clock. sched_reconcile() ends the runs that it does not
  * list. */
@@ -329,6 +345,7 @@
 		sched_unstored_clear(server);
 	}
 	server->incarnation_start_ms = incarnation_start_ms;
+	sched_end_other_incarnations(server);
 }
 
 bool
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -842,8 +842,10 @@
 	sched_server_update(rig->srig.sched, &info);
 }
 
-/* The store had delayed the last write of the incarnation before. */
-Test(scheduler, runs_go_on_when_a_row_of_an_earlier_incarnation_arrives_late)
+/* The store had delayed the last write of the incarnation before, which started
+ * at @late_ms by the time of day. */
+static void
+rig_expect_run_goes_on_after_late_row(uint64_t late_ms)
 {
 	struct rig *rig = rig_create(5);
 	struct rig_job *job;
@@ -860,7 +862,7 @@
 		continue;
 	/* Nobody listens at the address of the late row. */
 	fake_worker_faults(rig->srig.worker)->unreachable_mask = 1U << i;
-	rig_row_of_incarnation(rig, i, 1, 1000);
+	rig_row_of_incarnation(rig, i, 1, late_ms);
 	srig_run(&rig->srig, 100);
 	fake_worker_faults(rig->srig.worker)->unreachable_mask = 0;
 	rig_row_of_incarnation(rig, i, 2, 2000);
@@ -870,6 +872,43 @@
 	rig_destroy(rig);
 }
 
+Test(scheduler, runs_go_on_when_a_row_of_an_earlier_incarnation_arrives_late)
+{
+	rig_expect_run_goes_on_after_late_row(1000);
+}
+
+/* The time of day was set back between the two starts. */
+Test(scheduler, runs_go_on_when_a_late_row_has_a_later_time_of_start)
+{
+	rig_expect_run_goes_on_after_late_row(3000);
+}
+
+/* The process at the address of the new row lists its runs. */
+Test(scheduler, runs_of_a_server_that_has_moved_start_again_at_once)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *job;
+	size_t i;
+
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		rig->srig.cluster.servers[i].started_ms = 2000;
+		rig_row_of_incarnation(rig, i, 2, 2000);
+	}
+	srig_run(&rig->srig, 50);
+	job = rig_submit(rig, 1, 27000, 600, 0);
+	srig_run(&rig->srig, 50);
+	for (i = 0; rig->srig.cluster.servers[i].used_cpu == 0; i++)
+		continue;
+	wm_crash(&rig->srig.cluster.servers[i]);
+	rig->srig.cluster.servers[i].started_ms = 3000;
+	rig_row_of_incarnation(rig, i, 3, 3000);
+	srig_run(&rig->srig, 50);
+	cr_expect_eq(rig_starts(rig, job, 0), 2);
+	srig_run(&rig->srig, 700);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
 /* The time of day of its machine was set back meanwhile. */
 Test(scheduler, server_that_restarts_with_an_earlier_time_of_start_is_used)
 {
