A run has ended with its lease only if its holder was confirmed after that

What callers saw. A holder loses the server that runs a task, and then the other hosts and the store. Its successor reaches that server, and goes on with the run. The former holder, within its own lease (1.4 s), sees the lease that it has granted expire (1 s), and starts the task again on a server that its successor does not reach. Two runs for up to 0.4 s, until the lease of the former holder ends.

An expired lease says that a run has ended only as long as no other holder extends it, and the holder did not ask whether there is one.

The runs of a silent server are given up when its lease has ended and the holder was confirmed at a later time. If it was not, the store is asked at once; the usual pings confirm it, too. A holder that has been replaced is not confirmed again. One that is cut off goes on to count such runs until it is confirmed; it started none of them again before, either, as they were sent to it too long ago.

One read of the store for the servers that are lost at a time, at most 4/s.

Evidence. no_second_run_of_a_job_that_a_successor_goes_on_with: two runs before (3 starts), one now.

--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -122,7 +122,7 @@
 			confirmed_us = host->confirmed_boot_us;
 	}
 	sched_confirm_holder(sched, confirmed_us);
-	if (sched_awaits_owner(sched) ||
+	if (sched_awaits_owner(sched) || sched_awaits_confirmation(sched) ||
 	    sched_holder_age_ms(sched) > CELLS_CONFIRMED_AGE_MS)
 		cells_read_owner(cells, CELLS_OWNER_READ_MS);
 }
--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -442,6 +442,12 @@
 		sched->awaits_owner_boot_us = 0;
 }
 
+bool
+sched_awaits_confirmation(const struct scheduler *sched)
+{
+	return sched->token != 0 && sched->awaits_confirmation;
+}
+
 bool
 sched_awaits_owner(const struct scheduler *sched)
 {
@@ -488,7 +494,7 @@
 {
 	return TAILQ_EMPTY(&server->tasks) && server->pending_calls == 0 &&
 	    (TAILQ_EMPTY(&server->orphans) ||
-		lease_expired(&server->lease, now_us));
+		sched_lease_ended(server, now_us));
 }
 
 static void
@@ -506,6 +512,7 @@
 	susp_expire(&sched->suspects, now_us);
 	sched_bulkhead_update(sched, now_us);
 	sched_check_jobs(sched, now_us);
+	sched->awaits_confirmation = false;
 	TAILQ_FOREACH_SAFE (server, &sched->servers, entry, next_server) {
 		sched_server_tick(server, now_us);
 		if (server->removed && sched_server_unused(server, now_us))
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -268,6 +268,7 @@
 	/* See sched_awaits_owner(). If set, it is since the time of the clock
 	 * that counts suspensions. */
 	uint64_t awaits_owner_boot_us;
+	bool awaits_confirmation; /* see sched_awaits_confirmation() */
 	/* A server was removed before it was held, so that a former holder may
 	 * have runs there. */
 	bool server_unknown;
@@ -353,6 +354,8 @@
 uint64_t sched_lease_extend(struct sched_server *server, uint64_t now_us);
 /* Sends a hold, unless one is pending. */
 void sched_server_hold(struct sched_server *server, uint64_t now_us);
+/* Whether no run on the server that was started under its lease goes on. */
+bool sched_lease_ended(const struct sched_server *server, uint64_t now_us);
 /* Periodic checks: link, lease, next hold, stragglers and orphans. */
 void sched_server_tick(struct sched_server *server, uint64_t now_us);
 void sched_server_reset(struct sched_server *server);
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -582,6 +582,24 @@
 	}
 }
 
+/*
+ * A holder that has been replaced without knowing it is within its lease for a
+ * while, and its successor may extend the leases of servers meanwhile. A lease
+ * has ended if this holder was confirmed after that.
+ */
+bool
+sched_lease_ended(const struct sched_server *server, uint64_t now_us)
+{
+	const struct scheduler *sched = server->sched;
+
+	return lease_expired(&server->lease, now_us) &&
+	    (sched->params.holder_lease_ms == 0 ||
+		(sched_holder_remaining_ms(sched) > 0 &&
+		    server->lease.expires_us +
+			    (sched_holder_age_ms(sched) + 1) * SCHED_US_PER_MS <
+			now_us));
+}
+
 void
 sched_server_tick(struct sched_server *server, uint64_t now_us)
 {
@@ -593,9 +611,12 @@
 	if (server->unanswered_holds > SCHED_UNANSWERED_HOLDS_MAX &&
 	    server->pending_calls == 0 && !TAILQ_EMPTY(&server->tasks) &&
 	    lease_expired(&server->lease, now_us)) {
-		sched_server_lost(server, "unreachable until its lease expired",
-		    false);
-		return;
+		if (sched_lease_ended(server, now_us)) {
+			sched_server_lost(server,
+			    "unreachable until its lease expired", false);
+			return;
+		}
+		server->sched->awaits_confirmation = true;
 	}
 	if (!server->hold_pending && server->hold_due_us != 0 &&
 	    server->hold_due_us <= now_us)
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -915,6 +915,38 @@
 	net_expect_one_run_at_a_time(LASTING_JOB);
 }
 
+/* The zone is split, step by step: the server that runs the task, and the other
+ * host, which goes on with the run, are cut off from the holder and the other
+ * servers. The holder is within its lease. */
+Test(cells, no_second_run_of_a_job_that_a_successor_goes_on_with)
+{
+	struct net *net = net_create_pair();
+	struct host *successor = &net->hosts[1];
+	uint32_t busy;
+	int ms;
+
+	host_submit(&net->hosts[0], PLAIN_JOB, false);
+	net_run(net, 500);
+	busy = net_busy_servers(net);
+	cr_assert_neq(busy, 0);
+	fake_worker_faults(net->worker)->unreachable_mask = busy;
+	fake_worker_faults(successor->own_worker)->unreachable_mask = ~busy;
+	net_run(net, 500);
+	net->hosts[0].store_lost = true;
+	net_isolate(net, 0, true);
+	for (ms = 0; sched_token(successor->sched) == 0 && ms < 500; ms += 10)
+		net_run(net, 10);
+	host_read_servers(successor);
+	/* Its claim is stored. */
+	sched_confirm_owner(successor->sched, clock_boot_us(clock_real()));
+	host_submit(successor, PLAIN_JOB, true);
+	net_run(net, PARTITION_MS);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	cr_expect_eq(wm_task(&net->cluster, ID ".0.0.0")->starts, 1);
+	net_destroy(net);
+}
+
 /* h0 and h1 hold the zones a and b, whose only server is idle. */
 Test(cells, holder_knows_the_holder_of_another_zone_with_free_capacity)
 {
