--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -66,6 +66,27 @@
 			     : NIDX_OBJECT(entry, struct sched_server, by_id);
 }
 
+/* A server without a row whose runs go on, and which has listed them as the
+ * incarnation that has now written the row; or NULL. */
+static struct sched_server *
+sched_server_restore(struct scheduler *sched, const struct reg_server *info)
+{
+	struct nidx_entry *entry = nidx_find(&sched->servers_by_id, info->id);
+	struct sched_server *server;
+
+	for (; entry != NULL; entry = nidx_next(entry)) {
+		server = NIDX_OBJECT(entry, struct sched_server, by_id);
+		if (server->link == NULL || server->incarnation_start_ms == 0 ||
+		    server->incarnation_start_ms != info->incarnation_start_ms)
+			continue;
+		nidx_remove(&sched->servers_by_id, &server->by_id);
+		nidx_insert(&sched->servers_by_id, &server->by_id,
+		    server->info.id);
+		return server;
+	}
+	return NULL;
+}
+
 void
 sched_server_update(struct scheduler *sched, const struct reg_server *info)
 {
@@ -78,9 +99,15 @@
 		    info->id, info->incarnation_start_ms,
 		    server->info.incarnation_start_ms,
 		    server->incarnation_start_ms);
-		sched_server_lost(server, "restarted", true);
+		/* The row may be that of an earlier incarnation, whose time of
+		 * day was ahead: runs end by the word of the one that replies
+		 * at its address, see sched_check_incarnation(). */
+		if (server->incarnation_start_ms == 0 ||
+		    sched_server_vacant(server))
+			sched_server_lost(server, "restarted", true);
 		server->removed = true;
-		server = NULL;
+		sched->load_updated_us = 0; /* see sched_server_remove() */
+		server = sched_server_restore(sched, info);
 	}
 	if (server == NULL) {
 		server = mem_zalloc(1, sizeof(*server));
@@ -420,6 +447,12 @@
 		sched->awaits_owner_boot_us = 0;
 }
 
+bool
+sched_awaits_confirmation(const struct scheduler *sched)
+{
+	return sched->token != 0 && sched->awaits_confirmation;
+}
+
 bool
 sched_awaits_owner(const struct scheduler *sched)
 {
@@ -471,6 +504,16 @@
 	}
 }
 
+/* Whether nothing runs on the server. It may be silent, so that it does not
+ * list the ends of a former holder's runs. */
+static bool
+sched_server_unused(const struct sched_server *server, uint64_t now_us)
+{
+	return TAILQ_EMPTY(&server->tasks) && server->pending_calls == 0 &&
+	    (TAILQ_EMPTY(&server->orphans) ||
+		sched_lease_ended(server, now_us));
+}
+
 static void
 sched_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -486,10 +529,10 @@
 	susp_expire(&sched->suspects, now_us);
 	sched_bulkhead_update(sched, now_us);
 	sched_check_jobs(sched, now_us);
+	sched->awaits_confirmation = false;
 	TAILQ_FOREACH_SAFE (server, &sched->servers, entry, next_server) {
 		sched_server_tick(server, now_us);
-		if (server->removed && TAILQ_EMPTY(&server->tasks) &&
-		    server->pending_calls == 0)
+		if (server->removed && sched_server_unused(server, now_us))
 			sched_server_free(server);
 		if (sched->token == 0)
 			return;
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -132,6 +132,7 @@
 	orphan->run_id = run_id;
 	orphan->grace_start_us = now_us;
 	orphan->listed = true;
+	lease_assume(&server->lease, now_us, server->sched->params.lease_ms);
 	TAILQ_INSERT_TAIL(&server->orphans, orphan, entry);
 	log_event(LOG_LEVEL_INFO, "orphan-found",
 	    "task=%s run=%" PRIu64 " server=%s", name, run_id, server->info.id);
@@ -187,6 +188,8 @@
 	if (task != NULL && task->server == NULL && !task->job->ended &&
 	    (task->state == SCHED_TASK_WAITING ||
 		task->state == SCHED_TASK_BLOCKED)) {
+		lease_assume(&server->lease, now_us,
+		    server->sched->params.lease_ms);
 		sched_run_adopt(task, server, run->run_id, now_us);
 		return;
 	}
@@ -278,6 +281,7 @@
 	size_t i;
 
 	server->listed_us = now_us;
+	server->list_sent_us = server->hold_sent_us;
 	TAILQ_FOREACH (orphan, &server->orphans, entry)
 		orphan->listed = false;
 	for (i = 0; i < reply->nended; i++)
@@ -298,6 +302,22 @@
 	}
 }
 
+/* A server lists its runs: those of its other incarnations have ended. */
+static void
+sched_end_other_incarnations(struct sched_server *server)
+{
+	struct nidx_entry *entry =
+	    nidx_find(&server->sched->servers_by_id, server->info.id);
+	struct sched_server *other;
+
+	for (; entry != NULL; entry = nidx_next(entry)) {
+		other = NIDX_OBJECT(entry, struct sched_server, by_id);
+		if (other != server && other->link != NULL &&
+		    other->incarnation_start_ms != server->incarnation_start_ms)
+			sched_server_lost(other, "restarted", true);
+	}
+}
+
 /* A new incarnation has none of the runs of the old one, numbers its ends from
  * 1 and has another clock. sched_reconcile() ends the runs that it does not
  * list. */
@@ -327,6 +347,7 @@
 		sched_unstored_clear(server);
 	}
 	server->incarnation_start_ms = incarnation_start_ms;
+	sched_end_other_incarnations(server);
 }
 
 bool
@@ -541,6 +562,24 @@
 	}
 }
 
+/*
+ * A holder that has been replaced without knowing it is within its lease for a
+ * while, and its successor may extend the leases of servers meanwhile. A lease
+ * has ended if this holder was confirmed after that.
+ */
+bool
+sched_lease_ended(const struct sched_server *server, uint64_t now_us)
+{
+	const struct scheduler *sched = server->sched;
+
+	return lease_expired(&server->lease, now_us) &&
+	    (sched->params.holder_lease_ms == 0 ||
+		(sched_holder_remaining_ms(sched) > 0 &&
+		    server->lease.expires_us +
+			    (sched_holder_age_ms(sched) + 1) * SCHED_US_PER_MS <
+			now_us));
+}
+
 void
 sched_server_tick(struct sched_server *server, uint64_t now_us)
 {
@@ -552,9 +591,12 @@
 	if (server->unanswered_holds > SCHED_UNANSWERED_HOLDS_MAX &&
 	    server->pending_calls == 0 && !TAILQ_EMPTY(&server->tasks) &&
 	    lease_expired(&server->lease, now_us)) {
-		sched_server_lost(server, "unreachable until its lease expired",
-		    false);
-		return;
+		if (sched_lease_ended(server, now_us)) {
+			sched_server_lost(server,
+			    "unreachable until its lease expired", false);
+			return;
+		}
+		server->sched->awaits_confirmation = true;
 	}
 	if (!server->hold_pending && server->hold_due_us != 0 &&
 	    server->hold_due_us <= now_us)
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -727,6 +727,66 @@
 	rig_destroy(rig);
 }
 
+/* The lists of its server have shown a former holder's run of a job, which is
+ * passed on after that. */
+static void
+rig_expect_listed_run_goes_on(uint32_t passed_on_ms, bool removed, bool silent,
+    bool resubmitted)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *job = rig_submit(rig, 1, 27000, 3000, 0);
+	struct rig_job resubmission = { .rig = rig };
+	struct scheduler *successor;
+	char id[24];
+	size_t i;
+
+	srig_run(&rig->srig, 100);
+	sched_deactivate(rig->srig.sched);
+	successor = srig_scheduler(&rig->srig, 20);
+	srig_run(&rig->srig, 20);
+	for (i = 0; rig->srig.cluster.servers[i].used_cpu == 0; i++)
+		continue;
+	(void)snprintf(id, sizeof(id), "s%zu", i);
+	if (removed)
+		sched_server_remove(successor, id);
+	if (silent)
+		fake_worker_faults(rig->srig.worker)->unreachable_mask = 1U
+		    << i;
+	srig_run(&rig->srig, passed_on_ms);
+	memcpy(resubmission.id, job->id, sizeof(resubmission.id));
+	(void)rig_submit_to(successor, &resubmission, 1, 27000, 300, 0,
+	    resubmitted);
+	srig_run(&rig->srig, 4000);
+	cr_expect(resubmission.answered);
+	cr_expect_eq(resubmission.result, SCHED_COMPLETED);
+	sched_destroy(successor);
+	rig_destroy(rig);
+}
+
+Test(scheduler, resubmitted_job_waits_for_its_run_on_a_silent_server)
+{
+	rig_expect_listed_run_goes_on(200, false, true, true);
+	rig_expect_listed_run_goes_on(700, false, true, true);
+}
+
+/* Its caller has sent it again. */
+Test(scheduler, job_sent_again_waits_for_its_run_on_a_silent_server)
+{
+	rig_expect_listed_run_goes_on(200, false, true, false);
+	rig_expect_listed_run_goes_on(700, false, true, false);
+}
+
+Test(scheduler, resubmitted_job_keeps_its_run_on_a_removed_server)
+{
+	rig_expect_listed_run_goes_on(50, true, false, true);
+}
+
+Test(scheduler, resubmitted_job_waits_for_its_run_on_a_silent_removed_server)
+{
+	rig_expect_listed_run_goes_on(50, true, true, true);
+	rig_expect_listed_run_goes_on(700, true, true, true);
+}
+
 static uint32_t
 rig_starts(const struct rig *rig, const struct rig_job *job, size_t index)
 {
@@ -782,8 +842,10 @@
 	sched_server_update(rig->srig.sched, &info);
 }
 
-/* The store had delayed the last write of the incarnation before. */
-Test(scheduler, runs_go_on_when_a_row_of_an_earlier_incarnation_arrives_late)
+/* The store had delayed the last write of the incarnation before, which started
+ * at @late_ms by the time of day. */
+static void
+rig_expect_run_goes_on_after_late_row(uint64_t late_ms)
 {
 	struct rig *rig = rig_create(5);
 	struct rig_job *job;
@@ -800,7 +862,7 @@
 		continue;
 	/* Nobody listens at the address of the late row. */
 	fake_worker_faults(rig->srig.worker)->unreachable_mask = 1U << i;
-	rig_row_of_incarnation(rig, i, 1, 1000);
+	rig_row_of_incarnation(rig, i, 1, late_ms);
 	srig_run(&rig->srig, 100);
 	fake_worker_faults(rig->srig.worker)->unreachable_mask = 0;
 	rig_row_of_incarnation(rig, i, 2, 2000);
@@ -810,6 +872,43 @@
 	rig_destroy(rig);
 }
 
+Test(scheduler, runs_go_on_when_a_row_of_an_earlier_incarnation_arrives_late)
+{
+	rig_expect_run_goes_on_after_late_row(1000);
+}
+
+/* The time of day was set back between the two starts. */
+Test(scheduler, runs_go_on_when_a_late_row_has_a_later_time_of_start)
+{
+	rig_expect_run_goes_on_after_late_row(3000);
+}
+
+/* The process at the address of the new row lists its runs. */
+Test(scheduler, runs_of_a_server_that_has_moved_start_again_at_once)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *job;
+	size_t i;
+
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		rig->srig.cluster.servers[i].started_ms = 2000;
+		rig_row_of_incarnation(rig, i, 2, 2000);
+	}
+	srig_run(&rig->srig, 50);
+	job = rig_submit(rig, 1, 27000, 600, 0);
+	srig_run(&rig->srig, 50);
+	for (i = 0; rig->srig.cluster.servers[i].used_cpu == 0; i++)
+		continue;
+	wm_crash(&rig->srig.cluster.servers[i]);
+	rig->srig.cluster.servers[i].started_ms = 3000;
+	rig_row_of_incarnation(rig, i, 3, 3000);
+	srig_run(&rig->srig, 50);
+	cr_expect_eq(rig_starts(rig, job, 0), 2);
+	srig_run(&rig->srig, 700);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
 /* The time of day of its machine was set back meanwhile. */
 Test(scheduler, server_that_restarts_with_an_earlier_time_of_start_is_used)
 {
