--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -427,10 +427,9 @@
  * long as submitters are known to wait for the jobs that run there. Return: the
  * deadline to send. */
 uint64_t sched_lease_extend(struct sched_server *server, uint64_t now_us);
-/* Whether a run of the job may be started under the lease that the server has:
- * it must not last longer than the job's submitter is known to wait. */
-bool sched_lease_admits_job(const struct sched_server *server,
-    const struct sched_job *job);
+/* The time by which runs of the job have ended if its submitter is lost now: no
+ * lease under which one is started may last longer. UINT64_MAX: no limit. */
+uint64_t sched_job_lease_end_us(const struct sched_job *job);
 /* Whether the lease is long enough for further runs. */
 bool sched_lease_admits_starts(const struct sched_server *server,
     uint64_t now_us);
--- a/entry/jobs/scheduler_lease.c
+++ b/entry/jobs/scheduler_lease.c
@@ -74,7 +74,7 @@
 	return true;
 }
 
-static uint64_t
+uint64_t
 sched_job_lease_end_us(const struct sched_job *job)
 {
 	if (job->stored)
@@ -156,13 +156,6 @@
 	return lease_extend(&server->lease, now_us, duration_ms);
 }
 
-bool
-sched_lease_admits_job(const struct sched_server *server,
-    const struct sched_job *job)
-{
-	return server->lease.expires_us <= sched_job_lease_end_us(job);
-}
-
 bool
 sched_lease_admits_starts(const struct sched_server *server, uint64_t now_us)
 {
--- a/entry/jobs/scheduler_place.c
+++ b/entry/jobs/scheduler_place.c
@@ -109,7 +109,6 @@
 	    sched_server_conflicts(server, step) ||
 	    !sched_server_lease_suffices(server, task) ||
 	    !sched_server_isolates(server, task) ||
-	    !sched_lease_admits_job(server, task->job) ||
 	    (task->job->advice != NULL &&
 		sched_advice_ticket(task, server) == NULL))
 		return false;
@@ -140,6 +139,7 @@
     const struct sched_filter *filter, uint64_t now_us)
 {
 	const struct job_step *step = &task->job->spec.steps[task->step];
+	uint64_t lease_end_us = sched_job_lease_end_us(task->job);
 	const struct sched_server *server;
 	size_t n = 0;
 
@@ -160,6 +160,7 @@
 			    sched_has_label(server, step->preferred_rack),
 			.eligible = (server->reserved || !filter->reserved) &&
 			    sched_server_accepts_starts(server, now_us) &&
+			    server->lease.expires_us <= lease_end_us &&
 			    sched_server_eligible(server, task) &&
 			    (filter->rack == NULL ||
 				sched_has_label(server, filter->rack)),
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -2273,6 +2273,8 @@
 	cr_expect_eq(test.second.result, SCHED_NOT_RUN);
 	cr_expect_null(wm_task(&test.net->cluster, OTHER ".0.0.0"));
 	resubmission_release(&test);
+}
+
 #define QUEUED "83f2c5d94e0b716a" /* waits until a server has room */
 
 /* The host is lost while its job waits for a server. */
@@ -2342,7 +2344,6 @@
 {
 	struct submission local;
 	struct resubmission test;
-	size_t i;
 
 	resubmission_start(&test, 2, 2, 0);
 	resubmission_submit(&test.net->hosts[0], "h0", QUEUED, false, &local);
@@ -2353,7 +2354,5 @@
 	cr_expect_eq(local.result, SCHED_COMPLETED);
 	cr_expect_eq(test.first.n, 1);
 	cr_expect_eq(test.first.result, SCHED_COMPLETED);
-	for (i = 0; i < 2; i++)
-		jstore_destroy(test.job_stores[i]);
-	net_destroy(test.net);
+	resubmission_release(&test);
 }
