--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -42,6 +42,10 @@
 #define SOAK_LONG_TASK_MS 1300
 #define SOAK_LONG_JOB_INTERVAL_MS 70 /* mean, if some tasks are long */
 #define SOAK_RUN_INTERVAL_MS 400     /* between the runs of a job */
+/* With --resubmit: */
+#define SOAK_RESUBMIT_TASK_MS 3000
+#define SOAK_RESUBMIT_PATIENCE_MS 5000
+#define SOAK_RESUBMIT_JOB_INTERVAL_MS 100 /* mean */
 
 static void
 soak_violation(struct soak *soak, const struct soak_job *job,
@@ -85,6 +89,10 @@
 		return;
 	}
 	/* The outcome is unknown: send the job again, to any host. */
+	if (job->soak->resubmit)
+		soak_log("job %s: status %d, %s", job->id, reply->status,
+		    reply->reason == NULL ? "" : reply->reason);
+	job->resend_ms = sti_now_ms() + SOAK_RESEND_DELAY_MS;
 	if (job->attempts >= SOAK_ATTEMPTS_MAX)
 		job->ended = true;
 	else
@@ -96,23 +104,37 @@
 {
 	struct soak_job *job = arg;
 	struct soak *soak = job->soak;
-	struct soak_host *host = &soak->hosts[soak_random(soak, SOAK_HOSTS)];
+	uint64_t now_ms = sti_now_ms();
+	struct soak_host *host;
+	char path[64], body[512], schedule[96] = "", gang[32] = "",
+				  patience[16];
 	const struct hcl_header headers[] = { { "Host", "localhost" },
-		{ "Deadline-Ms", "1500" } };
-	char path[64], body[512], schedule[96] = "", gang[32] = "";
+		{ "Deadline-Ms", patience } };
 	const struct hcl_request request = {
 		.method = EVHTTP_REQ_POST,
 		.path = path,
 		.headers = headers,
 		.nheaders = 2,
 		.body = body,
-		.timeout_ms = SOAK_REQUEST_TIMEOUT_MS,
+		.timeout_ms = job->patience_ms,
 	};
 	struct hcl_request sent = request;
 
 	(void)fd;
 	(void)what;
+	/* Timers are early by the time for which a callback has blocked. */
+	if (now_ms < job->resend_ms) {
+		soak_set_timer(job->timer, (uint32_t)(job->resend_ms - now_ms));
+		return;
+	}
+	host = &soak->hosts[soak_random(soak, SOAK_HOSTS)];
 	job->attempts++;
+	snprintf(patience, sizeof(patience), "%u", job->patience_ms);
+	/* The connection of a call that has timed out is closed. */
+	if (soak->resubmit && soak->load_active && soak_random(soak, 2) == 0)
+		sent.timeout_ms = 20 + soak_random(soak, job->work_ms + 200);
+	if (soak->resubmit)
+		soak_log("job %s: sent to %s", job->id, host->name);
 	snprintf(path, sizeof(path), "/jobs/%s", job->id);
 	if (job->max_runs > 1)
 		snprintf(schedule, sizeof(schedule),
@@ -146,6 +168,12 @@
 	job->work_ms = 20 + soak_random(soak, 120);
 	if (soak->restarts && soak->load_active && soak_random(soak, 4) == 0)
 		job->work_ms += soak_random(soak, SOAK_LONG_TASK_MS);
+	job->patience_ms = SOAK_REQUEST_TIMEOUT_MS;
+	if (soak->resubmit && soak->load_active && soak_random(soak, 4) == 0) {
+		job->work_ms += soak_random(soak, SOAK_RESUBMIT_TASK_MS);
+		job->patience_ms = SOAK_RESUBMIT_PATIENCE_MS;
+		job->ntasks = 1 + job->ntasks / 4;
+	}
 	snprintf(job->id, sizeof(job->id), "%c%015x", job->stored ? 'f' : '0',
 	    ++soak->njobs);
 	/* By number: some jobs are gangs, and some stored ones run 3 times. */
@@ -164,6 +192,9 @@
 soak_submit_next(evutil_socket_t fd, short what, void *arg)
 {
 	struct soak *soak = arg;
+	uint32_t interval_ms = soak->resubmit ? SOAK_RESUBMIT_JOB_INTERVAL_MS
+	    : soak->restarts		      ? SOAK_LONG_JOB_INTERVAL_MS
+					      : SOAK_JOB_INTERVAL_MS;
 	struct event *timer;
 
 	(void)fd;
@@ -172,12 +203,7 @@
 		return;
 	soak_submit_job(soak);
 	timer = event_base_get_running_event(soak->base);
-	soak_set_timer(timer,
-	    1 +
-		soak_random(soak,
-		    2 *
-			(soak->restarts ? SOAK_LONG_JOB_INTERVAL_MS
-					: SOAK_JOB_INTERVAL_MS)));
+	soak_set_timer(timer, 1 + soak_random(soak, 2 * interval_ms));
 }
 
 static void
@@ -291,9 +317,10 @@
 	clu_http(soak->store_port, "GET", "/report", NULL, NULL, 3000, &reply);
 	if (sti_int(reply.json, "violations", -1) != 0) {
 		soak->violations++;
-		soak_log("VIOLATION at the servers: %s (%d)",
+		soak_log("VIOLATION at the servers: %s (%d, %d of two runs)",
 		    sti_str(reply.json, "first", "?"),
-		    (int)sti_int(reply.json, "violations", -1));
+		    (int)sti_int(reply.json, "violations", -1),
+		    (int)sti_int(reply.json, "double_runs", -1));
 	}
 	clu_reply_free(&reply);
 	soak_log("%u jobs: %u completed, %u stored, %u refused, %u unknown; "
@@ -368,8 +395,10 @@
 	    arg_int0(NULL, "seconds", "N", "duration of the jobs and faults");
 	struct arg_lit *restarts = arg_lit0(NULL, "restarts",
 	    "also end most hosts at once, and expire servers' rows");
+	struct arg_lit *resubmit = arg_lit0(NULL, "resubmit",
+	    "also delay orders and cut off hosts and callers of long tasks");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { seed, seconds, restarts, end };
+	void *table[] = { seed, seconds, restarts, resubmit, end };
 	struct soak soak = { .load_active = true };
 	const char *bin = getenv("BERYLRAIL_BIN_DIR");
 
@@ -380,6 +409,7 @@
 		return 2;
 	}
 	soak.restarts = restarts->count > 0;
+	soak.resubmit = resubmit->count > 0;
 	soak.base = sti_event_base();
 	soak.random = (uint64_t)seed->ival[0] * 0x9e3779b97f4a7c15ULL + 1;
 	snprintf(soak.bin, sizeof(soak.bin), "%s", bin == NULL ? "build" : bin);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -32,6 +32,7 @@
 	bool stopping; /* it was told to stop, and may have ended */
 	uint16_t work_port, peer_port, ready_port, http_port;
 	uint16_t peer_link, store_link; /* ports of the proxy's links */
+	uint16_t work_link;		/* of callers, with --resubmit */
 	struct hcl *hcl;		/* the callers' client for this host */
 };
 
@@ -43,10 +44,12 @@
 	uint32_t ntasks; /* of each run of its step */
 	bool gang;
 	bool crashes; /* its first task crashes each server that starts it */
-	uint32_t max_runs; /* number of scheduled runs of its step */
-	uint64_t start_ms; /* wall clock time of the first scheduled run */
-	uint32_t work_ms;  /* run time of a task */
+	uint32_t max_runs;    /* number of scheduled runs of its step */
+	uint64_t start_ms;    /* wall clock time of the first scheduled run */
+	uint32_t work_ms;     /* run time of a task */
+	uint32_t patience_ms; /* its caller's Deadline-Ms */
 	int attempts;
+	uint64_t resend_ms; /* it is not sent again before this time */
 	int refusals; /* attempts that were refused: the job was not run */
 	bool ended;   /* no more attempts: final answer, or too many attempts */
 	int last_status; /* HTTP status of the last response */
@@ -77,6 +80,9 @@
 	/* Faults also end most hosts at once and expire servers' rows, and some
 	 * tasks last longer than a lease. */
 	bool restarts;
+	/* Faults also delay orders, and cut off hosts without a sign; callers
+	 * lose connections, and some tasks last for seconds. */
+	bool resubmit;
 	bool load_active; /* jobs are submitted and faults injected */
 	uint32_t nfaults;
 	uint32_t violations;
--- a/tests/soak/soak_cluster.c
+++ b/tests/soak/soak_cluster.c
@@ -254,6 +254,14 @@
 	strlcpy(params.endpoint.address, soak->address,
 	    sizeof(params.endpoint.address));
 	params.endpoint.port = host->work_port;
+	if (soak->resubmit) {
+		snprintf(name, sizeof(name), "work-%s", host->name);
+		host->work_link = soak_create_link(soak, name, soak->address,
+		    host->work_port);
+		strlcpy(params.endpoint.address, "127.0.0.1",
+		    sizeof(params.endpoint.address));
+		params.endpoint.port = host->work_link;
+	}
 	host->hcl = hcl_create(&params);
 }
 
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -22,6 +22,12 @@
 	SOAK_KILL_MOST = SOAK_NFAULTS,
 	SOAK_ROWS_EXPIRE,
 	SOAK_NFAULTS_RESTARTS,
+	/* These are injected only with --resubmit. */
+	SOAK_LATE_ORDERS = SOAK_NFAULTS_RESTARTS,
+	SOAK_POWER,
+	SOAK_PEER_DROP,
+	SOAK_CALLERS_CUT,
+	SOAK_NFAULTS_ALL,
 };
 
 /* An active fault. */
@@ -74,6 +80,7 @@
 	(void)what;
 	switch (fault->kind) {
 	case SOAK_TERM:
+	case SOAK_POWER:
 		soak_host_kill(soak, host);
 		soak_host_start(soak, host);
 		break;
@@ -87,6 +94,7 @@
 		host->paused = false;
 		break;
 	case SOAK_LINK:
+	case SOAK_PEER_DROP:
 		soak_post(soak->proxy_port, "/control",
 		    "{\"link\":\"%s\",\"mode\":\"pass\"}", fault->link);
 		soak_post(soak->proxy_port, "/cut", "{\"link\":\"%s\"}",
@@ -105,13 +113,25 @@
 	case SOAK_ROWS_EXPIRE:
 		soak_post(soak->store_port, "/fault", "{\"store\":\"ok\"}");
 		break;
-	case SOAK_NFAULTS_RESTARTS:
+	case SOAK_LATE_ORDERS:
+		soak_post(soak->store_port, "/fault", "{\"late_orders\":0}");
+		break;
+	case SOAK_CALLERS_CUT:
+	case SOAK_NFAULTS_ALL:
 		break;
 	}
 	event_free(fault->timer);
 	free(fault);
 }
 
+/* Resets the connections of callers to a host. */
+static void
+soak_cut_callers(struct soak *soak, const struct soak_host *host)
+{
+	soak_post(soak->proxy_port, "/cut", "{\"link\":\"work-%s\"}",
+	    host->name);
+}
+
 static void
 soak_begin_link_fault(struct soak *soak, struct soak_fault *fault)
 {
@@ -132,6 +152,21 @@
 	    soak_link_modes[soak_random(soak, 5)]);
 }
 
+static void
+soak_begin_late_orders(struct soak *soak, struct soak_fault *fault)
+{
+	uint32_t servers = soak_random(soak, 1U << SOAK_SERVERS);
+	uint32_t ms = 300 + soak_random(soak, 1200);
+
+	/* A third of the time, orders are lost. */
+	if (soak_random(soak, 3) == 0)
+		ms = 0;
+	snprintf(fault->link, sizeof(fault->link), "mask %02x, %u ms late",
+	    servers, ms);
+	soak_post(soak->store_port, "/fault", "{\"late_orders\":%u,\"ms\":%u}",
+	    servers, ms);
+}
+
 static void
 soak_begin_fault(struct soak *soak, struct soak_fault *fault)
 {
@@ -170,29 +205,60 @@
 		soak_post(soak->store_port, "/fault",
 		    "{\"store\":\"expired\"}");
 		break;
-	case SOAK_NFAULTS_RESTARTS:
+	case SOAK_LATE_ORDERS:
+		soak_begin_late_orders(soak, fault);
+		break;
+	case SOAK_POWER:
+		/* Others see no end of its connections. */
+		if (host->pid != 0)
+			kill(host->pid, SIGSTOP);
+		host->paused = true;
+		soak_cut_callers(soak, host);
+		break;
+	case SOAK_PEER_DROP:
+		snprintf(fault->link, sizeof(fault->link), "peer-%s",
+		    host->name);
+		soak_post(soak->proxy_port, "/control",
+		    "{\"link\":\"%s\",\"mode\":\"drop\"}", fault->link);
+		break;
+	case SOAK_CALLERS_CUT:
+		soak_cut_callers(soak, host);
+		break;
+	case SOAK_NFAULTS_ALL:
 		break;
 	}
 }
 
+static enum soak_fault_kind
+soak_choose_kind(struct soak *soak)
+{
+	if (soak->resubmit && soak_random(soak, 4) != 0)
+		return (enum soak_fault_kind)(SOAK_LATE_ORDERS +
+		    soak_random(soak, SOAK_NFAULTS_ALL - SOAK_LATE_ORDERS));
+	return (enum soak_fault_kind)soak_random(soak,
+	    soak->restarts ? SOAK_NFAULTS_RESTARTS : SOAK_NFAULTS);
+}
+
 void
 soak_inject_fault(struct soak *soak)
 {
 	static const char *const names[] = { "kill", "pause", "term", "link",
-		"store", "server", "kill-most", "rows-expire" };
+		"store", "server", "kill-most", "rows-expire", "late-orders",
+		"power", "peer-drop", "callers-cut" };
 	struct soak_fault *fault = calloc(1, sizeof(*fault));
 	uint32_t ms = 200 + soak_random(soak, 2500);
 	struct timeval tv;
 
 	fault->soak = soak;
-	fault->kind = (enum soak_fault_kind)soak_random(soak,
-	    soak->restarts ? SOAK_NFAULTS_RESTARTS : SOAK_NFAULTS);
+	fault->kind = soak_choose_kind(soak);
 	fault->target = (int)soak_random(soak,
 	    fault->kind == SOAK_SERVER ? SOAK_SERVERS : SOAK_HOSTS);
 	if (fault->kind == SOAK_TERM)
 		ms = 4800;
 	else if (fault->kind == SOAK_KILL_MOST)
 		ms = 50 + soak_random(soak, 900);
+	else if (fault->kind == SOAK_LATE_ORDERS)
+		ms = 1500 + soak_random(soak, 3500);
 	tv.tv_sec = ms / 1000;
 	tv.tv_usec = (suseconds_t)(ms % 1000) * 1000;
 	soak->nfaults++;
@@ -213,6 +279,7 @@
 	soak_post(soak->proxy_port, "/control",
 	    "{\"link\":\"*\",\"mode\":\"pass\"}");
 	soak_post(soak->proxy_port, "/cut", "{\"link\":\"*\"}");
-	soak_post(soak->store_port, "/fault", "{\"store\":\"ok\"}");
+	soak_post(soak->store_port, "/fault",
+	    "{\"store\":\"ok\",\"late_orders\":0}");
 	soak_start_hosts(soak);
 }
--- a/tests/standins/fleet/main.c
+++ b/tests/standins/fleet/main.c
@@ -10,8 +10,14 @@
  *	POST /fault {"store": "ok"|"down"|"silent"|"lost"|"expired",
  *	     "server": N, "how": "hang"|"fail"|"crash"|"slow"|"ok"}
  *	     (expired: down; the servers' rows expire meanwhile)
+ *	POST /fault {"late_orders": MASK, "ms": N}
+ *	     (starts and stops at these servers, bit N for server N, get no
+ *	     reply and are carried out after this time; 0 ms: never)
  *	GET /task?name=T -> {"starts": N, "done": N} of one task
- *	GET /report -> {"violations": N, "first": "..", "starts": N}
+ *	GET /report -> {"violations": N, "first": "..", "double_runs": N,
+ *	     "starts": N}
+ *
+ * The changes of all runs are written to the standard error.
  */
 
 #include <argtable2.h>
@@ -23,6 +29,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "store.h"
 #include "support/standin.h"
@@ -44,6 +51,20 @@
 
 static TAILQ_HEAD(, flt_pending_hold)
     flt_pending_holds = TAILQ_HEAD_INITIALIZER(flt_pending_holds);
+
+/* An order that is carried out late. */
+struct flt_late_order {
+	struct wm_server *server;
+	json_t *body;
+	bool is_start;
+	uint64_t due_ms;
+	TAILQ_ENTRY(flt_late_order) entry;
+};
+
+static TAILQ_HEAD(, flt_late_order) flt_late_orders = TAILQ_HEAD_INITIALIZER(
+    flt_late_orders);
+static uint64_t flt_late_servers; /* bit N: orders to server N are late */
+static uint32_t flt_late_ms;	  /* 0: they are lost */
 static struct wm_cluster flt_cluster;
 static const char *const flt_end_names[] = {
 	[WORKER_END_DONE] = "done",
@@ -148,13 +169,10 @@
 	TAILQ_INSERT_TAIL(&flt_pending_holds, pending, entry);
 }
 
-static void
-flt_server_request(struct evhttp_request *req, void *arg)
+static enum worker_verdict
+flt_carry_out(struct wm_server *server, const json_t *body, bool is_start)
 {
-	const char *path = evhttp_request_get_uri(req);
-	struct wm_server *server = arg;
-	json_t *body = sti_json_body(req);
-	struct worker_start order = {
+	const struct worker_start order = {
 		.task = sti_str(body, "task", ""),
 		.run_id = (uint64_t)sti_int(body, "run_id", 0),
 		.spec = sti_str(body, "spec", ""),
@@ -162,19 +180,65 @@
 		.token = (uint64_t)sti_int(body, "fencing_token", 0),
 	};
 
+	return is_start ? wm_start(server, sti_now_ms(), &order)
+			: wm_stop(server, sti_now_ms(), order.task,
+			      order.run_id, order.token);
+}
+
+static void
+flt_delay_order(struct wm_server *server, json_t *body, bool is_start)
+{
+	struct flt_late_order *late;
+
+	if (flt_late_ms == 0)
+		return;
+	late = calloc(1, sizeof(*late));
+	late->server = server;
+	late->body = json_incref(body);
+	late->is_start = is_start;
+	late->due_ms = sti_now_ms() + flt_late_ms;
+	TAILQ_INSERT_TAIL(&flt_late_orders, late, entry);
+}
+
+static void
+flt_carry_out_late_orders(uint64_t now_ms)
+{
+	struct flt_late_order *late, *next;
+
+	for (late = TAILQ_FIRST(&flt_late_orders); late != NULL; late = next) {
+		next = TAILQ_NEXT(late, entry);
+		if (now_ms < late->due_ms)
+			continue;
+		TAILQ_REMOVE(&flt_late_orders, late, entry);
+		if (!wm_is_down(late->server, now_ms))
+			(void)flt_carry_out(late->server, late->body,
+			    late->is_start);
+		json_decref(late->body);
+		free(late);
+	}
+}
+
+static void
+flt_server_request(struct evhttp_request *req, void *arg)
+{
+	const char *path = evhttp_request_get_uri(req);
+	bool is_start = strcmp(path, "/v1/run-start") == 0;
+	struct wm_server *server = arg;
+	size_t index = (size_t)(server - flt_cluster.servers);
+	json_t *body = sti_json_body(req);
+
 	(void)wm_advance(server, sti_now_ms());
-	if (wm_is_down(server, sti_now_ms()))
+	if (wm_is_down(server, sti_now_ms())) {
 		evhttp_request_own(req); /* no reply is sent */
-	else if (strcmp(path, "/v1/hold") == 0)
+	} else if (strcmp(path, "/v1/hold") == 0) {
 		flt_hold(req, server, body);
-	else if (strcmp(path, "/v1/run-start") == 0)
-		flt_reply(req, server, wm_start(server, sti_now_ms(), &order),
-		    json_object());
-	else
-		flt_reply(req, server,
-		    wm_stop(server, sti_now_ms(), order.task, order.run_id,
-			order.token),
+	} else if ((flt_late_servers >> index & 1) != 0) {
+		evhttp_request_own(req);
+		flt_delay_order(server, body, is_start);
+	} else {
+		flt_reply(req, server, flt_carry_out(server, body, is_start),
 		    json_object());
+	}
 	json_decref(body);
 }
 
@@ -193,6 +257,7 @@
 	for (i = 0; i < flt_cluster.nservers; i++)
 		(void)wm_advance(&flt_cluster.servers[i], now_ms);
 	flt_restore_rows(now_ms);
+	flt_carry_out_late_orders(now_ms);
 	for (pending = TAILQ_FIRST(&flt_pending_holds); pending != NULL;
 	     pending = next) {
 		next = TAILQ_NEXT(pending, entry);
@@ -294,6 +359,10 @@
 		flt_rows_expire = strcmp(store, "expired") == 0;
 	}
 	store_set_mode(store);
+	if (json_object_get(body, "late_orders") != NULL) {
+		flt_late_servers = (uint64_t)sti_int(body, "late_orders", 0);
+		flt_late_ms = (uint32_t)sti_int(body, "ms", 0);
+	}
 	if (n < 0 || (size_t)n >= flt_cluster.nservers)
 		return;
 	server = &flt_cluster.servers[n];
@@ -353,9 +422,25 @@
 	for (i = 0; i < flt_cluster.nservers; i++)
 		starts += flt_cluster.servers[i].starts;
 	sti_reply(req, 200,
-	    json_pack("{s:I,s:s,s:I}", "violations",
+	    json_pack("{s:I,s:s,s:I,s:I}", "violations",
 		(json_int_t)flt_cluster.violations, "first",
-		flt_cluster.first_violation, "starts", (json_int_t)starts));
+		flt_cluster.first_violation, "double_runs",
+		(json_int_t)flt_cluster.double_runs, "starts",
+		(json_int_t)starts));
+}
+
+/* Both times, as soak tests log the one and hosts the other. */
+static void
+flt_trace(const char *event)
+{
+	struct timespec ts;
+	struct tm tm;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	gmtime_r(&ts.tv_sec, &tm);
+	fprintf(stderr, "%8.3f %02d:%02d:%02d.%03ld %s\n",
+	    (double)sti_now_ms() / 1000, tm.tm_hour, tm.tm_min, tm.tm_sec,
+	    ts.tv_nsec / 1000000, event);
 }
 
 int
@@ -384,6 +469,7 @@
 	base = sti_event_base();
 	wm_init(&flt_cluster, n, FLT_CPU_MILLICORES);
 	flt_cluster.strict_prefix = FLT_STORED_ID_PREFIX;
+	flt_cluster.trace = flt_trace;
 	store_init(base);
 	sti_http_server(base, &port, flt_store_request, NULL);
 	len = (size_t)snprintf(text, sizeof(text), "store %u\n", port);
--- a/tests/support/worker_model.c
+++ b/tests/support/worker_model.c
@@ -45,14 +45,33 @@
 static void __attribute__((format(printf, 2, 3)))
 wm_report_violation(struct wm_cluster *cluster, const char *fmt, ...)
 {
+	char text[sizeof(cluster->first_violation)];
 	va_list ap;
 
-	if (cluster->violations++ > 0)
-		return;
 	va_start(ap, fmt);
-	(void)vsnprintf(cluster->first_violation,
-	    sizeof(cluster->first_violation), fmt, ap);
+	(void)vsnprintf(text, sizeof(text), fmt, ap);
 	va_end(ap);
+	if (cluster->trace != NULL)
+		cluster->trace(text);
+	if (cluster->violations++ == 0)
+		strlcpy(cluster->first_violation, text,
+		    sizeof(cluster->first_violation));
+}
+
+static void
+wm_trace(const struct wm_server *server, const char *event, const char *task,
+    uint64_t run_id)
+{
+	char text[256];
+
+	if (server->cluster->trace == NULL)
+		return;
+	(void)snprintf(text, sizeof(text),
+	    "s%zu %s %s run=%" PRIu64 " token=%" PRIu64
+	    " lease_end_ms=%" PRIu64,
+	    (size_t)(server - server->cluster->servers), event, task, run_id,
+	    server->token, server->lease_end_ms);
+	server->cluster->trace(text);
 }
 
 static struct wm_task *
@@ -152,8 +171,16 @@
 wm_run_finish(struct wm_server *server, struct wm_run *run,
     enum worker_end_state end_state)
 {
+	static const char *const events[] = {
+		[WORKER_END_DONE] = "done",
+		[WORKER_END_FAILED] = "failed",
+		[WORKER_END_STOPPED] = "stopped",
+		[WORKER_END_LEASE_EXPIRED] = "lapsed",
+		[WORKER_END_OTHER] = "broken",
+	};
 	struct wm_task *task = wm_task_get(server->cluster, run->task);
 
+	wm_trace(server, events[end_state], run->task, run->run_id);
 	task->running_now--;
 	if (end_state == WORKER_END_FAILED)
 		task->failures++;
@@ -190,6 +217,7 @@
 	struct wm_run *run;
 
 	TAILQ_FOREACH (run, &server->running, entry) {
+		wm_trace(server, "crashed", run->task, run->run_id);
 		wm_task_get(server->cluster, run->task)->running_now--;
 		if (run->gang != 0)
 			wm_gang_each(server, run, wm_gang_finish,
@@ -368,9 +396,12 @@
 		wm_report_violation(cluster,
 		    "%s was started %u times after it had crashed %d servers",
 		    order->task, task->starts_after_crashes, WM_CRASHES_MAX);
-	if (++task->running_now > 1)
+	wm_trace(server, "started", order->task, order->run_id);
+	if (++task->running_now > 1) {
+		cluster->double_runs++;
 		wm_report_violation(cluster, "%s has two runs at the same time",
 		    order->task);
+	}
 	if (task->done_acknowledged && cluster->strict_prefix != '\0' &&
 	    order->task[0] == cluster->strict_prefix)
 		wm_report_violation(cluster, "%s starts after its end",
@@ -436,6 +467,7 @@
 	(void)wm_advance(server, now_ms);
 	if (!wm_fence(server, token))
 		return WORKER_FENCED;
+	wm_trace(server, "stop", task, run_id);
 	run = wm_run_find(&server->running, task, run_id);
 	if (run != NULL && run->run_id == run_id) {
 		run->stopping = true;
@@ -464,6 +496,8 @@
 	if (hold->deadline_ms != 0)
 		wm_extend_lease(server, now_ms, hold->deadline_ms);
 	(void)wm_advance(server, now_ms);
+	if (!TAILQ_EMPTY(&server->running))
+		wm_trace(server, "held", "", 0);
 	TAILQ_FOREACH (run, &server->ended, entry) {
 		if (run->number == 0 || run->number > hold->acknowledged)
 			continue;
--- a/tests/support/worker_model.h
+++ b/tests/support/worker_model.h
@@ -95,6 +95,9 @@
 	bool tickets;
 	uint32_t denied_servers_mask;
 	uint32_t violations;
+	uint32_t double_runs; /* starts beside a run of the same task */
+	/* Called with each change of a run and each violation; may be NULL. */
+	void (*trace)(const char *event);
 	uint32_t gang_timeouts; /* runs of incomplete gangs that timed out */
 	uint32_t resumed;	/* runs started from a checkpoint */
 	/* Tasks whose name begins with this character may not start after the
