--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -787,6 +787,49 @@
 	rig_expect_listed_run_goes_on(700, true, true, true);
 }
 
+/* A holder has listed a run of a job, and is replaced. The run ends, and the
+ * next holder starts the job elsewhere. The first one is the holder again, and
+ * the server of the first run lists its runs last. */
+Test(scheduler, run_of_an_earlier_term_is_not_taken_for_the_present_one)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *job = rig_submit(rig, 1, 27000, 3000, 0);
+	struct rig_job second = { .rig = rig }, third = { .rig = rig };
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	struct scheduler *first, *next;
+	uint32_t stale_mask;
+	size_t i;
+
+	srig_run(&rig->srig, 100);
+	for (i = 0; rig->srig.cluster.servers[i].used_cpu == 0; i++)
+		continue;
+	stale_mask = 1U << i;
+	sched_deactivate(rig->srig.sched);
+	first = srig_scheduler(&rig->srig, 20);
+	srig_run(&rig->srig, 50);
+	sched_deactivate(first);
+	faults->unreachable_mask = stale_mask;
+	srig_run(&rig->srig, 1100);
+	cr_assert_eq(rig->srig.cluster.servers[i].used_cpu, 0);
+	next = srig_scheduler(&rig->srig, 30);
+	memcpy(second.id, job->id, sizeof(second.id));
+	memcpy(third.id, job->id, sizeof(third.id));
+	(void)rig_submit_to(next, &second, 1, 27000, 3000, 0, false);
+	srig_run(&rig->srig, 100);
+	sched_deactivate(next);
+	srig_activate(first, 40);
+	(void)rig_submit_to(first, &third, 1, 27000, 3000, 0, true);
+	srig_run(&rig->srig, 20);
+	faults->unreachable_mask = 0;
+	srig_run(&rig->srig, 4800);
+	cr_expect(third.answered);
+	cr_expect_eq(third.result, SCHED_COMPLETED);
+	sched_destroy(next);
+	sched_destroy(first);
+	rig_destroy(rig);
+}
+
 static uint32_t
 rig_starts(const struct rig *rig, const struct rig_job *job, size_t index)
 {
