Runs that were listed under an earlier token are forgotten

A holder lists a run whose job it does not know, is replaced, and takes over again. The run has ended meanwhile and the job runs elsewhere; the server of the first run does not reply at once. The job, passed on, takes the run that was listed in the former term; the present one then counts as one of no job and is stopped, or, if the first server replies within 150 ms, goes on beside the run that is started as the first one is not listed.

The runs of unknown jobs that a server has listed are cleared when its link is opened.

--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -108,6 +108,7 @@
 	server->acknowledged_sent = 0;
 	server->lists_connection_id = 0;
 	sched_unstored_clear(server);
+	sched_orphans_clear(server);
 	server->unanswered_holds = 0;
 	sched_server_hold(server, sched_now(sched));
 }
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -826,6 +826,48 @@
 	rig_destroy(rig);
 }
 
+/* The successor has listed the run of a job when it held the cell before. It
+ * has ended, and the job runs elsewhere. */
+Test(scheduler, run_that_was_listed_before_a_take_over_is_not_adopted)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *job = rig_submit(rig, 1, 27000, 3000, 0);
+	struct rig_job again[2] = { { .rig = rig }, { .rig = rig } };
+	struct scheduler *successor;
+	char id[24];
+	size_t i;
+
+	memcpy(again[0].id, job->id, sizeof(job->id));
+	memcpy(again[1].id, job->id, sizeof(job->id));
+	srig_run(&rig->srig, 100);
+	for (i = 0; rig->srig.cluster.servers[i].used_cpu == 0; i++)
+		continue;
+	sched_deactivate(rig->srig.sched);
+	successor = srig_scheduler(&rig->srig, 20);
+	srig_run(&rig->srig, 50);
+	sched_deactivate(successor);
+	srig_activate(rig->srig.sched, 30);
+	srig_run(&rig->srig, 50);
+	wm_crash(&rig->srig.cluster.servers[i]);
+	(void)snprintf(id, sizeof(id), "s%zu", i);
+	sched_server_remove(rig->srig.sched, id);
+	srig_run(&rig->srig, 400);
+	(void)rig_submit_to(rig->srig.sched, &again[0], 1, 27000, 3000, 0,
+	    true);
+	srig_run(&rig->srig, 200);
+	cr_assert_eq(rig_starts(rig, job, 0), 2);
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = 1U << i;
+	srig_activate(successor, 40);
+	(void)rig_submit_to(successor, &again[1], 1, 27000, 3000, 0, true);
+	srig_run(&rig->srig, 40);
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = 0;
+	srig_run(&rig->srig, 4000);
+	cr_expect_eq(again[1].result, SCHED_COMPLETED);
+	cr_expect_eq(rig_starts(rig, job, 0), 2);
+	sched_destroy(successor);
+	rig_destroy(rig);
+}
+
 /* Reports the row that an incarnation of a server has written. */
 static void
 rig_row_of_incarnation(struct rig *rig, size_t index, uint16_t port,
