Take no message of a new process for a sign of the one before

What callers saw: as in, a second run of a job that was sent again, if the host of its caller lost power and was back within a second.

Cause: whether the host of a caller is alive was asked by its name. A host that loses power closes no connection; the holder finds out by its silence on that connection, after 3.2 s with nine hosts, or when a packet is answered with a reset. Until then the new process's messages kept the jobs of the old one going.

Change: a forwarded job carries the incarnation of its sender, and only that one's connections count.

--- a/adapters/peers_tcp.c
+++ b/adapters/peers_tcp.c
@@ -237,7 +237,7 @@
 }
 
 uint64_t
-peers_tcp_alive_us(struct peers *port, const char *host)
+peers_tcp_alive_us(struct peers *port, const char *host, uint64_t incarnation)
 {
 	const struct peers_tcp *peers = peers_from_port(port);
 	const struct nidx_entry *entry;
@@ -247,7 +247,8 @@
 	for (entry = nidx_find(&peers->conns_by_name, host); entry != NULL;
 	     entry = nidx_next(entry)) {
 		conn = NIDX_OBJECT(entry, struct peers_conn, by_name);
-		if (conn->alive_us > alive_us)
+		if (conn->incarnation == incarnation &&
+		    conn->alive_us > alive_us)
 			alive_us = conn->alive_us;
 	}
 	return alive_us;
--- a/adapters/peers_tcp.h
+++ b/adapters/peers_tcp.h
@@ -65,13 +65,15 @@
     uint64_t *incarnation);
 
 /**
- * peers_tcp_alive_us() - when a connected peer was last known to be alive.
+ * peers_tcp_alive_us() - when an incarnation of a peer was last known to
+ * be alive.
  * While this host serves a request of the peer, the peer sends a message at
  * least every heartbeat_ms.
  * Return: time of the monotonic clock (us) after which the last message was
  * sent; 0: none was received.
  */
-uint64_t peers_tcp_alive_us(struct peers *peers, const char *host);
+uint64_t peers_tcp_alive_us(struct peers *peers, const char *host,
+    uint64_t incarnation);
 
 /** peers_tcp_connections_version() - a number that changes when a host connects
  * or disconnects. */
--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -40,7 +40,8 @@
 	/* Returns a number that changes when a peer connects or disconnects. */
 	uint64_t (*connections_version)(struct peers *peers);
 	/* Returns a time at which a connected peer was alive; 0: none. */
-	uint64_t (*alive_us)(struct peers *peers, const char *host);
+	uint64_t (*alive_us)(struct peers *peers, const char *host,
+	    uint64_t incarnation);
 	/* Requests a connection to a peer. */
 	void (*request_connection)(struct peers *peers, const char *host);
 	/* Reserves a fencing token; the result is passed to
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -286,13 +286,14 @@
 	    "&queue=%s&service=%s&priority=%" PRIu32 "&attempts=%" PRIu32
 	    "&slack=%" PRIu32 "&target_ms=%" PRIu32
 	    "&advised=%d&config=%" PRIu64 "&replied_at=%" PRIu64
-	    "&token=%" PRIu64 "&host=%s",
+	    "&token=%" PRIu64 "&host=%s&incarnation=%" PRIu64,
 	    job->age_ms, job->timeout_ms, job->resubmitted ? 1 : 0,
 	    job->may_refuse ? 1 : 0, job->nonce, queue->name, queue->service,
 	    queue->priority, queue->max_attempts, queue->slack_permille,
 	    queue->target_ms, queue->advised ? 1 : 0, queue->config_version,
 	    host->zone->local ? host->replied_at : job->holder_replied_at,
-	    host->zone->local ? host->token : 0, cells->params.self.name);
+	    host->zone->local ? host->token : 0, cells->params.self.name,
+	    cells->params.self.incarnation);
 	cells->params.peers->ops->forward(cells->params.peers, host->info.az,
 	    host->info.name, host->incarnation, &request, cells_forward_done,
 	    call);
@@ -502,6 +503,7 @@
 	sub = cells_submission_create(cells, job.id, job.nonce, arg);
 	sub->reply = reply;
 	(void)api_query_text(request->query, "host", sub->host, NAME_SIZE);
+	sub->incarnation = cells_query_u64(request, "incarnation");
 	cells_submit_local(sub, &job);
 }
 
@@ -530,7 +532,7 @@
 
 	if (sub->host[0] == '\0')
 		return cells_now_us(cells);
-	alive_us = params->alive_us(params->peers, sub->host);
+	alive_us = params->alive_us(params->peers, sub->host, sub->incarnation);
 	/* The host may have disconnected since. */
 	if (alive_us > sub->alive_us)
 		sub->alive_us = alive_us;
--- a/entry/jobs/job_service.h
+++ b/entry/jobs/job_service.h
@@ -33,7 +33,8 @@
 	/* Returns a number that changes when a peer connects or disconnects. */
 	uint64_t (*connections_version)(struct peers *peers);
 	/* See peers_tcp_alive_us(). */
-	uint64_t (*alive_us)(struct peers *peers, const char *host);
+	uint64_t (*alive_us)(struct peers *peers, const char *host,
+	    uint64_t incarnation);
 	/* Requests a connection to a peer. */
 	void (*request_connection)(struct peers *peers, const char *host);
 	/* Sets the list of the other entry hosts. */
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -207,10 +207,13 @@
 }
 
 static uint64_t
-host_alive_us(struct peers *peers, const char *name)
+host_alive_us(struct peers *peers, const char *name, uint64_t incarnation)
 {
 	const struct host *host = (struct host *)peers;
 
+	if (host->net->hosts[atoi(name + 1)].incarnation != incarnation)
+		return 0;
+
 	return host->net->alive_us[host->index][atoi(name + 1)];
 }
 
@@ -371,7 +374,7 @@
 	host->peers.ops = &host_ops;
 	host->net = net;
 	host->index = index;
-	host->incarnation++;
+	params.self.incarnation = ++host->incarnation;
 	net->connections_version++;
 	strlcpy(host->name, params.self.name, sizeof(host->name));
 	host->sched = sched_create(&scheduler);
@@ -1932,9 +1935,9 @@
 resubmission_kill_host(struct resubmission *test, size_t host)
 {
 	net_isolate(test->net, host, true);
-	if (host == 0) {
-		jstore_destroy(test->job_stores[0]);
-		test->job_stores[0] = NULL;
+	if (host % 2 == 0) {
+		jstore_destroy(test->job_stores[host / 2]);
+		test->job_stores[host / 2] = NULL;
 	}
 	host_destroy(&test->net->hosts[host]);
 	host_create(test->net, host);
@@ -1983,6 +1986,19 @@
 	resubmission_end(&test, 1);
 }
 
+/* Its connection to the holder is not known to be lost yet. */
+Test(cells, no_second_run_of_a_resubmitted_job_whose_host_is_back_at_once)
+{
+	struct resubmission test;
+
+	resubmission_start(&test, 2, 2, 0);
+	resubmission_kill_host(&test, 2);
+	net_run(test.net, 700);
+	net_isolate(test.net, 2, false);
+	net_run(test.net, RESEND_MS - 700);
+	resubmission_end(&test, 1);
+}
+
 /* Both hosts are paused as the caller is lost. */
 Test(cells, no_second_run_of_a_resubmitted_job_whose_host_was_paused)
 {
--- a/tests/test_job_service.c
+++ b/tests/test_job_service.c
@@ -335,8 +335,9 @@
 }
 
 static uint64_t
-host_alive_us(struct peers *peers, const char *name)
+host_alive_us(struct peers *peers, const char *name, uint64_t incarnation)
 {
+	(void)incarnation;
 	(void)peers;
 	(void)name;
 	return clock_now_us(clock_real());
--- a/tests/test_peers_tcp.c
+++ b/tests/test_peers_tcp.c
@@ -778,13 +778,33 @@
 	sent_us = real_now_us(NULL);
 	usleep(PAUSE_MS * 1000);
 	WAIT_FOR(counter_value(received) == 50);
-	cr_expect_leq(peers_tcp_alive_us(a.peers, "b"), sent_us,
+	cr_expect_leq(peers_tcp_alive_us(a.peers, "b", 22), sent_us,
 	    "%lld us after the pause began",
-	    (long long)(peers_tcp_alive_us(a.peers, "b") - sent_us));
+	    (long long)(peers_tcp_alive_us(a.peers, "b", 22) - sent_us));
 	close(fd);
 	peers_tcp_destroy(a.peers);
 }
 
+Test(peers_tcp, messages_of_an_incarnation_are_no_sign_of_an_earlier_one)
+{
+	struct node a = { 0 };
+	uint64_t seen_us;
+	int old, new;
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	old = raw_connect(a.port);
+	raw_hello(old, "b", 22);
+	WAIT_FOR((seen_us = peers_tcp_alive_us(a.peers, "b", 22)) != 0);
+	WAIT_FOR(real_now_us(NULL) > seen_us + HEARTBEAT_MS * 2000);
+	new = raw_connect(a.port);
+	raw_hello(new, "b", 33);
+	WAIT_FOR(peers_tcp_alive_us(a.peers, "b", 33) > seen_us);
+	cr_expect_leq(peers_tcp_alive_us(a.peers, "b", 22), seen_us);
+	close(old);
+	close(new);
+	peers_tcp_destroy(a.peers);
+}
+
 Test(peers_tcp, late_duplicate_and_unknown_replies_are_dropped)
 {
 	static const char *const unknown_replies =
