Start no job whose submitter is not known to wait now

What callers saw: a possible second run at the same time: a caller that was not answered had sent its job again, and the host that it had asked first was resumed after a pause longer than the caller's deadline and 1.3 s.

Cause: the host reads the request first and finds its connection closed in the next iteration of the event loop. If it is the holder itself, it is not confirmed then, takes a job that it has just read for one just sent, and grants a lease without the bound of sched_lease_extend(). The job is stopped a moment later. (A host that is not the holder forwards such a job with the holder's time from before the pause, and is refused.)

Change: a job is started only if a lease of 250 ms or more may be granted for it.

The order of the request and the end of its connection was read from libevent's behaviour, not shown with the HTTP server.

--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -419,9 +419,10 @@
  * deadline to send. */
 uint64_t sched_lease_extend(struct sched_server *server, uint64_t now_us);
 /* Whether a run of the job may be started under the lease that the server has:
- * it must not last longer than the job's submitter is known to wait. */
+ * it must not last longer than the job's submitter is known to wait, nor may it
+ * end at once. */
 bool sched_lease_admits_job(const struct sched_server *server,
-    const struct sched_job *job);
+    const struct sched_job *job, uint64_t now_us);
 /* Whether the lease is long enough for further runs. */
 bool sched_lease_admits_starts(const struct sched_server *server,
     uint64_t now_us);
--- a/entry/jobs/scheduler_lease.c
+++ b/entry/jobs/scheduler_lease.c
@@ -158,9 +158,12 @@
 
 bool
 sched_lease_admits_job(const struct sched_server *server,
-    const struct sched_job *job)
+    const struct sched_job *job, uint64_t now_us)
 {
-	return server->lease.expires_us <= sched_job_lease_end_us(job);
+	uint64_t end_us = sched_job_lease_end_us(job);
+
+	return server->lease.expires_us <= end_us &&
+	    sched_lease_until_ms(end_us, now_us) >= SCHED_START_LEASE_MIN_MS;
 }
 
 bool
--- a/entry/jobs/scheduler_place.c
+++ b/entry/jobs/scheduler_place.c
@@ -109,7 +109,8 @@
 	    sched_server_conflicts(server, step) ||
 	    !sched_server_lease_suffices(server, task) ||
 	    !sched_server_isolates(server, task) ||
-	    !sched_lease_admits_job(server, task->job) ||
+	    !sched_lease_admits_job(server, task->job,
+		sched_now(server->sched)) ||
 	    (task->job->advice != NULL &&
 		sched_advice_ticket(task, server) == NULL))
 		return false;
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1801,6 +1801,7 @@
  */
 #define RESEND_MS 1300
 #define PAUSE_MS 600
+#define DEADLINE_MS 1500	     /* of callers */
 #define NEIGHBOUR "6d1f8b32ea45c709" /* a job that its caller waits for */
 
 struct resubmission {
@@ -1811,13 +1812,9 @@
 };
 
 static void
-resubmission_submit(struct host *host, const char *holder, const char *id,
-    bool resubmitted, struct submission *submission)
+resubmission_submit_body(struct host *host, const char *holder, const char *id,
+    const char *body, bool resubmitted, struct submission *submission)
 {
-	static const char body[] =
-	    "{\"spec\":\"cpu=20000 ms=3000 fail=0\",\"best_effort\":true,"
-	    "\"steps\":[{\"count\":1,\"cpu\":20000,\"mem_mb\":64,"
-	    "\"estimated_ms\":3000}]}";
 	const struct job_queue queue = { .name = "q",
 		.service = "booth",
 		.max_attempts = 3,
@@ -1826,7 +1823,7 @@
 	const struct cells_job job = { .id = id,
 		.queue = &queue,
 		.body = body,
-		.body_len = sizeof(body) - 1,
+		.body_len = strlen(body),
 		.timeout_ms = JOB_TIMEOUT_MS,
 		.resubmitted = resubmitted,
 		.nonce = 1,
@@ -1836,6 +1833,19 @@
 	cells_submit(host->cells, holder, &job, submission_done, submission);
 }
 
+static void
+resubmission_submit(struct host *host, const char *holder, const char *id,
+    bool resubmitted, struct submission *submission)
+{
+	static const char body[] =
+	    "{\"spec\":\"cpu=20000 ms=3000 fail=0\",\"best_effort\":true,"
+	    "\"steps\":[{\"count\":1,\"cpu\":20000,\"mem_mb\":64,"
+	    "\"estimated_ms\":3000}]}";
+
+	resubmission_submit_body(host, holder, id, body, resubmitted,
+	    submission);
+}
+
 /* Each host has its own paths to the servers of its zone. */
 static void
 resubmission_create_host(struct net *net, size_t index)
@@ -2158,3 +2168,30 @@
 		jstore_destroy(test.job_stores[i]);
 	net_destroy(test.net);
 }
+
+/* Its caller has given up during the pause, which is found a moment later. */
+Test(cells, job_that_was_read_after_a_long_pause_is_not_started_at_once)
+{
+	static const char body[] =
+	    "{\"spec\":\"cpu=20000 ms=500 fail=0\",\"best_effort\":true,"
+	    "\"steps\":[{\"count\":1,\"cpu\":20000,\"mem_mb\":64,"
+	    "\"estimated_ms\":500}]}";
+	struct submission queued;
+	struct resubmission test;
+	struct net *net;
+	size_t i;
+
+	resubmission_start(&test, 2, 2, 0);
+	net = test.net;
+	sim_time_advance(DEADLINE_MS + RESEND_MS);
+	resubmission_submit_body(&net->hosts[0], "h0", QUEUED, body, false,
+	    &queued);
+	(void)event_base_loop(net->base, EVLOOP_NONBLOCK);
+	(void)event_base_loop(net->base, EVLOOP_NONBLOCK);
+	cells_cancel(net->hosts[0].cells, "h0", QUEUED, 1);
+	net_run(net, 500);
+	cr_expect_null(wm_task(&net->cluster, QUEUED ".0.0.0"));
+	for (i = 0; i < 2; i++)
+		jstore_destroy(test.job_stores[i]);
+	net_destroy(net);
+}
