--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -255,6 +255,7 @@
 	uint32_t *no_capacity_cpu =
 	    &pass->no_capacity_cpu[sched_share_of(task->job)];
 	struct sched_server *server;
+	uint32_t lease_ms;
 
 	/* Runs of a stored job may have ended before the job was loaded. The
 	 * servers list these ends again once all stored jobs are loaded. */
@@ -271,6 +272,9 @@
 		sched_job_awaits_leases(task->job, pass->now_us)) ||
 	    !sched_suspect_may_start(task, pass->now_us))
 		return;
+	lease_ms = sched_job_lease_ms(task->job, pass->now_us);
+	if (lease_ms < SCHED_START_LEASE_MIN_MS)
+		return;
 	if (sched_gang_member(task)) {
 		if (!sched_needs_lists(task, pass))
 			sched_gang_try_start(task, pass->now_us);
@@ -284,7 +288,8 @@
 		sched_run_start(task, server);
 	else if (task->job->advice != NULL)
 		sched_advice_request(task, pass->now_us);
-	else if (unconstrained && !task->isolate)
+	else if (unconstrained && !task->isolate &&
+	    lease_ms >= task->job->sched->params.lease_ms)
 		*no_capacity_cpu = step->cpu;
 }
 
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -66,6 +66,8 @@
 #define SCHED_RESTART_MIN_MS 50
 /* Interval of the checks for deadlines, stragglers and orphans. */
 #define SCHED_TICK_MS 20
+/* No starts under a shorter lease. */
+#define SCHED_START_LEASE_MIN_MS 250
 /* A server is ejected after failed runs of this many different jobs without a
  * success in between. The ejection time doubles from the minimum. */
 #define SCHED_EJECT_FAILED_JOBS 3
@@ -430,6 +432,8 @@
 /* The time by which runs of the job have ended if its submitter is lost now: no
  * lease under which one is started may last longer. UINT64_MAX: no limit. */
 uint64_t sched_job_lease_end_us(const struct sched_job *job);
+/* The longest lease under which a run of the job may be started. */
+uint32_t sched_job_lease_ms(const struct sched_job *job, uint64_t now_us);
 /* Whether the lease is long enough for further runs. */
 bool sched_lease_admits_starts(const struct sched_server *server,
     uint64_t now_us);
--- a/entry/jobs/scheduler_lease.c
+++ b/entry/jobs/scheduler_lease.c
@@ -26,8 +26,6 @@
 /* Then a job is given up, so that its runs are stopped before leases end. */
 #define SCHED_SUBMITTER_SILENT_MS 1000
 #define SCHED_SILENT_RETRY_AFTER_MS 200
-/* No starts under a shorter lease. */
-#define SCHED_START_LEASE_MIN_MS 250
 
 /* When the submitter was last known to wait for the job. After a pause of this
  * process, that is a time before the pause until the second tick: the event
@@ -156,6 +154,12 @@
 	return lease_extend(&server->lease, now_us, duration_ms);
 }
 
+uint32_t
+sched_job_lease_ms(const struct sched_job *job, uint64_t now_us)
+{
+	return sched_lease_until_ms(sched_job_lease_end_us(job), now_us);
+}
+
 bool
 sched_lease_admits_starts(const struct sched_server *server, uint64_t now_us)
 {
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -207,10 +207,13 @@
 }
 
 static uint64_t
-host_alive_us(struct peers *peers, const char *name)
+host_alive_us(struct peers *peers, const char *name, uint64_t incarnation)
 {
 	const struct host *host = (struct host *)peers;
 
+	if (host->net->hosts[atoi(name + 1)].incarnation != incarnation)
+		return 0;
+
 	return host->net->alive_us[host->index][atoi(name + 1)];
 }
 
@@ -371,7 +374,7 @@
 	host->peers.ops = &host_ops;
 	host->net = net;
 	host->index = index;
-	host->incarnation++;
+	params.self.incarnation = ++host->incarnation;
 	net->connections_version++;
 	strlcpy(host->name, params.self.name, sizeof(host->name));
 	host->sched = sched_create(&scheduler);
@@ -1952,6 +1955,7 @@
  */
 #define RESEND_MS 1300
 #define PAUSE_MS 600
+#define DEADLINE_MS 1500	     /* of callers */
 #define NEIGHBOUR "6d1f8b32ea45c709" /* a job that its caller waits for */
 
 struct resubmission {
@@ -1962,13 +1966,9 @@
 };
 
 static void
-resubmission_submit(struct host *host, const char *holder, const char *id,
-    bool resubmitted, struct submission *submission)
+resubmission_submit_body(struct host *host, const char *holder, const char *id,
+    const char *body, bool resubmitted, struct submission *submission)
 {
-	static const char body[] =
-	    "{\"spec\":\"cpu=20000 ms=3000 fail=0\",\"best_effort\":true,"
-	    "\"steps\":[{\"count\":1,\"cpu\":20000,\"mem_mb\":64,"
-	    "\"estimated_ms\":3000}]}";
 	const struct job_queue queue = { .name = "q",
 		.service = "booth",
 		.max_attempts = 3,
@@ -1977,7 +1977,7 @@
 	const struct cells_job job = { .id = id,
 		.queue = &queue,
 		.body = body,
-		.body_len = sizeof(body) - 1,
+		.body_len = strlen(body),
 		.timeout_ms = JOB_TIMEOUT_MS,
 		.resubmitted = resubmitted,
 		.nonce = 1,
@@ -1987,6 +1987,19 @@
 	cells_submit(host->cells, holder, &job, submission_done, submission);
 }
 
+static void
+resubmission_submit(struct host *host, const char *holder, const char *id,
+    bool resubmitted, struct submission *submission)
+{
+	static const char body[] =
+	    "{\"spec\":\"cpu=20000 ms=3000 fail=0\",\"best_effort\":true,"
+	    "\"steps\":[{\"count\":1,\"cpu\":20000,\"mem_mb\":64,"
+	    "\"estimated_ms\":3000}]}";
+
+	resubmission_submit_body(host, holder, id, body, resubmitted,
+	    submission);
+}
+
 /* Each host has its own paths to the servers of its zone. */
 static void
 resubmission_create_host(struct net *net, size_t index)
@@ -2086,9 +2099,9 @@
 resubmission_kill_host(struct resubmission *test, size_t host)
 {
 	net_isolate(test->net, host, true);
-	if (host == 0) {
-		jstore_destroy(test->job_stores[0]);
-		test->job_stores[0] = NULL;
+	if (host % 2 == 0) {
+		jstore_destroy(test->job_stores[host / 2]);
+		test->job_stores[host / 2] = NULL;
 	}
 	host_destroy(&test->net->hosts[host]);
 	host_create(test->net, host);
@@ -2144,6 +2157,19 @@
 	resubmission_end(&test, 1);
 }
 
+/* Its connection to the holder is not known to be lost yet. */
+Test(cells, no_second_run_of_a_resubmitted_job_whose_host_is_back_at_once)
+{
+	struct resubmission test;
+
+	resubmission_start(&test, 2, 2, 0);
+	resubmission_kill_host(&test, 2);
+	net_run(test.net, 700);
+	net_isolate(test.net, 2, false);
+	net_run(test.net, RESEND_MS - 700);
+	resubmission_end(&test, 1);
+}
+
 /* Both hosts are paused as the caller is lost. */
 Test(cells, no_second_run_of_a_resubmitted_job_whose_host_was_paused)
 {
@@ -2356,3 +2382,55 @@
 	cr_expect_eq(test.first.result, SCHED_COMPLETED);
 	resubmission_release(&test);
 }
+
+/* Its caller has given up during the pause, which is found a moment later. */
+Test(cells, job_that_was_read_after_a_long_pause_is_not_started_at_once)
+{
+	static const char body[] =
+	    "{\"spec\":\"cpu=20000 ms=500 fail=0\",\"best_effort\":true,"
+	    "\"steps\":[{\"count\":1,\"cpu\":20000,\"mem_mb\":64,"
+	    "\"estimated_ms\":500}]}";
+	struct submission queued;
+	struct resubmission test;
+	struct net *net;
+
+	resubmission_start(&test, 2, 2, 0);
+	net = test.net;
+	sim_time_advance(DEADLINE_MS + RESEND_MS);
+	resubmission_submit_body(&net->hosts[0], "h0", QUEUED, body, false,
+	    &queued);
+	(void)event_base_loop(net->base, EVLOOP_NONBLOCK);
+	(void)event_base_loop(net->base, EVLOOP_NONBLOCK);
+	cells_cancel(net->hosts[0].cells, "h0", QUEUED, 1);
+	net_run(net, 500);
+	cr_expect_null(wm_task(&net->cluster, QUEUED ".0.0.0"));
+	resubmission_release(&test);
+}
+
+/* The silent host's job is excluded from the only server, which has room. */
+Test(cells, waiting_job_of_a_silent_host_does_not_hold_up_others)
+{
+	struct submission filling, queued;
+	struct resubmission test;
+	struct net *net;
+
+	resubmission_start(&test, 2, 2, 0);
+	net = test.net;
+	sched_server_remove(net->hosts[0].sched, "s2");
+	resubmission_submit(&net->hosts[0], "h0", "e41b7a90c85d2630", false,
+	    &filling);
+	net_run(net, 100);
+	resubmission_submit(&net->hosts[3], "h0", QUEUED, false, &queued);
+	net_run(net, 50);
+	resubmission_submit(&net->hosts[0], "h0", OTHER, false, &test.second);
+	net_run(net, 50);
+	resubmission_lose_host(&test, 3);
+	net_run(net, 500);
+	cr_assert_null(wm_task(&net->cluster, QUEUED ".0.0.0"));
+	cr_assert_null(wm_task(&net->cluster, OTHER ".0.0.0"));
+	resubmission_cancel(&test);
+	net_run(net, 150);
+	cr_expect_not_null(wm_task(&net->cluster, OTHER ".0.0.0"));
+	cr_expect_null(wm_task(&net->cluster, QUEUED ".0.0.0"));
+	resubmission_release(&test);
+}
