Tests: a host that serves a forward is sent frequent heartbeats

The bound on the life of runs rests on a sign of life every 200 ms from a host that has forwarded a job; without it the sign is up to 0.64 s old with nine hosts, and jobs are given up.

--- a/tests/test_peers_tcp.c
+++ b/tests/test_peers_tcp.c
@@ -805,6 +805,36 @@
 	peers_tcp_destroy(a.peers);
 }
 
+/* With many peers, other heartbeats are sent every 1.4 s. */
+Test(peers_tcp, host_that_serves_a_forward_is_sent_frequent_heartbeats)
+{
+	struct frame_parser parser;
+	struct node a = { 0 };
+	struct result result;
+	char name[NAME_SIZE], buf[4096];
+	uint64_t start_us;
+	size_t i, n = 0;
+	int fds[20];
+
+	frm_init(&parser, FRAME_BYTES_MAX);
+	node_start(&a, "a", "z1", 11, 0, 0);
+	for (i = 0; i < 20; i++) {
+		(void)snprintf(name, sizeof(name), "b%zu", i);
+		fds[i] = raw_connect(a.port);
+		raw_hello_from(fds[i], name, 22 + i, (uint16_t)(1 + i));
+	}
+	WAIT_FOR(a.engine.nsharing_hosts == 21);
+	send_forward(&a, "b0", 22, &result);
+	WAIT_FOR(raw_read_forward(fds[0], &parser) != 0);
+	start_us = real_now_us(NULL);
+	WAIT_FOR((n += read(fds[0], buf, sizeof(buf)) > 0) >= 10);
+	cr_expect_lt(real_now_us(NULL) - start_us, 100 * HEARTBEAT_MS * 1000);
+	for (i = 0; i < 20; i++)
+		close(fds[i]);
+	peers_tcp_destroy(a.peers);
+	frm_release(&parser);
+}
+
 Test(peers_tcp, late_duplicate_and_unknown_replies_are_dropped)
 {
 	static const char *const unknown_replies =
