--- a/tests/test_job_gateway.c
+++ b/tests/test_job_gateway.c
@@ -257,3 +257,41 @@
 	gw_destroy(gateway);
 	event_base_free(base);
 }
+
+Test(job_gateway, job_whose_deadline_has_passed_is_cancelled_everywhere)
+{
+	struct event_base *base;
+	struct job_gateway *gateway;
+	struct cells cells = { .holder = "h0" };
+	struct caller caller = { 0 };
+
+	sim_time_start();
+	base = event_base_new();
+	gateway = gw_create(base, clock_real(), &cells);
+	submit(gateway, &caller);
+	cells.holder = "h1";
+	gw_holder_changed(gateway, "h1");
+	run_ms(base, TIMEOUT_MS + 10);
+	cr_assert_eq(caller.answers, 1);
+	cr_assert_eq(caller.result, GW_UNKNOWN);
+	cr_expect_str_eq(cells.cancelled, "h0 h1 ");
+	gw_destroy(gateway);
+	event_base_free(base);
+}
+
+Test(job_gateway, jobs_are_cancelled_everywhere_as_their_host_shuts_down)
+{
+	struct event_base *base = event_base_new();
+	struct cells cells = { .holder = "h0" };
+	struct job_gateway *gateway = gw_create(base, clock_real(), &cells);
+	struct caller caller = { 0 };
+
+	submit(gateway, &caller);
+	cells.holder = "h1";
+	gw_holder_changed(gateway, "h1");
+	gw_abort_pending(gateway);
+	cr_assert_eq(caller.answers, 1);
+	cr_expect_str_eq(cells.cancelled, "h0 h1 ");
+	gw_destroy(gateway);
+	event_base_free(base);
+}
