A task that loses its run keeps another one that a server lists

What callers saw. A job takes a run that has been listed, on a server that goes silent. The run ends, and a holder that knows of it starts the task again, on a server whose lists this one reads: there it counts as a run of no job, as the task has one. When the first run turns out to have ended, the task was started a third time at once, beside the second run, which is stopped only after 150 ms.

A task that loses its run takes one that is listed, as a job does when it arrives, and is started only if there is none.

--- a/entry/jobs/scheduler_end.c
+++ b/entry/jobs/scheduler_end.c
@@ -36,7 +36,11 @@
 	if (task->state == SCHED_TASK_DONE)
 		return; /* another member's run completed it */
 	task->state = SCHED_TASK_BLOCKED;
-	sched_task_enqueue(task);
+	/* Another holder may have known of the end before this one. */
+	if (job->sched->token != 0)
+		sched_orphans_adopt(job);
+	if (task->state == SCHED_TASK_BLOCKED)
+		sched_task_enqueue(task);
 }
 
 /* Updates the moving average of the server's speed. */
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -140,7 +140,8 @@
 	return orphan;
 }
 
-/* Adopts the runs of a new job that were listed before it was submitted. */
+/* Adopts the runs of a job that have been listed: before it was submitted, or
+ * while its tasks had other runs. */
 void
 sched_orphans_adopt(struct sched_job *job)
 {
@@ -152,8 +153,9 @@
 
 	TAILQ_FOREACH (server, &sched->servers, entry) {
 		TAILQ_FOREACH_SAFE (orphan, &server->orphans, entry, next) {
-			if (strncmp(orphan->task, job->spec.id, JOB_ID_LEN) !=
-			    0)
+			if (!orphan->listed ||
+			    strncmp(orphan->task, job->spec.id, JOB_ID_LEN) !=
+				0)
 				continue;
 			task = sched_task_find(sched, orphan->task);
 			if (task == NULL || task->state != SCHED_TASK_BLOCKED)
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -869,6 +869,45 @@
 	rig_destroy(rig);
 }
 
+/* A former holder has started the task again, once it knew of the end of the
+ * run that the successor takes for the present one. */
+Test(scheduler, task_that_loses_its_run_keeps_another_one_that_is_listed)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job job = { .rig = rig, .id = "00000000000000ff" };
+	struct worker_start order = { .task = "00000000000000ff.0.0.0",
+		.run_id = 1,
+		.spec = "cpu=20000 ms=2000 fail=0",
+		.token = 10 };
+	struct wm_server *servers = rig->srig.cluster.servers;
+	uint64_t holds;
+
+	srig_run(&rig->srig, 50);
+	rig_submit(rig, SRIG_SERVERS, 40000, 3000, 0);
+	srig_run(&rig->srig, 50);
+	order.deadline_ms = servers[0].lease_end_ms;
+	cr_assert_eq(
+	    wm_start(&servers[0], clock_now_us(clock_real()) / 1000, &order),
+	    WORKER_OK);
+	srig_run(&rig->srig, 350);
+	(void)rig_submit_to(rig->srig.sched, &job, 1, 20000, 2000, 0, true);
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = 1;
+	srig_run(&rig->srig, 450);
+	(void)wm_stop(&servers[0], clock_now_us(clock_real()) / 1000,
+	    order.task, order.run_id, order.token);
+	srig_run(&rig->srig, 50);
+	order.run_id = 2;
+	cr_assert_eq(
+	    wm_start(&servers[1], clock_now_us(clock_real()) / 1000, &order),
+	    WORKER_OK);
+	for (holds = servers[1].holds; servers[1].holds == holds;)
+		srig_run(&rig->srig, 10);
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = 0;
+	srig_run(&rig->srig, 4000);
+	cr_expect(job.answered);
+	rig_destroy(rig);
+}
+
 /* Reports the row that an incarnation of a server has written. */
 static void
 rig_row_of_incarnation(struct rig *rig, size_t index, uint16_t port,
