Leases of former holders have ended only if this one was confirmed after that

What callers saw. A new holder that does not reach the server of a run waits 1.5 s for the end of the leases of its predecessor. It is replaced in turn and does not learn of it; its successor reaches that server and goes on with the run. The waiting holder, within its own lease, starts the task again at the end of the wait.

The wait ends when the holder was confirmed at a later time than its end. If it was not, the store is asked at once. The same holds for the reports to successors and for servers without rows.

The test no_second_run_of_a_job_that_a_former_holder_has_taken_back had two runs and three starts before, and one of each now.

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -201,7 +201,7 @@
 			!TAILQ_EMPTY(&server->orphans)))
 			return true;
 	}
-	return sched_now(sched) < sched_former_leases_end_us(sched) &&
+	return sched_confirmed_us(sched) < sched_former_leases_end_us(sched) &&
 	    !sched_all_runs_known(sched);
 }
 
@@ -398,6 +398,18 @@
 	return sched->token != 0 && sched_holder_remaining_ms(sched) > 0;
 }
 
+uint64_t
+sched_confirmed_us(const struct scheduler *sched)
+{
+	uint64_t now_us = sched_now(sched);
+	/* The age was rounded down. */
+	uint64_t age_us = (sched_holder_age_ms(sched) + 1) * SCHED_US_PER_MS;
+
+	if (sched->params.holder_lease_ms == 0)
+		return now_us;
+	return age_us < now_us ? now_us - age_us : 0;
+}
+
 uint64_t
 sched_holder_age_ms(const struct scheduler *sched)
 {
@@ -507,11 +519,10 @@
 /* Whether nothing runs on the server. It may be silent, so that it does not
  * list the ends of a former holder's runs. */
 static bool
-sched_server_unused(const struct sched_server *server, uint64_t now_us)
+sched_server_unused(const struct sched_server *server)
 {
 	return TAILQ_EMPTY(&server->tasks) && server->pending_calls == 0 &&
-	    (TAILQ_EMPTY(&server->orphans) ||
-		sched_lease_ended(server, now_us));
+	    (TAILQ_EMPTY(&server->orphans) || sched_lease_ended(server));
 }
 
 static void
@@ -532,7 +543,7 @@
 	sched->awaits_confirmation = false;
 	TAILQ_FOREACH_SAFE (server, &sched->servers, entry, next_server) {
 		sched_server_tick(server, now_us);
-		if (server->removed && sched_server_unused(server, now_us))
+		if (server->removed && sched_server_unused(server))
 			sched_server_free(server);
 		if (sched->token == 0)
 			return;
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -210,8 +210,8 @@
 bool sched_awaits_owner(const struct scheduler *sched);
 
 /**
- * sched_awaits_confirmation() - whether runs that seem to have ended with the
- * lease of their server are not started again until this holder is confirmed.
+ * sched_awaits_confirmation() - whether runs that seem to have ended with a
+ * lease are not started again until this holder is confirmed.
  */
 bool sched_awaits_confirmation(const struct scheduler *sched);
 
--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -304,7 +304,8 @@
 sched_all_runs_known(const struct scheduler *sched)
 {
 	return (sched->former_runs_known ||
-		   sched_now(sched) >= sched_former_leases_end_us(sched)) &&
+		   sched_confirmed_us(sched) >=
+		       sched_former_leases_end_us(sched)) &&
 	    !sched->server_unknown && sched->servers_complete &&
 	    sched->rows_refreshed && sched_all_servers_held(sched);
 }
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -332,6 +332,9 @@
 /* How long the lease on the role of holder lasts from now on; 0: it has
  * expired, UINT32_MAX: it does not expire. */
 uint32_t sched_holder_remaining_ms(const struct scheduler *sched);
+/* The last time at which no other host had replaced this holder, as far as it
+ * knows. A successor may have extended leases that seem to have ended later. */
+uint64_t sched_confirmed_us(const struct scheduler *sched);
 /* Updates holder_confirmed, and reports a change of it. */
 void sched_check_holder_lease(struct scheduler *sched);
 /* Frees the removed servers of an inactive scheduler. */
@@ -371,7 +374,7 @@
 /* Sends a hold, unless one is pending. */
 void sched_server_hold(struct sched_server *server, uint64_t now_us);
 /* Whether no run on the server that was started under its lease goes on. */
-bool sched_lease_ended(const struct sched_server *server, uint64_t now_us);
+bool sched_lease_ended(const struct sched_server *server);
 /* Periodic checks: link, lease, next hold, stragglers and orphans. */
 void sched_server_tick(struct sched_server *server, uint64_t now_us);
 void sched_server_reset(struct sched_server *server);
--- a/entry/jobs/scheduler_job.c
+++ b/entry/jobs/scheduler_job.c
@@ -264,9 +264,17 @@
 bool
 sched_job_awaits_leases(const struct sched_job *job, uint64_t now_us)
 {
-	return job->start_after_us != 0 &&
-	    (job->start_after_us > now_us ||
-		sched_former_leases_end_us(job->sched) > now_us);
+	uint64_t end_us = sched_former_leases_end_us(job->sched);
+
+	if (job->start_after_us == 0)
+		return false;
+	if (job->start_after_us > end_us)
+		end_us = job->start_after_us;
+	if (end_us <= sched_confirmed_us(job->sched))
+		return false;
+	if (end_us <= now_us)
+		job->sched->awaits_confirmation = true;
+	return true;
 }
 
 bool
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -565,22 +565,10 @@
 	}
 }
 
-/*
- * A holder that has been replaced without knowing it is within its lease for a
- * while, and its successor may extend the leases of servers meanwhile. A lease
- * has ended if this holder was confirmed after that.
- */
 bool
-sched_lease_ended(const struct sched_server *server, uint64_t now_us)
+sched_lease_ended(const struct sched_server *server)
 {
-	const struct scheduler *sched = server->sched;
-
-	return lease_expired(&server->lease, now_us) &&
-	    (sched->params.holder_lease_ms == 0 ||
-		(sched_holder_remaining_ms(sched) > 0 &&
-		    server->lease.expires_us +
-			    (sched_holder_age_ms(sched) + 1) * SCHED_US_PER_MS <
-			now_us));
+	return lease_expired(&server->lease, sched_confirmed_us(server->sched));
 }
 
 void
@@ -594,7 +582,7 @@
 	if (server->unanswered_holds > SCHED_UNANSWERED_HOLDS_MAX &&
 	    server->pending_calls == 0 && !TAILQ_EMPTY(&server->tasks) &&
 	    lease_expired(&server->lease, now_us)) {
-		if (sched_lease_ended(server, now_us)) {
+		if (sched_lease_ended(server)) {
 			sched_server_lost(server,
 			    "unreachable until its lease expired", false);
 			return;
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1808,6 +1808,43 @@
 	net_destroy(net);
 }
 
+/* The other host waits for the end of the holder's leases and is replaced by it
+ * meanwhile, with the store. It is within its own lease. */
+Test(cells, no_second_run_of_a_job_that_a_former_holder_has_taken_back)
+{
+	struct net *net = net_create_pair();
+	struct host *first = &net->hosts[0], *second = &net->hosts[1];
+	uint32_t busy;
+
+	host_submit(first, PLAIN_JOB, false);
+	net_run(net, 500);
+	busy = net_busy_servers(net);
+	cr_assert_neq(busy, 0);
+	fake_worker_faults(net->worker)->unreachable_mask = ~busy;
+	fake_worker_faults(second->own_worker)->unreachable_mask = busy;
+	net_isolate(net, 0, true);
+	host_await_holder(second);
+	host_read_servers(second);
+	/* Its claim is stored. */
+	sched_confirm_owner(second->sched, clock_boot_us(clock_real()));
+	host_submit(second, PLAIN_JOB, true);
+	net_isolate(net, 0, false);
+	net_run(net, 300);
+	cr_assert_eq(sched_token(first->sched), 0);
+	sched_confirm_owner(second->sched, clock_boot_us(clock_real()));
+	second->store_lost = true;
+	net_isolate(net, 0, true);
+	host_await_holder(first);
+	host_read_servers(first);
+	sched_confirm_owner(first->sched, clock_boot_us(clock_real()));
+	host_submit(first, PLAIN_JOB, true);
+	net_run(net, PARTITION_MS);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	cr_expect_eq(wm_task(&net->cluster, ID ".0.0.0")->starts, 1);
+	net_destroy(net);
+}
+
 Test(cells, only_forwards_that_were_certainly_not_executed_are_not_accepted)
 {
 	static const struct {
