Test that the row of a restarted server does not end its runs

A server restarts at its address, and a start reaches it before it has listed its runs and before its row is read. sched_server_replaced() compares the addresses for this; without that comparison the row ended the run, and the task was started again beside it.

--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -810,6 +810,31 @@
 	rig_destroy(rig);
 }
 
+/* Orders reach a restarted server before it has listed its runs. */
+Test(scheduler, runs_go_on_when_the_row_of_their_incarnation_is_read_late)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *job;
+	size_t i;
+
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		rig->srig.cluster.servers[i].started_ms = 2000;
+		rig_row_of_incarnation(rig, i, 2, 2000);
+	}
+	srig_run(&rig->srig, 50);
+	for (i = 0; i < SRIG_SERVERS; i++)
+		rig->srig.cluster.servers[i].started_ms = 3000;
+	job = rig_submit(rig, 1, 27000, 600, 0);
+	srig_run(&rig->srig, 10);
+	for (i = 0; rig->srig.cluster.servers[i].used_cpu == 0; i++)
+		continue;
+	rig_row_of_incarnation(rig, i, 2, 3000);
+	srig_run(&rig->srig, 800);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	cr_expect_eq(rig_starts(rig, job, 0), 1);
+	rig_destroy(rig);
+}
+
 /* The time of day of its machine was set back meanwhile. */
 Test(scheduler, server_that_restarts_with_an_earlier_time_of_start_is_used)
 {
