Test that a list older than the start of a run does not end it

A hold that the server executed before a start may have its reply after the reply to the start, on another connection. sched_reconcile() ignores lists of holds that were sent before the last order had ended.

--- a/tests/test_scheduler_stored.c
+++ b/tests/test_scheduler_stored.c
@@ -487,6 +487,26 @@
 	rig_destroy(rig);
 }
 
+/* The hold was executed before the start, and its reply is later. */
+Test(scheduler_stored, run_is_not_ended_by_a_list_that_is_older_than_its_start)
+{
+	const struct worker_reply started = { .verdict = WORKER_OK };
+	struct rig *rig = rig_create();
+
+	sched_set_servers_complete(rig->sched, true);
+	rig_submit(rig, ID_A);
+	sched_set_jobs_loaded(rig->sched);
+	rig_reply(rig, NULL, 0, NULL, 0);
+	cr_assert_eq(rig->starts, 1);
+	rig->start_done(rig->start_arg, &started);
+	rig_run(rig);
+	rig_reply(rig, NULL, 0, NULL, 0);
+	cr_expect_eq(rig->starts, 1, "the task was started again");
+	rig_reply(rig, NULL, 0, NULL, 0);
+	cr_expect_eq(rig->starts, 2, "a run that has ended was not replaced");
+	rig_destroy(rig);
+}
+
 /* review/1: while its ends are not acknowledged, a server lists only the first
  * 500. A run whose end is beyond them was taken for lost and started again. */
 Test(scheduler_stored, run_beyond_a_cut_list_of_ends_is_not_started_again)
