Known red: a late row with a later time of start ends runs

sched_server_replaced() takes the row of a server at another address for that of a later incarnation if its time of start is higher, and ends all runs at once. If the time of day was ahead when an earlier incarnation started, and went back before the server restarted, a delayed row of it has the higher time. The check of a late row with a lower time is kept as it was, and is shared by both tests.

--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -782,8 +782,9 @@
 	sched_server_update(rig->srig.sched, &info);
 }
 
-/* The store had delayed the last write of the incarnation before. */
-Test(scheduler, runs_go_on_when_a_row_of_an_earlier_incarnation_arrives_late)
+/* A row arrives that an incarnation before the one at work has written. */
+static void
+rig_check_late_row(uint64_t start_ms)
 {
 	struct rig *rig = rig_create(5);
 	struct rig_job *job;
@@ -800,7 +801,7 @@
 		continue;
 	/* Nobody listens at the address of the late row. */
 	fake_worker_faults(rig->srig.worker)->unreachable_mask = 1U << i;
-	rig_row_of_incarnation(rig, i, 1, 1000);
+	rig_row_of_incarnation(rig, i, 1, start_ms);
 	srig_run(&rig->srig, 100);
 	fake_worker_faults(rig->srig.worker)->unreachable_mask = 0;
 	rig_row_of_incarnation(rig, i, 2, 2000);
@@ -810,6 +811,18 @@
 	rig_destroy(rig);
 }
 
+/* The store had delayed the last write of the incarnation before. */
+Test(scheduler, runs_go_on_when_a_row_of_an_earlier_incarnation_arrives_late)
+{
+	rig_check_late_row(1000);
+}
+
+/* The time of day was ahead when the earlier incarnation started. */
+Test(scheduler, runs_go_on_when_a_late_row_has_a_later_time_of_start)
+{
+	rig_check_late_row(3000);
+}
+
 /* Orders reach a restarted server before it has listed its runs. */
 Test(scheduler, runs_go_on_when_the_row_of_their_incarnation_is_read_late)
 {
