Tests: one crash is not counted for each term of a holder

Cause: the runs without a job that a server had listed in a host's former term were kept when it took the cell again. Before the server's first list the job adopted such a run, whose lease counted as expired: 20 ms later it was recorded as a second loss of the same server, with no incarnation, beside that of the former holder; both convicted the task when the server was replaced.

--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -447,6 +447,50 @@
 	rig_destroy(rig);
 }
 
+/* A host holds the cell, lists a run, and holds the cell again after the
+ * server has crashed under another holder. */
+Test(scheduler_suspect, one_crash_is_not_counted_for_each_term_of_a_holder)
+{
+	struct rig *rig = rig_create();
+	struct job *job = rig_submit(rig, 1, 2000, "");
+	struct job second = *job, third = *job;
+	struct scheduler *first = rig->srig.sched, *other;
+	uint32_t i, mask;
+	json_t *suspects;
+
+	srig_run(&rig->srig, 50);
+	mask = rig_busy_mask(rig);
+	cr_assert_neq(mask, 0);
+	sched_deactivate(first);
+	other = srig_scheduler(&rig->srig, 20);
+	srig_run(&rig->srig, 30);
+	sched_deactivate(other);
+	srig_activate(first, 21);
+	rig_submit_to(first, &second, 1, 2000, "", true);
+	srig_run(&rig->srig, 100);
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		if ((mask & 1U << i) != 0)
+			crash_for(&rig->srig.cluster.servers[i], 60000);
+	}
+	srig_run(&rig->srig, 100);
+	suspects = sched_suspects_render(first, false);
+	cr_assert_eq(json_array_size(suspects), 1);
+	sched_deactivate(first);
+	sched_suspects_merge(other, suspects);
+	json_decref(suspects);
+	srig_activate(other, 22);
+	rig_submit_to(other, &third, 1, 2000, "", true);
+	srig_run(&rig->srig, 1500);
+	fake_worker_faults(rig->srig.worker)->replaced_mask = mask;
+	for (i = 0; i < SRIG_SERVERS; i++)
+		rig->srig.cluster.servers[i].down_until_ms = 0;
+	srig_run(&rig->srig, 8000);
+	cr_expect_eq(third.answers, 1);
+	cr_expect_eq(third.result, SCHED_COMPLETED, "%d", (int)third.result);
+	sched_destroy(other);
+	rig_destroy(rig);
+}
+
 Test(scheduler_suspect, withdrawn_loss_does_not_return_from_another_host)
 {
 	struct rig *rig = rig_create();
