A withdrawn loss does not return while its server is lost again

Cause: a host drops a loss from another host's record only while the server replies to it as the incarnation that was lost. When the server was lost again, under other tasks, the withdrawn loss came back, and the server's crash then counted against the first task, too.

Change: a host remembers of each server which incarnation was last seen to be back, and when, and drops losses of that incarnation from before.

Why it works: a loss from before the server was seen alive is no crash, whatever happens to the server later; the age that is sent with a loss only makes it look younger, and a younger one is kept as before.

--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -174,6 +174,8 @@
 sched_suspects_server_seen(struct sched_server *server,
     uint64_t incarnation_start_ms)
 {
+	server->seen_start_ms = incarnation_start_ms;
+	server->seen_us = sched_now(server->sched);
 	if (susp_server_seen(&server->sched->suspects, server->info.id,
 		incarnation_start_ms))
 		log_event(LOG_LEVEL_INFO, "lost-server-back",
@@ -252,8 +254,8 @@
 	return items;
 }
 
-/* Whether the loss is of an incarnation that replies to this host: it has been
- * withdrawn here, or would be. */
+/* Whether the loss is of an incarnation that replies to this host, or has done
+ * so since: it has been withdrawn here, or would be. */
 static bool
 sched_loss_disproved(const struct scheduler *sched,
     const struct susp_loss *loss)
@@ -265,6 +267,9 @@
 	if (entry == NULL || loss->incarnation_start_ms == 0)
 		return false;
 	server = NIDX_OBJECT(entry, struct sched_server, by_id);
+	if (server->seen_start_ms == loss->incarnation_start_ms &&
+	    loss->lost_us < server->seen_us)
+		return true;
 	return server->held && !server->refusing &&
 	    server->incarnation_start_ms == loss->incarnation_start_ms;
 }
--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -514,6 +514,50 @@
 	rig_destroy(rig);
 }
 
+/* The first server of the task is cut off, is back, and is lost again while the
+ * task runs elsewhere. */
+Test(scheduler_suspect, withdrawn_loss_does_not_return_after_another_loss)
+{
+	struct rig *rig = rig_create();
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	struct scheduler *other = srig_scheduler_inactive(&rig->srig);
+	json_t *suspects, *item;
+	uint32_t first;
+	size_t i;
+
+	(void)rig_submit(rig, 1, 20000, "");
+	srig_run(&rig->srig, 300);
+	faults->unreachable_mask = first = rig_busy_mask(rig);
+	srig_run(&rig->srig, 3000);
+	suspects = sched_suspects_render(rig->srig.sched, false);
+	cr_assert_eq(json_array_size(suspects), 1);
+	sched_suspects_merge(other, suspects);
+	json_decref(suspects);
+	faults->unreachable_mask = 0;
+	srig_run(&rig->srig, 500);
+	suspects = sched_suspects_render(rig->srig.sched, false);
+	cr_assert_eq(json_array_size(suspects), 0);
+	json_decref(suspects);
+	(void)rig_submit(rig, 6, 20000, "");
+	srig_run(&rig->srig, 300);
+	cr_assert_eq(rig_busy_mask(rig) & first, first);
+	faults->unreachable_mask = first;
+	srig_run(&rig->srig, 3000);
+	suspects = sched_suspects_render(other, false);
+	cr_assert_eq(json_array_size(suspects), 1);
+	sched_suspects_merge(rig->srig.sched, suspects);
+	json_decref(suspects);
+	suspects = sched_suspects_render(rig->srig.sched, false);
+	cr_expect_gt(json_array_size(suspects), 0);
+	json_array_foreach (suspects, i, item)
+		cr_expect_str_neq(json_string_value(json_array_get(item, 0)),
+		    "0000000000000001.0.0.0");
+	json_decref(suspects);
+	sched_destroy(other);
+	rig_destroy(rig);
+}
+
 /* The caller may submit its job in another zone before the server is back. */
 Test(scheduler_suspect, other_holders_are_told_of_refused_connections)
 {
