A start that another incarnation answers is no crash of the task

What callers saw: a job was answered as failed, "a task has crashed the servers that started it", although no server had had the task.

Cause: a holder finds out that an idle server has been replaced by its first call, which may be a start. The reply that another incarnation is there (421) ends all runs of the server and records a crash under each, also under the one whose start was refused with it.

Change: such a reply to the first attempt of a start releases this run as refused, before the loss of the server is recorded. A later attempt still counts, as the first one may have been carried out.

Why it works: a 421 says that the incarnation that was meant has ended and that the call did nothing.

--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -300,6 +300,12 @@
 	struct sched_server *server = order->server;
 	struct sched_task *task = sched_order_finish(order, reply);
 
+	/* The server that was meant has ended before it had the task. */
+	if (reply->verdict == WORKER_OTHER_INCARNATION && task != NULL &&
+	    task->start_attempts == 1 && !task->start_confirmed) {
+		sched_start_refused(task, reply->verdict);
+		task = NULL;
+	}
 	if (sched_check_verdict(server, reply->verdict) || task == NULL)
 		return;
 	if (reply->verdict == WORKER_OK) {
