Tests: a task on its way to replaced servers is not given up (red)

If a hold is answered by another incarnation before the first attempt of a start is, the loss of the server still counts as a crash of the task, as the start may have been carried out. Four of them, within milliseconds after an outage of a zone, convict a task that has run nowhere.

Not mended here: to wait for the answer of the start delays the other runs of the server by up to 0.8 s, and to ignore such a loss leaves a task that crashes servers before they answer without a bound.

--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -532,6 +532,25 @@
 	rig_destroy(rig);
 }
 
+/* A hold is answered before the start, which takes longer. */
+Test(scheduler_suspect, task_on_its_way_to_replaced_servers_is_not_given_up)
+{
+	struct rig *rig = rig_create();
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	struct job *job;
+
+	faults->replaced_mask = (1U << SRIG_SERVERS) - 1;
+	faults->order_transit_ms = 40;
+	job = rig_submit(rig, 1, 60, "");
+	srig_run(&rig->srig, 500);
+	faults->replaced_mask = 0;
+	srig_run(&rig->srig, 7000);
+	cr_expect_eq(job->answers, 1);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
 /* The first server of the task is cut off, is back, and is lost again while the
  * task runs elsewhere. */
 Test(scheduler_suspect, withdrawn_loss_does_not_return_after_another_loss)
