--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -447,6 +447,50 @@
 	rig_destroy(rig);
 }
 
+/* A host holds the cell, lists a run, and holds the cell again after the
+ * server has crashed under another holder. */
+Test(scheduler_suspect, one_crash_is_not_counted_for_each_term_of_a_holder)
+{
+	struct rig *rig = rig_create();
+	struct job *job = rig_submit(rig, 1, 2000, "");
+	struct job second = *job, third = *job;
+	struct scheduler *first = rig->srig.sched, *other;
+	uint32_t i, mask;
+	json_t *suspects;
+
+	srig_run(&rig->srig, 50);
+	mask = rig_busy_mask(rig);
+	cr_assert_neq(mask, 0);
+	sched_deactivate(first);
+	other = srig_scheduler(&rig->srig, 20);
+	srig_run(&rig->srig, 30);
+	sched_deactivate(other);
+	srig_activate(first, 21);
+	rig_submit_to(first, &second, 1, 2000, "", true);
+	srig_run(&rig->srig, 100);
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		if ((mask & 1U << i) != 0)
+			crash_for(&rig->srig.cluster.servers[i], 60000);
+	}
+	srig_run(&rig->srig, 100);
+	suspects = sched_suspects_render(first, false);
+	cr_assert_eq(json_array_size(suspects), 1);
+	sched_deactivate(first);
+	sched_suspects_merge(other, suspects);
+	json_decref(suspects);
+	srig_activate(other, 22);
+	rig_submit_to(other, &third, 1, 2000, "", true);
+	srig_run(&rig->srig, 1500);
+	fake_worker_faults(rig->srig.worker)->replaced_mask = mask;
+	for (i = 0; i < SRIG_SERVERS; i++)
+		rig->srig.cluster.servers[i].down_until_ms = 0;
+	srig_run(&rig->srig, 8000);
+	cr_expect_eq(third.answers, 1);
+	cr_expect_eq(third.result, SCHED_COMPLETED, "%d", (int)third.result);
+	sched_destroy(other);
+	rig_destroy(rig);
+}
+
 Test(scheduler_suspect, withdrawn_loss_does_not_return_from_another_host)
 {
 	struct rig *rig = rig_create();
@@ -470,6 +514,87 @@
 	rig_destroy(rig);
 }
 
+/* All servers were replaced while they were idle. */
+Test(scheduler_suspect, task_that_replaced_servers_refuse_is_not_given_up)
+{
+	struct rig *rig = rig_create();
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	struct job *job;
+
+	faults->replaced_mask = (1U << SRIG_SERVERS) - 1;
+	job = rig_submit(rig, 1, 60, "");
+	srig_run(&rig->srig, 500);
+	faults->replaced_mask = 0;
+	srig_run(&rig->srig, 2000);
+	cr_expect_eq(job->answers, 1);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
+/* A hold is answered before the start, which takes longer. */
+Test(scheduler_suspect, task_on_its_way_to_replaced_servers_is_not_given_up)
+{
+	struct rig *rig = rig_create();
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	struct job *job;
+
+	faults->replaced_mask = (1U << SRIG_SERVERS) - 1;
+	faults->order_transit_ms = 40;
+	job = rig_submit(rig, 1, 60, "");
+	srig_run(&rig->srig, 500);
+	faults->replaced_mask = 0;
+	srig_run(&rig->srig, 7000);
+	cr_expect_eq(job->answers, 1);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
+/* The first server of the task is cut off, is back, and is lost again while the
+ * task runs elsewhere. */
+Test(scheduler_suspect, withdrawn_loss_does_not_return_after_another_loss)
+{
+	struct rig *rig = rig_create();
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	struct scheduler *other = srig_scheduler_inactive(&rig->srig);
+	json_t *suspects, *item;
+	uint32_t first;
+	size_t i;
+
+	(void)rig_submit(rig, 1, 20000, "");
+	srig_run(&rig->srig, 300);
+	faults->unreachable_mask = first = rig_busy_mask(rig);
+	srig_run(&rig->srig, 3000);
+	suspects = sched_suspects_render(rig->srig.sched, false);
+	cr_assert_eq(json_array_size(suspects), 1);
+	sched_suspects_merge(other, suspects);
+	json_decref(suspects);
+	faults->unreachable_mask = 0;
+	srig_run(&rig->srig, 500);
+	suspects = sched_suspects_render(rig->srig.sched, false);
+	cr_assert_eq(json_array_size(suspects), 0);
+	json_decref(suspects);
+	(void)rig_submit(rig, 6, 20000, "");
+	srig_run(&rig->srig, 300);
+	cr_assert_eq(rig_busy_mask(rig) & first, first);
+	faults->unreachable_mask = first;
+	srig_run(&rig->srig, 3000);
+	suspects = sched_suspects_render(other, false);
+	cr_assert_eq(json_array_size(suspects), 1);
+	sched_suspects_merge(rig->srig.sched, suspects);
+	json_decref(suspects);
+	suspects = sched_suspects_render(rig->srig.sched, false);
+	cr_expect_gt(json_array_size(suspects), 0);
+	json_array_foreach (suspects, i, item)
+		cr_expect_str_neq(json_string_value(json_array_get(item, 0)),
+		    "0000000000000001.0.0.0");
+	json_decref(suspects);
+	sched_destroy(other);
+	rig_destroy(rig);
+}
+
 /* The caller may submit its job in another zone before the server is back. */
 Test(scheduler_suspect, other_holders_are_told_of_refused_connections)
 {
