--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1235,7 +1235,7 @@
 	struct net *net = net_create_zones(3, 1);
 	size_t i;
 
-	net_run(net, 600);
+	net_run(net, 900);
 	cr_assert_neq(sched_token(net->hosts[0].sched), 0);
 	for (i = 1; i < 3; i++)
 		cr_expect_not(sched_former_runs_known(net->hosts[i].sched),
