A job is sent to a holder at once or not at all, never by a later connection

What callers saw. A host submits a job to the holder of another zone in the 50 ms in which it has not yet noticed that its connection is lost. The caller leaves, the next connection comes up, the job is sent and runs, and the caller submits it again elsewhere after 1.3 s.

The transport keeps a forward for up to 1 s until there is a connection, and sends it then. The cancellation is not kept: cells_cancel() sends nothing to a host without a connection. The forward counts for 1 s, its host is alive, and so its caller is taken to wait, up to its deadline.

Change. cells_submit() asks the transport whether the connection is open now, not as of the last tick, so that a job never waits in it; it is "not accepted" then, as after the tick. So what follows for a job is on the connection by which it was sent, behind it, or the end of that connection.

To keep the cancellation as well: it would follow a start that nobody waits for, and say a wrong time of the loss.

Evidence. no_second_run_of_a_resubmitted_job_that_waited_for_a_connection had two runs before, one now. net_deliver() of the tests repeated calls that had arrived and had no reply yet; it leaves those alone now.

One look-up of a host by name for each submission.

--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -299,6 +299,20 @@
 	    call);
 }
 
+/* Whether a request to the host is sent at once. It would wait for a connection
+ * otherwise, and a job be sent after its cancellation, which does not wait. */
+static bool
+cells_host_is_connected(const struct cells *cells,
+    const struct cells_host *host)
+{
+	uint64_t incarnation;
+
+	return host->connected &&
+	    cells->params.is_connected(cells->params.peers, host->info.name,
+		&incarnation) &&
+	    incarnation == host->incarnation;
+}
+
 void
 cells_submit(struct cells *cells, const char *holder,
     const struct cells_job *job, cells_done_fn done, void *arg)
@@ -313,7 +327,7 @@
 		return;
 	}
 	host = cells_host_find(cells, holder);
-	if (host == NULL || !host->connected) {
+	if (host == NULL || !cells_host_is_connected(cells, host)) {
 		done(arg, CELLS_NOT_ACCEPTED, NULL, NULL);
 		return;
 	}
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -90,6 +90,7 @@
 	    const struct err *err);
 	void *arg;
 	struct event *timer;
+	bool arrived;
 	bool ended;
 	TAILQ_ENTRY(call) entry;
 };
@@ -136,6 +137,7 @@
 
 	(void)fd;
 	(void)what;
+	call->arrived = true;
 	if (call->from->net->connected[call->from->index][call->to->index]) {
 		call->from->net->alive_us[call->to->index][call->from->index] =
 		    clock_now_us(clock_real());
@@ -184,7 +186,7 @@
 
 	net->hold_calls = false;
 	TAILQ_FOREACH (call, &net->calls, entry) {
-		if (!call->ended &&
+		if (!call->arrived &&
 		    !event_pending(call->timer, EV_TIMEOUT, NULL))
 			event_active(call->timer, EV_TIMEOUT, 0);
 	}
@@ -2282,6 +2284,48 @@
 	resubmission_end(&test, 1);
 }
 
+#define OVERFLOWN "b0c94d71e62f8a35" /* a caller of h2, passed to zone b */
+
+/* The caller submits its job to h0 again; h1 may have the first submission. */
+static void
+resubmission_expect_no_overflown_run(struct resubmission *test)
+{
+	struct net *net = test->net;
+
+	resubmission_submit(&net->hosts[0], "h0", OVERFLOWN, false,
+	    &test->second);
+	net_run(net, 4000);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	cr_expect_eq(wm_task(&net->cluster, OVERFLOWN ".0.0.0")->completions,
+	    1);
+	resubmission_release(test);
+}
+
+/* The connection was lost in the tick before the job was sent; the forward
+ * waits for the next one. */
+Test(cells, no_second_run_of_a_resubmitted_job_that_waited_for_a_connection)
+{
+	struct submission overflown;
+	struct resubmission test;
+	struct net *net;
+
+	resubmission_start(&test, 2, 2, 0);
+	net = test.net;
+	net_set_connected(net, 2, 1, false);
+	net->hold_calls = true;
+	resubmission_submit(&net->hosts[2], "h1", OVERFLOWN, false, &overflown);
+	net->hold_calls = false;
+	net_run(net, 2 * TICK_MS);
+	cells_cancel(net->hosts[2].cells, "h1", OVERFLOWN, 1);
+	net_run(net, 300);
+	net_set_connected(net, 2, 1, true);
+	net_deliver(net);
+	net_run(net, RESEND_MS - 300);
+	cr_expect_eq(overflown.n, 1);
+	resubmission_expect_no_overflown_run(&test);
+}
+
 #define OTHER "7e2a9c43fb56d810" /* a job of a caller of h0 */
 
 /* A stop that is confirmed does not limit the server's lease. */
