A job that arrives after its cancellation is refused

What callers saw. A host passes a job to the holder of another zone and its caller leaves. The cancellation arrives first, and nothing is known of the job; then the job arrives, is less than a second old, and starts. Its host is alive, so its caller is taken to wait. The caller submits it again elsewhere after 1.3 s.

A withdrawal had an effect only on what was there already. Requests of one connection keep their order, but two processes may have two connections: both dial, and the later hello changes the one that is used.

To send the cancellation by the connection of its job: that one may be lost, and the other one's frames are no older. A job without a time, as of hosts of earlier versions, is not covered after that second.

Evidence. no_second_run_of_a_resubmitted_job_whose_cancellation_overtook_it had two runs before, one now. cancellation_that_overtook_a_job_refuses_no_later_submission: the nonce counts.

--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -624,6 +624,7 @@
 	nidx_init(&cells->hosts_by_name);
 	cells->local_zone = cells_zone_get(cells, params->self.az);
 	TAILQ_INIT(&cells->submissions);
+	cells_withdrawn_init(cells);
 	cells->timer =
 	    event_new(params->base, -1, EV_PERSIST, cells_tick, cells);
 	if (cells->timer == NULL || event_add(cells->timer, &interval) == -1) {
@@ -640,6 +641,7 @@
 	struct cells_host *host, *next_host;
 
 	cells_submissions_free(cells);
+	cells_withdrawn_release(cells);
 	TAILQ_FOREACH_SAFE (zone, &cells->zones, entry, next_zone) {
 		TAILQ_FOREACH_SAFE (host, &zone->hosts, entry, next_host)
 			cells_host_free(cells, host);
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -13,7 +13,8 @@
 /*
  * Shared by cells.c (hosts and choice of the holder), cells_ping.c (state
  * requests to other hosts), cells_job.c (submission of jobs to holders, and
- * requests of peers) and cells_stored.c (requests about stored jobs).
+ * requests of peers), cells_withdrawn.c (submissions that were cancelled) and
+ * cells_stored.c (requests about stored jobs).
  */
 
 #define CELLS_PATH "/v1/work/"
@@ -24,6 +25,10 @@
  * prepared to become the holder. */
 #define CELLS_CANDIDATES 3
 
+/* A job that arrives later is refused: its sender may have lost the connection
+ * and answered its caller, who submits it again after 1.3 s. */
+#define CELLS_FORWARD_VALID_MS 1000
+
 /** struct cells_host - another entry host. */
 struct cells_host {
 	struct reg_host info;
@@ -88,6 +93,15 @@
 	TAILQ_ENTRY(cells_submission) entry;
 };
 
+/** struct cells_withdrawn - a submission of a peer that was cancelled. */
+struct cells_withdrawn {
+	char id[JOB_ID_LEN + 1];
+	uint64_t nonce;
+	uint64_t boot_us; /* arrival of the cancellation */
+	struct nidx_entry by_id;
+	TAILQ_ENTRY(cells_withdrawn) entry;
+};
+
 struct cells {
 	struct cells_params params;
 	/* The other hosts of all availability zones. */
@@ -103,6 +117,9 @@
 	size_t ncandidates;	      /* allocated entries */
 	/* Requests that are served on this host. */
 	TAILQ_HEAD(, cells_submission) submissions;
+	TAILQ_HEAD(, cells_withdrawn) withdrawn; /* oldest first */
+	struct name_index withdrawn_by_id;
+	size_t nwithdrawn;
 	struct event *timer;
 	uint64_t last_tick_us;	   /* of the clock that counts suspensions */
 	uint64_t previous_tick_us; /* the one before the last; 0: none */
@@ -184,6 +201,16 @@
 void cells_send_reply(api_reply_fn reply, void *arg, int status,
     const char *body);
 
+/* cells_withdrawn.c */
+
+void cells_withdrawn_init(struct cells *cells);
+void cells_withdrawn_release(struct cells *cells);
+void cells_withdrawn_add(struct cells *cells, const char *id, uint64_t nonce);
+/* Whether a peer has cancelled the submission. Return: perhaps false for one
+ * that can't arrive any more. */
+bool cells_withdrawn_find(const struct cells *cells, const char *id,
+    uint64_t nonce);
+
 /* cells_stored.c */
 
 void cells_handle_cancel_stored(struct cells *cells,
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -21,9 +21,6 @@
 /* Delay after which a caller may retry a job that the store refused. */
 #define CELLS_STORE_RETRY_AFTER_MS 1000
 
-/* A job that arrives later is refused: its sender may have lost the connection
- * and answered its caller, who submits it again after 1.3 s. */
-#define CELLS_FORWARD_VALID_MS 1000
 /* Sent at an unknown time, as by hosts of earlier versions. */
 #define CELLS_SENT_UNKNOWN UINT32_MAX
 
@@ -438,7 +435,7 @@
  * itself. */
 static const char *
 cells_refusal(const struct cells *cells, const struct api_request *request,
-    uint64_t sent_ago_ms)
+    const struct cells_job *job)
 {
 	uint64_t own_token = sched_token(cells->params.sched);
 	uint64_t token = cells_query_u64(request, "token");
@@ -449,10 +446,12 @@
 	/* Its sender may have submitted it to the holder in between. */
 	if (token != 0 && token != own_token)
 		return "this host became the holder after the job was sent";
-	if (sent_ago_ms != CELLS_SENT_UNKNOWN &&
-	    sent_ago_ms > CELLS_FORWARD_VALID_MS &&
+	if (job->sent_ago_ms != CELLS_SENT_UNKNOWN &&
+	    job->sent_ago_ms > CELLS_FORWARD_VALID_MS &&
 	    api_query_text(request->query, "token", text, sizeof(text)))
 		return "the job was sent too long ago";
+	if (cells_withdrawn_find(cells, job->id, job->nonce))
+		return "the job was cancelled before it arrived";
 	return NULL;
 }
 
@@ -491,7 +490,7 @@
 		.may_refuse = cells_query_u32(request, "may_refuse") != 0,
 		.nonce = cells_query_u64(request, "nonce"),
 	};
-	const char *refusal = cells_refusal(cells, request, job.sent_ago_ms);
+	const char *refusal = cells_refusal(cells, request, &job);
 	struct cells_submission *sub;
 
 	(void)api_query_text(request->query, "queue", queue.name, NAME_SIZE);
@@ -525,10 +524,11 @@
 cells_handle_cancel(struct cells *cells, const struct api_request *request,
     api_reply_fn reply, void *arg)
 {
-	struct cells_submission *sub = cells_submission_find(cells,
-	    request->path + sizeof(CELLS_JOBS_PATH) - 1,
-	    cells_query_u64(request, "nonce"));
+	const char *id = request->path + sizeof(CELLS_JOBS_PATH) - 1;
+	uint64_t nonce = cells_query_u64(request, "nonce");
+	struct cells_submission *sub = cells_submission_find(cells, id, nonce);
 
+	cells_withdrawn_add(cells, id, nonce);
 	if (sub != NULL) {
 		sub->lost_us = cells_now_us(cells) -
 		    cells_query_u32(request, "lost_ms") * CELLS_US_PER_MS;
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -2005,8 +2005,9 @@
 };
 
 static void
-resubmission_submit_body(struct host *host, const char *holder, const char *id,
-    const char *body, bool resubmitted, struct submission *submission)
+resubmission_submit_nonce(struct host *host, const char *holder, const char *id,
+    const char *body, bool resubmitted, uint64_t nonce,
+    struct submission *submission)
 {
 	const struct job_queue queue = { .name = "q",
 		.service = "booth",
@@ -2019,13 +2020,21 @@
 		.body_len = strlen(body),
 		.timeout_ms = JOB_TIMEOUT_MS,
 		.resubmitted = resubmitted,
-		.nonce = 1,
+		.nonce = nonce,
 		.holder_replied_at = clock_boot_us(clock_real()) };
 
 	*submission = (struct submission){ .n = 0 };
 	cells_submit(host->cells, holder, &job, submission_done, submission);
 }
 
+static void
+resubmission_submit_body(struct host *host, const char *holder, const char *id,
+    const char *body, bool resubmitted, struct submission *submission)
+{
+	resubmission_submit_nonce(host, holder, id, body, resubmitted, 1,
+	    submission);
+}
+
 static void
 resubmission_submit(struct host *host, const char *holder, const char *id,
     bool resubmitted, struct submission *submission)
@@ -2302,6 +2311,60 @@
 	resubmission_release(test);
 }
 
+/* Two connections of the same hosts are read in any order. */
+Test(cells, no_second_run_of_a_resubmitted_job_whose_cancellation_overtook_it)
+{
+	struct submission overflown;
+	struct resubmission test;
+	struct net *net;
+
+	resubmission_start(&test, 2, 2, 0);
+	net = test.net;
+	net->hold_calls = true;
+	resubmission_submit(&net->hosts[2], "h1", OVERFLOWN, false, &overflown);
+	net->hold_calls = false;
+	cells_cancel(net->hosts[2].cells, "h1", OVERFLOWN, 1);
+	net_run(net, 400);
+	cr_assert_eq(overflown.n, 0);
+	net_deliver(net);
+	net_run(net, RESEND_MS - 400);
+	cr_expect_eq(overflown.n, 1);
+	resubmission_expect_no_overflown_run(&test);
+}
+
+/* Its caller sends it to the same host again at once. */
+Test(cells, cancellation_that_overtook_a_job_refuses_no_later_submission)
+{
+	static const char body[] =
+	    "{\"spec\":\"cpu=20000 ms=500 fail=0\",\"best_effort\":true,"
+	    "\"steps\":[{\"count\":1,\"cpu\":20000,\"mem_mb\":64,"
+	    "\"estimated_ms\":500}]}";
+	struct submission withdrawn, later;
+	struct resubmission test;
+	struct host *host;
+
+	resubmission_start(&test, 2, 2, 0);
+	host = &test.net->hosts[2];
+	test.net->hold_calls = true;
+	resubmission_submit_body(host, "h1", OVERFLOWN, body, false,
+	    &withdrawn);
+	test.net->hold_calls = false;
+	cells_cancel(host->cells, "h1", OVERFLOWN, 1);
+	net_run(test.net, 100);
+	resubmission_submit_nonce(host, "h1", OVERFLOWN, body, false, 2,
+	    &later);
+	net_deliver(test.net);
+	net_run(test.net, 1000);
+	cr_expect_eq(withdrawn.n, 1);
+	cr_expect_eq(withdrawn.outcome, CELLS_NOT_ACCEPTED);
+	cr_expect_eq(later.n, 1);
+	cr_expect_eq(later.outcome, CELLS_REPLIED);
+	cr_expect_eq(later.result, SCHED_COMPLETED);
+	cr_expect_eq(wm_task(&test.net->cluster, OVERFLOWN ".0.0.0")->starts,
+	    1);
+	resubmission_release(&test);
+}
+
 /* The connection was lost in the tick before the job was sent; the forward
  * waits for the next one. */
 Test(cells, no_second_run_of_a_resubmitted_job_that_waited_for_a_connection)
