A job is cancelled at a connected holder whose row was removed

What callers saw. A host has passed a job to the holder of another zone, whose row is then removed from the store, or missing in a read of it.

Cause. cells_cancel() looked for the holder among the hosts that have rows, and sent nothing. The connection is still there, and so are the heartbeats by which the holder takes the caller to wait.

A cancellation goes to the holder by its name if it is connected now. A job that was sent is on an open connection; otherwise its attempt has ended.

Evidence. no_second_run_of_a_resubmitted_job_whose_holder_was_removed had two runs before, one now. All hosts of these tests have a job store now, as h1 receives a cancellation.

One look-up of a host by name for each cancellation.

--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -378,7 +378,8 @@
 	struct api_request request = { .method = API_DELETE,
 		.path = path,
 		.query = query };
-	const struct cells_host *host;
+	const struct cells_host *host = cells_host_find(cells, holder);
+	uint64_t incarnation;
 
 	if (sub != NULL) {
 		cells_submission_cancel(sub);
@@ -389,11 +390,12 @@
 	(void)snprintf(path, sizeof(path), CELLS_JOBS_PATH "%s", id);
 	(void)snprintf(query, sizeof(query),
 	    "nonce=%" PRIu64 "&lost_ms=%" PRIu64, nonce, lost_ms);
-	host = cells_host_find(cells, holder);
-	if (host != NULL && host->connected)
+	/* A host whose row was removed may still run the job. */
+	if (cells->params.is_connected(cells->params.peers, holder,
+		&incarnation))
 		cells->params.peers->ops->forward(cells->params.peers,
-		    host->info.az, host->info.name, host->incarnation, &request,
-		    cells_cancel_done, NULL);
+		    host != NULL ? host->info.az : "", holder, incarnation,
+		    &request, cells_cancel_done, NULL);
 }
 
 /* Holder's side */
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -2000,7 +2000,7 @@
 struct resubmission {
 	struct net *net;
 	struct memory_rows store;
-	struct job_store *job_stores[2]; /* of h0 and h2; they have no jobs */
+	struct job_store *job_stores[4]; /* of the hosts; they have no jobs */
 	struct submission first, neighbour, second;
 };
 
@@ -2092,12 +2092,11 @@
 		sched_servers_refreshed(net->hosts[i].sched);
 	}
 	mrows_init(&test->store, 0);
-	for (i = 0; i < 2; i++) {
+	for (i = 0; i < net->nhosts; i++) {
 		test->job_stores[i] = jstore_create(net->base, clock_real(),
-		    &test->store.rows, net->hosts[2 * i].sched, "a",
-		    host_fenced, &net->hosts[2 * i]);
-		cells_set_job_store(net->hosts[2 * i].cells,
-		    test->job_stores[i]);
+		    &test->store.rows, net->hosts[i].sched,
+		    host_info(net, i).az, host_fenced, &net->hosts[i]);
+		cells_set_job_store(net->hosts[i].cells, test->job_stores[i]);
 	}
 	faults = fake_worker_faults(net->hosts[holder].own_worker);
 	faults->unreachable_mask = ~(1U << holder);
@@ -2147,10 +2146,8 @@
 resubmission_kill_host(struct resubmission *test, size_t host)
 {
 	net_isolate(test->net, host, true);
-	if (host % 2 == 0) {
-		jstore_destroy(test->job_stores[host / 2]);
-		test->job_stores[host / 2] = NULL;
-	}
+	jstore_destroy(test->job_stores[host]);
+	test->job_stores[host] = NULL;
 	host_destroy(&test->net->hosts[host]);
 	host_create(test->net, host);
 }
@@ -2160,7 +2157,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < 2; i++) {
+	for (i = 0; i < test->net->nhosts; i++) {
 		if (test->job_stores[i] != NULL)
 			jstore_destroy(test->job_stores[i]);
 	}
@@ -2365,6 +2362,26 @@
 	resubmission_release(&test);
 }
 
+/* The holder's row is gone; it still runs the job. */
+Test(cells, no_second_run_of_a_resubmitted_job_whose_holder_was_removed)
+{
+	struct submission overflown;
+	struct resubmission test;
+	struct net *net;
+
+	resubmission_start(&test, 2, 2, 0);
+	net = test.net;
+	resubmission_submit(&net->hosts[2], "h1", OVERFLOWN, false, &overflown);
+	net_run(net, 100);
+	cr_assert_eq(wm_task(&net->cluster, OVERFLOWN ".0.0.0")->running_now,
+	    1);
+	cells_host_remove(net->hosts[2].cells, "h1");
+	cells_cancel(net->hosts[2].cells, "h1", OVERFLOWN, 1);
+	net_run(net, RESEND_MS);
+	cr_expect_eq(overflown.n, 1);
+	resubmission_expect_no_overflown_run(&test);
+}
+
 /* The connection was lost in the tick before the job was sent; the forward
  * waits for the next one. */
 Test(cells, no_second_run_of_a_resubmitted_job_that_waited_for_a_connection)
