A submitter waits only while messages come by the connection of its job

What callers saw. A host passes a job to the holder of another zone and loses the connection, as after a reset that the holder does not receive. It answers its caller and connects again. The holder goes on with the run, and the caller submits the job again after 1.3 s.

The holder took any message of the process for a sign that it waits. The cancellation of such a job is the end of its connection; if that does not arrive, the heartbeats of the new connection kept the job, up to the timeout of the old one (1 to 3.2 s) or the caller's deadline.

A request names the connection by which it was received, and only messages of that one count. Its sender has sent something there every 200 ms before, on each connection with forwarded jobs. Then the holder gives up the job after 1 s and ends its lease after 1.25 s, as if the host were silent.

The oldest message of all connections of the process: a connection that was replaced would end the jobs of the new one. To cancel lost attempts by the next connection: that may come too late.

With the former rule (any connection of the incarnation), no_second_run_of_a_resubmitted_job_whose_connection_was_replaced had two runs and messages_of_a_connection_are_no_sign_of_another_one failed; both pass now. The tests of messages by incarnations ask by the connection, which is narrower.

None more: the connection is found by the host's name, as before.

--- a/adapters/peers_conn.c
+++ b/adapters/peers_conn.c
@@ -436,6 +436,7 @@
 	if (conn == NULL)
 		return NULL;
 	conn->peers = peers;
+	conn->id = ++peers->last_conn_id;
 	conn->target = target;
 	conn->dialed = target != NULL;
 	conn->opened_us = conn->last_received_us = conn->last_used_us =
--- a/adapters/peers_forward.c
+++ b/adapters/peers_forward.c
@@ -358,6 +358,7 @@
 		.body = message->body.data,
 		.body_len = message->body.len,
 		.forwarded = true,
+		.connection = served->conn->id,
 	};
 }
 
--- a/adapters/peers_internal.h
+++ b/adapters/peers_internal.h
@@ -84,6 +84,7 @@
 /** struct peers_conn - a connection, dialed or accepted. */
 struct peers_conn {
 	struct peers_tcp *peers;
+	uint64_t id;		     /* unique within this process, from 1 */
 	struct peers_target *target; /* NULL if accepted */
 	struct bufferevent *bev;     /* owned */
 	struct frame_parser parser;
@@ -172,6 +173,7 @@
 	struct peers_conn_list conns;
 	struct name_index conns_by_name; /* after their hello */
 	size_t nconns;
+	uint64_t last_conn_id;
 	uint64_t conns_version; /* incremented when a host connects or leaves */
 	uint64_t last_tick_us;
 	uint64_t previous_tick_us;	    /* the one before the last */
--- a/adapters/peers_tcp.c
+++ b/adapters/peers_tcp.c
@@ -237,21 +237,19 @@
 }
 
 uint64_t
-peers_tcp_alive_us(struct peers *port, const char *host, uint64_t incarnation)
+peers_tcp_alive_us(struct peers *port, const char *host, uint64_t connection)
 {
 	const struct peers_tcp *peers = peers_from_port(port);
 	const struct nidx_entry *entry;
 	const struct peers_conn *conn;
-	uint64_t alive_us = 0;
 
 	for (entry = nidx_find(&peers->conns_by_name, host); entry != NULL;
 	     entry = nidx_next(entry)) {
 		conn = NIDX_OBJECT(entry, struct peers_conn, by_name);
-		if (conn->incarnation == incarnation &&
-		    conn->alive_us > alive_us)
-			alive_us = conn->alive_us;
+		if (conn->id == connection)
+			return conn->alive_us;
 	}
-	return alive_us;
+	return 0;
 }
 
 uint64_t
--- a/adapters/peers_tcp.h
+++ b/adapters/peers_tcp.h
@@ -65,15 +65,16 @@
     uint64_t *incarnation);
 
 /**
- * peers_tcp_alive_us() - when an incarnation of a peer was last known to
- * be alive.
- * While this host serves a request of the peer, the peer sends a message at
- * least every heartbeat_ms.
+ * peers_tcp_alive_us() - when a peer was last known to wait for its requests.
+ * @connection: by which it has sent them, see struct api_request. While this
+ *              host serves one of them, the peer sends a message there at least
+ *              every heartbeat_ms. It has lost the connection if only others
+ *              have messages.
  * Return: time of the monotonic clock (us) after which the last message was
- * sent; 0: none was received.
+ * sent; 0: none was received, or the connection was closed.
  */
 uint64_t peers_tcp_alive_us(struct peers *peers, const char *host,
-    uint64_t incarnation);
+    uint64_t connection);
 
 /** peers_tcp_connections_version() - a number that changes when a host connects
  * or disconnects. */
--- a/entry/api.h
+++ b/entry/api.h
@@ -38,6 +38,9 @@
 	const void *body;
 	size_t body_len; /* bytes */
 	bool forwarded;	 /* received from a peer; never forwarded again */
+	/* By which it was received from the peer, see peers_tcp_alive_us(); 0:
+	 * none. */
+	uint64_t connection;
 };
 
 /** struct api_reply - one reply; valid until the callback returns. */
--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -39,9 +39,9 @@
 	    uint64_t *incarnation);
 	/* Returns a number that changes when a peer connects or disconnects. */
 	uint64_t (*connections_version)(struct peers *peers);
-	/* Returns a time at which a connected peer was alive; 0: none. */
+	/* See peers_tcp_alive_us(). */
 	uint64_t (*alive_us)(struct peers *peers, const char *host,
-	    uint64_t incarnation);
+	    uint64_t connection);
 	/* Requests a connection to a peer. */
 	void (*request_connection)(struct peers *peers, const char *host);
 	/* Reserves a fencing token; the result is passed to
@@ -224,7 +224,7 @@
 
 /**
  * cells_submitter_alive_us() - when the host of a submission's caller was last
- * known to be alive.
+ * known to wait for it.
  * @submission: as passed to sched_submit().
  * Return: time of the monotonic clock (us).
  */
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -84,11 +84,11 @@
 	/* Host that forwarded it; "": this one, or one of an earlier version,
 	 * which does not name itself. */
 	char host[NAME_SIZE];
-	uint64_t incarnation; /* of that host */
-	uint64_t alive_us;    /* the host was known to be alive; 0: unknown */
-	uint64_t lost_us;     /* its caller may have been lost; 0: it waits */
-	cells_done_fn done;   /* for requests of this host, else NULL */
-	api_reply_fn reply;   /* for requests of peers, else NULL */
+	uint64_t connection; /* by which it was received */
+	uint64_t alive_us;   /* the host was known to wait; 0: unknown */
+	uint64_t lost_us;    /* its caller may have been lost; 0: it waits */
+	cells_done_fn done;  /* for requests of this host, else NULL */
+	api_reply_fn reply;  /* for requests of peers, else NULL */
 	void *arg;
 	TAILQ_ENTRY(cells_submission) entry;
 };
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -518,7 +518,7 @@
 	sub = cells_submission_create(cells, job.id, job.nonce, arg);
 	sub->reply = reply;
 	(void)api_query_text(request->query, "host", sub->host, NAME_SIZE);
-	sub->incarnation = cells_query_u64(request, "incarnation");
+	sub->connection = request->connection;
 	cells_submit_local(sub, &job);
 }
 
@@ -548,8 +548,8 @@
 
 	if (sub->host[0] == '\0')
 		return cells_now_us(cells);
-	alive_us = params->alive_us(params->peers, sub->host, sub->incarnation);
-	/* The host may have disconnected since. */
+	alive_us = params->alive_us(params->peers, sub->host, sub->connection);
+	/* The connection may have been closed since. */
 	if (alive_us > sub->alive_us)
 		sub->alive_us = alive_us;
 	return sub->lost_us != 0 && sub->lost_us < sub->alive_us
--- a/entry/jobs/job_service.h
+++ b/entry/jobs/job_service.h
@@ -34,7 +34,7 @@
 	uint64_t (*connections_version)(struct peers *peers);
 	/* See peers_tcp_alive_us(). */
 	uint64_t (*alive_us)(struct peers *peers, const char *host,
-	    uint64_t incarnation);
+	    uint64_t connection);
 	/* Requests a connection to a peer. */
 	void (*request_connection)(struct peers *peers, const char *host);
 	/* Sets the list of the other entry hosts. */
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -67,6 +67,8 @@
 	struct host hosts[NHOSTS_MAX];
 	bool connected[NHOSTS_MAX][NHOSTS_MAX];
 	uint64_t alive_us[NHOSTS_MAX][NHOSTS_MAX]; /* last message */
+	/* Connections that one side has replaced. */
+	uint64_t replaced[NHOSTS_MAX][NHOSTS_MAX];
 	uint64_t connections_version;
 	uint64_t token;		     /* last reserved one */
 	uint64_t owners[NHOSTS_MAX]; /* tokens that claimed each cell last */
@@ -148,6 +150,14 @@
 	call->ended = true;
 }
 
+/* The connection by which a host sends now; another process has another one. */
+static uint64_t
+host_connection(const struct host *from, const struct host *to)
+{
+	return 1000 * from->incarnation +
+	    from->net->replaced[from->index][to->index];
+}
+
 static void
 host_forward(struct peers *peers, const char *az, const char *issuer,
     uint64_t incarnation, const struct api_request *request,
@@ -170,6 +180,7 @@
 	strlcpy(call->query, request->query, sizeof(call->query));
 	call->request.path = call->path;
 	call->request.query = call->query;
+	call->request.connection = host_connection(host, call->to);
 	call->done = done;
 	call->arg = arg;
 	call->timer = evtimer_new(host->net->base, call_arrive, call);
@@ -209,14 +220,14 @@
 }
 
 static uint64_t
-host_alive_us(struct peers *peers, const char *name, uint64_t incarnation)
+host_alive_us(struct peers *peers, const char *name, uint64_t connection)
 {
 	const struct host *host = (struct host *)peers;
+	const struct host *other = &host->net->hosts[atoi(name + 1)];
 
-	if (host->net->hosts[atoi(name + 1)].incarnation != incarnation)
+	if (connection != host_connection(other, host))
 		return 0;
-
-	return host->net->alive_us[host->index][atoi(name + 1)];
+	return host->net->alive_us[host->index][other->index];
 }
 
 static void
@@ -2382,6 +2393,24 @@
 	resubmission_expect_no_overflown_run(&test);
 }
 
+/* The end of the connection does not reach the holder, another one works. */
+Test(cells, no_second_run_of_a_resubmitted_job_whose_connection_was_replaced)
+{
+	struct submission overflown;
+	struct resubmission test;
+	struct net *net;
+
+	resubmission_start(&test, 2, 2, 0);
+	net = test.net;
+	resubmission_submit(&net->hosts[2], "h1", OVERFLOWN, false, &overflown);
+	net_run(net, 300);
+	cr_assert_eq(wm_task(&net->cluster, OVERFLOWN ".0.0.0")->running_now,
+	    1);
+	net->replaced[2][1]++;
+	net_run(net, RESEND_MS);
+	resubmission_expect_no_overflown_run(&test);
+}
+
 /* The connection was lost in the tick before the job was sent; the forward
  * waits for the next one. */
 Test(cells, no_second_run_of_a_resubmitted_job_that_waited_for_a_connection)
--- a/tests/test_job_service.c
+++ b/tests/test_job_service.c
@@ -335,9 +335,9 @@
 }
 
 static uint64_t
-host_alive_us(struct peers *peers, const char *name, uint64_t incarnation)
+host_alive_us(struct peers *peers, const char *name, uint64_t connection)
 {
-	(void)incarnation;
+	(void)connection;
 	(void)peers;
 	(void)name;
 	return clock_now_us(clock_real());
--- a/tests/test_peers_tcp.c
+++ b/tests/test_peers_tcp.c
@@ -406,6 +406,29 @@
 	raw_hello_from(fd, host, incarnation, 1);
 }
 
+/* Sends a request for that incarnation. */
+static void
+raw_request(int fd, uint64_t incarnation)
+{
+	Berylrail__ForwardRequest request = BERYLRAIL__FORWARD_REQUEST__INIT;
+	char path[] = "/v1/jobs", query[] = "";
+
+	request.correlation = 1;
+	request.incarnation = incarnation;
+	request.method = API_POST;
+	request.path = path;
+	request.query = query;
+	raw_send(fd, BERYLRAIL__FRAME__KIND_FORWARD_REQUEST, &request);
+}
+
+/* When the host was known to wait for the request that @node received last. */
+static uint64_t
+request_alive_us(const struct node *node, const char *host)
+{
+	return peers_tcp_alive_us(node->peers, host,
+	    node->api.last_request.connection);
+}
+
 static bool
 raw_is_closed(int fd)
 {
@@ -699,11 +722,11 @@
 	WAIT_FOR(b.api.nhandled == 1);
 	began_us = real_now_us(NULL);
 	for (i = 0; i < 4; i++) {
-		alive_us = peers_tcp_alive_us(b.peers, "a", 11);
-		WAIT_FOR(peers_tcp_alive_us(b.peers, "a", 11) > alive_us);
+		alive_us = request_alive_us(&b, "a");
+		WAIT_FOR(request_alive_us(&b, "a") > alive_us);
 	}
 	cr_expect_lt(real_now_us(NULL) - began_us, 3200 * 1000);
-	cr_expect_eq(peers_tcp_alive_us(b.peers, "z", 1), 0);
+	cr_expect_eq(request_alive_us(&b, "z"), 0);
 	peers_tcp_destroy(a.peers);
 	peers_tcp_destroy(b.peers);
 	for (i = 0; i < 40; i++)
@@ -803,7 +826,8 @@
 	node_start(&a, "a", "z1", 11, 0, 0);
 	fd = raw_connect(a.port);
 	raw_hello(fd, "b", 22);
-	WAIT_FOR(a.engine.nsharing_hosts == 2);
+	raw_request(fd, 11);
+	WAIT_FOR(a.api.nhandled == 1);
 	reply.correlation = 1;
 	reply.body.data = body;
 	reply.body.len = sizeof(body);
@@ -812,33 +836,51 @@
 	sent_us = real_now_us(NULL);
 	usleep(PAUSE_MS * 1000);
 	WAIT_FOR(counter_value(received) == 50);
-	cr_expect_leq(peers_tcp_alive_us(a.peers, "b", 22), sent_us,
+	cr_expect_leq(request_alive_us(&a, "b"), sent_us,
 	    "%lld us after the pause began",
-	    (long long)(peers_tcp_alive_us(a.peers, "b", 22) - sent_us));
+	    (long long)(request_alive_us(&a, "b") - sent_us));
 	close(fd);
 	peers_tcp_destroy(a.peers);
 }
 
-Test(peers_tcp, messages_of_an_incarnation_are_no_sign_of_an_earlier_one)
+/* The host has another process now, or has lost the connection. */
+static void
+expect_no_sign_of_an_earlier_connection(uint64_t incarnation)
 {
 	struct node a = { 0 };
-	uint64_t seen_us;
+	uint64_t earlier, seen_us;
 	int old, new;
 
 	node_start(&a, "a", "z1", 11, 0, 0);
 	old = raw_connect(a.port);
 	raw_hello(old, "b", 22);
-	WAIT_FOR((seen_us = peers_tcp_alive_us(a.peers, "b", 22)) != 0);
+	raw_request(old, 11);
+	WAIT_FOR(a.api.nhandled == 1);
+	earlier = a.api.last_request.connection;
+	seen_us = peers_tcp_alive_us(a.peers, "b", earlier);
+	cr_expect_neq(seen_us, 0);
 	WAIT_FOR(real_now_us(NULL) > seen_us + HEARTBEAT_MS * 2000);
 	new = raw_connect(a.port);
-	raw_hello(new, "b", 33);
-	WAIT_FOR(peers_tcp_alive_us(a.peers, "b", 33) > seen_us);
-	cr_expect_leq(peers_tcp_alive_us(a.peers, "b", 22), seen_us);
+	raw_hello(new, "b", incarnation);
+	raw_request(new, 11);
+	WAIT_FOR(a.api.nhandled == 2);
+	cr_expect_gt(request_alive_us(&a, "b"), seen_us);
+	cr_expect_eq(peers_tcp_alive_us(a.peers, "b", earlier), seen_us);
 	close(old);
 	close(new);
 	peers_tcp_destroy(a.peers);
 }
 
+Test(peers_tcp, messages_of_an_incarnation_are_no_sign_of_an_earlier_one)
+{
+	expect_no_sign_of_an_earlier_connection(33);
+}
+
+Test(peers_tcp, messages_of_a_connection_are_no_sign_of_another_one)
+{
+	expect_no_sign_of_an_earlier_connection(22);
+}
+
 /* With many peers, other heartbeats are sent every 1.4 s. */
 Test(peers_tcp, host_that_serves_a_forward_is_sent_frequent_heartbeats)
 {
