Tests of what a gateway does between attempts and after an overflow

Guards, no fault: a lost caller's job is not submitted by the retry timer, a job that came back from another zone goes to no third one, and one whose remote holder is lost goes nowhere.

--- a/tests/test_job_gateway.c
+++ b/tests/test_job_gateway.c
@@ -295,3 +295,78 @@
 	gw_destroy(gateway);
 	event_base_free(base);
 }
+
+/* The caller is lost between two attempts. */
+Test(job_gateway, job_of_a_lost_caller_is_not_submitted_again)
+{
+	struct event_base *base;
+	struct job_gateway *gateway;
+	struct cells cells = { .holder = "h0" };
+	struct caller caller = { 0 };
+
+	sim_time_start();
+	base = event_base_new();
+	gateway = gw_create(base, clock_real(), &cells);
+	submit(gateway, &caller);
+	gw_holder_changed(gateway, "h1");
+	cr_assert_eq(cells.nsubmissions, 2);
+	end_submission(&cells, 1, CELLS_NOT_ACCEPTED, NULL, "");
+	gw_abandon(gateway, &caller);
+	cr_expect_str_eq(cells.cancelled, "h0 ");
+	run_ms(base, 1000);
+	cr_expect_eq(cells.nsubmissions, 2);
+	gw_destroy(gateway);
+	event_base_free(base);
+}
+
+/* A third cell may have it then, beside the other one that may run it. */
+Test(job_gateway, job_that_came_back_is_submitted_to_no_third_cell)
+{
+	const struct sched_reply refused = { .result = SCHED_NOT_RUN,
+		.reason = "busy" };
+	struct event_base *base;
+	struct job_gateway *gateway;
+	struct cells cells = { .holder = "h0" };
+	struct caller caller = { 0 };
+
+	sim_time_start();
+	base = event_base_new();
+	gateway = gw_create(base, clock_real(), &cells);
+	submit(gateway, &caller);
+	end_submission(&cells, 0, CELLS_REPLIED, &refused, "h9");
+	end_submission(&cells, 1, CELLS_NOT_ACCEPTED, NULL, "");
+	run_ms(base, 50);
+	cr_assert_eq(cells.nsubmissions, 3);
+	cr_expect_str_eq(cells.submissions[2].holder, "h0");
+	end_submission(&cells, 2, CELLS_REPLIED, &refused, "h8");
+	run_ms(base, 50);
+	cr_expect_eq(cells.nsubmissions, 3);
+	cr_expect_eq(caller.answers, 1);
+	cr_expect_eq(caller.result, GW_NOT_RUN);
+	gw_destroy(gateway);
+	event_base_free(base);
+}
+
+Test(job_gateway, job_whose_remote_holder_is_lost_is_submitted_nowhere)
+{
+	const struct sched_reply refused = { .result = SCHED_NOT_RUN,
+		.reason = "busy" };
+	struct event_base *base;
+	struct job_gateway *gateway;
+	struct cells cells = { .holder = "h0" };
+	struct caller caller = { 0 };
+
+	sim_time_start();
+	base = event_base_new();
+	gateway = gw_create(base, clock_real(), &cells);
+	submit(gateway, &caller);
+	end_submission(&cells, 0, CELLS_REPLIED, &refused, "h9");
+	end_submission(&cells, 1, CELLS_LOST, NULL, "");
+	gw_holder_changed(gateway, "h1");
+	run_ms(base, 1000);
+	cr_expect_eq(cells.nsubmissions, 2);
+	cr_expect_eq(caller.answers, 1);
+	cr_expect_eq(caller.result, GW_UNKNOWN);
+	gw_destroy(gateway);
+	event_base_free(base);
+}
