--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -21,9 +21,6 @@
 /* Delay after which a caller may retry a job that the store refused. */
 #define CELLS_STORE_RETRY_AFTER_MS 1000
 
-/* A job that arrives later is refused: its sender may have lost the connection
- * and answered its caller, who submits it again after 1.3 s. */
-#define CELLS_FORWARD_VALID_MS 1000
 /* Sent at an unknown time, as by hosts of earlier versions. */
 #define CELLS_SENT_UNKNOWN UINT32_MAX
 
@@ -299,6 +296,20 @@
 	    call);
 }
 
+/* Whether a request to the host is sent at once. It would wait for a connection
+ * otherwise, and a job be sent after its cancellation, which does not wait. */
+static bool
+cells_host_is_connected(const struct cells *cells,
+    const struct cells_host *host)
+{
+	uint64_t incarnation;
+
+	return host->connected &&
+	    cells->params.is_connected(cells->params.peers, host->info.name,
+		&incarnation) &&
+	    incarnation == host->incarnation;
+}
+
 void
 cells_submit(struct cells *cells, const char *holder,
     const struct cells_job *job, cells_done_fn done, void *arg)
@@ -313,7 +324,7 @@
 		return;
 	}
 	host = cells_host_find(cells, holder);
-	if (host == NULL || !host->connected) {
+	if (host == NULL || !cells_host_is_connected(cells, host)) {
 		done(arg, CELLS_NOT_ACCEPTED, NULL, NULL);
 		return;
 	}
@@ -367,7 +378,8 @@
 	struct api_request request = { .method = API_DELETE,
 		.path = path,
 		.query = query };
-	const struct cells_host *host;
+	const struct cells_host *host = cells_host_find(cells, holder);
+	uint64_t incarnation;
 
 	if (sub != NULL) {
 		cells_submission_cancel(sub);
@@ -378,11 +390,12 @@
 	(void)snprintf(path, sizeof(path), CELLS_JOBS_PATH "%s", id);
 	(void)snprintf(query, sizeof(query),
 	    "nonce=%" PRIu64 "&lost_ms=%" PRIu64, nonce, lost_ms);
-	host = cells_host_find(cells, holder);
-	if (host != NULL && host->connected)
+	/* A host whose row was removed may still run the job. */
+	if (cells->params.is_connected(cells->params.peers, holder,
+		&incarnation))
 		cells->params.peers->ops->forward(cells->params.peers,
-		    host->info.az, host->info.name, host->incarnation, &request,
-		    cells_cancel_done, NULL);
+		    host != NULL ? host->info.az : "", holder, incarnation,
+		    &request, cells_cancel_done, NULL);
 }
 
 /* Holder's side */
@@ -424,7 +437,7 @@
  * itself. */
 static const char *
 cells_refusal(const struct cells *cells, const struct api_request *request,
-    uint64_t sent_ago_ms)
+    const struct cells_job *job)
 {
 	uint64_t own_token = sched_token(cells->params.sched);
 	uint64_t token = cells_query_u64(request, "token");
@@ -435,10 +448,12 @@
 	/* Its sender may have submitted it to the holder in between. */
 	if (token != 0 && token != own_token)
 		return "this host became the holder after the job was sent";
-	if (sent_ago_ms != CELLS_SENT_UNKNOWN &&
-	    sent_ago_ms > CELLS_FORWARD_VALID_MS &&
+	if (job->sent_ago_ms != CELLS_SENT_UNKNOWN &&
+	    job->sent_ago_ms > CELLS_FORWARD_VALID_MS &&
 	    api_query_text(request->query, "token", text, sizeof(text)))
 		return "the job was sent too long ago";
+	if (cells_withdrawn_find(cells, job->id, job->nonce))
+		return "the job was cancelled before it arrived";
 	return NULL;
 }
 
@@ -477,7 +492,7 @@
 		.may_refuse = cells_query_u32(request, "may_refuse") != 0,
 		.nonce = cells_query_u64(request, "nonce"),
 	};
-	const char *refusal = cells_refusal(cells, request, job.sent_ago_ms);
+	const char *refusal = cells_refusal(cells, request, &job);
 	struct cells_submission *sub;
 
 	(void)api_query_text(request->query, "queue", queue.name, NAME_SIZE);
@@ -503,7 +518,7 @@
 	sub = cells_submission_create(cells, job.id, job.nonce, arg);
 	sub->reply = reply;
 	(void)api_query_text(request->query, "host", sub->host, NAME_SIZE);
-	sub->incarnation = cells_query_u64(request, "incarnation");
+	sub->connection = request->connection;
 	cells_submit_local(sub, &job);
 }
 
@@ -511,10 +526,11 @@
 cells_handle_cancel(struct cells *cells, const struct api_request *request,
     api_reply_fn reply, void *arg)
 {
-	struct cells_submission *sub = cells_submission_find(cells,
-	    request->path + sizeof(CELLS_JOBS_PATH) - 1,
-	    cells_query_u64(request, "nonce"));
+	const char *id = request->path + sizeof(CELLS_JOBS_PATH) - 1;
+	uint64_t nonce = cells_query_u64(request, "nonce");
+	struct cells_submission *sub = cells_submission_find(cells, id, nonce);
 
+	cells_withdrawn_add(cells, id, nonce);
 	if (sub != NULL) {
 		sub->lost_us = cells_now_us(cells) -
 		    cells_query_u32(request, "lost_ms") * CELLS_US_PER_MS;
@@ -532,8 +548,8 @@
 
 	if (sub->host[0] == '\0')
 		return cells_now_us(cells);
-	alive_us = params->alive_us(params->peers, sub->host, sub->incarnation);
-	/* The host may have disconnected since. */
+	alive_us = params->alive_us(params->peers, sub->host, sub->connection);
+	/* The connection may have been closed since. */
 	if (alive_us > sub->alive_us)
 		sub->alive_us = alive_us;
 	return sub->lost_us != 0 && sub->lost_us < sub->alive_us
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -67,6 +67,8 @@
 	struct host hosts[NHOSTS_MAX];
 	bool connected[NHOSTS_MAX][NHOSTS_MAX];
 	uint64_t alive_us[NHOSTS_MAX][NHOSTS_MAX]; /* last message */
+	/* Connections that one side has replaced. */
+	uint64_t replaced[NHOSTS_MAX][NHOSTS_MAX];
 	uint64_t connections_version;
 	uint64_t token;		     /* last reserved one */
 	uint64_t owners[NHOSTS_MAX]; /* tokens that claimed each cell last */
@@ -90,6 +92,7 @@
 	    const struct err *err);
 	void *arg;
 	struct event *timer;
+	bool arrived;
 	bool ended;
 	TAILQ_ENTRY(call) entry;
 };
@@ -136,6 +139,7 @@
 
 	(void)fd;
 	(void)what;
+	call->arrived = true;
 	if (call->from->net->connected[call->from->index][call->to->index]) {
 		call->from->net->alive_us[call->to->index][call->from->index] =
 		    clock_now_us(clock_real());
@@ -146,6 +150,14 @@
 	call->ended = true;
 }
 
+/* The connection by which a host sends now; another process has another one. */
+static uint64_t
+host_connection(const struct host *from, const struct host *to)
+{
+	return 1000 * from->incarnation +
+	    from->net->replaced[from->index][to->index];
+}
+
 static void
 host_forward(struct peers *peers, const char *az, const char *issuer,
     uint64_t incarnation, const struct api_request *request,
@@ -168,6 +180,7 @@
 	strlcpy(call->query, request->query, sizeof(call->query));
 	call->request.path = call->path;
 	call->request.query = call->query;
+	call->request.connection = host_connection(host, call->to);
 	call->done = done;
 	call->arg = arg;
 	call->timer = evtimer_new(host->net->base, call_arrive, call);
@@ -184,7 +197,7 @@
 
 	net->hold_calls = false;
 	TAILQ_FOREACH (call, &net->calls, entry) {
-		if (!call->ended &&
+		if (!call->arrived &&
 		    !event_pending(call->timer, EV_TIMEOUT, NULL))
 			event_active(call->timer, EV_TIMEOUT, 0);
 	}
@@ -207,14 +220,14 @@
 }
 
 static uint64_t
-host_alive_us(struct peers *peers, const char *name, uint64_t incarnation)
+host_alive_us(struct peers *peers, const char *name, uint64_t connection)
 {
 	const struct host *host = (struct host *)peers;
+	const struct host *other = &host->net->hosts[atoi(name + 1)];
 
-	if (host->net->hosts[atoi(name + 1)].incarnation != incarnation)
+	if (connection != host_connection(other, host))
 		return 0;
-
-	return host->net->alive_us[host->index][atoi(name + 1)];
+	return host->net->alive_us[host->index][other->index];
 }
 
 static void
@@ -1998,13 +2011,14 @@
 struct resubmission {
 	struct net *net;
 	struct memory_rows store;
-	struct job_store *job_stores[2]; /* of h0 and h2; they have no jobs */
+	struct job_store *job_stores[4]; /* of the hosts; they have no jobs */
 	struct submission first, neighbour, second;
 };
 
 static void
-resubmission_submit_body(struct host *host, const char *holder, const char *id,
-    const char *body, bool resubmitted, struct submission *submission)
+resubmission_submit_nonce(struct host *host, const char *holder, const char *id,
+    const char *body, bool resubmitted, uint64_t nonce,
+    struct submission *submission)
 {
 	const struct job_queue queue = { .name = "q",
 		.service = "booth",
@@ -2017,13 +2031,21 @@
 		.body_len = strlen(body),
 		.timeout_ms = JOB_TIMEOUT_MS,
 		.resubmitted = resubmitted,
-		.nonce = 1,
+		.nonce = nonce,
 		.holder_replied_at = clock_boot_us(clock_real()) };
 
 	*submission = (struct submission){ .n = 0 };
 	cells_submit(host->cells, holder, &job, submission_done, submission);
 }
 
+static void
+resubmission_submit_body(struct host *host, const char *holder, const char *id,
+    const char *body, bool resubmitted, struct submission *submission)
+{
+	resubmission_submit_nonce(host, holder, id, body, resubmitted, 1,
+	    submission);
+}
+
 static void
 resubmission_submit(struct host *host, const char *holder, const char *id,
     bool resubmitted, struct submission *submission)
@@ -2081,12 +2103,11 @@
 		sched_servers_refreshed(net->hosts[i].sched);
 	}
 	mrows_init(&test->store, 0);
-	for (i = 0; i < 2; i++) {
+	for (i = 0; i < net->nhosts; i++) {
 		test->job_stores[i] = jstore_create(net->base, clock_real(),
-		    &test->store.rows, net->hosts[2 * i].sched, "a",
-		    host_fenced, &net->hosts[2 * i]);
-		cells_set_job_store(net->hosts[2 * i].cells,
-		    test->job_stores[i]);
+		    &test->store.rows, net->hosts[i].sched,
+		    host_info(net, i).az, host_fenced, &net->hosts[i]);
+		cells_set_job_store(net->hosts[i].cells, test->job_stores[i]);
 	}
 	faults = fake_worker_faults(net->hosts[holder].own_worker);
 	faults->unreachable_mask = ~(1U << holder);
@@ -2136,10 +2157,8 @@
 resubmission_kill_host(struct resubmission *test, size_t host)
 {
 	net_isolate(test->net, host, true);
-	if (host % 2 == 0) {
-		jstore_destroy(test->job_stores[host / 2]);
-		test->job_stores[host / 2] = NULL;
-	}
+	jstore_destroy(test->job_stores[host]);
+	test->job_stores[host] = NULL;
 	host_destroy(&test->net->hosts[host]);
 	host_create(test->net, host);
 }
@@ -2149,7 +2168,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < 2; i++) {
+	for (i = 0; i < test->net->nhosts; i++) {
 		if (test->job_stores[i] != NULL)
 			jstore_destroy(test->job_stores[i]);
 	}
@@ -2282,6 +2301,140 @@
 	resubmission_end(&test, 1);
 }
 
+#define OVERFLOWN "b0c94d71e62f8a35" /* a caller of h2, passed to zone b */
+
+/* The caller submits its job to h0 again; h1 may have the first submission. */
+static void
+resubmission_expect_no_overflown_run(struct resubmission *test)
+{
+	struct net *net = test->net;
+
+	resubmission_submit(&net->hosts[0], "h0", OVERFLOWN, false,
+	    &test->second);
+	net_run(net, 4000);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	cr_expect_eq(wm_task(&net->cluster, OVERFLOWN ".0.0.0")->completions,
+	    1);
+	resubmission_release(test);
+}
+
+/* Two connections of the same hosts are read in any order. */
+Test(cells, no_second_run_of_a_resubmitted_job_whose_cancellation_overtook_it)
+{
+	struct submission overflown;
+	struct resubmission test;
+	struct net *net;
+
+	resubmission_start(&test, 2, 2, 0);
+	net = test.net;
+	net->hold_calls = true;
+	resubmission_submit(&net->hosts[2], "h1", OVERFLOWN, false, &overflown);
+	net->hold_calls = false;
+	cells_cancel(net->hosts[2].cells, "h1", OVERFLOWN, 1);
+	net_run(net, 400);
+	cr_assert_eq(overflown.n, 0);
+	net_deliver(net);
+	net_run(net, RESEND_MS - 400);
+	cr_expect_eq(overflown.n, 1);
+	resubmission_expect_no_overflown_run(&test);
+}
+
+/* Its caller sends it to the same host again at once. */
+Test(cells, cancellation_that_overtook_a_job_refuses_no_later_submission)
+{
+	static const char body[] =
+	    "{\"spec\":\"cpu=20000 ms=500 fail=0\",\"best_effort\":true,"
+	    "\"steps\":[{\"count\":1,\"cpu\":20000,\"mem_mb\":64,"
+	    "\"estimated_ms\":500}]}";
+	struct submission withdrawn, later;
+	struct resubmission test;
+	struct host *host;
+
+	resubmission_start(&test, 2, 2, 0);
+	host = &test.net->hosts[2];
+	test.net->hold_calls = true;
+	resubmission_submit_body(host, "h1", OVERFLOWN, body, false,
+	    &withdrawn);
+	test.net->hold_calls = false;
+	cells_cancel(host->cells, "h1", OVERFLOWN, 1);
+	net_run(test.net, 100);
+	resubmission_submit_nonce(host, "h1", OVERFLOWN, body, false, 2,
+	    &later);
+	net_deliver(test.net);
+	net_run(test.net, 1000);
+	cr_expect_eq(withdrawn.n, 1);
+	cr_expect_eq(withdrawn.outcome, CELLS_NOT_ACCEPTED);
+	cr_expect_eq(later.n, 1);
+	cr_expect_eq(later.outcome, CELLS_REPLIED);
+	cr_expect_eq(later.result, SCHED_COMPLETED);
+	cr_expect_eq(wm_task(&test.net->cluster, OVERFLOWN ".0.0.0")->starts,
+	    1);
+	resubmission_release(&test);
+}
+
+/* The holder's row is gone; it still runs the job. */
+Test(cells, no_second_run_of_a_resubmitted_job_whose_holder_was_removed)
+{
+	struct submission overflown;
+	struct resubmission test;
+	struct net *net;
+
+	resubmission_start(&test, 2, 2, 0);
+	net = test.net;
+	resubmission_submit(&net->hosts[2], "h1", OVERFLOWN, false, &overflown);
+	net_run(net, 100);
+	cr_assert_eq(wm_task(&net->cluster, OVERFLOWN ".0.0.0")->running_now,
+	    1);
+	cells_host_remove(net->hosts[2].cells, "h1");
+	cells_cancel(net->hosts[2].cells, "h1", OVERFLOWN, 1);
+	net_run(net, RESEND_MS);
+	cr_expect_eq(overflown.n, 1);
+	resubmission_expect_no_overflown_run(&test);
+}
+
+/* The end of the connection does not reach the holder, another one works. */
+Test(cells, no_second_run_of_a_resubmitted_job_whose_connection_was_replaced)
+{
+	struct submission overflown;
+	struct resubmission test;
+	struct net *net;
+
+	resubmission_start(&test, 2, 2, 0);
+	net = test.net;
+	resubmission_submit(&net->hosts[2], "h1", OVERFLOWN, false, &overflown);
+	net_run(net, 300);
+	cr_assert_eq(wm_task(&net->cluster, OVERFLOWN ".0.0.0")->running_now,
+	    1);
+	net->replaced[2][1]++;
+	net_run(net, RESEND_MS);
+	resubmission_expect_no_overflown_run(&test);
+}
+
+/* The connection was lost in the tick before the job was sent; the forward
+ * waits for the next one. */
+Test(cells, no_second_run_of_a_resubmitted_job_that_waited_for_a_connection)
+{
+	struct submission overflown;
+	struct resubmission test;
+	struct net *net;
+
+	resubmission_start(&test, 2, 2, 0);
+	net = test.net;
+	net_set_connected(net, 2, 1, false);
+	net->hold_calls = true;
+	resubmission_submit(&net->hosts[2], "h1", OVERFLOWN, false, &overflown);
+	net->hold_calls = false;
+	net_run(net, 2 * TICK_MS);
+	cells_cancel(net->hosts[2].cells, "h1", OVERFLOWN, 1);
+	net_run(net, 300);
+	net_set_connected(net, 2, 1, true);
+	net_deliver(net);
+	net_run(net, RESEND_MS - 300);
+	cr_expect_eq(overflown.n, 1);
+	resubmission_expect_no_overflown_run(&test);
+}
+
 #define OTHER "7e2a9c43fb56d810" /* a job of a caller of h0 */
 
 /* A stop that is confirmed does not limit the server's lease. */
