The only known host of a zone asks the store whether it was replaced

What callers saw: a stored job could have two runs at the same time, after a host of a zone of two was removed from the holder's list while it was cut off from the holder, and had taken over with the store.

Cause: a holder is confirmed by all other hosts that it knows. If it knows none, it confirmed itself at each tick for ever, and as that is always recent, it never read the owner row. Its successor waits for the end of leases that the holder goes on to extend.

The simulated store of the tests shows a holder in these two tests that it was replaced, as jstore_owner_checked() does.

Fix: without other hosts the holder reads the owner row every 250 ms and confirms itself only if the store has not confirmed it for 1.1 s, the limit of a call and the interval of reads. A zone of one host that is cut off from the store goes on as before (only_host_of_a_zone_that_is_cut_off_goes_on_with_long_runs).

Ruled out for best-effort jobs whose host is cut off with the successor: their leases end 1.25 s after that host was last heard.

Cost: O(1) every 250 ms, one read of the store, for holders without other hosts.

--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -364,6 +364,7 @@
 	if (server_unknown)
 		sched_set_former_runs_known(cells->params.sched, false);
 	sched_activate(cells->params.sched, cells->highest_token);
+	cells->owner_heard_boot_us = 0;
 	if (server_unknown)
 		sched_set_server_unknown(cells->params.sched);
 	cells->params.became_holder(cells->params.arg);
@@ -513,7 +514,7 @@
 /*
  * After a pause of this process, or a suspension of its machine, its
  * connections may be lost and another host may have become the holder.
- * Discovery is repeated, as after a start.
+ * Discovery is repeated, as after a start, and the store was not silent.
  */
 static void
 cells_check_pause(struct cells *cells, uint64_t now_us)
@@ -527,6 +528,7 @@
 		log_event(LOG_LEVEL_WARN, "process-resumed",
 		    "after_ms=%" PRIu64, pause_us / CELLS_US_PER_MS);
 		cells->discovery_done = false;
+		cells->owner_heard_boot_us = 0;
 		if (cells->hosts_loaded_us != 0)
 			cells->hosts_loaded_us = now_us;
 		TAILQ_FOREACH (host, &cells->local_zone->hosts, entry) {
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -119,6 +119,9 @@
 	uint64_t reserve_sent_us;
 	bool reserve_pending;
 	uint64_t owner_read_boot_us; /* start of the last read of the owner */
+	/* The store confirmed this holder then, as the only host of the zone;
+	 * before that, start of the wait for it. 0: there are others. */
+	uint64_t owner_heard_boot_us;
 	bool leaving;
 	/* Discovery of an existing holder has ended. */
 	bool discovery_done;
--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -38,6 +38,10 @@
 #define CELLS_PING_TIMEOUT_MS 450 /* the host is then unreachable */
 /* Interval of reads of the cell's owner, while some hosts don't confirm it. */
 #define CELLS_OWNER_READ_MS 250
+/* Without a confirmation by the store for this time, the only host of a zone
+ * goes on by itself: the time limit of a call, and the interval of reads. Its
+ * lease is long enough then for tasks to start. */
+#define CELLS_STORE_SILENT_MS 1100
 /* A process that is short of processor time reads a reply late. It runs this
  * number of ticks before it takes the host for unreachable. */
 #define CELLS_PING_MIN_TICKS 4
@@ -93,8 +97,12 @@
 void
 cells_owner_read(struct cells *cells, uint64_t sent_boot_us, bool confirmed)
 {
-	if (confirmed)
-		sched_confirm_owner(cells->params.sched, sent_boot_us);
+	if (!confirmed)
+		return;
+	sched_confirm_owner(cells->params.sched, sent_boot_us);
+	if (cells->owner_heard_boot_us != 0 &&
+	    sent_boot_us > cells->owner_heard_boot_us)
+		cells->owner_heard_boot_us = sent_boot_us;
 }
 
 /* A read does not wait for the end of the one before: that may be slow, or its
@@ -110,19 +118,41 @@
 	cells->params.read_owner(cells->params.arg, now_us);
 }
 
+/*
+ * Without other hosts the store is to tell that none has replaced this one: the
+ * list of hosts may be out of date. Only while the store is silent, as to a
+ * zone that is cut off, the empty list counts.
+ */
+static bool
+cells_is_sole(struct cells *cells, uint64_t now_us)
+{
+	if (!TAILQ_EMPTY(&cells->local_zone->hosts)) {
+		cells->owner_heard_boot_us = 0;
+		return false;
+	}
+	if (cells->owner_heard_boot_us == 0)
+		cells->owner_heard_boot_us = now_us;
+	return true;
+}
+
 void
 cells_confirm_holder(struct cells *cells)
 {
 	struct scheduler *sched = cells->params.sched;
-	uint64_t confirmed_us = cells_boot_us(cells);
+	uint64_t now_us = cells_boot_us(cells), confirmed_us = now_us;
+	bool sole = cells_is_sole(cells, now_us);
 	const struct cells_host *host;
 
 	TAILQ_FOREACH (host, &cells->local_zone->hosts, entry) {
 		if (host->confirmed_boot_us < confirmed_us)
 			confirmed_us = host->confirmed_boot_us;
 	}
-	sched_confirm_holder(sched, confirmed_us);
-	if (sched_awaits_owner(sched) || sched_awaits_confirmation(sched) ||
+	if (!sole ||
+	    now_us - cells->owner_heard_boot_us >
+		CELLS_STORE_SILENT_MS * CELLS_US_PER_MS)
+		sched_confirm_holder(sched, confirmed_us);
+	if (sole || sched_awaits_owner(sched) ||
+	    sched_awaits_confirmation(sched) ||
 	    sched_holder_age_ms(sched) > CELLS_CONFIRMED_AGE_MS)
 		cells_read_owner(cells, CELLS_OWNER_READ_MS);
 }
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -74,6 +74,7 @@
 	uint32_t call_ms;    /* round trip of a call between hosts */
 	uint32_t lost_reads; /* so many next reads have no reply */
 	uint32_t store_ms;   /* duration of a read of the owner row */
+	bool store_fences;   /* a read shows a holder that it was replaced */
 	uint32_t stall_ms;   /* no host runs for this time in each step */
 	bool hold_calls;     /* calls don't arrive until net_deliver() */
 	enum err_code lost;  /* of calls that don't arrive */
@@ -437,6 +438,10 @@
 		net->owner_reads++;
 		cells_owner_read(host->cells, read->sent_boot_us,
 		    !read->lost && token != 0 && token == *owner);
+		/* As jstore_owner_checked() does. */
+		if (net->store_fences && !read->lost && token != 0 &&
+		    token < *owner && token == sched_token(host->sched))
+			cells_fenced(host->cells);
 	}
 }
 
@@ -957,6 +962,74 @@
 	net_expect_one_run_at_a_time(LASTING_JOB);
 }
 
+/* Runs until the host is the holder. */
+static void
+host_await_holder(struct host *host)
+{
+	int ms;
+
+	for (ms = 0; sched_token(host->sched) == 0 && ms < 3000; ms += 10)
+		net_run(host->net, 10);
+	cr_assert_neq(sched_token(host->sched), 0);
+}
+
+/* The holder has dropped the other host, and would confirm itself. */
+Test(cells, no_second_run_while_a_holder_does_not_know_its_successor)
+{
+	struct net *net = net_create_pair();
+	struct host *former = &net->hosts[0], *successor = &net->hosts[1];
+	uint32_t busy;
+
+	net->store_fences = true;
+	host_submit(former, PLAIN_JOB, false);
+	net_run(net, 500);
+	busy = net_busy_servers(net);
+	cr_assert_neq(busy, 0);
+	cells_host_remove(former->cells, "h1");
+	net_isolate(net, 0, true);
+	fake_worker_faults(successor->own_worker)->unreachable_mask = busy;
+	host_await_holder(successor);
+	host_read_servers(successor);
+	host_submit(successor, PLAIN_JOB, true);
+	net_run(net, PARTITION_MS);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	net_destroy(net);
+}
+
+/* The store takes up to 800 ms for a read, the limit of a call. */
+Test(cells, only_host_of_a_zone_steps_down_although_the_store_is_slow)
+{
+	struct net *net = net_create_pair();
+	struct host *former = &net->hosts[0];
+
+	net->store_fences = true;
+	cells_host_remove(former->cells, "h1");
+	net_isolate(net, 0, true);
+	net_run(net, 1000);
+	net->store_ms = 790;
+	net_run(net, 3000);
+	host_await_holder(&net->hosts[1]);
+	net_run(net, 1400);
+	cr_expect_not(sched_holder_confirmed(former->sched));
+	net_destroy(net);
+}
+
+/* The pause of the only host is no silence of the store. */
+Test(cells, only_host_of_a_zone_asks_the_store_after_a_pause)
+{
+	struct net *net = net_create_servers(1, 1, NSERVERS);
+
+	net_run(net, 3000);
+	net->store_ms = 300;
+	sim_time_advance(1500);
+	net_run(net, 200);
+	cr_expect_not(sched_holder_confirmed(net->hosts[0].sched));
+	net_run(net, 400);
+	cr_expect(sched_holder_confirmed(net->hosts[0].sched));
+	net_destroy(net);
+}
+
 /* The zone is split, step by step: the server that runs the task, and the other
  * host, which goes on with the run, are cut off from the holder and the other
  * servers. The holder is within its lease. */
@@ -1520,17 +1593,6 @@
 	    submission);
 }
 
-/* Runs until the host is the holder. */
-static void
-host_await_holder(struct host *host)
-{
-	int ms;
-
-	for (ms = 0; sched_token(host->sched) == 0 && ms < 3000; ms += 10)
-		net_run(host->net, 10);
-	cr_assert_neq(sched_token(host->sched), 0);
-}
-
 /* The sender takes over, starts the job and is replaced in turn. */
 Test(cells, job_sent_before_two_take_overs_is_not_started_after_them)
 {
