--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -453,7 +453,7 @@
 
 	for (i = 0; i < net->nhosts; i++) {
 		for (j = 0; j < net->nhosts; j++) {
-			if (net->connected[i][j] &&
+			if (net->connected[i][j] && !net->hold_calls &&
 			    now_us - net->alive_us[i][j] >=
 				HEARTBEAT_MS * UINT64_C(1000))
 				net->alive_us[i][j] = now_us;
@@ -1439,9 +1439,9 @@
 	net_destroy(net);
 }
 
-/* A best-effort job of one task. */
 static void
-host_submit_best_effort(struct host *host, const char *body, bool resubmitted)
+host_submit_id(struct host *host, const char *id, const char *body,
+    bool resubmitted)
 {
 	struct sched_request request = {
 		.queue = { .name = "q",
@@ -1454,11 +1454,34 @@
 	};
 	struct err err;
 
-	cr_assert_eq(job_parse(&request.spec, ID, body, strlen(body), &err), 0,
+	cr_assert_eq(job_parse(&request.spec, id, body, strlen(body), &err), 0,
 	    "%s", err.message);
 	sched_submit(host->sched, &request, ignore_result, host);
 }
 
+/* A best-effort job of one task. */
+static void
+host_submit_best_effort(struct host *host, const char *body, bool resubmitted)
+{
+	host_submit_id(host, ID, body, resubmitted);
+}
+
+/* Leaves too little room for another job on three servers. */
+static void
+host_fill_servers(struct host *host)
+{
+	static const char *const ids[] = { "5c0e7a21d94b3600",
+		"5c0e7a21d94b3601", "5c0e7a21d94b3602" };
+	size_t i;
+
+	for (i = 0; i < sizeof(ids) / sizeof(ids[0]); i++)
+		host_submit_id(host, ids[i],
+		    "{\"spec\":\"cpu=40000 ms=600 fail=0\",\"best_effort\":"
+		    "true,\"steps\":[{\"count\":1,\"cpu\":40000,"
+		    "\"mem_mb\":64,\"estimated_ms\":600}]}",
+		    false);
+}
+
 static void
 host_submit_short(struct host *host, bool resubmitted)
 {
@@ -1647,6 +1670,52 @@
 	wm_crash(&net->cluster.servers[3]);
 }
 
+/* The holder has a job of the other host that waits for a server. It loses its
+ * paths to that host and to all servers but s3, whose row no host has read yet.
+ * The other host takes over and starts the job. */
+static void
+net_pass_on_waiting_job(struct net *net, struct submission submissions[2])
+{
+	struct host *former = &net->hosts[0], *successor = &net->hosts[1];
+	int ms;
+
+	sched_server_remove(former->sched, "s3");
+	sched_server_remove(successor->sched, "s3");
+	net_run(net, 100);
+	host_fill_servers(former);
+	host_submit_to(successor, "h0", false, &submissions[0]);
+	net_run(net, 20);
+	cr_assert_eq(net_busy_servers(net), 7);
+	net->store_fences = true;
+	net->hold_calls = true;
+	fake_worker_faults(net->worker)->unreachable_mask = ~8U;
+	host_await_holder(successor);
+	/* Its claim is stored, and it has read the rows of servers. */
+	sched_confirm_owner(successor->sched, clock_boot_us(clock_real()));
+	sched_servers_refreshed(successor->sched);
+	host_submit_to(successor, "h1", true, &submissions[1]);
+	for (ms = 0; wm_task(&net->cluster, ID ".0.0.0") == NULL && ms < 500;
+	     ms += 10)
+		net_run(net, 10);
+	cr_assert_not_null(wm_task(&net->cluster, ID ".0.0.0"));
+	cr_assert(sched_holder_confirmed(former->sched));
+}
+
+/* The former holder reads the row of a new server first. */
+Test(cells,
+    no_second_run_beside_one_on_a_server_that_the_successor_does_not_know)
+{
+	struct net *net = net_create_pair();
+	struct submission submissions[2];
+
+	net_pass_on_waiting_job(net, submissions);
+	host_read_servers(&net->hosts[0]);
+	net_run(net, 5000);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	net_destroy(net);
+}
+
 /* An unconfirmed holder does not pass its jobs on, but their hosts do. */
 Test(cells, no_second_run_beside_one_on_a_server_that_restarted_since_its_list)
 {
