--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -76,6 +76,7 @@
 	uint32_t call_ms;    /* round trip of a call between hosts */
 	uint32_t lost_reads; /* so many next reads have no reply */
 	uint32_t store_ms;   /* duration of a read of the owner row */
+	bool store_fences;   /* a read shows a holder that it was replaced */
 	uint32_t stall_ms;   /* no host runs for this time in each step */
 	bool hold_calls;     /* calls don't arrive until net_deliver() */
 	enum err_code lost;  /* of calls that don't arrive */
@@ -450,6 +451,10 @@
 		net->owner_reads++;
 		cells_owner_read(host->cells, read->sent_boot_us,
 		    !read->lost && token != 0 && token == *owner);
+		/* As jstore_owner_checked() does. */
+		if (net->store_fences && !read->lost && token != 0 &&
+		    token < *owner && token == sched_token(host->sched))
+			cells_fenced(host->cells);
 	}
 }
 
@@ -461,7 +466,7 @@
 
 	for (i = 0; i < net->nhosts; i++) {
 		for (j = 0; j < net->nhosts; j++) {
-			if (net->connected[i][j] &&
+			if (net->connected[i][j] && !net->hold_calls &&
 			    now_us - net->alive_us[i][j] >=
 				HEARTBEAT_MS * UINT64_C(1000))
 				net->alive_us[i][j] = now_us;
@@ -970,6 +975,74 @@
 	net_expect_one_run_at_a_time(LASTING_JOB);
 }
 
+/* Runs until the host is the holder. */
+static void
+host_await_holder(struct host *host)
+{
+	int ms;
+
+	for (ms = 0; sched_token(host->sched) == 0 && ms < 3000; ms += 10)
+		net_run(host->net, 10);
+	cr_assert_neq(sched_token(host->sched), 0);
+}
+
+/* The holder has dropped the other host, and would confirm itself. */
+Test(cells, no_second_run_while_a_holder_does_not_know_its_successor)
+{
+	struct net *net = net_create_pair();
+	struct host *former = &net->hosts[0], *successor = &net->hosts[1];
+	uint32_t busy;
+
+	net->store_fences = true;
+	host_submit(former, PLAIN_JOB, false);
+	net_run(net, 500);
+	busy = net_busy_servers(net);
+	cr_assert_neq(busy, 0);
+	cells_host_remove(former->cells, "h1");
+	net_isolate(net, 0, true);
+	fake_worker_faults(successor->own_worker)->unreachable_mask = busy;
+	host_await_holder(successor);
+	host_read_servers(successor);
+	host_submit(successor, PLAIN_JOB, true);
+	net_run(net, PARTITION_MS);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	net_destroy(net);
+}
+
+/* The store takes up to 800 ms for a read, the limit of a call. */
+Test(cells, only_host_of_a_zone_steps_down_although_the_store_is_slow)
+{
+	struct net *net = net_create_pair();
+	struct host *former = &net->hosts[0];
+
+	net->store_fences = true;
+	cells_host_remove(former->cells, "h1");
+	net_isolate(net, 0, true);
+	net_run(net, 1000);
+	net->store_ms = 790;
+	net_run(net, 3000);
+	host_await_holder(&net->hosts[1]);
+	net_run(net, 1400);
+	cr_expect_not(sched_holder_confirmed(former->sched));
+	net_destroy(net);
+}
+
+/* The pause of the only host is no silence of the store. */
+Test(cells, only_host_of_a_zone_asks_the_store_after_a_pause)
+{
+	struct net *net = net_create_servers(1, 1, NSERVERS);
+
+	net_run(net, 3000);
+	net->store_ms = 300;
+	sim_time_advance(1500);
+	net_run(net, 200);
+	cr_expect_not(sched_holder_confirmed(net->hosts[0].sched));
+	net_run(net, 400);
+	cr_expect(sched_holder_confirmed(net->hosts[0].sched));
+	net_destroy(net);
+}
+
 /* The zone is split, step by step: the server that runs the task, and the other
  * host, which goes on with the run, are cut off from the holder and the other
  * servers. The holder is within its lease. */
@@ -1379,9 +1452,9 @@
 	net_destroy(net);
 }
 
-/* A best-effort job of one task. */
 static void
-host_submit_best_effort(struct host *host, const char *body, bool resubmitted)
+host_submit_id(struct host *host, const char *id, const char *body,
+    bool resubmitted)
 {
 	struct sched_request request = {
 		.queue = { .name = "q",
@@ -1394,11 +1467,34 @@
 	};
 	struct err err;
 
-	cr_assert_eq(job_parse(&request.spec, ID, body, strlen(body), &err), 0,
+	cr_assert_eq(job_parse(&request.spec, id, body, strlen(body), &err), 0,
 	    "%s", err.message);
 	sched_submit(host->sched, &request, ignore_result, host);
 }
 
+/* A best-effort job of one task. */
+static void
+host_submit_best_effort(struct host *host, const char *body, bool resubmitted)
+{
+	host_submit_id(host, ID, body, resubmitted);
+}
+
+/* Leaves too little room for another job on three servers. */
+static void
+host_fill_servers(struct host *host)
+{
+	static const char *const ids[] = { "5c0e7a21d94b3600",
+		"5c0e7a21d94b3601", "5c0e7a21d94b3602" };
+	size_t i;
+
+	for (i = 0; i < sizeof(ids) / sizeof(ids[0]); i++)
+		host_submit_id(host, ids[i],
+		    "{\"spec\":\"cpu=40000 ms=600 fail=0\",\"best_effort\":"
+		    "true,\"steps\":[{\"count\":1,\"cpu\":40000,"
+		    "\"mem_mb\":64,\"estimated_ms\":600}]}",
+		    false);
+}
+
 static void
 host_submit_short(struct host *host, bool resubmitted)
 {
@@ -1533,17 +1629,6 @@
 	    submission);
 }
 
-/* Runs until the host is the holder. */
-static void
-host_await_holder(struct host *host)
-{
-	int ms;
-
-	for (ms = 0; sched_token(host->sched) == 0 && ms < 3000; ms += 10)
-		net_run(host->net, 10);
-	cr_assert_neq(sched_token(host->sched), 0);
-}
-
 /* The sender takes over, starts the job and is replaced in turn. */
 Test(cells, job_sent_before_two_take_overs_is_not_started_after_them)
 {
@@ -1598,6 +1683,52 @@
 	wm_crash(&net->cluster.servers[3]);
 }
 
+/* The holder has a job of the other host that waits for a server. It loses its
+ * paths to that host and to all servers but s3, whose row no host has read yet.
+ * The other host takes over and starts the job. */
+static void
+net_pass_on_waiting_job(struct net *net, struct submission submissions[2])
+{
+	struct host *former = &net->hosts[0], *successor = &net->hosts[1];
+	int ms;
+
+	sched_server_remove(former->sched, "s3");
+	sched_server_remove(successor->sched, "s3");
+	net_run(net, 100);
+	host_fill_servers(former);
+	host_submit_to(successor, "h0", false, &submissions[0]);
+	net_run(net, 20);
+	cr_assert_eq(net_busy_servers(net), 7);
+	net->store_fences = true;
+	net->hold_calls = true;
+	fake_worker_faults(net->worker)->unreachable_mask = ~8U;
+	host_await_holder(successor);
+	/* Its claim is stored, and it has read the rows of servers. */
+	sched_confirm_owner(successor->sched, clock_boot_us(clock_real()));
+	sched_servers_refreshed(successor->sched);
+	host_submit_to(successor, "h1", true, &submissions[1]);
+	for (ms = 0; wm_task(&net->cluster, ID ".0.0.0") == NULL && ms < 500;
+	     ms += 10)
+		net_run(net, 10);
+	cr_assert_not_null(wm_task(&net->cluster, ID ".0.0.0"));
+	cr_assert(sched_holder_confirmed(former->sched));
+}
+
+/* The former holder reads the row of a new server first. */
+Test(cells,
+    no_second_run_beside_one_on_a_server_that_the_successor_does_not_know)
+{
+	struct net *net = net_create_pair();
+	struct submission submissions[2];
+
+	net_pass_on_waiting_job(net, submissions);
+	host_read_servers(&net->hosts[0]);
+	net_run(net, 5000);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	net_destroy(net);
+}
+
 /* An unconfirmed holder does not pass its jobs on, but their hosts do. */
 Test(cells, no_second_run_beside_one_on_a_server_that_restarted_since_its_list)
 {
