Tests: servers of the worker model have processes; hosts that stand still

A process has an id, a start time and a clock of its own, and another id does nothing. Calls are executed while the host that has sent them is not run. One-way paths, orders that are late by a random time, slow clocks. All are off by default.

--- a/tests/support/fake_worker.c
+++ b/tests/support/fake_worker.c
@@ -6,6 +6,7 @@
 
 #include <event2/event.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "core/mem.h"
 #include "tests/support/fake_worker.h"
@@ -19,6 +20,7 @@
 	struct fake_worker *fake;
 	struct wm_server *server;
 	size_t index;
+	char id[NAME_SIZE]; /* of the process that it was opened to */
 	bool closed;
 	TAILQ_ENTRY(worker_link) entry;
 };
@@ -36,9 +38,16 @@
 	uint64_t token;
 	uint64_t execute_ms; /* due time; 0: executed, or the request is lost */
 	uint64_t reply_due_ms; /* latest time of the reply; 0: replied */
+	bool late;	       /* no connection carries it any more */
 	bool lost;
 	bool refused; /* the server was down when the call was sent */
+	bool replied; /* the reply has arrived, and is not yet delivered */
+	uint64_t reply_order;
+	uint32_t process; /* that has executed it */
 	enum worker_verdict verdict;
+	struct worker_reply reply;
+	struct worker_run *running;
+	struct worker_ended *ended;
 	worker_done_fn done;
 	void *arg;
 	TAILQ_ENTRY(fkw_call) entry;
@@ -51,6 +60,10 @@
 	struct fake_worker_faults faults;
 	uint64_t random;
 	struct event *tick;
+	/* Of a host with an event base of its own; NULL: none. */
+	struct event *deliver;
+	struct event *host_tick;
+	uint64_t replies;
 	TAILQ_HEAD(, fkw_call) calls;
 	TAILQ_HEAD(, worker_link) links;
 };
@@ -61,63 +74,133 @@
 	return clock_now_us(fake->clock) / 1000;
 }
 
-static bool
-fkw_chance(struct fake_worker *fake, uint32_t permille)
+static uint64_t
+fkw_random(struct fake_worker *fake)
 {
 	fake->random ^= fake->random << 13;
 	fake->random ^= fake->random >> 7;
 	fake->random ^= fake->random << 17;
-	return fake->random % 1000 < permille;
+	return fake->random;
+}
+
+static bool
+fkw_chance(struct fake_worker *fake, uint32_t permille)
+{
+	return fkw_random(fake) % 1000 < permille;
+}
+
+static void
+fkw_lists_free(struct fkw_call *call)
+{
+	size_t i;
+
+	for (i = 0; i < call->reply.nrunning; i++) {
+		free((char *)call->running[i].task);
+		free((char *)call->running[i].newest_checkpoint);
+	}
+	for (i = 0; i < call->reply.nended; i++) {
+		free((char *)call->ended[i].task);
+		free((char *)call->ended[i].newest_checkpoint);
+	}
+	free(call->running);
+	free(call->ended);
 }
 
 static void
 fkw_call_free(struct fkw_call *call)
 {
 	TAILQ_REMOVE(&call->link->fake->calls, call, entry);
+	fkw_lists_free(call);
 	free(call->spec);
 	free(call->checkpoint);
 	free(call);
 }
 
+/* The model may change the runs before the reply is delivered. */
+static void
+fkw_list_runs(struct fkw_call *call)
+{
+	struct worker_reply *reply = &call->reply;
+	struct worker_ended *ended;
+	struct worker_run *run;
+	size_t i;
+
+	wm_list_runs(call->link->server, &call->running, &reply->nrunning,
+	    &call->ended, &reply->nended);
+	for (i = 0; i < reply->nrunning; i++) {
+		run = &call->running[i];
+		run->task = mem_strndup(run->task, strlen(run->task));
+		run->newest_checkpoint = mem_strndup(run->newest_checkpoint,
+		    strlen(run->newest_checkpoint));
+	}
+	for (i = 0; i < reply->nended; i++) {
+		ended = &call->ended[i];
+		ended->task = mem_strndup(ended->task, strlen(ended->task));
+		ended->newest_checkpoint = mem_strndup(ended->newest_checkpoint,
+		    strlen(ended->newest_checkpoint));
+	}
+	reply->has_lists = true;
+	reply->connection_id = call->process;
+	reply->running = call->running;
+	reply->ended = call->ended;
+}
+
+static void
+fkw_deliver(struct fkw_call *call)
+{
+	call->replied = false;
+	call->reply_due_ms = 0;
+	if (!call->link->closed)
+		call->done(call->arg, &call->reply);
+}
+
 static void
 fkw_send_reply(struct fkw_call *call, enum worker_verdict verdict,
     uint64_t now_ms)
 {
-	struct worker_reply reply = { .verdict = verdict,
-		.refused = verdict == WORKER_NO_REPLY && call->refused };
+	struct worker_reply *reply = &call->reply;
 	struct wm_server *server = call->link->server;
-	struct worker_ended *ended = NULL;
-	struct worker_run *running = NULL;
-	size_t nrunning = 0, nended = 0;
-
-	call->reply_due_ms = 0;
-	if (call->link->closed)
-		return;
-	if (verdict != WORKER_NO_REPLY) {
-		reply.has_clock = true;
-		reply.clock_ms = wm_clock_ms(server, now_ms);
-		reply.incarnation_start_ms = server->started_ms;
+	struct fake_worker *fake = call->link->fake;
+
+	reply->verdict = verdict;
+	reply->refused = verdict == WORKER_NO_REPLY && call->refused;
+	if (verdict != WORKER_NO_REPLY && verdict != WORKER_NOT_SENT) {
+		reply->has_clock = true;
+		reply->clock_ms = wm_clock_ms(server, now_ms);
+		if (!fake->faults.starts_in_lists)
+			reply->incarnation_start_ms = server->started_ms;
 	}
 	if (call->kind == FKW_HOLD && verdict == WORKER_OK) {
-		wm_list_runs(server, &running, &nrunning, &ended, &nended);
-		reply.has_lists = true;
-		reply.connection_id = 1;
-		reply.running = running;
-		reply.nrunning = nrunning;
-		reply.ended = ended;
-		reply.nended = nended;
+		reply->incarnation_start_ms = server->started_ms;
+		fkw_list_runs(call);
 	}
-	call->done(call->arg, &reply);
-	free(running);
-	free(ended);
+	call->replied = true;
+	call->reply_order =
+	    fake->faults.replies_overtake ? fkw_random(fake) : ++fake->replies;
+	if (fake->deliver != NULL)
+		event_active(fake->deliver, EV_READ, 0);
+	else
+		fkw_deliver(call);
 }
 
 static void
 fkw_execute(struct fkw_call *call, uint64_t now_ms)
 {
 	struct wm_server *server = call->link->server;
+	char id[NAME_SIZE];
 
 	call->execute_ms = 0;
+	call->process = server->process;
+	wm_id(server, id);
+	if (strcmp(id, call->link->id) != 0) {
+		call->verdict = WORKER_OTHER_INCARNATION;
+		return;
+	}
+	if (call->kind == FKW_HOLD && call->hold.connection_id != 0 &&
+	    call->hold.connection_id != server->process) {
+		call->verdict = WORKER_NOT_SENT;
+		return;
+	}
 	if ((call->link->fake->faults.replaced_mask >> call->link->index & 1) !=
 	    0) {
 		call->verdict = WORKER_OTHER_INCARNATION;
@@ -160,47 +243,163 @@
 }
 
 static void
-fkw_call_advance(struct fkw_call *call, uint64_t now_ms)
+fkw_lose(struct fkw_call *call, uint64_t now_ms, bool at_once)
 {
+	call->lost = true;
+	if (at_once && call->reply_due_ms != 0 && !call->replied)
+		call->reply_due_ms = now_ms;
+}
+
+/* Loses the calls whose connection is reset. */
+static void
+fkw_check_connection(struct fkw_call *call, uint64_t now_ms)
+{
+	const struct wm_server *server = call->link->server;
+	bool reset = !call->link->fake->faults.crashed_are_silent;
+
+	if (call->late) {
+		if (call->execute_ms != 0 && now_ms >= call->execute_ms &&
+		    wm_is_down(server, now_ms))
+			call->execute_ms = 0;
+		return;
+	}
 	if (fkw_refusing(call->link) && call->reply_due_ms != 0) {
 		call->execute_ms = 0;
-		call->lost = true;
-		call->reply_due_ms = now_ms;
+		fkw_lose(call, now_ms, true);
 	}
-	if (wm_is_down(call->link->server, now_ms)) {
+	if (wm_is_down(server, now_ms)) {
 		call->execute_ms = 0;
-		call->lost = true;
-		if (!call->link->fake->faults.crashed_are_silent &&
-		    call->reply_due_ms != 0)
-			call->reply_due_ms = now_ms;
+		fkw_lose(call, now_ms, reset);
 	}
+	if (call->process != 0 && call->process != server->process)
+		fkw_lose(call, now_ms, reset);
+}
+
+/* Executes a call, and sends its reply. */
+static void
+fkw_call_advance(struct fkw_call *call, uint64_t now_ms)
+{
+	struct fake_worker *fake = call->link->fake;
+
+	fkw_check_connection(call, now_ms);
 	if (call->execute_ms != 0 && now_ms >= call->execute_ms)
 		fkw_execute(call, now_ms);
-	if (call->reply_due_ms == 0)
+	if (call->reply_due_ms == 0 || call->replied || call->lost ||
+	    call->execute_ms != 0 || !fkw_reply_due(call, now_ms))
 		return;
-	if (call->execute_ms == 0 && !call->lost && fkw_reply_due(call, now_ms))
+	if ((fake->faults.replies_lost_mask >> call->link->index & 1) != 0)
+		call->lost = true;
+	else
 		fkw_send_reply(call, call->verdict, now_ms);
-	else if (now_ms >= call->reply_due_ms)
-		fkw_send_reply(call, WORKER_NO_REPLY, now_ms);
 }
 
 static void
-fkw_tick(evutil_socket_t fd, short what, void *arg)
+fkw_call_time_out(struct fkw_call *call, uint64_t now_ms)
+{
+	struct worker_reply *reply = &call->reply;
+
+	if (call->reply_due_ms == 0 || call->replied ||
+	    now_ms < call->reply_due_ms)
+		return;
+	reply->verdict = WORKER_NO_REPLY;
+	reply->refused = call->refused;
+	fkw_deliver(call);
+}
+
+static void
+fkw_free_calls(struct fake_worker *fake)
 {
-	struct fake_worker *fake = arg;
-	uint64_t now_ms = fkw_now_ms(fake);
+	struct fkw_call *call, *next;
+
+	TAILQ_FOREACH_SAFE (call, &fake->calls, entry, next) {
+		if (call->execute_ms == 0 && call->reply_due_ms == 0)
+			fkw_call_free(call);
+	}
+}
+
+void
+fake_worker_advance(struct worker *worker, uint64_t now_ms)
+{
+	struct fake_worker *fake = (struct fake_worker *)worker;
 	struct fkw_call *call, *next;
 	size_t i;
 
-	(void)fd;
-	(void)what;
 	for (i = 0; i < fake->cluster->nservers; i++)
 		(void)wm_advance(&fake->cluster->servers[i], now_ms);
 	TAILQ_FOREACH_SAFE (call, &fake->calls, entry, next) {
 		fkw_call_advance(call, now_ms);
-		if (call->execute_ms == 0 && call->reply_due_ms == 0)
-			fkw_call_free(call);
+		if (fake->deliver == NULL)
+			fkw_call_time_out(call, now_ms);
+	}
+	fkw_free_calls(fake);
+}
+
+static void
+fkw_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct fake_worker *fake = arg;
+
+	(void)fd;
+	(void)what;
+	fake_worker_advance(&fake->port, fkw_now_ms(fake));
+}
+
+/* Runs on the host's event base, as a timer. */
+static void
+fkw_host_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct fake_worker *fake = arg;
+	uint64_t now_ms = fkw_now_ms(fake);
+	struct fkw_call *call, *next;
+
+	(void)fd;
+	(void)what;
+	TAILQ_FOREACH_SAFE (call, &fake->calls, entry, next)
+		fkw_call_time_out(call, now_ms);
+	fkw_free_calls(fake);
+}
+
+static struct fkw_call *
+fkw_first_reply(struct fake_worker *fake)
+{
+	struct fkw_call *call, *first = NULL;
+
+	TAILQ_FOREACH (call, &fake->calls, entry) {
+		if (call->replied &&
+		    (first == NULL || call->reply_order < first->reply_order))
+			first = call;
 	}
+	return first;
+}
+
+/* Runs on the host's event base, before timers that are due. */
+static void
+fkw_host_read(evutil_socket_t fd, short what, void *arg)
+{
+	struct fake_worker *fake = arg;
+	struct fkw_call *call;
+
+	(void)fd;
+	(void)what;
+	while ((call = fkw_first_reply(fake)) != NULL)
+		fkw_deliver(call);
+	fkw_free_calls(fake);
+}
+
+static void
+fkw_call_make_late(struct fkw_call *call, uint64_t now_ms)
+{
+	struct fake_worker *fake = call->link->fake;
+	const struct fake_worker_faults *faults = &fake->faults;
+	uint32_t permille = call->kind == FKW_HOLD ? faults->late_hold_permille
+						   : faults->late_permille;
+
+	if (permille == 0 || !fkw_chance(fake, permille))
+		return;
+	call->late = true;
+	call->lost = true;
+	call->execute_ms = now_ms + faults->late_min_ms +
+	    fkw_random(fake) % (faults->late_max_ms - faults->late_min_ms + 1);
 }
 
 static struct fkw_call *
@@ -229,7 +428,10 @@
 		call->execute_ms = 0;
 		call->lost = true;
 		call->refused = true;
-	} else if ((fake->faults.unreachable_mask >> link->index & 1) != 0) {
+	} else if (((fake->faults.unreachable_mask |
+			fake->faults.requests_lost_mask) >>
+			   link->index &
+		       1) != 0) {
 		call->execute_ms = 0;
 		call->lost = true;
 	} else if (kind == FKW_HOLD &&
@@ -243,6 +445,8 @@
 	} else {
 		call->lost = fkw_chance(fake, fake->faults.reply_lost_permille);
 	}
+	if (call->execute_ms != 0)
+		fkw_call_make_late(call, now_ms);
 	TAILQ_INSERT_TAIL(&fake->calls, call, entry);
 	return call;
 }
@@ -298,6 +502,7 @@
 	link->fake = fake;
 	link->index = (size_t)atoi(address->id + 1);
 	link->server = &fake->cluster->servers[link->index];
+	strlcpy(link->id, address->id, sizeof(link->id));
 	TAILQ_INSERT_TAIL(&fake->links, link, entry);
 	return link;
 }
@@ -316,11 +521,20 @@
 	.hold = fkw_hold,
 };
 
-struct worker *
-fake_worker_create(struct event_base *base, struct clock *clock,
-    struct wm_cluster *cluster, uint64_t seed)
+static struct event *
+fkw_timer_new(struct event_base *base, event_callback_fn fn,
+    struct fake_worker *fake)
 {
 	const struct timeval interval = { .tv_usec = FKW_TICK_MS * 1000 };
+	struct event *timer = event_new(base, -1, EV_PERSIST, fn, fake);
+
+	(void)event_add(timer, &interval);
+	return timer;
+}
+
+static struct fake_worker *
+fkw_create(struct clock *clock, struct wm_cluster *cluster, uint64_t seed)
+{
 	struct fake_worker *fake = mem_zalloc(1, sizeof(*fake));
 
 	fake->port.ops = &fkw_ops;
@@ -329,8 +543,29 @@
 	fake->random = seed * 2654435761U + 1;
 	TAILQ_INIT(&fake->calls);
 	TAILQ_INIT(&fake->links);
-	fake->tick = event_new(base, -1, EV_PERSIST, fkw_tick, fake);
-	(void)event_add(fake->tick, &interval);
+	return fake;
+}
+
+struct worker *
+fake_worker_create(struct event_base *base, struct clock *clock,
+    struct wm_cluster *cluster, uint64_t seed)
+{
+	struct fake_worker *fake = fkw_create(clock, cluster, seed);
+
+	fake->tick = fkw_timer_new(base, fkw_tick, fake);
+	return &fake->port;
+}
+
+struct worker *
+fake_worker_create_split(struct event_base *world, struct event_base *host,
+    struct clock *clock, struct wm_cluster *cluster, uint64_t seed)
+{
+	struct fake_worker *fake = fkw_create(clock, cluster, seed);
+
+	if (world != NULL)
+		fake->tick = fkw_timer_new(world, fkw_tick, fake);
+	fake->host_tick = fkw_timer_new(host, fkw_host_tick, fake);
+	fake->deliver = event_new(host, -1, 0, fkw_host_read, fake);
 	return &fake->port;
 }
 
@@ -353,6 +588,11 @@
 		TAILQ_REMOVE(&fake->links, link, entry);
 		free(link);
 	}
-	event_free(fake->tick);
+	if (fake->tick != NULL)
+		event_free(fake->tick);
+	if (fake->deliver != NULL) {
+		event_free(fake->host_tick);
+		event_free(fake->deliver);
+	}
 	free(fake);
 }
--- a/tests/support/worker_model.c
+++ b/tests/support/worker_model.c
@@ -15,7 +15,7 @@
 #define WM_STOP_GRACE_MS 20
 #define WM_GANG_TIMEOUT_MS 400
 #define WM_CRASH_MS 10	/* from the start of a run that crashes its server */
-#define WM_DOWN_MS 3300 /* until a crashed server is back */
+#define WM_DOWN_MS 3300 /* default */
 #define WM_CRASHES_MAX 3
 #define WM_STARTS_AFTER_CRASHES 3
 #define WM_NEVER UINT64_MAX
@@ -28,6 +28,7 @@
 	memset(cluster, 0, sizeof(*cluster));
 	LIST_INIT(&cluster->tasks);
 	cluster->max_lease_ms = 1000;
+	cluster->down_ms = WM_DOWN_MS;
 	cluster->nservers = nservers;
 	cluster->servers = mem_zalloc(nservers, sizeof(*cluster->servers));
 	for (i = 0; i < nservers; i++) {
@@ -37,6 +38,8 @@
 		cluster->servers[i].next_number = 1;
 		cluster->servers[i].guards_cpu = true;
 		cluster->servers[i].started_ms = 1;
+		cluster->servers[i].process = 1;
+		cluster->servers[i].clock_permille = 1000;
 		TAILQ_INIT(&cluster->servers[i].running);
 		TAILQ_INIT(&cluster->servers[i].ended);
 	}
@@ -112,7 +115,31 @@
 uint64_t
 wm_clock_ms(const struct wm_server *server, uint64_t now_ms)
 {
-	return now_ms + (uint64_t)server->skew_ms;
+	uint64_t age_ms =
+	    now_ms > server->clock_zero_ms ? now_ms - server->clock_zero_ms : 0;
+
+	return age_ms * server->clock_permille / 1000 +
+	    (uint64_t)server->skew_ms;
+}
+
+void
+wm_set_clock_speed(struct wm_server *server, uint64_t now_ms, uint32_t permille)
+{
+	server->skew_ms = (int64_t)wm_clock_ms(server, now_ms);
+	server->clock_zero_ms = now_ms;
+	server->clock_permille = permille;
+}
+
+void
+wm_id(const struct wm_server *server, char *id)
+{
+	size_t index = (size_t)(server - server->cluster->servers);
+
+	if (server->id_suffix == 0)
+		(void)snprintf(id, NAME_SIZE, "s%zu", index);
+	else
+		(void)snprintf(id, NAME_SIZE, "s%zu-%" PRIu32, index,
+		    server->id_suffix);
 }
 
 /* Calls @each for all other runs of the same gang. */
@@ -232,6 +259,23 @@
 	server->started_ms++;
 }
 
+void
+wm_restart(struct wm_server *server, uint64_t now_ms, uint32_t down_ms,
+    enum wm_restart_kind kind)
+{
+	wm_crash(server);
+	server->process++;
+	server->down_until_ms = now_ms + down_ms;
+	if (kind == WM_RESTART_CLOCK_KEPT)
+		return;
+	server->skew_ms = 0;
+	server->clock_zero_ms = now_ms + down_ms;
+	if (server->started_ms < server->clock_zero_ms)
+		server->started_ms = server->clock_zero_ms;
+	if (kind == WM_RESTART_NEW_ID)
+		server->id_suffix = server->process;
+}
+
 bool
 wm_is_down(const struct wm_server *server, uint64_t now_ms)
 {
@@ -248,8 +292,8 @@
 		if (run->crash_ms == 0 || now_ms < run->crash_ms)
 			continue;
 		wm_task_get(server->cluster, run->task)->crashes++;
-		server->down_until_ms = now_ms + WM_DOWN_MS;
-		wm_crash(server);
+		wm_restart(server, now_ms, server->cluster->down_ms,
+		    server->cluster->restart_kind);
 		return true;
 	}
 	return false;
--- a/tests/support/worker_model.h
+++ b/tests/support/worker_model.h
@@ -23,8 +23,18 @@
  * makes progress while all its members run with the same run id. They complete
  * together; any other end of a member also ends the runs of the others. The
  * task whose name ends with NAME crashes each server that starts it.
+ *
+ * A server is an address, at which one process after the other runs (see
+ * wm_restart()). The id of the first process of server N is "sN".
  */
 
+/** enum wm_restart_kind - what a process keeps of the one before it. */
+enum wm_restart_kind {
+	WM_RESTART_CLOCK_KEPT, /* its id and its clock */
+	WM_RESTART_SAME_ID,    /* its id; the clock starts at 0 */
+	WM_RESTART_NEW_ID,     /* nothing; its id is "sN-2", "sN-3" ... */
+};
+
 /** struct wm_run - a run, or the record of an ended one. */
 struct wm_run {
 	char task[WORKER_TASK_NAME_SIZE];
@@ -57,17 +67,21 @@
 	struct wm_runs ended;
 	uint64_t token;
 	uint64_t next_number;
-	uint64_t lease_end_ms;	/* expiry on the server's clock; 0: no lease */
-	int64_t skew_ms;	/* of the server's clock */
-	uint32_t cpu;		/* thousandths of a core */
-	uint32_t used_cpu;	/* thousandths of a core */
-	uint32_t speed;		/* thousandths of the nominal speed */
-	bool hangs;		/* runs make no progress */
-	bool failing;		/* all runs fail immediately */
-	bool guards_cpu;	/* starts that overcommit it are refused */
-	uint64_t started_ms;	/* number of the incarnation, from 1 */
-	uint64_t down_until_ms; /* crashed; 0: up */
-	uint32_t overcommits;	/* starts that have overcommitted the CPU */
+	uint64_t lease_end_ms;	 /* expiry on the server's clock; 0: no lease */
+	int64_t skew_ms;	 /* of the server's clock */
+	uint64_t clock_zero_ms;	 /* when the clock without skew was at 0 */
+	uint32_t clock_permille; /* speed of the clock */
+	uint32_t cpu;		 /* thousandths of a core */
+	uint32_t used_cpu;	 /* thousandths of a core */
+	uint32_t speed;		 /* thousandths of the nominal speed */
+	bool hangs;		 /* runs make no progress */
+	bool failing;		 /* all runs fail immediately */
+	bool guards_cpu;	 /* starts that overcommit it are refused */
+	uint64_t started_ms;	 /* start time that the process reports */
+	uint32_t process;	 /* number of the process, from 1 */
+	uint32_t id_suffix;	 /* of the process; 0: none */
+	uint64_t down_until_ms;	 /* crashed; 0: up */
+	uint32_t overcommits;	 /* starts that have overcommitted the CPU */
 	uint64_t starts;
 	uint64_t holds;
 };
@@ -90,6 +104,9 @@
 	struct wm_server *servers;
 	size_t nservers;
 	uint32_t max_lease_ms;
+	/* Of servers that a task crashes. */
+	uint32_t down_ms;
+	enum wm_restart_kind restart_kind;
 	bool checkpoints; /* runs report checkpoints */
 	/* Starts on server N need the ticket "tN", and are refused if bit N of
 	 * denied_servers_mask is set. */
@@ -117,6 +134,20 @@
 /** wm_crash() - end all runs of the server and clear its state. */
 void wm_crash(struct wm_server *server);
 
+/**
+ * wm_restart() - crash the server; the next process at its address runs after
+ * @down_ms.
+ */
+void wm_restart(struct wm_server *server, uint64_t now_ms, uint32_t down_ms,
+    enum wm_restart_kind kind);
+
+/** wm_id() - write the id of the process to @id, of NAME_SIZE. */
+void wm_id(const struct wm_server *server, char *id);
+
+/** wm_set_clock_speed() - the clock goes on at @permille of the usual speed. */
+void wm_set_clock_speed(struct wm_server *server, uint64_t now_ms,
+    uint32_t permille);
+
 /** wm_is_down() - whether the server has crashed and is not back yet. */
 bool wm_is_down(const struct wm_server *server, uint64_t now_ms);
 
