--- a/tests/support/fake_worker.c
+++ b/tests/support/fake_worker.c
@@ -196,11 +196,6 @@
 		call->verdict = WORKER_OTHER_INCARNATION;
 		return;
 	}
-	if (call->kind == FKW_HOLD && call->hold.connection_id != 0 &&
-	    call->hold.connection_id != server->process) {
-		call->verdict = WORKER_NOT_SENT;
-		return;
-	}
 	if ((call->link->fake->faults.replaced_mask >> call->link->index & 1) !=
 	    0) {
 		call->verdict = WORKER_OTHER_INCARNATION;
@@ -491,6 +486,14 @@
 	    fkw_call(link, FKW_HOLD, hold->wait_ms, done, arg);
 
 	call->hold = *hold;
+	if (hold->connection_id == 0 || call->execute_ms == 0 ||
+	    hold->connection_id == link->server->process)
+		return;
+	/* The connection to the former process is closed. */
+	call->execute_ms = 0;
+	call->lost = false;
+	call->late = false;
+	call->verdict = WORKER_NOT_SENT;
 }
 
 static struct worker_link *
--- a/tests/test_worker_model.c
+++ b/tests/test_worker_model.c
@@ -302,6 +302,25 @@
 	rig_destroy(rig);
 }
 
+Test(worker_model, late_hold_extends_the_lease_of_the_next_process)
+{
+	struct rig *rig = rig_create();
+	struct wm_server *server = &rig->cluster.servers[0];
+	const struct worker_hold hold = { .token = 1,
+		.connection_id = 1,
+		.deadline_ms = wm_clock_ms(server, rig_now_ms()) + LEASE_MS };
+
+	rig->faults->late_hold_permille = 1000;
+	rig->faults->late_min_ms = rig->faults->late_max_ms = 2000;
+	rig->worker->ops->hold(rig->link, &hold, rig_replied, rig);
+	wm_restart(server, rig_now_ms(), 300, WM_RESTART_SAME_ID);
+	rig_run(rig, 2010);
+	cr_expect_eq(server->holds, 1);
+	cr_expect_gt(server->lease_end_ms, 1700 + LEASE_MS - 20);
+	cr_expect_leq(server->lease_end_ms, 1710 + LEASE_MS);
+	rig_destroy(rig);
+}
+
 Test(worker_model, hold_that_waits_is_lost_with_its_process)
 {
 	const struct worker_hold hold = { .token = 1, .wait_ms = 500 };
