--- a/tests/support/memory_rows.c
+++ b/tests/support/memory_rows.c
@@ -36,6 +36,10 @@
 	}
 	if (row == NULL)
 		errx(1, "memory rows: the table is full");
+	if (write->value == NULL) {
+		row->version = 0;
+		return;
+	}
 	row->part = part;
 	strlcpy(row->key, write->key, sizeof(row->key));
 	if (write->value_len >= MROWS_VALUE_BYTES_MAX)
--- a/tests/support/memory_rows.h
+++ b/tests/support/memory_rows.h
@@ -10,7 +10,7 @@
  * lost requests, and one write and one read that can be deferred.
  */
 
-#define MROWS_ROWS_MAX 64
+#define MROWS_ROWS_MAX 256
 #define MROWS_VALUE_BYTES_MAX 4096
 
 /** struct memory_rows - the store of all hosts; callbacks run in the call. */
--- a/tests/support/sim_time.c
+++ b/tests/support/sim_time.c
@@ -18,6 +18,7 @@
 /* Of the thread that called sim_time_start(): the threads of the test library
  * need the real clocks. */
 static _Thread_local bool sim_active;
+static bool sim_stepped; /* by sim_time_advance() alone */
 static int64_t sim_real_ns, sim_monotonic_ns, sim_boot_ns;
 
 static int64_t
@@ -40,6 +41,14 @@
 	sim_active = true;
 }
 
+void
+sim_time_start_at(uint64_t ms)
+{
+	sim_real_ns = sim_monotonic_ns = sim_boot_ns =
+	    (int64_t)ms * SIM_NS_PER_MS;
+	sim_active = sim_stepped = true;
+}
+
 void
 sim_time_suspend(uint32_t ms)
 {
@@ -86,6 +95,8 @@
 	if (!sim_active)
 		return (int)syscall(SYS_epoll_pwait, epfd, events, nevents,
 		    timeout_ms, NULL, 0);
+	if (sim_stepped)
+		return 0;
 	n = (int)syscall(SYS_epoll_pwait, epfd, events, nevents, 0, NULL, 0);
 	if (n == 0 && timeout_ms > 0)
 		sim_time_advance((uint32_t)timeout_ms);
--- a/tests/support/sim_time.h
+++ b/tests/support/sim_time.h
@@ -15,6 +15,11 @@
  * values. */
 void sim_time_start(void);
 
+/** sim_time_start_at() - as sim_time_start(), but all clocks show @ms now, also
+ * if they were replaced before. Waits of event loops then return at once and
+ * the clocks proceed only by sim_time_advance(); there are no sockets. */
+void sim_time_start_at(uint64_t ms);
+
 /** sim_time_advance() - all clocks proceed by @ms, as if the process had not
  * been scheduled. */
 void sim_time_advance(uint32_t ms);
