--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -132,9 +132,30 @@
 /* The process ends; @silent: its machine has lost power. */
 void sim_peers_stop(struct sim_host *host, bool silent);
 void sim_peers_msg(struct sim_end *end, struct sim_msg *msg);
-void sim_peers_closed(struct sim_end *end);
 void sim_peers_params(struct sim_host *host, struct jsvc_params *params);
 
+struct sim_host *sim_peer(struct sim_host *host, const char *name);
+struct sim_end *sim_end_find(struct sim_host *host, size_t to,
+    uint64_t incarnation);
+struct sim_end *sim_end_find_host(struct sim_host *host, size_t to);
+struct sim_end *sim_end_dialing(struct sim_host *host, size_t to);
+void sim_peers_dial(struct sim_host *host, size_t to);
+
+/* Requests to other hosts: sim_forward.c */
+
+void sim_forward(struct peers *peers, const char *az, const char *issuer,
+    uint64_t incarnation, const struct api_request *request,
+    void (
+	*done)(void *arg, const struct api_reply *reply, const struct err *err),
+    void *arg);
+void sim_request_received(struct sim_end *end, struct sim_msg *msg);
+void sim_reply_received(struct sim_end *end, const struct sim_msg *msg);
+void sim_forwards_start(struct sim_host *host);
+void sim_forwards_stop(struct sim_host *host);
+void sim_forwards_connected(struct sim_end *end);
+void sim_forwards_closed(struct sim_end *end);
+void sim_forwards_tick(struct sim_host *host, uint64_t now_us);
+
 /* The store: sim_store.c */
 
 struct sim_store_row {
--- a/tests/sim/sim_conn.c
+++ b/tests/sim/sim_conn.c
@@ -157,7 +157,7 @@
 		}
 	}
 	sim_end_tell(end, how);
-	sim_peers_closed(end);
+	sim_forwards_closed(end);
 }
 
 static void
--- a/tests/sim/sim_store.c
+++ b/tests/sim/sim_store.c
@@ -9,65 +9,9 @@
 #include <string.h>
 
 #include "core/mem.h"
-#include "sim.h"
+#include "sim_store.h"
 
-#define SIM_POLL_WAIT_MS 2500
-#define SIM_CALL_TIMEOUT_MS 800
 #define SIM_JOB_CALL_TIMEOUT_MS 2500
-#define SIM_RETRY_MIN_MS 100
-#define SIM_RETRY_MAX_MS 800
-
-enum sim_call_kind {
-	SIM_CALL_FEED,
-	SIM_CALL_WRITE,
-	SIM_CALL_TX,
-	SIM_CALL_READ
-};
-
-struct sim_call {
-	enum sim_call_kind kind;
-	uint64_t incarnation; /* of the process that sent it */
-	uint64_t execute_ms;  /* 0: executed, or it is lost */
-	uint64_t reply_ms;    /* 0: none */
-	uint64_t timeout_ms;  /* 0: replied */
-	bool lost;	      /* it has no reply */
-	struct sim_feed *feed;
-	uint64_t since, wait_until_ms; /* of a feed */
-	bool full;
-	uint32_t part, limit;
-	struct rows_row *writes; /* owned; [0] also for a write and a read */
-	size_t nwrites;
-	enum rows_status status;
-	uint64_t version;
-	struct rows_row *found; /* owned */
-	size_t nfound;
-	bool more;
-	rows_written_fn written;
-	rows_done_fn done;
-	rows_read_fn read;
-	void *arg;
-	TAILQ_ENTRY(sim_call) entry;
-};
-
-TAILQ_HEAD(sim_calls, sim_call);
-
-struct sim_feed {
-	struct sim_rows *rows;
-	enum rows_table table;
-	bool full_read, refresh_requested, refresh_in_progress, suspended;
-	bool reading;
-	uint64_t version, next_ms; /* 0: no read is scheduled */
-	uint32_t pause_ms, retry_ms;
-};
-
-struct sim_rows {
-	struct rows port; /* first member: struct sim_rows is cast from it */
-	struct sim_host *host;
-	struct rows_listener listener;
-	struct sim_feed feeds[ROWS_NTABLES];
-	bool connected;
-	struct sim_calls calls;
-};
 
 /* Calls of processes that have ended; what their callbacks would free stays
  * reachable. */
@@ -133,7 +77,7 @@
 	call->nwrites = call->nfound = 0;
 }
 
-static struct sim_call *
+struct sim_call *
 sim_call_create(struct sim_rows *rows, enum sim_call_kind kind,
     uint32_t timeout_ms)
 {
@@ -262,103 +206,6 @@
 
 /* The host's side */
 
-static void
-sim_feed_read(struct sim_feed *feed)
-{
-	bool long_poll =
-	    feed->pause_ms == 0 && feed->retry_ms == 0 && !feed->full_read;
-	struct sim_call *call = sim_call_create(feed->rows, SIM_CALL_FEED,
-	    SIM_CALL_TIMEOUT_MS + (long_poll ? SIM_POLL_WAIT_MS : 0));
-
-	call->feed = feed;
-	call->since = feed->version;
-	call->full = feed->full_read;
-	call->wait_until_ms =
-	    long_poll ? feed->rows->host->day->now_ms + SIM_POLL_WAIT_MS : 0;
-	feed->reading = true;
-	feed->suspended = false;
-	feed->next_ms = 0;
-	if (feed->refresh_requested)
-		feed->refresh_in_progress = true;
-	feed->refresh_requested = false;
-}
-
-static bool
-sim_feed_suspends(const struct sim_feed *feed)
-{
-	return feed->pause_ms == ROWS_POLL_NEVER && !feed->refresh_requested &&
-	    !feed->refresh_in_progress;
-}
-
-static void
-sim_rows_set_connected(struct sim_rows *rows, bool connected)
-{
-	if (rows->connected == connected)
-		return;
-	rows->connected = connected;
-	rows->listener.connected(rows->listener.arg, connected);
-}
-
-static void
-sim_feed_failed(struct sim_feed *feed)
-{
-	uint64_t now_ms = feed->rows->host->day->now_ms;
-
-	if (sim_feed_suspends(feed)) {
-		feed->suspended = true;
-		return;
-	}
-	if (feed->retry_ms == 0) {
-		feed->retry_ms = SIM_RETRY_MIN_MS;
-		feed->next_ms = now_ms + 1;
-		return;
-	}
-	sim_rows_set_connected(feed->rows, false);
-	feed->next_ms = now_ms + feed->retry_ms;
-	if (feed->retry_ms < SIM_RETRY_MAX_MS)
-		feed->retry_ms *= 2;
-	/* The store may have discarded its history meanwhile. */
-	if (sim_chance(feed->rows->host->day, 50))
-		feed->full_read = true;
-}
-
-static void
-sim_feed_replied(struct sim_feed *feed, const struct sim_call *call)
-{
-	const struct rows_listener *listener = &feed->rows->listener;
-	uint64_t now_ms = feed->rows->host->day->now_ms;
-	struct rows_change change = { .table = feed->table };
-	size_t i;
-
-	feed->retry_ms = 0;
-	sim_rows_set_connected(feed->rows, true);
-	if (call->full)
-		listener->read_begin(listener->arg, feed->table);
-	for (i = 0; i < call->nfound; i++) {
-		change.key = call->found[i].key;
-		change.value = call->found[i].value;
-		change.value_len = call->found[i].value_len;
-		change.version = call->found[i].version;
-		listener->changed(listener->arg, &change);
-	}
-	feed->version = call->version;
-	feed->full_read = false;
-	if (call->full)
-		listener->read_end(listener->arg, feed->table, call->version);
-	listener->current(listener->arg, feed->table, call->version);
-	if (feed->refresh_in_progress) {
-		feed->refresh_in_progress = false;
-		listener->refreshed(listener->arg, feed->table);
-	}
-	if (sim_feed_suspends(feed))
-		feed->suspended = true;
-	else
-		feed->next_ms = now_ms +
-		    (feed->refresh_requested || feed->pause_ms == 0
-			    ? 1
-			    : feed->pause_ms);
-}
-
 static void
 sim_call_reply(struct sim_call *call, bool replied)
 {
