--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -24,8 +24,8 @@
 #define SIM_HOSTS_MAX 16
 #define SIM_SERVERS_MAX 32 /* bits of the masks of fake_worker.h */
 #define SIM_STEP_MS 2
-/* Without the letters that the model of the servers does not cover. */
-#define SIM_MIX "AABBAABBcoislrdkfpmwbe"
+/* All troubles, the first two more often. */
+#define SIM_MIX "ABABcoislrdkfpmwbexyuv"
 #define SIM_US_PER_MS UINT64_C(1000)
 
 struct event_base;
@@ -186,17 +186,23 @@
 
 /* Servers' rows: sim_servers.c */
 
+#define SIM_SERVER_IDS 4 /* rows of one server: the last processes */
+
 struct sim_server {
-	uint64_t report_ms;    /* next report */
-	uint64_t silent_ms;    /* does not reach the store until then */
-	uint64_t reported_ms;  /* last report; 0: it has no row */
-	uint64_t row_start_ms; /* number of the process that reported */
-	uint64_t heal_ms;      /* of its speed */
-	bool draining;
+	uint64_t report_ms; /* next report */
+	uint64_t silent_ms; /* does not reach the store until then */
+	uint64_t heal_ms;   /* of its speed */
+	uint64_t leaves_ms; /* drains until then; 0: does not */
+	struct sim_server_row {
+		char id[NAME_SIZE];
+		uint64_t reported_ms; /* 0: no row */
+	} rows[SIM_SERVER_IDS];
 };
 
 void sim_servers_start(struct sim_day *day);
 void sim_servers_step(struct sim_day *day);
+/* The server ends, and another process is at its address after a while. */
+void sim_server_restart(struct sim_day *day, size_t index);
 int sim_decode_server(const char *key, const char *value, size_t len,
     struct reg_server *server);
 int sim_decode_host(const char *key, const char *value, size_t len,
--- a/tests/sim/sim_day.c
+++ b/tests/sim/sim_day.c
@@ -209,7 +209,8 @@
 		    day->now_ms >= host->worker_heal_ms) {
 			host->worker_heal_ms = 0;
 			*fake_worker_faults(host->worker) =
-			    (struct fake_worker_faults){ 0 };
+			    (struct fake_worker_faults){ .replies_overtake =
+							     true };
 		}
 	}
 	if (day->now_ms >= day->slow_until_ms) {
@@ -230,8 +231,11 @@
 	sim_heal(day);
 	sim_servers_step(day);
 	sim_conn_advance(day);
-	for (i = 0; i < day->nhosts; i++)
+	for (i = 0; i < day->nhosts; i++) {
 		sim_rows_execute(day->hosts[i].rows);
+		fake_worker_advance(day->hosts[i].worker,
+		    sim_now_us() / SIM_US_PER_MS);
+	}
 	for (i = 0; i < day->nhosts; i++) {
 		day->running = day->hosts[i].name;
 		sim_host_step(&day->hosts[i]);
@@ -282,8 +286,8 @@
 		/* Never that of a process of another host. */
 		host->info.incarnation = (i + 1) * 1000;
 		host->base = event_base_new();
-		host->worker = fake_worker_create(host->base, clock_real(),
-		    &day->cluster, seed * 64 + i + 2);
+		host->worker = fake_worker_create_split(NULL, host->base,
+		    clock_real(), &day->cluster, seed * 64 + i + 2);
 		host->rows = sim_rows_create(host);
 		day->running = host->name;
 		sim_host_start(host);
--- a/tests/sim/sim_events.c
+++ b/tests/sim/sim_events.c
@@ -272,14 +272,50 @@
 sim_event_server_crash(struct sim_host *host, uint64_t until_ms)
 {
 	struct sim_day *day = host->day;
-	size_t server = sim_random(day, (uint32_t)day->nservers);
+	size_t server = sim_random(day, (uint32_t)day->nservers), i;
 
 	(void)until_ms;
-	wm_crash(&day->cluster.servers[server]);
-	if (sim_chance(day, 500))
-		day->cluster.servers[server].down_until_ms =
-		    sim_now_us() / SIM_US_PER_MS + sim_random(day, 4000);
-	day->servers[server].report_ms = day->now_ms + sim_random(day, 2000);
+	sim_server_restart(day, server);
+	/* Others of its zone with it. */
+	for (i = server % day->options->zones; i < day->nservers;
+	     i += day->options->zones) {
+		if (i != server && sim_chance(day, 150))
+			sim_server_restart(day, i);
+	}
+}
+
+static void
+sim_event_server_drains(struct sim_host *host, uint64_t until_ms)
+{
+	struct sim_day *day = host->day;
+	size_t server = sim_random(day, (uint32_t)day->nservers);
+
+	day->servers[server].leaves_ms = until_ms + 500;
+	day->servers[server].report_ms = day->now_ms;
+}
+
+/* Calls to servers, or their replies, are lost one way. */
+static void
+sim_event_servers_one_way(struct sim_host *host, uint64_t until_ms)
+{
+	struct fake_worker_faults *faults = sim_faults(host, until_ms);
+
+	if (sim_chance(host->day, 500))
+		faults->requests_lost_mask = sim_server_mask(host->day);
+	else
+		faults->replies_lost_mask = sim_server_mask(host->day);
+}
+
+/* Orders are executed after newer ones, also by later processes. */
+static void
+sim_event_orders_out_of_order(struct sim_host *host, uint64_t until_ms)
+{
+	struct fake_worker_faults *faults = sim_faults(host, until_ms);
+
+	faults->late_permille = 100 + sim_random(host->day, 700);
+	faults->late_hold_permille =
+	    sim_chance(host->day, 500) ? sim_random(host->day, 300) : 0;
+	faults->late_max_ms = 100 + sim_random(host->day, 3000);
 }
 
 /* The rows of some servers come late, or expire and return. */
@@ -317,6 +353,9 @@
 	{ 'w', sim_event_slow_store },
 	{ 'b', sim_event_reset },
 	{ 'x', sim_event_server_crash },
+	{ 'y', sim_event_server_drains },
+	{ 'u', sim_event_servers_one_way },
+	{ 'v', sim_event_orders_out_of_order },
 	{ 'e', sim_event_rows_late },
 };
 
--- a/tests/sim/sim_servers.c
+++ b/tests/sim/sim_servers.c
@@ -70,23 +70,79 @@
 }
 
 static void
-sim_server_report(struct sim_day *day, size_t index)
+sim_server_put(struct sim_day *day, size_t index)
 {
 	const struct wm_server *server = &day->cluster.servers[index];
-	struct sim_server *report = &day->servers[index];
-	char key[NAME_SIZE], value[160];
-
-	report->report_ms = day->now_ms + SIM_REPORT_MS;
-	if (wm_is_down(server, sim_now_us() / SIM_US_PER_MS) ||
-	    day->now_ms < report->silent_ms)
-		return;
-	(void)snprintf(key, sizeof(key), "s%zu", index);
+	struct sim_server *state = &day->servers[index];
+	struct sim_server_row *row = state->rows, *oldest = state->rows;
+	char id[NAME_SIZE], value[160];
+
+	wm_id(server, id);
+	for (; row < state->rows + SIM_SERVER_IDS; row++) {
+		if (strcmp(row->id, id) == 0)
+			break;
+		if (row->reported_ms < oldest->reported_ms)
+			oldest = row;
+	}
+	if (row == state->rows + SIM_SERVER_IDS) {
+		row = oldest;
+		if (row->reported_ms != 0)
+			(void)sim_store_put(&day->store, ROWS_SERVERS, row->id,
+			    NULL);
+		strlcpy(row->id, id, sizeof(row->id));
+	}
+	row->reported_ms = day->now_ms;
 	(void)snprintf(value, sizeof(value), "%c s%zu %" PRIu64 " %d",
 	    (int)('a' + index % day->options->zones), index, server->started_ms,
-	    report->draining ? 1 : 0);
-	(void)sim_store_put(&day->store, ROWS_SERVERS, key, value);
-	report->reported_ms = day->now_ms;
-	report->row_start_ms = server->started_ms;
+	    state->leaves_ms != 0 ? 1 : 0);
+	(void)sim_store_put(&day->store, ROWS_SERVERS, id, value);
+}
+
+static void
+sim_server_report(struct sim_day *day, size_t index)
+{
+	struct sim_server *state = &day->servers[index];
+
+	state->report_ms = day->now_ms + SIM_REPORT_MS;
+	if (!wm_is_down(&day->cluster.servers[index],
+		sim_now_us() / SIM_US_PER_MS) &&
+	    day->now_ms >= state->silent_ms)
+		sim_server_put(day, index);
+}
+
+/* Removes the rows of processes that no longer report. */
+static void
+sim_server_expire(struct sim_day *day, struct sim_server *state,
+    uint64_t expiry_ms)
+{
+	struct sim_server_row *row;
+
+	for (row = state->rows; row < state->rows + SIM_SERVER_IDS; row++) {
+		if (row->reported_ms == 0 ||
+		    day->now_ms - row->reported_ms < expiry_ms)
+			continue;
+		row->reported_ms = 0;
+		(void)sim_store_put(&day->store, ROWS_SERVERS, row->id, NULL);
+	}
+}
+
+void
+sim_server_restart(struct sim_day *day, size_t index)
+{
+	static const enum wm_restart_kind kinds[] = { WM_RESTART_NEW_ID,
+		WM_RESTART_NEW_ID, WM_RESTART_SAME_ID, WM_RESTART_CLOCK_KEPT };
+	uint32_t down_ms =
+	    50 + sim_random(day, sim_chance(day, 500) ? 200 : 4000);
+	enum wm_restart_kind kind =
+	    kinds[sim_random(day, sizeof(kinds) / sizeof(kinds[0]))];
+
+	sim_trace(day, "s%zu restarts, kind %d, down for %u ms", index,
+	    (int)kind, down_ms);
+	wm_restart(&day->cluster.servers[index], sim_now_us() / SIM_US_PER_MS,
+	    down_ms, kind);
+	day->servers[index].leaves_ms = 0;
+	day->servers[index].report_ms = day->now_ms + down_ms +
+	    sim_random(day, sim_chance(day, 500) ? 20 : SIM_REPORT_MS);
 }
 
 void
@@ -94,15 +150,18 @@
 {
 	size_t i;
 
-	for (i = 0; i < day->nservers; i++)
+	for (i = 0; i < day->nservers; i++) {
 		day->servers[i].report_ms = sim_random(day, SIM_REPORT_MS);
+		if (sim_chance(day, 150))
+			wm_set_clock_speed(&day->cluster.servers[i],
+			    sim_now_us() / SIM_US_PER_MS, 980);
+	}
 }
 
 void
 sim_servers_step(struct sim_day *day)
 {
 	struct sim_server *server;
-	char key[NAME_SIZE];
 	size_t i;
 
 	for (i = 0; i < day->nservers; i++) {
@@ -111,13 +170,13 @@
 			server->heal_ms = 0;
 			day->cluster.servers[i].speed = 1000;
 		}
+		if (server->leaves_ms != 0 &&
+		    day->now_ms >= server->leaves_ms) {
+			sim_server_expire(day, server, 0);
+			sim_server_restart(day, i);
+		}
 		if (day->now_ms >= server->report_ms)
 			sim_server_report(day, i);
-		if (server->reported_ms == 0 ||
-		    day->now_ms - server->reported_ms < SIM_ROW_EXPIRY_MS)
-			continue;
-		server->reported_ms = 0;
-		(void)snprintf(key, sizeof(key), "s%zu", i);
-		(void)sim_store_put(&day->store, ROWS_SERVERS, key, NULL);
+		sim_server_expire(day, server, SIM_ROW_EXPIRY_MS);
 	}
 }
