--- a/tests/sim/sim_callers.c
+++ b/tests/sim/sim_callers.c
@@ -82,6 +82,8 @@
 	struct sim_caller *caller = send->caller;
 	struct sim_day *day = caller->callers->day;
 
+	if (send->host->ending)
+		return;
 	send->waits = false;
 	if (caller->send != send || caller->leaves_ms == 0)
 		return;
--- a/tests/sim/sim_day.c
+++ b/tests/sim/sim_day.c
@@ -124,9 +124,19 @@
 void
 sim_host_kill(struct sim_host *host, bool silent)
 {
+	const struct fake_worker_faults faults =
+	    *fake_worker_faults(host->worker);
+
 	sim_trace(host->day, "%s is killed%s", host->name,
 	    silent ? ", power lost" : "");
+	/* The modules let go of each other's calls only in an orderly end. */
+	host->ending = true;
+	*fake_worker_faults(host->worker) =
+	    (struct fake_worker_faults){ .unreachable_mask = UINT32_MAX };
+	gw_abort_pending(jsvc_gateway(host->svc));
 	jsvc_destroy(host->svc);
+	*fake_worker_faults(host->worker) = faults;
+	host->ending = false;
 	host->svc = NULL;
 	host->power_lost = silent;
 	host->stands_until_ms = 0;
--- a/tests/sim/sim_forward.c
+++ b/tests/sim/sim_forward.c
@@ -132,7 +132,8 @@
 	struct sim_end *end, *other;
 
 	(void)az;
-	sim_note_announcement(host, request);
+	if (!host->ending)
+		sim_note_announcement(host, request);
 	forward->host = host;
 	forward->to = sim_peer(host, issuer)->index;
 	forward->incarnation = incarnation;
@@ -143,6 +144,8 @@
 	forward->arg = arg;
 	forward->msg = sim_request_msg(request, forward->correlation);
 	TAILQ_INSERT_TAIL(&host->forwards, forward, entry);
+	if (host->ending)
+		return;
 	end = sim_end_find(host, forward->to, incarnation);
 	other = sim_end_find_host(host, forward->to);
 	if (end != NULL)
@@ -176,7 +179,10 @@
 	msg->status = reply->status;
 	msg->body = mem_strndup(reply->body, reply->body_len);
 	msg->body_len = reply->body_len;
-	sim_end_send(served->end, msg);
+	if (served->end->host->ending)
+		sim_msg_free(msg);
+	else
+		sim_end_send(served->end, msg);
 	sim_served_free(served);
 }
 
