--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -25,7 +25,7 @@
 #define SIM_SERVERS_MAX 32 /* bits of the masks of fake_worker.h */
 #define SIM_STEP_MS 2
 /* All troubles, the first two more often. */
-#define SIM_MIX "ABABcoislrdkfpmwbexyuv"
+#define SIM_MIX "ABABcoislrdkfnpmwbexyuv"
 #define SIM_US_PER_MS UINT64_C(1000)
 
 struct event_base;
@@ -230,7 +230,9 @@
 	uint64_t token; /* last announced one */
 	/* Times, 0: none. */
 	uint64_t stands_until_ms, start_ms, store_heal_ms, worker_heal_ms;
+	uint64_t leaves_ms, unlist_ms; /* it ends; its row is removed */
 	bool stood;	 /* it has stood still since it ran last */
+	bool dies;	 /* it loses power and does not go on */
 	bool power_lost; /* nothing at its address answers */
 	bool store_lost;
 	bool ending; /* its process ends now: nothing that it does counts */
@@ -284,6 +286,7 @@
 uint64_t sim_now_us(void);
 bool sim_host_runs(const struct sim_host *host);
 void sim_host_start(struct sim_host *host);
+void sim_host_leave(struct sim_host *host, uint64_t end_ms);
 void sim_host_kill(struct sim_host *host, bool silent);
 struct job_gateway *sim_host_gateway(struct sim_host *host);
 void sim_trace(const struct sim_day *day, const char *fmt, ...)
--- a/tests/sim/sim_day.c
+++ b/tests/sim/sim_day.c
@@ -141,10 +141,24 @@
 	host->power_lost = silent;
 	host->stands_until_ms = 0;
 	host->token = 0;
+	host->leaves_ms = 0;
+	host->dies = host->stood = false;
 	sim_peers_stop(host, silent);
 	sim_callers_lose(host->day->callers, host);
 }
 
+/* As a daemon does on SIGTERM: its row is removed, jobs go on until @end_ms. */
+void
+sim_host_leave(struct sim_host *host, uint64_t end_ms)
+{
+	if (host->leaves_ms != 0 || !sim_host_runs(host))
+		return;
+	sim_trace(host->day, "%s leaves", host->name);
+	host->leaves_ms = end_ms;
+	gw_refuse_new(jsvc_gateway(host->svc));
+	jsvc_leave(host->svc);
+}
+
 struct job_gateway *
 sim_host_gateway(struct sim_host *host)
 {
@@ -163,11 +177,29 @@
 		if (day->now_ms < host->stands_until_ms)
 			return;
 		host->stands_until_ms = 0;
+		if (host->dies) {
+			sim_host_kill(host, true);
+			host->start_ms = day->now_ms + sim_random(day, 3000);
+			return;
+		}
 		host->stood = true;
 		sim_trace(day, "%s goes on", host->name);
 	}
 	if (host->start_ms != 0 && day->now_ms >= host->start_ms)
 		sim_host_start(host);
+	if (host->unlist_ms != 0 && day->now_ms >= host->unlist_ms) {
+		host->unlist_ms = 0;
+		if (host->svc == NULL)
+			(void)sim_store_put(&day->store, ROWS_HOSTS, host->name,
+			    NULL);
+	}
+	if (host->leaves_ms != 0 && day->now_ms >= host->leaves_ms &&
+	    host->svc != NULL) {
+		gw_abort_pending(jsvc_gateway(host->svc));
+		sim_host_kill(host, false);
+		host->unlist_ms = day->now_ms + 1;
+		host->start_ms = day->now_ms + 100 + sim_random(day, 4000);
+	}
 	if (host->stood && host->svc != NULL) {
 		max = sim_chance(day, 400) ? 0 : sim_random(day, 12);
 		if (sim_chance(day, 500))
--- a/tests/sim/sim_events.c
+++ b/tests/sim/sim_events.c
@@ -139,13 +139,15 @@
 	host->start_ms = day->now_ms +
 	    (sim_chance(day, 500) ? 50 + sim_random(day, 300)
 				  : 200 + sim_random(day, 3000));
+	/* The operator replaces it, or a machine was added. */
+	if (sim_chance(day, 200))
+		host->unlist_ms = day->now_ms + sim_random(day, 3000);
 }
 
 static void
-sim_event_stand_still(struct sim_host *host, uint64_t until_ms)
+sim_event_leaves(struct sim_host *host, uint64_t until_ms)
 {
-	if (host->svc != NULL)
-		host->stands_until_ms = until_ms;
+	sim_host_leave(host, until_ms);
 }
 
 static void
@@ -181,6 +183,27 @@
 	return holder;
 }
 
+/* A host stands still, half of the time a holder; perhaps others with it, and
+ * for some it ends with the loss of power. */
+static void
+sim_event_stand_still(struct sim_host *host, uint64_t until_ms)
+{
+	struct sim_day *day = host->day;
+	struct sim_host *other;
+	size_t i;
+
+	if (sim_chance(day, 500))
+		host = sim_zone_holder(host);
+	for (i = 0; i < day->nhosts; i++) {
+		other = &day->hosts[i];
+		if (other->svc == NULL ||
+		    (other != host && !sim_chance(day, 80)))
+			continue;
+		other->stands_until_ms = until_ms;
+		other->dies = sim_chance(day, 150);
+	}
+}
+
 /* A holder is cut off; the servers are split between it and the others. */
 static void
 sim_event_holder_apart(struct sim_host *host, uint64_t until_ms)
@@ -355,6 +378,7 @@
 	{ 'd', sim_event_late_orders },
 	{ 'r', sim_event_servers_out_of_reach },
 	{ 'k', sim_event_kill },
+	{ 'n', sim_event_leaves },
 	{ 'f', sim_event_stand_still },
 	{ 'p', sim_event_pause_all },
 	{ 'h', sim_event_slow_server },
