--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -25,7 +25,7 @@
 #define SIM_SERVERS_MAX 32 /* bits of the masks of fake_worker.h */
 #define SIM_STEP_MS 2
 /* All troubles, the first two more often. */
-#define SIM_MIX "ABABcoislrdkfnpmwbexyuv"
+#define SIM_MIX "ABABcoislrdkfnpmwbexyuvq"
 #define SIM_US_PER_MS UINT64_C(1000)
 
 struct event_base;
@@ -306,5 +306,9 @@
 void sim_callers_read(struct sim_callers *callers, struct sim_host *host);
 /* Their connections to a host are broken. */
 void sim_callers_lose(struct sim_callers *callers, struct sim_host *host);
+/* They close them. */
+void sim_callers_leave(struct sim_callers *callers, struct sim_host *host);
+/* A task that has run although its job was refused as not run, or NULL. */
+const char *sim_callers_refused_run(const struct sim_callers *callers);
 
 #endif /* TESTS_SIM_SIM_H */
--- a/tests/sim/sim_callers.c
+++ b/tests/sim/sim_callers.c
@@ -6,6 +6,7 @@
  */
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "core/mem.h"
@@ -32,6 +33,7 @@
 	uint64_t again_ms;  /* it sends again then; 0: never */
 	uint64_t leaves_ms; /* it leaves then; 0: it does not wait */
 	uint32_t sends;
+	bool refused;	       /* by the answer to its only submission */
 	struct sim_send *send; /* the last one */
 };
 
@@ -95,6 +97,7 @@
 		return;
 	}
 	caller->leaves_ms = 0;
+	caller->refused = reply->result == GW_NOT_RUN && caller->sends == 1;
 	if (reply->result == GW_NOT_RUN && caller->sends < SIM_SENDS_MAX &&
 	    sim_chance(day, day->options->resend / 2))
 		caller->again_ms = day->now_ms + reply->retry_after_ms + 10;
@@ -110,6 +113,7 @@
 	send->host = host;
 	send->unread = send->waits = true;
 	TAILQ_INSERT_TAIL(&caller->callers->sends, send, entry);
+	caller->refused = false;
 	if (caller->sends++ > 0)
 		day->totals->resent++;
 	caller->send = send;
@@ -194,6 +198,33 @@
 	}
 }
 
+void
+sim_callers_leave(struct sim_callers *callers, struct sim_host *host)
+{
+	struct sim_send *send;
+
+	TAILQ_FOREACH (send, &callers->sends, entry) {
+		if (send->host == host && send->caller->send == send &&
+		    send->caller->leaves_ms != 0 && send->waits)
+			sim_caller_leave(send->caller);
+	}
+}
+
+const char *
+sim_callers_refused_run(const struct sim_callers *callers)
+{
+	const struct wm_task *task;
+	uint64_t n;
+
+	LIST_FOREACH (task, &callers->day->cluster.tasks, entry) {
+		n = strtoull(task->task, NULL, 16) -
+		    callers->day->seed * 100000;
+		if (n > 0 && n <= callers->n && callers->callers[n - 1].refused)
+			return task->task;
+	}
+	return NULL;
+}
+
 static struct sim_host *
 sim_callers_draw_host(struct sim_day *day)
 {
--- a/tests/sim/sim_events.c
+++ b/tests/sim/sim_events.c
@@ -366,6 +366,13 @@
 	}
 }
 
+static void
+sim_event_callers_leave(struct sim_host *host, uint64_t until_ms)
+{
+	(void)until_ms;
+	sim_callers_leave(host->day->callers, host);
+}
+
 static const struct sim_event {
 	char letter;
 	void (*play)(struct sim_host *host, uint64_t until_ms);
@@ -392,6 +399,7 @@
 	{ 'y', sim_event_server_drains },
 	{ 'u', sim_event_servers_one_way },
 	{ 'v', sim_event_orders_out_of_order },
+	{ 'q', sim_event_callers_leave },
 	{ 'e', sim_event_rows_late },
 };
 
