A former holder starts no job on a server that its successor does not know

Cause: a successor starts a job that was passed on to it as soon as all servers that it knows have listed their runs. A server that has started after it read the rows (under a new id, or as another machine) is not among them. A former holder that has the job in its queue, for want of free servers, reads that row, is still within its own lease of 1.4 s, and starts the job there: the new server is the only one that has not seen the higher token.

Ruled out: the age of the lists (at most 50 ms old, of all known servers); the successor's wait for the former leases, which it skips as all runs are known.

Why it works: a holder uses a server only once it was confirmed at a later time than that at which it read the server's row. No other host had taken over then; one that does so later reads the rows after its take-over (rows_refreshed), by when this row was written. The same holds for a row that was dropped and returns. Rows read before the holder's own take-over need no confirmation, so that a host that is never confirmed serves as before.

Cost: O(1) per look at a server; no further calls. A new server gets its first run after the next confirmation.

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -114,6 +114,7 @@
 		server->sched = sched;
 		server->speed_permille = PLACE_SPEED_NOMINAL;
 		server->lease_end_us = UINT64_MAX;
+		server->removed = true;
 		TAILQ_INIT(&server->tasks);
 		TAILQ_INIT(&server->orphans);
 		TAILQ_INIT(&server->unstored_ends);
@@ -123,6 +124,8 @@
 		nidx_insert(&sched->servers_by_id, &server->by_id,
 		    server->info.id);
 	}
+	if (server->removed && sched->token != 0)
+		server->known_boot_us = clock_boot_us(sched->params.clock);
 	/* The row of a live server may have expired and returned. */
 	server->removed = false;
 	server->info = *info;
@@ -183,6 +186,7 @@
 	    sched->former_runs_known ? "known" : "unknown");
 	TAILQ_FOREACH (server, &sched->servers, entry) {
 		server->was_held = false;
+		server->known_boot_us = 0;
 		if (!server->removed)
 			sched_server_reset(server);
 	}
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -239,10 +239,12 @@
 	bool held;	       /* its lists were processed under this token */
 	bool was_held;	       /* under this token, perhaps not now */
 	bool removed;	       /* from the registry; freed when unused */
-	bool lease_limited;    /* its lease may not be extended now */
-	bool refusing;	       /* it refuses connections since it was held */
-	bool reserved;	       /* for queues that are not confined */
-	uint32_t nisolated;    /* runs that no other task is started beside */
+	/* Its row was read then, under this token; 0: before. */
+	uint64_t known_boot_us;
+	bool lease_limited; /* its lease may not be extended now */
+	bool refusing;	    /* it refuses connections since it was held */
+	bool reserved;	    /* for queues that are not confined */
+	uint32_t nisolated; /* runs that no other task is started beside */
 	/* The incarnation that was last seen to be back, and when. */
 	uint64_t seen_start_ms;
 	uint64_t seen_us;
--- a/entry/jobs/scheduler_place.c
+++ b/entry/jobs/scheduler_place.c
@@ -20,10 +20,23 @@
 	return false;
 }
 
+/* Whether another host may have taken over before this one read the server's
+ * row. It may have read the rows before this one was written, and have started
+ * the jobs that this host has, since it knows of no run on this server. */
+static bool
+sched_server_unconfirmed(const struct sched_server *server)
+{
+	const struct scheduler *sched = server->sched;
+
+	return sched->params.holder_lease_ms != 0 &&
+	    server->known_boot_us > sched->holder_lease.confirmed_boot_us;
+}
+
 bool
 sched_server_accepts_starts(const struct sched_server *server, uint64_t now_us)
 {
 	return server->held && !server->removed && !server->info.draining &&
+	    !sched_server_unconfirmed(server) &&
 	    sched_lease_admits_starts(server, now_us) &&
 	    server->unanswered_holds == 0 && server->nisolated == 0 &&
 	    server->no_start_until_us <= now_us &&
--- a/tests/support/scheduler_rig.c
+++ b/tests/support/scheduler_rig.c
@@ -43,12 +43,19 @@
 }
 
 void
-srig_server_returns(struct scheduler_rig *rig, size_t index)
+srig_server_returns_to(const struct scheduler_rig *rig, struct scheduler *sched,
+    size_t index)
 {
 	struct reg_server info;
 
 	srig_server_info(rig, index, &info);
-	sched_server_update(rig->sched, &info);
+	sched_server_update(sched, &info);
+}
+
+void
+srig_server_returns(struct scheduler_rig *rig, size_t index)
+{
+	srig_server_returns_to(rig, rig->sched, index);
 }
 
 struct scheduler *
--- a/tests/support/scheduler_rig.h
+++ b/tests/support/scheduler_rig.h
@@ -52,6 +52,10 @@
 /** srig_server_returns() - the row of a server is read (again). */
 void srig_server_returns(struct scheduler_rig *rig, size_t index);
 
+/** srig_server_returns_to() - as above, by the host of another scheduler. */
+void srig_server_returns_to(const struct scheduler_rig *rig,
+    struct scheduler *sched, size_t index);
+
 /** srig_run() - run the event loop for @ms milliseconds. */
 void srig_run(struct scheduler_rig *rig, uint32_t ms);
 
--- a/tests/test_scheduler_holder.c
+++ b/tests/test_scheduler_holder.c
@@ -560,3 +560,69 @@
 	cr_expect_null(rig_task(rig, job));
 	rig_destroy(rig);
 }
+
+/* The other servers are busy. A new one has just started, and a former holder
+ * reads its row first, while the successor has the lists of all others. */
+Test(scheduler_holder, former_holder_starts_no_job_on_a_server_that_is_new)
+{
+	struct rig *rig = rig_create();
+	struct worker *former_worker = rig->srig.worker;
+	struct scheduler *former = rig->sched, *successor;
+	struct rig_spec spec = { .ms = LONG_MS };
+	struct rig_job *job;
+	size_t i;
+
+	sched_server_remove(former, "s3");
+	rig_run_confirmed(rig, 100);
+	for (i = 0; i < 2 * (SRIG_SERVERS - 1); i++)
+		rig_submit(rig, LONG_MS, false);
+	rig_run_confirmed(rig, 100);
+	job = rig_submit_spec(rig, &spec);
+	spec.again = job;
+	spec.resubmitted = true;
+	rig_run_confirmed(rig, 50);
+	cr_assert_null(rig_task(rig, job));
+	fake_worker_faults(former_worker)->unreachable_mask = 7;
+	rig->srig.worker = fake_worker_create(rig->srig.base, clock_real(),
+	    &rig->srig.cluster, 2);
+	successor = srig_scheduler_inactive(&rig->srig);
+	sched_server_remove(successor, "s3");
+	srig_run(&rig->srig, STEP_MS);
+	srig_activate(successor, TOKEN + 1);
+	sched_set_jobs_loaded(successor);
+	rig->sched = successor;
+	(void)rig_submit_spec(rig, &spec);
+	rig_run_confirmed(rig, 400);
+	cr_assert_eq(rig_task(rig, job)->starts, 1);
+	srig_server_returns_to(&rig->srig, former, 3);
+	rig_run_confirmed(rig, 500);
+	cr_expect_eq(rig_task(rig, job)->starts, 1);
+	sched_destroy(successor);
+	fake_worker_destroy(rig->srig.worker);
+	rig->srig.worker = former_worker;
+	rig->sched = former;
+	rig_destroy(rig);
+}
+
+/* It is used once no other host had taken over when it was known. */
+Test(scheduler_holder, new_server_is_used_after_the_next_confirmation)
+{
+	struct rig *rig = rig_create();
+	struct rig_job *job;
+	size_t i;
+	char id[8];
+
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		(void)snprintf(id, sizeof(id), "s%zu", i);
+		sched_server_remove(rig->sched, id);
+	}
+	rig_run_confirmed(rig, 100);
+	srig_server_returns_to(&rig->srig, rig->sched, 0);
+	job = rig_submit(rig, SHORT_MS, false);
+	srig_run(&rig->srig, 50);
+	cr_expect_null(rig_task(rig, job));
+	rig_run_confirmed(rig, 150);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	cr_expect(job->answered);
+	rig_destroy(rig);
+}
