--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -98,6 +98,7 @@
 
 struct sim_conn {
 	struct sim_day *day;
+	uint64_t id;
 	struct sim_end ends[2];
 	uint32_t delay_us; /* one way */
 	TAILQ_ENTRY(sim_conn) entry;
@@ -260,7 +261,7 @@
 	struct wm_cluster cluster;
 	struct sim_store store;
 	TAILQ_HEAD(, sim_conn) conns;
-	uint64_t next_correlation;
+	uint64_t next_correlation, nconns;
 	/* Nothing passes from the first host to the second one. */
 	bool cut[SIM_HOSTS_MAX][SIM_HOSTS_MAX];
 	uint64_t heal_ms[SIM_HOSTS_MAX][SIM_HOSTS_MAX];
--- a/tests/sim/sim_conn.c
+++ b/tests/sim/sim_conn.c
@@ -103,6 +103,7 @@
 	struct sim_day *day = host->day;
 
 	conn->day = day;
+	conn->id = ++day->nconns;
 	conn->delay_us = day->delay_us + sim_random(day, day->delay_spread_us);
 	sim_end_init(&conn->ends[0], conn, host, true);
 	sim_end_init(&conn->ends[1], conn, to, false);
--- a/tests/sim/sim_forward.c
+++ b/tests/sim/sim_forward.c
@@ -199,7 +199,8 @@
 		.query = msg->query == NULL ? "" : msg->query,
 		.body = msg->body,
 		.body_len = msg->body_len,
-		.forwarded = true };
+		.forwarded = true,
+		.connection = end->conn->id };
 	end->nserved++;
 	TAILQ_INSERT_TAIL(&end->host->served, served, entry);
 	handler->handle(handler->arg, &served->request, sim_served_reply,
--- a/tests/sim/sim_peers.c
+++ b/tests/sim/sim_peers.c
@@ -243,20 +243,17 @@
 }
 
 static uint64_t
-sim_alive_us(struct peers *peers, const char *name, uint64_t incarnation)
+sim_alive_us(struct peers *peers, const char *name, uint64_t connection)
 {
 	struct sim_host *host = (struct sim_host *)peers;
 	size_t to = sim_peer(host, name)->index;
-	uint64_t alive_us = 0;
 	struct sim_end *end;
 
 	TAILQ_FOREACH (end, &host->ends, entry) {
-		if (sim_end_is_open(end, to) &&
-		    sim_end_peer(end)->incarnation == incarnation &&
-		    end->alive_us > alive_us)
-			alive_us = end->alive_us;
+		if (sim_end_is_open(end, to) && end->conn->id == connection)
+			return end->alive_us;
 	}
-	return alive_us;
+	return 0;
 }
 
 static void
