Cancellations are not refused by an overloaded host

A host with 2,048 requests of another one in progress refuses all further ones, also cancellations of these; a host with 8,192 pending forwards sends none. The cancellation is then lost for good, and the run goes on although nobody waits for it, while its host is known to be alive: its caller submits the job again after 1.3 s.

The limits are for requests that add load; a cancellation ends one. Its sender does not repeat it.

The limits are twice as high for cancellations, so that each request in progress can have one.

Evidence. cancellations_are_served_by_an_overloaded_host and cancellations_are_sent_by_an_overloaded_host failed before. The API of these tests keeps all requests without a reply, so that an abandoned one has to be one of them.

--- a/adapters/peers_forward.c
+++ b/adapters/peers_forward.c
@@ -92,6 +92,13 @@
 	}
 }
 
+/* A limit on requests in progress, for one with this method. */
+static size_t
+peers_forward_limit(size_t limit, uint32_t method)
+{
+	return method == API_DELETE ? limit * PEERS_CANCEL_MAX_FACTOR : limit;
+}
+
 static void
 peers_forward_send(struct peers_conn *conn, struct peers_forward *forward)
 {
@@ -199,7 +206,8 @@
 	    incarnation, &forward->frame_len);
 	TAILQ_INSERT_TAIL(&peers->forwards, forward, entry);
 	ctr_set(&peers_ctr_pending, ++peers->nforwards);
-	if (peers->nforwards > PEERS_FORWARDS_MAX)
+	if (peers->nforwards >
+	    peers_forward_limit(PEERS_FORWARDS_MAX, request->method))
 		peers_forward_not_executed(peers, forward, ERR_UNAVAILABLE,
 		    "too many forwards are pending");
 	else if (forward->frame == NULL)
@@ -364,7 +372,7 @@
 
 /*
  * Passes a forwarded request to the API. A request for another incarnation or
- * above PEERS_SERVED_PER_CONN_MAX is refused without calling the API.
+ * above the limit of the connection is refused without calling the API.
  */
 void
 peers_forward_request_received(struct peers_conn *conn, Berylrail__Frame *frame)
@@ -381,7 +389,8 @@
 		berylrail__frame__free_unpacked(frame, NULL);
 		return;
 	}
-	served = conn->nserved < PEERS_SERVED_PER_CONN_MAX
+	served = conn->nserved <
+		peers_forward_limit(PEERS_SERVED_PER_CONN_MAX, message->method)
 	    ? calloc(1, sizeof(*served))
 	    : NULL;
 	if (served == NULL) {
--- a/adapters/peers_internal.h
+++ b/adapters/peers_internal.h
@@ -36,6 +36,9 @@
 #define PEERS_FORWARD_REPLY_TIMEOUT_MS 120000
 #define PEERS_FORWARDS_MAX 8192		   /* pending, to all peers */
 #define PEERS_SERVED_PER_CONN_MAX 2048	   /* requests in progress */
+/* So many times more if the request is a cancellation: what it ends would go on
+ * although nobody waits for it. */
+#define PEERS_CANCEL_MAX_FACTOR 2
 #define PEERS_OUTPUT_BYTES_MAX (32U << 20) /* unsent, on one connection */
 #define PEERS_TICKS_PER_HEARTBEAT 4
 #define PEERS_LEAVING_SERVERS_MAX 64 /* in one heartbeat */
--- a/tests/test_peers_tcp.c
+++ b/tests/test_peers_tcp.c
@@ -25,6 +25,9 @@
 
 #define HEARTBEAT_MS 20
 #define PAUSE_MS 600
+#define SERVED_MAX 2048	  /* requests of a connection in progress */
+#define FORWARDS_MAX 8192 /* pending requests of a host */
+#define WITHHELD_MAX (SERVED_MAX + 1)
 #define WAIT_TIMEOUT_MS 20000 /* a test fails instead of hanging */
 
 /* Fake API: replies with the body of the request. */
@@ -37,6 +40,8 @@
 	bool withhold_reply;
 	api_reply_fn reply;
 	void *arg;
+	void *withheld[WITHHELD_MAX]; /* without a reply */
+	size_t nwithheld;
 };
 
 /* Fake engine with one server, "s1" in zone "z1". */
@@ -108,12 +113,19 @@
 	api->arg = arg;
 	if (!api->withhold_reply)
 		reply(arg, &echo);
+	else
+		api->withheld[api->nwithheld++] = arg;
 }
 
 void
 api_abandon(struct api *api, void *arg)
 {
-	cr_assert_eq(api->arg, arg);
+	size_t i = 0;
+
+	while (i < api->nwithheld && api->withheld[i] != arg)
+		i++;
+	cr_assert_lt(i, api->nwithheld);
+	api->withheld[i] = api->withheld[--api->nwithheld];
 	api->nabandoned++;
 }
 
@@ -314,11 +326,11 @@
 }
 
 static void
-send_forward(struct node *node, const char *host, uint64_t incarnation,
-    struct result *result)
+send_forward_method(struct node *node, const char *host, uint64_t incarnation,
+    enum api_method method, struct result *result)
 {
 	const struct api_request request = {
-		.method = API_POST,
+		.method = method,
 		.path = "/v1/jobs",
 		.query = "wait=1",
 		.client = "c",
@@ -331,6 +343,13 @@
 	    &request, on_done, result);
 }
 
+static void
+send_forward(struct node *node, const char *host, uint64_t incarnation,
+    struct result *result)
+{
+	send_forward_method(node, host, incarnation, API_POST, result);
+}
+
 struct counter_search {
 	const char *prefix;
 	uint64_t value;
@@ -408,19 +427,25 @@
 
 /* Sends a request for that incarnation. */
 static void
-raw_request(int fd, uint64_t incarnation)
+raw_request_method(int fd, uint64_t incarnation, enum api_method method)
 {
 	Berylrail__ForwardRequest request = BERYLRAIL__FORWARD_REQUEST__INIT;
 	char path[] = "/v1/jobs", query[] = "";
 
 	request.correlation = 1;
 	request.incarnation = incarnation;
-	request.method = API_POST;
+	request.method = method;
 	request.path = path;
 	request.query = query;
 	raw_send(fd, BERYLRAIL__FRAME__KIND_FORWARD_REQUEST, &request);
 }
 
+static void
+raw_request(int fd, uint64_t incarnation)
+{
+	raw_request_method(fd, incarnation, API_POST);
+}
+
 /* When the host was known to wait for the request that @node received last. */
 static uint64_t
 request_alive_us(const struct node *node, const char *host)
@@ -654,6 +679,63 @@
 	peers_tcp_destroy(a.peers);
 }
 
+/* They are what reduces the load. */
+Test(peers_tcp, cancellations_are_served_by_an_overloaded_host)
+{
+	struct node a = { 0 };
+	size_t i;
+	int fd;
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	a.api.withhold_reply = true;
+	fd = raw_connect(a.port);
+	raw_hello(fd, "b", 22);
+	for (i = 1; i <= SERVED_MAX; i++) {
+		raw_request(fd, 11);
+		if (i % 64 == 0)
+			WAIT_FOR(a.api.nhandled == i);
+	}
+	raw_request(fd, 11);
+	WAIT_FOR(counter_value("berylrail_messages_total{hop=\"peer\","
+			       "kind=\"forward_reply\"} ") == 1);
+	cr_assert_eq(a.api.nhandled, SERVED_MAX);
+	a.api.withhold_reply = false;
+	raw_request_method(fd, 11, API_DELETE);
+	WAIT_FOR(counter_value("berylrail_messages_total{hop=\"peer\","
+			       "kind=\"forward_reply\"} ") == 2);
+	cr_expect_eq(a.api.nhandled, SERVED_MAX + 1);
+	close(fd);
+	peers_tcp_destroy(a.peers);
+	cr_expect_eq(a.api.nwithheld, 0);
+}
+
+Test(peers_tcp, cancellations_are_sent_by_an_overloaded_host)
+{
+	struct result pending, refused, cancellation;
+	struct node a = { 0 };
+	uint64_t now_us;
+	size_t i;
+	int fd;
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	fd = raw_connect(a.port);
+	raw_hello(fd, "b", 22);
+	raw_heartbeat_every(fd, WAIT_TIMEOUT_MS);
+	WAIT_FOR(a.engine.nsharing_hosts == 2);
+	for (i = 0; i < FORWARDS_MAX; i++)
+		send_forward(&a, "b", 22, &pending);
+	send_forward(&a, "b", 22, &refused);
+	WAIT_FOR(refused.n == 1);
+	cr_assert_eq(refused.code, ERR_UNAVAILABLE);
+	send_forward_method(&a, "b", 22, API_DELETE, &cancellation);
+	now_us = real_now_us(NULL);
+	WAIT_FOR(real_now_us(NULL) > now_us + HEARTBEAT_MS * 2000);
+	cr_expect_eq(cancellation.n, 0);
+	cr_expect_eq(pending.n, 0);
+	close(fd);
+	peers_tcp_destroy(a.peers);
+}
+
 /* No reset is received from a host that loses power. */
 Test(peers_tcp, sent_forward_is_lost_when_its_host_is_back_before_the_timeout)
 {
