--- a/adapters/peers_internal.h
+++ b/adapters/peers_internal.h
@@ -34,8 +34,8 @@
 /* Time that a forward waits for its connection, and then for its reply. */
 #define PEERS_FORWARD_CONNECT_TIMEOUT_MS 1000
 #define PEERS_FORWARD_REPLY_TIMEOUT_MS 120000
-#define PEERS_FORWARDS_MAX 8192		   /* pending, to all peers */
-#define PEERS_SERVED_PER_CONN_MAX 2048	   /* requests in progress */
+#define PEERS_FORWARDS_MAX 8192	       /* pending, to all peers */
+#define PEERS_SERVED_PER_CONN_MAX 2048 /* requests in progress */
 /* So many times more if the request is a cancellation: what it ends would go on
  * although nobody waits for it. */
 #define PEERS_CANCEL_MAX_FACTOR 2
