A successor reads the servers again once it is confirmed as the holder

It has read the rows of the servers at the take-over. Until the claim is written the store goes on to confirm the former holder, which so may use the new server. If the store is slow, that is long. Then the successor is confirmed and has the lists of all servers that it knows, and starts the job that is passed on to it.

Evidence: test_scheduler_holder successor_reads_the_servers_after_its_first_confirmation had two starts of the task without the change to scheduler.c, one with it.

Ruled out: a confirmation by all hosts of the zone, which the successor, one of them, does not give once it has taken over.

Why it works: the rows are read again from the first confirmation on, and until that read has ended not all runs count as known. A server that the former holder has used was in the rows before the claim. Jobs that are not passed on do not wait for this read.

Cost: one more read of the changes of the servers' rows per take-over, O(1) calls. Jobs that are passed on just after a take-over wait for it; without the store they wait for the former leases, as before.

--- a/entry/jobs/job_service.c
+++ b/entry/jobs/job_service.c
@@ -305,6 +305,14 @@
 		jstore_submit_occurrence(svc->job_store, id, occurrence);
 }
 
+static void
+jsvc_read_servers(void *arg)
+{
+	struct job_service *svc = arg;
+
+	rowsrc_refresh(svc->row_source);
+}
+
 static void
 jsvc_became_holder(void *arg)
 {
@@ -504,6 +512,7 @@
 		.unstored_seq = jsvc_unstored_seq,
 		.submit_occurrence = jsvc_submit_occurrence,
 		.fenced = jsvc_on_fenced,
+		.read_servers = jsvc_read_servers,
 		.submitter_alive_us = jsvc_submitter_alive_us,
 		.arg = svc,
 	};
--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -173,6 +173,7 @@
 	sched->tick_delay_us = 0;
 	(void)event_add(sched->tick_event, &interval);
 	sched->rows_refreshed = false;
+	sched->awaits_rows = false;
 	sched->jobs_loaded = sched->params.record_run_end == NULL;
 	sched->activated_us = sched_now(sched);
 	sched->loaded_us = sched->activated_us;
@@ -273,6 +274,7 @@
 sched_servers_refreshed(struct scheduler *sched)
 {
 	sched->rows_refreshed = true;
+	sched->awaits_rows = false;
 	sched_dispatch_wake(sched);
 }
 
@@ -440,6 +442,17 @@
 	sched_request_lists(sched, now_us);
 }
 
+/* A former holder may have been confirmed until now, and use servers whose rows
+ * were written since the take-over. */
+static void
+sched_read_servers(struct scheduler *sched)
+{
+	if (sched->params.read_servers == NULL)
+		return;
+	sched->awaits_rows = true;
+	sched->params.read_servers(sched->params.arg);
+}
+
 void
 sched_confirm_holder(struct scheduler *sched, uint64_t confirmed_boot_us)
 {
@@ -453,6 +466,8 @@
 	sched_check_holder_lease(sched);
 	if (was_confirmed)
 		sched_resume_holder(sched, now_us);
+	else
+		sched_read_servers(sched);
 }
 
 void
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -77,6 +77,10 @@
 	    *submit_occurrence)(void *arg, const char *id, uint32_t occurrence);
 	/* Called when a server reports a higher fencing token. */
 	void (*fenced)(void *arg);
+	/* Called when this holder is first confirmed: the servers' rows are to
+	 * be read again, and sched_servers_refreshed() to be called. NULL: they
+	 * do not change. */
+	void (*read_servers)(void *arg);
 	/* Returns when the submitter of a best-effort job was last known to
 	 * wait for it (us of the monotonic clock); @submission: the @arg of
 	 * sched_submit(). NULL: submitters are not lost. */
--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -312,7 +312,8 @@
 		   sched_confirmed_us(sched) >=
 		       sched_former_leases_end_us(sched)) &&
 	    !sched->server_unknown && sched->servers_complete &&
-	    sched->rows_refreshed && sched_all_servers_held(sched);
+	    sched->rows_refreshed && !sched->awaits_rows &&
+	    sched_all_servers_held(sched);
 }
 
 /* Whether starts are delayed after a take-over, until the store's rows show
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -300,6 +300,7 @@
 	uint64_t loaded_us;    /* when they were; until then activated_us */
 	bool servers_complete; /* no server is missing in the list */
 	bool rows_refreshed;   /* servers' rows were read since activation */
+	bool awaits_rows;      /* and not yet since the first confirmation */
 	/* The former holder had no runs on servers that may not be known. */
 	bool former_runs_known;
 	struct sched_servers servers;
--- a/tests/support/scheduler_rig.c
+++ b/tests/support/scheduler_rig.c
@@ -16,6 +16,14 @@
 	sched_deactivate(rig->sched);
 }
 
+static void
+srig_read_servers(void *arg)
+{
+	struct scheduler_rig *rig = arg;
+
+	rig->server_reads++;
+}
+
 static void
 srig_server_info(const struct scheduler_rig *rig, size_t i,
     struct reg_server *info)
@@ -70,6 +78,7 @@
 		.far_permille = 1000,
 		.record_run_end = rig->record_run_end,
 		.fenced = srig_fenced,
+		.read_servers = rig->rows_change ? srig_read_servers : NULL,
 		.arg = rig };
 	struct reg_server server;
 	struct scheduler *sched = sched_create(&params);
--- a/tests/support/scheduler_rig.h
+++ b/tests/support/scheduler_rig.h
@@ -20,7 +20,9 @@
 	struct worker *worker;
 	struct advisor *advisor; /* NULL: none */
 	struct scheduler *sched;
-	uint32_t fenced; /* calls of the fenced callback */
+	uint32_t fenced;       /* calls of the fenced callback */
+	uint32_t server_reads; /* calls of the read_servers callback */
+	bool rows_change;      /* it is left to the test to read them */
 	/* Of the schedulers that are created from now on. */
 	uint32_t holder_lease_ms;
 	uint64_t (*record_run_end)(void *arg, const char *id, uint32_t task,
--- a/tests/test_scheduler_holder.c
+++ b/tests/test_scheduler_holder.c
@@ -561,9 +561,14 @@
 	rig_destroy(rig);
 }
 
-/* The other servers are busy. A new one has just started, and a former holder
- * reads its row first, while the successor has the lists of all others. */
-Test(scheduler_holder, former_holder_starts_no_job_on_a_server_that_is_new)
+/*
+ * A server starts that the successor does not know when it has the lists of all
+ * others. The former holder, whose servers were busy, starts its job there.
+ * @before_claim: that is while the store still confirms it as the holder; the
+ * successor has read the rows after its take-over, and claims the cell later.
+ */
+static void
+rig_expect_one_run_beside_new_server(bool before_claim)
 {
 	struct rig *rig = rig_create();
 	struct worker *former_worker = rig->srig.worker;
@@ -585,16 +590,30 @@
 	fake_worker_faults(former_worker)->unreachable_mask = 7;
 	rig->srig.worker = fake_worker_create(rig->srig.base, clock_real(),
 	    &rig->srig.cluster, 2);
+	rig->srig.rows_change = true;
 	successor = srig_scheduler_inactive(&rig->srig);
 	sched_server_remove(successor, "s3");
 	srig_run(&rig->srig, STEP_MS);
 	srig_activate(successor, TOKEN + 1);
 	sched_set_jobs_loaded(successor);
+	srig_run(&rig->srig, 400);
+	if (before_claim) {
+		srig_server_returns_to(&rig->srig, former, 3);
+		rig_run_confirmed(rig, 50);
+		cr_assert_eq(rig_task(rig, job)->starts, 1);
+	}
 	rig->sched = successor;
+	rig_confirm(rig);
+	if (rig->srig.server_reads > 0) {
+		if (before_claim)
+			srig_server_returns_to(&rig->srig, successor, 3);
+		sched_servers_refreshed(successor);
+	}
 	(void)rig_submit_spec(rig, &spec);
-	rig_run_confirmed(rig, 400);
+	rig_run_confirmed(rig, 100);
 	cr_assert_eq(rig_task(rig, job)->starts, 1);
-	srig_server_returns_to(&rig->srig, former, 3);
+	if (!before_claim)
+		srig_server_returns_to(&rig->srig, former, 3);
 	rig_run_confirmed(rig, 500);
 	cr_expect_eq(rig_task(rig, job)->starts, 1);
 	sched_destroy(successor);
@@ -604,6 +623,16 @@
 	rig_destroy(rig);
 }
 
+Test(scheduler_holder, former_holder_starts_no_job_on_a_server_that_is_new)
+{
+	rig_expect_one_run_beside_new_server(false);
+}
+
+Test(scheduler_holder, successor_reads_the_servers_after_its_first_confirmation)
+{
+	rig_expect_one_run_beside_new_server(true);
+}
+
 /* It is used once no other host had taken over when it was known. */
 Test(scheduler_holder, new_server_is_used_after_the_next_confirmation)
 {
