A refresh of rows ends with a read that began after it was requested

A holder that takes over again, or that is confirmed, while the read for an earlier refresh is pending took the servers' rows for read since then. On that it relies when it starts a job that a former holder may have started on a server that it does not know.

Cause: refreshed() was reported at the end of the pending read, also if refresh() had been called again since its request was sent. ports/rows.h promises all changes before the last refresh().

--- a/tests/test_platform_rows.c
+++ b/tests/test_platform_rows.c
@@ -33,8 +33,10 @@
 	uint64_t read_version;	    /* as of the end of that read */
 	uint64_t current_version;   /* of the servers, as confirmed last */
 	bool change_in_full_read;   /* after its first page */
+	bool refresh_in_read;	    /* again, when the servers are read next */
 	bool refreshed;
 	bool complete_at_refresh;
+	unsigned int incomplete_refreshes;
 	bool silent;		  /* the store replies to no request */
 	bool jobs_silent;	  /* nor to those about jobs */
 	int write_status;	  /* of replies to transactions */
@@ -82,6 +84,15 @@
 	}
 }
 
+static void
+rig_change_all(struct rig *rig)
+{
+	size_t i;
+
+	for (i = 0; i < ROWS; i++)
+		rig->versions[i] = ++rig->newest;
+}
+
 static void
 rig_serve(struct evhttp_request *req, void *arg)
 {
@@ -122,6 +133,11 @@
 			rig->versions[0] = ++rig->newest;
 		}
 	}
+	if (strcmp(table, "servers") == 0 && rig->refresh_in_read) {
+		rig->refresh_in_read = false;
+		rig_change_all(rig);
+		rig->rows->ops->refresh(rig->rows, ROWS_SERVERS);
+	}
 	if (strcmp(table, "op") == 0 && rig->config != 0 &&
 	    (after == NULL || strtoull(after, NULL, 10) < rig->config))
 		(void)json_array_append_new(rows,
@@ -191,6 +207,7 @@
 	rig->refreshed = true;
 	rig->complete_at_refresh =
 	    memcmp(rig->received, rig->versions, sizeof(rig->versions)) == 0;
+	rig->incomplete_refreshes += !rig->complete_at_refresh;
 }
 
 static void
@@ -199,15 +216,6 @@
 	((struct rig *)arg)->connected = connected;
 }
 
-static void
-rig_change_all(struct rig *rig)
-{
-	size_t i;
-
-	for (i = 0; i < ROWS; i++)
-		rig->versions[i] = ++rig->newest;
-}
-
 static void
 rig_run_ms(struct rig *rig, uint32_t ms)
 {
@@ -284,6 +292,24 @@
 	rig_destroy(rig);
 }
 
+/* As by a host that takes over twice in a short time. */
+Test(platform_rows, refresh_during_a_read_waits_for_the_next_one)
+{
+	struct rig *rig = rig_create();
+
+	rig->rows->ops->refresh(rig->rows, ROWS_SERVERS);
+	rig_run(rig);
+	cr_assert(rig->read_ended);
+	rig->refreshed = false;
+	rig->refresh_in_read = true;
+	rig->rows->ops->refresh(rig->rows, ROWS_SERVERS);
+	rig_run(rig);
+	cr_expect(rig->refreshed);
+	cr_expect_eq(rig->incomplete_refreshes, 0);
+	cr_expect_eq(rig->changes, ROWS);
+	rig_destroy(rig);
+}
+
 /* All rows are changed more often than the feed is read: it does not fall
  * behind. */
 Test(platform_rows, feed_with_a_pause_does_not_fall_behind)
