--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1716,6 +1716,53 @@
 	net_destroy(net);
 }
 
+/* The holder and the host that replaces it do not reach each other. A third one
+ * reaches both, has a job that waits at the holder, and passes it on. */
+Test(cells, no_second_run_while_the_passed_on_job_waits_at_the_former_holder)
+{
+	struct net *net = net_create_servers(3, 1, NSERVERS);
+	struct host *former = &net->hosts[0], *successor = &net->hosts[1];
+	struct submission submissions[2];
+	size_t i;
+	int ms;
+
+	host_destroy(successor);
+	successor->own_worker =
+	    fake_worker_create(net->base, clock_real(), &net->cluster, 2);
+	host_create(net, 1);
+	host_load_list(successor);
+	for (i = 0; i < 2; i++) {
+		host_read_servers(&net->hosts[i]);
+		sched_server_remove(net->hosts[i].sched, "s3");
+	}
+	net_run(net, 3000);
+	cr_assert_neq(sched_token(former->sched), 0);
+	sched_servers_refreshed(former->sched);
+	host_fill_servers(former);
+	host_submit_to(&net->hosts[2], "h0", false, &submissions[0]);
+	net_run(net, 400);
+	cr_assert_eq(net_busy_servers(net), 7);
+	fake_worker_faults(net->worker)->unreachable_mask = ~8U;
+	net_set_connected(net, 0, 1, false);
+	host_await_holder(successor);
+	/* Its claim is stored, and it has read the rows of servers. */
+	sched_confirm_owner(successor->sched, clock_boot_us(clock_real()));
+	sched_servers_refreshed(successor->sched);
+	for (ms = 0;
+	     ms < 300 && strcmp(cells_holder(net->hosts[2].cells), "h1") != 0;
+	     ms += 10)
+		net_run(net, 10);
+	host_submit_to(&net->hosts[2], "h1", true, &submissions[1]);
+	for (ms = 0; wm_task(&net->cluster, ID ".0.0.0") == NULL && ms < 500;
+	     ms += 10)
+		net_run(net, 10);
+	host_read_servers(former);
+	net_run(net, 5000);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	net_destroy(net);
+}
+
 /* An unconfirmed holder does not pass its jobs on, but their hosts do. */
 Test(cells, no_second_run_beside_one_on_a_server_that_restarted_since_its_list)
 {
