--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -1223,3 +1223,45 @@
 	sched_destroy(successor);
 	rig_destroy(rig);
 }
+
+/* The first start of a run has no reply and arrives 2.5 s late, the second one
+ * is executed. Then the server is away for 1.5 s, and the task runs on another
+ * one. */
+static void
+rig_expect_one_run_after_restart(enum wm_restart_kind kind)
+{
+	struct rig *rig = rig_create(5);
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	struct rig_job *job;
+	size_t i;
+
+	srig_run(&rig->srig, 50);
+	faults->late_permille = 1000;
+	faults->late_min_ms = faults->late_max_ms = 2500;
+	job = rig_submit(rig, 1, 27000, 3000, 0);
+	srig_run(&rig->srig, 30);
+	faults->late_permille = 0;
+	srig_run(&rig->srig, 200);
+	cr_assert_eq(rig_starts(rig, job, 0), 1);
+	for (i = 0; rig->srig.cluster.servers[i].used_cpu == 0; i++)
+		continue;
+	wm_restart(&rig->srig.cluster.servers[i],
+	    clock_now_us(clock_real()) / 1000, 1500, kind);
+	srig_run(&rig->srig, 1500);
+	cr_expect_eq(rig_starts(rig, job, 0), 2);
+	srig_run(&rig->srig, 3000);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	cr_expect_eq(rig_starts(rig, job, 0), 2);
+	rig_destroy(rig);
+}
+
+Test(scheduler, late_start_is_not_executed_by_the_next_process_of_its_id)
+{
+	rig_expect_one_run_after_restart(WM_RESTART_SAME_ID);
+}
+
+Test(scheduler, late_start_is_not_executed_by_a_process_of_another_id)
+{
+	rig_expect_one_run_after_restart(WM_RESTART_NEW_ID);
+}
