--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -1265,3 +1265,49 @@
 {
 	rig_expect_one_run_after_restart(WM_RESTART_NEW_ID);
 }
+
+/* Holds of the former processes arrive 1.3 s late, while the server that runs
+ * the task can't be reached. Their deadlines are on former clocks. */
+static void
+rig_expect_late_holds_extend_no_lease(enum wm_restart_kind kind)
+{
+	struct rig *rig = rig_create(5);
+	struct wm_server *servers = rig->srig.cluster.servers;
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	struct rig_job *former, *job;
+	size_t i;
+
+	srig_run(&rig->srig, 50);
+	former = rig_submit(rig, 4, 40000, 3000, 0);
+	srig_run(&rig->srig, 150);
+	faults->late_hold_permille = 1000;
+	faults->late_min_ms = faults->late_max_ms = 1300;
+	srig_run(&rig->srig, 300);
+	faults->late_hold_permille = 0;
+	sched_cancel(rig->srig.sched, former->id, former);
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		wm_restart(&servers[i], clock_now_us(clock_real()) / 1000, 20,
+		    kind);
+	}
+	srig_run(&rig->srig, 100);
+	job = rig_submit(rig, 1, 27000, 3000, 0);
+	srig_run(&rig->srig, 400);
+	for (i = 0; i < SRIG_SERVERS && servers[i].used_cpu == 0; i++)
+		continue;
+	cr_assert_lt(i, SRIG_SERVERS);
+	faults->unreachable_mask = 1U << i;
+	srig_run(&rig->srig, 4500);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
+Test(scheduler, late_hold_extends_no_lease_of_the_next_process_of_its_id)
+{
+	rig_expect_late_holds_extend_no_lease(WM_RESTART_SAME_ID);
+}
+
+Test(scheduler, late_hold_extends_no_lease_of_the_same_clock)
+{
+	rig_expect_late_holds_extend_no_lease(WM_RESTART_CLOCK_KEPT);
+}
