--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -177,9 +177,6 @@
 void cells_update_connections(struct cells *cells, uint64_t now_us);
 /* Requests the state of the hosts of this availability zone. */
 void cells_ping_local(struct cells *cells, uint64_t now_us);
-/* Reports the highest token at once to the hosts of this availability zone that
- * hold the cell with a lower one. */
-void cells_ping_former_holders(struct cells *cells);
 /* For the holder: connects to the holders of remote cells and requests their
  * state. */
 void cells_ping_remote(struct cells *cells, uint64_t now_us);
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -321,9 +321,6 @@
 	struct cells_submission *sub;
 	const struct cells_host *host;
 
-	/* The job may wait at a former holder. */
-	if (job->resubmitted)
-		cells_ping_former_holders(cells);
 	if (strcmp(holder, cells->params.self.name) == 0) {
 		sub = cells_submission_create(cells, job->id, job->nonce, arg);
 		sub->done = done;
--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -305,17 +305,6 @@
 	    ping);
 }
 
-void
-cells_ping_former_holders(struct cells *cells)
-{
-	struct cells_host *host;
-
-	TAILQ_FOREACH (host, &cells->local_zone->hosts, entry) {
-		if (host->token != 0 && host->token < cells->highest_token)
-			cells_ping(cells, host, 0, cells_now_us(cells));
-	}
-}
-
 /* A failure is ignored: the next ping reports the same state. */
 static void
 cells_announce_done(void *arg, const struct api_reply *reply,
