Revert "A waiting job of a silent host is not started: it may have been passed on"

The 0.4 s counted from a tick before the host's last message, so that a busy link or a slow holder stopped starts of jobs whose host was there.

--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -171,12 +171,8 @@
 		    cells_overflow_holder(sub->cells) != NULL,
 	};
 	struct sched_reply invalid = { .result = SCHED_UNSUPPORTED };
-	const struct cells_host *host = cells_host_find(sub->cells, sub->host);
 	struct err err;
 
-	/* A host that is not known may be a new one of this zone. */
-	request.may_move =
-	    sub->host[0] != '\0' && (host == NULL || host->zone->local);
 	if (job_parse(&request.spec, job->id, job->body, job->body_len, &err) ==
 	    -1) {
 		invalid.reason = err.message;
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -103,8 +103,6 @@
 	bool wait_for_leases;
 	bool may_refuse; /* refuse at once if the backlog is too long */
 	bool stored;	 /* ends are stored; the submitter does not wait */
-	/* The submitter's host passes the job on if another one takes over. */
-	bool may_move;
 	/* The next three are indexed by task and set for stored jobs. */
 	const uint8_t *done;	 /* nonzero: the task is done */
 	const uint8_t *failures; /* number of failed runs */
--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -273,8 +273,7 @@
 	    !sched_suspect_may_start(task, pass->now_us))
 		return;
 	lease_ms = sched_job_lease_ms(task->job, pass->now_us);
-	if (lease_ms < SCHED_START_LEASE_MIN_MS ||
-	    sched_job_may_have_moved(task->job, pass->now_us))
+	if (lease_ms < SCHED_START_LEASE_MIN_MS)
 		return;
 	if (sched_gang_member(task)) {
 		if (!sched_needs_lists(task, pass))
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -170,7 +170,6 @@
 	/* When another host had passed the job on to this one; 0: none did. */
 	uint64_t passed_on_us;
 	bool stored;
-	bool may_move; /* its host passes it on if another one takes over */
 	/* A run of the job was found or started, or is stored as ended. */
 	bool has_started;
 	/* A start was ordered by this host, or perhaps by another one. */
@@ -444,9 +443,6 @@
 uint64_t sched_job_lease_end_us(const struct sched_job *job);
 /* The longest lease under which a run of the job may be started. */
 uint32_t sched_job_lease_ms(const struct sched_job *job, uint64_t now_us);
-/* Whether the job's host has been silent for so long that it may have passed
- * the job on to a successor, which may start it at any time. */
-bool sched_job_may_have_moved(const struct sched_job *job, uint64_t now_us);
 /* Whether the lease is long enough for further runs. */
 bool sched_lease_admits_starts(const struct sched_server *server,
     uint64_t now_us);
--- a/entry/jobs/scheduler_job.c
+++ b/entry/jobs/scheduler_job.c
@@ -342,7 +342,6 @@
 	job->occurrence = request->occurrence;
 	job->queue = request->queue;
 	job->stored = request->stored;
-	job->may_move = request->may_move;
 	sched_job_create_tasks(job);
 	if (job->queue.advised)
 		sched_advice_create(job);
@@ -372,7 +371,6 @@
 		job->done(job->arg, &replaced);
 	job->done = done;
 	job->arg = arg;
-	job->may_move = request->may_move;
 }
 
 /* The reason why this host can't run the job at all, or NULL. */
--- a/entry/jobs/scheduler_lease.c
+++ b/entry/jobs/scheduler_lease.c
@@ -23,9 +23,6 @@
 #define SCHED_US_PER_MS UINT64_C(1000)
 /* A caller submits its job again 1.3 s after it has lost its connection. */
 #define SCHED_UNATTENDED_MS 1250
-/* A host of the zone passes its jobs on no sooner after its last message: it
- * takes a silent holder for unreachable after 0.45 s. */
-#define SCHED_MAY_MOVE_MS 400
 /* Then a job is given up, so that its runs are stopped before leases end. */
 #define SCHED_SUBMITTER_SILENT_MS 1000
 #define SCHED_SILENT_RETRY_AFTER_MS 200
@@ -75,14 +72,6 @@
 	return true;
 }
 
-bool
-sched_job_may_have_moved(const struct sched_job *job, uint64_t now_us)
-{
-	return job->may_move &&
-	    now_us >
-	    sched_submitter_alive_us(job) + SCHED_MAY_MOVE_MS * SCHED_US_PER_MS;
-}
-
 uint64_t
 sched_job_lease_end_us(const struct sched_job *job)
 {
--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -287,9 +287,7 @@
 		return;
 	if (task->state == SCHED_TASK_STARTING && !task->job->ended &&
 	    task->server->unanswered_holds == 0 &&
-	    task->start_attempts < SCHED_START_ATTEMPTS_MAX &&
-	    !sched_job_may_have_moved(task->job,
-		sched_now(task->server->sched)))
+	    task->start_attempts < SCHED_START_ATTEMPTS_MAX)
 		sched_send_start(task);
 	else
 		sched_run_stop(task);
