--- a/tests/test_scheduler_holder.c
+++ b/tests/test_scheduler_holder.c
@@ -655,3 +655,71 @@
 	cr_expect(job->answered);
 	rig_destroy(rig);
 }
+
+/*
+ * A server that has listed its runs under the successor's token restarts under
+ * its id and has forgotten the token. The former holder, which has not reached
+ * it meanwhile, starts the job there that waits in its queue.
+ */
+static void
+rig_expect_one_run_beside_restarted_server(bool stored)
+{
+	struct rig *rig = rig_create();
+	struct worker *former_worker = rig->srig.worker;
+	struct scheduler *former = rig->sched, *successor;
+	struct rig_spec spec = { .ms = LONG_MS, .stored = stored };
+	struct rig_job *job;
+	size_t i;
+
+	rig_run_confirmed(rig, 100);
+	fake_worker_faults(former_worker)->unreachable_mask = 8;
+	rig_run_confirmed(rig, 1000);
+	for (i = 0; i < 2 * (SRIG_SERVERS - 1); i++)
+		rig_submit(rig, LONG_MS, false);
+	rig_run_confirmed(rig, 100);
+	job = rig_submit_spec(rig, &spec);
+	spec.again = job;
+	spec.resubmitted = !stored;
+	rig_run_confirmed(rig, 50);
+	cr_assert_null(rig_task(rig, job));
+	fake_worker_faults(former_worker)->unreachable_mask = 15;
+	rig->srig.worker = fake_worker_create(rig->srig.base, clock_real(),
+	    &rig->srig.cluster, 2);
+	successor = srig_scheduler_inactive(&rig->srig);
+	srig_run(&rig->srig, STEP_MS);
+	srig_activate(successor, TOKEN + 1);
+	sched_set_jobs_loaded(successor);
+	rig->sched = successor;
+	rig_run_confirmed(rig, 300);
+	/* Two runs have ended by the word of a server that the former holder
+	 * does not reach. */
+	wm_crash(&rig->srig.cluster.servers[0]);
+	rig_run_confirmed(rig, 100);
+	(void)rig_submit_spec(rig, &spec);
+	rig_run_confirmed(rig, 100);
+	cr_assert_not_null(rig_task(rig, job));
+	cr_assert_eq(rig_task(rig, job)->starts, 1);
+	cr_assert(sched_holder_confirmed(former));
+	cr_assert_eq(sched_token(former), TOKEN);
+	wm_crash(&rig->srig.cluster.servers[3]);
+	fake_worker_faults(former_worker)->unreachable_mask = 7;
+	rig_run_confirmed(rig, 600);
+	cr_expect_eq(rig->srig.cluster.violations, 0, "%s",
+	    rig->srig.cluster.first_violation);
+	cr_expect_eq(rig_task(rig, job)->starts, 1);
+	sched_destroy(successor);
+	fake_worker_destroy(rig->srig.worker);
+	rig->srig.worker = former_worker;
+	rig->sched = former;
+	rig_destroy(rig);
+}
+
+Test(scheduler_holder, former_holder_starts_no_job_on_a_server_that_restarted)
+{
+	rig_expect_one_run_beside_restarted_server(false);
+}
+
+Test(scheduler_holder, former_holder_starts_no_stored_job_on_one_that_restarted)
+{
+	rig_expect_one_run_beside_restarted_server(true);
+}
