A former holder starts no job on a server that has restarted under its id

The servers of the sites in force start again under new ids.

A server that restarts under its id has forgotten the token of the successor, which relies on the list of the process before. The former holder finds the restart by its next hold and starts a waiting job there, also a stored one.

Why it works: the restart is found later than it happened. A holder that is confirmed at a later time than that had not been replaced before it; one that is replaced later is so by a host that asks the new process for its list. The first list of a term counts as well, if it is of another process than the row.

Not covered: a start that was sent before the restart and is sent again after it.

Cost: O(1) per restart.

--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -239,7 +239,8 @@
 	bool held;	       /* its lists were processed under this token */
 	bool was_held;	       /* under this token, perhaps not now */
 	bool removed;	       /* from the registry; freed when unused */
-	/* Its row was read then, under this token; 0: before. */
+	/* Its row was read, or it was found to have restarted, under this
+	 * token; 0: neither. */
 	uint64_t known_boot_us;
 	bool lease_limited; /* its lease may not be extended now */
 	bool refusing;	    /* it refuses connections since it was held */
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -337,6 +337,12 @@
 	server->refusing = false;
 	if (incarnation_start_ms == server->incarnation_start_ms)
 		return;
+	/* It has forgotten the token of a successor, if there is one. */
+	if (server->incarnation_start_ms != 0 ||
+	    (server->info.incarnation_start_ms != 0 &&
+		server->info.incarnation_start_ms != incarnation_start_ms))
+		server->known_boot_us =
+		    clock_boot_us(server->sched->params.clock);
 	if (server->incarnation_start_ms != 0) {
 		if (!refusing)
 			sched_suspects_server_lost(server, true);
