Servers that wait for a confirmation count towards the service rate

What callers saw: jobs refused as not run while servers are replaced.

Cause: a holder starts nothing on a new server until its next confirmation, 0.15 to 0.65 s. It counted the server as one that serves nothing: if all are new, the backlog is endless, and a job that is late meanwhile is refused.

Evidence: test_scheduler_holder late_job_is_not_refused_while_servers_are_new failed before.

Why it works: the next confirmation is due sooner than most jobs are worthless; a holder that gets none is unconfirmed and refuses jobs by that.

--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -404,7 +404,7 @@
 	if (!server->held && !server->removed && !server->info.draining)
 		return now_us - sched->activated_us <=
 		    SCHED_RECOVERY_MAX_MS * SCHED_US_PER_MS;
-	return sched_server_accepts_starts(server, now_us);
+	return sched_server_is_usable(server, now_us);
 }
 
 static void
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -554,6 +554,9 @@
 bool sched_bulkhead_admits(const struct sched_server *server, bool confined);
 
 /* scheduler_place.c */
+/* Whether the server accepts starts, or will at the next confirmation of this
+ * holder. */
+bool sched_server_is_usable(const struct sched_server *server, uint64_t now_us);
 bool sched_server_accepts_starts(const struct sched_server *server,
     uint64_t now_us);
 /* Whether @server could run the task, regardless of its free resources, of
--- a/entry/jobs/scheduler_place.c
+++ b/entry/jobs/scheduler_place.c
@@ -33,10 +33,9 @@
 }
 
 bool
-sched_server_accepts_starts(const struct sched_server *server, uint64_t now_us)
+sched_server_is_usable(const struct sched_server *server, uint64_t now_us)
 {
 	return server->held && !server->removed && !server->info.draining &&
-	    !sched_server_unconfirmed(server) &&
 	    sched_lease_admits_starts(server, now_us) &&
 	    server->unanswered_holds == 0 && server->nisolated == 0 &&
 	    server->no_start_until_us <= now_us &&
@@ -45,6 +44,13 @@
 	    TAILQ_EMPTY(&server->orphans);
 }
 
+bool
+sched_server_accepts_starts(const struct sched_server *server, uint64_t now_us)
+{
+	return sched_server_is_usable(server, now_us) &&
+	    !sched_server_unconfirmed(server);
+}
+
 bool
 sched_server_matches(const struct sched_server *server,
     const struct sched_task *task)
--- a/tests/test_scheduler_holder.c
+++ b/tests/test_scheduler_holder.c
@@ -604,12 +604,13 @@
 	}
 	rig->sched = successor;
 	rig_confirm(rig);
+	(void)rig_submit_spec(rig, &spec);
+	rig_run_confirmed(rig, 50);
 	if (rig->srig.server_reads > 0) {
 		if (before_claim)
 			srig_server_returns_to(&rig->srig, successor, 3);
 		sched_servers_refreshed(successor);
 	}
-	(void)rig_submit_spec(rig, &spec);
 	rig_run_confirmed(rig, 100);
 	cr_assert_eq(rig_task(rig, job)->starts, 1);
 	if (!before_claim)
@@ -634,10 +635,11 @@
 }
 
 /* It is used once no other host had taken over when it was known. */
-Test(scheduler_holder, new_server_is_used_after_the_next_confirmation)
+/* All servers have been replaced by a new one since the last confirmation. */
+static struct rig *
+rig_create_new_server(void)
 {
 	struct rig *rig = rig_create();
-	struct rig_job *job;
 	size_t i;
 	char id[8];
 
@@ -647,6 +649,27 @@
 	}
 	rig_run_confirmed(rig, 100);
 	srig_server_returns_to(&rig->srig, rig->sched, 0);
+	return rig;
+}
+
+Test(scheduler_holder, late_job_is_not_refused_while_servers_are_new)
+{
+	struct rig *rig = rig_create_new_server();
+	struct rig_job *job = rig_submit(rig, SHORT_MS, false);
+
+	srig_run(&rig->srig, 300);
+	cr_expect_not(job->answered);
+	rig_run_confirmed(rig, 200);
+	cr_expect(job->answered);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
+Test(scheduler_holder, new_server_is_used_after_the_next_confirmation)
+{
+	struct rig *rig = rig_create_new_server();
+	struct rig_job *job;
+
 	job = rig_submit(rig, SHORT_MS, false);
 	srig_run(&rig->srig, 50);
 	cr_expect_null(rig_task(rig, job));
