Logs: whether a server that is held accepts starts, and whether rows are awaited

A task that waits for a confirmation or for rows left no trace: server-held has usable=, former-runs-ended has rows=.

--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -380,12 +380,13 @@
 	log_event(LOG_LEVEL_INFO, "former-runs-ended",
 	    "id=%s task=%" PRIu32 ".%" PRIu32 " unheld_servers=%" PRIu32
 	    " server=%s former_runs=%s"
-	    " servers=%s since_take_over_ms=%" PRIu64
+	    " servers=%s rows=%s since_take_over_ms=%" PRIu64
 	    " confirmation_age_ms=%" PRIu64,
 	    task->job->spec.id, task->step, task->index, n,
 	    unheld == NULL ? "-" : unheld->info.id,
 	    sched->former_runs_known ? "known" : "unknown",
 	    sched->servers_complete ? "complete" : "incomplete",
+	    sched->rows_refreshed && !sched->awaits_rows ? "read" : "awaited",
 	    (now_us - sched->activated_us) / SCHED_US_PER_MS,
 	    sched_holder_age_ms(sched));
 }
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -299,9 +299,10 @@
 		sched_bulkhead_reserve(server->sched);
 		log_event(LOG_LEVEL_INFO, "server-held",
 		    "server=%s token=%" PRIu64
-		    " running=%zu ended=%zu started_ms=%" PRIu64,
+		    " running=%zu ended=%zu started_ms=%" PRIu64 " usable=%d",
 		    server->info.id, server->sched->token, reply->nrunning,
-		    reply->nended, server->incarnation_start_ms);
+		    reply->nended, server->incarnation_start_ms,
+		    sched_server_accepts_starts(server, now_us) ? 1 : 0);
 	}
 }
 
