--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -466,7 +466,7 @@
 
 	for (i = 0; i < net->nhosts; i++) {
 		for (j = 0; j < net->nhosts; j++) {
-			if (net->connected[i][j] && !net->hold_calls &&
+			if (net->connected[i][j] &&
 			    now_us - net->alive_us[i][j] >=
 				HEARTBEAT_MS * UINT64_C(1000))
 				net->alive_us[i][j] = now_us;
