--- a/entry/jobs/scheduler_end.c
+++ b/entry/jobs/scheduler_end.c
@@ -25,9 +25,10 @@
 
 	log_event(LOG_LEVEL_INFO, "run-discarded",
 	    "id=%s task=%" PRIu32 ".%" PRIu32 " run=%" PRIu64
-	    " server=%s outcome=\"%s\" stopping_ms=%" PRIu64,
+	    " server=%s outcome=\"%s\" stopping_ms=%" PRIu64 " job_ended=%d",
 	    job->spec.id, task->step, task->index, task->run_id,
-	    task->server->info.id, cause, stopping_us / SCHED_US_PER_MS);
+	    task->server->info.id, cause, stopping_us / SCHED_US_PER_MS,
+	    job->ended ? 1 : 0);
 	sched_task_unassign(task);
 	if (job->ended) {
 		sched_job_release_ended(job);
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -50,7 +50,7 @@
 
 /** struct sim_totals - counts of all days. */
 struct sim_totals {
-	uint32_t days, failed, jobs, resent, starts, takeovers;
+	uint32_t days, failed, discarded, jobs, resent, starts, takeovers;
 	uint32_t answers[GW_INVALID + 1];
 	uint32_t events[128]; /* by letter */
 };
@@ -232,8 +232,12 @@
 	/* Times, 0: none. */
 	uint64_t stands_until_ms, start_ms, store_heal_ms, worker_heal_ms;
 	uint64_t leaves_ms, unlist_ms; /* it ends; its row is removed */
-	bool stood;	 /* it has stood still since it ran last */
-	bool dies;	 /* it loses power and does not go on */
+	bool stood; /* it has stood still since it ran last */
+	bool dies;  /* it loses power and does not go on */
+	/* It stands still as its machine is suspended; since when, and for how
+	 * long before. */
+	bool suspended;
+	uint64_t suspended_at_ms, suspended_ms;
 	bool power_lost; /* nothing at its address answers */
 	bool store_lost;
 	bool ending; /* its process ends now: nothing that it does counts */
@@ -273,18 +277,27 @@
 	struct sim_callers *callers;
 	uint32_t job_permille, event_permille;
 	char theme;
+	/* The first run that was taken for ended and had not; "": none. */
+	char discarded[WORKER_TASK_NAME_SIZE];
+	uint64_t discarded_ms;
 };
 
 /** sim_day_play() - Return: whether the day has passed. */
 bool sim_day_play(const struct sim_options *options, uint64_t seed,
     struct sim_totals *totals);
 
+/** sim_day_run_discarded() - a holder has taken a run for ended. */
+void sim_day_run_discarded(const char *task, uint64_t run_id);
+
 /** sim_day_current() - the day that is played. */
 const struct sim_day *sim_day_current(void);
 
 uint32_t sim_random(struct sim_day *day, uint32_t n);
 bool sim_chance(struct sim_day *day, uint32_t permille);
+/** sim_now_us() - time that no suspension stops. */
 uint64_t sim_now_us(void);
+/** sim_host_now_us() - time by the clock of a host's processes. */
+uint64_t sim_host_now_us(const struct sim_host *host);
 bool sim_host_runs(const struct sim_host *host);
 void sim_host_start(struct sim_host *host);
 void sim_host_leave(struct sim_host *host, uint64_t end_ms);
--- a/tests/sim/sim_callers.c
+++ b/tests/sim/sim_callers.c
@@ -118,7 +118,7 @@
 		day->totals->resent++;
 	caller->send = send;
 	caller->again_ms = 0;
-	caller->leaves_ms = day->now_ms + day->options->deadline_ms + 50;
+	caller->leaves_ms = day->now_ms + day->options->deadline_ms;
 	if (sim_chance(day, 100))
 		caller->leaves_ms = day->now_ms + 1 + sim_random(day, 1500);
 	sim_trace(day, "%s gets %s, submission %u", host->name, caller->id,
--- a/tests/sim/sim_conn.c
+++ b/tests/sim/sim_conn.c
@@ -69,7 +69,7 @@
 {
 	struct sim_end *to = sim_end_peer(end);
 
-	end->last_sent_us = sim_now_us();
+	end->last_sent_us = sim_host_now_us(end->host);
 	if (!to->closed) {
 		sim_end_receive(to, msg, end->conn->delay_us);
 		return;
@@ -90,7 +90,7 @@
 	end->host = host;
 	end->incarnation = host->info.incarnation;
 	end->dialed = dialed;
-	end->opened_us = end->last_received_us = sim_now_us();
+	end->opened_us = end->last_received_us = sim_host_now_us(host);
 	TAILQ_INIT(&end->wire);
 	TAILQ_INIT(&end->inbox);
 	TAILQ_INSERT_TAIL(&host->ends, end, entry);
--- a/tests/sim/sim_day.c
+++ b/tests/sim/sim_day.c
@@ -35,7 +35,58 @@
 uint64_t
 sim_now_us(void)
 {
-	return clock_now_us(clock_real());
+	return clock_boot_us(clock_real());
+}
+
+static const struct sim_host *sim_machine; /* whose clocks are read, or NULL */
+
+/* The clocks are those of the machine of @host; NULL: of none. */
+static void
+sim_select_machine(const struct sim_host *host)
+{
+	uint64_t ms = 0;
+
+	sim_machine = host;
+	if (host != NULL)
+		ms = host->suspended_ms;
+	if (host != NULL && host->suspended)
+		ms += host->day->now_ms - host->suspended_at_ms;
+	sim_time_set_suspended(ms);
+}
+
+uint64_t
+sim_host_now_us(const struct sim_host *host)
+{
+	const struct sim_host *selected = sim_machine;
+	uint64_t now_us;
+
+	sim_select_machine(host);
+	now_us = clock_now_us(clock_real());
+	sim_select_machine(selected);
+	return now_us;
+}
+
+void
+sim_day_run_discarded(const char *task, uint64_t run_id)
+{
+	const struct wm_run *run;
+	size_t i;
+
+	for (i = 0; i < sim_current->nservers; i++) {
+		TAILQ_FOREACH (run, &sim_current->cluster.servers[i].running,
+		    entry) {
+			if (run->run_id != run_id ||
+			    strcmp(run->task, task) != 0 ||
+			    sim_current->discarded[0] != '\0')
+				continue;
+			strlcpy(sim_current->discarded, task,
+			    sizeof(sim_current->discarded));
+			sim_current->discarded_ms = sim_current->now_ms;
+			sim_trace(sim_current,
+			    "%s run=%llu has not ended: it is on s%zu", task,
+			    (unsigned long long)run_id, i);
+		}
+	}
 }
 
 static uint64_t
@@ -126,9 +177,11 @@
 {
 	const struct fake_worker_faults faults =
 	    *fake_worker_faults(host->worker);
+	const struct sim_host *selected = sim_machine;
 
 	sim_trace(host->day, "%s is killed%s", host->name,
 	    silent ? ", power lost" : "");
+	sim_select_machine(host);
 	/* The modules let go of each other's calls only in an orderly end. */
 	host->ending = true;
 	*fake_worker_faults(host->worker) =
@@ -143,8 +196,10 @@
 	host->token = 0;
 	host->leaves_ms = 0;
 	host->dies = host->stood = false;
+	host->suspended = false;
 	sim_peers_stop(host, silent);
 	sim_callers_lose(host->day->callers, host);
+	sim_select_machine(selected);
 }
 
 /* As a daemon does on SIGTERM: its row is removed, jobs go on until @end_ms. */
@@ -155,8 +210,10 @@
 		return;
 	sim_trace(host->day, "%s leaves", host->name);
 	host->leaves_ms = end_ms;
+	sim_select_machine(host);
 	gw_refuse_new(jsvc_gateway(host->svc));
 	jsvc_leave(host->svc);
+	sim_select_machine(NULL);
 }
 
 struct job_gateway *
@@ -177,6 +234,11 @@
 		if (day->now_ms < host->stands_until_ms)
 			return;
 		host->stands_until_ms = 0;
+		if (host->suspended)
+			host->suspended_ms +=
+			    day->now_ms - host->suspended_at_ms;
+		host->suspended = false;
+		sim_select_machine(host);
 		if (host->dies) {
 			sim_host_kill(host, true);
 			host->start_ms = day->now_ms + sim_random(day, 3000);
@@ -280,8 +342,10 @@
 	}
 	for (i = 0; i < day->nhosts; i++) {
 		day->running = day->hosts[i].name;
+		sim_select_machine(&day->hosts[i]);
 		sim_host_step(&day->hosts[i]);
 	}
+	sim_select_machine(NULL);
 	day->running = "-";
 	sim_conn_sweep(day);
 }
@@ -395,6 +459,14 @@
 		    day->cluster.double_runs != 0 ? ""
 						  : " was refused and has run",
 		    day->theme);
+	if (day->discarded[0] != '\0') {
+		printf("seed %llu at %llu: %s was taken for ended while it ran "
+		       "(theme %c)\n",
+		    (unsigned long long)seed,
+		    (unsigned long long)day->discarded_ms, day->discarded,
+		    day->theme);
+		totals->discarded++;
+	}
 	totals->days++;
 	if (!passed)
 		totals->failed++;
--- a/tests/sim/sim_events.c
+++ b/tests/sim/sim_events.c
@@ -186,7 +186,7 @@
 /* A host stands still, half of the time a holder; perhaps others with it, and
  * for some it ends with the loss of power. */
 static void
-sim_event_stand_still(struct sim_host *host, uint64_t until_ms)
+sim_stand_still(struct sim_host *host, uint64_t until_ms, bool suspended)
 {
 	struct sim_day *day = host->day;
 	struct sim_host *other;
@@ -199,11 +199,28 @@
 		if (other->svc == NULL ||
 		    (other != host && !sim_chance(day, 80)))
 			continue;
+		if (other->stands_until_ms == 0) {
+			other->suspended = suspended;
+			other->suspended_at_ms = day->now_ms;
+		}
 		other->stands_until_ms = until_ms;
 		other->dies = sim_chance(day, 150);
 	}
 }
 
+static void
+sim_event_stand_still(struct sim_host *host, uint64_t until_ms)
+{
+	sim_stand_still(host, until_ms, false);
+}
+
+/* CLOCK_MONOTONIC of the machine does not proceed meanwhile. */
+static void
+sim_event_suspended(struct sim_host *host, uint64_t until_ms)
+{
+	sim_stand_still(host, until_ms, true);
+}
+
 /* A holder is cut off; the servers are split between it and the others. */
 static void
 sim_event_holder_apart(struct sim_host *host, uint64_t until_ms)
@@ -387,6 +404,7 @@
 	{ 'k', sim_event_kill },
 	{ 'n', sim_event_leaves },
 	{ 'f', sim_event_stand_still },
+	{ 'z', sim_event_suspended },
 	{ 'p', sim_event_pause_all },
 	{ 'h', sim_event_slow_server },
 	{ 'A', sim_event_holder_apart },
--- a/tests/sim/sim_forward.c
+++ b/tests/sim/sim_forward.c
@@ -139,7 +139,7 @@
 	forward->incarnation = incarnation;
 	forward->correlation = host->day->next_correlation++;
 	forward->deadline_us =
-	    sim_now_us() + SIM_CONNECT_TIMEOUT_MS * SIM_US_PER_MS;
+	    sim_host_now_us(host) + SIM_CONNECT_TIMEOUT_MS * SIM_US_PER_MS;
 	forward->done = done;
 	forward->arg = arg;
 	forward->msg = sim_request_msg(request, forward->correlation);
@@ -153,7 +153,7 @@
 	else if (other != NULL)
 		sim_forward_fail(forward, ERR_NOT_FOUND);
 	else if (sim_end_dialing(host, forward->to) == NULL) {
-		if (sim_now_us() < host->next_dial_us[forward->to])
+		if (sim_host_now_us(host) < host->next_dial_us[forward->to])
 			sim_forward_fail(forward, ERR_UNAVAILABLE);
 		else
 			sim_peers_dial(host, forward->to);
--- a/tests/sim/sim_main.c
+++ b/tests/sim/sim_main.c
@@ -22,14 +22,15 @@
 		(void)sim_day_play(options, options->seed + i, &totals);
 		(void)fflush(stdout);
 	}
-	printf("days %u failed %u jobs %u resent %u starts %u takeovers %u "
+	printf("days %u failed %u discarded %u jobs %u resent %u starts %u "
+	       "takeovers %u "
 	       "answers: completed %u accepted %u failed %u not-run %u "
 	       "unknown %u invalid %u\nevents:",
-	    totals.days, totals.failed, totals.jobs, totals.resent,
-	    totals.starts, totals.takeovers, totals.answers[GW_COMPLETED],
-	    totals.answers[GW_ACCEPTED], totals.answers[GW_FAILED],
-	    totals.answers[GW_NOT_RUN], totals.answers[GW_UNKNOWN],
-	    totals.answers[GW_INVALID]);
+	    totals.days, totals.failed, totals.discarded, totals.jobs,
+	    totals.resent, totals.starts, totals.takeovers,
+	    totals.answers[GW_COMPLETED], totals.answers[GW_ACCEPTED],
+	    totals.answers[GW_FAILED], totals.answers[GW_NOT_RUN],
+	    totals.answers[GW_UNKNOWN], totals.answers[GW_INVALID]);
 	for (i = 0; i < sizeof(totals.events) / sizeof(totals.events[0]); i++) {
 		letter = strchr(options->mix, (int)i);
 		if (i != 0 && letter != NULL)
--- a/tests/sim/sim_peers.c
+++ b/tests/sim/sim_peers.c
@@ -98,7 +98,7 @@
 	    : *backoff_ms < SIM_BACKOFF_MAX_MS ? *backoff_ms * 2
 					       : *backoff_ms;
 	host->next_dial_us[to] =
-	    sim_now_us() + sim_jitter_us(host, *backoff_ms);
+	    sim_host_now_us(host) + sim_jitter_us(host, *backoff_ms);
 	sim_conn_dial(host, &host->day->hosts[to]);
 }
 
@@ -153,7 +153,7 @@
 void
 sim_peers_msg(struct sim_end *end, struct sim_msg *msg)
 {
-	end->last_received_us = sim_now_us();
+	end->last_received_us = sim_host_now_us(end->host);
 	end->alive_us = end->host->previous_tick_us;
 	switch (msg->kind) {
 	case SIM_HELLO:
@@ -201,7 +201,7 @@
 sim_peers_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct sim_host *host = arg;
-	uint64_t now_us = sim_now_us();
+	uint64_t now_us = sim_host_now_us(host);
 	struct sim_end *end;
 	size_t i;
 
@@ -264,7 +264,7 @@
 
 	if (sim_end_find_host(host, to) == NULL &&
 	    sim_end_dialing(host, to) == NULL &&
-	    sim_now_us() >= host->next_dial_us[to])
+	    sim_host_now_us(host) >= host->next_dial_us[to])
 		sim_peers_dial(host, to);
 }
 
@@ -302,7 +302,7 @@
 	memset(host->listed, 0, sizeof(host->listed));
 	memset(host->next_dial_us, 0, sizeof(host->next_dial_us));
 	memset(host->backoff_ms, 0, sizeof(host->backoff_ms));
-	host->previous_tick_us = host->last_tick_us = sim_now_us();
+	host->previous_tick_us = host->last_tick_us = sim_host_now_us(host);
 	host->tick =
 	    event_new(host->base, -1, EV_PERSIST, sim_peers_tick, host);
 	(void)event_add(host->tick, &interval);
--- a/tests/support/fake_worker.c
+++ b/tests/support/fake_worker.c
@@ -71,7 +71,8 @@
 static uint64_t
 fkw_now_ms(struct fake_worker *fake)
 {
-	return clock_now_us(fake->clock) / 1000;
+	/* It goes on while the hosts are suspended. */
+	return clock_boot_us(fake->clock) / 1000;
 }
 
 static uint64_t
--- a/tests/support/sim_time.c
+++ b/tests/support/sim_time.c
@@ -20,6 +20,7 @@
 static _Thread_local bool sim_active;
 static bool sim_stepped; /* by sim_time_advance() alone */
 static int64_t sim_real_ns, sim_monotonic_ns, sim_boot_ns;
+static int64_t sim_suspended_ns; /* that CLOCK_MONOTONIC did not count */
 
 static int64_t
 sim_read_clock(clockid_t id)
@@ -56,6 +57,12 @@
 	sim_boot_ns += ms * SIM_NS_PER_MS;
 }
 
+void
+sim_time_set_suspended(uint64_t ms)
+{
+	sim_suspended_ns = (int64_t)ms * SIM_NS_PER_MS;
+}
+
 void
 sim_time_advance(uint32_t ms)
 {
@@ -79,7 +86,7 @@
 		ns = sim_boot_ns;
 		break;
 	default:
-		ns = sim_monotonic_ns;
+		ns = sim_monotonic_ns - sim_suspended_ns;
 		break;
 	}
 	ts->tv_sec = (time_t)(ns / SIM_NS_PER_S);
--- a/tests/support/sim_time.h
+++ b/tests/support/sim_time.h
@@ -28,4 +28,8 @@
  * not proceed, the other clocks do. */
 void sim_time_suspend(uint32_t ms);
 
+/** sim_time_set_suspended() - from now on CLOCK_MONOTONIC is that of a machine
+ * that has been suspended for @ms in all. */
+void sim_time_set_suspended(uint64_t ms);
+
 #endif /* TESTS_SUPPORT_SIM_TIME_H */
