The monotonic clock of all modules counts suspensions

Callers: on a host whose machine had been suspended, runs went on for up to 1.25 s after the end of the suspension although their callers had left before it, and a second submission ran beside them in another zone (TWICE); jobs were passed on after their callers' deadlines.

Cause: clock_now_us() was CLOCK_MONOTONIC, which stands still while the machine is suspended. When a caller was last known to wait, how old a list of runs is, and what is left of a deadline then seem younger than they are. Only some times (clock_boot_us(): the holder's lease, the age of forwards) counted suspensions. Class: a duration of the outside world measured by a clock that may stand still.

Now clock_now_us() is CLOCK_BOOTTIME, and clock_boot_us() is gone, so that no code can take the wrong one.

Tests, red before: test_cells no_second_run_of_a_resubmitted_job_after_a_ suspension (two runs), test_job_gateway job_is_not_submitted_after_a_ suspension (no answer). No new periodic cost.

--- a/adapters/clock_real.c
+++ b/adapters/clock_real.c
@@ -23,13 +23,6 @@
 
 static uint64_t
 clock_real_now_us(struct clock *clock)
-{
-	(void)clock;
-	return clock_real_read_us(CLOCK_MONOTONIC);
-}
-
-static uint64_t
-clock_real_boot_us(struct clock *clock)
 {
 	(void)clock;
 	return clock_real_read_us(CLOCK_BOOTTIME);
@@ -48,7 +41,6 @@
 
 static const struct clock_ops clock_real_ops = {
 	.now_us = clock_real_now_us,
-	.boot_us = clock_real_boot_us,
 	.wall_ms = clock_real_wall_ms,
 };
 
--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -40,7 +40,7 @@
 uint64_t
 cells_boot_us(const struct cells *cells)
 {
-	return clock_boot_us(cells->params.clock);
+	return clock_now_us(cells->params.clock);
 }
 
 struct cells_host *
--- a/entry/jobs/job_store_load.c
+++ b/entry/jobs/job_store_load.c
@@ -193,7 +193,7 @@
 	(void)snprintf(text, sizeof(text), "%" PRIu64, store->token);
 	row.value = text;
 	row.value_len = strlen(text);
-	load->claimed_boot_us = clock_boot_us(store->clock);
+	load->claimed_boot_us = clock_now_us(store->clock);
 	load->in_flight = true;
 	store->rows->ops->transact(store->rows, load->part, &row, 1,
 	    jstore_claim_done, load);
--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -125,7 +125,7 @@
 		    server->info.id);
 	}
 	if (server->removed && sched->token != 0)
-		server->known_boot_us = clock_boot_us(sched->params.clock);
+		server->known_boot_us = clock_now_us(sched->params.clock);
 	/* The row of a live server may have expired and returned. */
 	server->removed = false;
 	server->info = *info;
@@ -178,7 +178,7 @@
 	sched->activated_us = sched_now(sched);
 	sched->loaded_us = sched->activated_us;
 	hlease_start(&sched->holder_lease, sched->params.holder_lease_ms,
-	    clock_boot_us(sched->params.clock));
+	    clock_now_us(sched->params.clock));
 	sched->holder_confirmed = false;
 	sched->awaits_owner_boot_us = 0;
 	sched->server_unknown = false;
@@ -395,7 +395,7 @@
 	if (sched->params.holder_lease_ms == 0)
 		return UINT32_MAX;
 	return hlease_remaining_ms(&sched->holder_lease,
-	    clock_boot_us(sched->params.clock));
+	    clock_now_us(sched->params.clock));
 }
 
 bool
@@ -420,7 +420,7 @@
 sched_holder_age_ms(const struct scheduler *sched)
 {
 	return hlease_age_ms(&sched->holder_lease,
-	    clock_boot_us(sched->params.clock));
+	    clock_now_us(sched->params.clock));
 }
 
 /*
@@ -433,7 +433,7 @@
 {
 	struct sched_job *job;
 
-	sched->awaits_owner_boot_us = clock_boot_us(sched->params.clock);
+	sched->awaits_owner_boot_us = clock_now_us(sched->params.clock);
 	sched->former_runs_known = false;
 	TAILQ_FOREACH (job, &sched->jobs, entry) {
 		if (job->stored || job->may_have_started)
@@ -461,7 +461,7 @@
 
 	if (sched->token == 0 ||
 	    !hlease_confirm(&sched->holder_lease, confirmed_boot_us,
-		clock_boot_us(sched->params.clock), now_us))
+		clock_now_us(sched->params.clock), now_us))
 		return;
 	sched_check_holder_lease(sched);
 	if (was_confirmed)
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -196,7 +196,7 @@
 /**
  * sched_confirm_holder() - renew the lease on the role of holder (see
  * core/holder_lease.h). Does nothing while inactive.
- * @confirmed_boot_us: no other host had taken over then, see clock_boot_us().
+ * @confirmed_boot_us: no other host had taken over then, see clock_now_us().
  */
 void sched_confirm_holder(struct scheduler *sched, uint64_t confirmed_boot_us);
 
--- a/entry/jobs/scheduler_job.c
+++ b/entry/jobs/scheduler_job.c
@@ -281,7 +281,7 @@
 sched_job_may_start_unconfirmed(const struct sched_job *job)
 {
 	const struct sched_params *params = &job->sched->params;
-	uint64_t boot_us = clock_boot_us(params->clock);
+	uint64_t boot_us = clock_now_us(params->clock);
 
 	return !job->stored && job->start_after_us == 0 &&
 	    job_critical_path_ms(&job->spec) <= params->lease_ms &&
@@ -307,7 +307,7 @@
 {
 	uint64_t now_us = sched_now(job->sched);
 	uint64_t age_us = request->age_ms * SCHED_US_PER_MS;
-	uint64_t boot_us = clock_boot_us(job->sched->params.clock);
+	uint64_t boot_us = clock_now_us(job->sched->params.clock);
 	uint64_t objective_us =
 	    job_objective_ms(&job->spec, &job->queue) * SCHED_US_PER_MS;
 
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -343,7 +343,7 @@
 	    (server->info.incarnation_start_ms != 0 &&
 		server->info.incarnation_start_ms != incarnation_start_ms))
 		server->known_boot_us =
-		    clock_boot_us(server->sched->params.clock);
+		    clock_now_us(server->sched->params.clock);
 	if (server->incarnation_start_ms != 0) {
 		if (!refusing)
 			sched_suspects_server_lost(server, true);
--- a/ports/clock.h
+++ b/ports/clock.h
@@ -13,10 +13,9 @@
 
 /** struct clock_ops - operations of a time source. */
 struct clock_ops {
-	uint64_t (*now_us)(struct clock *clock); /* monotonic, in us */
-	/* Monotonic, in us, with the time in which the machine was suspended;
-	 * NULL: as now_us(). */
-	uint64_t (*boot_us)(struct clock *clock);
+	/* Monotonic, in us, with the time in which the machine was suspended:
+	 * other machines go on meanwhile. */
+	uint64_t (*now_us)(struct clock *clock);
 	/* Time since 1970 in ms, for audit records. */
 	uint64_t (*wall_ms)(struct clock *clock);
 };
@@ -25,24 +24,14 @@
 	const struct clock_ops *ops;
 };
 
-/** clock_now_us() - monotonic time in microseconds. */
+/** clock_now_us() - monotonic time in microseconds, which proceeds while the
+ * machine is suspended. */
 static inline uint64_t
 clock_now_us(struct clock *clock)
 {
 	return clock->ops->now_us(clock);
 }
 
-/**
- * clock_boot_us() - monotonic time in microseconds that proceeds while the
- * machine is suspended.
- */
-static inline uint64_t
-clock_boot_us(struct clock *clock)
-{
-	return clock->ops->boot_us == NULL ? clock_now_us(clock)
-					   : clock->ops->boot_us(clock);
-}
-
 /** clock_wall_ms() - wall-clock time in milliseconds since 1970. */
 static inline uint64_t
 clock_wall_ms(struct clock *clock)
--- a/tests/sim/sim_day.c
+++ b/tests/sim/sim_day.c
@@ -9,6 +9,7 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 
 #include "core/mem.h"
 #include "sim.h"
@@ -35,7 +36,10 @@
 uint64_t
 sim_now_us(void)
 {
-	return clock_boot_us(clock_real());
+	struct timespec ts;
+
+	(void)clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (uint64_t)ts.tv_sec * 1000000 + (uint64_t)(ts.tv_nsec / 1000);
 }
 
 static const struct sim_host *sim_machine; /* whose clocks are read, or NULL */
--- a/tests/support/fake_worker.c
+++ b/tests/support/fake_worker.c
@@ -72,7 +72,7 @@
 fkw_now_ms(struct fake_worker *fake)
 {
 	/* It goes on while the hosts are suspended. */
-	return clock_boot_us(fake->clock) / 1000;
+	return clock_now_us(fake->clock) / 1000;
 }
 
 static uint64_t
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1066,7 +1066,7 @@
 		net_run(net, 10);
 	host_read_servers(successor);
 	/* Its claim is stored. */
-	sched_confirm_owner(successor->sched, clock_boot_us(clock_real()));
+	sched_confirm_owner(successor->sched, clock_now_us(clock_real()));
 	host_submit(successor, PLAIN_JOB, true);
 	net_run(net, PARTITION_MS);
 	cr_expect_eq(net->cluster.violations, 0, "%s",
@@ -1625,7 +1625,7 @@
 host_submit_to(struct host *host, const char *holder, bool resubmitted,
     struct submission *submission)
 {
-	host_submit_at(host, holder, resubmitted, clock_boot_us(clock_real()),
+	host_submit_at(host, holder, resubmitted, clock_now_us(clock_real()),
 	    submission);
 }
 
@@ -1704,7 +1704,7 @@
 	fake_worker_faults(net->worker)->unreachable_mask = ~8U;
 	host_await_holder(successor);
 	/* Its claim is stored, and it has read the rows of servers. */
-	sched_confirm_owner(successor->sched, clock_boot_us(clock_real()));
+	sched_confirm_owner(successor->sched, clock_now_us(clock_real()));
 	sched_servers_refreshed(successor->sched);
 	host_submit_to(successor, "h1", true, &submissions[1]);
 	for (ms = 0; wm_task(&net->cluster, ID ".0.0.0") == NULL && ms < 500;
@@ -1759,7 +1759,7 @@
 	net_set_connected(net, 0, 1, false);
 	host_await_holder(successor);
 	/* Its claim is stored, and it has read the rows of servers. */
-	sched_confirm_owner(successor->sched, clock_boot_us(clock_real()));
+	sched_confirm_owner(successor->sched, clock_now_us(clock_real()));
 	sched_servers_refreshed(successor->sched);
 	for (ms = 0;
 	     ms < 300 && strcmp(cells_holder(net->hosts[2].cells), "h1") != 0;
@@ -2020,17 +2020,17 @@
 	host_await_holder(second);
 	host_read_servers(second);
 	/* Its claim is stored. */
-	sched_confirm_owner(second->sched, clock_boot_us(clock_real()));
+	sched_confirm_owner(second->sched, clock_now_us(clock_real()));
 	host_submit(second, PLAIN_JOB, true);
 	net_isolate(net, 0, false);
 	net_run(net, 300);
 	cr_assert_eq(sched_token(first->sched), 0);
-	sched_confirm_owner(second->sched, clock_boot_us(clock_real()));
+	sched_confirm_owner(second->sched, clock_now_us(clock_real()));
 	second->store_lost = true;
 	net_isolate(net, 0, true);
 	host_await_holder(first);
 	host_read_servers(first);
-	sched_confirm_owner(first->sched, clock_boot_us(clock_real()));
+	sched_confirm_owner(first->sched, clock_now_us(clock_real()));
 	host_submit(first, PLAIN_JOB, true);
 	net_run(net, PARTITION_MS);
 	cr_expect_eq(net->cluster.violations, 0, "%s",
@@ -2210,7 +2210,7 @@
 		.timeout_ms = JOB_TIMEOUT_MS,
 		.resubmitted = resubmitted,
 		.nonce = nonce,
-		.holder_replied_at = clock_boot_us(clock_real()) };
+		.holder_replied_at = clock_now_us(clock_real()) };
 
 	*submission = (struct submission){ .n = 0 };
 	cells_submit(host->cells, holder, &job, submission_done, submission);
@@ -2417,6 +2417,18 @@
 	resubmission_end(&test, 1);
 }
 
+/* The machine of the holder is suspended as the job's host is lost. */
+Test(cells, no_second_run_of_a_resubmitted_job_after_a_suspension)
+{
+	struct resubmission test;
+
+	resubmission_start(&test, 2, 2, 0);
+	resubmission_lose_host(&test, 2);
+	sim_time_suspend(PAUSE_MS);
+	net_run(test.net, RESEND_MS - PAUSE_MS);
+	resubmission_end(&test, 1);
+}
+
 /* Their event loops run a tick before they find the connection closed. */
 Test(cells, no_second_run_of_a_resubmitted_job_whose_loss_is_found_after_a_tick)
 {
@@ -2724,8 +2736,7 @@
 	net_run(net, 100);
 	cr_assert_neq(sched_token(net->hosts[2].sched), 0);
 	/* It has claimed the cell. */
-	cells_owner_read(net->hosts[2].cells, clock_boot_us(clock_real()),
-	    true);
+	cells_owner_read(net->hosts[2].cells, clock_now_us(clock_real()), true);
 	resubmission_submit(&net->hosts[2], "h2", NEIGHBOUR, true,
 	    &test.neighbour);
 	faults->unreachable_mask = 0;
--- a/tests/test_job_gateway.c
+++ b/tests/test_job_gateway.c
@@ -112,7 +112,8 @@
 }
 
 /* The holder was told to serve it for days. */
-Test(job_gateway, job_is_not_submitted_after_its_callers_deadline)
+static void
+expect_no_submission_after_the_deadline(void (*pause)(uint32_t ms))
 {
 	const struct timeval tv = { .tv_usec = 50000 };
 	struct event_base *base;
@@ -125,7 +126,7 @@
 	base = event_base_new();
 	gateway = gw_create(base, clock_real(), &cells);
 	submit(gateway, &caller);
-	sim_time_advance(TIMEOUT_MS + 500);
+	pause(TIMEOUT_MS + 500);
 	gw_holder_changed(gateway, "h1");
 	(void)event_base_loopexit(base, &tv);
 	(void)event_base_dispatch(base);
@@ -138,6 +139,16 @@
 	event_base_free(base);
 }
 
+Test(job_gateway, job_is_not_submitted_after_its_callers_deadline)
+{
+	expect_no_submission_after_the_deadline(sim_time_advance);
+}
+
+Test(job_gateway, job_is_not_submitted_after_a_suspension)
+{
+	expect_no_submission_after_the_deadline(sim_time_suspend);
+}
+
 static void
 run_ms(struct event_base *base, uint32_t ms)
 {
--- a/tests/test_scheduler_holder.c
+++ b/tests/test_scheduler_holder.c
@@ -49,7 +49,7 @@
 static void
 rig_confirm(struct rig *rig)
 {
-	sched_confirm_holder(rig->sched, clock_boot_us(clock_real()));
+	sched_confirm_holder(rig->sched, clock_now_us(clock_real()));
 }
 
 /* The store does not answer. */
