A start without a reply is not executed by a server's next process

Callers: with servers that restart under their id, a task ran twice at the same time: a start that had had no reply was executed seconds later by the next process, while the task had been started again elsewhere. It needs no caller that sends again.

Cause: what keeps a late start from being executed (its deadline, a stop of the run, the fencing token) is known to the process that it was sent to. The next one has another clock, on which the old deadline is a long one, and knows neither stops nor tokens. The holder took the end of the process for the end of the order. Class: evidence of one incarnation used for another.

Each process of the server that lists its runs is told to stop those it was not told of; a task whose present run is one of them is not started again before that is confirmed. Refused connections carried no order and do not count. Orders of a former term are refused by the token.

Tried and taken back before: a server with such a stop pending accepted no starts. Its tasks went to servers whose state was older, by which test_scheduler_suspect crash_before_the_start_arrives_does_not_convict failed.

Cost: O(such starts of the server) for each list, none without lost replies; one comparison for each server and tick.

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -91,6 +91,7 @@
 sched_server_update(struct scheduler *sched, const struct reg_server *info)
 {
 	struct sched_server *server = sched_server_find(sched, info->id);
+	struct sched_server *former = NULL;
 
 	if (server != NULL && sched_server_replaced(server, info)) {
 		log_event(LOG_LEVEL_WARN, "server-replaced",
@@ -107,6 +108,7 @@
 			sched_server_lost(server, "restarted", true);
 		server->removed = true;
 		sched->load_updated_us = 0; /* see sched_server_remove() */
+		former = server;
 		server = sched_server_restore(sched, info);
 	}
 	if (server == NULL) {
@@ -119,6 +121,9 @@
 		TAILQ_INIT(&server->orphans);
 		TAILQ_INIT(&server->unstored_ends);
 		LIST_INIT(&server->orders);
+		TAILQ_INIT(&server->late_starts);
+		if (former != NULL)
+			sched_late_move(server, former);
 		TAILQ_INSERT_TAIL(&sched->servers, server, entry);
 		server->info = *info;
 		nidx_insert(&sched->servers_by_id, &server->by_id,
@@ -188,6 +193,8 @@
 	TAILQ_FOREACH (server, &sched->servers, entry) {
 		server->was_held = false;
 		server->known_boot_us = 0;
+		/* Those of former terms have a lower token. */
+		sched_late_clear(server);
 		if (!server->removed)
 			sched_server_reset(server);
 	}
@@ -541,6 +548,7 @@
 sched_server_unused(const struct sched_server *server)
 {
 	return TAILQ_EMPTY(&server->tasks) && server->pending_calls == 0 &&
+	    TAILQ_EMPTY(&server->late_starts) &&
 	    (TAILQ_EMPTY(&server->orphans) || sched_lease_ended(server));
 }
 
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -20,6 +20,7 @@
  *   scheduler_server.c    leases, and the lists of runs that servers return
  *   scheduler_lease.c     time until which leases may be extended
  *   scheduler_run.c       start and stop orders
+ *   scheduler_late.c      start orders without a reply
  *   scheduler_end.c       processing of ended runs
  *   scheduler_ack.c       acknowledgement of ended runs
  *   scheduler_dispatch.c  order of waiting tasks, and refusals
@@ -103,6 +104,11 @@
 	struct sched_orphan *orphan; /* that is stopped, or NULL */
 	struct sched_server *server;
 	uint64_t sent_us;
+	/* Of a start order, else "" and 0; and the server's process that was
+	 * known then. */
+	char start_task[WORKER_TASK_NAME_SIZE];
+	uint64_t start_run_id;
+	uint64_t process_started_ms;
 	LIST_ENTRY(sched_order) entry;
 };
 
@@ -195,12 +201,26 @@
 	uint64_t grace_start_us;
 	struct sched_order *order; /* pending stop; NULL: none */
 	bool stop_confirmed;
-	bool listed; /* in the last reply to a hold */
+	bool listed;   /* in the last reply to a hold */
+	bool expected; /* it may start yet; see scheduler_late.c */
 	TAILQ_ENTRY(sched_orphan) entry;
 };
 
 TAILQ_HEAD(sched_orphans, sched_orphan);
 
+/** struct sched_late_start - a start order without a reply. */
+struct sched_late_start {
+	char task[WORKER_TASK_NAME_SIZE];
+	uint64_t run_id;
+	uint64_t expires_us;
+	/* The process that was told to stop the run, or, before that, the one
+	 * that the order was sent to. */
+	uint64_t process_started_ms;
+	TAILQ_ENTRY(sched_late_start) entry;
+};
+
+TAILQ_HEAD(sched_late_starts, sched_late_start);
+
 /** struct sched_unstored_end - an ended run that is not stored. */
 struct sched_unstored_end {
 	uint64_t number; /* the server's number of this end */
@@ -222,11 +242,13 @@
 	uint64_t lease_end_us;
 	struct sched_tasks tasks; /* that have or may have a run on it */
 	struct sched_orphans orphans;
-	struct sched_orders orders; /* pending */
-	int64_t used_cpu;	    /* thousandths of a core */
-	int64_t used_mem;	    /* MB */
-	int64_t used_gpu;	    /* number of GPUs */
-	uint32_t speed_permille;    /* measured, of the nominal speed */
+	struct sched_orders orders;	      /* pending */
+	struct sched_late_starts late_starts; /* oldest first */
+	uint32_t nlate_starts;
+	int64_t used_cpu;	 /* thousandths of a core */
+	int64_t used_mem;	 /* MB */
+	int64_t used_gpu;	 /* number of GPUs */
+	uint32_t speed_permille; /* measured, of the nominal speed */
 	/* Start of the incarnation that sent the last lists; 0: none. */
 	uint64_t incarnation_start_ms;
 	uint64_t acknowledged; /* the server may discard ends up to this one */
@@ -387,6 +409,11 @@
 /* Periodic checks: link, lease, next hold, stragglers and orphans. */
 void sched_server_tick(struct sched_server *server, uint64_t now_us);
 void sched_server_reset(struct sched_server *server);
+/* Stops a run that the server may start later. */
+void sched_orphan_expect(struct sched_server *server, const char *task,
+    uint64_t run_id);
+void sched_orphan_free(struct sched_server *server,
+    struct sched_orphan *orphan);
 /* @crashed: whether it is known that its process has ended. */
 void sched_server_lost(struct sched_server *server, const char *reason,
     bool crashed);
@@ -479,6 +506,21 @@
  * servers that match it and have neither a ticket nor a refusal. */
 void sched_advice_request(struct sched_task *task, uint64_t now_us);
 
+/* scheduler_late.c */
+/* A start order had no reply. */
+void sched_late_add(struct sched_server *server, const char *task,
+    uint64_t run_id, uint64_t sent_us, uint64_t process_started_ms);
+void sched_late_expire(struct sched_server *server, uint64_t now_us);
+void sched_late_clear(struct sched_server *server);
+void sched_late_move(struct sched_server *to, struct sched_server *from);
+/* The server's process has confirmed the stop of a run. */
+void sched_late_stopped(struct sched_server *server, const char *task,
+    uint64_t run_id);
+/* The server's process has sent its lists: it is told to stop the runs that it
+ * has not been told of. */
+void sched_late_stop_all(struct sched_server *server,
+    const struct worker_reply *reply);
+
 /* scheduler_suspect.c */
 /* Whether and how a waiting task may be started. */
 enum susp_verdict sched_suspect_judge(const struct sched_task *task,
--- a/entry/jobs/scheduler_lease.c
+++ b/entry/jobs/scheduler_lease.c
@@ -97,7 +97,7 @@
 			end_us = run_end_us;
 	}
 	TAILQ_FOREACH (orphan, &server->orphans, entry) {
-		if (!orphan->stop_confirmed)
+		if (!orphan->stop_confirmed && !orphan->expected)
 			return 0;
 	}
 	return end_us;
--- a/entry/jobs/scheduler_place.c
+++ b/entry/jobs/scheduler_place.c
@@ -32,6 +32,19 @@
 	    server->known_boot_us > sched->holder_lease.confirmed_boot_us;
 }
 
+/* Whether the server has listed runs of no known job or task. */
+static bool
+sched_server_has_orphans(const struct sched_server *server)
+{
+	const struct sched_orphan *orphan;
+
+	TAILQ_FOREACH (orphan, &server->orphans, entry) {
+		if (!orphan->expected)
+			return true;
+	}
+	return false;
+}
+
 bool
 sched_server_is_usable(const struct sched_server *server, uint64_t now_us)
 {
@@ -41,7 +54,7 @@
 	    server->no_start_until_us <= now_us &&
 	    server->ejected_until_us <= now_us &&
 	    (server->eject_ms == 0 || TAILQ_EMPTY(&server->tasks)) &&
-	    TAILQ_EMPTY(&server->orphans);
+	    !sched_server_has_orphans(server);
 }
 
 bool
--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -122,6 +122,7 @@
 
 	order->server = server;
 	order->sent_us = sched_now(server->sched);
+	order->process_started_ms = server->incarnation_start_ms;
 	server->pending_calls++;
 	LIST_INSERT_HEAD(&server->orders, order, entry);
 	return order;
@@ -135,6 +136,16 @@
 	return task->order;
 }
 
+/* The server may execute a start order that has no reply later. */
+static void
+sched_order_unanswered(const struct sched_order *order)
+{
+	if (order->start_run_id != 0)
+		sched_late_add(order->server, order->start_task,
+		    order->start_run_id, order->sent_us,
+		    order->process_started_ms);
+}
+
 /* Ends an order and frees it. Return: its task, or NULL if the run was
  * released. */
 static struct sched_task *
@@ -154,6 +165,8 @@
 		ctr_inc(&sched_orders_unanswered);
 		if (reply->refused)
 			sched_server_refused(server);
+		else
+			sched_order_unanswered(order);
 	} else {
 		rtt_add(&server->sched->order_time, now_us - order->sent_us);
 		server->sched->order_answered_us = now_us;
@@ -180,6 +193,7 @@
 			order->task->order = NULL;
 		if (order->orphan != NULL)
 			order->orphan->order = NULL;
+		sched_order_unanswered(order);
 		LIST_REMOVE(order, entry);
 		free(order);
 	}
@@ -267,12 +281,16 @@
 		.token = sched->token,
 		.retry = task->start_attempts > 0,
 	};
+	struct sched_order *pending;
 
 	sched_task_name(task, name);
 	task->start_attempts++;
 	task->start_sent_us = sched_now(sched);
+	pending = sched_task_order(task);
+	strlcpy(pending->start_task, name, sizeof(pending->start_task));
+	pending->start_run_id = task->run_id;
 	sched->params.worker->ops->start(server->link, &order, sched_start_done,
-	    sched_task_order(task));
+	    pending);
 }
 
 /*
@@ -469,6 +487,7 @@
 	struct sched_order *order = arg;
 	struct sched_server *server = order->server;
 	struct sched_task *task = sched_order_finish(order, reply);
+	char name[WORKER_TASK_NAME_SIZE];
 
 	if (sched_check_verdict(server, reply->verdict) || task == NULL)
 		return;
@@ -481,6 +500,8 @@
 		return;
 	}
 	task->stop_confirmed = true;
+	sched_task_name(task, name);
+	sched_late_stopped(server, name, task->run_id);
 	if (!server->hold_pending)
 		sched_server_hold(server, sched_now(server->sched));
 }
@@ -508,6 +529,14 @@
 	    sched->token, sched_stop_done, sched_task_order(task));
 }
 
+static void
+sched_orphan_stopped(struct sched_server *server, struct sched_orphan *orphan)
+{
+	sched_late_stopped(server, orphan->task, orphan->run_id);
+	if (orphan->expected)
+		sched_orphan_free(server, orphan);
+}
+
 static void
 sched_orphan_stop_done(void *arg, const struct worker_reply *reply)
 {
@@ -520,6 +549,8 @@
 		orphan->order = NULL;
 		orphan->stop_confirmed =
 		    sched_stop_is_confirmed(reply->verdict);
+		if (orphan->stop_confirmed)
+			sched_orphan_stopped(server, orphan);
 	}
 	if (reply->verdict == WORKER_FENCED)
 		server->sched->params.fenced(server->sched->params.arg);
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -15,7 +15,7 @@
 
 #define SCHED_US_PER_MS UINT64_C(1000)
 
-static void
+void
 sched_orphan_free(struct sched_server *server, struct sched_orphan *orphan)
 {
 	if (orphan->order != NULL)
@@ -43,6 +43,7 @@
 	sched_orders_discard(server);
 	sched_unstored_clear(server);
 	sched_orphans_clear(server);
+	sched_late_clear(server);
 	nidx_remove(&sched->servers_by_id, &server->by_id);
 	TAILQ_REMOVE(&sched->servers, server, entry);
 	free(server);
@@ -116,30 +117,62 @@
 }
 
 static struct sched_orphan *
-sched_orphan_add(struct sched_server *server, const char *name, uint64_t run_id,
-    uint64_t now_us)
+sched_orphan_find(const struct sched_server *server, const char *name,
+    uint64_t run_id)
 {
 	struct sched_orphan *orphan;
 
 	TAILQ_FOREACH (orphan, &server->orphans, entry) {
-		if (orphan->run_id == run_id &&
-		    strcmp(orphan->task, name) == 0) {
-			orphan->listed = true;
+		if (orphan->run_id == run_id && strcmp(orphan->task, name) == 0)
 			return orphan;
-		}
 	}
-	orphan = mem_zalloc(1, sizeof(*orphan));
+	return NULL;
+}
+
+static struct sched_orphan *
+sched_orphan_create(struct sched_server *server, const char *name,
+    uint64_t run_id, uint64_t now_us)
+{
+	struct sched_orphan *orphan = mem_zalloc(1, sizeof(*orphan));
+
 	strlcpy(orphan->task, name, sizeof(orphan->task));
 	orphan->run_id = run_id;
 	orphan->grace_start_us = now_us;
-	orphan->listed = true;
 	lease_assume(&server->lease, now_us, server->sched->params.lease_ms);
 	TAILQ_INSERT_TAIL(&server->orphans, orphan, entry);
-	log_event(LOG_LEVEL_INFO, "orphan-found",
-	    "task=%s run=%" PRIu64 " server=%s", name, run_id, server->info.id);
 	return orphan;
 }
 
+static void
+sched_orphan_listed(struct sched_server *server, const char *name,
+    uint64_t run_id, uint64_t now_us)
+{
+	struct sched_orphan *orphan = sched_orphan_find(server, name, run_id);
+
+	if (orphan == NULL) {
+		orphan = sched_orphan_create(server, name, run_id, now_us);
+		log_event(LOG_LEVEL_INFO, "orphan-found",
+		    "task=%s run=%" PRIu64 " server=%s", name, run_id,
+		    server->info.id);
+	}
+	orphan->listed = true;
+	orphan->expected = false;
+}
+
+void
+sched_orphan_expect(struct sched_server *server, const char *name,
+    uint64_t run_id)
+{
+	struct sched_orphan *orphan = sched_orphan_find(server, name, run_id);
+
+	if (orphan != NULL)
+		return;
+	orphan =
+	    sched_orphan_create(server, name, run_id, sched_now(server->sched));
+	orphan->expected = true;
+	sched_run_stop_orphan(server, orphan);
+}
+
 /* Adopts the runs of a job that have been listed: before it was submitted, or
  * while its tasks had other runs. */
 void
@@ -196,7 +229,7 @@
 		sched_run_adopt(task, server, run->run_id, now_us);
 		return;
 	}
-	(void)sched_orphan_add(server, run->task, run->run_id, now_us);
+	sched_orphan_listed(server, run->task, run->run_id, now_us);
 }
 
 /* Processes the end of a run that a former holder started and may not have
@@ -271,7 +304,7 @@
 			    "not in the server's list of runs");
 	}
 	TAILQ_FOREACH_SAFE (orphan, &server->orphans, entry, next_orphan) {
-		if (!orphan->listed)
+		if (!orphan->listed && !orphan->expected)
 			sched_orphan_free(server, orphan);
 	}
 }
@@ -292,6 +325,7 @@
 	for (i = 0; i < reply->nrunning; i++)
 		sched_process_running(server, &reply->running[i], now_us);
 	sched_update_acknowledged(server);
+	sched_late_stop_all(server, reply);
 	sched_reconcile(server, server->hold_sent_us, now_us, reply->ended_cut);
 	if (!server->held) {
 		server->held = true;
@@ -581,6 +615,7 @@
 void
 sched_server_tick(struct sched_server *server, uint64_t now_us)
 {
+	sched_late_expire(server, now_us);
 	if (server->link == NULL) {
 		if (!server->removed && server->reopen_at_us <= now_us)
 			sched_server_reset(server);
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -1225,10 +1225,10 @@
 }
 
 /* The first start of a run has no reply and arrives 2.5 s late, the second one
- * is executed. Then the server is away for 1.5 s, and the task runs on another
- * one. */
+ * is executed. Then the server is away for @down_ms, and the task runs on
+ * another one. */
 static void
-rig_expect_one_run_after_restart(enum wm_restart_kind kind)
+rig_expect_one_run_after_restart(enum wm_restart_kind kind, uint32_t down_ms)
 {
 	struct rig *rig = rig_create(5);
 	struct fake_worker_faults *faults =
@@ -1247,7 +1247,9 @@
 	for (i = 0; rig->srig.cluster.servers[i].used_cpu == 0; i++)
 		continue;
 	wm_restart(&rig->srig.cluster.servers[i],
-	    clock_now_us(clock_real()) / 1000, 1500, kind);
+	    clock_now_us(clock_real()) / 1000, down_ms, kind);
+	/* Too small for the task now. */
+	srig_set_cpu(&rig->srig, i, 20000, true);
 	srig_run(&rig->srig, 1500);
 	cr_expect_eq(rig_starts(rig, job, 0), 2);
 	srig_run(&rig->srig, 3000);
@@ -1258,12 +1260,17 @@
 
 Test(scheduler, late_start_is_not_executed_by_the_next_process_of_its_id)
 {
-	rig_expect_one_run_after_restart(WM_RESTART_SAME_ID);
+	rig_expect_one_run_after_restart(WM_RESTART_SAME_ID, 1500);
+}
+
+Test(scheduler, late_start_is_not_executed_by_a_process_that_is_back_at_once)
+{
+	rig_expect_one_run_after_restart(WM_RESTART_SAME_ID, 20);
 }
 
 Test(scheduler, late_start_is_not_executed_by_a_process_of_another_id)
 {
-	rig_expect_one_run_after_restart(WM_RESTART_NEW_ID);
+	rig_expect_one_run_after_restart(WM_RESTART_NEW_ID, 1500);
 }
 
 /* Holds of the former processes arrive 1.3 s late, while the server that runs
