--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -232,6 +232,7 @@
 	/* Times, 0: none. */
 	uint64_t stands_until_ms, start_ms, store_heal_ms, worker_heal_ms;
 	uint64_t leaves_ms, unlist_ms; /* it ends; its row is removed */
+	bool spare;		       /* it is added later */
 	bool stood; /* it has stood still since it ran last */
 	bool dies;  /* it loses power and does not go on */
 	/* It stands still as its machine is suspended; since when, and for how
--- a/tests/sim/sim_day.c
+++ b/tests/sim/sim_day.c
@@ -400,7 +400,11 @@
 		    clock_real(), &day->cluster, seed * 64 + i + 2);
 		host->rows = sim_rows_create(host);
 		day->running = host->name;
-		sim_host_start(host);
+		/* The last host of a zone may be added later. */
+		host->spare = strchr(options->mix, 'a') != NULL &&
+		    i >= day->nhosts - options->zones && sim_chance(day, 700);
+		if (!host->spare)
+			sim_host_start(host);
 	}
 	return day;
 }
--- a/tests/sim/sim_events.c
+++ b/tests/sim/sim_events.c
@@ -144,6 +144,25 @@
 		host->unlist_ms = day->now_ms + sim_random(day, 3000);
 }
 
+/* A host is added that no other one knows. It may be cut off from the zone's
+ * others at first. */
+static void
+sim_event_added(struct sim_host *host, uint64_t until_ms)
+{
+	struct sim_day *day = host->day;
+	size_t zones = day->options->zones, i, j;
+	bool apart = sim_chance(day, 500);
+
+	for (i = host->index % zones; i < day->nhosts; i += zones) {
+		if (!day->hosts[i].spare)
+			continue;
+		day->hosts[i].spare = false;
+		day->hosts[i].start_ms = day->now_ms;
+		for (j = i % zones; apart && j < day->nhosts; j += zones)
+			sim_cut_both(day, i, j, until_ms);
+	}
+}
+
 static void
 sim_event_leaves(struct sim_host *host, uint64_t until_ms)
 {
@@ -402,6 +421,7 @@
 	{ 'd', sim_event_late_orders },
 	{ 'r', sim_event_servers_out_of_reach },
 	{ 'k', sim_event_kill },
+	{ 'a', sim_event_added },
 	{ 'n', sim_event_leaves },
 	{ 'f', sim_event_stand_still },
 	{ 'z', sim_event_suspended },
