--- a/entry/jobs/scheduler_late.c
+++ b/entry/jobs/scheduler_late.c
@@ -61,19 +61,21 @@
 void
 sched_late_expire(struct sched_server *server, uint64_t now_us)
 {
-	struct sched_late_start *late;
+	struct sched_late_start *late, *next;
 
-	while ((late = TAILQ_FIRST(&server->late_starts)) != NULL &&
-	    late->expires_us <= now_us)
+	TAILQ_FOREACH_SAFE (late, &server->late_starts, entry, next) {
+		if (late->expires_us > now_us)
+			return;
 		sched_late_free(server, late);
+	}
 }
 
 void
 sched_late_clear(struct sched_server *server)
 {
-	struct sched_late_start *late;
+	struct sched_late_start *late, *next;
 
-	while ((late = TAILQ_FIRST(&server->late_starts)) != NULL)
+	TAILQ_FOREACH_SAFE (late, &server->late_starts, entry, next)
 		sched_late_free(server, late);
 }
 
