--- a/core/holder_lease.c
+++ b/core/holder_lease.c
@@ -10,11 +10,11 @@
 #define HLEASE_MARGIN_MS 100
 
 void
-hlease_start(struct holder_lease *lease, uint32_t length_ms, uint64_t boot_us)
+hlease_start(struct holder_lease *lease, uint32_t length_ms, uint64_t now_us)
 {
 	*lease = (struct holder_lease){
 		.length_ms = length_ms,
-		.started_boot_us = boot_us,
+		.started_us = now_us,
 		.former_end_us = UINT64_MAX,
 	};
 }
@@ -29,16 +29,16 @@
 }
 
 bool
-hlease_confirm(struct holder_lease *lease, uint64_t confirmed_boot_us,
-    uint64_t boot_us, uint64_t now_us)
+hlease_confirm(struct holder_lease *lease, uint64_t confirmed_us,
+    uint64_t now_us)
 {
-	bool begins = hlease_remaining_ms(lease, boot_us) == 0;
+	bool begins = hlease_remaining_ms(lease, now_us) == 0;
 
-	if (confirmed_boot_us < lease->started_boot_us ||
-	    confirmed_boot_us <= lease->confirmed_boot_us ||
-	    confirmed_boot_us + lease->length_ms * HLEASE_US_PER_MS <= boot_us)
+	if (confirmed_us < lease->started_us ||
+	    confirmed_us <= lease->confirmed_us ||
+	    confirmed_us + lease->length_ms * HLEASE_US_PER_MS <= now_us)
 		return false;
-	lease->confirmed_boot_us = confirmed_boot_us;
+	lease->confirmed_us = confirmed_us;
 	if (begins)
 		lease->former_end_us =
 		    now_us + hlease_span_us(lease->length_ms);
@@ -46,21 +46,20 @@
 }
 
 uint64_t
-hlease_age_ms(const struct holder_lease *lease, uint64_t boot_us)
+hlease_age_ms(const struct holder_lease *lease, uint64_t now_us)
 {
-	uint64_t since_us = lease->confirmed_boot_us != 0
-	    ? lease->confirmed_boot_us
-	    : lease->started_boot_us;
+	uint64_t since_us =
+	    lease->confirmed_us != 0 ? lease->confirmed_us : lease->started_us;
 
-	return boot_us > since_us ? (boot_us - since_us) / HLEASE_US_PER_MS : 0;
+	return now_us > since_us ? (now_us - since_us) / HLEASE_US_PER_MS : 0;
 }
 
 uint32_t
-hlease_remaining_ms(const struct holder_lease *lease, uint64_t boot_us)
+hlease_remaining_ms(const struct holder_lease *lease, uint64_t now_us)
 {
-	uint64_t age_ms = hlease_age_ms(lease, boot_us);
+	uint64_t age_ms = hlease_age_ms(lease, now_us);
 
-	if (lease->confirmed_boot_us == 0 || age_ms >= lease->length_ms)
+	if (lease->confirmed_us == 0 || age_ms >= lease->length_ms)
 		return 0;
 	/* The age was rounded down. */
 	return lease->length_ms - (uint32_t)age_ms - 1;
--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -37,12 +37,6 @@
 	return clock_now_us(cells->params.clock);
 }
 
-uint64_t
-cells_boot_us(const struct cells *cells)
-{
-	return clock_now_us(cells->params.clock);
-}
-
 struct cells_host *
 cells_host_find(const struct cells *cells, const char *name)
 {
@@ -364,7 +358,7 @@
 	if (server_unknown)
 		sched_set_former_runs_known(cells->params.sched, false);
 	sched_activate(cells->params.sched, cells->highest_token);
-	cells->owner_heard_boot_us = 0;
+	cells->owner_heard_us = 0;
 	if (server_unknown)
 		sched_set_server_unknown(cells->params.sched);
 	cells->params.became_holder(cells->params.arg);
@@ -519,8 +513,7 @@
 static void
 cells_check_pause(struct cells *cells, uint64_t now_us)
 {
-	uint64_t boot_us = cells_boot_us(cells);
-	uint64_t pause_us = boot_us - cells->last_tick_us;
+	uint64_t pause_us = now_us - cells->last_tick_us;
 	struct cells_host *host;
 
 	if (cells->last_tick_us != 0 &&
@@ -528,7 +521,7 @@
 		log_event(LOG_LEVEL_WARN, "process-resumed",
 		    "after_ms=%" PRIu64, pause_us / CELLS_US_PER_MS);
 		cells->discovery_done = false;
-		cells->owner_heard_boot_us = 0;
+		cells->owner_heard_us = 0;
 		if (cells->hosts_loaded_us != 0)
 			cells->hosts_loaded_us = now_us;
 		TAILQ_FOREACH (host, &cells->local_zone->hosts, entry) {
@@ -537,7 +530,7 @@
 		}
 	}
 	cells->previous_tick_us = cells->last_tick_us;
-	cells->last_tick_us = boot_us;
+	cells->last_tick_us = now_us;
 }
 
 static void
--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -49,7 +49,7 @@
 	void (*reserve_token)(void *arg);
 	/* Reads from the store whether this host still owns the cell; the
 	 * result is passed to cells_owner_read(). */
-	void (*read_owner)(void *arg, uint64_t sent_boot_us);
+	void (*read_owner)(void *arg, uint64_t sent_us);
 	/* This host has become the holder of its cell. */
 	void (*became_holder)(void *arg);
 	/* @holder is the new holder of this host's cell. */
@@ -162,11 +162,10 @@
 
 /**
  * cells_owner_read() - result of a read of the cell's owner.
- * @sent_boot_us: as passed to read_owner().
+ * @sent_us: as passed to read_owner().
  * @confirmed: the store names this host's token; false also if the read failed.
  */
-void cells_owner_read(struct cells *cells, uint64_t sent_boot_us,
-    bool confirmed);
+void cells_owner_read(struct cells *cells, uint64_t sent_us, bool confirmed);
 
 /** cells_fenced() - step down, as this host's token was rejected as too low. */
 void cells_fenced(struct cells *cells);
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -47,9 +47,8 @@
 	/* Time of its last reply or announcement on its own clock; 0: none
 	 * since it connected. Pings and jobs that are sent to it return it. */
 	uint64_t replied_at;
-	/* The host had not replaced this one as the holder at this time of the
-	 * clock that counts suspensions. */
-	uint64_t confirmed_boot_us;
+	/* The host had not replaced this one as the holder at this time. */
+	uint64_t confirmed_us;
 	uint32_t backlog_ms;	/* queued work, as of the last reply */
 	uint32_t free_permille; /* of its servers' CPU capacity */
 	struct nidx_entry by_name;
@@ -97,7 +96,7 @@
 struct cells_withdrawn {
 	char id[JOB_ID_LEN + 1];
 	uint64_t nonce;
-	uint64_t boot_us; /* arrival of the cancellation */
+	uint64_t arrived_us; /* of the cancellation */
 	struct nidx_entry by_id;
 	TAILQ_ENTRY(cells_withdrawn) entry;
 };
@@ -121,7 +120,7 @@
 	struct name_index withdrawn_by_id;
 	size_t nwithdrawn;
 	struct event *timer;
-	uint64_t last_tick_us;	   /* of the clock that counts suspensions */
+	uint64_t last_tick_us;
 	uint64_t previous_tick_us; /* the one before the last; 0: none */
 	uint64_t nticks;
 	size_t next_source; /* of cells_reachable_peer() */
@@ -135,10 +134,10 @@
 	uint64_t holder_settled;
 	uint64_t reserve_sent_us;
 	bool reserve_pending;
-	uint64_t owner_read_boot_us; /* start of the last read of the owner */
+	uint64_t owner_read_us; /* start of the last read of the owner */
 	/* The store confirmed this holder then, as the only host of the zone;
 	 * before that, start of the wait for it. 0: there are others. */
-	uint64_t owner_heard_boot_us;
+	uint64_t owner_heard_us;
 	bool leaving;
 	/* Discovery of an existing holder has ended. */
 	bool discovery_done;
@@ -159,7 +158,6 @@
 /* Records that a host of the local cell has taken over with @token, and steps
  * down if it is higher than this host's own. */
 void cells_observe_token(struct cells *cells, uint64_t token);
-uint64_t cells_boot_us(const struct cells *cells);
 /* Chooses the host that should be the holder of the local cell. */
 void cells_choose_holder(struct cells *cells);
 /* Reports a new holder of the local cell, once for each token. */
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -373,7 +373,7 @@
 	/* A connection that was closed while this process was paused is found
 	 * closed afterwards, perhaps after a tick. */
 	uint64_t lost_ms =
-	    (cells_boot_us(cells) - cells->previous_tick_us) / CELLS_US_PER_MS;
+	    (cells_now_us(cells) - cells->previous_tick_us) / CELLS_US_PER_MS;
 	char path[sizeof(CELLS_JOBS_PATH) + JOB_ID_LEN + 1], query[64];
 	struct api_request request = { .method = API_DELETE,
 		.path = path,
@@ -424,7 +424,7 @@
 cells_sent_ago_ms(const struct cells *cells, const struct api_request *request)
 {
 	uint64_t replied_at = cells_query_u64(request, "replied_at");
-	uint64_t now_us = cells_boot_us(cells);
+	uint64_t now_us = cells_now_us(cells);
 
 	if (replied_at == 0)
 		return CELLS_SENT_UNKNOWN;
@@ -464,7 +464,7 @@
     const char *reason)
 {
 	json_t *body = json_pack("{s:s,s:b,s:I}", "reason", reason, "accepted",
-	    0, "replied_at", (json_int_t)cells_boot_us(cells));
+	    0, "replied_at", (json_int_t)cells_now_us(cells));
 	char *text = json_dumps(body, JSON_COMPACT);
 
 	if (text == NULL)
@@ -606,7 +606,7 @@
 	    "leaving", (int)cells->leaving, "config",
 	    (json_int_t)params->config_version(params->arg), "seen",
 	    (json_int_t)(local ? cells->highest_token : 0), "replied_at",
-	    (json_int_t)cells_boot_us(cells));
+	    (json_int_t)cells_now_us(cells));
 	holder = cells_zone_holder(cells->local_zone);
 	if (cells_query_u64(request, "suspects") != 0)
 		(void)json_object_set_new(body, "suspects",
--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -50,7 +50,7 @@
 struct cells_ping {
 	struct cells *cells;
 	char host[NAME_SIZE];
-	uint64_t sent_boot_us;
+	uint64_t sent_us;
 };
 
 static struct cells_ping *
@@ -59,22 +59,22 @@
 	struct cells_ping *ping = mem_zalloc(1, sizeof(*ping));
 
 	ping->cells = cells;
-	ping->sent_boot_us = cells_boot_us(cells);
+	ping->sent_us = cells_now_us(cells);
 	strlcpy(ping->host, host->info.name, sizeof(ping->host));
 	return ping;
 }
 
-/* Processes a reply, or a ping, that a host has sent at @boot_us or later: it
+/* Processes a reply, or a ping, that a host has sent at @sent_us or later: it
  * has not replaced this holder, unless it reports a higher token. */
 static void
 cells_host_confirm(struct cells *cells, struct cells_host *host, uint64_t token,
-    uint64_t seen, uint64_t boot_us)
+    uint64_t seen, uint64_t sent_us)
 {
 	cells_observe_token(cells, token);
 	cells_observe_token(cells, seen);
-	if (boot_us > host->confirmed_boot_us &&
+	if (sent_us > host->confirmed_us &&
 	    token <= sched_token(cells->params.sched))
-		host->confirmed_boot_us = boot_us;
+		host->confirmed_us = sent_us;
 }
 
 /* The time in the ping is that of this host's last reply or announcement, which
@@ -90,19 +90,18 @@
 
 	cells_observe_token(cells, token);
 	cells_observe_token(cells, seen);
-	if (host != NULL && replied_at <= cells_boot_us(cells))
+	if (host != NULL && replied_at <= cells_now_us(cells))
 		cells_host_confirm(cells, host, token, seen, replied_at);
 }
 
 void
-cells_owner_read(struct cells *cells, uint64_t sent_boot_us, bool confirmed)
+cells_owner_read(struct cells *cells, uint64_t sent_us, bool confirmed)
 {
 	if (!confirmed)
 		return;
-	sched_confirm_owner(cells->params.sched, sent_boot_us);
-	if (cells->owner_heard_boot_us != 0 &&
-	    sent_boot_us > cells->owner_heard_boot_us)
-		cells->owner_heard_boot_us = sent_boot_us;
+	sched_confirm_owner(cells->params.sched, sent_us);
+	if (cells->owner_heard_us != 0 && sent_us > cells->owner_heard_us)
+		cells->owner_heard_us = sent_us;
 }
 
 /* A read does not wait for the end of the one before: that may be slow, or its
@@ -110,11 +109,11 @@
 static void
 cells_read_owner(struct cells *cells, uint64_t interval_ms)
 {
-	uint64_t now_us = cells_boot_us(cells);
+	uint64_t now_us = cells_now_us(cells);
 
-	if (now_us - cells->owner_read_boot_us < interval_ms * CELLS_US_PER_MS)
+	if (now_us - cells->owner_read_us < interval_ms * CELLS_US_PER_MS)
 		return;
-	cells->owner_read_boot_us = now_us;
+	cells->owner_read_us = now_us;
 	cells->params.read_owner(cells->params.arg, now_us);
 }
 
@@ -127,11 +126,11 @@
 cells_is_sole(struct cells *cells, uint64_t now_us)
 {
 	if (!TAILQ_EMPTY(&cells->local_zone->hosts)) {
-		cells->owner_heard_boot_us = 0;
+		cells->owner_heard_us = 0;
 		return false;
 	}
-	if (cells->owner_heard_boot_us == 0)
-		cells->owner_heard_boot_us = now_us;
+	if (cells->owner_heard_us == 0)
+		cells->owner_heard_us = now_us;
 	return true;
 }
 
@@ -139,16 +138,16 @@
 cells_confirm_holder(struct cells *cells)
 {
 	struct scheduler *sched = cells->params.sched;
-	uint64_t now_us = cells_boot_us(cells), confirmed_us = now_us;
+	uint64_t now_us = cells_now_us(cells), confirmed_us = now_us;
 	bool sole = cells_is_sole(cells, now_us);
 	const struct cells_host *host;
 
 	TAILQ_FOREACH (host, &cells->local_zone->hosts, entry) {
-		if (host->confirmed_boot_us < confirmed_us)
-			confirmed_us = host->confirmed_boot_us;
+		if (host->confirmed_us < confirmed_us)
+			confirmed_us = host->confirmed_us;
 	}
 	if (!sole ||
-	    now_us - cells->owner_heard_boot_us >
+	    now_us - cells->owner_heard_us >
 		CELLS_STORE_SILENT_MS * CELLS_US_PER_MS)
 		sched_confirm_holder(sched, confirmed_us);
 	if (sole || sched_awaits_owner(sched) ||
@@ -188,11 +187,11 @@
 /* A host of an earlier version does not report the highest token. */
 static void
 cells_reply_received(struct cells *cells, struct cells_host *host,
-    const json_t *body, uint64_t sent_boot_us)
+    const json_t *body, uint64_t sent_us)
 {
 	if (host->zone->local && json_is_integer(json_object_get(body, "seen")))
 		cells_host_confirm(cells, host, cells_json_u64(body, "token"),
-		    cells_json_u64(body, "seen"), sent_boot_us);
+		    cells_json_u64(body, "seen"), sent_us);
 }
 
 /* Processes the holder's report of its runs. */
@@ -246,8 +245,7 @@
 		if (host == cells_zone_holder(host->zone))
 			cells_learn_pending(ping->cells, host->zone, body);
 		host->replied_at = cells_json_u64(body, "replied_at");
-		cells_reply_received(ping->cells, host, body,
-		    ping->sent_boot_us);
+		cells_reply_received(ping->cells, host, body, ping->sent_us);
 		if (host->zone->local && host->token != 0 &&
 		    host->token == ping->cells->highest_token)
 			cells_learn_runs(ping->cells, body);
@@ -318,8 +316,7 @@
 	(void)err;
 	if (host != NULL && reply != NULL && reply->status == 200) {
 		body = json_loadb(reply->body, reply->body_len, 0, NULL);
-		cells_reply_received(cells, host, body,
-		    announcement->sent_boot_us);
+		cells_reply_received(cells, host, body, announcement->sent_us);
 		json_decref(body);
 	}
 	free(announcement);
@@ -337,7 +334,7 @@
 	    "az=%s&host=%s&token=%" PRIu64 "&leaving=%d&replied_at=%" PRIu64,
 	    cells->params.self.az, cells->params.self.name,
 	    sched_token(cells->params.sched), cells->leaving ? 1 : 0,
-	    cells_boot_us(cells));
+	    cells_now_us(cells));
 	request.query = query;
 	announcement = cells_ping_create(cells, host);
 	cells->params.peers->ops->forward(cells->params.peers, host->info.az,
--- a/entry/jobs/cells_withdrawn.c
+++ b/entry/jobs/cells_withdrawn.c
@@ -22,16 +22,16 @@
 cells_withdrawn_add(struct cells *cells, const char *id, uint64_t nonce)
 {
 	struct cells_withdrawn *withdrawn;
-	uint64_t now_us = cells_boot_us(cells);
+	uint64_t now_us = cells_now_us(cells);
 
 	while ((withdrawn = TAILQ_FIRST(&cells->withdrawn)) != NULL &&
-	    ((now_us - withdrawn->boot_us) / 1000 > CELLS_FORWARD_VALID_MS ||
+	    ((now_us - withdrawn->arrived_us) / 1000 > CELLS_FORWARD_VALID_MS ||
 		cells->nwithdrawn == CELLS_WITHDRAWN_MAX))
 		cells_withdrawn_free(cells, withdrawn);
 	withdrawn = mem_zalloc(1, sizeof(*withdrawn));
 	strlcpy(withdrawn->id, id, sizeof(withdrawn->id));
 	withdrawn->nonce = nonce;
-	withdrawn->boot_us = now_us;
+	withdrawn->arrived_us = now_us;
 	TAILQ_INSERT_TAIL(&cells->withdrawn, withdrawn, entry);
 	nidx_insert(&cells->withdrawn_by_id, &withdrawn->by_id, withdrawn->id);
 	cells->nwithdrawn++;
--- a/entry/jobs/job_service.c
+++ b/entry/jobs/job_service.c
@@ -217,20 +217,20 @@
 }
 
 static void
-jsvc_owner_read(void *arg, uint64_t sent_boot_us, bool confirmed)
+jsvc_owner_read(void *arg, uint64_t sent_us, bool confirmed)
 {
 	struct job_service *svc = arg;
 
-	cells_owner_read(svc->cells, sent_boot_us, confirmed);
+	cells_owner_read(svc->cells, sent_us, confirmed);
 }
 
 static void
-jsvc_read_owner(void *arg, uint64_t sent_boot_us)
+jsvc_read_owner(void *arg, uint64_t sent_us)
 {
 	struct job_service *svc = arg;
 
 	if (svc->job_store != NULL)
-		jstore_read_owner(svc->job_store, sent_boot_us, jsvc_owner_read,
+		jstore_read_owner(svc->job_store, sent_us, jsvc_owner_read,
 		    svc);
 }
 
--- a/entry/jobs/job_store.h
+++ b/entry/jobs/job_store.h
@@ -59,16 +59,15 @@
 
 /** typedef jstore_owner_fn - @confirmed: the store names this host's token as
  * that of the cell's owner; false also if it could not be read. */
-typedef void (
-    *jstore_owner_fn)(void *arg, uint64_t sent_boot_us, bool confirmed);
+typedef void (*jstore_owner_fn)(void *arg, uint64_t sent_us, bool confirmed);
 
 /**
  * jstore_read_owner() - read from the store whether this host still owns the
  * cell, which it does until a successor has claimed the cell's rows. Calls the
  * fenced callback if it has been replaced.
- * @sent_boot_us: passed to @done.
+ * @sent_us: passed to @done.
  */
-void jstore_read_owner(struct job_store *store, uint64_t sent_boot_us,
+void jstore_read_owner(struct job_store *store, uint64_t sent_us,
     jstore_owner_fn done, void *arg);
 
 /**
--- a/entry/jobs/job_store_internal.h
+++ b/entry/jobs/job_store_internal.h
@@ -79,8 +79,7 @@
 	uint64_t generation;
 	uint32_t part;
 	uint64_t owner_version; /* of the owner row with this host's token */
-	/* When the claim was sent, by the clock that counts suspensions. */
-	uint64_t claimed_boot_us;
+	uint64_t claimed_us;	/* when the claim was sent */
 	char start_key[JOB_ID_LEN + 2];
 	bool in_flight; /* a call to the store has not ended */
 	struct event *timer;
@@ -90,7 +89,7 @@
 struct jstore_owner_read {
 	struct job_store *store;
 	bool in_flight;
-	uint64_t sent_boot_us;
+	uint64_t sent_us;
 	jstore_owner_fn done;
 	void *arg;
 };
--- a/entry/jobs/job_store_load.c
+++ b/entry/jobs/job_store_load.c
@@ -145,7 +145,7 @@
 	if (status == ROWS_OK) {
 		if (load->part == JSTORE_OWNER_PART)
 			sched_confirm_owner(load->store->sched,
-			    load->claimed_boot_us);
+			    load->claimed_us);
 		jstore_part_claimed(load, version);
 	} else if (status == ROWS_CONFLICT)
 		jstore_claim_part(load, nrows == 0 ? &none : &rows[0]);
@@ -193,7 +193,7 @@
 	(void)snprintf(text, sizeof(text), "%" PRIu64, store->token);
 	row.value = text;
 	row.value_len = strlen(text);
-	load->claimed_boot_us = clock_now_us(store->clock);
+	load->claimed_us = clock_now_us(store->clock);
 	load->in_flight = true;
 	store->rows->ops->transact(store->rows, load->part, &row, 1,
 	    jstore_claim_done, load);
@@ -243,7 +243,7 @@
 	if (status == ROWS_OK && nrows > 0 &&
 	    strcmp(rows[0].key, store->owner_key) == 0)
 		token = jstore_owner_token(&rows[0]);
-	read->done(read->arg, read->sent_boot_us,
+	read->done(read->arg, read->sent_us,
 	    store->active && token == store->token);
 	if (store->active && token > store->token) {
 		log_event(LOG_LEVEL_WARN, "cell-owner-replaced",
@@ -254,7 +254,7 @@
 }
 
 void
-jstore_read_owner(struct job_store *store, uint64_t sent_boot_us,
+jstore_read_owner(struct job_store *store, uint64_t sent_us,
     jstore_owner_fn done, void *arg)
 {
 	struct jstore_owner_read *read = store->owner_reads;
@@ -263,12 +263,12 @@
 	    read->in_flight)
 		read++;
 	if (read == store->owner_reads + JSTORE_OWNER_READS_MAX) {
-		done(arg, sent_boot_us, false);
+		done(arg, sent_us, false);
 		return;
 	}
 	*read = (struct jstore_owner_read){ .store = store,
 		.in_flight = true,
-		.sent_boot_us = sent_boot_us,
+		.sent_us = sent_us,
 		.done = done,
 		.arg = arg };
 	store->rows->ops->read(store->rows, JSTORE_OWNER_PART, store->owner_key,
--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -130,7 +130,7 @@
 		    server->info.id);
 	}
 	if (server->removed && sched->token != 0)
-		server->known_boot_us = clock_now_us(sched->params.clock);
+		server->known_us = clock_now_us(sched->params.clock);
 	/* The row of a live server may have expired and returned. */
 	server->removed = false;
 	server->info = *info;
@@ -185,14 +185,14 @@
 	hlease_start(&sched->holder_lease, sched->params.holder_lease_ms,
 	    clock_now_us(sched->params.clock));
 	sched->holder_confirmed = false;
-	sched->awaits_owner_boot_us = 0;
+	sched->awaits_owner_us = 0;
 	sched->server_unknown = false;
 	log_event(LOG_LEVEL_WARN, "cell-acquired",
 	    "token=%" PRIu64 " former_runs=%s", token,
 	    sched->former_runs_known ? "known" : "unknown");
 	TAILQ_FOREACH (server, &sched->servers, entry) {
 		server->was_held = false;
-		server->known_boot_us = 0;
+		server->known_us = 0;
 		/* Those of former terms have a lower token. */
 		sched_late_clear(server);
 		if (!server->removed)
@@ -440,7 +440,7 @@
 {
 	struct sched_job *job;
 
-	sched->awaits_owner_boot_us = clock_now_us(sched->params.clock);
+	sched->awaits_owner_us = clock_now_us(sched->params.clock);
 	sched->former_runs_known = false;
 	TAILQ_FOREACH (job, &sched->jobs, entry) {
 		if (job->stored || job->may_have_started)
@@ -461,14 +461,13 @@
 }
 
 void
-sched_confirm_holder(struct scheduler *sched, uint64_t confirmed_boot_us)
+sched_confirm_holder(struct scheduler *sched, uint64_t confirmed_us)
 {
-	bool was_confirmed = sched->holder_lease.confirmed_boot_us != 0;
+	bool was_confirmed = sched->holder_lease.confirmed_us != 0;
 	uint64_t now_us = sched_now(sched);
 
 	if (sched->token == 0 ||
-	    !hlease_confirm(&sched->holder_lease, confirmed_boot_us,
-		clock_now_us(sched->params.clock), now_us))
+	    !hlease_confirm(&sched->holder_lease, confirmed_us, now_us))
 		return;
 	sched_check_holder_lease(sched);
 	if (was_confirmed)
@@ -478,11 +477,11 @@
 }
 
 void
-sched_confirm_owner(struct scheduler *sched, uint64_t confirmed_boot_us)
+sched_confirm_owner(struct scheduler *sched, uint64_t confirmed_us)
 {
-	sched_confirm_holder(sched, confirmed_boot_us);
-	if (confirmed_boot_us >= sched->awaits_owner_boot_us)
-		sched->awaits_owner_boot_us = 0;
+	sched_confirm_holder(sched, confirmed_us);
+	if (confirmed_us >= sched->awaits_owner_us)
+		sched->awaits_owner_us = 0;
 }
 
 bool
@@ -494,7 +493,7 @@
 bool
 sched_awaits_owner(const struct scheduler *sched)
 {
-	return sched->awaits_owner_boot_us != 0;
+	return sched->awaits_owner_us != 0;
 }
 
 /* Updates the moving average of the delay of ticks. */
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -196,15 +196,15 @@
 /**
  * sched_confirm_holder() - renew the lease on the role of holder (see
  * core/holder_lease.h). Does nothing while inactive.
- * @confirmed_boot_us: no other host had taken over then, see clock_now_us().
+ * @confirmed_us: no other host had taken over then, see clock_now_us().
  */
-void sched_confirm_holder(struct scheduler *sched, uint64_t confirmed_boot_us);
+void sched_confirm_holder(struct scheduler *sched, uint64_t confirmed_us);
 
 /**
  * sched_confirm_owner() - as sched_confirm_holder(), by the store: no other
  * host had claimed the cell's rows then.
  */
-void sched_confirm_owner(struct scheduler *sched, uint64_t confirmed_boot_us);
+void sched_confirm_owner(struct scheduler *sched, uint64_t confirmed_us);
 
 /**
  * sched_awaits_owner() - whether the store has to confirm this holder: it was
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -166,9 +166,9 @@
 	uint64_t submitter_deadline_us; /* the submitter stops waiting then */
 	/* The submitter of an ended job was last known to wait for it. */
 	uint64_t attended_us;
-	/* The host of its submitter had not passed it to another holder at this
-	 * time of the clock that counts suspensions. */
-	uint64_t sent_boot_us;
+	/* The host of its submitter had not passed it to another holder then.
+	 */
+	uint64_t sent_us;
 	/* Runs that another host started may last until this time, or until
 	 * the leases of former holders have ended. Until then, no task is
 	 * started unless all servers are known and held. 0: no host did. */
@@ -263,7 +263,7 @@
 	bool removed;	       /* from the registry; freed when unused */
 	/* Its row was read, or it was found to have restarted, under this
 	 * token; 0: neither. */
-	uint64_t known_boot_us;
+	uint64_t known_us;
 	bool lease_limited; /* its lease may not be extended now */
 	bool refusing;	    /* it refuses connections since it was held */
 	bool reserved;	    /* for queues that are not confined */
@@ -312,9 +312,7 @@
 	uint64_t activated_us;
 	struct holder_lease holder_lease;
 	bool holder_confirmed; /* holder_lease has not expired; at last tick */
-	/* See sched_awaits_owner(). If set, it is since the time of the clock
-	 * that counts suspensions. */
-	uint64_t awaits_owner_boot_us;
+	uint64_t awaits_owner_us; /* see sched_awaits_owner(); since then */
 	bool awaits_confirmation; /* see sched_awaits_confirmation() */
 	/* A server was removed before it was held, so that a former holder may
 	 * have runs there. */
--- a/entry/jobs/scheduler_job.c
+++ b/entry/jobs/scheduler_job.c
@@ -281,12 +281,11 @@
 sched_job_may_start_unconfirmed(const struct sched_job *job)
 {
 	const struct sched_params *params = &job->sched->params;
-	uint64_t boot_us = clock_now_us(params->clock);
+	uint64_t now_us = clock_now_us(params->clock);
 
 	return !job->stored && job->start_after_us == 0 &&
 	    job_critical_path_ms(&job->spec) <= params->lease_ms &&
-	    boot_us - job->sent_boot_us <=
-	    SCHED_UNCONFIRMED_AGE_MS * SCHED_US_PER_MS;
+	    now_us - job->sent_us <= SCHED_UNCONFIRMED_AGE_MS * SCHED_US_PER_MS;
 }
 
 /* Makes tasks of a job that another host may have started wait until its runs
@@ -307,7 +306,6 @@
 {
 	uint64_t now_us = sched_now(job->sched);
 	uint64_t age_us = request->age_ms * SCHED_US_PER_MS;
-	uint64_t boot_us = clock_now_us(job->sched->params.clock);
 	uint64_t objective_us =
 	    job_objective_ms(&job->spec, &job->queue) * SCHED_US_PER_MS;
 
@@ -315,8 +313,8 @@
 	 * the time of submission is then 0. */
 	if (age_us > now_us)
 		age_us = now_us;
-	job->sent_boot_us = request->sent_ago_ms * SCHED_US_PER_MS < boot_us
-	    ? boot_us - request->sent_ago_ms * SCHED_US_PER_MS
+	job->sent_us = request->sent_ago_ms * SCHED_US_PER_MS < now_us
+	    ? now_us - request->sent_ago_ms * SCHED_US_PER_MS
 	    : 0;
 	job->submitted_us = now_us - age_us;
 	job->objective_us = job->submitted_us + objective_us;
--- a/entry/jobs/scheduler_place.c
+++ b/entry/jobs/scheduler_place.c
@@ -29,7 +29,7 @@
 	const struct scheduler *sched = server->sched;
 
 	return sched->params.holder_lease_ms != 0 &&
-	    server->known_boot_us > sched->holder_lease.confirmed_boot_us;
+	    server->known_us > sched->holder_lease.confirmed_us;
 }
 
 /* Whether the server has listed runs of no known job or task. */
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -376,8 +376,7 @@
 	if (server->incarnation_start_ms != 0 ||
 	    (server->info.incarnation_start_ms != 0 &&
 		server->info.incarnation_start_ms != incarnation_start_ms))
-		server->known_boot_us =
-		    clock_now_us(server->sched->params.clock);
+		server->known_us = clock_now_us(server->sched->params.clock);
 	if (server->incarnation_start_ms != 0) {
 		if (!refusing)
 			sched_suspects_server_lost(server, true);
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -47,7 +47,7 @@
 	bool claims;	 /* its claim of the cell is in flight */
 	bool reads_jobs; /* stored jobs, before it runs any */
 	struct owner_read {
-		uint64_t sent_boot_us;
+		uint64_t sent_us;
 		uint64_t ends_us; /* 0: not in flight */
 		bool lost;	  /* it has no reply */
 	} reads[READS_MAX];
@@ -257,7 +257,7 @@
 }
 
 static void
-host_read_owner(void *arg, uint64_t sent_boot_us)
+host_read_owner(void *arg, uint64_t sent_us)
 {
 	struct host *host = arg;
 	struct net *net = host->net;
@@ -267,7 +267,7 @@
 		read++;
 	if (read == host->reads + READS_MAX)
 		return;
-	read->sent_boot_us = sent_boot_us;
+	read->sent_us = sent_us;
 	read->lost = net->lost_reads > 0;
 	if (read->lost)
 		net->lost_reads--;
@@ -449,7 +449,7 @@
 			continue;
 		read->ends_us = 0;
 		net->owner_reads++;
-		cells_owner_read(host->cells, read->sent_boot_us,
+		cells_owner_read(host->cells, read->sent_us,
 		    !read->lost && token != 0 && token == *owner);
 		/* As jstore_owner_checked() does. */
 		if (net->store_fences && !read->lost && token != 0 &&
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -95,11 +95,11 @@
 }
 
 static void
-host_owner_read(void *arg, uint64_t sent_boot_us, bool confirmed)
+host_owner_read(void *arg, uint64_t sent_us, bool confirmed)
 {
 	struct host *host = arg;
 
-	cr_expect_eq(sent_boot_us, 7);
+	cr_expect_eq(sent_us, 7);
 	if (confirmed)
 		host->owner_confirmed++;
 	else
