Late starts: a stop confirmed by a former process proves nothing of the next

A gang's task that is done keeps its state.

A server whose row was removed and that nothing runs on is no longer called while its late starts are kept in mind: its link is closed.

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -547,10 +547,19 @@
 sched_server_unused(const struct sched_server *server)
 {
 	return TAILQ_EMPTY(&server->tasks) && server->pending_calls == 0 &&
-	    TAILQ_EMPTY(&server->late_starts) &&
 	    (TAILQ_EMPTY(&server->orphans) || sched_lease_ended(server));
 }
 
+/* Its id is kept in mind while a start may be executed by its next process. */
+static void
+sched_server_release(struct sched_server *server)
+{
+	if (TAILQ_EMPTY(&server->late_starts))
+		sched_server_free(server);
+	else
+		sched_server_disconnect(server);
+}
+
 static void
 sched_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -570,7 +579,7 @@
 	TAILQ_FOREACH_SAFE (server, &sched->servers, entry, next_server) {
 		sched_server_tick(server, now_us);
 		if (server->removed && sched_server_unused(server))
-			sched_server_free(server);
+			sched_server_release(server);
 		if (sched->token == 0)
 			return;
 	}
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -407,6 +407,8 @@
 /* Periodic checks: link, lease, next hold, stragglers and orphans. */
 void sched_server_tick(struct sched_server *server, uint64_t now_us);
 void sched_server_reset(struct sched_server *server);
+/* Closes the link; runs remain assigned. */
+void sched_server_disconnect(struct sched_server *server);
 /* Stops a run that the server may start later. */
 void sched_orphan_expect(struct sched_server *server, const char *task,
     uint64_t run_id);
--- a/entry/jobs/scheduler_late.c
+++ b/entry/jobs/scheduler_late.c
@@ -124,12 +124,15 @@
 			continue;
 		task = sched_task_find(server->sched, late->task);
 		if (task == NULL || task->server != server ||
-		    task->run_id != late->run_id) {
+		    task->run_id != late->run_id ||
+		    task->state == SCHED_TASK_DONE) {
 			sched_orphan_expect(server, late->task, late->run_id);
-		} else if (task->state != SCHED_TASK_STOPPING) {
-			/* The process that had confirmed it has ended. */
-			task->start_confirmed = false;
-			sched_run_stop(task);
+			continue;
 		}
+		/* What a former process has confirmed says nothing of this one.
+		 */
+		task->start_confirmed = task->stop_confirmed = false;
+		if (task->state != SCHED_TASK_STOPPING)
+			sched_run_stop(task);
 	}
 }
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -49,6 +49,19 @@
 	free(server);
 }
 
+void
+sched_server_disconnect(struct sched_server *server)
+{
+	if (server->link != NULL)
+		server->sched->params.worker->ops->close(server->link);
+	server->link = NULL;
+	server->held = false;
+	server->hold_pending = false;
+	sched_orders_discard(server);
+	sched_unstored_clear(server);
+	sched_orphans_clear(server);
+}
+
 /* Closes the link to a server and discards its runs. They have ended: its lease
  * has expired, or another incarnation has replaced it. */
 void
@@ -64,14 +77,7 @@
 		sched_suspects_server_lost(server, crashed);
 	server->reopen_at_us =
 	    sched_now(server->sched) + SCHED_REOPEN_DELAY_MS * SCHED_US_PER_MS;
-	if (server->link != NULL)
-		server->sched->params.worker->ops->close(server->link);
-	server->link = NULL;
-	server->held = false;
-	server->hold_pending = false;
-	sched_orders_discard(server);
-	sched_unstored_clear(server);
-	sched_orphans_clear(server);
+	sched_server_disconnect(server);
 	TAILQ_FOREACH_SAFE (task, &server->tasks, on_server, next)
 		sched_run_discard(task, reason);
 }
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -1273,6 +1273,40 @@
 	rig_expect_one_run_after_restart(WM_RESTART_NEW_ID, 1500);
 }
 
+/* The process that confirms the stop ends before it lists the end. */
+Test(scheduler, late_start_is_not_executed_by_the_process_after_a_stop)
+{
+	struct rig *rig = rig_create(5);
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	struct wm_server *servers = rig->srig.cluster.servers;
+	struct rig_job *job;
+	size_t i, server;
+
+	srig_run(&rig->srig, 50);
+	for (i = 0; i < SRIG_SERVERS; i++)
+		servers[i].hangs = true;
+	faults->late_permille = 1000;
+	faults->late_min_ms = faults->late_max_ms = 2500;
+	job = rig_submit(rig, 1, 27000, 100, 0);
+	srig_run(&rig->srig, 30);
+	faults->late_permille = 0;
+	srig_run(&rig->srig, 100);
+	for (server = 0; servers[server].used_cpu == 0; server++)
+		continue;
+	for (i = 0; i < 500 && !TAILQ_FIRST(&servers[server].running)->stopping;
+	     i++)
+		srig_run(&rig->srig, 1);
+	cr_assert_lt(i, 500);
+	srig_run(&rig->srig, 2);
+	wm_restart(&servers[server], clock_now_us(clock_real()) / 1000, 0,
+	    WM_RESTART_SAME_ID);
+	srig_set_cpu(&rig->srig, server, 20000, true);
+	srig_run(&rig->srig, 3500);
+	cr_expect_gt(rig_starts(rig, job, 0), 2);
+	rig_destroy(rig);
+}
+
 /* Holds of the former processes arrive 1.3 s late, while the server that runs
  * the task can't be reached. Their deadlines are on former clocks. */
 static void
