A server that was replaced while a start is on its way convicts no task

Cause: a hold's reply tells that another process has the server's address while the first start of a task has no reply yet. The loss was recorded as a crash under the task. Four such losses convict it, two beside one confirmed start. But a process needs longer to start than an order to time out: the server had ended before the start was sent. Class: an event counted under what came after it.

Now such a loss is not recorded for a task whose first start is pending. A start that has timed out counts as before, as does one whose connection was refused or reset.

No new periodic cost.

--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -87,6 +87,17 @@
 			SCHED_SUSPECT_RUN_MAX_MS * SCHED_US_PER_MS));
 }
 
+/* Whether another process answers while the first start of the task has no
+ * reply yet: the server had ended before it could have the task, as the next
+ * process takes longer to start than an order to time out. */
+static bool
+sched_suspect_on_its_way(const struct sched_task *task,
+    const struct susp_loss *loss)
+{
+	return loss->crashed && task->order != NULL &&
+	    task->state == SCHED_TASK_STARTING && task->start_attempts == 1;
+}
+
 /* Records the loss of its server under a task. Return: whether the task is
  * guilty now, or will be if the server has crashed. */
 static bool
@@ -128,7 +139,8 @@
 	TAILQ_FOREACH (task, &server->tasks, on_server) {
 		verdict = sched_suspect_judge(task, loss->lost_us);
 		if ((verdict != SUSP_NONE) == on_record &&
-		    sched_suspect_concerned(task, loss->lost_us))
+		    sched_suspect_concerned(task, loss->lost_us) &&
+		    !sched_suspect_on_its_way(task, loss))
 			guilty |= sched_suspect_record(task, loss);
 	}
 	return guilty;
