A start whose connection was refused convicts no task

Callers: as in, a job was answered as failed although no task had failed (LOST).

Cause: a server that had ended refuses the connection of a start, so nothing of the order is sent. The refusal was recorded as a loss of the server under that task, and as a crash when another process replied at the address.

Now a loss is recorded under a task only if a start may have reached the server: it was confirmed, or has ended without a reply other than a refused connection.

Test, red before: test_scheduler_suspect start_that_was_refused_is_no_loss_under_its_task. No new periodic cost.

--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -163,6 +163,8 @@
 		    order->sent_us, now_us);
 	if (reply->verdict == WORKER_NO_REPLY) {
 		ctr_inc(&sched_orders_unanswered);
+		if (reply->refused && task != NULL && order->start_run_id != 0)
+			task->starts_refused++;
 		if (reply->refused)
 			sched_server_refused(server);
 		else
@@ -423,6 +425,7 @@
 	sched_task_assign(task, server, run_id);
 	task->state = SCHED_TASK_STARTING;
 	task->start_attempts = 0;
+	task->starts_refused = 0;
 	ctr_inc(&sched_starts);
 	hist_add(&sched_start_delay,
 	    (now_us - task->job->submitted_us) / SCHED_US_PER_MS);
--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -87,15 +87,20 @@
 			SCHED_SUSPECT_RUN_MAX_MS * SCHED_US_PER_MS));
 }
 
-/* Whether another process answers while the first start of the task has no
- * reply yet: the server had ended before it could have the task, as the next
- * process takes longer to start than an order to time out. */
+/*
+ * Whether the server can't have the task: all starts were refused, or the only
+ * other one has no reply yet. While that is so, the server had ended before
+ * that one was sent: its next process takes longer to start than an order to
+ * time out, and a process that ends under the order resets its connection.
+ */
 static bool
-sched_suspect_on_its_way(const struct sched_task *task,
-    const struct susp_loss *loss)
+sched_suspect_not_reached(const struct sched_task *task)
 {
-	return loss->crashed && task->order != NULL &&
-	    task->state == SCHED_TASK_STARTING && task->start_attempts == 1;
+	uint32_t pending =
+	    task->order != NULL && task->state == SCHED_TASK_STARTING;
+
+	return !task->start_confirmed && task->start_sent_us != 0 &&
+	    task->start_attempts <= task->starts_refused + pending;
 }
 
 /* Records the loss of its server under a task. Return: whether the task is
@@ -140,7 +145,7 @@
 		verdict = sched_suspect_judge(task, loss->lost_us);
 		if ((verdict != SUSP_NONE) == on_record &&
 		    sched_suspect_concerned(task, loss->lost_us) &&
-		    !sched_suspect_on_its_way(task, loss))
+		    !sched_suspect_not_reached(task))
 			guilty |= sched_suspect_record(task, loss);
 	}
 	return guilty;
--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -423,6 +423,28 @@
 	rig_destroy(rig);
 }
 
+/* The servers' processes had ended before it was sent to them. */
+Test(scheduler_suspect, start_that_was_refused_is_no_loss_under_its_task)
+{
+	struct rig *rig = rig_create();
+	struct job *job;
+	json_t *suspects;
+	uint32_t i;
+
+	srig_run(&rig->srig, 100);
+	for (i = 0; i < SRIG_SERVERS; i++)
+		crash_for(&rig->srig.cluster.servers[i], 500);
+	job = rig_submit(rig, 1, 400, "");
+	srig_run(&rig->srig, 20);
+	suspects = sched_suspects_render(rig->srig.sched, false);
+	cr_expect_eq(json_array_size(suspects), 0);
+	json_decref(suspects);
+	srig_run(&rig->srig, 6000);
+	cr_expect_eq(job->answers, 1);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
 /* The holder is lost after the first crash. */
 Test(scheduler_suspect, successor_knows_the_crashes_of_the_former_holder)
 {
