--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -101,6 +101,7 @@
 	uint64_t id;
 	struct sim_end ends[2];
 	uint32_t delay_us; /* one way */
+	bool silent;	   /* nothing passes any more, and neither end knows */
 	TAILQ_ENTRY(sim_conn) entry;
 };
 
@@ -118,6 +119,9 @@
 struct sim_msg *sim_msg_create(enum sim_msg_kind kind, uint64_t correlation);
 void sim_msg_free(struct sim_msg *msg);
 
+/** sim_conn_silence() - nothing passes by the connection from now on. */
+void sim_conn_silence(struct sim_conn *conn);
+
 /** sim_conn_advance() - messages arrive at their hosts. */
 void sim_conn_advance(struct sim_day *day);
 
@@ -183,6 +187,8 @@
 void sim_rows_destroy(struct sim_rows *rows);
 /* The store executes calls; then a host reads its replies. */
 void sim_rows_execute(struct sim_rows *rows);
+/* No reply comes by the present connections. */
+void sim_rows_silence(struct sim_rows *rows);
 void sim_rows_read(struct sim_rows *rows);
 
 /* Servers' rows: sim_servers.c */
--- a/tests/sim/sim_conn.c
+++ b/tests/sim/sim_conn.c
@@ -70,6 +70,10 @@
 	struct sim_end *to = sim_end_peer(end);
 
 	end->last_sent_us = sim_host_now_us(end->host);
+	if (end->conn->silent) {
+		sim_msg_free(msg);
+		return;
+	}
 	if (!to->closed) {
 		sim_end_receive(to, msg, end->conn->delay_us);
 		return;
@@ -121,7 +125,8 @@
 	struct sim_day *day = end->conn->day;
 	struct sim_msg *msg;
 
-	if (to->closed || how != SIM_CLOSE_DRAWN || sim_chance(day, 150))
+	if (to->closed || end->conn->silent || how != SIM_CLOSE_DRAWN ||
+	    sim_chance(day, 150))
 		return;
 	msg = sim_msg_create(SIM_END, 0);
 	if (sim_chance(day, 800)) {
@@ -161,6 +166,14 @@
 	sim_forwards_closed(end);
 }
 
+void
+sim_conn_silence(struct sim_conn *conn)
+{
+	conn->silent = true;
+	sim_msgs_clear(&conn->ends[0].wire);
+	sim_msgs_clear(&conn->ends[1].wire);
+}
+
 static void
 sim_end_advance(struct sim_end *end, uint64_t now_us)
 {
--- a/tests/sim/sim_events.c
+++ b/tests/sim/sim_events.c
@@ -327,6 +327,29 @@
 	}
 }
 
+/* Open connections go silent, new ones work: those of a host, or all. */
+static void
+sim_event_silent(struct sim_host *host, uint64_t until_ms)
+{
+	struct sim_day *day = host->day;
+	bool all = sim_chance(day, 500);
+	struct sim_conn *conn;
+	size_t i;
+
+	(void)until_ms;
+	TAILQ_FOREACH (conn, &day->conns, entry) {
+		if (all || conn->ends[0].host == host ||
+		    conn->ends[1].host == host)
+			sim_conn_silence(conn);
+	}
+	for (i = 0; i < day->nhosts; i++) {
+		if (!all && &day->hosts[i] != host)
+			continue;
+		fake_worker_silence(day->hosts[i].worker);
+		sim_rows_silence(day->hosts[i].rows);
+	}
+}
+
 /* A server ends, perhaps others of its zone with it. */
 static void
 sim_servers_restart(struct sim_day *day, enum wm_restart_kind kind)
@@ -432,6 +455,7 @@
 	{ 'm', sim_event_slow_links },
 	{ 'w', sim_event_slow_store },
 	{ 'b', sim_event_reset },
+	{ 'g', sim_event_silent },
 	{ 'x', sim_event_servers_replaced },
 	{ 'X', sim_event_servers_restart },
 	{ 'y', sim_event_server_drains },
--- a/tests/sim/sim_store.c
+++ b/tests/sim/sim_store.c
@@ -238,6 +238,17 @@
 	}
 }
 
+void
+sim_rows_silence(struct sim_rows *rows)
+{
+	struct sim_call *call;
+
+	TAILQ_FOREACH (call, &rows->calls, entry) {
+		call->lost = true;
+		call->reply_ms = 0;
+	}
+}
+
 /* Frees the calls that have ended. */
 static void
 sim_calls_sweep(struct sim_rows *rows)
--- a/tests/support/fake_worker.c
+++ b/tests/support/fake_worker.c
@@ -313,6 +313,21 @@
 	}
 }
 
+void
+fake_worker_silence(struct worker *worker)
+{
+	struct fake_worker *fake = (struct fake_worker *)worker;
+	struct fkw_call *call;
+
+	TAILQ_FOREACH (call, &fake->calls, entry) {
+		if (call->reply_due_ms == 0 || call->replied || call->late)
+			continue;
+		call->lost = true;
+		if (fkw_chance(fake, 500))
+			call->execute_ms = 0;
+	}
+}
+
 void
 fake_worker_advance(struct worker *worker, uint64_t now_ms)
 {
--- a/tests/support/fake_worker.h
+++ b/tests/support/fake_worker.h
@@ -52,6 +52,10 @@
     struct event_base *host, struct clock *clock, struct wm_cluster *cluster,
     uint64_t seed);
 
+/** fake_worker_silence() - no reply comes by the present connections; some of
+ * the pending calls have not reached their server. */
+void fake_worker_silence(struct worker *worker);
+
 /** fake_worker_advance() - execute the calls that are due at @now_ms. */
 void fake_worker_advance(struct worker *worker, uint64_t now_ms);
 
