A job counts as a sign of its host as of when it was sent

Callers: a job that was on its way to a holder as its host was killed ran until 1.25 s after its arrival; the caller, who had seen its connection break, sent the job again 1.3 s after the kill, and it ran twice (TWICE).

Cause: any message that arrives by the job's connection was taken for a sign that the caller waits, also the job itself, which may have waited in the network for up to 1 s. Class: the arrival of a message taken for its sending.

Now a job counts as of when it was sent: by the time of the holder in the forward (the bound by which old ones are refused). Only a later message by the connection counts as before.

Test, red before (two runs): test_cells no_second_run_of_a_resubmitted_job_that_arrives_after_its_host_ died. 'Not covered' of docs/design/abandoned-jobs.md had it.

No new periodic cost.

--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -475,6 +475,24 @@
 	json_decref(body);
 }
 
+/* Until a further message comes by its connection, the host is known to wait
+ * only as of when it sent the job. */
+static void
+cells_submission_arrived(struct cells_submission *sub, uint64_t sent_ago_ms)
+{
+	const struct cells_params *params = &sub->cells->params;
+	uint64_t now_us = cells_now_us(sub->cells);
+	uint64_t sent_ago_us = sent_ago_ms * CELLS_US_PER_MS;
+
+	if (sub->host[0] == '\0' || sent_ago_ms == CELLS_SENT_UNKNOWN)
+		return;
+	sub->heard_us =
+	    params->alive_us(params->peers, sub->host, sub->connection);
+	sub->alive_us = sent_ago_us < now_us ? now_us - sent_ago_us : 1;
+	if (sub->heard_us < sub->alive_us)
+		sub->alive_us = sub->heard_us;
+}
+
 static void
 cells_handle_submit(struct cells *cells, const struct api_request *request,
     api_reply_fn reply, void *arg)
@@ -519,6 +537,7 @@
 	sub->reply = reply;
 	(void)api_query_text(request->query, "host", sub->host, NAME_SIZE);
 	sub->connection = request->connection;
+	cells_submission_arrived(sub, job.sent_ago_ms);
 	cells_submit_local(sub, &job);
 }
 
@@ -550,7 +569,7 @@
 		return cells_now_us(cells);
 	alive_us = params->alive_us(params->peers, sub->host, sub->connection);
 	/* The connection may have been closed since. */
-	if (alive_us > sub->alive_us)
+	if (alive_us > sub->heard_us && alive_us > sub->alive_us)
 		sub->alive_us = alive_us;
 	return sub->lost_us != 0 && sub->lost_us < sub->alive_us
 	    ? sub->lost_us
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -73,13 +73,14 @@
 	uint64_t token;		     /* last reserved one */
 	uint64_t owners[NHOSTS_MAX]; /* tokens that claimed each cell last */
 	uint32_t owner_reads;
-	uint32_t call_ms;    /* round trip of a call between hosts */
-	uint32_t lost_reads; /* so many next reads have no reply */
-	uint32_t store_ms;   /* duration of a read of the owner row */
-	bool store_fences;   /* a read shows a holder that it was replaced */
-	uint32_t stall_ms;   /* no host runs for this time in each step */
-	bool hold_calls;     /* calls don't arrive until net_deliver() */
-	enum err_code lost;  /* of calls that don't arrive */
+	uint32_t call_ms;      /* round trip of a call between hosts */
+	uint32_t lost_reads;   /* so many next reads have no reply */
+	uint32_t store_ms;     /* duration of a read of the owner row */
+	bool store_fences;     /* a read shows a holder that it was replaced */
+	uint32_t stall_ms;     /* no host runs for this time in each step */
+	bool hold_calls;       /* calls don't arrive until net_deliver() */
+	bool mute[NHOSTS_MAX]; /* hosts that send no heartbeats */
+	enum err_code lost;    /* of calls that don't arrive */
 	TAILQ_HEAD(, call) calls;
 };
 
@@ -466,7 +467,7 @@
 
 	for (i = 0; i < net->nhosts; i++) {
 		for (j = 0; j < net->nhosts; j++) {
-			if (net->connected[i][j] &&
+			if (net->connected[i][j] && !net->mute[j] &&
 			    now_us - net->alive_us[i][j] >=
 				HEARTBEAT_MS * UINT64_C(1000))
 				net->alive_us[i][j] = now_us;
@@ -2530,6 +2531,26 @@
 	resubmission_expect_no_overflown_run(&test);
 }
 
+/* The job was on its way when its host was lost, which h1 does not know. */
+Test(cells, no_second_run_of_a_resubmitted_job_that_arrives_after_its_host_died)
+{
+	struct submission overflown;
+	struct resubmission test;
+	struct net *net;
+
+	resubmission_start(&test, 2, 2, 0);
+	net = test.net;
+	net->hold_calls = true;
+	resubmission_submit(&net->hosts[2], "h1", OVERFLOWN, false, &overflown);
+	net->hold_calls = false;
+	net->mute[2] = true;
+	net_run(net, 400);
+	net_deliver(net);
+	net_run(net, RESEND_MS - 400);
+	cr_expect_eq(wm_task(&net->cluster, OVERFLOWN ".0.0.0")->starts, 1);
+	resubmission_expect_no_overflown_run(&test);
+}
+
 /* Its caller sends it to the same host again at once. */
 Test(cells, cancellation_that_overtook_a_job_refuses_no_later_submission)
 {
