--- a/entry/jobs/scheduler_late.c
+++ b/entry/jobs/scheduler_late.c
@@ -3,7 +3,7 @@
  * sent. It does not do so after a stop of the run or under a higher token, but
  * if it restarts under its id, its next process knows of neither, and takes the
  * order's deadline, which is on the clock of the former process, for a long
- * one. So each process is told to stop these runs before it is used.
+ * one. So each process that lists its runs is told to stop these, too.
  */
 
 #include <inttypes.h>
