A holder that is not confirmed records no losses under its runs

Cause: a holder that has been replaced while it was paused goes on with its former view of the runs for a moment. A server that had crashed meanwhile was recorded as a loss under tasks whose runs the successor had ended before the crash, and the record reached the successor with the next ping. Class: a former holder's view taken for the present one.

Now a loss is recorded only while the holder is confirmed. A pause that is long enough for a successor ends the confirmation.

Test, red before: test_scheduler_holder unconfirmed_holder_records_no_loss_under_ its_runs. No new periodic cost.

Price: crashes that only an unconfirmed holder sees are not recorded.

--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -155,8 +155,10 @@
 static void
 sched_suspects_add_loss(struct sched_server *server, struct susp_loss *loss)
 {
-	/* The process of a draining server ends without a crash. */
-	if (TAILQ_EMPTY(&server->tasks) || server->info.draining)
+	/* The process of a draining server ends without a crash. A holder that
+	 * is not confirmed may have been replaced, and its runs have ended. */
+	if (TAILQ_EMPTY(&server->tasks) || server->info.draining ||
+	    sched_holder_remaining_ms(server->sched) == 0)
 		return;
 	if ((loss->crashed || loss->refused) && !server->refusing) {
 		ctr_inc(&sched_server_crashes);
--- a/tests/test_scheduler_holder.c
+++ b/tests/test_scheduler_holder.c
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 #include <event2/event.h>
 #include <inttypes.h>
+#include <jansson.h>
 #include <stdio.h>
 
 #include "adapters/clock_real.h"
@@ -636,6 +637,32 @@
 
 /* It is used once no other host had taken over when it was known. */
 /* All servers have been replaced by a new one since the last confirmation. */
+/* The process was paused, and another host may have ended the run. */
+Test(scheduler_holder, unconfirmed_holder_records_no_loss_under_its_runs)
+{
+	struct rig *rig = rig_create();
+	struct wm_server *servers = rig->srig.cluster.servers;
+	struct rig_job *job;
+	json_t *suspects;
+	size_t i;
+
+	rig_run_confirmed(rig, 100);
+	job = rig_submit(rig, LONG_MS, false);
+	rig_run_confirmed(rig, 300);
+	cr_assert_eq(rig_task(rig, job)->running_now, 1);
+	for (i = 0; servers[i].used_cpu == 0; i++)
+		continue;
+	sim_time_advance(2000);
+	wm_crash(&servers[i]);
+	servers[i].down_until_ms = clock_now_us(clock_real()) / 1000 + 5000;
+	srig_run(&rig->srig, 100);
+	cr_assert_not(sched_holder_confirmed(rig->sched));
+	suspects = sched_suspects_render(rig->sched, false);
+	cr_expect_eq(json_array_size(suspects), 0);
+	json_decref(suspects);
+	rig_destroy(rig);
+}
+
 static struct rig *
 rig_create_new_server(void)
 {
