A holder that has just taken over records losses before it is confirmed

Its view of the runs is the servers' lists under its own token, so only one that was confirmed and is not any more may have an outdated one.

--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -151,14 +151,22 @@
 	return guilty;
 }
 
+/* Whether the holder is not confirmed any more: a successor may have ended its
+ * runs before the loss. One that has just taken over knows those it listed. */
+static bool
+sched_may_be_replaced(const struct scheduler *sched)
+{
+	return sched->holder_lease.confirmed_us != 0 &&
+	    sched_holder_remaining_ms(sched) == 0;
+}
+
 /* If a suspect is to blame, the other tasks of the server are not recorded. */
 static void
 sched_suspects_add_loss(struct sched_server *server, struct susp_loss *loss)
 {
-	/* The process of a draining server ends without a crash. A holder that
-	 * is not confirmed may have been replaced, and its runs have ended. */
+	/* The process of a draining server ends without a crash. */
 	if (TAILQ_EMPTY(&server->tasks) || server->info.draining ||
-	    sched_holder_remaining_ms(server->sched) == 0)
+	    sched_may_be_replaced(server->sched))
 		return;
 	if ((loss->crashed || loss->refused) && !server->refusing) {
 		ctr_inc(&sched_server_crashes);
