--- a/entry/jobs/scheduler_end.c
+++ b/entry/jobs/scheduler_end.c
@@ -13,6 +13,14 @@
 #define SCHED_SPEED_WEIGHT 8 /* the weight of one run in the average is 1/8 */
 #define SCHED_SPEED_MAX_PERMILLE 4000
 
+/* Records why a run of the task has ended; @cause is not copied. */
+static void
+sched_task_former_run(struct sched_task *task, const char *cause)
+{
+	task->former_run_id = task->run_id;
+	task->former_end = cause;
+}
+
 /* Releases a run that ended without a final result; its task is queued again
  * unless it is done or its job has ended. */
 void
@@ -29,6 +37,7 @@
 	    job->spec.id, task->step, task->index, task->run_id,
 	    task->server->info.id, cause, stopping_us / SCHED_US_PER_MS,
 	    job->ended ? 1 : 0);
+	sched_task_former_run(task, cause);
 	sched_task_unassign(task);
 	if (job->ended) {
 		sched_job_release_ended(job);
@@ -181,6 +190,7 @@
 		sched_update_speed(task, now_us);
 	seq = sched_record_run_end(task, task->run_id,
 	    end_state == WORKER_END_DONE);
+	sched_task_former_run(task, sched_end_names[end_state]);
 	sched_task_unassign(task);
 	if (end_state == WORKER_END_FAILED)
 		sched_task_failed(task);
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -128,8 +128,12 @@
 	uint64_t last_failed_run_id; /* newest one counted */
 	struct sched_server *server; /* that has or may have its run; or NULL */
 	uint64_t run_id;
-	uint32_t start_attempts; /* start orders sent for this run */
-	uint32_t starts_refused; /* of them; their connection was refused */
+	uint32_t start_attempts;    /* start orders sent for this run */
+	uint32_t starts_refused;    /* of them; their connection was refused */
+	uint32_t starts_unanswered; /* of them; may have been executed */
+	/* The run before, and why it has ended; 0 and NULL: none. */
+	uint64_t former_run_id;
+	const char *former_end;
 	uint64_t start_sent_us;	 /* last start order; 0: run was adopted */
 	uint64_t last_update_us; /* last order ended, or run was last listed */
 	uint64_t stopping_since_us; /* first stop order; 0: none */
--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -140,6 +140,8 @@
 static void
 sched_order_unanswered(const struct sched_order *order)
 {
+	if (order->start_run_id != 0 && order->task != NULL)
+		order->task->starts_unanswered++;
 	if (order->start_run_id != 0)
 		sched_late_add(order->server, order->start_task,
 		    order->start_run_id, order->sent_us,
@@ -191,11 +193,11 @@
 
 	for (order = LIST_FIRST(&server->orders); order != NULL; order = next) {
 		next = LIST_NEXT(order, entry);
+		sched_order_unanswered(order);
 		if (order->task != NULL)
 			order->task->order = NULL;
 		if (order->orphan != NULL)
 			order->orphan->order = NULL;
-		sched_order_unanswered(order);
 		LIST_REMOVE(order, entry);
 		free(order);
 	}
@@ -411,6 +413,20 @@
 	    sched_holder_age_ms(sched));
 }
 
+/* Reports the start of a task that has had a run under this token. */
+static void
+sched_log_start_again(const struct sched_task *task)
+{
+	if (task->former_end == NULL)
+		return;
+	log_event(LOG_LEVEL_INFO, "task-started-again",
+	    "id=%s task=%" PRIu32 ".%" PRIu32 " run=%" PRIu64
+	    " former_run=%" PRIu64 " former_end=\"%s\""
+	    " starts_unanswered=%" PRIu32,
+	    task->job->spec.id, task->step, task->index, task->run_id,
+	    task->former_run_id, task->former_end, task->starts_unanswered);
+}
+
 void
 sched_run_start(struct sched_task *task, struct sched_server *server)
 {
@@ -439,6 +455,8 @@
 	    (now_us - task->job->submitted_us) / SCHED_US_PER_MS,
 	    task->job->queue.config_version);
 	sched_log_former_runs(task, now_us);
+	sched_log_start_again(task);
+	task->starts_unanswered = 0;
 	sched_send_start(task);
 	if (!server->hold_pending)
 		sched_server_hold(server, now_us);
