--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -1352,3 +1352,93 @@
 {
 	rig_expect_late_holds_extend_no_lease(WM_RESTART_CLOCK_KEPT);
 }
+
+/* Only server 0 has room for the task, whose first start arrives 1.5 s late;
+ * from then on, only the others have. */
+static struct rig_job *
+rig_submit_late(struct rig *rig)
+{
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	struct rig_job *job;
+	size_t i;
+
+	for (i = 1; i < SRIG_SERVERS; i++)
+		srig_set_cpu(&rig->srig, i, 20000, true);
+	srig_run(&rig->srig, 50);
+	faults->late_permille = 1000;
+	faults->late_min_ms = faults->late_max_ms = 1500;
+	job = rig_submit(rig, 1, 27000, 3000, 0);
+	srig_run(&rig->srig, 10);
+	faults->late_permille = 0;
+	for (i = 0; i < SRIG_SERVERS; i++)
+		srig_set_cpu(&rig->srig, i, i == 0 ? 20000 : SRIG_CPU, true);
+	return job;
+}
+
+/* The server starts again under its id, and is out of reach from then on. */
+static void
+rig_restart_out_of_reach(struct rig *rig)
+{
+	wm_restart(&rig->srig.cluster.servers[0],
+	    clock_now_us(clock_real()) / 1000, 20, WM_RESTART_SAME_ID);
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = 1;
+}
+
+Test(scheduler, late_start_is_not_executed_beside_a_run_on_another_server)
+{
+	struct rig *rig = rig_create(5);
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	struct rig_job *job = rig_submit_late(rig);
+
+	faults->unreachable_mask = 1;
+	srig_run(&rig->srig, 300);
+	faults->unreachable_mask = 0;
+	srig_run(&rig->srig, 300);
+	rig_restart_out_of_reach(rig);
+	srig_run(&rig->srig, 6000);
+	cr_expect(job->answered);
+	rig_destroy(rig);
+}
+
+Test(scheduler, late_start_of_a_former_holder_is_not_executed_beside_a_run)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *job = rig_submit_late(rig);
+	struct rig_job resubmission = { .rig = rig };
+	struct scheduler *successor;
+
+	srig_run(&rig->srig, 70);
+	sched_deactivate(rig->srig.sched);
+	successor = srig_scheduler(&rig->srig, 20);
+	memcpy(resubmission.id, job->id, sizeof(resubmission.id));
+	(void)rig_submit_to(successor, &resubmission, 1, 27000, 3000, 0, true);
+	srig_run(&rig->srig, 300);
+	rig_restart_out_of_reach(rig);
+	srig_run(&rig->srig, 6000);
+	cr_expect(resubmission.answered);
+	sched_destroy(successor);
+	rig_destroy(rig);
+}
+
+/* Its clock is slower than the holder reckons. */
+Test(scheduler, run_outlives_its_lease_on_a_silent_server_without_a_second_one)
+{
+	struct rig *rig = rig_create(3);
+	struct rig_job *job;
+	size_t i;
+
+	for (i = 0; i < SRIG_SERVERS; i++)
+		wm_set_clock_speed(&rig->srig.cluster.servers[i],
+		    clock_now_us(clock_real()) / 1000, 500);
+	srig_run(&rig->srig, 50);
+	job = rig_submit(rig, 1, 27000, 3000, 0);
+	srig_run(&rig->srig, 60);
+	for (i = 0; rig->srig.cluster.servers[i].used_cpu == 0; i++)
+		continue;
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = 1U << i;
+	srig_run(&rig->srig, 6000);
+	cr_expect(job->answered);
+	rig_destroy(rig);
+}
