test_scheduler: Late starts that no end of a lease precedes

The two tests of late starts were red by way of the end of a lease, as a retry was executed before the fault.

--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -1393,7 +1393,7 @@
 	struct rig_job *job = rig_submit_late(rig);
 
 	faults->unreachable_mask = 1;
-	srig_run(&rig->srig, 300);
+	srig_run(&rig->srig, 600);
 	faults->unreachable_mask = 0;
 	srig_run(&rig->srig, 300);
 	rig_restart_out_of_reach(rig);
@@ -1409,7 +1409,7 @@
 	struct rig_job resubmission = { .rig = rig };
 	struct scheduler *successor;
 
-	srig_run(&rig->srig, 70);
+	srig_run(&rig->srig, 30);
 	sched_deactivate(rig->srig.sched);
 	successor = srig_scheduler(&rig->srig, 20);
 	memcpy(resubmission.id, job->id, sizeof(resubmission.id));
