--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -1395,7 +1395,7 @@
 	faults->unreachable_mask = 1;
 	srig_run(&rig->srig, 600);
 	faults->unreachable_mask = 0;
-	srig_run(&rig->srig, 300);
+	srig_run(&rig->srig, 500);
 	rig_restart_out_of_reach(rig);
 	srig_run(&rig->srig, 6000);
 	cr_expect(job->answered);
