scheduler: A best-effort task has no other run when a lease has ended

What callers saw: a task of a best-effort job had two runs at the same time.

Cause: the holder took the end of a lease for the end of the runs on a server out of its reach, and started them elsewhere. That end is inferred: from a clock that may be slower than reckoned, and on the assumption that no hold or start which had no reply is executed later. The next process under the server's id executes them, and takes their deadlines, which are on the clock of the former one, for long leases.

Change: the run of a best-effort task ends by the word of its server, or of the process that replies in its place. Until then the job waits, at most until its submitter's deadline. If the row of the server is gone as well, the job is answered as of unknown outcome when the lease has ended. Stored jobs go on after the end of a lease as before, as nobody would submit them again.

Why it works: no time is part of the decision any more. Ruled out: a longer margin (it bounds neither a late hold nor a clock that stands still); waiting for calls without a reply (a server out of reach always has some).

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -535,6 +535,7 @@
 	     job = sched->next_checked) {
 		sched->next_checked = TAILQ_NEXT(job, entry);
 		if (!sched_suspects_end_job(job) &&
+		    !sched_job_end_unknown(job) &&
 		    !sched_job_expire(job, now_us) &&
 		    !(check_submitters && sched_job_give_up(job, now_us)))
 			sched_gang_check(job);
--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -267,7 +267,7 @@
 	if (!task->job->sched->holder_confirmed &&
 	    !sched_job_may_start_unconfirmed(task->job))
 		return;
-	if (step->cpu >= *no_capacity_cpu ||
+	if (step->cpu >= *no_capacity_cpu || task->job->run_unknown ||
 	    (!pass->all_held &&
 		sched_job_awaits_leases(task->job, pass->now_us)) ||
 	    !sched_suspect_may_start(task, pass->now_us))
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -21,6 +21,7 @@
  *   scheduler_lease.c     time until which leases may be extended
  *   scheduler_run.c       start and stop orders
  *   scheduler_late.c      start orders without a reply
+ *   scheduler_restart.c   whether a task may have another run
  *   scheduler_end.c       processing of ended runs
  *   scheduler_ack.c       acknowledgement of ended runs
  *   scheduler_dispatch.c  order of waiting tasks, and refusals
@@ -185,6 +186,9 @@
 	bool has_started;
 	/* A start was ordered by this host, or perhaps by another one. */
 	bool may_have_started;
+	/* A run of one of its tasks may go on unknown, so that the task can't
+	 * have another one; see scheduler_restart.c. */
+	bool run_unknown;
 	/* A run may last longer than the lease on the role of holder. */
 	bool started_unconfirmed;
 	bool has_suspects;    /* servers were lost under its tasks */
@@ -526,6 +530,15 @@
 void sched_late_stop_all(struct sched_server *server,
     const struct worker_reply *reply);
 
+/* scheduler_restart.c */
+/* Whether the task's run ends only by the word of its server, not with the end
+ * of a lease. */
+bool sched_task_awaits_server(const struct sched_task *task);
+/* The task can't have another run: its job is to end. */
+void sched_run_unknown(struct sched_task *task, const char *reason);
+/* Ends a job of which a run may go on unknown. Return: whether it was ended. */
+bool sched_job_end_unknown(struct sched_job *job);
+
 /* scheduler_suspect.c */
 /* Whether and how a waiting task may be started. */
 enum susp_verdict sched_suspect_judge(const struct sched_task *task,
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -78,8 +78,11 @@
 	server->reopen_at_us =
 	    sched_now(server->sched) + SCHED_REOPEN_DELAY_MS * SCHED_US_PER_MS;
 	sched_server_disconnect(server);
-	TAILQ_FOREACH_SAFE (task, &server->tasks, on_server, next)
+	TAILQ_FOREACH_SAFE (task, &server->tasks, on_server, next) {
+		if (!crashed && sched_task_awaits_server(task))
+			sched_run_unknown(task, reason);
 		sched_run_discard(task, reason);
+	}
 }
 
 void
@@ -617,6 +620,31 @@
 	return lease_expired(&server->lease, sched_confirmed_us(server->sched));
 }
 
+static bool
+sched_server_awaited(const struct sched_server *server)
+{
+	const struct sched_task *task;
+
+	TAILQ_FOREACH (task, &server->tasks, on_server) {
+		if (sched_task_awaits_server(task))
+			return true;
+	}
+	return false;
+}
+
+/* Releases the runs that have ended with the lease of an awaited server. */
+static void
+sched_server_discard_runs(struct sched_server *server)
+{
+	struct sched_task *task, *next;
+
+	TAILQ_FOREACH_SAFE (task, &server->tasks, on_server, next) {
+		if (!sched_task_awaits_server(task))
+			sched_run_discard(task,
+			    "unreachable until its lease expired");
+	}
+}
+
 void
 sched_server_tick(struct sched_server *server, uint64_t now_us)
 {
@@ -629,12 +657,15 @@
 	if (server->unanswered_holds > SCHED_UNANSWERED_HOLDS_MAX &&
 	    server->pending_calls == 0 && !TAILQ_EMPTY(&server->tasks) &&
 	    lease_expired(&server->lease, now_us)) {
-		if (sched_lease_ended(server)) {
+		if (!sched_lease_ended(server)) {
+			server->sched->awaits_confirmation = true;
+		} else if (server->removed || !sched_server_awaited(server)) {
 			sched_server_lost(server,
 			    "unreachable until its lease expired", false);
 			return;
+		} else {
+			sched_server_discard_runs(server);
 		}
-		server->sched->awaits_confirmation = true;
 	}
 	if (!server->hold_pending && server->hold_due_us != 0 &&
 	    server->hold_due_us <= now_us)
--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -17,6 +17,7 @@
 #include "tests/support/sim_time.h"
 
 #define JOBS_MAX 256
+#define STORED_TASKS_MAX 8
 #define CPU 27000 /* of a task; a server has room for two of them */
 /* A job without servers that crash ends within this time. */
 #define PLAIN_JOB_MS 400
@@ -26,12 +27,14 @@
 	struct job {
 		char id[JOB_ID_LEN + 1];
 		const char *queue; /* NULL: "q" */
+		bool stored;
 		uint32_t answers;
 		enum sched_result result;
 		uint64_t sent_us;
 		uint64_t elapsed_ms;
 	} jobs[JOBS_MAX];
 	size_t njobs;
+	bool stored; /* the jobs that are submitted from now on */
 };
 
 static struct rig *
@@ -44,6 +47,15 @@
 	return rig;
 }
 
+static struct rig *
+rig_create_stored(void)
+{
+	struct rig *rig = rig_create();
+
+	rig->stored = true;
+	return rig;
+}
+
 static void
 rig_destroy(struct rig *rig)
 {
@@ -76,6 +88,10 @@
 		    .target_ms = 60 },
 		.timeout_ms = 30000,
 		.resubmitted = resubmitted,
+		.stored = job->stored,
+		.done = (const uint8_t[STORED_TASKS_MAX]){ 0 },
+		.failures = (const uint8_t[STORED_TASKS_MAX]){ 0 },
+		.last_failed_run_ids = (const uint64_t[STORED_TASKS_MAX]){ 0 },
 	};
 	char body[256];
 	struct err err;
@@ -99,6 +115,7 @@
 	struct job *job = &rig->jobs[rig->njobs];
 
 	(void)snprintf(job->id, sizeof(job->id), "%016zx", ++rig->njobs);
+	job->stored = rig->stored;
 	rig_submit_to(rig->srig.sched, job, count, ms, crash, false);
 	return job;
 }
@@ -116,7 +133,7 @@
 
 Test(scheduler_suspect, task_that_crashes_its_servers_is_given_up)
 {
-	struct rig *rig = rig_create();
+	struct rig *rig = rig_create_stored();
 	struct job *job = rig_submit(rig, 1, 60, ".0");
 	uint64_t back_ms = 0;
 	uint32_t i;
@@ -144,7 +161,7 @@
 /* A server that starts again has another name, at the same address. */
 Test(scheduler_suspect, task_that_crashes_servers_that_are_renamed_is_given_up)
 {
-	struct rig *rig = rig_create();
+	struct rig *rig = rig_create_stored();
 	struct job *job = rig_submit(rig, 1, 60, ".0");
 	uint32_t i;
 
@@ -329,7 +346,7 @@
 /* Packets to the servers are reset, first to one, then to the next, too. */
 Test(scheduler_suspect, task_of_servers_that_refuse_connections_is_not_given_up)
 {
-	struct rig *rig = rig_create();
+	struct rig *rig = rig_create_stored();
 	struct fake_worker_faults *faults =
 	    fake_worker_faults(rig->srig.worker);
 	struct job *job = rig_submit(rig, 1, 1500, "");
@@ -577,7 +594,7 @@
  * task runs elsewhere. */
 Test(scheduler_suspect, withdrawn_loss_does_not_return_after_another_loss)
 {
-	struct rig *rig = rig_create();
+	struct rig *rig = rig_create_stored();
 	struct fake_worker_faults *faults =
 	    fake_worker_faults(rig->srig.worker);
 	struct scheduler *other = srig_scheduler_inactive(&rig->srig);
