scheduler: No other run follows a start order without a reply

What callers saw: a task of a best-effort job had two runs at the same time.

Cause: a start order had no reply, its server confirmed the stop of the run, and the task was started elsewhere. The stop binds the process that has confirmed it. If the server starts again under its id, its next process may execute the order, before the holder has reached it.

Change: all orders for a run have the same run id, so that executing several of them makes one run. A best-effort task whose start had no reply stays with its server: the order is sent again when the server, or its next process, lists its runs without it. A holder that may have been replaced waits for its next confirmation before that. If the task would need a run with another id while such an order may be executed, the job is answered as of unknown outcome. An order counts as executed if it was the only one for its run and the run was listed; as void, if another server replies at the address.

Why it works: only that server's processes can execute the order, and each knows its run by its id. Stored jobs and gangs are as before: they are stopped at each process that lists its runs (scheduler_late.c). The order of each list's processing is unchanged.

Tests changed: two tests of starts that follow an order without a reply use stored jobs now, with the same checks.

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -105,7 +105,8 @@
 		 * at its address, see sched_check_incarnation(). */
 		if (server->incarnation_start_ms == 0 ||
 		    sched_server_vacant(server))
-			sched_server_lost(server, "restarted", true);
+			sched_server_lost(server, "restarted",
+			    SCHED_LOSS_RESTARTED);
 		server->removed = true;
 		sched->load_updated_us = 0; /* see sched_server_remove() */
 		former = server;
--- a/entry/jobs/scheduler_end.c
+++ b/entry/jobs/scheduler_end.c
@@ -50,7 +50,7 @@
 	if (job->sched->token != 0)
 		sched_orphans_adopt(job);
 	if (task->state == SCHED_TASK_BLOCKED)
-		sched_task_enqueue(task);
+		sched_task_requeue(task);
 }
 
 /* Updates the moving average of the server's speed. */
@@ -130,7 +130,7 @@
 	else if (sched_gang_failures(task) >= job->queue.max_attempts)
 		sched_job_finish(job, &failed);
 	else
-		sched_task_enqueue(task);
+		sched_task_requeue(task);
 }
 
 uint64_t
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -423,9 +423,15 @@
     uint64_t run_id);
 void sched_orphan_free(struct sched_server *server,
     struct sched_orphan *orphan);
-/* @crashed: whether it is known that its process has ended. */
+/** enum sched_loss - what is known of a server that is lost. */
+enum sched_loss {
+	SCHED_LOSS_UNREACHABLE, /* its lease has ended */
+	SCHED_LOSS_RESTARTED,	/* its process has ended; its id is in use */
+	SCHED_LOSS_REPLACED,	/* another server has its address */
+};
+
 void sched_server_lost(struct sched_server *server, const char *reason,
-    bool crashed);
+    enum sched_loss loss);
 /* The server refuses connections: perhaps its process has ended. */
 void sched_server_refused(struct sched_server *server);
 /*
@@ -442,6 +448,11 @@
 void sched_run_start(struct sched_task *task, struct sched_server *server);
 /* Orders the stop of the task's run, if no order is pending. */
 void sched_run_stop(struct sched_task *task);
+/* Whether the start of the task's run is to be ordered again once its server
+ * lists its runs: the task can't have a run on another server. */
+bool sched_start_is_bound(const struct sched_task *task);
+/* Orders a start again that has no reply, of a run that is not listed. */
+void sched_start_again(struct sched_task *task);
 void sched_orders_discard(struct sched_server *server);
 void sched_run_stop_orphan(struct sched_server *server,
     struct sched_orphan *orphan);
@@ -522,8 +533,9 @@
 void sched_late_expire(struct sched_server *server, uint64_t now_us);
 void sched_late_clear(struct sched_server *server);
 void sched_late_move(struct sched_server *to, struct sched_server *from);
-/* The server's process has confirmed the stop of a run. */
-void sched_late_stopped(struct sched_server *server, const char *task,
+/* The server's process has confirmed the stop of a run, or is sent its start
+ * again. */
+void sched_late_told(struct sched_server *server, const char *task,
     uint64_t run_id);
 /* The server's process has sent its lists: it is told to stop the runs that it
  * has not been told of. */
@@ -536,6 +548,9 @@
 bool sched_task_awaits_server(const struct sched_task *task);
 /* The task can't have another run: its job is to end. */
 void sched_run_unknown(struct sched_task *task, const char *reason);
+/* Queues a task whose run has ended. Its job is ended instead if another run of
+ * the task may go on, or begin. */
+void sched_task_requeue(struct sched_task *task);
 /* Ends a job of which a run may go on unknown. Return: whether it was ended. */
 bool sched_job_end_unknown(struct sched_job *job);
 
@@ -614,6 +629,11 @@
 bool sched_bulkhead_admits(const struct sched_server *server, bool confined);
 
 /* scheduler_place.c */
+/* Whether another host may have taken over before this one read the server's
+ * row, or found it restarted. It may have read the rows before this one was
+ * written, and have started the jobs that this host has, since it knows of no
+ * run on this server. */
+bool sched_server_unconfirmed(const struct sched_server *server);
 /* Whether the server accepts starts, or will at the next confirmation of this
  * holder. */
 bool sched_server_is_usable(const struct sched_server *server, uint64_t now_us);
--- a/entry/jobs/scheduler_job.c
+++ b/entry/jobs/scheduler_job.c
@@ -165,17 +165,21 @@
 		sched_job_free(job);
 }
 
-/* Removes all tasks from the queue and stops all confirmed runs. */
+/* Removes all tasks from the queue and stops all runs; those whose start is
+ * pending are stopped after its reply. */
 static void
 sched_job_stop(struct sched_job *job)
 {
+	struct sched_task *task;
 	uint32_t i;
 
 	for (i = 0; i < job->spec.ntasks; i++) {
-		if (job->tasks[i].state == SCHED_TASK_WAITING)
-			sched_task_dequeue(&job->tasks[i]);
-		else if (job->tasks[i].state == SCHED_TASK_RUNNING)
-			sched_run_stop(&job->tasks[i]);
+		task = &job->tasks[i];
+		if (task->state == SCHED_TASK_WAITING)
+			sched_task_dequeue(task);
+		else if (task->state == SCHED_TASK_RUNNING ||
+		    (task->state == SCHED_TASK_STARTING && task->order == NULL))
+			sched_run_stop(task);
 	}
 }
 
--- a/entry/jobs/scheduler_late.c
+++ b/entry/jobs/scheduler_late.c
@@ -3,7 +3,8 @@
  * sent. It does not do so after a stop of the run or under a higher token, but
  * if it restarts under its id, its next process knows of neither, and takes the
  * order's deadline, which is on the clock of the former process, for a long
- * one. So each process that lists its runs is told to stop these, too.
+ * one. So each process that lists its runs is told to stop these, too, unless
+ * the start is ordered again there (scheduler_restart.c).
  */
 
 #include <inttypes.h>
@@ -88,8 +89,7 @@
 }
 
 void
-sched_late_stopped(struct sched_server *server, const char *task,
-    uint64_t run_id)
+sched_late_told(struct sched_server *server, const char *task, uint64_t run_id)
 {
 	struct sched_late_start *late = sched_late_find(server, task, run_id);
 
@@ -123,6 +123,9 @@
 		    sched_late_is_listed(late, reply))
 			continue;
 		task = sched_task_find(server->sched, late->task);
+		if (task != NULL && task->server == server &&
+		    task->run_id == late->run_id && sched_start_is_bound(task))
+			continue;
 		if (task == NULL || task->server != server ||
 		    task->run_id != late->run_id ||
 		    task->state == SCHED_TASK_DONE) {
--- a/entry/jobs/scheduler_place.c
+++ b/entry/jobs/scheduler_place.c
@@ -20,10 +20,7 @@
 	return false;
 }
 
-/* Whether another host may have taken over before this one read the server's
- * row. It may have read the rows before this one was written, and have started
- * the jobs that this host has, since it knows of no run on this server. */
-static bool
+bool
 sched_server_unconfirmed(const struct sched_server *server)
 {
 	const struct scheduler *sched = server->sched;
--- a/entry/jobs/scheduler_restart.c
+++ b/entry/jobs/scheduler_restart.c
@@ -5,6 +5,12 @@
  * that may be executed late. Without that word the outcome of the job is
  * unknown, and its caller decides whether to submit it again. Nobody submits a
  * stored job again, so its tasks go on when the lease has ended.
+ *
+ * Nor does the process that sends its word speak for a later one under its id,
+ * which knows neither the fencing token nor what was stopped. It may execute a
+ * start order that had no reply. All orders for a run have the same run id, so
+ * one may be sent again to that server; but the task has no run with another id
+ * after it.
  */
 
 #include <inttypes.h>
@@ -12,6 +18,15 @@
 #include "adapters/log.h"
 #include "entry/jobs/scheduler_internal.h"
 
+/* Whether a start order of the task's last run may be executed yet. If only one
+ * was sent, it was executed once the server has listed the run. */
+static bool
+sched_start_outstanding(const struct sched_task *task)
+{
+	return task->starts_unanswered > 0 &&
+	    (task->start_attempts > 1 || !task->start_confirmed);
+}
+
 bool
 sched_task_awaits_server(const struct sched_task *task)
 {
@@ -31,6 +46,14 @@
 	job->run_unknown = true;
 }
 
+void
+sched_task_requeue(struct sched_task *task)
+{
+	if (!task->job->stored && sched_start_outstanding(task))
+		sched_run_unknown(task, "a start order had no reply");
+	sched_task_enqueue(task);
+}
+
 bool
 sched_job_end_unknown(struct sched_job *job)
 {
--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -297,10 +297,33 @@
 	    pending);
 }
 
+bool
+sched_start_is_bound(const struct sched_task *task)
+{
+	return !task->job->stored && !task->job->ended &&
+	    !sched_gang_member(task) && task->state == SCHED_TASK_STARTING &&
+	    task->start_attempts < SCHED_START_ATTEMPTS_MAX;
+}
+
+void
+sched_start_again(struct sched_task *task)
+{
+	char name[WORKER_TASK_NAME_SIZE];
+
+	if (!sched_start_is_bound(task)) {
+		sched_run_stop(task);
+	} else if (!sched_server_unconfirmed(task->server)) {
+		sched_task_name(task, name);
+		sched_late_told(task->server, name, task->run_id);
+		sched_send_start(task);
+	}
+}
+
 /*
  * A start order without a reply may be executed at any time. If the server has
  * listed the run, it was executed. If the server replies to holds, only the
- * order may have been lost, and it is sent again. Otherwise the run is stopped.
+ * order may have been lost, and it is sent again. Otherwise the run is stopped,
+ * or the start is ordered again when the server replies.
  */
 static void
 sched_start_unanswered(struct sched_task *task)
@@ -311,7 +334,7 @@
 	    task->server->unanswered_holds == 0 &&
 	    task->start_attempts < SCHED_START_ATTEMPTS_MAX)
 		sched_send_start(task);
-	else
+	else if (!sched_start_is_bound(task))
 		sched_run_stop(task);
 }
 
@@ -522,7 +545,7 @@
 	}
 	task->stop_confirmed = true;
 	sched_task_name(task, name);
-	sched_late_stopped(server, name, task->run_id);
+	sched_late_told(server, name, task->run_id);
 	if (!server->hold_pending)
 		sched_server_hold(server, sched_now(server->sched));
 }
@@ -553,7 +576,7 @@
 static void
 sched_orphan_stopped(struct sched_server *server, struct sched_orphan *orphan)
 {
-	sched_late_stopped(server, orphan->task, orphan->run_id);
+	sched_late_told(server, orphan->task, orphan->run_id);
 	if (orphan->expected)
 		sched_orphan_free(server, orphan);
 }
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -65,8 +65,10 @@
 /* Closes the link to a server and discards its runs. They have ended: its lease
  * has expired, or another incarnation has replaced it. */
 void
-sched_server_lost(struct sched_server *server, const char *reason, bool crashed)
+sched_server_lost(struct sched_server *server, const char *reason,
+    enum sched_loss loss)
 {
+	bool crashed = loss != SCHED_LOSS_UNREACHABLE;
 	struct sched_task *task, *next;
 
 	if (server->held || !TAILQ_EMPTY(&server->tasks))
@@ -81,6 +83,9 @@
 	TAILQ_FOREACH_SAFE (task, &server->tasks, on_server, next) {
 		if (!crashed && sched_task_awaits_server(task))
 			sched_run_unknown(task, reason);
+		/* The server that has its address refuses its orders. */
+		if (loss == SCHED_LOSS_REPLACED)
+			task->starts_unanswered = 0;
 		sched_run_discard(task, reason);
 	}
 }
@@ -276,10 +281,12 @@
 		sched_task_set_checkpoint(task, ended->run_id,
 		    ended->newest_checkpoint);
 	if (task != NULL && task->server == server &&
-	    task->run_id == ended->run_id)
+	    task->run_id == ended->run_id) {
+		task->start_confirmed = true;
 		seq = sched_run_ended(task, ended->end_state);
-	else if (task != NULL)
+	} else if (task != NULL) {
 		seq = sched_process_former_end(task, ended);
+	}
 	if (seq == 0)
 		seq = sched_unstored_seq(server->sched, ended);
 	if (server->sched->jobs_loaded)
@@ -306,9 +313,12 @@
 	struct sched_task *task, *next;
 
 	TAILQ_FOREACH_SAFE (task, &server->tasks, on_server, next) {
-		if (!ended_cut && task->last_update_us != now_us &&
-		    task->order == NULL && task->last_update_us < sent_us &&
-		    sched_run_resolved(task))
+		if (task->last_update_us == now_us || task->order != NULL ||
+		    task->last_update_us >= sent_us)
+			continue;
+		if (task->state == SCHED_TASK_STARTING)
+			sched_start_again(task);
+		else if (!ended_cut && sched_run_resolved(task))
 			sched_run_discard(task,
 			    "not in the server's list of runs");
 	}
@@ -361,7 +371,8 @@
 		other = NIDX_OBJECT(entry, struct sched_server, by_id);
 		if (other != server && other->link != NULL &&
 		    other->incarnation_start_ms != server->incarnation_start_ms)
-			sched_server_lost(other, "restarted", true);
+			sched_server_lost(other, "restarted",
+			    SCHED_LOSS_RESTARTED);
 	}
 }
 
@@ -412,7 +423,8 @@
 	else if (verdict == WORKER_OTHER_INCARNATION) {
 		sched_suspects_server_ended(server);
 		sched_server_lost(server,
-		    "another incarnation replies at the address", true);
+		    "another incarnation replies at the address",
+		    SCHED_LOSS_REPLACED);
 	}
 	return verdict == WORKER_FENCED || verdict == WORKER_OTHER_INCARNATION;
 }
@@ -661,7 +673,8 @@
 			server->sched->awaits_confirmation = true;
 		} else if (server->removed || !sched_server_awaited(server)) {
 			sched_server_lost(server,
-			    "unreachable until its lease expired", false);
+			    "unreachable until its lease expired",
+			    SCHED_LOSS_UNREACHABLE);
 			return;
 		} else {
 			sched_server_discard_runs(server);
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -1294,6 +1294,7 @@
 	struct rig_job *job;
 	size_t i, server;
 
+	rig->stored = true;
 	srig_run(&rig->srig, 50);
 	for (i = 0; i < SRIG_SERVERS; i++)
 		servers[i].hangs = true;
--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -413,7 +413,7 @@
  * it runs the task. */
 Test(scheduler_suspect, crash_before_the_start_arrives_does_not_convict)
 {
-	struct rig *rig = rig_create();
+	struct rig *rig = rig_create_stored();
 	struct wm_server *servers = rig->srig.cluster.servers;
 	struct job *job;
 	uint32_t i;
