scheduler: Only the first holder of a best-effort job starts its tasks

What callers saw: a task of a best-effort job had two runs at the same time.

Cause: a successor started a task that its predecessor may have started, as all servers that it knew had listed their runs, or as the leases of the predecessor had ended by then. Both are inferred: it knows neither the start orders of the predecessor that had no reply, which the next process under a server's id may execute, nor servers or hosts whose rows it has not read; and the end of leases depends on the clocks of two hosts and a server.

Change: a job that another host may have started is adopted, not started: runs that servers list go on, and if all of them have listed their runs, or the leases of former holders have ended, and a task has none, the job is answered as of unknown outcome. The remote holder's loss was answered so before. Stored jobs are as before.

Why it works: a best-effort job has one host that starts its tasks, whatever any other host knows or takes for ended. The caller's own second submission is a new job, as before.

A task that is not started again leaves room for others. No new periodic cost.

--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -246,6 +246,15 @@
 	return true;
 }
 
+/* Whether the lists of servers may yet show runs of the task that another host
+ * has started. */
+static bool
+sched_runs_may_be_listed(const struct sched_task *task, struct sched_pass *pass)
+{
+	return sched_job_awaits_leases(task->job, pass->now_us) &&
+	    (!pass->all_held || sched_needs_lists(task, pass));
+}
+
 static void
 sched_try_start(struct sched_task *task, struct sched_pass *pass)
 {
@@ -267,7 +276,15 @@
 	if (!task->job->sched->holder_confirmed &&
 	    !sched_job_may_start_unconfirmed(task->job))
 		return;
-	if (step->cpu >= *no_capacity_cpu || task->job->run_unknown ||
+	if (task->job->run_unknown)
+		return;
+	if (task->job->adopts_only) {
+		if (!sched_runs_may_be_listed(task, pass))
+			sched_run_unknown(task,
+			    "another host may have started it");
+		return;
+	}
+	if (step->cpu >= *no_capacity_cpu ||
 	    (!pass->all_held &&
 		sched_job_awaits_leases(task->job, pass->now_us)) ||
 	    !sched_suspect_may_start(task, pass->now_us))
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -186,6 +186,9 @@
 	bool has_started;
 	/* A start was ordered by this host, or perhaps by another one. */
 	bool may_have_started;
+	/* Another host may have started its tasks: those that it has started
+	 * are adopted, the others are not started. */
+	bool adopts_only;
 	/* A run of one of its tasks may go on unknown, so that the task can't
 	 * have another one; see scheduler_restart.c. */
 	bool run_unknown;
--- a/entry/jobs/scheduler_job.c
+++ b/entry/jobs/scheduler_job.c
@@ -329,6 +329,7 @@
 	if (job->value_until_us > job->submitter_deadline_us)
 		job->value_until_us = job->submitter_deadline_us;
 	job->may_have_started = request->resubmitted;
+	job->adopts_only = request->resubmitted && !request->stored;
 	if (request->resubmitted || request->wait_for_leases)
 		sched_job_await_leases(job, now_us);
 }
--- a/entry/jobs/scheduler_restart.c
+++ b/entry/jobs/scheduler_restart.c
@@ -11,6 +11,10 @@
  * start order that had no reply. All orders for a run have the same run id, so
  * one may be sent again to that server; but the task has no run with another id
  * after it.
+ *
+ * Nor does a holder know which start orders of another host had no reply, or of
+ * which servers. So only the first holder of a best-effort job starts its
+ * tasks; a later one adopts the runs that servers list.
  */
 
 #include <inttypes.h>
@@ -49,7 +53,9 @@
 void
 sched_task_requeue(struct sched_task *task)
 {
-	if (!task->job->stored && sched_start_outstanding(task))
+	if (task->job->adopts_only)
+		sched_run_unknown(task, "another host has started it");
+	else if (!task->job->stored && sched_start_outstanding(task))
 		sched_run_unknown(task, "a start order had no reply");
 	sched_task_enqueue(task);
 }
