--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -1322,7 +1322,7 @@
 /* Holds of the former processes arrive 1.3 s late, while the server that runs
  * the task can't be reached. Their deadlines are on former clocks. */
 static void
-rig_expect_late_holds_extend_no_lease(enum wm_restart_kind kind)
+rig_expect_late_holds_extend_no_lease(enum wm_restart_kind kind, bool stored)
 {
 	struct rig *rig = rig_create(5);
 	struct wm_server *servers = rig->srig.cluster.servers;
@@ -1344,6 +1344,7 @@
 		    kind);
 	}
 	srig_run(&rig->srig, 100);
+	rig->stored = stored;
 	job = rig_submit(rig, 1, 27000, 3000, 0);
 	srig_run(&rig->srig, 400);
 	for (i = 0; i < SRIG_SERVERS && servers[i].used_cpu == 0; i++)
@@ -1357,12 +1358,17 @@
 
 Test(scheduler, late_hold_extends_no_lease_of_the_next_process_of_its_id)
 {
-	rig_expect_late_holds_extend_no_lease(WM_RESTART_SAME_ID);
+	rig_expect_late_holds_extend_no_lease(WM_RESTART_SAME_ID, false);
 }
 
 Test(scheduler, late_hold_extends_no_lease_of_the_same_clock)
 {
-	rig_expect_late_holds_extend_no_lease(WM_RESTART_CLOCK_KEPT);
+	rig_expect_late_holds_extend_no_lease(WM_RESTART_CLOCK_KEPT, false);
+}
+
+Test(scheduler, late_hold_extends_no_lease_of_a_stored_job)
+{
+	rig_expect_late_holds_extend_no_lease(WM_RESTART_SAME_ID, true);
 }
 
 /* Only server 0 has room for the task, whose first start arrives 1.5 s late;
