--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -27,6 +27,7 @@
 /* All troubles but X, whose days fail on a known gap; A and B more often. */
 #define SIM_MIX "ABABcoislrdkfnpmwbexyuvq"
 #define SIM_US_PER_MS UINT64_C(1000)
+#define SIM_STORED_PREFIX 'f' /* of the ids of stored jobs */
 
 struct event_base;
 struct sim_day;
--- a/tests/sim/sim_callers.c
+++ b/tests/sim/sim_callers.c
@@ -251,8 +251,10 @@
 	    caller->callers->nstored < SIM_STORED_MAX;
 	char second[160] = "";
 
-	if (stored)
+	if (stored) {
 		caller->callers->nstored++;
+		caller->id[0] = SIM_STORED_PREFIX;
+	}
 	if (sim_chance(day, 150))
 		(void)snprintf(second, sizeof(second),
 		    ",{\"count\":%u,\"cpu\":%d,\"mem_mb\":64,"
--- a/tests/sim/sim_day.c
+++ b/tests/sim/sim_day.c
@@ -378,6 +378,8 @@
 	TAILQ_INIT(&day->conns);
 	mrows_init(&day->store.jobs, 0);
 	wm_init(&day->cluster, day->nservers, SIM_SERVER_CPU);
+	day->cluster.strict_prefix = SIM_STORED_PREFIX;
+	day->cluster.strict_in_lease = true;
 	if (options->trace)
 		day->cluster.trace = sim_trace_model;
 	sim_heal(day);
@@ -448,7 +450,7 @@
 	day->job_permille = 20 + sim_random(day, 100);
 	day->theme =
 	    options->mix[sim_random(day, (uint32_t)strlen(options->mix))];
-	while (day->now_ms < end_ms && day->cluster.double_runs == 0) {
+	while (day->now_ms < end_ms && day->cluster.violations == 0) {
 		sim_day_step(day);
 		if (day->now_ms % SIM_EVENTS_MS != 0)
 			continue;
@@ -458,13 +460,13 @@
 		    day->now_ms >= end_ms - SIM_QUIET_MS / 2);
 	}
 	refused = sim_callers_refused_run(day->callers);
-	passed = day->cluster.double_runs == 0 && refused == NULL;
+	passed = day->cluster.violations == 0 && refused == NULL;
 	if (!passed)
 		printf("seed %llu at %llu: %s%s (theme %c)\n",
 		    (unsigned long long)seed, (unsigned long long)day->now_ms,
-		    day->cluster.double_runs != 0 ? day->cluster.first_violation
+		    day->cluster.violations != 0 ? day->cluster.first_violation
 						  : refused,
-		    day->cluster.double_runs != 0 ? ""
+		    day->cluster.violations != 0 ? ""
 						  : " was refused and has run",
 		    day->theme);
 	if (day->discarded[0] != '\0') {
--- a/tests/support/worker_model.c
+++ b/tests/support/worker_model.c
@@ -323,6 +323,8 @@
 
 	if (wm_check_crash(server, now_ms))
 		return false;
+	TAILQ_FOREACH (run, &server->ended, entry)
+		run->lease_lapsed |= expired;
 	TAILQ_FOREACH (run, &server->running, entry) {
 		if (server->cluster->checkpoints &&
 		    run->gang_wait_since_ms == 0)
@@ -546,7 +548,8 @@
 	TAILQ_FOREACH (run, &server->ended, entry) {
 		if (run->number == 0 || run->number > hold->acknowledged)
 			continue;
-		if (run->end_state == WORKER_END_DONE)
+		if (run->end_state == WORKER_END_DONE &&
+		    !(server->cluster->strict_in_lease && run->lease_lapsed))
 			wm_task_get(server->cluster, run->task)
 			    ->done_acknowledged = true;
 		/* The record remains: the run may not be started again. */
--- a/tests/support/worker_model.h
+++ b/tests/support/worker_model.h
@@ -42,6 +42,7 @@
 	uint64_t number; /* sequence number of the end; 0: not ended, or
 			    acknowledged */
 	enum worker_end_state end_state;
+	bool lease_lapsed; /* since its end */
 	uint64_t ends_ms; /* when its work completes */
 	bool will_fail;
 	bool stopping; /* ends at stop_ms */
@@ -121,6 +122,8 @@
 	/* Tasks whose name begins with this character may not start after the
 	 * end of a completed run was acknowledged; NUL: no check. */
 	char strict_prefix;
+	/* An end counts only if it was acknowledged under the same lease. */
+	bool strict_in_lease;
 	char first_violation[256];
 	LIST_HEAD(, wm_task) tasks;
 };
