--- a/tests/sim/sim_day.c
+++ b/tests/sim/sim_day.c
@@ -465,9 +465,9 @@
 		printf("seed %llu at %llu: %s%s (theme %c)\n",
 		    (unsigned long long)seed, (unsigned long long)day->now_ms,
 		    day->cluster.violations != 0 ? day->cluster.first_violation
-						  : refused,
+						 : refused,
 		    day->cluster.violations != 0 ? ""
-						  : " was refused and has run",
+						 : " was refused and has run",
 		    day->theme);
 	if (day->discarded[0] != '\0') {
 		printf("seed %llu at %llu: %s was taken for ended while it ran "
