scheduler: Record the loss of a server that a best-effort task waits for

Cause: since a best-effort task waits for its server when the lease has ended, a stored one beside it was released without a record of the loss, so that the server's return could not prove a crash under it.

Evidence: test_scheduler_suspect loss_is_recorded_beside_a_task_that_waits_for_the_server, red before.

Change: the loss is recorded under the tasks of the server before the first one is released, as before.

--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -649,11 +649,15 @@
 sched_server_discard_runs(struct sched_server *server)
 {
 	struct sched_task *task, *next;
+	bool recorded = server->refusing;
 
 	TAILQ_FOREACH_SAFE (task, &server->tasks, on_server, next) {
-		if (!sched_task_awaits_server(task))
-			sched_run_discard(task,
-			    "unreachable until its lease expired");
+		if (sched_task_awaits_server(task))
+			continue;
+		if (!recorded)
+			sched_suspects_server_lost(server, false);
+		recorded = true;
+		sched_run_discard(task, "unreachable until its lease expired");
 	}
 }
 
--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -670,3 +670,31 @@
 	cr_expect_eq(job->result, SCHED_FAILED);
 	rig_destroy(rig);
 }
+
+/* Its lease ends under the stored job; the other one waits for the server. */
+Test(scheduler_suspect,
+    loss_is_recorded_beside_a_task_that_waits_for_the_server)
+{
+	struct rig *rig = rig_create();
+	const struct job *stored;
+	json_t *suspects, *item;
+	bool found = false;
+	size_t i;
+
+	for (i = 1; i < SRIG_SERVERS; i++)
+		srig_set_cpu(&rig->srig, i, 1000, true);
+	(void)rig_submit(rig, 1, 5000, "");
+	rig->stored = true;
+	stored = rig_submit(rig, 1, 5000, "");
+	srig_run(&rig->srig, 300);
+	cr_assert_eq(rig->srig.cluster.servers[0].used_cpu, 2 * CPU);
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = 1;
+	srig_run(&rig->srig, 2000);
+	suspects = sched_suspects_render(rig->srig.sched, false);
+	json_array_foreach (suspects, i, item)
+		found |= strncmp(json_string_value(json_array_get(item, 0)),
+			     stored->id, JOB_ID_LEN) == 0;
+	cr_expect(found);
+	json_decref(suspects);
+	rig_destroy(rig);
+}
