--- a/tests/support/worker_model.h
+++ b/tests/support/worker_model.h
@@ -43,7 +43,7 @@
 			    acknowledged */
 	enum worker_end_state end_state;
 	bool lease_lapsed; /* since its end */
-	uint64_t ends_ms; /* when its work completes */
+	uint64_t ends_ms;  /* when its work completes */
 	bool will_fail;
 	bool stopping; /* ends at stop_ms */
 	uint64_t stop_ms;
