--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -433,6 +433,7 @@
 	SCHED_LOSS_REPLACED,	/* another server has its address */
 };
 
+/* Closes the link to the server and releases its runs. */
 void sched_server_lost(struct sched_server *server, const char *reason,
     enum sched_loss loss);
 /* The server refuses connections: perhaps its process has ended. */
@@ -546,8 +547,8 @@
     const struct worker_reply *reply);
 
 /* scheduler_restart.c */
-/* Whether the task's run ends only by the word of its server, not with the end
- * of a lease. */
+/* Whether the task's run has ended only when its server reports it, not with
+ * the end of a lease. */
 bool sched_task_awaits_server(const struct sched_task *task);
 /* The task can't have another run: its job is to end. */
 void sched_run_unknown(struct sched_task *task, const char *reason);
--- a/entry/jobs/scheduler_restart.c
+++ b/entry/jobs/scheduler_restart.c
@@ -1,14 +1,14 @@
 /*
- * Whether a task may have another run. The run of a best-effort job's task ends
- * by the word of its server, or of the one that replies in its place: the end
- * of a lease is only inferred, from a clock that may be slow and from orders
- * that may be executed late. Without that word the outcome of the job is
+ * Whether a task may have another run. The run of a best-effort job's task has
+ * ended when its server, or the one that replies in its place, reports it: the
+ * end of a lease is only inferred, from a clock that may be slow and from
+ * orders that may be executed late. Without a report the outcome of the job is
  * unknown, and its caller decides whether to submit it again. Nobody submits a
- * stored job again, so its tasks go on when the lease has ended.
+ * stored job again, so its tasks are started again when the lease has ended.
  *
- * Nor does the process that sends its word speak for a later one under its id,
- * which knows neither the fencing token nor what was stopped. It may execute a
- * start order that had no reply. All orders for a run have the same run id, so
+ * What one process reports does not hold for a later one under its id, which
+ * knows neither the fencing token nor what was stopped. It may execute a start
+ * order that had no reply. All orders for a run have the same run id, so
  * one may be sent again to that server; but the task has no run with another id
  * after it.
  *
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -62,8 +62,8 @@
 	sched_orphans_clear(server);
 }
 
-/* Closes the link to a server and discards its runs. They have ended: its lease
- * has expired, or another incarnation has replaced it. */
+/* Its lease has expired, or another incarnation has replaced it. In the first
+ * case runs of best-effort jobs may go on. */
 void
 sched_server_lost(struct sched_server *server, const char *reason,
     enum sched_loss loss)
