A best-effort job whose outcome is unknown is not asked for again

Cause: 504 promises that another run does no harm. For a best-effort job that does not hold as long as a start order without a reply may be executed by the next process under its server's id, up to 12 s later. The holder that answers may know of such an order, and the gateway, after the loss of a holder, can't know that there is none.

Stored jobs keep the 504: another submission of one joins the first. The holder's and the gateway's answers have the same outcome as before; the log line of the answer says may_run=1. What is best for the caller: it is told that the outcome is unknown, and may look before it repeats a request that must not run twice; it is no longer repeated unseen.

Cost: one parse of the job's body for each unknown outcome.

--- a/entry/jobs/job_gateway.c
+++ b/entry/jobs/job_gateway.c
@@ -15,6 +15,7 @@
 #include "core/mem.h"
 #include "entry/jobs/cells.h"
 #include "entry/jobs/job_gateway.h"
+#include "entry/jobs/job_json.h"
 
 #define GW_US_PER_MS UINT64_C(1000)
 #define GW_RETRY_MS 20 /* delay before a job is resubmitted */
@@ -136,12 +137,29 @@
 	[GW_INVALID] = "invalid",
 };
 
+/* Another submission of a stored job joins the first one. One of a best-effort
+ * job is a new job, whose tasks may run beside those of the first one. */
+static bool
+gw_job_is_best_effort(const struct gw_job *job)
+{
+	struct job_spec spec = { 0 };
+	struct err err;
+	bool best_effort;
+
+	if (job_parse(&spec, job->id, job->body, job->body_len, &err) == -1)
+		return false;
+	best_effort = spec.best_effort;
+	job_spec_release(&spec);
+	return best_effort;
+}
+
 /* Answers the caller. The job is freed later, when its attempts have ended. */
 static void
 gw_answer(struct gw_job *job, enum gw_result result, uint32_t retry_after_ms,
     const char *reason)
 {
 	const struct gw_reply reply = { .result = result,
+		.may_run = result == GW_UNKNOWN && gw_job_is_best_effort(job),
 		.retry_after_ms = retry_after_ms,
 		.reason = reason };
 	uint64_t age_us = clock_now_us(job->gateway->clock) - job->arrived_us;
@@ -156,9 +174,10 @@
 	ctr_inc(&gw_answers[result]);
 	log_event(LOG_LEVEL_INFO, "answer",
 	    "id=%s queue=%s outcome=%s reason=\"%s\" age_ms=%" PRIu64
-	    " config=%" PRIu64,
+	    " config=%" PRIu64 " may_run=%d",
 	    job->id, job->queue.name, gw_result_names[result], reason,
-	    age_us / GW_US_PER_MS, job->queue.config_version);
+	    age_us / GW_US_PER_MS, job->queue.config_version,
+	    reply.may_run ? 1 : 0);
 	if (done != NULL)
 		done(job->arg, &reply);
 }
--- a/entry/jobs/job_gateway.h
+++ b/entry/jobs/job_gateway.h
@@ -31,6 +31,9 @@
 /** struct gw_reply - borrowed by the callback. */
 struct gw_reply {
 	enum gw_result result;
+	/* For GW_UNKNOWN: a task may run, or be started later, so that the job
+	 * must not be submitted again. */
+	bool may_run;
 	uint32_t retry_after_ms; /* for GW_NOT_RUN; 0: none */
 	const char *reason;	 /* human-readable */
 };
--- a/tests/sim/sim_callers.c
+++ b/tests/sim/sim_callers.c
@@ -92,7 +92,7 @@
 	day->totals->answers[reply->result]++;
 	sim_trace(day, "%s answers %s: %d (%s)", send->host->name, caller->id,
 	    (int)reply->result, reply->reason);
-	if (reply->result == GW_UNKNOWN) {
+	if (reply->result == GW_UNKNOWN && !reply->may_run) {
 		sim_caller_unknown(caller);
 		return;
 	}
--- a/tests/test_job_gateway.c
+++ b/tests/test_job_gateway.c
@@ -66,6 +66,7 @@
 struct caller {
 	int answers;
 	enum gw_result result;
+	bool may_run;
 };
 
 static void
@@ -75,21 +76,29 @@
 
 	caller->answers++;
 	caller->result = reply->result;
+	caller->may_run = reply->may_run;
 }
 
 static void
-submit(struct job_gateway *gateway, struct caller *caller)
+submit_body(struct job_gateway *gateway, struct caller *caller,
+    const char *body)
 {
 	const struct job_queue queue = { .name = "q", .service = "booth" };
 	const struct gw_request request = { .id = ID,
 		.queue = &queue,
-		.body = "{}",
-		.body_len = 2,
+		.body = body,
+		.body_len = strlen(body),
 		.timeout_ms = TIMEOUT_MS };
 
 	gw_submit(gateway, &request, caller_answered, caller);
 }
 
+static void
+submit(struct job_gateway *gateway, struct caller *caller)
+{
+	submit_body(gateway, caller, "{}");
+}
+
 /* A holder had the job from two hosts, as its caller had sent it again. */
 Test(job_gateway, cancellation_ends_no_submission_of_another_host)
 {
@@ -381,3 +390,37 @@
 	gw_destroy(gateway);
 	event_base_free(base);
 }
+
+/* The holder is lost, and no other one comes. */
+static bool
+may_run_after_a_loss(const char *body)
+{
+	struct event_base *base;
+	struct job_gateway *gateway;
+	struct cells cells = { .holder = "h0" };
+	struct caller caller = { 0 };
+
+	sim_time_start();
+	base = event_base_new();
+	gateway = gw_create(base, clock_real(), &cells);
+	submit_body(gateway, &caller, body);
+	cells.holder = NULL;
+	end_submission(&cells, 0, CELLS_LOST, NULL, "");
+	run_ms(base, 800);
+	cr_assert_eq(caller.answers, 1);
+	cr_expect_eq(caller.result, GW_UNKNOWN);
+	gw_destroy(gateway);
+	event_base_free(base);
+	return caller.may_run;
+}
+
+Test(job_gateway, best_effort_job_of_unknown_outcome_may_run_yet)
+{
+	cr_expect(may_run_after_a_loss(
+	    "{\"best_effort\":true,\"steps\":[{\"count\":1}]}"));
+}
+
+Test(job_gateway, stored_job_of_unknown_outcome_may_be_sent_again)
+{
+	cr_expect_not(may_run_after_a_loss("{\"steps\":[{\"count\":1}]}"));
+}
