scheduler: Forget listed runs with the term in which they were listed

What callers saw: an entry host that held a cell crashed (SIGSEGV), and the connections of all its callers broke.

Cause: sched_deactivate() kept the runs of no known job that servers had listed, sched_activate() clears those of servers with a row only. If the row of such a server is removed between two terms, a job adopts the run by the list of the former term, on a server without a link; nothing ends the run, and a stop of it uses the link, which is NULL. Of the three steps one turn of the event loop is enough.

Ruled out: a fault of the model, which has no such server, rightly.

Change: what a term's lists have shown ends with the term, for all servers.

Test: run_listed_in_a_former_term_is_not_adopted, which crashed before.

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -366,12 +366,7 @@
 	sched->token = 0;
 	(void)event_del(sched->tick_event);
 	TAILQ_FOREACH (server, &sched->servers, entry) {
-		if (server->link != NULL)
-			sched->params.worker->ops->close(server->link);
-		server->link = NULL;
-		server->held = false;
-		server->hold_pending = false;
-		sched_orders_discard(server);
+		sched_server_disconnect(server);
 		/* The next holder of the cell takes over the server's runs. */
 		TAILQ_FOREACH_SAFE (task, &server->tasks, on_server, next_task)
 			sched_run_discard(task, "scheduler deactivated");
--- a/tests/test_scheduler_holder.c
+++ b/tests/test_scheduler_holder.c
@@ -553,6 +553,37 @@
 	rig_destroy(rig);
 }
 
+/* The server's row is removed just before the holder takes over again. */
+Test(scheduler_holder, run_listed_in_a_former_term_is_not_adopted)
+{
+	struct rig *rig = rig_create();
+	struct rig_spec spec = { .ms = LONG_MS };
+	struct rig_job *job, *again;
+	char id[NAME_SIZE];
+	size_t i;
+
+	rig_run_confirmed(rig, 100);
+	job = rig_submit_spec(rig, &spec);
+	rig_run_confirmed(rig, 100);
+	cr_assert_eq(rig_task(rig, job)->running_now, 1);
+	sched_deactivate(rig->sched);
+	srig_activate(rig->sched, TOKEN + 1);
+	srig_run(&rig->srig, 20);
+	sched_deactivate(rig->sched);
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		(void)snprintf(id, sizeof(id), "s%zu", i);
+		sched_server_remove(rig->sched, id);
+	}
+	srig_activate(rig->sched, TOKEN + 2);
+	spec.again = job;
+	spec.resubmitted = true;
+	again = rig_submit_spec(rig, &spec);
+	srig_run(&rig->srig, 20);
+	sched_cancel(rig->sched, again->id, again);
+	srig_run(&rig->srig, 20);
+	rig_destroy(rig);
+}
+
 /* The machine was suspended: the job's caller may have sent it again. */
 Test(scheduler_holder, job_from_before_a_suspension_is_not_started_unconfirmed)
 {
