Refuse a job of which an earlier start may still be executed

A caller that has lost its connection sends its best-effort job again 1.3 s later. A start order of the first submission that had no reply is executed up to 12 s after it was sent, by the next process that has the server's id, which knows of no stop. The holder remembers such orders, to stop their runs, but did not look there when a job of the same id came.

The ids of these jobs are now kept in a set (core/pending.h) for as long as the late starts, 15 s, also through a change of the holder. A submission that is not known here, neither stored nor passed on by another host, is answered outcome-unknown at once while its id is there. Runs that no job claims are noted for other holders, and refuse nothing here: a job adopts its run.

The tests were run on this code, and with each part taken out. Without the refusal job_sent_again_is_not_started_beside_a_late_start_of_its_first_submission and ..._of_a_former_term fail; with the set cleared at a take-over the second one does; with ids kept for 150 s job_sent_again_is_started_once_no_start_of_it_is_executed_late does.

Cost: each submission one look-up, O(1); once a second O(ids), at most 4,096 of about 100 bytes.

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -570,6 +570,7 @@
 	sched_update_gauges(sched);
 	sched_check_holder_lease(sched);
 	susp_expire(&sched->suspects, now_us);
+	sched_pending_expire(sched, now_us);
 	sched_bulkhead_update(sched, now_us);
 	sched_check_jobs(sched, now_us);
 	sched->awaits_confirmation = false;
@@ -595,6 +596,7 @@
 	TAILQ_INIT(&sched->jobs);
 	TAILQ_INIT(&sched->waiting);
 	susp_init(&sched->suspects);
+	pend_init(&sched->pending);
 	for (i = 0; i < SCHED_JOB_BUCKETS; i++)
 		LIST_INIT(&sched->buckets[i]);
 	sched->tick_event =
@@ -626,6 +628,7 @@
 	sched_advice_detach_calls(sched);
 	nidx_release(&sched->servers_by_id);
 	susp_release(&sched->suspects);
+	pend_release(&sched->pending);
 	free(sched->candidates);
 	free(sched);
 }
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -8,6 +8,7 @@
 #include "core/holder_lease.h"
 #include "core/lease.h"
 #include "core/name_index.h"
+#include "core/pending.h"
 #include "core/place.h"
 #include "core/rtt.h"
 #include "core/suspect.h"
@@ -21,6 +22,7 @@
  *   scheduler_lease.c     time until which leases may be extended
  *   scheduler_run.c       start and stop orders
  *   scheduler_late.c      start orders without a reply
+ *   scheduler_pending.c   jobs that may have one, also of other hosts
  *   scheduler_restart.c   whether a task may have another run
  *   scheduler_end.c       processing of ended runs
  *   scheduler_ack.c       acknowledgement of ended runs
@@ -358,6 +360,8 @@
 	LIST_HEAD(, sched_advice_call) advice_calls; /* pending */
 	uint32_t nadvice_calls;
 	struct suspects suspects;
+	/* Kept through changes of the holder. */
+	struct pending pending;
 	struct bulkhead bulkhead;
 	/* Demand of the queues that are not confined, in thousandths of a core;
 	 * its recent maximum. */
@@ -546,6 +550,19 @@
 void sched_late_stop_all(struct sched_server *server,
     const struct worker_reply *reply);
 
+/* scheduler_pending.c */
+/* A start order of a task may be executed until @expires_us. */
+void sched_pending_start(struct scheduler *sched, const char *task,
+    uint64_t expires_us);
+/* A server lists a run that no job claims. */
+void sched_pending_run(struct scheduler *sched, const char *task,
+    uint64_t now_us);
+/* Whether a job that is not known here must not be started, as a start order of
+ * an earlier submission of it may be executed yet. */
+bool sched_pending_refuses(const struct scheduler *sched,
+    const struct sched_request *request);
+void sched_pending_expire(struct scheduler *sched, uint64_t now_us);
+
 /* scheduler_restart.c */
 /* Whether the task's run has ended only when its server reports it, not with
  * the end of a lease. */
--- a/entry/jobs/scheduler_job.c
+++ b/entry/jobs/scheduler_job.c
@@ -399,7 +399,8 @@
 		.reason = "this host is not the holder of the cell" };
 
 	if (sched->token != 0 && unsupported == NULL &&
-	    (job == NULL || !job->ended))
+	    (job == NULL ? !sched_pending_refuses(sched, request)
+			 : !job->ended))
 		return false;
 	if (sched->token != 0 && unsupported != NULL) {
 		reply.result = SCHED_UNSUPPORTED;
@@ -410,6 +411,10 @@
 		reply.result = SCHED_OUTCOME_UNKNOWN;
 		reply.reason = "runs of an earlier submission of this job are "
 			       "being stopped";
+	} else if (sched->token != 0) {
+		reply.result = SCHED_OUTCOME_UNKNOWN;
+		reply.reason =
+		    "an earlier submission of this job may still be started";
 	}
 	done(arg, &reply);
 	return true;
--- a/entry/jobs/scheduler_late.c
+++ b/entry/jobs/scheduler_late.c
@@ -57,6 +57,7 @@
 	late->process_started_ms = process_started_ms;
 	TAILQ_INSERT_TAIL(&server->late_starts, late, entry);
 	server->nlate_starts++;
+	sched_pending_start(server->sched, task, late->expires_us);
 }
 
 void
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -168,6 +168,7 @@
 		log_event(LOG_LEVEL_INFO, "orphan-found",
 		    "task=%s run=%" PRIu64 " server=%s", name, run_id,
 		    server->info.id);
+		sched_pending_run(server->sched, name, now_us);
 	}
 	orphan->listed = true;
 	orphan->expected = false;
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -1440,6 +1440,71 @@
 	rig_destroy(rig);
 }
 
+/* The caller of a job with a late start has left; the server starts again. */
+static struct rig_job *
+rig_submit_and_leave(struct rig *rig)
+{
+	struct rig_job *job = rig_submit_late(rig);
+
+	srig_run(&rig->srig, 30);
+	sched_cancel(rig->srig.sched, job->id, job);
+	srig_run(&rig->srig, 1100);
+	rig_restart_out_of_reach(rig);
+	srig_run(&rig->srig, 150);
+	return job;
+}
+
+/* Submits the job again, and expects that it is not started. */
+static void
+rig_expect_not_started_again(struct rig *rig, const struct rig_job *job)
+{
+	struct rig_job again = { .rig = rig };
+
+	memcpy(again.id, job->id, sizeof(again.id));
+	(void)rig_submit_to(rig->srig.sched, &again, 1, 27000, 3000, 0, false);
+	cr_expect(again.answered);
+	cr_expect_eq(again.result, SCHED_OUTCOME_UNKNOWN);
+	srig_run(&rig->srig, 6000);
+	cr_expect_eq(
+	    wm_task(&rig->srig.cluster, "0000000000000001.0.0.0")->starts, 1);
+	rig_destroy(rig);
+}
+
+Test(scheduler,
+    job_sent_again_is_not_started_beside_a_late_start_of_its_first_submission)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *job = rig_submit_and_leave(rig);
+
+	rig_expect_not_started_again(rig, job);
+}
+
+Test(scheduler,
+    job_sent_again_is_not_started_beside_a_late_start_of_a_former_term)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *job = rig_submit_and_leave(rig);
+
+	sched_deactivate(rig->srig.sched);
+	sched_activate(rig->srig.sched, 20);
+	rig_expect_not_started_again(rig, job);
+}
+
+Test(scheduler, job_sent_again_is_started_once_no_start_of_it_is_executed_late)
+{
+	struct rig *rig = rig_create(5);
+	struct rig_job *job = rig_submit_and_leave(rig);
+	struct rig_job again = { .rig = rig };
+
+	memcpy(again.id, job->id, sizeof(again.id));
+	srig_run(&rig->srig, 15000);
+	(void)rig_submit_to(rig->srig.sched, &again, 1, 27000, 3000, 0, false);
+	srig_run(&rig->srig, 4000);
+	cr_expect(again.answered);
+	cr_expect_eq(again.result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
 /* Its clock is slower than the holder reckons. */
 Test(scheduler, run_outlives_its_lease_on_a_silent_server_without_a_second_one)
 {
