scheduler: Log starts without a reply, and those that are sent again

Now start-unanswered names the order and the process that it was sent to, and start-sent-again each further copy.

--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -142,10 +142,18 @@
 {
 	if (order->start_run_id != 0 && order->task != NULL)
 		order->task->starts_unanswered++;
-	if (order->start_run_id != 0)
-		sched_late_add(order->server, order->start_task,
-		    order->start_run_id, order->sent_us,
-		    order->process_started_ms);
+	if (order->start_run_id == 0)
+		return;
+	log_event(LOG_LEVEL_INFO, "start-unanswered",
+	    "task=%s run=%" PRIu64 " server=%s started_ms=%" PRIu64
+	    " sent_ms_ago=%" PRIu64 " attempts=%" PRIu32,
+	    order->start_task, order->start_run_id, order->server->info.id,
+	    order->process_started_ms,
+	    (sched_now(order->server->sched) - order->sent_us) /
+		SCHED_US_PER_MS,
+	    order->task == NULL ? 0 : order->task->start_attempts);
+	sched_late_add(order->server, order->start_task, order->start_run_id,
+	    order->sent_us, order->process_started_ms);
 }
 
 /* Ends an order and frees it. Return: its task, or NULL if the run was
@@ -288,6 +296,12 @@
 	struct sched_order *pending;
 
 	sched_task_name(task, name);
+	if (order.retry)
+		log_event(LOG_LEVEL_INFO, "start-sent-again",
+		    "task=%s run=%" PRIu64 " server=%s started_ms=%" PRIu64
+		    " unanswered=%" PRIu32,
+		    name, task->run_id, server->info.id,
+		    server->incarnation_start_ms, task->starts_unanswered);
 	task->start_attempts++;
 	task->start_sent_us = sched_now(sched);
 	pending = sched_task_order(task);
