scheduler: Stop a late start that is found after its job at once

What callers saw: two runs of a task, as the second submission of its job started while a start order of the first one was executed by the server's next process.

Cause: a listed run that no job claims waits 150 ms for one that adopts it, also if this holder has ordered it itself and has given its job up. Nothing adopts it: a second submission is refused (PEND_START), one that another host has passed on comes after a change of the holder.

Change: such a run is stopped as it is found; orphan-found says so (late_start=1). That shortens what the refusal can't cover, a cut between zones or a host that is lost within a ping.

Test: late_start_that_is_found_after_its_job_is_stopped_at_once fails with the stop taken out.

--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -545,6 +545,9 @@
  * again. */
 void sched_late_told(struct sched_server *server, const char *task,
     uint64_t run_id);
+/* Whether this holder has sent a start order of the run that had no reply. */
+bool sched_late_ordered(const struct sched_server *server, const char *task,
+    uint64_t run_id);
 /* The server's process has sent its lists: it is told to stop the runs that it
  * has not been told of. */
 void sched_late_stop_all(struct sched_server *server,
--- a/entry/jobs/scheduler_late.c
+++ b/entry/jobs/scheduler_late.c
@@ -98,6 +98,13 @@
 		late->process_started_ms = server->incarnation_start_ms;
 }
 
+bool
+sched_late_ordered(const struct sched_server *server, const char *task,
+    uint64_t run_id)
+{
+	return sched_late_find(server, task, run_id) != NULL;
+}
+
 static bool
 sched_late_is_listed(const struct sched_late_start *late,
     const struct worker_reply *reply)
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -164,11 +164,16 @@
 	struct sched_orphan *orphan = sched_orphan_find(server, name, run_id);
 
 	if (orphan == NULL) {
+		bool late = sched_late_ordered(server, name, run_id);
+
 		orphan = sched_orphan_create(server, name, run_id, now_us);
 		log_event(LOG_LEVEL_INFO, "orphan-found",
-		    "task=%s run=%" PRIu64 " server=%s", name, run_id,
-		    server->info.id);
+		    "task=%s run=%" PRIu64 " server=%s late_start=%d", name,
+		    run_id, server->info.id, late ? 1 : 0);
 		sched_pending_run(server->sched, name, now_us);
+		/* No job adopts it: this holder has given it up. */
+		if (late)
+			sched_run_stop_orphan(server, orphan);
 	}
 	orphan->listed = true;
 	orphan->expected = false;
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -1526,6 +1526,28 @@
 	rig_destroy(rig);
 }
 
+/* The next process executes the start before the holder lists its runs. */
+Test(scheduler, late_start_that_is_found_after_its_job_is_stopped_at_once)
+{
+	struct rig *rig = rig_create(5);
+	struct wm_server *server = &rig->srig.cluster.servers[0];
+	struct rig_job *job = rig_submit_late(rig);
+	uint32_t i;
+
+	srig_run(&rig->srig, 30);
+	sched_cancel(rig->srig.sched, job->id, job);
+	srig_run(&rig->srig, 1400);
+	wm_restart(server, clock_now_us(clock_real()) / 1000, 20,
+	    WM_RESTART_SAME_ID);
+	for (i = 0; i < 200 && server->used_cpu == 0; i++)
+		srig_run(&rig->srig, 1);
+	cr_assert_gt(server->used_cpu, 0);
+	rig_row_of_incarnation(rig, 0, 0, server->started_ms);
+	srig_run(&rig->srig, 100);
+	cr_expect_eq(server->used_cpu, 0);
+	rig_destroy(rig);
+}
+
 /* Its clock is slower than the holder reckons. */
 Test(scheduler, run_outlives_its_lease_on_a_silent_server_without_a_second_one)
 {
