--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -40,18 +40,30 @@
 	const char *mix; /* letters of sim_events.c */
 	bool trace;
 	uint32_t zones;
-	uint32_t hosts;	      /* of each zone */
-	uint32_t servers;     /* of each zone */
-	uint32_t resend;      /* per mille of callers that send again */
-	uint32_t stored;      /* per mille of jobs that are stored */
-	uint32_t task_ms;     /* longest task */
-	uint32_t deadline_ms; /* of callers */
-	uint32_t seconds;     /* of a day */
+	uint32_t hosts;	  /* of each zone */
+	uint32_t servers; /* of each zone */
+	uint32_t resend;  /* per mille of callers that send again */
+	uint32_t
+	    resend_answered;   /* the same after an answer of unknown outcome */
+	bool resends_by_cause; /* their counts are printed */
+	uint32_t stored;       /* per mille of jobs that are stored */
+	uint32_t task_ms;      /* longest task */
+	uint32_t deadline_ms;  /* of callers */
+	uint32_t seconds;      /* of a day */
+};
+
+/** enum sim_cause - why a caller sends its job again. */
+enum sim_cause {
+	SIM_AFTER_ANSWER,  /* that the outcome is unknown */
+	SIM_AFTER_LOSS,	   /* of its connection, or its time-out */
+	SIM_AFTER_REFUSAL, /* that told it to */
+	SIM_NCAUSES,
 };
 
 /** struct sim_totals - counts of all days. */
 struct sim_totals {
 	uint32_t days, failed, discarded, jobs, resent, starts, takeovers;
+	uint32_t resent_after[SIM_NCAUSES];
 	uint32_t answers[GW_INVALID + 1];
 	uint32_t events[128]; /* by letter */
 };
--- a/tests/sim/sim_callers.c
+++ b/tests/sim/sim_callers.c
@@ -2,7 +2,8 @@
  * Callers of jobs. A caller sends its job to a host and waits up to its
  * deadline; some leave before. After an unknown outcome (an answer that says
  * so, a broken connection, its own time-out) some send the job again 1.3 s
- * later, to any host; after a refusal, when it was told to.
+ * later, to any host; after a refusal, when it was told to. The share of those
+ * that do so after an answer may differ.
  */
 
 #include <stdio.h>
@@ -30,7 +31,8 @@
 	struct sim_callers *callers;
 	char id[JOB_ID_LEN + 1];
 	char body[512];
-	uint64_t again_ms;  /* it sends again then; 0: never */
+	uint64_t again_ms; /* it sends again then; 0: never */
+	enum sim_cause again_cause;
 	uint64_t leaves_ms; /* it leaves then; 0: it does not wait */
 	uint32_t sends;
 	bool refused;	       /* by the answer to its only submission */
@@ -67,13 +69,16 @@
 }
 
 static void
-sim_caller_unknown(struct sim_caller *caller)
+sim_caller_unknown(struct sim_caller *caller, enum sim_cause cause)
 {
 	struct sim_day *day = caller->callers->day;
 
 	caller->leaves_ms = 0;
+	caller->again_cause = cause;
 	if (caller->sends < SIM_SENDS_MAX &&
-	    sim_chance(day, day->options->resend))
+	    sim_chance(day,
+		cause == SIM_AFTER_ANSWER ? day->options->resend_answered
+					  : day->options->resend))
 		caller->again_ms = day->now_ms + SIM_RESEND_MS;
 }
 
@@ -92,12 +97,15 @@
 	day->totals->answers[reply->result]++;
 	sim_trace(day, "%s answers %s: %d (%s)", send->host->name, caller->id,
 	    (int)reply->result, reply->reason);
-	if (reply->result == GW_UNKNOWN && !reply->may_run) {
-		sim_caller_unknown(caller);
+	/* Those of --resend-answered do not heed that a task may run yet. */
+	if (reply->result == GW_UNKNOWN &&
+	    (!reply->may_run || day->options->resends_by_cause)) {
+		sim_caller_unknown(caller, SIM_AFTER_ANSWER);
 		return;
 	}
 	caller->leaves_ms = 0;
 	caller->refused = reply->result == GW_NOT_RUN && caller->sends == 1;
+	caller->again_cause = SIM_AFTER_REFUSAL;
 	if (reply->result == GW_NOT_RUN && caller->sends < SIM_SENDS_MAX &&
 	    sim_chance(day, day->options->resend / 2))
 		caller->again_ms = day->now_ms + reply->retry_after_ms + 10;
@@ -114,8 +122,10 @@
 	send->unread = send->waits = true;
 	TAILQ_INSERT_TAIL(&caller->callers->sends, send, entry);
 	caller->refused = false;
-	if (caller->sends++ > 0)
+	if (caller->sends++ > 0) {
 		day->totals->resent++;
+		day->totals->resent_after[caller->again_cause]++;
+	}
 	caller->send = send;
 	caller->again_ms = 0;
 	caller->leaves_ms = day->now_ms + day->options->deadline_ms;
@@ -131,7 +141,7 @@
 {
 	sim_trace(caller->callers->day, "the caller of %s leaves", caller->id);
 	caller->send->left_unread = true;
-	sim_caller_unknown(caller);
+	sim_caller_unknown(caller, SIM_AFTER_LOSS);
 }
 
 void
@@ -144,7 +154,7 @@
 			continue;
 		if (send->caller->send == send &&
 		    send->caller->leaves_ms != 0 && send->waits)
-			sim_caller_unknown(send->caller);
+			sim_caller_unknown(send->caller, SIM_AFTER_LOSS);
 		if (send->caller->send == send)
 			send->caller->send = NULL;
 		TAILQ_REMOVE(&callers->sends, send, entry);
--- a/tests/sim/sim_main.c
+++ b/tests/sim/sim_main.c
@@ -37,6 +37,11 @@
 			printf(" %c %u", (int)i, totals.events[i]);
 	}
 	printf("\n");
+	if (options->resends_by_cause)
+		printf("resent after: answer %u loss %u refusal %u\n",
+		    totals.resent_after[SIM_AFTER_ANSWER],
+		    totals.resent_after[SIM_AFTER_LOSS],
+		    totals.resent_after[SIM_AFTER_REFUSAL]);
 	return totals.failed == 0 ? 0 : 1;
 }
 
@@ -75,6 +80,8 @@
 	    arg_int0(NULL, "servers", "N", "servers of each zone (3)");
 	struct arg_int *resend = arg_int0(NULL, "resend", "PERMILLE",
 	    "callers that send again after an unknown outcome (0)");
+	struct arg_int *answered = arg_int0(NULL, "resend-answered", "PERMILLE",
+	    "the same after an answer of unknown outcome (as --resend)");
 	struct arg_int *stored =
 	    arg_int0(NULL, "stored", "PERMILLE", "jobs that are stored (0)");
 	struct arg_int *task =
@@ -85,7 +92,7 @@
 	    arg_int0(NULL, "seconds", "N", "duration of a day (25)");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { seed, days, mix, trace, zones, hosts, servers, resend,
-		stored, task, deadline, seconds, end };
+		answered, stored, task, deadline, seconds, end };
 	struct sim_options options = { 0 };
 	int status = 2;
 
@@ -111,6 +118,9 @@
 		.hosts = sim_number(hosts),
 		.servers = sim_number(servers),
 		.resend = sim_number(resend),
+		.resend_answered =
+		    sim_number(answered->count > 0 ? answered : resend),
+		.resends_by_cause = answered->count > 0,
 		.stored = sim_number(stored),
 		.task_ms = sim_number(task),
 		.deadline_ms = sim_number(deadline),
