--- a/tests/sim/sim_callers.c
+++ b/tests/sim/sim_callers.c
@@ -16,6 +16,7 @@
 #define SIM_CALLERS_MAX 4000
 #define SIM_SENDS_MAX 4
 #define SIM_RESEND_MS 1300
+#define SIM_BREAKS_PERMILLE 30 /* of connections, in each interval of draws */
 #define SIM_TASK_CPU 14000
 #define SIM_STORED_MAX 60 /* of a day, for the table of memory_rows.h */
 
@@ -24,6 +25,8 @@
 	struct sim_caller *caller;
 	struct sim_host *host;
 	bool unread, waits, left_unread;
+	/* The host learns then that its caller has left; UINT64_MAX: never. */
+	uint64_t learns_ms;
 	TAILQ_ENTRY(sim_send) entry;
 };
 
@@ -144,6 +147,37 @@
 	sim_caller_unknown(caller, SIM_AFTER_LOSS);
 }
 
+/* The caller takes its connection for broken, and the host learns late, or
+ * never: then the caller's deadline, which it knows, bounds the job. */
+static void
+sim_send_break(struct sim_send *send)
+{
+	struct sim_day *day = send->host->day;
+
+	sim_trace(day, "the connection of %s to %s breaks for its caller",
+	    send->caller->id, send->host->name);
+	send->learns_ms = sim_chance(day, 300)
+	    ? UINT64_MAX
+	    : day->now_ms + 100 + sim_random(day, 2900);
+	sim_caller_unknown(send->caller, SIM_AFTER_LOSS);
+}
+
+/* In this interval. */
+static void
+sim_callers_break(struct sim_callers *callers)
+{
+	struct sim_day *day = callers->day;
+	struct sim_send *send;
+
+	TAILQ_FOREACH (send, &callers->sends, entry) {
+		if (day->now_ms < send->host->callers_heal_ms &&
+		    send->caller->send == send &&
+		    send->caller->leaves_ms != 0 && send->waits &&
+		    sim_chance(day, SIM_BREAKS_PERMILLE))
+			sim_send_break(send);
+	}
+}
+
 void
 sim_callers_lose(struct sim_callers *callers, struct sim_host *host)
 {
@@ -182,6 +216,8 @@
 		send->unread = false;
 		gw_submit(gateway, &request, sim_caller_answered, send);
 	}
+	if (send->learns_ms != 0 && send->host->day->now_ms >= send->learns_ms)
+		send->left_unread = true;
 	if (send->left_unread) {
 		send->left_unread = false;
 		if (send->waits)
@@ -305,6 +341,7 @@
 
 	if (!quiet && sim_chance(day, day->job_permille))
 		sim_caller_create(callers);
+	sim_callers_break(callers);
 	for (caller = callers->callers; caller < callers->callers + callers->n;
 	     caller++) {
 		if (caller->leaves_ms != 0 && day->now_ms >= caller->leaves_ms)
--- a/tests/sim/sim_events.c
+++ b/tests/sim/sim_events.c
@@ -432,6 +432,14 @@
 	sim_callers_leave(host->day->callers, host);
 }
 
+/* The host learns late that connections of its callers have broken. */
+static void
+sim_event_callers_break(struct sim_host *host, uint64_t until_ms)
+{
+	if (until_ms > host->callers_heal_ms)
+		host->callers_heal_ms = until_ms;
+}
+
 static const struct sim_event {
 	char letter;
 	void (*play)(struct sim_host *host, uint64_t until_ms);
@@ -462,6 +470,7 @@
 	{ 'u', sim_event_servers_one_way },
 	{ 'v', sim_event_orders_out_of_order },
 	{ 'q', sim_event_callers_leave },
+	{ 't', sim_event_callers_break },
 	{ 'e', sim_event_rows_late },
 };
 
