--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -46,6 +46,7 @@
 	uint32_t resend;	  /* per mille of callers that send again */
 	uint32_t resend_answered; /* the same after an answer */
 	bool resends_by_cause;	  /* their counts are printed */
+	bool resend_moves;	  /* each time to another zone than before */
 	uint32_t stored;	  /* per mille of jobs that are stored */
 	uint32_t task_ms;	  /* longest task */
 	uint32_t deadline_ms;	  /* of callers */
--- a/tests/sim/sim_callers.c
+++ b/tests/sim/sim_callers.c
@@ -38,6 +38,7 @@
 	enum sim_cause again_cause;
 	uint64_t leaves_ms; /* it leaves then; 0: it does not wait */
 	uint32_t sends;
+	size_t zone;	       /* of the last host */
 	bool refused;	       /* by the answer to its only submission */
 	struct sim_send *send; /* the last one */
 };
@@ -123,6 +124,7 @@
 	send->caller = caller;
 	send->host = host;
 	send->unread = send->waits = true;
+	caller->zone = host->index % day->options->zones;
 	TAILQ_INSERT_TAIL(&caller->callers->sends, send, entry);
 	caller->refused = false;
 	if (caller->sends++ > 0) {
@@ -271,15 +273,18 @@
 	return NULL;
 }
 
+/* A host of another zone than @zone, if that is one; NULL: none was found in
+ * some draws. */
 static struct sim_host *
-sim_callers_draw_host(struct sim_day *day)
+sim_callers_draw_host(struct sim_day *day, size_t zone)
 {
 	struct sim_host *host;
 	int i;
 
 	for (i = 0; i < 30; i++) {
 		host = &day->hosts[sim_random(day, (uint32_t)day->nhosts)];
-		if (host->svc != NULL)
+		if (host->svc != NULL &&
+		    host->index % day->options->zones != zone)
 			return host;
 	}
 	return NULL;
@@ -318,7 +323,7 @@
 sim_caller_create(struct sim_callers *callers)
 {
 	struct sim_day *day = callers->day;
-	struct sim_host *host = sim_callers_draw_host(day);
+	struct sim_host *host = sim_callers_draw_host(day, SIM_ZONES_MAX);
 	struct sim_caller *caller;
 
 	if (host == NULL || callers->n == SIM_CALLERS_MAX)
@@ -348,7 +353,8 @@
 			sim_caller_leave(caller);
 		if (caller->again_ms == 0 || day->now_ms < caller->again_ms)
 			continue;
-		host = sim_callers_draw_host(day);
+		host = sim_callers_draw_host(day,
+		    day->options->resend_moves ? caller->zone : SIM_ZONES_MAX);
 		if (host != NULL)
 			sim_caller_send(caller, host);
 	}
--- a/tests/sim/sim_main.c
+++ b/tests/sim/sim_main.c
@@ -60,7 +60,8 @@
 	    (uint64_t)options->zones * options->hosts <= SIM_HOSTS_MAX &&
 	    (uint64_t)options->zones * options->servers < SIM_SERVERS_MAX &&
 	    options->seconds >= 5 && options->task_ms > 0 &&
-	    options->deadline_ms > 0;
+	    options->deadline_ms > 0 &&
+	    (!options->resend_moves || options->zones > 1);
 }
 
 int
@@ -82,6 +83,8 @@
 	    "callers that send again after an unknown outcome (0)");
 	struct arg_int *answered = arg_int0(NULL, "resend-answered", "PERMILLE",
 	    "the same after an answer of unknown outcome (as --resend)");
+	struct arg_lit *moves = arg_lit0(NULL, "resend-moves",
+	    "callers send again to another zone than before");
 	struct arg_int *stored =
 	    arg_int0(NULL, "stored", "PERMILLE", "jobs that are stored (0)");
 	struct arg_int *task =
@@ -92,7 +95,7 @@
 	    arg_int0(NULL, "seconds", "N", "duration of a day (25)");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { seed, days, mix, trace, zones, hosts, servers, resend,
-		answered, stored, task, deadline, seconds, end };
+		answered, moves, stored, task, deadline, seconds, end };
 	struct sim_options options = { 0 };
 	int status = 2;
 
@@ -121,6 +124,7 @@
 		.resend_answered =
 		    sim_number(answered->count > 0 ? answered : resend),
 		.resends_by_cause = answered->count > 0,
+		.resend_moves = moves->count > 0,
 		.stored = sim_number(stored),
 		.task_ms = sim_number(task),
 		.deadline_ms = sim_number(deadline),
