--- a/tests/sim/sim_callers.c
+++ b/tests/sim/sim_callers.c
@@ -156,11 +156,16 @@
 {
 	struct sim_day *day = send->host->day;
 
-	sim_trace(day, "the connection of %s to %s breaks for its caller",
-	    send->caller->id, send->host->name);
 	send->learns_ms = sim_chance(day, 300)
 	    ? UINT64_MAX
 	    : day->now_ms + 100 + sim_random(day, 2900);
+	sim_trace(day,
+	    "the connection of %s to %s breaks, the host learns at %llu (0: "
+	    "never)",
+	    send->caller->id, send->host->name,
+	    send->learns_ms == UINT64_MAX
+		? 0ULL
+		: (unsigned long long)send->learns_ms);
 	sim_caller_unknown(send->caller, SIM_AFTER_LOSS);
 }
 
