Holders of other zones know of the jobs that go on

What callers saw: two runs of a task at the same time, as a job was sent again to another zone while the first submission went on. The connection had broken for the caller alone: its host learns of that late, or not before the caller's deadline, and a balancer stands between the two.

Cause: that the first submission has ended 1.3 s after its caller has lost the connection rests on the host's knowledge of the loss (abandoned-jobs.md, "Not covered"). The holder of another zone knew nothing of the first one.

Change: a best-effort job that has runs is told to other hosts from an age of 0.7 s on, as runs that no job claims are, so that another holder knows of it before its caller can send it again, 1.3 s after it has sent it first. It answers with an unknown outcome. The entry lasts 0.7 s and is renewed while the submitter is known to wait, so that it has ended when a caller sends a job again that was lost with its host. At its own holder a second submission joins the first one, as before.

Tests: job_that_goes_on_is_not_started_in_ another_zone fails without it; no_second_run_of_a_resubmitted_job_* show that a job whose loss is known is served.

Cost: every 100 ms O(jobs) of the holder; about 25 bytes for each such job in each reply to a host that asks, every 150 to 300 ms.

--- a/core/pending.c
+++ b/core/pending.c
@@ -10,7 +10,10 @@
 #include "core/pending.h"
 
 /* An extension by less is not told to other hosts, nor taken from them. */
-#define PEND_SLACK_US UINT64_C(1000000)
+static const uint64_t pend_slack_us[] = {
+	[PEND_RUN_LISTED] = 100000,
+	[PEND_START] = 1000000,
+};
 #define PEND_EXPIRE_INTERVAL_US UINT64_C(1000000)
 
 void
@@ -75,14 +78,15 @@
 static bool
 pend_update(struct pend_job *job, enum pend_origin origin, uint64_t expires_us)
 {
-	uint64_t slack_us = origin == PEND_OWN ? 0 : PEND_SLACK_US;
+	uint64_t slack_us = origin == PEND_OWN ? 0 : pend_slack_us[job->kind];
 	bool nearer = origin < job->origin;
 
 	if (nearer)
 		job->origin = origin;
 	if (expires_us > job->expires_us + slack_us)
 		job->expires_us = expires_us;
-	return nearer || job->expires_us > job->told_us + PEND_SLACK_US;
+	return nearer ||
+	    job->expires_us > job->told_us + pend_slack_us[job->kind];
 }
 
 void
--- a/core/pending.h
+++ b/core/pending.h
@@ -19,7 +19,7 @@
 /** enum pend_kind - why a job is in the set; a later one outranks the others.
  */
 enum pend_kind {
-	PEND_RUN_LISTED, /* a server lists a run of it that no job claims */
+	PEND_RUN_LISTED, /* a server has a run of it */
 	PEND_START,	 /* a start order had no reply */
 };
 
@@ -64,10 +64,10 @@
  * @expires_us: no order is executed from then on.
  *
  * An entry of a higher kind replaces one of a lower kind. One of the same kind
- * is extended; what other hosts say extends it only by more than a second, as
- * it may be what they have heard from here. The entry has a new sequence number
- * if it is new, has another kind or a nearer origin, or lasts over a second
- * longer than when it had its last one.
+ * is extended; what other hosts say extends it only by more than a second (a
+ * tenth for a run), as it may be what they have heard from here. The entry has
+ * a new sequence number if it is new, has another kind or a nearer origin, or
+ * lasts longer by that than when it had its last one.
  */
 void pend_add(struct pending *pending, const char *id, enum pend_kind kind,
     enum pend_origin origin, uint64_t expires_us, uint64_t now_us);
--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -530,6 +530,8 @@
 	for (job = TAILQ_FIRST(&sched->jobs); job != NULL;
 	     job = sched->next_checked) {
 		sched->next_checked = TAILQ_NEXT(job, entry);
+		if (check_submitters)
+			sched_pending_job(job, now_us);
 		if (!sched_suspects_end_job(job) &&
 		    !sched_job_end_unknown(job) &&
 		    !sched_job_expire(job, now_us) &&
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -560,6 +560,9 @@
 /* A server lists a run that no job claims. */
 void sched_pending_run(struct scheduler *sched, const char *task,
     uint64_t now_us);
+/* A job goes on: its caller may have lost the connection, unknown to its host,
+ * and send it to another holder. */
+void sched_pending_job(const struct sched_job *job, uint64_t now_us);
 /* Whether a job that is not known here must not be started, as a start order of
  * an earlier submission of it may be executed yet. */
 bool sched_pending_refuses(const struct scheduler *sched,
--- a/entry/jobs/scheduler_pending.c
+++ b/entry/jobs/scheduler_pending.c
@@ -24,6 +24,12 @@
  * its caller is lost has ended after 1.25 s, stopped or not, and must not delay
  * the job for longer. */
 #define SCHED_PENDING_RUN_MS 700
+/* A caller sends a job again 1.3 s after it has lost its connection; another
+ * holder that is told of a job at this age knows it by then. */
+#define SCHED_PENDING_AGE_MS 700
+/* What is left then of the 1.25 s in which the runs of a job end after its
+ * submitter was lost; that of a silent one is not told of. */
+#define SCHED_PENDING_ATTENDED_MS 850
 /* Entries of a message; the others follow in the next one. */
 #define SCHED_PENDING_MESSAGE_MAX 500
 /* No host keeps an entry for longer. */
@@ -79,6 +85,17 @@
 		    now_us + SCHED_PENDING_RUN_MS * SCHED_US_PER_MS, now_us);
 }
 
+void
+sched_pending_job(const struct sched_job *job, uint64_t now_us)
+{
+	if (!job->stored && !job->ended && job->nassigned > 0 &&
+	    now_us - job->submitted_us >=
+		SCHED_PENDING_AGE_MS * SCHED_US_PER_MS &&
+	    sched_job_lease_end_us(job) >=
+		now_us + SCHED_PENDING_ATTENDED_MS * SCHED_US_PER_MS)
+		sched_pending_run(job->sched, job->spec.id, now_us);
+}
+
 bool
 sched_pending_refuses(const struct scheduler *sched,
     const struct sched_request *request)
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -3071,3 +3071,23 @@
 	cr_expect_null(host_pending(&net->hosts[0], 0));
 	net_destroy(net);
 }
+
+/* The caller's connection has broken on its side only. */
+Test(cells, job_that_goes_on_is_not_started_in_another_zone)
+{
+	struct resubmission test;
+	struct net *net;
+
+	resubmission_start(&test, 2, 2, 0);
+	net = test.net;
+	net_run(net, RESEND_MS - 300);
+	resubmission_submit(&net->hosts[1], "h1", ID, false, &test.second);
+	net_run(net, 50);
+	cr_expect_eq(test.second.n, 1);
+	cr_expect_eq(test.second.result, SCHED_OUTCOME_UNKNOWN);
+	cr_expect_eq(test.first.n, 0);
+	cr_expect_eq(wm_task(&net->cluster, ID ".0.0.0")->running_now, 1);
+	cr_expect_eq(net->cluster.violations, 0, "%s",
+	    net->cluster.first_violation);
+	resubmission_release(&test);
+}
