A job that no holder has had is refused as not run at a shutdown

What callers saw: a best-effort job that waits for a holder, and was sent to none, had an unknown outcome when its entry host shut down; since unknown outcomes of such jobs are answered 500, its caller did not send it again either, though it had certainly not run.

Cause: gw_abort_pending() did not look at whether the job may have started.

Test: job_that_no_holder_has_had_is_refused_at_a_shutdown fails without it.

--- a/entry/jobs/job_gateway.c
+++ b/entry/jobs/job_gateway.c
@@ -472,8 +472,12 @@
 	TAILQ_FOREACH_SAFE (job, &gateway->jobs, entry, next) {
 		if (job->answered)
 			continue;
-		gw_answer(job, GW_UNKNOWN, 0,
-		    "this entry host is shutting down");
+		if (job->current == NULL && !job->may_have_started)
+			gw_answer(job, GW_NOT_RUN, GW_RETRY_AFTER_MS,
+			    "this entry host is shutting down");
+		else
+			gw_answer(job, GW_UNKNOWN, 0,
+			    "this entry host is shutting down");
 		gw_job_end(job);
 	}
 }
--- a/entry/jobs/job_gateway.h
+++ b/entry/jobs/job_gateway.h
@@ -72,7 +72,8 @@
 /** gw_refuse_new() - refuse new jobs, as this host shuts down. */
 void gw_refuse_new(struct job_gateway *gateway);
 
-/** gw_abort_pending() - cancel all unanswered jobs and answer GW_UNKNOWN. */
+/** gw_abort_pending() - cancel all unanswered jobs and answer GW_UNKNOWN, or
+ * GW_NOT_RUN if no holder has one. */
 void gw_abort_pending(struct job_gateway *gateway);
 
 /** gw_pending() - Return: number of unanswered jobs. */
--- a/tests/test_job_gateway.c
+++ b/tests/test_job_gateway.c
@@ -424,3 +424,20 @@
 {
 	cr_expect_not(may_run_after_a_loss("{\"steps\":[{\"count\":1}]}"));
 }
+
+Test(job_gateway, job_that_no_holder_has_had_is_refused_at_a_shutdown)
+{
+	struct event_base *base = event_base_new();
+	struct cells cells = { .holder = NULL };
+	struct job_gateway *gateway = gw_create(base, clock_real(), &cells);
+	struct caller caller = { 0 };
+
+	submit_body(gateway, &caller,
+	    "{\"best_effort\":true,\"steps\":[{\"count\":1}]}");
+	gw_abort_pending(gateway);
+	cr_assert_eq(caller.answers, 1);
+	cr_expect_eq(caller.result, GW_NOT_RUN);
+	cr_expect_not(caller.may_run);
+	gw_destroy(gateway);
+	event_base_free(base);
+}
