Hosts no longer extend for each other what they have told

What callers saw, with replies between the hosts of a zone that take over a second (a tenth for a job that goes on): a job that is sent again is refused for as long as that lasts, though no start of its first submission can be executed any more.

Cause: the remaining time counted from the arrival of the message, so that each of two hosts that tell each other of an entry extends it by the delay, once that is more than what counts as an echo.

Change: it counts from when the host was asked, so that no entry lasts longer than for the host that tells of it. One that is slow to answer is believed for less.

Tests: hosts_do_not_extend_for_each_other_what_they_have_told fails if the time counts from the arrival.

--- a/entry/jobs/cells_ping.c
+++ b/entry/jobs/cells_ping.c
@@ -222,9 +222,9 @@
 cells_learn_pending_starts(const struct cells_ping *ping,
     struct cells_host *host, const json_t *body)
 {
-	uint64_t seq =
-	    sched_pending_merge(ping->cells->params.sched, host->info.name,
-		host->zone->local, json_object_get(body, "pending_starts"));
+	uint64_t seq = sched_pending_merge(ping->cells->params.sched,
+	    host->info.name, host->zone->local, ping->sent_us,
+	    json_object_get(body, "pending_starts"));
 
 	/* Another process of the host counts from 1. */
 	if (ping->incarnation == host->incarnation && seq > host->pending_seq)
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -285,12 +285,13 @@
  * sched_pending_merge() - add what another host has encoded.
  * @host: its name, for the log.
  * @local: it belongs to this cell.
+ * @sent_us: when it was asked: the remaining times count from then.
  * @message: NULL: none.
  * Return: the sequence number to pass to that host from now on, or 0 if the
  * message does not tell.
  */
 uint64_t sched_pending_merge(struct scheduler *sched, const char *host,
-    bool local, const struct json_t *message);
+    bool local, uint64_t sent_us, const struct json_t *message);
 
 /** sched_idle() - whether the scheduler has no job, not even an ended one. */
 bool sched_idle(const struct scheduler *sched);
--- a/entry/jobs/scheduler_pending.c
+++ b/entry/jobs/scheduler_pending.c
@@ -165,7 +165,7 @@
 /* Return: whether the entry is well-formed. */
 static bool
 sched_pending_merge_job(struct scheduler *sched, bool local, const json_t *item,
-    uint64_t now_us)
+    uint64_t sent_us, uint64_t now_us)
 {
 	const char *id = json_string_value(json_array_get(item, 0));
 	const json_t *remaining = json_array_get(item, 1);
@@ -177,17 +177,21 @@
 		return false;
 	if (remaining_ms > SCHED_PENDING_MAX_MS)
 		remaining_ms = SCHED_PENDING_MAX_MS;
+	/* Not longer than for the host that tells it, or two hosts would extend
+	 * it for each other. */
+	if (sent_us + (uint64_t)remaining_ms * SCHED_US_PER_MS <= now_us)
+		return true;
 	pend_add(&sched->pending, id,
 	    (flags & SCHED_PENDING_LISTED) != 0 ? PEND_RUN_LISTED : PEND_START,
 	    local && (flags & SCHED_PENDING_REMOTE) == 0 ? PEND_ZONE
 							 : PEND_REMOTE,
-	    now_us + (uint64_t)remaining_ms * SCHED_US_PER_MS, now_us);
+	    sent_us + (uint64_t)remaining_ms * SCHED_US_PER_MS, now_us);
 	return true;
 }
 
 uint64_t
 sched_pending_merge(struct scheduler *sched, const char *host, bool local,
-    const struct json_t *message)
+    uint64_t sent_us, const struct json_t *message)
 {
 	const json_t *seq = json_object_get(message, "seq");
 	const json_t *jobs = json_object_get(message, "jobs"), *item;
@@ -197,7 +201,8 @@
 	if (message == NULL)
 		return 0;
 	json_array_foreach (jobs, i, item)
-		nbad += !sched_pending_merge_job(sched, local, item, now_us);
+		nbad += !sched_pending_merge_job(sched, local, item, sent_us,
+		    now_us);
 	if (nbad > 0 || !json_is_integer(seq) || !json_is_array(jobs))
 		log_event(LOG_LEVEL_WARN, "pending-starts-malformed",
 		    "host=%s jobs=%zu malformed=%zu", host,
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -2914,7 +2914,9 @@
 		(void)json_array_append_new(jobs, json_pack("[s,i]", id, 9000));
 	}
 	message = json_pack("{s:i,s:o}", "seq", 1, "jobs", jobs);
-	cr_expect_eq(sched_pending_merge(host->sched, from, local, message), 1);
+	cr_expect_eq(sched_pending_merge(host->sched, from, local,
+			 clock_now_us(clock_real()), message),
+	    1);
 	json_decref(message);
 }
 
@@ -3062,11 +3064,12 @@
 		message = json_loads(texts[i], JSON_DECODE_ANY, NULL);
 		cr_assert_not_null(message);
 		cr_expect_eq(sched_pending_merge(net->hosts[0].sched, "h1",
-				 true, message),
+				 true, clock_now_us(clock_real()), message),
 		    0, "%s", texts[i]);
 		json_decref(message);
 	}
-	cr_expect_eq(sched_pending_merge(net->hosts[0].sched, "h1", true, NULL),
+	cr_expect_eq(sched_pending_merge(net->hosts[0].sched, "h1", true,
+			 clock_now_us(clock_real()), NULL),
 	    0);
 	cr_expect_null(host_pending(&net->hosts[0], 0));
 	net_destroy(net);
@@ -3091,3 +3094,25 @@
 	    net->cluster.first_violation);
 	resubmission_release(&test);
 }
+
+/* Each reply takes longer than an extension that counts as an echo. */
+Test(cells, hosts_do_not_extend_for_each_other_what_they_have_told)
+{
+	struct net *net = net_create();
+	const uint64_t delay_us = 1100000;
+	json_t *message;
+	size_t i;
+
+	net_run(net, 600);
+	host_tell_pending(&net->hosts[0], "h2", true, 1, 1);
+	for (i = 0; i < 20; i++) {
+		message = host_pending(&net->hosts[i % 2], 0);
+		net_run(net, (uint32_t)(delay_us / 1000));
+		(void)sched_pending_merge(net->hosts[1 - i % 2].sched, "hx",
+		    true, clock_now_us(clock_real()) - delay_us, message);
+		json_decref(message);
+	}
+	cr_expect_eq(host_npending(&net->hosts[0]), 0);
+	cr_expect_eq(host_npending(&net->hosts[1]), 0);
+	net_destroy(net);
+}
