--- a/core/pending.c
+++ b/core/pending.c
@@ -1,5 +1,5 @@
 /*
- * Jobs of which a start order may still be executed.
+ * Jobs of which a start order may still be executed, or that go on elsewhere.
  */
 
 #include <stdbool.h>
@@ -9,12 +9,13 @@
 #include "core/mem.h"
 #include "core/pending.h"
 
+#define PEND_EXPIRE_INTERVAL_US UINT64_C(1000000)
+
 /* An extension by less is not told to other hosts, nor taken from them. */
 static const uint64_t pend_slack_us[] = {
 	[PEND_RUN_LISTED] = 100000,
 	[PEND_START] = 1000000,
 };
-#define PEND_EXPIRE_INTERVAL_US UINT64_C(1000000)
 
 void
 pend_init(struct pending *pending)
--- a/entry/jobs/scheduler_pending.c
+++ b/entry/jobs/scheduler_pending.c
@@ -7,8 +7,10 @@
  * while that may happen; its outcome is unknown, as that of the first one is.
  *
  * The hosts of a cell that hold it or are likely to, and the holders of other
- * cells, exchange what they know. A run that no job claims shows that its job
- * may be sent to another holder, too. Here that job adopts the run.
+ * cells, exchange what they know. They also tell each other of the jobs that go
+ * on, as a connection may break for the caller alone, and of runs that no job
+ * claims. At the host that has the job a second submission joins it, or adopts
+ * the run. See docs/design/second-submissions.md.
  */
 
 #include <inttypes.h>
