--- a/core/pending.c
+++ b/core/pending.c
@@ -11,7 +11,7 @@
 
 #define PEND_EXPIRE_INTERVAL_US UINT64_C(1000000)
 
-/* An extension by less is not told to other hosts, nor taken from them. */
+/* An extension by less is neither sent to other hosts nor taken from them. */
 static const uint64_t pend_slack_us[] = {
 	[PEND_RUN_LISTED] = 100000,
 	[PEND_START] = 1000000,
--- a/core/pending.h
+++ b/core/pending.h
@@ -65,9 +65,9 @@
  *
  * An entry of a higher kind replaces one of a lower kind. One of the same kind
  * is extended; what other hosts say extends it only by more than a second (a
- * tenth for a run), as it may be what they have heard from here. The entry has
- * a new sequence number if it is new, has another kind or a nearer origin, or
- * lasts longer by that than when it had its last one.
+ * tenth for a run), as it may be an echo of what was sent from here. The entry
+ * has a new sequence number if it is new, has another kind or a nearer origin,
+ * or lasts longer by that than when it had its last one.
  */
 void pend_add(struct pending *pending, const char *id, enum pend_kind kind,
     enum pend_origin origin, uint64_t expires_us, uint64_t now_us);
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -88,8 +88,8 @@
 	char host[NAME_SIZE];
 	uint64_t connection; /* by which it was received */
 	uint64_t alive_us;   /* the host was known to wait; 0: unknown */
-	/* The host was last heard of by the connection as the job arrived. That
-	 * message was sent before, up to the age of the job. */
+	/* When the last message by the connection before the job was received.
+	 * It was sent up to the age of the job before. */
 	uint64_t heard_us;
 	uint64_t lost_us;   /* its caller may have been lost; 0: it waits */
 	cells_done_fn done; /* for requests of this host, else NULL */
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -600,9 +600,7 @@
 		    cells_pending_json(cells, all_cells));
 }
 
-/* Adds the jobs of which a start order may still be executed, for those who
- * ask.
- */
+/* Adds the jobs of which a start order may still be executed, if requested. */
 static void
 cells_add_pending_starts(const struct cells *cells,
     const struct api_request *request, bool local, json_t *body)
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -273,7 +273,7 @@
 /**
  * sched_pending_render() - encode the jobs of which a start order without a
  * reply may still be executed: those that became known after @seq.
- * @all: also encode what hosts of other cells have told, for the hosts of this
+ * @all: also encode what hosts of other cells have sent, for the hosts of this
  *       cell; the others get it from them.
  * Return: a JSON object, owned by the caller, with at most 500 jobs and the
  * sequence number (seq) to pass for the following ones; NULL if there are none.
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -227,7 +227,7 @@
 	char task[WORKER_TASK_NAME_SIZE];
 	uint64_t run_id;
 	uint64_t expires_us;
-	/* The process that was told to stop the run, or, before that, the one
+	/* The process that has confirmed the stop, or, before that, the one
 	 * that the order was sent to. */
 	uint64_t process_started_ms;
 	TAILQ_ENTRY(sched_late_start) entry;
@@ -548,8 +548,8 @@
 /* Whether this holder has sent a start order of the run that had no reply. */
 bool sched_late_ordered(const struct sched_server *server, const char *task,
     uint64_t run_id);
-/* The server's process has sent its lists: it is told to stop the runs that it
- * has not been told of. */
+/* The server's process has sent its lists: it is sent the stops that it has not
+ * been sent. */
 void sched_late_stop_all(struct sched_server *server,
     const struct worker_reply *reply);
 
--- a/entry/jobs/scheduler_late.c
+++ b/entry/jobs/scheduler_late.c
@@ -3,7 +3,7 @@
  * sent. It does not do so after a stop of the run or under a higher token, but
  * if it restarts under its id, its next process knows of neither, and takes the
  * order's deadline, which is on the clock of the former process, for a long
- * one. So each process that lists its runs is told to stop these, too, unless
+ * one. So each process that lists its runs is sent stops of these, too, unless
  * the start is ordered again there (scheduler_restart.c).
  */
 
@@ -140,7 +140,7 @@
 			sched_orphan_expect(server, late->task, late->run_id);
 			continue;
 		}
-		/* What a former process has confirmed says nothing of this one.
+		/* What a former process has confirmed does not hold for this one.
 		 */
 		task->start_confirmed = task->stop_confirmed = false;
 		if (task->state != SCHED_TASK_STOPPING)
--- a/entry/jobs/scheduler_pending.c
+++ b/entry/jobs/scheduler_pending.c
@@ -27,16 +27,16 @@
  * the job for longer. */
 #define SCHED_PENDING_RUN_MS 700
 /* A caller sends a job again 1.3 s after it has lost its connection; another
- * holder that is told of a job at this age knows it by then. */
+ * holder that is notified of a job at this age has it on record by then. */
 #define SCHED_PENDING_AGE_MS 700
 /* What is left then of the 1.25 s in which the runs of a job end after its
- * submitter was lost; that of a silent one is not told of. */
+ * submitter was lost. Without a recent sign of it the job is not reported. */
 #define SCHED_PENDING_ATTENDED_MS 850
 /* Entries of a message; the others follow in the next one. */
 #define SCHED_PENDING_MESSAGE_MAX 500
-/* No host keeps an entry for longer. */
+/* The longest remaining time of an entry in a message. */
 #define SCHED_PENDING_MAX_MS 15000
-/* What a message tells of an entry, if anything. */
+/* Flags of an entry in a message. */
 #define SCHED_PENDING_LISTED 1 /* PEND_RUN_LISTED */
 #define SCHED_PENDING_REMOTE 2 /* PEND_REMOTE */
 
@@ -179,8 +179,8 @@
 		return false;
 	if (remaining_ms > SCHED_PENDING_MAX_MS)
 		remaining_ms = SCHED_PENDING_MAX_MS;
-	/* Not longer than for the host that tells it, or two hosts would extend
-	 * it for each other. */
+	/* Not longer than at the sender, or two hosts would extend it for each
+	 * other. */
 	if (sent_us + (uint64_t)remaining_ms * SCHED_US_PER_MS <= now_us)
 		return true;
 	pend_add(&sched->pending, id,
--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -19,7 +19,7 @@
  * started there. */
 #define SCHED_SUSPECT_RUN_MAX_MS 5000
 /* Numbers of suspects, the latest ones, that the hosts of the cell and the
- * holders of other cells are told. */
+ * holders of other cells receive. */
 #define SCHED_SUSPECTS_LOCAL_MAX 64
 #define SCHED_SUSPECTS_REMOTE_MAX 16
 
@@ -75,7 +75,7 @@
 	susp_acquit(&task->job->sched->suspects, name);
 }
 
-/* Whether the loss of its server says anything of the task. A job that has
+/* Whether the loss of its server is evidence against the task. A job that has
  * ended may be submitted again. */
 static bool
 sched_suspect_concerned(const struct sched_task *task, uint64_t now_us)
--- a/tests/test_scheduler_holder.c
+++ b/tests/test_scheduler_holder.c
@@ -579,6 +579,7 @@
 	spec.resubmitted = true;
 	again = rig_submit_spec(rig, &spec);
 	srig_run(&rig->srig, 20);
+	cr_expect_not(sched_job_has_started(rig->sched, again->id));
 	sched_cancel(rig->sched, again->id, again);
 	srig_run(&rig->srig, 20);
 	rig_destroy(rig);
