--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -12,9 +12,10 @@
 
 /*
  * Shared by cells.c (hosts and choice of the holder), cells_ping.c (state
- * requests to other hosts), cells_job.c (submission of jobs to holders, and
- * requests of peers), cells_withdrawn.c (submissions that were cancelled) and
- * cells_stored.c (requests about stored jobs).
+ * requests to other hosts), cells_state.c (the replies), cells_job.c
+ * (submission of jobs to holders, and requests of peers), cells_withdrawn.c
+ * (submissions that were cancelled) and cells_stored.c (requests about stored
+ * jobs).
  */
 
 #define CELLS_PATH "/v1/work/"
@@ -208,6 +209,13 @@
 void cells_send_reply(api_reply_fn reply, void *arg, int status,
     const char *body);
 
+/* cells_state.c */
+
+void cells_handle_state(struct cells *cells, const struct api_request *request,
+    api_reply_fn reply, void *arg);
+void cells_handle_announcement(struct cells *cells,
+    const struct api_request *request, api_reply_fn reply, void *arg);
+
 /* cells_withdrawn.c */
 
 void cells_withdrawn_init(struct cells *cells);
