--- a/entry/jobs/scheduler_late.c
+++ b/entry/jobs/scheduler_late.c
@@ -140,7 +140,8 @@
 			sched_orphan_expect(server, late->task, late->run_id);
 			continue;
 		}
-		/* What a former process has confirmed does not hold for this one.
+		/* What a former process has confirmed does not hold for this
+		 * one.
 		 */
 		task->start_confirmed = task->stop_confirmed = false;
 		if (task->state != SCHED_TASK_STOPPING)
