Tests of the API run in simulated time

Both wait for a fixed real time in which several timers follow each other.

Cause: when the process is not scheduled until the wait has ended, the loop handles the first timer and the end of the wait in the same iteration, and leaves before the timers that the first one has set.

Evidence: with a pause of 100 ms 0.5 or 2 ms after the submission the first test fails as seen (0 starts), not with one 5 ms after it or later; with one of 150 ms 20 ms after the drain the second one does (ndrained). With this change both pass with the same pauses.

The checks and bounds are the same; in simulated time all timers that end within the wait are handled within it, and none later (a limit of 101 ms in place of 50 fails). test_http_server has sockets and keeps real time: one of its cases fails in simulated time.

--- a/tests/support/api_rig.c
+++ b/tests/support/api_rig.c
@@ -8,6 +8,7 @@
 
 #include "adapters/crypto_sodium.h"
 #include "tests/support/api_rig.h"
+#include "tests/support/sim_time.h"
 
 #define RIG_START_US 1000000
 
@@ -45,6 +46,13 @@
 	rig.peers[1].target = rig.api[0];
 }
 
+void
+rig_setup_simulated(void)
+{
+	sim_time_start();
+	rig_setup();
+}
+
 void
 rig_teardown(void)
 {
--- a/tests/support/api_rig.h
+++ b/tests/support/api_rig.h
@@ -33,6 +33,11 @@
 extern struct rig rig;
 
 void rig_setup(void);
+
+/** rig_setup_simulated() - rig_setup() with simulated time, for tests without
+ * sockets: timers that end within a wait are handled within it. */
+void rig_setup_simulated(void);
+
 void rig_teardown(void);
 
 /** rig_run_loop() - run the event loop for @ms milliseconds. */
--- a/tests/test_api.c
+++ b/tests/test_api.c
@@ -10,7 +10,7 @@
 #include "entry/refusals.h"
 #include "tests/support/api_rig.h"
 
-TestSuite(api, .init = rig_setup, .fini = rig_teardown);
+TestSuite(api, .init = rig_setup_simulated, .fini = rig_teardown);
 
 static void
 post_job(int host, const char *ticket, const char *query,
--- a/tests/test_api_drain.c
+++ b/tests/test_api_drain.c
@@ -18,7 +18,7 @@
 static void
 setup(void)
 {
-	rig_setup();
+	rig_setup_simulated();
 	ndrained = 0;
 }
 
--- a/tests/test_api_forward.c
+++ b/tests/test_api_forward.c
@@ -6,7 +6,7 @@
 
 /* Tests of requests to a host that did not issue their ticket. */
 
-TestSuite(api_forward, .init = rig_setup, .fini = rig_teardown);
+TestSuite(api_forward, .init = rig_setup_simulated, .fini = rig_teardown);
 
 static void
 post_job(int host, const char *ticket, struct rig_reply *reply)
--- a/tests/test_idempotency.c
+++ b/tests/test_idempotency.c
@@ -9,7 +9,7 @@
  * whichever requests to the table fail.
  */
 
-TestSuite(idempotency, .init = rig_setup, .fini = rig_teardown);
+TestSuite(idempotency, .init = rig_setup_simulated, .fini = rig_teardown);
 
 static void
 post(int host, const char *key, struct rig_reply *reply)
