A cut list of ends does not show all runs of a former holder

What callers would see: a task of a stored job is done twice. While the store turns a holder away, the ends of its stored jobs are not acknowledged, and a server lists only the first 500. If another host takes over then (or the same one, once it has read the stored jobs), a task whose end is beyond them has neither a run nor an end in the list. It was started again: at once if all other runs were known, else when the former leases had ended (TWICE: a start after an end "done" that is taken note of later).

Cause: "held" meant that a server had listed its runs, whatever was cut from the list. Class: a list taken for complete that is not.

Evidence, before the change: test_scheduler_stored task_whose_end_may_be_beyond_a_cut_list_is_not_started, "started after 1 lists", and "the end was not recorded" at the end.

Change: all runs are known only if each server has sent a list that is not cut since it was held; tasks of stored jobs that another host may have started wait for it also after the former leases, as this holder extends those of servers with runs. They do not wait for a server that is out of reach once its lease has ended, nor do lasting tasks, which are started again however they end.

Ruled out: to count the server as not held. It would take no starts for other jobs while the store is away.

Cost: O(servers) a pass of the dispatch, as for the check whether all are held.

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -251,6 +251,7 @@
 
 	TAILQ_FOREACH (server, &sched->servers, entry) {
 		server->held = false;
+		server->ends_listed = false;
 		if (!server->hold_pending)
 			server->hold_due_us = now_us;
 	}
--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -133,6 +133,7 @@
 struct sched_pass {
 	uint64_t now_us;
 	bool all_held;		  /* all runs of a former holder are known */
+	bool ends_awaited;	  /* see sched_ends_awaited() */
 	uint64_t lists_wanted_us; /* a task waits for lists since then; or 0 */
 	/* The smallest demand that no server of the share could meet. */
 	uint32_t no_capacity_cpu[SCHED_SHARES];
@@ -167,6 +168,33 @@
 	    SCHED_ROWS_RESTORED_MS * SCHED_US_PER_MS;
 }
 
+/* Whether a server has more ends than it lists at a time, and has not listed
+ * the last ones. They follow as the first ones are stored. */
+static bool
+sched_ends_awaited(const struct scheduler *sched)
+{
+	const struct sched_server *server;
+
+	TAILQ_FOREACH (server, &sched->servers, entry) {
+		if (server->held && !server->ends_listed &&
+		    (server->unanswered_holds <= SCHED_UNANSWERED_HOLDS_MAX ||
+			!sched_lease_ended(server)))
+			return true;
+	}
+	return false;
+}
+
+/* Whether the end of a former holder's run of the task may yet be listed. */
+static bool
+sched_waits_for_ends(const struct sched_task *task,
+    const struct sched_pass *pass)
+{
+	const struct sched_job *job = task->job;
+
+	return pass->ends_awaited && job->stored && job->start_after_us != 0 &&
+	    !job->spec.long_running;
+}
+
 /* Whether the hold that was sent at once after the last lists is pending, on
  * their connection: the process that has sent them is still there. */
 static bool
@@ -271,7 +299,8 @@
 	if ((task->job->stored &&
 		(!task->job->sched->jobs_loaded ||
 		    sched_awaits_owner(task->job->sched))) ||
-	    sched_waits_for_rows(task->job, pass->now_us))
+	    sched_waits_for_rows(task->job, pass->now_us) ||
+	    sched_waits_for_ends(task, pass))
 		return;
 	if (!task->job->sched->holder_confirmed &&
 	    !sched_job_may_start_unconfirmed(task->job))
@@ -316,7 +345,7 @@
 	const struct sched_server *server;
 
 	TAILQ_FOREACH (server, &sched->servers, entry) {
-		if (!server->held && !server->removed)
+		if (!(server->held && server->ends_listed) && !server->removed)
 			return false;
 	}
 	return true;
@@ -365,6 +394,7 @@
 	    sched_recovery_pending(sched, pass.now_us))
 		return;
 	pass.all_held = sched_all_runs_known(sched);
+	pass.ends_awaited = sched_ends_awaited(sched);
 	sched_check_holder_lease(sched);
 	for (rank = 0; rank < SCHED_RANKS; rank++) {
 		TAILQ_FOREACH_SAFE (task, &sched->waiting, waiting, next) {
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -274,6 +274,7 @@
 	uint64_t list_sent_us; /* the hold that returned them */
 	bool held;	       /* its lists were processed under this token */
 	bool was_held;	       /* under this token, perhaps not now */
+	bool ends_listed;      /* all ends, by the lists since it was held */
 	bool removed;	       /* from the registry; freed when unused */
 	/* Its row was read, or it was found to have restarted, under this
 	 * token; 0: neither. */
@@ -632,6 +633,7 @@
  * saturated. */
 uint64_t sched_processing_delay_us(const struct scheduler *sched,
     uint64_t now_us);
+/* Whether all servers have listed their runs, and all ends. */
 bool sched_all_servers_held(const struct scheduler *sched);
 /* Whether all servers that may run tasks of a former holder are known and have
  * listed their runs. */
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -56,6 +56,7 @@
 		server->sched->params.worker->ops->close(server->link);
 	server->link = NULL;
 	server->held = false;
+	server->ends_listed = false;
 	server->hold_pending = false;
 	sched_orders_discard(server);
 	sched_unstored_clear(server);
@@ -118,6 +119,7 @@
 		abort();
 	memset(&server->lease, 0, sizeof(server->lease));
 	server->held = false;
+	server->ends_listed = false;
 	server->refusing = false;
 	server->acknowledged = 0;
 	server->processed_end = 0;
@@ -352,6 +354,8 @@
 	sched_update_acknowledged(server);
 	sched_late_stop_all(server, reply);
 	sched_reconcile(server, server->hold_sent_us, now_us, reply->ended_cut);
+	if (!reply->ended_cut)
+		server->ends_listed = true;
 	if (!server->held) {
 		server->held = true;
 		server->was_held = true;
--- a/tests/test_scheduler_stored.c
+++ b/tests/test_scheduler_stored.c
@@ -6,6 +6,7 @@
 
 #include <criterion/criterion.h>
 #include <event2/event.h>
+#include <inttypes.h>
 #include <stdio.h>
 
 #include "adapters/clock_real.h"
@@ -544,6 +545,44 @@
 	rig_destroy(rig);
 }
 
+/* The successor of a holder that the store did not answer is listed the first
+ * 500 ends, then the others. */
+Test(scheduler_stored, task_whose_end_may_be_beyond_a_cut_list_is_not_started)
+{
+	const struct worker_ended ends[] = {
+		{ 1, ID_B ".0.0.0", 64, WORKER_END_DONE, "" },
+		{ 2, ID_A ".0.0.0", 64, WORKER_END_DONE, "" },
+	};
+	const struct worker_reply cut = { .verdict = WORKER_OK,
+		.incarnation_start_ms = RIG_INCARNATION_START_MS,
+		.connection_id = RIG_CONNECTION_ID,
+		.has_lists = true,
+		.ended = ends,
+		.nended = 1,
+		.ended_cut = true };
+	struct rig *rig = rig_create();
+	worker_done_fn done;
+	uint32_t i;
+
+	sched_set_servers_complete(rig->sched, true);
+	rig_submit(rig, ID_A);
+	sched_set_jobs_loaded(rig->sched);
+	/* Longer than a former holder's leases last. */
+	for (i = 0; i < 12; i++) {
+		done = rig->hold_done;
+		cr_assert_not_null(done, "no hold is in flight");
+		rig->hold_done = NULL;
+		done(rig->hold_arg, &cut);
+		rig_run(rig);
+		cr_expect_eq(rig->starts, 0, "started after %" PRIu32 " lists",
+		    i + 1);
+	}
+	rig_reply(rig, NULL, 0, ends, 2);
+	cr_expect_eq(rig->starts, 0);
+	cr_expect_eq(rig->progress_seq, 1, "the end was not recorded");
+	rig_destroy(rig);
+}
+
 /*
  * Soak seed 10: during an outage of the store, the server became unreachable
  * after the scheduler had ended its job, and later reported the end again.
