A reply without rows is no empty partition of stored jobs

What callers would see: a new holder that reads a partition so knows none of its jobs: they are not run, their state is 410 (if the row is read so, too), and ends that servers list are acknowledged although they are not stored.

Cause: a reply 200 whose body is no JSON, or has no array "rows", was decoded as a list of 0 rows, without "has_more": read to the end. The feeds check the body (prows_read_done), the reads of jobs did not. Class: a list taken for complete that is not.

Evidence, before the change: test_platform_rows body_without_rows_is_no_empty_list_of_jobs, status 0 (ROWS_OK) for an empty body, a cut one, "rows" that is an object, and none. Not seen in a log or a play: the store's replies have a length, and a reply that is cut then fails in the client. One that ends with its connection would be taken for whole.

--- a/tests/test_platform_rows.c
+++ b/tests/test_platform_rows.c
@@ -42,6 +42,7 @@
 	int write_status;	  /* of replies to transactions */
 	enum rows_status written; /* as reported */
 	bool connected;		  /* as reported to the listener */
+	const char *jobs_body;	  /* of replies about jobs; NULL: rows */
 	uint64_t config;	  /* version of the row "config"; 0: none */
 	uint64_t config_received; /* as reported to the listener */
 };
@@ -146,7 +147,8 @@
 	evhttp_clear_headers(&params);
 	body = json_pack("{s:o,s:I,s:b}", "rows", rows, "row_version",
 	    (json_int_t)version, "has_more", more);
-	text = json_dumps(body, JSON_COMPACT);
+	text = jobs && rig->jobs_body != NULL ? strdup(rig->jobs_body)
+					      : json_dumps(body, JSON_COMPACT);
 	(void)evbuffer_add(evhttp_request_get_output_buffer(req), text,
 	    strlen(text));
 	free(text);
@@ -436,3 +438,42 @@
 	}
 	rig_destroy(rig);
 }
+
+static void
+rig_jobs_read(void *arg, enum rows_status status, const struct rows_row *rows,
+    size_t nrows, bool more)
+{
+	struct rig *rig = arg;
+
+	(void)rows;
+	(void)nrows;
+	(void)more;
+	rig->written = status;
+	(void)event_base_loopbreak(rig->base);
+}
+
+/* A partition that was read so was taken for empty: its jobs were forgotten. */
+Test(platform_rows, body_without_rows_is_no_empty_list_of_jobs)
+{
+	const struct {
+		const char *body;
+		enum rows_status status;
+	} cases[] = {
+		{ "{\"rows\":[],\"row_version\":7}", ROWS_OK },
+		{ "", ROWS_UNKNOWN },
+		{ "{\"rows\":[{\"key\":\"00", ROWS_UNKNOWN },
+		{ "{\"rows\":{},\"row_version\":7}", ROWS_UNKNOWN },
+		{ "{\"row_version\":7}", ROWS_UNKNOWN },
+	};
+	struct rig *rig = rig_create();
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		rig->jobs_body = cases[i].body;
+		rig->rows->ops->read(rig->rows, 0, "", 1, rig_jobs_read, rig);
+		(void)event_base_dispatch(rig->base);
+		cr_expect_eq(rig->written, cases[i].status, "%s: %d",
+		    cases[i].body, (int)rig->written);
+	}
+	rig_destroy(rig);
+}
