A new holder does not report what was known of runs in its former term

What hosts would see: a holder that was replaced and holds the zone again says for up to 50 ms that all runs are known, although those of the holder in between are not. A successor that has heard this last starts a stored job beside a run of that holder (TWICE).

Cause: the load that replies to pings carry is computed every 50 ms at most (SCHED_LOAD_VALID_MS), and the last one was kept over the end of a term, and when a holder is confirmed again after its lease.

Evidence, before the change: test_scheduler runs_of_a_former_holder_are_reported_as_unknown_from_the_start, "load.runs_unknown is false". The case of a holder that is confirmed again has the same line and no test of its own.

Change: the load is computed anew after both. Cost: one more computation, O(servers), for each.

--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -188,6 +188,7 @@
 	sched->holder_confirmed = false;
 	sched->awaits_owner_us = 0;
 	sched->server_unknown = false;
+	sched->load_updated_us = 0; /* as of a former term: see runs_unknown */
 	log_event(LOG_LEVEL_WARN, "cell-acquired",
 	    "token=%" PRIu64 " former_runs=%s", token,
 	    sched->former_runs_known ? "known" : "unknown");
@@ -439,6 +440,7 @@
 
 	sched->awaits_owner_us = clock_now_us(sched->params.clock);
 	sched->former_runs_known = false;
+	sched->load_updated_us = 0;
 	TAILQ_FOREACH (job, &sched->jobs, entry) {
 		if (job->stored || job->may_have_started)
 			job->start_after_us = now_us;
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -722,6 +722,24 @@
 	rig_destroy(rig);
 }
 
+/* The last computation of the load may be that of a former term. */
+Test(scheduler, runs_of_a_former_holder_are_reported_as_unknown_from_the_start)
+{
+	struct rig *rig = rig_create(5);
+	struct scheduler *sched = rig->srig.sched;
+	struct sched_load load;
+
+	srig_run(&rig->srig, 100);
+	sched_load(sched, &load);
+	cr_expect_not(load.runs_unknown);
+	sched_deactivate(sched);
+	sched_set_former_runs_known(sched, false);
+	sched_activate(sched, 20);
+	sched_load(sched, &load);
+	cr_expect(load.runs_unknown);
+	rig_destroy(rig);
+}
+
 /* The runs of a server that has not listed them are not known when its row
  * expires. */
 Test(scheduler, resubmitted_job_waits_for_a_removed_server)
