A host knows up to where a peer's rows may lack removals of servers

What callers would see: a stored job has two runs after a take-over (TWICE), if the successor got its rows of servers from a host that has read them in full after a server's row was removed, and the former holder, which reports that its runs are known, has not dropped that server yet. At most some 0.6 s: the holder drops it 2.5 s after it has read the removal, and the successor has to be connected to the store for 2.5 s.

Cause: a full read does not show earlier removals. A host notes its version for that (reg_dropped_version()), to be compared with what the holder has dropped, but a host that merges the rows of such a host took them for complete, and its next requests begin after that version.

Evidence, before the change: test_registry removals_that_a_peer_cannot_show_are_known_to_be_possible, the dropped version is 0 instead of 20.

Change: the rows that a host sends to peers carry the version up to which removals may not be in them ("unshown"); the receiver passes it on, if its own rows did not cover it.

Cost: one number in a message with rows of servers.

--- a/entry/jobs/registry.c
+++ b/entry/jobs/registry.c
@@ -53,6 +53,8 @@
 	struct reg_rows removals;   /* ordered by removal_due_us */
 	uint64_t server_removed_us; /* the last report of one; 0: none */
 	uint64_t dropped_version;   /* see reg_dropped_version() */
+	/* Removals of servers up to it may not have been shown. */
+	uint64_t unshown_version;
 };
 
 struct registry *
@@ -239,6 +241,14 @@
 		reg->dropped_version = version;
 }
 
+static void
+reg_set_unshown(struct registry *reg, uint64_t version)
+{
+	if (version > reg->unshown_version)
+		reg->unshown_version = version;
+	reg_set_dropped(reg, version);
+}
+
 static void
 reg_report_server_removed(struct registry *reg, struct reg_row *row,
     uint64_t now_us)
@@ -383,7 +393,7 @@
 	reg_set_version(&reg->tables[table], version);
 	/* Rows that were removed before the read are not shown. */
 	if (table == ROWS_SERVERS)
-		reg_set_dropped(reg, version);
+		reg_set_unshown(reg, version);
 	TAILQ_FOREACH (row, &reg->tables[table].rows, entry) {
 		if (row->in_current_read || row->value == NULL ||
 		    row->version > version)
@@ -468,7 +478,8 @@
 }
 
 /* A row without a key shows that the table is encoded, the versions between
- * which all changes are encoded, and how old the table is. */
+ * which all changes are encoded, the version up to which removals may not be,
+ * and how old the table is. */
 static void
 reg_render_table(const struct registry *reg, enum rows_table table,
     uint64_t since, uint64_t now_us, json_t *rows)
@@ -478,6 +489,9 @@
 	    (json_int_t)since, "version",
 	    (json_int_t)reg->tables[table].version);
 
+	if (table == ROWS_SERVERS)
+		(void)json_object_set_new(item, "unshown",
+		    json_integer((json_int_t)reg->unshown_version));
 	if (reg->tables[table].confirmed_us != 0)
 		(void)json_object_set_new(item, "age_ms",
 		    json_integer((json_int_t)reg_age_ms(reg, table, now_us)));
@@ -530,6 +544,18 @@
 		reg_confirm(&reg->tables[table], now_us - age_us);
 }
 
+/* Removals that the peer cannot show, and that this registry does not know. */
+static void
+reg_merge_unshown(struct registry *reg, const json_t *row)
+{
+	json_int_t unshown =
+	    json_integer_value(json_object_get(row, "unshown"));
+
+	if (unshown > 0 &&
+	    (uint64_t)unshown > reg->tables[ROWS_SERVERS].version)
+		reg_set_unshown(reg, (uint64_t)unshown);
+}
+
 /* Return: the version up to which all changes of @table are known once the
  * peer's rows are merged. */
 static uint64_t
@@ -570,6 +596,8 @@
 	merged[table] = true;
 	versions[table] = reg_merged_version(reg, row, change.table);
 	reg_merge_age(reg, row, change.table, now_us);
+	if (change.table == ROWS_SERVERS)
+		reg_merge_unshown(reg, row);
 }
 
 int
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -439,6 +439,36 @@
 	reg_destroy(peer);
 }
 
+/* The peer has read the rows in full after the removal, which that read does
+ * not show. */
+Test(registry, removals_that_a_peer_cannot_show_are_known_to_be_possible)
+{
+	struct observed observed, observed_peer;
+	struct registry *reg = create(&observed),
+			*peer = create(&observed_peer);
+	uint64_t since[ROWS_NTABLES] = { 0 };
+	bool merged[ROWS_NTABLES];
+	char *text;
+
+	reg_read_begin(peer, ROWS_SERVERS);
+	change(peer, ROWS_SERVERS, "s1", "64", 12, 0);
+	reg_read_end(peer, ROWS_SERVERS, 20, 0);
+	text = reg_render(peer, since, SECOND_US);
+	cr_assert_eq(reg_merge(reg, text, strlen(text), 0, merged), 0);
+	free(text);
+	cr_expect_eq(reg_dropped_version(reg), 20);
+	/* Removals after that are shown. */
+	change(peer, ROWS_SERVERS, "s1", "32", 30, 0);
+	since[ROWS_SERVERS] = reg_version(reg, ROWS_SERVERS);
+	text = reg_render(peer, since, SECOND_US);
+	cr_assert_eq(reg_merge(reg, text, strlen(text), 0, merged), 0);
+	free(text);
+	cr_expect_eq(reg_version(reg, ROWS_SERVERS), 30);
+	cr_expect_eq(reg_dropped_version(reg), 20);
+	reg_destroy(reg);
+	reg_destroy(peer);
+}
+
 /* The age that a peer reports counts from the merge. */
 Test(registry, age_of_rows_is_known)
 {
