Rows count as of their request, not as of when their reply is processed

What callers would see: a stored job has two runs after a take-over (TWICE), if a host stood still or was suspended, took over right after that, and the store had discarded its history: a server that was new in that time, and whose row was removed in it, is in no list of the successor.

Cause: a full read shows no removals, so the servers are complete only if it does not follow a gap of 2.5 s. That was measured from when the last reply was processed. One that had waited in a buffer while the process stood still made rows of 30 s ago current: no gap. So did one of a peer, whose request had been sent before. Such a host also sent its rows to others as current. Class: a list taken for complete, by knowledge of an earlier time; as confirmations of a holder, which count as of their question, and heartbeats, which count from the tick before the last one (docs/design/abandoned-jobs.md).

Evidence, before the change: test_row_source rows_read_after_a_pause_are_as_old_as_the_pause and rows_of_a_peer_are_as_old_as_their_request, "rowsrc_servers_complete" is true. By unit tests only; no run with two runs of a task.

Change: a reply of the store counts as of the tick before the last one, that of a peer as of its request, less the age that it tells. test_registry age_of_rows_is_known asked for the age from the merge; it asks for the age from the request now, with both times given.

Price: rows count as up to 0.2 s older than they are, also in berylrail_work_config_age_milliseconds, and a holder tells its rows to its successors for that much less after its last row of a server (1.5 s before).

Ruled out: the time at which a read was sent. A long poll of the configuration lasts 2.5 s.

--- a/entry/jobs/registry.c
+++ b/entry/jobs/registry.c
@@ -528,11 +528,10 @@
 	return text;
 }
 
-/* The age of a peer's table is that of the request's end at most: the time of
- * the transfer is not known. */
+/* The peer has encoded its rows after they were requested. */
 static void
 reg_merge_age(struct registry *reg, const json_t *row, enum rows_table table,
-    uint64_t now_us)
+    uint64_t sent_us)
 {
 	const json_t *age = json_object_get(row, "age_ms");
 	uint64_t age_us;
@@ -540,8 +539,8 @@
 	if (!json_is_integer(age) || json_integer_value(age) < 0)
 		return;
 	age_us = (uint64_t)json_integer_value(age) * REG_US_PER_MS;
-	if (age_us < now_us)
-		reg_confirm(&reg->tables[table], now_us - age_us);
+	if (age_us < sent_us)
+		reg_confirm(&reg->tables[table], sent_us - age_us);
 }
 
 /* Removals that the peer cannot show, and that this registry does not know. */
@@ -573,8 +572,8 @@
 }
 
 static void
-reg_merge_row(struct registry *reg, const json_t *row, uint64_t now_us,
-    bool merged[ROWS_NTABLES], uint64_t versions[ROWS_NTABLES])
+reg_merge_row(struct registry *reg, const json_t *row, uint64_t sent_us,
+    uint64_t now_us, bool merged[ROWS_NTABLES], uint64_t versions[ROWS_NTABLES])
 {
 	const json_t *value = json_object_get(row, "value");
 	json_int_t table = json_integer_value(json_object_get(row, "table"));
@@ -595,14 +594,14 @@
 	}
 	merged[table] = true;
 	versions[table] = reg_merged_version(reg, row, change.table);
-	reg_merge_age(reg, row, change.table, now_us);
+	reg_merge_age(reg, row, change.table, sent_us);
 	if (change.table == ROWS_SERVERS)
 		reg_merge_unshown(reg, row);
 }
 
 int
-reg_merge(struct registry *reg, const char *text, size_t len, uint64_t now_us,
-    bool merged[ROWS_NTABLES])
+reg_merge(struct registry *reg, const char *text, size_t len, uint64_t sent_us,
+    uint64_t now_us, bool merged[ROWS_NTABLES])
 {
 	json_t *rows = json_loadb(text, len, 0, NULL);
 	uint64_t versions[ROWS_NTABLES] = { 0 };
@@ -615,7 +614,7 @@
 		return -1;
 	}
 	json_array_foreach (rows, i, row)
-		reg_merge_row(reg, row, now_us, merged, versions);
+		reg_merge_row(reg, row, sent_us, now_us, merged, versions);
 	for (i = 0; i < ROWS_NTABLES; i++)
 		reg_set_version(&reg->tables[i], versions[i]);
 	json_decref(rows);
--- a/entry/jobs/registry.h
+++ b/entry/jobs/registry.h
@@ -188,10 +188,11 @@
  * reg_merge() - apply the rows that a peer encoded with reg_render(), which may
  * be older than those of this registry. A row that is not known, with a version
  * up to which all changes are known, was removed: it is ignored.
+ * @sent_us: when they were requested.
  * @merged: set to whether the peer has encoded the table.
  * Return: 0, or -1 if @text is malformed.
  */
 int reg_merge(struct registry *reg, const char *text, size_t len,
-    uint64_t now_us, bool merged[ROWS_NTABLES]);
+    uint64_t sent_us, uint64_t now_us, bool merged[ROWS_NTABLES]);
 
 #endif /* ENTRY_JOBS_REGISTRY_H */
--- a/entry/jobs/row_source.c
+++ b/entry/jobs/row_source.c
@@ -49,6 +49,7 @@
 	/* The member of @src that points to this request while its reply is
 	 * waited for. */
 	struct rowsrc_request **pending;
+	uint64_t sent_us;
 	bool from_holder; /* for the servers' rows only */
 };
 
@@ -69,6 +70,8 @@
 	uint64_t config_requested_us;	       /* the last one */
 	uint64_t request_due_us;
 	uint64_t holder_replied_us; /* with the servers' rows; 0: not lately */
+	uint64_t last_tick_us;
+	uint64_t previous_tick_us; /* the one before the last */
 };
 
 static uint64_t
@@ -79,6 +82,15 @@
 
 /* Rows of the store */
 
+/* The time as of which a reply of the store counts that is processed now. It
+ * may have waited while this process stood still, and one tick may have run
+ * since. */
+static uint64_t
+rowsrc_known_us(const struct row_source *src)
+{
+	return src->previous_tick_us;
+}
+
 static uint32_t
 rowsrc_servers_poll_ms(const struct row_source *src, uint64_t now_us)
 {
@@ -109,7 +121,7 @@
 	uint64_t now_us = rowsrc_now_us(src);
 
 	if (change->table == ROWS_SERVERS)
-		src->server_received_us = now_us;
+		src->server_received_us = rowsrc_known_us(src);
 	reg_row_changed(src->params.reg, change, now_us);
 }
 
@@ -149,7 +161,7 @@
 {
 	struct row_source *src = arg;
 
-	reg_current(src->params.reg, table, version, rowsrc_now_us(src));
+	reg_current(src->params.reg, table, version, rowsrc_known_us(src));
 }
 
 static void
@@ -214,11 +226,11 @@
 
 static void
 rowsrc_merge(struct row_source *src, const struct api_reply *reply,
-    bool merged[ROWS_NTABLES])
+    uint64_t sent_us, bool merged[ROWS_NTABLES])
 {
 	int i;
 
-	if (reg_merge(src->params.reg, reply->body, reply->body_len,
+	if (reg_merge(src->params.reg, reply->body, reply->body_len, sent_us,
 		rowsrc_now_us(src), merged) == -1)
 		log_event(LOG_LEVEL_WARN, "mirror-malformed", "bytes=%zu",
 		    reply->body_len);
@@ -241,7 +253,7 @@
 	if (is_pending)
 		*request->pending = NULL;
 	if (reply != NULL && reply->status == 200) {
-		rowsrc_merge(src, reply, merged);
+		rowsrc_merge(src, reply, request->sent_us, merged);
 		if (is_pending && request->from_holder)
 			src->holder_replied_us =
 			    merged[ROWS_SERVERS] ? rowsrc_now_us(src) : 0;
@@ -262,6 +274,7 @@
 
 	request->src = src;
 	request->pending = pending;
+	request->sent_us = rowsrc_now_us(src);
 	request->from_holder = from_holder;
 	(void)snprintf(query, sizeof(query),
 	    "config=%" PRIu64 "&servers=%" PRIu64 "&hosts=%" PRIu64
@@ -360,6 +373,8 @@
 void
 rowsrc_tick(struct row_source *src, uint64_t now_us)
 {
+	src->previous_tick_us = src->last_tick_us;
+	src->last_tick_us = now_us;
 	rowsrc_set_servers_poll(src, now_us);
 	if (src->pending != NULL &&
 	    now_us - src->requested_us >
@@ -428,6 +443,8 @@
 	struct row_source *src = mem_zalloc(1, sizeof(*src));
 
 	src->params = *params;
+	src->last_tick_us = rowsrc_now_us(src);
+	src->previous_tick_us = src->last_tick_us;
 	return src;
 }
 
--- a/tests/test_platform_decode.c
+++ b/tests/test_platform_decode.c
@@ -115,7 +115,7 @@
 	struct observed observed;
 	struct registry *peer = create(&observed);
 
-	cr_expect_eq(reg_merge(peer, text, strlen(text), 3, merged), 0,
+	cr_expect_eq(reg_merge(peer, text, strlen(text), 3, 3, merged), 0,
 	    "%.120s", row);
 	expect_others_known(&observed, "peer", row);
 	reg_destroy(peer);
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -275,7 +275,7 @@
 	reg_read_begin(peer, ROWS_SERVERS);
 	change(peer, ROWS_SERVERS, "s1", "16", 30, 0);
 	text = reg_render(reg, since, SECOND_US);
-	cr_expect_eq(reg_merge(peer, text, strlen(text), 0, merged), 0);
+	cr_expect_eq(reg_merge(peer, text, strlen(text), 0, 0, merged), 0);
 	cr_expect_eq(observed_peer.servers, 2);
 	cr_expect_eq(observed_peer.server.cpu, 32);
 	cr_expect_eq(reg_version(peer, ROWS_SERVERS), 20);
@@ -286,7 +286,7 @@
 	since[ROWS_SERVERS] = 20;
 	text = reg_render(reg, since, SECOND_US);
 	cr_expect_null(strstr(text, "s2"));
-	cr_expect_eq(reg_merge(peer, "{}", 2, 0, merged), -1);
+	cr_expect_eq(reg_merge(peer, "{}", 2, 0, 0, merged), -1);
 	free(text);
 	reg_destroy(reg);
 	reg_destroy(peer);
@@ -310,13 +310,13 @@
 	change(reg, ROWS_SERVERS, "s1", "64", 10, 0);
 	change(reg, ROWS_HOSTS, "h1", "8", 30, 0);
 	text = reg_render(reg, since, SECOND_US);
-	cr_assert_eq(reg_merge(peer, text, strlen(text), 0, merged), 0);
+	cr_assert_eq(reg_merge(peer, text, strlen(text), 0, 0, merged), 0);
 	free(text);
 	change(reg, ROWS_SERVERS, "s1", "16", 20, 0);
 	for (i = 0; i < ROWS_NTABLES; i++)
 		since[i] = reg_version(peer, (enum rows_table)i);
 	text = reg_render(reg, since, SECOND_US);
-	cr_assert_eq(reg_merge(peer, text, strlen(text), 0, merged), 0);
+	cr_assert_eq(reg_merge(peer, text, strlen(text), 0, 0, merged), 0);
 	free(text);
 	cr_expect_eq(observed_peer.server.cpu, 16);
 	reg_destroy(reg);
@@ -335,7 +335,7 @@
 	change(reg, ROWS_SERVERS, "s1", "64", 10, 0);
 	since[ROWS_SERVERS] = REG_NO_ROWS;
 	text = reg_render(reg, since, SECOND_US);
-	cr_assert_eq(reg_merge(peer, text, strlen(text), 0, merged), 0);
+	cr_assert_eq(reg_merge(peer, text, strlen(text), 0, 0, merged), 0);
 	cr_expect_not(merged[ROWS_SERVERS]);
 	cr_expect(merged[ROWS_OPERATOR]);
 	cr_expect_eq(observed_peer.servers, 0);
@@ -431,7 +431,7 @@
 	reg_read_end(reg, ROWS_SERVERS, 30, 0);
 	since[ROWS_SERVERS] = reg_version(peer, ROWS_SERVERS);
 	text = reg_render(reg, since, SECOND_US);
-	cr_assert_eq(reg_merge(peer, text, strlen(text), 0, merged), 0);
+	cr_assert_eq(reg_merge(peer, text, strlen(text), 0, 0, merged), 0);
 	reg_tick(peer, REMOVAL_US);
 	cr_expect_str_eq(observed_peer.server_removed, "s1");
 	free(text);
@@ -454,14 +454,14 @@
 	change(peer, ROWS_SERVERS, "s1", "64", 12, 0);
 	reg_read_end(peer, ROWS_SERVERS, 20, 0);
 	text = reg_render(peer, since, SECOND_US);
-	cr_assert_eq(reg_merge(reg, text, strlen(text), 0, merged), 0);
+	cr_assert_eq(reg_merge(reg, text, strlen(text), 0, 0, merged), 0);
 	free(text);
 	cr_expect_eq(reg_dropped_version(reg), 20);
 	/* Removals after that are shown. */
 	change(peer, ROWS_SERVERS, "s1", "32", 30, 0);
 	since[ROWS_SERVERS] = reg_version(reg, ROWS_SERVERS);
 	text = reg_render(peer, since, SECOND_US);
-	cr_assert_eq(reg_merge(reg, text, strlen(text), 0, merged), 0);
+	cr_assert_eq(reg_merge(reg, text, strlen(text), 0, 0, merged), 0);
 	free(text);
 	cr_expect_eq(reg_version(reg, ROWS_SERVERS), 30);
 	cr_expect_eq(reg_dropped_version(reg), 20);
@@ -469,7 +469,7 @@
 	reg_destroy(peer);
 }
 
-/* The age that a peer reports counts from the merge. */
+/* The age that a peer reports counts from the request. */
 Test(registry, age_of_rows_is_known)
 {
 	struct observed observed, observed_peer;
@@ -484,7 +484,8 @@
 	cr_expect_eq(reg_age_ms(reg, ROWS_HOSTS, 5 * SECOND_US), 3000);
 	reg_current(peer, ROWS_HOSTS, 1, 4 * SECOND_US);
 	text = reg_render(peer, since, 5 * SECOND_US);
-	cr_assert_eq(reg_merge(reg, text, strlen(text), 7 * SECOND_US, merged),
+	cr_assert_eq(reg_merge(reg, text, strlen(text), 7 * SECOND_US,
+			 8 * SECOND_US, merged),
 	    0);
 	free(text);
 	cr_expect_eq(reg_age_ms(reg, ROWS_HOSTS, 8 * SECOND_US), 2000);
@@ -511,7 +512,9 @@
 	change(reg, ROWS_HOSTS, "h2", "8", 9, 0);
 	reg_read_end(reg, ROWS_HOSTS, 10, 0);
 	text = reg_render(peer, since, SECOND_US);
-	cr_assert_eq(reg_merge(reg, text, strlen(text), SECOND_US, merged), 0);
+	cr_assert_eq(
+	    reg_merge(reg, text, strlen(text), SECOND_US, SECOND_US, merged),
+	    0);
 	free(text);
 	cr_expect_eq(observed.hosts, 2, "h2 of the store and h3 of the peer");
 	cr_expect_eq(reg_version(reg, ROWS_HOSTS), 11);
@@ -532,7 +535,9 @@
 	change(peer, ROWS_HOSTS, "h1", "8", 7, 0);
 	reg_read_begin(reg, ROWS_HOSTS);
 	text = reg_render(peer, since, SECOND_US);
-	cr_assert_eq(reg_merge(reg, text, strlen(text), SECOND_US, merged), 0);
+	cr_assert_eq(
+	    reg_merge(reg, text, strlen(text), SECOND_US, SECOND_US, merged),
+	    0);
 	free(text);
 	reg_read_end(reg, ROWS_HOSTS, 10, 0);
 	cr_expect_str_eq(observed.host_removed, "h1");
@@ -556,14 +561,18 @@
 	reg_read_begin(reg, ROWS_HOSTS);
 	change(reg, ROWS_HOSTS, "h9", "8", 9, 0);
 	text = reg_render(peer, since, SECOND_US);
-	cr_assert_eq(reg_merge(reg, text, strlen(text), SECOND_US, merged), 0);
+	cr_assert_eq(
+	    reg_merge(reg, text, strlen(text), SECOND_US, SECOND_US, merged),
+	    0);
 	free(text);
 	cr_expect_eq(reg_version(reg, ROWS_HOSTS), 5);
 	change(peer, ROWS_HOSTS, "h2", "8", 7, 0);
 	change(peer, ROWS_HOSTS, "h9", "8", 9, 0);
 	since[ROWS_HOSTS] = reg_version(reg, ROWS_HOSTS);
 	text = reg_render(peer, since, SECOND_US);
-	cr_assert_eq(reg_merge(reg, text, strlen(text), SECOND_US, merged), 0);
+	cr_assert_eq(
+	    reg_merge(reg, text, strlen(text), SECOND_US, SECOND_US, merged),
+	    0);
 	free(text);
 	cr_expect_eq(observed.hosts, 3);
 	cr_expect_eq(reg_version(reg, ROWS_HOSTS), 9);
--- a/tests/test_row_source.c
+++ b/tests/test_row_source.c
@@ -465,6 +465,40 @@
 	rig_destroy(rig);
 }
 
+/* A reply of the store may have waited while the process stood still. */
+Test(row_source, rows_read_after_a_pause_are_as_old_as_the_pause)
+{
+	struct rig *rig = rig_create();
+
+	rig_read_server(rig, "64", 10);
+	rig_run(rig, 3000);
+	rig->listener.current(rig->listener.arg, ROWS_SERVERS, 11);
+	rig->clock.us += 30000 * MS;
+	rig->listener.current(rig->listener.arg, ROWS_SERVERS, 12);
+	rig_read_server(rig, "64", 50);
+	cr_expect_not(rowsrc_servers_complete(rig->src, rig->clock.us));
+	rig_destroy(rig);
+}
+
+/* Likewise the reply of a peer. */
+Test(row_source, rows_of_a_peer_are_as_old_as_their_request)
+{
+	struct rig *rig = rig_create();
+
+	rig_read_server(rig, "64", 10);
+	rig_run(rig, 2600);
+	rig->is_candidate = true;
+	rig->holder = "h2";
+	rig_run(rig, 1000);
+	cr_assert_eq(rig->nrequests, 1);
+	rig->clock.us += 30000 * MS;
+	rig_reply(rig,
+	    "[{\"table\":1,\"since\":10,\"version\":12,\"age_ms\":0}]");
+	rig_read_server(rig, "64", 50);
+	cr_expect_not(rowsrc_servers_complete(rig->src, rig->clock.us));
+	rig_destroy(rig);
+}
+
 /* The store no longer answers this host, which has not noticed. */
 Test(row_source, newer_configuration_is_requested_from_the_peer_that_has_it)
 {
