A list that has waited while its host stood still is not new

What callers would see: a stored job that another holder has passed on has two runs (TWICE). The successor starts it as all servers have listed their runs at most 50 ms ago, but has stood still for longer between the reply of one and its processing; that server has restarted in between, and runs the job on an order of the former holder.

Cause: a list counted as of the time at which it was processed. After a pause a reply in the socket's buffer is read before anything shows that the server is gone.

Evidence, before the change: test_scheduler_stored list_that_waited_while_the_host_stood_still_is_not_new, "started by an old list".

Change: if the tick before the last one was over 50 ms ago, lists count as of that tick, so that the servers are asked again. The hold that is sent after such a list does not show either that the process is still there.

Cost: none but a subtraction a list. A host whose ticks of 20 ms are late by over 10 ms waits for newer lists, at most until the former leases have ended.

--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -336,6 +336,20 @@
 	}
 }
 
+/* The time as of which lists count that are processed now. They may have waited
+ * while this process stood still, and one tick may have run since. */
+static uint64_t
+sched_listed_us(const struct scheduler *sched, uint64_t now_us)
+{
+	uint64_t tick_us = sched->previous_tick_us != 0
+	    ? sched->previous_tick_us
+	    : sched->activated_us;
+
+	return now_us - tick_us > SCHED_RESTART_MIN_MS * SCHED_US_PER_MS
+	    ? tick_us
+	    : now_us;
+}
+
 static void
 sched_process_lists(struct sched_server *server,
     const struct worker_reply *reply, uint64_t now_us)
@@ -343,7 +357,7 @@
 	struct sched_orphan *orphan;
 	size_t i;
 
-	server->listed_us = now_us;
+	server->listed_us = sched_listed_us(server->sched, now_us);
 	server->list_sent_us = server->hold_sent_us;
 	TAILQ_FOREACH (orphan, &server->orphans, entry)
 		orphan->listed = false;
--- a/tests/test_scheduler_stored.c
+++ b/tests/test_scheduler_stored.c
@@ -8,6 +8,7 @@
 #include <event2/event.h>
 #include <inttypes.h>
 #include <stdio.h>
+#include <unistd.h>
 
 #include "adapters/clock_real.h"
 #include "core/mem.h"
@@ -19,6 +20,7 @@
 #define RIG_INCARNATION_START_MS 1000
 #define RIG_CONNECTION_ID 3
 #define RIG_RUN_MS 120 /* longer than any interval between two holds */
+#define RIG_PAUSE_MS 300
 
 /* The link to the only server; its last hold is completed by rig_reply(). */
 struct worker_link {
@@ -583,6 +585,26 @@
 	rig_destroy(rig);
 }
 
+/* The server may have restarted meanwhile, and have accepted a former holder's
+ * order. */
+Test(scheduler_stored, list_that_waited_while_the_host_stood_still_is_not_new)
+{
+	struct rig *rig = rig_create();
+
+	sched_set_servers_complete(rig->sched, true);
+	rig_submit(rig, ID_A);
+	sched_set_jobs_loaded(rig->sched);
+	rig_run(rig);
+	(void)usleep(RIG_PAUSE_MS * 1000);
+	rig_reply_at_once(rig, NULL, 0, NULL, 0);
+	(void)event_base_loop(rig->base, EVLOOP_NONBLOCK);
+	cr_expect_eq(rig->starts, 0, "started by an old list");
+	rig_run(rig);
+	rig_reply(rig, NULL, 0, NULL, 0);
+	cr_expect_eq(rig->starts, 1, "not started by a new list");
+	rig_destroy(rig);
+}
+
 /*
  * Soak seed 10: during an outage of the store, the server became unreachable
  * after the scheduler had ended its job, and later reported the end again.
