A pending hold does not show that the server's process is still there

What callers would see: a stored job that another holder has passed on has two runs (TWICE). A server is busy, so that the successor has asked it for its next list; then it is out of the successor's reach, restarts under its id, has forgotten the fencing token, and runs the job on an order of the former holder, which had nothing there and so does not notice the restart. The successor starts the job elsewhere.

Cause: the lists of a server counted as new for as long as the hold that was sent at once after them was pending on their connection ("it can't have restarted").

Change: lists of busy servers count for 50 ms, too. So that these come, their holds wait for 25 ms only while a job needs new lists, and for 100 ms instead of 300 ms while the former holder's leases may last. What remains is in "Not covered" of docs/design/holder-lease.md: the former holder's lease there may end after the time for which the successor waits; the test ends before.

Ruled out: a second hold beside the pending one; one is pending per server at most, and their replies could overtake each other.

Cost: holds, for 1.5 s after a take-over: 10 instead of 3 a second and busy server, 40 while a job needs new lists.

--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -195,26 +195,17 @@
 	    !job->spec.long_running;
 }
 
-/* Whether the hold that was sent at once after the last lists is pending, on
- * their connection: the process that has sent them is still there. */
-static bool
-sched_server_lists_on(const struct sched_server *server)
-{
-	return server->hold_pending && server->lists_connection_id != 0 &&
-	    server->hold_sent_us == server->listed_us;
-}
-
 /* Whether the server's process has listed its runs just now, and was asked to
- * at @since_us or later. */
+ * at @since_us or later. That its connection is open does not show that the
+ * process is still there: no packets may arrive from it. */
 static bool
 sched_server_listed(const struct sched_server *server, uint64_t since_us,
     uint64_t now_us)
 {
 	uint64_t restart_us = SCHED_RESTART_MIN_MS * SCHED_US_PER_MS;
 
-	return sched_server_lists_on(server) ||
-	    (server->list_sent_us + restart_us >= since_us &&
-		server->listed_us + restart_us >= now_us);
+	return server->list_sent_us + restart_us >= since_us &&
+	    server->listed_us + restart_us >= now_us;
 }
 
 static bool
@@ -240,13 +231,15 @@
 }
 
 /* Requests the lists of servers that have not listed their runs since. They
- * are all asked together, once those that do not reply have done so. */
+ * are all asked together, once those that do not reply have done so. Holds of
+ * busy servers wait for a short time only then. */
 static void
 sched_request_newer_lists(struct scheduler *sched, uint64_t since_us,
     uint64_t now_us)
 {
 	struct sched_server *server;
 
+	sched->lists_wanted_us = now_us;
 	TAILQ_FOREACH (server, &sched->servers, entry) {
 		if (!server->removed &&
 		    !sched_server_listed(server, since_us, now_us) &&
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -48,6 +48,11 @@
 /* Interval of holds while a stopped run has not ended, ends are not
  * acknowledged or stored jobs are not loaded. */
 #define SCHED_SHORT_POLL_MS 25
+/* The same while a former holder's leases may last, as a job that it has passed
+ * on needs new lists of all servers. */
+#define SCHED_HOLD_WAIT_FORMER_MS 100
+/* Holds are short for this time after a job has needed new lists. */
+#define SCHED_LISTS_WANTED_MS 100
 /* Delay before the ends of an idle server are acknowledged. */
 #define SCHED_ACK_DELAY_MS 60
 /* Delay before an unanswered hold or stop is retried. */
@@ -346,6 +351,7 @@
 	uint64_t previous_tick_us;    /* the one before the last; 0: none */
 	uint64_t submitters_check_us; /* next check */
 	uint64_t tick_delay_us;	      /* smoothed; by which ticks run late */
+	uint64_t lists_wanted_us;     /* a job needed new lists; 0: never */
 	struct rtt order_time;	      /* of orders to all servers */
 	uint64_t order_answered_us;   /* the last one; 0: none */
 	struct sched_load load;	      /* as of load_updated_us */
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -529,10 +529,18 @@
 {
 	uint64_t due_us,
 	    first_us = now_us + SCHED_HOLD_WAIT_MAX_MS * SCHED_US_PER_MS;
+	const struct scheduler *sched = server->sched;
 	const struct sched_task *task;
 
-	if (sched_stop_in_progress(server))
+	if (sched_stop_in_progress(server) ||
+	    (sched->lists_wanted_us != 0 &&
+		now_us - sched->lists_wanted_us <=
+		    SCHED_LISTS_WANTED_MS * SCHED_US_PER_MS))
 		return SCHED_SHORT_POLL_MS;
+	if (sched_confirmed_us(sched) < sched_former_leases_end_us(sched))
+		first_us = now_us +
+		    (SCHED_HOLD_WAIT_FORMER_MS - SCHED_HOLD_MARGIN_MS) *
+			SCHED_US_PER_MS;
 	TAILQ_FOREACH (task, &server->tasks, on_server) {
 		if (task->job->spec.long_running)
 			continue;
--- a/tests/test_scheduler_holder.c
+++ b/tests/test_scheduler_holder.c
@@ -809,3 +809,81 @@
 {
 	rig_expect_one_run_beside_restarted_server(true);
 }
+
+static bool
+rig_runs_on(const struct wm_server *server, const struct rig_job *job)
+{
+	const struct wm_run *run;
+
+	TAILQ_FOREACH (run, &server->running, entry) {
+		if (strncmp(run->task, job->id, JOB_ID_LEN) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * A busy server, which has been asked for its next list, restarts under its id
+ * where only the former holder reaches it. The lease that this one grants is
+ * longer than it knows (docs/design/holder-lease.md, "Not covered").
+ */
+Test(scheduler_holder, list_is_not_new_while_the_next_one_does_not_arrive)
+{
+	struct rig *rig = rig_create();
+	struct worker *former_worker = rig->srig.worker;
+	struct scheduler *former = rig->sched, *successor;
+	struct wm_server *server = &rig->srig.cluster.servers[3];
+	struct rig_spec spec = { .ms = LONG_MS, .stored = true };
+	struct rig_job *job, *last = NULL;
+	size_t i;
+
+	rig_run_confirmed(rig, 100);
+	for (i = 0; i < 2 * SRIG_SERVERS; i++)
+		rig_submit(rig, LONG_MS, false);
+	rig_run_confirmed(rig, 100);
+	for (i = 0; i < rig->njobs; i++) {
+		if (rig_runs_on(server, &rig->jobs[i]))
+			sched_cancel(former, rig->jobs[i].id, &rig->jobs[i]);
+	}
+	rig_run_confirmed(rig, 300);
+	cr_assert_eq(server->used_cpu, 0);
+	fake_worker_faults(former_worker)->unreachable_mask = 15;
+	rig->srig.worker = fake_worker_create(rig->srig.base, clock_real(),
+	    &rig->srig.cluster, 2);
+	fake_worker_faults(rig->srig.worker)->crashed_are_silent = true;
+	successor = srig_scheduler_inactive(&rig->srig);
+	srig_run(&rig->srig, STEP_MS);
+	srig_activate(successor, TOKEN + 1);
+	sched_set_jobs_loaded(successor);
+	rig->sched = successor;
+	rig_run_confirmed(rig, 300);
+	for (i = 0; i < 2 * SRIG_SERVERS; i++)
+		last = rig_submit(rig, LONG_MS, false);
+	rig_run_confirmed(rig, 100);
+	cr_assert_gt(server->used_cpu, 0);
+	for (last -= 7; rig_runs_on(server, last); last++)
+		continue;
+	sched_cancel(successor, last->id, last);
+	rig_run_confirmed(rig, 400);
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = 8;
+	wm_restart(server, rig_now_ms(), 0, WM_RESTART_SAME_ID);
+	fake_worker_faults(former_worker)->unreachable_mask = 7;
+	rig->sched = former;
+	job = rig_submit_spec(rig, &spec);
+	srig_run(&rig->srig, 20);
+	cr_assert_not_null(rig_task(rig, job));
+	cr_assert_eq(sched_token(former), TOKEN);
+	rig->sched = successor;
+	spec.again = job;
+	spec.resubmitted = true;
+	(void)rig_submit_spec(rig, &spec);
+	rig_run_confirmed(rig, 400);
+	cr_expect_eq(rig->srig.cluster.violations, 0, "%s",
+	    rig->srig.cluster.first_violation);
+	rig->srig.cluster.violations = 0;
+	sched_destroy(successor);
+	fake_worker_destroy(rig->srig.worker);
+	rig->srig.worker = former_worker;
+	rig->sched = former;
+	rig_destroy(rig);
+}
