--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -188,6 +188,7 @@
 	sched->holder_confirmed = false;
 	sched->awaits_owner_us = 0;
 	sched->server_unknown = false;
+	sched->load_updated_us = 0; /* as of a former term: see runs_unknown */
 	log_event(LOG_LEVEL_WARN, "cell-acquired",
 	    "token=%" PRIu64 " former_runs=%s", token,
 	    sched->former_runs_known ? "known" : "unknown");
@@ -251,6 +252,7 @@
 
 	TAILQ_FOREACH (server, &sched->servers, entry) {
 		server->held = false;
+		server->ends_listed = false;
 		if (!server->hold_pending)
 			server->hold_due_us = now_us;
 	}
@@ -438,6 +440,7 @@
 
 	sched->awaits_owner_us = clock_now_us(sched->params.clock);
 	sched->former_runs_known = false;
+	sched->load_updated_us = 0;
 	TAILQ_FOREACH (job, &sched->jobs, entry) {
 		if (job->stored || job->may_have_started)
 			job->start_after_us = now_us;
--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -133,6 +133,7 @@
 struct sched_pass {
 	uint64_t now_us;
 	bool all_held;		  /* all runs of a former holder are known */
+	bool ends_awaited;	  /* see sched_ends_awaited() */
 	uint64_t lists_wanted_us; /* a task waits for lists since then; or 0 */
 	/* The smallest demand that no server of the share could meet. */
 	uint32_t no_capacity_cpu[SCHED_SHARES];
@@ -167,26 +168,44 @@
 	    SCHED_ROWS_RESTORED_MS * SCHED_US_PER_MS;
 }
 
-/* Whether the hold that was sent at once after the last lists is pending, on
- * their connection: the process that has sent them is still there. */
+/* Whether a server has more ends than it lists at a time, and has not listed
+ * the last ones. They follow as the first ones are stored. */
 static bool
-sched_server_lists_on(const struct sched_server *server)
+sched_ends_awaited(const struct scheduler *sched)
 {
-	return server->hold_pending && server->lists_connection_id != 0 &&
-	    server->hold_sent_us == server->listed_us;
+	const struct sched_server *server;
+
+	TAILQ_FOREACH (server, &sched->servers, entry) {
+		if (server->held && !server->ends_listed &&
+		    (server->unanswered_holds <= SCHED_UNANSWERED_HOLDS_MAX ||
+			!sched_lease_ended(server)))
+			return true;
+	}
+	return false;
+}
+
+/* Whether the end of a former holder's run of the task may yet be listed. */
+static bool
+sched_waits_for_ends(const struct sched_task *task,
+    const struct sched_pass *pass)
+{
+	const struct sched_job *job = task->job;
+
+	return pass->ends_awaited && job->stored && job->start_after_us != 0 &&
+	    !job->spec.long_running;
 }
 
 /* Whether the server's process has listed its runs just now, and was asked to
- * at @since_us or later. */
+ * at @since_us or later. That its connection is open does not show that the
+ * process is still there: no packets may arrive from it. */
 static bool
 sched_server_listed(const struct sched_server *server, uint64_t since_us,
     uint64_t now_us)
 {
 	uint64_t restart_us = SCHED_RESTART_MIN_MS * SCHED_US_PER_MS;
 
-	return sched_server_lists_on(server) ||
-	    (server->list_sent_us + restart_us >= since_us &&
-		server->listed_us + restart_us >= now_us);
+	return server->list_sent_us + restart_us >= since_us &&
+	    server->listed_us + restart_us >= now_us;
 }
 
 static bool
@@ -212,13 +231,15 @@
 }
 
 /* Requests the lists of servers that have not listed their runs since. They
- * are all asked together, once those that do not reply have done so. */
+ * are all asked together, once those that do not reply have done so. Holds of
+ * busy servers wait for a short time only then. */
 static void
 sched_request_newer_lists(struct scheduler *sched, uint64_t since_us,
     uint64_t now_us)
 {
 	struct sched_server *server;
 
+	sched->lists_wanted_us = now_us;
 	TAILQ_FOREACH (server, &sched->servers, entry) {
 		if (!server->removed &&
 		    !sched_server_listed(server, since_us, now_us) &&
@@ -271,7 +292,8 @@
 	if ((task->job->stored &&
 		(!task->job->sched->jobs_loaded ||
 		    sched_awaits_owner(task->job->sched))) ||
-	    sched_waits_for_rows(task->job, pass->now_us))
+	    sched_waits_for_rows(task->job, pass->now_us) ||
+	    sched_waits_for_ends(task, pass))
 		return;
 	if (!task->job->sched->holder_confirmed &&
 	    !sched_job_may_start_unconfirmed(task->job))
@@ -316,7 +338,7 @@
 	const struct sched_server *server;
 
 	TAILQ_FOREACH (server, &sched->servers, entry) {
-		if (!server->held && !server->removed)
+		if (!(server->held && server->ends_listed) && !server->removed)
 			return false;
 	}
 	return true;
@@ -365,6 +387,7 @@
 	    sched_recovery_pending(sched, pass.now_us))
 		return;
 	pass.all_held = sched_all_runs_known(sched);
+	pass.ends_awaited = sched_ends_awaited(sched);
 	sched_check_holder_lease(sched);
 	for (rank = 0; rank < SCHED_RANKS; rank++) {
 		TAILQ_FOREACH_SAFE (task, &sched->waiting, waiting, next) {
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -48,6 +48,11 @@
 /* Interval of holds while a stopped run has not ended, ends are not
  * acknowledged or stored jobs are not loaded. */
 #define SCHED_SHORT_POLL_MS 25
+/* The same while a former holder's leases may last, as a job that it has passed
+ * on needs new lists of all servers. */
+#define SCHED_HOLD_WAIT_FORMER_MS 100
+/* Holds are short for this time after a job has needed new lists. */
+#define SCHED_LISTS_WANTED_MS 100
 /* Delay before the ends of an idle server are acknowledged. */
 #define SCHED_ACK_DELAY_MS 60
 /* Delay before an unanswered hold or stop is retried. */
@@ -274,6 +279,7 @@
 	uint64_t list_sent_us; /* the hold that returned them */
 	bool held;	       /* its lists were processed under this token */
 	bool was_held;	       /* under this token, perhaps not now */
+	bool ends_listed;      /* all ends, by the lists since it was held */
 	bool removed;	       /* from the registry; freed when unused */
 	/* Its row was read, or it was found to have restarted, under this
 	 * token; 0: neither. */
@@ -345,6 +351,7 @@
 	uint64_t previous_tick_us;    /* the one before the last; 0: none */
 	uint64_t submitters_check_us; /* next check */
 	uint64_t tick_delay_us;	      /* smoothed; by which ticks run late */
+	uint64_t lists_wanted_us;     /* a job needed new lists; 0: never */
 	struct rtt order_time;	      /* of orders to all servers */
 	uint64_t order_answered_us;   /* the last one; 0: none */
 	struct sched_load load;	      /* as of load_updated_us */
@@ -632,6 +639,7 @@
  * saturated. */
 uint64_t sched_processing_delay_us(const struct scheduler *sched,
     uint64_t now_us);
+/* Whether all servers have listed their runs, and all ends. */
 bool sched_all_servers_held(const struct scheduler *sched);
 /* Whether all servers that may run tasks of a former holder are known and have
  * listed their runs. */
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -56,6 +56,7 @@
 		server->sched->params.worker->ops->close(server->link);
 	server->link = NULL;
 	server->held = false;
+	server->ends_listed = false;
 	server->hold_pending = false;
 	sched_orders_discard(server);
 	sched_unstored_clear(server);
@@ -118,6 +119,7 @@
 		abort();
 	memset(&server->lease, 0, sizeof(server->lease));
 	server->held = false;
+	server->ends_listed = false;
 	server->refusing = false;
 	server->acknowledged = 0;
 	server->processed_end = 0;
@@ -334,6 +336,20 @@
 	}
 }
 
+/* The time as of which lists count that are processed now. They may have waited
+ * while this process stood still, and one tick may have run since. */
+static uint64_t
+sched_listed_us(const struct scheduler *sched, uint64_t now_us)
+{
+	uint64_t tick_us = sched->previous_tick_us != 0
+	    ? sched->previous_tick_us
+	    : sched->activated_us;
+
+	return now_us - tick_us > SCHED_RESTART_MIN_MS * SCHED_US_PER_MS
+	    ? tick_us
+	    : now_us;
+}
+
 static void
 sched_process_lists(struct sched_server *server,
     const struct worker_reply *reply, uint64_t now_us)
@@ -341,7 +357,7 @@
 	struct sched_orphan *orphan;
 	size_t i;
 
-	server->listed_us = now_us;
+	server->listed_us = sched_listed_us(server->sched, now_us);
 	server->list_sent_us = server->hold_sent_us;
 	TAILQ_FOREACH (orphan, &server->orphans, entry)
 		orphan->listed = false;
@@ -352,6 +368,8 @@
 	sched_update_acknowledged(server);
 	sched_late_stop_all(server, reply);
 	sched_reconcile(server, server->hold_sent_us, now_us, reply->ended_cut);
+	if (!reply->ended_cut)
+		server->ends_listed = true;
 	if (!server->held) {
 		server->held = true;
 		server->was_held = true;
@@ -511,10 +529,18 @@
 {
 	uint64_t due_us,
 	    first_us = now_us + SCHED_HOLD_WAIT_MAX_MS * SCHED_US_PER_MS;
+	const struct scheduler *sched = server->sched;
 	const struct sched_task *task;
 
-	if (sched_stop_in_progress(server))
+	if (sched_stop_in_progress(server) ||
+	    (sched->lists_wanted_us != 0 &&
+		now_us - sched->lists_wanted_us <=
+		    SCHED_LISTS_WANTED_MS * SCHED_US_PER_MS))
 		return SCHED_SHORT_POLL_MS;
+	if (sched_confirmed_us(sched) < sched_former_leases_end_us(sched))
+		first_us = now_us +
+		    (SCHED_HOLD_WAIT_FORMER_MS - SCHED_HOLD_MARGIN_MS) *
+			SCHED_US_PER_MS;
 	TAILQ_FOREACH (task, &server->tasks, on_server) {
 		if (task->job->spec.long_running)
 			continue;
--- a/tests/test_scheduler_stored.c
+++ b/tests/test_scheduler_stored.c
@@ -6,7 +6,9 @@
 
 #include <criterion/criterion.h>
 #include <event2/event.h>
+#include <inttypes.h>
 #include <stdio.h>
+#include <unistd.h>
 
 #include "adapters/clock_real.h"
 #include "core/mem.h"
@@ -18,6 +20,7 @@
 #define RIG_INCARNATION_START_MS 1000
 #define RIG_CONNECTION_ID 3
 #define RIG_RUN_MS 120 /* longer than any interval between two holds */
+#define RIG_PAUSE_MS 300
 
 /* The link to the only server; its last hold is completed by rig_reply(). */
 struct worker_link {
@@ -544,6 +547,64 @@
 	rig_destroy(rig);
 }
 
+/* The successor of a holder that the store did not answer is listed the first
+ * 500 ends, then the others. */
+Test(scheduler_stored, task_whose_end_may_be_beyond_a_cut_list_is_not_started)
+{
+	const struct worker_ended ends[] = {
+		{ 1, ID_B ".0.0.0", 64, WORKER_END_DONE, "" },
+		{ 2, ID_A ".0.0.0", 64, WORKER_END_DONE, "" },
+	};
+	const struct worker_reply cut = { .verdict = WORKER_OK,
+		.incarnation_start_ms = RIG_INCARNATION_START_MS,
+		.connection_id = RIG_CONNECTION_ID,
+		.has_lists = true,
+		.ended = ends,
+		.nended = 1,
+		.ended_cut = true };
+	struct rig *rig = rig_create();
+	worker_done_fn done;
+	uint32_t i;
+
+	sched_set_servers_complete(rig->sched, true);
+	rig_submit(rig, ID_A);
+	sched_set_jobs_loaded(rig->sched);
+	/* Longer than a former holder's leases last. */
+	for (i = 0; i < 12; i++) {
+		done = rig->hold_done;
+		cr_assert_not_null(done, "no hold is in flight");
+		rig->hold_done = NULL;
+		done(rig->hold_arg, &cut);
+		rig_run(rig);
+		cr_expect_eq(rig->starts, 0, "started after %" PRIu32 " lists",
+		    i + 1);
+	}
+	rig_reply(rig, NULL, 0, ends, 2);
+	cr_expect_eq(rig->starts, 0);
+	cr_expect_eq(rig->progress_seq, 1, "the end was not recorded");
+	rig_destroy(rig);
+}
+
+/* The server may have restarted meanwhile, and have accepted a former holder's
+ * order. */
+Test(scheduler_stored, list_that_waited_while_the_host_stood_still_is_not_new)
+{
+	struct rig *rig = rig_create();
+
+	sched_set_servers_complete(rig->sched, true);
+	rig_submit(rig, ID_A);
+	sched_set_jobs_loaded(rig->sched);
+	rig_run(rig);
+	(void)usleep(RIG_PAUSE_MS * 1000);
+	rig_reply_at_once(rig, NULL, 0, NULL, 0);
+	(void)event_base_loop(rig->base, EVLOOP_NONBLOCK);
+	cr_expect_eq(rig->starts, 0, "started by an old list");
+	rig_run(rig);
+	rig_reply(rig, NULL, 0, NULL, 0);
+	cr_expect_eq(rig->starts, 1, "not started by a new list");
+	rig_destroy(rig);
+}
+
 /*
  * Soak seed 10: during an outage of the store, the server became unreachable
  * after the scheduler had ended its job, and later reported the end again.
