test_scheduler_stored runs in simulated time

As the tests of the API: the tests wait for 120 ms of real time, and lists count as old after 50 ms without a tick, so that a process that is not scheduled for so long would fail them. Checks and bounds are the same; list_that_waited_while_the_host_stood_still_is_not_new still fails when lists count as of their processing.

--- a/tests/test_scheduler_stored.c
+++ b/tests/test_scheduler_stored.c
@@ -8,12 +8,12 @@
 #include <event2/event.h>
 #include <inttypes.h>
 #include <stdio.h>
-#include <unistd.h>
 
 #include "adapters/clock_real.h"
 #include "core/mem.h"
 #include "entry/jobs/job_json.h"
 #include "entry/jobs/scheduler.h"
+#include "tests/support/sim_time.h"
 
 #define ID_A "00000000000000aa"
 #define ID_B "00000000000000bb"
@@ -143,8 +143,7 @@
 		.cpu = 64000,
 		.mem_mb = 1024 };
 	struct rig *rig = mem_zalloc(1, sizeof(*rig));
-	const struct sched_params params = {
-		.base = event_base_new(),
+	struct sched_params params = {
 		.clock = clock_real(),
 		.worker = &rig->worker,
 		.lease_ms = 1000,
@@ -155,6 +154,8 @@
 		.arg = rig,
 	};
 
+	sim_time_start();
+	params.base = event_base_new();
 	rig->worker.ops = &rig_ops;
 	rig->base = params.base;
 	rig->sched = sched_create(&params);
@@ -595,7 +596,7 @@
 	rig_submit(rig, ID_A);
 	sched_set_jobs_loaded(rig->sched);
 	rig_run(rig);
-	(void)usleep(RIG_PAUSE_MS * 1000);
+	sim_time_advance(RIG_PAUSE_MS);
 	rig_reply_at_once(rig, NULL, 0, NULL, 0);
 	(void)event_base_loop(rig->base, EVLOOP_NONBLOCK);
 	cr_expect_eq(rig->starts, 0, "started by an old list");
