Job gateway: a job that waited in a paused host is no new one

A host that stands still (SIGSTOP, freeze, suspension) and resumes accepted the submissions that had waited in its sockets with an age of 0, though their callers may have left and sent them again.

Cause: the time of reading was taken for that of sending. The holders of other zones are told of a job that goes on from an age of 0.7 s on, 1.3 s before it can come again; that age, and the caller's deadline, counted from the resume.

Change: what is read after a pause, until the second tick, may have arrived at any time since the tick before the pause (cells_unread_since_us(), also used for the age of cancellations). A best-effort job counts from then if that is over 300 ms ago, and is refused as not run if it is over 0.5 s ago. What its caller hears is true, as nothing of this submission was started, and comes at once. Stored jobs are accepted as before: another submission joins the first.

Why it works: a job that is accepted 0.5 s after it was sent can't come again within 0.8 s; by then its holder has noted it (0.1 s, or 0.3 s if it was paused itself) and other zones have asked (0.3 s).

Ruled out: the limit of leases alone (it counts from before the pause, but only until the second tick; a connection broken for the caller alone is not found closed). Not tried: TCP_INFO.

No new periodic cost: a second parse of a job read after a pause.

--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -533,6 +533,12 @@
 	cells->last_tick_us = now_us;
 }
 
+uint64_t
+cells_unread_since_us(const struct cells *cells)
+{
+	return cells->previous_tick_us;
+}
+
 static void
 cells_tick(evutil_socket_t fd, short what, void *arg)
 {
--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -202,6 +202,14 @@
 void cells_cancel(struct cells *cells, const char *holder, const char *id,
     uint64_t nonce);
 
+/**
+ * cells_unread_since_us() - since when a message that is read now may have
+ * waited in this process's sockets: after a pause a time before it, until the
+ * second tick, as the event loop may run the first one before it has read all.
+ * Return: time of the monotonic clock (us); 0: the process has just started.
+ */
+uint64_t cells_unread_since_us(const struct cells *cells);
+
 /**
  * cells_reachable_peer() - Return: a reachable host that has all rows, or NULL;
  * each call returns the next one. It may be of another zone: the store may
--- a/entry/jobs/cells_job.c
+++ b/entry/jobs/cells_job.c
@@ -369,10 +369,10 @@
 	bool local = strcmp(holder, cells->params.self.name) == 0;
 	struct cells_submission *sub =
 	    local ? cells_submission_find(cells, id, nonce) : NULL;
-	/* A connection that was closed while this process was paused is found
-	 * closed afterwards, perhaps after a tick. */
+	/* A closed connection is found closed when it is read. */
 	uint64_t lost_ms =
-	    (cells_now_us(cells) - cells->previous_tick_us) / CELLS_US_PER_MS;
+	    (cells_now_us(cells) - cells_unread_since_us(cells)) /
+	    CELLS_US_PER_MS;
 	char path[sizeof(CELLS_JOBS_PATH) + JOB_ID_LEN + 1], query[64];
 	struct api_request request = { .method = API_DELETE,
 		.path = path,
--- a/entry/jobs/job_gateway.c
+++ b/entry/jobs/job_gateway.c
@@ -23,6 +23,13 @@
 #define GW_HOLDER_WAIT_MS 600
 #define GW_DEFAULT_TIMEOUT_MS 30000 /* of callers that set no deadline */
 #define GW_RETRY_AFTER_MS 1000	    /* while there is no holder */
+/* No iteration of the event loop takes this long: what is read after it waited
+ * while the process was paused. */
+#define GW_PAUSE_MIN_MS 300
+/* Its caller sends a best-effort job again 1.3 s after it has lost the
+ * connection. By then the holders of other zones know of a job that is not
+ * older when it is accepted. */
+#define GW_UNREAD_MAX_MS 500
 
 static const uint64_t gw_latency_bounds_ms[] = { 50, 100, 150, 200, 300, 400,
 	600, 800, 1000, 1500, 2000, 4000 };
@@ -68,7 +75,7 @@
 	struct job_queue queue;
 	char *body;
 	size_t body_len;
-	uint64_t arrived_us;
+	uint64_t arrived_us; /* it may have waited unread since then */
 	uint64_t deadline_us;
 	uint64_t unassigned_us; /* start of the wait for a holder; 0: none */
 	uint64_t nonce;
@@ -400,6 +407,31 @@
 	gw_job_end(job);
 }
 
+/* The earliest time at which a job that is read now may have arrived. A stored
+ * job counts from now: the store knows its id. */
+static uint64_t
+gw_arrived_us(const struct gw_job *job, uint64_t now_us)
+{
+	uint64_t since_us = cells_unread_since_us(job->gateway->cells);
+
+	if (since_us == 0 ||
+	    now_us - since_us <= GW_PAUSE_MIN_MS * GW_US_PER_MS ||
+	    !gw_job_is_best_effort(job))
+		return now_us;
+	return since_us;
+}
+
+/* The reason why a new job is not accepted, or NULL. */
+static const char *
+gw_refusal(const struct gw_job *job, uint64_t now_us)
+{
+	if (job->gateway->refuse_new)
+		return "this entry host is shutting down";
+	if (now_us - job->arrived_us > GW_UNREAD_MAX_MS * GW_US_PER_MS)
+		return "it may have waited while this entry host was paused";
+	return NULL;
+}
+
 void
 gw_submit(struct job_gateway *gateway, const struct gw_request *request,
     gw_done_fn done, void *arg)
@@ -407,13 +439,15 @@
 	uint32_t timeout_ms = request->timeout_ms == 0 ? GW_DEFAULT_TIMEOUT_MS
 						       : request->timeout_ms;
 	struct gw_job *job = mem_zalloc(1, sizeof(*job));
+	uint64_t now_us = clock_now_us(gateway->clock);
+	const char *refusal;
 
 	job->gateway = gateway;
 	strlcpy(job->id, request->id, sizeof(job->id));
 	job->queue = *request->queue;
 	job->body = mem_strndup(request->body, request->body_len);
 	job->body_len = request->body_len;
-	job->arrived_us = clock_now_us(gateway->clock);
+	job->arrived_us = gw_arrived_us(job, now_us);
 	job->deadline_us = job->arrived_us + timeout_ms * GW_US_PER_MS;
 	job->nonce = gateway->next_nonce++;
 	job->done = done;
@@ -426,12 +460,13 @@
 	gateway->npending++;
 	log_event(LOG_LEVEL_INFO, "accept",
 	    "id=%s queue=%s priority=%" PRIu32 " bytes=%zu patience_ms=%" PRIu32
-	    " config=%" PRIu64 " config_age_ms=%" PRIu64,
+	    " config=%" PRIu64 " config_age_ms=%" PRIu64 " unread_ms=%" PRIu64,
 	    job->id, job->queue.name, job->queue.priority, job->body_len,
-	    timeout_ms, job->queue.config_version, request->config_age_ms);
-	if (gateway->refuse_new) {
-		gw_answer(job, GW_NOT_RUN, GW_RETRY_AFTER_MS,
-		    "this entry host is shutting down");
+	    timeout_ms, job->queue.config_version, request->config_age_ms,
+	    (now_us - job->arrived_us) / GW_US_PER_MS);
+	refusal = gw_refusal(job, now_us);
+	if (refusal != NULL) {
+		gw_answer(job, GW_NOT_RUN, GW_RETRY_AFTER_MS, refusal);
 		gw_job_end(job);
 		return;
 	}
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -2816,6 +2816,25 @@
 	resubmission_release(&test);
 }
 
+/* The event loop runs the first tick before it has read all messages. */
+Test(cells, message_read_after_a_pause_may_have_waited_since_before_it)
+{
+	struct net *net = net_create();
+	const struct cells *cells = net->hosts[0].cells;
+	uint64_t paused_us, resumed_us;
+
+	net_run(net, 1000);
+	paused_us = clock_now_us(clock_real());
+	sim_time_advance(PAUSE_MS);
+	cr_expect_leq(cells_unread_since_us(cells), paused_us);
+	resumed_us = clock_now_us(clock_real());
+	(void)event_base_loop(net->base, EVLOOP_NONBLOCK);
+	cr_expect_leq(cells_unread_since_us(cells), paused_us);
+	net_run(net, 2 * TICK_MS);
+	cr_expect_geq(cells_unread_since_us(cells), resumed_us);
+	net_destroy(net);
+}
+
 /* The silent host's job is excluded from the only server, which has room. */
 Test(cells, waiting_job_of_a_silent_host_does_not_hold_up_others)
 {
--- a/tests/test_job_gateway.c
+++ b/tests/test_job_gateway.c
@@ -21,13 +21,14 @@
 	struct {
 		char holder[NAME_SIZE];
 		uint64_t nonce;
-		uint32_t timeout_ms;
+		uint32_t age_ms, timeout_ms;
 		bool resubmitted;
 		cells_done_fn done;
 		void *arg;
 	} submissions[SUBMISSIONS_MAX];
 	size_t nsubmissions;
 	const char *holder;	  /* of the local cell; NULL: none */
+	uint32_t unread_ms;	  /* a message that is read may have waited */
 	uint64_t cancelled_nonce; /* of the last cancellation */
 	char cancelled[64];	  /* the holders of all, in their order */
 };
@@ -38,6 +39,14 @@
 	return cells->holder;
 }
 
+uint64_t
+cells_unread_since_us(const struct cells *cells)
+{
+	return cells->unread_ms == 0
+	    ? 0
+	    : clock_now_us(clock_real()) - cells->unread_ms * UINT64_C(1000);
+}
+
 void
 cells_submit(struct cells *cells, const char *holder,
     const struct cells_job *job, cells_done_fn done, void *arg)
@@ -47,6 +56,7 @@
 	cr_assert_lt(i, (size_t)SUBMISSIONS_MAX);
 	strlcpy(cells->submissions[i].holder, holder, NAME_SIZE);
 	cells->submissions[i].nonce = job->nonce;
+	cells->submissions[i].age_ms = job->age_ms;
 	cells->submissions[i].timeout_ms = job->timeout_ms;
 	cells->submissions[i].resubmitted = job->resubmitted;
 	cells->submissions[i].done = done;
@@ -441,3 +451,84 @@
 	gw_destroy(gateway);
 	event_base_free(base);
 }
+
+#define BEST_EFFORT_BODY                                                \
+	"{\"spec\":\"s\",\"best_effort\":true,\"steps\":[{\"count\":1," \
+	"\"cpu\":1000,\"mem_mb\":64,\"estimated_ms\":100}]}"
+#define STORED_BODY                                                           \
+	"{\"spec\":\"s\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":64," \
+	"\"estimated_ms\":100}]}"
+
+/* A job that is read at the start of the simulated time, and may have waited in
+ * the host for @unread_ms. */
+struct unread {
+	struct event_base *base;
+	struct job_gateway *gateway;
+	struct cells cells;
+	struct caller caller;
+};
+
+static void
+unread_start(struct unread *test, uint32_t unread_ms, const char *body)
+{
+	*test = (struct unread){ .cells = { .holder = "h0",
+				     .unread_ms = unread_ms } };
+	sim_time_start();
+	test->base = event_base_new();
+	test->gateway = gw_create(test->base, clock_real(), &test->cells);
+	submit_body(test->gateway, &test->caller, body);
+}
+
+static void
+unread_release(struct unread *test)
+{
+	gw_destroy(test->gateway);
+	event_base_free(test->base);
+}
+
+/* Its caller may have sent it again, to another zone. */
+Test(job_gateway, job_that_waited_in_a_paused_host_is_refused_as_not_run)
+{
+	struct unread test;
+
+	unread_start(&test, 1398, BEST_EFFORT_BODY);
+	cr_expect_eq(test.cells.nsubmissions, 0);
+	cr_expect_eq(test.caller.answers, 1);
+	cr_expect_eq(test.caller.result, GW_NOT_RUN);
+	unread_release(&test);
+}
+
+Test(job_gateway, job_is_as_old_as_the_pause_in_which_it_may_have_waited)
+{
+	struct unread test;
+
+	unread_start(&test, 400, BEST_EFFORT_BODY);
+	cr_assert_eq(test.cells.nsubmissions, 1);
+	cr_expect_eq(test.cells.submissions[0].age_ms, 400);
+	cr_expect_eq(test.cells.submissions[0].timeout_ms, TIMEOUT_MS - 400);
+	run_ms(test.base, TIMEOUT_MS - 400 + 10);
+	cr_expect_eq(test.caller.answers, 1);
+	unread_release(&test);
+}
+
+Test(job_gateway, time_between_ticks_is_no_age_of_a_job)
+{
+	struct unread test;
+
+	unread_start(&test, 250, BEST_EFFORT_BODY);
+	cr_assert_eq(test.cells.nsubmissions, 1);
+	cr_expect_eq(test.cells.submissions[0].age_ms, 0);
+	cr_expect_eq(test.cells.submissions[0].timeout_ms, TIMEOUT_MS);
+	unread_release(&test);
+}
+
+/* Another submission of it joins the first one. */
+Test(job_gateway, stored_job_that_waited_in_a_paused_host_is_accepted)
+{
+	struct unread test;
+
+	unread_start(&test, 1398, STORED_BODY);
+	cr_assert_eq(test.cells.nsubmissions, 1);
+	cr_expect_eq(test.cells.submissions[0].timeout_ms, TIMEOUT_MS);
+	unread_release(&test);
+}
