--- a/tests/test_scheduler_stored.c
+++ b/tests/test_scheduler_stored.c
@@ -33,6 +33,7 @@
 	struct worker_link link;
 	struct scheduler *sched;
 	uint32_t starts, stops;
+	uint32_t pause_ms; /* in the first start of another job */
 	worker_done_fn start_done; /* of the last start of the first task */
 	void *start_arg;
 	worker_done_fn stop_done; /* of the last stop of the first task */
@@ -65,8 +66,11 @@
 	struct rig *rig =
 	    (struct rig *)((char *)link - offsetof(struct rig, link));
 
-	if (strcmp(order->task, ID_A ".0.0.0") != 0)
+	if (strcmp(order->task, ID_A ".0.0.0") != 0) {
+		sim_time_advance(rig->pause_ms);
+		rig->pause_ms = 0;
 		return;
+	}
 	rig->starts++;
 	rig->start_done = done;
 	rig->start_arg = arg;
@@ -606,6 +610,24 @@
 	rig_destroy(rig);
 }
 
+/* A pass of the dispatch that takes longer than a server needs to restart. */
+Test(scheduler_stored, list_is_not_new_for_the_later_starts_of_a_long_pass)
+{
+	struct rig *rig = rig_create();
+
+	sched_set_servers_complete(rig->sched, true);
+	rig_submit(rig, ID_B);
+	rig_submit(rig, ID_A);
+	sched_set_jobs_loaded(rig->sched);
+	rig_run(rig);
+	rig->pause_ms = RIG_PAUSE_MS;
+	rig_reply_at_once(rig, NULL, 0, NULL, 0);
+	(void)event_base_loop(rig->base, EVLOOP_NONBLOCK);
+	cr_assert_eq(rig->pause_ms, 0, "no other start came first");
+	cr_expect_eq(rig->starts, 0, "started by an old list");
+	rig_destroy(rig);
+}
+
 /*
  * Soak seed 10: during an outage of the store, the server became unreachable
  * after the scheduler had ended its job, and later reported the end again.
