--- a/tests/test_scheduler_stored.c
+++ b/tests/test_scheduler_stored.c
@@ -610,6 +610,25 @@
 	rig_destroy(rig);
 }
 
+/* The event loop reads 32 sockets at first, and ticks twice before the last. */
+Test(scheduler_stored, list_that_is_read_two_ticks_after_a_pause_is_not_new)
+{
+	const struct timeval two_ticks = { .tv_usec = 30000 };
+	struct rig *rig = rig_create();
+
+	sched_set_servers_complete(rig->sched, true);
+	rig_submit(rig, ID_A);
+	sched_set_jobs_loaded(rig->sched);
+	rig_run(rig);
+	sim_time_advance(RIG_PAUSE_MS);
+	(void)event_base_loopexit(rig->base, &two_ticks);
+	(void)event_base_dispatch(rig->base);
+	rig_reply_at_once(rig, NULL, 0, NULL, 0);
+	(void)event_base_loop(rig->base, EVLOOP_NONBLOCK);
+	cr_expect_eq(rig->starts, 0, "started by an old list");
+	rig_destroy(rig);
+}
+
 /* A pass of the dispatch that takes longer than a server needs to restart. */
 Test(scheduler_stored, list_is_not_new_for_the_later_starts_of_a_long_pass)
 {
