scheduler: Lists are new as of each start, not as of the pass

What callers would see: a stored job that another holder has passed on has two runs (TWICE). All lists are at most 50 ms old as a pass of the dispatch begins; it starts a first job, the process is paused, or the pass takes long, a server restarts meanwhile and takes an order of the former holder, and a later job of the same pass is started by the list from before.

Cause: the age of the lists was compared with the time at which the pass had begun.

Not covered: an order that waits in this process's own output, and the members of a gang, whose lists are looked at once. Cost: a read of the clock for each start that waits for former leases.

--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -253,14 +253,16 @@
 	}
 }
 
-/* Whether the task, which could be started, waits for newer lists. */
+/* Whether the task, which could be started, waits for newer lists. The process
+ * may have been paused since the pass began. */
 static bool
 sched_needs_lists(const struct sched_task *task, struct sched_pass *pass)
 {
 	const struct sched_job *job = task->job;
 
 	if (!sched_job_awaits_leases(job, pass->now_us) ||
-	    sched_all_listed(job->sched, job->passed_on_us, pass->now_us))
+	    sched_all_listed(job->sched, job->passed_on_us,
+		sched_now(job->sched)))
 		return false;
 	if (job->passed_on_us > pass->lists_wanted_us)
 		pass->lists_wanted_us = job->passed_on_us;
