What is read some ticks after a pause may have waited since before it

What callers would see: a stored job that another holder has passed on has two runs (TWICE): its holder stood still, and starts it by a list that has waited in a socket, as two ticks had run before that socket was read. Likewise leases of best-effort jobs, whose caller's lost connection is found as late, are extended for too long.

Cause: after a pause, messages counted as of before it until the second tick. Class: the arrival of a message taken for its sending.

Evidence, before the change: test_scheduler_stored list_that_is_read_two_ticks_after_a_pause_is_not_new, "started by an old list".

Change: core/unread.h has the rule, for the scheduler, the cells, the rows and the connections to peers: as of the tick before the last one, and after a pause as of the tick before it for as long as it lasted, at most 100 ms. Pauses do not add up, or a host that is slow for long would take all messages for old.

Not covered: a host that takes over 0.1 s to read its sockets after a pause. No periodic cost but two comparisons a tick.

--- a/adapters/peers_conn.c
+++ b/adapters/peers_conn.c
@@ -339,9 +339,8 @@
 	if (frame == NULL)
 		return -1;
 	conn->last_received_us = peers_now_us(conn->peers);
-	/* After a pause, the event loop runs the tick before it has read all
-	 * messages that arrived meanwhile. */
-	conn->alive_us = conn->peers->previous_tick_us;
+	conn->alive_us =
+	    unread_since_us(&conn->peers->unread, conn->last_received_us);
 	ctr_add(&peers_ctr_received_bytes,
 	    FRAME_HEADER_BYTES + conn->parser.payload_len);
 	return peers_conn_process_frame(conn, frame);
--- a/adapters/peers_internal.h
+++ b/adapters/peers_internal.h
@@ -11,6 +11,7 @@
 #include "core/counters.h"
 #include "core/frame.h"
 #include "core/member.h"
+#include "core/unread.h"
 #include "ports/clock.h"
 #include "proto/peer.pb-c.h"
 
@@ -178,8 +179,7 @@
 	size_t nconns;
 	uint64_t last_conn_id;
 	uint64_t conns_version; /* incremented when a host connects or leaves */
-	uint64_t last_tick_us;
-	uint64_t previous_tick_us;	    /* the one before the last */
+	struct unread unread;	/* by the ticks */
 	struct peers_forward_list forwards; /* pending */
 	struct peers_forward_list failed;   /* callbacks have not been run */
 	size_t nforwards;		    /* in both lists */
--- a/adapters/peers_tcp.c
+++ b/adapters/peers_tcp.c
@@ -59,8 +59,7 @@
 
 	(void)fd;
 	(void)what;
-	peers->previous_tick_us = peers->last_tick_us;
-	peers->last_tick_us = now_us;
+	unread_tick(&peers->unread, now_us);
 	if (mbr_tick(&peers->members, now_us))
 		peers_sharing_update(peers);
 	peers_conn_tick(peers, now_us);
@@ -118,7 +117,8 @@
 {
 	uint32_t ms = peers->params.heartbeat_ms / PEERS_TICKS_PER_HEARTBEAT;
 
-	peers->previous_tick_us = peers->last_tick_us = peers_now_us(peers);
+	unread_tick(&peers->unread, peers_now_us(peers));
+	unread_tick(&peers->unread, peers_now_us(peers));
 	peers->timer = peers_tcp_create_timer(peers, ms, peers_tcp_tick);
 	peers->loan_timer =
 	    peers_tcp_create_timer(peers, PEERS_LOAN_TICK_MS, peers_loan_tick);
--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -513,10 +513,10 @@
 static void
 cells_check_pause(struct cells *cells, uint64_t now_us)
 {
-	uint64_t pause_us = now_us - cells->last_tick_us;
+	uint64_t pause_us = now_us - cells->unread.last_tick_us;
 	struct cells_host *host;
 
-	if (cells->last_tick_us != 0 &&
+	if (cells->unread.last_tick_us != 0 &&
 	    pause_us > CELLS_PAUSE_MIN_MS * CELLS_US_PER_MS) {
 		log_event(LOG_LEVEL_WARN, "process-resumed",
 		    "after_ms=%" PRIu64, pause_us / CELLS_US_PER_MS);
@@ -529,14 +529,13 @@
 			host->last_reply_us = 0;
 		}
 	}
-	cells->previous_tick_us = cells->last_tick_us;
-	cells->last_tick_us = now_us;
+	unread_tick(&cells->unread, now_us);
 }
 
 uint64_t
 cells_unread_since_us(const struct cells *cells)
 {
-	return cells->previous_tick_us;
+	return unread_since_us(&cells->unread, cells_now_us(cells));
 }
 
 static void
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -8,6 +8,7 @@
 
 #include "core/cell.h"
 #include "core/name_index.h"
+#include "core/unread.h"
 #include "entry/jobs/cells.h"
 
 /*
@@ -127,8 +128,7 @@
 	struct name_index withdrawn_by_id;
 	size_t nwithdrawn;
 	struct event *timer;
-	uint64_t last_tick_us;
-	uint64_t previous_tick_us; /* the one before the last; 0: none */
+	struct unread unread; /* by the ticks */
 	uint64_t nticks;
 	size_t next_source; /* of cells_reachable_peer() */
 	/* Time at which all hosts were loaded; starts discovery. 0: none. */
--- a/entry/jobs/row_source.c
+++ b/entry/jobs/row_source.c
@@ -12,6 +12,7 @@
 #include "adapters/log.h"
 #include "core/counters.h"
 #include "core/mem.h"
+#include "core/unread.h"
 #include "entry/jobs/row_source.h"
 
 /* Interval of reads from a peer while the store is unreachable. */
@@ -70,8 +71,7 @@
 	uint64_t config_requested_us;	       /* the last one */
 	uint64_t request_due_us;
 	uint64_t holder_replied_us; /* with the servers' rows; 0: not lately */
-	uint64_t last_tick_us;
-	uint64_t previous_tick_us; /* the one before the last */
+	struct unread unread;	    /* by the ticks */
 };
 
 static uint64_t
@@ -83,12 +83,11 @@
 /* Rows of the store */
 
 /* The time as of which a reply of the store counts that is processed now. It
- * may have waited while this process stood still, and one tick may have run
- * since. */
+ * may have waited while this process stood still. */
 static uint64_t
 rowsrc_known_us(const struct row_source *src)
 {
-	return src->previous_tick_us;
+	return unread_since_us(&src->unread, rowsrc_now_us(src));
 }
 
 static uint32_t
@@ -373,8 +372,7 @@
 void
 rowsrc_tick(struct row_source *src, uint64_t now_us)
 {
-	src->previous_tick_us = src->last_tick_us;
-	src->last_tick_us = now_us;
+	unread_tick(&src->unread, now_us);
 	rowsrc_set_servers_poll(src, now_us);
 	if (src->pending != NULL &&
 	    now_us - src->requested_us >
@@ -443,8 +441,8 @@
 	struct row_source *src = mem_zalloc(1, sizeof(*src));
 
 	src->params = *params;
-	src->last_tick_us = rowsrc_now_us(src);
-	src->previous_tick_us = src->last_tick_us;
+	unread_tick(&src->unread, rowsrc_now_us(src));
+	unread_tick(&src->unread, rowsrc_now_us(src));
 	return src;
 }
 
--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -174,8 +174,7 @@
 	const struct timeval interval = { .tv_usec = SCHED_TICK_MS * 1000 };
 
 	sched->token = token;
-	sched->last_tick_us = 0;
-	sched->previous_tick_us = 0;
+	sched->unread = (struct unread){ 0 };
 	sched->tick_delay_us = 0;
 	(void)event_add(sched->tick_event, &interval);
 	sched->rows_refreshed = false;
@@ -499,18 +498,18 @@
 static void
 sched_update_tick_delay(struct scheduler *sched, uint64_t now_us)
 {
-	uint64_t due_us = sched->last_tick_us + SCHED_TICK_MS * SCHED_US_PER_MS;
+	uint64_t due_us =
+	    sched->unread.last_tick_us + SCHED_TICK_MS * SCHED_US_PER_MS;
 	uint64_t delay_us = now_us > due_us ? now_us - due_us : 0;
 
 	if (delay_us > SCHED_TICK_DELAY_MAX_MS * SCHED_US_PER_MS)
 		delay_us = SCHED_TICK_DELAY_MAX_MS * SCHED_US_PER_MS;
-	if (sched->last_tick_us != 0)
+	if (sched->unread.last_tick_us != 0)
 		sched->tick_delay_us =
 		    (sched->tick_delay_us * (SCHED_TICK_DELAY_WEIGHT - 1) +
 			delay_us) /
 		    SCHED_TICK_DELAY_WEIGHT;
-	sched->previous_tick_us = sched->last_tick_us;
-	sched->last_tick_us = now_us;
+	unread_tick(&sched->unread, now_us);
 }
 
 /* The end of a job may free any other one: sched_job_free() keeps next_checked
@@ -521,7 +520,7 @@
 	bool check_submitters = now_us >= sched->submitters_check_us;
 	struct sched_job *job;
 
-	if (now_us - sched->previous_tick_us >
+	if (now_us - sched->unread.previous_tick_us >
 	    SCHED_SUBMITTERS_RESUME_MS * SCHED_US_PER_MS) {
 		check_submitters = false;
 		sched->submitters_check_us =
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -12,6 +12,7 @@
 #include "core/place.h"
 #include "core/rtt.h"
 #include "core/suspect.h"
+#include "core/unread.h"
 #include "entry/jobs/scheduler.h"
 
 /*
@@ -347,8 +348,7 @@
 	struct sched_servers servers;
 	/* Includes removed servers; one that is not removed is found first. */
 	struct name_index servers_by_id;
-	uint64_t last_tick_us;	      /* 0: none since the activation */
-	uint64_t previous_tick_us;    /* the one before the last; 0: none */
+	struct unread unread;	      /* by the ticks since the activation */
 	uint64_t submitters_check_us; /* next check */
 	uint64_t tick_delay_us;	      /* smoothed; by which ticks run late */
 	uint64_t lists_wanted_us;     /* a job needed new lists; 0: never */
--- a/entry/jobs/scheduler_lease.c
+++ b/entry/jobs/scheduler_lease.c
@@ -28,16 +28,17 @@
 #define SCHED_SILENT_RETRY_AFTER_MS 200
 
 /* When the submitter was last known to wait for the job. After a pause of this
- * process, that is a time before the pause until the second tick: the event
- * loop may run the first one before it finds a connection closed. */
+ * process, that is a time before the pause for a while: the event loop may run
+ * some ticks before it finds a connection closed. */
 static uint64_t
 sched_submitter_alive_us(const struct sched_job *job)
 {
 	const struct scheduler *sched = job->sched;
-	uint64_t alive_us = sched_now(sched);
+	uint64_t now_us = sched_now(sched);
+	uint64_t alive_us = unread_since_us(&sched->unread, now_us);
 
-	if (sched->previous_tick_us != 0)
-		alive_us = sched->previous_tick_us;
+	if (alive_us == 0)
+		alive_us = now_us;
 	if (sched->params.submitter_alive_us != NULL) {
 		uint64_t seen_us = sched->params.submitter_alive_us(
 		    sched->params.arg, job->arg);
--- a/entry/jobs/scheduler_server.c
+++ b/entry/jobs/scheduler_server.c
@@ -337,16 +337,16 @@
 }
 
 /* The time as of which lists count that are processed now. They may have waited
- * while this process stood still, and one tick may have run since. */
+ * while this process stood still. */
 static uint64_t
 sched_listed_us(const struct scheduler *sched, uint64_t now_us)
 {
-	uint64_t tick_us = sched->previous_tick_us != 0
-	    ? sched->previous_tick_us
-	    : sched->activated_us;
+	uint64_t since_us = unread_since_us(&sched->unread, now_us);
 
-	return now_us - tick_us > SCHED_RESTART_MIN_MS * SCHED_US_PER_MS
-	    ? tick_us
+	if (since_us == 0)
+		since_us = sched->activated_us;
+	return now_us - since_us > SCHED_RESTART_MIN_MS * SCHED_US_PER_MS
+	    ? since_us
 	    : now_us;
 }
 
