Job gateway: a host that is slow, but never paused for long, accepts jobs

What callers would see: 503 for all their best-effort jobs from a host whose ticks are 260 to 500 ms apart, although it could serve them.

Now it looks at the longest single pause; the age counts as before, so that holders of other zones are told of the job in time: at most 1 s old as it is accepted, it has 0.3 s and more until its caller can send it again, in which these ask once. A host of which each pause is longer than 0.5 s still refuses.

Evidence: test_job_gateway job_at_a_host_that_is_slow_is_accepted, red with the age in the comparison.

--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -538,6 +538,12 @@
 	return unread_since_us(&cells->unread, cells_now_us(cells));
 }
 
+uint64_t
+cells_pause_us(const struct cells *cells)
+{
+	return unread_pause_us(&cells->unread, cells_now_us(cells));
+}
+
 static void
 cells_tick(evutil_socket_t fd, short what, void *arg)
 {
--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -209,6 +209,12 @@
  */
 uint64_t cells_unread_since_us(const struct cells *cells);
 
+/**
+ * cells_pause_us() - the longest pause of this process in which a message that
+ * is read now may have waited.
+ */
+uint64_t cells_pause_us(const struct cells *cells);
+
 /**
  * cells_reachable_peer() - Return: a reachable host that has all rows, or NULL;
  * each call returns the next one. It may be of another zone: the store may
--- a/entry/jobs/job_gateway.c
+++ b/entry/jobs/job_gateway.c
@@ -29,7 +29,7 @@
 /* Its caller sends a best-effort job again 1.3 s after it has lost the
  * connection. By then the holders of other zones know of a job that is not
  * older when it is accepted. */
-#define GW_UNREAD_MAX_MS 500
+#define GW_PAUSE_MAX_MS 500
 
 static const uint64_t gw_latency_bounds_ms[] = { 50, 100, 150, 200, 300, 400,
 	600, 800, 1000, 1500, 2000, 4000 };
@@ -423,11 +423,13 @@
 
 /* The reason why a new job is not accepted, or NULL. */
 static const char *
-gw_refusal(const struct gw_job *job, uint64_t now_us)
+gw_refusal(const struct gw_job *job)
 {
 	if (job->gateway->refuse_new)
 		return "this entry host is shutting down";
-	if (now_us - job->arrived_us > GW_UNREAD_MAX_MS * GW_US_PER_MS)
+	if (cells_pause_us(job->gateway->cells) >
+		GW_PAUSE_MAX_MS * GW_US_PER_MS &&
+	    gw_job_is_best_effort(job))
 		return "it may have waited while this entry host was paused";
 	return NULL;
 }
@@ -464,7 +466,7 @@
 	    job->id, job->queue.name, job->queue.priority, job->body_len,
 	    timeout_ms, job->queue.config_version, request->config_age_ms,
 	    (now_us - job->arrived_us) / GW_US_PER_MS);
-	refusal = gw_refusal(job, now_us);
+	refusal = gw_refusal(job);
 	if (refusal != NULL) {
 		gw_answer(job, GW_NOT_RUN, GW_RETRY_AFTER_MS, refusal);
 		gw_job_end(job);
--- a/tests/test_job_gateway.c
+++ b/tests/test_job_gateway.c
@@ -29,6 +29,7 @@
 	size_t nsubmissions;
 	const char *holder;	  /* of the local cell; NULL: none */
 	uint32_t unread_ms;	  /* a message that is read may have waited */
+	uint32_t pause_ms;	  /* the longest pause in that time */
 	uint64_t cancelled_nonce; /* of the last cancellation */
 	char cancelled[64];	  /* the holders of all, in their order */
 };
@@ -47,6 +48,12 @@
 	    : clock_now_us(clock_real()) - cells->unread_ms * UINT64_C(1000);
 }
 
+uint64_t
+cells_pause_us(const struct cells *cells)
+{
+	return cells->pause_ms * UINT64_C(1000);
+}
+
 void
 cells_submit(struct cells *cells, const char *holder,
     const struct cells_job *job, cells_done_fn done, void *arg)
@@ -460,7 +467,7 @@
 	"\"estimated_ms\":100}]}"
 
 /* A job that is read at the start of the simulated time, and may have waited in
- * the host for @unread_ms. */
+ * the host for @unread_ms, which was paused for @pause_ms at most. */
 struct unread {
 	struct event_base *base;
 	struct job_gateway *gateway;
@@ -469,10 +476,12 @@
 };
 
 static void
-unread_start(struct unread *test, uint32_t unread_ms, const char *body)
+unread_start(struct unread *test, uint32_t unread_ms, uint32_t pause_ms,
+    const char *body)
 {
 	*test = (struct unread){ .cells = { .holder = "h0",
-				     .unread_ms = unread_ms } };
+				     .unread_ms = unread_ms,
+				     .pause_ms = pause_ms } };
 	sim_time_start();
 	test->base = event_base_new();
 	test->gateway = gw_create(test->base, clock_real(), &test->cells);
@@ -491,7 +500,7 @@
 {
 	struct unread test;
 
-	unread_start(&test, 1398, BEST_EFFORT_BODY);
+	unread_start(&test, 1398, 1398, BEST_EFFORT_BODY);
 	cr_expect_eq(test.cells.nsubmissions, 0);
 	cr_expect_eq(test.caller.answers, 1);
 	cr_expect_eq(test.caller.result, GW_NOT_RUN);
@@ -502,7 +511,7 @@
 {
 	struct unread test;
 
-	unread_start(&test, 400, BEST_EFFORT_BODY);
+	unread_start(&test, 400, 400, BEST_EFFORT_BODY);
 	cr_assert_eq(test.cells.nsubmissions, 1);
 	cr_expect_eq(test.cells.submissions[0].age_ms, 400);
 	cr_expect_eq(test.cells.submissions[0].timeout_ms, TIMEOUT_MS - 400);
@@ -515,7 +524,7 @@
 {
 	struct unread test;
 
-	unread_start(&test, 250, BEST_EFFORT_BODY);
+	unread_start(&test, 250, 250, BEST_EFFORT_BODY);
 	cr_assert_eq(test.cells.nsubmissions, 1);
 	cr_expect_eq(test.cells.submissions[0].age_ms, 0);
 	cr_expect_eq(test.cells.submissions[0].timeout_ms, TIMEOUT_MS);
@@ -527,8 +536,19 @@
 {
 	struct unread test;
 
-	unread_start(&test, 1398, STORED_BODY);
+	unread_start(&test, 1398, 1398, STORED_BODY);
 	cr_assert_eq(test.cells.nsubmissions, 1);
 	cr_expect_eq(test.cells.submissions[0].timeout_ms, TIMEOUT_MS);
 	unread_release(&test);
 }
+
+/* All ticks of the host are late. */
+Test(job_gateway, job_at_a_host_that_is_slow_is_accepted)
+{
+	struct unread test;
+
+	unread_start(&test, 850, 450, BEST_EFFORT_BODY);
+	cr_assert_eq(test.cells.nsubmissions, 1);
+	cr_expect_eq(test.cells.submissions[0].age_ms, 850);
+	unread_release(&test);
+}
