Test: the unconfirmed stop is shown again by its own test

With sched_run_resolved() always true, unconfirmed_stop_does_not_end_an_unconfirmed_run passed. A list counts only if its hold was sent after the last order had ended (last_update_us < sent_us). In simulated time no time passes there at all, and it passed always: the stop was sent again, as the test waited, before any list counted.

A millisecond now passes before each of the two holds, the second of which is sent after the stop and returns before the stop is sent again. Stricter: the test also says that the stop was not sent again by then. No check was taken out.

Evidence: with sched_run_resolved() always true it fails ("the task was started again", "the stop was not sent again"); before this change it passed so. With the code as it is it passes.

--- a/tests/test_scheduler_stored.c
+++ b/tests/test_scheduler_stored.c
@@ -479,9 +479,14 @@
 	rig->start_done(rig->start_arg, &no_capacity);
 	cr_assert_eq(rig->stops, 1);
 	rig->stop_done(rig->stop_arg, &lost);
-	/* The first of these holds was sent before the stop had ended. */
+	/* The first of these holds was sent before the stop had ended, the
+	 * second one after it, and before the stop is sent again. */
+	sim_time_advance(1);
 	rig_reply_at_once(rig, NULL, 0, NULL, 0);
-	rig_reply(rig, NULL, 0, NULL, 0);
+	sim_time_advance(1);
+	rig_reply_at_once(rig, NULL, 0, NULL, 0);
+	cr_expect_eq(rig->stops, 1);
+	rig_run(rig);
 	cr_expect_eq(rig->starts, 2, "the task was started again");
 	cr_assert_eq(rig->stops, 2, "the stop was not sent again");
 	rig->stop_done(rig->stop_arg, &stopped);
