Scheduler: a stop counts for the process that has confirmed it

Callers: no case was seen. A stored task may have two runs: its start has no reply, the next process of the server's id executes it late, and this holder took that process to have confirmed the stop.

Cause: replies on different connections may overtake each other (the platform's protocol). A stop is confirmed by a process that then restarts; a hold's reply of the next one is read first, and the reply to the stop after it. Then the present process was noted as told of the stop (sched_late_told()), and the task's stop_confirmed was set, so that the next list without the run released it. The same for stops of late starts whose task has another run. Class: a reply taken as the answer of somebody who has not given it.

Evidence: both new tests failed before, "the next process was not told" and "the last process was not told". Ruled out: start replies that are overtaken so; a start that was confirmed by a former process has ended with it, and one that had no reply is stopped at the next process (sched_late_stop_all()), which resets what was confirmed.

No periodic cost is added; one stop more per such reply.

--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -518,6 +518,17 @@
 	    task->server->info.id, sched_refusal_names[verdict]);
 }
 
+/* Whether a reply to an order that was sent to the process @process_started_ms
+ * holds for the one that lists the runs. Replies on different connections may
+ * overtake each other, so the former one may have sent it. */
+static bool
+sched_reply_is_current(const struct sched_server *server,
+    uint64_t process_started_ms, const struct worker_reply *reply)
+{
+	return process_started_ms == server->incarnation_start_ms ||
+	    reply->incarnation_start_ms == server->incarnation_start_ms;
+}
+
 /* Reports the first stop of a run that has no reply. */
 static void
 sched_stop_unanswered(struct sched_task *task)
@@ -544,6 +555,7 @@
 {
 	struct sched_order *order = arg;
 	struct sched_server *server = order->server;
+	uint64_t process_started_ms = order->process_started_ms;
 	struct sched_task *task = sched_order_finish(order, reply);
 	char name[WORKER_TASK_NAME_SIZE];
 
@@ -557,6 +569,8 @@
 			sched_stop_refused(task, reply->verdict);
 		return;
 	}
+	if (!sched_reply_is_current(server, process_started_ms, reply))
+		return;
 	task->stop_confirmed = true;
 	sched_task_name(task, name);
 	sched_late_told(server, name, task->run_id);
@@ -601,12 +615,14 @@
 	struct sched_order *order = arg;
 	struct sched_server *server = order->server;
 	struct sched_orphan *orphan = order->orphan;
+	uint64_t process_started_ms = order->process_started_ms;
 
 	(void)sched_order_finish(order, reply);
 	if (orphan != NULL) {
 		orphan->order = NULL;
 		orphan->stop_confirmed =
-		    sched_stop_is_confirmed(reply->verdict);
+		    sched_stop_is_confirmed(reply->verdict) &&
+		    sched_reply_is_current(server, process_started_ms, reply);
 		if (orphan->stop_confirmed)
 			sched_orphan_stopped(server, orphan);
 	}
--- a/tests/test_scheduler_stored.c
+++ b/tests/test_scheduler_stored.c
@@ -43,6 +43,7 @@
 	uint64_t connection_id; /* requested by the last hold */
 	uint64_t unstored_seq;	/* sequence number reported for every job */
 	uint64_t progress_seq;	/* the last sequence number issued */
+	uint64_t incarnation_start_ms;
 };
 
 static struct worker_link *
@@ -156,6 +157,7 @@
 
 	sim_time_start();
 	params.base = event_base_new();
+	rig->incarnation_start_ms = RIG_INCARNATION_START_MS;
 	rig->worker.ops = &rig_ops;
 	rig->base = params.base;
 	rig->sched = sched_create(&params);
@@ -189,7 +191,7 @@
     size_t nrunning, const struct worker_ended *ended, size_t nended)
 {
 	const struct worker_reply reply = { .verdict = WORKER_OK,
-		.incarnation_start_ms = RIG_INCARNATION_START_MS,
+		.incarnation_start_ms = rig->incarnation_start_ms,
 		.connection_id = RIG_CONNECTION_ID,
 		.has_lists = true,
 		.running = running,
@@ -496,6 +498,85 @@
 	rig_destroy(rig);
 }
 
+/* The process restarts after it has confirmed the stop, whose reply is
+ * overtaken by lists of the next one. */
+Test(scheduler_stored, stop_that_a_former_process_confirmed_is_sent_again)
+{
+	const struct worker_reply lost = { .verdict = WORKER_NO_REPLY },
+				  no_capacity = { .verdict =
+						      WORKER_NO_CAPACITY },
+				  stopped = { .verdict = WORKER_OK };
+	const struct worker_ended other = { 1, ID_A ".0.0.1", 641,
+		WORKER_END_DONE, "" };
+	struct rig *rig = rig_create();
+	uint32_t i;
+
+	sched_set_servers_complete(rig->sched, true);
+	rig_submit(rig, ID_A);
+	sched_set_jobs_loaded(rig->sched);
+	rig_reply(rig, NULL, 0, NULL, 0);
+	rig->start_done(rig->start_arg, &lost);
+	rig->start_done(rig->start_arg, &no_capacity);
+	cr_assert_eq(rig->stops, 1);
+	rig->incarnation_start_ms++;
+	sim_time_advance(1);
+	rig_reply_at_once(rig, NULL, 0, NULL, 0);
+	rig->stop_done(rig->stop_arg, &stopped);
+	sim_time_advance(1);
+	rig_reply_at_once(rig, NULL, 0, NULL, 0);
+	sim_time_advance(1);
+	rig_reply(rig, NULL, 0, NULL, 0);
+	cr_expect_eq(rig->starts, 2, "the task was started again");
+	cr_assert_eq(rig->stops, 2, "the next process was not told");
+	rig->stop_done(rig->stop_arg, &stopped);
+	/* As its server was lost, the task needs a server of its own. */
+	rig_reply(rig, NULL, 0, &other, 1);
+	sched_progress_stored(rig->sched, ID_A, 1);
+	for (i = 0; i < 3; i++)
+		rig_reply(rig, NULL, 0, NULL, 0);
+	cr_expect_eq(rig->starts, 3, "the task was not started again");
+	cr_expect_eq(rig->stops, 2, "a confirmed stop was sent again");
+	rig_destroy(rig);
+}
+
+/* As above, after the task has another run. */
+Test(scheduler_stored, stop_of_a_late_start_is_sent_to_each_process)
+{
+	const struct worker_reply lost = { .verdict = WORKER_NO_REPLY },
+				  no_capacity = { .verdict =
+						      WORKER_NO_CAPACITY },
+				  stopped = { .verdict = WORKER_OK };
+	struct rig *rig = rig_create();
+	uint32_t i;
+
+	sched_set_servers_complete(rig->sched, true);
+	rig_submit(rig, ID_A);
+	sched_set_jobs_loaded(rig->sched);
+	rig_reply(rig, NULL, 0, NULL, 0);
+	rig->start_done(rig->start_arg, &lost);
+	rig->start_done(rig->start_arg, &no_capacity);
+	rig->stop_done(rig->stop_arg, &stopped);
+	for (i = 0; i < 3; i++)
+		rig_reply(rig, NULL, 0, NULL, 0);
+	cr_assert_eq(rig->starts, 3);
+	cr_assert_eq(rig->stops, 1);
+	for (i = 0; i < 2; i++) {
+		rig->incarnation_start_ms++;
+		sim_time_advance(1);
+		rig_reply_at_once(rig, NULL, 0, NULL, 0);
+	}
+	cr_assert_eq(rig->stops, 2);
+	rig->stop_done(rig->stop_arg, &stopped);
+	for (i = 0; i < 2; i++)
+		rig_reply(rig, NULL, 0, NULL, 0);
+	cr_assert_eq(rig->stops, 3, "the last process was not told");
+	rig->stop_done(rig->stop_arg, &stopped);
+	for (i = 0; i < 3; i++)
+		rig_reply(rig, NULL, 0, NULL, 0);
+	cr_expect_eq(rig->stops, 3, "a confirmed stop was sent again");
+	rig_destroy(rig);
+}
+
 /* The hold was executed before the start, and its reply is later. */
 Test(scheduler_stored, run_is_not_ended_by_a_list_that_is_older_than_its_start)
 {
