Scheduler: no deadline by the clock of a server's former process

Callers: no case was seen. A start order whose deadline is on the clock of the server's former process has no deadline for the present one: executed seconds late, it starts a run whose lease its holder takes for expired. For a stored job that is a second run.

Class: a time that rests on the clock of a process that has ended.

Evidence: clock_of_a_former_process_sets_no_deadlines failed before: the start had a deadline of over 501,000 ms on a clock that showed 10 ms. Ruled out: holds; one at a time is sent, and the next one is sent after its reply, which corrects the clock. A start that was sent before the restart has a deadline on the former clock in any case ("Not covered" in docs/design/holder-lease.md).

Only replies of the process that lists the runs set the clock. No cost is added.

--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -156,6 +156,19 @@
 	    order->sent_us, order->process_started_ms);
 }
 
+/* Whether the reply is of the process that lists the runs. Replies on different
+ * connections may overtake each other, so its former process may have sent it.
+ */
+static bool
+sched_reply_is_current(const struct sched_order *order,
+    const struct worker_reply *reply)
+{
+	uint64_t listing_ms = order->server->incarnation_start_ms;
+
+	return order->process_started_ms == listing_ms ||
+	    reply->incarnation_start_ms == listing_ms;
+}
+
 /* Ends an order and frees it. Return: its task, or NULL if the run was
  * released. */
 static struct sched_task *
@@ -168,7 +181,7 @@
 	server->pending_calls--;
 	hist_add(&sched_order_time,
 	    (now_us - order->sent_us) / SCHED_US_PER_MS);
-	if (reply->has_clock)
+	if (reply->has_clock && sched_reply_is_current(order, reply))
 		lease_update_clock(&server->lease, reply->clock_ms,
 		    order->sent_us, now_us);
 	if (reply->verdict == WORKER_NO_REPLY) {
@@ -518,17 +531,6 @@
 	    task->server->info.id, sched_refusal_names[verdict]);
 }
 
-/* Whether a reply to an order that was sent to the process @process_started_ms
- * holds for the one that lists the runs. Replies on different connections may
- * overtake each other, so the former one may have sent it. */
-static bool
-sched_reply_is_current(const struct sched_server *server,
-    uint64_t process_started_ms, const struct worker_reply *reply)
-{
-	return process_started_ms == server->incarnation_start_ms ||
-	    reply->incarnation_start_ms == server->incarnation_start_ms;
-}
-
 /* Reports the first stop of a run that has no reply. */
 static void
 sched_stop_unanswered(struct sched_task *task)
@@ -555,7 +557,7 @@
 {
 	struct sched_order *order = arg;
 	struct sched_server *server = order->server;
-	uint64_t process_started_ms = order->process_started_ms;
+	bool current = sched_reply_is_current(order, reply);
 	struct sched_task *task = sched_order_finish(order, reply);
 	char name[WORKER_TASK_NAME_SIZE];
 
@@ -569,7 +571,7 @@
 			sched_stop_refused(task, reply->verdict);
 		return;
 	}
-	if (!sched_reply_is_current(server, process_started_ms, reply))
+	if (!current)
 		return;
 	task->stop_confirmed = true;
 	sched_task_name(task, name);
@@ -615,14 +617,13 @@
 	struct sched_order *order = arg;
 	struct sched_server *server = order->server;
 	struct sched_orphan *orphan = order->orphan;
-	uint64_t process_started_ms = order->process_started_ms;
+	bool current = sched_reply_is_current(order, reply);
 
 	(void)sched_order_finish(order, reply);
 	if (orphan != NULL) {
 		orphan->order = NULL;
 		orphan->stop_confirmed =
-		    sched_stop_is_confirmed(reply->verdict) &&
-		    sched_reply_is_current(server, process_started_ms, reply);
+		    current && sched_stop_is_confirmed(reply->verdict);
 		if (orphan->stop_confirmed)
 			sched_orphan_stopped(server, orphan);
 	}
--- a/tests/test_scheduler_stored.c
+++ b/tests/test_scheduler_stored.c
@@ -44,6 +44,9 @@
 	uint64_t unstored_seq;	/* sequence number reported for every job */
 	uint64_t progress_seq;	/* the last sequence number issued */
 	uint64_t incarnation_start_ms;
+	uint64_t clock_ms;	    /* in replies to holds; 0: none */
+	uint64_t start_deadline_ms; /* of the last start of any task */
+	bool is_first_holder;	    /* of the jobs that are submitted */
 };
 
 static struct worker_link *
@@ -66,6 +69,7 @@
 	struct rig *rig =
 	    (struct rig *)((char *)link - offsetof(struct rig, link));
 
+	rig->start_deadline_ms = order->deadline_ms;
 	if (strcmp(order->task, ID_A ".0.0.0") != 0)
 		return;
 	rig->starts++;
@@ -191,6 +195,8 @@
     size_t nrunning, const struct worker_ended *ended, size_t nended)
 {
 	const struct worker_reply reply = { .verdict = WORKER_OK,
+		.has_clock = rig->clock_ms != 0,
+		.clock_ms = rig->clock_ms,
 		.incarnation_start_ms = rig->incarnation_start_ms,
 		.connection_id = RIG_CONNECTION_ID,
 		.has_lists = true,
@@ -238,7 +244,7 @@
 		    .slack_permille = 1600,
 		    .target_ms = 60 },
 		.timeout_ms = 60000,
-		.resubmitted = true,
+		.resubmitted = !rig->is_first_holder,
 		.stored = true,
 		.done = none,
 		.failures = failures,
@@ -577,6 +583,32 @@
 	rig_destroy(rig);
 }
 
+/* A deadline on the former clock is a long time for the next process. */
+Test(scheduler_stored, clock_of_a_former_process_sets_no_deadlines)
+{
+	const struct worker_reply started = { .verdict = WORKER_OK,
+		.has_clock = true,
+		.clock_ms = 500001 };
+	struct rig *rig = rig_create();
+
+	rig->clock_ms = 500000;
+	sched_set_servers_complete(rig->sched, true);
+	rig_submit(rig, ID_A);
+	sched_set_jobs_loaded(rig->sched);
+	rig_reply(rig, NULL, 0, NULL, 0);
+	cr_assert_eq(rig->starts, 1);
+	cr_assert_geq(rig->start_deadline_ms, 501000);
+	rig->incarnation_start_ms++;
+	rig->clock_ms = 10;
+	rig_reply_at_once(rig, NULL, 0, NULL, 0);
+	rig->start_done(rig->start_arg, &started);
+	rig->is_first_holder = true;
+	rig_submit(rig, ID_B);
+	rig_run(rig);
+	cr_expect_leq(rig->start_deadline_ms, 1010 + RIG_RUN_MS);
+	rig_destroy(rig);
+}
+
 /* The hold was executed before the start, and its reply is later. */
 Test(scheduler_stored, run_is_not_ended_by_a_list_that_is_older_than_its_start)
 {
