Loans: slots of a loan that has waited are returned

A backend server gets more tasks than it has slots, refuses some, and those wait for their next attempt.

Cause: a borrower used the slots of a loan for 30 ms from its receipt, however long it had waited in the network or in a process that stood still; the lender uses them again 30 s after it has granted them. Class: a time that rests on the right of somebody else and counts from another event.

Evidence: loan_that_has_waited_is_returned failed before: slots were borrowed by a loan that was read 29 s after its request. Ruled out: advice tickets, whose validity counts from the request.

A loan is granted after its request was sent, and a request waits at the lender for 1 s at most. So a loan that comes over 2 s after the request has waited, and its slots are returned at once, as those that can't be used. No cost is added.

--- a/adapters/peers_internal.h
+++ b/adapters/peers_internal.h
@@ -51,6 +51,8 @@
 #define PEERS_LOAN_TIMEOUT_MS 30000
 /* Time that a slot request waits for slots to become idle. */
 #define PEERS_LOAN_REQUEST_TIMEOUT_MS 1000
+/* A loan is used until this time after its request. */
+#define PEERS_LOAN_AGE_MAX_MS 2000
 #define PEERS_LOAN_SERVERS_MAX 32	   /* in one message */
 #define PEERS_LOAN_SLOTS_PER_SERVER_MAX 64 /* in one message */
 /*
@@ -113,6 +115,7 @@
 	size_t nserved;	      /* requests of the peer in progress here */
 	size_t nforwards;     /* of this host that wait for a reply */
 	bool loan_requested;  /* a slot request was sent, no loan received */
+	uint64_t loan_requested_us; /* when the last one was sent */
 	/* The peer's slot request while no slot is idle, or NULL; owned. */
 	Berylrail__Frame *loan_request;
 	uint64_t loan_request_deadline_us;
--- a/adapters/peers_loan.c
+++ b/adapters/peers_loan.c
@@ -105,8 +105,10 @@
 	request.n_servers = slots.n;
 	frame.kind_case = BERYLRAIL__FRAME__KIND_SLOT_REQUEST;
 	frame.slot_request = &request;
-	if (peers_conn_send(conn, &frame) == 0)
-		conn->loan_requested = true;
+	if (peers_conn_send(conn, &frame) != 0)
+		return;
+	conn->loan_requested = true;
+	conn->loan_requested_us = peers_now_us(conn->peers);
 }
 
 /*
@@ -244,7 +246,9 @@
 
 /*
  * Accepts a loan that was requested, for at most PEERS_LOAN_START_WINDOW_MS.
- * Slots that the engine can't use are returned immediately.
+ * Slots that the engine can't use are returned immediately, as are those of a
+ * loan that has waited, in the network or in this process: the lender counts
+ * its time from the grant.
  */
 void
 peers_loan_received(struct peers_conn *conn, const Berylrail__SlotLoan *loan)
@@ -254,6 +258,8 @@
 	struct engine_loan accepted = { .az = conn->az,
 		.lender = conn->incarnation };
 	uint32_t start_ms = loan->start_for_ms;
+	bool late = peers_now_us(peers) - conn->loan_requested_us >
+	    PEERS_LOAN_AGE_MAX_MS * UINT64_C(1000);
 	size_t i;
 
 	if (!conn->loan_requested)
@@ -266,7 +272,7 @@
 	for (i = 0; i < loan->n_servers && i < PEERS_LOAN_SERVERS_MAX; i++) {
 		accepted.server = loan->servers[i]->server;
 		accepted.slots = peers_slots_clamp(loan->servers[i]->slots);
-		if (engine_waiting_tasks(peers->params.engine) > 0 &&
+		if (!late && engine_waiting_tasks(peers->params.engine) > 0 &&
 		    engine_loan_accept(peers->params.engine, &accepted,
 			(uint64_t)start_ms * 1000))
 			ctr_add(&peers_ctr_borrowed, accepted.slots);
--- a/tests/test_peers_tcp.c
+++ b/tests/test_peers_tcp.c
@@ -77,6 +77,7 @@
 };
 
 static struct event_base *base;
+static uint64_t skipped_us; /* by which the clock is ahead */
 
 static uint64_t
 real_now_us(struct clock *clock)
@@ -85,7 +86,8 @@
 
 	(void)clock;
 	clock_gettime(CLOCK_MONOTONIC, &now);
-	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000 +
+	    skipped_us;
 }
 
 static const struct clock_ops real_ops = { .now_us = real_now_us,
@@ -489,6 +491,29 @@
 	return correlation;
 }
 
+/* Return: whether a frame of that kind was read until there was none. */
+static bool
+raw_read_kind(int fd, struct frame_parser *parser,
+    Berylrail__Frame__KindCase kind)
+{
+	Berylrail__Frame *frame;
+	bool found = false;
+	struct err err;
+	uint8_t byte;
+	size_t used;
+
+	while (!found && read(fd, &byte, 1) == 1) {
+		if (frm_feed(parser, &byte, 1, &used, &err) != 1)
+			continue;
+		frame = berylrail__frame__unpack(NULL, parser->payload_len,
+		    parser->payload);
+		cr_assert_not_null(frame);
+		found = frame->kind_case == kind;
+		berylrail__frame__free_unpacked(frame, NULL);
+	}
+	return found;
+}
+
 static void
 setup(void)
 {
@@ -1168,3 +1193,37 @@
 	peers_tcp_destroy(a.peers);
 	close(fd);
 }
+
+/* The lender uses the slots again 30 s after it has lent them. */
+Test(peers_tcp, loan_that_has_waited_is_returned)
+{
+	Berylrail__ServerSlots slots = BERYLRAIL__SERVER_SLOTS__INIT;
+	Berylrail__ServerSlots *list[1] = { &slots };
+	Berylrail__SlotLoan loan = BERYLRAIL__SLOT_LOAN__INIT;
+	struct frame_parser parser;
+	char server[] = "s1";
+	struct node a = { 0 };
+	int fd;
+
+	node_start(&a, "a", "z1", 11, 0, 0);
+	fd = raw_connect(a.port);
+	raw_hello(fd, "b", 22);
+	raw_heartbeat_every(fd, WAIT_TIMEOUT_MS);
+	frm_init(&parser, FRAME_BYTES_MAX);
+	a.engine.needed_slots = 5;
+	WAIT_FOR(
+	    raw_read_kind(fd, &parser, BERYLRAIL__FRAME__KIND_SLOT_REQUEST));
+	skipped_us = 29 * UINT64_C(1000000);
+	slots.server = server;
+	slots.slots = 4;
+	loan.servers = list;
+	loan.n_servers = 1;
+	loan.start_for_ms = 30;
+	raw_send(fd, BERYLRAIL__FRAME__KIND_SLOT_LOAN, &loan);
+	WAIT_FOR(a.engine.borrowed_slots > 0 ||
+	    raw_read_kind(fd, &parser, BERYLRAIL__FRAME__KIND_SLOT_RETURN));
+	cr_expect_eq(a.engine.borrowed_slots, 0);
+	frm_release(&parser);
+	peers_tcp_destroy(a.peers);
+	close(fd);
+}
