Second submissions: not started beside a run of an own former term

Callers: a best-effort job whose caller has lost its connection may have two runs at the same time, if the holder is replaced, is the holder again within 0.7 s, and a server with a run of the job does not reply to it yet. Now the second submission is answered with an unknown outcome, as by any other holder that was told of the run.

Cause: a host that has itself listed a run accepts a second submission, which adopts it. The record of that outlives the term, the list does not: the servers list their runs anew, and the one that does not reply has listed none. So the job had no run to adopt and was started. Class: absence from lists that do not answer the question, as a server has not listed its runs.

Evidence: the new test of test_scheduler failed before: "has two runs at the same time". Ruled out: another host that takes over; it has the record of the former holder as one of its zone, and refuses the job.

As a host becomes the holder, what it has listed counts as listed by another host of its zone, until a server lists it again. Price: a job that is sent again within 0.7 s after such a change, and whose run has ended meanwhile, is not started.

--- a/core/pending.c
+++ b/core/pending.c
@@ -121,6 +121,17 @@
 	return job != NULL && job->expires_us > now_us ? job : NULL;
 }
 
+void
+pend_disown(struct pending *pending)
+{
+	struct pend_job *job;
+
+	TAILQ_FOREACH (job, &pending->jobs, entry) {
+		if (job->kind == PEND_RUN_LISTED && job->origin == PEND_OWN)
+			job->origin = PEND_ZONE;
+	}
+}
+
 void
 pend_expire(struct pending *pending, uint64_t now_us)
 {
--- a/core/pending.h
+++ b/core/pending.h
@@ -77,6 +77,10 @@
 const struct pend_job *pend_find(const struct pending *pending, const char *id,
     uint64_t now_us);
 
+/** pend_disown() - the runs that this host has listed so far count as listed by
+ * another host of its zone. Takes O(entries). */
+void pend_disown(struct pending *pending);
+
 /** pend_expire() - free the expired entries, once a second at most. */
 void pend_expire(struct pending *pending, uint64_t now_us);
 
--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -189,6 +189,9 @@
 	sched->awaits_owner_us = 0;
 	sched->server_unknown = false;
 	sched->load_updated_us = 0; /* as of a former term: see runs_unknown */
+	/* A job that is sent again adopts its run only once it is listed again.
+	 */
+	pend_disown(&sched->pending);
 	log_event(LOG_LEVEL_WARN, "cell-acquired",
 	    "token=%" PRIu64 " former_runs=%s", token,
 	    sched->former_runs_known ? "known" : "unknown");
--- a/tests/test_pending.c
+++ b/tests/test_pending.c
@@ -36,6 +36,21 @@
 	pend_release(&pending);
 }
 
+Test(pending, listed_run_is_disowned_until_it_is_listed_again)
+{
+	struct pending pending;
+
+	pend_init(&pending);
+	pend_add(&pending, JOB, PEND_RUN_LISTED, PEND_OWN, SECOND_US, 0);
+	pend_add(&pending, OTHER, PEND_START, PEND_OWN, SECOND_US, 0);
+	pend_disown(&pending);
+	cr_expect_eq(pend_find(&pending, JOB, 0)->origin, PEND_ZONE);
+	cr_expect_eq(pend_find(&pending, OTHER, 0)->origin, PEND_OWN);
+	pend_add(&pending, JOB, PEND_RUN_LISTED, PEND_OWN, SECOND_US, 0);
+	cr_expect_eq(pend_find(&pending, JOB, 0)->origin, PEND_OWN);
+	pend_release(&pending);
+}
+
 Test(pending, expiry_rises_only)
 {
 	struct pending pending;
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -1323,6 +1323,36 @@
 	rig_expect_one_run_after_restart(WM_RESTART_NEW_ID, 1500);
 }
 
+/* Its server is out of reach since the role was lost. */
+Test(scheduler,
+    job_sent_again_is_not_started_beside_a_run_of_an_own_former_term)
+{
+	struct rig *rig = rig_create(1);
+	const struct wm_server *servers = rig->srig.cluster.servers;
+	struct rig_job *job, again = { .rig = rig };
+	size_t server;
+
+	srig_run(&rig->srig, 50);
+	job = rig_submit(rig, 1, 27000, 3000, 0);
+	srig_run(&rig->srig, 900);
+	for (server = 0; servers[server].used_cpu == 0; server++)
+		continue;
+	fake_worker_faults(rig->srig.worker)->unreachable_mask = UINT32_C(1)
+	    << server;
+	sched_deactivate(rig->srig.sched);
+	srig_run(&rig->srig, 50);
+	srig_activate(rig->srig.sched, 20);
+	srig_run(&rig->srig, 50);
+	memcpy(again.id, job->id, sizeof(again.id));
+	(void)rig_submit_to(rig->srig.sched, &again, 1, 27000, 3000, 0, false);
+	srig_run(&rig->srig, 200);
+	cr_expect(again.answered);
+	cr_expect_eq(again.result, SCHED_OUTCOME_UNKNOWN);
+	cr_expect_eq(
+	    wm_task(&rig->srig.cluster, "0000000000000001.0.0.0")->starts, 1);
+	rig_destroy(rig);
+}
+
 /* The process that confirms the stop ends before it lists the end. */
 Test(scheduler, late_start_is_not_executed_by_the_process_after_a_stop)
 {
