--- a/tests/test_scheduler_stored.c
+++ b/tests/test_scheduler_stored.c
@@ -44,6 +44,10 @@
 	uint64_t connection_id; /* requested by the last hold */
 	uint64_t unstored_seq;	/* sequence number reported for every job */
 	uint64_t progress_seq;	/* the last sequence number issued */
+	uint64_t incarnation_start_ms;
+	uint64_t clock_ms;	    /* in replies to holds; 0: none */
+	uint64_t start_deadline_ms; /* of the last start of any task */
+	bool is_first_holder;	    /* of the jobs that are submitted */
 };
 
 static struct worker_link *
@@ -66,6 +70,7 @@
 	struct rig *rig =
 	    (struct rig *)((char *)link - offsetof(struct rig, link));
 
+	rig->start_deadline_ms = order->deadline_ms;
 	if (strcmp(order->task, ID_A ".0.0.0") != 0) {
 		sim_time_advance(rig->pause_ms);
 		rig->pause_ms = 0;
@@ -160,6 +165,7 @@
 
 	sim_time_start();
 	params.base = event_base_new();
+	rig->incarnation_start_ms = RIG_INCARNATION_START_MS;
 	rig->worker.ops = &rig_ops;
 	rig->base = params.base;
 	rig->sched = sched_create(&params);
@@ -193,7 +199,9 @@
     size_t nrunning, const struct worker_ended *ended, size_t nended)
 {
 	const struct worker_reply reply = { .verdict = WORKER_OK,
-		.incarnation_start_ms = RIG_INCARNATION_START_MS,
+		.has_clock = rig->clock_ms != 0,
+		.clock_ms = rig->clock_ms,
+		.incarnation_start_ms = rig->incarnation_start_ms,
 		.connection_id = RIG_CONNECTION_ID,
 		.has_lists = true,
 		.running = running,
@@ -240,7 +248,7 @@
 		    .slack_permille = 1600,
 		    .target_ms = 60 },
 		.timeout_ms = 60000,
-		.resubmitted = true,
+		.resubmitted = !rig->is_first_holder,
 		.stored = true,
 		.done = none,
 		.failures = failures,
@@ -483,9 +491,14 @@
 	rig->start_done(rig->start_arg, &no_capacity);
 	cr_assert_eq(rig->stops, 1);
 	rig->stop_done(rig->stop_arg, &lost);
-	/* The first of these holds was sent before the stop had ended. */
+	/* The first of these holds was sent before the stop had ended, the
+	 * second one after it, and before the stop is sent again. */
+	sim_time_advance(1);
 	rig_reply_at_once(rig, NULL, 0, NULL, 0);
-	rig_reply(rig, NULL, 0, NULL, 0);
+	sim_time_advance(1);
+	rig_reply_at_once(rig, NULL, 0, NULL, 0);
+	cr_expect_eq(rig->stops, 1);
+	rig_run(rig);
 	cr_expect_eq(rig->starts, 2, "the task was started again");
 	cr_assert_eq(rig->stops, 2, "the stop was not sent again");
 	rig->stop_done(rig->stop_arg, &stopped);
@@ -495,6 +508,111 @@
 	rig_destroy(rig);
 }
 
+/* The process restarts after it has confirmed the stop, whose reply is
+ * overtaken by lists of the next one. */
+Test(scheduler_stored, stop_that_a_former_process_confirmed_is_sent_again)
+{
+	const struct worker_reply lost = { .verdict = WORKER_NO_REPLY },
+				  no_capacity = { .verdict =
+						      WORKER_NO_CAPACITY },
+				  stopped = { .verdict = WORKER_OK };
+	const struct worker_ended other = { 1, ID_A ".0.0.1", 641,
+		WORKER_END_DONE, "" };
+	struct rig *rig = rig_create();
+	uint32_t i;
+
+	sched_set_servers_complete(rig->sched, true);
+	rig_submit(rig, ID_A);
+	sched_set_jobs_loaded(rig->sched);
+	rig_reply(rig, NULL, 0, NULL, 0);
+	rig->start_done(rig->start_arg, &lost);
+	rig->start_done(rig->start_arg, &no_capacity);
+	cr_assert_eq(rig->stops, 1);
+	rig->incarnation_start_ms++;
+	sim_time_advance(1);
+	rig_reply_at_once(rig, NULL, 0, NULL, 0);
+	rig->stop_done(rig->stop_arg, &stopped);
+	sim_time_advance(1);
+	rig_reply_at_once(rig, NULL, 0, NULL, 0);
+	sim_time_advance(1);
+	rig_reply(rig, NULL, 0, NULL, 0);
+	cr_expect_eq(rig->starts, 2, "the task was started again");
+	cr_assert_eq(rig->stops, 2, "the next process was not told");
+	rig->stop_done(rig->stop_arg, &stopped);
+	/* As its server was lost, the task needs a server of its own. */
+	rig_reply(rig, NULL, 0, &other, 1);
+	sched_progress_stored(rig->sched, ID_A, 1);
+	for (i = 0; i < 3; i++)
+		rig_reply(rig, NULL, 0, NULL, 0);
+	cr_expect_eq(rig->starts, 3, "the task was not started again");
+	cr_expect_eq(rig->stops, 2, "a confirmed stop was sent again");
+	rig_destroy(rig);
+}
+
+/* As above, after the task has another run. */
+Test(scheduler_stored, stop_of_a_late_start_is_sent_to_each_process)
+{
+	const struct worker_reply lost = { .verdict = WORKER_NO_REPLY },
+				  no_capacity = { .verdict =
+						      WORKER_NO_CAPACITY },
+				  stopped = { .verdict = WORKER_OK };
+	struct rig *rig = rig_create();
+	uint32_t i;
+
+	sched_set_servers_complete(rig->sched, true);
+	rig_submit(rig, ID_A);
+	sched_set_jobs_loaded(rig->sched);
+	rig_reply(rig, NULL, 0, NULL, 0);
+	rig->start_done(rig->start_arg, &lost);
+	rig->start_done(rig->start_arg, &no_capacity);
+	rig->stop_done(rig->stop_arg, &stopped);
+	for (i = 0; i < 3; i++)
+		rig_reply(rig, NULL, 0, NULL, 0);
+	cr_assert_eq(rig->starts, 3);
+	cr_assert_eq(rig->stops, 1);
+	for (i = 0; i < 2; i++) {
+		rig->incarnation_start_ms++;
+		sim_time_advance(1);
+		rig_reply_at_once(rig, NULL, 0, NULL, 0);
+	}
+	cr_assert_eq(rig->stops, 2);
+	rig->stop_done(rig->stop_arg, &stopped);
+	for (i = 0; i < 2; i++)
+		rig_reply(rig, NULL, 0, NULL, 0);
+	cr_assert_eq(rig->stops, 3, "the last process was not told");
+	rig->stop_done(rig->stop_arg, &stopped);
+	for (i = 0; i < 3; i++)
+		rig_reply(rig, NULL, 0, NULL, 0);
+	cr_expect_eq(rig->stops, 3, "a confirmed stop was sent again");
+	rig_destroy(rig);
+}
+
+/* A deadline on the former clock is a long time for the next process. */
+Test(scheduler_stored, clock_of_a_former_process_sets_no_deadlines)
+{
+	const struct worker_reply started = { .verdict = WORKER_OK,
+		.has_clock = true,
+		.clock_ms = 500001 };
+	struct rig *rig = rig_create();
+
+	rig->clock_ms = 500000;
+	sched_set_servers_complete(rig->sched, true);
+	rig_submit(rig, ID_A);
+	sched_set_jobs_loaded(rig->sched);
+	rig_reply(rig, NULL, 0, NULL, 0);
+	cr_assert_eq(rig->starts, 1);
+	cr_assert_geq(rig->start_deadline_ms, 501000);
+	rig->incarnation_start_ms++;
+	rig->clock_ms = 10;
+	rig_reply_at_once(rig, NULL, 0, NULL, 0);
+	rig->start_done(rig->start_arg, &started);
+	rig->is_first_holder = true;
+	rig_submit(rig, ID_B);
+	rig_run(rig);
+	cr_expect_leq(rig->start_deadline_ms, 1010 + RIG_RUN_MS);
+	rig_destroy(rig);
+}
+
 /* The hold was executed before the start, and its reply is later. */
 Test(scheduler_stored, run_is_not_ended_by_a_list_that_is_older_than_its_start)
 {
