Cells: a message may have waited in a pause before the first tick

A host that was paused within two ticks of its start took the submissions that had waited in its sockets for new ones: cells_unread_since_us() said "just started".

The time counts from the creation of the process's cells now; a cancellation by such a host said that its caller might have been lost at the start of the clock. No periodic cost.

--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -536,7 +536,8 @@
 uint64_t
 cells_unread_since_us(const struct cells *cells)
 {
-	return cells->previous_tick_us;
+	return cells->previous_tick_us != 0 ? cells->previous_tick_us
+					    : cells->created_us;
 }
 
 static void
@@ -621,6 +622,7 @@
 	struct cells *cells = mem_zalloc(1, sizeof(*cells));
 
 	cells->params = *params;
+	cells->created_us = cells_now_us(cells);
 	TAILQ_INIT(&cells->zones);
 	nidx_init(&cells->hosts_by_name);
 	cells->local_zone = cells_zone_get(cells, params->self.az);
--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -206,7 +206,7 @@
  * cells_unread_since_us() - since when a message that is read now may have
  * waited in this process's sockets: after a pause a time before it, until the
  * second tick, as the event loop may run the first one before it has read all.
- * Return: time of the monotonic clock (us); 0: the process has just started.
+ * Return: time of the monotonic clock (us).
  */
 uint64_t cells_unread_since_us(const struct cells *cells);
 
--- a/entry/jobs/cells_internal.h
+++ b/entry/jobs/cells_internal.h
@@ -127,6 +127,7 @@
 	struct name_index withdrawn_by_id;
 	size_t nwithdrawn;
 	struct event *timer;
+	uint64_t created_us;
 	uint64_t last_tick_us;
 	uint64_t previous_tick_us; /* the one before the last; 0: none */
 	uint64_t nticks;
--- a/entry/jobs/job_gateway.c
+++ b/entry/jobs/job_gateway.c
@@ -414,8 +414,7 @@
 {
 	uint64_t since_us = cells_unread_since_us(job->gateway->cells);
 
-	if (since_us == 0 ||
-	    now_us - since_us <= GW_PAUSE_MIN_MS * GW_US_PER_MS ||
+	if (now_us - since_us <= GW_PAUSE_MIN_MS * GW_US_PER_MS ||
 	    !gw_job_is_best_effort(job))
 		return now_us;
 	return since_us;
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -2835,6 +2835,23 @@
 	net_destroy(net);
 }
 
+Test(cells, message_read_after_a_pause_before_the_first_tick_may_have_waited)
+{
+	struct net *net = net_create();
+	const struct cells *cells = net->hosts[0].cells;
+	uint64_t paused_us = clock_now_us(clock_real());
+
+	sim_time_advance(PAUSE_MS);
+	cr_expect_leq(cells_unread_since_us(cells), paused_us);
+	cr_expect_gt(cells_unread_since_us(cells), 0);
+	(void)event_base_loop(net->base, EVLOOP_NONBLOCK);
+	cr_expect_leq(cells_unread_since_us(cells), paused_us);
+	cr_expect_gt(cells_unread_since_us(cells), 0);
+	net_run(net, 2 * TICK_MS);
+	cr_expect_gt(cells_unread_since_us(cells), paused_us);
+	net_destroy(net);
+}
+
 /* The silent host's job is excluded from the only server, which has room. */
 Test(cells, waiting_job_of_a_silent_host_does_not_hold_up_others)
 {
--- a/tests/test_job_gateway.c
+++ b/tests/test_job_gateway.c
@@ -42,9 +42,7 @@
 uint64_t
 cells_unread_since_us(const struct cells *cells)
 {
-	return cells->unread_ms == 0
-	    ? 0
-	    : clock_now_us(clock_real()) - cells->unread_ms * UINT64_C(1000);
+	return clock_now_us(clock_real()) - cells->unread_ms * UINT64_C(1000);
 }
 
 void
