--- a/core/unread.c
+++ b/core/unread.c
@@ -8,6 +8,13 @@
  * longer one all ticks within the time of the pause, up to this limit. */
 #define UNREAD_READ_MAX_US UINT64_C(100000)
 
+void
+unread_start(struct unread *unread, uint64_t now_us)
+{
+	*unread = (struct unread){ .last_tick_us = now_us,
+		.previous_tick_us = now_us };
+}
+
 void
 unread_tick(struct unread *unread, uint64_t now_us)
 {
--- a/core/unread.h
+++ b/core/unread.h
@@ -14,7 +14,7 @@
 
 /** struct unread - the ticks of a timer of the event loop; zeroed: none yet. */
 struct unread {
-	uint64_t last_tick_us;
+	uint64_t last_tick_us;	   /* or the start; 0: neither */
 	uint64_t previous_tick_us; /* the one before the last; 0: none */
 	/* The longest of the last pauses: the tick before it, and until when
 	 * messages from that time may be read. */
@@ -23,12 +23,15 @@
 	uint64_t pause_ends_us;
 };
 
+/** unread_start() - no message has been read before @now_us. */
+void unread_start(struct unread *unread, uint64_t now_us);
+
 /** unread_tick() - the timer has expired. */
 void unread_tick(struct unread *unread, uint64_t now_us);
 
 /**
  * unread_since_us() - since when a message that is read now may have waited.
- * Return: the time of a tick; 0: there were fewer than two.
+ * Return: the time of a tick or the start; 0: there were fewer than two.
  */
 uint64_t unread_since_us(const struct unread *unread, uint64_t now_us);
 
--- a/entry/jobs/cells.c
+++ b/entry/jobs/cells.c
@@ -516,7 +516,7 @@
 	uint64_t pause_us = now_us - cells->unread.last_tick_us;
 	struct cells_host *host;
 
-	if (cells->unread.last_tick_us != 0 &&
+	if (cells->nticks > 1 &&
 	    pause_us > CELLS_PAUSE_MIN_MS * CELLS_US_PER_MS) {
 		log_event(LOG_LEVEL_WARN, "process-resumed",
 		    "after_ms=%" PRIu64, pause_us / CELLS_US_PER_MS);
@@ -626,6 +626,7 @@
 	struct cells *cells = mem_zalloc(1, sizeof(*cells));
 
 	cells->params = *params;
+	unread_start(&cells->unread, cells_now_us(cells));
 	TAILQ_INIT(&cells->zones);
 	nidx_init(&cells->hosts_by_name);
 	cells->local_zone = cells_zone_get(cells, params->self.az);
--- a/entry/jobs/cells.h
+++ b/entry/jobs/cells.h
@@ -205,7 +205,7 @@
 /**
  * cells_unread_since_us() - since when a message that is read now may have
  * waited in this process's sockets (core/unread.h).
- * Return: time of the monotonic clock (us); 0: the process has just started.
+ * Return: time of the monotonic clock (us).
  */
 uint64_t cells_unread_since_us(const struct cells *cells);
 
--- a/entry/jobs/row_source.c
+++ b/entry/jobs/row_source.c
@@ -441,8 +441,7 @@
 	struct row_source *src = mem_zalloc(1, sizeof(*src));
 
 	src->params = *params;
-	unread_tick(&src->unread, rowsrc_now_us(src));
-	unread_tick(&src->unread, rowsrc_now_us(src));
+	unread_start(&src->unread, rowsrc_now_us(src));
 	return src;
 }
 
