Suspects: a crash that is known late counts in part

Cause: that another incarnation replies was taken for a crash under the task, however long after the loss. A run that had lapsed with the lease of a server that is out of reach can't have crashed it after that.

Evidence: test_scheduler_suspect lapsed_run_whose_server_crashes_later_is_no_crash_of_its_task fails on (the job is failed), crash_of_a_server_after_its_lease_is_a_late_one too.

Change: a loss counts as a crash in full if its server refused connections while the lease lasted or up to 5 s later (SUSP_WAIT_MS, for which a task waits for lost servers), or if its end is known by then. Later it is late, and counts like one before the start was confirmed: four of any kind. The loss under a run whose lease has ended has the time of that end.

Ruled out: not to count them at all; a task that crashes silent machines which are back after more than 5 s would never be given up. To compare the start time of the later incarnation: it is by another clock.

Why it works: the verdict needs two or three crashes that are not late, as before; each of the four rules only loses evidence, so that no task is given up that was not before. No periodic cost.

test_suspect: susp_server_seen() and susp_server_ended() take the time; the cases pass that of the last loss, what they expect is the same.

--- a/core/suspect.c
+++ b/core/suspect.c
@@ -10,9 +10,9 @@
 
 #define SUSP_US_PER_MS UINT64_C(1000)
 /* Crashes after which a task is guilty if it was alone at one of them, and if
- * it never was. Only those of servers that had started it count, but with more
- * crashes a task is guilty in any case: it may crash servers before they reply.
- */
+ * it never was. Only those of servers that had started it count, and none that
+ * are known late, but with more crashes a task is guilty in any case: it may
+ * crash servers before they reply. */
 #define SUSP_CRASHES_ALONE 2
 #define SUSP_CRASHES_MAX 3
 #define SUSP_CRASHES_UNCONFIRMED_MAX 4
@@ -21,6 +21,9 @@
  * they have, for that much longer after each further loss. */
 #define SUSP_WAIT_LOSSES 2
 #define SUSP_WAIT_MS 5000
+/* A server that did not refuse connections has crashed under its tasks if its
+ * end is known by then. */
+#define SUSP_ENDED_MS SUSP_WAIT_MS
 #define SUSP_VALID_MS 60000
 
 void
@@ -112,6 +115,9 @@
 		    (task->losses[i].crashed || task->losses[i].refused ||
 			!loss->refused) &&
 		    (task->losses[i].started || !loss->started);
+		if (loss->crashed)
+			task->losses[i].late = loss->late &&
+			    (task->losses[i].late || !task->losses[i].crashed);
 		task->losses[i].crashed |= loss->crashed;
 		task->losses[i].refused |= loss->refused;
 		task->losses[i].started |= loss->started;
@@ -125,9 +131,24 @@
 	return true;
 }
 
+bool
+susp_loss_is_late(const struct susp_loss *loss, uint64_t now_us)
+{
+	return now_us > loss->lost_us + SUSP_ENDED_MS * SUSP_US_PER_MS;
+}
+
+void
+susp_loss_ended(struct susp_loss *loss, uint64_t now_us)
+{
+	if (loss->crashed)
+		return;
+	loss->crashed = true;
+	loss->late = !loss->refused && susp_loss_is_late(loss, now_us);
+}
+
 bool
 susp_server_seen(struct suspects *suspects, const char *server,
-    uint64_t incarnation_start_ms)
+    uint64_t incarnation_start_ms, uint64_t now_us)
 {
 	struct susp_task *task, *next;
 	struct susp_loss *loss;
@@ -145,7 +166,7 @@
 				susp_loss_remove(task, i);
 			else if (loss->incarnation_start_ms <
 			    incarnation_start_ms)
-				loss->crashed = true;
+				susp_loss_ended(loss, now_us);
 		}
 		if (task->nlosses == 0)
 			susp_task_free(suspects, task);
@@ -154,7 +175,8 @@
 }
 
 bool
-susp_server_ended(struct suspects *suspects, const char *server)
+susp_server_ended(struct suspects *suspects, const char *server,
+    uint64_t now_us)
 {
 	struct susp_task *task;
 	bool added = false;
@@ -165,7 +187,7 @@
 			if (task->losses[i].crashed ||
 			    strcmp(task->losses[i].server, server) != 0)
 				continue;
-			task->losses[i].crashed = true;
+			susp_loss_ended(&task->losses[i], now_us);
 			added = true;
 		}
 	}
@@ -210,7 +232,7 @@
 		    !(refused && task->losses[i].refused))
 			continue;
 		(*crashes)++;
-		if (!task->losses[i].started)
+		if (!task->losses[i].started || task->losses[i].late)
 			continue;
 		started++;
 		alone |= task->losses[i].alone;
--- a/core/suspect.h
+++ b/core/suspect.h
@@ -30,6 +30,9 @@
 	bool refused; /* it refused connections, as if it had crashed */
 	bool alone;   /* no other task was on the server */
 	bool started; /* the task is known to have been started there */
+	/* Of one that did not refuse connections: its end became known so much
+	 * later that it may have crashed after the task's lease had expired. */
+	bool late;
 };
 
 /** struct susp_task - a suspect. */
@@ -80,14 +83,22 @@
  * Return: whether a suspect is concerned.
  */
 bool susp_server_seen(struct suspects *suspects, const char *server,
-    uint64_t incarnation_start_ms);
+    uint64_t incarnation_start_ms, uint64_t now_us);
 
 /**
  * susp_server_ended() - another server replies at the address of a lost one,
  * which has crashed.
  * Return: whether this adds anything.
  */
-bool susp_server_ended(struct suspects *suspects, const char *server);
+bool susp_server_ended(struct suspects *suspects, const char *server,
+    uint64_t now_us);
+
+/** susp_loss_is_late() - whether what is seen of the server now tells nothing
+ * of the time of the loss any more. */
+bool susp_loss_is_late(const struct susp_loss *loss, uint64_t now_us);
+
+/** susp_loss_ended() - the lost incarnation is known to have ended. */
+void susp_loss_ended(struct susp_loss *loss, uint64_t now_us);
 
 /** susp_acquit() - the task has ended without a crash. */
 void susp_acquit(struct suspects *suspects, const char *task);
--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -117,7 +117,8 @@
 	loss->started = task->start_confirmed;
 	if (!susp_add_loss(&job->sched->suspects, name, loss))
 		return false;
-	verdict = susp_judge(&job->sched->suspects, name, loss->lost_us);
+	verdict =
+	    susp_judge(&job->sched->suspects, name, sched_now(job->sched));
 	log_event(LOG_LEVEL_INFO, "task-suspected",
 	    "id=%s task=%" PRIu32 ".%" PRIu32
 	    " server=%s crashed=%d refused=%d alone=%d started=%d losses=%zu"
@@ -137,14 +138,15 @@
 sched_suspects_record(struct sched_server *server, struct susp_loss *loss,
     bool on_record)
 {
+	uint64_t now_us = sched_now(server->sched);
 	enum susp_verdict verdict;
 	struct sched_task *task;
 	bool guilty = false;
 
 	TAILQ_FOREACH (task, &server->tasks, on_server) {
-		verdict = sched_suspect_judge(task, loss->lost_us);
+		verdict = sched_suspect_judge(task, now_us);
 		if ((verdict != SUSP_NONE) == on_record &&
-		    sched_suspect_concerned(task, loss->lost_us) &&
+		    sched_suspect_concerned(task, now_us) &&
 		    !sched_suspect_not_reached(task))
 			guilty |= sched_suspect_record(task, loss);
 	}
@@ -160,6 +162,24 @@
 	    sched_holder_remaining_ms(sched) == 0;
 }
 
+/* The runs had ended with the lease, if not with the server. */
+static void
+sched_loss_after_lease(const struct sched_server *server,
+    struct susp_loss *loss)
+{
+	uint64_t now_us = loss->lost_us;
+	bool crashed = loss->crashed;
+
+	if (server->lease.expires_us == 0 ||
+	    !lease_expired(&server->lease, now_us))
+		return;
+	loss->lost_us = server->lease.expires_us;
+	loss->refused = loss->refused && !susp_loss_is_late(loss, now_us);
+	loss->crashed = false;
+	if (crashed)
+		susp_loss_ended(loss, now_us);
+}
+
 /* If a suspect is to blame, the other tasks of the server are not recorded. */
 static void
 sched_suspects_add_loss(struct sched_server *server, struct susp_loss *loss)
@@ -177,6 +197,7 @@
 	loss->lost_us = sched_now(server->sched);
 	loss->alone = TAILQ_FIRST(&server->tasks) ==
 	    TAILQ_LAST(&server->tasks, sched_tasks);
+	sched_loss_after_lease(server, loss);
 	if (!sched_suspects_record(server, loss, true))
 		(void)sched_suspects_record(server, loss, false);
 }
@@ -204,7 +225,7 @@
 	server->seen_start_ms = incarnation_start_ms;
 	server->seen_us = sched_now(server->sched);
 	if (susp_server_seen(&server->sched->suspects, server->info.id,
-		incarnation_start_ms))
+		incarnation_start_ms, server->seen_us))
 		log_event(LOG_LEVEL_INFO, "lost-server-back",
 		    "server=%s started_ms=%" PRIu64, server->info.id,
 		    incarnation_start_ms);
@@ -213,7 +234,8 @@
 void
 sched_suspects_server_ended(struct sched_server *server)
 {
-	if (susp_server_ended(&server->sched->suspects, server->info.id)) {
+	if (susp_server_ended(&server->sched->suspects, server->info.id,
+		sched_now(server->sched))) {
 		log_event(LOG_LEVEL_INFO, "lost-server-replaced", "server=%s",
 		    server->info.id);
 		sched_dispatch_wake(server->sched);
@@ -248,12 +270,13 @@
 		if (crashes_only && !loss->crashed && !loss->refused)
 			continue;
 		(void)json_array_append_new(item,
-		    json_pack("[s,I,I,b,b,b,b]", loss->server,
+		    json_pack("[s,I,I,b,b,b,b,b]", loss->server,
 			(json_int_t)loss->incarnation_start_ms,
 			(json_int_t)((now_us - loss->lost_us) /
 			    SCHED_US_PER_MS),
 			(int)loss->crashed, (int)loss->alone,
-			(int)loss->started, (int)loss->refused));
+			(int)loss->started, (int)loss->refused,
+			(int)loss->late));
 	}
 	if (json_array_size(item) > 1)
 		return item;
@@ -333,6 +356,7 @@
 		loss.alone = json_is_true(json_array_get(fields, 4));
 		loss.started = json_is_true(json_array_get(fields, 5));
 		loss.refused = json_is_true(json_array_get(fields, 6));
+		loss.late = json_is_true(json_array_get(fields, 7));
 		if (!sched_loss_disproved(sched, &loss))
 			(void)susp_add_loss(&sched->suspects, name, &loss);
 	}
--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -698,3 +698,59 @@
 	json_decref(suspects);
 	rig_destroy(rig);
 }
+
+/* The first server is cut off, and crashes long after the run has ended with
+ * its lease. The second one crashes. */
+Test(scheduler_suspect,
+    lapsed_run_whose_server_crashes_later_is_no_crash_of_its_task)
+{
+	struct rig *rig = rig_create_stored();
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	struct job *job = rig_submit(rig, 1, 6000, "");
+	uint32_t i, first, both;
+
+	srig_run(&rig->srig, 300);
+	faults->unreachable_mask = first = rig_busy_mask(rig);
+	srig_run(&rig->srig, 5700);
+	both = first | rig_busy_mask(rig);
+	cr_assert_neq(both, first);
+	faults->unreachable_mask = both;
+	srig_run(&rig->srig, 1500);
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		if ((both & 1U << i) != 0)
+			crash_for(&rig->srig.cluster.servers[i], 300);
+	}
+	faults->unreachable_mask = 0;
+	srig_run(&rig->srig, 10000);
+	cr_expect_eq(job->answers, 1);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
+/* Its run lapses, and the task waits for the server, which crashes later. */
+Test(scheduler_suspect, crash_of_a_server_after_its_lease_is_a_late_one)
+{
+	struct rig *rig = rig_create();
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	json_t *suspects, *loss;
+	uint32_t i, first;
+
+	(void)rig_submit(rig, 1, 6000, "");
+	srig_run(&rig->srig, 300);
+	faults->unreachable_mask = first = rig_busy_mask(rig);
+	srig_run(&rig->srig, 7000);
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		if ((first & 1U << i) != 0)
+			crash_for(&rig->srig.cluster.servers[i], 300);
+	}
+	faults->unreachable_mask = 0;
+	srig_run(&rig->srig, 600);
+	suspects = sched_suspects_render(rig->srig.sched, true);
+	cr_assert_eq(json_array_size(suspects), 1);
+	loss = json_array_get(json_array_get(suspects, 0), 1);
+	cr_expect(json_is_true(json_array_get(loss, 7)));
+	json_decref(suspects);
+	rig_destroy(rig);
+}
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -113,11 +113,11 @@
 	lose(&suspects, TASK, "s1", 5, SECOND_US, false, true);
 	lose(&suspects, TASK, "s2", 6, 2 * SECOND_US, false, true);
 	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_WAIT);
-	cr_expect(susp_server_seen(&suspects, "s1", 5));
+	cr_expect(susp_server_seen(&suspects, "s1", 5, 2 * SECOND_US));
 	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_NONE);
-	cr_expect(susp_server_seen(&suspects, "s2", 6));
+	cr_expect(susp_server_seen(&suspects, "s2", 6, 2 * SECOND_US));
 	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_NONE);
-	cr_expect_not(susp_server_seen(&suspects, "s2", 6));
+	cr_expect_not(susp_server_seen(&suspects, "s2", 6, 2 * SECOND_US));
 	susp_release(&suspects);
 }
 
@@ -128,9 +128,9 @@
 	susp_init(&suspects);
 	lose(&suspects, TASK, "s1", 5, SECOND_US, false, true);
 	lose(&suspects, TASK, "s2", 6, 2 * SECOND_US, false, true);
-	(void)susp_server_seen(&suspects, "s1", 500);
+	(void)susp_server_seen(&suspects, "s1", 500, 2 * SECOND_US);
 	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_WAIT);
-	(void)susp_server_seen(&suspects, "s2", 600);
+	(void)susp_server_seen(&suspects, "s2", 600, 2 * SECOND_US);
 	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_GUILTY);
 	susp_release(&suspects);
 }
@@ -160,9 +160,9 @@
 	cr_expect_eq(susp_judge(&suspects, TASK, SECOND_US), SUSP_ISOLATE);
 	refuse(&suspects, "s2", 6, 2 * SECOND_US);
 	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_UNPROVEN);
-	(void)susp_server_seen(&suspects, "s1", 5);
+	(void)susp_server_seen(&suspects, "s1", 5, 2 * SECOND_US);
 	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_ISOLATE);
-	(void)susp_server_seen(&suspects, "s2", 6);
+	(void)susp_server_seen(&suspects, "s2", 6, 2 * SECOND_US);
 	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_NONE);
 	susp_release(&suspects);
 }
@@ -174,9 +174,9 @@
 	susp_init(&suspects);
 	refuse(&suspects, "s1", 5, SECOND_US);
 	refuse(&suspects, "s2", 6, 2 * SECOND_US);
-	(void)susp_server_seen(&suspects, "s1", 500);
+	(void)susp_server_seen(&suspects, "s1", 500, 2 * SECOND_US);
 	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_UNPROVEN);
-	(void)susp_server_seen(&suspects, "s2", 600);
+	(void)susp_server_seen(&suspects, "s2", 600, 2 * SECOND_US);
 	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_GUILTY);
 	susp_release(&suspects);
 }
@@ -188,10 +188,10 @@
 	susp_init(&suspects);
 	refuse(&suspects, "s1", 5, SECOND_US);
 	refuse(&suspects, "s2", 6, 2 * SECOND_US);
-	cr_expect(susp_server_ended(&suspects, "s1"));
-	cr_expect_not(susp_server_ended(&suspects, "s1"));
+	cr_expect(susp_server_ended(&suspects, "s1", 2 * SECOND_US));
+	cr_expect_not(susp_server_ended(&suspects, "s1", 2 * SECOND_US));
 	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_UNPROVEN);
-	cr_expect(susp_server_ended(&suspects, "s2"));
+	cr_expect(susp_server_ended(&suspects, "s2", 2 * SECOND_US));
 	cr_expect_eq(susp_judge(&suspects, TASK, 2 * SECOND_US), SUSP_GUILTY);
 	susp_release(&suspects);
 }
@@ -269,7 +269,24 @@
 	susp_init(&suspects);
 	lose(&suspects, TASK, "s1", 5, SECOND_US, false, false);
 	cr_expect_eq(susp_judge(&suspects, TASK, SECOND_US), SUSP_NONE);
-	(void)susp_server_seen(&suspects, "s1", 500);
+	(void)susp_server_seen(&suspects, "s1", 500, 2 * SECOND_US);
 	cr_expect_eq(susp_judge(&suspects, TASK, SECOND_US), SUSP_ISOLATE);
 	susp_release(&suspects);
 }
+
+/* They refused no connection: they may have crashed after the task's lease. */
+Test(suspect, servers_that_are_known_late_to_have_ended_convict_nobody)
+{
+	struct suspects suspects;
+
+	susp_init(&suspects);
+	lose(&suspects, TASK, "s1", 5, SECOND_US, false, true);
+	lose(&suspects, TASK, "s2", 6, 2 * SECOND_US, false, true);
+	(void)susp_server_seen(&suspects, "s1", 500, 8 * SECOND_US);
+	cr_expect(susp_server_ended(&suspects, "s2", 8 * SECOND_US));
+	cr_expect_eq(susp_judge(&suspects, TASK, 8 * SECOND_US), SUSP_ISOLATE);
+	lose(&suspects, TASK, "s1", 5, SECOND_US, true, true);
+	lose(&suspects, TASK, "s2", 6, 2 * SECOND_US, true, true);
+	cr_expect_eq(susp_judge(&suspects, TASK, 8 * SECOND_US), SUSP_GUILTY);
+	susp_release(&suspects);
+}
