Suspects: losses under a holder that is replaced are recorded

Cause: the loss of a server was recorded by its holder alone, when the lease had expired, 1.0 to 1.2 s after the crash. A holder that was killed or replaced before that left no record of the run; a holder that lived did not record it either, as it gave its runs up. And a loss that was told after the server was back never became a crash.

These fail on: test_cells crash_under_a_holder_that_is_replaced_is_recorded, test_scheduler_suspect replaced_holder_records_runs_on_silent_servers, loss_that_is_told_after_the_server_is_back_is_a_crash. Two cases use new functions (run_at_risk_is_passed_on_by_a_host_that_was_told, run_that_is_left_out_is_not_at_risk_any_more); two guard against losses of servers that reply, and pass before and after.

Change: the holder tells likely successors, in each reply to a ping, the runs on servers that do not reply and those of tasks that have lost a server, as a whole set. A host that takes over records the set as losses not known to be crashes; the server's reply decides, as before.

Order: for each reply to a ping of a likely successor (13 a second for a zone) O(servers + suspects), at most 64 runs of about 75 bytes. No new call, write or wait.

Why it works: what is told is a set, replaced by the next one, so that a run is withdrawn by being left out; a loss from it has the time at which the server was last known to have the run, so that a server that has been seen since disproves it; and nothing counts before the server's return.

--- a/entry/jobs/cells_state.c
+++ b/entry/jobs/cells_state.c
@@ -54,6 +54,16 @@
 		(void)json_object_set_new(body, "pending_starts", pending);
 }
 
+/* Adds the runs at risk of the holder, or those that it has told last. */
+static void
+cells_add_risk(const struct cells *cells, json_t *body)
+{
+	json_t *runs = sched_risk_render(cells->params.sched);
+
+	if (runs != NULL)
+		(void)json_object_set_new(body, "runs_at_risk", runs);
+}
+
 /* Hosts of this zone get the numbers of pending jobs of all cells. */
 void
 cells_handle_state(struct cells *cells, const struct api_request *request,
@@ -84,6 +94,8 @@
 	if (cells_query_u64(request, "suspects") != 0)
 		(void)json_object_set_new(body, "suspects",
 		    sched_suspects_render(cells->params.sched, !local));
+	if (local && cells_query_u64(request, "suspects") != 0)
+		cells_add_risk(cells, body);
 	cells_add_pending_starts(cells, request, local, body);
 	if (token != 0 && local && cells_query_u64(request, "suspects") != 0)
 		(void)json_object_set_new(body, "remote_pending",
--- a/entry/jobs/scheduler.c
+++ b/entry/jobs/scheduler.c
@@ -4,6 +4,7 @@
  */
 
 #include <inttypes.h>
+#include <jansson.h>
 
 #include "adapters/log.h"
 #include "core/counters.h"
@@ -188,6 +189,7 @@
 	sched->holder_confirmed = false;
 	sched->awaits_owner_us = 0;
 	sched->server_unknown = false;
+	sched_risk_take_over(sched);
 	log_event(LOG_LEVEL_WARN, "cell-acquired",
 	    "token=%" PRIu64 " former_runs=%s", token,
 	    sched->former_runs_known ? "known" : "unknown");
@@ -357,12 +359,14 @@
 	struct sched_server *server;
 	struct sched_job *job, *next_job;
 	struct sched_task *task, *next_task;
+	json_t *silent;
 
 	if (sched->token == 0)
 		return;
 	log_event(LOG_LEVEL_WARN, "cell-released", "token=%" PRIu64,
 	    sched->token);
 	sched->former_runs_known = !sched_runs_unknown(sched);
+	silent = sched_risk_silent(sched);
 	sched->token = 0;
 	(void)event_del(sched->tick_event);
 	TAILQ_FOREACH (server, &sched->servers, entry) {
@@ -371,6 +375,8 @@
 		TAILQ_FOREACH_SAFE (task, &server->tasks, on_server, next_task)
 			sched_run_discard(task, "scheduler deactivated");
 	}
+	sched_suspects_merge(sched, silent);
+	json_decref(silent);
 	TAILQ_FOREACH_SAFE (job, &sched->jobs, entry, next_job)
 		sched_job_finish(job,
 		    job->started_unconfirmed ? &may_run : &not_holder);
@@ -630,6 +636,7 @@
 	sched_advice_detach_calls(sched);
 	nidx_release(&sched->servers_by_id);
 	susp_release(&sched->suspects);
+	json_decref(sched->risk_runs);
 	pend_release(&sched->pending);
 	free(sched->candidates);
 	free(sched);
--- a/entry/jobs/scheduler.h
+++ b/entry/jobs/scheduler.h
@@ -270,6 +270,24 @@
 /** sched_suspects_merge() - add what another host has on record. */
 void sched_suspects_merge(struct scheduler *sched, const struct json_t *items);
 
+/**
+ * sched_risk_render() - encode the holder's runs whose loss would go with it:
+ * those on servers that do not reply, and those of tasks under which servers
+ * were lost. A host that is not the holder encodes what it was told last.
+ * Return: a JSON object, owned by the caller; NULL if there are none.
+ */
+struct json_t *sched_risk_render(struct scheduler *sched);
+
+/**
+ * sched_risk_told() - keep what another host has encoded, if it is newer. This
+ * host records it should it take over, or if it has.
+ * @holder_token: of that host; 0: it is not the holder.
+ * @sent_us: when it was asked.
+ * @message: NULL: none.
+ */
+void sched_risk_told(struct scheduler *sched, uint64_t holder_token,
+    uint64_t sent_us, const struct json_t *message);
+
 /**
  * sched_pending_render() - encode the jobs of which a start order without a
  * reply may still be executed: those that became known after @seq.
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -31,6 +31,7 @@
  *   scheduler_gang.c      gang scheduling
  *   scheduler_advice.c    placement permits from an external policy
  *   scheduler_suspect.c   tasks that may crash servers
+ *   scheduler_risk.c      runs whose loss is not on record yet
  *   scheduler_bulkhead.c  queues with many of them
  *
  * A hold is the long-poll request to a server that renews its lease,
@@ -360,6 +361,11 @@
 	LIST_HEAD(, sched_advice_call) advice_calls; /* pending */
 	uint32_t nadvice_calls;
 	struct suspects suspects;
+	/* Runs at risk, as last told by the holder with this token; owned.
+	 * NULL: none, or they are recorded. */
+	struct json_t *risk_runs;
+	uint64_t risk_token;
+	uint64_t risk_told_us;
 	/* Kept through changes of the holder. */
 	struct pending pending;
 	struct bulkhead bulkhead;
@@ -597,11 +603,26 @@
 /* A lost server replies. */
 void sched_suspects_server_seen(struct sched_server *server,
     uint64_t incarnation_start_ms);
+/* Whether the holder is not confirmed any more: a successor may have ended its
+ * runs. One that has just taken over knows those it listed. */
+bool sched_may_be_replaced(const struct scheduler *sched);
+/* Whether the loss of its server would be recorded under the task. */
+bool sched_suspect_may_be_lost(const struct sched_task *task, uint64_t now_us);
+/* Adds what another host had on record at @told_us. */
+void sched_suspects_merge_told(struct scheduler *sched,
+    const struct json_t *items, uint64_t told_us);
 /* Finds suspects among the tasks of a new job. */
 void sched_suspects_check_job(struct sched_job *job);
 /* Fails a job of which a task crashes servers. Return: whether it was ended. */
 bool sched_suspects_end_job(struct sched_job *job);
 
+/* scheduler_risk.c */
+/* Records the runs at risk of the former holder as losses. */
+void sched_risk_take_over(struct scheduler *sched);
+/* Encodes the runs of this holder on servers that do not reply, unless another
+ * one may have ended them. Return: a JSON array, owned by the caller. */
+struct json_t *sched_risk_silent(const struct scheduler *sched);
+
 /* scheduler_gang.c */
 bool sched_gang_member(const struct sched_task *task);
 /* Number of failed runs of a task, or of its gang: exactly one member is
--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -103,6 +103,13 @@
 	    task->start_attempts <= task->starts_refused + pending;
 }
 
+bool
+sched_suspect_may_be_lost(const struct sched_task *task, uint64_t now_us)
+{
+	return sched_suspect_concerned(task, now_us) &&
+	    !sched_suspect_not_reached(task);
+}
+
 /* Records the loss of its server under a task. Return: whether the task is
  * guilty now, or will be if the server has crashed. */
 static bool
@@ -146,16 +153,13 @@
 	TAILQ_FOREACH (task, &server->tasks, on_server) {
 		verdict = sched_suspect_judge(task, now_us);
 		if ((verdict != SUSP_NONE) == on_record &&
-		    sched_suspect_concerned(task, now_us) &&
-		    !sched_suspect_not_reached(task))
+		    sched_suspect_may_be_lost(task, now_us))
 			guilty |= sched_suspect_record(task, loss);
 	}
 	return guilty;
 }
 
-/* Whether the holder is not confirmed any more: a successor may have ended its
- * runs before the loss. One that has just taken over knows those it listed. */
-static bool
+bool
 sched_may_be_replaced(const struct scheduler *sched)
 {
 	return sched->holder_lease.confirmed_us != 0 &&
@@ -324,9 +328,30 @@
 	    server->incarnation_start_ms == loss->incarnation_start_ms;
 }
 
+/* A later incarnation may have replied before this host was told of the loss.
+ * One from long before may have been withdrawn here. */
+static void
+sched_loss_check_ended(const struct scheduler *sched, struct susp_loss *loss)
+{
+	struct nidx_entry *entry =
+	    nidx_find(&sched->servers_by_id, loss->server);
+	const struct sched_server *server;
+	struct susp_loss ended = *loss;
+
+	if (entry == NULL || loss->incarnation_start_ms == 0)
+		return;
+	server = NIDX_OBJECT(entry, struct sched_server, by_id);
+	if (!server->held ||
+	    server->incarnation_start_ms <= loss->incarnation_start_ms)
+		return;
+	susp_loss_ended(&ended, server->seen_us);
+	if (!ended.late)
+		*loss = ended;
+}
+
 static void
 sched_merge_suspect(struct scheduler *sched, const json_t *item,
-    uint64_t now_us)
+    uint64_t told_us)
 {
 	const char *name = json_string_value(json_array_get(item, 0)), *server;
 	struct susp_loss loss = { 0 };
@@ -351,24 +376,32 @@
 		age_us =
 		    (uint64_t)json_integer_value(json_array_get(fields, 2)) *
 		    SCHED_US_PER_MS;
-		loss.lost_us = age_us < now_us ? now_us - age_us : 0;
+		loss.lost_us = age_us < told_us ? told_us - age_us : 0;
 		loss.crashed = json_is_true(json_array_get(fields, 3));
 		loss.alone = json_is_true(json_array_get(fields, 4));
 		loss.started = json_is_true(json_array_get(fields, 5));
 		loss.refused = json_is_true(json_array_get(fields, 6));
 		loss.late = json_is_true(json_array_get(fields, 7));
-		if (!sched_loss_disproved(sched, &loss))
-			(void)susp_add_loss(&sched->suspects, name, &loss);
+		if (sched_loss_disproved(sched, &loss))
+			continue;
+		sched_loss_check_ended(sched, &loss);
+		(void)susp_add_loss(&sched->suspects, name, &loss);
 	}
 }
 
 void
-sched_suspects_merge(struct scheduler *sched, const struct json_t *items)
+sched_suspects_merge_told(struct scheduler *sched, const struct json_t *items,
+    uint64_t told_us)
 {
-	uint64_t now_us = sched_now(sched);
 	const json_t *item;
 	size_t i;
 
 	json_array_foreach (items, i, item)
-		sched_merge_suspect(sched, item, now_us);
+		sched_merge_suspect(sched, item, told_us);
+}
+
+void
+sched_suspects_merge(struct scheduler *sched, const struct json_t *items)
+{
+	sched_suspects_merge_told(sched, items, sched_now(sched));
 }
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -1241,6 +1241,77 @@
 	net_destroy(net);
 }
 
+#define CRASHING_JOB                                                        \
+	"{\"spec\":\"cpu=40000 ms=60 fail=0 gang=0 crash=.0\",\"steps\":[{" \
+	"\"count\":1,\"cpu\":40000,\"mem_mb\":64,\"estimated_ms\":60}]}"
+
+/* A zone of three hosts, h0 of which is the holder. Servers that have crashed
+ * are silent. */
+static struct net *
+net_create_trio(void)
+{
+	struct net *net = net_create_servers(NHOSTS, 1, NSERVERS);
+	size_t i;
+
+	fake_worker_faults(net->worker)->crashed_are_silent = true;
+	for (i = 0; i < NHOSTS; i++)
+		host_read_servers(&net->hosts[i]);
+	net_run(net, 3000);
+	cr_assert_neq(sched_token(net->hosts[0].sched), 0);
+	host_read_servers(&net->hosts[0]);
+	return net;
+}
+
+/* h0 is lost, and h1 takes over. */
+static void
+net_replace_holder(struct net *net)
+{
+	uint32_t ms;
+
+	net->hosts[0].store_lost = true;
+	net_isolate(net, 0, true);
+	for (ms = 0; sched_token(net->hosts[1].sched) == 0 && ms < 2000;
+	     ms += 10)
+		net_run(net, 10);
+	cr_assert_neq(sched_token(net->hosts[1].sched), 0);
+	host_read_servers(&net->hosts[1]);
+}
+
+/* It is lost before the lease of the server has expired. */
+Test(cells, crash_under_a_holder_that_is_replaced_is_recorded)
+{
+	struct net *net = net_create_trio();
+	json_t *suspects;
+
+	host_submit(&net->hosts[0], CRASHING_JOB, false);
+	net_run(net, 600);
+	cr_assert_eq(wm_task(&net->cluster, ID ".0.0.0")->crashes, 1);
+	cr_assert_eq(host_nsuspects(&net->hosts[0]), 0);
+	net_replace_holder(net);
+	net_run(net, 4000);
+	suspects = sched_suspects_render(net->hosts[1].sched, true);
+	cr_expect_eq(json_array_size(suspects), 1);
+	json_decref(suspects);
+	net_destroy(net);
+}
+
+/* Its server did not reply for some time, but replies to the new holder. */
+Test(cells, run_that_was_at_risk_under_a_former_holder_is_no_loss)
+{
+	struct net *net = net_create_trio();
+
+	host_submit(&net->hosts[0], PLAIN_JOB, false);
+	net_run(net, 500);
+	fake_worker_faults(net->worker)->unreachable_mask =
+	    net_busy_servers(net);
+	net_run(net, 600);
+	net_replace_holder(net);
+	fake_worker_faults(net->worker)->unreachable_mask = 0;
+	net_run(net, 500);
+	cr_expect_eq(host_nsuspects(&net->hosts[1]), 0);
+	net_destroy(net);
+}
+
 /* Runs a task of 7 s, for 5 s of which the store answers no host. */
 static void
 net_expect_undisturbed_run(struct net *net)
--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -699,6 +699,134 @@
 	rig_destroy(rig);
 }
 
+static size_t
+rig_nsuspects(const struct scheduler *sched)
+{
+	json_t *suspects = sched_suspects_render(sched, false);
+	size_t n = json_array_size(suspects);
+
+	json_decref(suspects);
+	return n;
+}
+
+Test(scheduler_suspect, replaced_holder_records_runs_on_silent_servers)
+{
+	struct rig *rig = rig_create_stored();
+	struct job *job;
+
+	fake_worker_faults(rig->srig.worker)->crashed_are_silent = true;
+	job = rig_submit(rig, 1, 60, ".0");
+	srig_run(&rig->srig, 600);
+	cr_assert_eq(rig_crashes(rig, job, 0), 1);
+	sched_deactivate(rig->srig.sched);
+	cr_expect_eq(rig_nsuspects(rig->srig.sched), 1);
+	rig_destroy(rig);
+}
+
+/* Two hosts that are told of a run on a silent server. */
+struct risk {
+	struct rig *rig;
+	struct scheduler *told, *other;
+};
+
+static struct risk
+risk_create(void)
+{
+	struct risk risk = { .rig = rig_create_stored() };
+	json_t *message;
+
+	fake_worker_faults(risk.rig->srig.worker)->crashed_are_silent = true;
+	(void)rig_submit(risk.rig, 1, 60, ".0");
+	srig_run(&risk.rig->srig, 600);
+	risk.told = srig_scheduler_inactive(&risk.rig->srig);
+	risk.other = srig_scheduler_inactive(&risk.rig->srig);
+	message = sched_risk_render(risk.rig->srig.sched);
+	cr_assert_not_null(message);
+	sched_risk_told(risk.told, sched_token(risk.rig->srig.sched),
+	    clock_now_us(clock_real()), message);
+	json_decref(message);
+	return risk;
+}
+
+static void
+risk_destroy(struct risk *risk)
+{
+	sched_destroy(risk->told);
+	sched_destroy(risk->other);
+	rig_destroy(risk->rig);
+}
+
+/* The other one takes over before it hears of it, as it stood still. */
+Test(scheduler_suspect, run_at_risk_is_passed_on_by_a_host_that_was_told)
+{
+	struct risk risk = risk_create();
+	json_t *message;
+
+	sched_deactivate(risk.rig->srig.sched);
+	srig_activate(risk.other, 20);
+	srig_run(&risk.rig->srig, 500);
+	cr_expect_eq(rig_nsuspects(risk.other), 0);
+	message = sched_risk_render(risk.told);
+	sched_risk_told(risk.other, 0, clock_now_us(clock_real()), message);
+	json_decref(message);
+	cr_expect_eq(rig_nsuspects(risk.other), 1);
+	risk_destroy(&risk);
+}
+
+Test(scheduler_suspect, run_that_is_left_out_is_not_at_risk_any_more)
+{
+	struct risk risk = risk_create();
+	json_t *message = sched_risk_render(risk.told);
+
+	srig_run(&risk.rig->srig, 150);
+	sched_risk_told(risk.told, sched_token(risk.rig->srig.sched),
+	    clock_now_us(clock_real()), NULL);
+	cr_expect_null(sched_risk_render(risk.told));
+	sched_risk_told(risk.told, 0, clock_now_us(clock_real()) - 150 * 1000,
+	    message);
+	json_decref(message);
+	srig_run(&risk.rig->srig, 100);
+	sched_deactivate(risk.rig->srig.sched);
+	srig_activate(risk.told, 20);
+	cr_expect_eq(rig_nsuspects(risk.told), 0);
+	risk_destroy(&risk);
+}
+
+Test(scheduler_suspect, replaced_holder_records_no_loss_of_servers_that_reply)
+{
+	struct rig *rig = rig_create_stored();
+
+	(void)rig_submit(rig, 8, 2000, "");
+	srig_run(&rig->srig, 600);
+	cr_assert_neq(rig_busy_mask(rig), 0);
+	sched_deactivate(rig->srig.sched);
+	cr_expect_eq(rig_nsuspects(rig->srig.sched), 0);
+	rig_destroy(rig);
+}
+
+Test(scheduler_suspect, loss_that_is_told_after_the_server_is_back_is_a_crash)
+{
+	struct rig *rig = rig_create();
+	const struct wm_server *server = &rig->srig.cluster.servers[0];
+	json_int_t lost = (json_int_t)server->started_ms;
+	json_t *suspects, *losses;
+
+	srig_run(&rig->srig, 100);
+	crash_for(&rig->srig.cluster.servers[0], 300);
+	(void)rig_submit(rig, 8, 2000, "");
+	srig_run(&rig->srig, 1000);
+	suspects = json_pack("[[s,[s,I,I,b,b,b]]]", "00000000000000aa.0.0.0",
+	    "s0", lost, (json_int_t)900, 0, 1, 1);
+	sched_suspects_merge(rig->srig.sched, suspects);
+	json_decref(suspects);
+	suspects = sched_suspects_render(rig->srig.sched, true);
+	cr_assert_eq(json_array_size(suspects), 1);
+	losses = json_array_get(suspects, 0);
+	cr_expect(json_is_true(json_array_get(json_array_get(losses, 1), 3)));
+	json_decref(suspects);
+	rig_destroy(rig);
+}
+
 /* The first server is cut off, and crashes long after the run has ended with
  * its lease. The second one crashes. */
 Test(scheduler_suspect,
