Suspects: no loss of servers that left a start unanswered and did not list it

Cause: three of the four losses were of servers that had left 12 starts each unanswered, and had replied to holds without listing the run. Racks of them crashed. A start that is not confirmed counted as one that may have crashed its server; four of these convict.

Change: if the server was asked for its runs after a start had no reply, and has not listed this one, the task was not there: its loss is not recorded.

Evidence: test_scheduler_suspect crash_of_servers_that_execute_no_start_does_not_convict failed on the commit before.

Ruled out: to count from the first start order instead of the time at which it had no reply: a hold that is sent with the order may be executed before it, and a task that crashes its server at once would go free.

Not covered: a task that crashes the server as the start is executed late is not counted while servers leave starts unanswered. No periodic cost.

--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -135,6 +135,7 @@
 	uint32_t start_attempts;    /* start orders sent for this run */
 	uint32_t starts_refused;    /* of them; their connection was refused */
 	uint32_t starts_unanswered; /* of them; may have been executed */
+	uint64_t unanswered_us;	    /* when the first of these was known */
 	/* The run before, and why it has ended; 0 and NULL: none. */
 	uint64_t former_run_id;
 	const char *former_end;
--- a/entry/jobs/scheduler_run.c
+++ b/entry/jobs/scheduler_run.c
@@ -140,8 +140,9 @@
 static void
 sched_order_unanswered(const struct sched_order *order)
 {
-	if (order->start_run_id != 0 && order->task != NULL)
-		order->task->starts_unanswered++;
+	if (order->start_run_id != 0 && order->task != NULL &&
+	    order->task->starts_unanswered++ == 0)
+		order->task->unanswered_us = sched_now(order->server->sched);
 	if (order->start_run_id == 0)
 		return;
 	log_event(LOG_LEVEL_INFO, "start-unanswered",
--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -92,6 +92,8 @@
  * other one has no reply yet. While that is so, the server had ended before
  * that one was sent: its next process takes longer to start than an order to
  * time out, and a process that ends under the order resets its connection.
+ * Nor has it the task if it was asked for its runs after a start had no reply,
+ * and has not listed it: such a start is executed late, if at all.
  */
 static bool
 sched_suspect_not_reached(const struct sched_task *task)
@@ -99,8 +101,11 @@
 	uint32_t pending =
 	    task->order != NULL && task->state == SCHED_TASK_STARTING;
 
-	return !task->start_confirmed && task->start_sent_us != 0 &&
-	    task->start_attempts <= task->starts_refused + pending;
+	if (task->start_confirmed || task->start_sent_us == 0)
+		return false;
+	return task->start_attempts <= task->starts_refused + pending ||
+	    (task->starts_unanswered > 0 &&
+		task->server->list_sent_us > task->unanswered_us);
 }
 
 bool
--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -462,6 +462,31 @@
 	rig_destroy(rig);
 }
 
+/* The servers list their runs without it, and crash. */
+Test(scheduler_suspect, crash_of_servers_that_execute_no_start_does_not_convict)
+{
+	struct rig *rig = rig_create_stored();
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	struct job *job;
+	uint32_t i, n;
+
+	faults->late_permille = 1000;
+	faults->late_min_ms = faults->late_max_ms = 60000;
+	job = rig_submit(rig, 1, 400, "");
+	for (n = 0; n < 6; n++) {
+		srig_run(&rig->srig, 600);
+		for (i = 0; i < SRIG_SERVERS; i++)
+			crash_for(&rig->srig.cluster.servers[i], 300);
+		srig_run(&rig->srig, 1400);
+	}
+	faults->late_permille = 0;
+	srig_run(&rig->srig, 10000);
+	cr_expect_eq(job->answers, 1);
+	cr_expect_eq(job->result, SCHED_COMPLETED);
+	rig_destroy(rig);
+}
+
 /* The holder is lost after the first crash. */
 Test(scheduler_suspect, successor_knows_the_crashes_of_the_former_holder)
 {
