--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -92,6 +92,8 @@
  * other one has no reply yet. While that is so, the server had ended before
  * that one was sent: its next process takes longer to start than an order to
  * time out, and a process that ends under the order resets its connection.
+ * Nor has it the task if it was asked for its runs after a start had no reply,
+ * and has not listed it: such a start is executed late, if at all.
  */
 static bool
 sched_suspect_not_reached(const struct sched_task *task)
@@ -99,8 +101,18 @@
 	uint32_t pending =
 	    task->order != NULL && task->state == SCHED_TASK_STARTING;
 
-	return !task->start_confirmed && task->start_sent_us != 0 &&
-	    task->start_attempts <= task->starts_refused + pending;
+	if (task->start_confirmed || task->start_sent_us == 0)
+		return false;
+	return task->start_attempts <= task->starts_refused + pending ||
+	    (task->starts_unanswered > 0 &&
+		task->server->list_sent_us > task->unanswered_us);
+}
+
+bool
+sched_suspect_may_be_lost(const struct sched_task *task, uint64_t now_us)
+{
+	return sched_suspect_concerned(task, now_us) &&
+	    !sched_suspect_not_reached(task);
 }
 
 /* Records the loss of its server under a task. Return: whether the task is
@@ -117,7 +129,8 @@
 	loss->started = task->start_confirmed;
 	if (!susp_add_loss(&job->sched->suspects, name, loss))
 		return false;
-	verdict = susp_judge(&job->sched->suspects, name, loss->lost_us);
+	verdict =
+	    susp_judge(&job->sched->suspects, name, sched_now(job->sched));
 	log_event(LOG_LEVEL_INFO, "task-suspected",
 	    "id=%s task=%" PRIu32 ".%" PRIu32
 	    " server=%s crashed=%d refused=%d alone=%d started=%d losses=%zu"
@@ -137,29 +150,45 @@
 sched_suspects_record(struct sched_server *server, struct susp_loss *loss,
     bool on_record)
 {
+	uint64_t now_us = sched_now(server->sched);
 	enum susp_verdict verdict;
 	struct sched_task *task;
 	bool guilty = false;
 
 	TAILQ_FOREACH (task, &server->tasks, on_server) {
-		verdict = sched_suspect_judge(task, loss->lost_us);
+		verdict = sched_suspect_judge(task, now_us);
 		if ((verdict != SUSP_NONE) == on_record &&
-		    sched_suspect_concerned(task, loss->lost_us) &&
-		    !sched_suspect_not_reached(task))
+		    sched_suspect_may_be_lost(task, now_us))
 			guilty |= sched_suspect_record(task, loss);
 	}
 	return guilty;
 }
 
-/* Whether the holder is not confirmed any more: a successor may have ended its
- * runs before the loss. One that has just taken over knows those it listed. */
-static bool
+bool
 sched_may_be_replaced(const struct scheduler *sched)
 {
 	return sched->holder_lease.confirmed_us != 0 &&
 	    sched_holder_remaining_ms(sched) == 0;
 }
 
+/* The runs had ended with the lease, if not with the server. */
+static void
+sched_loss_after_lease(const struct sched_server *server,
+    struct susp_loss *loss)
+{
+	uint64_t now_us = loss->lost_us;
+	bool crashed = loss->crashed;
+
+	if (server->lease.expires_us == 0 ||
+	    !lease_expired(&server->lease, now_us))
+		return;
+	loss->lost_us = server->lease.expires_us;
+	loss->refused = loss->refused && !susp_loss_is_late(loss, now_us);
+	loss->crashed = false;
+	if (crashed)
+		susp_loss_ended(loss, now_us);
+}
+
 /* If a suspect is to blame, the other tasks of the server are not recorded. */
 static void
 sched_suspects_add_loss(struct sched_server *server, struct susp_loss *loss)
@@ -177,6 +206,7 @@
 	loss->lost_us = sched_now(server->sched);
 	loss->alone = TAILQ_FIRST(&server->tasks) ==
 	    TAILQ_LAST(&server->tasks, sched_tasks);
+	sched_loss_after_lease(server, loss);
 	if (!sched_suspects_record(server, loss, true))
 		(void)sched_suspects_record(server, loss, false);
 }
@@ -204,7 +234,7 @@
 	server->seen_start_ms = incarnation_start_ms;
 	server->seen_us = sched_now(server->sched);
 	if (susp_server_seen(&server->sched->suspects, server->info.id,
-		incarnation_start_ms))
+		incarnation_start_ms, server->seen_us))
 		log_event(LOG_LEVEL_INFO, "lost-server-back",
 		    "server=%s started_ms=%" PRIu64, server->info.id,
 		    incarnation_start_ms);
@@ -213,7 +243,8 @@
 void
 sched_suspects_server_ended(struct sched_server *server)
 {
-	if (susp_server_ended(&server->sched->suspects, server->info.id)) {
+	if (susp_server_ended(&server->sched->suspects, server->info.id,
+		sched_now(server->sched))) {
 		log_event(LOG_LEVEL_INFO, "lost-server-replaced", "server=%s",
 		    server->info.id);
 		sched_dispatch_wake(server->sched);
@@ -248,12 +279,13 @@
 		if (crashes_only && !loss->crashed && !loss->refused)
 			continue;
 		(void)json_array_append_new(item,
-		    json_pack("[s,I,I,b,b,b,b]", loss->server,
+		    json_pack("[s,I,I,b,b,b,b,b]", loss->server,
 			(json_int_t)loss->incarnation_start_ms,
 			(json_int_t)((now_us - loss->lost_us) /
 			    SCHED_US_PER_MS),
 			(int)loss->crashed, (int)loss->alone,
-			(int)loss->started, (int)loss->refused));
+			(int)loss->started, (int)loss->refused,
+			(int)loss->late));
 	}
 	if (json_array_size(item) > 1)
 		return item;
@@ -301,9 +333,30 @@
 	    server->incarnation_start_ms == loss->incarnation_start_ms;
 }
 
+/* A later incarnation may have replied before this host was told of the loss.
+ * One from long before may have been withdrawn here. */
+static void
+sched_loss_check_ended(const struct scheduler *sched, struct susp_loss *loss)
+{
+	struct nidx_entry *entry =
+	    nidx_find(&sched->servers_by_id, loss->server);
+	const struct sched_server *server;
+	struct susp_loss ended = *loss;
+
+	if (entry == NULL || loss->incarnation_start_ms == 0)
+		return;
+	server = NIDX_OBJECT(entry, struct sched_server, by_id);
+	if (!server->held ||
+	    server->incarnation_start_ms <= loss->incarnation_start_ms)
+		return;
+	susp_loss_ended(&ended, server->seen_us);
+	if (!ended.late)
+		*loss = ended;
+}
+
 static void
 sched_merge_suspect(struct scheduler *sched, const json_t *item,
-    uint64_t now_us)
+    uint64_t told_us)
 {
 	const char *name = json_string_value(json_array_get(item, 0)), *server;
 	struct susp_loss loss = { 0 };
@@ -328,23 +381,32 @@
 		age_us =
 		    (uint64_t)json_integer_value(json_array_get(fields, 2)) *
 		    SCHED_US_PER_MS;
-		loss.lost_us = age_us < now_us ? now_us - age_us : 0;
+		loss.lost_us = age_us < told_us ? told_us - age_us : 0;
 		loss.crashed = json_is_true(json_array_get(fields, 3));
 		loss.alone = json_is_true(json_array_get(fields, 4));
 		loss.started = json_is_true(json_array_get(fields, 5));
 		loss.refused = json_is_true(json_array_get(fields, 6));
-		if (!sched_loss_disproved(sched, &loss))
-			(void)susp_add_loss(&sched->suspects, name, &loss);
+		loss.late = json_is_true(json_array_get(fields, 7));
+		if (sched_loss_disproved(sched, &loss))
+			continue;
+		sched_loss_check_ended(sched, &loss);
+		(void)susp_add_loss(&sched->suspects, name, &loss);
 	}
 }
 
 void
-sched_suspects_merge(struct scheduler *sched, const struct json_t *items)
+sched_suspects_merge_told(struct scheduler *sched, const struct json_t *items,
+    uint64_t told_us)
 {
-	uint64_t now_us = sched_now(sched);
 	const json_t *item;
 	size_t i;
 
 	json_array_foreach (items, i, item)
-		sched_merge_suspect(sched, item, now_us);
+		sched_merge_suspect(sched, item, told_us);
+}
+
+void
+sched_suspects_merge(struct scheduler *sched, const struct json_t *items)
+{
+	sched_suspects_merge_told(sched, items, sched_now(sched));
 }
