--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -659,6 +659,54 @@
 	rig_destroy(rig);
 }
 
+/* The first server of the task is cut off, is back, and restarts while the task
+ * runs elsewhere. */
+Test(scheduler_suspect, withdrawn_loss_does_not_return_after_a_restart)
+{
+	struct rig *rig = rig_create_stored();
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	struct scheduler *other = srig_scheduler_inactive(&rig->srig);
+	json_t *suspects, *losses, *loss;
+	size_t i, j;
+	uint32_t first;
+
+	(void)rig_submit(rig, 1, 20000, "");
+	srig_run(&rig->srig, 300);
+	faults->unreachable_mask = first = rig_busy_mask(rig);
+	srig_run(&rig->srig, 2000);
+	suspects = sched_suspects_render(rig->srig.sched, false);
+	cr_assert_eq(json_array_size(suspects), 1);
+	sched_suspects_merge(other, suspects);
+	json_decref(suspects);
+	faults->unreachable_mask = 0;
+	srig_run(&rig->srig, 500);
+	(void)rig_submit(rig, 6, 20000, "");
+	srig_run(&rig->srig, 300);
+	cr_assert_eq(rig_busy_mask(rig) & first, first);
+	for (i = 0; i < SRIG_SERVERS; i++) {
+		if ((first & 1U << i) != 0)
+			crash_for(&rig->srig.cluster.servers[i], 200);
+	}
+	srig_run(&rig->srig, 1500);
+	suspects = sched_suspects_render(other, false);
+	cr_assert_eq(json_array_size(suspects), 1);
+	sched_suspects_merge(rig->srig.sched, suspects);
+	json_decref(suspects);
+	suspects = sched_suspects_render(rig->srig.sched, false);
+	json_array_foreach (suspects, i, losses) {
+		if (strcmp(json_string_value(json_array_get(losses, 0)),
+			"0000000000000001.0.0.0") != 0)
+			continue;
+		json_array_foreach (losses, j, loss)
+			cr_expect_not(json_is_true(json_array_get(loss, 3)),
+			    "counts as a crash");
+	}
+	json_decref(suspects);
+	sched_destroy(other);
+	rig_destroy(rig);
+}
+
 /* The caller may submit its job in another zone before the server is back. */
 Test(scheduler_suspect, other_holders_are_told_of_refused_connections)
 {
