--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -487,6 +487,34 @@
 	rig_destroy(rig);
 }
 
+/* The first orders are lost, a list shows that, and the next one is executed. */
+Test(scheduler_suspect, crash_by_a_start_that_was_sent_again_is_recorded)
+{
+	struct rig *rig = rig_create();
+	struct fake_worker_faults *faults =
+	    fake_worker_faults(rig->srig.worker);
+	struct job *job;
+	json_t *suspects;
+	uint32_t i;
+
+	faults->late_permille = 1000;
+	faults->late_min_ms = faults->late_max_ms = 60000;
+	job = rig_submit(rig, 1, 2000, ".0");
+	srig_run(&rig->srig, 550);
+	cr_assert_eq(rig_crashes(rig, job, 0), 0);
+	faults->late_permille = 0;
+	faults->reply_lost_permille = 1000;
+	faults->orders_only = true;
+	for (i = 0; i < 100 && rig_crashes(rig, job, 0) == 0; i++)
+		srig_run(&rig->srig, 20);
+	cr_assert_eq(rig_crashes(rig, job, 0), 1);
+	srig_run(&rig->srig, 1500);
+	suspects = sched_suspects_render(rig->srig.sched, false);
+	cr_expect_eq(json_array_size(suspects), 1);
+	json_decref(suspects);
+	rig_destroy(rig);
+}
+
 /* The holder is lost after the first crash. */
 Test(scheduler_suspect, successor_knows_the_crashes_of_the_former_holder)
 {
@@ -659,8 +687,7 @@
 	rig_destroy(rig);
 }
 
-/* The first server of the task is cut off, is back, and restarts while the task
- * runs elsewhere. */
+/* The first server of the task restarts while the task runs elsewhere. */
 Test(scheduler_suspect, withdrawn_loss_does_not_return_after_a_restart)
 {
 	struct rig *rig = rig_create_stored();
