Suspects: a crash by a start that was sent again is recorded

What callers would see: a task that crashes servers takes down more of them than its queue allows (BUDGET, in our soak). Its first start orders are lost, a list without the run arrives, the order that is sent again is executed and crashes the server without a reply: the loss was not recorded.

Cause: compared the list with the first start that had no reply; later orders may have been executed after that list. Found by the review.

Now the list also has to be asked for after the last order; crash_of_servers_that_execute_no_start_does_not_convict, the test of that change, passes as before. No periodic cost.

--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -105,7 +105,8 @@
 		return false;
 	return task->start_attempts <= task->starts_refused + pending ||
 	    (task->starts_unanswered > 0 &&
-		task->server->list_sent_us > task->unanswered_us);
+		task->server->list_sent_us > task->unanswered_us &&
+		task->server->list_sent_us > task->start_sent_us);
 }
 
 bool
