Suspects: a withdrawn loss does not return as a crash after a restart

What callers would see: a job is shown as failed, "a task has crashed the servers that started it", and none has failed so often (LOST). A server is cut off under a task, and the loss is recorded and told to another host; it is back as the same process, and the loss is withdrawn here; it restarts within 5 s under other tasks; the other host tells the loss again, and it counts as a crash in full.

Cause: only the last process that was seen to be back disproves a loss, and since a loss that is told after a later one has replied is a crash. Found by the review.

Now the process before the last one that was seen is kept in mind, too, with the time. Two restarts within 5 s are not covered. No periodic cost.

--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -291,9 +291,12 @@
 	bool refusing;	    /* it refuses connections since it was held */
 	bool reserved;	    /* for queues that are not confined */
 	uint32_t nisolated; /* runs that no other task is started beside */
-	/* The incarnation that was last seen to be back, and when. */
+	/* The incarnation that was last seen to be back, and when; and the one
+	 * before it. */
 	uint64_t seen_start_ms;
 	uint64_t seen_us;
+	uint64_t former_seen_start_ms;
+	uint64_t former_seen_us;
 	bool hold_pending;
 	uint64_t hold_sent_us;
 	uint64_t hold_due_us;	   /* next hold; 0: not scheduled */
--- a/entry/jobs/scheduler_suspect.c
+++ b/entry/jobs/scheduler_suspect.c
@@ -232,6 +232,10 @@
 sched_suspects_server_seen(struct sched_server *server,
     uint64_t incarnation_start_ms)
 {
+	if (incarnation_start_ms != server->seen_start_ms) {
+		server->former_seen_start_ms = server->seen_start_ms;
+		server->former_seen_us = server->seen_us;
+	}
 	server->seen_start_ms = incarnation_start_ms;
 	server->seen_us = sched_now(server->sched);
 	if (susp_server_seen(&server->sched->suspects, server->info.id,
@@ -327,8 +331,10 @@
 	if (entry == NULL || loss->incarnation_start_ms == 0)
 		return false;
 	server = NIDX_OBJECT(entry, struct sched_server, by_id);
-	if (server->seen_start_ms == loss->incarnation_start_ms &&
-	    loss->lost_us < server->seen_us)
+	if ((server->seen_start_ms == loss->incarnation_start_ms &&
+		loss->lost_us < server->seen_us) ||
+	    (server->former_seen_start_ms == loss->incarnation_start_ms &&
+		loss->lost_us < server->former_seen_us))
 		return true;
 	return server->held && !server->refusing &&
 	    server->incarnation_start_ms == loss->incarnation_start_ms;
--- a/tests/test_scheduler_suspect.c
+++ b/tests/test_scheduler_suspect.c
@@ -487,7 +487,8 @@
 	rig_destroy(rig);
 }
 
-/* The first orders are lost, a list shows that, and the next one is executed. */
+/* The first orders are lost, a list shows that, and the next one is executed.
+ */
 Test(scheduler_suspect, crash_by_a_start_that_was_sent_again_is_recorded)
 {
 	struct rig *rig = rig_create();
