--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -14,11 +14,16 @@
  *	  have the newest one within 6 s of the last fault;
  *	- jobs are completed again after the last fault;
  *	- no host ends by itself.
+ *
+ * Each violation is printed as "VIOLATION KIND: ..", at the servers the first
+ * one of each kind. The last line is "violations by kind: KIND N ..", with all
+ * kinds of the servers, also those without any; tools/check.sh reads it.
  */
 
 #include <argtable2.h>
 #include <err.h>
 #include <jansson.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -48,12 +53,34 @@
 #define SOAK_RESUBMIT_JOB_INTERVAL_MS 100 /* mean */
 
 static void
-soak_violation(struct soak *soak, const struct soak_job *job,
-    const char *description)
+soak_count(struct soak *soak, const char *kind, int64_t n)
+{
+	json_int_t before = sti_int(soak->kinds, kind, 0);
+
+	(void)json_object_set_new(soak->kinds, kind, json_integer(before + n));
+}
+
+void
+soak_violation(struct soak *soak, const char *kind, const char *fmt, ...)
 {
+	char text[512];
+	va_list ap;
+
 	soak->violations++;
-	soak_log("VIOLATION %s: %s (stored %d, attempts %d, refused %d, "
-		 "last status %d, state %s)",
+	soak_count(soak, kind, 1);
+	va_start(ap, fmt);
+	(void)vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	soak_log("VIOLATION %s: %s", kind, text);
+}
+
+static void
+soak_job_violation(struct soak *soak, const struct soak_job *job,
+    const char *kind, const char *description)
+{
+	soak_violation(soak, kind,
+	    "%s: %s (stored %d, attempts %d, refused %d, last status %d, "
+	    "state %s)",
 	    job->id, description, job->stored, job->attempts, job->refusals,
 	    job->last_status, job->state);
 }
@@ -271,7 +298,8 @@
 		}
 		if (strcmp(job->state, "completed") != 0 &&
 		    strcmp(job->state, "failed") != 0)
-			soak_violation(soak, job, "accepted, but not ended");
+			soak_job_violation(soak, job, "accepted-not-ended",
+			    "accepted, but not ended");
 	}
 }
 
@@ -290,17 +318,44 @@
 		all_done = all_done && completions > 0;
 	}
 	if (job->refusals > 0 && job->refusals == job->attempts && started)
-		soak_violation(soak, job, "refused as not run, but started");
+		soak_job_violation(soak, job, "refused-but-started",
+		    "refused as not run, but started");
 	if (strcmp(job->state, "completed") == 0 && !all_done)
-		soak_violation(soak, job,
+		soak_job_violation(soak, job, "completed-but-open",
 		    "state completed, but not all tasks have completed");
 }
 
+/* Reports the first violation of each kind that the servers have counted. */
+static void
+soak_check_servers(struct soak *soak)
+{
+	int64_t violations, n, sum = 0;
+	struct clu_reply reply;
+	const char *kind;
+	json_t *found;
+
+	clu_http(soak->store_port, "GET", "/report", NULL, NULL, 3000, &reply);
+	violations = sti_int(reply.json, "violations", -1);
+	json_object_foreach (json_object_get(reply.json, "kinds"), kind,
+	    found) {
+		n = sti_int(found, "n", 0);
+		sum += n;
+		soak_count(soak, kind, n > 0 ? n - 1 : 0);
+		if (n > 0)
+			soak_violation(soak, kind, "%s (%d at the servers)",
+			    sti_str(found, "first", "?"), (int)n);
+	}
+	if (violations != sum)
+		soak_violation(soak, "no-report",
+		    "the servers report %d violations, %d of known kinds",
+		    (int)violations, (int)sum);
+	clu_reply_free(&reply);
+}
+
 static void
 soak_check_all(struct soak *soak)
 {
 	uint32_t completed = 0, refused = 0, unknown = 0, accepted = 0;
-	struct clu_reply reply;
 	struct soak_job *job;
 
 	TAILQ_FOREACH (job, &soak->jobs, entry) {
@@ -314,15 +369,7 @@
 		else
 			unknown++;
 	}
-	clu_http(soak->store_port, "GET", "/report", NULL, NULL, 3000, &reply);
-	if (sti_int(reply.json, "violations", -1) != 0) {
-		soak->violations++;
-		soak_log("VIOLATION at the servers: %s (%d, %d of two runs)",
-		    sti_str(reply.json, "first", "?"),
-		    (int)sti_int(reply.json, "violations", -1),
-		    (int)sti_int(reply.json, "double_runs", -1));
-	}
-	clu_reply_free(&reply);
+	soak_check_servers(soak);
 	soak_log("%u jobs: %u completed, %u stored, %u refused, %u unknown; "
 		 "%u faults; %u violations; logs in %s",
 	    soak->njobs, completed, accepted, refused, unknown, soak->nfaults,
@@ -348,12 +395,10 @@
 		if (job->last_status == 200)
 			successes++;
 	}
-	if (successes < SOAK_RECOVERY_JOBS * 3 / 4) {
-		soak->violations++;
-		soak_log("VIOLATION: %d of %d jobs answered with 200 after the "
-			 "last fault",
+	if (successes < SOAK_RECOVERY_JOBS * 3 / 4)
+		soak_violation(soak, "no-recovery",
+		    "%d of %d jobs answered with 200 after the last fault",
 		    successes, SOAK_RECOVERY_JOBS);
-	}
 }
 
 static void
@@ -368,6 +413,18 @@
 	soak_check_all(soak);
 }
 
+static void
+soak_print_kinds(const struct soak *soak)
+{
+	const char *kind;
+	json_t *n;
+
+	printf("violations by kind:");
+	json_object_foreach (soak->kinds, kind, n)
+		printf(" %s %lld", kind, (long long)json_integer_value(n));
+	printf("\n");
+}
+
 /* Frees everything: a build with sanitizers reports leaks of the soak test. */
 static void
 soak_release(struct soak *soak)
@@ -411,6 +468,7 @@
 	soak.restarts = restarts->count > 0;
 	soak.resubmit = resubmit->count > 0;
 	soak.base = sti_event_base();
+	soak.kinds = json_object();
 	soak.random = (uint64_t)seed->ival[0] * 0x9e3779b97f4a7c15ULL + 1;
 	snprintf(soak.bin, sizeof(soak.bin), "%s", bin == NULL ? "build" : bin);
 	TAILQ_INIT(&soak.jobs);
@@ -431,7 +489,10 @@
 	if (soak_check_running(&soak))
 		soak_check_after_faults(&soak);
 	soak_stop(&soak);
+	soak_print_sanitizer_reports(&soak);
 	soak_release(&soak);
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	soak_print_kinds(&soak);
+	json_decref(soak.kinds);
 	return soak.violations == 0 ? 0 : 1;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -2,6 +2,7 @@
 #define SOAK_H
 
 #include <event2/event.h>
+#include <jansson.h>
 #include <netinet/in.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -86,12 +87,18 @@
 	bool load_active; /* jobs are submitted and faults injected */
 	uint32_t nfaults;
 	uint32_t violations;
+	json_t *kinds;			      /* number of violations by kind */
 	uint64_t config_version;	      /* written last */
 	uint64_t config_written_ms;	      /* its time */
 	uint64_t config_in_force[SOAK_HOSTS]; /* by process, as observed */
 	struct event *config_timer;
 };
 
+/* soak.c */
+/** soak_violation() - count and print a violation. */
+void soak_violation(struct soak *soak, const char *kind, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+
 /* soak_cluster.c */
 void soak_start(struct soak *soak);
 void soak_stop(struct soak *soak);
@@ -99,6 +106,7 @@
 void soak_host_kill(struct soak *soak, struct soak_host *host);
 bool soak_check_running(struct soak *soak);
 void soak_check_connected(struct soak *soak);
+void soak_print_sanitizer_reports(const struct soak *soak);
 void soak_post(uint16_t port, const char *path, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
 uint32_t soak_random(struct soak *soak, uint32_t below);
--- a/tests/soak/soak_cluster.c
+++ b/tests/soak/soak_cluster.c
@@ -197,11 +197,9 @@
 	if (host->pid == 0 || waitpid(host->pid, &status, WNOHANG) != host->pid)
 		return host->pid == 0;
 	host->pid = 0;
-	if (!host->stopping) {
-		soak->violations++;
-		soak_log("VIOLATION: %s has ended by itself, status %d",
-		    host->name, status);
-	}
+	if (!host->stopping)
+		soak_violation(soak, "host-ended",
+		    "%s has ended by itself, status %d", host->name, status);
 	return true;
 }
 
@@ -327,6 +325,37 @@
 	waitpid(soak->proxy, NULL, 0);
 }
 
+static void
+soak_print_sanitizer_lines(const struct soak *soak, const char *name)
+{
+	char path[128], line[512];
+	FILE *in;
+
+	snprintf(path, sizeof(path), "%s/%s.log", soak->dir, name);
+	in = fopen(path, "r");
+	while (in != NULL && fgets(line, sizeof(line), in) != NULL) {
+		if (strstr(line, "Sanitizer") != NULL ||
+		    strstr(line, "runtime error:") != NULL)
+			soak_log("%s: %.*s", name, (int)strcspn(line, "\n"),
+			    line);
+	}
+	if (in != NULL)
+		fclose(in);
+}
+
+/* A host that was told to stop or that is killed may have reported an error,
+ * too. */
+void
+soak_print_sanitizer_reports(const struct soak *soak)
+{
+	int i;
+
+	for (i = 0; i < SOAK_HOSTS; i++)
+		soak_print_sanitizer_lines(soak, soak->hosts[i].name);
+	soak_print_sanitizer_lines(soak, "fleet-log");
+	soak_print_sanitizer_lines(soak, "proxy-log");
+}
+
 /* All hosts are up and connected to those of their zone, or the test would run
  * without what it is to test. */
 void
@@ -345,8 +374,8 @@
 		clu_reply_free(&reply);
 		if (n >= SOAK_HOSTS_PER_ZONE - 1)
 			continue;
-		soak->violations++;
-		soak_log("VIOLATION: %s has %d connections to other hosts",
-		    soak->hosts[i].name, n);
+		soak_violation(soak, "not-connected",
+		    "%s has %d connections to other hosts", soak->hosts[i].name,
+		    n);
 	}
 }
--- a/tests/soak/soak_config.c
+++ b/tests/soak/soak_config.c
@@ -83,15 +83,15 @@
 	uint64_t in_force = soak->config_in_force[i];
 
 	if (in_force != 0 && soak_config_serves(soak, host, in_force) == 0) {
-		soak->violations++;
-		soak_log("VIOLATION: %s went back from version %llu",
-		    host->name, (unsigned long long)in_force);
+		soak_violation(soak, "config-went-back",
+		    "%s went back from version %llu", host->name,
+		    (unsigned long long)in_force);
 	}
 	if (soak_config_serves(soak, host, soak->config_version) == 1) {
 		soak->config_in_force[i] = soak->config_version;
 	} else if (settled) {
-		soak->violations++;
-		soak_log("VIOLATION: %s does not have version %llu", host->name,
+		soak_violation(soak, "config-behind",
+		    "%s does not have version %llu", host->name,
 		    (unsigned long long)soak->config_version);
 	}
 }
--- a/tests/standins/fleet/main.c
+++ b/tests/standins/fleet/main.c
@@ -14,8 +14,8 @@
  *	     (starts and stops at these servers, bit N for server N, get no
  *	     reply and are carried out after this time; 0 ms: never)
  *	GET /task?name=T -> {"starts": N, "done": N} of one task
- *	GET /report -> {"violations": N, "first": "..", "double_runs": N,
- *	     "starts": N}
+ *	GET /report -> {"violations": N, "starts": N, "kinds": {"two-runs":
+ *	     {"n": N, "first": ".."}, ..}} with all kinds of violations
  *
  * The changes of all runs are written to the standard error.
  */
@@ -390,6 +390,20 @@
 		task == NULL ? 0 : (int)task->completions));
 }
 
+static json_t *
+flt_kinds(void)
+{
+	json_t *kinds = json_object();
+	int i;
+
+	for (i = 0; i < WM_KINDS; i++)
+		(void)json_object_set_new(kinds, wm_violation_name(i),
+		    json_pack("{s:I,s:s}", "n",
+			(json_int_t)flt_cluster.by_kind[i].n, "first",
+			flt_cluster.by_kind[i].first));
+	return kinds;
+}
+
 static void
 flt_store_request(struct evhttp_request *req, void *arg)
 {
@@ -422,11 +436,9 @@
 	for (i = 0; i < flt_cluster.nservers; i++)
 		starts += flt_cluster.servers[i].starts;
 	sti_reply(req, 200,
-	    json_pack("{s:I,s:s,s:I,s:I}", "violations",
-		(json_int_t)flt_cluster.violations, "first",
-		flt_cluster.first_violation, "double_runs",
-		(json_int_t)flt_cluster.double_runs, "starts",
-		(json_int_t)starts));
+	    json_pack("{s:I,s:I,s:o}", "violations",
+		(json_int_t)flt_cluster.violations, "starts",
+		(json_int_t)starts, "kinds", flt_kinds()));
 }
 
 /* Both times, as soak tests log the one and hosts the other. */
--- a/tests/support/worker_model.c
+++ b/tests/support/worker_model.c
@@ -45,9 +45,24 @@
 	}
 }
 
-static void __attribute__((format(printf, 2, 3)))
-wm_report_violation(struct wm_cluster *cluster, const char *fmt, ...)
+const char *
+wm_violation_name(enum wm_violation_kind kind)
+{
+	static const char *const names[WM_KINDS] = {
+		[WM_KIND_TWO_RUNS] = "two-runs",
+		[WM_KIND_STARTS_AFTER_CRASHES] = "starts-after-crashes",
+		[WM_KIND_START_AFTER_END] = "start-after-end",
+		[WM_KIND_INVALID_SPEC] = "invalid-spec",
+	};
+
+	return names[kind];
+}
+
+static void __attribute__((format(printf, 3, 4)))
+wm_report_violation(struct wm_cluster *cluster, enum wm_violation_kind kind,
+    const char *fmt, ...)
 {
+	struct wm_violations *same = &cluster->by_kind[kind];
 	char text[sizeof(cluster->first_violation)];
 	va_list ap;
 
@@ -56,6 +71,8 @@
 	va_end(ap);
 	if (cluster->trace != NULL)
 		cluster->trace(text);
+	if (same->n++ == 0)
+		strlcpy(same->first, text, sizeof(same->first));
 	if (cluster->violations++ == 0)
 		strlcpy(cluster->first_violation, text,
 		    sizeof(cluster->first_violation));
@@ -439,19 +456,17 @@
 	task->starts++;
 	if (task->crashes >= WM_CRASHES_MAX &&
 	    ++task->starts_after_crashes >= WM_STARTS_AFTER_CRASHES)
-		wm_report_violation(cluster,
+		wm_report_violation(cluster, WM_KIND_STARTS_AFTER_CRASHES,
 		    "%s was started %u times after it had crashed %d servers",
 		    order->task, task->starts_after_crashes, WM_CRASHES_MAX);
 	wm_trace(server, "started", order->task, order->run_id);
-	if (++task->running_now > 1) {
-		cluster->double_runs++;
-		wm_report_violation(cluster, "%s has two runs at the same time",
-		    order->task);
-	}
+	if (++task->running_now > 1)
+		wm_report_violation(cluster, WM_KIND_TWO_RUNS,
+		    "%s has two runs at the same time", order->task);
 	if (task->done_acknowledged && cluster->strict_prefix != '\0' &&
 	    order->task[0] == cluster->strict_prefix)
-		wm_report_violation(cluster, "%s starts after its end",
-		    order->task);
+		wm_report_violation(cluster, WM_KIND_START_AFTER_END,
+		    "%s starts after its end", order->task);
 	TAILQ_INSERT_TAIL(&server->running, run, entry);
 	if (run->gang != 0 && !server->failing)
 		wm_gang_join(server, run, now_ms);
@@ -485,7 +500,7 @@
 		" crash=%15s",
 		&spec.cpu, &spec.work_ms, &spec.failing_runs, &spec.gang,
 		spec.crash) < 3) {
-		wm_report_violation(server->cluster,
+		wm_report_violation(server->cluster, WM_KIND_INVALID_SPEC,
 		    "%s was started with the invalid spec \"%s\"", order->task,
 		    order->spec);
 		return WORKER_REFUSED;
--- a/tests/support/worker_model.h
+++ b/tests/support/worker_model.h
@@ -35,6 +35,21 @@
 	WM_RESTART_NEW_ID,     /* nothing; its id is "sN-2", "sN-3" ... */
 };
 
+/** enum wm_violation_kind - the invariant that was violated. */
+enum wm_violation_kind {
+	WM_KIND_TWO_RUNS, /* a start beside a run of the same task */
+	WM_KIND_STARTS_AFTER_CRASHES,
+	WM_KIND_START_AFTER_END,
+	WM_KIND_INVALID_SPEC,
+};
+#define WM_KINDS 4
+
+/** struct wm_violations - those of one kind. */
+struct wm_violations {
+	uint32_t n;
+	char first[256];
+};
+
 /** struct wm_run - a run, or the record of an ended one. */
 struct wm_run {
 	char task[WORKER_TASK_NAME_SIZE];
@@ -114,7 +129,7 @@
 	bool tickets;
 	uint32_t denied_servers_mask;
 	uint32_t violations;
-	uint32_t double_runs; /* starts beside a run of the same task */
+	struct wm_violations by_kind[WM_KINDS];
 	/* Called with each change of a run and each violation; may be NULL. */
 	void (*trace)(const char *event);
 	uint32_t gang_timeouts; /* runs of incomplete gangs that timed out */
@@ -128,6 +143,9 @@
 	LIST_HEAD(, wm_task) tasks;
 };
 
+/** wm_violation_name() - "two-runs" etc. */
+const char *wm_violation_name(enum wm_violation_kind kind);
+
 void wm_init(struct wm_cluster *cluster, size_t nservers, uint32_t cpu);
 void wm_release(struct wm_cluster *cluster);
 
--- a/tests/test_worker_model.c
+++ b/tests/test_worker_model.c
@@ -387,11 +387,11 @@
 	    WM_RESTART_SAME_ID);
 	rig_start(rig, other, "a", 2, UINT64_MAX);
 	rig_run(rig, 10);
-	cr_expect_eq(rig->cluster.double_runs, 0);
+	cr_expect_eq(rig->cluster.by_kind[WM_KIND_TWO_RUNS].n, 0);
 	rig_run(rig, 300);
 	rig_start(rig, rig->link, "a", 3, UINT64_MAX);
 	rig_run(rig, 10);
-	cr_expect_eq(rig->cluster.double_runs, 1);
+	cr_expect_eq(rig->cluster.by_kind[WM_KIND_TWO_RUNS].n, 1);
 	rig_destroy(rig);
 }
 
@@ -439,3 +439,26 @@
 {
 	cr_expect_eq(rig_violations_of_second_start(false), 0);
 }
+
+Test(worker_model, two_runs_behind_another_violation_are_counted)
+{
+	struct worker_start invalid = { .task = "b",
+		.run_id = 1,
+		.spec = "none",
+		.deadline_ms = UINT64_MAX,
+		.token = 1 };
+	struct rig *rig = rig_create();
+	const struct wm_violations *kinds = rig->cluster.by_kind;
+
+	rig->worker->ops->start(rig->link, &invalid, rig_replied, rig);
+	rig_run(rig, 10);
+	rig_start(rig, rig->link, "a", 1, UINT64_MAX);
+	rig_start(rig, rig_open(rig, "s1"), "a", 2, UINT64_MAX);
+	rig_run(rig, 10);
+	cr_expect_eq(rig->cluster.violations, 2);
+	cr_expect_eq(kinds[WM_KIND_INVALID_SPEC].n, 1);
+	cr_expect_eq(kinds[WM_KIND_TWO_RUNS].n, 1);
+	cr_expect_str_eq(kinds[WM_KIND_TWO_RUNS].first,
+	    "a has two runs at the same time");
+	rig_destroy(rig);
+}
