--- a/tests/test_scheduler_stored.c
+++ b/tests/test_scheduler_stored.c
@@ -591,3 +591,52 @@
 	cr_expect_eq(rig->acknowledged, 0);
 	rig_destroy(rig);
 }
+
+static void
+rig_submit_best_effort(struct rig *rig, enum sched_result *result)
+{
+	struct sched_request request = {
+		.queue = { .name = "q",
+		    .service = "booth",
+		    .max_attempts = 2,
+		    .slack_permille = 1600,
+		    .target_ms = 60 },
+		.timeout_ms = 60000,
+	};
+	const char *body = "{\"spec\":\"x\",\"best_effort\":true,"
+			   "\"steps\":[{\"count\":1,\"cpu\":500,"
+			   "\"mem_mb\":64,\"estimated_ms\":10000}]}";
+	struct err err;
+
+	cr_assert_eq(job_parse(&request.spec, ID_A, body, strlen(body), &err),
+	    0, "%s", err.message);
+	sched_submit(rig->sched, &request, rig_done, result);
+}
+
+/* The next process under the server's id knows nothing of the stop, and may
+ * execute one of the starts beside another run. */
+Test(scheduler_stored, unanswered_start_leaves_a_best_effort_job_unknown)
+{
+	const struct worker_reply lost = { .verdict = WORKER_NO_REPLY },
+				  stopped = { .verdict = WORKER_OK };
+	enum sched_result result = SCHED_COMPLETED;
+	struct rig *rig = rig_create();
+	uint32_t i, starts;
+
+	sched_set_servers_complete(rig->sched, true);
+	sched_set_jobs_loaded(rig->sched);
+	rig_reply(rig, NULL, 0, NULL, 0);
+	rig_submit_best_effort(rig, &result);
+	rig_run(rig);
+	cr_assert_eq(rig->starts, 1);
+	for (i = 0; i < 100 && rig->stops == 0; i++)
+		rig->start_done(rig->start_arg, &lost);
+	cr_assert_eq(rig->stops, 1);
+	starts = rig->starts;
+	rig->stop_done(rig->stop_arg, &stopped);
+	for (i = 0; i < 3 && result != SCHED_OUTCOME_UNKNOWN; i++)
+		rig_reply(rig, NULL, 0, NULL, 0);
+	cr_expect_eq(rig->starts, starts, "the task was started again");
+	cr_expect_eq(result, SCHED_OUTCOME_UNKNOWN);
+	rig_destroy(rig);
+}
