Test: a stored job waits for rows read after the first confirmation

successor_reads_the_servers_after_its_first_confirmation, which was to show this, submits a best-effort job a second time. The rule matters for stored jobs, which are started again. The former test stays as it is.

--- a/tests/test_scheduler_holder.c
+++ b/tests/test_scheduler_holder.c
@@ -672,6 +672,36 @@
 	rig_expect_one_run_beside_new_server(true);
 }
 
+/* The former holder may have been confirmed until just before, and have started
+ * the job on a server of which the successor has not read yet. */
+Test(scheduler_holder, stored_job_waits_for_rows_read_after_the_confirmation)
+{
+	const struct rig_spec spec = { .ms = SHORT_MS,
+		.stored = true,
+		.resubmitted = true };
+	struct rig *rig = rig_create();
+	struct scheduler *former = rig->sched;
+	struct rig_job *job;
+
+	sched_deactivate(former);
+	rig->srig.rows_change = true;
+	rig->sched = srig_scheduler_inactive(&rig->srig);
+	srig_activate(rig->sched, TOKEN + 1);
+	sched_set_jobs_loaded(rig->sched);
+	srig_run(&rig->srig, 100);
+	rig_confirm(rig);
+	cr_assert_eq(rig->srig.server_reads, 1);
+	job = rig_submit_spec(rig, &spec);
+	rig_run_confirmed(rig, 200);
+	cr_expect_null(rig_task(rig, job), "started before the rows were read");
+	sched_servers_refreshed(rig->sched);
+	rig_run_confirmed(rig, 100);
+	cr_assert_not_null(rig_task(rig, job));
+	cr_expect_eq(rig_task(rig, job)->starts, 1);
+	sched_destroy(former);
+	rig_destroy(rig);
+}
+
 /* It is used once no other host had taken over when it was known. */
 /* All servers have been replaced by a new one since the last confirmation. */
 /* The process was paused, and another host may have ended the run. */
