Second submissions: a job that waits is not started once it runs elsewhere

Callers: a best-effort job whose caller has lost its connection may have two runs at the same time, if its second submission waits for a server while another host tells of the first one. Now it is answered with an unknown outcome.

Cause: whether an earlier submission runs elsewhere, or has a start order that may be executed yet, was asked as the job came, and not as its tasks were started, up to the caller's deadline later. Class: the absence of an entry is taken for the answer to a later question.

Evidence: waiting_job_is_not_started_once_it_is_known_to_run_elsewhere failed before: the task was started.

It is asked again as a task of a job of which nothing was started here would be started. The host's own orders leave entries only after that. Cost: one look-up by name per attempted start, not per tick or waiting task.

--- a/entry/jobs/scheduler_dispatch.c
+++ b/entry/jobs/scheduler_dispatch.c
@@ -311,6 +311,11 @@
 		sched_job_awaits_leases(task->job, pass->now_us)) ||
 	    !sched_suspect_may_start(task, pass->now_us))
 		return;
+	if (sched_pending_elsewhere(task->job)) {
+		sched_run_unknown(task,
+		    "an earlier submission may have started it");
+		return;
+	}
 	lease_ms = sched_job_lease_ms(task->job, pass->now_us);
 	if (lease_ms < SCHED_START_LEASE_MIN_MS)
 		return;
--- a/entry/jobs/scheduler_internal.h
+++ b/entry/jobs/scheduler_internal.h
@@ -574,6 +574,8 @@
  * an earlier submission of it may be executed yet. */
 bool sched_pending_refuses(const struct scheduler *sched,
     const struct sched_request *request);
+/* Whether that has become known of a job that waits. */
+bool sched_pending_elsewhere(const struct sched_job *job);
 void sched_pending_expire(struct scheduler *sched, uint64_t now_us);
 
 /* scheduler_restart.c */
--- a/entry/jobs/scheduler_pending.c
+++ b/entry/jobs/scheduler_pending.c
@@ -98,6 +98,27 @@
 		sched_pending_run(job->sched, job->spec.id, now_us);
 }
 
+/* The entry because of which the job @id must not be started, or NULL. */
+static const struct pend_job *
+sched_pending_find(const struct scheduler *sched, const char *id)
+{
+	const struct pend_job *job =
+	    pend_find(&sched->pending, id, sched_now(sched));
+
+	return job != NULL && job->kind == PEND_RUN_LISTED &&
+		job->origin == PEND_OWN
+	    ? NULL
+	    : job;
+}
+
+static void
+sched_pending_log(const struct pend_job *job)
+{
+	ctr_inc(&sched_pending_refused);
+	log_event(LOG_LEVEL_INFO, "job-start-pending", "id=%s learned=%s",
+	    job->id, sched_pending_origins[job->origin]);
+}
+
 bool
 sched_pending_refuses(const struct scheduler *sched,
     const struct sched_request *request)
@@ -106,14 +127,23 @@
 
 	if (request->stored || request->resubmitted)
 		return false;
-	job = pend_find(&sched->pending, request->spec.id, sched_now(sched));
-	if (job == NULL ||
-	    (job->kind == PEND_RUN_LISTED && job->origin == PEND_OWN))
+	job = sched_pending_find(sched, request->spec.id);
+	if (job != NULL)
+		sched_pending_log(job);
+	return job != NULL;
+}
+
+bool
+sched_pending_elsewhere(const struct sched_job *job)
+{
+	const struct pend_job *pending;
+
+	if (job->stored || job->has_started || job->adopts_only)
 		return false;
-	ctr_inc(&sched_pending_refused);
-	log_event(LOG_LEVEL_INFO, "job-start-pending", "id=%s learned=%s",
-	    job->id, sched_pending_origins[job->origin]);
-	return true;
+	pending = sched_pending_find(job->sched, job->spec.id);
+	if (pending != NULL)
+		sched_pending_log(pending);
+	return pending != NULL;
 }
 
 void
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -6,6 +6,7 @@
 
 #include <criterion/criterion.h>
 #include <event2/event.h>
+#include <jansson.h>
 #include <stdio.h>
 
 #include "adapters/clock_real.h"
@@ -1353,6 +1354,31 @@
 	rig_destroy(rig);
 }
 
+/* Another holder tells of its run while the job waits for a server. */
+Test(scheduler, waiting_job_is_not_started_once_it_is_known_to_run_elsewhere)
+{
+	struct rig *rig = rig_create(1);
+	struct rig_job *job;
+	json_t *message;
+
+	srig_run(&rig->srig, 50);
+	(void)rig_submit(rig, SRIG_SERVERS, SRIG_CPU, 300, 0);
+	srig_run(&rig->srig, 20);
+	job = rig_submit(rig, 1, 27000, 100, 0);
+	srig_run(&rig->srig, 100);
+	cr_assert_not(job->answered);
+	message =
+	    json_pack("{s:i,s:[[s,i,i]]}", "seq", 1, "jobs", job->id, 700, 1);
+	(void)sched_pending_merge(rig->srig.sched, "h9", false,
+	    clock_now_us(clock_real()), message);
+	json_decref(message);
+	srig_run(&rig->srig, 400);
+	cr_expect(job->answered);
+	cr_expect_eq(job->result, SCHED_OUTCOME_UNKNOWN);
+	cr_expect_null(wm_task(&rig->srig.cluster, "0000000000000002.0.0.0"));
+	rig_destroy(rig);
+}
+
 /* The process that confirms the stop ends before it lists the end. */
 Test(scheduler, late_start_is_not_executed_by_the_process_after_a_stop)
 {
