--- a/tests/test_scheduler_stored.c
+++ b/tests/test_scheduler_stored.c
@@ -33,7 +33,7 @@
 	struct worker_link link;
 	struct scheduler *sched;
 	uint32_t starts, stops;
-	uint32_t pause_ms; /* in the first start of another job */
+	uint32_t pause_ms;	   /* in the first start of another job */
 	worker_done_fn start_done; /* of the last start of the first task */
 	void *start_arg;
 	worker_done_fn stop_done; /* of the last stop of the first task */
