--- a/core/unread.c
+++ b/core/unread.c
@@ -4,8 +4,8 @@
 
 #include "core/unread.h"
 
-/* After a pause, at least two ticks count as run before all is read; after a
- * longer one all ticks within the time of the pause, up to this limit. */
+/* After a pause, all sockets count as read when as much time has passed as the
+ * pause has taken, or this time. */
 #define UNREAD_READ_MAX_US UINT64_C(100000)
 
 void
--- a/core/unread.h
+++ b/core/unread.h
@@ -5,9 +5,8 @@
 
 /*
  * Since when a message that is read now may have waited in the sockets of this
- * process. An event loop that is paused reads what has arrived meanwhile
- * afterwards, a part of its sockets in each iteration, and runs its timers in
- * between.
+ * process. After a pause, an event loop reads a part of its sockets in each
+ * iteration, and runs its timers in between.
  *
  * Times are of one clock that counts suspensions.
  */
--- a/entry/jobs/scheduler_risk.c
+++ b/entry/jobs/scheduler_risk.c
@@ -5,8 +5,8 @@
  * for all runs of tasks under which servers were lost before. The holder tells
  * them all, with the replies to pings, to the hosts that are likely to succeed
  * it: a run that is left out is not at risk any more. These hosts pass the last
- * set on to each other. One that takes over records it as losses, of which the
- * reply of a server disposes. See docs/design/suspects.md.
+ * set on to each other. One that takes over records it as losses, which the
+ * reply of a server confirms or withdraws. See docs/design/suspects.md.
  */
 
 #include <jansson.h>
