--- a/entry/jobs/job_gateway.c
+++ b/entry/jobs/job_gateway.c
@@ -27,8 +27,8 @@
  * while the process was paused. */
 #define GW_PAUSE_MIN_MS 300
 /* Its caller sends a best-effort job again 1.3 s after it has lost the
- * connection. By then the holders of other zones know of a job that is not
- * older when it is accepted. */
+ * connection. By then the holders of other zones know of a job that has waited
+ * in a pause which is not longer. */
 #define GW_PAUSE_MAX_MS 500
 
 static const uint64_t gw_latency_bounds_ms[] = { 50, 100, 150, 200, 300, 400,
